Design, shared types and peer protocol

The design assigns capacity of each shard to one owner in the same data centre, so a partition never produces two owners, and delegates jobs to shards so that a task start needs no store write. Alternatives weighed: one leader on a store lease, compare-and-swap per host in the store.

--- /dev/null
+++ b/core/structs/worker.go
@@ -0,0 +1,52 @@
+package structs
+
+import "time"
+
+// WorkerTaskState is the state of a task as its worker reports it.
+type WorkerTaskState string
+
+// States that a worker reports. The last four are reported until the owner acknowledges them.
+const (
+	OnWorkerRunning WorkerTaskState = "running"
+	OnWorkerDone    WorkerTaskState = "done"
+	OnWorkerFailed  WorkerTaskState = "failed"
+	OnWorkerStopped WorkerTaskState = "stopped" // stopped on command; Checkpoint is set if one was taken
+	OnWorkerExpired WorkerTaskState = "expired" // the task lease lapsed and the worker stopped the task
+)
+
+// StartCommand tells a worker to run one attempt of a task. The worker answers the same attempt again
+// without running it twice.
+type StartCommand struct {
+	Task       TaskID        `json:"task"`
+	Attempt    int           `json:"attempt"`
+	Kind       KindName      `json:"kind"`
+	Shard      ShardID       `json:"shard"`
+	Epoch      Epoch         `json:"epoch"`
+	Reserved   Resources     `json:"reserved"`
+	Lease      time.Duration `json:"lease_ns"`
+	Checkpoint string        `json:"checkpoint,omitempty"`
+	Input      string        `json:"input,omitempty"`
+	RunSeconds float64       `json:"run_seconds,omitempty"`
+}
+
+// WorkerTask is one task in a worker's inventory.
+type WorkerTask struct {
+	Task       TaskID          `json:"task"`
+	Attempt    int             `json:"attempt"`
+	Kind       KindName        `json:"kind"`
+	State      WorkerTaskState `json:"state"`
+	Reserved   Resources       `json:"reserved"`
+	Usage      Resources       `json:"usage"`     // measured, lags
+	UsageAge   time.Duration   `json:"usage_age"` // age of Usage
+	Progress   float64         `json:"progress"`  // 0 to 1, as the task reports it; lags like Usage
+	Checkpoint string          `json:"checkpoint,omitempty"`
+	Throttle   float64         `json:"throttle"` // share of full speed; 1 is unthrottled
+	Reason     string          `json:"reason,omitempty"`
+	RanFor     time.Duration   `json:"ran_for"`
+}
+
+// Inventory is a worker's answer to a lease renewal.
+type Inventory struct {
+	Worker HostID       `json:"worker"`
+	Tasks  []WorkerTask `json:"tasks"`
+}
--- /dev/null
+++ b/pkg/eventlog/eventlog.go
@@ -0,0 +1,53 @@
+// Package eventlog writes numbered log events. docs/EVENTS.md lists all of them.
+package eventlog
+
+import (
+	"io"
+
+	"github.com/phuslu/log"
+)
+
+// Code is the number of an event. Numbers are never reused.
+type Code int
+
+// Definition describes one event in the catalogue.
+type Definition struct {
+	Code  Code
+	Name  string
+	Level log.Level
+	Text  string // what it means and what an operator may do
+}
+
+var catalogue = map[Code]Definition{}
+
+// define adds an event to the catalogue. It is called only from package-level variables.
+func define(code Code, name string, level log.Level, text string) Code {
+	if _, taken := catalogue[code]; taken {
+		panic("eventlog: event number defined twice: " + name)
+	}
+	catalogue[code] = Definition{code, name, level, text}
+	return code
+}
+
+// Logger writes events of one process.
+type Logger struct {
+	log log.Logger
+}
+
+// NewLogger returns a logger that writes JSON lines to w and drops events below level.
+func NewLogger(w io.Writer, level log.Level, host string) *Logger {
+	return &Logger{log: log.Logger{
+		Level:   level,
+		Writer:  log.IOWriter{Writer: w},
+		Context: log.NewContext(nil).Str("host", host).Value(),
+	}}
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger { return NewLogger(io.Discard, log.PanicLevel, "") }
+
+// Event starts an entry for code. The caller adds fields and ends it with Msg.
+func (l *Logger) Event(code Code) *log.Entry {
+	def := catalogue[code]
+	return l.log.WithLevel(def.Level).Int("event", int(code)).Str("name", def.Name)
+}
