Job records and batch placement, first version

A write whose answer was lost is settled by re-reading; repeating it is safe because every attempt carries the same nonce and compares the same revisions. core/placement holds the cache of assumed placements, filters, policies and the planner, core/placement/learn the estimators. JobRecord gets the field Finished, since retention needs the time at which a job ended.

--- /dev/null
+++ b/core/placement/filter.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"slices"
+
+	"fulmarcourse.example/core/placement/learn"
+	"fulmarcourse.example/core/structs"
+)
+
+// View is a worker in the middle of a planning cycle: the snapshot plus what the plan has placed so far.
+type View struct {
+	*Node
+	Left    structs.Resources // capacity that is neither reserved nor planned
+	Running []learn.KindCount // placed and planned tasks by kind
+	Held    bool              // kept free for a task that has waited for long
+	owned   bool              // Running is a copy of the view
+}
+
+// viewSpareKinds is the room for further kinds in the copy of Running.
+const viewSpareKinds = 4
+
+// take books a task.
+func (v *View) take(kind structs.KindName, size structs.Resources) {
+	v.Left = v.Left.Sub(size)
+	if !v.owned {
+		v.Running = append(make([]learn.KindCount, 0, len(v.Running)+viewSpareKinds), v.Running...)
+		v.owned = true
+	}
+	v.Running = addKind(v.Running, kind)
+}
+
+// Filter decides whether a worker may take a task that reserves size.
+type Filter interface {
+	Name() string
+	Allows(task *Pending, size structs.Resources, view *View) bool
+}
+
+// DefaultFilters returns the filters that every policy uses. Whether the data centre may start tasks at all is
+// checked once per cycle.
+func DefaultFilters() []Filter {
+	return []Filter{leavingFilter{}, probeFilter{}, quarantineFilter{}, excludedFilter{}, heldFilter{}, resourceFilter{}}
+}
+
+// outReason is reported for every task while the data centre may start none.
+const outReason = "datacentre-out"
+
+// leavingFilter rejects workers that are leaving.
+type leavingFilter struct{}
+
+func (leavingFilter) Name() string { return "leaving" }
+func (leavingFilter) Allows(_ *Pending, _ structs.Resources, view *View) bool {
+	return !view.Leaving
+}
+
+// probeFilter sends a probe task to the worker that it tests and nowhere else.
+type probeFilter struct{}
+
+func (probeFilter) Name() string { return "probe" }
+func (probeFilter) Allows(task *Pending, _ structs.Resources, view *View) bool {
+	return task.Probe == "" || task.Probe == view.Host
+}
+
+// quarantineFilter rejects quarantined workers for all tasks but their probe.
+type quarantineFilter struct{}
+
+func (quarantineFilter) Name() string { return "quarantined" }
+func (quarantineFilter) Allows(task *Pending, _ structs.Resources, view *View) bool {
+	return !view.Quarantined || task.Probe == view.Host
+}
+
+// excludedFilter rejects workers on which the task has failed.
+type excludedFilter struct{}
+
+func (excludedFilter) Name() string { return "excluded" }
+func (excludedFilter) Allows(task *Pending, _ structs.Resources, view *View) bool {
+	return !slices.Contains(task.Excluded, view.Host)
+}
+
+// heldFilter rejects workers that the plan keeps free for another task. Urgent tasks do not wait for it.
+type heldFilter struct{}
+
+func (heldFilter) Name() string { return "held" }
+func (heldFilter) Allows(task *Pending, _ structs.Resources, view *View) bool {
+	return !view.Held || task.Urgent
+}
+
+// resourceFilter rejects workers without enough unreserved capacity. Measured usage plays no part: it lags, and a
+// host must never be committed beyond its capacity.
+type resourceFilter struct{}
+
+func (resourceFilter) Name() string { return "resources" }
+func (resourceFilter) Allows(_ *Pending, size structs.Resources, view *View) bool {
+	return size.Fits(view.Left)
+}
--- /dev/null
+++ b/core/placement/learn/sizes.go
@@ -0,0 +1,184 @@
+// Package learn estimates what batch kinds really need and how much they slow each other down. Declared sizes and
+// run times are far from the real ones, and measurements arrive late. The estimators are plain data: they make no
+// calls, take the time as an argument and hold no locks. The shard owner calls them under its own lock.
+package learn
+
+import (
+	"math"
+	"time"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// Thresholds of size and run time estimates.
+const (
+	// SketchAccuracy is the relative error of a quantile (DDSketch: Masson, Rim and Lee, 2019).
+	SketchAccuracy = 0.02
+	// SketchBins bounds the memory of one sketch. At SketchAccuracy the bins span a range of 1 to 25 million, for
+	// example 4 kB to 100 GB; smaller values are counted in the lowest bin.
+	SketchBins = 426
+	// SizeHalfLife is the time in which a sample loses half of its weight, so that a kind whose size has changed
+	// is relearned within a few hours.
+	SizeHalfLife = time.Hour
+	// DecayStep is the least time between two reweightings of a sketch, which visit every bin.
+	DecayStep = SizeHalfLife / 32
+	// MinSamplesToRaise is the weight of samples from which a reservation may exceed the declared size.
+	MinSamplesToRaise = 20
+	// MinSamplesToLower is the weight of samples from which a reservation may fall below the declared size. It is
+	// higher, since a reservation that is too small hurts the neighbours of the task.
+	MinSamplesToLower = 60
+	// CPUQuantile of the measured usage is reserved. Processor time can be throttled, so rare peaks are left out.
+	CPUQuantile = 0.90
+	// MemoryQuantile of the measured usage is reserved. Memory cannot be throttled.
+	MemoryQuantile = 0.99
+	// MemoryMargin is multiplied with the memory quantile, for growth between two measurements.
+	MemoryMargin = 1.15
+	// MinShareOfDeclared is the least share of the declared size that is reserved.
+	MinShareOfDeclared = 0.05
+	// MinSamplesOfRuns is the weight of finished attempts from which run times are estimated.
+	MinSamplesOfRuns = 10
+)
+
+// sketch is a quantile sketch whose samples lose weight with time. Times before the latest decay count as present.
+type sketch struct {
+	data    *ddsketch.DDSketch
+	decayed time.Time
+}
+
+func newSketch(now time.Time) *sketch {
+	data, err := ddsketch.LogCollapsingLowestDenseDDSketch(SketchAccuracy, SketchBins)
+	if err != nil {
+		panic("learn: SketchAccuracy is not a relative accuracy: " + err.Error())
+	}
+	return &sketch{data: data, decayed: now}
+}
+
+// add takes one sample. Values that a sketch cannot hold are dropped.
+func (s *sketch) add(value float64, now time.Time) {
+	s.decay(now)
+	if value >= 0 && !math.IsInf(value, 0) {
+		_ = s.data.Add(value) // fails only for values beyond the range of float64 bins, which carry no information
+	}
+}
+
+// decay gives older samples less weight.
+func (s *sketch) decay(now time.Time) {
+	age := now.Sub(s.decayed)
+	if age < DecayStep {
+		return
+	}
+	s.decayed = now
+	factor := math.Exp2(-age.Hours() / SizeHalfLife.Hours())
+	if factor < 1e-6 || s.data.IsEmpty() {
+		s.data.Clear()
+		return
+	}
+	_ = s.data.Reweight(factor) // fails only for factors that are not positive
+}
+
+// quantile returns a quantile, and the weight of the samples behind it.
+func (s *sketch) quantile(q float64) (value, weight float64) {
+	weight = s.data.GetCount()
+	if weight <= 0 {
+		return 0, 0
+	}
+	value, err := s.data.GetValueAtQuantile(q)
+	if err != nil {
+		return 0, 0
+	}
+	return value, weight
+}
+
+// kindSizes holds the sketches of one kind: processors in thousandths, memory in bytes, run time in seconds.
+type kindSizes struct{ cpu, memory, run *sketch }
+
+// Sizes estimates reservations and run times per kind.
+type Sizes struct {
+	kinds map[structs.KindName]*kindSizes
+}
+
+// NewSizes returns estimators that know nothing.
+func NewSizes() *Sizes { return &Sizes{kinds: map[structs.KindName]*kindSizes{}} }
+
+func (s *Sizes) kind(name structs.KindName, now time.Time) *kindSizes {
+	k := s.kinds[name]
+	if k == nil {
+		k = &kindSizes{newSketch(now), newSketch(now), newSketch(now)}
+		s.kinds[name] = k
+	}
+	return k
+}
+
+// ObserveUsage takes one measurement of a running task.
+func (s *Sizes) ObserveUsage(kind structs.KindName, usage structs.Resources, now time.Time) {
+	k := s.kind(kind, now)
+	k.cpu.add(float64(usage.MilliCPU), now)
+	k.memory.add(float64(usage.MemoryBytes), now)
+}
+
+// ObserveRun takes the whole run time of a task that was done, over all its attempts.
+func (s *Sizes) ObserveRun(kind structs.KindName, ran time.Duration, now time.Time) {
+	s.kind(kind, now).run.add(ran.Seconds(), now)
+}
+
+// Reservation returns what a task of kind should reserve. Accelerators are whole devices and stay as declared.
+// The planner limits the result to what a host has.
+func (s *Sizes) Reservation(kind structs.KindName, declared structs.Resources) structs.Resources {
+	k := s.kinds[kind]
+	if k == nil {
+		return declared
+	}
+	cpu, cpuWeight := k.cpu.quantile(CPUQuantile)
+	memory, memoryWeight := k.memory.quantile(MemoryQuantile)
+	return structs.Resources{
+		MilliCPU:     learned(declared.MilliCPU, cpu, cpuWeight),
+		MemoryBytes:  learned(declared.MemoryBytes, memory*MemoryMargin, memoryWeight),
+		Accelerators: declared.Accelerators,
+	}
+}
+
+// learned returns the measured amount if there is enough evidence, else the declared one.
+func learned(declared int64, measured, weight float64) int64 {
+	floor := int64(math.Ceil(float64(declared) * MinShareOfDeclared))
+	value := int64(math.Ceil(min(measured, math.MaxInt64/2)))
+	switch {
+	case value > declared && weight >= MinSamplesToRaise:
+		return value
+	case value < declared && weight >= MinSamplesToLower:
+		return max(value, floor)
+	}
+	return declared
+}
+
+// RunTime returns a quantile of the run time of kind; false when there is too little evidence.
+func (s *Sizes) RunTime(kind structs.KindName, q float64) (time.Duration, bool) {
+	k := s.kinds[kind]
+	if k == nil {
+		return 0, false
+	}
+	seconds, weight := k.run.quantile(q)
+	return time.Duration(seconds * float64(time.Second)), weight >= MinSamplesOfRuns
+}
+
+// Remaining returns the expected time until a task that has run for ranFor is done: the mean excess of the run
+// times that are longer. It is false when there is too little evidence.
+func (s *Sizes) Remaining(kind structs.KindName, ranFor time.Duration) (time.Duration, bool) {
+	k := s.kinds[kind]
+	if k == nil || k.run.data.GetCount() < MinSamplesOfRuns {
+		return 0, false
+	}
+	var sum, weight float64
+	k.run.data.ForEach(func(value, count float64) bool {
+		if value > ranFor.Seconds() {
+			sum += (value - ranFor.Seconds()) * count
+			weight += count
+		}
+		return false
+	})
+	if weight <= 0 {
+		return 0, false
+	}
+	return time.Duration(sum / weight * float64(time.Second)), true
+}
--- /dev/null
+++ b/core/placement/learn/slowdown.go
@@ -0,0 +1,248 @@
+package learn
+
+import (
+	"math"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// Thresholds of slowdown estimates. Slowdowns are kept as natural logarithms: 0.1 means about 10% slower for each
+// neighbour of the kind, and the effects of several neighbours add up.
+const (
+	// SlowdownHalfLife is the time in which evidence loses half of its weight. Co-location effects change with
+	// load, and a wrong belief must not outlive its evidence.
+	SlowdownHalfLife = 30 * time.Minute
+	// PriorDeviation is how far from 0 a slowdown is expected to be before any evidence.
+	PriorDeviation = 0.2
+	// NoiseDeviation is the standard deviation of the logarithm of one measured progress rate.
+	NoiseDeviation = 0.2
+	// MaxLogStep bounds the deviation that one measurement may show, so that an outlier has a bounded effect.
+	MaxLogStep = 1.5
+	// MaxLogSlowdown bounds the belief about one neighbour: a factor of 7.4.
+	MaxLogSlowdown = 2.0
+	// MaxKinds bounds the size of the estimator. Kinds beyond it are taken as harmless.
+	MaxKinds = 64
+	// TaskMemory is the number of measurements of a task that its mean rate remembers.
+	TaskMemory = 20
+	// SolveInterval is the least time between two solutions of the equations of one kind.
+	SolveInterval = 2 * time.Second
+)
+
+// attempt names one run of a task.
+type attempt struct {
+	task   structs.TaskID
+	number int
+}
+
+// baseline is the mean of the earlier measurements of one attempt.
+type baseline struct {
+	count float64
+	rate  float64   // mean logarithm of the progress rate
+	near  []float64 // mean neighbours by kind index
+}
+
+// row holds the normal equations for one victim kind: evidence * slowdown = effect.
+type row struct {
+	evidence [][]float64
+	effect   []float64
+	decayed  time.Time
+	solved   []float64
+	solvedAt time.Time
+	stale    bool
+}
+
+// Slowdowns estimates how much a task of one kind is slowed by each neighbour of another kind.
+//
+// Tasks of a kind differ widely in length, so rates of different tasks are not compared. Each measurement of an
+// attempt is compared with the mean of its earlier ones, scaled so that the differences are independent (forward
+// orthogonal deviations: Arellano and Bover, 1995). The differences feed a ridge regression per victim kind whose
+// evidence decays exponentially, so that without fresh evidence a belief returns to 0.
+type Slowdowns struct {
+	index map[structs.KindName]int
+	rows  []*row
+	runs  map[attempt]*baseline
+}
+
+// NewSlowdowns returns an estimator that believes in no slowdown.
+func NewSlowdowns() *Slowdowns {
+	return &Slowdowns{index: map[structs.KindName]int{}, runs: map[attempt]*baseline{}}
+}
+
+// kind returns the index of a kind and adds it if there is room; -1 if there is none.
+func (s *Slowdowns) kind(name structs.KindName) int {
+	if i, ok := s.index[name]; ok {
+		return i
+	}
+	if len(s.index) >= MaxKinds {
+		return -1
+	}
+	i := len(s.index)
+	s.index[name] = i
+	s.rows = append(s.rows, &row{})
+	for _, r := range s.rows {
+		r.grow(len(s.index))
+	}
+	return i
+}
+
+// grow adds empty equations up to size.
+func (r *row) grow(size int) {
+	for i := range r.evidence {
+		r.evidence[i] = append(r.evidence[i], make([]float64, size-len(r.evidence[i]))...)
+	}
+	for len(r.evidence) < size {
+		r.evidence = append(r.evidence, make([]float64, size))
+		r.effect = append(r.effect, 0)
+		r.solved = append(r.solved, 0)
+	}
+}
+
+// Observe takes one progress rate (share of the task per second) of an attempt together with its neighbours at
+// the time of the measurement.
+func (s *Slowdowns) Observe(task structs.TaskID, number int, kind structs.KindName, rate float64, near []Exposure, now time.Time) {
+	victim := s.kind(kind)
+	if victim < 0 || !(rate > 0) || math.IsInf(rate, 0) {
+		return
+	}
+	neighbours := s.vector(near)
+	key := attempt{task, number}
+	base := s.runs[key]
+	if base == nil {
+		base = &baseline{}
+		s.runs[key] = base
+	}
+	base.near = append(base.near, make([]float64, len(neighbours)-len(base.near))...)
+	logRate := math.Log(rate)
+	if base.count > 0 {
+		s.rows[victim].learn(base, logRate, neighbours, now)
+	}
+	base.count = min(base.count+1, TaskMemory)
+	base.rate += (logRate - base.rate) / base.count
+	for i := range neighbours {
+		base.near[i] += (neighbours[i] - base.near[i]) / base.count
+	}
+}
+
+// vector returns the neighbours by kind index.
+func (s *Slowdowns) vector(near []Exposure) []float64 {
+	for _, e := range near {
+		s.kind(e.Kind)
+	}
+	result := make([]float64, len(s.index))
+	for _, e := range near {
+		if i, ok := s.index[e.Kind]; ok {
+			result[i] = e.Mean
+		}
+	}
+	return result
+}
+
+// learn adds the difference between one measurement and the baseline of its attempt to the equations.
+func (r *row) learn(base *baseline, logRate float64, neighbours []float64, now time.Time) {
+	r.decay(now)
+	weight := base.count / (base.count + 1) / (NoiseDeviation * NoiseDeviation)
+	slower := min(max(base.rate-logRate, -MaxLogStep), MaxLogStep)
+	for i := range neighbours {
+		di := neighbours[i] - base.near[i]
+		if di == 0 {
+			continue
+		}
+		r.effect[i] += weight * di * slower
+		for j := range neighbours {
+			r.evidence[i][j] += weight * di * (neighbours[j] - base.near[j])
+		}
+	}
+	r.stale = true
+}
+
+// decay gives older evidence less weight.
+func (r *row) decay(now time.Time) {
+	age := now.Sub(r.decayed)
+	if age <= 0 {
+		return
+	}
+	if !r.decayed.IsZero() {
+		factor := math.Exp2(-age.Seconds() / SlowdownHalfLife.Seconds())
+		for i := range r.evidence {
+			r.effect[i] *= factor
+			for j := range r.evidence[i] {
+				r.evidence[i][j] *= factor
+			}
+		}
+	}
+	r.decayed = now
+	r.stale = true
+}
+
+// Refresh solves the equations that have changed or decayed. The owner calls it before a planning cycle.
+func (s *Slowdowns) Refresh(now time.Time) {
+	for _, r := range s.rows {
+		if now.Sub(r.solvedAt) < SolveInterval {
+			continue
+		}
+		r.decay(now)
+		if r.stale {
+			solveRidge(r.evidence, r.effect, 1/(PriorDeviation*PriorDeviation), r.solved)
+			for i := range r.solved {
+				r.solved[i] = min(max(r.solved[i], 0), MaxLogSlowdown)
+			}
+			r.stale = false
+		}
+		r.solvedAt = now
+	}
+}
+
+// Pair returns the logarithm of the slowdown that one neighbour causes to a task of kind victim, as of the latest
+// Refresh; 0 for kinds that are not known.
+func (s *Slowdowns) Pair(victim, neighbour structs.KindName) float64 {
+	v, ok := s.index[victim]
+	if !ok {
+		return 0
+	}
+	n, ok := s.index[neighbour]
+	if !ok {
+		return 0
+	}
+	return s.rows[v].solved[n]
+}
+
+// Forget drops the baseline of an attempt that has ended.
+func (s *Slowdowns) Forget(task structs.TaskID, number int) { delete(s.runs, attempt{task, number}) }
+
+// solveRidge solves (a + ridge*I) x = b by Cholesky decomposition. a is symmetric and positive semidefinite, so
+// with ridge > 0 the solution exists.
+func solveRidge(a [][]float64, b []float64, ridge float64, x []float64) {
+	n := len(b)
+	l := make([][]float64, n)
+	for i := range l {
+		l[i] = make([]float64, i+1)
+		for j := 0; j <= i; j++ {
+			sum := a[i][j]
+			if i == j {
+				sum += ridge
+			}
+			for k := 0; k < j; k++ {
+				sum -= l[i][k] * l[j][k]
+			}
+			if i == j {
+				l[i][i] = math.Sqrt(max(sum, ridge/2)) // rounding may bring the sum below the ridge
+			} else {
+				l[i][j] = sum / l[j][j]
+			}
+		}
+	}
+	for i := 0; i < n; i++ {
+		x[i] = b[i]
+		for k := 0; k < i; k++ {
+			x[i] -= l[i][k] * x[k]
+		}
+		x[i] /= l[i][i]
+	}
+	for i := n - 1; i >= 0; i-- {
+		for k := i + 1; k < n; k++ {
+			x[i] -= l[k][i] * x[k]
+		}
+		x[i] /= l[i][i]
+	}
+}
--- /dev/null
+++ b/core/placement/plan.go
@@ -0,0 +1,327 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// Thresholds of a planning cycle.
+const (
+	// HoldAfter is how long a task waits before a worker is kept free for it. Otherwise small tasks could fill
+	// every gap for ever and a large one would never start. Backfilling around one such reservation is from
+	// Lifka, "The ANL/IBM SP scheduling system" (EASY, 1995).
+	HoldAfter = 2 * time.Minute
+	// HeldShare is the greatest share of the workers that is held at once; at least one may be.
+	HeldShare = 0.05
+)
+
+// Config configures a Planner.
+type Config struct {
+	Policy  Policy
+	Filters []Filter // DefaultFilters when nil
+}
+
+// Planner turns snapshots into plans. It keeps buffers between cycles, so it is not safe for concurrent use.
+type Planner struct {
+	policy  Policy
+	filters []Filter
+	scorers []Scorer
+
+	views    []View
+	versions []uint32 // raised when a view changes
+	classes  map[classKey]*class
+	held     int
+	feasible []int
+	placed   []bool // pending tasks that were placed on the worker held for them
+}
+
+// NewPlanner returns a planner.
+func NewPlanner(cfg Config) *Planner {
+	if cfg.Filters == nil {
+		cfg.Filters = DefaultFilters()
+	}
+	return &Planner{policy: cfg.Policy, filters: cfg.Filters, scorers: cfg.Policy.Scorers()}
+}
+
+// classKey is equal for tasks that every filter and scorer treats alike, so that they share scores.
+type classKey struct {
+	kind     structs.KindName
+	declared structs.Resources
+	excluded string
+	probe    structs.HostID
+	urgent   bool
+}
+
+// class caches the scores of the workers for one class of tasks.
+type class struct {
+	size       structs.Resources
+	scores     []float64 // negative infinity where a filter rejects the worker
+	versions   []uint32  // of the view when the score was computed
+	exhausted  bool      // no worker is left; capacity only shrinks within a cycle
+	rejections []Rejection
+}
+
+// Plan places pending tasks in the given order. It decides from its arguments and the policy's models alone and
+// changes neither. A task for which no worker passes all filters is left waiting, and later ones may overtake it.
+func (p *Planner) Plan(snapshot Snapshot, pending []Pending, rnd *rand.Rand) Plan {
+	if snapshot.Out {
+		return allUnplaced(pending, []Rejection{{outReason, len(snapshot.Nodes)}})
+	}
+	p.begin(snapshot)
+	plan := Plan{Placements: make([]Placement, 0, len(pending))}
+	p.resumeHolds(&plan, pending)
+	for i := range pending {
+		if p.placed[i] {
+			continue
+		}
+		task := &pending[i]
+		c := p.classOf(task)
+		best, explored := p.choose(task, c, rnd)
+		if best < 0 {
+			plan.Unplaced = append(plan.Unplaced, p.leave(task, c, snapshot.Now))
+			continue
+		}
+		p.place(&plan, task, c, best, explored)
+	}
+	return plan
+}
+
+// resumeHolds places the tasks whose held worker has room now, and keeps the other held workers free. The tasks
+// come before all others: what is held for them must not go to tasks that are earlier in the order.
+func (p *Planner) resumeHolds(plan *Plan, pending []Pending) {
+	p.placed = slices.Grow(p.placed[:0], len(pending))[:len(pending)]
+	clear(p.placed)
+	for i := range pending {
+		task := &pending[i]
+		v := p.find(task.Held)
+		if v < 0 || p.held >= p.holdLimit() {
+			continue
+		}
+		c := p.classOf(task)
+		if !math.IsInf(p.score(task, c.size, &p.views[v]), -1) {
+			p.place(plan, task, c, v, false)
+			p.placed[i] = true
+			continue
+		}
+		p.hold(v)
+	}
+}
+
+// find returns the index of a worker, or -1.
+func (p *Planner) find(host structs.HostID) int {
+	if host == "" {
+		return -1
+	}
+	return slices.IndexFunc(p.views, func(v View) bool { return v.Host == host })
+}
+
+func allUnplaced(pending []Pending, why []Rejection) Plan {
+	plan := Plan{Unplaced: make([]Unplaced, len(pending))}
+	for i := range pending {
+		plan.Unplaced[i] = Unplaced{Task: pending[i].Task, Rejections: why}
+	}
+	return plan
+}
+
+// begin sets up the views of a new cycle.
+func (p *Planner) begin(snapshot Snapshot) {
+	p.views = slices.Grow(p.views[:0], len(snapshot.Nodes))
+	for _, n := range snapshot.Nodes {
+		p.views = append(p.views, View{Node: n, Left: n.Free(), Running: n.Kinds})
+	}
+	p.versions = slices.Grow(p.versions[:0], len(p.views))[:len(p.views)]
+	for i := range p.versions {
+		p.versions[i] = 1
+	}
+	p.classes = map[classKey]*class{}
+	p.held = 0
+}
+
+// classOf returns the class of a task.
+func (p *Planner) classOf(task *Pending) *class {
+	key := classKey{task.Kind, task.Declared, excludedKey(task.Excluded), task.Probe, task.Urgent}
+	c := p.classes[key]
+	if c == nil {
+		c = &class{
+			size:     p.fitSize(sanitise(p.policy.Size(task), task.Declared), task.Declared),
+			scores:   make([]float64, len(p.views)),
+			versions: make([]uint32, len(p.views)),
+		}
+		p.classes[key] = c
+	}
+	return c
+}
+
+func excludedKey(hosts []structs.HostID) string {
+	if len(hosts) == 0 {
+		return ""
+	}
+	var key strings.Builder
+	for _, h := range hosts {
+		key.WriteString(string(h))
+		key.WriteByte(0)
+	}
+	return key.String()
+}
+
+// sanitise replaces negative amounts, which no estimate should give, by the declared ones. Accelerators are
+// always as declared.
+func sanitise(size, declared structs.Resources) structs.Resources {
+	if size.MilliCPU < 0 {
+		size.MilliCPU = declared.MilliCPU
+	}
+	if size.MemoryBytes < 0 {
+		size.MemoryBytes = declared.MemoryBytes
+	}
+	size.Accelerators = declared.Accelerators
+	return size
+}
+
+// fitSize limits an estimate that no worker could hold even when empty to the worker that comes nearest to it.
+// Otherwise a wrong estimate would keep a task from ever starting.
+func (p *Planner) fitSize(size, declared structs.Resources) structs.Resources {
+	best, bestCover := declared, -1.0
+	for i := range p.views {
+		capacity := p.views[i].Capacity
+		if size.Fits(capacity) {
+			return size
+		}
+		if !declared.Fits(capacity) {
+			continue
+		}
+		cover := math.Min(1, float64(capacity.MilliCPU)/float64(max(size.MilliCPU, 1))) +
+			math.Min(1, float64(capacity.MemoryBytes)/float64(max(size.MemoryBytes, 1)))
+		if cover > bestCover {
+			bestCover = cover
+			best = structs.Resources{
+				MilliCPU:     min(size.MilliCPU, capacity.MilliCPU),
+				MemoryBytes:  min(size.MemoryBytes, capacity.MemoryBytes),
+				Accelerators: size.Accelerators,
+			}
+		}
+	}
+	return best
+}
+
+// choose returns the index of the worker for a task, or -1, and whether it was drawn at random.
+func (p *Planner) choose(task *Pending, c *class, rnd *rand.Rand) (int, bool) {
+	if c.exhausted {
+		return -1, false
+	}
+	best, bestScore := -1, math.Inf(-1)
+	p.feasible = p.feasible[:0]
+	for i := range p.views {
+		if c.versions[i] != p.versions[i] {
+			c.scores[i], c.versions[i] = p.score(task, c.size, &p.views[i]), p.versions[i]
+		}
+		if math.IsInf(c.scores[i], -1) {
+			continue
+		}
+		p.feasible = append(p.feasible, i)
+		if c.scores[i] > bestScore {
+			best, bestScore = i, c.scores[i]
+		}
+	}
+	if best < 0 {
+		c.exhausted = true
+		return -1, false
+	}
+	if share := p.policy.ExploreShare(); share > 0 && !task.Urgent && rnd.Float64() < share {
+		return p.feasible[rnd.IntN(len(p.feasible))], true
+	}
+	return best, false
+}
+
+// score returns the sum of the scorers, or negative infinity if a filter rejects the worker.
+func (p *Planner) score(task *Pending, size structs.Resources, view *View) float64 {
+	for _, f := range p.filters {
+		if !f.Allows(task, size, view) {
+			return math.Inf(-1)
+		}
+	}
+	sum := 0.0
+	for _, s := range p.scorers {
+		sum += s.Score(task, size, view)
+	}
+	if math.IsNaN(sum) || math.IsInf(sum, 0) {
+		return -math.MaxFloat64 // a faulty estimate ranks last but does not keep the task from starting
+	}
+	return sum
+}
+
+// place books a task on a view and adds it to the plan.
+func (p *Planner) place(plan *Plan, task *Pending, c *class, i int, explored bool) {
+	p.views[i].take(task.Kind, c.size)
+	p.versions[i]++
+	plan.Placements = append(plan.Placements, Placement{task.Task, task.Kind, p.views[i].Host, c.size, explored})
+}
+
+// hold keeps a worker free until the end of the cycle.
+func (p *Planner) hold(i int) {
+	p.views[i].Held = true
+	p.versions[i]++
+	p.held++
+}
+
+func (p *Planner) holdLimit() int { return max(1, int(float64(len(p.views))*HeldShare)) }
+
+// leave reports a task that found no worker, and holds one for it if it has waited for long.
+func (p *Planner) leave(task *Pending, c *class, now time.Time) Unplaced {
+	if c.rejections == nil {
+		c.rejections = p.reject(task, c.size)
+	}
+	result := Unplaced{Task: task.Task, Rejections: c.rejections}
+	if i := p.find(task.Held); i >= 0 && p.views[i].Held {
+		result.Held = task.Held
+		return result
+	}
+	if now.Sub(task.Since) < HoldAfter || p.held >= p.holdLimit() || task.Probe != "" {
+		return result
+	}
+	if i := p.roomiest(task, c.size); i >= 0 {
+		p.hold(i)
+		result.Held = p.views[i].Host
+	}
+	return result
+}
+
+// roomiest returns the worker that has the most processors left of those that could hold the task when empty.
+func (p *Planner) roomiest(task *Pending, size structs.Resources) int {
+	best := -1
+	for i := range p.views {
+		empty := p.views[i]
+		empty.Left = empty.Capacity
+		if math.IsInf(p.score(task, size, &empty), -1) {
+			continue
+		}
+		if best < 0 || p.views[i].Left.MilliCPU > p.views[best].Left.MilliCPU {
+			best = i
+		}
+	}
+	return best
+}
+
+// reject counts for each filter the workers that it is the first to reject.
+func (p *Planner) reject(task *Pending, size structs.Resources) []Rejection {
+	counts := make([]int, len(p.filters))
+	for i := range p.views {
+		for f := range p.filters {
+			if !p.filters[f].Allows(task, size, &p.views[i]) {
+				counts[f]++
+				break
+			}
+		}
+	}
+	result := []Rejection{}
+	for f, count := range counts {
+		if count > 0 {
+			result = append(result, Rejection{p.filters[f].Name(), count})
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/core/placement/policy.go
@@ -0,0 +1,142 @@
+package placement
+
+import (
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// ErrUnknownPolicy means that there is no policy of a name.
+const ErrUnknownPolicy = errors.ConstError("unknown placement policy")
+
+// Policy decides how much a task reserves and which of the workers that pass the filters it gets.
+type Policy interface {
+	Name() string
+	// Size returns the reservation for a task. The planner limits it to what a host has.
+	Size(task *Pending) structs.Resources
+	// Scorers are added up; the worker with the highest sum is chosen, the first in order of host among equals.
+	Scorers() []Scorer
+	// ExploreShare is the share of placements, from 0 to 1, that go to a random worker which passes the filters.
+	ExploreShare() float64
+}
+
+// Scorer rates a worker for a task.
+type Scorer interface {
+	Name() string
+	Score(task *Pending, size structs.Resources, view *View) float64
+}
+
+// SizeModel estimates reservations. learn.Sizes satisfies it.
+type SizeModel interface {
+	Reservation(kind structs.KindName, declared structs.Resources) structs.Resources
+}
+
+// SlowdownModel gives the logarithm of the slowdown that one neighbour causes to a task of kind victim.
+// learn.Slowdowns satisfies it.
+type SlowdownModel interface {
+	Pair(victim, neighbour structs.KindName) float64
+}
+
+// PolicyConfig holds the models that policies may use.
+type PolicyConfig struct {
+	Sizes     SizeModel
+	Slowdowns SlowdownModel
+}
+
+// Names of the policies.
+const (
+	FirstFit = "first-fit"
+	BestFit  = "best-fit"
+	Learned  = "learned"
+)
+
+// PolicyNames returns the accepted names.
+func PolicyNames() []string { return []string{FirstFit, BestFit, Learned} }
+
+// NewPolicy returns the policy called name. The learned one needs both models.
+func NewPolicy(name string, cfg PolicyConfig) (Policy, error) {
+	switch name {
+	case FirstFit:
+		return firstFit{}, nil
+	case BestFit:
+		return bestFit{}, nil
+	case Learned:
+		if cfg.Sizes == nil || cfg.Slowdowns == nil {
+			return nil, errors.NotValidf("policy %q without models", name)
+		}
+		return learnedPolicy{cfg}, nil
+	}
+	return nil, errors.Annotatef(ErrUnknownPolicy, "%q, accepted: %v", name, PolicyNames())
+}
+
+// firstFit takes the first worker with room for the declared size. It is the baseline.
+type firstFit struct{}
+
+func (firstFit) Name() string                         { return FirstFit }
+func (firstFit) Size(task *Pending) structs.Resources { return task.Declared }
+func (firstFit) Scorers() []Scorer                    { return nil }
+func (firstFit) ExploreShare() float64                { return 0 }
+
+// bestFit takes the worker that the declared size fills best, which keeps large gaps for large tasks.
+type bestFit struct{}
+
+func (bestFit) Name() string                         { return BestFit }
+func (bestFit) Size(task *Pending) structs.Resources { return task.Declared }
+func (bestFit) Scorers() []Scorer                    { return []Scorer{fitScorer{weight: 1}} }
+func (bestFit) ExploreShare() float64                { return 0 }
+
+// Thresholds of the learned policy.
+const (
+	// LearnedFitWeight weighs how well a worker is filled (0 to 1) against slowdown, which is in logarithms: a
+	// worker that is emptier by all of its capacity is worth a slowdown of 5%.
+	LearnedFitWeight = 0.05
+	// LearnedExploreShare is the share of placements made at random, so that pairs which are believed to harm
+	// each other are still measured at times.
+	LearnedExploreShare = 0.02
+)
+
+// learnedPolicy reserves measured sizes and avoids neighbours that slow each other down. The idea of predicting
+// co-location effects from measured pairs is from Delimitrou and Kozyrakis, "Paragon" (2013), and Mars et al.,
+// "Bubble-Up" (2011).
+type learnedPolicy struct{ models PolicyConfig }
+
+func (learnedPolicy) Name() string { return Learned }
+func (p learnedPolicy) Size(task *Pending) structs.Resources {
+	return p.models.Sizes.Reservation(task.Kind, task.Declared)
+}
+func (p learnedPolicy) Scorers() []Scorer {
+	return []Scorer{slowdownScorer{p.models.Slowdowns}, fitScorer{weight: LearnedFitWeight}}
+}
+func (learnedPolicy) ExploreShare() float64 { return LearnedExploreShare }
+
+// fitScorer prefers workers with little capacity left over after the placement.
+type fitScorer struct{ weight float64 }
+
+func (fitScorer) Name() string { return "fit" }
+func (s fitScorer) Score(_ *Pending, size structs.Resources, view *View) float64 {
+	left := view.Left.Sub(size)
+	sum, dims := 0.0, 0.0
+	for _, d := range [...][2]int64{{left.MilliCPU, view.Capacity.MilliCPU}, {left.MemoryBytes, view.Capacity.MemoryBytes}, {left.Accelerators, view.Capacity.Accelerators}} {
+		if d[1] > 0 {
+			sum += float64(d[0]) / float64(d[1])
+			dims++
+		}
+	}
+	if dims == 0 {
+		return 0
+	}
+	return -s.weight * sum / dims
+}
+
+// slowdownScorer charges a worker with the slowdown that its tasks would cause to the new one and the new one to
+// each of them.
+type slowdownScorer struct{ model SlowdownModel }
+
+func (slowdownScorer) Name() string { return "slowdown" }
+func (s slowdownScorer) Score(task *Pending, _ structs.Resources, view *View) float64 {
+	cost := 0.0
+	for _, k := range view.Running {
+		cost += float64(k.Count) * (s.model.Pair(task.Kind, k.Kind) + s.model.Pair(k.Kind, task.Kind))
+	}
+	return -cost
+}
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -60,6 +60,7 @@
 	CancelRequested bool         `json:"cancel_requested,omitempty"`
 	Tasks           []TaskRecord `json:"tasks"`
 	Submitted       time.Time    `json:"submitted"`
+	Finished        time.Time    `json:"finished,omitzero"` // when the last task became final; zero before that
 	Nonce           string       `json:"nonce"`
 }
 
--- /dev/null
+++ b/pkg/eventlog/codes_jobs.go
@@ -0,0 +1,17 @@
+package eventlog
+
+import "github.com/phuslu/log"
+
+// Events of job records, 5000 to 5099.
+var (
+	JobAccepted        = define(5000, "job_accepted", log.InfoLevel, "The store has acknowledged a new job record.")
+	JobRejected        = define(5001, "job_rejected", log.InfoLevel, "A submission was rejected; the reason field says why. Nothing was stored.")
+	JobUnknown         = define(5002, "job_unknown", log.WarnLevel, "The store did not answer whether a job record was created. Repeating the submission with the same key is safe.")
+	JobCancelRequested = define(5003, "job_cancel_requested", log.InfoLevel, "A cancellation was recorded. The owner of the home shard stops the tasks.")
+	JobRecordBroken    = define(5004, "job_record_broken", log.ErrorLevel, "A stored job record cannot be read. The job is left alone; inspect the record in the store.")
+	JobHomeMoved       = define(5005, "job_home_moved", log.InfoLevel, "A job has a new home shard.")
+	JobDeleted         = define(5006, "job_deleted", log.InfoLevel, "A finished job was deleted after the retention time.")
+	JobBatchLost       = define(5010, "job_batch_not_owner", log.WarnLevel, "A write of job records found another owner of the shard. This host stops writing for the shard.")
+	JobBatchUnsettled  = define(5011, "job_batch_unsettled", log.WarnLevel, "The result of a write of job records is not known yet. It is settled by re-reading the records.")
+	JobBatchConflict   = define(5012, "job_batch_conflict", log.ErrorLevel, "A job record was changed by a writer that is not the owner of its home shard. The change of this host was dropped.")
+)
--- /dev/null
+++ b/pkg/jobs/flush.go
@@ -0,0 +1,207 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/store"
+)
+
+// group is the set of changes of one transaction. It is kept until its result is known, and only the goroutine
+// that holds Batch.flushing uses it.
+type group struct {
+	entries map[string]*groupEntry // by store key
+	nonce   string
+	sent    bool // a write was sent whose answer was lost
+}
+
+type groupEntry struct {
+	entry
+	value []byte // as last sent
+}
+
+// fail resolves every change of the group with err.
+func (g *group) fail(err error) {
+	for _, e := range g.entries {
+		e.ticket.resolve(err)
+	}
+}
+
+// Flush writes up to MaxBatchRecords queued changes in one transaction and returns when their result is known. On
+// an error of the store the changes are kept and the next Flush continues with them. ErrNotOwner ends the batch.
+func (b *Batch) Flush(ctx context.Context) error {
+	b.flushing.Lock()
+	defer b.flushing.Unlock()
+	if b.group == nil {
+		b.group = b.take()
+	}
+	if b.group == nil {
+		return nil
+	}
+	ctx, span := b.tracer.Start(ctx, "jobs.Flush")
+	defer span.End()
+	start := b.cfg.Clock()
+	size := len(b.group.entries)
+	err := b.commit(ctx, b.group)
+	if errors.Is(err, ErrNotOwner) {
+		b.cfg.Log.Event(eventlog.JobBatchLost).Str("shard", b.cfg.Shard.String()).Int64("epoch", int64(b.cfg.Epoch)).Msg("")
+		b.group.fail(err)
+		b.group = nil
+		b.end(err)
+		return err
+	}
+	if err != nil {
+		b.cfg.Scope.Counter("flush_errors").Inc(1)
+		return err
+	}
+	b.group = nil
+	b.cfg.Scope.Counter("flushed_records").Inc(int64(size))
+	b.cfg.Scope.Timer("flush").Record(b.cfg.Clock().Sub(start))
+	return nil
+}
+
+// take moves the oldest queued changes into a group. Records that are too large get their error here.
+func (b *Batch) take() *group {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := &group{entries: map[string]*groupEntry{}, nonce: newNonce()}
+	size, taken := 0, 0
+	for _, id := range b.order {
+		e := b.queue[id]
+		value, err := b.seal(e, g.nonce)
+		if err == nil && len(g.entries) > 0 && (len(g.entries) >= MaxBatchRecords || size+len(value) > MaxTxnBytes) {
+			break
+		}
+		taken++
+		delete(b.queue, id)
+		if err != nil {
+			e.ticket.resolve(err)
+			continue
+		}
+		size += len(value)
+		g.entries[b.keys.job(id)] = &groupEntry{entry: *e}
+	}
+	b.order = b.order[taken:]
+	if len(b.order) == 0 {
+		b.order, b.promptBy = nil, time.Time{}
+	}
+	if len(g.entries) == 0 {
+		return nil
+	}
+	return g
+}
+
+// seal completes a record for writing and encodes it. A deletion has no value. The caller holds mu.
+func (b *Batch) seal(e *entry, nonce string) ([]byte, error) {
+	k := b.known[e.record.ID]
+	if k == nil {
+		return nil, errors.Annotatef(ErrNotTracked, "job %s", e.record.ID)
+	}
+	if e.remove {
+		return nil, nil
+	}
+	e.record.Nonce = nonce
+	e.record.CancelRequested = e.record.CancelRequested || k.cancelled
+	return encode(&e.record)
+}
+
+// commit sends the group until its result is known, at most MaxSettleAttempts times in one call.
+func (b *Batch) commit(ctx context.Context, g *group) error {
+	var lost error
+	for attempt := 0; attempt < MaxSettleAttempts; attempt++ {
+		txn, keys := b.transaction(g)
+		if len(keys) == 0 {
+			return nil
+		}
+		result, err := b.cfg.Store.Txn(ctx, txn)
+		if err == nil && result.Applied {
+			b.applied(ctx, g, result.Revision)
+			return nil
+		}
+		read := result.Read
+		if err != nil {
+			if !errors.Is(err, store.ErrUnavailable) {
+				g.sent = true
+			}
+			lost = errors.Annotate(err, "writing job records")
+			if !g.sent {
+				return lost
+			}
+			b.cfg.Log.Event(eventlog.JobBatchUnsettled).Str("shard", b.cfg.Shard.String()).Int("records", len(keys)).Msg("")
+			if read, err = readAll(ctx, b.cfg.Store, txn.ReadOnFail); err != nil {
+				return errors.Annotate(err, "settling job records")
+			}
+		}
+		if done, err := b.settle(ctx, g, read); done || err != nil {
+			return err
+		}
+	}
+	return firstError(lost, errors.Annotate(ErrContended, "writing job records"))
+}
+
+// transaction builds the write of the group from the revisions known now. Changes whose record is no longer
+// known or valid are dropped from the group and get their error.
+func (b *Batch) transaction(g *group) (store.Txn, []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	owner := b.keys.owner(b.cfg.Shard)
+	txn := store.Txn{
+		Compares:   []store.Compare{{Key: owner, Target: store.CompareCreateRevision, Revision: int64(b.cfg.Epoch)}},
+		ReadOnFail: []string{owner},
+	}
+	keys := sortedKeys(g.entries)
+	for _, key := range keys {
+		e := g.entries[key]
+		value, err := b.seal(&e.entry, g.nonce)
+		if err != nil {
+			e.ticket.resolve(err)
+			delete(g.entries, key)
+			continue
+		}
+		e.value = value
+		revision := b.known[e.record.ID].modRevision
+		txn.Compares = append(txn.Compares, store.Compare{Key: key, Target: store.CompareModRevision, Revision: revision})
+		txn.ReadOnFail = append(txn.ReadOnFail, key)
+		if e.remove {
+			txn.Deletes = append(txn.Deletes, key)
+		} else {
+			txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
+		}
+	}
+	return txn, sortedKeys(g.entries)
+}
+
+// applied resolves a group that was written at revision.
+func (b *Batch) applied(ctx context.Context, g *group, revision int64) {
+	for _, e := range g.entries {
+		b.stored(ctx, e, revision)
+		e.ticket.resolve(nil)
+	}
+}
+
+// stored brings the knowledge about one record up to date after it was written at revision.
+func (b *Batch) stored(ctx context.Context, e *groupEntry, revision int64) {
+	id := e.record.ID
+	b.mu.Lock()
+	k := b.known[id]
+	moved := !e.remove && e.record.Home != b.cfg.Shard
+	if e.remove || moved {
+		b.forget(id)
+	} else if k != nil && revision > k.modRevision {
+		k.modRevision, k.nonce, k.finished = revision, e.record.Nonce, e.record.Finished
+	} else if k != nil {
+		k.finished = e.record.Finished // Observe has already seen this write, or a later cancellation
+	}
+	b.mu.Unlock()
+	switch {
+	case moved:
+		b.cfg.Log.Event(eventlog.JobHomeMoved).Str("job", string(id)).Str("home", e.record.Home.String()).Msg("")
+		b.cfg.Notifier.NotifyJobs(ctx, e.record.Home, []structs.JobID{id})
+	case e.remove:
+		b.cfg.Log.Event(eventlog.JobDeleted).Str("job", string(id)).Msg("")
+	}
+}
--- /dev/null
+++ b/pkg/jobs/keys.go
@@ -0,0 +1,53 @@
+package jobs
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// keyspace builds the store keys of one environment.
+type keyspace struct{ root string }
+
+func newKeyspace(environment string) keyspace {
+	return keyspace{root: "/fulmarcourse/" + environment + "/"}
+}
+
+// jobs returns the prefix of all job records.
+func (k keyspace) jobs() string { return k.root + "jobs/" }
+
+// job returns the key of one job record.
+func (k keyspace) job(id structs.JobID) string { return k.jobs() + string(id) }
+
+// id returns the job id of a record's key.
+func (k keyspace) id(key string) structs.JobID {
+	return structs.JobID(strings.TrimPrefix(key, k.jobs()))
+}
+
+// owner returns the key of a shard's owner record.
+func (k keyspace) owner(shard structs.ShardID) string {
+	return k.root + "control/shards/" + shard.String()
+}
+
+// idBytes is the length of an id derived from a key, the same as that of a UUID.
+const idBytes = 16
+
+// IDFor returns the id of the job that team submits under an idempotency key. The length of the team name is
+// part of the hash, so that different pairs of team and key never meet.
+func IDFor(team structs.TeamName, key string) structs.JobID {
+	sum := sha256.Sum256([]byte(strconv.Itoa(len(team)) + ":" + string(team) + ":" + key))
+	return structs.JobID(hex.EncodeToString(sum[:idBytes]))
+}
+
+// newID returns the id of a submission: derived from the key if there is one, else random.
+func newID(spec structs.JobSpec) structs.JobID {
+	if spec.Key != "" {
+		return IDFor(spec.Team, spec.Key)
+	}
+	return structs.JobID(strings.ReplaceAll(uuid.NewString(), "-", ""))
+}
--- /dev/null
+++ b/pkg/jobs/ticket.go
@@ -0,0 +1,36 @@
+package jobs
+
+import "context"
+
+// Ticket is the pending result of a change given to Batch.
+type Ticket struct {
+	done chan struct{}
+	err  error // set before done is closed
+}
+
+func newTicket() *Ticket { return &Ticket{done: make(chan struct{})} }
+
+// Done is closed when the result is known.
+func (t *Ticket) Done() <-chan struct{} { return t.done }
+
+// Err returns the result; call it after Done is closed. nil means that the change is durable. After ErrNotOwner
+// the change may or may not have been stored.
+func (t *Ticket) Err() error {
+	<-t.done
+	return t.err
+}
+
+// Wait returns the result, or the error of ctx if it ends first.
+func (t *Ticket) Wait(ctx context.Context) error {
+	select {
+	case <-t.done:
+		return t.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (t *Ticket) resolve(err error) {
+	t.err = err
+	close(t.done)
+}
