--- /dev/null
+++ b/core/guard/cheapest.go
@@ -0,0 +1,98 @@
+package guard
+
+import (
+	"math"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// reliefSteps is the number of parts into which the needed relief is divided. Relief is rounded down to whole
+// parts, so that a chosen set always frees what is needed.
+const reliefSteps = 100
+
+// cheapest returns the set of tasks that frees need and loses the least work: the minimum knapsack cover by
+// dynamic programming over reliefSteps. need has one dimension that is not 0. When all evictable tasks together
+// free too little, it returns the single one that frees the most per lost second. Urgent tasks are taken only if
+// the others do not suffice.
+func cheapest(tasks []TaskSignal, need structs.Resources) []*TaskSignal {
+	if need == (structs.Resources{}) {
+		return nil
+	}
+	var normal, all []*TaskSignal
+	for i := range tasks {
+		t := &tasks[i]
+		if !t.evictable() || relief(t, need) <= 0 {
+			continue
+		}
+		all = append(all, t)
+		if !t.Urgent {
+			normal = append(normal, t)
+		}
+	}
+	for _, candidates := range [][]*TaskSignal{normal, all} {
+		if set := cover(candidates, need); set != nil {
+			return set
+		}
+	}
+	if len(normal) == 0 {
+		normal = all
+	}
+	return mostPerSecond(normal, need)
+}
+
+// relief returns what evicting t frees in the dimension of need.
+func relief(t *TaskSignal, need structs.Resources) int64 {
+	if need.MemoryBytes > 0 {
+		return t.Usage.MemoryBytes
+	}
+	return t.Usage.MilliCPU
+}
+
+// cost returns what an eviction loses, in seconds.
+func cost(t *TaskSignal) float64 { return (t.Lost + RestartCost).Seconds() }
+
+// cover returns the cheapest set that frees need, or nil if there is none.
+func cover(candidates []*TaskSignal, need structs.Resources) []*TaskSignal {
+	unit := max(1, (max(need.MemoryBytes, need.MilliCPU)+reliefSteps-1)/reliefSteps)
+	// least[r] is the least cost of a set of the first tasks that frees at least r parts.
+	least := make([]float64, reliefSteps+1)
+	for r := 1; r <= reliefSteps; r++ {
+		least[r] = math.Inf(1)
+	}
+	taken := make([][]bool, len(candidates))
+	for i, t := range candidates {
+		taken[i] = make([]bool, reliefSteps+1)
+		parts := int(min(relief(t, need)/unit, reliefSteps))
+		for r := reliefSteps; r > 0; r-- {
+			if c := least[max(0, r-parts)] + cost(t); c < least[r] {
+				least[r], taken[i][r] = c, true
+			}
+		}
+	}
+	if math.IsInf(least[reliefSteps], 1) {
+		return nil
+	}
+	var set []*TaskSignal
+	r := reliefSteps
+	for i := len(candidates) - 1; i >= 0 && r > 0; i-- {
+		if taken[i][r] {
+			set = append(set, candidates[i])
+			r = max(0, r-int(min(relief(candidates[i], need)/unit, reliefSteps)))
+		}
+	}
+	return set
+}
+
+// mostPerSecond returns the task that frees the most for each second of work it loses, or nothing.
+func mostPerSecond(tasks []*TaskSignal, need structs.Resources) []*TaskSignal {
+	var best *TaskSignal
+	for _, t := range tasks {
+		if best == nil || float64(relief(t, need))*cost(best) > float64(relief(best, need))*cost(t) {
+			best = t
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*TaskSignal{best}
+}
--- a/core/quota/order.go
+++ b/core/quota/order.go
@@ -66,6 +66,7 @@
 	teams := f.queues(left)
 	starved := left
 	for position := 1; len(teams) > 0; position++ {
+		f.relevel(&teams)
 		q := teams[0]
 		q.tasks = dropTaken(q.tasks, taken)
 		if len(q.tasks) == 0 {
@@ -81,7 +82,6 @@
 		taken[next] = true
 		order = append(order, next)
 		f.count(next)
-		f.relevel(&teams)
 	}
 	return order
 }
