Test quota, speed up the order

The order has to give every team its guarantee, limit urgent work and starve nobody; preemption must not touch protected tasks.

Property and table tests cover both; the FIFO baseline gives all of the first 100 places to the team that submits first, the order at most 5. The order looked up shares by name for every comparison; it now keeps one account per team.

--- a/core/quota/order.go
+++ b/core/quota/order.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"slices"
+	"time"
 
 	"fulmarcourse.example/core/structs"
 )
@@ -19,7 +20,7 @@
 // oldest goes first. Every StarvedEvery-th position of the second part goes to the task that has waited longest,
 // if that is more than StarveAfter, so no task waits for ever behind teams with a better claim.
 func Order(state State, pending []Task) []int {
-	f := filling{state: &state, pending: pending, used: map[structs.TeamName]structs.Resources{}}
+	f := newFilling(&state, pending)
 	order := f.urgent(make([]int, 0, len(pending)))
 	taken := make([]bool, len(pending))
 	for _, i := range order {
@@ -28,34 +29,58 @@
 	return f.rest(order, taken)
 }
 
+// account is what one team may use, and uses including the tasks ordered so far.
+type account struct {
+	team      structs.TeamName
+	guarantee structs.Resources
+	mayUrgent bool
+	urgent    structs.Resources
+	used      structs.Resources
+}
+
+func (a *account) level() float64 { return level(a.used, a.guarantee) }
+
 // filling is the state of one progressive filling.
 type filling struct {
-	state   *State
-	pending []Task
-	used    map[structs.TeamName]structs.Resources // ordered so far
+	now      time.Time
+	pending  []Task
+	accounts []*account // by task
 }
 
-// usage returns what a team uses including the tasks ordered so far.
-func (f *filling) usage(team structs.TeamName) structs.Resources {
-	return f.state.Usage[team].Add(f.used[team])
+func newFilling(state *State, pending []Task) *filling {
+	f := &filling{now: state.Now, pending: pending, accounts: make([]*account, len(pending))}
+	byTeam := map[structs.TeamName]*account{}
+	for i := range pending {
+		team := pending[i].Team
+		a := byTeam[team]
+		if a == nil {
+			a = &account{team, floorGuarantee(state, team), state.Shares[team].Urgent, state.UrgentUsage[team], state.Usage[team]}
+			byTeam[team] = a
+		}
+		f.accounts[i] = a
+	}
+	return f
 }
 
 // urgent orders the urgent tasks that are within the urgent share of their team.
 func (f *filling) urgent(order []int) []int {
-	urgent := byAge(f.pending, func(i int) bool {
-		return f.pending[i].Urgent && f.state.Shares[f.pending[i].Team].Urgent
-	})
-	teams := f.queues(urgent)
+	teams := f.queues(byAge(f.pending, func(i int) bool { return f.pending[i].Urgent && f.accounts[i].mayUrgent }))
 	for len(teams) > 0 {
 		q := teams[0]
-		task := &f.pending[q.tasks[0]]
-		within := f.state.UrgentUsage[q.team].Add(f.used[q.team]).Add(task.Size)
-		if Level(f.state, q.team, within) > UrgentShare {
+		next := q.tasks[0]
+		within := q.account.urgent.Add(f.pending[next].Size)
+		if level(within, q.account.guarantee) > UrgentShare {
 			heap.Pop(&teams) // the rest of the team's urgent work is ordered like any other
 			continue
 		}
-		order = append(order, q.tasks[0])
-		f.advance(&teams)
+		q.account.urgent = within
+		order = append(order, next)
+		f.count(next)
+		if q.tasks = q.tasks[1:]; len(q.tasks) == 0 {
+			heap.Pop(&teams)
+			continue
+		}
+		relevel(&teams)
 	}
 	return order
 }
@@ -66,7 +91,7 @@
 	teams := f.queues(left)
 	starved := left
 	for position := 1; len(teams) > 0; position++ {
-		f.relevel(&teams)
+		relevel(&teams)
 		q := teams[0]
 		q.tasks = dropTaken(q.tasks, taken)
 		if len(q.tasks) == 0 {
@@ -76,7 +101,7 @@
 		}
 		next := q.tasks[0]
 		starved = dropTaken(starved, taken)
-		if position%StarvedEvery == 0 && f.state.Now.Sub(f.pending[starved[0]].Since) > StarveAfter {
+		if position%StarvedEvery == 0 && f.now.Sub(f.pending[starved[0]].Since) > StarveAfter {
 			next = starved[0]
 		}
 		taken[next] = true
@@ -86,16 +111,19 @@
 	return order
 }
 
+// count adds a task to what its team uses.
+func (f *filling) count(i int) { f.accounts[i].used = f.accounts[i].used.Add(f.pending[i].Size) }
+
 // relevel brings the level of the first team up to date until it is the lowest. Levels only rise, so those further
 // down that are out of date are corrected when they come first.
-func (f *filling) relevel(teams *teamHeap) {
+func relevel(teams *teamHeap) {
 	for {
 		q := (*teams)[0]
-		level := Level(f.state, q.team, f.usage(q.team))
-		if level == q.level {
+		now := q.account.level()
+		if now == q.level {
 			return
 		}
-		q.level = level
+		q.level = now
 		heap.Fix(teams, 0)
 	}
 }
@@ -108,34 +136,16 @@
 	return tasks
 }
 
-// count adds a task to what its team uses.
-func (f *filling) count(i int) {
-	team := f.pending[i].Team
-	f.used[team] = f.used[team].Add(f.pending[i].Size)
-}
-
-// advance takes the first task of the first team and puts the team back in its place.
-func (f *filling) advance(teams *teamHeap) {
-	q := (*teams)[0]
-	f.count(q.tasks[0])
-	q.tasks = q.tasks[1:]
-	if len(q.tasks) == 0 {
-		heap.Pop(teams)
-		return
-	}
-	f.relevel(teams)
-}
-
 // queues groups tasks, which are sorted by age, by team.
 func (f *filling) queues(tasks []int) teamHeap {
-	byTeam := map[structs.TeamName]*teamQueue{}
+	byTeam := map[*account]*teamQueue{}
 	var teams teamHeap
 	for _, i := range tasks {
-		team := f.pending[i].Team
-		q := byTeam[team]
+		a := f.accounts[i]
+		q := byTeam[a]
 		if q == nil {
-			q = &teamQueue{team: team, level: Level(f.state, team, f.usage(team))}
-			byTeam[team] = q
+			q = &teamQueue{account: a, level: a.level()}
+			byTeam[a] = q
 			teams = append(teams, q)
 		}
 		q.tasks = append(q.tasks, i)
@@ -152,15 +162,17 @@
 			result = append(result, i)
 		}
 	}
-	slices.SortStableFunc(result, func(a, b int) int { return pending[a].Since.Compare(pending[b].Since) })
+	slices.SortFunc(result, func(a, b int) int {
+		return cmp.Or(pending[a].Since.Compare(pending[b].Since), cmp.Compare(a, b))
+	})
 	return result
 }
 
 // teamQueue holds the tasks of one team that are not ordered yet.
 type teamQueue struct {
-	team  structs.TeamName
-	level float64
-	tasks []int
+	account *account
+	level   float64 // as of the latest relevel
+	tasks   []int
 }
 
 // teamHeap has the team with the lowest level on top.
@@ -168,7 +180,7 @@
 
 func (h teamHeap) Len() int { return len(h) }
 func (h teamHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].level, h[j].level), cmp.Compare(h[i].team, h[j].team)) < 0
+	return cmp.Or(cmp.Compare(h[i].level, h[j].level), cmp.Compare(h[i].account.team, h[j].account.team)) < 0
 }
 func (h teamHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -70,8 +70,12 @@
 // all dimensions (Ghodsi et al., "Dominant Resource Fairness", NSDI 2011, with a weight per resource). Up to 1 the
 // team is within its guarantee; above, it borrows what others leave idle.
 func Level(state *State, team structs.TeamName, used structs.Resources) float64 {
-	g := floorGuarantee(state, team)
-	return max(ratio(used.MilliCPU, g.MilliCPU), ratio(used.MemoryBytes, g.MemoryBytes), ratio(used.Accelerators, g.Accelerators))
+	return level(used, floorGuarantee(state, team))
+}
+
+func level(used, guarantee structs.Resources) float64 {
+	return max(ratio(used.MilliCPU, guarantee.MilliCPU), ratio(used.MemoryBytes, guarantee.MemoryBytes),
+		ratio(used.Accelerators, guarantee.Accelerators))
 }
 
 // floorGuarantee returns the guarantee of a team, at least MinShare of the capacity.
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,248 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmarcourse.example/core/structs"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func cpu(n int64) structs.Resources { return structs.Resources{MilliCPU: n} }
+
+// testState has a capacity of 100 and the teams a (guaranteed 50), b (30) and c (nothing). b may be urgent.
+func testState() State {
+	return State{
+		Capacity: cpu(100_000),
+		Shares:   map[structs.TeamName]Share{"a": {Guarantee: cpu(50_000)}, "b": {Guarantee: cpu(30_000), Urgent: true}, "c": {}},
+		Usage:    map[structs.TeamName]structs.Resources{}, UrgentUsage: map[structs.TeamName]structs.Resources{},
+		Now: start,
+	}
+}
+
+func drawTasks(t *rapid.T, teams []structs.TeamName) []Task {
+	var tasks []Task
+	for range rapid.IntRange(0, 60).Draw(t, "tasks") {
+		tasks = append(tasks, Task{
+			Team: rapid.SampledFrom(teams).Draw(t, "team"), Size: cpu(rapid.Int64Range(0, 9000).Draw(t, "size")),
+			Urgent: rapid.Bool().Draw(t, "urgent"), Since: start.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "waited")) * time.Second),
+		})
+	}
+	return tasks
+}
+
+// Guards against orders that lose or repeat tasks, let urgent work of teams without the right go first, or let a
+// younger task of a team overtake an older one of the same rank.
+func TestOrderKeepsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state, tasks := testState(), drawTasks(t, []structs.TeamName{"a", "b", "c", "unknown"})
+		for _, team := range []structs.TeamName{"a", "b"} {
+			state.Usage[team] = cpu(rapid.Int64Range(0, 90_000).Draw(t, "usage"))
+		}
+		order := Order(state, tasks)
+		if sorted := slices.Sorted(slices.Values(order)); len(sorted) != len(tasks) || len(slices.Compact(sorted)) != len(tasks) {
+			t.Fatalf("order %v of %d tasks", order, len(tasks))
+		}
+		urgent := map[structs.TeamName]int64{}
+		ahead := true // still in the part of urgent work
+		last := map[structs.TeamName]time.Time{}
+		for _, i := range order {
+			task := tasks[i]
+			fits := urgent["b"]+task.Size.MilliCPU <= int64(UrgentShare*30_000)
+			if ahead && task.Urgent && task.Team == "b" && fits {
+				urgent["b"] += task.Size.MilliCPU
+				continue
+			}
+			if ahead {
+				ahead = false
+				clear(last)
+			}
+			if task.Since.Before(last[task.Team]) {
+				t.Fatalf("task %d of team %s comes after a younger one", i, task.Team)
+			}
+			last[task.Team] = task.Since
+		}
+	})
+}
+
+// Guards against teams that do not get their guaranteed share when everyone has work, idle share that nobody may
+// borrow, and the baseline's fault that whoever submits first takes everything.
+func TestOrderFollowsGuarantees(t *testing.T) {
+	var tasks []Task
+	for i := range 600 { // c floods the queue first
+		team := structs.TeamName([]string{"c", "a", "b"}[i/200])
+		tasks = append(tasks, Task{Team: team, Size: cpu(1000), Since: start.Add(time.Duration(i) * time.Second)})
+	}
+	first := func(order []int, n int) map[structs.TeamName]int {
+		counts := map[structs.TeamName]int{}
+		for _, i := range order[:n] {
+			counts[tasks[i].Team]++
+		}
+		return counts
+	}
+	got := first(Order(testState(), tasks), 100)
+	if got["a"] < 55 || got["b"] < 33 || got["c"] > 5 {
+		t.Errorf("of the first 100 tasks: %v", got)
+	}
+	if naive := first(FIFO(tasks), 100); naive["c"] != 100 {
+		t.Errorf("baseline: %v", naive)
+	}
+	if alone := Order(testState(), tasks[:200]); len(alone) != 200 {
+		t.Errorf("a team without a guarantee gets %d of 200 places of an idle shard", len(alone))
+	}
+}
+
+// Guards against a team that puts all its work first by declaring it urgent.
+func TestUrgentShareIsLimited(t *testing.T) {
+	var tasks []Task
+	for i := range 200 {
+		tasks = append(tasks, Task{Team: "b", Size: cpu(1000), Urgent: true, Since: start}, Task{Team: "a", Size: cpu(1000), Urgent: true, Since: start.Add(time.Duration(i))})
+	}
+	order := Order(testState(), tasks)
+	for position, i := range order[:30] {
+		if tasks[i].Team != "b" {
+			t.Fatalf("position %d of the urgent share goes to team %s", position, tasks[i].Team)
+		}
+	}
+	// Beyond its urgent share b has to wait until a is as far above its guarantee.
+	for position, i := range order[30:75] {
+		if tasks[i].Team != "a" {
+			t.Fatalf("position %d goes to team %s", 30+position, tasks[i].Team)
+		}
+	}
+}
+
+// Guards against tasks that wait for ever while teams with a better claim keep submitting.
+func TestNoTaskStarves(t *testing.T) {
+	old := Task{Team: "c", Size: cpu(90_000), Since: start.Add(-2 * StarveAfter)}
+	tasks := []Task{old}
+	for range 100 {
+		tasks = append(tasks, Task{Team: "a", Size: cpu(1), Since: start})
+	}
+	state := testState()
+	state.Usage["c"] = cpu(50_000)
+	if position := slices.Index(Order(state, tasks), 0); position >= StarvedEvery {
+		t.Errorf("the starved task is at position %d", position)
+	}
+	tasks[0].Since = start
+	if position := slices.Index(Order(state, tasks), 0); position != 100 {
+		t.Errorf("a task that has not starved is at position %d", position)
+	}
+}
+
+// Guards against quotas that vanish when they are divided among shards, or add up to less than the whole.
+func TestScale(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		quota, whole := rapid.Int64Range(1, 1e13).Draw(t, "quota"), int64(0)
+		var parts []int64
+		for range rapid.IntRange(1, 16).Draw(t, "shards") {
+			part := rapid.Int64Range(1, 1e13).Draw(t, "part")
+			parts, whole = append(parts, part), whole+part
+		}
+		sum := int64(0)
+		for _, part := range parts {
+			got := Scale(structs.Resources{MemoryBytes: quota}, structs.Resources{MemoryBytes: part}, structs.Resources{MemoryBytes: whole}).MemoryBytes
+			if got < 1 {
+				t.Fatalf("no share of %d in a shard with %d of %d", quota, part, whole)
+			}
+			sum += got
+		}
+		if sum < quota-quota/1e9 || sum > quota+int64(len(parts))+quota/1e9 {
+			t.Fatalf("shares add up to %d of %d", sum, quota)
+		}
+	})
+}
+
+// Guards against preemption that stops protected tasks, takes teams below their guarantee, stops more than needed,
+// or frees too little.
+func TestPreemptKeepsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := testState()
+		state.Shares["a"] = Share{Guarantee: cpu(8000)}
+		claim := Task{Team: rapid.SampledFrom([]structs.TeamName{"a", "b"}).Draw(t, "claimant"), Urgent: rapid.Bool().Draw(t, "urgent"),
+			Size: cpu(rapid.Int64Range(5000, 20_000).Draw(t, "size")), Since: start.Add(-rapid.SampledFrom([]time.Duration{0, ReclaimAfter}).Draw(t, "waited"))}
+		var workers []Worker
+		byTask := map[structs.TaskID]Running{}
+		for i := range rapid.IntRange(1, 3).Draw(t, "workers") {
+			w := Worker{Host: structs.HostID(fmt.Sprint("w", i)), Free: cpu(rapid.Int64Range(0, 2000).Draw(t, "free"))}
+			for j := range rapid.IntRange(2, 8).Draw(t, "running") {
+				r := Running{
+					Task: structs.TaskID{Job: structs.JobID(w.Host), Index: j}, Team: rapid.SampledFrom([]structs.TeamName{"a", "b", "c"}).Draw(t, "team"),
+					Size: cpu(rapid.Int64Range(1000, 9000).Draw(t, "held")), Urgent: rapid.IntRange(0, 4).Draw(t, "is-urgent") == 0,
+					Checkpointable: rapid.Bool().Draw(t, "checkpoint"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
+					Lost: time.Duration(rapid.IntRange(0, 500).Draw(t, "lost")) * time.Second, Preemptions: rapid.IntRange(0, MaxPreemptions).Draw(t, "preemptions"),
+				}
+				w.Tasks, byTask[r.Task] = append(w.Tasks, r), r
+				state.Usage[r.Team] = state.Usage[r.Team].Add(r.Size)
+			}
+			workers = append(workers, w)
+		}
+		p, ok := Preempt(state, claim, workers)
+		if !ok {
+			return
+		}
+		if !MayPreempt(&state, claim) {
+			t.Fatal("preemption for a task without a claim")
+		}
+		i := slices.IndexFunc(workers, func(w Worker) bool { return w.Host == p.Host })
+		free, left := workers[i].Free, map[structs.TeamName]structs.Resources{}
+		for _, id := range p.Victims {
+			r := byTask[id]
+			if r.Urgent || (!r.Checkpointable && !r.Idempotent) || r.Preemptions >= MaxPreemptions || string(id.Job) != string(p.Host) {
+				t.Fatalf("protected task %+v is to be stopped", r)
+			}
+			left[r.Team] = left[r.Team].Add(r.Size)
+			free = free.Add(r.Size)
+		}
+		for team, size := range left {
+			if team != claim.Team && Level(&state, team, state.Usage[team].Sub(size)) < 1 {
+				t.Fatalf("team %s falls below its guarantee", team)
+			}
+		}
+		if !claim.Size.Fits(free) || len(p.Victims) > MaxVictims {
+			t.Fatalf("%d victims free %v for %v", len(p.Victims), free, claim.Size)
+		}
+		for _, id := range p.Victims {
+			if claim.Size.Fits(free.Sub(byTask[id].Size)) {
+				t.Fatalf("%v is stopped without need", id)
+			}
+		}
+	})
+}
+
+// Guards against preemption that loses more work than it has to.
+func TestPreemptChoosesTheCheapestWorker(t *testing.T) {
+	state := testState()
+	state.Usage["c"] = cpu(60_000)
+	running := func(host string, lost time.Duration) Worker {
+		return Worker{Host: structs.HostID(host), Tasks: []Running{{Task: structs.TaskID{Job: structs.JobID(host)}, Team: "c", Size: cpu(5000), Idempotent: true, Lost: lost}}}
+	}
+	claim := Task{Team: "b", Urgent: true, Size: cpu(4000), Since: start}
+	p, ok := Preempt(state, claim, []Worker{running("w1", time.Hour), running("w2", time.Minute), running("w3", time.Hour)})
+	if !ok || p.Host != "w2" || p.Cost != time.Minute+RestartCost {
+		t.Errorf("got %+v %v", p, ok)
+	}
+}
+
+// BenchmarkOrder orders 600 pending tasks of 180 teams.
+func BenchmarkOrder(b *testing.B) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	state := State{Capacity: cpu(1_600_000), Shares: map[structs.TeamName]Share{}, Usage: map[structs.TeamName]structs.Resources{}, Now: start}
+	var tasks []Task
+	for i := range 600 {
+		team := structs.TeamName(fmt.Sprint("team", i%180))
+		state.Shares[team] = Share{Guarantee: cpu(rnd.Int64N(20_000)), Urgent: true}
+		state.Usage[team] = cpu(rnd.Int64N(20_000))
+		tasks = append(tasks, Task{Team: team, Size: cpu(1000), Urgent: i%10 == 0, Since: start.Add(-time.Duration(rnd.IntN(1200)) * time.Second)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Order(state, tasks)
+	}
+}
