Test the guard

Waves of noise must cause no evictions, lasting overload must be relieved, and the evicted set must lose the least work.

A simulated worker whose usage follows the throttle checks the closed loop; the baseline evicts in every wave. The tests showed two faults. For needs below 100 units the knapsack asked for 100 units, so a set that sufficed was not found. A worker first seen at a peak was throttled at once, since smoothing started from the first signal; it now starts at the release threshold.

--- a/core/guard/cheapest.go
+++ b/core/guard/cheapest.go
@@ -6,8 +6,8 @@
 	"fulmarcourse.example/core/structs"
 )
 
-// reliefSteps is the number of parts into which the needed relief is divided. Relief is rounded down to whole
-// parts, so that a chosen set always frees what is needed.
+// reliefSteps is the greatest number of parts into which the needed relief is divided. Relief is rounded down to
+// whole parts, so that a chosen set always frees what is needed.
 const reliefSteps = 100
 
 // cheapest returns the set of tasks that frees need and loses the least work: the minimum knapsack cover by
@@ -53,31 +53,33 @@
 
 // cover returns the cheapest set that frees need, or nil if there is none.
 func cover(candidates []*TaskSignal, need structs.Resources) []*TaskSignal {
-	unit := max(1, (max(need.MemoryBytes, need.MilliCPU)+reliefSteps-1)/reliefSteps)
+	amount := max(need.MemoryBytes, need.MilliCPU)
+	unit := (amount + reliefSteps - 1) / reliefSteps
+	steps := int((amount + unit - 1) / unit)
 	// least[r] is the least cost of a set of the first tasks that frees at least r parts.
-	least := make([]float64, reliefSteps+1)
-	for r := 1; r <= reliefSteps; r++ {
+	least := make([]float64, steps+1)
+	for r := 1; r <= steps; r++ {
 		least[r] = math.Inf(1)
 	}
 	taken := make([][]bool, len(candidates))
 	for i, t := range candidates {
-		taken[i] = make([]bool, reliefSteps+1)
-		parts := int(min(relief(t, need)/unit, reliefSteps))
-		for r := reliefSteps; r > 0; r-- {
+		taken[i] = make([]bool, steps+1)
+		parts := int(min(relief(t, need)/unit, int64(steps)))
+		for r := steps; r > 0; r-- {
 			if c := least[max(0, r-parts)] + cost(t); c < least[r] {
 				least[r], taken[i][r] = c, true
 			}
 		}
 	}
-	if math.IsInf(least[reliefSteps], 1) {
+	if math.IsInf(least[steps], 1) {
 		return nil
 	}
 	var set []*TaskSignal
-	r := reliefSteps
+	r := steps
 	for i := len(candidates) - 1; i >= 0 && r > 0; i-- {
 		if taken[i][r] {
 			set = append(set, candidates[i])
-			r = max(0, r-int(min(relief(candidates[i], need)/unit, reliefSteps)))
+			r = max(0, r-int(min(relief(candidates[i], need)/unit, int64(steps))))
 		}
 	}
 	return set
--- /dev/null
+++ b/core/guard/guard_test.go
@@ -0,0 +1,296 @@
+package guard
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmarcourse.example/core/structs"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// plant is one worker of 10 processors whose tasks use what they demand times their throttle.
+type plant struct {
+	host    HostSignal
+	demand  []float64 // processors per task
+	service float64   // processors used by services
+	noise   float64   // processors used by something else for a moment
+	evicted int
+	lowest  float64 // lowest throttle seen
+	steps   int     // changes of throttling
+}
+
+func newPlant(i int, demands ...float64) *plant {
+	p := &plant{host: HostSignal{Host: structs.HostID(fmt.Sprintf("w%03d", i)), Capacity: structs.Resources{MilliCPU: 10_000, MemoryBytes: 100}}, demand: demands, lowest: 1}
+	for j := range demands {
+		p.host.Tasks = append(p.host.Tasks, TaskSignal{
+			Task: structs.TaskID{Job: structs.JobID(p.host.Host), Index: j}, Throttle: 1, Idempotent: true, Lost: time.Duration(j) * time.Minute,
+		})
+	}
+	return p
+}
+
+// measure fills the signals.
+func (p *plant) measure() HostSignal {
+	total := p.service + p.noise
+	for j := range p.host.Tasks {
+		used := p.demand[p.host.Tasks[j].Task.Index] * p.host.Tasks[j].Throttle
+		p.host.Tasks[j].Usage.MilliCPU = int64(1000 * used)
+		total += used
+	}
+	p.host.Usage.MilliCPU = int64(1000 * min(total, 10))
+	return p.host
+}
+
+// apply carries out an action.
+func (p *plant) apply(a Action) {
+	for j := range p.host.Tasks {
+		t := &p.host.Tasks[j]
+		if t.Task != a.Task {
+			continue
+		}
+		if a.Kind == Evict {
+			p.host.Tasks = append(p.host.Tasks[:j:j], p.host.Tasks[j+1:]...)
+			p.evicted++
+			return
+		}
+		t.Throttle = a.Share
+		p.lowest = min(p.lowest, a.Share)
+		p.steps++
+		return
+	}
+}
+
+// run steps a policy once a second; each is called before every step. It returns all actions.
+func run(policy Policy, plants []*plant, seconds int, each func(second int)) []Action {
+	var all []Action
+	for second := range seconds {
+		each(second)
+		signals := make([]HostSignal, len(plants))
+		byHost := map[structs.HostID]*plant{}
+		for i, p := range plants {
+			signals[i] = p.measure()
+			byHost[signals[i].Host] = p
+		}
+		actions := policy.Step(start.Add(time.Duration(second)*time.Second), signals)
+		for _, a := range actions {
+			byHost[a.Host].apply(a)
+		}
+		all = append(all, actions...)
+	}
+	return all
+}
+
+func evictions(actions []Action) int {
+	n := 0
+	for _, a := range actions {
+		if a.Kind == Evict {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against an eviction storm when noise comes in waves, which the baseline causes, and against throttling for
+// noise that is over before a measurement could show the effect.
+func TestNoiseCausesNoActions(t *testing.T) {
+	for _, length := range []int{3, 7} { // seconds of every 20
+		for _, policy := range []Policy{NewHysteresis(), NewNaive()} {
+			rnd := rand.New(rand.NewPCG(1, 1))
+			var plants []*plant
+			for i := range 50 {
+				plants = append(plants, newPlant(i, 2, 2, 2))
+			}
+			actions := run(policy, plants, 1200, func(second int) {
+				for _, p := range plants {
+					if second%20 == 0 { // a wave hits half of the workers
+						p.noise = 4 * float64(rnd.IntN(2))
+					}
+					if second%20 == length {
+						p.noise = 0
+					}
+				}
+			})
+			if calm := len(actions) == 0; calm != (policy.Name() == "hysteresis") {
+				t.Errorf("waves of %d s, %s: %d actions, %d evictions", length, policy.Name(), len(actions), evictions(actions))
+			}
+		}
+	}
+}
+
+// Guards against evictions before throttling was tried, a guard that never relieves a worker, and evictions that
+// lose more work than needed.
+func TestLastingOverloadIsThrottledThenEvicted(t *testing.T) {
+	// Throttled to the floor, the tasks use 0.4, 0.8 and 1.2 processors, which is 1.5 too many. The cheapest way to
+	// free them is to evict the first and the last.
+	p := newPlant(0, 2, 4, 6)
+	p.service = 8
+	first := -1
+	run(NewHysteresis(), []*plant{p}, 240, func(second int) {
+		if p.evicted > 0 && first < 0 {
+			first = second
+		}
+	})
+	if p.lowest > ThrottleFloor+1e-9 {
+		t.Errorf("tasks were throttled to %v only", p.lowest)
+	}
+	if wait := time.Duration(first) * time.Second; first < 0 || wait < EnterFor+EvictAfter {
+		t.Errorf("first eviction after %v", wait)
+	}
+	if p.evicted != 2 || p.host.Tasks[0].Task.Index != 1 {
+		t.Errorf("%d evictions, left %+v", p.evicted, p.host.Tasks)
+	}
+}
+
+// Guards against an eviction storm when all workers are overloaded at once.
+func TestEvictionsOfAShardAreLimited(t *testing.T) {
+	var plants []*plant
+	for i := range 60 {
+		p := newPlant(i, 1, 1, 1)
+		p.service = 10
+		plants = append(plants, p)
+	}
+	const minutes = 5
+	actions := run(NewHysteresis(), plants, 60*minutes, func(int) {})
+	limit := int(MinEvictBurst + EvictShare*60*minutes + 1)
+	if n := evictions(actions); n == 0 || n > limit {
+		t.Errorf("%d evictions in %d min, limit %d", n, minutes, limit)
+	}
+}
+
+// Guards against throttling that stays after the pressure is gone, returns at once, or swings back and forth.
+func TestThrottlingIsReleasedSlowly(t *testing.T) {
+	p := newPlant(0, 2, 2)
+	p.service = 6
+	calm, steps := 60, 0
+	run(NewHysteresis(), []*plant{p}, 400, func(second int) {
+		if second == calm {
+			p.service, steps = 1, p.steps
+		}
+		if second == calm+int(ReleaseFor.Seconds())-1 && p.steps != steps {
+			t.Error("released before the time of calm was over")
+		}
+	})
+	for _, task := range p.host.Tasks {
+		if task.Throttle < 1 {
+			t.Errorf("task %v is still throttled to %v", task.Task, task.Throttle)
+		}
+	}
+	// Down: at most 3 steps per task to the floor; up: (1 - floor) / ReleaseStep steps.
+	if limit := 2 * (3 + int(math.Ceil((1-ThrottleFloor)/ReleaseStep)) + 4); p.steps > limit || p.lowest == 1 {
+		t.Errorf("%d changes of throttling, limit %d, lowest %v", p.steps, limit, p.lowest)
+	}
+}
+
+// Guards against actions on signals that are too old, memory pressure that is answered by throttling, and tasks
+// that cannot be resumed or repeated being evicted.
+func TestSingleSignals(t *testing.T) {
+	full := structs.Resources{MilliCPU: 10_000, MemoryBytes: 50}
+	cases := []struct {
+		name   string
+		change func(*HostSignal)
+		want   map[ActionKind]bool
+	}{
+		{"processors", func(*HostSignal) {}, map[ActionKind]bool{SetThrottle: true}},
+		{"too old", func(h *HostSignal) { h.Age = MaxSignalAge + 1 }, nil},
+		{"memory", func(h *HostSignal) { h.Usage = structs.Resources{MemoryBytes: 99} }, map[ActionKind]bool{Evict: true}},
+		{"latency", func(h *HostSignal) { h.Usage, h.Latency = structs.Resources{}, 2 }, map[ActionKind]bool{SetThrottle: true}},
+		{"memory of a template", func(h *HostSignal) {
+			h.Usage = structs.Resources{MemoryBytes: 99}
+			for i := range h.Tasks {
+				h.Tasks[i].Idempotent = false
+			}
+		}, nil},
+	}
+	for _, c := range cases {
+		guard, got := NewHysteresis(), map[ActionKind]bool{}
+		for second := range 15 {
+			h := newPlant(0, 5, 5).host
+			h.Usage = full
+			for i := range h.Tasks {
+				h.Tasks[i].Usage = structs.Resources{MilliCPU: 5000, MemoryBytes: 40}
+			}
+			c.change(&h)
+			for _, a := range guard.Step(start.Add(time.Duration(second)*time.Second), []HostSignal{h}) {
+				got[a.Kind] = true
+			}
+		}
+		if len(got) != len(c.want) || (len(c.want) > 0 && !got[SetThrottle] == c.want[SetThrottle]) {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against sets that free too little or lose more work than the best set that frees slightly more.
+func TestCheapestSetIsNearlyOptimal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		need := structs.Resources{MemoryBytes: rapid.Int64Range(1, 5000).Draw(t, "need")}
+		var tasks []TaskSignal
+		for i := range rapid.IntRange(0, 9).Draw(t, "tasks") {
+			tasks = append(tasks, TaskSignal{
+				Task: structs.TaskID{Index: i}, Checkpointable: rapid.IntRange(0, 4).Draw(t, "fixed") > 0,
+				Usage: structs.Resources{MemoryBytes: rapid.Int64Range(0, 3000).Draw(t, "memory")},
+				Lost:  time.Duration(rapid.IntRange(0, 500).Draw(t, "lost")) * time.Second,
+			})
+		}
+		set := cheapest(tasks, need)
+		var freed int64
+		var lost float64
+		for _, s := range set {
+			if !s.evictable() {
+				t.Fatal("a task that can be neither resumed nor repeated was chosen")
+			}
+			freed += s.Usage.MemoryBytes
+			lost += cost(s)
+		}
+		// Each task's relief is rounded down by less than one part.
+		part := (need.MemoryBytes + reliefSteps - 1) / reliefSteps
+		best := bestCover(tasks, need.MemoryBytes+int64(len(tasks))*part)
+		if !math.IsInf(best, 1) && (freed < need.MemoryBytes || lost > best+1e-6) {
+			t.Fatalf("set frees %d of %d and loses %v s, best %v s", freed, need.MemoryBytes, lost, best)
+		}
+	})
+}
+
+// bestCover returns the least cost over all sets that free need.
+func bestCover(tasks []TaskSignal, need int64) float64 {
+	best := math.Inf(1)
+	for bits := range 1 << len(tasks) {
+		var freed int64
+		lost := 0.0
+		for i := range tasks {
+			if bits>>i&1 == 1 && tasks[i].evictable() {
+				freed += tasks[i].Usage.MemoryBytes
+				lost += cost(&tasks[i])
+			}
+		}
+		if freed >= need {
+			best = min(best, lost)
+		}
+	}
+	return best
+}
+
+// BenchmarkStep steps the guard for 100 workers of 12 tasks, a quarter of them under pressure.
+func BenchmarkStep(b *testing.B) {
+	guard := NewHysteresis()
+	var signals []HostSignal
+	for i := range 100 {
+		p := newPlant(i, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5)
+		if i%4 == 0 {
+			p.service = 5
+		}
+		signals = append(signals, p.measure())
+	}
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Second)
+		guard.Step(now, signals)
+	}
+}
--- a/core/guard/hysteresis.go
+++ b/core/guard/hysteresis.go
@@ -90,7 +90,8 @@
 	cpu := share(h.Usage.MilliCPU, h.Capacity.MilliCPU)
 	s := g.hosts[h.Host]
 	if s == nil {
-		g.hosts[h.Host] = &hostState{seen: now, cpu: cpu, latency: h.Latency}
+		// A single signal may be a peak, so the smoothed values do not start above the release thresholds.
+		g.hosts[h.Host] = &hostState{seen: now, cpu: min(cpu, ReleaseCPU), latency: min(h.Latency, ReleaseLatency)}
 		return nil
 	}
 	step := min(max(now.Sub(s.seen), 0), MaxStep)
