Test the quarantine, detect shared causes

Good jobs must not be parked because of faulty workers, nor good workers quarantined because of faulty jobs, and a cause shared by all must not be blamed on either.

The tests showed two faults. When everything failed at once, each job failed on three workers, no failure pointed to a worker any more, and all 60 good jobs were parked; many failing jobs with hardly any success now count as a storm, in which nothing is judged for up to two hours. A faulty worker was released when one of its three failing jobs was parked; it is now probed at once instead. A success of the worker within the last 30 minutes no longer counts as proof of health, since it parked jobs before a storm could be noticed: every failure is now watched for 30 seconds.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -12,6 +12,7 @@
 
 // Record takes the end of an attempt and returns what follows from it.
 func (t *Tracker) Record(r Result) []Decision {
+	t.recent = append(t.recent, r)
 	defer t.updateStorm(r.At)
 	if r.OK {
 		return t.succeed(r)
@@ -114,7 +115,8 @@
 // limit returns the number of workers that may be quarantined.
 func (t *Tracker) limit() int { return max(1, int(MaxQuarantinedShare*float64(t.size))) }
 
-// updateStorm counts the workers that seem to fail everything.
+// updateStorm decides whether there is a storm: more workers seem to fail everything than may be quarantined, or
+// many jobs fail and hardly any task succeeds.
 func (t *Tracker) updateStorm(now time.Time) {
 	failing := 0
 	for host, w := range t.workers {
@@ -122,7 +124,29 @@
 			failing++
 		}
 	}
-	t.storm = failing > t.limit()
+	stormy := failing > t.limit() || t.hardlyAnySuccess(now)
+	switch {
+	case !stormy:
+		t.since = time.Time{}
+	case t.since.IsZero():
+		t.since = now
+	}
+	t.storm = stormy && now.Sub(t.since) <= StormLimit
+}
+
+// hardlyAnySuccess reports whether many different jobs have failed within StormWindow and few tasks succeeded.
+func (t *Tracker) hardlyAnySuccess(now time.Time) bool {
+	t.recent = slices.DeleteFunc(t.recent, func(r Result) bool { return now.Sub(r.At) > StormWindow })
+	successes := 0
+	failed := map[structs.JobID]bool{}
+	for _, r := range t.recent {
+		if r.OK {
+			successes++
+		} else {
+			failed[r.Task.Job] = true
+		}
+	}
+	return len(failed) >= StormJobs && float64(successes) <= StormSuccesses*float64(len(t.recent))
 }
 
 // Tick judges the jobs whose failures were in doubt. The owner calls it about once a second.
@@ -149,8 +173,8 @@
 		return nil
 	}
 	delete(t.jobs, id)
-	decision := Decision{Kind: ParkJob, Task: structs.TaskID{Job: id}, Reason: parkReason(hosts)}
-	return append([]Decision{decision}, t.acquit(id)...)
+	t.acquit(id, now)
+	return []Decision{{Kind: ParkJob, Task: structs.TaskID{Job: id}, Reason: parkReason(hosts)}}
 }
 
 // judgeTasks parks single tasks of a job of which others succeed.
@@ -171,21 +195,18 @@
 	return fmt.Sprintf("failed on %d healthy workers: %v", len(hosts), hosts)
 }
 
-// acquit removes the failures of a parked job from all workers and releases those that were quarantined for them.
-func (t *Tracker) acquit(id structs.JobID) []Decision {
-	var decisions []Decision
-	for _, host := range slices.Sorted(maps.Keys(t.workers)) {
-		w := t.workers[host]
+// acquit removes the failures of a parked job from all workers. A worker that would not have been quarantined
+// without them is probed at once.
+func (t *Tracker) acquit(id structs.JobID, now time.Time) {
+	for _, w := range t.workers {
 		if w.failed[id] == nil {
 			continue
 		}
 		delete(w.failed, id)
 		if w.quarantined && len(w.failed) < WorkerFailedJobs {
-			w.badTo = w.badFrom
-			decisions = append(decisions, t.release(host, w, "a job that failed there fails everywhere"))
+			w.probeAt, w.probePause = now, ProbeFirst
 		}
 	}
-	return decisions
 }
 
 // healthy returns the workers whose failures count against the job.
@@ -200,8 +221,8 @@
 	return hosts
 }
 
-// vouched reports whether the worker of a failure counts as healthy: no other job's failure points to it and it has
-// succeeded lately or been watched for ConfirmAfter, or the doubt has lasted for DoubtLimit.
+// vouched reports whether the worker of a failure counts as healthy: it has been watched for ConfirmAfter and no
+// other job's failure points to it, or the doubt has lasted for DoubtLimit.
 func (t *Tracker) vouched(id structs.JobID, f failure, now time.Time) bool {
 	watched := now.Sub(f.at)
 	w := t.workers[f.worker]
@@ -216,8 +237,7 @@
 			return watched >= DoubtLimit
 		}
 	}
-	lately := !w.succeeded.IsZero() && now.Sub(w.succeeded) <= VouchWindow
-	return lately || watched >= ConfirmAfter
+	return watched >= ConfirmAfter
 }
 
 // counting returns the failures that may still count against a task: its own, and those of the whole job as long
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -3,7 +3,7 @@
 // A worker on which several different jobs have failed without any success in between is quarantined: it gets
 // probe tasks only, and is released after successful probes. A job that has failed on several healthy workers
 // without any success is parked. Failures on a worker that is quarantined later do not count against the job, so a
-// job is parked only when the workers concerned have proved healthy or some time has passed.
+// job is parked only after the workers concerned have been watched for some time.
 //
 // The package is pure: results and the time are arguments, and the shard owner calls it under its own lock.
 // Excluding machines by the failures of different jobs is known from Apache Hadoop and Spark (node exclusion).
@@ -25,21 +25,31 @@
 	WorkerFailedTasks = 10
 	// JobFailedWorkers is the number of healthy workers on which a job or task fails before it is parked.
 	JobFailedWorkers = 3
-	// MaxQuarantinedShare is the greatest share of the workers that may be quarantined; at least one may be. When
-	// more seem to fail everything, the cause is likely shared by all, for example an input that cannot be read,
-	// and neither workers nor jobs are judged.
+	// MaxQuarantinedShare is the greatest share of the workers that may be quarantined; at least one may be.
 	MaxQuarantinedShare = 0.2
-	// ConfirmAfter is how long a worker without other failing jobs is watched before its failure counts against a
-	// job, if the worker has had no success lately.
+	// ConfirmAfter is how long a worker is watched before a failure there counts against a job. It gives time to
+	// find out that other jobs fail there, or everywhere, as well.
 	ConfirmAfter = 30 * time.Second
-	// VouchWindow is how long a success speaks for a worker.
-	VouchWindow = 30 * time.Minute
 	// DoubtLimit is how long a worker with a few failing jobs stays in doubt. After it the failures count.
 	DoubtLimit = 10 * time.Minute
 	// FailureMemory is how long the failure of a job speaks against a worker.
 	FailureMemory = time.Hour
 )
 
+// Thresholds of a storm: failures whose cause is likely shared by all, for example an input that cannot be read.
+// Neither workers nor jobs are judged during a storm; failed tasks are retried after pauses.
+const (
+	// StormWindow is the time over which results are counted.
+	StormWindow = time.Minute
+	// StormJobs is the number of different jobs that fail in a storm.
+	StormJobs = 6
+	// StormSuccesses is the share of successes among the results up to which there is a storm.
+	StormSuccesses = 0.1
+	// StormLimit is how long a storm may last. After it jobs are judged again, so that many jobs that can never
+	// run are not tried for ever.
+	StormLimit = 2 * time.Hour
+)
+
 // Probing.
 const (
 	// ProbeFirst is the time from the quarantine to the first probe. It doubles with every probe that fails.
@@ -130,7 +140,9 @@
 	workers map[structs.HostID]*worker
 	jobs    map[structs.JobID]*job
 	size    int
+	recent  []Result // within StormWindow
 	storm   bool
+	since   time.Time // when the storm began; zero when there is none
 }
 
 // NewTracker returns a tracker for a shard of size workers.
@@ -161,8 +173,7 @@
 	return w != nil && w.quarantined
 }
 
-// Storm reports whether more workers seem to fail everything than may be quarantined, which points to a cause that
-// is shared by all. It is as of the latest Record or Tick.
+// Storm reports whether a cause that is shared by all seems to make tasks fail. It is as of the latest Record or Tick.
 func (t *Tracker) Storm() bool { return t.storm }
 
 func (t *Tracker) worker(host structs.HostID) *worker {
--- /dev/null
+++ b/core/quarantine/quarantine_test.go
@@ -0,0 +1,297 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmarcourse.example/core/structs"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func host(i int) structs.HostID { return structs.HostID(fmt.Sprintf("w%02d", i)) }
+
+// recorder is what Tracker and Naive have in common.
+type recorder interface{ Record(Result) []Decision }
+
+// cluster runs tasks of good and bad jobs on good and bad workers, one task per second, and collects decisions.
+type cluster struct {
+	rnd     *rand.Rand
+	hosts   int
+	bad     map[structs.HostID]bool // workers that fail everything
+	broken  map[structs.JobID]bool  // jobs that fail everywhere
+	tracker *Tracker                // nil when the recorder is the baseline
+	record  recorder
+	now     time.Time
+	got     []Decision
+}
+
+func newCluster(seed uint64, hosts int, baseline bool) *cluster {
+	c := &cluster{rnd: rand.New(rand.NewPCG(seed, 1)), hosts: hosts, bad: map[structs.HostID]bool{}, broken: map[structs.JobID]bool{}, now: start}
+	if baseline {
+		c.record = NewNaive()
+	} else {
+		c.tracker = NewTracker(hosts)
+		c.record = c.tracker
+	}
+	return c
+}
+
+// run tries tasks of the given jobs on random workers for a number of seconds.
+func (c *cluster) run(seconds int, jobs []structs.JobID) {
+	for range seconds {
+		c.now = c.now.Add(time.Second)
+		task := structs.TaskID{Job: jobs[c.rnd.IntN(len(jobs))], Index: c.rnd.IntN(20)}
+		h := host(c.rnd.IntN(c.hosts))
+		if c.tracker != nil {
+			c.got = append(c.got, c.tracker.Tick(c.now)...)
+			if c.probe(jobs); c.decided(ParkJob, task.Job) || !c.tracker.MayStart(task, c.now) || c.tracker.Quarantined(h) || slices.Contains(c.tracker.Excluded(task), h) {
+				continue
+			}
+		}
+		c.finish(h, task)
+	}
+}
+
+// probe sends due probes with tasks of a good job.
+func (c *cluster) probe(jobs []structs.JobID) {
+	for _, h := range c.tracker.Probes(c.now) {
+		c.tracker.ProbeStarted(h, c.now)
+		c.finish(h, structs.TaskID{Job: jobs[0]})
+	}
+}
+
+func (c *cluster) finish(h structs.HostID, task structs.TaskID) {
+	ok := !c.bad[h] && !c.broken[task.Job]
+	c.got = append(c.got, c.record.Record(Result{Worker: h, Task: task, OK: ok, At: c.now})...)
+}
+
+func (c *cluster) decided(kind DecisionKind, job structs.JobID) bool {
+	return slices.ContainsFunc(c.got, func(d Decision) bool { return d.Kind == kind && d.Task.Job == job })
+}
+
+// workers returns the workers of the decisions of a kind.
+func (c *cluster) workers(kind DecisionKind) map[structs.HostID]bool {
+	result := map[structs.HostID]bool{}
+	for _, d := range c.got {
+		if d.Kind == kind {
+			result[d.Worker] = true
+		}
+	}
+	return result
+}
+
+var jobs = []structs.JobID{"good1", "good2", "good3", "good4", "bad1", "bad2"}
+
+// Guards against good jobs parked because of a faulty worker, good workers quarantined because of faulty jobs, and
+// faults that are not found. The baseline parks good jobs.
+func TestFaultyWorkersAndFaultyJobsAreToldApart(t *testing.T) {
+	parked := 0
+	for seed := uint64(1); seed <= 20; seed++ {
+		for _, baseline := range []bool{false, true} {
+			c := newCluster(seed, 20, baseline)
+			c.bad[host(3)], c.bad[host(7)] = true, true
+			c.broken["bad1"], c.broken["bad2"] = true, true
+			c.run(3000, jobs)
+			for _, job := range jobs {
+				if baseline && !c.broken[job] && c.decided(ParkJob, job) {
+					parked++
+				}
+				if !baseline && c.decided(ParkJob, job) != c.broken[job] {
+					t.Errorf("seed %d: job %s parked: %v", seed, job, !c.broken[job])
+				}
+			}
+			if baseline {
+				continue
+			}
+			for i := range c.hosts {
+				if quarantined := c.tracker.Quarantined(host(i)); quarantined != c.bad[host(i)] {
+					t.Errorf("seed %d: %s quarantined: %v", seed, host(i), quarantined)
+				}
+			}
+		}
+	}
+	if parked == 0 {
+		t.Error("the baseline parks no good job, so the test shows nothing")
+	}
+}
+
+// Guards against a repaired worker that stays in quarantine, and a faulty one that is released or probed all the
+// time.
+func TestProbingAndRelease(t *testing.T) {
+	c := newCluster(1, 20, false)
+	c.bad[host(3)] = true
+	c.run(1500, jobs[:4])
+	if !c.tracker.Quarantined(host(3)) {
+		t.Fatal("faulty worker not quarantined")
+	}
+	probes := 0
+	for range 3600 { // an hour of probes that fail
+		c.now = c.now.Add(time.Second)
+		for _, h := range c.tracker.Probes(c.now) {
+			c.tracker.ProbeStarted(h, c.now)
+			probes++
+			c.finish(h, structs.TaskID{Job: "good1"})
+		}
+	}
+	if probes < 2 || probes > 6 {
+		t.Errorf("%d probes in an hour, want them to become rare", probes)
+	}
+	c.bad = nil
+	c.run(int(ProbeMax.Seconds())+60, jobs[:4])
+	if !c.workers(ReleaseWorker)[host(3)] || c.tracker.Quarantined(host(3)) {
+		t.Error("repaired worker not released")
+	}
+}
+
+// Guards against quarantining most of a shard, and parking its jobs, when a cause shared by all makes everything
+// fail.
+func TestSharedCauseIsNotBlamed(t *testing.T) {
+	c := newCluster(1, 20, false)
+	for i := range c.hosts {
+		c.bad[host(i)] = true
+	}
+	many := []structs.JobID{}
+	for i := range 60 {
+		many = append(many, structs.JobID(fmt.Sprint("job", i)))
+	}
+	c.run(1200, many)
+	if n, limit := len(c.workers(QuarantineWorker)), c.tracker.limit(); n > limit {
+		t.Errorf("%d workers quarantined, limit %d", n, limit)
+	}
+	if !c.tracker.Storm() {
+		t.Error("storm not reported")
+	}
+	parked := 0
+	for _, job := range many {
+		if c.decided(ParkJob, job) {
+			parked++
+		}
+	}
+	if parked > len(many)/10 {
+		t.Errorf("%d of %d good jobs parked", parked, len(many))
+	}
+}
+
+// Guards against failures on a faulty worker that count against a job, and against one task that fails everywhere
+// taking its whole job along.
+func TestFailuresThatCount(t *testing.T) {
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	tracker := NewTracker(20)
+	fail := func(w, s int, job structs.JobID, index int) []Decision {
+		return tracker.Record(Result{Worker: host(w), Task: structs.TaskID{Job: job, Index: index}, At: at(s)})
+	}
+	success := func(w, s int, job structs.JobID) {
+		tracker.Record(Result{Worker: host(w), Task: structs.TaskID{Job: job, Index: 99}, OK: true, At: at(s)})
+	}
+	for w := range 4 {
+		success(w, 0, "other")
+	}
+	fail(9, 1, "x", 0)
+	fail(9, 2, "y", 0)
+	if got := fail(9, 3, "z", 0); len(got) != 1 || got[0].Kind != QuarantineWorker {
+		t.Fatalf("third job: %v", got)
+	}
+	fail(0, 10, "x", 0)
+	if got := fail(1, 20, "x", 0); len(got) != 0 {
+		t.Errorf("job parked after two healthy workers and a faulty one: %v", got)
+	}
+	if slices.Contains(tracker.Excluded(structs.TaskID{Job: "x"}), host(9)) {
+		t.Error("the job is kept from a worker that was at fault, also after its release")
+	}
+	fail(2, 40, "x", 0)
+	if got := tracker.Tick(at(69)); len(got) != 0 {
+		t.Errorf("parked before the third worker was watched: %v", got)
+	}
+	if tracker.MayStart(structs.TaskID{Job: "x", Index: 7}, at(69)) {
+		t.Error("a job that has failed on three workers is tried on a fourth")
+	}
+	if got := tracker.Tick(at(71)); len(got) != 1 || got[0].Kind != ParkJob {
+		t.Errorf("third healthy worker: %v", got)
+	}
+	success(3, 80, "y")
+	for w := range 3 {
+		fail(w, 80+w, "y", 5)
+		got := tracker.Tick(at(200 + w))
+		if parked := len(got) == 1 && got[0].Kind == ParkTask && got[0].Task.Index == 5; parked != (w == 2) {
+			t.Errorf("failure %d of a task of a good job: %v", w+1, got)
+		}
+	}
+}
+
+// Guards against a single large job that loses all its tasks to one faulty worker.
+func TestOneJobCanShowAFaultyWorker(t *testing.T) {
+	tracker := NewTracker(20)
+	tracker.Record(Result{Worker: host(0), Task: structs.TaskID{Job: "x", Index: 999}, OK: true, At: start})
+	for i := range WorkerFailedTasks {
+		if tracker.Quarantined(host(1)) {
+			t.Fatalf("quarantined after %d tasks", i)
+		}
+		tracker.Record(Result{Worker: host(1), Task: structs.TaskID{Job: "x", Index: i}, At: start.Add(time.Duration(i) * time.Second)})
+	}
+	if !tracker.Quarantined(host(1)) {
+		t.Error("faulty worker not quarantined")
+	}
+}
+
+// Guards against tasks parked after a takeover by failures of which the new owner cannot tell whose fault they
+// were, and against retries without a pause.
+func TestRestoreAndRetryPause(t *testing.T) {
+	tracker, task := NewTracker(20), structs.TaskID{Job: "x"}
+	tracker.Restore(task, []structs.HostID{"a", "b", "c", "d"}, start)
+	if got := tracker.Tick(start.Add(time.Hour)); len(got) != 0 {
+		t.Errorf("parked after a takeover: %v", got)
+	}
+	if tracker.MayStart(task, start.Add(RetryFirst/2)) || !tracker.MayStart(task, start.Add(time.Minute)) {
+		t.Error("no pause after a failure, or no end of it")
+	}
+}
+
+// Guards against decisions that contradict each other or exceed the limit, whatever happens.
+func TestTrackerKeepsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker, now := NewTracker(6), start
+		quarantined, parked := map[structs.HostID]bool{}, map[structs.JobID]bool{}
+		check := func(decisions []Decision) {
+			for _, d := range decisions {
+				switch d.Kind {
+				case QuarantineWorker, ReleaseWorker:
+					if quarantined[d.Worker] == (d.Kind == QuarantineWorker) {
+						t.Fatalf("%v of a worker that is in this state", d)
+					}
+					quarantined[d.Worker] = d.Kind == QuarantineWorker
+				case ParkJob:
+					parked[d.Task.Job] = true
+				}
+			}
+		}
+		for range rapid.IntRange(0, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "gap")) * time.Second)
+			task := structs.TaskID{Job: structs.JobID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "job")), Index: rapid.IntRange(0, 2).Draw(t, "task")}
+			if !parked[task.Job] {
+				check(tracker.Record(Result{Worker: host(rapid.IntRange(0, 5).Draw(t, "worker")), Task: task, OK: rapid.IntRange(0, 3).Draw(t, "ok") == 0, At: now}))
+			}
+			check(tracker.Tick(now))
+			n := 0
+			for h, is := range quarantined {
+				if is {
+					n++
+				}
+				if is != tracker.Quarantined(h) {
+					t.Fatalf("%s: decided %v", h, is)
+				}
+			}
+			if n > tracker.limit() {
+				t.Fatalf("%d workers quarantined", n)
+			}
+			if len(tracker.Excluded(task)) > MaxExcluded {
+				t.Fatal("too many workers excluded")
+			}
+		}
+	})
+}
