Test the drain and the ramp

A data centre that is taken out must lose little work and not load the link or the store beyond their budgets, and its return must not cause a stampede.

Property tests cover the budgets and the places of tasks.

--- /dev/null
+++ b/core/drain/drain_test.go
@@ -0,0 +1,207 @@
+package drain
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmarcourse.example/core/structs"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func drawTasks(t *rapid.T) []Task {
+	var tasks []Task
+	for i := range rapid.IntRange(0, 40).Draw(t, "tasks") {
+		tasks = append(tasks, Task{
+			ID: structs.TaskID{Job: "j", Index: i}, Checkpointable: rapid.Bool().Draw(t, "checkpoint"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			Lost:            time.Duration(rapid.IntRange(0, 900).Draw(t, "lost")) * time.Second,
+			Remaining:       time.Duration(rapid.IntRange(0, 1800).Draw(t, "remaining")) * time.Second,
+			CheckpointBytes: rapid.Int64Range(0, 500e6).Draw(t, "bytes"), Stopping: rapid.IntRange(0, 9).Draw(t, "stopping") == 0,
+		})
+	}
+	return tasks
+}
+
+// Guards against tasks that are lost from the drain or stopped twice, stops of tasks that can be neither resumed
+// nor repeated, and budgets that are exceeded.
+func TestStepKeepsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tasks := drawTasks(t)
+		limits := Limits{Duration: 10 * time.Minute, BytesPerSecond: 10e6, Writes: rapid.Float64Range(0.5, 30).Draw(t, "writes")}
+		d, now := NewDrainer(limits, start), start
+		stopped := map[structs.TaskID]bool{}
+		sent, largest, writes := 0.0, 0.0, 0
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			step := d.Step(now, tasks)
+			seen := slices.Concat(step.Stop, step.Finish, step.Waiting, step.Overdue)
+			slices.SortFunc(seen, compareID)
+			if len(slices.Compact(seen)) != len(step.Stop)+len(step.Finish)+len(step.Waiting)+len(step.Overdue) {
+				t.Fatal("a task has two places in the step")
+			}
+			for i := range tasks {
+				task := &tasks[i]
+				if slices.Contains(seen, task.ID) == task.Stopping {
+					t.Fatalf("task %+v: in the step %v", task, !task.Stopping)
+				}
+				if slices.Contains(step.Stop, task.ID) {
+					if !task.stoppable() || stopped[task.ID] {
+						t.Fatalf("task %+v is to be stopped", task)
+					}
+					stopped[task.ID], task.Stopping = true, true
+					writes++
+					if task.Checkpointable {
+						sent += float64(task.CheckpointBytes)
+						largest = max(largest, float64(task.CheckpointBytes))
+					}
+				}
+			}
+			elapsed := now.Sub(start).Seconds()
+			if sent > limits.BytesPerSecond*(elapsed+LinkBurst)+largest+1 || float64(writes) > limits.Writes*elapsed+max(1, limits.Writes)+1 {
+				t.Fatalf("%.0f bytes and %d writes after %.0f s", sent, writes, elapsed)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 90).Draw(t, "gap")) * time.Second)
+		}
+	})
+}
+
+// Guards against a wrong order of stops, and against stopping tasks that would be done before their turn.
+func TestOrderOfStops(t *testing.T) {
+	s := time.Second
+	task := func(i int, checkpoint bool, lost, remaining time.Duration, bytes int64) Task {
+		return Task{ID: structs.TaskID{Index: i}, Checkpointable: checkpoint, Idempotent: true, Lost: lost, Remaining: remaining, CheckpointBytes: bytes}
+	}
+	tasks := []Task{
+		task(0, false, 60*s, 3600*s, 0), // starts anew elsewhere: last
+		task(1, true, 100*s, 3600*s, 1e6),
+		task(2, true, 5*s, 600*s, 1e6),
+		task(3, true, 5*s, 3600*s, 1e6), // as little lost, but runs longer
+		task(4, true, 5*s, 0, 1e6),      // not known: as if it ran for long
+		task(5, true, 0, 10*s, 1e6),     // done sooner than moved
+		task(6, false, 60*s, 300*s, 0),  // done within the limit
+		{ID: structs.TaskID{Index: 7}, Remaining: 3600 * s},
+	}
+	index := func(ids []structs.TaskID) []int {
+		var result []int
+		for _, id := range ids {
+			result = append(result, id.Index)
+		}
+		return result
+	}
+	step := NewDrainer(DefaultLimits(), start).Step(start, tasks)
+	if got, want := index(step.Stop), []int{4, 3, 2, 1, 0}; !slices.Equal(got, want) {
+		t.Errorf("stopped %v, want %v", got, want)
+	}
+	finish := index(step.Finish)
+	slices.Sort(finish)
+	if want := []int{5, 6, 7}; !slices.Equal(finish, want) {
+		t.Errorf("left to finish %v, want %v", finish, want)
+	}
+	late := NewDrainer(DefaultLimits(), start).Step(start.Add(DrainLimit), tasks)
+	if got := index(late.Overdue); !slices.Equal(got, []int{7}) || len(late.Finish) != 0 {
+		t.Errorf("after the limit: overdue %v, left to finish %v", got, late.Finish)
+	}
+}
+
+// outcome is what a simulated drain has cost.
+type outcome struct {
+	lost, done float64 // seconds of work
+	peak       float64 // bytes of checkpoints in the busiest second
+}
+
+// simulate drains tasks with one step per second until the limit. Checkpoints share the link.
+func simulate(tasks []Task, next func(now time.Time, tasks []Task) Step) outcome {
+	var result outcome
+	link := 0.0 // bytes still to be sent
+	for second := range int(DrainLimit.Seconds()) {
+		step := next(start.Add(time.Duration(second)*time.Second), tasks)
+		batch := 0.0
+		for _, id := range step.Stop {
+			i := slices.IndexFunc(tasks, func(t Task) bool { return t.ID == id })
+			tasks[i].Stopping = true
+			result.lost += tasks[i].Lost.Seconds()
+			if tasks[i].Checkpointable {
+				batch += float64(tasks[i].CheckpointBytes)
+			}
+		}
+		link += batch
+		result.peak = max(result.peak, batch)
+		for i := range tasks {
+			if t := &tasks[i]; !t.Stopping && t.Remaining > 0 {
+				if !t.Checkpointable {
+					t.Lost += time.Second
+				}
+				result.done++
+				if t.Remaining -= time.Second; t.Remaining <= 0 {
+					t.Stopping = true
+				}
+			}
+		}
+	}
+	return result
+}
+
+// Guards against a drain that loses more work, or loads the link more, than stopping everything at once.
+func TestDrainBeatsTheBaseline(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		draw := func() []Task {
+			rnd := rand.New(rand.NewPCG(seed, 1))
+			var tasks []Task
+			for i := range 200 {
+				task := Task{ID: structs.TaskID{Index: i}, Idempotent: true, Checkpointable: rnd.IntN(2) == 0, Remaining: time.Duration(1+rnd.IntN(1200)) * time.Second, CheckpointBytes: rnd.Int64N(400e6)}
+				task.Lost = time.Duration(rnd.IntN(60)) * time.Second
+				if !task.Checkpointable {
+					task.Lost = time.Duration(rnd.IntN(1800)) * time.Second
+				}
+				tasks = append(tasks, task)
+			}
+			return tasks
+		}
+		naive := simulate(draw(), func(_ time.Time, tasks []Task) Step { return NaiveStep(tasks) })
+		drainer := NewDrainer(DefaultLimits(), start)
+		ours := simulate(draw(), drainer.Step)
+		if ours.lost >= naive.lost || ours.done <= naive.done {
+			t.Errorf("seed %d: lost %v s and done %v s, baseline %v s and %v s", seed, ours.lost, ours.done, naive.lost, naive.done)
+		}
+		if limit := LinkBytesPerSecond*LinkBurst + 400e6; ours.peak > limit || naive.peak < limit {
+			t.Errorf("seed %d: peak %v bytes in a second, limit %v, baseline %v", seed, ours.peak, limit, naive.peak)
+		}
+	}
+}
+
+// Guards against a stampede when a data centre returns, a ramp that never ends, and one that goes on although
+// starts fail.
+func TestRamp(t *testing.T) {
+	ramp, started := NewRamp(start), []int{}
+	for second := range 60 {
+		n := 0
+		for tick := range 10 {
+			for range 100 { // many tasks want to start in every cycle
+				if ramp.MayStart(start.Add(time.Duration(second)*time.Second + time.Duration(tick)*100*time.Millisecond)) {
+					n++
+				}
+			}
+		}
+		started = append(started, n)
+	}
+	if 4*started[0] > FullStartsPerSecond || !slices.IsSorted([]int{started[0], started[20], started[40]}) {
+		t.Errorf("starts per second %v", started)
+	}
+	if last := started[59]; float64(last) < 0.9*FullStartsPerSecond || float64(last) > 1.1*FullStartsPerSecond || !ramp.Done(start.Add(time.Minute)) {
+		t.Errorf("%d starts/s after a minute", last)
+	}
+	ramp = NewRamp(start)
+	now := start
+	for range 120 {
+		now = now.Add(time.Second)
+		for range RampSample {
+			ramp.Started(false, now)
+		}
+	}
+	if share := ramp.Share(now); share > 2*RampStart {
+		t.Errorf("share %v although every start fails", share)
+	}
+}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -86,7 +86,7 @@
 	return result
 }
 
-var jobs = []structs.JobID{"good1", "good2", "good3", "good4", "bad1", "bad2"}
+var jobs = []structs.JobID{"good1", "good2", "good3", "good4", "bad1", "bad2", "bad3", "bad4", "bad5"}
 
 // Guards against good jobs parked because of a faulty worker, good workers quarantined because of faulty jobs, and
 // faults that are not found. The baseline parks good jobs.
@@ -96,7 +96,9 @@
 		for _, baseline := range []bool{false, true} {
 			c := newCluster(seed, 20, baseline)
 			c.bad[host(3)], c.bad[host(7)] = true, true
-			c.broken["bad1"], c.broken["bad2"] = true, true
+			for _, job := range jobs[4:] {
+				c.broken[job] = true
+			}
 			c.run(3000, jobs)
 			for _, job := range jobs {
 				if baseline && !c.broken[job] && c.decided(ParkJob, job) {
@@ -198,8 +200,11 @@
 		t.Fatalf("third job: %v", got)
 	}
 	fail(0, 10, "x", 0)
-	if got := fail(1, 20, "x", 0); len(got) != 0 {
-		t.Errorf("job parked after two healthy workers and a faulty one: %v", got)
+	fail(1, 20, "x", 0)
+	success(9, 25, "other")
+	success(9, 26, "other")
+	if got := tracker.Tick(at(65)); len(got) != 0 || tracker.Quarantined(host(9)) {
+		t.Errorf("job parked after two healthy workers and one that was at fault: %v", got)
 	}
 	if slices.Contains(tracker.Excluded(structs.TaskID{Job: "x"}), host(9)) {
 		t.Error("the job is kept from a worker that was at fault, also after its release")
@@ -295,3 +300,21 @@
 		}
 	})
 }
+
+// Guards against a healthy worker quarantined because jobs that fail everywhere have all been tried there.
+func TestJobsThatFailElsewhereDoNotBlameAWorker(t *testing.T) {
+	tracker := NewTracker(20)
+	now := start
+	for i, job := range []structs.JobID{"x", "y", "z"} {
+		for _, w := range []int{2 * i, 2*i + 1, 9} {
+			now = now.Add(time.Second)
+			tracker.Record(Result{Worker: host(w), Task: structs.TaskID{Job: job}, At: now})
+		}
+	}
+	if tracker.Quarantined(host(9)) {
+		t.Error("worker quarantined for jobs that fail elsewhere")
+	}
+	if got := tracker.Tick(now.Add(ConfirmAfter)); len(got) != 3 {
+		t.Errorf("decisions %v, want three parked jobs", got)
+	}
+}
