--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -111,7 +111,7 @@
 		return errors.Annotatef(ErrUnknownHost, "%s", p.Host)
 	case c.placed[p.Task] > 0:
 		return errors.Annotatef(ErrAlreadyPlaced, "%s", p.Task)
-	case !n.listed || n.host.State == structs.HostLeaving || (n.quarantined && !probe):
+	case !n.listed || n.host.State == structs.HostLeaving || (n.probesOnly() && !probe):
 		return errors.Annotatef(ErrUnusableHost, "%s", p.Host)
 	case !p.Reserved.Fits(n.host.Capacity.Sub(n.reserved)) || !(structs.Resources{}).Fits(p.Reserved):
 		return errors.Annotatef(ErrNoCapacity, "%s", p.Host)
@@ -306,10 +306,13 @@
 	return &Node{
 		Host: n.host.ID, Rack: n.host.Rack, Capacity: n.host.Capacity, Reserved: n.reserved,
 		Leaving:     !n.listed || n.host.State == structs.HostLeaving,
-		Quarantined: n.quarantined, Kinds: n.kinds(),
+		Quarantined: n.probesOnly(), Kinds: n.kinds(),
 	}
 }
 
+// probesOnly reports whether the worker is quarantined, by this owner or by its entry in the host list.
+func (n *node) probesOnly() bool { return n.quarantined || n.host.ProbeOnly }
+
 // kinds counts the placed tasks by kind.
 func (n *node) kinds() []learn.KindCount {
 	var kinds []learn.KindCount
--- a/core/placement/plan_test.go
+++ b/core/placement/plan_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,6 +156,9 @@
 	if len(got.Unplaced) != 1 || !reflect.DeepEqual(got.Unplaced[0].Rejections, want) {
 		t.Errorf("got %+v, want %v", got, want)
 	}
+	if reason := got.Unplaced[0].Reason(); !strings.Contains(reason, "quarantined 1") {
+		t.Errorf("reason %q", reason)
+	}
 	snapshot.Out = true
 	if got = planner.Plan(snapshot, []Pending{task}, nil); !reflect.DeepEqual(got.Unplaced[0].Rejections, []Rejection{{outReason, 4}}) {
 		t.Errorf("out of service: %+v", got)
--- a/core/placement/snapshot.go
+++ b/core/placement/snapshot.go
@@ -9,6 +9,8 @@
 package placement
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"fulmarcourse.example/core/placement/learn"
@@ -70,6 +72,22 @@
 	Held       structs.HostID // a worker that is kept free for the task; to be passed on in Pending.Held
 }
 
+// Reason returns why the task waits, in words for operators, for example "no worker: resources 60, leaving 3".
+func (u Unplaced) Reason() string {
+	var parts []string
+	for _, r := range u.Rejections {
+		parts = append(parts, fmt.Sprintf("%s %d", r.Filter, r.Hosts))
+	}
+	text := "no worker"
+	if len(parts) > 0 {
+		text += ": " + strings.Join(parts, ", ")
+	}
+	if u.Held != "" {
+		text += fmt.Sprintf("; %s is kept free for it", u.Held)
+	}
+	return text
+}
+
 // Plan is the result of a planning cycle.
 type Plan struct {
 	Placements []Placement
--- a/pkg/jobs/batch.go
+++ b/pkg/jobs/batch.go
@@ -21,7 +21,7 @@
 	Environment string
 	Shard       structs.ShardID
 	Epoch       structs.Epoch          // create revision of the owner record under which this host owns the shard
-	OnCancel    func(id structs.JobID) // called without locks when a write finds a new cancellation; may be nil
+	OnCancel    func(id structs.JobID) // called by Flush without mu when it finds a new cancellation; must not call Flush or Close; may be nil
 	Clock       func() time.Time       // time.Now when nil
 	Scope       tally.Scope            // tally.NoopScope when nil
 	Log         *eventlog.Logger       // discarded when nil
