--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -306,10 +306,22 @@
 	return &Node{
 		Host: n.host.ID, Rack: n.host.Rack, Capacity: n.host.Capacity, Reserved: n.reserved,
 		Leaving:     !n.listed || n.host.State == structs.HostLeaving,
-		Quarantined: n.probesOnly(), Kinds: n.kinds(),
+		Quarantined: n.probesOnly(), Kinds: n.kinds(), Tasks: n.occupants(),
 	}
 }
 
+// occupants lists the placed tasks, the earliest first.
+func (n *node) occupants() []Occupant {
+	occupants := make([]Occupant, 0, len(n.tasks))
+	for _, p := range n.tasks {
+		occupants = append(occupants, Occupant{p.Kind, p.Reserved, p.Since})
+	}
+	slices.SortFunc(occupants, func(a, b Occupant) int {
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Reserved.MilliCPU, b.Reserved.MilliCPU))
+	})
+	return occupants
+}
+
 // probesOnly reports whether the worker is quarantined, by this owner or by its entry in the host list.
 func (n *node) probesOnly() bool { return n.quarantined || n.host.ProbeOnly }
 
--- a/core/placement/filter.go
+++ b/core/placement/filter.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"fulmarcourse.example/core/structs"
 )
@@ -12,6 +13,9 @@
 	Left   structs.Resources // capacity that is neither reserved nor planned
 	Counts []int32           // placed and planned tasks by kind index (see Preparer)
 	Held   bool              // kept free for a task that has waited for long
+	// HeldUntil is when the task that a worker is held for can be expected to start there. Tasks that end before
+	// may use the worker meanwhile. Zero if it is not known.
+	HeldUntil time.Time
 }
 
 // Task is a pending task in the middle of a planning cycle.
@@ -19,6 +23,7 @@
 	*Pending
 	Size      structs.Resources // reservation
 	KindIndex int               // position of its kind in the kinds of the cycle
+	EndsBy    time.Time         // when it is expected to be done if it starts now; zero if that is not known
 }
 
 // Filter decides whether a worker may take a task.
@@ -68,12 +73,13 @@
 	return !slices.Contains(task.Excluded, view.Host)
 }
 
-// heldFilter rejects workers that the plan keeps free for another task. Urgent tasks do not wait for it.
+// heldFilter rejects workers that the plan keeps free for another task, except for tasks that will be done before
+// that one can start (backfilling). Urgent tasks do not wait.
 type heldFilter struct{}
 
 func (heldFilter) Name() string { return "held" }
 func (heldFilter) Allows(task *Task, view *View) bool {
-	return !view.Held || task.Urgent
+	return !view.Held || task.Urgent || (!task.EndsBy.IsZero() && task.EndsBy.Before(view.HeldUntil))
 }
 
 // resourceFilter rejects workers without enough unreserved capacity. Measured usage plays no part: it lags, and a
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -10,16 +10,6 @@
 	"fulmarcourse.example/core/structs"
 )
 
-// Thresholds of a planning cycle.
-const (
-	// HoldAfter is how long a task waits before a worker is kept free for it. Otherwise small tasks could fill
-	// every gap for ever and a large one would never start. Backfilling around one such reservation is from
-	// Lifka, "The ANL/IBM SP scheduling system" (EASY, 1995).
-	HoldAfter = 2 * time.Minute
-	// HeldShare is the greatest share of the workers that is held at once; at least one may be.
-	HeldShare = 0.05
-)
-
 // Config configures a Planner.
 type Config struct {
 	Policy  Policy
@@ -37,6 +27,7 @@
 	counts   []int32  // backs View.Counts
 	kinds    kindIndex
 	classes  map[classKey]*class
+	now      time.Time
 	held     int
 	feasible []int
 	placed   []bool // pending tasks that were placed on the worker held for them
@@ -98,7 +89,7 @@
 		c := p.classOf(task)
 		best, explored := p.choose(c, rnd)
 		if best < 0 {
-			plan.Unplaced = append(plan.Unplaced, p.leave(task, c, snapshot.Now))
+			plan.Unplaced = append(plan.Unplaced, p.leave(task, c))
 			continue
 		}
 		p.place(&plan, task, c, best, explored)
@@ -106,35 +97,6 @@
 	return plan
 }
 
-// resumeHolds places the tasks whose held worker has room now, and keeps the other held workers free. The tasks
-// come before all others: what is held for them must not go to tasks that are earlier in the order.
-func (p *Planner) resumeHolds(plan *Plan, pending []Pending) {
-	p.placed = slices.Grow(p.placed[:0], len(pending))[:len(pending)]
-	clear(p.placed)
-	for i := range pending {
-		task := &pending[i]
-		v := p.find(task.Held)
-		if v < 0 || p.held >= p.holdLimit() {
-			continue
-		}
-		c := p.classOf(task)
-		if !math.IsInf(p.score(&c.task, &p.views[v]), -1) {
-			p.place(plan, task, c, v, false)
-			p.placed[i] = true
-			continue
-		}
-		p.hold(v)
-	}
-}
-
-// find returns the index of a worker, or -1.
-func (p *Planner) find(host structs.HostID) int {
-	if host == "" {
-		return -1
-	}
-	return slices.IndexFunc(p.views, func(v View) bool { return v.Host == host })
-}
-
 func allUnplaced(pending []Pending, why []Rejection) Plan {
 	plan := Plan{Unplaced: make([]Unplaced, len(pending))}
 	for i := range pending {
@@ -162,7 +124,7 @@
 		p.versions[i] = 1
 	}
 	p.classes = map[classKey]*class{}
-	p.held = 0
+	p.now, p.held = snapshot.Now, 0
 	for _, s := range p.scorers {
 		if prepared, ok := s.(Preparer); ok {
 			prepared.Prepare(p.kinds.names)
@@ -190,7 +152,7 @@
 	if c == nil {
 		size := p.fitSize(sanitise(p.policy.Size(task), task.Declared), task.Declared)
 		c = &class{
-			task:     Task{Pending: task, Size: size, KindIndex: p.kinds.index[task.Kind]},
+			task:     Task{Pending: task, Size: size, KindIndex: p.kinds.index[task.Kind], EndsBy: p.endsBy(task.Kind)},
 			scores:   make([]float64, len(p.views)),
 			versions: make([]uint32, len(p.views)),
 		}
@@ -306,51 +268,6 @@
 	plan.Placements = append(plan.Placements, Placement{task.Task, task.Kind, view.Host, c.task.Size, explored})
 }
 
-// hold keeps a worker free until the end of the cycle.
-func (p *Planner) hold(i int) {
-	p.views[i].Held = true
-	p.versions[i]++
-	p.held++
-}
-
-func (p *Planner) holdLimit() int { return max(1, int(float64(len(p.views))*HeldShare)) }
-
-// leave reports a task that found no worker, and holds one for it if it has waited for long.
-func (p *Planner) leave(task *Pending, c *class, now time.Time) Unplaced {
-	if c.rejections == nil {
-		c.rejections = p.reject(&c.task)
-	}
-	result := Unplaced{Task: task.Task, Rejections: c.rejections}
-	if i := p.find(task.Held); i >= 0 && p.views[i].Held {
-		result.Held = task.Held
-		return result
-	}
-	if now.Sub(task.Since) < HoldAfter || p.held >= p.holdLimit() || task.Probe != "" {
-		return result
-	}
-	if i := p.roomiest(&c.task); i >= 0 {
-		p.hold(i)
-		result.Held = p.views[i].Host
-	}
-	return result
-}
-
-// roomiest returns the worker that has the most processors left of those that could hold the task when empty.
-func (p *Planner) roomiest(task *Task) int {
-	best := -1
-	for i := range p.views {
-		empty := p.views[i]
-		empty.Left = empty.Capacity
-		if math.IsInf(p.score(task, &empty), -1) {
-			continue
-		}
-		if best < 0 || p.views[i].Left.MilliCPU > p.views[best].Left.MilliCPU {
-			best = i
-		}
-	}
-	return best
-}
-
 // reject counts for each filter the workers that it is the first to reject.
 func (p *Planner) reject(task *Task) []Rejection {
 	counts := make([]int, len(p.filters))
--- a/core/placement/plan_test.go
+++ b/core/placement/plan_test.go
@@ -212,6 +212,35 @@
 	}
 }
 
+// Guards against a held worker that stands idle although short tasks would be done in time, and against tasks that
+// would put off the one it is held for.
+func TestHeldWorkersAreBackfilled(t *testing.T) {
+	sizes := learn.NewSizes()
+	for range 50 {
+		sizes.ObserveRun("short", time.Minute, start)
+		sizes.ObserveRun("long", 20*time.Minute, start)
+	}
+	policy, err := NewPolicy(Learned, PolicyConfig{Sizes: declaredSizes{}, Slowdowns: pairModel{}, RunTimes: sizes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	half := structs.Resources{MilliCPU: 8}
+	snapshot := Snapshot{Now: start, Nodes: []*Node{{
+		Host: "w", Capacity: half.Add(half), Reserved: half, Tasks: []Occupant{{"long", half, start.Add(-10 * time.Minute)}},
+	}}}
+	for waited, want := range map[time.Duration]int{HoldAfter: 1, BackfillLimit: 0} {
+		pending := []Pending{
+			{Task: structs.TaskID{Job: "large"}, Kind: "other", Declared: half.Add(half), Since: start.Add(-waited), Held: "w"},
+			{Task: structs.TaskID{Job: "long"}, Kind: "long", Declared: half, Since: start},
+			{Task: structs.TaskID{Job: "short"}, Kind: "short", Declared: half, Since: start},
+		}
+		plan := NewPlanner(Config{Policy: policy}).Plan(snapshot, pending, rand.New(rand.NewPCG(1, 1)))
+		if len(plan.Placements) != want || (want == 1 && plan.Placements[0].Task.Job != "short") {
+			t.Errorf("after %v: %+v", waited, plan.Placements)
+		}
+	}
+}
+
 // Guards against a learned policy that does no better than first fit when kinds slow each other down.
 func TestLearnedPolicySeparatesHarmfulPairs(t *testing.T) {
 	model := pairModel{"render": {"trace": 0.7}}
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/juju/errors"
 
 	"fulmarcourse.example/core/structs"
@@ -17,6 +19,8 @@
 	// Scorers returns new scorers for one planner. Their scores are added up; the worker with the highest sum is
 	// chosen, the first in order of host among equals.
 	Scorers() []Scorer
+	// RunTimes returns the estimates used to backfill workers that are held for a task; nil if there are none.
+	RunTimes() RunTimeModel
 	// ExploreShare is the share of placements, from 0 to 1, that go to a random worker which passes the filters.
 	ExploreShare() float64
 }
@@ -38,6 +42,14 @@
 	Reservation(kind structs.KindName, declared structs.Resources) structs.Resources
 }
 
+// RunTimeModel estimates run times per kind; false when there is too little evidence. learn.Sizes satisfies it.
+type RunTimeModel interface {
+	// RunTime returns a quantile of the whole run time.
+	RunTime(kind structs.KindName, quantile float64) (time.Duration, bool)
+	// Remaining returns the expected time until a task that has run for ranFor is done.
+	Remaining(kind structs.KindName, ranFor time.Duration) (time.Duration, bool)
+}
+
 // SlowdownModel gives the logarithm of the slowdown that one neighbour causes to a task of kind victim.
 // learn.Slowdowns satisfies it.
 type SlowdownModel interface {
@@ -48,6 +60,7 @@
 type PolicyConfig struct {
 	Sizes     SizeModel
 	Slowdowns SlowdownModel
+	RunTimes  RunTimeModel // may be nil
 }
 
 // Names of the policies.
@@ -82,6 +95,7 @@
 func (firstFit) Name() string                         { return FirstFit }
 func (firstFit) Size(task *Pending) structs.Resources { return task.Declared }
 func (firstFit) Scorers() []Scorer                    { return nil }
+func (firstFit) RunTimes() RunTimeModel               { return nil }
 func (firstFit) ExploreShare() float64                { return 0 }
 
 // bestFit takes the worker that the declared size fills best, which keeps large gaps for large tasks.
@@ -90,6 +104,7 @@
 func (bestFit) Name() string                         { return BestFit }
 func (bestFit) Size(task *Pending) structs.Resources { return task.Declared }
 func (bestFit) Scorers() []Scorer                    { return []Scorer{fitScorer{weight: 1}} }
+func (bestFit) RunTimes() RunTimeModel               { return nil }
 func (bestFit) ExploreShare() float64                { return 0 }
 
 // Thresholds of the learned policy.
@@ -114,7 +129,8 @@
 func (p learnedPolicy) Scorers() []Scorer {
 	return []Scorer{&slowdownScorer{model: p.models.Slowdowns}, fitScorer{weight: LearnedFitWeight}}
 }
-func (learnedPolicy) ExploreShare() float64 { return LearnedExploreShare }
+func (p learnedPolicy) RunTimes() RunTimeModel { return p.models.RunTimes }
+func (learnedPolicy) ExploreShare() float64    { return LearnedExploreShare }
 
 // fitScorer prefers workers with little capacity left over after the placement.
 type fitScorer struct{ weight float64 }
--- a/core/placement/snapshot.go
+++ b/core/placement/snapshot.go
@@ -26,6 +26,14 @@
 	Leaving     bool              // the host list reports it as leaving, or no longer at all
 	Quarantined bool              // takes probe tasks only
 	Kinds       []learn.KindCount // placed tasks by kind, sorted by kind
+	Tasks       []Occupant        // placed tasks, the earliest first
+}
+
+// Occupant is a placed task as far as its capacity is concerned.
+type Occupant struct {
+	Kind     structs.KindName
+	Reserved structs.Resources
+	Since    time.Time
 }
 
 // Free returns the capacity that is not reserved. It is negative where a host reports less capacity than before.
