--- a/core/placement/cache_test.go
+++ b/core/placement/cache_test.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
+	"fulmarcourse.example/core/placement/learn"
 	"fulmarcourse.example/core/structs"
 )
 
@@ -128,3 +129,23 @@
 		t.Errorf("dropped %v", got)
 	}
 }
+
+// Guards against digests that count capacity nobody may use, and late measurements without a co-location.
+func TestTotalsAndColocations(t *testing.T) {
+	cache, history := NewCache(), learn.NewHistory()
+	cache.SetHosts([]structs.Host{{ID: "a", Capacity: cpu(10)}, {ID: "b", Capacity: cpu(20), State: structs.HostLeaving}, {ID: "c", Capacity: cpu(30), ProbeOnly: true}})
+	first := cache.Snapshot(false, start)
+	RecordColocations(history, Snapshot{}, first)
+	if err := cache.Assume(Placement{Task: structs.TaskID{Job: "j"}, Kind: "trace", Host: "a", Reserved: cpu(4)}, 1, false, start, start); err != nil {
+		t.Fatal(err)
+	}
+	second := cache.Snapshot(false, start.Add(10*time.Second))
+	RecordColocations(history, first, second)
+	if got := second.Totals(); got.Workers != 1 || got.Capacity != cpu(10) || got.Free != cpu(6) || got.Largest != cpu(10) || got.Advertise(0.5) != cpu(3) {
+		t.Errorf("totals %+v", got)
+	}
+	near, covered := history.Mean("a", start, start.Add(20*time.Second), "render")
+	if !covered || len(near) != 1 || near[0].Mean != 0.5 {
+		t.Errorf("neighbours %v %v", near, covered)
+	}
+}
--- a/core/placement/learn/sizes.go
+++ b/core/placement/learn/sizes.go
@@ -39,6 +39,8 @@
 	MinShareOfDeclared = 0.05
 	// MinSamplesOfRuns is the weight of finished attempts from which run times are estimated.
 	MinSamplesOfRuns = 10
+	// MinProgress is the progress from which the remaining time of a task is taken from its own rate.
+	MinProgress = 0.1
 )
 
 // sketch is a quantile sketch whose samples lose weight with time. Times before the latest decay count as present.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -91,3 +91,12 @@
 func atLeastOne(capacity int64) int64 { return max(1, int64(float64(capacity)*MinShare)) }
 
 func ratio(used, guarantee int64) float64 { return float64(used) / float64(guarantee) }
+
+// SharesOf returns the shares of all teams of a document in a shard with capacity part of all capacity whole.
+func SharesOf(doc structs.Document, part, whole structs.Resources) map[structs.TeamName]Share {
+	shares := make(map[structs.TeamName]Share, len(doc.Teams))
+	for name, team := range doc.Teams {
+		shares[name] = Share{Guarantee: Scale(team.Quota, part, whole), Urgent: team.Urgent}
+	}
+	return shares
+}
