--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -1,6 +1,10 @@
 // Package drain decides in which order and how fast work leaves a data centre that was taken out of service, and
 // how work returns to one that is back. It is pure: tasks and the time are arguments, and the shard owner applies
 // the steps under its own lock.
+//
+// A drain keeps to three budgets: the time until work must have left, the bytes per second of checkpoints on the
+// links between data centres, and the store writes per second. Within them it prefers stops that lose little work
+// and would otherwise have to come anyway, and leaves tasks alone that finish sooner than they could be moved.
 package drain
 
 import (
--- a/core/placement/learn/slowdown.go
+++ b/core/placement/learn/slowdown.go
@@ -59,6 +59,12 @@
 
 // Slowdowns estimates how much a task of one kind is slowed by each neighbour of another kind.
 //
+// The model of the progress rate r of a task of kind v with n[k] neighbours of each kind k is
+//
+//	log r = a - sum over k of n[k] * b[v][k]
+//
+// where a differs between tasks and b[v][k] >= 0 is the logarithmic slowdown that Pair returns.
+//
 // Tasks of a kind differ widely in length, so rates of different tasks are not compared. Each measurement of an
 // attempt is compared with the mean of its earlier ones, scaled so that the differences are independent (forward
 // orthogonal deviations: Arellano and Bover, 1995). The differences feed a ridge regression per victim kind whose
--- a/core/placement/snapshot.go
+++ b/core/placement/snapshot.go
@@ -6,6 +6,27 @@
 // separation follows the scheduler of Kubernetes (scheduler cache, assumed pods, filter and score plugins).
 //
 // Nothing here makes calls, starts goroutines, reads a clock or takes locks. The owner calls it under its own lock.
+//
+// # Planning cycle
+//
+// One cycle of the owner, with its lock held but for the start commands:
+//
+//	expired := cache.Expire(now)                // their attempts have certainly ended
+//	snapshot := cache.Snapshot(!permitted, now)
+//	RecordColocations(model.History, previous, snapshot)
+//	model.Refresh(now)
+//	plan := planner.Plan(snapshot, pending, rnd)
+//	for each placement: cache.Assume, send the start command, then cache.Confirm or cache.Forget
+//	for each task left: keep Unplaced.Held in Pending.Held for the next cycle
+//
+// A start command without an answer is neither confirmed nor forgotten. The placement stays committed until an
+// inventory reports the task or Expire releases it, so capacity is never given away twice.
+//
+// # Invariants
+//
+// No host is committed beyond its capacity in any dimension, whatever sizes were learned: the resource filter
+// checks each placement against what the plan has left, and Cache.Assume checks it again. A task has at most one
+// placement at a time, unless a worker that had not been heard of turns out to run an earlier attempt.
 package placement
 
 import (
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -5,6 +5,11 @@
 // without any success is parked. Failures on a worker that is quarantined later do not count against the job, so a
 // job is parked only after the workers concerned have been watched for some time.
 //
+// A worker goes from healthy to quarantined when the failures since its latest success point to it, and back when
+// ProbeSuccesses probes in a row succeed. The failure of a job points to the worker unless the job fails on several
+// other workers too. A job goes from running to parked when JobFailedWorkers workers, none of which is in doubt,
+// have failed it; until that is decided, MayStart keeps it from being tried on more workers.
+//
 // The package is pure: results and the time are arguments, and the shard owner calls it under its own lock.
 // Excluding machines by the failures of different jobs is known from Apache Hadoop and Spark (node exclusion).
 package quarantine
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -1,5 +1,10 @@
 // Package quota orders pending batch tasks by the shares of their teams and names the tasks that may be stopped
 // for work that has a better claim. It is pure: it makes no calls, reads no clock and keeps no state.
+//
+// Each shard orders its own pending work by the part of every team's quota that falls to it (Scale). A team below
+// its guarantee always comes before one above, and what a team leaves idle goes to whoever has work: nothing is
+// kept free. A team that gets work later than others recovers its share as borrowed capacity is released, and, for
+// urgent work or after ReclaimAfter, by stopping tasks of teams that borrow.
 package quota
 
 import (
--- a/pkg/jobs/doc.go
+++ b/pkg/jobs/doc.go
@@ -3,6 +3,30 @@
 // Any entry host accepts, reads and cancels jobs through Service. The owner of a job's home shard writes task
 // states through Batch. Every write is a transaction guarded by store revisions, so that a write whose answer
 // was lost can be repeated or settled by re-reading without taking effect twice.
+//
+// # Writers of a record
+//
+//   - Submit creates it if its key is absent. A job with an idempotency key has an id derived from team and key, so
+//     a repeated submission meets the same record.
+//   - Cancel sets CancelRequested by compare-and-swap on the record's revision and changes nothing else. It keeps
+//     the nonce, by which the owner recognises its own writes.
+//   - Batch writes everything else. Its transactions compare the create revision of the shard's owner record, so
+//     a former owner can change nothing, and the revision of each record, so a cancellation is never overwritten.
+//   - Rehome gives a job of a shard without an owner another home. It compares the absence of the owner record.
+//
+// # Lost answers
+//
+// A store call fails with store.ErrUnavailable if it certainly had no effect. After any other error the write may
+// have applied, may still be on its way, or may never arrive. The writer re-reads the record: its own nonce means
+// that the write has applied. Otherwise it sends the same write again with the same nonce. Both attempts compare
+// the same revisions, so at most one of them applies, in whichever order they arrive. When the store keeps silent,
+// the caller gets ErrUnknown, and Batch keeps the change until the result is known.
+//
+// # Owner
+//
+// A new owner calls LoadHome after its owner record was created, gives every record to Batch.Observe, and then
+// reads Changes since the revision of LoadHome. It changes its own copy of a record through Transitions and hands
+// it to Batch.Put, or to Batch.PutLazy when nobody waits for the result.
 package jobs
 
 import (
--- a/pkg/jobs/history_test.go
+++ b/pkg/jobs/history_test.go
@@ -21,8 +21,7 @@
 	tasks  int // submit only; another number is another specification
 }
 
-// historyKeys are the keys of a history. With about 8 calls per key a history that is not linearizable is refuted
-// in a moment, too.
+// historyKeys keeps the calls per key so few that a history that is not linearizable is refuted in a moment.
 var historyKeys = []string{"a", "b", "c", "d", "e", "f"}
 
 // jobState is what the model knows about one key.
