--- /dev/null
+++ b/core/reconcile/reconcile.go
@@ -0,0 +1,186 @@
+// Package reconcile decides how the record of a task changes when evidence about its attempts arrives: a worker's
+// report, a worker's complete inventory without the task, or the certain expiry of the task's lease.
+//
+// Invariants kept by every function:
+//   - Attempt never decreases, and a task becomes pending only when its latest attempt certainly no longer runs.
+//   - A task of a kind that is not idempotent never becomes pending again after an attempt that may have begun.
+//   - A final record never changes.
+package reconcile
+
+import (
+	"slices"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// ParkAfterFailures is the number of distinct workers on which a task fails before it is parked.
+const ParkAfterFailures = 3
+
+// Reasons written into task records.
+const (
+	ReasonCancelled       = "cancelled by request"
+	ReasonLeaseExpired    = "the worker's task lease expired"
+	ReasonVanished        = "the worker no longer knows the attempt"
+	ReasonUncertainRun    = "kind is not idempotent and the attempt may have run"
+	ReasonFailedElsewhere = "failed on several workers"
+)
+
+// Traits are the properties of a task that the decisions depend on.
+type Traits struct {
+	Idempotent bool
+	Cancelled  bool // the job's cancellation was requested
+}
+
+// Command is what the shard owner must send to the worker as the result of evidence.
+type Command int
+
+// Commands that follow evidence.
+const (
+	CommandNone        Command = iota
+	CommandStop                // stop the reported attempt
+	CommandAcknowledge         // the final report is settled; acknowledge once the record is durable
+)
+
+// Report applies one task of a worker's inventory to rec. It returns whether rec changed and the command to send.
+func Report(rec *structs.TaskRecord, worker structs.HostID, wt structs.WorkerTask, traits Traits) (bool, Command) {
+	running := wt.State == structs.OnWorkerRunning
+	if wt.Attempt < rec.Attempt || rec.State.Final() || otherWorker(rec, worker, wt) {
+		if running {
+			return false, CommandStop
+		}
+		return false, CommandAcknowledge
+	}
+	if !running && rec.State == structs.TaskPending && wt.Attempt == rec.Attempt {
+		// The end of this attempt is already recorded; only the acknowledgement was lost.
+		return false, CommandAcknowledge
+	}
+	before := *rec
+	rec.Attempt = wt.Attempt
+	rec.Worker = worker
+	if running {
+		return reportRunning(rec, before, traits)
+	}
+	finish(rec, worker, wt, traits)
+	return true, CommandAcknowledge
+}
+
+// otherWorker reports whether rec names another worker for the same attempt.
+func otherWorker(rec *structs.TaskRecord, worker structs.HostID, wt structs.WorkerTask) bool {
+	return wt.Attempt == rec.Attempt && rec.Worker != "" && rec.Worker != worker
+}
+
+func reportRunning(rec *structs.TaskRecord, before structs.TaskRecord, traits Traits) (bool, Command) {
+	if traits.Cancelled {
+		rec.State = structs.TaskStopping
+		return changed(before, *rec), CommandStop
+	}
+	if before.State == structs.TaskStopping {
+		rec.State = structs.TaskStopping
+		return changed(before, *rec), CommandNone
+	}
+	rec.State = structs.TaskRunning
+	return changed(before, *rec), CommandNone
+}
+
+func changed(a, b structs.TaskRecord) bool {
+	return a.State != b.State || a.Attempt != b.Attempt || a.Worker != b.Worker
+}
+
+// finish records the end of the latest attempt as its worker reported it.
+func finish(rec *structs.TaskRecord, worker structs.HostID, wt structs.WorkerTask, traits Traits) {
+	if wt.Checkpoint != "" {
+		rec.Checkpoint = wt.Checkpoint
+	}
+	switch wt.State {
+	case structs.OnWorkerDone:
+		end(rec, structs.TaskDone, "")
+	case structs.OnWorkerFailed:
+		fail(rec, worker, wt.Reason, traits)
+	case structs.OnWorkerStopped:
+		rec.Evictions++
+		restart(rec, traits, ReasonVanished)
+	case structs.OnWorkerExpired:
+		restart(rec, traits, ReasonLeaseExpired)
+	}
+}
+
+func fail(rec *structs.TaskRecord, worker structs.HostID, reason string, traits Traits) {
+	if !slices.Contains(rec.FailedOn, worker) {
+		rec.FailedOn = append(rec.FailedOn, worker)
+	}
+	switch {
+	case traits.Cancelled:
+		end(rec, structs.TaskCancelled, ReasonCancelled)
+	case !traits.Idempotent:
+		end(rec, structs.TaskFailed, reason)
+	case len(rec.FailedOn) >= ParkAfterFailures:
+		end(rec, structs.TaskParked, ReasonFailedElsewhere+": "+reason)
+	default:
+		end(rec, structs.TaskPending, reason)
+	}
+}
+
+// restart makes the task pending after an attempt that certainly no longer runs but did not finish.
+func restart(rec *structs.TaskRecord, traits Traits, reason string) {
+	switch {
+	case traits.Cancelled:
+		end(rec, structs.TaskCancelled, ReasonCancelled)
+	case !traits.Idempotent:
+		end(rec, structs.TaskUnknown, ReasonUncertainRun+"; "+reason)
+	default:
+		end(rec, structs.TaskPending, reason)
+	}
+}
+
+func end(rec *structs.TaskRecord, state structs.TaskState, reason string) {
+	rec.State = state
+	rec.Reason = reason
+}
+
+// Gone applies certain knowledge that the latest attempt of rec runs nowhere and reported no end: its worker's
+// inventory lacks it after a confirmed stop, or its lease has certainly expired. begun is false when the attempt
+// certainly never began, so that a kind that is not idempotent may start again.
+func Gone(rec *structs.TaskRecord, traits Traits, begun bool, reason string) bool {
+	switch rec.State {
+	case structs.TaskStarting, structs.TaskRunning, structs.TaskStopping:
+	default:
+		return false
+	}
+	if !begun {
+		traits.Idempotent = true
+	}
+	restart(rec, traits, reason)
+	return true
+}
+
+// Cancel applies a cancellation request to a task that has no attempt in progress.
+// Tasks with an attempt in progress are stopped first.
+func Cancel(rec *structs.TaskRecord) bool {
+	if rec.State != structs.TaskPending {
+		return false
+	}
+	end(rec, structs.TaskCancelled, ReasonCancelled)
+	return true
+}
+
+// BeginStart records the intent to start the next attempt of a pending task on worker.
+// It returns false if the task is not pending.
+func BeginStart(rec *structs.TaskRecord, worker structs.HostID) bool {
+	if rec.State != structs.TaskPending {
+		return false
+	}
+	rec.State = structs.TaskStarting
+	rec.Attempt++
+	rec.Worker = worker
+	rec.Reason = ""
+	return true
+}
+
+// Unstarted undoes BeginStart when the start command was certainly not executed.
+func Unstarted(rec *structs.TaskRecord, reason string) bool {
+	if rec.State != structs.TaskStarting {
+		return false
+	}
+	end(rec, structs.TaskPending, reason)
+	return true
+}
