Add clients of the platform and its stand-ins

The other packages need the store, workers, runners and the host list, and fakes of them for tests. It has no tests yet and nothing was run.

--- /dev/null
+++ b/pkg/hostlist/client.go
@@ -0,0 +1,93 @@
+// Package hostlist is the client of the platform's list of live and leaving hosts. The list lags behind.
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/httpsend"
+)
+
+// ErrUnavailable means that the list could not be read completely.
+const ErrUnavailable = errors.ConstError("host list unavailable")
+
+// Path is the resource that returns a List.
+const Path = "/v1/hosts"
+
+const defaultTimeout = 2 * time.Second
+
+// List is the body of the response.
+type List struct {
+	Hosts []structs.Host `json:"hosts"`
+}
+
+// Config configures a Client.
+type Config struct {
+	Endpoint string        // "http://IP:port"
+	Timeout  time.Duration // limit of one call; 2 s when zero
+	Metrics  tally.Scope   // tally.NoopScope when nil
+}
+
+// Client reads the host list.
+type Client struct {
+	url     string
+	timeout time.Duration
+	http    *httpsend.Client
+	metrics tally.Scope
+}
+
+// NewClient returns a client of the host list at cfg.Endpoint.
+func NewClient(cfg Config) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	return &Client{
+		url:     strings.TrimSuffix(cfg.Endpoint, "/") + Path,
+		timeout: cfg.Timeout,
+		http:    httpsend.NewClient(httpsend.Config{Name: "hostlist"}),
+		metrics: cfg.Metrics,
+	}
+}
+
+// Hosts returns all hosts of the list. Errors match ErrUnavailable.
+func (c *Client) Hosts(ctx context.Context) ([]structs.Host, error) {
+	c.metrics.Counter("hostlist_reads").Inc(1)
+	hosts, err := c.read(ctx)
+	if err != nil {
+		c.metrics.Counter("hostlist_errors").Inc(1)
+		return nil, errors.Annotate(errors.WithType(err, ErrUnavailable), "read the host list")
+	}
+	return hosts, nil
+}
+
+func (c *Client) read(ctx context.Context) ([]structs.Host, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.http.Get(ctx, c.url)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status != http.StatusOK {
+		return nil, errors.Errorf("status %d", resp.Status)
+	}
+	var list struct {
+		Hosts *[]structs.Host `json:"hosts"`
+	}
+	if err := json.Unmarshal(resp.Body, &list); err != nil {
+		return nil, errors.Annotate(err, "decode")
+	}
+	if list.Hosts == nil {
+		return nil, errors.New("response without hosts")
+	}
+	return *list.Hosts, nil
+}
--- /dev/null
+++ b/pkg/httpsend/conn.go
@@ -0,0 +1,42 @@
+package httpsend
+
+import (
+	"net"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+)
+
+// sealed marks a connection that accepts no further writes.
+const sealed = -1
+
+const errSealed = errors.ConstError("connection is sealed")
+
+// conn counts the writes to a connection. A write is counted before it starts, so that a connection with an
+// unchanged count has certainly carried nothing.
+type conn struct {
+	net.Conn
+	writes atomic.Int64
+}
+
+// Write writes to the connection unless it is sealed.
+func (c *conn) Write(b []byte) (int, error) {
+	for {
+		n := c.writes.Load()
+		if n == sealed {
+			return 0, errSealed
+		}
+		if c.writes.CompareAndSwap(n, n+1) {
+			return c.Conn.Write(b)
+		}
+	}
+}
+
+// seal prevents further writes if none has started since the count was since. It reports whether that is so.
+func (c *conn) seal(since int64) bool {
+	if !c.writes.CompareAndSwap(since, sealed) {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
--- /dev/null
+++ b/pkg/runner/protocol.go
@@ -0,0 +1,25 @@
+package runner
+
+import (
+	"net/url"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// Headers of the runner's HTTP interface.
+const (
+	// AttemptHeader carries the attempt id. The response repeats it.
+	AttemptHeader = "Fulmarcourse-Attempt"
+	// TimeoutHeader carries the time left until the deadline, in whole milliseconds.
+	TimeoutHeader = "Request-Timeout-Ms"
+	// OutcomeHeader set to OutcomeNotRun marks a 503 response as a refusal.
+	OutcomeHeader = "Fulmarcourse-Outcome"
+)
+
+// OutcomeNotRun is the value of OutcomeHeader in a refusal.
+const OutcomeNotRun = string(structs.NotRun)
+
+// Path returns the resource that runs requests of a kind.
+func Path(service structs.ServiceName, kind structs.KindName) string {
+	return "/v1/services/" + url.PathEscape(string(service)) + "/kinds/" + url.PathEscape(string(kind))
+}
--- /dev/null
+++ b/pkg/standin/behaviour.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// TaskBehaviour is what one attempt really does, whatever its declaration says.
+type TaskBehaviour struct {
+	RunTime time.Duration     // at full speed and alone on the host, from the start of the task
+	Usage   structs.Resources // at full speed
+	Fails   bool              // the task fails when its progress reaches FailAt
+	FailAt  float64           // 0 to 1
+	NoSave  bool              // checkpoints are refused
+}
+
+// Behaviour chooses the behaviour of an attempt. It must be safe for concurrent use.
+type Behaviour func(cmd structs.StartCommand) TaskBehaviour
+
+// defaultRunTime applies when neither the command nor the behaviour gives a run time.
+const defaultRunTime = time.Second
+
+// AsDeclared runs tasks for the time that the command states and uses exactly what is reserved.
+func AsDeclared(cmd structs.StartCommand) TaskBehaviour {
+	run := time.Duration(cmd.RunSeconds * float64(time.Second))
+	if run <= 0 {
+		run = defaultRunTime
+	}
+	return TaskBehaviour{RunTime: run, Usage: cmd.Reserved}
+}
+
+// KindBehaviour describes how far the tasks of a kind are from their declaration.
+type KindBehaviour struct {
+	RunTime     time.Duration // median; the command's run time when zero
+	Spread      float64       // standard deviation of the logarithm of the run time
+	UsageFactor float64       // used share of the reserved processors and memory; 1 when zero
+	FailShare   float64       // share of the attempts that fail halfway
+	NoSave      bool
+}
+
+// ByKind draws the behaviour of each attempt from its kind's description. The draw depends only on the seed,
+// the task and the attempt, so the order of starts does not change it.
+func ByKind(seed uint64, kinds map[structs.KindName]KindBehaviour) Behaviour {
+	return func(cmd structs.StartCommand) TaskBehaviour {
+		b := AsDeclared(cmd)
+		kind, ok := kinds[cmd.Kind]
+		if !ok {
+			return b
+		}
+		random := rand.New(rand.NewPCG(seed, xxhash.Sum64String(cmd.Task.String())+uint64(cmd.Attempt)))
+		if kind.RunTime > 0 {
+			b.RunTime = kind.RunTime
+		}
+		b.RunTime = time.Duration(float64(b.RunTime) * math.Exp(kind.Spread*random.NormFloat64()))
+		if kind.UsageFactor > 0 {
+			b.Usage.MilliCPU = int64(float64(b.Usage.MilliCPU) * kind.UsageFactor)
+			b.Usage.MemoryBytes = int64(float64(b.Usage.MemoryBytes) * kind.UsageFactor)
+		}
+		b.Fails, b.FailAt = random.Float64() < kind.FailShare, 0.5
+		b.NoSave = kind.NoSave
+		return b
+	}
+}
+
+// KindPair names a kind that is slowed and the co-located kind that slows it.
+type KindPair struct {
+	Slowed structs.KindName
+	By     structs.KindName
+}
+
+// Interference gives, for pairs of kinds, the relative slowdown that one task at full speed causes on a fully
+// loaded host; 0.5 makes the slowed one take 1.5 times as long. Pairwise slowdown that scales with the load
+// follows Mars et al., "Bubble-Up" (MICRO 2011).
+type Interference map[KindPair]float64
+
+// neighbour is a task or a request as it slows others.
+type neighbour struct {
+	kind  structs.KindName
+	share float64 // of full speed
+}
+
+// slowdown returns by what factor work of a kind takes longer beside the neighbours at the given load, 0 to 1.
+func (i Interference) slowdown(kind structs.KindName, neighbours []neighbour, load float64) float64 {
+	sum := 0.0
+	for _, n := range neighbours {
+		sum += i[KindPair{Slowed: kind, By: n.kind}] * n.share
+	}
+	return 1 + load*sum
+}
--- /dev/null
+++ b/pkg/standin/history.go
@@ -0,0 +1,92 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// HistoryPath is the resource that returns the history as JSON.
+const HistoryPath = "/v1/history"
+
+// EventType tells what happened.
+type EventType string
+
+// Types of events.
+const (
+	TaskStarted      EventType = "task-started"
+	TaskStopped      EventType = "task-stopped"
+	TaskFinished     EventType = "task-finished"
+	TaskFailed       EventType = "task-failed"
+	TaskExpired      EventType = "task-expired" // the task lease ran out and the worker stopped the task
+	TaskCheckpointed EventType = "task-checkpointed"
+	TaskThrottled    EventType = "task-throttled"
+	CommandRefused   EventType = "command-refused"
+	RequestStarted   EventType = "request-started"
+	RequestAnswered  EventType = "request-answered"
+	RequestRefused   EventType = "request-refused"
+	ConnRefused      EventType = "connection-refused" // one more connection than the runner accepts
+	HostChanged      EventType = "host-changed"       // the host list will show a new state after its lag
+)
+
+// Event is one entry of a History. Fields that do not apply are zero.
+type Event struct {
+	Sequence   int64             `json:"sequence"` // order of recording, from 1, over all stand-ins of a History
+	At         time.Duration     `json:"at_ns"`    // monotonic time since the History was made; it orders events
+	Type       EventType         `json:"type"`
+	Host       structs.HostID    `json:"host"`
+	Task       structs.TaskID    `json:"task,omitzero"`
+	Attempt    int               `json:"attempt,omitempty"`
+	Kind       structs.KindName  `json:"kind,omitempty"`
+	Epoch      structs.Epoch     `json:"epoch,omitempty"`
+	Reserved   structs.Resources `json:"reserved,omitzero"`
+	Checkpoint string            `json:"checkpoint,omitempty"`
+	Request    string            `json:"request,omitempty"` // attempt id of a request
+	Body       string            `json:"body,omitempty"`    // request body
+	Detail     string            `json:"detail,omitempty"`
+}
+
+// History records the events of one or more stand-ins. It is safe for concurrent use. A stand-in may record an
+// event some time after it happened, so compare At and not Sequence between hosts.
+type History struct {
+	start time.Time
+
+	mu     sync.Mutex
+	events []Event
+}
+
+// NewHistory returns an empty history whose time starts at clock's present time.
+func NewHistory(clock func() time.Time) *History {
+	if clock == nil {
+		clock = time.Now
+	}
+	return &History{start: clock()}
+}
+
+// add records e as having happened at the given time.
+func (h *History) add(at time.Time, e Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e.Sequence = int64(len(h.events)) + 1
+	e.At = at.Sub(h.start)
+	h.events = append(h.events, e)
+}
+
+// Events returns a copy of all events in order of recording.
+func (h *History) Events() []Event {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Event(nil), h.events...)
+}
+
+// HistoryBody is the JSON form of a history.
+type HistoryBody struct {
+	Events []Event `json:"events"`
+}
+
+// ServeHTTP returns all events as a HistoryBody.
+func (h *History) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, HistoryBody{Events: h.Events()})
+}
--- /dev/null
+++ b/pkg/standin/server.go
@@ -0,0 +1,75 @@
+// Package standin holds small fakes of the platform for tests and for the standalone mode: the store, workers,
+// runners and the host list. Their behaviour can be changed at run time to imitate faults. The fakes that run
+// tasks or answer requests record what they did in a History.
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// loopback is the address on which the stand-ins listen unless told otherwise.
+const loopback = "127.0.0.1:0"
+
+// readHeaderTimeout ends connections that send no request.
+const readHeaderTimeout = time.Minute
+
+// Server serves a handler on a loopback address.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	done     chan struct{}
+}
+
+// NewServer starts to serve handler on 127.0.0.1 at a free port.
+func NewServer(handler http.Handler) (*Server, error) {
+	return newServer(handler, nil)
+}
+
+// newServer calls connState for every change of a connection when it is not nil.
+func newServer(handler http.Handler, connState func(net.Conn, http.ConnState)) (*Server, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, errors.Annotate(err, "listen")
+	}
+	s := &Server{
+		http:     &http.Server{Handler: handler, ConnState: connState, ReadHeaderTimeout: readHeaderTimeout},
+		listener: listener,
+		done:     make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(listener) // returns when Close is called
+	}()
+	return s, nil
+}
+
+// Addr returns "127.0.0.1:port".
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// URL returns "http://127.0.0.1:port".
+func (s *Server) URL() string { return "http://" + s.Addr() }
+
+// Close closes the listener and all connections. Later connections are refused.
+func (s *Server) Close() {
+	_ = s.http.Close()
+	<-s.done
+}
+
+// abort closes the connection of the current request without a response.
+func abort() { panic(http.ErrAbortHandler) }
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data) // the caller may have closed the connection
+}
--- /dev/null
+++ b/pkg/standin/store.go
@@ -0,0 +1,226 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"fulmarcourse.example/fulmarcourse/pkg/store"
+	"fulmarcourse.example/fulmarcourse/pkg/store/gateway"
+)
+
+// StoreConfig configures a Store.
+type StoreConfig struct {
+	Clock func() time.Time // time.Now when nil
+	// Grace is how long leases live at least after an outage. When zero, each lease gets its full time to live
+	// again, as etcd does when a new leader takes over.
+	Grace time.Duration
+}
+
+// StoreCalls counts the calls that a Store has received, including those that it did not answer.
+type StoreCalls struct {
+	Reads  int64
+	Writes int64 // transactions and lease calls
+}
+
+// Store is a fake of the platform's store behind etcd's JSON gateway. It is an http.Handler.
+type Store struct {
+	clock func() time.Time
+	grace time.Duration
+	mux   *http.ServeMux
+
+	mu     sync.Mutex
+	state  *storeState
+	down   bool
+	delay  time.Duration
+	losses int
+	calls  StoreCalls
+}
+
+// NewStore returns an empty store.
+func NewStore(cfg StoreConfig) *Store {
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	s := &Store{clock: cfg.Clock, grace: cfg.Grace, mux: http.NewServeMux(), state: newStoreState()}
+	s.mux.HandleFunc("POST "+gateway.RangePath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, false, s.serveRange) })
+	s.mux.HandleFunc("POST "+gateway.TxnPath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, true, s.serveTxn) })
+	s.mux.HandleFunc("POST "+gateway.GrantPath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, true, s.serveGrant) })
+	s.mux.HandleFunc("POST "+gateway.KeepAlivePath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, true, s.serveKeepAlive) })
+	s.mux.HandleFunc("POST "+gateway.RevokePath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, true, s.serveRevoke) })
+	return s
+}
+
+// ServeHTTP serves the gateway.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetDown starts or ends an outage. While it lasts, calls have no effect and their connections are closed, and
+// leases do not expire.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	if !s.down {
+		s.state.expire(now)
+	}
+	if s.down && !down {
+		s.state.extend(now, s.grace)
+	}
+	s.down = down
+}
+
+// SetDelay makes every call wait for d before it takes effect. A caller that gives up meanwhile does not
+// prevent the effect.
+func (s *Store) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// LoseResponses makes the next n writes take effect without a response.
+func (s *Store) LoseResponses(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losses = n
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() StoreCalls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Revision returns the present revision.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.revision
+}
+
+// reply is the response to one call: either a body or an error.
+type reply struct {
+	body any
+	code int // gRPC status code; 0 for success
+	text string
+}
+
+// serveCall decodes a call, applies it under the lock and sends the reply. apply is called with s.mu held.
+func serveCall[T any](s *Store, w http.ResponseWriter, r *http.Request, write bool, apply func(now time.Time, req T) reply) {
+	var req T
+	err := json.NewDecoder(r.Body).Decode(&req)
+	time.Sleep(s.count(write))
+	if err != nil {
+		send(w, reply{code: gateway.CodeInvalidArgument, text: err.Error()})
+		return
+	}
+	rep, delivered := applyCall(s, write, req, apply)
+	if !delivered {
+		abort()
+	}
+	send(w, rep)
+}
+
+// count counts a call and returns how long it is delayed.
+func (s *Store) count(write bool) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if write {
+		s.calls.Writes++
+	} else {
+		s.calls.Reads++
+	}
+	return s.delay
+}
+
+// applyCall returns the reply and whether the caller is to receive it.
+func applyCall[T any](s *Store, write bool, req T, apply func(now time.Time, req T) reply) (reply, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return reply{}, false
+	}
+	now := s.clock()
+	s.state.expire(now)
+	rep := apply(now, req)
+	if write && s.losses > 0 {
+		s.losses--
+		return rep, false
+	}
+	return rep, true
+}
+
+func send(w http.ResponseWriter, rep reply) {
+	if rep.code == 0 {
+		writeJSON(w, http.StatusOK, rep.body)
+		return
+	}
+	status := http.StatusBadRequest
+	if rep.code == gateway.CodeNotFound {
+		status = http.StatusNotFound
+	}
+	writeJSON(w, status, gateway.Error{Code: rep.code, Message: rep.text})
+}
+
+func (s *Store) serveRange(_ time.Time, req gateway.RangeRequest) reply {
+	return reply{body: s.state.read(req)}
+}
+
+func (s *Store) serveTxn(_ time.Time, req gateway.TxnRequest) reply {
+	if rep := s.checkTxn(req); rep.code != 0 {
+		return rep
+	}
+	return reply{body: s.state.txn(req)}
+}
+
+// checkTxn applies etcd's limits.
+func (s *Store) checkTxn(req gateway.TxnRequest) reply {
+	if len(req.Compare) > store.MaxTxnOps || len(req.Success) > store.MaxTxnOps || len(req.Failure) > store.MaxTxnOps {
+		return reply{code: gateway.CodeInvalidArgument, text: "etcdserver: too many operations in txn request"}
+	}
+	written := map[string]bool{}
+	for _, op := range req.Success {
+		if op.Put == nil {
+			continue
+		}
+		if len(op.Put.Value) > store.MaxValueBytes {
+			return reply{code: gateway.CodeInvalidArgument, text: "etcdserver: request is too large"}
+		}
+		if written[string(op.Put.Key)] {
+			return reply{code: gateway.CodeInvalidArgument, text: "etcdserver: duplicate key given in txn request"}
+		}
+		written[string(op.Put.Key)] = true
+		if op.Put.Lease != 0 && s.state.leases[op.Put.Lease] == nil {
+			return leaseNotFound
+		}
+	}
+	return reply{}
+}
+
+var leaseNotFound = reply{code: gateway.CodeNotFound, text: "etcdserver: requested lease not found"}
+
+func (s *Store) serveGrant(now time.Time, req gateway.GrantRequest) reply {
+	if req.TTL <= 0 {
+		return reply{code: gateway.CodeOutOfRange, text: "etcdserver: too small lease TTL"}
+	}
+	id := s.state.grant(now, time.Duration(req.TTL)*time.Second)
+	return reply{body: gateway.LeaseResponse{Header: s.state.header(), ID: id, TTL: req.TTL}}
+}
+
+func (s *Store) serveKeepAlive(now time.Time, req gateway.LeaseRequest) reply {
+	result := &gateway.LeaseResponse{Header: s.state.header(), ID: req.ID}
+	if l := s.state.leases[req.ID]; l != nil {
+		l.expires = now.Add(l.ttl)
+		result.TTL = int64(l.ttl / time.Second)
+	}
+	return reply{body: gateway.KeepAliveResponse{Result: result}}
+}
+
+func (s *Store) serveRevoke(_ time.Time, req gateway.LeaseRequest) reply {
+	if s.state.leases[req.ID] == nil {
+		return leaseNotFound
+	}
+	s.state.end(req.ID)
+	return reply{body: gateway.RevokeResponse{Header: s.state.header()}}
+}
--- /dev/null
+++ b/pkg/store/client.go
@@ -0,0 +1,152 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"fulmarcourse.example/fulmarcourse/pkg/httpsend"
+	"fulmarcourse.example/fulmarcourse/pkg/store/gateway"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	// maxConns bounds the connections to the store. Its rates grow more slowly than the fleet.
+	maxConns = 32
+	// maxResponse bounds one response, in bytes. A range read over all jobs is the largest one.
+	maxResponse = 256 << 20
+)
+
+// Config configures a Client.
+type Config struct {
+	Endpoint string        // "http://IP:port"
+	Timeout  time.Duration // limit of one call; 2 s when zero
+	Metrics  tally.Scope   // tally.NoopScope when nil
+	Clock    func() time.Time
+}
+
+// Client calls the store. It is safe for concurrent use and never repeats a call by itself.
+type Client struct {
+	endpoint string
+	timeout  time.Duration
+	http     *httpsend.Client
+	clock    func() time.Time
+	metrics  metrics
+	tracer   trace.Tracer
+}
+
+// NewClient returns a client of the store at cfg.Endpoint. It opens no connection before the first call.
+func NewClient(cfg Config) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	return &Client{
+		endpoint: strings.TrimSuffix(cfg.Endpoint, "/"),
+		timeout:  cfg.Timeout,
+		http:     httpsend.NewClient(httpsend.Config{Name: "store", MaxConnsPerHost: maxConns, MaxBody: maxResponse}),
+		clock:    cfg.Clock,
+		metrics:  newMetrics(cfg.Metrics),
+		tracer:   otel.Tracer("fulmarcourse/store"),
+	}
+}
+
+// operation is one method of the gateway.
+type operation struct {
+	name  string
+	path  string
+	write bool // the call may change the store
+}
+
+var (
+	opRange     = operation{"range", gateway.RangePath, false}
+	opTxn       = operation{"txn", gateway.TxnPath, true}
+	opGrant     = operation{"lease_grant", gateway.GrantPath, true}
+	opKeepAlive = operation{"lease_keepalive", gateway.KeepAlivePath, true}
+	opRevoke    = operation{"lease_revoke", gateway.RevokePath, true}
+)
+
+// call posts in and decodes the response into out.
+func (c *Client) call(ctx context.Context, op operation, in, out any) error {
+	ctx, span := c.tracer.Start(ctx, "store."+op.name, trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	started := c.clock()
+	err := c.exchange(ctx, op, in, out)
+	c.metrics.observe(op, c.clock().Sub(started), err)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return err
+}
+
+func (c *Client) exchange(ctx context.Context, op operation, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Annotatef(err, "store %s: encode the request", op.name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	header := http.Header{"Content-Type": {"application/json"}}
+	resp, err := c.http.Post(ctx, c.endpoint+op.path, header, body)
+	if errors.Is(err, httpsend.ErrNotSent) {
+		return fail(op, err, ErrUnavailable)
+	}
+	if err != nil {
+		return fail(op, err, op.failure())
+	}
+	if resp.Status != http.StatusOK {
+		return refusal(op, resp)
+	}
+	if err := json.Unmarshal(resp.Body, out); err != nil {
+		return fail(op, err, op.failure())
+	}
+	return nil
+}
+
+// failure returns the error of a call whose request may have been read.
+func (op operation) failure() errors.ConstError {
+	if op.write {
+		return ErrUncertain
+	}
+	return ErrUnavailable
+}
+
+func fail(op operation, cause error, kind errors.ConstError) error {
+	return errors.Annotatef(errors.WithType(cause, kind), "store %s: %s", op.name, kind)
+}
+
+// refusal turns a complete error response into an error.
+func refusal(op operation, resp httpsend.Response) error {
+	var e gateway.Error
+	if err := json.Unmarshal(resp.Body, &e); err != nil {
+		return fail(op, errors.Errorf("status %d", resp.Status), op.failure())
+	}
+	return refusalOf(op, e)
+}
+
+// refusalOf tells errors with a certain result from those after which a write may still take effect, for
+// example a time-out inside the store.
+func refusalOf(op operation, e gateway.Error) error {
+	code := e.Code
+	if code == 0 {
+		code = e.GRPCCode
+	}
+	cause := errors.Errorf("code %d: %s", code, e.Message)
+	switch code {
+	case gateway.CodeNotFound:
+		return fail(op, cause, ErrLeaseNotFound)
+	case gateway.CodeInvalidArgument, gateway.CodeFailedPrecondition, gateway.CodeOutOfRange:
+		return fail(op, cause, ErrInvalid)
+	}
+	return fail(op, cause, op.failure())
+}
--- /dev/null
+++ b/pkg/worker/client.go
@@ -0,0 +1,178 @@
+// Package worker is the HTTP client of workers, the backend servers that run tasks under leases.
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/httpsend"
+	"fulmarcourse.example/fulmarcourse/pkg/problem"
+)
+
+// Errors of commands. Callers test them with errors.Is.
+const (
+	// ErrRefused means that the command certainly was not run. The message has the reason.
+	ErrRefused = errors.ConstError("worker command was not run")
+	// ErrUnreachable means that nothing was sent. Every such error also matches ErrRefused.
+	ErrUnreachable = errors.ConstError("worker unreachable")
+	// ErrUncertain means that the command may have been run.
+	ErrUncertain = errors.ConstError("worker command may have been run")
+	// ErrStaleEpoch means that the worker has seen a later owner of the shard. The command was not run.
+	ErrStaleEpoch = errors.ConstError("worker has seen a later shard owner")
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	// maxConnsPerWorker allows one renewal and a few commands at once.
+	maxConnsPerWorker = 4
+)
+
+// Config configures a Client.
+type Config struct {
+	Timeout time.Duration // limit of one call; 2 s when zero
+	Metrics tally.Scope   // tally.NoopScope when nil
+}
+
+// Client calls workers. It is safe for concurrent use and never repeats a call by itself.
+type Client struct {
+	http    *httpsend.Client
+	timeout time.Duration
+	metrics tally.Scope
+	tracer  trace.Tracer
+}
+
+// NewClient returns a client without open connections.
+func NewClient(cfg Config) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	return &Client{
+		http:    httpsend.NewClient(httpsend.Config{Name: "worker", MaxConnsPerHost: maxConnsPerWorker}),
+		timeout: cfg.Timeout,
+		metrics: cfg.Metrics,
+		tracer:  otel.Tracer("fulmarcourse/worker"),
+	}
+}
+
+// Renew renews the task leases of a shard on the worker at addr ("IP:port") and returns its inventory.
+// The leases run from the moment the worker handles the call, which is not before it is sent.
+func (c *Client) Renew(ctx context.Context, addr string, req RenewRequest) (structs.Inventory, error) {
+	var inventory structs.Inventory
+	if err := c.call(ctx, addr, RenewPath, req, &inventory); err != nil {
+		return structs.Inventory{}, err
+	}
+	if inventory.Worker == "" {
+		return structs.Inventory{}, fail(addr, RenewPath, errors.New("inventory without worker"), ErrUncertain)
+	}
+	return inventory, nil
+}
+
+// Start runs one attempt of a task. Repeating it is safe: an attempt runs once.
+func (c *Client) Start(ctx context.Context, addr string, cmd structs.StartCommand) error {
+	return c.confirm(ctx, addr, StartPath, cmd)
+}
+
+// Checkpoint takes a checkpoint of a running attempt and returns its name.
+func (c *Client) Checkpoint(ctx context.Context, addr string, ref AttemptRef) (checkpoint string, err error) {
+	var reply CheckpointReply
+	if err := c.call(ctx, addr, CheckpointPath, ref, &reply); err != nil {
+		return "", err
+	}
+	if reply.Checkpoint == "" {
+		return "", fail(addr, CheckpointPath, errors.New("reply without checkpoint"), ErrUncertain)
+	}
+	return reply.Checkpoint, nil
+}
+
+// Throttle limits an attempt to a share of full speed, above 0 and up to 1.
+func (c *Client) Throttle(ctx context.Context, addr string, ref AttemptRef, share float64) error {
+	return c.confirm(ctx, addr, ThrottlePath, ThrottleRequest{AttemptRef: ref, Share: share})
+}
+
+// Stop stops an attempt. After nil it does not run on this worker and a late start of it is refused there.
+func (c *Client) Stop(ctx context.Context, addr string, ref AttemptRef) error {
+	return c.confirm(ctx, addr, StopPath, ref)
+}
+
+func (c *Client) confirm(ctx context.Context, addr, path string, in any) error {
+	var done Done
+	if err := c.call(ctx, addr, path, in, &done); err != nil {
+		return err
+	}
+	if !done.Done {
+		return fail(addr, path, errors.New("response is no confirmation"), ErrUncertain)
+	}
+	return nil
+}
+
+// call posts in and decodes the response into out.
+func (c *Client) call(ctx context.Context, addr, path string, in, out any) error {
+	ctx, span := c.tracer.Start(ctx, "worker"+path, trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("worker", addr)))
+	defer span.End()
+	metrics := c.metrics.Tagged(map[string]string{"path": path})
+	metrics.Counter("worker_calls").Inc(1)
+	err := c.exchange(ctx, addr, path, in, out)
+	if err != nil {
+		metrics.Counter("worker_errors").Inc(1)
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return err
+}
+
+func (c *Client) exchange(ctx context.Context, addr, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fail(addr, path, err, ErrRefused)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	header := http.Header{"Content-Type": {"application/json"}}
+	resp, err := c.http.Post(ctx, "http://"+addr+path, header, body)
+	if errors.Is(err, httpsend.ErrNotSent) {
+		return fail(addr, path, errors.WithType(err, ErrUnreachable), ErrRefused)
+	}
+	if err != nil {
+		return fail(addr, path, err, ErrUncertain)
+	}
+	if resp.Status != http.StatusOK {
+		return rejection(addr, path, resp)
+	}
+	if err := json.Unmarshal(resp.Body, out); err != nil {
+		return fail(addr, path, err, ErrUncertain)
+	}
+	return nil
+}
+
+// rejection turns an error response into an error. Only the problem types of the protocol are certain.
+func rejection(addr, path string, resp httpsend.Response) error {
+	var p problem.Problem
+	if err := json.Unmarshal(resp.Body, &p); err != nil {
+		return fail(addr, path, errors.Errorf("status %d", resp.Status), ErrUncertain)
+	}
+	cause := errors.Errorf("status %d: %s", resp.Status, p.Detail)
+	switch p.Type {
+	case ProblemRefused:
+		return fail(addr, path, cause, ErrRefused)
+	case ProblemStaleEpoch:
+		return fail(addr, path, cause, ErrStaleEpoch)
+	}
+	return fail(addr, path, cause, ErrUncertain)
+}
+
+func fail(addr, path string, cause error, kind errors.ConstError) error {
+	return errors.Annotatef(errors.WithType(cause, kind), "%s on %s: %s", path, addr, kind)
+}
--- /dev/null
+++ b/pkg/worker/protocol.go
@@ -0,0 +1,55 @@
+package worker
+
+import (
+	"time"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// Resources of the worker's HTTP interface. All are called with POST and JSON bodies.
+const (
+	RenewPath      = "/v1/renew"      // RenewRequest, structs.Inventory
+	StartPath      = "/v1/start"      // structs.StartCommand, Done
+	CheckpointPath = "/v1/checkpoint" // AttemptRef, CheckpointReply
+	ThrottlePath   = "/v1/throttle"   // ThrottleRequest, Done
+	StopPath       = "/v1/stop"       // AttemptRef, Done
+)
+
+// Types of the problem details with which a worker rejects a command. No other response means "not run".
+const (
+	ProblemRefused    = "/problems/worker-refused"
+	ProblemStaleEpoch = "/problems/stale-epoch"
+)
+
+// AttemptRef names one attempt of a task in a command of a shard owner.
+type AttemptRef struct {
+	Task    structs.TaskID  `json:"task"`
+	Attempt int             `json:"attempt"`
+	Shard   structs.ShardID `json:"shard"`
+	Epoch   structs.Epoch   `json:"epoch"`
+}
+
+// RenewRequest renews the leases of all tasks of a shard on a worker and removes acknowledged finished tasks
+// from its inventory. A Lease of 0 renews nothing and only reads the inventory.
+type RenewRequest struct {
+	Shard       structs.ShardID `json:"shard"`
+	Epoch       structs.Epoch   `json:"epoch"`
+	Lease       time.Duration   `json:"lease_ns"`
+	Acknowledge []AttemptRef    `json:"acknowledge,omitempty"`
+}
+
+// ThrottleRequest limits one attempt to a share of full speed, above 0 and up to 1.
+type ThrottleRequest struct {
+	AttemptRef
+	Share float64 `json:"share"`
+}
+
+// CheckpointReply names the checkpoint that was taken.
+type CheckpointReply struct {
+	Checkpoint string `json:"checkpoint"`
+}
+
+// Done confirms a command. Done is always true; it tells a confirmation from a foreign response.
+type Done struct {
+	Done bool `json:"done"`
+}
