--- a/core/structs/host.go
+++ b/core/structs/host.go
@@ -26,6 +26,7 @@
 	State      HostState    `json:"state"`
 	Datacentre DatacentreID `json:"datacentre"`
 	Rack       string       `json:"rack"`
+	Machine    string       `json:"machine,omitempty"`    // hosts of one machine share it; empty when the host is alone on it
 	Address    string       `json:"address"`              // IP:port of the host's HTTP interface
 	Capacity   Resources    `json:"capacity"`             // workers only
 	Service    ServiceName  `json:"service,omitempty"`    // runners only
--- a/pkg/hostlist/client.go
+++ b/pkg/hostlist/client.go
@@ -6,12 +6,17 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
 
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/httpsend"
 )
 
@@ -30,9 +35,10 @@
 
 // Config configures a Client.
 type Config struct {
-	Endpoint string        // "http://IP:port"
-	Timeout  time.Duration // limit of one call; 2 s when zero
-	Metrics  tally.Scope   // tally.NoopScope when nil
+	Endpoint string           // "http://IP:port"
+	Timeout  time.Duration    // limit of one call; 2 s when zero
+	Metrics  tally.Scope      // tally.NoopScope when nil
+	Log      *eventlog.Logger // reports when the list is lost and recovered; nothing is logged when nil
 }
 
 // Client reads the host list.
@@ -41,6 +47,9 @@
 	timeout time.Duration
 	http    *httpsend.Client
 	metrics tally.Scope
+	log     *eventlog.Logger
+	tracer  trace.Tracer
+	lost    atomic.Bool // the latest call failed
 }
 
 // NewClient returns a client of the host list at cfg.Endpoint.
@@ -51,25 +60,47 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
+	if cfg.Log == nil {
+		cfg.Log = eventlog.Discard()
+	}
 	return &Client{
 		url:     strings.TrimSuffix(cfg.Endpoint, "/") + Path,
 		timeout: cfg.Timeout,
 		http:    httpsend.NewClient(httpsend.Config{Name: "hostlist"}),
 		metrics: cfg.Metrics,
+		log:     cfg.Log,
+		tracer:  otel.Tracer("fulmarcourse/hostlist"),
 	}
 }
 
 // Hosts returns all hosts of the list. Errors match ErrUnavailable.
 func (c *Client) Hosts(ctx context.Context) ([]structs.Host, error) {
+	ctx, span := c.tracer.Start(ctx, "hostlist.hosts")
+	defer span.End()
 	c.metrics.Counter("hostlist_reads").Inc(1)
 	hosts, err := c.read(ctx)
+	c.logChange(err)
 	if err != nil {
 		c.metrics.Counter("hostlist_errors").Inc(1)
+		span.SetStatus(codes.Error, err.Error())
 		return nil, errors.Annotate(errors.WithType(err, ErrUnavailable), "read the host list")
 	}
 	return hosts, nil
 }
 
+// logChange logs the first failure after a success and the first success after a failure.
+func (c *Client) logChange(err error) {
+	failed := err != nil
+	if c.lost.Swap(failed) == failed {
+		return
+	}
+	if failed {
+		c.log.Event(eventlog.HostListLost).Err(err).Msg("")
+	} else {
+		c.log.Event(eventlog.HostListRecovered).Msg("")
+	}
+}
+
 func (c *Client) read(ctx context.Context) ([]structs.Host, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
--- a/pkg/runner/client.go
+++ b/pkg/runner/client.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/httpsend"
 )
 
@@ -35,9 +36,10 @@
 
 // Config configures a Client.
 type Config struct {
-	MaxConnsPerHost int           // open connections per runner; 32 when zero
-	DialTimeout     time.Duration // 1 s when zero
-	Metrics         tally.Scope   // tally.NoopScope when nil
+	MaxConnsPerHost int              // open connections per runner; 32 when zero
+	DialTimeout     time.Duration    // 1 s when zero
+	Metrics         tally.Scope      // tally.NoopScope when nil
+	Log             *eventlog.Logger // reports responses that belong to another attempt; nothing is logged when nil
 }
 
 // Client sends attempts to runners. It is safe for concurrent use.
@@ -45,6 +47,7 @@
 	http    *httpsend.Client
 	metrics tally.Scope
 	tracer  trace.Tracer
+	log     *eventlog.Logger
 }
 
 // Attempt is one try of a request on one runner.
@@ -70,20 +73,23 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
+	if cfg.Log == nil {
+		cfg.Log = eventlog.Discard()
+	}
 	return &Client{
 		http: httpsend.NewClient(httpsend.Config{
 			Name: "runner", MaxConnsPerHost: cfg.MaxConnsPerHost, DialTimeout: cfg.DialTimeout,
 		}),
 		metrics: cfg.Metrics,
 		tracer:  otel.Tracer("fulmarcourse/runner"),
+		log:     cfg.Log,
 	}
 }
 
 // Do sends the attempt to the runner at addr ("IP:port") and returns its complete answer.
 // Errors match exactly one of ErrNotSent, ErrBusy and ErrUncertain. It waits at most a.Remaining.
 func (c *Client) Do(ctx context.Context, addr string, a Attempt) (Answer, error) {
-	ctx, span := c.tracer.Start(ctx, "runner.do", trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("attempt", a.ID), attribute.String("runner", addr)))
+	ctx, span := c.tracer.Start(ctx, "runner.do", trace.WithAttributes(attribute.String("attempt", a.ID), attribute.String("runner", addr)))
 	defer span.End()
 	c.metrics.Counter("runner_attempts").Inc(1)
 	answer, kind, err := c.exchange(ctx, addr, a)
@@ -118,6 +124,7 @@
 		return Answer{}, ErrUncertain, err
 	}
 	if err := checkMatch(resp, a.ID); err != nil {
+		c.log.Event(eventlog.RunnerForeignReply).Str("runner", addr).Str("attempt", a.ID).Err(err).Msg("")
 		return Answer{}, ErrUncertain, err
 	}
 	if resp.Status == http.StatusServiceUnavailable && resp.Header.Get(OutcomeHeader) == OutcomeNotRun {
--- a/pkg/standin/history.go
+++ b/pkg/standin/history.go
@@ -1,11 +1,14 @@
 package standin
 
 import (
+	"cmp"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/problem"
 )
 
 // HistoryPath is the resource that returns the history as JSON.
@@ -86,7 +89,14 @@
 	Events []Event `json:"events"`
 }
 
-// ServeHTTP returns all events as a HistoryBody.
-func (h *History) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, HistoryBody{Events: h.Events()})
+// ServeHTTP returns the events as a HistoryBody. The query parameter "after" leaves out the events up to that
+// sequence number.
+func (h *History) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.Atoi(cmp.Or(r.URL.Query().Get("after"), "0"))
+	if err != nil {
+		problem.Write(w, problem.Problem{Title: "Invalid query", Status: http.StatusBadRequest, Detail: "after is not a number"})
+		return
+	}
+	events := h.Events()
+	writeJSON(w, http.StatusOK, HistoryBody{Events: events[min(max(after, 0), len(events)):]})
 }
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -149,6 +149,9 @@
 			ID: structs.HostID(fmt.Sprintf("%s-worker-%d", name, n)), Role: structs.RoleWorker,
 			State: structs.HostLive, Datacentre: dc.ID, Rack: name, Capacity: p.cfg.Worker.Capacity,
 		}
+		if p.cfg.Colocate && n < dc.RunnersPerRack {
+			host.Machine = machine(name, n)
+		}
 		var err error
 		if workers[n], err = p.startWorker(host); err != nil {
 			return err
@@ -161,7 +164,7 @@
 		}
 		var beside *Worker
 		if p.cfg.Colocate && n < len(workers) {
-			beside = workers[n]
+			beside, host.Machine = workers[n], machine(name, n)
 		}
 		if err := p.startRunner(host, beside); err != nil {
 			return err
@@ -170,6 +173,9 @@
 	return nil
 }
 
+// machine names the machine that the nth worker and the nth runner of a rack share.
+func machine(rack string, n int) string { return fmt.Sprintf("%s-machine-%d", rack, n) }
+
 func (p *Platform) startWorker(host structs.Host) (*Worker, error) {
 	cfg := p.cfg.Worker
 	cfg.ID, cfg.Clock, cfg.History = host.ID, p.cfg.Clock, p.History
--- a/pkg/standin/store_state.go
+++ b/pkg/standin/store_state.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -15,6 +16,7 @@
 	keys     []string // sorted
 	entries  map[string]gateway.KeyValue
 	leases   map[int64]*lease
+	earliest time.Time // no lease ends before it
 	lastID   int64
 }
 
@@ -136,7 +138,11 @@
 // grant creates a lease that expires ttl after now.
 func (s *storeState) grant(now time.Time, ttl time.Duration) int64 {
 	s.lastID++
-	s.leases[s.lastID] = &lease{ttl: ttl, expires: now.Add(ttl), keys: map[string]bool{}}
+	l := &lease{ttl: ttl, expires: now.Add(ttl), keys: map[string]bool{}}
+	if len(s.leases) == 0 || l.expires.Before(s.earliest) {
+		s.earliest = l.expires
+	}
+	s.leases[s.lastID] = l
 	return s.lastID
 }
 
@@ -152,11 +158,21 @@
 	}
 }
 
-// expire ends the leases that have run out.
+// expire ends the leases that have run out, in order of their ids. Thousands of long leases are common, so it
+// looks at them only when one can have run out.
 func (s *storeState) expire(now time.Time) {
-	for id, l := range s.leases {
+	if now.Before(s.earliest) {
+		return
+	}
+	first := true
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		l := s.leases[id]
 		if !now.Before(l.expires) {
 			s.end(id)
+			continue
+		}
+		if first || l.expires.Before(s.earliest) {
+			s.earliest, first = l.expires, false
 		}
 	}
 }
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,6 +14,7 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/httpsend"
 	"fulmarcourse.example/fulmarcourse/pkg/store/gateway"
 )
@@ -31,6 +33,7 @@
 	Timeout  time.Duration // limit of one call; 2 s when zero
 	Metrics  tally.Scope   // tally.NoopScope when nil
 	Clock    func() time.Time
+	Log      *eventlog.Logger // reports when the store is lost and recovered; nothing is logged when nil
 }
 
 // Client calls the store. It is safe for concurrent use and never repeats a call by itself.
@@ -41,6 +44,8 @@
 	clock    func() time.Time
 	metrics  metrics
 	tracer   trace.Tracer
+	log      *eventlog.Logger
+	lost     atomic.Bool // the latest call failed
 }
 
 // NewClient returns a client of the store at cfg.Endpoint. It opens no connection before the first call.
@@ -51,6 +56,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
+	if cfg.Log == nil {
+		cfg.Log = eventlog.Discard()
+	}
 	return &Client{
 		endpoint: strings.TrimSuffix(cfg.Endpoint, "/"),
 		timeout:  cfg.Timeout,
@@ -58,6 +66,7 @@
 		clock:    cfg.Clock,
 		metrics:  newMetrics(cfg.Metrics),
 		tracer:   otel.Tracer("fulmarcourse/store"),
+		log:      cfg.Log,
 	}
 }
 
@@ -78,17 +87,31 @@
 
 // call posts in and decodes the response into out.
 func (c *Client) call(ctx context.Context, op operation, in, out any) error {
-	ctx, span := c.tracer.Start(ctx, "store."+op.name, trace.WithSpanKind(trace.SpanKindClient))
+	ctx, span := c.tracer.Start(ctx, "store."+op.name)
 	defer span.End()
 	started := c.clock()
 	err := c.exchange(ctx, op, in, out)
 	c.metrics.observe(op, c.clock().Sub(started), err)
+	c.logChange(op, err)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
 	}
 	return err
 }
 
+// logChange logs the first failure after a success and the first success after a failure.
+func (c *Client) logChange(op operation, err error) {
+	failed := errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUncertain)
+	if c.lost.Swap(failed) == failed {
+		return
+	}
+	if failed {
+		c.log.Event(eventlog.StoreLost).Str("operation", op.name).Err(err).Msg("")
+	} else {
+		c.log.Event(eventlog.StoreRecovered).Str("operation", op.name).Msg("")
+	}
+}
+
 func (c *Client) exchange(ctx context.Context, op operation, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
--- a/pkg/worker/client.go
+++ b/pkg/worker/client.go
@@ -120,8 +120,7 @@
 
 // call posts in and decodes the response into out.
 func (c *Client) call(ctx context.Context, addr, path string, in, out any) error {
-	ctx, span := c.tracer.Start(ctx, "worker"+path, trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("worker", addr)))
+	ctx, span := c.tracer.Start(ctx, "worker"+path, trace.WithAttributes(attribute.String("worker", addr)))
 	defer span.End()
 	metrics := c.metrics.Tagged(map[string]string{"path": path})
 	metrics.Counter("worker_calls").Inc(1)
