--- /dev/null
+++ b/core/inifile/locator.go
@@ -0,0 +1,108 @@
+package inifile
+
+import (
+	"regexp"
+	"strings"
+	"unicode/utf8"
+)
+
+var (
+	sectionLine = regexp.MustCompile(`^\[([^\[\]]*)\]\s*(?:[#;].*)?$`)
+	keyLine     = regexp.MustCompile(`^([A-Za-z0-9_.-]+)\s*=\s*(.*)$`)
+)
+
+const byteOrderMark = "\uFEFF"
+
+// keyPlace names one key of one section.
+type keyPlace struct{ section, key string }
+
+// locator knows the lines of sections and keys. Its text holds the lines that the INI parser can read;
+// every other line is blank there and has a finding, so one bad line hides no other fault.
+type locator struct {
+	file     string
+	sections map[string]int // canonical section name to its first line
+	order    []string       // canonical section names in the order of the file
+	keys     map[keyPlace]int
+	keyOrder map[string][]string
+	findings Findings
+	text     strings.Builder
+}
+
+func locate(file string, text []byte) *locator {
+	l := &locator{
+		file:     file,
+		sections: map[string]int{},
+		keys:     map[keyPlace]int{},
+		keyOrder: map[string][]string{},
+	}
+	section := ""
+	for i, line := range strings.Split(strings.TrimPrefix(string(text), byteOrderMark), "\n") {
+		readable := ""
+		readable, section = l.scan(i+1, strings.TrimSpace(line), section)
+		l.text.WriteString(readable)
+		l.text.WriteByte('\n')
+	}
+	return l
+}
+
+// scan examines one line. It returns the line for the INI parser and the section that the next line belongs to.
+func (l *locator) scan(number int, line, section string) (readable, next string) {
+	switch {
+	case !utf8.ValidString(line) || strings.ContainsRune(line, 0):
+		l.add(number, section, "", "the line is not valid UTF-8 text", "UTF-8 without NUL characters")
+		return "", section
+	case line == "" || line[0] == '#' || line[0] == ';':
+		return "", section
+	case line[0] == '[':
+		return l.scanSection(number, line, section)
+	}
+	return l.scanKey(number, line, section), section
+}
+
+func (l *locator) scanSection(number int, line, section string) (readable, next string) {
+	match := sectionLine.FindStringSubmatch(line)
+	name := ""
+	if match != nil {
+		name = strings.Join(strings.Fields(match[1]), " ")
+	}
+	if name == "" {
+		l.add(number, "", "", "the section header cannot be read", "[section] or [section NAME]")
+		return "", section
+	}
+	if first, taken := l.sections[name]; taken {
+		l.add(number, name, "", "the section is already defined in line "+itoa(first), "one section of this name")
+	} else {
+		l.sections[name] = number
+		l.order = append(l.order, name)
+	}
+	return "[" + name + "]", name
+}
+
+func (l *locator) scanKey(number int, line, section string) string {
+	match := keyLine.FindStringSubmatch(line)
+	if match == nil {
+		l.add(number, section, "", "the line is neither a section, a key nor a comment", "key = value")
+		return ""
+	}
+	key, value := match[1], match[2]
+	if section == "" {
+		l.add(number, "", key, "the key stands before the first section", "keys below a section header")
+		return ""
+	}
+	if strings.HasPrefix(value, "`") || strings.HasPrefix(value, `"""`) {
+		l.add(number, section, key, "values over several lines are not supported", "a value on one line")
+		return ""
+	}
+	place := keyPlace{section, key}
+	if first, taken := l.keys[place]; taken {
+		l.add(number, section, key, "the key is already set in line "+itoa(first), "one value per key")
+		return ""
+	}
+	l.keys[place] = number
+	l.keyOrder[section] = append(l.keyOrder[section], key)
+	return line
+}
+
+func (l *locator) add(line int, section, key, message, accepted string) {
+	l.findings = append(l.findings, Finding{l.file, line, section, key, message, accepted})
+}
