--- /dev/null
+++ b/core/membership/process.go
@@ -0,0 +1,27 @@
+package membership
+
+import (
+	"fmt"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// Process identifies one run of an entry host's process.
+type Process struct {
+	Host        structs.HostID
+	Incarnation string
+}
+
+// String returns "<host>@<incarnation>".
+func (p Process) String() string { return string(p.Host) + "@" + p.Incarnation }
+
+// NewIncarnation returns an incarnation that orders by start time. random separates processes that started
+// in the same nanosecond.
+func NewIncarnation(start time.Time, random uint32) string {
+	return fmt.Sprintf("%016x-%08x", uint64(start.UnixNano()), random)
+}
+
+// Newer reports whether incarnation a started after incarnation b. Incarnations are of fixed width, so the
+// order of the strings is the order of the start times.
+func Newer(a, b string) bool { return a > b }
--- /dev/null
+++ b/core/membership/rendezvous.go
@@ -0,0 +1,38 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// Order returns hosts in the order in which they should own shard, the preferred one first. It uses rendezvous
+// hashing (Thaler, Ravishankar, "A Name-Based Mapping Scheme for Rendezvous", 1996): a host that joins or
+// leaves moves only the shards that it gains or had. All hosts that see the same set agree on the order.
+func Order(shard structs.ShardID, hosts []structs.HostID) []structs.HostID {
+	rest := make([]string, len(hosts))
+	for i, host := range hosts {
+		rest[i] = string(host)
+	}
+	slices.Sort(rest) // equal hashes are resolved by position
+	rest = slices.Compact(rest)
+	order := make([]structs.HostID, 0, len(rest))
+	for len(rest) > 0 {
+		first := rendezvous.New(rest, xxhash.Sum64String).Lookup(shard.String())
+		order = append(order, structs.HostID(first))
+		rest = slices.DeleteFunc(rest, func(host string) bool { return host == first })
+	}
+	return order
+}
+
+// Preferred returns the host that should own shard, or "" when hosts is empty.
+func Preferred(shard structs.ShardID, hosts []structs.HostID) structs.HostID {
+	order := Order(shard, hosts)
+	if len(order) == 0 {
+		return ""
+	}
+	return order[0]
+}
--- /dev/null
+++ b/core/membership/table.go
@@ -0,0 +1,190 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// roundTripGain is the weight of a new sample in the round-trip estimate, 1/8 as in TCP (Jacobson,
+// "Congestion Avoidance and Control", 1988).
+const roundTripGain = 8
+
+// Report is what a member says about itself in one message.
+type Report struct {
+	Process
+	Datacentre       structs.DatacentreID
+	PeerAddr         string // IP:port of its gRPC interface
+	Leaving          bool
+	MayClaim         bool   // registered in the store since its last start
+	Sequence         uint64 // increases with every message of this incarnation
+	ControlRevision  int64  // store revision up to which it knows the control state
+	RemovalAttempted bool   // it attempted to take a data centre out of service and does not know the result
+}
+
+// Member is the view of one peer at a moment.
+type Member struct {
+	Report
+	State         State
+	LastReceived  time.Time     // receipt of the latest heartbeat that the peer sent; zero if none
+	LastReplied   time.Time     // send time of our latest answered heartbeat; the report is at least this new; zero if none
+	ControlReadAt time.Time     // no later than the send time of the store read behind ControlRevision; zero if unknown
+	RTT           time.Duration // smoothed round trip of heartbeats; 0 before the first answer
+}
+
+// Outcome says what the table did with a message.
+type Outcome int
+
+// Outcomes of Observe calls.
+const (
+	Accepted Outcome = iota + 1 // the report is the newest of this peer
+	Reordered                   // a newer report of the same incarnation is known; the report was ignored
+	Replaced                    // the first report of a newer incarnation
+	Stale                       // from an older incarnation; the message was ignored completely
+)
+
+type entry struct {
+	report        Report
+	contact       contact
+	controlReadAt time.Time
+	rtt           time.Duration
+	listLeaving   bool // the platform's host list shows the host as leaving
+}
+
+// Table holds the peers of one process. The process itself is not in it.
+type Table struct {
+	self    Process
+	dc      structs.DatacentreID
+	entries map[structs.HostID]*entry
+}
+
+// NewTable returns an empty table of the process self in data centre dc.
+func NewTable(self Process, dc structs.DatacentreID) *Table {
+	return &Table{self: self, dc: dc, entries: make(map[structs.HostID]*entry)}
+}
+
+// ObserveRequest records a heartbeat that a peer sent. It returns the peer's earlier incarnation when the
+// outcome is Replaced.
+func (t *Table) ObserveRequest(r Report, receivedAt time.Time) (Outcome, Process) {
+	e, outcome, former := t.admit(r, receivedAt)
+	// A reordered request may have been under way for long, so it proves nothing about the link now.
+	if outcome == Accepted || outcome == Replaced {
+		e.contact.lastReceived = receivedAt
+	}
+	return outcome, former
+}
+
+// ObserveReply records the answer to a heartbeat sent at sentAt. controlAge is the age of the peer's control
+// state when it answered, negative if it never read it. The age counts from sentAt, which is earlier than
+// the answer, so the read appears older than it is and never newer.
+func (t *Table) ObserveReply(r Report, sentAt, receivedAt time.Time, controlAge time.Duration) (Outcome, Process) {
+	e, outcome, former := t.admit(r, receivedAt)
+	if outcome == Stale {
+		return outcome, former
+	}
+	if sentAt.After(e.contact.lastReplied) {
+		e.contact.lastReplied = sentAt
+	}
+	if readAt := sentAt.Add(-controlAge); controlAge >= 0 && readAt.After(e.controlReadAt) {
+		e.controlReadAt = readAt
+	}
+	e.rtt = smooth(e.rtt, receivedAt.Sub(sentAt))
+	return outcome, former
+}
+
+// admit finds or creates the entry of a report and stores the report if it is the newest.
+func (t *Table) admit(r Report, now time.Time) (*entry, Outcome, Process) {
+	if r.Host == t.self.Host {
+		return nil, Stale, Process{}
+	}
+	e, known := t.entries[r.Host]
+	if !known {
+		e = &entry{report: r, contact: contact{firstSeen: now}}
+		t.entries[r.Host] = e
+		return e, Accepted, Process{}
+	}
+	if e.report.Incarnation != r.Incarnation {
+		former := e.report.Process
+		// A host whose wall clock went back across a restart has a smaller incarnation. It is accepted once
+		// the former one is dead.
+		if !Newer(r.Incarnation, former.Incarnation) && t.state(e, now) != Dead {
+			return nil, Stale, Process{}
+		}
+		*e = entry{report: r, contact: contact{firstSeen: now}}
+		return e, Replaced, former
+	}
+	if r.Sequence <= e.report.Sequence {
+		return e, Reordered, Process{}
+	}
+	e.report = r
+	return e, Accepted, Process{}
+}
+
+// SetListLeaving records whether the platform's host list shows host as leaving.
+func (t *Table) SetListLeaving(host structs.HostID, leaving bool) {
+	if e, known := t.entries[host]; known {
+		e.listLeaving = leaving
+	}
+}
+
+// Members returns all peers, ordered by host.
+func (t *Table) Members(now time.Time) []Member {
+	members := make([]Member, 0, len(t.entries))
+	for _, e := range t.entries {
+		members = append(members, t.view(e, now))
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+	return members
+}
+
+// Member returns the view of one peer.
+func (t *Table) Member(host structs.HostID, now time.Time) (Member, bool) {
+	e, known := t.entries[host]
+	if !known {
+		return Member{}, false
+	}
+	return t.view(e, now), true
+}
+
+// Forget drops members that have been dead for ForgetAfter and returns them.
+func (t *Table) Forget(now time.Time) []Process {
+	var dropped []Process
+	for host, e := range t.entries {
+		if e.contact.silence(now) > ForgetAfter {
+			dropped = append(dropped, e.report.Process)
+			delete(t.entries, host)
+		}
+	}
+	return dropped
+}
+
+func (t *Table) view(e *entry, now time.Time) Member {
+	return Member{
+		Report:        e.report,
+		State:         t.state(e, now),
+		LastReceived:  e.contact.lastReceived,
+		LastReplied:   e.contact.lastReplied,
+		ControlReadAt: e.controlReadAt,
+		RTT:           e.rtt,
+	}
+}
+
+func (t *Table) state(e *entry, now time.Time) State {
+	return verdict(e.contact, e.report.Leaving || e.listLeaving, t.interval(e.report.Datacentre), now)
+}
+
+func (t *Table) interval(dc structs.DatacentreID) time.Duration {
+	if dc == t.dc {
+		return LocalInterval
+	}
+	return RemoteInterval
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + (sample-old)/roundTripGain
+}
--- /dev/null
+++ b/core/ownership/claim.go
@@ -0,0 +1,72 @@
+package ownership
+
+import (
+	"time"
+
+	"fulmarcourse.example/core/membership"
+	"fulmarcourse.example/core/structs"
+)
+
+// Former is the last owner of a shard that did not release it.
+type Former struct {
+	membership.Process
+	PeerAddr string
+	Epoch    structs.Epoch // revision of its claim
+}
+
+// ClaimInput is what a member knows about a shard without an owner record.
+type ClaimInput struct {
+	Self        membership.Process
+	AbsentSince time.Time // when this process first read that the record is absent; it has been absent since
+	Rank        int       // place of this host in the order of preference; 0 is the preferred one
+	Former      *Former   // nil if the last owner released the shard or there was none
+	FormerDead  bool      // the process of the last owner is proved dead
+	FormerKnows bool      // see Ledger.Knows
+	Promised    time.Time // end of this process's promises to the last owner
+}
+
+// ClaimReason explains a decision.
+type ClaimReason string
+
+// Reasons of claim decisions.
+const (
+	ClaimFree          ClaimReason = "the shard has no former owner"
+	ClaimFormerDead    ClaimReason = "the former owner is proved dead"
+	ClaimPromiseEnded  ClaimReason = "promises to the former owner have expired"
+	ClaimExtensionOver ClaimReason = "the former owner's extension has expired"
+	ClaimNotPreferred  ClaimReason = "other members are preferred"
+	ClaimPromised      ClaimReason = "a promise to the former owner has not expired"
+	ClaimFormerMayRun  ClaimReason = "the former owner may be running without knowing this member"
+)
+
+// ClaimDecision says whether a member may claim a shard now.
+type ClaimDecision struct {
+	Allowed  bool
+	Withhold bool // give the former owner no further promise until the claim is decided
+	Reason   ClaimReason
+}
+
+// DecideClaim returns whether a member may claim a shard whose record is absent. The caller holds the lock of
+// the ledger from reading Promised until it has withheld promises, and makes the claim conditional on the last
+// owner record that Former was read from.
+func DecideClaim(in ClaimInput, limits Limits, now time.Time) ClaimDecision {
+	if now.Before(in.AbsentSince.Add(time.Duration(in.Rank) * limits.ClaimStagger)) {
+		return ClaimDecision{Reason: ClaimNotPreferred}
+	}
+	switch {
+	case in.Former == nil || in.Former.Process == in.Self:
+		return ClaimDecision{Allowed: true, Reason: ClaimFree}
+	case in.FormerDead || in.Former.Host == in.Self.Host:
+		return ClaimDecision{Allowed: true, Reason: ClaimFormerDead}
+	}
+	if !in.FormerKnows && now.Before(in.AbsentSince.Add(limits.ExtensionLimit)) {
+		return ClaimDecision{Reason: ClaimFormerMayRun}
+	}
+	if now.Before(in.Promised) {
+		return ClaimDecision{Withhold: true, Reason: ClaimPromised}
+	}
+	if in.FormerKnows {
+		return ClaimDecision{Allowed: true, Withhold: true, Reason: ClaimPromiseEnded}
+	}
+	return ClaimDecision{Allowed: true, Withhold: true, Reason: ClaimExtensionOver}
+}
