--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -39,10 +39,10 @@
 
 // Outcomes of Observe calls.
 const (
-	Accepted Outcome = iota + 1 // the report is the newest of this peer
-	Reordered                   // a newer report of the same incarnation is known; the report was ignored
-	Replaced                    // the first report of a newer incarnation
-	Stale                       // from an older incarnation; the message was ignored completely
+	Accepted  Outcome = iota + 1 // the report is the newest of this peer
+	Reordered                    // a newer report of the same incarnation is known; the report was ignored
+	Replaced                     // the first report of a newer incarnation
+	Stale                        // from an older incarnation; the message was ignored completely
 )
 
 type entry struct {
--- /dev/null
+++ b/pkg/members/config.go
@@ -0,0 +1,111 @@
+// Package members exchanges heartbeats between entry hosts: who is live, what control state and shards each one
+// has, and the promises that keep shard ownership valid while the store is down.
+//
+// Lock order: Service.mu, then the lock inside the Promises implementation (ownership.Book). No lock is held
+// during network calls or calls of the functions in Config.
+package members
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
+
+	"fulmarcourse.example/core/membership"
+	"fulmarcourse.example/core/ownership"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+)
+
+// Timing of heartbeats and views.
+const (
+	// HeartbeatTimeout is the longest wait for an answer: two local intervals, so that a lost call delays the
+	// next one by one interval at most.
+	HeartbeatTimeout = 2 * membership.LocalInterval
+	// ProbeTimeout bounds the connection attempt that tells a refused connection from a silent address.
+	ProbeTimeout = 300 * time.Millisecond
+	// DigestTTL is the age at which a shard digest is dropped: the dead threshold within a data centre.
+	DigestTTL = membership.DeadAfterMissed * membership.LocalInterval
+	// TimeoutsBeforeReset is how many heartbeats in a row may time out before the connection is replaced. After
+	// a partition TCP retransmits only after a delay as long as the partition itself.
+	TimeoutsBeforeReset = 4
+)
+
+// Dialer provides connections to peers and tests their addresses. pkg/peer.Pool implements it.
+type Dialer interface {
+	// Conn returns the connection to the peer at addr; it may still have to be established.
+	Conn(addr string) (grpc.ClientConnInterface, error)
+	// Reset closes the connection to addr, so that the next call uses a new one.
+	Reset(addr string)
+	// Refused reports whether addr certainly refused a TCP connection.
+	Refused(ctx context.Context, addr string) bool
+}
+
+// ControlView is what this host says about its control state.
+type ControlView interface {
+	// ControlRevision returns the store revision up to which control state is known and when the store read
+	// behind it was sent; the time is zero if there was none.
+	ControlRevision() (revision int64, readAt time.Time)
+	// RemovalAttempted reports whether this host attempted to take a data centre out of service and does not
+	// know the result.
+	RemovalAttempted() bool
+}
+
+// Promises gives and records promises. ownership.Book implements it. Its methods do not block.
+type Promises interface {
+	MayClaim() bool
+	Promise(to membership.Process, sequence uint64) (ttl time.Duration, mayClaim bool)
+	RecordPromise(p ownership.Promise)
+	Acknowledge(peer membership.Process, sequence uint64)
+	MemberLeft(p membership.Process)
+	MemberDied(p membership.Process)
+}
+
+// Config configures a Service.
+type Config struct {
+	Self     structs.MemberRecord
+	Dialer   Dialer
+	Control  ControlView
+	Promises Promises
+	// Addresses are sources of peer addresses (IP:port): settings, registry of members, former shard owners.
+	Addresses []func() []string
+	// Hosts returns the platform's host list; nil if there is none.
+	Hosts func() []structs.Host
+	// LocalDigests returns the digests of the shards that this host owns. It must not block.
+	LocalDigests func() []structs.ShardDigest
+	// OnNewerControl is called when a peer knows a newer control revision. It must not block; nil for none.
+	OnNewerControl func(peerAddr string, revision int64)
+	Clock          func() time.Time // nil for time.Now
+	Log            *eventlog.Logger // nil to write nothing
+	Metrics        tally.Scope      // nil for none
+}
+
+func (c *Config) complete() error {
+	if c.Self.Host == "" || c.Self.Incarnation == "" || c.Self.Datacentre == "" || c.Self.PeerAddr == "" {
+		return errors.NotValidf("members: incomplete member record %+v", c.Self)
+	}
+	if c.Dialer == nil || c.Control == nil || c.Promises == nil {
+		return errors.NotValidf("members: missing Dialer, Control or Promises")
+	}
+	if c.LocalDigests == nil {
+		c.LocalDigests = func() []structs.ShardDigest { return nil }
+	}
+	if c.Hosts == nil {
+		c.Hosts = func() []structs.Host { return nil }
+	}
+	if c.OnNewerControl == nil {
+		c.OnNewerControl = func(string, int64) {}
+	}
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	if c.Log == nil {
+		c.Log = eventlog.Discard()
+	}
+	if c.Metrics == nil {
+		c.Metrics = tally.NoopScope
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/members/views.go
@@ -0,0 +1,139 @@
+package members
+
+import (
+	"time"
+
+	"fulmarcourse.example/core/membership"
+	"fulmarcourse.example/core/ownership"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/api/peerpb"
+)
+
+// Member is the view of one entry host.
+type Member struct {
+	membership.Member
+	// ControlAge is the age of the store read behind ControlRevision, by the clock of this host; negative if
+	// the peer never read the store or has not answered yet. It is never less than the true age.
+	ControlAge time.Duration
+}
+
+// DigestView is the digest of a shard as its owner last reported it.
+type DigestView struct {
+	Digest     structs.ShardDigest
+	Owner      structs.HostID
+	PeerAddr   string        // IP:port of the owner's gRPC interface
+	ReceivedAt time.Time     // the digest was made at most one round trip earlier
+	RTT        time.Duration // smoothed round trip to the owner; 0 if not measured
+}
+
+// Peers returns all known entry hosts but this one, ordered by host, whatever their state.
+func (s *Service) Peers() []Member {
+	now := s.cfg.Clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	members := s.table.Members(now)
+	peers := make([]Member, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, withAge(m, now))
+	}
+	return peers
+}
+
+// Live returns the live entry hosts of dc, this one included unless it is leaving.
+func (s *Service) Live(dc structs.DatacentreID) []Member {
+	var live []Member
+	for _, m := range s.Peers() {
+		if m.Datacentre == dc && m.State == membership.Live {
+			live = append(live, m)
+		}
+	}
+	if own := s.own(); own.Datacentre == dc && own.State == membership.Live {
+		live = append(live, own)
+	}
+	return live
+}
+
+// own returns this host as a member.
+func (s *Service) own() Member {
+	now := s.cfg.Clock()
+	revision, readAt := s.cfg.Control.ControlRevision()
+	attempted := s.cfg.Control.RemovalAttempted()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := membership.Live
+	if s.leaving {
+		state = membership.Leaving
+	}
+	return withAge(membership.Member{
+		Report: membership.Report{
+			Process: s.self, Datacentre: s.cfg.Self.Datacentre, PeerAddr: s.cfg.Self.PeerAddr,
+			Leaving: s.leaving, MayClaim: s.cfg.Promises.MayClaim(), Sequence: s.sequence,
+			ControlRevision: revision, RemovalAttempted: attempted,
+		},
+		State: state, LastReceived: now, LastReplied: now, ControlReadAt: readAt,
+	}, now)
+}
+
+func withAge(m membership.Member, now time.Time) Member {
+	if m.ControlReadAt.IsZero() {
+		return Member{Member: m, ControlAge: neverRead}
+	}
+	return Member{Member: m, ControlAge: now.Sub(m.ControlReadAt)}
+}
+
+// Digests returns the digests of shards that other hosts own and reported within DigestTTL.
+func (s *Service) Digests() []DigestView {
+	now := s.cfg.Clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	views := make([]DigestView, 0, len(s.digests))
+	for _, d := range s.digests {
+		if now.Sub(d.ReceivedAt) <= DigestTTL {
+			views = append(views, d)
+		}
+	}
+	return views
+}
+
+// recordDigests replaces the digests of the reporting host. A shard that two hosts report belongs to the greater
+// epoch. s.mu is held.
+func (s *Service) recordDigests(report membership.Report, wire []*peerpb.ShardDigest, receivedAt time.Time) {
+	for shard, d := range s.digests {
+		if d.Owner == report.Host && receivedAt.After(d.ReceivedAt) {
+			delete(s.digests, shard)
+		}
+	}
+	peer, _ := s.table.Member(report.Host, receivedAt)
+	for _, w := range wire {
+		d := digestFromWire(w)
+		if known, ok := s.digests[d.Shard]; ok && known.Digest.Epoch > d.Epoch {
+			continue
+		}
+		s.digests[d.Shard] = DigestView{
+			Digest: d, Owner: report.Host, PeerAddr: report.PeerAddr, ReceivedAt: receivedAt, RTT: peer.RTT,
+		}
+	}
+}
+
+// Promises returns the latest promise of each member of this data centre, expired or not.
+func (s *Service) Promises() []ownership.Promise {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	promises := make([]ownership.Promise, 0, len(s.promises))
+	for _, p := range s.promises {
+		promises = append(promises, p)
+	}
+	return promises
+}
+
+// MemberRevisions returns the control revision of every entry host that is not dead, this one included.
+func (s *Service) MemberRevisions() map[structs.HostID]int64 {
+	revisions := make(map[structs.HostID]int64)
+	for _, m := range s.Peers() {
+		if m.State != membership.Dead {
+			revisions[m.Host] = m.ControlRevision
+		}
+	}
+	revisions[s.self.Host], _ = s.cfg.Control.ControlRevision()
+	return revisions
+}
