Add the path of latency-critical requests

Callers need their requests run on a free runner slot, at most once where the kind is not idempotent, with an outcome that says what is certain. This adds the decisions (routing, admission, retry budget, hedging), the slot pool of a shard owner, the entry side with idempotency records and gRPC dispatch, and the HTTP interface.

Reasons of replies become short codes in core/structs, because the entry side decides by them whether another shard may be tried.

--- /dev/null
+++ b/core/admission/admission.go
@@ -0,0 +1,166 @@
+// Package admission decides which request gets which runner slot, and when. It keeps the exact slot accounts of
+// one service in one shard, a queue ordered by deadline, and learned service times. It is pure: there are no
+// goroutines and no clock, the caller passes the time and serialises calls.
+package admission
+
+import (
+	"time"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// Thresholds of admission.
+const (
+	// QueuePerSlot bounds the queue: entries per slot. Four turnovers of all slots is longer than deadlines of
+	// latency-critical requests usually allow.
+	QueuePerSlot = 4
+	// MinQueue is the bound of the queue of a small shard, in entries.
+	MinQueue = 16
+	// ShortFactor tells short deadlines: the remaining time is at most this many typical service times.
+	ShortFactor = 4
+	// ReserveShare is the share of slots that only requests with short deadlines may take.
+	ReserveShare = 1.0 / 16
+	// ReserveMemory is how long slots stay reserved after a request with a short deadline was seen, so that
+	// nothing is reserved where there are none.
+	ReserveMemory = 10 * time.Second
+)
+
+// Verdict is the result of an arrival.
+type Verdict string
+
+// Verdicts. All but Queued are rejections.
+const (
+	Queued           Verdict = "queued"
+	RejectedFull     Verdict = structs.ReasonQueueFull
+	RejectedDeadline Verdict = structs.ReasonDeadline
+	RejectedNoRunner Verdict = structs.ReasonNoRunner
+)
+
+// Grant gives a slot to an item.
+type Grant struct {
+	Item *Item
+	Slot *Slot
+}
+
+// Controller decides for one service in one shard.
+type Controller struct {
+	ledger    *Ledger
+	queue     Queue
+	times     *serviceTimes
+	holds     []hold
+	shortSeen time.Time // when a request with a short deadline was last seen
+	cursor    int       // rotates ties between runners
+}
+
+// NewController returns a controller without runners.
+func NewController() *Controller {
+	return &Controller{ledger: NewLedger(), times: newServiceTimes()}
+}
+
+// SetRunners replaces the list of runners of the service in the shard.
+func (c *Controller) SetRunners(hosts []structs.Host) { c.ledger.SetRunners(hosts) }
+
+// Totals returns the slot counts.
+func (c *Controller) Totals() Totals { return c.ledger.Totals() }
+
+// Queued returns the number of waiting requests.
+func (c *Controller) Queued() int { return c.queue.Len() }
+
+// Arrive queues item, or rejects it when its deadline cannot be met or the queue is full.
+func (c *Controller) Arrive(now time.Time, item *Item) Verdict {
+	item.index = notQueued
+	totals := c.ledger.Totals()
+	if totals.Slots == 0 {
+		return RejectedNoRunner
+	}
+	if c.short(now, item) {
+		c.shortSeen = now
+	}
+	if c.queue.Len() >= max(MinQueue, QueuePerSlot*totals.Slots) {
+		return RejectedFull
+	}
+	remaining := item.Deadline.Sub(now)
+	wait := c.estimateWait(now, item, totals)
+	if remaining <= 0 || wait >= remaining {
+		return RejectedDeadline
+	}
+	if wait+c.times.typical(now, item.Kind) > remaining {
+		if item.probe = c.times.probe(now, item.Kind); !item.probe {
+			return RejectedDeadline
+		}
+	}
+	c.queue.Push(item)
+	return Queued
+}
+
+// estimateWait returns how long item is expected to wait for a slot: the items that leave the queue before it
+// and find no free slot, each waiting for one of the slots to turn over.
+func (c *Controller) estimateWait(now time.Time, item *Item, totals Totals) time.Duration {
+	excess := c.queue.Ahead(item.Deadline) + 1 - totals.Free
+	if excess <= 0 {
+		return 0
+	}
+	return time.Duration(float64(c.times.turnover(now, item.Kind)) * float64(excess) / float64(totals.Slots))
+}
+
+// Withdraw removes an item that still waits and reports whether it did.
+func (c *Controller) Withdraw(item *Item) bool { return c.queue.Remove(item) }
+
+// NextHopeless removes and returns one queued item that can no longer meet its deadline.
+func (c *Controller) NextHopeless(now time.Time) (*Item, bool) {
+	head := c.queue.Head()
+	if head == nil {
+		return nil, false
+	}
+	remaining := head.Deadline.Sub(now)
+	if remaining > 0 && (head.probe || c.times.typical(now, head.Kind) <= remaining) {
+		return nil, false
+	}
+	c.queue.Remove(head)
+	return head, true
+}
+
+// NextGrant takes a slot for the first item of the queue, if one may have a slot now.
+func (c *Controller) NextGrant(now time.Time) (Grant, bool) {
+	item := c.queue.Head()
+	if item == nil {
+		return Grant{}, false
+	}
+	best := c.choose(now, item)
+	if best == nil {
+		return Grant{}, false
+	}
+	slot, err := c.ledger.Take(now, best.id)
+	if err != nil {
+		return Grant{}, false
+	}
+	c.queue.Remove(item)
+	return Grant{item, slot}, true
+}
+
+// NextChange returns when a queued item expires, may take more slots than now, or a held slot is released;
+// whichever comes first. The caller calls Sweep, NextHopeless and NextGrant then.
+func (c *Controller) NextChange(now time.Time) (time.Time, bool) {
+	var next time.Time
+	consider := func(t time.Time) {
+		if t.After(now) && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	for _, h := range c.holds {
+		consider(h.until)
+	}
+	if head := c.queue.Head(); head != nil {
+		typical := c.times.typical(now, head.Kind)
+		consider(head.Deadline)
+		consider(head.Deadline.Add(-typical))
+		consider(head.Deadline.Add(-ShortFactor * typical))
+		consider(head.Arrived.Add(typical))
+	}
+	return next, !next.IsZero()
+}
+
+// short reports whether item has a short deadline.
+func (c *Controller) short(now time.Time, item *Item) bool {
+	return item.Deadline.Sub(now) <= ShortFactor*c.times.typical(now, item.Kind)
+}
--- /dev/null
+++ b/core/admission/limit.go
@@ -0,0 +1,53 @@
+package admission
+
+import "math"
+
+// Thresholds of the adaptive concurrency limit.
+const (
+	// LimitTolerance is the slowdown, relative to the usual service time, that does not lower the limit.
+	LimitTolerance = 1.5
+	// LimitSmoothing is the weight of one new estimate of the limit.
+	LimitSmoothing = 0.2
+	// LimitAllowance is what the limit grows by per estimate while the runner is not slowed down, in slots.
+	LimitAllowance = 1
+	// MinLimit keeps enough requests on a slow runner to notice when it recovers, in slots.
+	MinLimit = 2
+	// MinGradient bounds how much one estimate lowers the limit.
+	MinGradient = 0.5
+)
+
+// Limit is the adaptive concurrency limit of one runner. It follows the gradient algorithm of Netflix's
+// concurrency-limits library ("Gradient2"): limit = limit * gradient + allowance, smoothed, where the gradient
+// is the tolerated over the observed slowdown. The slowdown is taken relative to the usual service time of the
+// kind on all runners of the shard, so that a mix of kinds does not look like a slow runner. The zero value is
+// unlimited until the first estimate.
+type Limit struct {
+	value float64 // slots; 0 before the first estimate
+}
+
+// Update adjusts the limit after one answer. slowdown is the smoothed service time relative to the usual one,
+// taken is the number of requests that were on the runner, slots its slot count.
+func (l *Limit) Update(slowdown float64, taken, slots int) {
+	if slots <= 0 {
+		return
+	}
+	if l.value == 0 {
+		l.value = float64(slots)
+	}
+	// A runner that is far from its limit says nothing about the limit.
+	if float64(taken) < l.value/2 {
+		return
+	}
+	gradient := math.Max(MinGradient, math.Min(1, LimitTolerance/math.Max(slowdown, 1)))
+	estimate := l.value*gradient + LimitAllowance
+	l.value = (1-LimitSmoothing)*l.value + LimitSmoothing*estimate
+	l.value = math.Max(math.Min(MinLimit, float64(slots)), math.Min(l.value, float64(slots)))
+}
+
+// Value returns the limit in whole slots, at most slots.
+func (l *Limit) Value(slots int) int {
+	if l.value == 0 {
+		return slots
+	}
+	return min(slots, int(math.Round(l.value)))
+}
--- /dev/null
+++ b/core/admission/times.go
@@ -0,0 +1,65 @@
+package admission
+
+import (
+	"time"
+
+	"fulmarcourse.example/core/latency"
+	"fulmarcourse.example/core/structs"
+)
+
+const (
+	// MeetQuantile is the quantile of the service time that must fit into the remaining time: a request that is
+	// more likely to miss its deadline than to meet it is rejected while that is still certain.
+	MeetQuantile = 0.5
+	// ProbeInterval is how often a request is let through although its service time seems too long. Without
+	// probes, a passing slowdown would leave no samples and reject requests for ever.
+	ProbeInterval = 500 * time.Millisecond
+)
+
+// serviceTimes tracks the service times of each kind over all runners of a shard.
+type serviceTimes struct {
+	kinds map[structs.KindName]*kindTimes
+}
+
+type kindTimes struct {
+	window *latency.Window
+	probed time.Time
+}
+
+func newServiceTimes() *serviceTimes { return &serviceTimes{kinds: map[structs.KindName]*kindTimes{}} }
+
+func (s *serviceTimes) kind(kind structs.KindName) *kindTimes {
+	k, ok := s.kinds[kind]
+	if !ok {
+		k = &kindTimes{window: latency.NewWindow(latency.DefaultWindow)}
+		s.kinds[kind] = k
+	}
+	return k
+}
+
+// observe records one service time, or with a lost answer the time for which there was none.
+func (s *serviceTimes) observe(now time.Time, kind structs.KindName, d time.Duration) {
+	s.kind(kind).window.Observe(now, d)
+}
+
+// typical returns the service time that counts as usual for the kind; 0 if there are no samples.
+func (s *serviceTimes) typical(now time.Time, kind structs.KindName) time.Duration {
+	d, _ := s.kind(kind).window.Quantile(now, MeetQuantile)
+	return d
+}
+
+// turnover returns the mean time for which a request of the kind holds a slot; 0 if there are no samples.
+func (s *serviceTimes) turnover(now time.Time, kind structs.KindName) time.Duration {
+	d, _ := s.kind(kind).window.Mean(now)
+	return d
+}
+
+// probe reports whether a request of a kind that seems too slow is let through, at most once per ProbeInterval.
+func (s *serviceTimes) probe(now time.Time, kind structs.KindName) bool {
+	k := s.kind(kind)
+	if now.Sub(k.window.LastSample()) < ProbeInterval || now.Sub(k.probed) < ProbeInterval {
+		return false
+	}
+	k.probed = now
+	return true
+}
--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,31 @@
+// Package retry decides whether a request is sent again: after a failure, or as a hedge while the first attempt
+// is slow. It is pure; the caller serialises calls.
+package retry
+
+const (
+	// OffersPerToken is the number of offered requests that earn one additional send: sends are at most 1.1 times
+	// the offered requests even when every attempt fails.
+	OffersPerToken = 10
+	// MaxSaved bounds the tokens saved while nothing fails, in additional sends, so that an outage starts with a
+	// small burst of retries and not with all those of the last hour.
+	MaxSaved = 100
+)
+
+// Budget is a token bucket that is filled by offered requests, as in the RetryBudget of Twitter's Finagle. It
+// starts empty, so the bound holds from the first request on. It counts in whole requests because sums of
+// floating-point shares could exceed the bound.
+type Budget struct {
+	earned int // offered requests that are not yet spent
+}
+
+// Offer counts one request of a caller.
+func (b *Budget) Offer() { b.earned = min(b.earned+1, MaxSaved*OffersPerToken) }
+
+// Spend takes one token for an additional send and reports whether there was one.
+func (b *Budget) Spend() bool {
+	if b.earned < OffersPerToken {
+		return false
+	}
+	b.earned -= OffersPerToken
+	return true
+}
--- /dev/null
+++ b/core/retry/decide.go
@@ -0,0 +1,33 @@
+package retry
+
+import "fulmarcourse.example/core/structs"
+
+// Action is what may be done after an attempt.
+type Action int
+
+// Actions.
+const (
+	Stop      Action = iota // the reply is final
+	Elsewhere               // nothing reached a runner: another shard may be tried outside the budget
+	Budgeted                // a runner may have read the request: sending again needs a token
+)
+
+// Decide returns what may be done after an attempt with the given reply. A non-idempotent request whose outcome
+// is unknown is never sent again.
+func Decide(reply structs.Reply, idempotent bool) Action {
+	switch reply.Outcome {
+	case structs.NotRun:
+		switch reply.Reason {
+		case structs.ReasonCancelled:
+			return Stop
+		case structs.ReasonRunnerRefused:
+			return Budgeted
+		}
+		return Elsewhere
+	case structs.OutcomeUnknown:
+		if idempotent {
+			return Budgeted
+		}
+	}
+	return Stop
+}
--- /dev/null
+++ b/pkg/httpapi/routes.go
@@ -0,0 +1,54 @@
+package httpapi
+
+import (
+	"net/http"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"fulmarcourse.example/fulmarcourse/pkg/problem"
+)
+
+// api holds the handlers.
+type api struct {
+	cfg Config
+}
+
+func (a *api) routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/services/:service/:kind", Handler: a.serveRequest},
+		{Method: http.MethodPost, Path: "/v1/jobs", Handler: a.submitJob},
+		{Method: http.MethodGet, Path: "/v1/jobs", Handler: a.listJobs},
+		{Method: http.MethodGet, Path: "/v1/jobs/:id", Handler: a.getJob},
+		{Method: http.MethodPost, Path: "/v1/jobs/:id/cancel", Handler: a.cancelJob},
+		{Method: http.MethodGet, Path: "/v1/jobs/:id/explain", Handler: a.explainJob},
+		{Method: http.MethodGet, Path: "/v1/jobs/:id/wait", Handler: a.waitJob},
+		{Method: http.MethodGet, Path: "/healthz", Handler: check(a.cfg.Healthy)},
+		{Method: http.MethodGet, Path: "/readyz", Handler: check(a.cfg.Ready)},
+	}
+}
+
+// check answers 200 while state returns nil, and 503 with the reason otherwise. A nil state is always good.
+func check(state func() error) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if state != nil {
+			if err := state(); err != nil {
+				problem.Write(w, problem.Problem{Title: "Not available", Status: http.StatusServiceUnavailable, Detail: err.Error()})
+				return
+			}
+		}
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	problem.Write(w, problem.Problem{
+		Type: "/problems/not-found", Title: "No such resource", Status: http.StatusNotFound, Detail: r.URL.Path,
+	})
+}
+
+func notAllowed(w http.ResponseWriter, r *http.Request) {
+	problem.Write(w, problem.Problem{
+		Type: "/problems/method-not-allowed", Title: "Method not allowed here", Status: http.StatusMethodNotAllowed,
+		Detail: r.Method + " " + r.URL.Path,
+	})
+}
--- /dev/null
+++ b/pkg/requests/service.go
@@ -0,0 +1,206 @@
+package requests
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"fulmarcourse.example/core/latency"
+	"fulmarcourse.example/core/retry"
+	"fulmarcourse.example/core/routing"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+)
+
+// Config configures a Service.
+type Config struct {
+	Directory  Directory
+	Dispatcher Dispatcher
+	Keys       Keys
+	Policy     routing.Policy   // routing.SlotAware when nil
+	Now        func() time.Time // time.Now when nil
+	Rand       *rand.Rand       // seeded from the system when nil; the service serialises its use
+	Scope      tally.Scope      // tally.NoopScope when nil
+	Log        *eventlog.Logger // discards when nil
+}
+
+// Service serves the latency-critical requests of callers at one entry host.
+type Service struct {
+	cfg    Config
+	scope  tally.Scope
+	tracer trace.Tracer
+	router *router
+
+	mu     sync.Mutex
+	budget retry.Budget
+	times  map[kindKey]*latency.Window // latency of answered attempts
+	active int                         // Serve calls and attempts in progress
+	closed bool
+	idle   chan struct{} // closed and replaced whenever something ends
+}
+
+type kindKey struct {
+	service structs.ServiceName
+	kind    structs.KindName
+}
+
+// NewService returns a service.
+func NewService(cfg Config) *Service {
+	if cfg.Policy == nil {
+		cfg.Policy = routing.SlotAware{}
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	if cfg.Log == nil {
+		cfg.Log = eventlog.Discard()
+	}
+	return &Service{
+		cfg:    cfg,
+		scope:  cfg.Scope.SubScope("requests"),
+		tracer: otel.Tracer("fulmarcourse/requests"),
+		router: newRouter(cfg),
+		times:  map[kindKey]*latency.Window{},
+		idle:   make(chan struct{}),
+	}
+}
+
+// Serve runs one request and returns its certain or unknown outcome by its deadline. It fills in an empty
+// request id. Cancelling ctx ends the request early unless it has an idempotency key whose outcome is recorded.
+func (s *Service) Serve(ctx context.Context, req structs.Request) structs.Reply {
+	if req.ID == "" {
+		req.ID = uuid.NewString()
+	}
+	ctx, span := s.tracer.Start(ctx, "requests.serve", trace.WithAttributes(attribute.String("request", req.ID)))
+	defer span.End()
+	start := s.cfg.Now()
+	reply := s.serve(ctx, req, start.Add(req.Remaining))
+	s.scope.Tagged(map[string]string{"outcome": string(reply.Outcome), "reason": reply.Reason}).Counter("served").Inc(1)
+	s.scope.Timer("latency").Record(s.cfg.Now().Sub(start))
+	span.SetAttributes(attribute.String("outcome", string(reply.Outcome)), attribute.String("reason", reply.Reason))
+	return reply
+}
+
+func (s *Service) serve(ctx context.Context, req structs.Request, deadline time.Time) structs.Reply {
+	if !s.begin() {
+		return notRun(structs.ReasonDraining)
+	}
+	defer s.end()
+	if req.Idempotent || req.Key == "" {
+		return s.run(ctx, req, deadline)
+	}
+	// The outcome is recorded for repeats, so it matters even when this caller has left.
+	ctx = context.WithoutCancel(ctx)
+	claim, reply, claimed := s.claim(ctx, req, deadline)
+	if !claimed {
+		return reply
+	}
+	reply = s.run(ctx, req, deadline)
+	s.cfg.Keys.Finish(ctx, claim, reply)
+	return reply
+}
+
+// Close takes no new requests and waits until those in progress have ended, or until ctx ends.
+func (s *Service) Close(ctx context.Context) error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		active, idle := s.active, s.idle
+		s.mu.Unlock()
+		if active == 0 {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Service) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.active++
+	s.budget.Offer()
+	return true
+}
+
+// beginAttempt counts an attempt of a request that is already counted, also while closing.
+func (s *Service) beginAttempt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active++
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	close(s.idle)
+	s.idle = make(chan struct{})
+}
+
+func (s *Service) spend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Spend()
+}
+
+// observe records the latency of an answered attempt.
+func (s *Service) observe(req structs.Request, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.windowLocked(req).Observe(s.cfg.Now(), d)
+}
+
+// expectedService returns the usual latency of the request's kind; 0 if unknown.
+func (s *Service) expectedService(req structs.Request) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, _ := s.windowLocked(req).Quantile(s.cfg.Now(), 0.5)
+	return d
+}
+
+func (s *Service) hedgeDelay(req structs.Request, remaining time.Duration) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return retry.HedgeDelay(s.cfg.Now(), s.windowLocked(req), req.Idempotent, remaining)
+}
+
+// windowLocked returns the latency window of the request's kind. Callers hold mu.
+func (s *Service) windowLocked(req structs.Request) *latency.Window {
+	key := kindKey{req.Service, req.Kind}
+	w, ok := s.times[key]
+	if !ok {
+		w = latency.NewWindow(latency.DefaultWindow)
+		s.times[key] = w
+	}
+	return w
+}
+
+func notRun(reason string) structs.Reply {
+	return structs.Reply{Outcome: structs.NotRun, Reason: reason}
+}
+
+func unknown(reason string) structs.Reply {
+	return structs.Reply{Outcome: structs.OutcomeUnknown, Reason: reason}
+}
--- /dev/null
+++ b/pkg/slots/dispatch.go
@@ -0,0 +1,256 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"fulmarcourse.example/core/admission"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+)
+
+// MaxUnreachable is how many runners one dispatch tries to connect before it gives up. Nothing is sent on a
+// failed connection, so these tries are outside the retry budget.
+const MaxUnreachable = 3
+
+// Dispatch queues the request, sends it to a runner and returns its reply. Cancelling ctx withdraws a request
+// that still waits; one that was sent is waited for until its deadline.
+func (p *Pool) Dispatch(ctx context.Context, attemptID string, req structs.Request) structs.Reply {
+	ctx, span := p.tracer.Start(ctx, "slots.dispatch", trace.WithAttributes(
+		attribute.String("request", req.ID), attribute.String("shard", p.cfg.Shard.String())))
+	defer span.End()
+	reply := p.dispatch(ctx, attemptID, req)
+	span.SetAttributes(attribute.String("outcome", string(reply.Outcome)), attribute.String("reason", reply.Reason))
+	p.metrics.ended(reply)
+	return reply
+}
+
+func (p *Pool) dispatch(ctx context.Context, attemptID string, req structs.Request) structs.Reply {
+	if !p.begin() {
+		return notRun(structs.ReasonDraining)
+	}
+	defer p.end()
+	deadline := p.cfg.Now().Add(req.Remaining)
+	var failed []structs.HostID
+	for try := 1; ; try++ {
+		grant, rejected := p.await(ctx, req, deadline, failed)
+		if rejected != "" {
+			if len(failed) > 0 {
+				rejected = structs.ReasonRunnerUnreachable
+			}
+			return notRun(rejected)
+		}
+		reply, again := p.send(ctx, fmt.Sprintf("%s.%d", attemptID, try), req, grant, deadline)
+		if !again || try == MaxUnreachable {
+			return reply
+		}
+		failed = append(failed, grant.Slot.Runner)
+	}
+}
+
+func (p *Pool) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.active++
+	return true
+}
+
+func (p *Pool) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active--
+	p.endedLocked()
+}
+
+// await queues the request until it gets a slot. It returns a reason when it is rejected.
+func (p *Pool) await(ctx context.Context, req structs.Request, deadline time.Time, failed []structs.HostID) (admission.Grant, string) {
+	item, granted, rejected := p.enqueue(req, deadline, failed)
+	if rejected != "" {
+		return admission.Grant{}, rejected
+	}
+	select {
+	case result := <-granted:
+		return result.grant, result.rejected
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	s := p.services[req.Service]
+	if s.admission.Withdraw(item) {
+		delete(s.waiting, item)
+		p.mu.Unlock()
+		return admission.Grant{}, structs.ReasonCancelled
+	}
+	p.mu.Unlock()
+	// The wait ended at the same moment.
+	result := <-granted
+	if result.rejected == "" {
+		p.releaseUnused(req, result.grant)
+		result.rejected = structs.ReasonCancelled
+	}
+	return admission.Grant{}, result.rejected
+}
+
+func (p *Pool) enqueue(req structs.Request, deadline time.Time, failed []structs.HostID) (*admission.Item, chan grantResult, string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, known := p.services[req.Service]
+	if !known {
+		return nil, nil, structs.ReasonNoRunner
+	}
+	now := p.cfg.Now()
+	item := &admission.Item{Kind: req.Kind, Arrived: now, Deadline: deadline}
+	item.Avoid = append(append(item.Avoid, failed...), p.holders[req.ID]...)
+	if verdict := s.admission.Arrive(now, item); verdict != admission.Queued {
+		return nil, nil, string(verdict)
+	}
+	granted := make(chan grantResult, 1)
+	s.waiting[item] = granted
+	p.advanceLocked()
+	return item, granted, ""
+}
+
+// send sends one attempt on the granted slot. again means that nothing was sent and another runner may be tried.
+func (p *Pool) send(ctx context.Context, id string, req structs.Request, grant admission.Grant, deadline time.Time) (reply structs.Reply, again bool) {
+	now := p.cfg.Now()
+	p.metrics.waited(now.Sub(grant.Item.Arrived))
+	results := make(chan result, 1)
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), deadline.Sub(now)+p.cfg.UncertainHold)
+	p.started(req, grant)
+	go func() {
+		defer cancel()
+		results <- p.call(call, id, req, grant, deadline)
+	}()
+	expired := time.NewTimer(deadline.Sub(now))
+	defer expired.Stop()
+	select {
+	case r := <-results:
+		return r.reply, r.again
+	case <-expired.C:
+	}
+	select {
+	case r := <-results: // both were ready
+		return r.reply, r.again
+	default:
+		return unknown(structs.ReasonDeadline, grant.Slot.Runner), false
+	}
+}
+
+// result is the end of one runner call.
+type result struct {
+	reply structs.Reply
+	again bool
+}
+
+// call checks the ownership, calls the runner and settles the slot. It runs to its end even when the request has
+// passed its deadline, because only its end tells that the runner has finished.
+func (p *Pool) call(ctx context.Context, id string, req structs.Request, grant admission.Grant, deadline time.Time) result {
+	defer p.ended(req, grant)
+	if err := p.cfg.Valid(); err != nil {
+		p.settle(req, func(c *admission.Controller, _ time.Time) { c.Unused(grant) })
+		return result{reply: notRun(structs.ReasonWrongOwner)}
+	}
+	remaining := deadline.Sub(p.cfg.Now())
+	if remaining <= 0 {
+		p.settle(req, func(c *admission.Controller, _ time.Time) { c.Unused(grant) })
+		return result{reply: notRun(structs.ReasonDeadline)}
+	}
+	answer, err := p.cfg.Runner.Do(ctx, grant.Slot.Address, Attempt{
+		ID: id, Service: req.Service, Kind: req.Kind, Body: req.Body, Remaining: remaining,
+	})
+	return p.settleCall(req, grant, deadline, answer, err)
+}
+
+// HTTP status codes that an answer may carry.
+const (
+	minStatus   = 200
+	maxStatus   = 599
+	serverError = 500
+)
+
+// settleCall turns the end of a runner call into a reply and settles the slot.
+func (p *Pool) settleCall(req structs.Request, grant admission.Grant, deadline time.Time, answer Answer, err error) result {
+	runner := grant.Slot.Runner
+	switch {
+	case err == nil && answer.Status >= minStatus && answer.Status <= maxStatus:
+		now := p.settle(req, func(c *admission.Controller, now time.Time) {
+			c.Answered(now, grant, answer.Status >= serverError)
+		})
+		p.metrics.served(now.Sub(grant.Slot.Since))
+		if now.After(deadline) {
+			p.metrics.late.Inc(1)
+		}
+		return result{reply: structs.Reply{Outcome: structs.Answered, Status: answer.Status, Body: answer.Body, Runner: runner}}
+	case errors.Is(err, ErrNotSent):
+		p.settle(req, func(c *admission.Controller, now time.Time) { c.NotSent(now, grant) })
+		return result{reply: notRun(structs.ReasonRunnerUnreachable), again: true}
+	case errors.Is(err, ErrBusy):
+		p.settle(req, func(c *admission.Controller, now time.Time) { c.Refused(now, grant) })
+		return result{reply: notRun(structs.ReasonRunnerRefused)}
+	}
+	if err == nil {
+		p.cfg.Log.Event(eventlog.RunnerAnswerInvalid).Str("runner", string(runner)).Int("status", answer.Status).Msg("")
+	} else {
+		p.cfg.Log.Event(eventlog.SlotUncertain).Str("runner", string(runner)).Str("request", req.ID).Err(err).Msg("")
+	}
+	p.settle(req, func(c *admission.Controller, now time.Time) {
+		c.Uncertain(now, grant, deadline.Add(p.cfg.UncertainHold))
+	})
+	return result{reply: unknown(structs.ReasonRunnerLost, runner)}
+}
+
+// settle applies the end of an attempt to the slot accounts and returns the time it used.
+func (p *Pool) settle(req structs.Request, apply func(*admission.Controller, time.Time)) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Now()
+	apply(p.services[req.Service].admission, now)
+	p.advanceLocked()
+	return now
+}
+
+func (p *Pool) releaseUnused(req structs.Request, grant admission.Grant) {
+	p.settle(req, func(c *admission.Controller, _ time.Time) { c.Unused(grant) })
+}
+
+// started notes that a runner holds an attempt of the request, so that a hedge goes to another runner.
+func (p *Pool) started(req structs.Request, grant admission.Grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active++
+	p.holders[req.ID] = append(p.holders[req.ID], grant.Slot.Runner)
+}
+
+func (p *Pool) ended(req structs.Request, grant admission.Grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active--
+	p.endedLocked()
+	held := p.holders[req.ID]
+	for i, id := range held {
+		if id == grant.Slot.Runner {
+			held = append(held[:i], held[i+1:]...)
+			break
+		}
+	}
+	if len(held) == 0 {
+		delete(p.holders, req.ID)
+		return
+	}
+	p.holders[req.ID] = held
+}
+
+func notRun(reason string) structs.Reply {
+	return structs.Reply{Outcome: structs.NotRun, Reason: reason}
+}
+
+func unknown(reason string, runner structs.HostID) structs.Reply {
+	return structs.Reply{Outcome: structs.OutcomeUnknown, Reason: reason, Runner: runner}
+}
--- /dev/null
+++ b/pkg/slots/metrics.go
@@ -0,0 +1,35 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// metrics counts the ends of dispatches. Counters and timers are tagged with the outcome and the reason.
+type metrics struct {
+	scope tally.Scope
+	wait  tally.Timer // time in the queue until a slot was granted
+	serve tally.Timer // time on the runner
+	late  tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	scope = scope.SubScope("slots")
+	return metrics{
+		scope: scope,
+		wait:  scope.Timer("wait"),
+		serve: scope.Timer("serve"),
+		late:  scope.Counter("late_answers"),
+	}
+}
+
+func (m metrics) ended(reply structs.Reply) {
+	m.scope.Tagged(map[string]string{"outcome": string(reply.Outcome), "reason": reply.Reason}).
+		Counter("dispatches").Inc(1)
+}
+
+func (m metrics) waited(d time.Duration) { m.wait.Record(d) }
+func (m metrics) served(d time.Duration) { m.serve.Record(d) }
--- /dev/null
+++ b/pkg/slots/pool.go
@@ -0,0 +1,252 @@
+// Package slots is the owner's side of the request path: it queues the requests of one shard, gives them runner
+// slots and sends them to the runners. The decisions are in core/admission; this package adds the lock, the
+// timers and the calls.
+//
+// Lock order: Pool.mu is the only lock, and it is never held during a call to a runner.
+package slots
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+
+	"fulmarcourse.example/core/admission"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+)
+
+// DefaultUncertainHold is how long after its deadline the slot of an attempt with an unknown outcome stays
+// taken. Runners are told the remaining time and give up at the deadline; the rest covers a runner that notices
+// late.
+const DefaultUncertainHold = 2 * time.Second
+
+// ErrForced means that Close reached its time limit with requests in progress.
+const ErrForced = errors.ConstError("slot pool closed with requests in progress")
+
+// Config configures a Pool.
+type Config struct {
+	Shard         structs.ShardID
+	Epoch         structs.Epoch
+	Runner        Runner
+	Valid         func() error     // whether the shard is still owned; called immediately before each send
+	Now           func() time.Time // time.Now when nil
+	UncertainHold time.Duration    // DefaultUncertainHold when 0
+	Scope         tally.Scope      // tally.NoopScope when nil
+	Log           *eventlog.Logger // discards when nil
+}
+
+// Pool dispatches the requests of one owned shard to its runners.
+type Pool struct {
+	cfg     Config
+	metrics metrics
+	tracer  trace.Tracer
+
+	mu       sync.Mutex
+	services map[structs.ServiceName]*service
+	holders  map[string][]structs.HostID // request id → runners that hold an attempt of it
+	active   int                         // Dispatch calls and runner calls in progress
+	closed   bool
+	idle     chan struct{} // closed and replaced whenever something ends
+	timer    *time.Timer
+}
+
+// service is the part of a pool that serves one service.
+type service struct {
+	admission *admission.Controller
+	waiting   map[*admission.Item]chan grantResult
+}
+
+// grantResult ends the wait of one request: a slot, or a rejection with its reason.
+type grantResult struct {
+	grant    admission.Grant
+	rejected string // a reason of core/structs; empty with a grant
+}
+
+// NewPool returns a pool without runners.
+func NewPool(cfg Config) *Pool {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.UncertainHold == 0 {
+		cfg.UncertainHold = DefaultUncertainHold
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	if cfg.Log == nil {
+		cfg.Log = eventlog.Discard()
+	}
+	return &Pool{
+		cfg:      cfg,
+		metrics:  newMetrics(cfg.Scope),
+		tracer:   otel.Tracer("fulmarcourse/slots"),
+		services: map[structs.ServiceName]*service{},
+		holders:  map[string][]structs.HostID{},
+		idle:     make(chan struct{}),
+	}
+}
+
+// SetRunners replaces the list of runners of the shard. The caller passes only hosts of this shard; hosts of
+// other roles are ignored. Runners that are leaving or no longer listed get nothing new.
+func (p *Pool) SetRunners(hosts []structs.Host) {
+	byService := map[structs.ServiceName][]structs.Host{}
+	for _, host := range hosts {
+		if host.Role == structs.RoleRunner {
+			byService[host.Service] = append(byService[host.Service], host)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range byService {
+		p.serviceLocked(name)
+	}
+	for name, s := range p.services {
+		s.admission.SetRunners(byService[name])
+	}
+	p.advanceLocked()
+}
+
+// serviceLocked returns the state of a service, creating it on first use. Callers hold mu.
+func (p *Pool) serviceLocked(name structs.ServiceName) *service {
+	s, ok := p.services[name]
+	if !ok {
+		s = &service{admission: admission.NewController(), waiting: map[*admission.Item]chan grantResult{}}
+		p.services[name] = s
+	}
+	return s
+}
+
+// Digest returns the slot counts of the shard. The fields about workers and tasks are left empty.
+func (p *Pool) Digest() structs.ShardDigest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	digest := structs.ShardDigest{
+		Shard:     p.cfg.Shard,
+		Epoch:     p.cfg.Epoch,
+		FreeSlots: map[structs.ServiceName]int{},
+		Slots:     map[structs.ServiceName]int{},
+		Queued:    map[structs.ServiceName]int{},
+	}
+	for name, s := range p.services {
+		totals := s.admission.Totals()
+		digest.Slots[name] = totals.Slots
+		digest.FreeSlots[name] = totals.Free
+		digest.Queued[name] = s.admission.Queued()
+	}
+	return digest
+}
+
+// Close takes no new requests and waits until the queued requests and those on runners have ended, including
+// slots held for unknown outcomes. When ctx ends first, queued requests are rejected as not-run and ErrForced is
+// returned; attempts on runners still end with their own answers.
+func (p *Pool) Close(ctx context.Context) error {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	for {
+		p.mu.Lock()
+		done, idle := p.drainedLocked(), p.idle
+		p.mu.Unlock()
+		if done {
+			p.cfg.Log.Event(eventlog.SlotPoolDrained).Stringer("shard", p.cfg.Shard).Msg("")
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return p.force()
+		}
+	}
+}
+
+// drainedLocked reports whether nothing is in progress and no slot is taken. Callers hold mu.
+func (p *Pool) drainedLocked() bool {
+	if p.active > 0 {
+		return false
+	}
+	for _, s := range p.services {
+		if s.admission.Totals().Taken > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) force() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.services {
+		for item := range s.waiting {
+			s.admission.Withdraw(item)
+			s.endWait(item, grantResult{rejected: structs.ReasonDraining})
+		}
+	}
+	if p.drainedLocked() {
+		return nil
+	}
+	p.cfg.Log.Event(eventlog.SlotPoolForced).Stringer("shard", p.cfg.Shard).Int("in_progress", p.active).Msg("")
+	return errors.Annotatef(ErrForced, "shard %s", p.cfg.Shard)
+}
+
+// endWait delivers the result to the request that waits with item. The channel has room for one result and is
+// removed here, so that exactly one result is delivered. Callers hold Pool.mu.
+func (s *service) endWait(item *admission.Item, result grantResult) {
+	s.waiting[item] <- result
+	delete(s.waiting, item)
+}
+
+// Wake lets time-dependent decisions take place: it releases held slots whose bound has passed, rejects requests
+// that can no longer meet their deadline and grants slots. A timer calls it; tests call it after they moved
+// their clock.
+func (p *Pool) Wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advanceLocked()
+}
+
+// advanceLocked applies all decisions that are due and sets the timer for the next one. Callers hold mu.
+func (p *Pool) advanceLocked() {
+	now := p.cfg.Now()
+	var next time.Time
+	for _, s := range p.services {
+		if s.admission.Sweep(now) > 0 {
+			p.endedLocked()
+		}
+		for item, ok := s.admission.NextHopeless(now); ok; item, ok = s.admission.NextHopeless(now) {
+			s.endWait(item, grantResult{rejected: structs.ReasonDeadline})
+		}
+		for grant, ok := s.admission.NextGrant(now); ok; grant, ok = s.admission.NextGrant(now) {
+			s.endWait(grant.Item, grantResult{grant: grant})
+			for item, ok := s.admission.NextHopeless(now); ok; item, ok = s.admission.NextHopeless(now) {
+				s.endWait(item, grantResult{rejected: structs.ReasonDeadline})
+			}
+		}
+		if t, ok := s.admission.NextChange(now); ok && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	p.setTimerLocked(now, next)
+}
+
+func (p *Pool) setTimerLocked(now, next time.Time) {
+	if next.IsZero() {
+		return
+	}
+	wait := next.Sub(now)
+	if p.timer == nil {
+		p.timer = time.AfterFunc(wait, p.Wake)
+		return
+	}
+	p.timer.Reset(wait)
+}
+
+// endedLocked tells Close that something has ended. Callers hold mu.
+func (p *Pool) endedLocked() {
+	close(p.idle)
+	p.idle = make(chan struct{})
+}
