Add the task loop of a shard

The loop is the only writer of the shard's job records. It starts tasks without a store write, except for kinds that are not idempotent, whose start intent is durable first. A new owner starts nothing that was recorded before it acquired the shard until every worker has answered or its leases have certainly expired. An unanswered start is repeated, or settled by a confirmed stop, before the next attempt.

--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -27,6 +27,11 @@
 	return false
 }
 
+// InProgress reports whether an attempt of a task in state s runs or may run.
+func (s TaskState) InProgress() bool {
+	return s == TaskStarting || s == TaskRunning || s == TaskStopping
+}
+
 // JobSpec is what a caller submits.
 type JobSpec struct {
 	Team       TeamName  `json:"team"`
--- /dev/null
+++ b/pkg/shard/command.go
@@ -0,0 +1,163 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"fulmarcourse.example/core/reconcile"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/worker"
+	"github.com/juju/errors"
+)
+
+const errEpochChanged = errors.ConstError("shard is owned under another epoch")
+
+// repeatCommands sends the stop commands that are due and repeats start commands whose result is not certain.
+func (l *Loop) repeatCommands(ctx context.Context) {
+	now := l.cfg.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range l.table.workers {
+		if !w.listed {
+			continue
+		}
+		for id, c := range w.commitments {
+			l.repeatCommand(ctx, w, id, c, now)
+		}
+		for key, c := range w.foreign {
+			l.repeatCommand(ctx, w, key.task, c, now)
+		}
+	}
+}
+
+// repeatCommand sends the command of one attempt if it is due. Called with mu held; the call runs in the pool.
+func (l *Loop) repeatCommand(ctx context.Context, w *workerEntry, id structs.TaskID, c *commitment, now time.Time) {
+	if c.sending {
+		return
+	}
+	stopDue := !c.stopAt.IsZero() && !now.Before(c.stopAt)
+	startDue := c.settling && c.stopAt.IsZero() && now.Sub(c.since) > commandRepeat
+	switch {
+	case startDue:
+		c.sending = l.goCall(ctx, commandTimeout, func(ctx context.Context) { l.sendStart(ctx, w, id, c) })
+	case stopDue:
+		c.stopAt = now.Add(commandRepeat)
+		c.sending = l.goCall(ctx, 2*commandTimeout, func(ctx context.Context) { l.sendStop(ctx, w, id, c) })
+	}
+}
+
+// sendStop checkpoints an attempt if its kind allows it, then stops it. The result arrives with the next inventory,
+// so an error needs no handling here: the command is repeated until the worker reports the end.
+func (l *Loop) sendStop(ctx context.Context, w *workerEntry, id structs.TaskID, c *commitment) {
+	defer l.clearSending(c)
+	if _, err := l.valid(); err != nil {
+		return
+	}
+	ref := l.ref(id, c.attempt)
+	kind, _ := l.kind(c.kind)
+	if kind.Checkpointable {
+		if _, err := l.cfg.Workers.Checkpoint(ctx, w.host.Address, ref); err != nil {
+			l.cfg.Log.Event(eventlog.CheckpointFailed).Str("task", id.String()).Str("worker", string(w.host.ID)).Err(err).Msg("")
+			if !l.stopWithoutCheckpoint(id) {
+				return
+			}
+		}
+	}
+	if _, err := l.valid(); err != nil {
+		return
+	}
+	if err := l.cfg.Workers.Stop(ctx, w.host.Address, ref); err != nil {
+		l.cfg.Log.Event(eventlog.StopFailed).Str("task", id.String()).Str("worker", string(w.host.ID)).Err(err).Msg("")
+		return
+	}
+	l.stopConfirmed(c)
+}
+
+// stopConfirmed notes that the worker will not execute a start command of the attempt any more, so that an inventory
+// without the attempt settles it.
+func (l *Loop) stopConfirmed(c *commitment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.settling = false
+	c.since = l.cfg.Clock()
+}
+
+// stopWithoutCheckpoint reports whether the task may lose its progress, because its job was cancelled.
+func (l *Loop) stopWithoutCheckpoint(id structs.TaskID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j, _ := l.table.task(id)
+	return j == nil || j.record.CancelRequested
+}
+
+func (l *Loop) clearSending(c *commitment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.sending = false
+}
+
+// sendStart sends a start command and applies its result. The permit and the ownership are checked immediately before
+// sending, so that neither a removed data centre nor a lost shard gets a start after a pause of this process.
+func (l *Loop) sendStart(ctx context.Context, w *workerEntry, id structs.TaskID, c *commitment) {
+	err := l.checkStart()
+	if err == nil {
+		l.noteRenewal(w)
+		err = l.cfg.Workers.Start(ctx, w.host.Address, c.command)
+	} else {
+		err = notSent{err}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.sending = false
+	l.applyStart(w, id, c, err)
+}
+
+// noteRenewal records that a command that grants a task lease is about to be sent.
+func (l *Loop) noteRenewal(w *workerEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.renewedAt = l.cfg.Clock()
+}
+
+// notSent wraps the reason why a command was not sent.
+type notSent struct{ error }
+
+// checkStart returns nil if a task may start in the shard now.
+func (l *Loop) checkStart() error {
+	if err := l.cfg.Permits.MayStart(); err != nil {
+		return errors.Annotate(err, "no permit")
+	}
+	_, err := l.valid()
+	return err
+}
+
+// applyStart takes over the result of a start command. Called with mu held.
+func (l *Loop) applyStart(w *workerEntry, id structs.TaskID, c *commitment, err error) {
+	j, rec := l.table.task(id)
+	if rec == nil || w.commitments[id] != c || rec.State != structs.TaskStarting {
+		return // an inventory or a lease expiry settled the attempt meanwhile
+	}
+	var unsent notSent
+	switch {
+	case err == nil:
+		c.settling = false
+		rec.State = structs.TaskRunning
+	case errors.As(err, &unsent) && c.sentOnce:
+		// An earlier sending of the same command may have arrived or may still arrive. A confirmed stop settles it.
+		if c.stopAt.IsZero() {
+			c.stopAt = l.cfg.Clock()
+		}
+		return
+	case errors.As(err, &unsent), errors.Is(err, worker.ErrRefused), errors.Is(err, worker.ErrStaleEpoch):
+		delete(w.commitments, id)
+		reconcile.Unstarted(rec, err.Error())
+		l.planner.noteRefusal(w.host.ID, l.cfg.Clock())
+	default:
+		c.sentOnce = true
+		c.settling = true
+		c.since = l.cfg.Clock()
+		return
+	}
+	j.dirty = true
+}
--- /dev/null
+++ b/pkg/shard/records.go
@@ -0,0 +1,214 @@
+package shard
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"fulmarcourse.example/core/reconcile"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/jobs"
+)
+
+// refresh reads job records from the store: all records homed here the first time, changed ones afterwards.
+// When the store cannot be reached, the loop goes on with the records that it has.
+func (l *Loop) refresh(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if !l.isLoaded() {
+		l.load(callCtx)
+		return
+	}
+	l.mu.Lock()
+	since := l.revision
+	l.mu.Unlock()
+	changes, err := l.cfg.Records.Changes(callCtx, since)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, stored := range changes.Jobs {
+		// A record that appears after the load was created, or moved here, after this host acquired the shard.
+		l.merge(stored, true)
+	}
+	l.revision = changes.Revision
+}
+
+func (l *Loop) load(ctx context.Context) {
+	loaded, err := l.cfg.Records.LoadHome(ctx, l.shard)
+	if err != nil {
+		l.cfg.Log.Event(eventlog.JobsNotLoaded).Str("shard", l.shard.String()).Err(err).Msg("")
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, stored := range loaded.Jobs {
+		l.merge(stored, false)
+	}
+	l.revision = loaded.Revision
+	l.loaded = true
+	// An inventory that arrived before the records were read could not be matched with them.
+	for _, w := range l.table.workers {
+		w.known = false
+	}
+	l.cfg.Log.Event(eventlog.JobsLoaded).Str("shard", l.shard.String()).Int("jobs", len(loaded.Jobs)).Msg("")
+}
+
+// merge takes over a record as read from the store. Called with mu held.
+func (l *Loop) merge(stored jobs.Stored, fresh bool) {
+	id := stored.Record.ID
+	switch l.batch.Observe(stored) {
+	case jobs.ObservedNew:
+		l.adopt(stored.Record, fresh)
+	case jobs.ObservedCancelled:
+		l.markCancelled(id)
+	case jobs.ObservedMoved:
+		delete(l.table.jobs, id)
+	}
+}
+
+// markCancelled notes a cancellation that another host has stored. Called with mu held.
+func (l *Loop) markCancelled(id structs.JobID) {
+	if j, ok := l.table.jobs[id]; ok {
+		j.record.CancelRequested = true
+	}
+}
+
+// onCancel is called by the batch, without locks, when a write finds a new cancellation.
+func (l *Loop) onCancel(id structs.JobID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.markCancelled(id)
+}
+
+// adopt adds a job and reserves capacity for its attempts that may be running. Called with mu held.
+func (l *Loop) adopt(record structs.JobRecord, fresh bool) {
+	j := &job{record: record, adoptedAt: l.cfg.Clock(), fresh: fresh}
+	l.table.jobs[record.ID] = j
+	for i := range j.record.Tasks {
+		rec := &j.record.Tasks[i]
+		if !rec.State.InProgress() {
+			continue
+		}
+		w := l.table.worker(rec.Worker, l.acquiredAt)
+		l.table.commit(w, structs.TaskID{Job: record.ID, Index: i}, commitment{
+			attempt:  rec.Attempt,
+			kind:     record.Spec.Kind,
+			reserved: l.declared(j),
+			since:    l.acquiredAt,
+		})
+	}
+}
+
+// declared returns the declared size of each task of a job. Called with mu held.
+func (l *Loop) declared(j *job) structs.Resources {
+	if document, _, ok := l.cfg.Environment.Document(); ok {
+		return jobs.DeclaredSize(document, j.record.Spec)
+	}
+	return j.record.Spec.Declared
+}
+
+// save queues the changed records. Records that nobody waits for share transactions. Called by the loop goroutine.
+func (l *Loop) save() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, j := range l.table.jobs {
+		if j.failedWrite() {
+			j.dirty = true
+		}
+		if j.record.Home != l.shard && !j.dirty && j.durable() {
+			delete(l.table.jobs, id)
+			continue
+		}
+		if j.dirty {
+			j.dirty = false
+			j.ticket = l.batch.PutLazy(j.record)
+		}
+	}
+}
+
+// saveNow queues one record for prompt writing and returns its ticket. Called with mu held.
+func (l *Loop) saveNow(j *job) *jobs.Ticket {
+	j.dirty = false
+	j.ticket = l.batch.Put(j.record)
+	return j.ticket
+}
+
+// durable reports whether the store holds the record as it is.
+func (j *job) durable() bool {
+	if j.dirty {
+		return false
+	}
+	if j.ticket == nil {
+		return true
+	}
+	select {
+	case <-j.ticket.Done():
+		return j.ticket.Err() == nil
+	default:
+		return false
+	}
+}
+
+// failedWrite reports whether the latest write of the record ended with an error.
+func (j *job) failedWrite() bool {
+	if j.ticket == nil {
+		return false
+	}
+	select {
+	case <-j.ticket.Done():
+		return j.ticket.Err() != nil
+	default:
+		return false
+	}
+}
+
+// applyCancellations cancels pending tasks and stops running ones of jobs whose cancellation was requested.
+func (l *Loop) applyCancellations() {
+	now := l.cfg.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, j := range l.table.jobs {
+		if !j.record.CancelRequested {
+			continue
+		}
+		for i := range j.record.Tasks {
+			rec := &j.record.Tasks[i]
+			if reconcile.Cancel(rec) {
+				j.dirty = true
+				continue
+			}
+			l.stopTask(structs.TaskID{Job: j.record.ID, Index: i}, j, rec, now)
+		}
+	}
+}
+
+// stopTask begins to stop the running attempt of a task, if there is one, at due. Called with mu held.
+func (l *Loop) stopTask(id structs.TaskID, j *job, rec *structs.TaskRecord, due time.Time) {
+	if rec.State != structs.TaskRunning && rec.State != structs.TaskStopping {
+		return
+	}
+	w, ok := l.table.workers[rec.Worker]
+	if !ok {
+		return
+	}
+	c := w.commitments[id]
+	if c == nil || !c.stopAt.IsZero() {
+		return
+	}
+	c.stopAt = due
+	if rec.State != structs.TaskStopping {
+		rec.State = structs.TaskStopping
+		j.dirty = true
+	}
+}
+
+// idle reports whether a job has pending tasks and none with an attempt in progress.
+func idle(record *structs.JobRecord) bool {
+	if slices.ContainsFunc(record.Tasks, func(t structs.TaskRecord) bool { return t.State.InProgress() }) {
+		return false
+	}
+	return slices.ContainsFunc(record.Tasks, func(t structs.TaskRecord) bool { return t.State == structs.TaskPending })
+}
--- /dev/null
+++ b/pkg/shard/renew.go
@@ -0,0 +1,179 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"fulmarcourse.example/core/reconcile"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/worker"
+)
+
+// renewAll starts one renewal per worker. Called by the loop goroutine, no lock held.
+func (l *Loop) renewAll(ctx context.Context) {
+	l.mu.Lock()
+	var entries []*workerEntry
+	for _, w := range l.table.workers {
+		if w.listed && !w.renewing {
+			w.renewing = true
+			entries = append(entries, w)
+		}
+	}
+	l.mu.Unlock()
+	for _, w := range entries {
+		go l.renew(ctx, w)
+	}
+}
+
+// renew renews the task leases of one worker and applies its inventory. At most one renewal per worker is in progress.
+func (l *Loop) renew(ctx context.Context, w *workerEntry) {
+	defer l.setRenewed(w)
+	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	req, sentAt, ok := l.renewRequest(w)
+	if !ok {
+		return
+	}
+	inventory, err := l.cfg.Workers.Renew(callCtx, w.host.Address, req)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		if w.absentSince.IsZero() {
+			w.absentSince = sentAt
+		}
+		return
+	}
+	w.absentSince = time.Time{}
+	w.heardAt = sentAt
+	w.known = true
+	l.applyInventory(w, inventory, sentAt)
+}
+
+func (l *Loop) setRenewed(w *workerEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.renewing = false
+}
+
+// renewRequest prepares a renewal. Leases are extended only while the worker answers and the horizon has not passed;
+// otherwise the request only reads the inventory, so that the leases of an unreachable worker expire at a known time.
+func (l *Loop) renewRequest(w *workerEntry) (worker.RenewRequest, time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, err := l.valid(); err != nil {
+		return worker.RenewRequest{}, time.Time{}, false
+	}
+	now := l.cfg.Clock()
+	req := worker.RenewRequest{Shard: l.shard, Epoch: l.epoch, Acknowledge: l.settled(w)}
+	if l.mayExtend(w, now) {
+		req.Lease = TaskLeaseTTL
+		w.renewedAt = now
+	}
+	return req, now, true
+}
+
+// mayExtend reports whether a renewal may extend leases. Called with mu held.
+func (l *Loop) mayExtend(w *workerEntry, now time.Time) bool {
+	if !w.absentSince.IsZero() && now.Sub(w.absentSince) > unreachableAfter {
+		return false
+	}
+	confirmed := l.cfg.Environment.StoreConfirmedAt()
+	return now.Sub(confirmed) < TaskHorizon-TaskLeaseTTL
+}
+
+// settled lists the ended attempts on the worker whose outcome is durable. Called with mu held.
+func (l *Loop) settled(w *workerEntry) []worker.AttemptRef {
+	var refs []worker.AttemptRef
+	for key := range w.ended {
+		if j, rec := l.table.task(key.task); rec == nil || j.durable() {
+			refs = append(refs, l.ref(key.task, key.number))
+		}
+	}
+	return refs
+}
+
+func (l *Loop) ref(id structs.TaskID, attempt int) worker.AttemptRef {
+	return worker.AttemptRef{Task: id, Attempt: attempt, Shard: l.shard, Epoch: l.epoch}
+}
+
+// applyInventory takes over a complete inventory whose request was sent at sentAt. Called with mu held.
+func (l *Loop) applyInventory(w *workerEntry, inventory structs.Inventory, sentAt time.Time) {
+	reported := make(map[attempt]bool, len(inventory.Tasks))
+	clear(w.foreign)
+	clear(w.ended)
+	for _, wt := range inventory.Tasks {
+		reported[attempt{wt.Task, wt.Attempt}] = true
+		l.applyReport(w, wt, sentAt)
+	}
+	for id, c := range w.commitments {
+		if !reported[attempt{id, c.attempt}] {
+			l.applyAbsence(w, id, c, sentAt)
+		}
+	}
+	l.planner.colocated(w, sentAt)
+}
+
+// applyReport takes over one task of an inventory. Called with mu held.
+func (l *Loop) applyReport(w *workerEntry, wt structs.WorkerTask, sentAt time.Time) {
+	running := wt.State == structs.OnWorkerRunning
+	j, rec := l.table.task(wt.Task)
+	if rec == nil {
+		l.applyForeign(w, wt)
+		return
+	}
+	changed, command := reconcile.Report(rec, w.host.ID, wt, l.traits(j))
+	if changed {
+		j.dirty = true
+	}
+	if !running {
+		l.applyEnd(w, wt)
+		l.planner.ended(wt, sentAt)
+		return
+	}
+	l.planner.observe(w.host.ID, wt, sentAt)
+	if rec.State.Final() || rec.Worker != w.host.ID || rec.Attempt != wt.Attempt {
+		l.addForeign(w, wt).stopAt = sentAt // a stray attempt: the task runs elsewhere or is settled
+		return
+	}
+	c := w.commitments[wt.Task]
+	if c == nil || c.attempt != wt.Attempt {
+		c = l.table.commit(w, wt.Task, commitment{attempt: wt.Attempt, kind: wt.Kind, reserved: wt.Reserved, since: sentAt})
+	}
+	c.report = wt
+	c.settling = false
+	if command == reconcile.CommandStop && c.stopAt.IsZero() {
+		c.stopAt = sentAt
+	}
+}
+
+// applyEnd frees the capacity of an ended attempt and remembers to acknowledge it. Called with mu held.
+func (l *Loop) applyEnd(w *workerEntry, wt structs.WorkerTask) {
+	w.ended[attempt{wt.Task, wt.Attempt}] = struct{}{}
+	if c := w.commitments[wt.Task]; c != nil && c.attempt == wt.Attempt {
+		delete(w.commitments, wt.Task)
+	}
+}
+
+// applyForeign handles a report of a task that is not homed in the shard. Called with mu held.
+func (l *Loop) applyForeign(w *workerEntry, wt structs.WorkerTask) {
+	if wt.State == structs.OnWorkerRunning {
+		l.addForeign(w, wt)
+	} else if l.loaded {
+		l.applyEnd(w, wt)
+	}
+}
+
+func (l *Loop) addForeign(w *workerEntry, wt structs.WorkerTask) *commitment {
+	c := &commitment{attempt: wt.Attempt, kind: wt.Kind, reserved: wt.Reserved, report: wt}
+	w.foreign[attempt{wt.Task, wt.Attempt}] = c
+	return c
+}
+
+// applyAbsence handles a commitment that a complete inventory lacks. Called with mu held.
+func (l *Loop) applyAbsence(w *workerEntry, id structs.TaskID, c *commitment, sentAt time.Time) {
+	// A start command that is not yet answered, or was sent after the inventory was requested, may still take effect.
+	if c.settling || !c.since.Before(sentAt) {
+		return
+	}
+	l.gone(id, w, reconcile.ReasonVanished)
+}
--- /dev/null
+++ b/pkg/shard/start.go
@@ -0,0 +1,203 @@
+package shard
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"fulmarcourse.example/core/placement"
+	"fulmarcourse.example/core/placement/learn"
+	"fulmarcourse.example/core/reconcile"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/jobs"
+)
+
+// maxPlanned bounds the pending tasks that one planning cycle looks at.
+const maxPlanned = 600
+
+// start is one start command that is ready to be sent.
+type start struct {
+	worker     *workerEntry
+	task       structs.TaskID
+	commitment *commitment
+	intent     *jobs.Ticket // durable start intent to wait for; nil for idempotent kinds
+}
+
+// startPending plans pending tasks and sends the start commands. Called by the loop goroutine, no lock held.
+func (l *Loop) startPending(ctx context.Context) {
+	if l.checkStart() != nil {
+		return
+	}
+	for _, s := range l.planStarts() {
+		l.goCall(ctx, 2*commandTimeout, func(ctx context.Context) { l.sendIntended(ctx, s) })
+	}
+}
+
+// sendIntended waits for the durable start intent, if the kind needs one, and sends the start command.
+func (l *Loop) sendIntended(ctx context.Context, s start) {
+	if s.intent != nil {
+		if err := s.intent.Wait(ctx); err != nil {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			s.commitment.sending = false
+			l.applyStart(s.worker, s.task, s.commitment, notSent{err})
+			return
+		}
+	}
+	l.sendStart(ctx, s.worker, s.task, s.commitment)
+}
+
+// planStarts plans pending tasks and commits the capacity of each placement. The commitment is checked against the
+// worker's free capacity again, so that no plan can commit a host beyond its capacity.
+func (l *Loop) planStarts() []start {
+	now := l.cfg.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	tokens := poolSize - len(l.pool)
+	pending := l.pendingTasks(now)
+	if tokens <= 0 || len(pending) == 0 {
+		return nil
+	}
+	plan := l.planner.core.Plan(l.snapshot(now), pending, l.planner.rnd)
+	l.planner.noteUnplaced(plan.Unplaced)
+	var starts []start
+	for _, p := range plan.Placements {
+		if len(starts) == tokens {
+			break
+		}
+		if s, ok := l.beginStart(p, now); ok {
+			starts = append(starts, s)
+		}
+	}
+	return starts
+}
+
+// pendingTasks lists the tasks that may start, in planning order. Called with mu held.
+func (l *Loop) pendingTasks(now time.Time) []placement.Pending {
+	var pending []placement.Pending
+	for id, j := range l.table.jobs {
+		if j.record.Home != l.shard || j.record.CancelRequested || !l.recovered(j) {
+			continue
+		}
+		if _, ok := l.kind(j.record.Spec.Kind); !ok {
+			continue
+		}
+		for i := range j.record.Tasks {
+			rec := &j.record.Tasks[i]
+			if rec.State != structs.TaskPending {
+				continue
+			}
+			task := structs.TaskID{Job: id, Index: i}
+			pending = append(pending, placement.Pending{
+				Task:     task,
+				Kind:     j.record.Spec.Kind,
+				Declared: l.declared(j),
+				Urgent:   j.record.Spec.Urgent,
+				Since:    j.waitingSince(),
+				Excluded: rec.FailedOn,
+				Held:     l.planner.held[task],
+			})
+		}
+	}
+	slices.SortFunc(pending, comparePending)
+	return pending[:min(len(pending), maxPlanned)]
+}
+
+// comparePending orders urgent tasks first, then by waiting time, then by id.
+func comparePending(a, b placement.Pending) int {
+	if a.Urgent != b.Urgent {
+		if a.Urgent {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+}
+
+// recovered reports whether the tasks of a job that are recorded as pending certainly run nowhere: the job came to
+// the shard under this epoch, or every worker has answered or its leases have expired. Called with mu held.
+func (l *Loop) recovered(j *job) bool {
+	if j.fresh {
+		return true
+	}
+	for _, w := range l.table.workers {
+		if !w.known && !l.leaseExpired(w) {
+			return false
+		}
+	}
+	return true
+}
+
+// snapshot builds the workers' state for one planning cycle. Called with mu held.
+func (l *Loop) snapshot(now time.Time) placement.Snapshot {
+	snapshot := placement.Snapshot{Now: now}
+	for id, w := range l.table.workers {
+		if !w.usable(now) || l.planner.penalized(id, now) {
+			continue
+		}
+		snapshot.Nodes = append(snapshot.Nodes, &placement.Node{
+			Host:     id,
+			Rack:     w.host.Rack,
+			Capacity: w.host.Capacity,
+			Reserved: w.committed(),
+			Kinds:    w.kinds(),
+		})
+	}
+	slices.SortFunc(snapshot.Nodes, func(a, b *placement.Node) int { return cmp.Compare(a.Host, b.Host) })
+	return snapshot
+}
+
+// kinds counts the committed tasks by kind, sorted by kind.
+func (w *workerEntry) kinds() []learn.KindCount {
+	counts := map[structs.KindName]int{}
+	for _, c := range w.commitments {
+		counts[c.kind]++
+	}
+	for _, c := range w.foreign {
+		counts[c.kind]++
+	}
+	kinds := make([]learn.KindCount, 0, len(counts))
+	for kind, count := range counts {
+		kinds = append(kinds, learn.KindCount{Kind: kind, Count: count})
+	}
+	slices.SortFunc(kinds, func(a, b learn.KindCount) int { return cmp.Compare(a.Kind, b.Kind) })
+	return kinds
+}
+
+// beginStart commits one placement. Called with mu held.
+func (l *Loop) beginStart(p placement.Placement, now time.Time) (start, bool) {
+	w := l.table.workers[p.Host]
+	j, rec := l.table.task(p.Task)
+	if w == nil || rec == nil || !p.Reserved.Fits(w.free()) || !reconcile.BeginStart(rec, p.Host) {
+		return start{}, false
+	}
+	kind, _ := l.kind(j.record.Spec.Kind)
+	c := l.table.commit(w, p.Task, commitment{
+		attempt:  rec.Attempt,
+		kind:     p.Kind,
+		reserved: p.Reserved,
+		since:    now,
+		sending:  true,
+		settling: true,
+		command: structs.StartCommand{
+			Task:       p.Task,
+			Attempt:    rec.Attempt,
+			Kind:       p.Kind,
+			Shard:      l.shard,
+			Epoch:      l.epoch,
+			Reserved:   p.Reserved,
+			Lease:      TaskLeaseTTL,
+			Checkpoint: rec.Checkpoint,
+			Input:      j.record.Spec.Input,
+			RunSeconds: j.record.Spec.RunSeconds,
+		},
+	})
+	j.dirty = true
+	l.planner.colocated(w, now)
+	s := start{worker: w, task: p.Task, commitment: c}
+	if !kind.Idempotent {
+		s.intent = l.saveNow(j)
+	}
+	return s, true
+}
