Keep control state from store polls and peers

Every entry host needs the document, data centre states, members and shard owners, within seconds and through store outages, and operators need writes whose outcome is certain or says that it is not.

pkg/control polls the store each second by minimum revision and reads the leased entries in full every 15 s. The full read leaves out history and tried documents, which are large and never vanish with a lease; history records carry no text and both are bounded, because the store scans the whole prefix at every poll. Relay replies hold all relayed entries or none, since a part of them could not show deletions. A reply without entries confirms only what the receiver asked from, so a revision is never confirmed without its state.

A write with a lost response is settled by its nonce. It is sent again only when the store shows that it was not applied; its guards then let it apply at most once. Blind retry was ruled out by the design. A removal stays "attempted" until the reported revision covers it: a revision below a known removal would let peers conclude that there is none. The full read takes the data centres first for the same reason.

--- /dev/null
+++ b/pkg/control/datacentre_test.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// withMembers returns a fixture that knows one member in each of two data centres, and the revisions they report.
+func withMembers(t *testing.T) (*fixture, fixedRevisions) {
+	t.Helper()
+	revisions := fixedRevisions{}
+	f := newFixture(t, func(cfg *Config) { cfg.Revisions = revisions })
+	f.store.put(f.layout.key(partMembers+"a1"), structs.MemberRecord{Host: "a1", Datacentre: "a"})
+	f.store.put(f.layout.key(partMembers+"b1"), structs.MemberRecord{Host: "b1", Datacentre: "b"})
+	f.poll(t)
+	return f, revisions
+}
+
+// Guards against a removal that is reported as confirmed before every member knows it.
+func TestSetDatacentreReport(t *testing.T) {
+	f, revisions := withMembers(t)
+	report, err := f.SetDatacentre(t.Context(), "b", structs.DatacentreOut, "ann")
+	if err != nil {
+		t.Fatal(err)
+	}
+	expires := start.Add(PermitTTL)
+	want := Report{Datacentre: "b", State: structs.DatacentreOut, Outcome: Applied, Revision: f.store.revision, ExpiresAt: expires,
+		Datacentres: []DatacentreReport{
+			{Datacentre: "a", Confirmed: true},
+			{Datacentre: "b", Waiting: []structs.HostID{"b1"}, ExpiresAt: &expires},
+		}}
+	if diff := cmp.Diff(want, report); diff != "" {
+		t.Fatalf("report differs (-want +got):\n%s", diff)
+	}
+	revisions["b1"] = report.Revision - 1
+	if later, _ := f.DatacentreReport("b"); later.Confirmed() {
+		t.Fatal("confirmed by a member that does not know the removal")
+	}
+	revisions["b1"] = report.Revision
+	if later, _ := f.DatacentreReport("b"); !later.Confirmed() {
+		t.Fatalf("not confirmed: %+v", later)
+	}
+	before := f.store.revision
+	if again, err := f.SetDatacentre(t.Context(), "b", structs.DatacentreOut, "bob"); err != nil || again.Revision != before {
+		t.Fatalf("repeated removal: %+v, %v", again, err)
+	}
+}
+
+// Guards against invalid commands reaching the store and against racing commands that both seem to win.
+func TestSetDatacentreRejects(t *testing.T) {
+	f, _ := withMembers(t)
+	if _, err := f.SetDatacentre(t.Context(), "b", "away", "ann"); !errors.Is(err, ErrBadState) {
+		t.Errorf("bad state: %v", err)
+	}
+	if _, err := f.SetDatacentre(t.Context(), "z", structs.DatacentreOut, "ann"); !errors.Is(err, ErrUnknownDatacentre) {
+		t.Errorf("unknown data centre: %v", err)
+	}
+	f.store.beforeTxn = func() {
+		f.store.put(f.layout.datacentre("b"), structs.DatacentreRecord{State: structs.DatacentreIn, Author: "bob"})
+	}
+	var conflict *DatacentreConflictError
+	if _, err := f.SetDatacentre(t.Context(), "b", structs.DatacentreOut, "ann"); !errors.As(err, &conflict) || conflict.Current.Author != "bob" {
+		t.Errorf("race: %v", err)
+	}
+}
+
+// Guards against a member that states "no removal attempted" while its removal may be in effect or may still
+// take effect. The store is lost in the middle of the command.
+func TestRemovalAttempted(t *testing.T) {
+	for name, fault := range map[string]txnFault{"applied": loseAck, "lost": loseTxn, "delayed": delayTxn} {
+		t.Run(name, func(t *testing.T) {
+			f, _ := withMembers(t)
+			f.store.txnFaults = []txnFault{fault, loseTxn, loseTxn, loseTxn}
+			f.store.beforeTxn = func() {
+				if !f.RemovalAttempted() {
+					t.Error("the removal is sent before it is recorded as attempted")
+				}
+			}
+			_, err := f.SetDatacentre(t.Context(), "b", structs.DatacentreOut, "ann")
+			if fault == loseAck {
+				if err != nil || f.Datacentre("b") != structs.DatacentreOut {
+					t.Fatalf("a removal that was applied is not reported: %v", err)
+				}
+				return
+			}
+			if !errors.Is(err, ErrUnknown) || !f.RemovalAttempted() {
+				t.Fatalf("error %v, attempted %v", err, f.RemovalAttempted())
+			}
+			for f.RemovalAttempted() {
+				f.poll(t)
+			}
+			if applied := f.store.deliver(); applied != 0 {
+				t.Fatal("a removal took effect after it was settled")
+			}
+			if f.Datacentre("b") != structs.DatacentreIn {
+				t.Fatal("a removal that was not applied is in effect")
+			}
+		})
+	}
+}
+
+// Guards against "no removal attempted" from a member that knows the removal while the revision it reports
+// does not cover it: the write succeeds and the store is lost before the next poll.
+func TestRemovalAttemptedUntilCovered(t *testing.T) {
+	f, _ := withMembers(t)
+	f.store.put(f.layout.datacentre("b"), structs.DatacentreRecord{State: structs.DatacentreOut})
+	kv := f.store.data[f.layout.datacentre("b")]
+	f.learnDatacentre("b", toEntry(kv))
+	f.store.setDown(true)
+	if err := f.PollNow(t.Context()); err == nil {
+		t.Fatal("the poll reached a store that is down")
+	}
+	if !f.RemovalAttempted() || f.Datacentre("b") != structs.DatacentreOut {
+		t.Fatal("the removal is not stated")
+	}
+	f.store.setDown(false)
+	f.poll(t)
+	if f.RemovalAttempted() {
+		t.Fatal("the removal is covered by the revision and still stated as attempted")
+	}
+}
--- /dev/null
+++ b/pkg/control/datacentres.go
@@ -0,0 +1,151 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/store"
+)
+
+// Report tells how far a change of a data centre's state has spread.
+type Report struct {
+	Datacentre structs.DatacentreID    `json:"datacentre"`
+	State      structs.DatacentreState `json:"state"`
+	Outcome    Outcome                 `json:"outcome"`
+	Revision   int64                   `json:"revision"` // store revision of the change
+	// ExpiresAt is the time at which permits given before the change have certainly expired.
+	ExpiresAt   time.Time          `json:"expires_at"`
+	Datacentres []DatacentreReport `json:"datacentres"`
+}
+
+// DatacentreReport tells whether the members of one data centre know the change.
+type DatacentreReport struct {
+	Datacentre structs.DatacentreID `json:"datacentre"`
+	Confirmed  bool                 `json:"confirmed"`         // every known member has confirmed the change
+	Waiting    []structs.HostID     `json:"waiting,omitempty"` // known members that have not
+	ExpiresAt  *time.Time           `json:"expires_at,omitempty"`
+}
+
+// Confirmed reports whether every data centre has confirmed the change.
+func (r Report) Confirmed() bool {
+	for _, dc := range r.Datacentres {
+		if !dc.Confirmed {
+			return false
+		}
+	}
+	return len(r.Datacentres) > 0
+}
+
+// SetDatacentre takes a data centre out of service or brings it back. It returns ErrBadState,
+// ErrUnknownDatacentre, *DatacentreConflictError, ErrNotApplied or ErrUnknown. Setting the state that is
+// already stored changes nothing.
+func (s *Service) SetDatacentre(ctx context.Context, id structs.DatacentreID, state structs.DatacentreState, author string) (report Report, err error) {
+	ctx, span := s.cfg.Tracer.Start(ctx, "control.set_datacentre")
+	defer func() { endSpan(span, err) }()
+	report = Report{Datacentre: id, State: state, Outcome: NotApplied}
+	if state != structs.DatacentreIn && state != structs.DatacentreOut {
+		return report, errors.Annotatef(ErrBadState, "%q", state)
+	}
+	if !s.knowsDatacentre(id) {
+		return report, errors.Annotatef(ErrUnknownDatacentre, "%q", id)
+	}
+	report.Outcome, err = s.writeDatacentre(ctx, id, state, author)
+	s.cfg.Log.Event(eventlog.ControlDatacentreWritten).Str("datacentre", string(id)).Str("state", string(state)).
+		Str("author", author).Str("outcome", string(report.Outcome)).Err(err).Msg("data centre command")
+	if err != nil {
+		return report, err
+	}
+	_ = s.PollNow(ctx) // so that this process confirms the change at once; the loop polls anyway
+	if spread, known := s.DatacentreReport(id); known && spread.State == state {
+		spread.Outcome = Applied
+		return spread, nil
+	}
+	return report, nil // another command has changed the state since
+}
+
+func (s *Service) writeDatacentre(ctx context.Context, id structs.DatacentreID, state structs.DatacentreState, author string) (Outcome, error) {
+	key := s.layout.datacentre(id)
+	kv, found, err := s.cfg.Store.Get(ctx, key)
+	if err != nil {
+		return NotApplied, errors.WithType(errors.Trace(err), ErrNotApplied)
+	}
+	if found && s.alreadySet(kv, state) {
+		s.learnDatacentre(id, toEntry(kv))
+		return Applied, nil
+	}
+	record := structs.DatacentreRecord{State: state, Author: author, Time: s.cfg.Now().UTC(), Nonce: s.cfg.NewNonce()}
+	if state == structs.DatacentreOut {
+		s.beginRemoval(record.Nonce, id, kv.ModRevision)
+	}
+	done, err := s.apply(ctx, datacentreWrite(key, kv.ModRevision, record))
+	if done.outcome == Applied {
+		s.learnDatacentre(id, entry{value: mustJSON(record), create: kv.CreateRevision, mod: done.revision})
+	}
+	s.endRemoval(record.Nonce, done.outcome)
+	if err == nil && done.outcome == NotApplied {
+		return s.lostDatacentreRace(ctx, id, state)
+	}
+	return done.outcome, err
+}
+
+func datacentreWrite(key string, mod int64, record structs.DatacentreRecord) write {
+	return write{
+		txn: store.Txn{
+			Compares: []store.Compare{{Key: key, Target: store.CompareModRevision, Revision: mod}},
+			Puts:     []store.Put{{Key: key, Value: mustJSON(record)}},
+		},
+		evidence: key,
+		guardMod: mod,
+		nonce:    record.Nonce,
+	}
+}
+
+func (s *Service) alreadySet(kv store.KeyValue, state structs.DatacentreState) bool {
+	var record structs.DatacentreRecord
+	return json.Unmarshal(kv.Value, &record) == nil && record.State == state
+}
+
+// lostDatacentreRace handles a write that another operator's write has overtaken.
+func (s *Service) lostDatacentreRace(ctx context.Context, id structs.DatacentreID, state structs.DatacentreState) (Outcome, error) {
+	kv, _, err := s.cfg.Store.Get(ctx, s.layout.datacentre(id))
+	if err != nil {
+		return NotApplied, errors.WithType(errors.Trace(err), ErrNotApplied)
+	}
+	if s.alreadySet(kv, state) {
+		s.learnDatacentre(id, toEntry(kv))
+		return Applied, nil
+	}
+	conflict := &DatacentreConflictError{Datacentre: id}
+	_ = json.Unmarshal(kv.Value, &conflict.Current) // a damaged record leaves the fields empty
+	return NotApplied, conflict
+}
+
+// learnDatacentre takes over a record that this process has written or read, ahead of the next poll.
+func (s *Service) learnDatacentre(id structs.DatacentreID, e entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.putEntry(partDatacentres+string(id), e) {
+		s.notifyChanged()
+	}
+}
+
+// knowsDatacentre reports whether the document, a member or an earlier command names the data centre.
+func (s *Service) knowsDatacentre(id structs.DatacentreID) bool {
+	if id == "" {
+		return false
+	}
+	for _, known := range s.knownDatacentres() {
+		if known == id {
+			return true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, recorded := s.state.datacentres[id]
+	return recorded
+}
--- /dev/null
+++ b/pkg/control/document_test.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/document"
+	"fulmarcourse.example/core/structs"
+)
+
+// Guards against a promotion that is not in effect, skips the try, or leaves no history.
+func TestTryAndPromote(t *testing.T) {
+	f := newFixture(t, nil)
+	digest := document.Digest([]byte(text("1s")))
+	if _, err := f.Promote(t.Context(), PromoteRequest{digest, 0, "ann"}); !errors.Is(err, ErrNotTried) {
+		t.Fatalf("promotion without a try: %v", err)
+	}
+	result, err := f.promote(t, text("1s"), 0)
+	if err != nil || result.Outcome != Applied || result.Version != 1 || f.version() != 1 {
+		t.Fatalf("promotion: %+v, %v, version in effect %d", result, err, f.version())
+	}
+	if _, err := f.promote(t, text("2s"), 1); err != nil {
+		t.Fatal(err)
+	}
+	history, err := f.History(t.Context())
+	if err != nil || len(history) != 2 || history[0].Version != 2 || history[1].Digest != digest {
+		t.Fatalf("history: %+v, %v", history, err)
+	}
+}
+
+// Guards against faulty documents and documents of another environment getting into effect.
+func TestPromoteRejects(t *testing.T) {
+	f := newFixture(t, func(cfg *Config) { cfg.Environment = "staging" })
+	var findings document.Findings
+	if _, err := f.Try(t.Context(), "[kind]", "ann"); !errors.As(err, &findings) || len(findings) < 2 {
+		t.Fatalf("try of a faulty document: %v", err)
+	}
+	if _, err := f.promote(t, text("1s"), 0); !errors.Is(err, ErrWrongEnvironment) {
+		t.Fatalf("promotion in another environment: %v", err)
+	}
+}
+
+// Guards against two racing promotions that both report success, or where the later one wins silently.
+func TestPromoteRace(t *testing.T) {
+	f := newFixture(t, nil)
+	if _, err := f.Try(t.Context(), text("1s"), "ann"); err != nil {
+		t.Fatal(err)
+	}
+	f.store.beforeTxn = func() { f.store.put(f.layout.document(), record(1, text("9s"))) }
+	_, err := f.Promote(t.Context(), PromoteRequest{document.Digest([]byte(text("1s"))), 0, "ann"})
+	var conflict *VersionConflictError
+	if !errors.As(err, &conflict) || conflict.Current != 1 {
+		t.Fatalf("want a version conflict, got %v", err)
+	}
+}
+
+// Guards against a lost response being reported as a definite result that is wrong, and against a write applied twice.
+func TestPromoteLostResponse(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  []txnFault
+		outcome Outcome
+		version int64 // in the store afterwards, when the store is up again
+	}{
+		{"applied", []txnFault{loseAck}, Applied, 1},
+		{"lost", []txnFault{loseTxn}, Applied, 1},
+		{"lost again", []txnFault{loseTxn, loseTxn}, Applied, 1},
+		{"delayed", []txnFault{delayTxn}, Applied, 1},
+		{"store gone", []txnFault{cutStore}, Unknown, 1},
+		{"all lost", []txnFault{loseTxn, loseTxn, loseTxn, loseTxn}, Unknown, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			if _, err := f.Try(t.Context(), text("1s"), "ann"); err != nil {
+				t.Fatal(err)
+			}
+			f.store.txnFaults = c.faults
+			result, err := f.Promote(t.Context(), PromoteRequest{document.Digest([]byte(text("1s"))), 0, "ann"})
+			if result.Outcome != c.outcome || errors.Is(err, ErrUnknown) != (c.outcome == Unknown) {
+				t.Fatalf("outcome %s, %v; want %s", result.Outcome, err, c.outcome)
+			}
+			f.store.setDown(false)
+			if applied := f.store.deliver(); applied != 0 {
+				t.Fatal("the delayed copy of a settled write took effect")
+			}
+			f.poll(t)
+			if f.version() != c.version {
+				t.Fatalf("version %d, want %d", f.version(), c.version)
+			}
+		})
+	}
+}
+
+// Guards against "unknown" where the history proves that another promotion took the version.
+func TestPromoteLostResponseAndRace(t *testing.T) {
+	f := newFixture(t, nil)
+	if _, err := f.Try(t.Context(), text("1s"), "ann"); err != nil {
+		t.Fatal(err)
+	}
+	f.store.txnFaults = []txnFault{loseTxn}
+	f.store.beforeTxn = func() {
+		f.store.put(f.layout.document(), record(1, text("9s")))
+		f.store.put(f.layout.history(1), record(1, ""))
+	}
+	result, err := f.Promote(t.Context(), PromoteRequest{document.Digest([]byte(text("1s"))), 0, "ann"})
+	var conflict *VersionConflictError
+	if result.Outcome != NotApplied || !errors.As(err, &conflict) {
+		t.Fatalf("got %+v, %v", result, err)
+	}
+}
+
+// Guards against an unreachable store being reported as anything but "no effect".
+func TestCommandsWithoutStore(t *testing.T) {
+	f := newFixture(t, nil)
+	f.store.put(f.layout.key(partMembers+"a1"), structs.MemberRecord{Host: "a1", Datacentre: "a"})
+	f.poll(t)
+	f.store.setDown(true)
+	if result, err := f.Try(t.Context(), text("1s"), "ann"); !errors.Is(err, ErrNotApplied) || result.Outcome != NotApplied {
+		t.Errorf("try: %+v, %v", result, err)
+	}
+	if result, err := f.Promote(t.Context(), PromoteRequest{"x", 0, "ann"}); !errors.Is(err, ErrNotApplied) || result.Outcome != NotApplied {
+		t.Errorf("promote: %+v, %v", result, err)
+	}
+	if report, err := f.SetDatacentre(t.Context(), "a", structs.DatacentreOut, "ann"); !errors.Is(err, ErrNotApplied) || report.Outcome != NotApplied {
+		t.Errorf("datacentre out: %+v, %v", report, err)
+	}
+	if f.RemovalAttempted() {
+		t.Error("a removal without effect is still reported as attempted")
+	}
+}
+
+// Guards against the control state in the store growing without bound.
+func TestTriedDocumentsAreBounded(t *testing.T) {
+	f := newFixture(t, nil)
+	for i := range triedLimit + 5 {
+		if _, err := f.Try(t.Context(), text("1s")+"# "+string(rune('A'+i))+"\n", "ann"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	result, _ := f.store.Range(t.Context(), layout{"trial"}.key(partTried), 0)
+	if len(result.Entries) != triedLimit {
+		t.Fatalf("%d tried documents are kept, want %d", len(result.Entries), triedLimit)
+	}
+}
+
+// Guards against an older or damaged document getting into effect, whether the store or a peer offers it.
+func TestDocumentVersionOnlyRises(t *testing.T) {
+	damaged := record(8, text("1s"))
+	damaged.Text = text("7s")
+	for name, offered := range map[string]structs.DocumentRecord{
+		"older": record(4, text("1s")), "same version": record(5, text("1s")), "damaged": damaged, "faulty": record(8, "[x]"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, other := newFixture(t, nil), newFixture(t, nil)
+			f.store.put(f.layout.document(), record(5, text("5s")))
+			f.poll(t)
+			f.store.put(f.layout.document(), offered)
+			f.poll(t)
+			other.store.revision = 50
+			other.store.put(f.layout.document(), offered)
+			other.poll(t)
+			relayFrom(t, f.Service, other.Service, f.clock)
+			if f.version() != 5 {
+				t.Fatalf("version %d is in effect, want 5", f.version())
+			}
+			f.store.revision = other.store.revision
+			f.clock.advance(DefaultFullInterval)
+			f.poll(t)
+			if f.version() != 5 {
+				t.Fatalf("version %d is in effect after a full read, want 5", f.version())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/control/keys.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"strconv"
+	"strings"
+
+	"fulmarcourse.example/core/structs"
+)
+
+const root = "/fulmarcourse/"
+
+// Parts of the control state below an environment's prefix.
+const (
+	partControl     = "control/"
+	partDocument    = partControl + "document"
+	partHistory     = partControl + "history/"
+	partTried       = partControl + "tried/"
+	partDatacentres = partControl + "datacentres/"
+	partMembers     = partControl + "members/"
+	partShards      = partControl + "shards/"
+)
+
+// layout builds the store keys of one environment.
+type layout struct{ environment string }
+
+func (l layout) prefix() string                { return root + l.environment + "/" }
+func (l layout) key(part string) string        { return l.prefix() + part }
+func (l layout) document() string              { return l.key(partDocument) }
+func (l layout) history(v int64) string        { return l.key(partHistory + strconv.FormatInt(v, 10)) }
+func (l layout) tried(d structs.Digest) string { return l.key(partTried + string(d)) }
+func (l layout) datacentre(id structs.DatacentreID) string {
+	return l.key(partDatacentres + string(id))
+}
+
+// part returns the key below the environment's prefix, and false for keys of other environments.
+func (l layout) part(key string) (string, bool) { return strings.CutPrefix(key, l.prefix()) }
+
+// relayed reports whether the entry is kept in memory and relayed to peers. History and tried documents are not.
+func relayed(part string) bool {
+	return part == partDocument || strings.HasPrefix(part, partDatacentres) || deletable(part)
+}
+
+// deletable reports whether the entry lives under a store lease and vanishes with it.
+func deletable(part string) bool {
+	return strings.HasPrefix(part, partMembers) || strings.HasPrefix(part, partShards)
+}
+
+// parseShard parses "<datacentre>/<index>".
+func parseShard(text string) (structs.ShardID, bool) {
+	dc, number, found := strings.Cut(text, "/")
+	index, err := strconv.Atoi(number)
+	if !found || dc == "" || err != nil || index < 0 {
+		return structs.ShardID{}, false
+	}
+	return structs.ShardID{Datacentre: structs.DatacentreID(dc), Index: index}, true
+}
--- /dev/null
+++ b/pkg/control/poll_test.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/api/peerpb"
+)
+
+// relayFrom passes the state of one service to another as a heartbeat partner would.
+func relayFrom(t interface{ Fatal(...any) }, to, from *Service, c *clock) {
+	after := to.Confirmation().Revision
+	reply, err := from.FetchControl(context.Background(), &peerpb.FetchControlRequest{AfterRevision: after})
+	if err != nil {
+		t.Fatal(err)
+	}
+	to.ingest(reply, c.Now(), after)
+}
+
+var shardA0 = structs.ShardID{Datacentre: "a", Index: 0}
+
+// Guards against members and owners that vanish from the store but stay in memory, and against wrong epochs.
+func TestPollSeesChangesAndDeletions(t *testing.T) {
+	f := newFixture(t, nil)
+	member, shard := f.layout.key(partMembers+"a1"), f.layout.key(partShards+shardA0.String())
+	f.store.put(member, structs.MemberRecord{Host: "a1", Datacentre: "a"})
+	f.poll(t)
+	changed := f.Changed()
+	f.store.put(shard, structs.ShardOwnerRecord{Owner: "a1"})
+	created := f.store.revision
+	f.poll(t)
+	select {
+	case <-changed:
+	default:
+		t.Fatal("no notification of a new owner")
+	}
+	f.store.put(shard, structs.ShardOwnerRecord{Owner: "a1", Nonce: "renewed"})
+	f.poll(t)
+	if owner, epoch, known := f.Owner(shardA0); !known || owner.Nonce != "renewed" || int64(epoch) != created {
+		t.Fatalf("owner %+v, epoch %d, known %v; want epoch %d", owner, epoch, known, created)
+	}
+	f.store.remove(member)
+	f.store.remove(shard)
+	f.clock.advance(DefaultFullInterval)
+	f.poll(t)
+	if len(f.Members()) != 0 || len(f.Owners()) != 0 {
+		t.Fatalf("deleted entries are still known: %v, %v", f.Members(), f.Owners())
+	}
+}
+
+// Guards against a confirmation that is fresher than the store read behind it, directly or relayed.
+func TestConfirmationAge(t *testing.T) {
+	a := newFixture(t, nil)
+	b := newFixture(t, func(cfg *Config) { cfg.Peers = fakePeers{"a1": a.Service}; cfg.Host = "b1" })
+	b.store.setDown(true)
+	if err := b.PollNow(t.Context()); err == nil || b.StoreReachable() || !b.Confirmation().ReadAt.IsZero() {
+		t.Fatal("a service without any source has a confirmation")
+	}
+	a.store.put(a.layout.document(), record(1, text("1s")))
+	a.poll(t)
+	a.clock.advance(1500*time.Millisecond + time.Microsecond)
+	b.clock.advance(time.Hour)
+	if err := b.PollNow(t.Context()); err == nil {
+		t.Fatal("the error of the store is hidden by a relay")
+	}
+	want := Confirmation{Revision: a.store.revision, ReadAt: b.clock.Now().Add(-1501 * time.Millisecond)}
+	if got := b.Confirmation(); got != want || b.version() != 1 {
+		t.Fatalf("confirmation %+v with version %d, want %+v with version 1", got, b.version(), want)
+	}
+	b.clock.advance(time.Second)
+	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.revision + 7}, b.clock.Now())
+	if got := b.Confirmation(); got != want {
+		t.Fatalf("a revision without its entries was confirmed: %+v", got)
+	}
+	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.revision, AgeMs: 100}, b.clock.Now())
+	if got := b.Confirmation().ReadAt; got != b.clock.Now().Add(-100*time.Millisecond) {
+		t.Fatalf("a fresher confirmation of the same revision was not used: %v", got)
+	}
+}
+
+// Guards against a store that lost data confirming state that it does not have.
+func TestStoreBehindConfirmsNothing(t *testing.T) {
+	f := newFixture(t, nil)
+	f.store.put(f.layout.document(), record(1, text("1s")))
+	f.poll(t)
+	before := f.Confirmation()
+	f.store.revision = 1
+	f.clock.advance(time.Second)
+	if err := f.PollNow(t.Context()); err == nil || f.StoreReachable() {
+		t.Fatal("a store that went back was accepted")
+	}
+	if f.Confirmation() != before {
+		t.Fatal("a store that went back gave a confirmation")
+	}
+}
+
+// Guards against entries of other environments and against relayed entries that were deleted long ago.
+func TestIngestLeavesOutForeignAndDeletedEntries(t *testing.T) {
+	f := newFixture(t, nil)
+	key := f.layout.key(partMembers + "a9")
+	f.store.put(key, structs.MemberRecord{Host: "a9"})
+	stale := f.store.data[key]
+	f.poll(t)
+	f.store.remove(key)
+	f.clock.advance(DefaultFullInterval)
+	f.poll(t)
+	f.Ingest(&peerpb.FetchControlReply{Revision: stale.ModRevision, Entries: []*peerpb.ControlEntry{
+		{Key: key, Value: stale.Value, ModRevision: stale.ModRevision},
+		{Key: layout{"trial"}.key(partMembers + "t1"), Value: stale.Value, ModRevision: 900},
+	}}, f.clock.Now())
+	if members := f.Members(); len(members) != 0 {
+		t.Fatalf("unexpected members %v", members)
+	}
+}
+
+// Guards against state that goes back, or confirmations newer than the state, when two hosts see the same store
+// at different times and relay to each other in any order.
+func TestRelayNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		shared, c := newFakeStore(), &clock{now: start}
+		var hosts []*Service
+		for _, host := range []structs.HostID{"a1", "b1"} {
+			hosts = append(hosts, NewService(Config{Host: host, Environment: "production", Store: shared, Now: c.Now}))
+		}
+		keys := hosts[0].layout
+		written := map[structs.DatacentreState]time.Time{}
+		versions := map[*Service]int64{}
+		version := int64(0)
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			c.advance(time.Duration(rapid.IntRange(1, 6000).Draw(rt, "pause ms")) * time.Millisecond)
+			host := rapid.IntRange(0, 1).Draw(rt, "host")
+			switch rapid.SampledFrom([]string{"poll", "poll", "relay", "relay", "out", "promote"}).Draw(rt, "step") {
+			case "poll":
+				if err := hosts[host].PollNow(t.Context()); err != nil {
+					rt.Fatal(err)
+				}
+			case "relay":
+				relayFrom(rt, hosts[host], hosts[1-host], c)
+			case "out":
+				if _, done := written[structs.DatacentreOut]; !done {
+					shared.put(keys.datacentre("a"), structs.DatacentreRecord{State: structs.DatacentreOut})
+					written[structs.DatacentreOut] = c.Now()
+				}
+			case "promote":
+				version++
+				shared.put(keys.document(), record(version, text("1s")))
+			}
+			for _, h := range hosts {
+				_, rec, _ := h.Document()
+				if rec.Version < versions[h] {
+					rt.Fatalf("version went back from %d to %d", versions[h], rec.Version)
+				}
+				versions[h] = rec.Version
+				out, done := written[structs.DatacentreOut]
+				if done && h.Confirmation().ReadAt.After(out) && h.Datacentre("a") != structs.DatacentreOut {
+					rt.Fatal("confirmed after the removal without knowing it")
+				}
+			}
+		}
+	})
+}
+
+// Guards against peers that hang being the only ones that are asked.
+func TestChoosePeersRotates(t *testing.T) {
+	peers := fakePeers{"b1": nil, "b2": nil, "b3": nil, "b4": nil, "b5": nil}
+	f := newFixture(t, func(cfg *Config) {
+		cfg.Peers, cfg.Revisions = peers, fixedRevisions{"b4": 9, "b5": 8}
+	})
+	asked := map[structs.HostID]int{}
+	for range 3 {
+		for _, host := range f.choosePeers() {
+			asked[host]++
+		}
+	}
+	if len(asked) != len(peers) || asked["b4"] != 3 || asked["b5"] != 3 {
+		t.Fatalf("asked %v", asked)
+	}
+}
+
+// Guards against a loop that does not poll or does not end with its context.
+func TestRun(t *testing.T) {
+	f := newFixture(t, func(cfg *Config) { cfg.PollInterval = time.Millisecond })
+	changed := f.Changed()
+	f.store.put(f.layout.document(), record(1, text("1s")))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	<-changed
+	changed = f.Changed()
+	f.store.put(f.layout.document(), record(2, text("2s")))
+	<-changed
+	cancel()
+	<-done
+	if f.version() != 2 {
+		t.Fatalf("version %d, want 2", f.version())
+	}
+}
