--- a/pkg/members/targets.go
+++ b/pkg/members/targets.go
@@ -10,15 +10,15 @@
 
 // target is one address that receives heartbeats. Service.mu guards it.
 type target struct {
-	inFlight     bool
-	lastSent     time.Time
-	remote       bool               // the peer is in another data centre
-	isSelf       bool               // the address turned out to be our own
-	process      membership.Process // process that last answered at this address and declares it as its own
-	promiseEcho  uint64             // sequence of the latest reply whose promise was recorded
-	echoOf       membership.Process // process that promiseEcho belongs to
-	refusals     ownership.Refusals
-	timeouts     int // heartbeats in a row that timed out
+	inFlight    bool
+	lastSent    time.Time
+	remote      bool               // the peer is in another data centre
+	isSelf      bool               // the address turned out to be our own
+	process     membership.Process // process that last answered at this address and declares it as its own
+	promiseEcho uint64             // sequence of the latest reply whose promise was recorded
+	echoOf      membership.Process // process that promiseEcho belongs to
+	refusals    ownership.Refusals
+	timeouts    int // heartbeats in a row that timed out
 }
 
 // addresses collects peer addresses from all sources, and which entry hosts the host list shows as leaving.
--- /dev/null
+++ b/pkg/ownership/book.go
@@ -0,0 +1,179 @@
+package ownership
+
+import (
+	"sync"
+	"time"
+
+	"fulmarcourse.example/core/membership"
+	"fulmarcourse.example/core/ownership"
+	"fulmarcourse.example/core/structs"
+)
+
+// Book holds the ownership and promise state of one process. The heartbeat service and the ownership Service
+// share it. It is safe for concurrent use; its methods do not block.
+//
+// Lock order: Book.mu is the innermost lock. No method calls out while holding it.
+type Book struct {
+	self   membership.Process
+	limits ownership.Limits
+	clock  func() time.Time
+
+	mu     sync.Mutex // guards the fields below
+	holder *ownership.Holder
+	ledger *ownership.Ledger
+}
+
+// NewBook returns the empty book of process self. A nil clock means time.Now.
+func NewBook(self membership.Process, limits ownership.Limits, clock func() time.Time) *Book {
+	if clock == nil {
+		clock = time.Now
+	}
+	return &Book{
+		self:   self,
+		limits: limits,
+		clock:  clock,
+		holder: ownership.NewHolder(self.Host, limits),
+		ledger: ownership.NewLedger(limits),
+	}
+}
+
+// MayClaim reports whether this process is in the member registry.
+func (b *Book) MayClaim() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Registration() != 0
+}
+
+// Promise returns the promise for a reply with number sequence to a heartbeat of the process to, and whether
+// this process may claim. The heartbeat service calls it once per reply.
+func (b *Book) Promise(to membership.Process, sequence uint64) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ttl := b.ledger.Promise(to, sequence, b.clock())
+	return ttl, b.ledger.Registration() != 0
+}
+
+// RecordPromise records a promise of a registered member of this data centre.
+func (b *Book) RecordPromise(p ownership.Promise) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder.RecordPromise(p)
+}
+
+// Acknowledge records that peer echoed the reply with number sequence, which carried a promise.
+func (b *Book) Acknowledge(peer membership.Process, sequence uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledger.Acknowledge(peer, sequence)
+}
+
+// MemberLeft records that p gave up its right to claim.
+func (b *Book) MemberLeft(p membership.Process) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder.MemberLeft(p)
+}
+
+// MemberDied records proof that the process p is dead.
+func (b *Book) MemberDied(p membership.Process) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder.MemberDied(p)
+}
+
+// Valid returns the epoch of shard and the moment until which this process owns it, by its clock. The errors
+// are ownership.ErrNotOwner and ownership.ErrExpired.
+func (b *Book) Valid(shard structs.ShardID) (structs.Epoch, time.Time, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.Valid(shard, b.clock())
+}
+
+// held returns the shards that were acquired and neither lost nor released.
+func (b *Book) held() map[structs.ShardID]structs.Epoch {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.Held()
+}
+
+func (b *Book) registered(revision int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledger.Registered(revision)
+}
+
+func (b *Book) registration() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Registration()
+}
+
+func (b *Book) renewed(lease ownership.LeaseID, sentAt time.Time, ttl time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder.Renewed(lease, sentAt, ttl)
+}
+
+func (b *Book) leaseLost(lease ownership.LeaseID) []structs.ShardID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.LeaseLost(lease)
+}
+
+func (b *Book) lease() (ownership.LeaseID, time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.Lease()
+}
+
+func (b *Book) lastRenewal() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.LastRenewal()
+}
+
+func (b *Book) acquired(shard structs.ShardID, epoch structs.Epoch, lease ownership.LeaseID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder.Acquired(shard, epoch, lease)
+	b.ledger.Resume(shard)
+}
+
+func (b *Book) released(shard structs.ShardID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder.Released(shard)
+}
+
+func (b *Book) setRegistry(revision int64, sentAt time.Time, members []ownership.RegisteredMember) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder.SetRegistry(revision, sentAt, members)
+}
+
+func (b *Book) resume(shard structs.ShardID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledger.Resume(shard)
+}
+
+// decideClaim completes in with what the book knows and decides. If the decision says so, promises to the
+// former owner are withheld before the lock is released, so that none is given between the decision and the
+// claim.
+func (b *Book) decideClaim(shard structs.ShardID, in ownership.ClaimInput) ownership.ClaimDecision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	in.Self = b.self
+	if in.Former != nil {
+		in.FormerDead = b.holder.Dead(in.Former.Process)
+		in.FormerKnows = b.ledger.Knows(in.Former.Process, in.Former.Epoch)
+		in.Promised = b.ledger.PromisedUntil(in.Former.Host)
+	}
+	decision := ownership.DecideClaim(in, b.limits, b.clock())
+	if decision.Withhold {
+		b.ledger.Withhold(shard, in.Former.Host)
+	} else {
+		b.ledger.Resume(shard)
+	}
+	return decision
+}
--- /dev/null
+++ b/pkg/ownership/config.go
@@ -0,0 +1,128 @@
+// Package ownership claims, keeps and releases shards of this host's data centre. The rules are in core/ownership;
+// this package applies them to the store and reports acquired and lost shards.
+//
+// Load on the store per entry host: one lease renewal and two range reads of the shard records per second, one
+// read of the member registry every 5 s, one renewal of the registration every 20 s, and one transaction per
+// claim or release. A shard without a record adds one read per range read.
+//
+// Lock order: Service.steps, then Service.mu, then Book.mu. Service.steps is held during store calls; the other
+// two are not. Callbacks run without Service.mu and Book.mu.
+package ownership
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+
+	"fulmarcourse.example/core/membership"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/members"
+	"fulmarcourse.example/fulmarcourse/pkg/store"
+)
+
+// Timing of the service.
+const (
+	RenewInterval     = 1 * time.Second        // renewals of the owner lease
+	ReconcileInterval = 500 * time.Millisecond // reads of the shard records
+	CheckInterval     = 100 * time.Millisecond // looks for expired ownership
+	RegistryInterval  = 5 * time.Second        // reads of the member registry
+	MemberLeaseTTL    = 60 * time.Second       // store lease of the registration
+	MemberRenewal     = 20 * time.Second       // renewals of the registration: two may fail
+	// CallTimeout bounds one store call. An answer after 2 s still leaves more than a second of a 4 s lease.
+	CallTimeout = 2 * time.Second
+	// RenewalsInFlight lets a slow store answer one renewal while the next is sent on time.
+	RenewalsInFlight = 3
+	// StartSettle is the time after the start in which nothing is claimed, so that the first heartbeats arrive
+	// and hosts that start together share the shards.
+	StartSettle = membership.SuspectAfterMissed * membership.LocalInterval
+)
+
+// Hysteresis of rebalancing.
+const (
+	RebalanceAfter  = 10 * time.Second // another member must be preferred for so long without a break
+	MinimumHold     = 30 * time.Second // a shard stays so long after it was acquired
+	HandOverTimeout = 10 * time.Second // for requests in progress when a shard is handed over
+	// FreshControl is the control age up to which a member counts as reaching the store, and so as able to claim.
+	FreshControl = 3 * time.Second
+)
+
+// Store is the part of the store client that this package uses. Errors are those of pkg/store.
+type Store interface {
+	Get(ctx context.Context, key string) (store.KeyValue, bool, error)
+	Range(ctx context.Context, prefix string, minModRevision int64) (store.RangeResult, error)
+	Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error)
+	GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error)
+	KeepAlive(ctx context.Context, lease store.LeaseID) (time.Duration, error)
+	RevokeLease(ctx context.Context, lease store.LeaseID) error
+}
+
+// Members is the view of the entry hosts. members.Service implements it.
+type Members interface {
+	Live(dc structs.DatacentreID) []members.Member
+	Peers() []members.Member
+}
+
+// Prober tests peer addresses. pkg/peer.Pool implements it.
+type Prober interface {
+	// Refused reports whether addr certainly refused a TCP connection.
+	Refused(ctx context.Context, addr string) bool
+}
+
+// Config configures a Service.
+type Config struct {
+	Self        structs.MemberRecord
+	Environment string
+	Shards      func() int // shards of the data centre
+	Store       Store
+	Book        *Book
+	Members     Members
+	Prober      Prober
+	// OnAcquired is called once per acquired shard, before it is returned by Owned. It must not block for long.
+	OnAcquired func(shard structs.ShardID, epoch structs.Epoch)
+	// OnLost is called once for each acquired shard. On a release the ownership is still valid and ends when the
+	// call returns: the callee finishes what is in progress. Otherwise the ownership has ended already. The shard
+	// is not claimed again before the call has returned.
+	OnLost   func(shard structs.ShardID)
+	NewNonce func() string // nil for random UUIDs
+	Clock    func() time.Time
+	Log      *eventlog.Logger
+	Metrics  tally.Scope
+	Tracer   trace.Tracer
+}
+
+func (c *Config) complete() error {
+	if c.Self.Host == "" || c.Self.Incarnation == "" || c.Self.Datacentre == "" || c.Self.PeerAddr == "" {
+		return errors.NotValidf("ownership: incomplete member record %+v", c.Self)
+	}
+	if c.Environment == "" || c.Shards == nil || c.Store == nil || c.Book == nil || c.Members == nil || c.Prober == nil {
+		return errors.NotValidf("ownership: missing Environment, Shards, Store, Book, Members or Prober")
+	}
+	if c.OnAcquired == nil {
+		c.OnAcquired = func(structs.ShardID, structs.Epoch) {}
+	}
+	if c.OnLost == nil {
+		c.OnLost = func(structs.ShardID) {}
+	}
+	if c.NewNonce == nil {
+		c.NewNonce = uuid.NewString
+	}
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	if c.Log == nil {
+		c.Log = eventlog.Discard()
+	}
+	if c.Metrics == nil {
+		c.Metrics = tally.NoopScope
+	}
+	if c.Tracer == nil {
+		c.Tracer = otel.Tracer("fulmarcourse/ownership")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/ownership/service.go
@@ -0,0 +1,242 @@
+package ownership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/membership"
+	"fulmarcourse.example/core/ownership"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/store"
+)
+
+// owned is a shard that was reported with OnAcquired and not yet lost.
+type owned struct {
+	epoch      structs.Epoch
+	acquiredAt time.Time
+	releasing  bool          // a release is in progress
+	released   chan struct{} // closed when the release in progress has ended; nil without one
+	onPromises bool          // the lease has lapsed; logged once
+}
+
+// Service keeps the shards of one process. It is safe for concurrent use.
+type Service struct {
+	cfg     Config
+	keys    keys
+	self    membership.Process
+	started time.Time
+
+	steps  sync.Mutex // serialises Reconcile and the start of Release; guards shards
+	shards map[structs.ShardID]*shardState
+
+	renewals chan struct{} // limits the renewals in flight
+	granting sync.Mutex    // held while a lease is requested
+
+	mu        sync.Mutex // guards the fields below
+	owned     map[structs.ShardID]*owned
+	notifying map[structs.ShardID]bool // OnLost is running
+	stopping  bool                     // Release was called; nothing is claimed any more
+	member    registration
+	formers   map[structs.ShardID]string // peer addresses of former owners that may be running
+	tasks     sync.WaitGroup             // callbacks and hand-overs in progress
+}
+
+// NewService returns a service that does nothing until Run is called. It returns a NotValid error for an
+// incomplete configuration.
+func NewService(cfg Config) (*Service, error) {
+	if err := cfg.complete(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Service{
+		cfg:       cfg,
+		keys:      newKeys(cfg.Environment),
+		self:      membership.Process{Host: cfg.Self.Host, Incarnation: cfg.Self.Incarnation},
+		started:   cfg.Clock(),
+		shards:    make(map[structs.ShardID]*shardState),
+		renewals:  make(chan struct{}, RenewalsInFlight),
+		owned:     make(map[structs.ShardID]*owned),
+		notifying: make(map[structs.ShardID]bool),
+		formers:   make(map[structs.ShardID]string),
+	}, nil
+}
+
+// Run registers the host, renews leases, and claims shards until ctx ends. It returns when its calls and
+// callbacks have finished. Release is called before ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { every(ctx, RenewInterval, func() { s.startRenewal(ctx) }) })
+	loops.Go(func() { every(ctx, RenewInterval, func() { s.Register(ctx) }) })
+	loops.Go(func() { every(ctx, ReconcileInterval, func() { s.Reconcile(ctx) }) })
+	loops.Go(func() { every(ctx, CheckInterval, s.Check) })
+	loops.Wait()
+	s.tasks.Wait()
+}
+
+// every calls step at once and then at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, step func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		step()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Valid returns the epoch of shard if this process owns it now, else ownership.ErrNotOwner or
+// ownership.ErrExpired. Call it immediately before each command or dispatch.
+func (s *Service) Valid(shard structs.ShardID) (structs.Epoch, error) {
+	epoch, _, err := s.cfg.Book.Valid(shard)
+	return epoch, err
+}
+
+// ValidUntil is Valid with the moment, by this process's clock, at which the ownership ends without further
+// renewals or promises. Commands should not be given a later deadline.
+func (s *Service) ValidUntil(shard structs.ShardID) (structs.Epoch, time.Time, error) {
+	return s.cfg.Book.Valid(shard)
+}
+
+// Owned returns the shards that this process owns, ordered by nothing in particular.
+func (s *Service) Owned() []structs.ShardID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	shards := make([]structs.ShardID, 0, len(s.owned))
+	for shard := range s.owned {
+		shards = append(shards, shard)
+	}
+	return shards
+}
+
+// LastStoreContact returns the send time of the last successful renewal of the owner lease, zero if there is
+// none since the lease was lost.
+func (s *Service) LastStoreContact() time.Time { return s.cfg.Book.lastRenewal() }
+
+// FormerAddresses returns the peer addresses of former owners that may still be running. Heartbeats to them let
+// them learn of this host.
+func (s *Service) FormerAddresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := make([]string, 0, len(s.formers))
+	for _, addr := range s.formers {
+		addresses = append(addresses, addr)
+	}
+	return addresses
+}
+
+// startRenewal renews the lease in the background unless too many renewals are waiting for answers.
+func (s *Service) startRenewal(ctx context.Context) {
+	select {
+	case s.renewals <- struct{}{}:
+	default:
+		return
+	}
+	s.tasks.Go(func() {
+		defer func() { <-s.renewals }()
+		s.Renew(ctx)
+	})
+}
+
+// Renew renews the owner lease, or requests one if there is none. Run calls it every RenewInterval.
+func (s *Service) Renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	lease, _ := s.cfg.Book.lease()
+	if lease == 0 {
+		s.grant(ctx)
+		return
+	}
+	sentAt := s.cfg.Clock()
+	ttl, err := s.cfg.Store.KeepAlive(ctx, store.LeaseID(lease))
+	switch {
+	case errors.Is(err, store.ErrLeaseNotFound) || err == nil && ttl <= 0:
+		s.cfg.Book.leaseLost(lease)
+		s.cfg.Log.Event(eventlog.OwnerLeaseLost).Int64("lease", int64(lease)).Msg("")
+		s.Check()
+		s.grant(ctx)
+	case err != nil:
+		s.storeFailed("renew owner lease", err)
+	default:
+		s.cfg.Book.renewed(lease, sentAt, ttl)
+		s.cfg.Metrics.Timer("ownership_renewal").Record(s.cfg.Clock().Sub(sentAt))
+	}
+}
+
+// grant requests a lease for owner records unless that is in progress or done.
+func (s *Service) grant(ctx context.Context) {
+	if s.isStopping() || !s.granting.TryLock() {
+		return
+	}
+	defer s.granting.Unlock()
+	if lease, _ := s.cfg.Book.lease(); lease != 0 {
+		return
+	}
+	sentAt := s.cfg.Clock()
+	ttl := s.cfg.Book.limits.OwnerLeaseTTL
+	lease, err := s.cfg.Store.GrantLease(ctx, ttl)
+	if err != nil {
+		s.storeFailed("grant owner lease", err)
+		return
+	}
+	s.cfg.Book.renewed(ownership.LeaseID(lease), sentAt, ttl)
+	s.cfg.Log.Event(eventlog.OwnerLeaseGranted).Int64("lease", int64(lease)).Msg("")
+}
+
+// Check reports shards whose ownership has ended. Run calls it every CheckInterval; Valid does not depend on it.
+func (s *Service) Check() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, leaseUntil := s.cfg.Book.lease()
+	for shard, o := range s.owned {
+		_, _, err := s.cfg.Book.Valid(shard)
+		if err == nil {
+			s.notePromises(shard, o, leaseUntil)
+			continue
+		}
+		// An expired ownership may not become valid again, since its loss is reported now.
+		s.cfg.Book.released(shard)
+		if o.releasing {
+			continue
+		}
+		delete(s.owned, shard)
+		s.notifying[shard] = true
+		s.cfg.Log.Event(eventlog.ShardLost).Str("shard", shard.String()).Int64("epoch", int64(o.epoch)).Err(err).Msg("")
+		s.cfg.Metrics.Counter("ownership_lost").Inc(1)
+		s.tasks.Go(func() { s.reportLost(shard) })
+	}
+	s.cfg.Metrics.Gauge("ownership_shards").Update(float64(len(s.owned)))
+}
+
+// notePromises logs the change between lease and promises. s.mu is held.
+func (s *Service) notePromises(shard structs.ShardID, o *owned, leaseUntil time.Time) {
+	onPromises := !s.cfg.Clock().Before(leaseUntil)
+	if onPromises && !o.onPromises {
+		s.cfg.Log.Event(eventlog.OwnerOnPromises).Str("shard", shard.String()).Msg("")
+	}
+	o.onPromises = onPromises
+}
+
+// reportLost calls OnLost after an abrupt end of ownership.
+func (s *Service) reportLost(shard structs.ShardID) {
+	s.cfg.OnLost(shard)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.notifying, shard)
+}
+
+func (s *Service) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+func (s *Service) storeFailed(operation string, err error) {
+	s.cfg.Metrics.Counter("ownership_store_errors").Inc(1)
+	s.cfg.Log.Event(eventlog.OwnershipError).Str("operation", operation).Err(err).Msg("")
+}
