--- a/core/permit/permit.go
+++ b/core/permit/permit.go
@@ -33,15 +33,15 @@
 
 // Reasons of decisions.
 const (
-	StoreConfirmed    Reason = "a store read confirms that the data centre is in service"
-	MembersConfirmed  Reason = "the store is unreachable for everyone and all members confirm that nothing changed"
-	OutOfService      Reason = "the data centre is out of service"
-	NoState           Reason = "no control state has been read"
-	RemovalPending    Reason = "a removal from service was attempted and its result is not known"
-	NewerState        Reason = "a member knows newer control state"
-	MemberSilent      Reason = "a registered member has made no fresh statement"
-	StoreReachable    Reason = "a member reaches the store, but this host has no fresh confirmation"
-	NoMembersToAsk    Reason = "the store is unreachable and there is no other member to confirm"
+	StoreConfirmed   Reason = "a store read confirms that the data centre is in service"
+	MembersConfirmed Reason = "the store is unreachable for everyone and all members confirm that nothing changed"
+	OutOfService     Reason = "the data centre is out of service"
+	NoState          Reason = "no control state has been read"
+	RemovalPending   Reason = "a removal from service was attempted and its result is not known"
+	NewerState       Reason = "a member knows newer control state"
+	MemberSilent     Reason = "a registered member has made no fresh statement"
+	StoreReachable   Reason = "a member reaches the store, but this host has no fresh confirmation"
+	NoMembersToAsk   Reason = "the store is unreachable and there is no other member to confirm"
 )
 
 // State is this host's control state.
@@ -86,20 +86,29 @@
 	case in.State.RemovalAttempted:
 		return Decision{Reason: RemovalPending}
 	}
-	for _, host := range in.Registered {
-		if statement, heard := in.Statements[host]; heard && statement.Revision > in.State.Revision {
+	if fresh(in.State.ReadAt, now) {
+		return confirmed(in.State.ReadAt)
+	}
+	// A newer revision may hold a removal, so it is fetched before older evidence counts. Members that read the
+	// store at different moments differ in their revisions; that does not matter while the own read is fresh.
+	for host, statement := range in.Statements {
+		if statement.Revision > in.State.Revision {
 			return Decision{Reason: NewerState, Member: host}
 		}
 	}
-	if readAt := latestRead(in); fresh(readAt, now) {
-		return Decision{Allowed: true, Reason: StoreConfirmed, Until: readAt.Add(PermitTTL)}
+	if readAt := relayedRead(in); fresh(readAt, now) {
+		return confirmed(readAt)
 	}
 	return decideWithoutStore(in, now)
 }
 
-// latestRead returns the latest store read that shows the state of this host.
-func latestRead(in Input) time.Time {
-	latest := in.State.ReadAt
+func confirmed(readAt time.Time) Decision {
+	return Decision{Allowed: true, Reason: StoreConfirmed, Until: readAt.Add(PermitTTL)}
+}
+
+// relayedRead returns the latest store read of a member that shows the state of this host, zero if there is none.
+func relayedRead(in Input) time.Time {
+	var latest time.Time
 	for _, statement := range in.Statements {
 		if statement.Revision == in.State.Revision && statement.ReadAt.After(latest) {
 			latest = statement.ReadAt
--- /dev/null
+++ b/pkg/peer/pool.go
@@ -0,0 +1,206 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+// Defaults of PoolConfig.
+const (
+	// DefaultMaxConns leaves room for three times the entry hosts of the largest planned size.
+	DefaultMaxConns = 64
+	// DefaultIdleAfter is long against the interval of heartbeats, so that only unused peers are closed.
+	DefaultIdleAfter = 2 * time.Minute
+)
+
+// Reconnection. A peer that comes back is reached within about a second.
+const (
+	connectTimeout = 1 * time.Second
+	firstBackoff   = 100 * time.Millisecond
+	maxBackoff     = 1 * time.Second
+)
+
+// Errors of Conn. Callers test them with errors.Is.
+const (
+	// ErrTooManyPeers means that all connections of the pool are in use.
+	ErrTooManyPeers = errors.ConstError("too many peer connections")
+	// ErrClosed means that the pool was closed.
+	ErrClosed = errors.ConstError("peer connections are closed")
+)
+
+// PoolConfig configures a Pool.
+type PoolConfig struct {
+	MaxConns  int              // 0 for DefaultMaxConns
+	IdleAfter time.Duration    // a connection unused for so long is closed; 0 for DefaultIdleAfter
+	Clock     func() time.Time // nil for time.Now
+	Metrics   tally.Scope      // nil for none
+}
+
+// Pool holds one client connection per peer address. It is safe for concurrent use. Give heartbeats a pool of
+// their own, so that large messages do not delay them and Reset does not break requests.
+type Pool struct {
+	cfg PoolConfig
+
+	mu     sync.Mutex // guards the fields below and the counters of the connections
+	conns  map[string]*Conn
+	closed bool
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg PoolConfig) *Pool {
+	if cfg.MaxConns == 0 {
+		cfg.MaxConns = DefaultMaxConns
+	}
+	if cfg.IdleAfter == 0 {
+		cfg.IdleAfter = DefaultIdleAfter
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	return &Pool{cfg: cfg, conns: make(map[string]*Conn)}
+}
+
+// Conn returns the connection to the peer at addr (IP:port), which connects when it is used. The caller gets it
+// anew for each call and does not keep it. Errors: ErrTooManyPeers, ErrClosed.
+func (p *Pool) Conn(addr string) (grpc.ClientConnInterface, error) {
+	now := p.cfg.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	if conn, known := p.conns[addr]; known {
+		conn.lastUsed = now
+		return conn, nil
+	}
+	p.closeIdle(now)
+	if len(p.conns) >= p.cfg.MaxConns && !p.evictOldest() {
+		return nil, errors.Annotatef(ErrTooManyPeers, "connection to %s", addr)
+	}
+	client, err := dial(addr)
+	if err != nil {
+		return nil, errors.Annotatef(err, "connection to %s", addr)
+	}
+	conn := &Conn{pool: p, client: client, lastUsed: now}
+	p.conns[addr] = conn
+	p.cfg.Metrics.Gauge("peer_connections").Update(float64(len(p.conns)))
+	return conn, nil
+}
+
+func dial(addr string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(traced()))),
+		// The request path decides on retries; a transparent retry could run a request twice.
+		grpc.WithDisableRetry(),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: PingInterval, Timeout: PingTimeout, PermitWithoutStream: true,
+		}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay: firstBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
+	)
+}
+
+// closeIdle closes connections that have been unused for IdleAfter. p.mu is held.
+func (p *Pool) closeIdle(now time.Time) {
+	for addr, conn := range p.conns {
+		if conn.calls == 0 && now.Sub(conn.lastUsed) >= p.cfg.IdleAfter {
+			p.drop(addr, conn)
+		}
+	}
+}
+
+// evictOldest closes the connection without calls that has been unused the longest. p.mu is held.
+func (p *Pool) evictOldest() bool {
+	oldest := ""
+	for addr, conn := range p.conns {
+		if conn.calls == 0 && (oldest == "" || conn.lastUsed.Before(p.conns[oldest].lastUsed)) {
+			oldest = addr
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	p.drop(oldest, p.conns[oldest])
+	return true
+}
+
+// drop removes and closes a connection. p.mu is held.
+func (p *Pool) drop(addr string, conn *Conn) {
+	delete(p.conns, addr)
+	// Close fails only when the connection is closed already.
+	_ = conn.client.Close()
+}
+
+// CloseIdle closes connections that have been unused for IdleAfter. The node calls it from time to time; Conn
+// does so whenever it opens a connection.
+func (p *Pool) CloseIdle() {
+	now := p.cfg.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdle(now)
+}
+
+// Reset closes the connection to addr. Calls in progress on it fail; the next call connects anew.
+func (p *Pool) Reset(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, known := p.conns[addr]; known {
+		p.drop(addr, conn)
+	}
+}
+
+// Close closes all connections; later calls of Conn return ErrClosed.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for addr, conn := range p.conns {
+		p.drop(addr, conn)
+	}
+}
+
+// Conn is a connection of a Pool. It implements grpc.ClientConnInterface.
+type Conn struct {
+	pool     *Pool
+	client   *grpc.ClientConn
+	calls    int // calls in progress
+	lastUsed time.Time
+}
+
+// Invoke performs one unary call.
+func (c *Conn) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) error {
+	c.pool.mu.Lock()
+	c.calls++
+	c.pool.mu.Unlock()
+	defer func() {
+		now := c.pool.cfg.Clock()
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		c.calls--
+		c.lastUsed = now
+	}()
+	return c.client.Invoke(ctx, method, args, reply, opts...)
+}
+
+// NewStream is not supported: the peer protocol has unary calls only, and a stream would not count as in use.
+func (c *Conn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, errors.NotSupportedf("streams between entry hosts")
+}
--- /dev/null
+++ b/pkg/peer/probe.go
@@ -0,0 +1,22 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"github.com/juju/errors"
+)
+
+// Refused reports whether addr certainly refused a TCP connection: the machine is up and no process listens. It
+// is false for an address that accepts, does not answer, or is unreachable.
+func (p *Pool) Refused(ctx context.Context, addr string) bool {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// Only the connection attempt matters.
+	_ = conn.Close()
+	return false
+}
