--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -84,7 +84,7 @@
 	if remaining <= 0 || wait >= remaining {
 		return RejectedDeadline
 	}
-	if wait+c.times.typical(now, item.Kind) > remaining {
+	if wait+c.times.needed(now, item.Kind) > remaining {
 		if item.probe = c.times.probe(now, item.Kind); !item.probe {
 			return RejectedDeadline
 		}
@@ -113,7 +113,7 @@
 		return nil, false
 	}
 	remaining := head.Deadline.Sub(now)
-	if remaining > 0 && (head.probe || c.times.typical(now, head.Kind) <= remaining) {
+	if remaining > 0 && (head.probe || c.times.needed(now, head.Kind) <= remaining) {
 		return nil, false
 	}
 	c.queue.Remove(head)
@@ -153,7 +153,7 @@
 	if head := c.queue.Head(); head != nil {
 		typical := c.times.typical(now, head.Kind)
 		consider(head.Deadline)
-		consider(head.Deadline.Add(-typical))
+		consider(head.Deadline.Add(-c.times.needed(now, head.Kind)))
 		consider(head.Deadline.Add(-ShortFactor * typical))
 		consider(head.Arrived.Add(typical))
 	}
--- a/core/admission/release.go
+++ b/core/admission/release.go
@@ -56,7 +56,10 @@
 		return
 	}
 	c.ledger.byID[grant.Slot.Runner].health.Failed(now)
-	c.times.observe(now, grant.Item.Kind, now.Sub(grant.Slot.Since))
+	// A connection that broke early says nothing about service times; no answer for longer than usual does.
+	if served := now.Sub(grant.Slot.Since); served > c.times.typical(now, grant.Item.Kind) {
+		c.times.observe(now, grant.Item.Kind, served)
+	}
 	c.holds = append(c.holds, hold{grant.Slot, until})
 	c.Sweep(now)
 }
--- a/core/admission/times.go
+++ b/core/admission/times.go
@@ -14,6 +14,9 @@
 	// ProbeInterval is how often a request is let through although its service time seems too long. Without
 	// probes, a passing slowdown would leave no samples and reject requests for ever.
 	ProbeInterval = 500 * time.Millisecond
+	// RecentWeight is the weight of one sample in the recent service time. A few probes then show that a slowdown
+	// has ended, long before its samples have left the window.
+	RecentWeight = 0.3
 )
 
 // serviceTimes tracks the service times of each kind over all runners of a shard.
@@ -23,6 +26,7 @@
 
 type kindTimes struct {
 	window *latency.Window
+	recent float64 // smoothed latest service times, in nanoseconds
 	probed time.Time
 }
 
@@ -39,7 +43,12 @@
 
 // observe records one service time, or with a lost answer the time for which there was none.
 func (s *serviceTimes) observe(now time.Time, kind structs.KindName, d time.Duration) {
-	s.kind(kind).window.Observe(now, d)
+	k := s.kind(kind)
+	k.window.Observe(now, d)
+	if k.recent == 0 {
+		k.recent = float64(d)
+	}
+	k.recent += RecentWeight * (float64(d) - k.recent)
 }
 
 // typical returns the service time that counts as usual for the kind; 0 if there are no samples.
@@ -48,6 +57,12 @@
 	return d
 }
 
+// needed returns the service time that must fit into the remaining time: the usual one, or the recent one if that
+// is shorter.
+func (s *serviceTimes) needed(now time.Time, kind structs.KindName) time.Duration {
+	return min(s.typical(now, kind), time.Duration(s.kind(kind).recent))
+}
+
 // turnover returns the mean time for which a request of the kind holds a slot; 0 if there are no samples.
 func (s *serviceTimes) turnover(now time.Time, kind structs.KindName) time.Duration {
 	d, _ := s.kind(kind).window.Mean(now)
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,98 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmarcourse.example/core/latency"
+	"fulmarcourse.example/core/structs"
+)
+
+// Guards against a retry storm: with every attempt failing, sends must never exceed 1.1 times the offered
+// requests, at any moment and after any quiet period.
+func TestBudgetBoundsSends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		offered, sent := 0, 0
+		for _, tries := range rapid.SliceOf(rapid.IntRange(0, 5)).Draw(t, "tries") {
+			b.Offer()
+			offered++
+			sent++
+			for range tries {
+				if b.Spend() {
+					sent++
+				}
+			}
+			if 10*sent > 11*offered {
+				t.Fatalf("%d sends for %d offered requests", sent, offered)
+			}
+		}
+	})
+}
+
+// Guards against a long quiet period saving up a burst of retries.
+func TestBudgetSavesALimitedBurst(t *testing.T) {
+	var b Budget
+	for range 1_000_000 {
+		b.Offer()
+	}
+	burst := 0
+	for b.Spend() {
+		burst++
+	}
+	if burst != MaxSaved {
+		t.Fatalf("burst of %d, want %d", burst, MaxSaved)
+	}
+}
+
+// Guards against running a non-idempotent request twice, and against unbudgeted sends to runners.
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		outcome    structs.Outcome
+		reason     string
+		idempotent bool
+		want       Action
+	}{
+		{structs.Answered, "", true, Stop},
+		{structs.Answered, "", false, Stop},
+		{structs.NotRun, structs.ReasonWrongOwner, false, Elsewhere},
+		{structs.NotRun, structs.ReasonQueueFull, true, Elsewhere},
+		{structs.NotRun, structs.ReasonRunnerRefused, false, Budgeted},
+		{structs.NotRun, structs.ReasonRunnerRefused, true, Budgeted},
+		{structs.NotRun, structs.ReasonCancelled, true, Stop},
+		{structs.OutcomeUnknown, structs.ReasonRunnerLost, true, Budgeted},
+		{structs.OutcomeUnknown, structs.ReasonRunnerLost, false, Stop},
+		{"", "", false, Stop},
+		{"", "", true, Stop},
+	}
+	for _, c := range cases {
+		if got := Decide(structs.Reply{Outcome: c.outcome, Reason: c.reason}, c.idempotent); got != c.want {
+			t.Errorf("%+v: got %d", c, got)
+		}
+	}
+}
+
+// Guards against hedging what may run only once, on too little knowledge, or too late to help.
+func TestHedgeDelay(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	w := latency.NewWindow(time.Minute)
+	for i := range HedgeSamples - 1 {
+		w.Observe(now, time.Duration(i+1)*time.Millisecond)
+	}
+	if _, ok := HedgeDelay(now, w, true, time.Hour); ok {
+		t.Fatal("hedged with too few samples")
+	}
+	w.Observe(now, HedgeSamples*time.Millisecond)
+	delay, ok := HedgeDelay(now, w, true, time.Hour)
+	if !ok || delay < 35*time.Millisecond || delay > 40*time.Millisecond {
+		t.Fatalf("delay %v, want about the 95th percentile of 1 to 40 ms", delay)
+	}
+	if _, ok := HedgeDelay(now, w, false, time.Hour); ok {
+		t.Fatal("hedged a non-idempotent request")
+	}
+	if _, ok := HedgeDelay(now, w, true, delay+time.Millisecond); ok {
+		t.Fatal("hedged although the hedge cannot finish in time")
+	}
+}
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,126 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmarcourse.example/core/structs"
+)
+
+const ms = time.Millisecond
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// candidate returns a shard of the own data centre, or 5 ms away.
+func candidate(own bool, free, total, queued int) Candidate {
+	c := Candidate{OwnDatacentre: own, Slots: Slots{Known: true, Free: free, Total: total, Queued: queued}}
+	if !own {
+		c.LinkDelay = 5 * ms
+	}
+	return c
+}
+
+// shares returns how often each candidate was chosen in 1000 draws.
+func shares(p Policy, view View) []int {
+	rnd, counts := seeded(), make([]int, len(view.Candidates))
+	for range 1000 {
+		if choice, ok := p.Choose(view, rnd); ok {
+			counts[choice.Index]++
+		}
+	}
+	return counts
+}
+
+// Guards against a policy that names a shard that does not exist or cannot answer in time, or gives up although
+// one can be reached.
+func TestEveryPolicyChoosesAReachableShard(t *testing.T) {
+	for _, name := range []string{RandomName, TwoChoicesName, SlotAwareName} {
+		policy, ok := ByName(name)
+		if !ok || policy.Name() != name {
+			t.Fatalf("no policy %q", name)
+		}
+		rapid.Check(t, func(t *rapid.T) {
+			view := View{
+				Remaining: time.Duration(rapid.IntRange(1, 100).Draw(t, "remaining")) * ms,
+				Service:   time.Duration(rapid.IntRange(0, 100).Draw(t, "service")) * ms,
+			}
+			reachable := false
+			for range rapid.IntRange(0, 5).Draw(t, "shards") {
+				c := Candidate{
+					Shard:         structs.ShardID{Datacentre: "dc", Index: len(view.Candidates)},
+					OwnDatacentre: rapid.Bool().Draw(t, "own"),
+					LinkDelay:     time.Duration(rapid.IntRange(0, 60).Draw(t, "link")) * ms,
+					InFlight:      rapid.IntRange(0, 9).Draw(t, "in flight"),
+					Since:         rapid.IntRange(-9, 9).Draw(t, "since"),
+					Slots: Slots{
+						Known: rapid.Bool().Draw(t, "known"), Free: rapid.IntRange(0, 9).Draw(t, "free"),
+						Total: rapid.IntRange(0, 9).Draw(t, "total"), Queued: rapid.IntRange(0, 99).Draw(t, "queued"),
+						Age: time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * ms,
+					},
+				}
+				reachable = reachable || c.RoundTrip() < view.Remaining
+				view.Candidates = append(view.Candidates, c)
+			}
+			choice, ok := policy.Choose(view, seeded())
+			if ok != reachable {
+				t.Fatalf("chosen %v, reachable %v", ok, reachable)
+			}
+			if ok && view.Candidates[choice.Index].RoundTrip() >= view.Remaining {
+				t.Fatalf("chose %d, which cannot answer in time", choice.Index)
+			}
+		})
+	}
+}
+
+// Guards against following local counts in the wrong direction.
+func TestTwoChoicesPrefersFewerInFlight(t *testing.T) {
+	view := View{Remaining: time.Second, Candidates: []Candidate{{InFlight: 9}, {InFlight: 1}, {InFlight: 5}}}
+	if got := shares(TwoChoices{}, view); got[0] != 0 || got[1] < got[2] {
+		t.Fatalf("shares %v", got)
+	}
+}
+
+// Guards against leaving the own data centre without need, staying in it while callers wait, trusting stale
+// digests, and sending everything to the shard that looks best.
+func TestSlotAwareShares(t *testing.T) {
+	stale := candidate(true, 8, 8, 0)
+	stale.Slots.Age = time.Minute
+	usedSince := candidate(true, 8, 8, 0)
+	usedSince.Since = 8
+	finishedSince := candidate(true, 0, 8, 0)
+	finishedSince.Since = -4
+	cases := []struct {
+		name       string
+		remaining  time.Duration
+		candidates []Candidate
+		want       func(got []int) bool
+	}{
+		{"own data centre first", time.Second, []Candidate{candidate(true, 1, 8, 0), candidate(false, 8, 8, 0)},
+			func(got []int) bool { return got[0] == 1000 }},
+		{"short queue is better than the link", time.Second, []Candidate{candidate(true, 0, 80, 4), candidate(false, 8, 8, 0)},
+			func(got []int) bool { return got[0] == 1000 }},
+		{"long queue is worse than the link", time.Second, []Candidate{candidate(true, 0, 8, 20), candidate(false, 8, 8, 0)},
+			func(got []int) bool { return got[1] == 1000 }},
+		{"deadline does not allow the link", 55 * ms, []Candidate{candidate(true, 0, 8, 0), candidate(false, 8, 8, 0)},
+			func(got []int) bool { return got[0] == 1000 }},
+		{"in proportion to free slots", time.Second, []Candidate{candidate(true, 6, 8, 0), candidate(true, 2, 8, 0)},
+			func(got []int) bool { return got[0] > 700 && got[0] < 800 }},
+		{"stale digest is not trusted", time.Second, []Candidate{stale, candidate(true, 1, 8, 0)},
+			func(got []int) bool { return got[1] == 1000 }},
+		{"slots taken since the digest", time.Second, []Candidate{usedSince, candidate(true, 1, 8, 0)},
+			func(got []int) bool { return got[1] == 1000 }},
+		{"slots freed since the digest", time.Second, []Candidate{finishedSince, candidate(true, 0, 8, 0)},
+			func(got []int) bool { return got[0] == 1000 }},
+		{"nothing meets the deadline", 30 * ms, []Candidate{candidate(true, 0, 8, 99), candidate(false, 0, 8, 0)},
+			func(got []int) bool { return got[1] == 1000 }},
+	}
+	for _, c := range cases {
+		view := View{Candidates: c.candidates, Remaining: c.remaining, Service: 50 * ms}
+		if got := shares(SlotAware{}, view); !c.want(got) {
+			t.Errorf("%s: shares %v", c.name, got)
+		}
+	}
+}
