Serve operators over HTTP

Operators validate, compare, try and promote documents, read the status, and take data centres out of service and bring them back. Every error is a problem with a type from a fixed list, so that a client tells a conflict, a command without effect and an unknown outcome apart without reading text.

--- a/pkg/control/datacentres.go
+++ b/pkg/control/datacentres.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -136,16 +137,5 @@
 
 // knowsDatacentre reports whether the document, a member or an earlier command names the data centre.
 func (s *Service) knowsDatacentre(id structs.DatacentreID) bool {
-	if id == "" {
-		return false
-	}
-	for _, known := range s.knownDatacentres() {
-		if known == id {
-			return true
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, recorded := s.state.datacentres[id]
-	return recorded
+	return id != "" && slices.Contains(s.KnownDatacentres(), id)
 }
--- a/pkg/control/removals.go
+++ b/pkg/control/removals.go
@@ -98,7 +98,7 @@
 // never changed it.
 func (s *Service) DatacentreReport(id structs.DatacentreID) (Report, bool) {
 	revisions := s.memberRevisions()
-	datacentres := s.knownDatacentres()
+	datacentres := s.KnownDatacentres()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change, known := s.state.datacentres[id]
@@ -139,14 +139,18 @@
 	return result
 }
 
-// knownDatacentres lists the data centres of the document and of the members, ordered by name.
-func (s *Service) knownDatacentres() []structs.DatacentreID {
+// KnownDatacentres lists the data centres of the document and of the members, and those whose state operators
+// have changed, ordered by name.
+func (s *Service) KnownDatacentres() []structs.DatacentreID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ids := slices.Clone(s.state.document.Datacentres)
 	for _, member := range s.state.members {
 		ids = append(ids, member.Datacentre)
 	}
+	for id := range s.state.datacentres {
+		ids = append(ids, id)
+	}
 	slices.Sort(ids)
 	return slices.Compact(ids)
 }
--- /dev/null
+++ b/pkg/operatorapi/answer.go
@@ -0,0 +1,94 @@
+package operatorapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/document"
+	"fulmarcourse.example/fulmarcourse/pkg/control"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/problem"
+)
+
+// handler computes the answer to a request.
+type handler func(r *http.Request) (any, error)
+
+// handle wraps a handler with the time limit of a command and writes its answer.
+func (a *api) handle(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), commandTimeout)
+		defer cancel()
+		answer, err := h(r.WithContext(ctx))
+		if err != nil {
+			p := toProblem(err)
+			a.cfg.Log.Event(eventlog.OperatorCommandRejected).Str("path", r.URL.Path).Str("type", p.Type).
+				Err(err).Msg("operator command rejected")
+			problem.Write(w, p)
+			return
+		}
+		encoded, err := json.Marshal(answer)
+		if err != nil {
+			a.cfg.Log.Event(eventlog.OperatorAnswerNotWritable).Str("path", r.URL.Path).Err(err).Msg("answer not encoded")
+			problem.Write(w, toProblem(err))
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(encoded) // an error can only be a closed connection
+	}
+}
+
+// toProblem maps the errors of the handlers and of package control to problem details.
+func toProblem(err error) problem.Problem {
+	var (
+		findings           document.Findings
+		badRequest         *badRequestError
+		versionConflict    *control.VersionConflictError
+		datacentreConflict *control.DatacentreConflictError
+	)
+	switch {
+	case errors.As(err, &findings):
+		return problem.Problem{Type: ProblemFindings, Title: "The document has findings",
+			Status: http.StatusUnprocessableEntity, Findings: toFindings(findings)}
+	case errors.As(err, &badRequest):
+		return problem.Problem{Type: ProblemBadRequest, Title: "The request cannot be used", Status: http.StatusBadRequest,
+			Findings: []problem.Finding{{Place: badRequest.field, Message: badRequest.message, Accepted: badRequest.accepted}}}
+	case errors.As(err, &versionConflict), errors.As(err, &datacentreConflict):
+		return newProblem(ProblemConflict, "Another operator was faster", http.StatusConflict, err)
+	}
+	for _, known := range constProblems {
+		if errors.Is(err, known.err) {
+			return newProblem(known.kind, known.title, known.status, err)
+		}
+	}
+	return newProblem(ProblemInternal, "The command failed", http.StatusInternalServerError, err)
+}
+
+// constProblems maps constant errors to problems. ErrUnknown stands first: it must never be reported as "no effect".
+var constProblems = []struct {
+	err    error
+	kind   string
+	title  string
+	status int
+}{
+	{control.ErrUnknown, ProblemOutcomeUnknown, "It is not known whether the command took effect", http.StatusGatewayTimeout},
+	{control.ErrNotApplied, ProblemNotApplied, "The command had no effect", http.StatusServiceUnavailable},
+	{control.ErrNotTried, ProblemNotTried, "The document has not passed a try", http.StatusUnprocessableEntity},
+	{control.ErrWrongEnvironment, ProblemWrongEnvironment, "The document is for another environment", http.StatusUnprocessableEntity},
+	{control.ErrUnknownDatacentre, ProblemUnknownDatacentre, "Unknown data centre", http.StatusNotFound},
+	{errNoDocument, ProblemNoDocument, "No document is in effect", http.StatusNotFound},
+}
+
+func newProblem(kind, title string, status int, err error) problem.Problem {
+	return problem.Problem{Type: kind, Title: title, Status: status, Detail: err.Error()}
+}
+
+func toFindings(findings document.Findings) []problem.Finding {
+	converted := make([]problem.Finding, len(findings))
+	for i, f := range findings {
+		converted[i] = problem.Finding{Place: f.Place(), Section: f.Section, Key: f.Key, Message: f.Message, Accepted: f.Accepted}
+	}
+	return converted
+}
