--- /dev/null
+++ b/pkg/httpsend/client_test.go
@@ -0,0 +1,185 @@
+package httpsend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// closedPort returns a loopback address at which nothing listens.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// Guards against a refused connection being reported as a request that may have run.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	client := NewClient(Config{Name: "test"})
+	_, err := client.Post(t.Context(), "http://"+closedPort(t), nil, []byte("body"))
+	if !errors.Is(err, ErrNotSent) {
+		t.Fatalf("got %v, want ErrNotSent", err)
+	}
+}
+
+// Guards against a request that waits for a connection until its deadline being reported as possibly run.
+func TestWaitForConnectionIsNotSent(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	var served atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		served.Add(1)
+		close(arrived)
+		<-release
+	}))
+	defer server.Close()
+	client := NewClient(Config{Name: "test", MaxConnsPerHost: 1})
+	first := make(chan error, 1)
+	go func() {
+		_, err := client.Post(context.Background(), server.URL, nil, []byte("first"))
+		first <- err
+	}()
+	<-arrived
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := client.Post(ctx, server.URL, nil, []byte("second"))
+	close(release)
+	if !errors.Is(err, ErrNotSent) {
+		t.Errorf("second request: got %v, want ErrNotSent", err)
+	}
+	if err := <-first; err != nil {
+		t.Errorf("first request: %v", err)
+	}
+	if n := served.Load(); n != 1 {
+		t.Errorf("server got %d requests, want 1", n)
+	}
+}
+
+// rawServer answers the first request of each connection and then, after it has read another one, closes the
+// connection. It returns its URL and the count of requests read.
+func rawServer(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	requests := new(atomic.Int64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnce(c, requests)
+		}
+	}()
+	return "http://" + l.Addr().String(), requests
+}
+
+func answerOnce(c net.Conn, requests *atomic.Int64) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		requests.Add(1)
+		if i == 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+// Guards against net/http sending a request again, after the server has read it, when a reused connection
+// closes: a non-idempotent request would run twice. An empty body is a separate case in net/http.
+func TestReusedConnectionIsNotRetried(t *testing.T) {
+	for _, body := range []string{"body", ""} {
+		url, requests := rawServer(t)
+		client := NewClient(Config{Name: "test"})
+		if _, err := client.Post(t.Context(), url, nil, []byte(body)); err != nil {
+			t.Fatal(err)
+		}
+		_, err := client.Post(t.Context(), url, nil, []byte(body))
+		if err == nil || errors.Is(err, ErrNotSent) {
+			t.Errorf("body %q: got %v, want an error other than ErrNotSent", body, err)
+		}
+		if n := requests.Load(); n != 2 {
+			t.Errorf("body %q: server read %d requests, want 2", body, n)
+		}
+	}
+}
+
+// Guards against a redirect sending a request to a second server.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var hits atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hits.Add(1)
+		http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+	}))
+	defer server.Close()
+	resp, err := NewClient(Config{Name: "test"}).Post(t.Context(), server.URL, nil, []byte("body"))
+	if err != nil || resp.Status != http.StatusTemporaryRedirect || hits.Load() != 1 {
+		t.Fatalf("got status %d, error %v, %d requests", resp.Status, err, hits.Load())
+	}
+}
+
+// Guards against an incomplete or oversized response being returned as complete, or as a request not sent.
+func TestIncompleteResponses(t *testing.T) {
+	handlers := map[string]http.HandlerFunc{
+		"closed without response": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"shorter than stated": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "half")
+		},
+		"longer than allowed": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, 101))
+		},
+	}
+	for name, handler := range handlers {
+		server := httptest.NewServer(handler)
+		_, err := NewClient(Config{Name: "test", MaxBody: 100}).Post(t.Context(), server.URL, nil, []byte("body"))
+		if err == nil || errors.Is(err, ErrNotSent) {
+			t.Errorf("%s: got %v, want an error other than ErrNotSent", name, err)
+		}
+		server.Close()
+	}
+}
+
+// countingConn counts the writes that reach it.
+type countingConn struct {
+	net.Conn
+	writes atomic.Int64
+}
+
+func (c *countingConn) Write(b []byte) (int, error) { c.writes.Add(1); return len(b), nil }
+func (c *countingConn) Close() error                { return nil }
+
+// Guards against a write that races with a seal: either the seal fails or the write does not reach the server.
+func TestSealExcludesWrites(t *testing.T) {
+	for range 2000 {
+		inner := &countingConn{}
+		c := &conn{Conn: inner}
+		var done sync.WaitGroup
+		done.Go(func() { _, _ = c.Write([]byte("x")) })
+		sealedConn := c.seal(0)
+		done.Wait()
+		if sealedConn == (inner.writes.Load() > 0) {
+			t.Fatalf("sealed %t with %d writes", sealedConn, inner.writes.Load())
+		}
+	}
+}
--- a/pkg/runner/protocol.go
+++ b/pkg/runner/protocol.go
@@ -19,6 +19,9 @@
 // OutcomeNotRun is the value of OutcomeHeader in a refusal.
 const OutcomeNotRun = string(structs.NotRun)
 
+// PathPattern is the net/http pattern of Path.
+const PathPattern = "/v1/services/{service}/kinds/{kind}"
+
 // Path returns the resource that runs requests of a kind.
 func Path(service structs.ServiceName, kind structs.KindName) string {
 	return "/v1/services/" + url.PathEscape(string(service)) + "/kinds/" + url.PathEscape(string(kind))
--- a/pkg/standin/runner_http.go
+++ b/pkg/standin/runner_http.go
@@ -16,7 +16,7 @@
 func (r *Runner) routes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+HistoryPath, r.cfg.History)
-	mux.HandleFunc("POST "+runner.Path("{service}", "{kind}"), r.serve)
+	mux.HandleFunc("POST "+runner.PathPattern, r.serve)
 	return mux
 }
 
