--- a/pkg/eventlog/gozero.go
+++ b/pkg/eventlog/gozero.go
@@ -18,9 +18,13 @@
 	logger *Logger
 }
 
-// CaptureGoZero makes go-zero's package-level logger write through logger.
+// CaptureGoZero makes go-zero's package-level logger write its errors through logger. Its informational lines are
+// off: the HTTP client writes one per call, which on an idle host is most of the log.
 func CaptureGoZero(logger *Logger) {
+	// go-zero's server runs its own set-up once and would replace a writer that was set before it.
+	logx.MustSetup(logx.LogConf{ServiceName: "fulmard", Mode: "console", Level: "error"})
 	logx.SetWriter(goZeroWriter{logger})
+	logx.SetLevel(logx.ErrorLevel)
 	logx.DisableStat()
 }
 
--- /dev/null
+++ b/pkg/node/config.go
@@ -0,0 +1,34 @@
+// Package node wires one entry host: it connects the decision services with the platform, the other entry hosts,
+// callers and operators, and starts and stops them in order.
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/metrics"
+)
+
+// Config configures one entry host.
+type Config struct {
+	Host                structs.HostID
+	Datacentre          structs.DatacentreID
+	Environment         string
+	TrialEnvironment    string
+	HTTPAddress         string // IP:port to listen on for callers and operators; port 0 takes a free one
+	PeerListen          string // IP:port to listen on for other entry hosts
+	PeerAddress         string // IP:port at which other entry hosts reach this one; PeerListen when empty
+	SourceAddress       netip.Addr
+	StoreEndpoint       string // http://IP:port
+	HostListEndpoint    string // http://IP:port
+	Peers               []string
+	ShardsPerDatacentre int
+	PlacementPolicy     string
+	ShutdownTimeout     time.Duration
+	Seed                uint64 // of placement and home choices
+	Log                 *eventlog.Logger
+	Metrics             *metrics.Metrics
+	Clock               func() time.Time
+}
--- /dev/null
+++ b/pkg/node/homes.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/jobs"
+)
+
+// capacity implements jobs.Capacity from the host list.
+type capacity struct {
+	hosts *hostTable
+}
+
+// Largest returns the largest worker per data centre, each dimension by itself.
+func (c capacity) Largest() map[structs.DatacentreID]structs.Resources {
+	largest := map[structs.DatacentreID]structs.Resources{}
+	for _, host := range c.hosts.all() {
+		if host.Role != structs.RoleWorker {
+			continue
+		}
+		old := largest[host.Datacentre]
+		largest[host.Datacentre] = structs.Resources{
+			MilliCPU:     max(old.MilliCPU, host.Capacity.MilliCPU),
+			MemoryBytes:  max(old.MemoryBytes, host.Capacity.MemoryBytes),
+			Accelerators: max(old.Accelerators, host.Capacity.Accelerators),
+		}
+	}
+	return largest
+}
+
+// homeChooser implements shard.Homes: it moves a waiting job only to a shard that can start a task of it now.
+type homeChooser struct {
+	directory *directory
+	documents documents
+
+	mu  sync.Mutex
+	rnd *rand.Rand
+}
+
+func newHomeChooser(d *directory, docs documents, seed uint64) *homeChooser {
+	return &homeChooser{directory: d, documents: docs, rnd: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// ChooseHome implements shard.Homes. A shard qualifies if its data centre is in service and allows batch work, it has
+// room for one task and no tasks wait there, so that jobs do not move back and forth between full shards. A job whose
+// data centre is out of service takes any shard in service.
+func (h *homeChooser) ChooseHome(record structs.JobRecord, exclude structs.ShardID) (structs.ShardID, bool) {
+	document, _, ok := h.documents.Document()
+	if !ok {
+		return structs.ShardID{}, false
+	}
+	size := jobs.DeclaredSize(document, record.Spec)
+	leaving := h.documents.Datacentre(exclude.Datacentre) == structs.DatacentreOut
+	var candidates []jobs.HomeCandidate
+	for _, c := range h.directory.Candidates() {
+		roomNow := c.Digest.Pending == 0 && size.Fits(c.Digest.Free)
+		if c.Digest.Shard == exclude || c.State == structs.DatacentreOut || !c.BatchAllowed || (!leaving && !roomNow) {
+			continue
+		}
+		candidates = append(candidates, c)
+	}
+	demand := jobs.HomeDemand{Size: size, Tasks: pendingTasks(record), Own: exclude.Datacentre}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return jobs.TwoChoiceHome(candidates, demand, h.rnd)
+}
+
+func pendingTasks(record structs.JobRecord) int {
+	count := 0
+	for i := range record.Tasks {
+		if record.Tasks[i].State == structs.TaskPending {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/node/permits.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/permit"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/control"
+	"fulmarcourse.example/fulmarcourse/pkg/members"
+)
+
+// permits implements shard.Permits from the control state and the heartbeats of other entry hosts.
+type permits struct {
+	self    structs.MemberRecord
+	control *control.Service
+	members func() []members.Member
+	clock   func() time.Time
+}
+
+// MayStart returns nil if tasks may start in this host's data centre now, or the reason why not.
+func (p *permits) MayStart() error {
+	now := p.clock()
+	confirmation := p.control.Confirmation()
+	input := permit.Input{
+		State: permit.State{
+			Revision:         confirmation.Revision,
+			ReadAt:           confirmation.ReadAt,
+			Datacentre:       p.control.Datacentre(p.self.Datacentre),
+			RemovalAttempted: p.control.RemovalAttempted(),
+		},
+		Registered: p.registered(),
+		Statements: p.statements(),
+	}
+	if decision := permit.Decide(input, now); !decision.Allowed {
+		return errors.New(string(decision.Reason))
+	}
+	return nil
+}
+
+func (p *permits) registered() []structs.HostID {
+	var hosts []structs.HostID
+	for _, m := range p.control.Members() {
+		if m.Host != p.self.Host {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	return hosts
+}
+
+func (p *permits) statements() map[structs.HostID]permit.Statement {
+	statements := map[structs.HostID]permit.Statement{}
+	for _, m := range p.members() {
+		s := permit.Statement{
+			SentAt:           m.LastReplied,
+			Revision:         m.ControlRevision,
+			RemovalAttempted: m.RemovalAttempted,
+		}
+		if !m.ControlReadAt.IsZero() {
+			s.ReadAt = m.ControlReadAt
+		}
+		statements[m.Host] = s
+	}
+	return statements
+}
--- /dev/null
+++ b/pkg/node/pools.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/requests"
+	"fulmarcourse.example/fulmarcourse/pkg/runner"
+	"fulmarcourse.example/fulmarcourse/pkg/slots"
+)
+
+// poolCloseTimeout bounds the wait for the requests of a shard that is handed over or lost.
+const poolCloseTimeout = 10 * time.Second
+
+// slotPools holds the slot pool of each owned shard.
+type slotPools struct {
+	newPool func(shard structs.ShardID, epoch structs.Epoch) *slots.Pool
+	hosts   *hostTable
+
+	mu    sync.Mutex
+	pools map[structs.ShardID]*slots.Pool
+}
+
+func newSlotPools(hosts *hostTable, newPool func(structs.ShardID, structs.Epoch) *slots.Pool) *slotPools {
+	return &slotPools{newPool: newPool, hosts: hosts, pools: map[structs.ShardID]*slots.Pool{}}
+}
+
+// Pool implements requests.Pools.
+func (p *slotPools) Pool(shard structs.ShardID) (requests.LocalPool, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, ok := p.pools[shard]
+	return pool, ok
+}
+
+// open starts the pool of an acquired shard.
+func (p *slotPools) open(shard structs.ShardID, epoch structs.Epoch) {
+	pool := p.newPool(shard, epoch)
+	pool.SetRunners(p.hosts.inShard(structs.RoleRunner, shard))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pools[shard] = pool
+}
+
+// close ends the pool of a shard after its requests in progress, or after poolCloseTimeout.
+func (p *slotPools) close(shard structs.ShardID) {
+	p.mu.Lock()
+	pool, ok := p.pools[shard]
+	delete(p.pools, shard)
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), poolCloseTimeout)
+	defer cancel()
+	// The only error is ErrForced; requests still on runners end with their own answers.
+	_ = pool.Close(ctx)
+}
+
+// refresh gives every pool the runners of the latest host list.
+func (p *slotPools) refresh() {
+	for shard, pool := range p.snapshot() {
+		pool.SetRunners(p.hosts.inShard(structs.RoleRunner, shard))
+	}
+}
+
+func (p *slotPools) snapshot() map[structs.ShardID]*slots.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pools := make(map[structs.ShardID]*slots.Pool, len(p.pools))
+	for shard, pool := range p.pools {
+		pools[shard] = pool
+	}
+	return pools
+}
+
+// runnerAdapter gives pkg/slots the runner client with the errors that pkg/slots knows.
+type runnerAdapter struct {
+	client *runner.Client
+}
+
+// Do implements slots.Runner.
+func (r runnerAdapter) Do(ctx context.Context, addr string, a slots.Attempt) (slots.Answer, error) {
+	answer, err := r.client.Do(ctx, addr, runner.Attempt{
+		ID:        a.ID,
+		Service:   a.Service,
+		Kind:      a.Kind,
+		Body:      a.Body,
+		Remaining: a.Remaining,
+	})
+	switch {
+	case err == nil:
+		return slots.Answer{Status: answer.Status, Body: answer.Body}, nil
+	case errors.Is(err, runner.ErrNotSent):
+		return slots.Answer{}, errors.WithType(err, slots.ErrNotSent)
+	case errors.Is(err, runner.ErrBusy):
+		return slots.Answer{}, errors.WithType(err, slots.ErrBusy)
+	}
+	return slots.Answer{}, errors.WithType(err, slots.ErrUncertain)
+}
