--- /dev/null
+++ b/pkg/worker/client_test.go
@@ -0,0 +1,194 @@
+package worker_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
+	"fulmarcourse.example/fulmarcourse/pkg/worker"
+)
+
+var shard = structs.ShardID{Datacentre: "dc", Index: 1}
+
+func startCommand(epoch structs.Epoch) structs.StartCommand {
+	return structs.StartCommand{
+		Task: structs.TaskID{Job: "job"}, Attempt: 1, Kind: "render", Shard: shard, Epoch: epoch,
+		Reserved: structs.Resources{MilliCPU: 1000}, Lease: time.Hour, RunSeconds: 3600,
+	}
+}
+
+func ref(epoch structs.Epoch) worker.AttemptRef {
+	return worker.AttemptRef{Task: structs.TaskID{Job: "job"}, Attempt: 1, Shard: shard, Epoch: epoch}
+}
+
+// start runs a stand-in worker with a fixed clock and returns it with its address.
+func start(t *testing.T) (*standin.Worker, *standin.History, string) {
+	t.Helper()
+	now := time.Unix(1_000_000, 0)
+	clock := func() time.Time { return now }
+	history := standin.NewHistory(clock)
+	w := standin.NewWorker(standin.WorkerConfig{ID: "w", Capacity: structs.Resources{MilliCPU: 1000}, Clock: clock, History: history})
+	server := httptest.NewServer(w)
+	t.Cleanup(server.Close)
+	return w, history, server.Listener.Addr().String()
+}
+
+func count(h *standin.History, event standin.EventType) int {
+	n := 0
+	for _, e := range h.Events() {
+		if e.Type == event {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against commands that get lost between client and worker: each one must arrive with all its fields.
+func TestCommands(t *testing.T) {
+	_, history, addr := start(t)
+	c := worker.NewClient(worker.Config{})
+	if err := c.Start(t.Context(), addr, startCommand(5)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Throttle(t.Context(), addr, ref(5), 0.25); err != nil {
+		t.Fatal(err)
+	}
+	checkpoint, err := c.Checkpoint(t.Context(), addr, ref(5))
+	if err != nil || checkpoint == "" {
+		t.Fatalf("checkpoint %q, error %v", checkpoint, err)
+	}
+	if err := c.Stop(t.Context(), addr, ref(5)); err != nil {
+		t.Fatal(err)
+	}
+	inventory, err := c.Renew(t.Context(), addr, worker.RenewRequest{Shard: shard, Epoch: 5, Lease: time.Minute})
+	if err != nil || inventory.Worker != "w" || len(inventory.Tasks) != 1 {
+		t.Fatalf("inventory %+v, error %v", inventory, err)
+	}
+	task := inventory.Tasks[0]
+	if task.State != structs.OnWorkerStopped || task.Throttle != 0.25 || task.Checkpoint != checkpoint || task.Reserved != startCommand(5).Reserved {
+		t.Errorf("task %+v", task)
+	}
+	inventory, err = c.Renew(t.Context(), addr, worker.RenewRequest{Shard: shard, Epoch: 5, Acknowledge: []worker.AttemptRef{ref(5)}})
+	if err != nil || len(inventory.Tasks) != 0 {
+		t.Errorf("inventory after the acknowledgement %+v, error %v", inventory, err)
+	}
+	if n := count(history, standin.TaskStarted); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
+// Guards against a start whose response is lost being reported as not run, and against its repetition running
+// the attempt twice.
+func TestLostStartIsUncertain(t *testing.T) {
+	w, history, addr := start(t)
+	c := worker.NewClient(worker.Config{})
+	w.LoseResponses(1)
+	if err := c.Start(t.Context(), addr, startCommand(1)); !errors.Is(err, worker.ErrUncertain) || errors.Is(err, worker.ErrRefused) {
+		t.Errorf("got %v, want ErrUncertain", err)
+	}
+	if err := c.Start(t.Context(), addr, startCommand(1)); err != nil {
+		t.Errorf("repeated start: %v", err)
+	}
+	if n := count(history, standin.TaskStarted); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
+// Guards against commands of a former owner being run, and against their error looking like a refusal that the
+// owner may answer with another try.
+func TestStaleEpoch(t *testing.T) {
+	_, history, addr := start(t)
+	c := worker.NewClient(worker.Config{})
+	if _, err := c.Renew(t.Context(), addr, worker.RenewRequest{Shard: shard, Epoch: 6}); err != nil {
+		t.Fatal(err)
+	}
+	_, checkpointErr := c.Checkpoint(t.Context(), addr, ref(5))
+	_, renewErr := c.Renew(t.Context(), addr, worker.RenewRequest{Shard: shard, Epoch: 5})
+	for name, err := range map[string]error{
+		"start": c.Start(t.Context(), addr, startCommand(5)), "stop": c.Stop(t.Context(), addr, ref(5)),
+		"throttle": c.Throttle(t.Context(), addr, ref(5), 1), "checkpoint": checkpointErr, "renew": renewErr,
+	} {
+		if !errors.Is(err, worker.ErrStaleEpoch) || errors.Is(err, worker.ErrRefused) {
+			t.Errorf("%s: got %v, want ErrStaleEpoch", name, err)
+		}
+	}
+	other := startCommand(5)
+	other.Shard.Index = 2
+	if err := c.Start(t.Context(), addr, other); err != nil {
+		t.Errorf("epochs of one shard fence another: %v", err)
+	}
+	if n := count(history, standin.TaskStarted); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
+// Guards against responses being taken for a certain result that they do not state.
+func TestResponses(t *testing.T) {
+	cases := []struct {
+		status int
+		body   string
+		want   error
+	}{
+		{409, `{"type":"/problems/worker-refused","title":"Command refused","status":409,"detail":"full"}`, worker.ErrRefused},
+		{409, `{"type":"/problems/stale-epoch","title":"Stale epoch","status":409}`, worker.ErrStaleEpoch},
+		{409, `{"type":"/problems/other","title":"Other","status":409}`, worker.ErrUncertain},
+		{500, `{}`, worker.ErrUncertain},
+		{502, `<html>`, worker.ErrUncertain},
+		{200, `{}`, worker.ErrUncertain},
+		{200, `{"done":false}`, worker.ErrUncertain},
+		{200, `{"done":tr`, worker.ErrUncertain},
+		{200, `{"done":true}`, nil},
+	}
+	c := worker.NewClient(worker.Config{})
+	for _, tc := range cases {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(tc.status)
+			_, _ = io.WriteString(w, tc.body)
+		}))
+		err := c.Start(t.Context(), server.Listener.Addr().String(), startCommand(1))
+		if tc.want == nil && err != nil || tc.want != nil && !errors.Is(err, tc.want) {
+			t.Errorf("%d %s: got %v, want %v", tc.status, tc.body, err, tc.want)
+		}
+		server.Close()
+	}
+}
+
+// Guards against an inventory that lacks its worker being read as "no tasks", after which the owner would commit
+// the capacity again.
+func TestForeignInventoryIsUncertain(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	t.Cleanup(server.Close)
+	c := worker.NewClient(worker.Config{})
+	if _, err := c.Renew(t.Context(), server.Listener.Addr().String(), worker.RenewRequest{Shard: shard}); !errors.Is(err, worker.ErrUncertain) {
+		t.Errorf("inventory: got %v, want ErrUncertain", err)
+	}
+	if _, err := c.Checkpoint(t.Context(), server.Listener.Addr().String(), ref(1)); !errors.Is(err, worker.ErrUncertain) {
+		t.Errorf("checkpoint: got %v, want ErrUncertain", err)
+	}
+}
+
+// Guards against an unreachable worker being confused with one that refuses: only the latter answered.
+func TestUnreachable(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	c := worker.NewClient(worker.Config{})
+	err := c.Start(t.Context(), closed.Listener.Addr().String(), startCommand(1))
+	if !errors.Is(err, worker.ErrRefused) || !errors.Is(err, worker.ErrUnreachable) {
+		t.Errorf("refused connection: got %v, want ErrRefused and ErrUnreachable", err)
+	}
+	_, _, addr := start(t)
+	large := startCommand(1)
+	large.Reserved.MilliCPU = 1001
+	err = c.Start(t.Context(), addr, large)
+	if !errors.Is(err, worker.ErrRefused) || errors.Is(err, worker.ErrUnreachable) {
+		t.Errorf("refusal: got %v, want ErrRefused only", err)
+	}
+}
--- /dev/null
+++ b/test/faultproxy/proxy_test.go
@@ -0,0 +1,288 @@
+package faultproxy
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines and connections that outlive their proxy.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// target accepts connections and hands them to the test.
+type target struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func newTarget(t *testing.T) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &target{l, make(chan net.Conn, 100)}
+	var done sync.WaitGroup
+	done.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- c
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		done.Wait()
+		close(s.conns)
+		for c := range s.conns {
+			_ = c.Close()
+		}
+	})
+	return s
+}
+
+func newProxy(t *testing.T, s *target) *Proxy {
+	t.Helper()
+	p, err := Listen(s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// connect opens a connection through the proxy and returns both ends. They fail after a minute.
+func connect(t *testing.T, p *Proxy, s *target) (caller, far net.Conn) {
+	t.Helper()
+	caller, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far = <-s.conns
+	for _, c := range []net.Conn{caller, far} {
+		_ = c.SetDeadline(time.Now().Add(time.Minute))
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	return caller, far
+}
+
+func write(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// expect reads exactly the text.
+func expect(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	got := make([]byte, len(text))
+	if n, err := io.ReadFull(c, got); err != nil || string(got) != text {
+		t.Fatalf("read %q, error %v, want %q", got[:n], err, text)
+	}
+}
+
+// expectEnd reads to the end of the connection, which must be exactly the text.
+func expectEnd(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	got, err := io.ReadAll(c)
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		t.Fatalf("connection did not end after %q", got)
+	}
+	if string(got) != text {
+		t.Fatalf("read %q before the end, want %q", got, text)
+	}
+}
+
+// Guards against bytes that are changed, reordered or lost without a fault, and against half-closed connections
+// that lose the answer.
+func TestForwardsUnchanged(t *testing.T) {
+	s := newTarget(t)
+	p := newProxy(t, s)
+	p.SetDelay(ToTarget, time.Millisecond, time.Millisecond)
+	caller, far := connect(t, p, s)
+	sent := bytes.Repeat([]byte("0123456789abcdef!"), 40_000)
+	var done sync.WaitGroup
+	done.Go(func() {
+		_, _ = caller.Write(sent)
+		_ = caller.(*net.TCPConn).CloseWrite()
+	})
+	got, err := io.ReadAll(far)
+	done.Wait()
+	if err != nil || !bytes.Equal(got, sent) {
+		t.Fatalf("received %d bytes, error %v, want the %d sent", len(got), err, len(sent))
+	}
+	write(t, far, "answer")
+	_ = far.Close()
+	expectEnd(t, caller, "answer")
+}
+
+// Guards against a delay that has no effect. It checks only the lower bound, which a slow machine keeps.
+func TestDelay(t *testing.T) {
+	s := newTarget(t)
+	p := newProxy(t, s)
+	caller, far := connect(t, p, s)
+	const delay = 30 * time.Millisecond
+	p.SetDelay(ToCaller, delay, 0)
+	started := time.Now()
+	write(t, far, "late")
+	expect(t, caller, "late")
+	if took := time.Since(started); took < delay {
+		t.Errorf("took %v, want at least %v", took, delay)
+	}
+}
+
+// Guards against a one-way cut that also cuts the other direction, that delivers lost bytes later, or that lets
+// a stream with a gap go on.
+func TestOneWayCut(t *testing.T) {
+	s := newTarget(t)
+	p := newProxy(t, s)
+	caller, far := connect(t, p, s)
+	p.Cut(ToCaller)
+	write(t, far, "lost")
+	write(t, caller, "request")
+	expect(t, far, "request")
+	waitLossy(t, p)
+	p.Heal(ToCaller)
+	expectEnd(t, caller, "")
+	caller, far = connect(t, p, s)
+	write(t, far, "works")
+	expect(t, caller, "works")
+}
+
+// waitLossy polls until a connection has lost bytes.
+func waitLossy(t *testing.T, p *Proxy) {
+	t.Helper()
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for range 60_000 {
+		p.mu.Lock()
+		for c := range p.pairs {
+			if c.lossy {
+				p.mu.Unlock()
+				return
+			}
+		}
+		p.mu.Unlock()
+		<-ticker.C
+	}
+	t.Fatal("no connection lost bytes")
+}
+
+// Guards against a freeze that loses, reorders or leaks bytes, for open connections and for new ones.
+func TestFreeze(t *testing.T) {
+	s := newTarget(t)
+	p := newProxy(t, s)
+	caller, far := connect(t, p, s)
+	p.Freeze(Both...)
+	write(t, caller, "one")
+	write(t, caller, "two")
+	later, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = later.Close() }()
+	write(t, later, "three")
+	write(t, far, "answer")
+	received := make(chan struct{})
+	var done sync.WaitGroup
+	done.Go(func() {
+		defer close(received)
+		got := make([]byte, len("onetwo"))
+		if _, err := io.ReadFull(far, got); err != nil || string(got) != "onetwo" {
+			t.Errorf("read %q, error %v, want the bytes in their order", got, err)
+		}
+	})
+	select {
+	case <-received:
+		t.Error("bytes passed a frozen proxy")
+	case <-s.conns:
+		t.Error("a connection passed a frozen proxy")
+	default:
+	}
+	p.Thaw(Both...)
+	done.Wait()
+	expect(t, caller, "answer")
+	other := <-s.conns
+	defer func() { _ = other.Close() }()
+	expect(t, other, "three")
+}
+
+// Guards against half-written answers of a length other than the one asked for, and against the fault staying
+// after it has acted.
+func TestCloseAfter(t *testing.T) {
+	s := newTarget(t)
+	p := newProxy(t, s)
+	for _, n := range []int{0, 1, 5, 9} {
+		caller, far := connect(t, p, s)
+		p.CloseAfter(ToCaller, n)
+		write(t, far, "0123456789")
+		expectEnd(t, caller, "0123456789"[:n])
+	}
+	caller, far := connect(t, p, s)
+	write(t, far, "0123456789")
+	expect(t, caller, "0123456789")
+}
+
+// Guards against random losses that differ between runs with the same seed, or that lose all or no connections.
+func TestLossIsSeeded(t *testing.T) {
+	const connections, share, maxBytes = 40, 0.5, 20
+	draw := func(seed uint64) (carried []int) {
+		s := newTarget(t)
+		p := newProxy(t, s)
+		p.SetLoss(share, maxBytes, seed)
+		message := make([]byte, maxBytes+1)
+		for range connections {
+			caller, far := connect(t, p, s)
+			if _, err := far.Write(message); err != nil {
+				t.Fatal(err)
+			}
+			n, _ := io.ReadFull(caller, make([]byte, len(message)))
+			carried = append(carried, n)
+		}
+		return carried
+	}
+	first, second := draw(3), draw(3)
+	lost := 0
+	for i := range first {
+		if first[i] != second[i] {
+			t.Errorf("connection %d carried %d and then %d bytes", i, first[i], second[i])
+		}
+		if first[i] <= maxBytes {
+			lost++
+		}
+	}
+	if lost < connections/4 || lost > connections*3/4 {
+		t.Errorf("lost %d of %d connections at a share of %g", lost, connections, share)
+	}
+}
+
+// Guards against a refusing proxy that accepts connections or keeps old ones, and against one that does not
+// come back at its address.
+func TestRefuseAndAccept(t *testing.T) {
+	s := newTarget(t)
+	p := newProxy(t, s)
+	caller, _ := connect(t, p, s)
+	p.Refuse()
+	expectEnd(t, caller, "")
+	if c, err := net.Dial("tcp", p.Addr()); err == nil {
+		_ = c.Close()
+		t.Error("connection was accepted")
+	}
+	if err := p.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	caller, far := connect(t, p, s)
+	write(t, caller, "again")
+	expect(t, far, "again")
+	if n := p.Accepted(); n != 2 {
+		t.Errorf("accepted %d connections, want 2", n)
+	}
+}
