Add the process harness and the first integration test

Entry hosts run as real processes, each connecting from its own loopback address, so that a proxy in front of every server can cut, delay or freeze single links. The daemon gains the settings peer_listen and source_address, which hosts behind address translation or with several addresses need as well.

Requests are not-run with 'no-shard' for up to a second after a shard was acquired, until heartbeats carry its digest; the test waits for that.

--- a/core/inifile/format.go
+++ b/core/inifile/format.go
@@ -238,6 +238,18 @@
 	return n, nil
 }
 
+// Address accepts a literal IP address.
+var Address = Format[netip.Addr]{
+	Accepted: "an IP address",
+	Parse: func(text string) (netip.Addr, error) {
+		address, err := netip.ParseAddr(text)
+		if err != nil {
+			return netip.Addr{}, errors.Errorf("%q is not an IP address", text)
+		}
+		return address, nil
+	},
+}
+
 // AddressPort accepts a literal IP address with a port; names are rejected because addresses are never resolved.
 var AddressPort = Format[netip.AddrPort]{
 	Accepted: "an IP address and port such as 10.1.0.5:7400 or [fd00::5]:7400",
--- a/pkg/hostlist/client.go
+++ b/pkg/hostlist/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,7 @@
 type Config struct {
 	Endpoint string           // "http://IP:port"
 	Timeout  time.Duration    // limit of one call; 2 s when zero
+	Source   netip.Addr       // local address of connections; the system chooses when zero
 	Metrics  tally.Scope      // tally.NoopScope when nil
 	Log      *eventlog.Logger // reports when the list is lost and recovered; nothing is logged when nil
 }
@@ -66,7 +68,7 @@
 	return &Client{
 		url:     strings.TrimSuffix(cfg.Endpoint, "/") + Path,
 		timeout: cfg.Timeout,
-		http:    httpsend.NewClient(httpsend.Config{Name: "hostlist"}),
+		http:    httpsend.NewClient(httpsend.Config{Source: cfg.Source, Name: "hostlist"}),
 		metrics: cfg.Metrics,
 		log:     cfg.Log,
 		tracer:  otel.Tracer("fulmarcourse/hostlist"),
--- a/pkg/httpsend/client.go
+++ b/pkg/httpsend/client.go
@@ -5,10 +5,12 @@
 import (
 	"bytes"
 	"context"
+	"fulmarcourse.example/fulmarcourse/pkg/netdial"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -37,6 +39,7 @@
 	Name            string        // names the remote service in logs
 	MaxConnsPerHost int           // open connections per server; 0 means no limit
 	DialTimeout     time.Duration // time to connect; 1 s when zero
+	Source          netip.Addr    // local address of connections; the system chooses when zero
 	MaxBody         int64         // longest accepted response body in bytes; 64 MiB when zero
 }
 
@@ -63,7 +66,7 @@
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = defaultMaxBody
 	}
-	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	dialer := netdial.NewDialer(cfg.Source, cfg.DialTimeout)
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -93,11 +93,14 @@
 // buildPlatform makes the clients of the platform.
 func (n *Node) buildPlatform() {
 	n.store = store.NewClient(store.Config{
-		Endpoint: n.cfg.StoreEndpoint, Metrics: n.cfg.Metrics.Scope, Clock: n.cfg.Clock, Log: n.cfg.Log,
+		Endpoint: n.cfg.StoreEndpoint, Source: n.cfg.SourceAddress,
+		Metrics: n.cfg.Metrics.Scope, Clock: n.cfg.Clock, Log: n.cfg.Log,
+	})
+	list := hostlist.NewClient(hostlist.Config{
+		Endpoint: n.cfg.HostListEndpoint, Source: n.cfg.SourceAddress, Metrics: n.cfg.Metrics.Scope, Log: n.cfg.Log,
 	})
-	list := hostlist.NewClient(hostlist.Config{Endpoint: n.cfg.HostListEndpoint, Metrics: n.cfg.Metrics.Scope, Log: n.cfg.Log})
 	n.hosts = newHostTable(list, n.cfg.ShardsPerDatacentre)
-	n.pool = peer.NewPool(peer.PoolConfig{Clock: n.cfg.Clock, Metrics: n.cfg.Metrics.Scope})
+	n.pool = peer.NewPool(peer.PoolConfig{Source: n.cfg.SourceAddress, Clock: n.cfg.Clock, Metrics: n.cfg.Metrics.Scope})
 }
 
 // buildControl makes the control state service.
@@ -177,7 +180,7 @@
 		remote:    n.members.Digests,
 		clock:     n.cfg.Clock,
 	}
-	runners := runnerAdapter{runner.NewClient(runner.Config{Metrics: n.cfg.Metrics.Scope, Log: n.cfg.Log})}
+	runners := runnerAdapter{runner.NewClient(runner.Config{Source: n.cfg.SourceAddress, Metrics: n.cfg.Metrics.Scope, Log: n.cfg.Log})}
 	n.pools = newSlotPools(n.hosts, func(id structs.ShardID, epoch structs.Epoch) *slots.Pool {
 		return slots.NewPool(slots.Config{
 			Shard:  id,
@@ -206,7 +209,7 @@
 	n.manager = shard.NewManager(shard.Config{
 		Ownership:   n.ownership,
 		Permits:     &permits{n.self, n.control, n.peerMembers, n.cfg.Clock},
-		Workers:     worker.NewClient(worker.Config{Metrics: n.cfg.Metrics.Scope}),
+		Workers:     worker.NewClient(worker.Config{Source: n.cfg.SourceAddress, Metrics: n.cfg.Metrics.Scope}),
 		Records:     n.jobs,
 		NewBatch:    n.newBatch(notify),
 		Homes:       newHomeChooser(n.directory, n.control, n.cfg.Seed),
@@ -256,7 +259,7 @@
 
 // buildRequests makes the request path and the HTTP interface.
 func (n *Node) buildRequests() error {
-	n.dispatch = requests.NewPeerDispatcher(requests.DispatcherConfig{Pools: n.pools, Log: n.cfg.Log})
+	n.dispatch = requests.NewPeerDispatcher(requests.DispatcherConfig{Pools: n.pools, Source: n.cfg.SourceAddress, Log: n.cfg.Log})
 	n.requests = requests.NewService(requests.Config{
 		Directory:  n.directory,
 		Dispatcher: n.dispatch,
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fulmarcourse.example/fulmarcourse/pkg/netdial"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -41,6 +43,7 @@
 type PoolConfig struct {
 	MaxConns  int              // 0 for DefaultMaxConns
 	IdleAfter time.Duration    // a connection unused for so long is closed; 0 for DefaultIdleAfter
+	Source    netip.Addr       // local address of connections; the system chooses when zero
 	Clock     func() time.Time // nil for time.Now
 	Metrics   tally.Scope      // nil for none
 }
@@ -89,7 +92,7 @@
 	if len(p.conns) >= p.cfg.MaxConns && !p.evictOldest() {
 		return nil, errors.Annotatef(ErrTooManyPeers, "connection to %s", addr)
 	}
-	client, err := dial(addr)
+	client, err := dial(addr, p.cfg.Source)
 	if err != nil {
 		return nil, errors.Annotatef(err, "connection to %s", addr)
 	}
@@ -99,9 +102,10 @@
 	return conn, nil
 }
 
-func dial(addr string) (*grpc.ClientConn, error) {
+func dial(addr string, source netip.Addr) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(netdial.ForGRPC(source)),
 		grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(traced()))),
 		// The request path decides on retries; a transparent retry could run a request twice.
 		grpc.WithDisableRetry(),
--- a/pkg/peer/probe.go
+++ b/pkg/peer/probe.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"fulmarcourse.example/fulmarcourse/pkg/netdial"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -11,7 +11,7 @@
 // Refused reports whether addr certainly refused a TCP connection: the machine is up and no process listens. It
 // is false for an address that accepts, does not answer, or is unreachable.
 func (p *Pool) Refused(ctx context.Context, addr string) bool {
-	var dialer net.Dialer
+	dialer := netdial.NewDialer(p.cfg.Source, 0)
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/pkg/requests/grpc.go
+++ b/pkg/requests/grpc.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fulmarcourse.example/fulmarcourse/pkg/netdial"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,8 +37,9 @@
 
 // PeerDispatcher sends attempts to the local pool or over gRPC to the owner of the shard.
 type PeerDispatcher struct {
-	pools Pools
-	log   *eventlog.Logger
+	pools  Pools
+	source netip.Addr
+	log    *eventlog.Logger
 
 	mu    sync.Mutex
 	conns map[string]*peerConn // by IP:port
@@ -44,8 +47,9 @@
 
 // DispatcherConfig configures a PeerDispatcher.
 type DispatcherConfig struct {
-	Pools Pools            // of this host
-	Log   *eventlog.Logger // discards when nil
+	Pools  Pools            // of this host
+	Source netip.Addr       // local address of connections; the system chooses when zero
+	Log    *eventlog.Logger // discards when nil
 }
 
 // NewPeerDispatcher returns a dispatcher without connections; they are made on first use.
@@ -53,7 +57,7 @@
 	if cfg.Log == nil {
 		cfg.Log = eventlog.Discard()
 	}
-	return &PeerDispatcher{pools: cfg.Pools, log: cfg.Log, conns: map[string]*peerConn{}}
+	return &PeerDispatcher{pools: cfg.Pools, source: cfg.Source, log: cfg.Log, conns: map[string]*peerConn{}}
 }
 
 // Dispatch implements Dispatcher.
@@ -120,7 +124,7 @@
 	defer d.mu.Unlock()
 	p, ok := d.conns[addr]
 	if !ok {
-		conn, err := grpc.NewClient("passthrough:///"+addr, dialOptions()...)
+		conn, err := grpc.NewClient("passthrough:///"+addr, dialOptions(d.source)...)
 		if err != nil {
 			return nil, err
 		}
@@ -142,9 +146,10 @@
 // connection, and gRPC does not retry: whether a request is sent again is decided by the race alone. gRPC keeps
 // one exception, a single repeat of a stream that the server has refused before any handler saw it; the server
 // side also refuses attempt ids that it has seen.
-func dialOptions() []grpc.DialOption {
+func dialOptions(source netip.Addr) []grpc.DialOption {
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(netdial.ForGRPC(source)),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(
--- a/pkg/runner/client.go
+++ b/pkg/runner/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -38,6 +39,7 @@
 type Config struct {
 	MaxConnsPerHost int              // open connections per runner; 32 when zero
 	DialTimeout     time.Duration    // 1 s when zero
+	Source          netip.Addr       // local address of connections; the system chooses when zero
 	Metrics         tally.Scope      // tally.NoopScope when nil
 	Log             *eventlog.Logger // reports responses that belong to another attempt; nothing is logged when nil
 }
@@ -77,7 +79,7 @@
 		cfg.Log = eventlog.Discard()
 	}
 	return &Client{
-		http: httpsend.NewClient(httpsend.Config{
+		http: httpsend.NewClient(httpsend.Config{Source: cfg.Source,
 			Name: "runner", MaxConnsPerHost: cfg.MaxConnsPerHost, DialTimeout: cfg.DialTimeout,
 		}),
 		metrics: cfg.Metrics,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -43,7 +43,9 @@
 	Environment         string
 	TrialEnvironment    string         // where documents are tried; defaults to Environment
 	HTTPAddress         netip.AddrPort // listens for callers and operators
-	PeerAddress         netip.AddrPort // listens for other entry hosts, which dial it as it is written
+	PeerAddress         netip.AddrPort // other entry hosts dial it as it is written
+	PeerListen          netip.AddrPort // listens for other entry hosts; defaults to PeerAddress
+	SourceAddress       netip.Addr     // local address of outgoing connections; the system chooses when zero
 	ShardsPerDatacentre int
 	StoreEndpoint       url.URL
 	HostlistEndpoint    url.URL
@@ -113,7 +115,8 @@
 const acceptedSections = "[node], [store], [hostlist], [peers], [log], [trace], [shutdown] or [timings]"
 
 func (set *Settings) readNode(s *inifile.Section) {
-	s.Known("host", "datacentre", "environment", "trial_environment", "http_address", "peer_address", "shards_per_datacentre")
+	s.Known("host", "datacentre", "environment", "trial_environment", "http_address", "peer_address", "peer_listen", "source_address",
+		"shards_per_datacentre")
 	host, _ := inifile.Required(s, "host", inifile.Name)
 	datacentre, _ := inifile.Required(s, "datacentre", inifile.Name)
 	set.Host, set.Datacentre = structs.HostID(host), structs.DatacentreID(datacentre)
@@ -121,6 +124,8 @@
 	set.TrialEnvironment = inifile.Optional(s, "trial_environment", inifile.Name, set.Environment)
 	set.HTTPAddress, _ = inifile.Required(s, "http_address", inifile.AddressPort)
 	set.PeerAddress, _ = inifile.Required(s, "peer_address", reachableAddress)
+	set.PeerListen = inifile.Optional(s, "peer_listen", inifile.AddressPort, set.PeerAddress)
+	set.SourceAddress = inifile.Optional(s, "source_address", inifile.Address, netip.Addr{})
 	set.ShardsPerDatacentre = int(inifile.Optional(s, "shards_per_datacentre", inifile.Integer(1, maxShards), DefaultShardsPerDatacentre))
 }
 
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -47,6 +47,7 @@
 	want := Settings{
 		Host: "a1", Datacentre: "north", Environment: "production", TrialEnvironment: "production",
 		HTTPAddress: netip.MustParseAddrPort("0.0.0.0:8080"), PeerAddress: netip.MustParseAddrPort("10.1.0.5:7400"),
+		PeerListen:          netip.MustParseAddrPort("10.1.0.5:7400"),
 		ShardsPerDatacentre: 2,
 		StoreEndpoint:       url.URL{Scheme: "http", Host: "10.1.0.9:2379"},
 		HostlistEndpoint:    url.URL{Scheme: "http", Host: "[fd00::9]:9000"},
@@ -54,7 +55,8 @@
 		Timings: DefaultTimings(),
 	}
 	compare := cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
-	if diff := cmp.Diff(want, got, compare); diff != "" {
+	compareAddr := cmp.Comparer(func(a, b netip.Addr) bool { return a == b })
+	if diff := cmp.Diff(want, got, compare, compareAddr); diff != "" {
 		t.Fatalf("settings differ (-want +got):\n%s", diff)
 	}
 	got, findings = Parse("s.ini", []byte(valid+optional))
@@ -64,7 +66,7 @@
 	want.Peers = []netip.AddrPort{netip.MustParseAddrPort("10.1.0.6:7400"), netip.MustParseAddrPort("10.2.0.6:7400")}
 	want.LogLevel, want.Trace = log.DebugLevel, Trace{Exporter: TraceStdout, File: "spans.json"}
 	want.ShutdownTimeout, want.Timings.PermitTTL = 20*time.Second, 2*time.Second
-	if diff := cmp.Diff(want, got, compare); diff != "" {
+	if diff := cmp.Diff(want, got, compare, compareAddr); diff != "" {
 		t.Fatalf("settings differ (-want +got):\n%s", diff)
 	}
 }
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,7 @@
 type Config struct {
 	Endpoint string        // "http://IP:port"
 	Timeout  time.Duration // limit of one call; 2 s when zero
+	Source   netip.Addr    // local address of connections; the system chooses when zero
 	Metrics  tally.Scope   // tally.NoopScope when nil
 	Clock    func() time.Time
 	Log      *eventlog.Logger // reports when the store is lost and recovered; nothing is logged when nil
@@ -62,7 +64,7 @@
 	return &Client{
 		endpoint: strings.TrimSuffix(cfg.Endpoint, "/"),
 		timeout:  cfg.Timeout,
-		http:     httpsend.NewClient(httpsend.Config{Name: "store", MaxConnsPerHost: maxConns, MaxBody: maxResponse}),
+		http:     httpsend.NewClient(httpsend.Config{Source: cfg.Source, Name: "store", MaxConnsPerHost: maxConns, MaxBody: maxResponse}),
 		clock:    cfg.Clock,
 		metrics:  newMetrics(cfg.Metrics),
 		tracer:   otel.Tracer("fulmarcourse/store"),
--- a/pkg/worker/client.go
+++ b/pkg/worker/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -40,6 +41,7 @@
 // Config configures a Client.
 type Config struct {
 	Timeout time.Duration // limit of one call; 2 s when zero
+	Source  netip.Addr    // local address of connections; the system chooses when zero
 	Metrics tally.Scope   // tally.NoopScope when nil
 }
 
@@ -60,7 +62,7 @@
 		cfg.Metrics = tally.NoopScope
 	}
 	return &Client{
-		http:    httpsend.NewClient(httpsend.Config{Name: "worker", MaxConnsPerHost: maxConnsPerWorker}),
+		http:    httpsend.NewClient(httpsend.Config{Source: cfg.Source, Name: "worker", MaxConnsPerHost: maxConnsPerWorker}),
 		timeout: cfg.Timeout,
 		metrics: cfg.Metrics,
 		tracer:  otel.Tracer("fulmarcourse/worker"),
--- /dev/null
+++ b/test/cluster/caller.go
@@ -0,0 +1,92 @@
+package cluster
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+)
+
+// Reply is what a caller sees of one request. Status is 0 when the connection failed.
+type Reply struct {
+	Status  int
+	Outcome structs.Outcome
+	Body    []byte
+	Whole   bool // the body was received completely
+}
+
+// Call is one request of a caller.
+type Call struct {
+	Service  structs.ServiceName
+	Kind     structs.KindName
+	Key      string // idempotency key; none when empty
+	Deadline time.Duration
+	Body     string
+}
+
+// Send sends a request to the entry host at base. It never repeats it.
+func Send(base string, call Call) Reply {
+	url := fmt.Sprintf("%s/v1/services/%s/%s", base, call.Service, call.Kind)
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(call.Body)))
+	if err != nil {
+		return Reply{}
+	}
+	req.GetBody = nil // keeps net/http from repeating the request
+	req.Header.Set("Request-Timeout-Ms", strconv.FormatInt(call.Deadline.Milliseconds(), 10))
+	if call.Key != "" {
+		req.Header.Set("Idempotency-Key", call.Key)
+	}
+	resp, err := callers.Do(req)
+	if err != nil {
+		return Reply{}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return Reply{
+		Status:  resp.StatusCode,
+		Outcome: structs.Outcome(resp.Header.Get("Fulmarcourse-Outcome")),
+		Body:    body,
+		Whole:   err == nil && int64(len(body)) == resp.ContentLength,
+	}
+}
+
+// callers uses a connection per request, so that a dying entry host cannot lose a request on a reused connection.
+var callers = &http.Client{
+	Timeout:   30 * time.Second,
+	Transport: &http.Transport{DisableKeepAlives: true},
+}
+
+// SubmitJob submits a job and returns its record; the status is 0 if there was no answer.
+func SubmitJob(base string, spec structs.JobSpec) (structs.JobRecord, int) {
+	var record structs.JobRecord
+	status := post(base+"/v1/jobs", spec, &record)
+	return record, status
+}
+
+// CancelJob cancels a job and returns the HTTP status.
+func CancelJob(base string, id structs.JobID) int {
+	return post(base+"/v1/jobs/"+string(id)+"/cancel", nil, nil)
+}
+
+// Job reads a job record from the store, not through an entry host.
+func (c *Cluster) Job(id structs.JobID) (structs.JobRecord, bool) {
+	var record structs.JobRecord
+	ok := c.readJSON("/fulmarcourse/production/jobs/"+string(id), &record)
+	return record, ok
+}
+
+// AwaitJob waits until every task of a job is final and returns the record.
+func (c *Cluster) AwaitJob(id structs.JobID) structs.JobRecord {
+	c.t.Helper()
+	var record structs.JobRecord
+	c.Await("job "+string(id)+" is final", func() bool {
+		found, ok := c.Job(id)
+		record = found
+		return ok && found.Final()
+	})
+	return record
+}
--- /dev/null
+++ b/test/cluster/cluster.go
@@ -0,0 +1,342 @@
+package cluster
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/daemon"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
+	"fulmarcourse.example/fulmarcourse/pkg/store"
+)
+
+// execVariable makes a test binary run as fulmard.
+const execVariable = "FULMARD_TEST_EXEC"
+
+// Main is called from TestMain of packages that use Start. In a re-executed test binary it runs fulmard.
+func Main(m *testing.M) {
+	if os.Getenv(execVariable) != "" {
+		os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	eventlog.CaptureGoZero(eventlog.Discard())
+	os.Exit(m.Run())
+}
+
+// Datacentre describes one data centre of a cluster.
+type Datacentre struct {
+	ID             structs.DatacentreID
+	EntryHosts     int
+	Racks          int
+	WorkersPerRack int
+	RunnersPerRack int
+}
+
+// Config configures a cluster.
+type Config struct {
+	Datacentres []Datacentre
+	Document    string // promoted before Start returns
+	Service     structs.ServiceName
+	Worker      standin.WorkerConfig
+	Runner      standin.RunnerConfig
+	Colocate    bool
+	HostListLag time.Duration
+	LinkDelay   time.Duration // one way between data centres, and between data centres and the platform
+	Seed        uint64
+}
+
+// Cluster is a running cluster. Entries are named "<dc>-entry-<n>".
+type Cluster struct {
+	Platform *standin.Platform
+
+	t       testing.TB
+	cfg     Config
+	net     *network
+	reader  *store.Client // not behind the proxies
+	dir     string
+	seeds   []string
+	mu      sync.Mutex
+	entries map[structs.HostID]*Entry
+	order   []structs.HostID
+}
+
+// Entry is one entry host.
+type Entry struct {
+	ID         structs.HostID
+	Datacentre structs.DatacentreID
+	HTTP       string // base URL for callers and operators
+	source     string
+	listen     string
+	advertised string
+	log        string
+	cmd        *exec.Cmd
+	exited     chan struct{}
+}
+
+// Start starts a cluster and waits until every entry host is ready and every shard has an owner.
+func Start(t testing.TB, cfg Config) *Cluster {
+	t.Helper()
+	c := &Cluster{t: t, cfg: cfg, dir: t.TempDir(), entries: map[structs.HostID]*Entry{}}
+	c.net = newNetwork(c.linkDelay)
+	t.Cleanup(c.close)
+	c.startPlatform()
+	c.prepareEntries()
+	for _, id := range c.order {
+		c.StartEntry(id)
+	}
+	c.promoteFirst(cfg.Document)
+	c.AwaitReady(c.order...)
+	c.AwaitOwners()
+	return c
+}
+
+func (c *Cluster) linkDelay(from, to Place) time.Duration {
+	if from == to {
+		return 0
+	}
+	return c.cfg.LinkDelay
+}
+
+func (c *Cluster) startPlatform() {
+	cfg := standin.PlatformConfig{
+		Worker:      c.cfg.Worker,
+		Runner:      c.cfg.Runner,
+		Service:     c.cfg.Service,
+		Colocate:    c.cfg.Colocate,
+		HostListLag: c.cfg.HostListLag,
+		Seed:        c.cfg.Seed,
+		Address:     c.exposeBackend,
+	}
+	for _, dc := range c.cfg.Datacentres {
+		cfg.Datacentres = append(cfg.Datacentres, standin.DatacentreConfig{
+			ID: dc.ID, Racks: dc.Racks, WorkersPerRack: dc.WorkersPerRack, RunnersPerRack: dc.RunnersPerRack,
+		})
+	}
+	var err error
+	c.Platform, err = standin.NewPlatform(cfg)
+	c.check(err)
+	c.reader = store.NewClient(store.Config{Endpoint: c.Platform.StoreURL})
+}
+
+// exposeBackend puts a backend server behind the proxies.
+func (c *Cluster) exposeBackend(id structs.HostID, addr string) string {
+	dc, _, _ := strings.Cut(string(id), "-")
+	exposed, err := c.net.expose(string(id), Place(dc), addr)
+	c.check(err)
+	return exposed
+}
+
+func (c *Cluster) prepareEntries() {
+	for d, dc := range c.cfg.Datacentres {
+		for i := range dc.EntryHosts {
+			id := structs.HostID(fmt.Sprintf("%s-entry-%d", dc.ID, i))
+			source := fmt.Sprintf("127.10.%d.%d", d+1, i+1)
+			listen := freeAddress(c.t, source)
+			advertised, err := c.net.expose(string(id), Place(dc.ID), listen)
+			c.check(err)
+			c.net.sources[netip.MustParseAddr(source)] = id
+			c.entries[id] = &Entry{
+				ID: id, Datacentre: dc.ID, source: source, listen: listen, advertised: advertised,
+				HTTP: "http://" + freeAddress(c.t, source),
+				log:  filepath.Join(c.dir, string(id)+".log"),
+			}
+			c.order = append(c.order, id)
+			c.seeds = append(c.seeds, advertised)
+		}
+	}
+}
+
+// freeAddress returns an IP:port that was free a moment ago.
+func freeAddress(t testing.TB, ip string) string {
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+const settingsTemplate = `[node]
+host = %s
+datacentre = %s
+environment = production
+trial_environment = trial
+http_address = %s
+peer_address = %s
+peer_listen = %s
+source_address = %s
+
+[store]
+endpoint = http://%s
+
+[hostlist]
+endpoint = http://%s
+
+[peers]
+addresses = %s
+
+[log]
+level = info
+
+[shutdown]
+timeout = 20s
+`
+
+// StartEntry starts the process of an entry host, also again after Kill or Stop.
+func (c *Cluster) StartEntry(id structs.HostID) {
+	c.t.Helper()
+	e := c.Entry(id)
+	store, err := c.net.exposeOnce("store", Platform, strings.TrimPrefix(c.Platform.StoreURL, "http://"))
+	c.check(err)
+	hosts, err := c.net.exposeOnce("hostlist", Platform, strings.TrimPrefix(c.Platform.HostListURL, "http://"))
+	c.check(err)
+	path := filepath.Join(c.dir, string(id)+".ini")
+	text := fmt.Sprintf(settingsTemplate, e.ID, e.Datacentre, strings.TrimPrefix(e.HTTP, "http://"), e.advertised, e.listen,
+		e.source, store, hosts, strings.Join(c.seeds, ", "))
+	c.check(os.WriteFile(path, []byte(text), 0o600))
+	log, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	c.check(err)
+	defer log.Close()
+	cmd := exec.Command(os.Args[0], "-config", path)
+	cmd.Env = append(os.Environ(), execVariable+"=1")
+	cmd.Stdout, cmd.Stderr = log, log
+	c.check(cmd.Start())
+	e.cmd, e.exited = cmd, make(chan struct{})
+	go func(exited chan struct{}) {
+		_ = cmd.Wait() // the exit status of a killed process carries nothing
+		close(exited)
+	}(e.exited)
+}
+
+// exposeOnce is expose for an address that may be exposed already.
+func (n *network) exposeOnce(name string, place Place, target string) (string, error) {
+	n.mu.Lock()
+	f, ok := n.fronts[name]
+	n.mu.Unlock()
+	if ok {
+		return f.address, nil
+	}
+	return n.expose(name, place, target)
+}
+
+// Entry returns an entry host.
+func (c *Cluster) Entry(id structs.HostID) *Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.entries[id]
+	if !ok {
+		c.t.Fatalf("no entry host %s", id)
+	}
+	return e
+}
+
+// Entries returns the ids of all entry hosts.
+func (c *Cluster) Entries() []structs.HostID { return c.order }
+
+// Kill ends the process of an entry host with SIGKILL. Its address then refuses connections, as that of a machine
+// whose process has died.
+func (c *Cluster) Kill(id structs.HostID) {
+	c.signal(id, syscall.SIGKILL)
+	<-c.Entry(id).exited
+	c.net.refuse(string(id))
+}
+
+// Restart starts a killed or stopped entry host again.
+func (c *Cluster) Restart(id structs.HostID) {
+	c.net.refuse(string(id))
+	c.check(c.net.restore(string(id)))
+	c.StartEntry(id)
+}
+
+// Pause freezes the process of an entry host with SIGSTOP.
+func (c *Cluster) Pause(id structs.HostID) { c.signal(id, syscall.SIGSTOP) }
+
+// Resume ends Pause.
+func (c *Cluster) Resume(id structs.HostID) { c.signal(id, syscall.SIGCONT) }
+
+// Stop asks an entry host to shut down gracefully. Exited tells when it has.
+func (c *Cluster) Stop(id structs.HostID) { c.signal(id, syscall.SIGTERM) }
+
+// Exited is closed when the process has ended.
+func (e *Entry) Exited() <-chan struct{} { return e.exited }
+
+// ExitCode returns the exit code of an ended process; -1 if a signal ended it.
+func (e *Entry) ExitCode() int { return e.cmd.ProcessState.ExitCode() }
+
+func (c *Cluster) signal(id structs.HostID, s syscall.Signal) {
+	c.t.Helper()
+	c.check(c.Entry(id).cmd.Process.Signal(s))
+}
+
+// CutLinks cuts every link for which cut returns true and heals all others. Names are host ids, "store" and
+// "hostlist"; from is always an entry host.
+func (c *Cluster) CutLinks(cut func(from, to string) bool) { c.net.setCut(cut) }
+
+// Heal ends CutLinks.
+func (c *Cluster) Heal() { c.net.setCut(func(string, string) bool { return false }) }
+
+// IsolateDatacentre cuts a data centre off from the other data centres and from the platform.
+func (c *Cluster) IsolateDatacentre(id structs.DatacentreID) {
+	inside := func(name string) bool { return c.net.placeOf(name) == Place(id) }
+	c.CutLinks(func(from, to string) bool { return inside(from) != inside(to) })
+}
+
+// CutStore cuts the given entry hosts off from the store and the host list.
+func (c *Cluster) CutStore(ids ...structs.HostID) {
+	cut := map[string]bool{}
+	for _, id := range ids {
+		cut[string(id)] = true
+	}
+	c.CutLinks(func(from, to string) bool { return cut[from] && (to == "store" || to == "hostlist") })
+}
+
+// placeOf is called with or without mu; places only grow before the first cut.
+func (n *network) placeOf(name string) Place { return n.places[name] }
+
+func (c *Cluster) close() {
+	for _, id := range c.order {
+		e := c.entries[id]
+		if e.cmd == nil {
+			continue
+		}
+		_ = e.cmd.Process.Signal(syscall.SIGKILL) // fails if the process has ended
+		<-e.exited
+	}
+	c.net.close()
+	if c.Platform != nil {
+		c.Platform.Close()
+	}
+	if c.t.Failed() {
+		c.reportLogs()
+	}
+}
+
+// reportLogs prints the end of each entry host's log after a failure.
+func (c *Cluster) reportLogs() {
+	const tail = 4000 // bytes per host
+	for _, id := range c.order {
+		text, err := os.ReadFile(c.entries[id].log)
+		if err != nil {
+			continue
+		}
+		c.t.Logf("log of %s:\n%s", id, text[max(0, len(text)-tail):])
+	}
+}
+
+func (c *Cluster) check(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(errors.ErrorStack(err))
+	}
+}
