Keep renewals apart from slow calls and control the stand-ins over HTTP

Reading the clients again showed that lease calls to the store and task lease renewals to workers shared bounded connections with other calls, so a slow store or a few slow commands could delay renewals until the leases ran out. Both now have their own connections, and checkpoints have a longer time limit. Tests run stand-ins in other processes, so Platform takes a typed Control over HTTP, applied completely or not at all.

--- /dev/null
+++ b/pkg/standin/clock.go
@@ -0,0 +1,29 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// ManualClock is a clock that moves only when it is told to. It is safe for concurrent use.
+type ManualClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+// NewManualClock returns a clock that shows a fixed time.
+func NewManualClock() *ManualClock { return &ManualClock{now: time.Unix(1_000_000_000, 0)} }
+
+// Now returns the time that the clock shows.
+func (c *ManualClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// Advance moves the clock forward by d.
+func (c *ManualClock) Advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
--- /dev/null
+++ b/pkg/standin/control.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/problem"
+)
+
+// ControlPath is the resource beside the host list that takes a Control, for tests that run the platform in
+// another process.
+const ControlPath = "/v1/control"
+
+// ErrUnknownHost means that a Control names a host that the platform does not have. Nothing of it was applied.
+const ErrUnknownHost = errors.ConstError("unknown host")
+
+// Control changes switches of a platform. Fields that are nil or empty change nothing.
+type Control struct {
+	Store    *StoreControl                        `json:"store,omitempty"`
+	HostList *HostListControl                     `json:"host_list,omitempty"`
+	Workers  map[structs.HostID]WorkerControl     `json:"workers,omitempty"`
+	Runners  map[structs.HostID]RunnerControl     `json:"runners,omitempty"`
+	States   map[structs.HostID]structs.HostState `json:"states,omitempty"` // in the host list, after its lag
+	Kill     []structs.HostID                     `json:"kill,omitempty"`
+}
+
+// StoreControl changes switches of the store.
+type StoreControl struct {
+	Down          *bool          `json:"down,omitempty"`
+	Delay         *time.Duration `json:"delay_ns,omitempty"`
+	LoseResponses *int           `json:"lose_responses,omitempty"`
+}
+
+// HostListControl changes switches of the host list.
+type HostListControl struct {
+	Down *bool          `json:"down,omitempty"`
+	Lag  *time.Duration `json:"lag_ns,omitempty"`
+}
+
+// WorkerControl changes switches of a worker.
+type WorkerControl struct {
+	Down          *bool          `json:"down,omitempty"`
+	Failing       *bool          `json:"failing,omitempty"`
+	Delay         *time.Duration `json:"delay_ns,omitempty"`
+	LoseResponses *int           `json:"lose_responses,omitempty"`
+}
+
+// RunnerControl changes switches of a runner.
+type RunnerControl struct {
+	Slow        *float64       `json:"slow,omitempty"`
+	Frozen      *bool          `json:"frozen,omitempty"`
+	LateBy      *time.Duration `json:"late_by_ns,omitempty"`
+	FailAnswers []AnswerFault  `json:"fail_answers,omitempty"`
+}
+
+// Apply changes the switches that c names. Errors match ErrUnknownHost.
+func (p *Platform) Apply(c Control) error {
+	if err := p.check(c); err != nil {
+		return err
+	}
+	if s := c.Store; s != nil {
+		apply(s.Down, p.Store.SetDown)
+		apply(s.Delay, p.Store.SetDelay)
+		apply(s.LoseResponses, p.Store.LoseResponses)
+	}
+	if l := c.HostList; l != nil {
+		apply(l.Down, p.HostList.SetDown)
+		apply(l.Lag, p.HostList.SetLag)
+	}
+	for id, w := range c.Workers {
+		apply(w.Down, p.Workers[id].SetDown)
+		apply(w.Failing, p.Workers[id].SetFailing)
+		apply(w.Delay, p.Workers[id].SetDelay)
+		apply(w.LoseResponses, p.Workers[id].LoseResponses)
+	}
+	for id, r := range c.Runners {
+		apply(r.Slow, p.Runners[id].SetSlow)
+		apply(r.Frozen, p.Runners[id].SetFrozen)
+		apply(r.LateBy, p.Runners[id].SetLateBy)
+		p.Runners[id].FailAnswers(r.FailAnswers...)
+	}
+	for id, state := range c.States {
+		p.HostList.SetState(id, state)
+	}
+	for _, id := range c.Kill {
+		p.Kill(id)
+	}
+	return nil
+}
+
+func apply[T any](value *T, set func(T)) {
+	if value != nil {
+		set(*value)
+	}
+}
+
+// check finds hosts that the platform does not have.
+func (p *Platform) check(c Control) error {
+	for id := range c.Workers {
+		if p.Workers[id] == nil {
+			return errors.Annotatef(ErrUnknownHost, "worker %q", id)
+		}
+	}
+	for id := range c.Runners {
+		if p.Runners[id] == nil {
+			return errors.Annotatef(ErrUnknownHost, "runner %q", id)
+		}
+	}
+	for id := range c.States {
+		if p.servers[id] == nil {
+			return errors.Annotatef(ErrUnknownHost, "state of %q", id)
+		}
+	}
+	for _, id := range c.Kill {
+		if p.servers[id] == nil {
+			return errors.Annotatef(ErrUnknownHost, "kill %q", id)
+		}
+	}
+	return nil
+}
+
+// serveControl applies the Control in the request body.
+func (p *Platform) serveControl(w http.ResponseWriter, r *http.Request) {
+	var c Control
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&c)
+	if err == nil {
+		err = p.Apply(c)
+	}
+	if err != nil {
+		problem.Write(w, problem.Problem{Title: "Control rejected", Status: http.StatusBadRequest, Detail: err.Error()})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -48,7 +48,7 @@
 	Runners  map[structs.HostID]*Runner
 
 	StoreURL    string
-	HostListURL string // also serves the history at HistoryPath
+	HostListURL string // also serves HistoryPath and ControlPath
 
 	cfg     PlatformConfig
 	servers map[structs.HostID]*Server
@@ -115,6 +115,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", p.HostList)
 	mux.Handle("GET "+HistoryPath, p.History)
+	mux.HandleFunc("POST "+ControlPath, p.serveControl)
 	if p.HostListURL, err = p.serve(mux); err != nil {
 		return err
 	}
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -135,7 +136,7 @@
 
 // Guards against a co-located task that leaves requests as fast as without it, and the reverse.
 func TestRequestsAndTasksSlowEachOther(t *testing.T) {
-	clock := newManualClock()
+	clock := standin.NewManualClock()
 	w := standin.NewWorker(standin.WorkerConfig{
 		ID: "w", Capacity: structs.Resources{MilliCPU: 2000}, Clock: clock.Now,
 		Interference: standin.Interference{{Slowed: "quote", By: "render"}: 2, {Slowed: "render", By: "quote"}: 1},
@@ -194,3 +195,36 @@
 		}
 	}
 }
+
+// Guards against switches that tests in other processes cannot reach, and against a control that is applied in
+// part or ignored because of a wrong name.
+func TestControlOverHTTP(t *testing.T) {
+	p, _ := newPlatform(t)
+	post := func(body string) int {
+		resp, err := http.Post(p.HostListURL+standin.ControlPath, "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return resp.StatusCode
+	}
+	c := store.NewClient(store.Config{Endpoint: p.StoreURL})
+	for _, tc := range []struct {
+		body   string
+		status int
+		down   bool
+	}{
+		{`{"store":{"down":true},"kill":["nobody"]}`, http.StatusBadRequest, false},
+		{`{"stor":{"down":true}}`, http.StatusBadRequest, false},
+		{`{"store":{"down":true}}`, http.StatusNoContent, true},
+		{`{"workers":{"north-0-worker-0":{"failing":true}}}`, http.StatusNoContent, true},
+		{`{"store":{"down":false}}`, http.StatusNoContent, false},
+	} {
+		if status := post(tc.body); status != tc.status {
+			t.Errorf("%s: status %d, want %d", tc.body, status, tc.status)
+		}
+		if _, _, err := c.Get(t.Context(), "k"); (err != nil) != tc.down {
+			t.Errorf("%s: read error %v, want down %t", tc.body, err, tc.down)
+		}
+	}
+}
--- a/pkg/standin/worker_test.go
+++ b/pkg/standin/worker_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"net/http/httptest"
-	"sync"
 	"testing"
 	"time"
 
@@ -16,32 +15,12 @@
 	"fulmarcourse.example/fulmarcourse/pkg/worker"
 )
 
-// manualClock is a clock that the test moves.
-type manualClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func newManualClock() *manualClock { return &manualClock{now: time.Unix(1_000_000, 0)} }
-
-func (c *manualClock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *manualClock) advance(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 var shard = structs.ShardID{Datacentre: "dc"}
 
 // rig is a worker with a manual clock behind a client.
 type rig struct {
 	t       *testing.T
-	clock   *manualClock
+	clock   *standin.ManualClock
 	worker  *standin.Worker
 	history *standin.History
 	client  *worker.Client
@@ -50,7 +29,7 @@
 
 func newRig(t *testing.T, cfg standin.WorkerConfig) *rig {
 	t.Helper()
-	r := &rig{t: t, clock: newManualClock(), client: worker.NewClient(worker.Config{})}
+	r := &rig{t: t, clock: standin.NewManualClock(), client: worker.NewClient(worker.Config{})}
 	r.history = standin.NewHistory(r.clock.Now)
 	cfg.ID, cfg.Clock, cfg.History = "w", r.clock.Now, r.history
 	if cfg.Capacity == (structs.Resources{}) {
@@ -113,11 +92,11 @@
 	lost.Shard.Index = 7
 	r.start(kept)
 	r.start(lost)
-	r.clock.advance(10 * time.Second)
+	r.clock.Advance(10 * time.Second)
 	if _, err := r.client.Renew(t.Context(), r.addr, worker.RenewRequest{Shard: shard, Epoch: 1, Lease: 15 * time.Second}); err != nil {
 		t.Fatal(err)
 	}
-	r.clock.advance(10 * time.Second)
+	r.clock.Advance(10 * time.Second)
 	tasks := r.inventory()
 	if tasks["kept"].State != structs.OnWorkerRunning || tasks["lost"].State != structs.OnWorkerExpired {
 		t.Errorf("tasks %+v", tasks)
@@ -125,7 +104,7 @@
 	if at := r.eventAt(standin.TaskExpired, "lost"); at != 15*time.Second {
 		t.Errorf("lease of another shard's task ended at %v, want 15s", at)
 	}
-	r.clock.advance(time.Hour)
+	r.clock.Advance(time.Hour)
 	r.worker.Advance()
 	if at := r.eventAt(standin.TaskExpired, "kept"); at != 25*time.Second {
 		t.Errorf("renewed lease ended at %v, want 25s", at)
@@ -139,7 +118,7 @@
 	short, long := command("short", 1), command("long", 100)
 	r.start(short)
 	r.start(long)
-	r.clock.advance(2 * time.Second)
+	r.clock.Advance(2 * time.Second)
 	for range 2 {
 		if task := r.inventory()["short"]; task.State != structs.OnWorkerDone || task.RanFor != time.Second {
 			t.Errorf("finished task %+v", task)
@@ -151,7 +130,7 @@
 		t.Errorf("tasks after the acknowledgement %+v, error %v", tasks, err)
 	}
 	r.start(short) // a repeated start that arrives late
-	r.clock.advance(2 * time.Second)
+	r.clock.Advance(2 * time.Second)
 	if _, reported := r.inventory()["short"]; reported {
 		t.Error("an acknowledged attempt ran again")
 	}
@@ -163,19 +142,19 @@
 	r := newRig(t, standin.WorkerConfig{})
 	first := command("job", 10)
 	r.start(first)
-	r.clock.advance(4 * time.Second)
+	r.clock.Advance(4 * time.Second)
 	checkpoint, err := r.client.Checkpoint(t.Context(), r.addr, refOf(first))
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.clock.advance(time.Second) // this second of work is lost
+	r.clock.Advance(time.Second) // this second of work is lost
 	if err := r.client.Stop(t.Context(), r.addr, refOf(first)); err != nil {
 		t.Fatal(err)
 	}
 	second := first
 	second.Attempt, second.Checkpoint = 2, checkpoint
 	r.start(second)
-	r.clock.advance(time.Minute)
+	r.clock.Advance(time.Minute)
 	r.worker.Advance()
 	if at := r.eventAt(standin.TaskFinished, "job"); (at - 11*time.Second).Abs() > time.Microsecond {
 		t.Errorf("resumed task finished at %v, want 11s", at)
@@ -229,7 +208,7 @@
 			t.Errorf("%s: got %v, want ErrRefused", name, err)
 		}
 	}
-	r.clock.advance(10 * time.Second)
+	r.clock.Advance(10 * time.Second)
 	r.start(second) // the finished task has freed its capacity before it is acknowledged
 }
 
@@ -275,7 +254,7 @@
 		if err := r.client.Throttle(t.Context(), r.addr, refOf(command("b", 30)), tc.throttleB); err != nil {
 			t.Fatal(err)
 		}
-		r.clock.advance(2 * time.Minute)
+		r.clock.Advance(2 * time.Minute)
 		r.worker.Advance()
 		a, b := r.eventAt(standin.TaskFinished, "a"), r.eventAt(standin.TaskFinished, "b")
 		if (a-tc.finishA).Abs() > time.Microsecond || (b-tc.finishB).Abs() > time.Microsecond {
@@ -299,7 +278,7 @@
 				t.Errorf("after %d s: %+v", second, task)
 			}
 		}
-		r.clock.advance(time.Second)
+		r.clock.Advance(time.Second)
 	}
 	if seen < 10 {
 		t.Errorf("usage was reported %d times in 20 s", seen)
@@ -345,7 +324,7 @@
 		r.start(cmd)
 	}
 	for _, step := range steps {
-		r.clock.advance(time.Duration(step) * time.Millisecond)
+		r.clock.Advance(time.Duration(step) * time.Millisecond)
 		r.worker.Advance()
 	}
 	found := map[string]time.Duration{}
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -21,8 +21,10 @@
 
 const (
 	defaultTimeout = 2 * time.Second
-	// maxConns bounds the connections to the store. Its rates grow more slowly than the fleet.
+	// maxConns bounds the connections for keys. The store's rates grow more slowly than the fleet.
 	maxConns = 32
+	// maxLeaseConns bounds the connections for leases.
+	maxLeaseConns = 4
 	// maxResponse bounds one response, in bytes. A range read over all jobs is the largest one.
 	maxResponse = 256 << 20
 )
@@ -40,7 +42,8 @@
 type Client struct {
 	endpoint string
 	timeout  time.Duration
-	http     *httpsend.Client
+	keys     *httpsend.Client
+	leases   *httpsend.Client // separate, so that renewals never wait for slow reads and writes
 	clock    func() time.Time
 	metrics  metrics
 	tracer   trace.Tracer
@@ -62,7 +65,8 @@
 	return &Client{
 		endpoint: strings.TrimSuffix(cfg.Endpoint, "/"),
 		timeout:  cfg.Timeout,
-		http:     httpsend.NewClient(httpsend.Config{Name: "store", MaxConnsPerHost: maxConns, MaxBody: maxResponse}),
+		keys:     httpsend.NewClient(httpsend.Config{Name: "store", MaxConnsPerHost: maxConns, MaxBody: maxResponse}),
+		leases:   httpsend.NewClient(httpsend.Config{Name: "store", MaxConnsPerHost: maxLeaseConns}),
 		clock:    cfg.Clock,
 		metrics:  newMetrics(cfg.Metrics),
 		tracer:   otel.Tracer("fulmarcourse/store"),
@@ -75,14 +79,15 @@
 	name  string
 	path  string
 	write bool // the call may change the store
+	lease bool // the call is about a lease
 }
 
 var (
-	opRange     = operation{"range", gateway.RangePath, false}
-	opTxn       = operation{"txn", gateway.TxnPath, true}
-	opGrant     = operation{"lease_grant", gateway.GrantPath, true}
-	opKeepAlive = operation{"lease_keepalive", gateway.KeepAlivePath, true}
-	opRevoke    = operation{"lease_revoke", gateway.RevokePath, true}
+	opRange     = operation{"range", gateway.RangePath, false, false}
+	opTxn       = operation{"txn", gateway.TxnPath, true, false}
+	opGrant     = operation{"lease_grant", gateway.GrantPath, true, true}
+	opKeepAlive = operation{"lease_keepalive", gateway.KeepAlivePath, true, true}
+	opRevoke    = operation{"lease_revoke", gateway.RevokePath, true, true}
 )
 
 // call posts in and decodes the response into out.
@@ -120,7 +125,11 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	header := http.Header{"Content-Type": {"application/json"}}
-	resp, err := c.http.Post(ctx, c.endpoint+op.path, header, body)
+	client := c.keys
+	if op.lease {
+		client = c.leases
+	}
+	resp, err := client.Post(ctx, c.endpoint+op.path, header, body)
 	if errors.Is(err, httpsend.ErrNotSent) {
 		return fail(op, err, ErrUnavailable)
 	}
--- a/pkg/store/client_test.go
+++ b/pkg/store/client_test.go
@@ -20,26 +20,6 @@
 	"fulmarcourse.example/fulmarcourse/test/faultproxy"
 )
 
-// manualClock is a clock that the test moves.
-type manualClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func newManualClock() *manualClock { return &manualClock{now: time.Unix(1_000_000, 0)} }
-
-func (c *manualClock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *manualClock) advance(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 // start runs a stand-in store and a client of it.
 func start(t *testing.T, cfg standin.StoreConfig) (*standin.Store, *store.Client) {
 	t.Helper()
@@ -121,7 +101,7 @@
 
 // Guards against a range that leaves its prefix, and against a poll that misses or repeats changes.
 func TestRangeByPrefixAndRevision(t *testing.T) {
-	clock := newManualClock()
+	clock := standin.NewManualClock()
 	s := standin.NewStore(standin.StoreConfig{})
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
@@ -155,22 +135,22 @@
 
 // Guards against leases that outlive their time, keep-alives that revive the dead, and writes under a dead lease.
 func TestLeases(t *testing.T) {
-	clock := newManualClock()
+	clock := standin.NewManualClock()
 	_, c := start(t, standin.StoreConfig{Clock: clock.Now})
 	lease, err := c.GrantLease(t.Context(), 3500*time.Millisecond)
 	if err != nil {
 		t.Fatal(err)
 	}
 	put(t, c, "k", "v", lease)
-	clock.advance(3 * time.Second)
+	clock.Advance(3 * time.Second)
 	if left, err := c.KeepAlive(t.Context(), lease); err != nil || left != 4*time.Second {
 		t.Errorf("keep-alive: %v left, error %v, want 4s", left, err)
 	}
-	clock.advance(4*time.Second - 1)
+	clock.Advance(4*time.Second - 1)
 	if !exists(t, c, "k") {
 		t.Error("key is gone before its lease has run out")
 	}
-	clock.advance(1)
+	clock.Advance(1)
 	if exists(t, c, "k") {
 		t.Error("key is there after its lease has run out")
 	}
@@ -206,7 +186,7 @@
 
 // Guards against leases that run out during an outage, or at once after it, before their holders can renew them.
 func TestLeasesOutliveOutage(t *testing.T) {
-	clock := newManualClock()
+	clock := standin.NewManualClock()
 	s, c := start(t, standin.StoreConfig{Clock: clock.Now, Grace: 2 * time.Second})
 	lease, err := c.GrantLease(t.Context(), 4*time.Second)
 	if err != nil {
@@ -220,13 +200,13 @@
 	if _, err := c.KeepAlive(t.Context(), lease); !errors.Is(err, store.ErrUncertain) {
 		t.Errorf("write during the outage: %v", err)
 	}
-	clock.advance(time.Hour)
+	clock.Advance(time.Hour)
 	s.SetDown(false)
-	clock.advance(2*time.Second - 1)
+	clock.Advance(2*time.Second - 1)
 	if !exists(t, c, "k") {
 		t.Error("lease ended within the grace period")
 	}
-	clock.advance(1)
+	clock.Advance(1)
 	if exists(t, c, "k") {
 		t.Error("lease did not end after the grace period")
 	}
--- a/pkg/worker/client.go
+++ b/pkg/worker/client.go
@@ -32,23 +32,27 @@
 )
 
 const (
-	defaultTimeout = 2 * time.Second
-	// maxConnsPerWorker allows one renewal and a few commands at once.
-	maxConnsPerWorker = 4
+	defaultTimeout           = 2 * time.Second
+	defaultCheckpointTimeout = 10 * time.Second
+	maxCommandConns          = 4 // per worker
+	maxRenewConns            = 2 // per worker
 )
 
 // Config configures a Client.
 type Config struct {
-	Timeout time.Duration // limit of one call; 2 s when zero
-	Metrics tally.Scope   // tally.NoopScope when nil
+	Timeout           time.Duration // limit of one call; 2 s when zero
+	CheckpointTimeout time.Duration // limit of Checkpoint; 10 s when zero
+	Metrics           tally.Scope   // tally.NoopScope when nil
 }
 
 // Client calls workers. It is safe for concurrent use and never repeats a call by itself.
 type Client struct {
-	http    *httpsend.Client
-	timeout time.Duration
-	metrics tally.Scope
-	tracer  trace.Tracer
+	commands          *httpsend.Client
+	renewals          *httpsend.Client // separate, so that renewals never wait for slow commands
+	timeout           time.Duration
+	checkpointTimeout time.Duration
+	metrics           tally.Scope
+	tracer            trace.Tracer
 }
 
 // NewClient returns a client without open connections.
@@ -56,14 +60,19 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
+	if cfg.CheckpointTimeout == 0 {
+		cfg.CheckpointTimeout = defaultCheckpointTimeout
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
 	return &Client{
-		http:    httpsend.NewClient(httpsend.Config{Name: "worker", MaxConnsPerHost: maxConnsPerWorker}),
-		timeout: cfg.Timeout,
-		metrics: cfg.Metrics,
-		tracer:  otel.Tracer("fulmarcourse/worker"),
+		commands:          httpsend.NewClient(httpsend.Config{Name: "worker", MaxConnsPerHost: maxCommandConns}),
+		renewals:          httpsend.NewClient(httpsend.Config{Name: "worker", MaxConnsPerHost: maxRenewConns}),
+		timeout:           cfg.Timeout,
+		checkpointTimeout: cfg.CheckpointTimeout,
+		metrics:           cfg.Metrics,
+		tracer:            otel.Tracer("fulmarcourse/worker"),
 	}
 }
 
@@ -137,10 +146,17 @@
 	if err != nil {
 		return fail(addr, path, err, ErrRefused)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	client, timeout := c.commands, c.timeout
+	switch path {
+	case RenewPath:
+		client = c.renewals
+	case CheckpointPath:
+		timeout = c.checkpointTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	header := http.Header{"Content-Type": {"application/json"}}
-	resp, err := c.http.Post(ctx, "http://"+addr+path, header, body)
+	resp, err := client.Post(ctx, "http://"+addr+path, header, body)
 	if errors.Is(err, httpsend.ErrNotSent) {
 		return fail(addr, path, errors.WithType(err, ErrUnreachable), ErrRefused)
 	}
