Add fulmarctl, the command for operators

Operators and scripts need one command whose exit code tells a negative answer, a conflict, a command that was not run and an unknown outcome apart.

Commands that change something go to the next server only when the one before has certainly not run them: no connection, or an answer that says so.

--- /dev/null
+++ b/cmd/fulmarctl/documents.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"fulmarcourse.example/core/document"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/control"
+	"fulmarcourse.example/fulmarcourse/pkg/operatorapi"
+	"fulmarcourse.example/fulmarcourse/pkg/problem"
+)
+
+func runValidate(ctx context.Context, a *app, args []string) error {
+	flags := a.flagSet("validate")
+	offline := flags.Bool("offline", false, "check with fulmarctl itself and call no server")
+	if err := a.parse(flags, args, 1); err != nil {
+		return err
+	}
+	name := flags.Arg(0)
+	text, err := readFile(name)
+	if err != nil {
+		return err
+	}
+	var reply operatorapi.ValidateReply
+	if *offline {
+		parsed, err := parseDocument(name, text)
+		if err != nil {
+			return err
+		}
+		reply = operatorapi.ValidateReply{Digest: document.Digest(text), Environment: parsed.Environment}
+	} else if err := a.client.do(ctx, call{method: http.MethodPost, path: "/v1/documents/validate",
+		body: operatorapi.DocumentBody{Name: name, Text: string(text)}}, &reply); err != nil {
+		return err
+	}
+	return a.print(reply, func(w io.Writer) {
+		fmt.Fprintf(w, "%s: no findings; environment %s, digest %s\n", name, reply.Environment, reply.Digest)
+	})
+}
+
+func runDiff(ctx context.Context, a *app, args []string) error {
+	flags := a.flagSet("diff")
+	against := flags.String("against", "", "compare with this `file` and call no server")
+	if err := a.parse(flags, args, 1); err != nil {
+		return err
+	}
+	name := flags.Arg(0)
+	text, err := readFile(name)
+	if err != nil {
+		return err
+	}
+	var reply operatorapi.DiffReply
+	if *against != "" {
+		if reply, err = diffFiles(*against, name, text); err != nil {
+			return err
+		}
+	} else if err := a.client.do(ctx, call{method: http.MethodPost, path: "/v1/documents/diff",
+		body: operatorapi.DocumentBody{Name: name, Text: string(text)}}, &reply); err != nil {
+		return err
+	}
+	return a.print(reply, func(w io.Writer) {
+		fmt.Fprintf(w, "version in effect: %d; %d changes\n", reply.Version, len(reply.Changes))
+		for _, change := range reply.Changes {
+			fmt.Fprintln(w, change)
+		}
+	})
+}
+
+func diffFiles(oldName, newName string, newText []byte) (operatorapi.DiffReply, error) {
+	oldText, err := readFile(oldName)
+	if err != nil {
+		return operatorapi.DiffReply{}, err
+	}
+	before, err := parseDocument(oldName, oldText)
+	if err != nil {
+		return operatorapi.DiffReply{}, err
+	}
+	after, err := parseDocument(newName, newText)
+	if err != nil {
+		return operatorapi.DiffReply{}, err
+	}
+	return operatorapi.DiffReply{Digest: document.Digest(newText), Changes: document.Diff(before, after)}, nil
+}
+
+func runTry(ctx context.Context, a *app, args []string) error {
+	flags := a.flagSet("try")
+	if err := a.parse(flags, args, 1); err != nil {
+		return err
+	}
+	text, err := readFile(flags.Arg(0))
+	if err != nil {
+		return err
+	}
+	var result control.DocumentResult
+	// Trying a document again that is already in effect in the trial environment changes nothing.
+	err = a.client.do(ctx, call{method: http.MethodPost, path: "/v1/documents/try", repeat: repeatIfNotRun, changes: true,
+		body: operatorapi.DocumentBody{Name: flags.Arg(0), Text: string(text), Author: a.options.author}}, &result)
+	if err != nil {
+		return err
+	}
+	return a.printDocumentResult("tried", result)
+}
+
+// noExpectation marks a promotion without -expect; 0 is the expectation of the first promotion.
+const noExpectation = -1
+
+func runPromote(ctx context.Context, a *app, args []string) error {
+	flags := a.flagSet("promote")
+	expect := flags.Int64("expect", noExpectation, "`version` in effect that the document replaces; 0 for the first document")
+	if err := a.parse(flags, args, 1); err != nil {
+		return err
+	}
+	if *expect < 0 {
+		return fail(exitUsage, "usage", "promote needs -expect VERSION; fulmarctl status shows the version in effect")
+	}
+	var result control.DocumentResult
+	err := a.client.do(ctx, call{method: http.MethodPost, path: "/v1/documents/promote", repeat: repeatIfNotRun, changes: true,
+		body: operatorapi.PromoteBody{
+			Digest: structs.Digest(flags.Arg(0)), ExpectedVersion: *expect, Author: a.options.author,
+		}}, &result)
+	if err != nil {
+		return err
+	}
+	return a.printDocumentResult("promoted", result)
+}
+
+func (a *app) printDocumentResult(verb string, result control.DocumentResult) error {
+	return a.print(result, func(w io.Writer) {
+		fmt.Fprintf(w, "%s: environment %s, version %d, digest %s\n", verb, result.Environment, result.Version, result.Digest)
+	})
+}
+
+func runHistory(ctx context.Context, a *app, args []string) error {
+	if err := a.parse(a.flagSet("history"), args, 0); err != nil {
+		return err
+	}
+	var reply operatorapi.HistoryReply
+	if err := a.client.do(ctx, call{method: http.MethodGet, path: "/v1/documents/history"}, &reply); err != nil {
+		return err
+	}
+	return a.print(reply, func(w io.Writer) {
+		for _, v := range reply.Versions {
+			fmt.Fprintf(w, "%6d  %s  %s  %s\n", v.Version, v.Time.Format("2006-01-02T15:04:05Z07:00"), v.Digest, v.Author)
+		}
+	})
+}
+
+func readFile(name string) ([]byte, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fail(exitUsage, "the file cannot be read", err.Error())
+	}
+	return text, nil
+}
+
+// parseDocument checks a document without a server; findings become a failure as a server would report it.
+func parseDocument(name string, text []byte) (structs.Document, error) {
+	parsed, findings := document.Parse(name, text)
+	if len(findings) == 0 {
+		return parsed, nil
+	}
+	p := problem.Problem{Type: operatorapi.ProblemFindings, Title: "The document has findings", Status: http.StatusUnprocessableEntity}
+	for _, f := range findings {
+		p.Findings = append(p.Findings, problem.Finding{
+			Place: f.Place(), Section: f.Section, Key: f.Key, Message: f.Message, Accepted: f.Accepted,
+		})
+	}
+	return parsed, &failure{exitNegative, p}
+}
--- a/pkg/control/poll_test.go
+++ b/pkg/control/poll_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	to.ingest(reply, c.Now(), after)
+	to.IngestAfter(reply, c.Now(), after)
 }
 
 var shardA0 = structs.ShardID{Datacentre: "a", Index: 0}
--- a/pkg/control/relay.go
+++ b/pkg/control/relay.go
@@ -54,13 +54,13 @@
 // sent at least the reply's age before its answer, hence before sentAt less that age by the local clock.
 //
 // A reply without entries says "unchanged since the revision asked for". Ingest does not know that revision, so
-// it uses such a reply only up to the revision that is already known.
+// it uses such a reply only up to the revision that is already known; IngestAfter uses it fully.
 func (s *Service) Ingest(reply *peerpb.FetchControlReply, sentAt time.Time) {
-	s.ingest(reply, sentAt, 0)
+	s.IngestAfter(reply, sentAt, 0)
 }
 
-// ingest takes over the reply to a request for changes after the given revision.
-func (s *Service) ingest(reply *peerpb.FetchControlReply, sentAt time.Time, after int64) {
+// IngestAfter takes over the reply to a request with AfterRevision after; see Ingest.
+func (s *Service) IngestAfter(reply *peerpb.FetchControlReply, sentAt time.Time, after int64) {
 	if reply.GetAgeMs() < 0 || reply.GetRevision() <= 0 {
 		return
 	}
@@ -118,7 +118,7 @@
 				s.cfg.Scope.Counter("relay_errors").Inc(1)
 				return
 			}
-			s.ingest(reply, sentAt, after)
+			s.IngestAfter(reply, sentAt, after)
 		})
 	}
 	calls.Wait()
