--- a/pkg/httpapi/requests.go
+++ b/pkg/httpapi/requests.go
@@ -156,6 +156,10 @@
 		p.Status, p.Title = http.StatusConflict, "A request with this idempotency key is in progress"
 	case reply.Reason == structs.ReasonKeyReused:
 		p.Status, p.Title = http.StatusUnprocessableEntity, "The idempotency key was used with another body"
+	case reply.Reason == structs.ReasonStoreUnavailable:
+		p.Status, p.Title = http.StatusServiceUnavailable, "The request was not run: its idempotency key could not be recorded"
+		p.Detail = "this submission was not run; the outcome of earlier ones with the same key is not known here"
+		w.Header().Set("Retry-After", retryAfter)
 	case reply.Outcome == structs.NotRun:
 		p.Status, p.Title = http.StatusServiceUnavailable, "The request was not run"
 		w.Header().Set("Retry-After", retryAfter)
--- a/pkg/requests/keys/keys.go
+++ b/pkg/requests/keys/keys.go
@@ -43,6 +43,7 @@
 	cfg    Config
 	scope  tally.Scope
 	commit *committer
+	wait   time.Duration // first back-off of resolvers: minBackOff
 
 	mu        sync.Mutex
 	entries   map[string]*entry // store key → claim of this process that is in progress or not yet recorded
@@ -79,9 +80,13 @@
 		cfg.Log = eventlog.Discard()
 	}
 	return &Keys{
-		cfg:      cfg,
-		scope:    cfg.Scope.SubScope("keys"),
-		commit:   &committer{store: cfg.Store, leases: &leases{store: cfg.Store, now: cfg.Now}},
+		cfg:   cfg,
+		scope: cfg.Scope.SubScope("keys"),
+		commit: &committer{
+			store: cfg.Store, leases: &leases{store: cfg.Store, now: cfg.Now},
+			window: CommitWindow, spacing: CommitSpacing,
+		},
+		wait:     minBackOff,
 		entries:  map[string]*entry{},
 		neverRun: map[string]bool{},
 		stop:     make(chan struct{}),
--- a/pkg/requests/keys/resolve.go
+++ b/pkg/requests/keys/resolve.go
@@ -37,7 +37,7 @@
 	k.mu.Unlock()
 	go func() {
 		defer k.resolvers.Done()
-		work(&resolver{keys: k, backOff: minBackOff, until: k.cfg.Now().Add(ResolveFor)})
+		work(&resolver{keys: k, backOff: k.wait, until: k.cfg.Now().Add(ResolveFor)})
 		k.mu.Lock()
 		k.resolving--
 		k.mu.Unlock()
@@ -101,8 +101,8 @@
 	k.mu.Unlock()
 	k.resolve(func(r *resolver) {
 		defer k.settled(path, record.Nonce)
-		for !r.free(path, record) {
-			if !r.again(path) {
+		for r.again(path) { // the store has just failed, so the first try waits as well
+			if r.free(path, record) {
 				return
 			}
 		}
