Keep go-zero from killing the process during a graceful shutdown

Cause: go-zero handles SIGTERM at package initialisation and sends the signal to the process again after 5.5 s, when the default handling is restored and ends it. A shutdown that drains longer requests would be cut. A test of a long request through a SIGTERM is still to come.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/gozero"
 	"fulmarcourse.example/fulmarcourse/pkg/metrics"
 	"fulmarcourse.example/fulmarcourse/pkg/node"
 	"fulmarcourse.example/fulmarcourse/pkg/settings"
@@ -99,7 +100,7 @@
 // graceful shutdown in any case.
 func run(set settings.Settings, stderr io.Writer) int {
 	logger := eventlog.NewLogger(stderr, set.LogLevel, string(set.Host))
-	eventlog.CaptureGoZero(logger)
+	gozero.Configure(logger)
 	stopTracing, err := tracing.Setup(context.Background(), traceConfig(set))
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "fulmard:", err)
--- a/pkg/daemon/standalone.go
+++ b/pkg/daemon/standalone.go
@@ -15,6 +15,7 @@
 
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/gozero"
 	"fulmarcourse.example/fulmarcourse/pkg/metrics"
 	"fulmarcourse.example/fulmarcourse/pkg/node"
 	"fulmarcourse.example/fulmarcourse/pkg/standin"
@@ -35,7 +36,7 @@
 // runStandalone serves with fakes of the platform in the same process until a signal. Nothing it does is durable.
 func runStandalone(opts options, stdout, stderr io.Writer) int {
 	logger := eventlog.NewLogger(stderr, log.InfoLevel, "standalone")
-	eventlog.CaptureGoZero(logger)
+	gozero.Configure(logger)
 	platform, err := standin.NewPlatform(standin.PlatformConfig{
 		Datacentres: []standin.DatacentreConfig{standaloneDatacentre("north"), standaloneDatacentre("south")},
 		Service:     standaloneService,
