--- a/pkg/runner/client_test.go
+++ b/pkg/runner/client_test.go
@@ -17,12 +17,11 @@
 	"fulmarcourse.example/fulmarcourse/pkg/runner"
 	"fulmarcourse.example/fulmarcourse/pkg/standin"
 	"fulmarcourse.example/fulmarcourse/test/faultproxy"
+	"fulmarcourse.example/fulmarcourse/test/poll"
 )
 
-const longEnough = time.Minute
-
 func attempt(id string) runner.Attempt {
-	return runner.Attempt{ID: id, Service: "gilding", Kind: "quote", Body: []byte("body of " + id), Remaining: longEnough}
+	return runner.Attempt{ID: id, Service: "gilding", Kind: "quote", Body: []byte("body of " + id), Remaining: poll.Limit}
 }
 
 // start runs a stand-in and returns it with its address.
@@ -41,8 +40,8 @@
 // runs returns how often the attempt ran.
 func runs(h *standin.History, id string) int {
 	n := 0
-	for _, e := range h.Events() {
-		if e.Type == standin.RequestStarted && e.Request == id {
+	for _, e := range h.OfType(standin.RequestStarted) {
+		if e.Request == id {
 			n++
 		}
 	}
@@ -68,8 +67,9 @@
 	for _, fault := range []standin.AnswerFault{standin.AnswerTruncated, standin.AnswerCrossed, standin.AnswerForeign, standin.AnswerLost} {
 		r.FailAnswers(fault)
 		id := "attempt-" + string(fault)
-		if answer, err := client.Do(t.Context(), addr, attempt(id)); !errors.Is(err, runner.ErrUncertain) {
-			t.Errorf("%s: got %q and error %v, want ErrUncertain", fault, answer.Body, err)
+		answer, err := client.Do(t.Context(), addr, attempt(id))
+		if !errors.Is(err, runner.ErrUncertain) || !strings.Contains(err.Error(), addr) || !strings.Contains(err.Error(), id) {
+			t.Errorf("%s: got %q and error %v, want ErrUncertain with the runner and the attempt", fault, answer.Body, err)
 		}
 		if n := runs(history, id); n != 1 {
 			t.Errorf("%s: ran %d times, want once", fault, n)
@@ -104,7 +104,7 @@
 		_, err := client.Do(context.Background(), addr, attempt("first"))
 		first <- err
 	}()
-	waitFor(t, func() bool { return r.Load().Busy == 1 })
+	poll.Until(t, "first attempt runs", func() bool { return r.Load().Busy == 1 })
 	if _, err := client.Do(t.Context(), addr, attempt("second")); !errors.Is(err, runner.ErrBusy) {
 		t.Errorf("got %v, want ErrBusy", err)
 	}
@@ -117,21 +117,6 @@
 	}
 }
 
-// waitFor polls until the condition holds.
-func waitFor(t *testing.T, condition func() bool) {
-	t.Helper()
-	ticker := time.NewTicker(time.Millisecond)
-	defer ticker.Stop()
-	deadline := time.After(longEnough)
-	for !condition() {
-		select {
-		case <-ticker.C:
-		case <-deadline:
-			t.Fatal("condition did not become true")
-		}
-	}
-}
-
 // Guards against attempts that cannot have been sent being reported as uncertain.
 func TestNotSent(t *testing.T) {
 	client := runner.NewClient(runner.Config{})
@@ -260,13 +245,3 @@
 		t.Errorf("load %+v with at most %d connections", load, conns)
 	}
 }
-
-// Guards against errors that do not tell an operator which runner and which attempt failed.
-func TestErrorsNameTheRunner(t *testing.T) {
-	r, addr := start(t, standin.RunnerConfig{})
-	r.FailAnswers(standin.AnswerForeign)
-	_, err := runner.NewClient(runner.Config{}).Do(t.Context(), addr, attempt("a"))
-	if err == nil || !strings.Contains(err.Error(), addr) || !strings.Contains(err.Error(), "attempt a") {
-		t.Errorf("error %v names neither the runner nor the attempt", err)
-	}
-}
--- a/pkg/standin/history.go
+++ b/pkg/standin/history.go
@@ -2,12 +2,19 @@
 
 import (
 	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/httpsend"
 	"fulmarcourse.example/fulmarcourse/pkg/problem"
 )
 
@@ -84,11 +91,31 @@
 	return append([]Event(nil), h.events...)
 }
 
+// OfType returns a copy of the events of one type in order of recording.
+func (h *History) OfType(event EventType) []Event {
+	return slices.DeleteFunc(h.Events(), func(e Event) bool { return e.Type != event })
+}
+
 // HistoryBody is the JSON form of a history.
 type HistoryBody struct {
 	Events []Event `json:"events"`
 }
 
+// FetchHistory reads the events after a sequence number from the stand-in at endpoint ("http://IP:port").
+func FetchHistory(ctx context.Context, endpoint string, after int64) ([]Event, error) {
+	client := httpsend.NewClient(httpsend.Config{Name: "history"})
+	defer client.CloseIdle()
+	resp, err := client.Get(ctx, fmt.Sprintf("%s%s?after=%d", endpoint, HistoryPath, after))
+	if err != nil {
+		return nil, errors.Annotate(err, "fetch history")
+	}
+	var body HistoryBody
+	if err := json.Unmarshal(resp.Body, &body); err != nil || resp.Status != http.StatusOK {
+		return nil, errors.Errorf("fetch history: status %d: %v", resp.Status, err)
+	}
+	return body.Events, nil
+}
+
 // ServeHTTP returns the events as a HistoryBody. The query parameter "after" leaves out the events up to that
 // sequence number.
 func (h *History) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -1,8 +1,6 @@
 package standin_test
 
 import (
-	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -17,6 +15,7 @@
 	"fulmarcourse.example/fulmarcourse/pkg/standin"
 	"fulmarcourse.example/fulmarcourse/pkg/store"
 	"fulmarcourse.example/fulmarcourse/pkg/worker"
+	"fulmarcourse.example/fulmarcourse/test/poll"
 )
 
 func newPlatform(t *testing.T) (*standin.Platform, map[structs.HostID]structs.Host) {
@@ -45,21 +44,6 @@
 	return p, byID
 }
 
-// events fetches the history over HTTP, as tests with stand-ins in other processes do.
-func events(t *testing.T, url string) []standin.Event {
-	t.Helper()
-	resp, err := http.Get(url)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var body standin.HistoryBody
-	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
-		t.Fatal(err)
-	}
-	return body.Events
-}
-
 // Guards against a platform whose list does not match its servers, and against events that miss the history.
 func TestPlatformServesItsHosts(t *testing.T) {
 	p, hosts := newPlatform(t)
@@ -85,8 +69,12 @@
 	if _, err := store.NewClient(store.Config{Endpoint: p.StoreURL}).Txn(t.Context(), put); err != nil {
 		t.Error(err)
 	}
+	events, err := standin.FetchHistory(t.Context(), p.HostListURL, int64(before))
+	if err != nil {
+		t.Fatal(err)
+	}
 	found := map[structs.HostID]standin.EventType{}
-	for i, e := range events(t, fmt.Sprintf("%s%s?after=%d", p.HostListURL, standin.HistoryPath, before)) {
+	for i, e := range events {
 		if e.Sequence != int64(before+i+1) {
 			t.Errorf("event %d has sequence %d", before+i+1, e.Sequence)
 		}
@@ -124,8 +112,10 @@
 // Guards against a killed host that still answers, and against one whose death stops the others.
 func TestKill(t *testing.T) {
 	p, hosts := newPlatform(t)
-	p.Kill("north-0-worker-0")
 	client := worker.NewClient(worker.Config{})
+	if err := p.Apply(standin.Control{Kill: []structs.HostID{"north-0-worker-0"}}); err != nil {
+		t.Error(err)
+	}
 	if err := client.Start(t.Context(), hosts["north-0-worker-0"].Address, command("a", 1)); !errors.Is(err, worker.ErrUnreachable) {
 		t.Errorf("killed worker: got %v, want ErrUnreachable", err)
 	}
@@ -185,15 +175,10 @@
 	}
 	_ = first.Close()
 	client := runner.NewClient(runner.Config{})
-	for deadline := time.Now().Add(time.Minute); ; {
-		_, err := client.Do(t.Context(), server.Addr(), runner.Attempt{ID: "a", Service: "s", Kind: "quote", Remaining: time.Minute})
-		if err == nil {
-			break
-		}
-		if time.Now().After(deadline) {
-			t.Fatalf("no connection after one was closed: %v", err)
-		}
-	}
+	poll.Until(t, "a connection is accepted after one was closed", func() bool {
+		_, err := client.Do(t.Context(), server.Addr(), runner.Attempt{ID: "a", Service: "s", Kind: "quote", Remaining: poll.Limit})
+		return err == nil
+	})
 }
 
 // Guards against switches that tests in other processes cannot reach, and against a control that is applied in
--- a/pkg/standin/worker_test.go
+++ b/pkg/standin/worker_test.go
@@ -76,8 +76,8 @@
 
 // eventAt returns when the first event of a type happened to a job, or -1.
 func (r *rig) eventAt(event standin.EventType, job structs.JobID) time.Duration {
-	for _, e := range r.history.Events() {
-		if e.Type == event && e.Task.Job == job {
+	for _, e := range r.history.OfType(event) {
+		if e.Task.Job == job {
 			return e.At
 		}
 	}
--- a/pkg/store/client_test.go
+++ b/pkg/store/client_test.go
@@ -26,7 +26,7 @@
 	s := standin.NewStore(cfg)
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
-	return s, store.NewClient(store.Config{Endpoint: server.URL})
+	return s, store.NewClient(store.Config{Endpoint: server.URL, Clock: cfg.Clock})
 }
 
 // put writes a key without conditions and returns its revision.
@@ -102,10 +102,7 @@
 // Guards against a range that leaves its prefix, and against a poll that misses or repeats changes.
 func TestRangeByPrefixAndRevision(t *testing.T) {
 	clock := standin.NewManualClock()
-	s := standin.NewStore(standin.StoreConfig{})
-	server := httptest.NewServer(s)
-	t.Cleanup(server.Close)
-	c := store.NewClient(store.Config{Endpoint: server.URL, Clock: clock.Now})
+	_, c := start(t, standin.StoreConfig{Clock: clock.Now})
 	for _, key := range []string{"a", "a/", "a/1", "a/\xff", "a0", "\xff\xff"} {
 		put(t, c, key, key, 0)
 	}
--- a/pkg/worker/client_test.go
+++ b/pkg/worker/client_test.go
@@ -39,16 +39,6 @@
 	return w, history, server.Listener.Addr().String()
 }
 
-func count(h *standin.History, event standin.EventType) int {
-	n := 0
-	for _, e := range h.Events() {
-		if e.Type == event {
-			n++
-		}
-	}
-	return n
-}
-
 // Guards against commands that get lost between client and worker: each one must arrive with all its fields.
 func TestCommands(t *testing.T) {
 	_, history, addr := start(t)
@@ -78,7 +68,7 @@
 	if err != nil || len(inventory.Tasks) != 0 {
 		t.Errorf("inventory after the acknowledgement %+v, error %v", inventory, err)
 	}
-	if n := count(history, standin.TaskStarted); n != 1 {
+	if n := len(history.OfType(standin.TaskStarted)); n != 1 {
 		t.Errorf("%d starts, want 1", n)
 	}
 }
@@ -95,7 +85,7 @@
 	if err := c.Start(t.Context(), addr, startCommand(1)); err != nil {
 		t.Errorf("repeated start: %v", err)
 	}
-	if n := count(history, standin.TaskStarted); n != 1 {
+	if n := len(history.OfType(standin.TaskStarted)); n != 1 {
 		t.Errorf("%d starts, want 1", n)
 	}
 }
@@ -123,7 +113,7 @@
 	if err := c.Start(t.Context(), addr, other); err != nil {
 		t.Errorf("epochs of one shard fence another: %v", err)
 	}
-	if n := count(history, standin.TaskStarted); n != 1 {
+	if n := len(history.OfType(standin.TaskStarted)); n != 1 {
 		t.Errorf("%d starts, want 1", n)
 	}
 }
@@ -192,3 +182,31 @@
 		t.Errorf("refusal: got %v, want ErrRefused only", err)
 	}
 }
+
+// Guards against renewals that wait behind slow commands until the task leases run out.
+func TestRenewalsDoNotWaitForCommands(t *testing.T) {
+	const commands = 20 // more than the client has connections for
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != worker.RenewPath {
+			<-release
+		}
+		_, _ = io.WriteString(w, `{"worker":"w","done":true}`)
+	}))
+	t.Cleanup(server.Close)
+	addr := server.Listener.Addr().String()
+	c := worker.NewClient(worker.Config{Timeout: time.Minute})
+	errs := make(chan error, commands)
+	for range commands {
+		go func() { errs <- c.Stop(t.Context(), addr, ref(1)) }()
+	}
+	if _, err := c.Renew(t.Context(), addr, worker.RenewRequest{Shard: shard}); err != nil {
+		t.Errorf("renewal beside stuck commands: %v", err)
+	}
+	close(release)
+	for range commands {
+		if err := <-errs; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/test/faultproxy/proxy_test.go
+++ b/test/faultproxy/proxy_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
+
+	"fulmarcourse.example/fulmarcourse/test/poll"
 )
 
 // Guards against goroutines and connections that outlive their proxy.
@@ -149,7 +153,11 @@
 	write(t, far, "lost")
 	write(t, caller, "request")
 	expect(t, far, "request")
-	waitLossy(t, p)
+	poll.Until(t, "the proxy loses bytes", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return slices.ContainsFunc(slices.Collect(maps.Keys(p.pairs)), func(c *pair) bool { return c.lossy })
+	})
 	p.Heal(ToCaller)
 	expectEnd(t, caller, "")
 	caller, far = connect(t, p, s)
@@ -157,25 +165,6 @@
 	expect(t, caller, "works")
 }
 
-// waitLossy polls until a connection has lost bytes.
-func waitLossy(t *testing.T, p *Proxy) {
-	t.Helper()
-	ticker := time.NewTicker(time.Millisecond)
-	defer ticker.Stop()
-	for range 60_000 {
-		p.mu.Lock()
-		for c := range p.pairs {
-			if c.lossy {
-				p.mu.Unlock()
-				return
-			}
-		}
-		p.mu.Unlock()
-		<-ticker.C
-	}
-	t.Fatal("no connection lost bytes")
-}
-
 // Guards against a freeze that loses, reorders or leaks bytes, for open connections and for new ones.
 func TestFreeze(t *testing.T) {
 	s := newTarget(t)
@@ -250,15 +239,10 @@
 		return carried
 	}
 	first, second := draw(3), draw(3)
-	lost := 0
-	for i := range first {
-		if first[i] != second[i] {
-			t.Errorf("connection %d carried %d and then %d bytes", i, first[i], second[i])
-		}
-		if first[i] <= maxBytes {
-			lost++
-		}
+	if !slices.Equal(first, second) {
+		t.Errorf("connections carried %d and then %d bytes", first, second)
 	}
+	lost := len(slices.DeleteFunc(first, func(n int) bool { return n > maxBytes }))
 	if lost < connections/4 || lost > connections*3/4 {
 		t.Errorf("lost %d of %d connections at a share of %g", lost, connections, share)
 	}
--- /dev/null
+++ b/test/poll/poll.go
@@ -0,0 +1,30 @@
+// Package poll lets tests wait for a condition without a fixed sleep. Its limit is far above any expected time,
+// so that a slow machine does not change a verdict.
+package poll
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	interval = time.Millisecond
+	// Limit is how long Until waits.
+	Limit = time.Minute
+)
+
+// Until returns when the condition holds. It ends the test when it does not hold within Limit. It is called on
+// the test's own goroutine.
+func Until(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	deadline := time.After(Limit)
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			t.Fatalf("not reached within %v: %s", Limit, what)
+		}
+	}
+}
