--- a/pkg/operatorapi/answer.go
+++ b/pkg/operatorapi/answer.go
@@ -56,7 +56,7 @@
 		return problem.Problem{Type: ProblemBadRequest, Title: "The request cannot be used", Status: http.StatusBadRequest,
 			Findings: []problem.Finding{{Place: badRequest.field, Message: badRequest.message, Accepted: badRequest.accepted}}}
 	case errors.As(err, &versionConflict), errors.As(err, &datacentreConflict):
-		return newProblem(ProblemConflict, "Another operator was faster", http.StatusConflict, err)
+		return newProblem(ProblemConflict, "Another version or state is in effect", http.StatusConflict, err)
 	}
 	for _, known := range constProblems {
 		if errors.Is(err, known.err) {
