Use team shares, quarantine, the guard and paced drains in the task loop

Pending tasks start in the order of their teams' claims; urgent work and teams within their guarantee may stop tasks of borrowing teams. Parking moves from a fixed count in reconciliation to the quarantine tracker, which does not count failures on bad workers. Work leaves a data centre or a leaving worker at the drainer's rate and returns on a ramp. After a confirmed stop the worker's inventory is read at once, so that freed capacity does not wait for the next renewal. The guard acts on usage alone; the latency of services is not wired yet.

--- a/core/reconcile/reconcile.go
+++ b/core/reconcile/reconcile.go
@@ -13,16 +13,12 @@
 	"fulmarcourse.example/core/structs"
 )
 
-// ParkAfterFailures is the number of distinct workers on which a task fails before it is parked.
-const ParkAfterFailures = 3
-
 // Reasons written into task records.
 const (
-	ReasonCancelled       = "cancelled by request"
-	ReasonLeaseExpired    = "the worker's task lease expired"
-	ReasonVanished        = "the worker no longer knows the attempt"
-	ReasonUncertainRun    = "kind is not idempotent and the attempt may have run"
-	ReasonFailedElsewhere = "failed on several workers"
+	ReasonCancelled    = "cancelled by request"
+	ReasonLeaseExpired = "the worker's task lease expired"
+	ReasonVanished     = "the worker no longer knows the attempt"
+	ReasonUncertainRun = "kind is not idempotent and the attempt may have run"
 )
 
 // Traits are the properties of a task that the decisions depend on.
@@ -113,8 +109,6 @@
 		end(rec, structs.TaskCancelled, ReasonCancelled)
 	case !traits.Idempotent:
 		end(rec, structs.TaskFailed, reason)
-	case len(rec.FailedOn) >= ParkAfterFailures:
-		end(rec, structs.TaskParked, ReasonFailedElsewhere+": "+reason)
 	default:
 		end(rec, structs.TaskPending, reason)
 	}
@@ -163,6 +157,15 @@
 	return true
 }
 
+// Park ends a pending task that is not tried again.
+func Park(rec *structs.TaskRecord, reason string) bool {
+	if rec.State != structs.TaskPending {
+		return false
+	}
+	end(rec, structs.TaskParked, reason)
+	return true
+}
+
 // BeginStart records the intent to start the next attempt of a pending task on worker.
 // It returns false if the task is not pending.
 func BeginStart(rec *structs.TaskRecord, worker structs.HostID) bool {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -255,6 +255,19 @@
 	return e.node.hosts.inShard(structs.RoleWorker, id)
 }
 
+func (e environment) TotalCapacity() structs.Resources {
+	var sum structs.Resources
+	for _, host := range e.node.hosts.all() {
+		if host.Role == structs.RoleWorker {
+			sum = sum.Add(host.Capacity)
+		}
+	}
+	return sum
+}
+
+// LatencyByMachine is not measured yet; the guard acts on usage alone.
+func (e environment) LatencyByMachine() map[string]float64 { return nil }
+
 func (e environment) StoreConfirmedAt() time.Time { return e.node.control.Confirmation().ReadAt }
 
 // buildRequests makes the request path and the HTTP interface.
--- a/pkg/shard/command.go
+++ b/pkg/shard/command.go
@@ -72,6 +72,8 @@
 		return
 	}
 	l.stopConfirmed(c)
+	// The inventory shows the end of the attempt; the capacity may be wanted at once.
+	l.renewOne(ctx, w)
 }
 
 // stopConfirmed notes that the worker will not execute a start command of the attempt any more, so that an inventory
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -79,6 +79,9 @@
 	Document() (structs.Document, structs.DocumentRecord, bool)
 	Datacentre(structs.DatacentreID) structs.DatacentreState
 	Workers(structs.ShardID) []structs.Host
+	TotalCapacity() structs.Resources // of all workers of the environment
+	// LatencyByMachine returns, per machine, the worst ratio of tail latency to deadline of its runners' requests.
+	LatencyByMachine() map[string]float64
 	StoreConfirmedAt() time.Time // when the store last confirmed control state; relays count with their age
 }
 
--- a/pkg/shard/drain.go
+++ b/pkg/shard/drain.go
@@ -3,51 +3,124 @@
 import (
 	"time"
 
+	"fulmarcourse.example/core/drain"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 )
 
-// Limits of moving work away.
-const (
-	// moveInterval spaces the stops of tasks that leave a data centre, so that their checkpoints do not fill the links.
-	moveInterval = 100 * time.Millisecond
-	// rehomeAfter is how long a job may wait without a running task before another shard is considered.
-	rehomeAfter = 5 * time.Second
-	// rehomeBatch bounds the jobs that leave the shard per cycle.
-	rehomeBatch = 16
-)
+// rehomeAfter is how long a job may wait without a running task before another shard is considered.
+const rehomeAfter = 5 * time.Second
+
+// rehomeBatch bounds the jobs that leave the shard per cycle.
+const rehomeBatch = 16
+
+// drainState follows the data centre out of service and back. Loop.mu guards it.
+type drainState struct {
+	drainer *drain.Drainer // while the data centre is out of service
+	ramp    *drain.Ramp    // for a time after it has returned
+	stepAt  time.Time      // next step of the drainer
+}
 
-// drain stops tasks on leaving workers and, when the data centre is out of service, on all workers, and gives jobs
-// without attempts in progress a new home. Called by the loop goroutine, no lock held.
+// drainStep is the time between two steps of a drain.
+const drainStep = time.Second
+
+// drain stops tasks that have to leave their workers and gives jobs without attempts in progress a new home.
+// Called by the loop goroutine, no lock held.
 func (l *Loop) drain() {
 	out := l.cfg.Environment.Datacentre(l.shard.Datacentre) == structs.DatacentreOut
 	now := l.cfg.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stopMovable(out, now)
+	l.followDatacentre(out, now)
+	l.leaveWorkers(now)
 	l.rehome(out, now)
 }
 
-// stopMovable schedules stops of checkpointable tasks that have to leave their workers. Kinds that cannot be
-// checkpointed and kinds that are not idempotent run to their end. Called with mu held.
-func (l *Loop) stopMovable(out bool, now time.Time) {
-	due := now
+// followDatacentre drains the shard while its data centre is out of service and limits starts after its return.
+// Called with mu held.
+func (l *Loop) followDatacentre(out bool, now time.Time) {
+	d := &l.draining
+	switch {
+	case out && d.drainer == nil:
+		d.drainer, d.ramp, d.stepAt = drain.NewDrainer(drain.DefaultLimits(), now), nil, now
+		l.cfg.Log.Event(eventlog.DrainBegun).Str("shard", l.shard.String()).Msg("")
+	case !out && d.drainer != nil:
+		d.drainer, d.ramp = nil, drain.NewRamp(now)
+		l.cfg.Log.Event(eventlog.DrainEnded).Str("shard", l.shard.String()).Msg("")
+	case d.ramp != nil && d.ramp.Done(now):
+		d.ramp = nil
+	}
+	if d.drainer == nil || now.Before(d.stepAt) {
+		return
+	}
+	d.stepAt = now.Add(drainStep)
+	for _, id := range d.drainer.Step(now, l.drainTasks(nil)).Stop {
+		l.stopByID(id, now)
+	}
+}
+
+// leaveWorkers stops the tasks on workers that the host list shows as leaving, the least lost work first.
+// Called with mu held.
+func (l *Loop) leaveWorkers(now time.Time) {
+	for id, w := range l.table.workers {
+		if w.host.State != structs.HostLeaving {
+			delete(l.leaving, id)
+			continue
+		}
+		drainer, ok := l.leaving[id]
+		if !ok {
+			drainer = drain.NewDrainer(drain.DefaultLimits(), now)
+			l.leaving[id] = drainer
+		}
+		for _, task := range drainer.Step(now, l.drainTasks(w)).Stop {
+			l.stopByID(task, now)
+		}
+	}
+}
+
+// drainTasks describes the attempts in progress on one worker, or on all if w is nil. Called with mu held.
+func (l *Loop) drainTasks(only *workerEntry) []drain.Task {
+	var tasks []drain.Task
 	for _, w := range l.table.workers {
-		if !out && w.host.State != structs.HostLeaving {
+		if only != nil && w != only {
 			continue
 		}
-		for id := range w.commitments {
+		for id, c := range w.commitments {
 			j, rec := l.table.task(id)
-			if rec == nil || rec.State != structs.TaskRunning {
+			if rec == nil || rec.State == structs.TaskStarting {
 				continue
 			}
-			if kind, ok := l.kind(j.record.Spec.Kind); !ok || !kind.Checkpointable || !kind.Idempotent {
+			kind, known := l.kind(j.record.Spec.Kind)
+			if !known {
 				continue
 			}
-			l.stopTask(id, j, rec, due)
-			due = due.Add(moveInterval)
+			remaining, _ := l.planner.model.Remaining(c.kind, c.report.RanFor)
+			tasks = append(tasks, drain.Task{
+				ID:             id,
+				Checkpointable: kind.Checkpointable,
+				Idempotent:     kind.Idempotent,
+				Lost:           lostWork(kind, c),
+				Remaining:      remaining,
+				Stopping:       rec.State == structs.TaskStopping,
+			})
 		}
 	}
+	return tasks
+}
+
+// lostWork returns the work that a stop of an attempt loses: nothing with a fresh checkpoint, else all of it.
+func lostWork(kind structs.Kind, c *commitment) time.Duration {
+	if kind.Checkpointable {
+		return 0
+	}
+	return c.report.RanFor
+}
+
+// stopByID begins to stop the running attempt of a task. Called with mu held.
+func (l *Loop) stopByID(id structs.TaskID, due time.Time) {
+	if j, rec := l.table.task(id); rec != nil {
+		l.stopTask(id, j, rec, due)
+	}
 }
 
 // rehome moves jobs without attempts in progress to other shards. Called with mu held.
@@ -62,11 +135,11 @@
 			continue
 		}
 		waited := now.Sub(j.waitingSince()) > rehomeAfter
-		if j.record.Home != l.shard || !j.durable() || (!out && !waited) {
+		if j.record.Home != l.shard || j.record.CancelRequested || !j.durable() || !l.recovered(j) || (!out && !waited) {
 			continue
 		}
 		home, ok := l.cfg.Homes.ChooseHome(j.record, l.shard)
-		if !ok {
+		if !ok || (l.draining.drainer != nil && !l.draining.drainer.MayMoveJob(now)) {
 			continue
 		}
 		j.record.Home = home
--- a/pkg/shard/explain.go
+++ b/pkg/shard/explain.go
@@ -21,6 +21,9 @@
 		digest.Free = digest.Free.Add(w.free())
 		digest.Largest = maxResources(digest.Largest, w.host.Capacity)
 	}
+	if ramp := l.draining.ramp; ramp != nil {
+		digest.Free = scale(digest.Free, ramp.Share(now))
+	}
 	for _, j := range l.table.jobs {
 		for i := range j.record.Tasks {
 			if j.record.Tasks[i].State == structs.TaskPending {
@@ -31,6 +34,14 @@
 	return digest
 }
 
+func scale(r structs.Resources, share float64) structs.Resources {
+	return structs.Resources{
+		MilliCPU:     int64(float64(r.MilliCPU) * share),
+		MemoryBytes:  int64(float64(r.MemoryBytes) * share),
+		Accelerators: int64(float64(r.Accelerators) * share),
+	}
+}
+
 func maxResources(a, b structs.Resources) structs.Resources {
 	return structs.Resources{
 		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
--- /dev/null
+++ b/pkg/shard/guard.go
@@ -0,0 +1,88 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"fulmarcourse.example/core/guard"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+)
+
+// guardInterval is the time between two steps of the guard.
+const guardInterval = time.Second
+
+// protect throttles and evicts tasks on workers under pressure. Called by the loop goroutine, no lock held.
+func (l *Loop) protect(ctx context.Context) {
+	now := l.cfg.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, action := range l.guard.Step(now, l.hostSignals(now)) {
+		switch action.Kind {
+		case guard.SetThrottle:
+			l.throttle(ctx, action)
+		case guard.Evict:
+			l.cfg.Log.Event(eventlog.TaskEvicted).Str("task", action.Task.String()).Str("worker", string(action.Host)).Msg(action.Reason)
+			l.stopByID(action.Task, now)
+		}
+	}
+}
+
+// hostSignals describes the usage of all workers that were heard of lately. Called with mu held.
+func (l *Loop) hostSignals(now time.Time) []guard.HostSignal {
+	latency := l.cfg.Environment.LatencyByMachine()
+	var signals []guard.HostSignal
+	for id, w := range l.table.workers {
+		if !w.listed || !w.known {
+			continue
+		}
+		signal := guard.HostSignal{Host: id, Capacity: w.host.Capacity, Latency: latency[w.host.Machine], Age: now.Sub(w.heardAt)}
+		for task, c := range w.commitments {
+			if c.report.State != structs.OnWorkerRunning {
+				continue
+			}
+			signal.Usage = signal.Usage.Add(c.report.Usage)
+			signal.Age = max(signal.Age, now.Sub(w.heardAt)+c.report.UsageAge)
+			signal.Tasks = append(signal.Tasks, l.taskSignal(task, c))
+		}
+		signals = append(signals, signal)
+	}
+	return signals
+}
+
+// taskSignal is called with mu held.
+func (l *Loop) taskSignal(id structs.TaskID, c *commitment) guard.TaskSignal {
+	kind, _ := l.kind(c.kind)
+	signal := guard.TaskSignal{
+		Task:           id,
+		Attempt:        c.attempt,
+		Usage:          c.report.Usage,
+		Reserved:       c.reserved,
+		Throttle:       c.report.Throttle,
+		Checkpointable: kind.Checkpointable,
+		Idempotent:     kind.Idempotent,
+		Lost:           lostWork(kind, c),
+	}
+	if j, ok := l.table.jobs[id.Job]; ok {
+		signal.Urgent = j.record.Spec.Urgent
+	}
+	return signal
+}
+
+// throttle sends one throttle command. A lost command is repeated by the guard's next step, because the worker reports
+// the throttle in effect. Called with mu held; the call runs in the pool.
+func (l *Loop) throttle(ctx context.Context, action guard.Action) {
+	w, ok := l.table.workers[action.Host]
+	if !ok {
+		return
+	}
+	ref := l.ref(action.Task, action.Attempt)
+	l.goCall(ctx, commandTimeout, func(ctx context.Context) {
+		if _, err := l.valid(); err != nil {
+			return
+		}
+		if err := l.cfg.Workers.Throttle(ctx, w.host.Address, ref, action.Share); err != nil {
+			l.cfg.Log.Event(eventlog.ThrottleFailed).Str("task", action.Task.String()).Err(err).Msg("")
+		}
+	})
+}
--- a/pkg/shard/loop.go
+++ b/pkg/shard/loop.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"fulmarcourse.example/core/drain"
+	"fulmarcourse.example/core/guard"
+	"fulmarcourse.example/core/quarantine"
 	"fulmarcourse.example/core/reconcile"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
@@ -22,11 +25,16 @@
 	calls      sync.WaitGroup
 	batch      *jobs.Batch
 
-	mu       sync.Mutex
-	planner  *planner
-	table    *table
-	loaded   bool  // job records were read under this epoch
-	revision int64 // store revision up to which job records are known
+	mu        sync.Mutex
+	planner   *planner
+	tracker   *quarantine.Tracker
+	guard     guard.Policy
+	draining  drainState
+	leaving   map[structs.HostID]*drain.Drainer // per leaving worker
+	preempted map[structs.TaskID]time.Time      // when tasks were last stopped for a pending one
+	table     *table
+	loaded    bool  // job records were read under this epoch
+	revision  int64 // store revision up to which job records are known
 }
 
 // newLoop returns the loop of a shard acquired with epoch. Run starts it.
@@ -39,6 +47,10 @@
 		wake:       make(chan struct{}, 1),
 		pool:       make(chan struct{}, poolSize),
 		planner:    newPlanner(cfg, uint64(epoch)),
+		tracker:    quarantine.NewTracker(0),
+		guard:      guard.NewHysteresis(),
+		leaving:    map[structs.HostID]*drain.Drainer{},
+		preempted:  map[structs.TaskID]time.Time{},
 		table:      newTable(),
 	}
 	l.batch = cfg.NewBatch(id, epoch, l.onCancel)
@@ -94,6 +106,7 @@
 type schedule struct {
 	refresh time.Time
 	renew   time.Time
+	guard   time.Time
 }
 
 // cycle runs the steps that are due. Called by the loop goroutine, no lock held.
@@ -117,6 +130,11 @@
 	l.applyCancellations()
 	l.expireWorkers()
 	l.drain()
+	if !now.Before(due.guard) {
+		due.guard = now.Add(guardInterval)
+		l.judgeFailures()
+		l.protect(ctx)
+	}
 	l.repeatCommands(ctx)
 	l.startPending(ctx)
 	l.save()
@@ -157,6 +175,8 @@
 	for id, w := range l.table.workers {
 		if !w.listed && len(w.commitments) == 0 && len(w.foreign) == 0 && l.leaseExpired(w) {
 			delete(l.table.workers, id)
+			l.tracker.Forget(id)
+			l.planner.model.History.Forget(id)
 		}
 	}
 }
--- a/pkg/shard/records.go
+++ b/pkg/shard/records.go
@@ -89,6 +89,9 @@
 	l.table.jobs[record.ID] = j
 	for i := range j.record.Tasks {
 		rec := &j.record.Tasks[i]
+		if len(rec.FailedOn) > 0 && !rec.State.Final() {
+			l.tracker.Restore(structs.TaskID{Job: record.ID, Index: i}, rec.FailedOn, j.adoptedAt)
+		}
 		if !rec.State.InProgress() {
 			continue
 		}
@@ -123,6 +126,9 @@
 			continue
 		}
 		if j.dirty {
+			if j.record.Final() {
+				l.tracker.JobEnded(id)
+			}
 			j.dirty = false
 			j.ticket = l.batch.PutLazy(j.record)
 		}
--- a/pkg/shard/renew.go
+++ b/pkg/shard/renew.go
@@ -25,6 +25,17 @@
 	}
 }
 
+// renewOne renews one worker outside the interval unless a renewal is in progress.
+func (l *Loop) renewOne(ctx context.Context, w *workerEntry) {
+	l.mu.Lock()
+	busy := w.renewing
+	w.renewing = true
+	l.mu.Unlock()
+	if !busy {
+		l.renew(ctx, w)
+	}
+}
+
 // renew renews the task leases of one worker and applies its inventory. At most one renewal per worker is in progress.
 func (l *Loop) renew(ctx context.Context, w *workerEntry) {
 	defer l.setRenewed(w)
@@ -127,7 +138,10 @@
 	}
 	if !running {
 		l.applyEnd(w, wt)
-		l.planner.ended(wt, sentAt)
+		if changed {
+			l.planner.ended(wt, sentAt)
+			l.recordResult(w, wt, sentAt)
+		}
 		return
 	}
 	l.planner.observe(w.host.ID, wt, sentAt)
--- a/pkg/shard/start.go
+++ b/pkg/shard/start.go
@@ -59,11 +59,15 @@
 	if tokens <= 0 || len(pending) == 0 {
 		return nil
 	}
+	teams := l.teamState(now)
+	pending = l.orderByTeam(teams, pending)
+	l.assignProbes(pending, now)
 	plan := l.planner.core.Plan(l.snapshot(now), pending, l.planner.rnd)
 	l.planner.noteUnplaced(plan.Unplaced)
+	l.preempt(teams, unplacedTasks(pending, plan.Unplaced), now)
 	var starts []start
 	for _, p := range plan.Placements {
-		if len(starts) == tokens {
+		if len(starts) == tokens || !l.rampAllows(now) {
 			break
 		}
 		if s, ok := l.beginStart(p, now); ok {
@@ -73,6 +77,20 @@
 	return starts
 }
 
+// rampAllows takes the budget for one start after the data centre has returned to service. Called with mu held.
+func (l *Loop) rampAllows(now time.Time) bool {
+	return l.draining.ramp == nil || l.draining.ramp.MayStart(now)
+}
+
+// unplacedTasks returns the pending tasks that a plan left waiting.
+func unplacedTasks(pending []placement.Pending, unplaced []placement.Unplaced) []placement.Pending {
+	waiting := make(map[structs.TaskID]bool, len(unplaced))
+	for _, u := range unplaced {
+		waiting[u.Task] = true
+	}
+	return slices.DeleteFunc(slices.Clone(pending), func(p placement.Pending) bool { return !waiting[p.Task] })
+}
+
 // pendingTasks lists the tasks that may start, in planning order. Called with mu held.
 func (l *Loop) pendingTasks(now time.Time) []placement.Pending {
 	var pending []placement.Pending
@@ -89,13 +107,16 @@
 				continue
 			}
 			task := structs.TaskID{Job: id, Index: i}
+			if !l.tracker.MayStart(task, now) {
+				continue
+			}
 			pending = append(pending, placement.Pending{
 				Task:     task,
 				Kind:     j.record.Spec.Kind,
 				Declared: l.declared(j),
 				Urgent:   j.record.Spec.Urgent,
 				Since:    j.waitingSince(),
-				Excluded: rec.FailedOn,
+				Excluded: l.tracker.Excluded(task),
 				Held:     l.planner.held[task],
 			})
 		}
@@ -137,11 +158,12 @@
 			continue
 		}
 		snapshot.Nodes = append(snapshot.Nodes, &placement.Node{
-			Host:     id,
-			Rack:     w.host.Rack,
-			Capacity: w.host.Capacity,
-			Reserved: w.committed(),
-			Kinds:    w.kinds(),
+			Host:        id,
+			Rack:        w.host.Rack,
+			Capacity:    w.host.Capacity,
+			Reserved:    w.committed(),
+			Quarantined: l.tracker.Quarantined(id),
+			Kinds:       w.kinds(),
 		})
 	}
 	slices.SortFunc(snapshot.Nodes, func(a, b *placement.Node) int { return cmp.Compare(a.Host, b.Host) })
@@ -195,6 +217,9 @@
 	})
 	j.dirty = true
 	l.planner.colocated(w, now)
+	if l.tracker.Quarantined(p.Host) {
+		l.tracker.ProbeStarted(p.Host, now)
+	}
 	s := start{worker: w, task: p.Task, commitment: c}
 	if !kind.Idempotent {
 		s.intent = l.saveNow(j)
