Close gaps that trial faults in a scratch copy showed in the tests

Thirty-odd deliberate faults were put into a scratch copy, one at a time. Tests missed these: a transport that never reports a request as unsent, one that follows a 302, one with the circuit breaker, a prefix that ends in 0xff, renewals on the connections of commands, a freeze that leaks bytes, and a close one byte too early. Refused connections are tested at port 1, because another test could take a port that was just freed.

--- a/pkg/httpsend/client_test.go
+++ b/pkg/httpsend/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,21 +16,13 @@
 	"github.com/juju/errors"
 )
 
-// closedPort returns a loopback address at which nothing listens.
-func closedPort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
+// refusing is an address at which nothing listens. A free port could be taken by another test meanwhile.
+const refusing = "http://127.0.0.1:1"
 
 // Guards against a refused connection being reported as a request that may have run.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	client := NewClient(Config{Name: "test"})
-	_, err := client.Post(t.Context(), "http://"+closedPort(t), nil, []byte("body"))
+	_, err := client.Post(t.Context(), refusing, nil, []byte("body"))
 	if !errors.Is(err, ErrNotSent) {
 		t.Fatalf("got %v, want ErrNotSent", err)
 	}
@@ -109,6 +102,9 @@
 // closes: a non-idempotent request would run twice. An empty body is a separate case in net/http.
 func TestReusedConnectionIsNotRetried(t *testing.T) {
 	for _, body := range []string{"body", ""} {
+		if req, err := newRequest(t.Context(), http.MethodPost, "http://host", nil, []byte(body)); err != nil || req.GetBody != nil {
+			t.Errorf("body %q: net/http can repeat the request, error %v", body, err)
+		}
 		url, requests := rawServer(t)
 		client := NewClient(Config{Name: "test"})
 		if _, err := client.Post(t.Context(), url, nil, []byte(body)); err != nil {
@@ -129,11 +125,11 @@
 	var hits atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		hits.Add(1)
-		http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+		http.Redirect(w, r, "/other", http.StatusFound)
 	}))
 	defer server.Close()
 	resp, err := NewClient(Config{Name: "test"}).Post(t.Context(), server.URL, nil, []byte("body"))
-	if err != nil || resp.Status != http.StatusTemporaryRedirect || hits.Load() != 1 {
+	if err != nil || resp.Status != http.StatusFound || hits.Load() != 1 {
 		t.Fatalf("got status %d, error %v, %d requests", resp.Status, err, hits.Load())
 	}
 }
@@ -160,6 +156,21 @@
 	}
 }
 
+// Guards against a circuit breaker that rejects calls for seconds after an outage has ended.
+func TestOutageDoesNotBlockLaterCalls(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	client := NewClient(Config{Name: "test"})
+	for range 200 {
+		_, _ = client.Get(t.Context(), refusing)
+	}
+	for range 10 {
+		if _, err := client.Get(t.Context(), server.URL); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // countingConn counts the writes that reach it.
 type countingConn struct {
 	net.Conn
@@ -171,15 +182,20 @@
 
 // Guards against a write that races with a seal: either the seal fails or the write does not reach the server.
 func TestSealExcludesWrites(t *testing.T) {
-	for range 2000 {
+	for round := range 2000 {
 		inner := &countingConn{}
 		c := &conn{Conn: inner}
+		_, _ = c.Write([]byte("earlier request"))
+		var used usedConn
+		used.record(httptrace.GotConnInfo{Conn: c})
 		var done sync.WaitGroup
-		done.Go(func() { _, _ = c.Write([]byte("x")) })
-		sealedConn := c.seal(0)
+		if round > 0 { // in the first round there is no write
+			done.Go(func() { _, _ = c.Write([]byte("request")) })
+		}
+		unsent := used.nothingWritten()
 		done.Wait()
-		if sealedConn == (inner.writes.Load() > 0) {
-			t.Fatalf("sealed %t with %d writes", sealedConn, inner.writes.Load())
+		if unsent == (inner.writes.Load() > 1) {
+			t.Fatalf("nothing written is %t with %d writes", unsent, inner.writes.Load())
 		}
 	}
 }
--- a/pkg/runner/client_test.go
+++ b/pkg/runner/client_test.go
@@ -120,9 +120,8 @@
 // Guards against attempts that cannot have been sent being reported as uncertain.
 func TestNotSent(t *testing.T) {
 	client := runner.NewClient(runner.Config{})
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
-	addr := closed.Listener.Addr().String()
+	// Nothing listens on port 1, and unlike a free port no other test takes it.
+	const addr = "127.0.0.1:1"
 	expired, unnamed, broken := attempt("expired"), attempt(""), attempt("line\nbreak")
 	expired.Remaining = 0
 	for name, a := range map[string]runner.Attempt{"refused": attempt("a"), "deadline passed": expired, "no id": unnamed, "invalid id": broken} {
@@ -177,23 +176,12 @@
 	}
 }
 
-// proxied puts a fault proxy before a runner.
-func proxied(t *testing.T, target string) *faultproxy.Proxy {
-	t.Helper()
-	proxy, err := faultproxy.Listen(target)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(proxy.Close)
-	return proxy
-}
-
 // Guards against a half-written answer being delivered, wherever the connection breaks, including inside the
 // status line and the headers.
 func TestAnswerCutAtEveryByte(t *testing.T) {
 	history := standin.NewHistory(nil)
 	_, addr := start(t, standin.RunnerConfig{History: history})
-	proxy := proxied(t, addr)
+	proxy := faultproxy.Start(t, addr)
 	client := runner.NewClient(runner.Config{})
 	for n := 0; ; n++ {
 		id := fmt.Sprintf("attempt-%03d", n)
@@ -217,7 +205,7 @@
 // Guards against a half-written request being reported as certainly not run, wherever the connection breaks.
 func TestRequestCutAtEveryByte(t *testing.T) {
 	_, addr := start(t, standin.RunnerConfig{})
-	proxy := proxied(t, addr)
+	proxy := faultproxy.Start(t, addr)
 	client := runner.NewClient(runner.Config{})
 	for n := 0; n < 100; n++ {
 		proxy.CloseAfter(faultproxy.ToTarget, n)
--- a/pkg/standin/control.go
+++ b/pkg/standin/control.go
@@ -15,6 +15,29 @@
 // another process.
 const ControlPath = "/v1/control"
 
+// StatusPath is the resource beside the host list that returns a Status.
+const StatusPath = "/v1/status"
+
+// Status is how much of a platform has been used.
+type Status struct {
+	Store   StoreCalls              `json:"store"`
+	Runners map[structs.HostID]Load `json:"runners"`
+}
+
+// Status returns the calls to the store and the load of the runners.
+func (p *Platform) Status() Status {
+	status := Status{Store: p.Store.Calls(), Runners: map[structs.HostID]Load{}}
+	for id, r := range p.Runners {
+		status.Runners[id] = r.Load()
+	}
+	return status
+}
+
+// serveStatus returns the Status as JSON.
+func (p *Platform) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.Status())
+}
+
 // ErrUnknownHost means that a Control names a host that the platform does not have. Nothing of it was applied.
 const ErrUnknownHost = errors.ConstError("unknown host")
 
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -48,7 +48,7 @@
 	Runners  map[structs.HostID]*Runner
 
 	StoreURL    string
-	HostListURL string // also serves HistoryPath and ControlPath
+	HostListURL string // also serves HistoryPath, ControlPath and StatusPath
 
 	cfg     PlatformConfig
 	servers map[structs.HostID]*Server
@@ -116,6 +116,7 @@
 	mux.Handle("/", p.HostList)
 	mux.Handle("GET "+HistoryPath, p.History)
 	mux.HandleFunc("POST "+ControlPath, p.serveControl)
+	mux.HandleFunc("GET "+StatusPath, p.serveStatus)
 	if p.HostListURL, err = p.serve(mux); err != nil {
 		return err
 	}
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -73,6 +73,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if status := p.Status(); status.Store != (standin.StoreCalls{Writes: 1}) || status.Runners["south-0-runner-1"].MaxBusy != 1 {
+		t.Errorf("status %+v", status)
+	}
 	found := map[structs.HostID]standin.EventType{}
 	for i, e := range events {
 		if e.Sequence != int64(before+i+1) {
--- a/pkg/standin/runner.go
+++ b/pkg/standin/runner.go
@@ -144,10 +144,10 @@
 
 // Load is how much of a runner is in use.
 type Load struct {
-	Busy     int // requests running
-	MaxBusy  int // most requests running at once so far
-	Conns    int // open connections
-	MaxConns int // most open connections at once so far
+	Busy     int `json:"busy"`      // requests running
+	MaxBusy  int `json:"max_busy"`  // most requests running at once so far
+	Conns    int `json:"conns"`     // open connections
+	MaxConns int `json:"max_conns"` // most open connections at once so far
 }
 
 // Load returns the present load. Connections are known only when the runner was started with Listen.
--- a/pkg/standin/store.go
+++ b/pkg/standin/store.go
@@ -20,8 +20,8 @@
 
 // StoreCalls counts the calls that a Store has received, including those that it did not answer.
 type StoreCalls struct {
-	Reads  int64
-	Writes int64 // transactions and lease calls
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"` // transactions and lease calls
 }
 
 // Store is a fake of the platform's store behind etcd's JSON gateway. It is an http.Handler.
--- a/pkg/standin/store_state.go
+++ b/pkg/standin/store_state.go
@@ -139,7 +139,7 @@
 func (s *storeState) grant(now time.Time, ttl time.Duration) int64 {
 	s.lastID++
 	l := &lease{ttl: ttl, expires: now.Add(ttl), keys: map[string]bool{}}
-	if len(s.leases) == 0 || l.expires.Before(s.earliest) {
+	if l.expires.Before(s.earliest) {
 		s.earliest = l.expires
 	}
 	s.leases[s.lastID] = l
--- a/pkg/store/client_test.go
+++ b/pkg/store/client_test.go
@@ -115,6 +115,7 @@
 		{"a/", 0, []string{"a/", "a/1", "a/\xff"}},
 		{"a/", last, []string{"a/1"}},
 		{"a/", last + 1, nil},
+		{"a/\xff", 0, []string{"a/\xff"}},
 		{"\xff", 0, []string{"\xff\xff"}},
 		{"", 0, []string{"a", "a/", "a/1", "a/\xff", "a0", "\xff\xff"}},
 	}
@@ -224,9 +225,8 @@
 
 // Guards against a refused connection being reported as uncertain: callers could then never retry.
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
-	server := httptest.NewServer(http.NotFoundHandler())
-	server.Close()
-	c := store.NewClient(store.Config{Endpoint: server.URL})
+	// Nothing listens on port 1, and unlike a free port no other test takes it.
+	c := store.NewClient(store.Config{Endpoint: "http://127.0.0.1:1"})
 	_, err := c.Txn(t.Context(), store.Txn{Puts: []store.Put{{Key: "k"}}})
 	if !errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUncertain) {
 		t.Errorf("write: got %v, want ErrUnavailable", err)
@@ -240,11 +240,7 @@
 func TestResponseCutAtEveryByte(t *testing.T) {
 	server := httptest.NewServer(standin.NewStore(standin.StoreConfig{}))
 	t.Cleanup(server.Close)
-	proxy, err := faultproxy.Listen(server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(proxy.Close)
+	proxy := faultproxy.Start(t, server.Listener.Addr().String())
 	direct := store.NewClient(store.Config{Endpoint: server.URL})
 	c := store.NewClient(store.Config{Endpoint: "http://" + proxy.Addr()})
 	for n := 0; ; n++ {
--- a/pkg/worker/client_test.go
+++ b/pkg/worker/client_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/standin"
 	"fulmarcourse.example/fulmarcourse/pkg/worker"
+	"fulmarcourse.example/fulmarcourse/test/poll"
 )
 
 var shard = structs.ShardID{Datacentre: "dc", Index: 1}
@@ -118,6 +120,16 @@
 	}
 }
 
+// serve returns the address of a server with one response.
+func serve(t *testing.T, status int, body string) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
 // Guards against responses being taken for a certain result that they do not state.
 func TestResponses(t *testing.T) {
 	cases := []struct {
@@ -137,40 +149,32 @@
 	}
 	c := worker.NewClient(worker.Config{})
 	for _, tc := range cases {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.WriteHeader(tc.status)
-			_, _ = io.WriteString(w, tc.body)
-		}))
-		err := c.Start(t.Context(), server.Listener.Addr().String(), startCommand(1))
+		err := c.Start(t.Context(), serve(t, tc.status, tc.body), startCommand(1))
 		if tc.want == nil && err != nil || tc.want != nil && !errors.Is(err, tc.want) {
 			t.Errorf("%d %s: got %v, want %v", tc.status, tc.body, err, tc.want)
 		}
-		server.Close()
 	}
 }
 
 // Guards against an inventory that lacks its worker being read as "no tasks", after which the owner would commit
 // the capacity again.
 func TestForeignInventoryIsUncertain(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, `{}`)
-	}))
-	t.Cleanup(server.Close)
+	addr := serve(t, http.StatusOK, `{}`)
 	c := worker.NewClient(worker.Config{})
-	if _, err := c.Renew(t.Context(), server.Listener.Addr().String(), worker.RenewRequest{Shard: shard}); !errors.Is(err, worker.ErrUncertain) {
+	if _, err := c.Renew(t.Context(), addr, worker.RenewRequest{Shard: shard}); !errors.Is(err, worker.ErrUncertain) {
 		t.Errorf("inventory: got %v, want ErrUncertain", err)
 	}
-	if _, err := c.Checkpoint(t.Context(), server.Listener.Addr().String(), ref(1)); !errors.Is(err, worker.ErrUncertain) {
+	if _, err := c.Checkpoint(t.Context(), addr, ref(1)); !errors.Is(err, worker.ErrUncertain) {
 		t.Errorf("checkpoint: got %v, want ErrUncertain", err)
 	}
 }
 
 // Guards against an unreachable worker being confused with one that refuses: only the latter answered.
 func TestUnreachable(t *testing.T) {
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
+	// Nothing listens on port 1, and unlike a free port no other test takes it.
+	const refusing = "127.0.0.1:1"
 	c := worker.NewClient(worker.Config{})
-	err := c.Start(t.Context(), closed.Listener.Addr().String(), startCommand(1))
+	err := c.Start(t.Context(), refusing, startCommand(1))
 	if !errors.Is(err, worker.ErrRefused) || !errors.Is(err, worker.ErrUnreachable) {
 		t.Errorf("refused connection: got %v, want ErrRefused and ErrUnreachable", err)
 	}
@@ -185,10 +189,12 @@
 
 // Guards against renewals that wait behind slow commands until the task leases run out.
 func TestRenewalsDoNotWaitForCommands(t *testing.T) {
-	const commands = 20 // more than the client has connections for
+	const conns, commands = 4, 8 // the client has connections for half of the commands
+	var arrived atomic.Int64
 	release := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != worker.RenewPath {
+			arrived.Add(1)
 			<-release
 		}
 		_, _ = io.WriteString(w, `{"worker":"w","done":true}`)
@@ -200,6 +206,7 @@
 	for range commands {
 		go func() { errs <- c.Stop(t.Context(), addr, ref(1)) }()
 	}
+	poll.Until(t, "commands use all their connections", func() bool { return arrived.Load() == conns })
 	if _, err := c.Renew(t.Context(), addr, worker.RenewRequest{Shard: shard}); err != nil {
 		t.Errorf("renewal beside stuck commands: %v", err)
 	}
--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/juju/errors"
@@ -73,6 +74,17 @@
 	return p, nil
 }
 
+// Start is Listen for tests: it ends the test on errors and closes the proxy when the test ends.
+func Start(t testing.TB, target string) *Proxy {
+	t.Helper()
+	p, err := Listen(target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
 // Addr returns "127.0.0.1:port".
 func (p *Proxy) Addr() string { return p.addr }
 
--- a/test/faultproxy/proxy_test.go
+++ b/test/faultproxy/proxy_test.go
@@ -52,16 +52,6 @@
 	return s
 }
 
-func newProxy(t *testing.T, s *target) *Proxy {
-	t.Helper()
-	p, err := Listen(s.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.Close)
-	return p
-}
-
 // connect opens a connection through the proxy and returns both ends. They fail after a minute.
 func connect(t *testing.T, p *Proxy, s *target) (caller, far net.Conn) {
 	t.Helper()
@@ -109,7 +99,7 @@
 // that lose the answer.
 func TestForwardsUnchanged(t *testing.T) {
 	s := newTarget(t)
-	p := newProxy(t, s)
+	p := Start(t, s.Addr().String())
 	p.SetDelay(ToTarget, time.Millisecond, time.Millisecond)
 	caller, far := connect(t, p, s)
 	sent := bytes.Repeat([]byte("0123456789abcdef!"), 40_000)
@@ -131,7 +121,7 @@
 // Guards against a delay that has no effect. It checks only the lower bound, which a slow machine keeps.
 func TestDelay(t *testing.T) {
 	s := newTarget(t)
-	p := newProxy(t, s)
+	p := Start(t, s.Addr().String())
 	caller, far := connect(t, p, s)
 	const delay = 30 * time.Millisecond
 	p.SetDelay(ToCaller, delay, 0)
@@ -147,7 +137,7 @@
 // a stream with a gap go on.
 func TestOneWayCut(t *testing.T) {
 	s := newTarget(t)
-	p := newProxy(t, s)
+	p := Start(t, s.Addr().String())
 	caller, far := connect(t, p, s)
 	p.Cut(ToCaller)
 	write(t, far, "lost")
@@ -165,12 +155,13 @@
 	expect(t, caller, "works")
 }
 
-// Guards against a freeze that loses, reorders or leaks bytes, for open connections and for new ones.
+// Guards against a freeze that loses, reorders or leaks bytes, that lets new connections pass, or that also stops
+// the other direction.
 func TestFreeze(t *testing.T) {
 	s := newTarget(t)
-	p := newProxy(t, s)
+	p := Start(t, s.Addr().String())
 	caller, far := connect(t, p, s)
-	p.Freeze(Both...)
+	p.Freeze(ToTarget)
 	write(t, caller, "one")
 	write(t, caller, "two")
 	later, err := net.Dial("tcp", p.Addr())
@@ -179,7 +170,6 @@
 	}
 	defer func() { _ = later.Close() }()
 	write(t, later, "three")
-	write(t, far, "answer")
 	received := make(chan struct{})
 	var done sync.WaitGroup
 	done.Go(func() {
@@ -189,6 +179,10 @@
 			t.Errorf("read %q, error %v, want the bytes in their order", got, err)
 		}
 	})
+	for range 100 { // time for bytes that should not pass
+		write(t, far, "answer")
+		expect(t, caller, "answer")
+	}
 	select {
 	case <-received:
 		t.Error("bytes passed a frozen proxy")
@@ -196,9 +190,8 @@
 		t.Error("a connection passed a frozen proxy")
 	default:
 	}
-	p.Thaw(Both...)
+	p.Thaw(ToTarget)
 	done.Wait()
-	expect(t, caller, "answer")
 	other := <-s.conns
 	defer func() { _ = other.Close() }()
 	expect(t, other, "three")
@@ -208,7 +201,7 @@
 // after it has acted.
 func TestCloseAfter(t *testing.T) {
 	s := newTarget(t)
-	p := newProxy(t, s)
+	p := Start(t, s.Addr().String())
 	for _, n := range []int{0, 1, 5, 9} {
 		caller, far := connect(t, p, s)
 		p.CloseAfter(ToCaller, n)
@@ -216,6 +209,14 @@
 		expectEnd(t, caller, "0123456789"[:n])
 	}
 	caller, far := connect(t, p, s)
+	p.CloseAfter(ToCaller, 10)
+	write(t, far, "0123456789")
+	expect(t, caller, "0123456789")
+	write(t, caller, "still open")
+	expect(t, far, "still open")
+	write(t, far, "x")
+	expectEnd(t, caller, "")
+	caller, far = connect(t, p, s)
 	write(t, far, "0123456789")
 	expect(t, caller, "0123456789")
 }
@@ -225,7 +226,7 @@
 	const connections, share, maxBytes = 40, 0.5, 20
 	draw := func(seed uint64) (carried []int) {
 		s := newTarget(t)
-		p := newProxy(t, s)
+		p := Start(t, s.Addr().String())
 		p.SetLoss(share, maxBytes, seed)
 		message := make([]byte, maxBytes+1)
 		for range connections {
@@ -252,7 +253,7 @@
 // come back at its address.
 func TestRefuseAndAccept(t *testing.T) {
 	s := newTarget(t)
-	p := newProxy(t, s)
+	p := Start(t, s.Addr().String())
 	caller, _ := connect(t, p, s)
 	p.Refuse()
 	expectEnd(t, caller, "")
