Shorten the routes of the stand-ins

The routes of the store and of the workers repeated one closure per call and had long lines. One generic function per stand-in now registers a call.

--- a/pkg/standin/store.go
+++ b/pkg/standin/store.go
@@ -44,11 +44,11 @@
 		cfg.Clock = time.Now
 	}
 	s := &Store{clock: cfg.Clock, grace: cfg.Grace, mux: http.NewServeMux(), state: newStoreState()}
-	s.mux.HandleFunc("POST "+gateway.RangePath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, false, s.serveRange) })
-	s.mux.HandleFunc("POST "+gateway.TxnPath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, true, s.serveTxn) })
-	s.mux.HandleFunc("POST "+gateway.GrantPath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, true, s.serveGrant) })
-	s.mux.HandleFunc("POST "+gateway.KeepAlivePath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, true, s.serveKeepAlive) })
-	s.mux.HandleFunc("POST "+gateway.RevokePath, func(w http.ResponseWriter, r *http.Request) { serveCall(s, w, r, true, s.serveRevoke) })
+	handleCall(s, gateway.RangePath, false, s.serveRange)
+	handleCall(s, gateway.TxnPath, true, s.serveTxn)
+	handleCall(s, gateway.GrantPath, true, s.serveGrant)
+	handleCall(s, gateway.KeepAlivePath, true, s.serveKeepAlive)
+	handleCall(s, gateway.RevokePath, true, s.serveRevoke)
 	return s
 }
 
@@ -106,20 +106,22 @@
 	text string
 }
 
-// serveCall decodes a call, applies it under the lock and sends the reply. apply is called with s.mu held.
-func serveCall[T any](s *Store, w http.ResponseWriter, r *http.Request, write bool, apply func(now time.Time, req T) reply) {
-	var req T
-	err := json.NewDecoder(r.Body).Decode(&req)
-	time.Sleep(s.count(write))
-	if err != nil {
-		send(w, reply{code: gateway.CodeInvalidArgument, text: err.Error()})
-		return
-	}
-	rep, delivered := applyCall(s, write, req, apply)
-	if !delivered {
-		abort()
-	}
-	send(w, rep)
+// handleCall registers a call: it is decoded, applied under the lock and answered. apply is called with s.mu held.
+func handleCall[T any](s *Store, path string, write bool, apply func(now time.Time, req T) reply) {
+	s.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var req T
+		err := json.NewDecoder(r.Body).Decode(&req)
+		time.Sleep(s.count(write))
+		if err != nil {
+			send(w, reply{code: gateway.CodeInvalidArgument, text: err.Error()})
+			return
+		}
+		rep, delivered := applyCall(s, write, req, apply)
+		if !delivered {
+			abort()
+		}
+		send(w, rep)
+	})
 }
 
 // count counts a call and returns how long it is delayed.
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -17,24 +17,28 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+HistoryPath, w.history)
 	handle(mux, w, worker.RenewPath, func(req worker.RenewRequest) (any, *refusal) { return result(w.renew(req)) })
-	handle(mux, w, worker.StartPath, func(cmd structs.StartCommand) (any, *refusal) { return worker.Done{Done: true}, w.start(cmd) })
+	handle(mux, w, worker.StartPath, func(cmd structs.StartCommand) (any, *refusal) { return confirm(w.start(cmd)) })
 	handle(mux, w, worker.CheckpointPath, func(ref worker.AttemptRef) (any, *refusal) {
 		name, r := w.takeCheckpoint(ref)
 		return worker.CheckpointReply{Checkpoint: name}, r
 	})
-	handle(mux, w, worker.ThrottlePath, func(req worker.ThrottleRequest) (any, *refusal) { return worker.Done{Done: true}, w.setThrottle(req) })
-	handle(mux, w, worker.StopPath, func(ref worker.AttemptRef) (any, *refusal) { return worker.Done{Done: true}, w.stop(ref) })
+	handle(mux, w, worker.ThrottlePath, func(req worker.ThrottleRequest) (any, *refusal) { return confirm(w.setThrottle(req)) })
+	handle(mux, w, worker.StopPath, func(ref worker.AttemptRef) (any, *refusal) { return confirm(w.stop(ref)) })
 	return mux
 }
 
 func result[T any](body T, r *refusal) (any, *refusal) { return body, r }
 
+func confirm(r *refusal) (any, *refusal) { return worker.Done{Done: true}, r }
+
 // handle registers a command. apply is called with w.mu held, after advance.
 func handle[T any](mux *http.ServeMux, w *Worker, path string, apply func(T) (any, *refusal)) {
 	mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, r *http.Request) {
 		var req T
 		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-			problem.Write(rw, problem.Problem{Type: worker.ProblemRefused, Title: "Invalid command", Status: http.StatusBadRequest, Detail: err.Error()})
+			problem.Write(rw, problem.Problem{
+				Type: worker.ProblemRefused, Title: "Invalid command", Status: http.StatusBadRequest, Detail: err.Error(),
+			})
 			return
 		}
 		time.Sleep(w.currentDelay())
