--- /dev/null
+++ b/test/integration/failover_test.go
@@ -0,0 +1,100 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
+	"fulmarcourse.example/fulmarcourse/test/cluster"
+	"fulmarcourse.example/fulmarcourse/test/invariants"
+)
+
+// checkTasks fails the test if the history of the workers breaks an invariant about tasks.
+func checkTasks(t *testing.T, c *cluster.Cluster, cfg cluster.Config) {
+	t.Helper()
+	events := c.Platform.History.Events()
+	capacity := map[structs.HostID]structs.Resources{}
+	for id := range c.Platform.Workers {
+		capacity[id] = cfg.Worker.Capacity
+	}
+	var violations []string
+	violations = append(violations, invariants.Capacity(events, capacity)...)
+	violations = append(violations, invariants.SingleRun(events)...)
+	violations = append(violations, invariants.AtMostOneRun(events, "template")...)
+	violations = append(violations, invariants.ResumeOnce(events, func(structs.TaskID) bool { return true })...)
+	for _, v := range violations {
+		t.Error(v)
+	}
+}
+
+// submitWork submits jobs of both kinds through every entry host and returns their ids.
+func submitWork(t *testing.T, c *cluster.Cluster, runSeconds float64) []structs.JobID {
+	t.Helper()
+	var ids []structs.JobID
+	for i, host := range c.Entries() {
+		for _, kind := range []structs.KindName{"trace", "template"} {
+			spec := structs.JobSpec{Team: "cutters", Kind: kind, Tasks: 4, RunSeconds: runSeconds, Key: fmt.Sprint(kind, i)}
+			record, status := cluster.SubmitJob(base(c, host), spec)
+			if status >= 300 || record.ID == "" {
+				t.Fatalf("submission of %s through %s: status %d", kind, host, status)
+			}
+			ids = append(ids, record.ID)
+		}
+	}
+	return ids
+}
+
+// started counts task starts so far.
+func started(c *cluster.Cluster) int {
+	count := 0
+	for _, e := range c.Platform.History.Events() {
+		if e.Type == standin.TaskStarted {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against tasks that run twice, or hosts that are overcommitted, when a shard owner dies and another entry
+// host takes over while tasks start.
+func TestOwnerKilledWhileTasksStart(t *testing.T) {
+	cfg := small()
+	c := start(t, cfg)
+	ids := submitWork(t, c, 6)
+	c.Await("tasks have started", func() bool { return started(c) >= 10 })
+	owner := c.Owner(structs.ShardID{Datacentre: "a", Index: 0})
+	c.Kill(owner)
+	for _, id := range ids {
+		for i, task := range c.AwaitJob(id).Tasks {
+			if task.State != structs.TaskDone {
+				t.Errorf("job %s task %d: %+v", id, i, task)
+			}
+		}
+	}
+	checkTasks(t, c, cfg)
+}
+
+// Guards against a frozen owner that goes on sending commands when it resumes after another host has taken over.
+func TestOwnerFrozenDuringTakeover(t *testing.T) {
+	cfg := small()
+	c := start(t, cfg)
+	ids := submitWork(t, c, 6)
+	c.Await("tasks have started", func() bool { return started(c) >= 4 })
+	shard := structs.ShardID{Datacentre: "a", Index: 0}
+	owner := c.Owner(shard)
+	c.Pause(owner)
+	c.Await("another owner", func() bool {
+		now := c.Owner(shard)
+		return now != "" && now != owner
+	})
+	c.Resume(owner)
+	for _, id := range ids {
+		for i, task := range c.AwaitJob(id).Tasks {
+			if task.State != structs.TaskDone {
+				t.Errorf("job %s task %d: %+v", id, i, task)
+			}
+		}
+	}
+	checkTasks(t, c, cfg)
+}
