Choose a new home for a job without holding the loop's lock

Cause of the hanging entry host: the loop asked for another home while it held its lock, the choice reads the digests of all local loops, and the loop's digest needs the same lock. Ruled out: an endless loop in the team order (levels are never NaN, the guarantee is at least 1). The choice now runs between two short critical sections, and the job is checked again before it moves. A job that cannot start because its shard is still recovering no longer counts as waiting.

--- a/pkg/shard/drain.go
+++ b/pkg/shard/drain.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"fulmarcourse.example/core/drain"
@@ -29,11 +30,21 @@
 func (l *Loop) drain() {
 	out := l.cfg.Environment.Datacentre(l.shard.Datacentre) == structs.DatacentreOut
 	now := l.cfg.Clock()
+	l.stopLeaving(out, now)
+	for _, record := range l.movableJobs(out, now) {
+		// The choice reads the digests of all shards, including this one, so no lock may be held.
+		if home, ok := l.cfg.Homes.ChooseHome(record, l.shard); ok {
+			l.rehome(record.ID, home, now)
+		}
+	}
+}
+
+// stopLeaving stops tasks that have to leave their workers. No lock held.
+func (l *Loop) stopLeaving(out bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.followDatacentre(out, now)
 	l.leaveWorkers(now)
-	l.rehome(out, now)
 }
 
 // followDatacentre drains the shard while its data centre is out of service and limits starts after its return.
@@ -123,31 +134,43 @@
 	}
 }
 
-// rehome moves jobs without attempts in progress to other shards. Called with mu held.
-func (l *Loop) rehome(out bool, now time.Time) {
-	moved := 0
-	for id, j := range l.table.jobs {
-		if moved >= rehomeBatch {
-			return
-		}
-		if !idle(&j.record) {
+// movableJobs returns copies of jobs without attempts in progress that should find another home. No lock held.
+func (l *Loop) movableJobs(out bool, now time.Time) []structs.JobRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var records []structs.JobRecord
+	for _, j := range l.table.jobs {
+		if !idle(&j.record) || !l.recovered(j) {
 			j.idleSince = now
 			continue
 		}
 		waited := now.Sub(j.waitingSince()) > rehomeAfter
-		if j.record.Home != l.shard || j.record.CancelRequested || !j.durable() || !l.recovered(j) || (!out && !waited) {
-			continue
-		}
-		home, ok := l.cfg.Homes.ChooseHome(j.record, l.shard)
-		if !ok || (l.draining.drainer != nil && !l.draining.drainer.MayMoveJob(now)) {
-			continue
+		if len(records) < rehomeBatch && (out || waited) && l.movable(j) {
+			record := j.record
+			record.Tasks = slices.Clone(record.Tasks)
+			records = append(records, record)
 		}
-		j.record.Home = home
-		j.record.HomeSince = now
-		j.dirty = true
-		moved++
-		l.cfg.Log.Event(eventlog.JobRehomed).Str("job", string(id)).Str("home", home.String()).Msg("")
 	}
+	return records
+}
+
+// movable reports whether a job certainly runs nowhere and may get another home. Called with mu held.
+func (l *Loop) movable(j *job) bool {
+	return j.record.Home == l.shard && !j.record.CancelRequested && idle(&j.record) && j.durable() && l.recovered(j)
+}
+
+// rehome gives a job another home. The change is durable before the new owner can see it. No lock held.
+func (l *Loop) rehome(id structs.JobID, home structs.ShardID, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j, ok := l.table.jobs[id]
+	if !ok || !l.movable(j) || (l.draining.drainer != nil && !l.draining.drainer.MayMoveJob(now)) {
+		return
+	}
+	j.record.Home = home
+	j.record.HomeSince = now
+	j.dirty = true
+	l.cfg.Log.Event(eventlog.JobRehomed).Str("job", string(id)).Str("home", home.String()).Msg("")
 }
 
 // waitingSince returns when the job began to wait in this shard without an attempt in progress.
--- a/pkg/shard/renew.go
+++ b/pkg/shard/renew.go
@@ -21,7 +21,7 @@
 	}
 	l.mu.Unlock()
 	for _, w := range entries {
-		go l.renew(ctx, w)
+		l.calls.Go(func() { l.renew(ctx, w) })
 	}
 }
 
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -138,11 +138,15 @@
 	return exposed
 }
 
+// sourceNetwork is the second byte of the entry hosts' loopback addresses. It differs between test processes, so that
+// they do not take each other's ports.
+var sourceNetwork = 10 + os.Getpid()%200
+
 func (c *Cluster) prepareEntries() {
 	for d, dc := range c.cfg.Datacentres {
 		for i := range dc.EntryHosts {
 			id := structs.HostID(fmt.Sprintf("%s-entry-%d", dc.ID, i))
-			source := fmt.Sprintf("127.10.%d.%d", d+1, i+1)
+			source := fmt.Sprintf("127.%d.%d.%d", sourceNetwork, d+1, i+1)
 			listen := freeAddress(c.t, source)
 			advertised, err := c.net.expose(string(id), Place(dc.ID), listen)
 			c.check(err)
