Use fixed ports outside the ephemeral range for entry hosts in tests

Cause: the harness picked free ports and closed them before the process bound them. An entry host connects from its own loopback address, so that its outgoing connections could take the port in between; the process then failed to listen. Each entry host has its own address, so fixed ports below the ephemeral range cannot collide.

--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -138,22 +137,35 @@
 	return exposed
 }
 
-// sourceNetwork is the second byte of the entry hosts' loopback addresses. It differs between test processes, so that
-// they do not take each other's ports.
-var sourceNetwork = 10 + os.Getpid()%200
+// Ports of entry hosts. They are below the range from which the system takes ports of outgoing connections, since an
+// entry host also connects from its own address.
+const (
+	httpPort = 7480
+	peerPort = 7400
+)
+
+// maxEntriesPerDatacentre follows from the last byte of sourceAddress.
+const maxEntriesPerDatacentre = 16
+
+// sourceAddress returns the loopback address of an entry host. It differs between test processes, so that they do not
+// take each other's ports.
+func sourceAddress(datacentre, entry int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 10+pid%200, pid/200%250, 1+datacentre*maxEntriesPerDatacentre+entry)
+}
 
 func (c *Cluster) prepareEntries() {
 	for d, dc := range c.cfg.Datacentres {
 		for i := range dc.EntryHosts {
 			id := structs.HostID(fmt.Sprintf("%s-entry-%d", dc.ID, i))
-			source := fmt.Sprintf("127.%d.%d.%d", sourceNetwork, d+1, i+1)
-			listen := freeAddress(c.t, source)
+			source := sourceAddress(d, i)
+			listen := fmt.Sprintf("%s:%d", source, peerPort)
 			advertised, err := c.net.expose(string(id), Place(dc.ID), listen)
 			c.check(err)
 			c.net.sources[netip.MustParseAddr(source)] = id
 			c.entries[id] = &Entry{
 				ID: id, Datacentre: dc.ID, source: source, listen: listen, advertised: advertised,
-				HTTP: "http://" + freeAddress(c.t, source),
+				HTTP: fmt.Sprintf("http://%s:%d", source, httpPort),
 				log:  filepath.Join(c.dir, string(id)+".log"),
 			}
 			c.order = append(c.order, id)
@@ -162,16 +174,6 @@
 	}
 }
 
-// freeAddress returns an IP:port that was free a moment ago.
-func freeAddress(t testing.TB, ip string) string {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 const settingsTemplate = `[node]
 host = %s
 datacentre = %s
