--- a/pkg/standin/history.go
+++ b/pkg/standin/history.go
@@ -75,6 +75,9 @@
 	return &History{start: clock()}
 }
 
+// Elapsed returns the time of now in the history, to compare it with the times of events.
+func (h *History) Elapsed(now time.Time) time.Duration { return now.Sub(h.start) }
+
 // add records e as having happened at the given time.
 func (h *History) add(at time.Time, e Event) {
 	h.mu.Lock()
--- a/pkg/standin/store.go
+++ b/pkg/standin/store.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,6 +37,7 @@
 	down   bool
 	delay  time.Duration
 	losses int
+	fault  TxnFault
 	calls  StoreCalls
 }
 
@@ -85,6 +88,35 @@
 	s.losses = n
 }
 
+// TxnFault loses the responses of transactions that have taken effect and wrote a key with a prefix. Unlike
+// LoseResponses it cannot hit another write by chance.
+type TxnFault struct {
+	Prefix string
+	Count  int  // transactions whose response is lost
+	Down   bool // an outage begins with the first lost response
+}
+
+// SetTxnFault replaces the fault of transactions.
+func (s *Store) SetTxnFault(f TxnFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// loses reports whether the response to an applied transaction is lost, and begins the outage that goes with it.
+// s.mu is held.
+func (s *Store) loses(req gateway.TxnRequest, resp gateway.TxnResponse) bool {
+	hit := func(op gateway.Op) bool {
+		return op.Put != nil && strings.HasPrefix(string(op.Put.Key), s.fault.Prefix)
+	}
+	if s.fault.Count == 0 || !resp.Succeeded || !slices.ContainsFunc(req.Success, hit) {
+		return false
+	}
+	s.fault.Count--
+	s.down = s.down || s.fault.Down
+	return true
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() StoreCalls {
 	s.mu.Lock()
@@ -104,6 +136,7 @@
 	body any
 	code int // gRPC status code; 0 for success
 	text string
+	lost bool // the caller does not receive it
 }
 
 // handleCall registers a call: it is decoded, applied under the lock and answered. apply is called with s.mu held.
@@ -146,6 +179,9 @@
 	now := s.clock()
 	s.state.expire(now)
 	rep := apply(now, req)
+	if rep.lost {
+		return rep, false
+	}
 	if write && s.losses > 0 {
 		s.losses--
 		return rep, false
@@ -173,7 +209,8 @@
 	if rep := s.checkTxn(req); rep.code != 0 {
 		return rep
 	}
-	return reply{body: s.state.txn(req)}
+	resp := s.state.txn(req)
+	return reply{body: resp, lost: s.loses(req, resp)}
 }
 
 // checkTxn applies etcd's limits.
