Grant task leases from a reading of the worker's clock

Cause: a worker granted a lease from the arrival of a command. A renewal or start that waited in the buffers of a frozen worker could take effect after the owner had counted the lease as expired and had started the task elsewhere, which breaks 'never in two places at once'. Fencing does not help when the owner is the same. Each inventory now carries a reading of the worker's clock, and leases run from the last reading that the owner received. Ruled out: a wall-clock deadline in the command, which needs synchronised clocks.

TestLateCommandsGrantNoLease fails without the new field (the late renewal keeps the task running) and passes with it; the tests of shard, standin, worker and test/integration pass.

--- a/core/structs/worker.go
+++ b/core/structs/worker.go
@@ -24,6 +24,7 @@
 	Epoch      Epoch         `json:"epoch"`
 	Reserved   Resources     `json:"reserved"`
 	Lease      time.Duration `json:"lease_ns"`
+	LeaseFrom  int64         `json:"lease_from_ns"` // the lease runs from this reading of the worker's clock; 0 means from arrival
 	Checkpoint string        `json:"checkpoint,omitempty"`
 	Input      string        `json:"input,omitempty"`
 	RunSeconds float64       `json:"run_seconds,omitempty"`
@@ -46,7 +47,13 @@
 }
 
 // Inventory is a worker's answer to a lease renewal.
+//
+// Clock is a reading of the worker's own clock, in nanoseconds from an arbitrary start. Leases are granted from such
+// a reading and not from the arrival of a command, because a command can wait for a long time in the buffers of a
+// frozen worker and would then extend a lease that its owner counts as expired (compare Gray and Cheriton, "Leases",
+// 1989, on bounding the term by the holder's knowledge).
 type Inventory struct {
 	Worker HostID       `json:"worker"`
+	Clock  int64        `json:"clock_ns"`
 	Tasks  []WorkerTask `json:"tasks"`
 }
--- a/pkg/shard/command.go
+++ b/pkg/shard/command.go
@@ -104,8 +104,7 @@
 func (l *Loop) sendStart(ctx context.Context, w *workerEntry, id structs.TaskID, c *commitment) {
 	err := l.checkStart()
 	if err == nil {
-		l.noteRenewal(w)
-		err = l.cfg.Workers.Start(ctx, w.host.Address, c.command)
+		err = l.cfg.Workers.Start(ctx, w.host.Address, l.leasedCommand(w, c))
 	} else {
 		err = notSent{err}
 	}
@@ -115,11 +114,14 @@
 	l.applyStart(w, id, c, err)
 }
 
-// noteRenewal records that a command that grants a task lease is about to be sent.
-func (l *Loop) noteRenewal(w *workerEntry) {
+// leasedCommand returns the start command with a lease from the latest reading of the worker's clock.
+func (l *Loop) leasedCommand(w *workerEntry, c *commitment) structs.StartCommand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w.renewedAt = l.cfg.Clock()
+	w.leasedFrom = w.clockAt
+	command := c.command
+	command.LeaseFrom = w.clock
+	return command
 }
 
 // notSent wraps the reason why a command was not sent.
--- a/pkg/shard/loop.go
+++ b/pkg/shard/loop.go
@@ -183,7 +183,7 @@
 
 // leaseExpired reports whether every task lease that the worker may hold has certainly expired. Called with mu held.
 func (l *Loop) leaseExpired(w *workerEntry) bool {
-	return l.cfg.Clock().Sub(w.renewedAt) > TaskLeaseTTL+leaseDrift
+	return l.cfg.Clock().Sub(w.leasedFrom) > TaskLeaseTTL+leaseDrift
 }
 
 // expireWorkers settles the tasks of workers whose leases have certainly expired.
--- a/pkg/shard/loop_test.go
+++ b/pkg/shard/loop_test.go
@@ -85,7 +85,7 @@
 	if w.silent[id] {
 		return structs.Inventory{}, errors.WithType(errors.New("no answer"), worker.ErrUncertain)
 	}
-	inventory := structs.Inventory{Worker: id}
+	inventory := structs.Inventory{Worker: id, Clock: w.now.UnixNano()}
 	for _, t := range w.running[id] {
 		inventory.Tasks = append(inventory.Tasks, t)
 	}
--- a/pkg/shard/renew.go
+++ b/pkg/shard/renew.go
@@ -56,6 +56,7 @@
 	}
 	w.absentSince = time.Time{}
 	w.heardAt = sentAt
+	w.clock, w.clockAt = inventory.Clock, l.cfg.Clock()
 	w.known = true
 	l.applyInventory(w, inventory, sentAt)
 }
@@ -77,14 +78,17 @@
 	now := l.cfg.Clock()
 	req := worker.RenewRequest{Shard: l.shard, Epoch: l.epoch, Acknowledge: l.settled(w)}
 	if l.mayExtend(w, now) {
-		req.Lease = TaskLeaseTTL
-		w.renewedAt = now
+		req.Lease, req.LeaseFrom = TaskLeaseTTL, w.clock
+		w.leasedFrom = w.clockAt
 	}
 	return req, now, true
 }
 
 // mayExtend reports whether a renewal may extend leases. Called with mu held.
 func (l *Loop) mayExtend(w *workerEntry, now time.Time) bool {
+	if w.clock == 0 {
+		return false
+	}
 	if !w.absentSince.IsZero() && now.Sub(w.absentSince) > unreachableAfter {
 		return false
 	}
--- a/pkg/shard/table.go
+++ b/pkg/shard/table.go
@@ -36,7 +36,9 @@
 	host        structs.Host
 	listed      bool      // in the host list now
 	known       bool      // an inventory was received under this epoch
-	renewedAt   time.Time // when the last renewal that may have been received was sent
+	clock       int64     // latest reading of the worker's clock; 0 before the first inventory
+	clockAt     time.Time // when that reading was received; the worker took it no later
+	leasedFrom  time.Time // no lease on the worker runs from a later moment
 	heardAt     time.Time // when the last inventory was received
 	absentSince time.Time // when renewals began to fail; zero while they succeed
 	commitments map[structs.TaskID]*commitment
@@ -85,12 +87,12 @@
 
 // worker returns the entry of a worker and creates one if it is missing. A worker that is not in the host list still
 // gets an entry, because tasks may run there until their leases have expired.
-func (t *table) worker(id structs.HostID, renewedAt time.Time) *workerEntry {
+func (t *table) worker(id structs.HostID, leasedFrom time.Time) *workerEntry {
 	entry, ok := t.workers[id]
 	if !ok {
 		entry = &workerEntry{
 			host:        structs.Host{ID: id},
-			renewedAt:   renewedAt,
+			leasedFrom:  leasedFrom,
 			commitments: map[structs.TaskID]*commitment{},
 			ended:       map[attempt]struct{}{},
 			foreign:     map[attempt]*commitment{},
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -124,8 +124,8 @@
 	for _, ref := range req.Acknowledge {
 		w.tasks = slices.DeleteFunc(w.tasks, func(t *task) bool { return t.matches(ref) && !t.running() })
 	}
-	until := w.advanced.Add(req.Lease)
-	inventory := structs.Inventory{Worker: w.id}
+	until := w.leaseEnd(req.LeaseFrom, req.Lease)
+	inventory := structs.Inventory{Worker: w.id, Clock: w.reading()}
 	for _, t := range w.tasks {
 		if t.running() && t.cmd.Shard == req.Shard && until.After(t.leaseUntil) {
 			t.leaseUntil = until
@@ -135,6 +135,20 @@
 	return inventory, nil
 }
 
+// clockOrigin is the zero of the worker's clock readings.
+var clockOrigin = time.Unix(0, 0)
+
+// reading returns the worker's clock as commands refer to it. w.mu is held.
+func (w *Worker) reading() int64 { return int64(w.advanced.Sub(clockOrigin)) }
+
+// leaseEnd returns the end of a lease that runs from a clock reading, or from now if from is 0. w.mu is held.
+func (w *Worker) leaseEnd(from int64, lease time.Duration) time.Time {
+	if from == 0 {
+		return w.advanced.Add(lease)
+	}
+	return clockOrigin.Add(time.Duration(from)).Add(lease)
+}
+
 func (t *task) matches(ref worker.AttemptRef) bool {
 	return t.cmd.Task == ref.Task && t.cmd.Attempt == ref.Attempt
 }
@@ -153,6 +167,8 @@
 		return refuse("attempt was stopped before its start arrived")
 	case cmd.Lease <= 0:
 		return refuse("start without a lease")
+	case !w.leaseEnd(cmd.LeaseFrom, cmd.Lease).After(w.advanced):
+		return refuse("the lease ended before the start arrived")
 	case !valid:
 		return refuse("unknown checkpoint %q", cmd.Checkpoint)
 	case !cmd.Reserved.Fits(w.free()):
@@ -160,7 +176,7 @@
 	}
 	t := &task{
 		cmd: cmd, behaviour: w.behaviour(cmd), state: structs.OnWorkerRunning, started: w.advanced,
-		leaseUntil: w.advanced.Add(cmd.Lease), progress: progress, throttle: 1, checkpoint: cmd.Checkpoint,
+		leaseUntil: w.leaseEnd(cmd.LeaseFrom, cmd.Lease), progress: progress, throttle: 1, checkpoint: cmd.Checkpoint,
 	}
 	if w.failing {
 		t.behaviour.Fails, t.behaviour.FailAt = true, 0
--- a/pkg/standin/worker_test.go
+++ b/pkg/standin/worker_test.go
@@ -285,6 +285,31 @@
 	}
 }
 
+// Guards against commands that waited in the buffers of a frozen worker: a late renewal must not extend a lease that
+// its owner counts as expired, and a late start must not run.
+func TestLateCommandsGrantNoLease(t *testing.T) {
+	r := newRig(t, standin.WorkerConfig{})
+	inventory, err := r.client.Renew(t.Context(), r.addr, worker.RenewRequest{Shard: shard, Epoch: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	running, late := command("running", 100), command("late", 100)
+	running.Lease, late.Lease = 15*time.Second, 15*time.Second
+	running.LeaseFrom, late.LeaseFrom = inventory.Clock, inventory.Clock
+	r.start(running)
+	r.clock.Advance(20 * time.Second)
+	renewal := worker.RenewRequest{Shard: shard, Epoch: 1, Lease: 15 * time.Second, LeaseFrom: inventory.Clock}
+	if _, err := r.client.Renew(t.Context(), r.addr, renewal); err != nil {
+		t.Fatal(err)
+	}
+	if state := r.inventory()["running"].State; state != structs.OnWorkerExpired {
+		t.Errorf("the late renewal kept the task %s", state)
+	}
+	if err := r.client.Start(t.Context(), r.addr, late); !errors.Is(err, worker.ErrRefused) {
+		t.Errorf("late start: %v", err)
+	}
+}
+
 // Guards against results that depend on how often the worker is looked at, which would make tests that use it
 // depend on timing.
 func TestAdvanceDoesNotDependOnItsFrequency(t *testing.T) {
--- a/pkg/worker/protocol.go
+++ b/pkg/worker/protocol.go
@@ -35,6 +35,7 @@
 	Shard       structs.ShardID `json:"shard"`
 	Epoch       structs.Epoch   `json:"epoch"`
 	Lease       time.Duration   `json:"lease_ns"`
+	LeaseFrom   int64           `json:"lease_from_ns"` // as in structs.StartCommand
 	Acknowledge []AttemptRef    `json:"acknowledge,omitempty"`
 }
 
