--- a/core/ownership/dead.go
+++ b/core/ownership/dead.go
@@ -51,3 +51,6 @@
 	r.count++
 	return r.count >= RefusalsNeeded && at.Sub(r.first) >= RefusalSpan
 }
+
+// First returns the time of the first refusal in a row. A process that is proved dead was dead then.
+func (r *Refusals) First() time.Time { return r.first }
--- a/core/ownership/holder.go
+++ b/core/ownership/holder.go
@@ -66,6 +66,7 @@
 	granted   time.Duration
 	registry  int64 // store revision of the last registry read
 	witnesses map[structs.HostID]*witness
+	gapUntil  time.Time // a member that is no longer needed may have claimed before this moment
 	dead      deadSet
 	shards    map[structs.ShardID]holding
 }
@@ -140,6 +141,9 @@
 	if known && w.incarnation != p.From.Incarnation && membership.Newer(w.incarnation, p.From.Incarnation) {
 		return // late answer of an earlier process
 	}
+	if known && w.incarnation != p.From.Incarnation {
+		h.drop(p.From.Host, p.ReceivedAt)
+	}
 	if !known || w.incarnation != p.From.Incarnation {
 		h.witnesses[p.From.Host] = &witness{
 			incarnation: p.From.Incarnation, from: p.SentAt, until: until, since: p.SentAt, heardAt: p.ReceivedAt,
@@ -157,8 +161,9 @@
 	}
 }
 
-// SetRegistry records a read of the member registry, sent at sentAt. members are those of this data centre.
-func (h *Holder) SetRegistry(revision int64, sentAt time.Time, members []RegisteredMember) {
+// SetRegistry records a read of the member registry, sent at sentAt and answered at receivedAt. members are those
+// of this data centre.
+func (h *Holder) SetRegistry(revision int64, sentAt, receivedAt time.Time, members []RegisteredMember) {
 	if revision < h.registry {
 		return
 	}
@@ -177,24 +182,32 @@
 	for host, w := range h.witnesses {
 		// A member that promised after the read was sent may have registered after it.
 		if !listed[host] && sentAt.After(w.heardAt) {
-			delete(h.witnesses, host)
+			h.drop(host, receivedAt)
 		}
 	}
 }
 
-// MemberLeft records that a process gave up its right to claim until it registers again. The caller has
-// checked that no newer message of that process is known.
-func (h *Holder) MemberLeft(p membership.Process) {
+// MemberLeft records that a process gave up its right to claim, until it registers again, no later than `at`. The
+// caller has checked that no newer message of that process is known.
+func (h *Holder) MemberLeft(p membership.Process, at time.Time) {
 	if w, known := h.witnesses[p.Host]; known && w.incarnation == p.Incarnation {
-		delete(h.witnesses, p.Host)
+		h.drop(p.Host, at)
 	}
 }
 
-// MemberDied records proof that a process is dead. Its promises are no longer needed, also for the past: it
-// has not claimed since it died, and before that its promises held.
-func (h *Holder) MemberDied(p membership.Process) {
+// MemberDied records proof that a process is dead since `at` or earlier.
+func (h *Holder) MemberDied(p membership.Process, at time.Time) {
 	h.dead.add(p)
-	h.MemberLeft(p)
+	h.MemberLeft(p, at)
+}
+
+// drop ends the need for promises of a member that cannot have claimed after `at`. If its promises did not last
+// until then, it may have claimed, and even released, in between.
+func (h *Holder) drop(host structs.HostID, at time.Time) {
+	if w := h.witnesses[host]; at.After(w.until) && at.After(h.gapUntil) {
+		h.gapUntil = at
+	}
+	delete(h.witnesses, host)
 }
 
 // Dead reports whether a process was proved dead.
@@ -230,8 +243,11 @@
 	if h.registry < int64(epoch) {
 		return time.Time{}, false // a member may have registered before the claim without our knowledge
 	}
-	until := h.renewedAt.Add(shorten(h.limits.ExtensionLimit))
 	leaseUntil := h.leaseUntil()
+	if leaseUntil.Before(h.gapUntil) {
+		return time.Time{}, false
+	}
+	until := h.renewedAt.Add(shorten(h.limits.ExtensionLimit))
 	for _, w := range h.witnesses {
 		if !w.covers(leaseUntil, now) {
 			return time.Time{}, false
--- a/pkg/members/config.go
+++ b/pkg/members/config.go
@@ -59,8 +59,8 @@
 	Promise(to membership.Process, sequence uint64) (ttl time.Duration, mayClaim bool)
 	RecordPromise(p ownership.Promise)
 	Acknowledge(peer membership.Process, sequence uint64)
-	MemberLeft(p membership.Process)
-	MemberDied(p membership.Process)
+	MemberLeft(p membership.Process, at time.Time)
+	MemberDied(p membership.Process, at time.Time)
 }
 
 // Config configures a Service.
--- a/pkg/members/heartbeat.go
+++ b/pkg/members/heartbeat.go
@@ -71,7 +71,7 @@
 	}
 	t.remote = report.Datacentre != s.cfg.Self.Datacentre
 	outcome, former := s.table.ObserveReply(report, sentAt, receivedAt, controlAge(reply.GetReceiver()))
-	dead := s.replacedProcess(t, addr, report, outcome, former)
+	dead := s.replacedProcess(t, addr, report, outcome, former, receivedAt)
 	if outcome != membership.Stale {
 		s.recordPromise(t, report, reply, sentAt, receivedAt)
 		s.recordDigests(report, reply.GetReceiver().GetShards(), receivedAt)
@@ -87,6 +87,7 @@
 // another process that declared this address as its own. s.mu is held.
 func (s *Service) replacedProcess(
 	t *target, addr string, report membership.Report, outcome membership.Outcome, former membership.Process,
+	receivedAt time.Time,
 ) []membership.Process {
 	var dead []membership.Process
 	if outcome == membership.Replaced && membership.Newer(report.Incarnation, former.Incarnation) {
@@ -100,7 +101,7 @@
 		t.process = report.Process
 	}
 	for _, p := range dead {
-		s.cfg.Promises.MemberDied(p)
+		s.cfg.Promises.MemberDied(p, receivedAt)
 	}
 	return dead
 }
@@ -116,7 +117,7 @@
 	latest, _ := s.table.Member(report.Host, receivedAt)
 	if !latest.MayClaim {
 		// A reordered reply from before the member gave up its right must not bring it back.
-		s.cfg.Promises.MemberLeft(report.Process)
+		s.cfg.Promises.MemberLeft(report.Process, receivedAt)
 		return
 	}
 	ttl := time.Duration(reply.GetPromiseMs()) * time.Millisecond
@@ -150,7 +151,7 @@
 	dead := membership.Process{}
 	if t.refusals.Record(refused, now) && t.process.Host != "" {
 		dead, t.process = t.process, dead // reported once
-		s.cfg.Promises.MemberDied(dead)
+		s.cfg.Promises.MemberDied(dead, t.refusals.First())
 	}
 	reset := false
 	if timedOut {
--- a/pkg/members/server.go
+++ b/pkg/members/server.go
@@ -27,7 +27,7 @@
 	if report.Host != s.self.Host {
 		outcome, former = s.table.ObserveRequest(report, now)
 	}
-	dead := s.requestObserved(report, request, outcome, former)
+	dead := s.requestObserved(report, request, outcome, former, now)
 	s.sequence++
 	state.Sequence = s.sequence
 	state.Leaving = s.leaving
@@ -55,6 +55,7 @@
 // requestObserved passes on what a peer's heartbeat implies for promises. s.mu is held.
 func (s *Service) requestObserved(
 	report membership.Report, request *peerpb.HeartbeatRequest, outcome membership.Outcome, former membership.Process,
+	now time.Time,
 ) []membership.Process {
 	if outcome == membership.Stale {
 		return nil
@@ -66,10 +67,10 @@
 		return nil
 	}
 	if !report.MayClaim && report.Datacentre == s.cfg.Self.Datacentre {
-		s.cfg.Promises.MemberLeft(report.Process)
+		s.cfg.Promises.MemberLeft(report.Process, now)
 	}
 	if outcome == membership.Replaced && membership.Newer(report.Incarnation, former.Incarnation) {
-		s.cfg.Promises.MemberDied(former)
+		s.cfg.Promises.MemberDied(former, now)
 		return []membership.Process{former}
 	}
 	return nil
--- a/pkg/ownership/book.go
+++ b/pkg/ownership/book.go
@@ -67,18 +67,18 @@
 	b.ledger.Acknowledge(peer, sequence)
 }
 
-// MemberLeft records that p gave up its right to claim.
-func (b *Book) MemberLeft(p membership.Process) {
+// MemberLeft records that p gave up its right to claim no later than at.
+func (b *Book) MemberLeft(p membership.Process, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holder.MemberLeft(p)
+	b.holder.MemberLeft(p, at)
 }
 
-// MemberDied records proof that the process p is dead.
-func (b *Book) MemberDied(p membership.Process) {
+// MemberDied records proof that the process p is dead since at or earlier.
+func (b *Book) MemberDied(p membership.Process, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holder.MemberDied(p)
+	b.holder.MemberDied(p, at)
 }
 
 // Valid returns the epoch of shard and the moment until which this process owns it, by its clock. The errors
@@ -145,10 +145,10 @@
 	b.holder.Released(shard)
 }
 
-func (b *Book) setRegistry(revision int64, sentAt time.Time, members []ownership.RegisteredMember) {
+func (b *Book) setRegistry(revision int64, sentAt, receivedAt time.Time, members []ownership.RegisteredMember) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holder.SetRegistry(revision, sentAt, members)
+	b.holder.SetRegistry(revision, sentAt, receivedAt, members)
 }
 
 func (b *Book) resume(shard structs.ShardID) {
--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -47,7 +47,7 @@
 		state.formerRev, state.absentSince, state.refusals = formerRev, s.cfg.Clock(), ownership.Refusals{}
 	}
 	if former != nil && former.Process != s.self && s.replaced(former) {
-		s.cfg.Book.MemberDied(former.Process)
+		s.cfg.Book.MemberDied(former.Process, now)
 	}
 	decision := s.cfg.Book.decideClaim(shard, ownership.ClaimInput{
 		AbsentSince: state.absentSince, Rank: rank, Former: former,
@@ -94,7 +94,7 @@
 	defer cancel()
 	refused := s.cfg.Prober.Refused(ctx, former.PeerAddr)
 	if state.refusals.Record(refused, s.cfg.Clock()) {
-		s.cfg.Book.MemberDied(former.Process)
+		s.cfg.Book.MemberDied(former.Process, state.refusals.First())
 		s.cfg.Log.Event(eventlog.PeerProvedDead).Str("peer", former.Process.String()).
 			Str("address", former.PeerAddr).Msg("")
 	}
--- a/pkg/ownership/register.go
+++ b/pkg/ownership/register.go
@@ -160,7 +160,7 @@
 			local = append(local, ownership.RegisteredMember{Process: process, PeerAddr: record.PeerAddr})
 		}
 	}
-	s.cfg.Book.setRegistry(result.Revision, sentAt, local)
+	s.cfg.Book.setRegistry(result.Revision, sentAt, s.cfg.Clock(), local)
 	s.mu.Lock()
 	s.member.records, s.member.registryAt = records, sentAt
 	lease := s.member.lease
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -103,7 +103,7 @@
 	return grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(traced()))),
-		// The request path decides on retries; a transparent retry could run a request twice.
+		// The request path decides on retries. gRPC still repeats calls that the peer certainly did not process.
 		grpc.WithDisableRetry(),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
 			Time: PingInterval, Timeout: PingTimeout, PermitWithoutStream: true,
