--- /dev/null
+++ b/pkg/ownership/release_test.go
@@ -0,0 +1,110 @@
+package ownership
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/membership"
+	"fulmarcourse.example/core/structs"
+)
+
+// Guards against a release that ends work in progress or leaves the shard without an owner for long.
+func TestReleaseFinishesWorkBeforeTheRecordGoes(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.pair()
+	a.onLost = func() {
+		if _, found := c.store.entries[keys1.shard(shard0)]; !found || !a.owns() {
+			t.Error("ownership ended before OnLost returned")
+		}
+	}
+	if err := a.Release(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if a.owns() || len(a.Owned()) != 0 || a.book.MayClaim() {
+		t.Fatal("still an owner or registered after Release")
+	}
+	for _, key := range []string{keys1.shard(shard0), keys1.lastOwner(shard0), keys1.member(a.self.Host)} {
+		if _, found := c.store.entries[key]; found {
+			t.Errorf("%s remains in the store", key)
+		}
+	}
+	c.run(ReconcileInterval)
+	if !b.owns() {
+		t.Fatal("the other member did not claim at its next step")
+	}
+	a.requireEvents("acquired d1/0", "lost d1/0")
+}
+
+// Guards against a shutdown that hangs on work in progress, and against a successor that starts while it runs.
+func TestReleaseIsBoundedByItsContext(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.pair()
+	finish := make(chan struct{})
+	a.onLost = func() { <-finish }
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := a.Release(ctx); !errors.Is(err, errUnfinished) {
+		t.Fatalf("got %v", err)
+	}
+	if a.owns() {
+		t.Fatal("valid after an unfinished release")
+	}
+	b.Reconcile(context.Background())
+	if b.owns() {
+		t.Fatal("claimed while the former owner's work was in progress")
+	}
+	close(finish)
+	a.tasks.Wait()
+	c.stop(a)
+	c.run(15 * time.Second)
+	if !b.owns() {
+		t.Fatal("not claimed after the lease lapsed")
+	}
+}
+
+// Guards against a lost answer of the release that keeps the shard from its next owner.
+func TestReleaseWithLostAnswer(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.pair()
+	a.link.txns = []fault{lostAnswer}
+	if err := a.Release(context.Background()); err == nil {
+		t.Fatal("an uncertain release was reported as done")
+	}
+	c.stop(a)
+	c.run(ReconcileInterval)
+	if !b.owns() {
+		t.Fatal("the released shard was not claimed")
+	}
+}
+
+// Guards against shards that move to and fro, and against ones that never move to the preferred member.
+func TestRebalanceWaits(t *testing.T) {
+	c := newCluster(t)
+	preferred := membership.Preferred(shard0, []structs.HostID{"a", "b"})
+	other := structs.HostID("a")
+	if preferred == "a" {
+		other = "b"
+	}
+	owner := c.start(other)
+	c.run(MinimumHold)
+	if !owner.owns() {
+		t.Fatal("the only host does not own the shard")
+	}
+	rival := c.start(preferred)
+	c.run(RebalanceAfter - time.Second)
+	if !owner.owns() {
+		t.Fatal("handed over before the preference was stable")
+	}
+	c.run(6 * time.Second)
+	if !rival.owns() {
+		t.Fatal("not handed over to the preferred member")
+	}
+	owner.requireEvents("acquired d1/0", "lost d1/0")
+	c.run(2 * MinimumHold)
+	if !rival.owns() {
+		t.Fatal("the shard moved back")
+	}
+}
