--- a/pkg/members/heartbeat.go
+++ b/pkg/members/heartbeat.go
@@ -191,6 +191,13 @@
 		s.cfg.Log.Event(eventlog.PeerReplaced).Str("peer", r.Process.String()).Str("former", former.String()).Msg("")
 	case membership.Stale:
 		s.cfg.Metrics.Counter("members_stale_messages").Inc(1)
+		s.mu.Lock()
+		repeated := s.stale == r.Process
+		s.stale = r.Process
+		s.mu.Unlock()
+		if repeated {
+			return // two processes with one host id would fill the log
+		}
 		s.cfg.Log.Event(eventlog.PeerStale).Str("peer", r.Process.String()).Str("address", r.PeerAddr).Msg("")
 	}
 	for _, p := range dead {
--- a/pkg/members/service.go
+++ b/pkg/members/service.go
@@ -28,6 +28,7 @@
 	digests  map[structs.ShardID]DigestView
 	promises map[structs.HostID]ownership.Promise
 	logged   map[structs.HostID]membership.State // state at the last log entry
+	stale    membership.Process                  // latest process whose messages were logged as stale
 
 	calls sync.WaitGroup // heartbeats in progress
 }
--- a/pkg/members/views.go
+++ b/pkg/members/views.go
@@ -5,6 +5,7 @@
 
 	"fulmarcourse.example/core/membership"
 	"fulmarcourse.example/core/ownership"
+	"fulmarcourse.example/core/permit"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/api/peerpb"
 )
@@ -126,6 +127,18 @@
 	return promises
 }
 
+// Statements returns what each peer last said about the control state, in the form that package permit takes.
+func (s *Service) Statements() map[structs.HostID]permit.Statement {
+	statements := make(map[structs.HostID]permit.Statement)
+	for _, m := range s.Peers() {
+		statements[m.Host] = permit.Statement{
+			SentAt: m.LastReplied, Revision: m.ControlRevision, ReadAt: m.ControlReadAt,
+			RemovalAttempted: m.RemovalAttempted,
+		}
+	}
+	return statements
+}
+
 // MemberRevisions returns the control revision of every entry host that is not dead, this one included.
 func (s *Service) MemberRevisions() map[structs.HostID]int64 {
 	revisions := make(map[structs.HostID]int64)
--- a/pkg/ownership/config.go
+++ b/pkg/ownership/config.go
@@ -38,6 +38,8 @@
 	CallTimeout = 2 * time.Second
 	// RenewalsInFlight lets a slow store answer one renewal while the next is sent on time.
 	RenewalsInFlight = 3
+	// FailureLogInterval keeps a store outage of hours from filling the log.
+	FailureLogInterval = 30 * time.Second
 	// StartSettle is the time after the start in which nothing is claimed, so that the first heartbeats arrive
 	// and hosts that start together share the shards.
 	StartSettle = membership.SuspectAfterMissed * membership.LocalInterval
--- a/pkg/ownership/reconcile.go
+++ b/pkg/ownership/reconcile.go
@@ -44,6 +44,9 @@
 		records[kv.Key] = kv
 	}
 	for index := range s.cfg.Shards() {
+		if s.isStopping() {
+			return // Release is waiting
+		}
 		shard := structs.ShardID{Datacentre: s.cfg.Self.Datacentre, Index: index}
 		kv, found := records[s.keys.shard(shard)]
 		if found {
--- a/pkg/ownership/service.go
+++ b/pkg/ownership/service.go
@@ -40,6 +40,7 @@
 	owned     map[structs.ShardID]*owned
 	notifying map[structs.ShardID]bool // OnLost is running
 	stopping  bool                     // Release was called; nothing is claimed any more
+	failures  map[string]time.Time     // when a failure of a store operation was last logged
 	member    registration
 	formers   map[structs.ShardID]string // peer addresses of former owners that may be running
 	tasks     sync.WaitGroup             // callbacks and hand-overs in progress
@@ -61,6 +62,7 @@
 		owned:     make(map[structs.ShardID]*owned),
 		notifying: make(map[structs.ShardID]bool),
 		formers:   make(map[structs.ShardID]string),
+		failures:  make(map[string]time.Time),
 	}, nil
 }
 
@@ -236,7 +238,19 @@
 	return s.stopping
 }
 
+// storeFailed counts a failed store call and logs it, at most once per FailureLogInterval and operation.
 func (s *Service) storeFailed(operation string, err error) {
 	s.cfg.Metrics.Counter("ownership_store_errors").Inc(1)
+	now := s.cfg.Clock()
+	s.mu.Lock()
+	last, logged := s.failures[operation]
+	quiet := logged && now.Sub(last) < FailureLogInterval
+	if !quiet {
+		s.failures[operation] = now
+	}
+	s.mu.Unlock()
+	if quiet {
+		return
+	}
 	s.cfg.Log.Event(eventlog.OwnershipError).Str("operation", operation).Err(err).Msg("")
 }
