--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -107,7 +107,7 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(netdial.ForGRPC(source)),
 		grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(traced()))),
-		// The request path decides on retries; a transparent retry could run a request twice.
+		// The request path decides on retries. gRPC still repeats calls that the peer certainly did not process.
 		grpc.WithDisableRetry(),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
 			Time: PingInterval, Timeout: PingTimeout, PermitWithoutStream: true,
