--- /dev/null
+++ b/pkg/httpapi/httpapi_test.go
@@ -0,0 +1,266 @@
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/problem"
+)
+
+// serveFunc is a Requests made of a function.
+type serveFunc func(context.Context, structs.Request) structs.Reply
+
+func (f serveFunc) Serve(ctx context.Context, req structs.Request) structs.Reply { return f(ctx, req) }
+
+// oneKind is a Catalogue with the kind quotes/quote.
+type oneKind struct{}
+
+func (oneKind) Kind(service structs.ServiceName, kind structs.KindName) (structs.Kind, bool) {
+	return structs.Kind{Deadline: 3 * time.Second}, service == "quotes" && kind == "quote"
+}
+
+// fakeJobs answers every call with a job or an error.
+type fakeJobs struct {
+	job  structs.JobRecord
+	err  error
+	spec structs.JobSpec
+	read chan struct{} // closed by the first Get when set
+	once sync.Once
+}
+
+func (f *fakeJobs) Submit(_ context.Context, spec structs.JobSpec) (structs.JobRecord, error) {
+	f.spec = spec
+	return f.job, f.err
+}
+func (f *fakeJobs) Get(context.Context, structs.JobID) (structs.JobRecord, error) {
+	if f.read != nil {
+		f.once.Do(func() { close(f.read) })
+	}
+	return f.job, f.err
+}
+func (f *fakeJobs) List(context.Context, Filter) ([]structs.JobRecord, error) {
+	return []structs.JobRecord{f.job}, f.err
+}
+func (f *fakeJobs) Cancel(context.Context, structs.JobID) (structs.JobRecord, error) {
+	return f.job, f.err
+}
+func (f *fakeJobs) Explain(context.Context, structs.JobID) (Explanation, error) {
+	return Explanation{Job: f.job.ID}, f.err
+}
+
+// start serves on loopback and returns the base URL and the server.
+func start(t *testing.T, serve serveFunc, jobs Jobs) (string, *Server) {
+	t.Helper()
+	server, err := NewServer(Config{
+		Address: "127.0.0.1:0", Requests: serve, Catalogue: oneKind{}, Jobs: jobs, MaxBody: 100,
+		Ready: func() error { return errors.New("no document") },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve() }()
+	t.Cleanup(func() {
+		if err := server.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return "http://" + server.Addr(), server
+}
+
+// call makes one HTTP call and returns the response with its body.
+func call(t *testing.T, method, url, body string, header map[string]string) (*http.Response, []byte) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, data
+}
+
+// Guards against an HTTP status, outcome header or body that tells the caller something else than the reply.
+func TestRepliesAsHTTP(t *testing.T) {
+	large := bytes.Repeat([]byte("x"), 300_000)
+	cases := []struct {
+		reply      structs.Reply
+		status     int
+		retryAfter bool
+	}{
+		{structs.Reply{Outcome: structs.Answered, Status: 200, Body: large}, 200, false},
+		{structs.Reply{Outcome: structs.Answered, Status: 503, Body: []byte(`{"from":"runner"}`)}, 503, false},
+		{structs.Reply{Outcome: structs.Answered, Status: 204}, 204, false},
+		{structs.Reply{Outcome: structs.NotRun, Reason: structs.ReasonQueueFull}, 503, true},
+		{structs.Reply{Outcome: structs.NotRun, Reason: structs.ReasonDeadline}, 503, true},
+		{structs.Reply{Outcome: structs.NotRun, Reason: structs.ReasonStoreUnavailable}, 503, true},
+		{structs.Reply{Outcome: structs.NotRun, Reason: structs.ReasonKeyReused}, 422, false},
+		{structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonInProgress}, 409, false},
+		{structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonDeadline}, 504, false},
+		{structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonRunnerLost}, 502, false},
+	}
+	var reply structs.Reply
+	var got structs.Request
+	url, _ := start(t, func(_ context.Context, req structs.Request) structs.Reply {
+		got = req
+		return reply
+	}, nil)
+	for _, c := range cases {
+		reply = c.reply
+		resp, body := call(t, http.MethodPost, url+"/v1/services/quotes/quote", "body", map[string]string{KeyHeader: "k", TimeoutHeader: "700"})
+		if resp.StatusCode != c.status || resp.Header.Get(OutcomeHeader) != string(c.reply.Outcome) ||
+			resp.Header.Get(RequestIDHeader) != got.ID || (resp.Header.Get("Retry-After") != "") != c.retryAfter {
+			t.Errorf("%s (%s): status %d, headers %v", c.reply.Outcome, c.reply.Reason, resp.StatusCode, resp.Header)
+		}
+		if c.reply.Outcome == structs.Answered {
+			length, _ := strconv.Atoi(resp.Header.Get("Content-Length"))
+			if !bytes.Equal(body, c.reply.Body) || length != len(c.reply.Body) {
+				t.Errorf("answer %d: %d bytes, length %d, want %d", c.status, len(body), length, len(c.reply.Body))
+			}
+			continue
+		}
+		var p problem.Problem
+		if err := json.Unmarshal(body, &p); err != nil || p.Status != c.status || p.Outcome != string(c.reply.Outcome) {
+			t.Errorf("problem %s: %v", body, err)
+		}
+	}
+	if got.Key != "k" || string(got.Body) != "body" || got.Remaining > 700*time.Millisecond || got.ID == "" {
+		t.Errorf("request %+v", got)
+	}
+}
+
+// Guards against running a request with invalid input, and against an error without a problem body or outcome.
+func TestInvalidRequestsAreNotRun(t *testing.T) {
+	url, _ := start(t, func(context.Context, structs.Request) structs.Reply {
+		t.Error("an invalid request was run")
+		return structs.Reply{Outcome: structs.Answered, Status: 200}
+	}, nil)
+	cases := []struct {
+		path, body string
+		header     map[string]string
+		status     int
+	}{
+		{"/v1/services/quotes/other", "", nil, 404},
+		{"/v1/services/other/quote", "", nil, 404},
+		{"/v1/services/quotes/quote", strings.Repeat("x", 101), nil, 413},
+		{"/v1/services/quotes/quote", "", map[string]string{TimeoutHeader: "1s"}, 400},
+		{"/v1/services/quotes/quote", "", map[string]string{TimeoutHeader: "0"}, 400},
+		{"/v1/services/quotes/quote", "", map[string]string{TimeoutHeader: "99999999999999"}, 400},
+		{"/v1/services/quotes/quote", "", map[string]string{KeyHeader: strings.Repeat("k", MaxKey+1)}, 400},
+	}
+	for _, c := range cases {
+		resp, body := call(t, http.MethodPost, url+c.path, c.body, c.header)
+		if resp.StatusCode != c.status || resp.Header.Get(OutcomeHeader) != string(structs.NotRun) ||
+			resp.Header.Get("Content-Type") != problem.ContentType {
+			t.Errorf("%s %v: status %d, %v: %s", c.path, c.header, resp.StatusCode, resp.Header, body)
+		}
+	}
+	for path, status := range map[string]int{"/nothing": 404, "/v1/services/quotes/quote": 405, "/readyz": 503, "/healthz": 200} {
+		if resp, _ := call(t, http.MethodGet, url+path, "", nil); resp.StatusCode != status {
+			t.Errorf("GET %s: status %d, want %d", path, resp.StatusCode, status)
+		}
+	}
+	if _, err := NewServer(Config{Address: "localhost:0"}); !errors.Is(err, errors.NotValid) {
+		t.Errorf("address that is not an IP number: %v", err)
+	}
+}
+
+// Guards against job errors that lose what is certain, and against submissions with misspelt fields.
+func TestJobs(t *testing.T) {
+	jobs := &fakeJobs{job: structs.JobRecord{ID: "j", Tasks: []structs.TaskRecord{{State: structs.TaskRunning}}}}
+	url, _ := start(t, nil, jobs)
+	calls := []struct {
+		method, path, body string
+		status             int
+	}{
+		{http.MethodPost, "/v1/jobs", `{"team":"t","kind":"trace"}`, 201},
+		{http.MethodPost, "/v1/jobs", `{"team":"t","knid":"trace"}`, 400},
+		{http.MethodPost, "/v1/jobs", `{"key":"other"}`, 400},
+		{http.MethodPost, "/v1/jobs", `{"key":"` + strings.Repeat("x", 100) + `"}`, 413},
+		{http.MethodGet, "/v1/jobs?team=t", "", 200},
+		{http.MethodGet, "/v1/jobs/j", "", 200},
+		{http.MethodPost, "/v1/jobs/j/cancel", "", 202},
+		{http.MethodGet, "/v1/jobs/j/explain", "", 200},
+		{http.MethodGet, "/v1/jobs/j/wait?timeout=1ms", "", 202},
+		{http.MethodGet, "/v1/jobs/j/wait?timeout=soon", "", 400},
+	}
+	for _, c := range calls {
+		resp, body := call(t, c.method, url+c.path, c.body, map[string]string{KeyHeader: "k"})
+		if resp.StatusCode != c.status {
+			t.Errorf("%s %s: status %d, want %d: %s", c.method, c.path, resp.StatusCode, c.status, body)
+		}
+	}
+	if jobs.spec.Key != "k" || jobs.spec.Team != "t" {
+		t.Errorf("submitted %+v", jobs.spec)
+	}
+	jobs.job.Tasks[0].State = structs.TaskDone
+	if resp, _ := call(t, http.MethodGet, url+"/v1/jobs/j/wait", "", nil); resp.StatusCode != 200 {
+		t.Errorf("wait for a final job: status %d", resp.StatusCode)
+	}
+	for err, status := range map[error]int{
+		errors.NotFoundf("job"): 404, errors.NotValidf("kind"): 400, errors.Forbiddenf("urgent"): 403,
+		errors.AlreadyExistsf("key"): 422, errors.Annotate(ErrNotAccepted, "store"): 503,
+		errors.Annotate(ErrUnknown, "store"): 504, errors.New("other"): 500,
+	} {
+		jobs.err = err
+		if resp, _ := call(t, http.MethodPost, url+"/v1/jobs", `{}`, nil); resp.StatusCode != status {
+			t.Errorf("%v: status %d, want %d", err, resp.StatusCode, status)
+		}
+	}
+}
+
+// Guards against a stop that interrupts a request in progress, or waits for calls that only wait for a job.
+func TestStopIsGraceful(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	jobs := &fakeJobs{job: structs.JobRecord{Tasks: make([]structs.TaskRecord, 1)}, read: make(chan struct{})}
+	url, server := start(t, func(context.Context, structs.Request) structs.Reply {
+		close(started)
+		<-release
+		return structs.Reply{Outcome: structs.Answered, Status: 200, Body: []byte("whole")}
+	}, jobs)
+	answers := make(chan string, 2)
+	get := func(method, path string) {
+		resp, body := call(t, method, url+path, "", nil)
+		answers <- resp.Status + string(body)
+	}
+	go get(http.MethodPost, "/v1/services/quotes/quote")
+	<-started
+	go get(http.MethodGet, "/v1/jobs/j/wait?timeout=5m")
+	<-jobs.read
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(context.Background()) }()
+	if first := <-answers; !strings.HasPrefix(first, "202") {
+		t.Errorf("waiting call got %q", first)
+	}
+	close(release)
+	if second := <-answers; second != "200 OKwhole" {
+		t.Errorf("request in progress got %q", second)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
