Run the tests of slots, requests and records on virtual time

The tests polled for states and used short real deadlines. testing/synctest lets them wait until all goroutines block and move a virtual clock, so that bounds such as the hold of an uncertain slot or the end of a resolution are checked at their real values, and the shortened intervals in the record code are gone. A check for own intents was unreachable, since an intent expires before its resolution is given up, and is removed.

Closing the request service now also waits until outcomes are recorded: an outcome that is still being written at a shutdown would be lost. Connections between entry hosts get keepalive pings, because TCP retransmits for minutes over a link that drops packets.

--- a/pkg/requests/grpc.go
+++ b/pkg/requests/grpc.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
 
 	"fulmarcourse.example/core/structs"
@@ -28,6 +29,10 @@
 	reconnectMax  = time.Second
 	// connectTimeout bounds one connection try.
 	connectTimeout = time.Second
+	// pingInterval and pingTimeout end connections over a link that drops packets; TCP alone would retransmit for
+	// minutes. A peer that is frozen for a few seconds keeps its connection and with it the requests in progress.
+	pingInterval = 10 * time.Second
+	pingTimeout  = 10 * time.Second
 )
 
 // errMismatched means that an owner answered another attempt.
@@ -156,6 +161,7 @@
 			Backoff:           backoff.Config{BaseDelay: reconnectBase, Multiplier: 1.6, Jitter: 0.2, MaxDelay: reconnectMax},
 			MinConnectTimeout: connectTimeout,
 		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.WithStatsHandler(sentHandler{}),
 		grpc.WithStatsHandler(otelgrpc.NewClientHandler()),
 	}
--- a/pkg/requests/keys/commit.go
+++ b/pkg/requests/keys/commit.go
@@ -47,10 +47,8 @@
 
 // committer groups writes into transactions.
 type committer struct {
-	store   Store
-	leases  *leases
-	window  time.Duration // CommitWindow
-	spacing time.Duration // CommitSpacing
+	store  Store
+	leases *leases
 
 	mu        sync.Mutex
 	waiting   []*write
@@ -107,7 +105,7 @@
 		return
 	}
 	c.scheduled = true
-	time.AfterFunc(max(c.window, c.spacing-time.Since(c.lastStart)), c.flush)
+	time.AfterFunc(max(CommitWindow, CommitSpacing-time.Since(c.lastStart)), c.flush)
 }
 
 // flush runs one batch. A timer calls it.
--- a/pkg/requests/keys/keys.go
+++ b/pkg/requests/keys/keys.go
@@ -43,7 +43,6 @@
 	cfg    Config
 	scope  tally.Scope
 	commit *committer
-	wait   time.Duration // first back-off of resolvers: minBackOff
 
 	mu        sync.Mutex
 	entries   map[string]*entry // store key → claim of this process that is in progress or not yet recorded
@@ -80,13 +79,9 @@
 		cfg.Log = eventlog.Discard()
 	}
 	return &Keys{
-		cfg:   cfg,
-		scope: cfg.Scope.SubScope("keys"),
-		commit: &committer{
-			store: cfg.Store, leases: &leases{store: cfg.Store, now: cfg.Now},
-			window: CommitWindow, spacing: CommitSpacing,
-		},
-		wait:     minBackOff,
+		cfg:      cfg,
+		scope:    cfg.Scope.SubScope("keys"),
+		commit:   &committer{store: cfg.Store, leases: &leases{store: cfg.Store, now: cfg.Now}},
 		entries:  map[string]*entry{},
 		neverRun: map[string]bool{},
 		stop:     make(chan struct{}),
@@ -215,9 +210,7 @@
 	if neverRun {
 		return structs.Reply{}, true
 	}
-	own := found.Holder == k.cfg.Host && found.Incarnation == k.cfg.Incarnation
-	if own || k.cfg.Now().After(found.Expires) || !k.cfg.Liveness.Alive(found.Holder, found.Incarnation) {
-		// An own intent that is not among the entries is one whose resolution was given up.
+	if k.cfg.Now().After(found.Expires) || !k.cfg.Liveness.Alive(found.Holder, found.Incarnation) {
 		return unknownReply(structs.ReasonHolderLost), false
 	}
 	return unknownReply(structs.ReasonInProgress), false
--- a/pkg/requests/keys/resolve.go
+++ b/pkg/requests/keys/resolve.go
@@ -37,7 +37,7 @@
 	k.mu.Unlock()
 	go func() {
 		defer k.resolvers.Done()
-		work(&resolver{keys: k, backOff: k.wait, until: k.cfg.Now().Add(ResolveFor)})
+		work(&resolver{keys: k, backOff: minBackOff, until: k.cfg.Now().Add(ResolveFor)})
 		k.mu.Lock()
 		k.resolving--
 		k.mu.Unlock()
--- a/pkg/requests/ports.go
+++ b/pkg/requests/ports.go
@@ -41,10 +41,12 @@
 }
 
 // Keys keeps the records of idempotency keys. Claim returns the claim under which the request may run, or false
-// with the reply for the caller. Finish records the outcome of a claimed request.
+// with the reply for the caller. Finish records the outcome of a claimed request. Close waits until all outcomes
+// are recorded.
 type Keys interface {
 	Claim(ctx context.Context, req structs.Request) (keys.Claim, structs.Reply, bool)
 	Finish(ctx context.Context, claim keys.Claim, reply structs.Reply)
+	Close(ctx context.Context) error
 }
 
 // LocalPool serves requests of a shard that this host owns.
--- a/pkg/requests/service.go
+++ b/pkg/requests/service.go
@@ -113,7 +113,8 @@
 	return reply
 }
 
-// Close takes no new requests and waits until those in progress have ended, or until ctx ends.
+// Close takes no new requests and waits until those in progress have ended and their outcomes are recorded, or
+// until ctx ends.
 func (s *Service) Close(ctx context.Context) error {
 	s.mu.Lock()
 	s.closed = true
@@ -123,7 +124,7 @@
 		active, idle := s.active, s.idle
 		s.mu.Unlock()
 		if active == 0 {
-			return nil
+			return s.cfg.Keys.Close(ctx)
 		}
 		select {
 		case <-idle:
--- a/pkg/requests/service_test.go
+++ b/pkg/requests/service_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,7 +18,8 @@
 	"fulmarcourse.example/fulmarcourse/pkg/requests/keys"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain ignores the goroutines that run before the first test: go-zero starts two at package initialisation.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.IgnoreCurrent()) }
 
 // shards is a Directory of n shards in the own data centre.
 type shards int
@@ -76,6 +78,7 @@
 type fakeKeys struct {
 	refuse   *structs.Reply
 	finished []structs.Reply
+	closed   bool
 }
 
 func (k *fakeKeys) Claim(context.Context, structs.Request) (keys.Claim, structs.Reply, bool) {
@@ -89,6 +92,11 @@
 	k.finished = append(k.finished, reply)
 }
 
+func (k *fakeKeys) Close(context.Context) error {
+	k.closed = true
+	return nil
+}
+
 func newTestService(directory Directory, dispatcher Dispatcher, keys Keys) *Service {
 	return NewService(Config{Directory: directory, Dispatcher: dispatcher, Keys: keys, Rand: rand.New(rand.NewPCG(1, 2))})
 }
@@ -196,102 +204,109 @@
 // Guards against hedging a request that may run only once, and against a slow first attempt holding up an
 // idempotent one.
 func TestHedging(t *testing.T) {
-	for _, idempotent := range []bool{true, false} {
-		release := make(chan struct{})
-		slow := ok
-		slow.hold = release
-		dispatcher := &script{steps: []step{slow, ok}}
-		s := newTestService(shards(2), dispatcher, &fakeKeys{})
-		for range 10 * retry.OffersPerToken {
-			s.budget.Offer()
-			s.observe(request(idempotent), time.Millisecond)
-		}
-		if !idempotent {
-			// The delay has long passed when this runs; a hedge would have answered before the release.
-			time.AfterFunc(50*time.Millisecond, func() { close(release) })
-		}
-		reply := s.Serve(t.Context(), request(idempotent))
-		if reply.Outcome != structs.Answered || (dispatcher.count() == 2) != idempotent {
-			t.Fatalf("idempotent %v: %+v after %d attempts", idempotent, reply, dispatcher.count())
-		}
-		if idempotent && dispatcher.attempts[0].Shard == dispatcher.attempts[1].Shard {
-			t.Fatal("the hedge went to the same shard")
-		}
-		if err := s.Close(t.Context()); err != nil {
-			t.Fatal(err)
+	synctest.Test(t, func(t *testing.T) {
+		for _, idempotent := range []bool{true, false} {
+			release := make(chan struct{})
+			slow := ok
+			slow.hold = release
+			dispatcher := &script{steps: []step{slow, ok}}
+			s := newTestService(shards(2), dispatcher, &fakeKeys{})
+			for range 10 * retry.OffersPerToken {
+				s.budget.Offer()
+				s.observe(request(idempotent), time.Millisecond)
+			}
+			if !idempotent {
+				time.AfterFunc(time.Minute, func() { close(release) })
+			}
+			reply := s.Serve(t.Context(), request(idempotent))
+			if reply.Outcome != structs.Answered || (dispatcher.count() == 2) != idempotent {
+				t.Fatalf("idempotent %v: %+v after %d attempts", idempotent, reply, dispatcher.count())
+			}
+			if idempotent && dispatcher.attempts[0].Shard == dispatcher.attempts[1].Shard {
+				t.Fatal("the hedge went to the same shard")
+			}
+			if err := s.Close(t.Context()); err != nil {
+				t.Fatal(err)
+			}
 		}
-	}
+	})
 }
 
 // Guards against answering late, and against calling a request not run while an attempt is in progress.
 func TestDeadlineAndCancelWithAnAttemptInProgress(t *testing.T) {
-	never := ok
-	never.hold = make(chan struct{})
-	s := newTestService(shards(2), &script{steps: []step{never}}, &fakeKeys{})
-	req := request(false)
-	req.Remaining = 10 * time.Millisecond
-	if reply := s.Serve(t.Context(), req); reply.Outcome != structs.OutcomeUnknown {
-		t.Fatalf("deadline: %+v", reply)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	if reply := s.Serve(ctx, request(true)); reply.Outcome != structs.OutcomeUnknown {
-		t.Fatalf("cancelled: %+v", reply)
-	}
-	req.Remaining = 0
-	if reply := s.Serve(t.Context(), req); reply.Outcome != structs.NotRun {
-		t.Fatalf("no time left: %+v", reply)
-	}
-	if reply := newTestService(shards(0), nil, nil).Serve(t.Context(), request(true)); reply.Reason != structs.ReasonNoShard {
-		t.Fatalf("no shard: %+v", reply)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		never := ok
+		never.hold = make(chan struct{})
+		s := newTestService(shards(2), &script{steps: []step{never}}, &fakeKeys{})
+		req := request(false)
+		before := time.Now()
+		if reply := s.Serve(t.Context(), req); reply.Outcome != structs.OutcomeUnknown || time.Since(before) > req.Remaining+ReplyGrace {
+			t.Fatalf("deadline: %+v after %v", reply, time.Since(before))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if reply := s.Serve(ctx, request(true)); reply.Outcome != structs.OutcomeUnknown {
+			t.Fatalf("cancelled: %+v", reply)
+		}
+		req.Remaining = 0
+		if reply := s.Serve(t.Context(), req); reply.Outcome != structs.NotRun {
+			t.Fatalf("no time left: %+v", reply)
+		}
+		if reply := newTestService(shards(0), nil, nil).Serve(t.Context(), request(true)); reply.Reason != structs.ReasonNoShard {
+			t.Fatalf("no shard: %+v", reply)
+		}
+	})
 }
 
 // Guards against recording an unknown outcome for a keyed request only because its caller has left.
 func TestKeyedRequestOutlivesItsCaller(t *testing.T) {
-	release := make(chan struct{})
-	slow := ok
-	slow.hold = release
-	dispatcher, records := &script{steps: []step{slow}}, &fakeKeys{}
-	s := newTestService(shards(1), dispatcher, records)
-	req := request(false)
-	req.Key = "key"
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan structs.Reply, 1)
-	go func() { done <- s.Serve(ctx, req) }()
-	eventually(t, func() bool { return dispatcher.count() == 1 })
-	cancel()
-	close(release)
-	if reply := <-done; reply.Outcome != structs.Answered || records.finished[0].Outcome != structs.Answered {
-		t.Fatalf("%+v, recorded %+v", reply, records.finished)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		slow := ok
+		slow.hold = release
+		records := &fakeKeys{}
+		s := newTestService(shards(1), &script{steps: []step{slow}}, records)
+		req := request(false)
+		req.Key = "key"
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan structs.Reply, 1)
+		go func() { done <- s.Serve(ctx, req) }()
+		synctest.Wait() // the attempt is in progress
+		cancel()
+		close(release)
+		if reply := <-done; reply.Outcome != structs.Answered || records.finished[0].Outcome != structs.Answered {
+			t.Fatalf("%+v, recorded %+v", reply, records.finished)
+		}
+	})
 }
 
 // Guards against a shutdown that interrupts requests or takes new ones.
 func TestCloseWaitsForRequests(t *testing.T) {
-	release := make(chan struct{})
-	slow := ok
-	slow.hold = release
-	dispatcher := &script{steps: []step{slow}}
-	s := newTestService(shards(1), dispatcher, &fakeKeys{})
-	done := make(chan structs.Reply, 1)
-	go func() { done <- s.Serve(context.Background(), request(false)) }()
-	eventually(t, func() bool { return dispatcher.count() == 1 })
-	expired, cancel := context.WithCancel(t.Context())
-	cancel()
-	if s.Close(expired) == nil {
-		t.Fatal("closed with a request in progress")
-	}
-	if reply := s.Serve(t.Context(), request(false)); reply.Reason != structs.ReasonDraining {
-		t.Fatalf("new request: %+v", reply)
-	}
-	close(release)
-	if err := s.Close(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	if reply := <-done; reply.Outcome != structs.Answered {
-		t.Fatalf("request in progress: %+v", reply)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		slow := ok
+		slow.hold = release
+		records := &fakeKeys{}
+		s := newTestService(shards(1), &script{steps: []step{slow}}, records)
+		done := make(chan structs.Reply, 1)
+		go func() { done <- s.Serve(context.Background(), request(false)) }()
+		synctest.Wait() // the attempt is in progress
+		expired, cancel := context.WithCancel(t.Context())
+		cancel()
+		if s.Close(expired) == nil {
+			t.Fatal("closed with a request in progress")
+		}
+		if reply := s.Serve(t.Context(), request(false)); reply.Reason != structs.ReasonDraining {
+			t.Fatalf("new request: %+v", reply)
+		}
+		close(release)
+		if err := s.Close(t.Context()); err != nil || !records.closed {
+			t.Fatalf("closed with %v, outcomes recorded: %v", err, records.closed)
+		}
+		if reply := <-done; reply.Outcome != structs.Answered {
+			t.Fatalf("request in progress: %+v", reply)
+		}
+	})
 }
 
 // Guards against correcting digests by the wrong number of requests.
@@ -313,18 +328,3 @@
 		t.Errorf("after a long time: %d, want 0", got)
 	}
 }
-
-// eventually polls until holds is true.
-func eventually(t *testing.T, holds func() bool) {
-	t.Helper()
-	limit := time.After(30 * time.Second)
-	tick := time.NewTicker(time.Millisecond)
-	defer tick.Stop()
-	for !holds() {
-		select {
-		case <-tick.C:
-		case <-limit:
-			t.Fatal("never happened")
-		}
-	}
-}
--- a/pkg/slots/pool.go
+++ b/pkg/slots/pool.go
@@ -200,10 +200,9 @@
 	delete(s.waiting, item)
 }
 
-// Wake lets time-dependent decisions take place: it releases held slots whose bound has passed, rejects requests
-// that can no longer meet their deadline and grants slots. A timer calls it; tests call it after they moved
-// their clock.
-func (p *Pool) Wake() {
+// wake lets time-dependent decisions take place: it releases held slots whose bound has passed, rejects requests
+// that can no longer meet their deadline and grants slots. A timer calls it.
+func (p *Pool) wake() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.advanceLocked()
@@ -239,7 +238,7 @@
 	}
 	wait := next.Sub(now)
 	if p.timer == nil {
-		p.timer = time.AfterFunc(wait, p.Wake)
+		p.timer = time.AfterFunc(wait, p.wake)
 		return
 	}
 	p.timer.Reset(wait)
--- a/pkg/slots/pool_test.go
+++ b/pkg/slots/pool_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,29 +23,10 @@
 	return f(ctx, addr, a)
 }
 
-// clock is a clock that tests move.
-type clock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *clock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *clock) add(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
-func newTestPool(runners, slots int, do runnerFunc) (*Pool, *clock) {
-	c := &clock{now: time.Unix(1_000_000, 0)}
-	p := NewPool(Config{Runner: do, Valid: func() error { return nil }, Now: c.Now})
+func newTestPool(runners, slots int, do runnerFunc) *Pool {
+	p := NewPool(Config{Runner: do, Valid: func() error { return nil }})
 	p.SetRunners(hosts(runners, slots))
-	return p, c
+	return p
 }
 
 func hosts(runners, slots int) []structs.Host {
@@ -59,33 +40,18 @@
 	return list
 }
 
-// request returns a request whose deadline no test reaches unless it moves the clock.
 func request(id string) structs.Request {
 	return structs.Request{ID: id, Service: "quotes", Kind: "quote", Remaining: time.Hour, Body: []byte(id)}
 }
 
-// start dispatches in the background.
+// start dispatches in the background and returns when the request waits or is on a runner.
 func start(p *Pool, ctx context.Context, req structs.Request) <-chan structs.Reply {
 	done := make(chan structs.Reply, 1)
 	go func() { done <- p.Dispatch(ctx, "attempt-"+req.ID, req) }()
+	synctest.Wait()
 	return done
 }
 
-// eventually polls until ok holds.
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	limit := time.After(30 * time.Second)
-	tick := time.NewTicker(time.Millisecond)
-	defer tick.Stop()
-	for !ok() {
-		select {
-		case <-tick.C:
-		case <-limit:
-			t.Fatalf("never happened: %s", what)
-		}
-	}
-}
-
 func free(p *Pool) int   { return p.Digest().FreeSlots["quotes"] }
 func queued(p *Pool) int { return p.Digest().Queued["quotes"] }
 
@@ -98,37 +64,39 @@
 
 // Guards against more requests on a runner than it has slots, and against answers that reach another request.
 func TestConcurrentDispatchesStayWithinSlots(t *testing.T) {
-	var mu sync.Mutex
-	running := map[string]int{}
-	p, _ := newTestPool(3, 2, func(_ context.Context, addr string, a Attempt) (Answer, error) {
-		mu.Lock()
-		running[addr]++
-		over := running[addr] > 2
-		mu.Unlock()
-		if over {
-			t.Errorf("runner %s got more requests than slots", addr)
-		}
-		runtime.Gosched() // lets other requests start in the meantime
-		mu.Lock()
-		running[addr]--
-		mu.Unlock()
-		return Answer{Status: 200, Body: a.Body}, nil
-	})
-	for round := range 20 {
-		var replies []<-chan structs.Reply
-		for i := range 20 {
-			replies = append(replies, start(p, t.Context(), request(fmt.Sprint(round, "-", i))))
-		}
-		for i, done := range replies {
-			reply := <-done
-			if id := fmt.Sprint(round, "-", i); reply.Outcome != structs.Answered || string(reply.Body) != id {
-				t.Fatalf("request %s got %+v", id, reply)
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		running := map[string]int{}
+		p := newTestPool(3, 2, func(_ context.Context, addr string, a Attempt) (Answer, error) {
+			mu.Lock()
+			running[addr]++
+			over := running[addr] > 2
+			mu.Unlock()
+			if over {
+				t.Errorf("runner %s got more requests than slots", addr)
+			}
+			<-time.After(time.Duration(len(a.ID)) * time.Millisecond) // lets other requests start
+			mu.Lock()
+			running[addr]--
+			mu.Unlock()
+			return Answer{Status: 200, Body: a.Body}, nil
+		})
+		for round := range 20 {
+			var replies []<-chan structs.Reply
+			for i := range 20 {
+				replies = append(replies, start(p, t.Context(), request(fmt.Sprint(round, "-", i))))
+			}
+			for i, done := range replies {
+				reply := <-done
+				if id := fmt.Sprint(round, "-", i); reply.Outcome != structs.Answered || string(reply.Body) != id {
+					t.Fatalf("request %s got %+v", id, reply)
+				}
 			}
 		}
-	}
-	if free(p) != 6 {
-		t.Fatalf("%d of 6 slots free at the end", free(p))
-	}
+		if free(p) != 6 {
+			t.Fatalf("%d of 6 slots free at the end", free(p))
+		}
+	})
 }
 
 // Guards against wrong outcomes and lost slots for every way in which an attempt can end.
@@ -152,41 +120,45 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var mu sync.Mutex
-			asked, ids := map[string]bool{}, map[string]bool{}
-			p, clock := newTestPool(4, 1, func(_ context.Context, addr string, a Attempt) (Answer, error) {
-				mu.Lock()
-				defer mu.Unlock()
-				asked[addr], ids[a.ID] = true, true
-				return c.answer, c.err
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				asked, ids := map[string]bool{}, map[string]bool{}
+				p := newTestPool(4, 1, func(_ context.Context, addr string, a Attempt) (Answer, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					asked[addr], ids[a.ID] = true, true
+					return c.answer, c.err
+				})
+				want(t, p.Dispatch(t.Context(), "a", request("1")), c.outcome, c.reason)
+				if len(asked) != c.calls || len(ids) != c.calls {
+					t.Fatalf("%d runners asked under %d ids, want %d", len(asked), len(ids), c.calls)
+				}
+				if free(p) != c.free {
+					t.Fatalf("%d slots free, want %d", free(p), c.free)
+				}
+				<-time.After(time.Hour + DefaultUncertainHold)
+				synctest.Wait()
+				if free(p) != 4 {
+					t.Fatalf("%d slots free after the bound, want 4", free(p))
+				}
 			})
-			want(t, p.Dispatch(t.Context(), "a", request("1")), c.outcome, c.reason)
-			if len(asked) != c.calls || len(ids) != c.calls {
-				t.Fatalf("%d runners asked under %d ids, want %d", len(asked), len(ids), c.calls)
-			}
-			if free(p) != c.free {
-				t.Fatalf("%d slots free, want %d", free(p), c.free)
-			}
-			clock.add(time.Hour + DefaultUncertainHold)
-			p.Wake()
-			if free(p) != 4 {
-				t.Fatalf("%d slots free after the bound, want 4", free(p))
-			}
 		})
 	}
 }
 
 // Guards against sending for a shard that was lost while the request queued, for example during a pause.
 func TestNothingIsSentWithoutOwnership(t *testing.T) {
-	p, _ := newTestPool(1, 1, func(context.Context, string, Attempt) (Answer, error) {
-		t.Error("sent without ownership")
-		return Answer{Status: 200}, nil
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool(1, 1, func(context.Context, string, Attempt) (Answer, error) {
+			t.Error("sent without ownership")
+			return Answer{Status: 200}, nil
+		})
+		p.cfg.Valid = func() error { return errors.New("lease expired") }
+		want(t, p.Dispatch(t.Context(), "a", request("1")), structs.NotRun, structs.ReasonWrongOwner)
+		if free(p) != 1 {
+			t.Fatal("slot lost")
+		}
 	})
-	p.cfg.Valid = func() error { return errors.New("lease expired") }
-	want(t, p.Dispatch(t.Context(), "a", request("1")), structs.NotRun, structs.ReasonWrongOwner)
-	if free(p) != 1 {
-		t.Fatal("slot lost")
-	}
 }
 
 // hanging returns a runner whose calls wait for release, and the channel of started calls.
@@ -202,131 +174,144 @@
 // Guards against a not-run reply for a request that a runner has, and against giving its slot away before the
 // runner has finished.
 func TestDeadlineOfASentRequestIsUnknown(t *testing.T) {
-	do, started, release := hanging()
-	p, _ := newTestPool(1, 1, do)
-	req := request("1")
-	req.Remaining = 20 * time.Millisecond
-	want(t, p.Dispatch(t.Context(), "a", req), structs.OutcomeUnknown, structs.ReasonDeadline)
-	<-started
-	if free(p) != 0 {
-		t.Fatal("slot was freed while the runner works")
-	}
-	close(release)
-	eventually(t, "slot free after the late answer", func() bool { return free(p) == 1 })
+	synctest.Test(t, func(t *testing.T) {
+		do, started, release := hanging()
+		p := newTestPool(1, 1, do)
+		want(t, p.Dispatch(t.Context(), "a", request("1")), structs.OutcomeUnknown, structs.ReasonDeadline)
+		<-started
+		if free(p) != 0 {
+			t.Fatal("slot was freed while the runner works")
+		}
+		close(release)
+		synctest.Wait()
+		if free(p) != 1 {
+			t.Fatal("slot was not freed by the late answer")
+		}
+	})
 }
 
 // Guards against running a request whose caller has left, and against calling a queued request unknown.
 func TestQueuedRequestsEndAsNotRun(t *testing.T) {
-	do, started, release := hanging()
-	p, clock := newTestPool(1, 1, do)
-	first := start(p, t.Context(), request("1"))
-	<-started
-	ctx, cancel := context.WithCancel(t.Context())
-	cancelled := start(p, ctx, request("2"))
-	eventually(t, "request queued", func() bool { return queued(p) == 1 })
-	cancel()
-	want(t, <-cancelled, structs.NotRun, structs.ReasonCancelled)
+	synctest.Test(t, func(t *testing.T) {
+		do, started, release := hanging()
+		p := newTestPool(1, 1, do)
+		first := start(p, t.Context(), request("1"))
+		<-started
+		ctx, cancel := context.WithCancel(t.Context())
+		cancelled := start(p, ctx, request("2"))
+		if queued(p) != 1 {
+			t.Fatal("request does not wait")
+		}
+		cancel()
+		want(t, <-cancelled, structs.NotRun, structs.ReasonCancelled)
 
-	short := request("3")
-	short.Remaining = time.Minute
-	expired := start(p, t.Context(), short)
-	eventually(t, "request queued", func() bool { return queued(p) == 1 })
-	clock.add(time.Minute)
-	p.Wake()
-	want(t, <-expired, structs.NotRun, structs.ReasonDeadline)
+		short := request("3")
+		short.Remaining = time.Minute
+		want(t, p.Dispatch(t.Context(), "a", short), structs.NotRun, structs.ReasonDeadline)
 
-	close(release)
-	want(t, <-first, structs.Answered, "")
-	if len(started) != 0 {
-		t.Fatal("a withdrawn request was sent")
-	}
+		close(release)
+		want(t, <-first, structs.Answered, "")
+		if len(started) != 0 {
+			t.Fatal("a withdrawn request was sent")
+		}
+	})
 }
 
 // Guards against a hedge that waits on the runner whose slowness caused it.
 func TestSecondAttemptGoesToAnotherRunner(t *testing.T) {
-	do, started, release := hanging()
-	p, _ := newTestPool(2, 8, do)
-	first, second := start(p, t.Context(), request("1")), start(p, t.Context(), request("1"))
-	if a, b := <-started, <-started; a == b {
-		t.Fatalf("both attempts on runner %s", a)
-	}
-	close(release)
-	<-first
-	<-second
-	if len(p.holders) != 0 {
-		t.Fatal("ended attempts are remembered")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		do, started, release := hanging()
+		p := newTestPool(2, 8, do)
+		first, second := start(p, t.Context(), request("1")), start(p, t.Context(), request("1"))
+		if a, b := <-started, <-started; a == b {
+			t.Fatalf("both attempts on runner %s", a)
+		}
+		close(release)
+		<-first
+		<-second
+		if len(p.holders) != 0 {
+			t.Fatal("ended attempts are remembered")
+		}
+	})
 }
 
 // Guards against a shutdown that interrupts requests in progress or takes new ones, and one that never ends.
 func TestCloseDrains(t *testing.T) {
-	do, started, release := hanging()
-	p, _ := newTestPool(1, 1, do)
-	running := start(p, t.Context(), request("1"))
-	<-started
-	waiting := start(p, t.Context(), request("2"))
-	eventually(t, "request queued", func() bool { return queued(p) == 1 })
-	closed := make(chan error, 1)
-	go func() { closed <- p.Close(context.Background()) }()
-	eventually(t, "new requests rejected", func() bool {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.closed
+	synctest.Test(t, func(t *testing.T) {
+		do, started, release := hanging()
+		p := newTestPool(1, 1, do)
+		running := start(p, t.Context(), request("1"))
+		<-started
+		waiting := start(p, t.Context(), request("2"))
+		if queued(p) != 1 {
+			t.Fatal("request does not wait")
+		}
+		closed := make(chan error, 1)
+		go func() { closed <- p.Close(context.Background()) }()
+		synctest.Wait()
+		want(t, p.Dispatch(t.Context(), "a", request("3")), structs.NotRun, structs.ReasonDraining)
+		close(release)
+		want(t, <-running, structs.Answered, "")
+		want(t, <-waiting, structs.Answered, "")
+		if err := <-closed; err != nil {
+			t.Fatal(err)
+		}
 	})
-	want(t, p.Dispatch(t.Context(), "a", request("3")), structs.NotRun, structs.ReasonDraining)
-	close(release)
-	want(t, <-running, structs.Answered, "")
-	want(t, <-waiting, structs.Answered, "")
-	if err := <-closed; err != nil {
-		t.Fatal(err)
-	}
 }
 
 // Guards against a forced shutdown that hides requests in progress or leaves queued callers waiting.
 func TestForcedCloseRejectsTheQueue(t *testing.T) {
-	do, started, release := hanging()
-	p, _ := newTestPool(1, 1, do)
-	running := start(p, t.Context(), request("1"))
-	<-started
-	waiting := start(p, t.Context(), request("2"))
-	eventually(t, "request queued", func() bool { return queued(p) == 1 })
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	if err := p.Close(ctx); !errors.Is(err, ErrForced) {
-		t.Fatalf("forced close returned %v", err)
-	}
-	want(t, <-waiting, structs.NotRun, structs.ReasonDraining)
-	close(release)
-	want(t, <-running, structs.Answered, "")
+	synctest.Test(t, func(t *testing.T) {
+		do, started, release := hanging()
+		p := newTestPool(1, 1, do)
+		running := start(p, t.Context(), request("1"))
+		<-started
+		waiting := start(p, t.Context(), request("2"))
+		if queued(p) != 1 {
+			t.Fatal("request does not wait")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if err := p.Close(ctx); !errors.Is(err, ErrForced) {
+			t.Fatalf("forced close returned %v", err)
+		}
+		want(t, <-waiting, structs.NotRun, structs.ReasonDraining)
+		close(release)
+		want(t, <-running, structs.Answered, "")
+	})
 }
 
 // Guards against new requests on a runner that the host list shows as leaving or no longer lists, and against
 // interrupting the one it still works on.
 func TestLeavingRunnerGetsNothingNew(t *testing.T) {
-	do, started, release := hanging()
-	p, _ := newTestPool(2, 1, do)
-	first := start(p, t.Context(), request("1"))
-	leaving := <-started
-	list := hosts(2, 1)
-	for i := range list {
-		if list[i].Address == leaving {
-			list[i].State = structs.HostLeaving
+	synctest.Test(t, func(t *testing.T) {
+		do, started, release := hanging()
+		p := newTestPool(2, 1, do)
+		first := start(p, t.Context(), request("1"))
+		leaving := <-started
+		list := hosts(2, 1)
+		for i := range list {
+			if list[i].Address == leaving {
+				list[i].State = structs.HostLeaving
+			}
 		}
-	}
-	p.SetRunners(list)
-	second := start(p, t.Context(), request("2"))
-	if addr := <-started; addr == leaving {
-		t.Fatal("leaving runner got a request")
-	}
-	third := start(p, t.Context(), request("3"))
-	eventually(t, "request queued", func() bool { return queued(p) == 1 })
-	close(release)
-	for _, done := range []<-chan structs.Reply{first, second, third} {
-		want(t, <-done, structs.Answered, "")
-	}
-	if addr := <-started; addr == leaving {
-		t.Fatal("leaving runner got a queued request")
-	}
-	p.SetRunners(nil)
-	want(t, p.Dispatch(t.Context(), "a", request("4")), structs.NotRun, structs.ReasonNoRunner)
+		p.SetRunners(list)
+		second := start(p, t.Context(), request("2"))
+		if addr := <-started; addr == leaving {
+			t.Fatal("leaving runner got a request")
+		}
+		third := start(p, t.Context(), request("3"))
+		if queued(p) != 1 {
+			t.Fatal("request does not wait")
+		}
+		close(release)
+		for _, done := range []<-chan structs.Reply{first, second, third} {
+			want(t, <-done, structs.Answered, "")
+		}
+		if addr := <-started; addr == leaving {
+			t.Fatal("leaving runner got a queued request")
+		}
+		p.SetRunners(nil)
+		want(t, p.Dispatch(t.Context(), "a", request("4")), structs.NotRun, structs.ReasonNoRunner)
+	})
 }
