Leave out shard owners that fail, before their digests do

A digest tells only after up to a second that an owner has died, that the link to it is cut or that its queue is full, and every request until then would lose an attempt. The entry side now ejects an owner after two lost attempts, or at once when it cannot be connected or is not the owner, and treats a shard as full that has rejected a request since its digest was taken. Attempts cancelled by the entry host itself are not held against the owner.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -211,6 +211,36 @@
 	}
 }
 
+// Guards against choosing a runner in back-off or beyond its adaptive limit while another one has room, and against
+// such a runner never being used when a request has waited.
+func TestLimitAndBackOffArePreferences(t *testing.T) {
+	c := newController(2, 8)
+	now := learn(t, c, start, 100*ms)
+	first := mustGrant(t, c, now, item(now, time.Hour))
+	full, other := c.ledger.byID[first.Slot.Runner], structs.HostID("r00")
+	if full.id == other {
+		other = "r01"
+	}
+	full.limit.value = 1
+	c.Refused(now, mustGrant(t, c, now, item(now, time.Hour)))
+	waiting := item(now, time.Hour)
+	if c.Arrive(now, waiting); c.ledger.byID[other].health.Avoided(now) != true {
+		t.Fatal("the busy runner is not in back-off")
+	}
+	if _, ok := c.NextGrant(now); ok {
+		t.Fatal("neither runner is to be used yet")
+	}
+	now = now.Add(BusyBackOff)
+	if grant, ok := c.NextGrant(now); !ok || grant.Slot.Runner != other {
+		t.Fatal("the back-off did not end")
+	}
+	c.ledger.byID[other].draining = true
+	c.Arrive(now, item(now, time.Hour))
+	if grant, ok := c.NextGrant(now.Add(110 * ms)); !ok || grant.Slot.Runner != full.id {
+		t.Fatal("a request that has waited for a service time does not get a slot beyond the limit")
+	}
+}
+
 // behaviour returns the service time of one request on runner i and whether it fails.
 type behaviour func(runner structs.HostID, rnd *rand.Rand) (time.Duration, bool)
 
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -124,3 +124,35 @@
 		}
 	}
 }
+
+// Guards against asking a failed owner for as long as its digest lasts, ejecting one for a single lost attempt or
+// for ever, and trusting a digest that is older than a rejection.
+func TestOutlier(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var o Outlier
+	o.Lost(now)
+	if o.Ejected(now) {
+		t.Fatal("ejected after one lost attempt")
+	}
+	o.Lost(now)
+	if !o.Ejected(now) || o.Ejected(now.Add(MinEjection)) {
+		t.Fatal("not ejected for the first time span after two lost attempts")
+	}
+	for range 100 {
+		o.Absent(now)
+	}
+	if !o.Ejected(now.Add(MaxEjection-1)) || o.Ejected(now.Add(MaxEjection)) {
+		t.Fatal("ejection does not grow to its bound")
+	}
+	o.Full(now)
+	if o.Ejected(now) {
+		t.Fatal("an owner that replies is ejected")
+	}
+	digest := Slots{Known: true, Free: 8, Total: 8, Age: 100 * ms}
+	if s := o.Correct(now.Add(50*ms), digest); s.Free != 0 || s.Queued != 8 {
+		t.Fatalf("digest from before the rejection became %+v", s)
+	}
+	if s := o.Correct(now.Add(150*ms), digest); s != digest {
+		t.Fatalf("digest from after the rejection became %+v", s)
+	}
+}
--- a/core/structs/reason.go
+++ b/core/structs/reason.go
@@ -8,7 +8,7 @@
 	ReasonDraining          = "draining"           // NotRun: the receiver takes no new requests
 	ReasonQueueFull         = "queue-full"         // NotRun: the queue of the shard is full
 	ReasonDeadline          = "deadline"           // NotRun: it cannot be met; OutcomeUnknown: it has passed
-	ReasonCancelled         = "cancelled"          // NotRun: the caller left before the request was sent
+	ReasonCancelled         = "cancelled"          // the caller left; NotRun only if that was before the request was sent
 	ReasonNoRunner          = "no-runner"          // NotRun: the shard has no runner for the service
 	ReasonRunnerUnreachable = "runner-unreachable" // NotRun: no runner could be connected
 	ReasonRunnerRefused     = "runner-refused"     // NotRun: a runner read the request and refused it
--- a/pkg/requests/race.go
+++ b/pkg/requests/race.go
@@ -176,8 +176,11 @@
 	req.Remaining = remaining - 2*target.LinkDelay // at the owner, leaving time for the reply to come back
 	start := s.cfg.Now()
 	reply, err := s.cfg.Dispatcher.Dispatch(ctx, target, uuid.NewString(), req)
-	s.router.ended(target.Shard)
 	reply = checked(reply, err)
+	if err != nil && r.ctx.Err() != nil && s.cfg.Now().Before(r.deadline) {
+		reply = unknown(structs.ReasonCancelled) // by this host, which says nothing about the owner
+	}
+	s.router.ended(target, reply)
 	span.SetAttributes(attribute.String("outcome", string(reply.Outcome)))
 	if reply.Outcome == structs.Answered {
 		s.observe(req, s.cfg.Now().Sub(start))
--- a/pkg/requests/router.go
+++ b/pkg/requests/router.go
@@ -12,12 +12,21 @@
 type router struct {
 	cfg Config
 
-	mu     sync.Mutex // guards shards and cfg.Rand
+	mu     sync.Mutex // guards the maps and cfg.Rand
 	shards map[structs.ShardID]*inFlight
+	owners map[ownerKey]*routing.Outlier
 }
 
+// ownerKey tells owners of one shard apart: after a takeover the new owner may be asked at once.
+type ownerKey struct {
+	shard structs.ShardID
+	addr  string
+}
+
+func keyOf(target Target) ownerKey { return ownerKey{target.Shard, target.PeerAddr} }
+
 func newRouter(cfg Config) *router {
-	return &router{cfg: cfg, shards: map[structs.ShardID]*inFlight{}}
+	return &router{cfg: cfg, shards: map[structs.ShardID]*inFlight{}, owners: map[ownerKey]*routing.Outlier{}}
 }
 
 // choose returns the target for the next attempt, or the reason why there is none. Shards that were not yet tried
@@ -28,7 +37,8 @@
 	if len(fresh)+len(used) == 0 {
 		return Target{}, structs.ReasonNoShard
 	}
-	for _, targets := range [][]Target{fresh, used} {
+	good, ejected := r.split(fresh)
+	for _, targets := range [][]Target{good, ejected, used} {
 		if target, ok := r.pick(targets, remaining, service); ok {
 			return target, ""
 		}
@@ -36,6 +46,21 @@
 	return Target{}, structs.ReasonDeadline
 }
 
+// split sets targets apart whose owners have just failed; they are asked when there is no other.
+func (r *router) split(targets []Target) (good, ejected []Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	for _, target := range targets {
+		if r.ownerLocked(target).Ejected(now) {
+			ejected = append(ejected, target)
+		} else {
+			good = append(good, target)
+		}
+	}
+	return good, ejected
+}
+
 func (r *router) pick(targets []Target, remaining, service time.Duration) (Target, bool) {
 	if len(targets) == 0 {
 		return Target{}, false
@@ -47,7 +72,8 @@
 	for _, t := range targets {
 		flight := r.shardLocked(t.Shard)
 		view.Candidates = append(view.Candidates, routing.Candidate{
-			Shard: t.Shard, Local: t.Local, OwnDatacentre: t.OwnDatacentre, LinkDelay: t.LinkDelay, Slots: t.Slots,
+			Shard: t.Shard, Local: t.Local, OwnDatacentre: t.OwnDatacentre, LinkDelay: t.LinkDelay,
+			Slots:    r.ownerLocked(t).Correct(now, t.Slots),
 			InFlight: flight.current, Since: flight.changeSince(now, now.Add(-t.Slots.Age)),
 		})
 	}
@@ -60,10 +86,34 @@
 	return chosen, true
 }
 
-func (r *router) ended(shard structs.ShardID) {
+// ended counts the end of an attempt on target and learns from its reply.
+func (r *router) ended(target Target, reply structs.Reply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.shardLocked(shard).add(r.cfg.Now(), -1)
+	now := r.cfg.Now()
+	r.shardLocked(target.Shard).add(now, -1)
+	owner := r.ownerLocked(target)
+	switch reply.Reason {
+	case structs.ReasonCancelled:
+	case structs.ReasonOwnerLost:
+		owner.Lost(now)
+	case structs.ReasonOwnerUnreachable, structs.ReasonWrongOwner, structs.ReasonDraining:
+		owner.Absent(now)
+	case structs.ReasonQueueFull:
+		owner.Full(now)
+	default:
+		owner.Replied()
+	}
+}
+
+// ownerLocked returns what was seen of the target's owner. Callers hold mu.
+func (r *router) ownerLocked(target Target) *routing.Outlier {
+	o, ok := r.owners[keyOf(target)]
+	if !ok {
+		o = &routing.Outlier{}
+		r.owners[keyOf(target)] = o
+	}
+	return o
 }
 
 // shardLocked returns the counts of a shard. Callers hold mu.
@@ -77,18 +127,11 @@
 }
 
 // triedTargets notes what the attempts of one request have learned about targets.
-type triedTargets map[triedKey]bool // true: refused, not to be asked again
-
-// triedKey tells owners of one shard apart: after a takeover the new owner may be asked.
-type triedKey struct {
-	shard structs.ShardID
-	addr  string
-}
+type triedTargets map[ownerKey]bool // true: refused, not to be asked again
 
 func (t triedTargets) used(target Target) {
-	key := triedKey{target.Shard, target.PeerAddr}
-	if _, tried := t[key]; !tried {
-		t[key] = false
+	if _, tried := t[keyOf(target)]; !tried {
+		t[keyOf(target)] = false
 	}
 }
 
@@ -96,14 +139,14 @@
 // whole shard.
 func (t triedTargets) refused(target Target, reason string) {
 	if reason != structs.ReasonRunnerRefused {
-		t[triedKey{target.Shard, target.PeerAddr}] = true
+		t[keyOf(target)] = true
 	}
 }
 
 // sort splits targets into those not yet tried and those tried without a refusal.
 func (t triedTargets) sort(targets []Target) (fresh, used []Target) {
 	for _, target := range targets {
-		refused, tried := t[triedKey{target.Shard, target.PeerAddr}]
+		refused, tried := t[keyOf(target)]
 		switch {
 		case !tried:
 			fresh = append(fresh, target)
--- a/pkg/requests/service_test.go
+++ b/pkg/requests/service_test.go
@@ -29,7 +29,7 @@
 	for i := range int(n) {
 		targets = append(targets, Target{
 			Shard: structs.ShardID{Datacentre: "dc", Index: i}, PeerAddr: fmt.Sprint(i), OwnDatacentre: true,
-			Slots: routing.Slots{Known: true, Free: 8, Total: 8},
+			Slots: routing.Slots{Known: true, Free: 8, Total: 8, Age: time.Millisecond},
 		})
 	}
 	return targets
@@ -113,6 +113,7 @@
 	lostRunner  = step{reply: unknown(structs.ReasonRunnerLost)}
 	unreachable = step{err: errors.Annotate(ErrNotSent, "refused")}
 	broken      = step{err: errors.New("connection reset")}
+	cancelled   = step{reply: unknown(structs.ReasonCancelled)}
 	malformed   = step{reply: structs.Reply{Outcome: structs.Answered}}
 )
 
@@ -245,8 +246,14 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		if reply := s.Serve(ctx, request(true)); reply.Outcome != structs.OutcomeUnknown {
-			t.Fatalf("cancelled: %+v", reply)
+		for range 10 {
+			if reply := s.Serve(ctx, request(true)); reply.Outcome != structs.OutcomeUnknown {
+				t.Fatalf("cancelled: %+v", reply)
+			}
+		}
+		synctest.Wait()
+		if good, _ := s.router.split(shards(2).Targets("quotes")); len(good) != 2 {
+			t.Fatal("an owner is blamed for cancelled attempts")
 		}
 		req.Remaining = 0
 		if reply := s.Serve(t.Context(), req); reply.Outcome != structs.NotRun {
@@ -309,6 +316,37 @@
 	})
 }
 
+// Guards against asking a dead owner again with every request until its digest is gone, and against blaming an
+// owner for attempts that this host has cancelled.
+func TestFailedOwnersAreAskedLast(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, c := range []struct {
+		ends  []step
+		asked bool
+	}{{[]step{unreachable}, false}, {[]step{full}, false}, {[]step{broken, cancelled, broken}, false},
+		{[]step{broken, lostRunner, broken}, true}, {[]step{cancelled, cancelled}, true}} {
+		r := newRouter(Config{
+			Directory: shards(2), Policy: routing.SlotAware{}, Rand: rand.New(rand.NewPCG(1, 2)),
+			Now: func() time.Time { return now },
+		})
+		failed := shards(2).Targets("quotes")[0]
+		for _, end := range c.ends {
+			r.ended(failed, checked(end.reply, end.err))
+		}
+		asked := false
+		for range 8 { // the other shard has 8 free slots
+			target, reason := r.choose(request(true), time.Hour, time.Millisecond, triedTargets{})
+			if reason != "" {
+				t.Fatal(reason)
+			}
+			asked = asked || target.Shard == failed.Shard
+		}
+		if asked != c.asked {
+			t.Errorf("after %v: asked %v, want %v", c.ends, asked, c.asked)
+		}
+	}
+}
+
 // Guards against correcting digests by the wrong number of requests.
 func TestChangeSinceDigest(t *testing.T) {
 	var f inFlight
--- a/pkg/slots/metrics.go
+++ b/pkg/slots/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"fulmarcourse.example/core/admission"
 	"fulmarcourse.example/core/structs"
 )
 
@@ -33,3 +34,11 @@
 
 func (m metrics) waited(d time.Duration) { m.wait.Record(d) }
 func (m metrics) served(d time.Duration) { m.serve.Record(d) }
+
+// counts reports the slots of a service whenever the shard's digest is taken.
+func (m metrics) counts(service structs.ServiceName, totals admission.Totals, queued int) {
+	scope := m.scope.Tagged(map[string]string{"service": string(service)})
+	scope.Gauge("slots").Update(float64(totals.Slots))
+	scope.Gauge("taken").Update(float64(totals.Taken))
+	scope.Gauge("queued").Update(float64(queued))
+}
--- a/pkg/slots/pool.go
+++ b/pkg/slots/pool.go
@@ -137,6 +137,7 @@
 		digest.Slots[name] = totals.Slots
 		digest.FreeSlots[name] = totals.Free
 		digest.Queued[name] = s.admission.Queued()
+		p.metrics.counts(name, totals, digest.Queued[name])
 	}
 	return digest
 }
--- a/pkg/slots/pool_test.go
+++ b/pkg/slots/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/goleak"
 
+	"fulmarcourse.example/core/admission"
 	"fulmarcourse.example/core/structs"
 )
 
@@ -164,10 +166,14 @@
 // hanging returns a runner whose calls wait for release, and the channel of started calls.
 func hanging() (runnerFunc, chan string, chan struct{}) {
 	started, release := make(chan string, 100), make(chan struct{})
-	return func(_ context.Context, addr string, a Attempt) (Answer, error) {
+	return func(ctx context.Context, addr string, a Attempt) (Answer, error) {
 		started <- addr
-		<-release
-		return Answer{Status: 200, Body: a.Body}, nil
+		select {
+		case <-release:
+			return Answer{Status: 200, Body: a.Body}, nil
+		case <-ctx.Done():
+			return Answer{}, ErrUncertain
+		}
 	}, started, release
 }
 
@@ -195,9 +201,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		do, started, release := hanging()
 		p := newTestPool(1, 1, do)
-		first := start(p, t.Context(), request("1"))
-		<-started
 		ctx, cancel := context.WithCancel(t.Context())
+		first := start(p, ctx, request("1"))
+		<-started
 		cancelled := start(p, ctx, request("2"))
 		if queued(p) != 1 {
 			t.Fatal("request does not wait")
@@ -217,18 +223,51 @@
 	})
 }
 
+// Guards against losing the slot that is granted to a request at the moment at which its caller leaves.
+func TestSlotGrantedToALeavingCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool(1, 1, func(context.Context, string, Attempt) (Answer, error) { return Answer{Status: 200}, nil })
+		c := p.services["quotes"].admission
+		for range 100 {
+			c.Arrive(time.Now(), &admission.Item{Deadline: time.Now().Add(time.Hour)})
+			taken, _ := c.NextGrant(time.Now())
+			ctx, cancel := context.WithCancel(t.Context())
+			reply := start(p, ctx, request("1"))
+			p.mu.Lock()
+			cancel()
+			runtime.Gosched() // lets the request see that its caller has left
+			c.Unused(taken)
+			p.advanceLocked()
+			p.mu.Unlock()
+			<-reply
+			if synctest.Wait(); free(p) != 1 {
+				t.Fatal("slot lost")
+			}
+		}
+	})
+}
+
 // Guards against a hedge that waits on the runner whose slowness caused it.
 func TestSecondAttemptGoesToAnotherRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		do, started, release := hanging()
-		p := newTestPool(2, 8, do)
-		first, second := start(p, t.Context(), request("1")), start(p, t.Context(), request("1"))
-		if a, b := <-started, <-started; a == b {
-			t.Fatalf("both attempts on runner %s", a)
+		p := newTestPool(1, 8, do)
+		replies := []<-chan structs.Reply{start(p, t.Context(), request("1"))}
+		slow := <-started
+		p.SetRunners(hosts(2, 8)[1:])
+		for i := range 4 { // load the other runner, so that the first one looks better
+			replies = append(replies, start(p, t.Context(), request(fmt.Sprint("other", i))))
+			<-started
+		}
+		p.SetRunners(hosts(2, 8))
+		replies = append(replies, start(p, t.Context(), request("1")))
+		if addr := <-started; addr == slow {
+			t.Fatal("both attempts on one runner")
 		}
 		close(release)
-		<-first
-		<-second
+		for _, reply := range replies {
+			<-reply
+		}
 		if len(p.holders) != 0 {
 			t.Fatal("ended attempts are remembered")
 		}
