Give the guard the slowdown of co-located runners

A runner that shares its machine with a worker now belongs to the worker's shard, so that the owner which runs the guard also sees the runner's answers. The signal is the smoothed service time relative to the usual one over a tolerated factor of 1.5. Whether it lowers the tail latency of quotes is not measured yet.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -63,6 +63,15 @@
 // Totals returns the slot counts.
 func (c *Controller) Totals() Totals { return c.ledger.Totals() }
 
+// Slowdowns returns, per runner, its smoothed service time relative to the usual one; 1 is the usual speed.
+func (c *Controller) Slowdowns(now time.Time) map[structs.HostID]float64 {
+	slowdowns := make(map[structs.HostID]float64, len(c.ledger.runners))
+	for _, r := range c.ledger.runners {
+		slowdowns[r.id] = r.health.Slowdown(now)
+	}
+	return slowdowns
+}
+
 // Queued returns the number of waiting requests.
 func (c *Controller) Queued() int { return c.queue.Len() }
 
--- a/pkg/node/hosts.go
+++ b/pkg/node/hosts.go
@@ -87,10 +87,11 @@
 	return addresses
 }
 
-// shardOf returns the shard of a backend host. Workers of one rack share a shard; runners are spread by their id.
+// shardOf returns the shard of a backend host. Workers of one rack share a shard; runners are spread by their id, but
+// a runner that shares its machine with a worker belongs to the worker's shard.
 func shardOf(host structs.Host, shards int) structs.ShardID {
 	key := string(host.ID)
-	if host.Role == structs.RoleWorker {
+	if host.Role == structs.RoleWorker || host.Machine != "" {
 		key = host.Rack
 	}
 	return structs.ShardID{Datacentre: host.Datacentre, Index: int(xxhash.Sum64String(key) % uint64(shards))}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -265,8 +265,23 @@
 	return sum
 }
 
-// LatencyByMachine is not measured yet; the guard acts on usage alone.
-func (e environment) LatencyByMachine() map[string]float64 { return nil }
+// slowdownTarget is the service time of a co-located runner, relative to the usual one, that batch work may cause.
+const slowdownTarget = 1.5
+
+// LatencyByMachine returns the ratio of each co-located runner's slowdown to slowdownTarget. Runners that share a
+// machine with a worker belong to the worker's shard, so their answers are seen by the owner that runs the guard.
+func (e environment) LatencyByMachine() map[string]float64 {
+	latency := map[string]float64{}
+	for id, pool := range e.node.pools.snapshot() {
+		slowdowns := pool.Slowdowns()
+		for _, host := range e.node.hosts.inShard(structs.RoleRunner, id) {
+			if host.Machine != "" {
+				latency[host.Machine] = max(latency[host.Machine], slowdowns[host.ID]/slowdownTarget)
+			}
+		}
+	}
+	return latency
+}
 
 func (e environment) StoreConfirmedAt() time.Time { return e.node.control.Confirmation().ReadAt }
 
--- a/pkg/shard/guard.go
+++ b/pkg/shard/guard.go
@@ -15,9 +15,10 @@
 // protect throttles and evicts tasks on workers under pressure. Called by the loop goroutine, no lock held.
 func (l *Loop) protect(ctx context.Context) {
 	now := l.cfg.Clock()
+	latency := l.cfg.Environment.LatencyByMachine()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, action := range l.guard.Step(now, l.hostSignals(now)) {
+	for _, action := range l.guard.Step(now, l.hostSignals(latency, now)) {
 		switch action.Kind {
 		case guard.SetThrottle:
 			l.throttle(ctx, action)
@@ -29,8 +30,7 @@
 }
 
 // hostSignals describes the usage of all workers that were heard of lately. Called with mu held.
-func (l *Loop) hostSignals(now time.Time) []guard.HostSignal {
-	latency := l.cfg.Environment.LatencyByMachine()
+func (l *Loop) hostSignals(latency map[string]float64, now time.Time) []guard.HostSignal {
 	var signals []guard.HostSignal
 	for id, w := range l.table.workers {
 		if !w.listed || !w.known {
--- a/pkg/slots/pool.go
+++ b/pkg/slots/pool.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -142,6 +143,18 @@
 	return digest
 }
 
+// Slowdowns returns, per runner of the shard, its smoothed service time relative to the usual one of the service.
+func (p *Pool) Slowdowns() map[structs.HostID]float64 {
+	now := p.cfg.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slowdowns := map[structs.HostID]float64{}
+	for _, s := range p.services {
+		maps.Copy(slowdowns, s.admission.Slowdowns(now))
+	}
+	return slowdowns
+}
+
 // Close takes no new requests and waits until the queued requests and those on runners have ended, including
 // slots held for unknown outcomes. When ctx ends first, queued requests are rejected as not-run and ErrForced is
 // returned; attempts on runners still end with their own answers.
