--- a/core/guard/hysteresis.go
+++ b/core/guard/hysteresis.go
@@ -63,7 +63,7 @@
 	if g.budget == nil {
 		g.budget = bucket.New(rate, MinEvictBurst, now)
 	}
-	g.budget.SetRate(rate, now)
+	g.budget.SetRate(rate, MinEvictBurst, now)
 }
 
 // byPressure returns the indices of hosts, the one with the most pressure first, so that it gets what is left of
@@ -90,7 +90,8 @@
 	cpu := share(h.Usage.MilliCPU, h.Capacity.MilliCPU)
 	s := g.hosts[h.Host]
 	if s == nil {
-		g.hosts[h.Host] = &hostState{seen: now, cpu: cpu, latency: h.Latency}
+		// A single signal may be a peak, so the smoothed values do not start above the release thresholds.
+		g.hosts[h.Host] = &hostState{seen: now, cpu: min(cpu, ReleaseCPU), latency: min(h.Latency, ReleaseLatency)}
 		return nil
 	}
 	step := min(max(now.Sub(s.seen), 0), MaxStep)
--- a/pkg/shard/loop_test.go
+++ b/pkg/shard/loop_test.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
+	"fulmarcourse.example/core/quarantine"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/jobs"
@@ -86,7 +87,7 @@
 	if w.silent[id] {
 		return structs.Inventory{}, errors.WithType(errors.New("no answer"), worker.ErrUncertain)
 	}
-	inventory := structs.Inventory{Worker: id}
+	inventory := structs.Inventory{Worker: id, Clock: w.now.UnixNano()}
 	for _, t := range w.running[id] {
 		inventory.Tasks = append(inventory.Tasks, t)
 	}
@@ -304,6 +305,21 @@
 	}
 }
 
+// Guards against a job that moves back and forth between shards: a task that pauses after a failure does not wait for
+// capacity, so the job stays and starts here after the pause.
+func TestPauseAfterFailureDoesNotMoveTheJob(t *testing.T) {
+	w := newWorld()
+	failed := structs.TaskRecord{State: structs.TaskPending, Attempt: 1, FailedOn: []structs.HostID{"x1", "x2"}}
+	w.records = []jobs.Stored{storedJob("j", "trace", failed)}
+	l := newTestLoop(t, w)
+	for waited := time.Duration(0); waited < 2*quarantine.RetryFirst+rehomeAfter; waited += time.Second {
+		step(t, l, w, time.Second)
+	}
+	if len(w.starts) != 1 || w.starts[0].Attempt != 2 {
+		t.Fatalf("starts: %+v", w.starts)
+	}
+}
+
 // Guards against an overcommitted worker: planned tasks count before their start commands are answered.
 func TestCapacityCountsUnansweredStarts(t *testing.T) {
 	w := newWorld()
