--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -55,6 +55,11 @@
 	HostListLag time.Duration
 	LinkDelay   time.Duration // one way between data centres, and between data centres and the platform
 	Seed        uint64
+
+	Binary         string        // test binary that runs the entry hosts; the present one when empty
+	NodeSettings   string        // further lines of the section [node]
+	DirectBackends bool          // entry hosts reach workers and runners without proxies, for high rates
+	AdvanceEvery   time.Duration // interval at which tasks on workers advance; standin's default when zero
 }
 
 // Cluster is a running cluster. Entries are named "<dc>-entry-<n>".
@@ -118,6 +123,8 @@
 		HostListLag: c.cfg.HostListLag,
 		Seed:        c.cfg.Seed,
 		Address:     c.exposeBackend,
+
+		AdvanceEvery: c.cfg.AdvanceEvery,
 	}
 	for _, dc := range c.cfg.Datacentres {
 		cfg.Datacentres = append(cfg.Datacentres, standin.DatacentreConfig{
@@ -132,6 +139,9 @@
 
 // exposeBackend puts a backend server behind the proxies.
 func (c *Cluster) exposeBackend(id structs.HostID, addr string) string {
+	if c.cfg.DirectBackends {
+		return addr
+	}
 	dc, _, _ := strings.Cut(string(id), "-")
 	exposed, err := c.net.expose(string(id), Place(dc), addr)
 	c.check(err)
@@ -177,6 +187,7 @@
 peer_address = %s
 peer_listen = %s
 source_address = %s
+%s
 
 [store]
 endpoint = http://%s
@@ -204,12 +215,16 @@
 	c.check(err)
 	path := filepath.Join(c.dir, string(id)+".ini")
 	text := fmt.Sprintf(settingsTemplate, e.ID, e.Datacentre, strings.TrimPrefix(e.HTTP, "http://"), e.advertised, e.listen,
-		e.source, store, hosts, strings.Join(c.seeds, ", "))
+		e.source, c.cfg.NodeSettings, store, hosts, strings.Join(c.seeds, ", "))
 	c.check(os.WriteFile(path, []byte(text), 0o600))
 	log, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	c.check(err)
 	defer log.Close()
-	cmd := exec.Command(os.Args[0], "-config", path)
+	binary := c.cfg.Binary
+	if binary == "" {
+		binary = os.Args[0]
+	}
+	cmd := exec.Command(binary, "-config", path)
 	cmd.Env = append(os.Environ(), execVariable+"=1")
 	cmd.Stdout, cmd.Stderr = log, log
 	c.check(cmd.Start())
@@ -272,6 +287,9 @@
 // Exited is closed when the process has ended.
 func (e *Entry) Exited() <-chan struct{} { return e.exited }
 
+// PID returns the process id of the latest process of an entry host.
+func (e *Entry) PID() int { return e.cmd.Process.Pid }
+
 // ExitCode returns the exit code of an ended process; -1 if a signal ended it.
 func (e *Entry) ExitCode() int { return e.cmd.ProcessState.ExitCode() }
 
--- a/test/cluster/network.go
+++ b/test/cluster/network.go
@@ -4,9 +4,11 @@
 package cluster
 
 import (
+	"io"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarcourse.example/core/structs"
@@ -32,6 +34,7 @@
 	places  map[string]Place // of host ids, "store" and "hostlist"
 	fronts  map[string]*front
 	proxies map[Link]*faultproxy.Proxy
+	traffic map[Link]*counters
 	cut     func(from, to string) bool
 	delay   func(from, to Place) time.Duration
 }
@@ -42,6 +45,7 @@
 		places:  map[string]Place{},
 		fronts:  map[string]*front{},
 		proxies: map[Link]*faultproxy.Proxy{},
+		traffic: map[Link]*counters{},
 		cut:     func(string, string) bool { return false },
 		delay:   delay,
 	}
@@ -112,7 +116,7 @@
 func (f *front) splice(caller *net.TCPConn) {
 	defer caller.Close()
 	source := caller.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
-	proxy, err := f.net.proxy(source, f)
+	proxy, traffic, err := f.net.proxy(source, f)
 	if err != nil {
 		return
 	}
@@ -123,15 +127,15 @@
 	target := conn.(*net.TCPConn)
 	defer target.Close()
 	done := make(chan struct{}, 2)
-	go pipe(target, caller, done)
-	go pipe(caller, target, done)
+	go pipe(target, caller, &traffic.toTarget, done)
+	go pipe(caller, target, &traffic.toCaller, done)
 	<-done
 	<-done
 }
 
-// pipe copies one direction and passes on its end, including an abort.
-func pipe(to, from *net.TCPConn, done chan<- struct{}) {
-	if _, err := to.ReadFrom(from); err != nil {
+// pipe copies one direction, counts its bytes and passes on its end, including an abort.
+func pipe(to, from *net.TCPConn, bytes *atomic.Int64, done chan<- struct{}) {
+	if _, err := io.Copy(countingWriter{to, bytes}, from); err != nil {
 		_ = to.SetLinger(0)
 		_ = to.Close()
 		_ = from.Close()
@@ -141,21 +145,21 @@
 	done <- struct{}{}
 }
 
-// proxy returns the proxy of the link from source to f and creates it on first use.
-func (n *network) proxy(source netip.Addr, f *front) (*faultproxy.Proxy, error) {
+// proxy returns the proxy and the counters of the link from source to f and creates them on first use.
+func (n *network) proxy(source netip.Addr, f *front) (*faultproxy.Proxy, *counters, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	link := Link{From: n.sources[source], To: f.name}
 	if p, ok := n.proxies[link]; ok {
-		return p, nil
+		return p, n.traffic[link], nil
 	}
 	p, err := faultproxy.Listen(f.target)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	n.proxies[link] = p
+	n.proxies[link], n.traffic[link] = p, &counters{}
 	n.apply(link, p)
-	return p, nil
+	return p, n.traffic[link], nil
 }
 
 // apply sets the delay and the cut state of a link. Called with mu held.
--- /dev/null
+++ b/test/cluster/traffic.go
@@ -0,0 +1,57 @@
+package cluster
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"fulmarcourse.example/fulmarcourse/test/faultproxy"
+)
+
+// Traffic is what a link has carried so far, in bytes of TCP payload.
+type Traffic struct {
+	ToTarget int64
+	ToCaller int64
+}
+
+// counters count the traffic of one link.
+type counters struct {
+	toTarget, toCaller atomic.Int64
+}
+
+// countingWriter adds the bytes that it passes on to a counter.
+type countingWriter struct {
+	io.Writer
+	bytes *atomic.Int64
+}
+
+// Write implements io.Writer.
+func (w countingWriter) Write(b []byte) (int, error) {
+	n, err := w.Writer.Write(b)
+	w.bytes.Add(int64(n))
+	return n, err
+}
+
+// Traffic returns the traffic of all links that were used. Backends without proxies are not among them.
+func (c *Cluster) Traffic() map[Link]Traffic {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	all := make(map[Link]Traffic, len(c.net.traffic))
+	for link, count := range c.net.traffic {
+		all[link] = Traffic{ToTarget: count.toTarget.Load(), ToCaller: count.toCaller.Load()}
+	}
+	return all
+}
+
+// SlowLinks delays the links for which slow returns true by delay, one way, instead of the usual delay. Names are as
+// for CutLinks.
+func (c *Cluster) SlowLinks(delay time.Duration, slow func(from, to string) bool) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	for link, proxy := range c.net.proxies {
+		if slow(string(link.From), link.To) {
+			proxy.SetDelay(faultproxy.ToTarget, delay, delay/4)
+			proxy.SetDelay(faultproxy.ToCaller, delay, delay/4)
+		}
+	}
+}
