Read the host list conditionally and sort it into shards once per change

Every entry host read and decoded the whole host list each second, and each shard loop hashed all hosts in each of its 20 cycles per second. The client now sends the entity tag of the list that it has (RFC 9110, If-None-Match), the stand-in answers 304, and the host table keeps the hosts of each shard.

Servers without entity tags work as before.

--- a/pkg/hostlist/client.go
+++ b/pkg/hostlist/client.go
@@ -1,4 +1,6 @@
-// Package hostlist is the client of the platform's list of live and leaving hosts. The list lags behind.
+// Package hostlist is the client of the platform's list of live and leaving hosts. The list lags behind. Reads are
+// conditional (RFC 9110, If-None-Match), so that an unchanged list is neither sent nor decoded again when the server
+// gives it an entity tag.
 package hostlist
 
 import (
@@ -43,7 +45,7 @@
 	Log      *eventlog.Logger // reports when the list is lost and recovered; nothing is logged when nil
 }
 
-// Client reads the host list.
+// Client reads the host list. It is safe for concurrent use.
 type Client struct {
 	url     string
 	timeout time.Duration
@@ -52,6 +54,13 @@
 	log     *eventlog.Logger
 	tracer  trace.Tracer
 	lost    atomic.Bool // the latest call failed
+	latest  atomic.Pointer[tagged]
+}
+
+// tagged is a list with the entity tag that the server gave it.
+type tagged struct {
+	tag   string
+	hosts []structs.Host
 }
 
 // NewClient returns a client of the host list at cfg.Endpoint.
@@ -75,7 +84,8 @@
 	}
 }
 
-// Hosts returns all hosts of the list. Errors match ErrUnavailable.
+// Hosts returns all hosts of the list. The caller must not change them: while the list is unchanged, each call may
+// return the same slice. Errors match ErrUnavailable.
 func (c *Client) Hosts(ctx context.Context) ([]structs.Host, error) {
 	ctx, span := c.tracer.Start(ctx, "hostlist.hosts")
 	defer span.End()
@@ -106,10 +116,31 @@
 func (c *Client) read(ctx context.Context) ([]structs.Host, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	resp, err := c.http.Get(ctx, c.url)
+	known := c.latest.Load()
+	var header http.Header
+	if known != nil {
+		header = http.Header{"If-None-Match": {known.tag}}
+	}
+	resp, err := c.http.GetWith(ctx, c.url, header)
+	if err != nil {
+		return nil, err
+	}
+	if known != nil && resp.Status == http.StatusNotModified {
+		return known.hosts, nil
+	}
+	hosts, err := decode(resp)
 	if err != nil {
 		return nil, err
 	}
+	if tag := resp.Header.Get("ETag"); tag != "" {
+		c.latest.Store(&tagged{tag, hosts})
+	} else {
+		c.latest.Store(nil)
+	}
+	return hosts, nil
+}
+
+func decode(resp httpsend.Response) ([]structs.Host, error) {
 	if resp.Status != http.StatusOK {
 		return nil, errors.Errorf("status %d", resp.Status)
 	}
--- a/pkg/hostlist/client_test.go
+++ b/pkg/hostlist/client_test.go
@@ -84,3 +84,46 @@
 		t.Errorf("logged %d losses and %d recoveries, want 1 of each: %s", lost, recovered, out.String())
 	}
 }
+
+// Guards against a changed list that is not noticed because of its tag, and against an unchanged list that is sent
+// again at every poll, as well as a 304 from a server that was sent no tag being taken for a list.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	list := standin.NewHostList(standin.HostListConfig{})
+	var statuses []int
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		list.ServeHTTP(recorder, r)
+		statuses = append(statuses, recorder.Code)
+		w.Header().Set("ETag", recorder.Header().Get("ETag"))
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	t.Cleanup(server.Close)
+	client := hostlist.NewClient(hostlist.Config{Endpoint: server.URL})
+	steps := []struct {
+		change func()
+		hosts  int
+		status int
+	}{
+		{func() { list.Put(structs.Host{ID: "a"}) }, 1, http.StatusOK},
+		{func() {}, 1, http.StatusNotModified},
+		{func() { list.Put(structs.Host{ID: "b"}) }, 2, http.StatusOK},
+		{func() { list.Remove("a") }, 1, http.StatusOK},
+		{func() {}, 1, http.StatusNotModified},
+	}
+	for i, step := range steps {
+		step.change()
+		hosts, err := client.Hosts(t.Context())
+		if err != nil || len(hosts) != step.hosts || statuses[i] != step.status {
+			t.Errorf("step %d: %d hosts, status %d, error %v, want %d hosts, status %d",
+				i, len(hosts), statuses[i], err, step.hosts, step.status)
+		}
+	}
+	always := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNotModified)
+	}))
+	t.Cleanup(always.Close)
+	if _, err := hostlist.NewClient(hostlist.Config{Endpoint: always.URL}).Hosts(t.Context()); err == nil {
+		t.Error("304 without a known list is not an error")
+	}
+}
--- a/pkg/httpsend/client.go
+++ b/pkg/httpsend/client.go
@@ -97,7 +97,12 @@
 
 // Get reads url. The error matches ErrNotSent when nothing was written.
 func (c *Client) Get(ctx context.Context, url string) (Response, error) {
-	return c.send(ctx, http.MethodGet, url, nil, nil)
+	return c.GetWith(ctx, url, nil)
+}
+
+// GetWith is Get with request headers.
+func (c *Client) GetWith(ctx context.Context, url string, header http.Header) (Response, error) {
+	return c.send(ctx, http.MethodGet, url, header, nil)
 }
 
 // CloseIdle closes the connections that carry no request.
--- a/pkg/node/hosts.go
+++ b/pkg/node/hosts.go
@@ -23,8 +23,15 @@
 	source hostSource
 	shards int // shards per data centre
 
-	mu    sync.Mutex
-	hosts []structs.Host
+	mu      sync.Mutex
+	hosts   []structs.Host
+	byShard map[shardRole][]structs.Host // hosts with a shard; replaced with hosts
+}
+
+// shardRole is a key of hostTable.byShard.
+type shardRole struct {
+	shard structs.ShardID
+	role  structs.HostRole
 }
 
 func newHostTable(source hostSource, shards int) *hostTable {
@@ -52,12 +59,29 @@
 	if err != nil {
 		return err
 	}
+	if h.same(hosts) {
+		return nil
+	}
+	byShard := map[shardRole][]structs.Host{}
+	for _, host := range hosts {
+		if host.Role == structs.RoleEntry {
+			continue
+		}
+		key := shardRole{shardOf(host, h.shards), host.Role}
+		byShard[key] = append(byShard[key], host)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.hosts = hosts
+	h.hosts, h.byShard = hosts, byShard
 	return nil
 }
 
+// same reports whether hosts is the very list that is in use, as a source may return it while nothing changes.
+func (h *hostTable) same(hosts []structs.Host) bool {
+	known := h.all()
+	return len(hosts) > 0 && len(hosts) == len(known) && &hosts[0] == &known[0]
+}
+
 // all returns the latest list. The caller must not change it.
 func (h *hostTable) all() []structs.Host {
 	h.mu.Lock()
@@ -65,15 +89,12 @@
 	return h.hosts
 }
 
-// inShard returns the hosts of one role that belong to a shard.
+// inShard returns the hosts of one role that belong to a shard. The shard loops call it in each of their cycles, so the
+// hosts are sorted into shards once per change of the list. The caller must not change the result.
 func (h *hostTable) inShard(role structs.HostRole, shard structs.ShardID) []structs.Host {
-	var hosts []structs.Host
-	for _, host := range h.all() {
-		if host.Role == role && shardOf(host, h.shards) == shard {
-			hosts = append(hosts, host)
-		}
-	}
-	return hosts
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.byShard[shardRole{shard, role}]
 }
 
 // entryAddresses returns the peer addresses of all listed entry hosts.
--- a/pkg/standin/hostlist.go
+++ b/pkg/standin/hostlist.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -28,6 +29,7 @@
 	lag     time.Duration
 	down    bool
 	visible map[structs.HostID]structs.Host
+	version int          // of visible; counts its changes
 	pending []hostChange // in order of time
 }
 
@@ -122,6 +124,7 @@
 
 // apply is called with l.mu held.
 func (l *HostList) apply(change hostChange) {
+	l.version++
 	if change.removed {
 		delete(l.visible, change.host.ID)
 		return
@@ -129,12 +132,12 @@
 	l.visible[change.host.ID] = change.host
 }
 
-// hosts returns the visible hosts by id, or false while the list is down.
-func (l *HostList) hosts() ([]structs.Host, bool) {
+// hosts returns the visible hosts by id and their version, or false while the list is down.
+func (l *HostList) hosts() ([]structs.Host, int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return nil, false
+		return nil, 0, false
 	}
 	now := l.clock()
 	for len(l.pending) > 0 && !now.Before(l.pending[0].at) {
@@ -146,13 +149,20 @@
 		hosts = append(hosts, host)
 	}
 	slices.SortFunc(hosts, func(a, b structs.Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return hosts, true
+	return hosts, l.version, true
 }
 
-func (l *HostList) serve(w http.ResponseWriter, _ *http.Request) {
-	hosts, ok := l.hosts()
+// serve answers with the list, or with 304 to a caller that has its present version.
+func (l *HostList) serve(w http.ResponseWriter, r *http.Request) {
+	hosts, version, ok := l.hosts()
 	if !ok {
 		abort()
 	}
+	tag := fmt.Sprintf(`"%d"`, version)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, http.StatusOK, hostlist.List{Hosts: hosts})
 }
--- a/test/measure/measure_test.go
+++ b/test/measure/measure_test.go
@@ -110,7 +110,9 @@
 	for range *repeats {
 		for _, n := range sizes {
 			for _, v := range variants {
-				points = append(points, Point{Variant: label(v), Size: float64(n), Sample: measureOne(t, n, v, build, load)})
+				if sample, ran := measureOne(t, n, v, build, load); ran {
+					points = append(points, Point{Variant: label(v), Size: float64(n), Sample: sample})
+				}
 			}
 		}
 	}
@@ -125,11 +127,11 @@
 	return "before"
 }
 
+// measureOne measures one cluster; ran is false when -test.run leaves it out.
 func measureOne(
 	t *testing.T, n int, binary string, build func(int) cluster.Config, load func(*cluster.Cluster, int) func(),
-) Sample {
+) (sample Sample, ran bool) {
 	t.Helper()
-	var sample Sample
 	t.Run(fmt.Sprintf("%d%s", n, label(binary)), func(t *testing.T) {
 		cfg := build(n)
 		cfg.Binary = binary
@@ -140,8 +142,9 @@
 		if sample, err = Window(c, during); err != nil {
 			t.Fatal(err)
 		}
+		ran = true
 	})
-	return sample
+	return sample, ran
 }
 
 // idle is a load of nothing.
