Use fixed flow control windows between entry hosts

Heartbeats are most of the idle cost between entry hosts. With dynamic windows grpc-go estimates the bandwidth of a connection and sends a ping and a window update for each message on a quiet connection. Fixed windows switch that off.

Longer heartbeat intervals were ruled out: failure detection and permits depend on them.

--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -109,6 +109,8 @@
 		grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(traced()))),
 		// The request path decides on retries; a transparent retry could run a request twice.
 		grpc.WithDisableRetry(),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(connectionWindow),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
 			Time: PingInterval, Timeout: PingTimeout, PermitWithoutStream: true,
 		}),
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -28,6 +28,14 @@
 // MaxMessageBytes is the largest message: control state is relayed in messages of several store values of 1 MB.
 const MaxMessageBytes = 16 << 20
 
+// Flow control windows, in bytes. A fixed size switches off the bandwidth estimate of grpc-go, which sends a ping and
+// a window update for every message on a quiet connection. Both sizes are far above a heartbeat or a request; larger
+// messages of control state wait for window updates.
+const (
+	streamWindow     = 1 << 20
+	connectionWindow = 4 << 20
+)
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	// Register adds the services, for example with peerpb.RegisterMembershipServer.
@@ -48,6 +56,8 @@
 			MinTime: minPingInterval, PermitWithoutStream: true,
 		}),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.StaticStreamWindowSize(streamWindow),
+		grpc.StaticConnWindowSize(connectionWindow),
 	)
 	if cfg.Register != nil {
 		cfg.Register(server)
