--- /dev/null
+++ b/pkg/ownership/service_test.go
@@ -0,0 +1,191 @@
+package ownership
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/membership"
+	"fulmarcourse.example/core/ownership"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/store"
+)
+
+// Guards against claims that are not backed by a record whose create revision is the epoch.
+func TestClaimMakesTheRecordsOfTheEpoch(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.pair()
+	epoch, until, err := a.ValidUntil(shard0)
+	record, last := c.store.entries[keys1.shard(shard0)], c.store.entries[keys1.lastOwner(shard0)]
+	if err != nil || record.CreateRevision != int64(epoch) || last.ModRevision != int64(epoch) || record.Lease == 0 || last.Lease != 0 {
+		t.Fatalf("epoch %d, err %v, record %+v, last owner %+v", epoch, err, record, last)
+	}
+	if want := c.clock().Add(3300 * time.Millisecond); !until.Equal(want) {
+		t.Fatalf("valid until %v, want %v", until, want)
+	}
+	if _, err := b.Valid(shard0); !errors.Is(err, ownership.ErrNotOwner) {
+		t.Fatalf("other host: %v", err)
+	}
+	a.requireEvents("acquired d1/0")
+	b.requireEvents()
+}
+
+// Guards against a paused owner that acts on its old ownership after it resumes, and against lost takeovers.
+func TestPausedOwnerFindsItselfExpired(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.pair()
+	old, _ := a.Valid(shard0)
+	a.paused = true
+	c.run(10 * time.Second)
+	if epoch, err := b.Valid(shard0); err != nil || epoch <= old {
+		t.Fatalf("successor has epoch %d after %d, err %v", epoch, old, err)
+	}
+	if _, err := a.Valid(shard0); !errors.Is(err, ownership.ErrExpired) {
+		t.Fatalf("paused owner: %v", err)
+	}
+	a.paused = false
+	c.run(3 * time.Second)
+	a.requireEvents("acquired d1/0", "lost d1/0")
+	if !b.owns() {
+		t.Fatal("the successor lost the shard when the former owner resumed")
+	}
+}
+
+// Guards against the end of service in a store outage, against ownership without promises, and against an owner
+// that waits for seconds after the outage because the other member is preferred.
+func TestStoreOutage(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		c := newCluster(t)
+		preferred := membership.Preferred(shard0, []structs.HostID{"a", "b"})
+		owner := c.start(map[structs.HostID]structs.HostID{"a": "b", "b": "a"}[preferred])
+		c.run(5 * time.Second)
+		other := c.start(preferred)
+		c.run(5 * time.Second)
+		owner.link.down, other.link.down, other.silent = true, true, silent
+		c.run(30 * time.Second)
+		if owner.owns() == silent {
+			t.Fatalf("other member silent %v: owner is valid %v", silent, owner.owns())
+		}
+		owner.link.down, other.link.down, other.silent = false, false, false
+		c.run(2 * time.Second)
+		if !owner.owns() {
+			t.Fatalf("other member silent %v: the owner did not take its shard back within 2 s", silent)
+		}
+	}
+}
+
+// Guards against an owner that goes on under promises after the store said that its lease is gone.
+func TestLeaseNotFoundEndsOwnershipAtOnce(t *testing.T) {
+	c := newCluster(t)
+	a, _ := c.pair()
+	old, _ := a.Valid(shard0)
+	lease, _ := a.book.lease()
+	if err := a.link.RevokeLease(context.Background(), store.LeaseID(lease)); err != nil {
+		t.Fatal(err)
+	}
+	a.Renew(context.Background())
+	a.tasks.Wait()
+	if _, err := a.Valid(shard0); !errors.Is(err, ownership.ErrNotOwner) {
+		t.Fatalf("after lease not found: %v", err)
+	}
+	a.requireEvents("acquired d1/0", "lost d1/0")
+	c.run(2 * time.Second)
+	if epoch, err := a.Valid(shard0); err != nil || epoch <= old {
+		t.Fatalf("claimed again with epoch %d after %d, err %v", epoch, old, err)
+	}
+}
+
+// Guards against claims that are lost, doubled or taken for granted when the answer of their write is lost.
+func TestUncertainClaimIsSettledByItsNonce(t *testing.T) {
+	for name, faults := range map[string][]fault{
+		"answer lost":             {lostAnswer},
+		"request lost":            {lostRequest},
+		"request, then answer":    {lostRequest, lostAnswer},
+		"not sent":                {unavailable},
+		"lost, then not sent":     {lostRequest, unavailable},
+		"answer lost, then again": {lostAnswer, lostAnswer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t)
+			a := c.start("a")
+			c.run(time.Second)
+			a.link.txns = faults
+			a.Reconcile(context.Background())
+			c.run(5 * time.Second)
+			epoch, err := a.Valid(shard0)
+			if record := c.store.entries[keys1.shard(shard0)]; err != nil || record.CreateRevision != int64(epoch) {
+				t.Fatalf("epoch %d, err %v, record %+v", epoch, err, record)
+			}
+			a.requireEvents("acquired d1/0")
+		})
+	}
+}
+
+// Guards against a restarted host that waits for its own former process, or keeps its epoch.
+func TestRestartWithANewIncarnation(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a")
+	c.run(5 * time.Second)
+	old, _ := a.Valid(shard0)
+	c.stop(a)
+	again := c.start("a")
+	c.run(7 * time.Second)
+	if epoch, err := again.Valid(shard0); err != nil || epoch <= old {
+		t.Fatalf("epoch %d after %d, err %v", epoch, old, err)
+	}
+	if again.book.registration() == 0 {
+		t.Fatal("the new process is not registered")
+	}
+	// The former process, had it only been paused, must not take the registration back.
+	a.dropMemberLease(a.member.lease)
+	a.Register(context.Background())
+	if a.book.MayClaim() {
+		t.Fatal("an older incarnation took the registration")
+	}
+}
+
+// Guards against a new host that takes the shard of a sole host that is cut off, and against one that never does
+// although the former owner is proved dead.
+func TestNewHostNeedsProofThatTheSoleOwnerIsDead(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a")
+	c.run(5 * time.Second)
+	a.link.down = true
+	a.silent = true
+	b := c.start("b")
+	c.run(time.Hour)
+	if !a.owns() || b.owns() {
+		t.Fatalf("after an hour: old host owns %v, new host owns %v", a.owns(), b.owns())
+	}
+	if got := b.FormerAddresses(); !slices.Equal(got, []string{"addr-a"}) {
+		t.Fatalf("addresses of former owners %v", got)
+	}
+	c.stop(a)
+	b.refuses = true
+	c.run(2 * time.Second)
+	if !b.owns() {
+		t.Fatal("not claimed within 2 s of refused connections")
+	}
+}
+
+// Guards against a registration that lapsed and is still relied on for claims.
+func TestLapsedRegistrationIsRenewed(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a")
+	c.run(5 * time.Second)
+	old := a.book.registration()
+	a.link.down = true
+	c.run(MemberLeaseTTL + time.Second)
+	a.link.down = false
+	a.Register(context.Background())
+	if a.book.MayClaim() {
+		t.Fatal("may claim without a registration")
+	}
+	c.run(2 * time.Second)
+	if now := a.book.registration(); now <= old {
+		t.Fatalf("registration %d after %d", now, old)
+	}
+}
--- a/pkg/slots/pool.go
+++ b/pkg/slots/pool.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -137,10 +138,23 @@
 		digest.Slots[name] = totals.Slots
 		digest.FreeSlots[name] = totals.Free
 		digest.Queued[name] = s.admission.Queued()
+		p.metrics.counts(name, totals, digest.Queued[name])
 	}
 	return digest
 }
 
+// Slowdowns returns, per runner of the shard, its smoothed service time relative to the usual one of the service.
+func (p *Pool) Slowdowns() map[structs.HostID]float64 {
+	now := p.cfg.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slowdowns := map[structs.HostID]float64{}
+	for _, s := range p.services {
+		maps.Copy(slowdowns, s.admission.Slowdowns(now))
+	}
+	return slowdowns
+}
+
 // Close takes no new requests and waits until the queued requests and those on runners have ended, including
 // slots held for unknown outcomes. When ctx ends first, queued requests are rejected as not-run and ErrForced is
 // returned; attempts on runners still end with their own answers.
@@ -200,10 +214,9 @@
 	delete(s.waiting, item)
 }
 
-// Wake lets time-dependent decisions take place: it releases held slots whose bound has passed, rejects requests
-// that can no longer meet their deadline and grants slots. A timer calls it; tests call it after they moved
-// their clock.
-func (p *Pool) Wake() {
+// wake lets time-dependent decisions take place: it releases held slots whose bound has passed, rejects requests
+// that can no longer meet their deadline and grants slots. A timer calls it.
+func (p *Pool) wake() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.advanceLocked()
@@ -239,7 +252,7 @@
 	}
 	wait := next.Sub(now)
 	if p.timer == nil {
-		p.timer = time.AfterFunc(wait, p.Wake)
+		p.timer = time.AfterFunc(wait, p.wake)
 		return
 	}
 	p.timer.Reset(wait)
