Count promises from the receipt of the answer and keep every gap

Holder now keeps one moment before which some member may have claimed, instead of a span per member, and the receipt of an answer decides whether promises are continuous. By the same reasoning a claim whose answer arrives after the lease lapsed, and a first registry read after that, no longer count; these two were found by review and have cases in holder_test.go.

--- a/core/ownership/doc.go
+++ b/core/ownership/doc.go
@@ -10,9 +10,10 @@
 //     for Distributed File Cache Consistency", 1989).
 //   - Promises: every other registered member of the data centre has promised not to claim, the promises have
 //     covered the whole time since the lease lapsed, and ExtensionLimit has not passed since the last renewal.
-//     A promise counts from the send time of the heartbeat that it answered. A gap in one promise ends the
-//     ownership for good, because that member may have claimed in the gap. A member that leaves or dies is no
-//     longer needed, but its promises must have lasted until then: it may have claimed before it left.
+//     A promise ends PromiseTTL after the send time of the heartbeat that it answered, and begins with the receipt
+//     of the answer. A gap in one promise ends the ownership for good, because that member may have claimed in
+//     the gap. A member that leaves or dies is no longer needed, but its promises must have lasted until then:
+//     it may have claimed before it left.
 //
 // A renewal that the store answers with "lease not found" ends the ownership at once.
 //
--- a/core/ownership/holder.go
+++ b/core/ownership/holder.go
@@ -37,20 +37,10 @@
 // witness is a member whose promises this process needs when the store cannot be reached.
 type witness struct {
 	incarnation string
-	from, until time.Time // promises have covered this span without a gap; zero if none was received
-	since       time.Time // promises are needed from this moment on; zero means always
+	until       time.Time // end of the latest promise; zero if none was received
 	heardAt     time.Time // receipt of the latest promise
 }
 
-// covers reports whether the promises have covered the time from leaseUntil to now.
-func (w *witness) covers(leaseUntil, now time.Time) bool {
-	start := leaseUntil
-	if w.since.After(start) {
-		start = w.since
-	}
-	return !w.from.IsZero() && !w.from.After(start) && now.Before(w.until)
-}
-
 type holding struct {
 	epoch structs.Epoch
 	lease LeaseID
@@ -66,7 +56,7 @@
 	granted   time.Duration
 	registry  int64 // store revision of the last registry read
 	witnesses map[structs.HostID]*witness
-	gapUntil  time.Time // a member that is no longer needed may have claimed before this moment
+	gapUntil  time.Time // a member may have claimed, and even released, at some moment before this one
 	dead      deadSet
 	shards    map[structs.ShardID]holding
 }
@@ -112,9 +102,12 @@
 // LastRenewal returns the send time of the last successful renewal, zero if there is none.
 func (h *Holder) LastRenewal() time.Time { return h.renewedAt }
 
-// Acquired records a successful claim under lease. epoch is the create revision of the owner record.
-func (h *Holder) Acquired(shard structs.ShardID, epoch structs.Epoch, lease LeaseID) {
+// Acquired records at `now` a successful claim under lease. epoch is the create revision of the owner record.
+// Promises count only if the lease was still valid at `now`: the record may have lapsed while the answer of the
+// claim was under way.
+func (h *Holder) Acquired(shard structs.ShardID, epoch structs.Epoch, lease LeaseID, now time.Time) {
 	h.shards[shard] = holding{epoch: epoch, lease: lease}
+	h.gapBefore(now)
 }
 
 // Released ends the ownership of shard. The record may still exist.
@@ -136,24 +129,21 @@
 	if p.From.Host == h.self || p.TTL <= 0 || h.dead.has(p.From) {
 		return
 	}
-	until := p.SentAt.Add(shorten(min(p.TTL, h.limits.PromiseTTL)))
 	w, known := h.witnesses[p.From.Host]
-	if known && w.incarnation != p.From.Incarnation && membership.Newer(w.incarnation, p.From.Incarnation) {
-		return // late answer of an earlier process
-	}
 	if known && w.incarnation != p.From.Incarnation {
-		h.drop(p.From.Host, p.ReceivedAt)
-	}
-	if !known || w.incarnation != p.From.Incarnation {
-		h.witnesses[p.From.Host] = &witness{
-			incarnation: p.From.Incarnation, from: p.SentAt, until: until, since: p.SentAt, heardAt: p.ReceivedAt,
+		if membership.Newer(w.incarnation, p.From.Incarnation) {
+			return // late answer of an earlier process
 		}
-		return
+		h.drop(p.From.Host, p.ReceivedAt)
+		known = false
 	}
-	if p.SentAt.After(w.until) {
-		w.from = p.SentAt // a gap: the member may have claimed in it
+	if !known {
+		w = &witness{incarnation: p.From.Incarnation}
+		h.witnesses[p.From.Host] = w
+	} else {
+		h.notePromise(w, p.ReceivedAt)
 	}
-	if until.After(w.until) {
+	if until := p.SentAt.Add(shorten(min(p.TTL, h.limits.PromiseTTL))); until.After(w.until) {
 		w.until = until
 	}
 	if p.ReceivedAt.After(w.heardAt) {
@@ -161,12 +151,32 @@
 	}
 }
 
+// notePromise records a gap if the promises of a witness did not last until `at`. The receipt of a promise counts,
+// not the send time of its heartbeat: the promise may have been given at any moment between.
+func (h *Holder) notePromise(w *witness, at time.Time) {
+	if at.After(w.until) {
+		h.gapBefore(at)
+	}
+}
+
+// gapBefore records that a member may have claimed before `at`.
+func (h *Holder) gapBefore(at time.Time) {
+	if at.After(h.gapUntil) {
+		h.gapUntil = at
+	}
+}
+
 // SetRegistry records a read of the member registry, sent at sentAt and answered at receivedAt. members are those
 // of this data centre.
 func (h *Holder) SetRegistry(revision int64, sentAt, receivedAt time.Time, members []RegisteredMember) {
 	if revision < h.registry {
 		return
 	}
+	for _, held := range h.shards {
+		if int64(held.epoch) > h.registry && int64(held.epoch) <= revision {
+			h.gapBefore(receivedAt) // until now, members that are not known here may have claimed
+		}
+	}
 	h.registry = revision
 	listed := make(map[structs.HostID]bool, len(members))
 	for _, m := range members {
@@ -201,12 +211,9 @@
 	h.MemberLeft(p, at)
 }
 
-// drop ends the need for promises of a member that cannot have claimed after `at`. If its promises did not last
-// until then, it may have claimed, and even released, in between.
+// drop ends the need for promises of a member that cannot have claimed after `at`.
 func (h *Holder) drop(host structs.HostID, at time.Time) {
-	if w := h.witnesses[host]; at.After(w.until) && at.After(h.gapUntil) {
-		h.gapUntil = at
-	}
+	h.notePromise(h.witnesses[host], at)
 	delete(h.witnesses, host)
 }
 
@@ -249,9 +256,6 @@
 	}
 	until := h.renewedAt.Add(shorten(h.limits.ExtensionLimit))
 	for _, w := range h.witnesses {
-		if !w.covers(leaseUntil, now) {
-			return time.Time{}, false
-		}
 		if w.until.Before(until) {
 			until = w.until
 		}
--- a/core/ownership/holder_test.go
+++ b/core/ownership/holder_test.go
@@ -23,11 +23,11 @@
 }
 
 // owner returns a holder that claimed at revision 5 and renewed its lease at 0 s, so that the lease holds until
-// 3.3 s, and that needs promises of peerOld. Promises cover 0 s to 5.97 s.
+// 3.3 s, and that needs promises of peerOld. Promises cover 0.1 to 5.97 s.
 func owner() *Holder {
 	h := NewHolder("a", DefaultLimits())
 	h.Renewed(1, at(0), 4*time.Second)
-	h.Acquired(simShard, 5, 1)
+	h.Acquired(simShard, 5, 1, at(0))
 	h.SetRegistry(6, at(0), at(0), []RegisteredMember{{Process: peerOld}})
 	h.RecordPromise(promise(peerOld, 0))
 	h.RecordPromise(promise(peerOld, 3))
@@ -46,9 +46,18 @@
 		{"promises cover the time", func(h *Holder) {}, 5, nil},
 		{"the promise expires before the promising member's clock can pass 3 s", func(h *Holder) {}, 5.98, ErrExpired},
 		{"a promise after a gap does not help", func(h *Holder) { h.RecordPromise(promise(peerOld, 7)) }, 8, ErrExpired},
+		// Found by the simulation: the heartbeat was under way while the member claimed, and was answered afterwards.
+		{"a promise that may have been given after a gap does not help", func(h *Holder) {
+			h.RecordPromise(Promise{From: peerOld, SentAt: at(5), ReceivedAt: at(6.5), TTL: 3 * time.Second})
+		}, 7, ErrExpired},
 		{"a member that left within its promise is not needed", func(h *Holder) { h.MemberLeft(peerOld, at(5)) }, 20, nil},
 		// Found by the simulation: the member claimed in the gap, released the shard and left.
 		{"a member that left after a gap may have claimed", func(h *Holder) { h.MemberLeft(peerOld, at(7)) }, 8, ErrExpired},
+		// Found by the simulation: the member claimed in the gap, promised again, released the shard and left.
+		{"a gap stays when the member promises again and leaves", func(h *Holder) {
+			h.RecordPromise(promise(peerOld, 7))
+			h.MemberLeft(peerOld, at(8))
+		}, 9, ErrExpired},
 		{"a member that died within its promise is not needed", func(h *Holder) { h.MemberDied(peerOld, at(5)) }, 20, nil},
 		{"a member that died after a gap may have claimed", func(h *Holder) { h.MemberDied(peerOld, at(7)) }, 8, ErrExpired},
 		{"a restart after a gap may follow a claim", func(h *Holder) { h.RecordPromise(promise(peerNew, 7)) }, 8, ErrExpired},
@@ -61,7 +70,12 @@
 		{"a member that registered is needed", func(h *Holder) {
 			h.SetRegistry(7, at(1), at(1), []RegisteredMember{{Process: peerOld}, {Process: membership.Process{Host: "c"}}})
 		}, 5, ErrExpired},
-		{"a registry read from before the claim proves nothing", func(h *Holder) { h.Acquired(simShard, 9, 1) }, 5, ErrExpired},
+		{"a registry read from before the claim proves nothing", func(h *Holder) { h.Acquired(simShard, 9, 1, at(1)) }, 5, ErrExpired},
+		{"a registry read after the lease lapsed is too late", func(h *Holder) {
+			h.Acquired(simShard, 9, 1, at(1))
+			h.SetRegistry(9, at(4), at(4), []RegisteredMember{{Process: peerOld}})
+		}, 5, ErrExpired},
+		{"a claim whose answer came after the lease lapsed", func(h *Holder) { h.Acquired(simShard, 6, 1, at(4)) }, 5, ErrExpired},
 		{"lease not found ends ownership whatever the promises say", func(h *Holder) { h.LeaseLost(1) }, 1, ErrNotOwner},
 		{"a lost older lease changes nothing", func(h *Holder) { h.LeaseLost(2) }, 5, nil},
 		{"a late renewal answer does not extend", func(h *Holder) {
--- a/core/ownership/simhost_test.go
+++ b/core/ownership/simhost_test.go
@@ -210,7 +210,7 @@
 	if outcome != membership.Reordered && !report.MayClaim {
 		h.holder.MemberLeft(report.Process, h.now())
 	}
-	if outcome == membership.Replaced {
+	if outcome == membership.Replaced && membership.Newer(report.Incarnation, former.Incarnation) {
 		h.holder.MemberDied(former, h.now())
 	}
 	own := h.report()
@@ -222,7 +222,7 @@
 	if outcome == membership.Stale {
 		return
 	}
-	if outcome == membership.Replaced {
+	if outcome == membership.Replaced && membership.Newer(report.Incarnation, former.Incarnation) {
 		h.holder.MemberDied(former, h.now())
 	}
 	latest, _ := h.table.Member(report.Host, h.now())
@@ -365,7 +365,7 @@
 	h.pending = nil
 	h.ledger.Resume(simShard)
 	if record.lease == h.lease {
-		h.holder.Acquired(simShard, structs.Epoch(record.revision), record.lease)
+		h.holder.Acquired(simShard, structs.Epoch(record.revision), record.lease, h.now())
 	}
 }
 
--- a/pkg/ownership/book.go
+++ b/pkg/ownership/book.go
@@ -135,7 +135,7 @@
 func (b *Book) acquired(shard structs.ShardID, epoch structs.Epoch, lease ownership.LeaseID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holder.Acquired(shard, epoch, lease)
+	b.holder.Acquired(shard, epoch, lease, b.clock())
 	b.ledger.Resume(shard)
 }
 
