--- /dev/null
+++ b/pkg/shard/drain.go
@@ -0,0 +1,183 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"fulmarcourse.example/core/drain"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+)
+
+// rehomeAfter is how long a job may wait without a running task before another shard is considered.
+const rehomeAfter = 5 * time.Second
+
+// rehomeBatch bounds the jobs that leave the shard per cycle.
+const rehomeBatch = 16
+
+// drainState follows the data centre out of service and back. Loop.mu guards it.
+type drainState struct {
+	drainer *drain.Drainer // while the data centre is out of service
+	ramp    *drain.Ramp    // for a time after it has returned
+	stepAt  time.Time      // next step of the drainer
+}
+
+// drainStep is the time between two steps of a drain.
+const drainStep = time.Second
+
+// drain stops tasks that have to leave their workers and gives jobs without attempts in progress a new home.
+// Called by the loop goroutine, no lock held.
+func (l *Loop) drain() {
+	out := l.cfg.Environment.Datacentre(l.shard.Datacentre) == structs.DatacentreOut
+	now := l.cfg.Clock()
+	l.stopLeaving(out, now)
+	for _, record := range l.movableJobs(out, now) {
+		// The choice reads the digests of all shards, including this one, so no lock may be held.
+		if home, ok := l.cfg.Homes.ChooseHome(record, l.shard); ok {
+			l.rehome(record.ID, home, now)
+		}
+	}
+}
+
+// stopLeaving stops tasks that have to leave their workers. No lock held.
+func (l *Loop) stopLeaving(out bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.followDatacentre(out, now)
+	l.leaveWorkers(now)
+}
+
+// followDatacentre drains the shard while its data centre is out of service and limits starts after its return.
+// Called with mu held.
+func (l *Loop) followDatacentre(out bool, now time.Time) {
+	d := &l.draining
+	switch {
+	case out && d.drainer == nil:
+		d.drainer, d.ramp, d.stepAt = drain.NewDrainer(drain.DefaultLimits(), now), nil, now
+		l.cfg.Log.Event(eventlog.DrainBegun).Str("shard", l.shard.String()).Msg("")
+	case !out && d.drainer != nil:
+		d.drainer, d.ramp = nil, drain.NewRamp(now)
+		l.cfg.Log.Event(eventlog.DrainEnded).Str("shard", l.shard.String()).Msg("")
+	case d.ramp != nil && d.ramp.Done(now):
+		d.ramp = nil
+	}
+	if d.drainer == nil || now.Before(d.stepAt) {
+		return
+	}
+	d.stepAt = now.Add(drainStep)
+	for _, id := range d.drainer.Step(now, l.drainTasks(nil)).Stop {
+		l.stopByID(id, now)
+	}
+}
+
+// leaveWorkers stops the tasks on workers that the host list shows as leaving, the least lost work first.
+// Called with mu held.
+func (l *Loop) leaveWorkers(now time.Time) {
+	for id, w := range l.table.workers {
+		if w.host.State != structs.HostLeaving {
+			delete(l.leaving, id)
+			continue
+		}
+		drainer, ok := l.leaving[id]
+		if !ok {
+			drainer = drain.NewDrainer(drain.DefaultLimits(), now)
+			l.leaving[id] = drainer
+		}
+		for _, task := range drainer.Step(now, l.drainTasks(w)).Stop {
+			l.stopByID(task, now)
+		}
+	}
+}
+
+// drainTasks describes the attempts in progress on one worker, or on all if w is nil. Called with mu held.
+func (l *Loop) drainTasks(only *workerEntry) []drain.Task {
+	var tasks []drain.Task
+	for _, w := range l.table.workers {
+		if only != nil && w != only {
+			continue
+		}
+		for id, c := range w.commitments {
+			j, rec := l.table.task(id)
+			if rec == nil || rec.State == structs.TaskStarting {
+				continue
+			}
+			kind, known := l.kind(j.record.Spec.Kind)
+			if !known {
+				continue
+			}
+			remaining, _ := l.planner.model.Remaining(c.kind, c.report.RanFor)
+			tasks = append(tasks, drain.Task{
+				ID:             id,
+				Checkpointable: kind.Checkpointable,
+				Idempotent:     kind.Idempotent,
+				Lost:           lostWork(kind, c),
+				Remaining:      remaining,
+				Stopping:       rec.State == structs.TaskStopping,
+			})
+		}
+	}
+	return tasks
+}
+
+// lostWork returns the work that a stop of an attempt loses: nothing with a fresh checkpoint, else all of it.
+func lostWork(kind structs.Kind, c *commitment) time.Duration {
+	if kind.Checkpointable {
+		return 0
+	}
+	return c.report.RanFor
+}
+
+// stopByID begins to stop the running attempt of a task. Called with mu held.
+func (l *Loop) stopByID(id structs.TaskID, due time.Time) {
+	if j, rec := l.table.task(id); rec != nil {
+		l.stopTask(id, j, rec, due)
+	}
+}
+
+// movableJobs returns copies of jobs without attempts in progress that should find another home. No lock held.
+func (l *Loop) movableJobs(out bool, now time.Time) []structs.JobRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var records []structs.JobRecord
+	for _, j := range l.table.jobs {
+		if !idle(&j.record) || !l.recovered(j) || (!out && !l.planner.waiting[j.record.ID]) {
+			// Tasks that pause after a failure do not wait for capacity, and would only move back and forth.
+			j.idleSince = now
+			continue
+		}
+		waited := now.Sub(j.waitingSince()) > rehomeAfter
+		if len(records) < rehomeBatch && (out || waited) && l.movable(j) {
+			record := j.record
+			record.Tasks = slices.Clone(record.Tasks)
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
+// movable reports whether a job certainly runs nowhere and may get another home. Called with mu held.
+func (l *Loop) movable(j *job) bool {
+	return j.record.Home == l.shard && !j.record.CancelRequested && idle(&j.record) && j.durable() && l.recovered(j)
+}
+
+// rehome gives a job another home. The change is durable before the new owner can see it. No lock held.
+func (l *Loop) rehome(id structs.JobID, home structs.ShardID, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j, ok := l.table.jobs[id]
+	if !ok || !l.movable(j) || (l.draining.drainer != nil && !l.draining.drainer.MayMoveJob(now)) {
+		return
+	}
+	j.record.Home = home
+	j.record.HomeSince = now
+	j.dirty = true
+	l.cfg.Log.Event(eventlog.JobRehomed).Str("job", string(id)).Str("home", home.String()).Msg("")
+}
+
+// waitingSince returns when the job began to wait in this shard without an attempt in progress.
+func (j *job) waitingSince() time.Time {
+	if j.adoptedAt.Before(j.idleSince) {
+		return j.idleSince
+	}
+	return j.adoptedAt
+}
