--- a/core/placement/plan_test.go
+++ b/core/placement/plan_test.go
@@ -22,8 +22,6 @@
 // Property tests draw the same cases on every run.
 func init() { _ = flag.Set("rapid.seed", "1") }
 
-var cpu = func(n int64) structs.Resources { return structs.Resources{MilliCPU: n} }
-
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // wildModel gives estimates that no correct model would.
