--- a/core/placement/snapshot.go
+++ b/core/placement/snapshot.go
@@ -6,9 +6,32 @@
 // separation follows the scheduler of Kubernetes (scheduler cache, assumed pods, filter and score plugins).
 //
 // Nothing here makes calls, starts goroutines, reads a clock or takes locks. The owner calls it under its own lock.
+//
+// # Planning cycle
+//
+// One cycle of the owner, with its lock held but for the start commands:
+//
+//	expired := cache.Expire(now)                // their attempts have certainly ended
+//	snapshot := cache.Snapshot(!permitted, now)
+//	RecordColocations(model.History, previous, snapshot)
+//	model.Refresh(now)
+//	plan := planner.Plan(snapshot, pending, rnd)
+//	for each placement: cache.Assume, send the start command, then cache.Confirm or cache.Forget
+//	for each task left: keep Unplaced.Held in Pending.Held for the next cycle
+//
+// A start command without an answer is neither confirmed nor forgotten. The placement stays committed until an
+// inventory reports the task or Expire releases it, so capacity is never given away twice.
+//
+// # Invariants
+//
+// No host is committed beyond its capacity in any dimension, whatever sizes were learned: the resource filter
+// checks each placement against what the plan has left, and Cache.Assume checks it again. A task has at most one
+// placement at a time, unless a worker that had not been heard of turns out to run an earlier attempt.
 package placement
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"fulmarcourse.example/core/placement/learn"
@@ -24,6 +47,14 @@
 	Leaving     bool              // the host list reports it as leaving, or no longer at all
 	Quarantined bool              // takes probe tasks only
 	Kinds       []learn.KindCount // placed tasks by kind, sorted by kind
+	Tasks       []Occupant        // placed tasks, the earliest first
+}
+
+// Occupant is a placed task as far as its capacity is concerned.
+type Occupant struct {
+	Kind     structs.KindName
+	Reserved structs.Resources
+	Since    time.Time
 }
 
 // Free returns the capacity that is not reserved. It is negative where a host reports less capacity than before.
@@ -70,6 +101,22 @@
 	Held       structs.HostID // a worker that is kept free for the task; to be passed on in Pending.Held
 }
 
+// Reason returns why the task waits, in words for operators, for example "no worker: resources 60, leaving 3".
+func (u Unplaced) Reason() string {
+	var parts []string
+	for _, r := range u.Rejections {
+		parts = append(parts, fmt.Sprintf("%s %d", r.Filter, r.Hosts))
+	}
+	text := "no worker"
+	if len(parts) > 0 {
+		text += ": " + strings.Join(parts, ", ")
+	}
+	if u.Held != "" {
+		text += fmt.Sprintf("; %s is kept free for it", u.Held)
+	}
+	return text
+}
+
 // Plan is the result of a planning cycle.
 type Plan struct {
 	Placements []Placement
