Do not start a task again, or on a leaving worker, after an unanswered start

The worker's state is checked immediately before sending now. - The stop that settles such an attempt asked for a checkpoint first and gave up when the worker refused it, because nothing ran there: the task was stuck in stopping. An attempt whose start was never confirmed is stopped without one. The worker's address was also read without the lock while the host list may replace it. Before: TestRefusedRepetitionProvesNothing starts attempt 2, TestUnansweredStartIsNotRepeatedOnLeavingWorker leaves the task in stopping. After: both pass, also with the race detector.

--- a/pkg/shard/command.go
+++ b/pkg/shard/command.go
@@ -11,7 +11,10 @@
 	"github.com/juju/errors"
 )
 
-const errEpochChanged = errors.ConstError("shard is owned under another epoch")
+const (
+	errEpochChanged  = errors.ConstError("shard is owned under another epoch")
+	errWorkerLeaving = errors.ConstError("the worker is leaving")
+)
 
 // repeatCommands sends the stop commands that are due and repeats start commands whose result is not certain.
 func (l *Loop) repeatCommands(ctx context.Context) {
@@ -59,7 +62,7 @@
 	if kind.Checkpointable {
 		if _, err := l.cfg.Workers.Checkpoint(ctx, w.host.Address, ref); err != nil {
 			l.cfg.Log.Event(eventlog.CheckpointFailed).Str("task", id.String()).Str("worker", string(w.host.ID)).Err(err).Msg("")
-			if !l.stopWithoutCheckpoint(id) {
+			if !l.stopWithoutCheckpoint(id, c) {
 				return
 			}
 		}
@@ -85,12 +88,13 @@
 	c.since = l.cfg.Clock()
 }
 
-// stopWithoutCheckpoint reports whether the task may lose its progress, because its job was cancelled.
-func (l *Loop) stopWithoutCheckpoint(id structs.TaskID) bool {
+// stopWithoutCheckpoint reports whether an attempt may be stopped although it took no checkpoint: its job was cancelled,
+// or its start was never confirmed, so that there may be nothing to save.
+func (l *Loop) stopWithoutCheckpoint(id structs.TaskID, c *commitment) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	j, _ := l.table.task(id)
-	return j == nil || j.record.CancelRequested
+	return j == nil || j.record.CancelRequested || c.settling
 }
 
 func (l *Loop) clearSending(c *commitment) {
@@ -99,12 +103,13 @@
 	c.sending = false
 }
 
-// sendStart sends a start command and applies its result. The permit and the ownership are checked immediately before
-// sending, so that neither a removed data centre nor a lost shard gets a start after a pause of this process.
+// sendStart sends a start command and applies its result. The permit, the ownership and the worker's state are checked
+// immediately before sending, so that neither a removed data centre nor a lost shard nor a leaving worker gets a start
+// after a pause of this process.
 func (l *Loop) sendStart(ctx context.Context, w *workerEntry, id structs.TaskID, c *commitment) {
-	err := l.checkStart()
+	address, command, err := l.prepareStart(w, c)
 	if err == nil {
-		err = l.cfg.Workers.Start(ctx, w.host.Address, l.leasedCommand(w, c))
+		err = l.cfg.Workers.Start(ctx, address, command)
 	} else {
 		err = notSent{err}
 	}
@@ -114,14 +119,21 @@
 	l.applyStart(w, id, c, err)
 }
 
-// leasedCommand returns the start command with a lease from the latest reading of the worker's clock.
-func (l *Loop) leasedCommand(w *workerEntry, c *commitment) structs.StartCommand {
+// prepareStart returns the address of the worker and the start command with a lease from the latest reading of the
+// worker's clock, or the reason why nothing may be sent.
+func (l *Loop) prepareStart(w *workerEntry, c *commitment) (string, structs.StartCommand, error) {
+	if err := l.checkStart(); err != nil {
+		return "", structs.StartCommand{}, err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if w.host.State == structs.HostLeaving {
+		return "", structs.StartCommand{}, errWorkerLeaving
+	}
 	w.leasedFrom = w.clockAt
 	command := c.command
 	command.LeaseFrom = w.clock
-	return command
+	return w.host.Address, command, nil
 }
 
 // notSent wraps the reason why a command was not sent.
@@ -136,26 +148,32 @@
 	return err
 }
 
+// certainlyNotRun reports whether a start command that ended with err was certainly not executed. It says nothing about
+// earlier sendings of the same command.
+func certainlyNotRun(err error) bool {
+	var unsent notSent
+	return errors.As(err, &unsent) || errors.Is(err, worker.ErrRefused) || errors.Is(err, worker.ErrStaleEpoch)
+}
+
 // applyStart takes over the result of a start command. Called with mu held.
 func (l *Loop) applyStart(w *workerEntry, id structs.TaskID, c *commitment, err error) {
 	j, rec := l.table.task(id)
 	if rec == nil || w.commitments[id] != c || rec.State != structs.TaskStarting {
 		return // an inventory or a lease expiry settled the attempt meanwhile
 	}
-	var unsent notSent
 	switch {
 	case err == nil:
 		c.settling = false
 		// An inventory requested before the answer may have been taken before the command arrived.
 		c.since = l.cfg.Clock()
 		rec.State = structs.TaskRunning
-	case errors.As(err, &unsent) && c.sentOnce:
+	case certainlyNotRun(err) && c.sentOnce:
 		// An earlier sending of the same command may have arrived or may still arrive. A confirmed stop settles it.
 		if c.stopAt.IsZero() {
 			c.stopAt = l.cfg.Clock()
 		}
 		return
-	case errors.As(err, &unsent), errors.Is(err, worker.ErrRefused), errors.Is(err, worker.ErrStaleEpoch):
+	case certainlyNotRun(err):
 		delete(w.commitments, id)
 		reconcile.Unstarted(rec, err.Error())
 		l.planner.noteRefusal(w.host.ID, l.cfg.Clock())
--- a/pkg/shard/loop_test.go
+++ b/pkg/shard/loop_test.go
@@ -34,19 +34,20 @@
 
 // world is a fake of everything that a loop uses. Its fields are guarded by mu.
 type world struct {
-	mu        sync.Mutex
-	now       time.Time
-	owner     bool
-	permit    error
-	workers   []structs.Host
-	running   map[structs.HostID]map[structs.TaskID]structs.WorkerTask
-	startErr  error
-	startTime time.Duration           // from the sending of a start command to its answer
-	silent    map[structs.HostID]bool // workers that do not answer renewals
-	starts    []structs.StartCommand
-	records   []jobs.Stored
-	afterLoad []jobs.Stored // appear after the first load
-	loop      *Loop
+	mu            sync.Mutex
+	now           time.Time
+	owner         bool
+	permit        error
+	workers       []structs.Host
+	running       map[structs.HostID]map[structs.TaskID]structs.WorkerTask
+	startErr      error
+	checkpointErr error
+	startTime     time.Duration           // from the sending of a start command to its answer
+	silent        map[structs.HostID]bool // workers that do not answer renewals
+	starts        []structs.StartCommand
+	records       []jobs.Stored
+	afterLoad     []jobs.Stored // appear after the first load
+	loop          *Loop
 }
 
 func newWorld() *world {
@@ -109,7 +110,7 @@
 }
 
 func (w *world) Checkpoint(context.Context, string, worker.AttemptRef) (string, error) {
-	return "c1", nil
+	return "c1", w.checkpointErr
 }
 
 func (w *world) Throttle(context.Context, string, worker.AttemptRef, float64) error { return nil }
