--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -24,14 +24,29 @@
 // mustGrant queues an item and takes its slot.
 func mustGrant(t *testing.T, c *Controller, now time.Time, it *Item) Grant {
 	t.Helper()
-	if verdict := c.Arrive(now, it); verdict != Queued {
-		t.Fatalf("verdict %s", verdict)
+	want(t, c.Arrive(now, it), Queued, "verdict")
+	grant, _ := c.NextGrant(now)
+	want(t, grant.Item, it, "item that got a slot")
+	return grant
+}
+
+// want ends the test unless got is what is expected.
+func want[T comparable](t testing.TB, got, expected T, what string) {
+	t.Helper()
+	if got != expected {
+		t.Fatalf("%s: got %v, want %v", what, got, expected)
 	}
+}
+
+// found returns the second result of a call.
+func found[T any](_ T, ok bool) bool { return ok }
+
+// mustGrantNext takes the slot of the next item and returns its runner.
+func mustGrantNext(t *testing.T, c *Controller, now time.Time) structs.HostID {
+	t.Helper()
 	grant, ok := c.NextGrant(now)
-	if !ok || grant.Item != it {
-		t.Fatalf("no slot for the item: %+v", c.Totals())
-	}
-	return grant
+	want(t, ok, true, "slot granted")
+	return grant.Slot.Runner
 }
 
 // learn makes d the usual service time on every runner and returns the time after that.
@@ -53,15 +68,11 @@
 	for _, it := range []*Item{late, soon, middle} {
 		c.Arrive(start, it)
 	}
-	if !c.Withdraw(middle) || c.Withdraw(middle) {
-		t.Fatal("an item must be withdrawn exactly once")
-	}
-	for _, want := range []*Item{soon, late} {
+	want(t, c.Withdraw(middle) && !c.Withdraw(middle), true, "an item must be withdrawn exactly once")
+	for _, next := range []*Item{soon, late} {
 		c.Answered(start, running, false)
 		grant, ok := c.NextGrant(start)
-		if !ok || grant.Item != want {
-			t.Fatalf("got %+v, want %+v", grant.Item, want)
-		}
+		want(t, ok && grant.Item == next, true, "next deadline leaves")
 		running = grant
 	}
 }
@@ -69,26 +80,16 @@
 // Guards against queueing requests that can only miss their deadlines, and against an unbounded queue.
 func TestRejectionOnArrival(t *testing.T) {
 	c := NewController()
-	if v := c.Arrive(start, item(start, time.Second)); v != RejectedNoRunner {
-		t.Fatalf("without runners: %s", v)
-	}
+	want(t, c.Arrive(start, item(start, time.Second)), RejectedNoRunner, "without runners")
 	c = newController(1, 1)
 	now := learn(t, c, start, 100*ms)
-	if v := c.Arrive(now, item(now, 50*ms)); v != RejectedDeadline {
-		t.Fatalf("shorter than the service time: %s", v)
-	}
+	want(t, c.Arrive(now, item(now, 50*ms)), RejectedDeadline, "shorter than the service time")
 	mustGrant(t, c, now, item(now, time.Hour))
-	if v := c.Arrive(now, item(now, 150*ms)); v != RejectedDeadline {
-		t.Fatalf("service time fits, but not behind the running request: %s", v)
-	}
+	want(t, c.Arrive(now, item(now, 150*ms)), RejectedDeadline, "service time fits, but not behind the running request")
 	for range MinQueue {
-		if v := c.Arrive(now, item(now, time.Hour)); v != Queued {
-			t.Fatalf("within the bound: %s", v)
-		}
-	}
-	if v := c.Arrive(now, item(now, time.Hour)); v != RejectedFull {
-		t.Fatalf("beyond the bound: %s", v)
+		want(t, c.Arrive(now, item(now, time.Hour)), Queued, "within the bound")
 	}
+	want(t, c.Arrive(now, item(now, time.Hour)), RejectedFull, "beyond the bound")
 }
 
 // Guards against sending a request so late that its outcome could only be unknown.
@@ -98,20 +99,14 @@
 	running := mustGrant(t, c, now, item(now, time.Hour))
 	waiting := item(now, 300*ms)
 	c.Arrive(now, waiting)
-	if _, ok := c.NextHopeless(now.Add(150 * ms)); ok {
-		t.Fatal("dropped with enough time left")
-	}
-	if next, ok := c.NextChange(now.Add(150 * ms)); !ok || next.After(waiting.Deadline) {
-		t.Fatalf("next change at %v does not cover the deadline", next)
-	}
+	want(t, found(c.NextHopeless(now.Add(150*ms))), false, "item with enough time left dropped")
+	next, ok := c.NextChange(now.Add(150 * ms))
+	want(t, ok && !next.After(waiting.Deadline), true, "next change covers the deadline")
 	late := now.Add(210 * ms)
-	if it, ok := c.NextHopeless(late); !ok || it != waiting {
-		t.Fatal("kept an item with less than the service time left")
-	}
+	hopeless, _ := c.NextHopeless(late)
+	want(t, hopeless, waiting, "item with less than the service time left")
 	c.Answered(late, running, false)
-	if _, ok := c.NextGrant(late); ok {
-		t.Fatal("granted a dropped item")
-	}
+	want(t, found(c.NextGrant(late)), false, "dropped item granted")
 }
 
 // Guards against rejecting for ever after a passing slowdown: without samples the service time stays too long.
@@ -125,20 +120,14 @@
 		if c.Arrive(now, it) != Queued {
 			continue
 		}
-		if _, hopeless := c.NextHopeless(now); hopeless {
-			t.Fatal("a probe was dropped")
-		}
+		want(t, found(c.NextHopeless(now)), false, "probe dropped")
 		grant, ok := c.NextGrant(now)
-		if !ok {
-			t.Fatal("no slot for a probe")
-		}
+		want(t, ok, true, "probe got a slot")
 		admitted++
 		now = now.Add(10 * ms)
 		c.Answered(now, grant, false)
 	}
-	if admitted < 200 {
-		t.Fatalf("%d of 400 requests admitted after the slowdown", admitted)
-	}
+	want(t, admitted >= 200, true, "at least half of the requests admitted after the slowdown")
 }
 
 // Guards against committing a slot twice: a runner may still work on an attempt whose outcome is unknown.
@@ -148,66 +137,40 @@
 	until := start.Add(3 * time.Second)
 	c.Uncertain(start, grant, until)
 	c.Arrive(start, item(start, time.Hour))
-	if _, ok := c.NextGrant(until.Add(-1)); ok {
-		t.Fatal("held slot was granted")
-	}
-	if next, ok := c.NextChange(start); !ok || next.After(until) {
-		t.Fatalf("next change %v does not cover the end of the hold", next)
-	}
-	if c.Sweep(until) != 1 {
-		t.Fatal("hold did not end")
-	}
-	if _, ok := c.NextGrant(until); !ok {
-		t.Fatal("slot was lost after the hold")
-	}
+	want(t, found(c.NextGrant(until.Add(-1))), false, "held slot granted")
+	next, ok := c.NextChange(start)
+	want(t, ok && !next.After(until), true, "next change covers the end of the hold")
+	want(t, c.Sweep(until), 1, "ended holds")
+	want(t, found(c.NextGrant(until)), true, "slot granted after the hold")
 }
 
 // Guards against long deadlines taking the last slots while requests with short deadlines arrive, and against
 // keeping slots free where there are none.
 func TestReserveForShortDeadlines(t *testing.T) {
-	c := newController(2, 16)
-	now := learn(t, c, start, 100*ms)
-	fill := func() {
-		for {
-			if _, ok := c.NextGrant(now); !ok {
-				return
-			}
+	for first, kept := range map[time.Duration]int{time.Hour: 0, 300 * ms: 2} {
+		c := newController(2, 16)
+		now := learn(t, c, start, 100*ms)
+		mustGrant(t, c, now, item(now, first))
+		for range 40 {
+			c.Arrive(now, item(now, time.Hour))
+		}
+		now = now.Add(110 * ms) // waited for a typical service time, so adaptive limits do not matter
+		for found(c.NextGrant(now)) {
+		}
+		want(t, c.Totals().Free, kept, "slots kept free for short deadlines")
+		if kept > 0 {
+			mustGrant(t, c, now, item(now, 300*ms))
 		}
 	}
-	for range 40 {
-		c.Arrive(now, item(now, time.Hour))
-	}
-	fill()
-	if free := c.Totals().Free; free != 0 {
-		t.Fatalf("%d slots kept free without short deadlines", free)
-	}
-
-	c = newController(2, 16)
-	now = learn(t, c, start, 100*ms)
-	mustGrant(t, c, now, item(now, 300*ms))
-	for range 40 {
-		c.Arrive(now, item(now, time.Hour))
-	}
-	now = now.Add(100 * ms) // waited for a typical service time, so adaptive limits do not matter
-	fill()
-	if free := c.Totals().Free; free != 2 {
-		t.Fatalf("%d slots kept free with short deadlines, want 2", free)
-	}
-	mustGrant(t, c, now, item(now, 300*ms))
 }
 
 // Guards against a hedge or retry landing on the runner that already holds or failed the request.
 func TestAvoidedRunnersComeLast(t *testing.T) {
 	c := newController(2, 1)
-	it := item(start, time.Second)
-	it.Avoid = []structs.HostID{"r00"}
-	if grant := mustGrant(t, c, start, it); grant.Slot.Runner != "r01" {
-		t.Fatalf("got avoided runner %s", grant.Slot.Runner)
-	}
-	again := item(start, time.Second)
-	again.Avoid = []structs.HostID{"r00"}
-	if grant := mustGrant(t, c, start, again); grant.Slot.Runner != "r00" {
-		t.Fatal("an avoided runner is better than none")
+	for _, runner := range []structs.HostID{"r01", "r00"} { // the avoided one when there is no other
+		it := item(start, time.Second)
+		it.Avoid = []structs.HostID{"r00"}
+		want(t, mustGrant(t, c, start, it).Slot.Runner, runner, "runner")
 	}
 }
 
@@ -224,21 +187,14 @@
 	full.limit.value = 1
 	c.Refused(now, mustGrant(t, c, now, item(now, time.Hour)))
 	waiting := item(now, time.Hour)
-	if c.Arrive(now, waiting); c.ledger.byID[other].health.Avoided(now) != true {
-		t.Fatal("the busy runner is not in back-off")
-	}
-	if _, ok := c.NextGrant(now); ok {
-		t.Fatal("neither runner is to be used yet")
-	}
+	c.Arrive(now, waiting)
+	want(t, c.ledger.byID[other].health.Avoided(now), true, "busy runner in back-off")
+	want(t, found(c.NextGrant(now)), false, "runner used in back-off or beyond its limit")
 	now = now.Add(BusyBackOff)
-	if grant, ok := c.NextGrant(now); !ok || grant.Slot.Runner != other {
-		t.Fatal("the back-off did not end")
-	}
+	want(t, mustGrantNext(t, c, now), other, "runner after its back-off")
 	c.ledger.byID[other].draining = true
 	c.Arrive(now, item(now, time.Hour))
-	if grant, ok := c.NextGrant(now.Add(110 * ms)); !ok || grant.Slot.Runner != full.id {
-		t.Fatal("a request that has waited for a service time does not get a slot beyond the limit")
-	}
+	want(t, mustGrantNext(t, c, now.Add(110*ms)), full.id, "runner beyond its limit, after waiting")
 }
 
 // behaviour returns the service time of one request on runner i and whether it fails.
@@ -269,9 +225,7 @@
 			got[grant.Slot.Runner]++
 			ends = append(ends, end{now.Add(d), grant, failed})
 		}
-		if taken := c.Totals().Taken; taken != len(ends) {
-			t.Fatalf("%d slots taken with %d requests running", taken, len(ends))
-		}
+		want(t, c.Totals().Taken, len(ends), "slots taken for the running requests")
 	}
 	return got
 }
@@ -298,12 +252,8 @@
 		t.Run(name, func(t *testing.T) {
 			const requests, runners = 4000, 8
 			got := simulate(t, newController(runners, 8), 3*ms, requests, serve)
-			if share := requests / runners; got["r00"] > share/4 {
-				t.Fatalf("runner got %d requests, a quarter of the usual share is %d", got["r00"], share/4)
-			}
-			if got["r00"] == 0 {
-				t.Fatal("a runner that is never tried cannot recover")
-			}
+			want(t, got["r00"] <= requests/runners/4, true, "at most a quarter of the usual share")
+			want(t, got["r00"] != 0, true, "runner is still tried, so that it can recover")
 		})
 	}
 }
@@ -320,13 +270,9 @@
 		}
 		return usual(rnd), false
 	}) {
-		if n < 800 {
-			t.Fatalf("a runner got %d of 4000 requests", n)
-		}
-	}
-	if waiting := c.Queued(); waiting > 32 {
-		t.Fatalf("%d requests wait at a load below the slots", waiting)
+		want(t, n >= 800, true, "each runner serves requests")
 	}
+	want(t, c.Queued() <= 32, true, "short queue at a load below the slots")
 }
 
 // Guards against the limit leaving its bounds or failing to follow the slowdown.
@@ -335,16 +281,10 @@
 	for range 100 {
 		l.Update(6, 8, 8)
 	}
-	if low := l.Value(8); low != MinLimit {
-		t.Fatalf("limit %d under a steady slowdown, want %d", low, MinLimit)
-	}
+	want(t, l.Value(8), MinLimit, "limit under a steady slowdown")
 	for range 100 {
 		l.Update(1, l.Value(8), 8)
 	}
-	if l.Value(8) != 8 {
-		t.Fatalf("limit %d after the recovery", l.Value(8))
-	}
-	if l.Value(3) != 3 {
-		t.Fatal("limit above the slots")
-	}
+	want(t, l.Value(8), 8, "limit after the recovery")
+	want(t, l.Value(3), 3, "limit above the slots")
 }
--- a/core/latency/latency_test.go
+++ b/core/latency/latency_test.go
@@ -27,7 +27,6 @@
 	}
 	near(0.5, 500*time.Millisecond)
 	near(0.95, 950*time.Millisecond)
-
 	now = now.Add(11 * time.Second)
 	for range 1000 {
 		w.Observe(now, time.Millisecond)
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against a retry storm: with every attempt failing, sends must never exceed 1.1 times the offered
-// requests, at any moment and after any quiet period.
+// requests, at any moment, and a quiet period must not save up a long burst.
 func TestBudgetBoundsSends(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var b Budget
@@ -30,21 +30,14 @@
 			}
 		}
 	})
-}
-
-// Guards against a long quiet period saving up a burst of retries.
-func TestBudgetSavesALimitedBurst(t *testing.T) {
 	var b Budget
 	for range 1_000_000 {
 		b.Offer()
 	}
 	burst := 0
-	for b.Spend() {
-		burst++
-	}
-	if burst != MaxSaved {
-		t.Fatalf("burst of %d, want %d", burst, MaxSaved)
+	for ; b.Spend(); burst++ {
 	}
+	want(t, burst, MaxSaved, "burst after a quiet period")
 }
 
 // Guards against running a non-idempotent request twice, and against unbudgeted sends to runners.
@@ -81,18 +74,21 @@
 	for i := range HedgeSamples - 1 {
 		w.Observe(now, time.Duration(i+1)*time.Millisecond)
 	}
-	if _, ok := HedgeDelay(now, w, true, time.Hour); ok {
-		t.Fatal("hedged with too few samples")
-	}
+	want(t, found(HedgeDelay(now, w, true, time.Hour)), false, "hedge with too few samples")
 	w.Observe(now, HedgeSamples*time.Millisecond)
 	delay, ok := HedgeDelay(now, w, true, time.Hour)
-	if !ok || delay < 35*time.Millisecond || delay > 40*time.Millisecond {
-		t.Fatalf("delay %v, want about the 95th percentile of 1 to 40 ms", delay)
-	}
-	if _, ok := HedgeDelay(now, w, false, time.Hour); ok {
-		t.Fatal("hedged a non-idempotent request")
-	}
-	if _, ok := HedgeDelay(now, w, true, delay+time.Millisecond); ok {
-		t.Fatal("hedged although the hedge cannot finish in time")
+	want(t, ok && delay >= 35*time.Millisecond && delay <= 40*time.Millisecond, true, "delay of about the 95th percentile")
+	want(t, found(HedgeDelay(now, w, false, time.Hour)), false, "hedge of a non-idempotent request")
+	want(t, found(HedgeDelay(now, w, true, delay+time.Millisecond)), false, "hedge that cannot finish in time")
+}
+
+// want ends the test unless got is what is expected.
+func want[T comparable](t testing.TB, got, expected T, what string) {
+	t.Helper()
+	if got != expected {
+		t.Fatalf("%s: got %v, want %v", what, got, expected)
 	}
 }
+
+// found returns the second result of a call.
+func found[T any](_ T, ok bool) bool { return ok }
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -39,9 +39,7 @@
 func TestEveryPolicyChoosesAReachableShard(t *testing.T) {
 	for _, name := range []string{RandomName, TwoChoicesName, SlotAwareName} {
 		policy, ok := ByName(name)
-		if !ok || policy.Name() != name {
-			t.Fatalf("no policy %q", name)
-		}
+		want(t, ok && policy.Name() == name, true, name)
 		rapid.Check(t, func(t *rapid.T) {
 			view := View{
 				Remaining: time.Duration(rapid.IntRange(1, 100).Draw(t, "remaining")) * ms,
@@ -78,9 +76,8 @@
 // Guards against following local counts in the wrong direction.
 func TestTwoChoicesPrefersFewerInFlight(t *testing.T) {
 	view := View{Remaining: time.Second, Candidates: []Candidate{{InFlight: 9}, {InFlight: 1}, {InFlight: 5}}}
-	if got := shares(TwoChoices{}, view); got[0] != 0 || got[1] < got[2] {
-		t.Fatalf("shares %v", got)
-	}
+	got := shares(TwoChoices{}, view)
+	want(t, got[0] == 0 && got[1] > got[2], true, "more for fewer in flight")
 }
 
 // Guards against leaving the own data centre without need, staying in it while callers wait, trusting stale
@@ -96,30 +93,23 @@
 		name       string
 		remaining  time.Duration
 		candidates []Candidate
-		want       func(got []int) bool
+		index      int // of a candidate that gets from least to most of 1000 requests
+		least      int
+		most       int
 	}{
-		{"own data centre first", time.Second, []Candidate{candidate(true, 1, 8, 0), candidate(false, 8, 8, 0)},
-			func(got []int) bool { return got[0] == 1000 }},
-		{"short queue is better than the link", time.Second, []Candidate{candidate(true, 0, 80, 4), candidate(false, 8, 8, 0)},
-			func(got []int) bool { return got[0] == 1000 }},
-		{"long queue is worse than the link", time.Second, []Candidate{candidate(true, 0, 8, 20), candidate(false, 8, 8, 0)},
-			func(got []int) bool { return got[1] == 1000 }},
-		{"deadline does not allow the link", 55 * ms, []Candidate{candidate(true, 0, 8, 0), candidate(false, 8, 8, 0)},
-			func(got []int) bool { return got[0] == 1000 }},
-		{"in proportion to free slots", time.Second, []Candidate{candidate(true, 6, 8, 0), candidate(true, 2, 8, 0)},
-			func(got []int) bool { return got[0] > 700 && got[0] < 800 }},
-		{"stale digest is not trusted", time.Second, []Candidate{stale, candidate(true, 1, 8, 0)},
-			func(got []int) bool { return got[1] == 1000 }},
-		{"slots taken since the digest", time.Second, []Candidate{usedSince, candidate(true, 1, 8, 0)},
-			func(got []int) bool { return got[1] == 1000 }},
-		{"slots freed since the digest", time.Second, []Candidate{finishedSince, candidate(true, 0, 8, 0)},
-			func(got []int) bool { return got[0] == 1000 }},
-		{"nothing meets the deadline", 30 * ms, []Candidate{candidate(true, 0, 8, 99), candidate(false, 0, 8, 0)},
-			func(got []int) bool { return got[1] == 1000 }},
+		{"own data centre first", time.Second, []Candidate{candidate(true, 1, 8, 0), candidate(false, 8, 8, 0)}, 0, 1000, 1000},
+		{"short queue is better than the link", time.Second, []Candidate{candidate(true, 0, 80, 4), candidate(false, 8, 8, 0)}, 0, 1000, 1000},
+		{"long queue is worse than the link", time.Second, []Candidate{candidate(true, 0, 8, 20), candidate(false, 8, 8, 0)}, 1, 1000, 1000},
+		{"deadline does not allow the link", 55 * ms, []Candidate{candidate(true, 0, 8, 0), candidate(false, 8, 8, 0)}, 0, 1000, 1000},
+		{"in proportion to free slots", time.Second, []Candidate{candidate(true, 6, 8, 0), candidate(true, 2, 8, 0)}, 0, 700, 800},
+		{"stale digest is not trusted", time.Second, []Candidate{stale, candidate(true, 1, 8, 0)}, 1, 1000, 1000},
+		{"slots taken since the digest", time.Second, []Candidate{usedSince, candidate(true, 1, 8, 0)}, 1, 1000, 1000},
+		{"slots freed since the digest", time.Second, []Candidate{finishedSince, candidate(true, 0, 8, 0)}, 0, 1000, 1000},
+		{"nothing meets the deadline", 30 * ms, []Candidate{candidate(true, 0, 8, 99), candidate(false, 0, 8, 0)}, 1, 1000, 1000},
 	}
 	for _, c := range cases {
 		view := View{Candidates: c.candidates, Remaining: c.remaining, Service: 50 * ms}
-		if got := shares(SlotAware{}, view); !c.want(got) {
+		if got := shares(SlotAware{}, view); got[c.index] < c.least || got[c.index] > c.most {
 			t.Errorf("%s: shares %v", c.name, got)
 		}
 	}
@@ -131,28 +121,25 @@
 	now := time.Unix(1_000_000, 0)
 	var o Outlier
 	o.Lost(now)
-	if o.Ejected(now) {
-		t.Fatal("ejected after one lost attempt")
-	}
+	want(t, o.Ejected(now), false, "ejected after one lost attempt")
 	o.Lost(now)
-	if !o.Ejected(now) || o.Ejected(now.Add(MinEjection)) {
-		t.Fatal("not ejected for the first time span after two lost attempts")
-	}
+	want(t, o.Ejected(now) && !o.Ejected(now.Add(MinEjection)), true, "ejected for a short time after two lost attempts")
 	for range 100 {
 		o.Absent(now)
 	}
-	if !o.Ejected(now.Add(MaxEjection-1)) || o.Ejected(now.Add(MaxEjection)) {
-		t.Fatal("ejection does not grow to its bound")
-	}
+	want(t, o.Ejected(now.Add(MaxEjection-1)) && !o.Ejected(now.Add(MaxEjection)), true, "ejection grown to its bound")
 	o.Full(now)
-	if o.Ejected(now) {
-		t.Fatal("an owner that replies is ejected")
-	}
+	want(t, o.Ejected(now), false, "ejected after a reply")
 	digest := Slots{Known: true, Free: 8, Total: 8, Age: 100 * ms}
-	if s := o.Correct(now.Add(50*ms), digest); s.Free != 0 || s.Queued != 8 {
-		t.Fatalf("digest from before the rejection became %+v", s)
-	}
-	if s := o.Correct(now.Add(150*ms), digest); s != digest {
-		t.Fatalf("digest from after the rejection became %+v", s)
+	corrected := Slots{Known: true, Total: 8, Queued: 8, Age: 100 * ms}
+	want(t, o.Correct(now.Add(50*ms), digest), corrected, "digest from before the rejection")
+	want(t, o.Correct(now.Add(150*ms), digest), digest, "digest from after the rejection")
+}
+
+// want ends the test unless got is what is expected.
+func want[T comparable](t testing.TB, got, expected T, what string) {
+	t.Helper()
+	if got != expected {
+		t.Fatalf("%s: got %v, want %v", what, got, expected)
 	}
 }
--- a/pkg/httpapi/httpapi_test.go
+++ b/pkg/httpapi/httpapi_test.go
@@ -4,9 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -59,6 +59,14 @@
 	return Explanation{Job: f.job.ID}, f.err
 }
 
+// want ends the test unless got is what is expected.
+func want[T comparable](t testing.TB, got, expected T, what string) {
+	t.Helper()
+	if got != expected {
+		t.Fatalf("%s: got %v, want %v", what, got, expected)
+	}
+}
+
 // start serves on loopback and returns the base URL and the server.
 func start(t *testing.T, serve serveFunc, jobs Jobs) (string, *Server) {
 	t.Helper()
@@ -66,18 +74,12 @@
 		Address: "127.0.0.1:0", Requests: serve, Catalogue: oneKind{}, Jobs: jobs, MaxBody: 100,
 		Ready: func() error { return errors.New("no document") },
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	want(t, err, nil, "error")
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve() }()
 	t.Cleanup(func() {
-		if err := server.Stop(context.Background()); err != nil {
-			t.Error(err)
-		}
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
+		want(t, server.Stop(context.Background()), nil, "stop")
+		want(t, <-ended, nil, "end of serving")
 	})
 	return "http://" + server.Addr(), server
 }
@@ -86,21 +88,15 @@
 func call(t *testing.T, method, url, body string, header map[string]string) (*http.Response, []byte) {
 	t.Helper()
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
+	want(t, err, nil, "error")
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
 	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
+	want(t, err, nil, "error")
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
+	want(t, err, nil, "error")
 	return resp, data
 }
 
@@ -132,25 +128,21 @@
 	for _, c := range cases {
 		reply = c.reply
 		resp, body := call(t, http.MethodPost, url+"/v1/services/quotes/quote", "body", map[string]string{KeyHeader: "k", TimeoutHeader: "700"})
-		if resp.StatusCode != c.status || resp.Header.Get(OutcomeHeader) != string(c.reply.Outcome) ||
-			resp.Header.Get(RequestIDHeader) != got.ID || (resp.Header.Get("Retry-After") != "") != c.retryAfter {
-			t.Errorf("%s (%s): status %d, headers %v", c.reply.Outcome, c.reply.Reason, resp.StatusCode, resp.Header)
-		}
+		want(t, resp.StatusCode, c.status, "status for "+c.reply.Reason)
+		want(t, resp.Header.Get(OutcomeHeader), string(c.reply.Outcome), OutcomeHeader)
+		want(t, resp.Header.Get(RequestIDHeader), got.ID, RequestIDHeader)
+		want(t, resp.Header.Get("Retry-After") != "", c.retryAfter, "Retry-After present")
 		if c.reply.Outcome == structs.Answered {
-			length, _ := strconv.Atoi(resp.Header.Get("Content-Length"))
-			if !bytes.Equal(body, c.reply.Body) || length != len(c.reply.Body) {
-				t.Errorf("answer %d: %d bytes, length %d, want %d", c.status, len(body), length, len(c.reply.Body))
-			}
+			want(t, bytes.Equal(body, c.reply.Body), true, "whole body")
+			want(t, max(0, resp.ContentLength), int64(len(c.reply.Body)), "content length")
 			continue
 		}
 		var p problem.Problem
-		if err := json.Unmarshal(body, &p); err != nil || p.Status != c.status || p.Outcome != string(c.reply.Outcome) {
-			t.Errorf("problem %s: %v", body, err)
-		}
-	}
-	if got.Key != "k" || string(got.Body) != "body" || got.Remaining > 700*time.Millisecond || got.ID == "" {
-		t.Errorf("request %+v", got)
+		want(t, json.Unmarshal(body, &p), nil, "problem")
+		want(t, fmt.Sprint(p.Status, p.Outcome), fmt.Sprint(c.status, c.reply.Outcome), "status and outcome in the problem")
 	}
+	want(t, got.Key+" "+string(got.Body), "k body", "key and body")
+	want(t, got.Remaining <= 700*time.Millisecond && got.ID != "", true, "deadline and id taken over")
 }
 
 // Guards against running a request with invalid input, and against an error without a problem body or outcome.
@@ -174,19 +166,16 @@
 	}
 	for _, c := range cases {
 		resp, body := call(t, http.MethodPost, url+c.path, c.body, c.header)
-		if resp.StatusCode != c.status || resp.Header.Get(OutcomeHeader) != string(structs.NotRun) ||
-			resp.Header.Get("Content-Type") != problem.ContentType {
-			t.Errorf("%s %v: status %d, %v: %s", c.path, c.header, resp.StatusCode, resp.Header, body)
-		}
+		want(t, resp.StatusCode, c.status, c.path+" "+string(body))
+		want(t, resp.Header.Get(OutcomeHeader), string(structs.NotRun), OutcomeHeader)
+		want(t, resp.Header.Get("Content-Type"), problem.ContentType, "content type")
 	}
 	for path, status := range map[string]int{"/nothing": 404, "/v1/services/quotes/quote": 405, "/readyz": 503, "/healthz": 200} {
-		if resp, _ := call(t, http.MethodGet, url+path, "", nil); resp.StatusCode != status {
-			t.Errorf("GET %s: status %d, want %d", path, resp.StatusCode, status)
-		}
-	}
-	if _, err := NewServer(Config{Address: "localhost:0"}); !errors.Is(err, errors.NotValid) {
-		t.Errorf("address that is not an IP number: %v", err)
+		resp, _ := call(t, http.MethodGet, url+path, "", nil)
+		want(t, resp.StatusCode, status, path)
 	}
+	_, err := NewServer(Config{Address: "localhost:0"})
+	want(t, errors.Is(err, errors.NotValid), true, "address without an IP number rejected")
 }
 
 // Guards against job errors that lose what is certain, and against submissions with misspelt fields.
@@ -210,26 +199,20 @@
 	}
 	for _, c := range calls {
 		resp, body := call(t, c.method, url+c.path, c.body, map[string]string{KeyHeader: "k"})
-		if resp.StatusCode != c.status {
-			t.Errorf("%s %s: status %d, want %d: %s", c.method, c.path, resp.StatusCode, c.status, body)
-		}
-	}
-	if jobs.spec.Key != "k" || jobs.spec.Team != "t" {
-		t.Errorf("submitted %+v", jobs.spec)
+		want(t, resp.StatusCode, c.status, c.method+" "+c.path+" "+string(body))
 	}
+	want(t, jobs.spec.Key+" "+string(jobs.spec.Team), "k t", "submitted key and team")
 	jobs.job.Tasks[0].State = structs.TaskDone
-	if resp, _ := call(t, http.MethodGet, url+"/v1/jobs/j/wait", "", nil); resp.StatusCode != 200 {
-		t.Errorf("wait for a final job: status %d", resp.StatusCode)
-	}
+	resp, _ := call(t, http.MethodGet, url+"/v1/jobs/j/wait", "", nil)
+	want(t, resp.StatusCode, 200, "wait for a final job")
 	for err, status := range map[error]int{
 		errors.NotFoundf("job"): 404, errors.NotValidf("kind"): 400, errors.Forbiddenf("urgent"): 403,
 		errors.AlreadyExistsf("key"): 422, errors.Annotate(ErrNotAccepted, "store"): 503,
 		errors.Annotate(ErrUnknown, "store"): 504, errors.New("other"): 500,
 	} {
 		jobs.err = err
-		if resp, _ := call(t, http.MethodPost, url+"/v1/jobs", `{}`, nil); resp.StatusCode != status {
-			t.Errorf("%v: status %d, want %d", err, resp.StatusCode, status)
-		}
+		resp, _ := call(t, http.MethodPost, url+"/v1/jobs", `{}`, nil)
+		want(t, resp.StatusCode, status, err.Error())
 	}
 }
 
@@ -253,14 +236,8 @@
 	<-jobs.read
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Stop(context.Background()) }()
-	if first := <-answers; !strings.HasPrefix(first, "202") {
-		t.Errorf("waiting call got %q", first)
-	}
+	want(t, (<-answers)[:3], "202", "status of the waiting call")
 	close(release)
-	if second := <-answers; second != "200 OKwhole" {
-		t.Errorf("request in progress got %q", second)
-	}
-	if err := <-stopped; err != nil {
-		t.Error(err)
-	}
+	want(t, <-answers, "200 OKwhole", "answer of the request in progress")
+	want(t, <-stopped, nil, "stop")
 }
--- a/pkg/requests/grpc_test.go
+++ b/pkg/requests/grpc_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -38,13 +39,17 @@
 	return p.serve(ctx, id, req)
 }
 
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	want(t, err, nil, "listen")
+	return listener
+}
+
 // serve starts a gRPC server on loopback and returns its address and the server.
 func serve(t *testing.T, h handler) (string, *grpc.Server) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := listen(t)
 	server := grpc.NewServer()
 	peerpb.RegisterShardsServer(server, h)
 	ended := make(chan struct{})
@@ -65,12 +70,14 @@
 	return d
 }
 
-var testShard = structs.ShardID{Datacentre: "dc", Index: 1}
+var (
+	testShard   = structs.ShardID{Datacentre: "dc", Index: 1}
+	testRequest = structs.Request{ID: "id", Service: "quotes", Kind: "quote", Remaining: time.Minute, Body: []byte("body")}
+)
 
 // dispatch sends one attempt to addr.
 func dispatch(ctx context.Context, d *PeerDispatcher, addr string) (structs.Reply, error) {
-	req := structs.Request{ID: "id", Service: "quotes", Kind: "quote", Remaining: time.Minute, Body: []byte("body")}
-	return d.Dispatch(ctx, Target{Shard: testShard, PeerAddr: addr}, "attempt", req)
+	return d.Dispatch(ctx, Target{Shard: testShard, PeerAddr: addr}, "attempt", testRequest)
 }
 
 // Guards against fields that are lost between entry host and owner, a wall-clock deadline, and running an attempt
@@ -84,42 +91,38 @@
 	addr, _ := serve(t, handler{dispatch: server.Dispatch})
 	d := newTestDispatcher(t)
 	reply, err := dispatch(t.Context(), d, addr)
-	if err != nil || reply.Outcome != structs.Answered || reply.Status != 201 || string(reply.Body) != "whole" || reply.Runner != "r" {
-		t.Fatalf("%+v, %v", reply, err)
-	}
-	if got.ID != "id" || got.Service != "quotes" || got.Kind != "quote" || got.Remaining != time.Minute || string(got.Body) != "body" {
-		t.Fatalf("owner got %+v", got)
-	}
-	if reply, err = dispatch(t.Context(), d, addr); err != nil || reply.Outcome != structs.OutcomeUnknown {
-		t.Fatalf("second arrival of an attempt: %+v, %v", reply, err)
-	}
-	other := Target{Shard: structs.ShardID{Datacentre: "dc"}, PeerAddr: addr}
-	reply, err = d.Dispatch(t.Context(), other, "other", structs.Request{Remaining: time.Minute})
-	if err != nil || reply.Outcome != structs.NotRun || reply.Reason != structs.ReasonWrongOwner {
-		t.Fatalf("shard of another owner: %+v, %v", reply, err)
-	}
-	reply, err = d.Dispatch(t.Context(), Target{Shard: testShard, PeerAddr: addr}, "late", structs.Request{Remaining: time.Microsecond})
-	if err != nil || reply.Outcome != structs.NotRun || reply.Reason != structs.ReasonDeadline {
-		t.Fatalf("no time left at the owner: %+v, %v", reply, err)
-	}
+	want(t, err, nil, "error")
+	want(t, fmt.Sprint(reply), fmt.Sprint(structs.Reply{Outcome: structs.Answered, Status: 201, Body: []byte("whole"), Runner: "r"}), "reply")
+	want(t, fmt.Sprint(got), fmt.Sprint(testRequest), "request at the owner")
+	reply, err = dispatch(t.Context(), d, addr)
+	want(t, err, nil, "error")
+	want(t, reply.Outcome, structs.OutcomeUnknown, "outcome of the second arrival of an attempt")
+	target := Target{Shard: structs.ShardID{Datacentre: "dc"}, PeerAddr: addr}
+	reply, err = d.Dispatch(t.Context(), target, "other", structs.Request{Remaining: time.Minute})
+	want(t, err, nil, "error")
+	want(t, fmt.Sprint(reply), fmt.Sprint(notRun(structs.ReasonWrongOwner)), "reply for the shard of another owner")
+	target.Shard = testShard
+	reply, err = d.Dispatch(t.Context(), target, "late", structs.Request{Remaining: time.Microsecond})
+	want(t, err, nil, "error")
+	want(t, fmt.Sprint(reply), fmt.Sprint(notRun(structs.ReasonDeadline)), "reply with no time left at the owner")
 }
 
 // Guards against reporting not-run after the owner may have read the request, whatever status gRPC makes of it.
 func TestErrorsAfterSendingAreNotNotRun(t *testing.T) {
-	cases := map[string]func(stop func(), ctx context.Context, m *peerpb.DispatchRequest) (*peerpb.DispatchReply, error){
-		"owner dies": func(stop func(), ctx context.Context, _ *peerpb.DispatchRequest) (*peerpb.DispatchReply, error) {
+	cases := map[string]func(ctx context.Context, stop func()) (*peerpb.DispatchReply, error){
+		"owner dies": func(ctx context.Context, stop func()) (*peerpb.DispatchReply, error) {
 			go stop()
 			<-ctx.Done()
 			return nil, ctx.Err()
 		},
-		"answer too late": func(_ func(), ctx context.Context, _ *peerpb.DispatchRequest) (*peerpb.DispatchReply, error) {
+		"answer too late": func(ctx context.Context, _ func()) (*peerpb.DispatchReply, error) {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		},
-		"owner says unavailable": func(func(), context.Context, *peerpb.DispatchRequest) (*peerpb.DispatchReply, error) {
+		"owner says unavailable": func(context.Context, func()) (*peerpb.DispatchReply, error) {
 			return nil, status.Error(codes.Unavailable, "connection refused")
 		},
-		"answer of another attempt": func(_ func(), _ context.Context, m *peerpb.DispatchRequest) (*peerpb.DispatchReply, error) {
+		"answer of another attempt": func(context.Context, func()) (*peerpb.DispatchReply, error) {
 			return &peerpb.DispatchReply{AttemptId: "crossed", Outcome: peerpb.Outcome_OUTCOME_NOT_RUN}, nil
 		},
 	}
@@ -127,9 +130,9 @@
 		t.Run(name, func(t *testing.T) {
 			var calls atomic.Int32
 			stop := make(chan func(), 1)
-			addr, server := serve(t, handler{dispatch: func(ctx context.Context, m *peerpb.DispatchRequest) (*peerpb.DispatchReply, error) {
+			addr, server := serve(t, handler{dispatch: func(ctx context.Context, _ *peerpb.DispatchRequest) (*peerpb.DispatchReply, error) {
 				calls.Add(1)
-				return answer(<-stop, ctx, m)
+				return answer(ctx, <-stop)
 			}})
 			stop <- server.Stop
 			ctx := t.Context()
@@ -152,15 +155,8 @@
 
 // Guards against an unknown outcome, which ends a non-idempotent request, when certainly nothing was sent.
 func TestNothingSentWithoutAConnection(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	closed, silent := listen(t), listen(t) // the latter accepts connections and says nothing
 	closed.Close()
-	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections and says nothing
-	if err != nil {
-		t.Fatal(err)
-	}
 	defer silent.Close()
 	for _, addr := range []string{closed.Addr().String(), silent.Addr().String()} {
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
@@ -188,7 +184,5 @@
 	<-started
 	d.Retain(nil)
 	close(release)
-	if err := <-done; err != nil {
-		t.Fatal(err)
-	}
+	want(t, <-done, nil, "error of the call")
 }
--- a/pkg/requests/keys/commit_test.go
+++ b/pkg/requests/keys/commit_test.go
@@ -30,25 +30,19 @@
 	second := newWrite("1")
 	c.waiting = append(append(append(c.waiting, writes[:2]...), second), writes[2:]...)
 	batch := c.takeLocked()
-	if len(batch) != MaxBatch || len(c.waiting) != 1 || c.waiting[0] != second {
-		t.Fatalf("batch of %d, %d left", len(batch), len(c.waiting))
-	}
+	want(t, len(batch) == MaxBatch && len(c.waiting) == 1 && c.waiting[0] == second, true, "full batch without the second write of a key")
 	c.commit(batch)
 	for i, w := range writes {
 		result := <-w.done
-		if taken := i == 7; result.err != nil || result.applied == taken || (result.existing != nil) != taken {
-			t.Fatalf("write %d: %+v", i, result)
-		}
-	}
-	if limit := 2*6 + 1; len(s.txns) > limit {
-		t.Fatalf("%d transactions for one taken key of %d, want at most %d", len(s.txns), MaxBatch, limit)
+		want(t, result.err, nil, "error")
+		want(t, result.applied, i != 7, "applied")
+		want(t, result.existing != nil, i == 7, "existing record returned")
 	}
+	want(t, len(s.txns) <= 2*6+1, true, "transactions of repeated halving")
 	large := newWrite("large")
 	large.value = make([]byte, MaxBatchBytes)
 	c.waiting = []*write{newWrite("a"), large, newWrite("b")}
-	if batch := c.takeLocked(); len(batch) != 2 || len(c.waiting) != 1 {
-		t.Fatalf("batch of %d with a value of the full size", len(batch))
-	}
+	want(t, len(c.takeLocked()), 2, "batch with a value of the full size")
 }
 
 // Guards against records that end with an old lease, and against failing when a lease was lost.
@@ -56,27 +50,21 @@
 	s := newFakeStore()
 	now := time.Unix(1_000_000, 0)
 	l := &leases{store: s, now: func() time.Time { return now }}
-	first, err := l.get(t.Context())
-	if err != nil {
-		t.Fatal(err)
+	lease := func() store.LeaseID {
+		id, err := l.get(t.Context())
+		want(t, err, nil, "grant")
+		return id
 	}
+	first := lease()
 	now = now.Add(leaseRotation - 1)
-	if again, _ := l.get(t.Context()); again != first {
-		t.Fatal("lease changed too early")
-	}
+	want(t, lease(), first, "lease within the rotation")
 	now = now.Add(1)
-	second, _ := l.get(t.Context())
-	if second == first {
-		t.Fatal("a record could be attached to a lease that ends before its time")
-	}
+	second := lease()
+	want(t, second != first, true, "new lease after the rotation")
 	l.forget(first)
-	if same, _ := l.get(t.Context()); same != second {
-		t.Fatal("forgot a lease that is in use")
-	}
+	want(t, lease(), second, "lease after another was forgotten")
 	l.forget(second)
-	if third, _ := l.get(t.Context()); third == second {
-		t.Fatal("handed out a lease that is gone")
-	}
+	want(t, lease() != second, true, "new lease after the current one is gone")
 }
 
 // Guards against rejecting keyed requests for the rest of the rotation when the store has lost the lease.
@@ -85,7 +73,6 @@
 	s.gone = 1
 	w := newWrite("key")
 	newTestCommitter(s).commit([]*write{w})
-	if result := <-w.done; !result.applied || s.entries["key"].Lease != 2 {
-		t.Fatalf("%+v under lease %d", result, s.entries["key"].Lease)
-	}
+	want(t, (<-w.done).applied, true, "applied")
+	want(t, s.entries["key"].Lease, 2, "lease")
 }
--- a/pkg/requests/keys/keys_test.go
+++ b/pkg/requests/keys/keys_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,22 +20,12 @@
 // TestMain ignores the goroutines that run before the first test: go-zero starts two at package initialisation.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.IgnoreCurrent()) }
 
-// alive is a Liveness made of the incarnations that live.
-type alive struct {
-	mu   sync.Mutex
-	dead map[string]bool
-}
+// alive is a Liveness made of the incarnations that are dead.
+type alive struct{ dead sync.Map }
 
 func (a *alive) Alive(_ structs.HostID, incarnation string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return !a.dead[incarnation]
-}
-
-func (a *alive) kill(incarnation string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.dead[incarnation] = true
+	_, dead := a.dead.Load(incarnation)
+	return !dead
 }
 
 // fixture is a store with hosts on it.
@@ -43,19 +34,26 @@
 	alive *alive
 }
 
-func newFixture() *fixture {
-	return &fixture{newFakeStore(), &alive{dead: map[string]bool{}}}
-}
-
 func (f *fixture) host(incarnation string) *Keys {
 	return NewKeys(Config{Store: f.store, Prefix: "/p/", Host: "host", Incarnation: incarnation, Liveness: f.alive})
 }
 
-// stop ends the background work of a host as its death would.
-func stop(k *Keys) {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = k.Close(ctx) // it always reports the cancelled context
+// want ends the test unless got is what is expected.
+func want[T comparable](t testing.TB, got, expected T, what string) {
+	t.Helper()
+	if got != expected {
+		t.Fatalf("%s: got %v, want %v", what, got, expected)
+	}
+}
+
+// onHosts returns a test on virtual time with two hosts on one store.
+func onHosts(test func(t *testing.T, f *fixture, a, b *Keys)) func(*testing.T) {
+	return func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fixture{newFakeStore(), &alive{}}
+			test(t, f, f.host("a"), f.host("b"))
+		})
+	}
 }
 
 func quote(body string) structs.Request {
@@ -69,26 +67,21 @@
 func mustClaim(t *testing.T, k *Keys, body string) Claim {
 	t.Helper()
 	claim, reply, ok := k.Claim(t.Context(), quote(body))
-	if !ok {
-		t.Fatalf("not claimed: %+v", reply)
-	}
+	want(t, ok, true, "claimed, or refused as "+reply.Reason)
 	return claim
 }
 
 func refusedWith(t *testing.T, k *Keys, body string, outcome structs.Outcome, reason string) {
 	t.Helper()
 	_, reply, ok := k.Claim(t.Context(), quote(body))
-	if ok || reply.Outcome != outcome || reply.Reason != reason {
-		t.Fatalf("claimed %v, got %s (%s), want %s (%s)", ok, reply.Outcome, reply.Reason, outcome, reason)
-	}
+	want(t, ok, false, "claimed")
+	want(t, string(reply.Outcome)+" "+reply.Reason, string(outcome)+" "+reason, "reply")
 }
 
-// Guards against repeats through the same or another host that run again, get another outcome, or are not told
-// apart from other requests.
+// Guards against repeats through the same or another host that run again, get another outcome or a part of a large
+// one, or are not told apart from other requests.
 func TestRepeatsGetTheRecordedOutcome(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFixture()
-		a, b := f.host("a"), f.host("b")
+	onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
 		claim := mustClaim(t, a, "body")
 		for _, k := range []*Keys{a, b} {
 			refusedWith(t, k, "body", structs.OutcomeUnknown, structs.ReasonInProgress)
@@ -100,184 +93,142 @@
 		b.Finish(t.Context(), claim, answered("result"))
 		for _, k := range []*Keys{a, b} {
 			_, reply, ok := k.Claim(t.Context(), quote("body"))
-			if ok || reply.Outcome != structs.Answered || reply.Status != 201 || string(reply.Body) != "result" {
-				t.Fatalf("repeat got %+v", reply)
-			}
+			want(t, ok, false, "claimed")
+			want(t, fmt.Sprint(reply), fmt.Sprint(answered("result")), "reply of a repeat")
 			refusedWith(t, k, "other", structs.NotRun, structs.ReasonKeyReused)
 		}
-	})
-}
-
-// Guards against answering a repeat with a part of a large answer.
-func TestLargeAnswerIsNotRepeatedInPart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFixture()
-		a := f.host("a")
+	})(t)
+	onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
 		a.Finish(t.Context(), mustClaim(t, a, "body"), answered(strings.Repeat("x", MaxKeptBody+1)))
-		refusedWith(t, f.host("b"), "body", structs.OutcomeUnknown, structs.ReasonAnswerNotKept)
-	})
+		refusedWith(t, b, "body", structs.OutcomeUnknown, structs.ReasonAnswerNotKept)
+	})(t)
 }
 
 // Guards against running again what a dead host may have sent, and against 409 for ever.
 func TestIntentOfADeadHolderIsUnknown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFixture()
-		a, b := f.host("a"), f.host("b")
+	onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
 		mustClaim(t, a, "body")
 		refusedWith(t, b, "body", structs.OutcomeUnknown, structs.ReasonInProgress)
-		f.alive.kill("a")
+		f.alive.dead.Store("a", true)
 		refusedWith(t, b, "body", structs.OutcomeUnknown, structs.ReasonHolderLost)
-		f.alive.dead = map[string]bool{}
+		f.alive.dead.Clear()
 		<-time.After(time.Minute + 2*IntentGrace)
 		refusedWith(t, b, "body", structs.OutcomeUnknown, structs.ReasonHolderLost)
-	})
+	})(t)
 }
 
 // Guards against handing out a claim without a record, and against a record that blocks its key although nothing
 // was sent.
 func TestStoreFaultsOnTheIntent(t *testing.T) {
-	t.Run("refused", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFixture()
-			a := f.host("a")
-			f.store.setFault(always(refused))
-			refusedWith(t, a, "body", structs.NotRun, structs.ReasonStoreUnavailable)
-			f.store.setFault(nil)
-			mustClaim(t, f.host("b"), "body")
-		})
-	})
-	t.Run("answer lost, found on reading", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFixture()
-			f.store.setFault(always(lost))
-			mustClaim(t, f.host("a"), "body")
-			refusedWith(t, f.host("b"), "body", structs.OutcomeUnknown, structs.ReasonInProgress)
-		})
-	})
-	t.Run("answer lost and store down, then repeated here", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFixture()
-			a := f.host("a")
-			f.store.setFault(always(lost))
-			f.store.failGets(true)
-			refusedWith(t, a, "body", structs.NotRun, structs.ReasonStoreUnavailable)
-			f.store.setFault(nil)
-			f.store.failGets(false)
-			refusedWith(t, f.host("b"), "body", structs.OutcomeUnknown, structs.ReasonInProgress)
-			mustClaim(t, a, "body")
-			refusedWith(t, f.host("b"), "body", structs.OutcomeUnknown, structs.ReasonInProgress)
-			<-time.After(ResolveFor)
-		})
-	})
-	t.Run("no answer in time", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFixture()
-			a := f.host("a")
-			f.store.hang = make(chan struct{})
-			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-			defer cancel()
-			if _, reply, ok := a.Claim(ctx, quote("body")); ok || reply.Outcome != structs.NotRun {
-				t.Fatalf("claimed %v, got %+v", ok, reply)
-			}
-			close(f.store.hang)
-			<-time.After(time.Second) // the record is resolved
-			mustClaim(t, f.host("b"), "body")
-		})
-	})
+	t.Run("refused", onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
+		f.store.set(always(refused), false)
+		refusedWith(t, a, "body", structs.NotRun, structs.ReasonStoreUnavailable)
+		f.store.set(nil, false)
+		mustClaim(t, b, "body")
+	}))
+	t.Run("answer lost, found on reading", onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
+		f.store.set(always(lost), false)
+		mustClaim(t, a, "body")
+		refusedWith(t, b, "body", structs.OutcomeUnknown, structs.ReasonInProgress)
+	}))
+	t.Run("answer lost and store down, then repeated here", onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
+		f.store.set(always(lost), true)
+		refusedWith(t, a, "body", structs.NotRun, structs.ReasonStoreUnavailable)
+		f.store.set(nil, false)
+		refusedWith(t, b, "body", structs.OutcomeUnknown, structs.ReasonInProgress)
+		mustClaim(t, a, "body")
+		refusedWith(t, b, "body", structs.OutcomeUnknown, structs.ReasonInProgress)
+		<-time.After(ResolveFor)
+	}))
+	t.Run("no answer in time", onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
+		f.store.hang = make(chan struct{})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, reply, ok := a.Claim(ctx, quote("body"))
+		want(t, ok, false, "claimed")
+		want(t, reply.Outcome, structs.NotRun, "outcome")
+		close(f.store.hang)
+		<-time.After(time.Second) // the record is resolved
+		mustClaim(t, b, "body")
+	}))
 	for name, before := range map[string]bool{"takes effect after the reply": false, "the same on a not-run record": true} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFixture()
-				a := f.host("a")
-				if before {
-					a.Finish(t.Context(), mustClaim(t, a, "body"), structs.Reply{Outcome: structs.NotRun})
-				}
-				f.store.setFault(always(late))
-				refusedWith(t, a, "body", structs.NotRun, structs.ReasonStoreUnavailable)
-				f.store.setFault(nil)
-				<-time.After(ResolveFor / 2) // the record is resolved
-				f.store.applyLate()
-				mustClaim(t, f.host("b"), "body")
-			})
-		})
+		t.Run(name, onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
+			if before {
+				a.Finish(t.Context(), mustClaim(t, a, "body"), structs.Reply{Outcome: structs.NotRun})
+			}
+			f.store.set(always(late), false)
+			refusedWith(t, a, "body", structs.NotRun, structs.ReasonStoreUnavailable)
+			f.store.set(nil, false)
+			<-time.After(ResolveFor / 2) // the record is resolved
+			f.store.applyLate()
+			mustClaim(t, b, "body")
+		}))
 	}
 }
 
 // Guards against a reply that waits for a store that is down, against losing the outcome meanwhile, and against
 // running again what the holder has given up to record.
 func TestOutcomeIsRecordedAfterAnOutage(t *testing.T) {
-	for outage, want := range map[time.Duration]string{time.Minute: "result", 2 * ResolveFor: ""} {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFixture()
-			a := f.host("a")
+	for outage, body := range map[time.Duration]string{time.Minute: "result", 2 * ResolveFor: ""} {
+		onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
 			claim := mustClaim(t, a, "body")
-			f.store.setFault(always(refused))
+			f.store.set(always(refused), false)
 			before := time.Now()
 			a.Finish(t.Context(), claim, answered("result"))
-			if waited := time.Since(before); waited != RecordWait {
-				t.Fatalf("reply waited %v", waited)
-			}
-			if _, reply, ok := a.Claim(t.Context(), quote("body")); ok || string(reply.Body) != "result" {
-				t.Fatalf("repeat at the holder got %+v", reply)
-			}
-			refusedWith(t, f.host("b"), "body", structs.NotRun, structs.ReasonStoreUnavailable)
+			want(t, time.Since(before), RecordWait, "wait for the record")
+			_, reply, ok := a.Claim(t.Context(), quote("body"))
+			want(t, ok, false, "claimed")
+			want(t, string(reply.Body), "result", "body of a repeat at the holder")
+			refusedWith(t, b, "body", structs.NotRun, structs.ReasonStoreUnavailable)
 			<-time.After(outage)
-			f.store.setFault(nil)
+			f.store.set(nil, false)
 			<-time.After(maxBackOff)
-			for _, k := range []*Keys{a, f.host("b")} {
+			for _, k := range []*Keys{a, b} {
 				_, reply, ok := k.Claim(t.Context(), quote("body"))
-				if ok || string(reply.Body) != want || (reply.Outcome == structs.Answered) != (want != "") {
-					t.Fatalf("after an outage of %v: claimed %v, got %+v", outage, ok, reply)
-				}
+				want(t, ok, false, "claimed")
+				want(t, string(reply.Body), body, fmt.Sprintf("body after an outage of %v", outage))
+				want(t, reply.Outcome == structs.Answered, body != "", "answered")
 			}
-		})
+		})(t)
 	}
 }
 
 // Guards against a late record of a not-run outcome that replaces the intent of the next claim, after which the
 // request could be claimed and run again.
 func TestLateOutcomeDoesNotReplaceTheNextClaim(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFixture()
-		a := f.host("a")
+	onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
 		claim := mustClaim(t, a, "body")
-		f.store.setFault(func(txn store.Txn) fault {
+		f.store.set(func(txn store.Txn) fault {
 			if record, err := decode(txn.Puts[0].Value); err != nil || record.State == NotRun {
 				return refused
 			}
 			return noFault
-		})
+		}, false)
 		a.Finish(t.Context(), claim, structs.Reply{Outcome: structs.NotRun})
 		mustClaim(t, a, "body")
-		f.store.setFault(nil)
+		f.store.set(nil, false)
 		<-time.After(10 * time.Second) // the first outcome is given up, the second claim is in progress
-		refusedWith(t, f.host("b"), "body", structs.OutcomeUnknown, structs.ReasonInProgress)
-	})
+		refusedWith(t, b, "body", structs.OutcomeUnknown, structs.ReasonInProgress)
+	})(t)
 }
 
 // Guards against two claims of one key at the same time.
 func TestConcurrentClaims(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFixture()
-		var claimed sync.Map
+	onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
+		var claimed atomic.Int32
 		var wait sync.WaitGroup
-		for i := range 4 {
-			k := f.host(fmt.Sprint(i))
-			for j := range 8 {
+		for _, k := range []*Keys{a, b, f.host("c")} {
+			for range 8 {
 				wait.Go(func() {
 					if _, _, ok := k.Claim(t.Context(), quote("body")); ok {
-						claimed.Store([2]int{i, j}, true)
+						claimed.Add(1)
 					}
 				})
 			}
 		}
 		wait.Wait()
-		n := 0
-		claimed.Range(func(any, any) bool { n++; return true })
-		if n != 1 {
-			t.Fatalf("%d claims of one key", n)
-		}
-	})
+		want(t, claimed.Load(), 1, "claims of one key")
+	})(t)
 }
 
 // Guards against running a request twice, or reporting another outcome than the recorded one, under lost, late
@@ -291,9 +242,12 @@
 }
 
 func faultySequence(t *testing.T, rnd *rand.Rand) {
-	f := newFixture()
+	f := &fixture{newFakeStore(), &alive{}}
 	faults := rand.New(rand.NewPCG(rnd.Uint64(), 2)) // used under the store's lock
-	f.store.setFault(func(store.Txn) fault { return fault(faults.IntN(5)) % 4 })
+	anyFault := func(store.Txn) fault { return fault(faults.IntN(5)) % 4 }
+	f.store.set(anyFault, false)
+	dead, cancel := context.WithCancel(t.Context())
+	cancel()
 	incarnations := 0
 	start := func() *Keys {
 		incarnations++
@@ -305,23 +259,20 @@
 		i := rnd.IntN(len(hosts))
 		switch rnd.IntN(6) {
 		case 0:
-			f.alive.kill(hosts[i].cfg.Incarnation)
-			stop(hosts[i])
+			f.alive.dead.Store(hosts[i].cfg.Incarnation, true)
+			_ = hosts[i].Close(dead) // ends its background work; the error tells only whether there was any
 			hosts[i] = start()
 		case 1:
 			f.store.applyLate()
-			f.store.failGets(rnd.IntN(2) == 0)
+			f.store.set(anyFault, rnd.IntN(2) == 0)
 		default:
 			ran = claimAndRun(t, hosts[i], rnd, ran)
 		}
 	}
-	f.store.setFault(nil)
-	f.store.failGets(false)
+	f.store.set(nil, false)
 	f.store.applyLate()
 	for _, k := range hosts {
-		if err := k.Close(t.Context()); err != nil {
-			t.Fatal(err)
-		}
+		want(t, k.Close(t.Context()), nil, "close")
 	}
 	claimAndRun(t, start(), rnd, ran)
 }
@@ -336,9 +287,7 @@
 		}
 		return ran
 	}
-	if ran != nil {
-		t.Fatalf("claimed again after a run with %+v", *ran)
-	}
+	want(t, ran, nil, "earlier run of a claimed request")
 	switch rnd.IntN(4) {
 	case 0:
 		reply = structs.Reply{Outcome: structs.NotRun, Reason: structs.ReasonQueueFull}
@@ -346,8 +295,7 @@
 		reply = structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonRunnerLost}
 		ran = &reply
 	case 2: // the host dies between intent and outcome
-		ran = &structs.Reply{Outcome: structs.OutcomeUnknown}
-		return ran
+		return &structs.Reply{Outcome: structs.OutcomeUnknown}
 	default:
 		reply = answered(fmt.Sprint(rnd.Uint64()))
 		ran = &reply
--- a/pkg/requests/keys/store_test.go
+++ b/pkg/requests/keys/store_test.go
@@ -36,16 +36,11 @@
 
 func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]store.KeyValue{}} }
 
-func (s *fakeStore) setFault(f func(store.Txn) fault) {
+// set sets what happens to transactions, and whether reads fail.
+func (s *fakeStore) set(f func(store.Txn) fault, getsFail bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fault = f
-}
-
-func (s *fakeStore) failGets(fail bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.getFails = fail
+	s.fault, s.getFails = f, getsFail
 }
 
 func always(f fault) func(store.Txn) fault { return func(store.Txn) fault { return f } }
@@ -80,7 +75,11 @@
 	if len(txn.Puts) > 0 && s.gone != 0 && txn.Puts[0].Lease == s.gone {
 		return store.TxnResult{}, errors.Trace(store.ErrLeaseNotFound)
 	}
-	switch f := s.faultLocked(txn); f {
+	f := noFault
+	if s.fault != nil {
+		f = s.fault(txn)
+	}
+	switch f {
 	case refused:
 		return store.TxnResult{}, errors.Trace(store.ErrUnavailable)
 	case late:
@@ -93,13 +92,6 @@
 	return s.applyLocked(txn), nil
 }
 
-func (s *fakeStore) faultLocked(txn store.Txn) fault {
-	if s.fault == nil {
-		return noFault
-	}
-	return s.fault(txn)
-}
-
 // applyLate lets the delayed transactions take effect.
 func (s *fakeStore) applyLate() {
 	s.mu.Lock()
@@ -118,7 +110,13 @@
 			revision = kv.ModRevision
 		}
 		if revision != c.Revision {
-			return s.failedLocked(txn)
+			result := store.TxnResult{Revision: s.revision}
+			for _, key := range txn.ReadOnFail {
+				if kv, ok := s.entries[key]; ok {
+					result.Read = append(result.Read, kv)
+				}
+			}
+			return result
 		}
 	}
 	s.revision++
@@ -132,13 +130,3 @@
 	}
 	return store.TxnResult{Applied: true, Revision: s.revision}
 }
-
-func (s *fakeStore) failedLocked(txn store.Txn) store.TxnResult {
-	result := store.TxnResult{Revision: s.revision}
-	for _, key := range txn.ReadOnFail {
-		if kv, ok := s.entries[key]; ok {
-			result.Read = append(result.Read, kv)
-		}
-	}
-	return result
-}
--- a/pkg/requests/service_test.go
+++ b/pkg/requests/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -40,7 +41,7 @@
 	mu       sync.Mutex
 	steps    []step
 	attempts []Target
-	ids      map[string]bool
+	ids      []string
 }
 
 type step struct {
@@ -53,10 +54,7 @@
 	s.mu.Lock()
 	play := s.steps[min(len(s.attempts), len(s.steps)-1)]
 	s.attempts = append(s.attempts, target)
-	if s.ids == nil {
-		s.ids = map[string]bool{}
-	}
-	s.ids[id] = true
+	s.ids = append(s.ids, id)
 	s.mu.Unlock()
 	if play.hold != nil {
 		select {
@@ -76,16 +74,13 @@
 
 // fakeKeys claims every key, or refuses with a reply.
 type fakeKeys struct {
-	refuse   *structs.Reply
+	refuse   structs.Reply
 	finished []structs.Reply
 	closed   bool
 }
 
 func (k *fakeKeys) Claim(context.Context, structs.Request) (keys.Claim, structs.Reply, bool) {
-	if k.refuse != nil {
-		return keys.Claim{}, *k.refuse, false
-	}
-	return keys.Claim{}, structs.Reply{}, true
+	return keys.Claim{}, k.refuse, k.refuse.Outcome == ""
 }
 
 func (k *fakeKeys) Finish(_ context.Context, _ keys.Claim, reply structs.Reply) {
@@ -97,6 +92,14 @@
 	return nil
 }
 
+// want ends the test unless got is what is expected.
+func want[T comparable](t testing.TB, got, expected T, what string) {
+	t.Helper()
+	if got != expected {
+		t.Fatalf("%s: got %v, want %v", what, got, expected)
+	}
+}
+
 func newTestService(directory Directory, dispatcher Dispatcher, keys Keys) *Service {
 	return NewService(Config{Directory: directory, Dispatcher: dispatcher, Keys: keys, Rand: rand.New(rand.NewPCG(1, 2))})
 }
@@ -117,6 +120,12 @@
 	malformed   = step{reply: structs.Reply{Outcome: structs.Answered}}
 )
 
+// held returns an answer that waits for the channel.
+func held() (step, chan struct{}) {
+	release := make(chan struct{})
+	return step{reply: ok.reply, hold: release}, release
+}
+
 // Guards against a second send of what may have run, against giving up what may be sent elsewhere, and against an
 // outcome that is more certain than the attempts.
 func TestOutcomesAndRetries(t *testing.T) {
@@ -155,14 +164,13 @@
 			req := request(c.idempotent)
 			req.Key = "key"
 			reply := s.Serve(t.Context(), req)
-			if reply.Outcome != c.outcome || reply.Reason != c.reason || dispatcher.count() != c.attempts {
-				t.Fatalf("got %s (%s) after %d attempts", reply.Outcome, reply.Reason, dispatcher.count())
-			}
-			if len(dispatcher.ids) != c.attempts {
-				t.Fatal("two attempts share an id")
-			}
-			if !c.idempotent && (len(records.finished) != 1 || records.finished[0].Outcome != c.outcome) {
-				t.Fatalf("recorded %+v", records.finished)
+			want(t, string(reply.Outcome)+" "+reply.Reason, string(c.outcome)+" "+c.reason, "reply")
+			want(t, dispatcher.count(), c.attempts, "attempts")
+			slices.Sort(dispatcher.ids)
+			want(t, len(slices.Compact(dispatcher.ids)), c.attempts, "different attempt ids")
+			if !c.idempotent {
+				want(t, len(records.finished), 1, "recorded outcomes")
+				want(t, records.finished[0].Outcome, c.outcome, "recorded outcome")
 			}
 		})
 	}
@@ -171,7 +179,6 @@
 // Guards against running a request whose key is taken, and against needing the store for requests that have no
 // key or are idempotent.
 func TestOnlyKeyedNonIdempotentRequestsNeedAClaim(t *testing.T) {
-	refusal := unknown(structs.ReasonInProgress)
 	for _, c := range []struct {
 		idempotent bool
 		key        string
@@ -180,10 +187,9 @@
 		dispatcher := &script{steps: []step{ok}}
 		req := request(c.idempotent)
 		req.Key = c.key
-		reply := newTestService(shards(1), dispatcher, &fakeKeys{refuse: &refusal}).Serve(t.Context(), req)
-		if refused := reply.Reason == structs.ReasonInProgress; refused != c.claims || (dispatcher.count() == 0) != c.claims {
-			t.Errorf("%+v: %+v after %d attempts", c, reply, dispatcher.count())
-		}
+		reply := newTestService(shards(1), dispatcher, &fakeKeys{refuse: unknown(structs.ReasonInProgress)}).Serve(t.Context(), req)
+		want(t, reply.Reason == structs.ReasonInProgress, c.claims, "refused by its key")
+		want(t, dispatcher.count() == 0, c.claims, "not sent")
 	}
 }
 
@@ -196,39 +202,33 @@
 		for range offered {
 			s.Serve(t.Context(), request(true))
 		}
-		if sent := dispatcher.count(); sent > offered*11/10 || sent <= offered {
-			t.Fatalf("%d sent for %d offered", sent, offered)
-		}
+		want(t, dispatcher.count(), offered*11/10, "sent attempts, of which the budget allows a tenth as additional ones")
 	}
 }
 
-// Guards against hedging a request that may run only once, and against a slow first attempt holding up an
-// idempotent one.
+// Guards against hedging a request that may run only once or without budget, and against a slow first attempt
+// holding up an idempotent one.
 func TestHedging(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for _, idempotent := range []bool{true, false} {
-			release := make(chan struct{})
-			slow := ok
-			slow.hold = release
+		for _, c := range []struct{ idempotent, budget, hedged bool }{{true, true, true}, {false, true, false}, {true, false, false}} {
+			slow, release := held()
 			dispatcher := &script{steps: []step{slow, ok}}
 			s := newTestService(shards(2), dispatcher, &fakeKeys{})
 			for range 10 * retry.OffersPerToken {
-				s.budget.Offer()
-				s.observe(request(idempotent), time.Millisecond)
+				if c.budget {
+					s.budget.Offer()
+				}
+				s.observe(request(c.idempotent), time.Millisecond)
 			}
-			if !idempotent {
+			if !c.hedged {
 				time.AfterFunc(time.Minute, func() { close(release) })
 			}
-			reply := s.Serve(t.Context(), request(idempotent))
-			if reply.Outcome != structs.Answered || (dispatcher.count() == 2) != idempotent {
-				t.Fatalf("idempotent %v: %+v after %d attempts", idempotent, reply, dispatcher.count())
-			}
-			if idempotent && dispatcher.attempts[0].Shard == dispatcher.attempts[1].Shard {
-				t.Fatal("the hedge went to the same shard")
-			}
-			if err := s.Close(t.Context()); err != nil {
-				t.Fatal(err)
+			want(t, s.Serve(t.Context(), request(c.idempotent)).Outcome, structs.Answered, "outcome")
+			want(t, dispatcher.count() == 2, c.hedged, "hedged")
+			if c.hedged {
+				want(t, dispatcher.attempts[0].Shard != dispatcher.attempts[1].Shard, true, "hedge on another shard")
 			}
+			want(t, s.Close(t.Context()), nil, "close")
 		}
 	})
 }
@@ -236,41 +236,31 @@
 // Guards against answering late, and against calling a request not run while an attempt is in progress.
 func TestDeadlineAndCancelWithAnAttemptInProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		never := ok
-		never.hold = make(chan struct{})
+		never, _ := held()
 		s := newTestService(shards(2), &script{steps: []step{never}}, &fakeKeys{})
 		req := request(false)
 		before := time.Now()
-		if reply := s.Serve(t.Context(), req); reply.Outcome != structs.OutcomeUnknown || time.Since(before) > req.Remaining+ReplyGrace {
-			t.Fatalf("deadline: %+v after %v", reply, time.Since(before))
-		}
+		want(t, s.Serve(t.Context(), req).Outcome, structs.OutcomeUnknown, "outcome at the deadline")
+		want(t, time.Since(before) <= req.Remaining+ReplyGrace, true, "reply by the deadline")
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		for range 10 {
-			if reply := s.Serve(ctx, request(true)); reply.Outcome != structs.OutcomeUnknown {
-				t.Fatalf("cancelled: %+v", reply)
-			}
+			want(t, s.Serve(ctx, request(true)).Outcome, structs.OutcomeUnknown, "outcome of a cancelled request")
 		}
 		synctest.Wait()
-		if good, _ := s.router.split(shards(2).Targets("quotes")); len(good) != 2 {
-			t.Fatal("an owner is blamed for cancelled attempts")
-		}
+		_, blamed := s.router.split(shards(2).Targets("quotes"))
+		want(t, len(blamed), 0, "owners blamed for cancelled attempts")
 		req.Remaining = 0
-		if reply := s.Serve(t.Context(), req); reply.Outcome != structs.NotRun {
-			t.Fatalf("no time left: %+v", reply)
-		}
-		if reply := newTestService(shards(0), nil, nil).Serve(t.Context(), request(true)); reply.Reason != structs.ReasonNoShard {
-			t.Fatalf("no shard: %+v", reply)
-		}
+		want(t, s.Serve(t.Context(), req).Outcome, structs.NotRun, "outcome with no time left")
+		reply := newTestService(shards(0), nil, nil).Serve(t.Context(), request(true))
+		want(t, reply.Reason, structs.ReasonNoShard, "reason without shards")
 	})
 }
 
 // Guards against recording an unknown outcome for a keyed request only because its caller has left.
 func TestKeyedRequestOutlivesItsCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		release := make(chan struct{})
-		slow := ok
-		slow.hold = release
+		slow, release := held()
 		records := &fakeKeys{}
 		s := newTestService(shards(1), &script{steps: []step{slow}}, records)
 		req := request(false)
@@ -281,18 +271,15 @@
 		synctest.Wait() // the attempt is in progress
 		cancel()
 		close(release)
-		if reply := <-done; reply.Outcome != structs.Answered || records.finished[0].Outcome != structs.Answered {
-			t.Fatalf("%+v, recorded %+v", reply, records.finished)
-		}
+		want(t, (<-done).Outcome, structs.Answered, "outcome")
+		want(t, records.finished[0].Outcome, structs.Answered, "recorded outcome")
 	})
 }
 
 // Guards against a shutdown that interrupts requests or takes new ones.
 func TestCloseWaitsForRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		release := make(chan struct{})
-		slow := ok
-		slow.hold = release
+		slow, release := held()
 		records := &fakeKeys{}
 		s := newTestService(shards(1), &script{steps: []step{slow}}, records)
 		done := make(chan structs.Reply, 1)
@@ -300,19 +287,12 @@
 		synctest.Wait() // the attempt is in progress
 		expired, cancel := context.WithCancel(t.Context())
 		cancel()
-		if s.Close(expired) == nil {
-			t.Fatal("closed with a request in progress")
-		}
-		if reply := s.Serve(t.Context(), request(false)); reply.Reason != structs.ReasonDraining {
-			t.Fatalf("new request: %+v", reply)
-		}
+		want(t, s.Close(expired) != nil, true, "error for a request in progress")
+		want(t, s.Serve(t.Context(), request(false)).Reason, structs.ReasonDraining, "reason for a new request")
 		close(release)
-		if err := s.Close(t.Context()); err != nil || !records.closed {
-			t.Fatalf("closed with %v, outcomes recorded: %v", err, records.closed)
-		}
-		if reply := <-done; reply.Outcome != structs.Answered {
-			t.Fatalf("request in progress: %+v", reply)
-		}
+		want(t, s.Close(t.Context()), nil, "close")
+		want(t, records.closed, true, "outcomes recorded")
+		want(t, (<-done).Outcome, structs.Answered, "outcome of the request in progress")
 	})
 }
 
@@ -336,14 +316,10 @@
 		asked := false
 		for range 8 { // the other shard has 8 free slots
 			target, reason := r.choose(request(true), time.Hour, time.Millisecond, triedTargets{})
-			if reason != "" {
-				t.Fatal(reason)
-			}
+			want(t, reason, "", "reason")
 			asked = asked || target.Shard == failed.Shard
 		}
-		if asked != c.asked {
-			t.Errorf("after %v: asked %v, want %v", c.ends, asked, c.asked)
-		}
+		want(t, asked, c.asked, fmt.Sprintf("asked after %v", c.ends))
 	}
 }
 
@@ -357,12 +333,8 @@
 	f.add(at(500), 1)
 	f.add(at(600), -1)
 	f.add(at(700), -1)
-	for now, want := range map[int64]int{-100: 2, 100: -1, 500: -2, 650: -1, 750: 0} {
-		if got := f.changeSince(at(800), at(now)); got != want {
-			t.Errorf("since %d ms: %d, want %d", now, got, want)
-		}
-	}
-	if got := f.changeSince(at(1<<20), at(0)); got != 0 {
-		t.Errorf("after a long time: %d, want 0", got)
+	for since, change := range map[int64]int{-100: 2, 100: -1, 500: -2, 650: -1, 750: 0} {
+		want(t, f.changeSince(at(800), at(since)), change, fmt.Sprintf("change since %d ms", since))
 	}
+	want(t, f.changeSince(at(1<<20), at(0)), 0, "change after a long time")
 }
--- a/pkg/slots/pool_test.go
+++ b/pkg/slots/pool_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"runtime"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,30 +59,29 @@
 func free(p *Pool) int   { return p.Digest().FreeSlots["quotes"] }
 func queued(p *Pool) int { return p.Digest().Queued["quotes"] }
 
-func want(t *testing.T, reply structs.Reply, outcome structs.Outcome, reason string) {
+// want ends the test unless got is what is expected.
+func want[T comparable](t testing.TB, got, expected T, what string) {
 	t.Helper()
-	if reply.Outcome != outcome || reply.Reason != reason {
-		t.Fatalf("got %s (%s), want %s (%s)", reply.Outcome, reply.Reason, outcome, reason)
+	if got != expected {
+		t.Fatalf("%s: got %v, want %v", what, got, expected)
 	}
 }
 
+func wantReply(t *testing.T, reply structs.Reply, outcome structs.Outcome, reason string) {
+	t.Helper()
+	want(t, string(reply.Outcome)+" "+reply.Reason, string(outcome)+" "+reason, "reply")
+}
+
 // Guards against more requests on a runner than it has slots, and against answers that reach another request.
 func TestConcurrentDispatchesStayWithinSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var mu sync.Mutex
-		running := map[string]int{}
+		running := map[string]*atomic.Int32{"r0": {}, "r1": {}, "r2": {}}
 		p := newTestPool(3, 2, func(_ context.Context, addr string, a Attempt) (Answer, error) {
-			mu.Lock()
-			running[addr]++
-			over := running[addr] > 2
-			mu.Unlock()
-			if over {
+			if running[addr].Add(1) > 2 {
 				t.Errorf("runner %s got more requests than slots", addr)
 			}
 			<-time.After(time.Duration(len(a.ID)) * time.Millisecond) // lets other requests start
-			mu.Lock()
-			running[addr]--
-			mu.Unlock()
+			running[addr].Add(-1)
 			return Answer{Status: 200, Body: a.Body}, nil
 		})
 		for round := range 20 {
@@ -90,19 +91,18 @@
 			}
 			for i, done := range replies {
 				reply := <-done
-				if id := fmt.Sprint(round, "-", i); reply.Outcome != structs.Answered || string(reply.Body) != id {
-					t.Fatalf("request %s got %+v", id, reply)
-				}
+				wantReply(t, reply, structs.Answered, "")
+				want(t, string(reply.Body), fmt.Sprint(round, "-", i), "body")
 			}
 		}
-		if free(p) != 6 {
-			t.Fatalf("%d of 6 slots free at the end", free(p))
-		}
+		want(t, free(p), 6, "free slots at the end")
 	})
 }
 
-// Guards against wrong outcomes and lost slots for every way in which an attempt can end.
+// Guards against wrong outcomes and lost slots for every way in which an attempt can end, and against sending for a
+// shard that was lost while the request queued, for example during a pause.
 func TestOutcomeOfEachEnd(t *testing.T) {
+	errNotOwned := errors.New("lease expired")
 	cases := []struct {
 		name    string
 		answer  Answer
@@ -112,6 +112,7 @@
 		reason  string
 		free    int // of 4 slots on 4 runners
 	}{
+		{"not owned", Answer{}, errNotOwned, 0, structs.NotRun, structs.ReasonWrongOwner, 4},
 		{"answered", Answer{Status: 200}, nil, 1, structs.Answered, "", 4},
 		{"answered with an error", Answer{Status: 500}, nil, 1, structs.Answered, "", 4},
 		{"impossible status", Answer{Status: 0}, nil, 1, structs.OutcomeUnknown, structs.ReasonRunnerLost, 3},
@@ -131,95 +132,65 @@
 					asked[addr], ids[a.ID] = true, true
 					return c.answer, c.err
 				})
-				want(t, p.Dispatch(t.Context(), "a", request("1")), c.outcome, c.reason)
-				if len(asked) != c.calls || len(ids) != c.calls {
-					t.Fatalf("%d runners asked under %d ids, want %d", len(asked), len(ids), c.calls)
-				}
-				if free(p) != c.free {
-					t.Fatalf("%d slots free, want %d", free(p), c.free)
+				if c.err == errNotOwned {
+					p.cfg.Valid = func() error { return errNotOwned }
 				}
+				wantReply(t, p.Dispatch(t.Context(), "a", request("1")), c.outcome, c.reason)
+				want(t, [2]int{len(asked), len(ids)}, [2]int{c.calls, c.calls}, "runners asked and attempt ids")
+				want(t, free(p), c.free, "free slots")
 				<-time.After(time.Hour + DefaultUncertainHold)
 				synctest.Wait()
-				if free(p) != 4 {
-					t.Fatalf("%d slots free after the bound, want 4", free(p))
-				}
+				want(t, free(p), 4, "free slots after the bound")
 			})
 		})
 	}
 }
 
-// Guards against sending for a shard that was lost while the request queued, for example during a pause.
-func TestNothingIsSentWithoutOwnership(t *testing.T) {
+// onPool runs a test on virtual time. Calls on the pool's runners are announced on started and wait for release.
+func onPool(t *testing.T, runners, slots int, test func(*testing.T, *Pool, chan string, chan struct{})) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newTestPool(1, 1, func(context.Context, string, Attempt) (Answer, error) {
-			t.Error("sent without ownership")
-			return Answer{Status: 200}, nil
-		})
-		p.cfg.Valid = func() error { return errors.New("lease expired") }
-		want(t, p.Dispatch(t.Context(), "a", request("1")), structs.NotRun, structs.ReasonWrongOwner)
-		if free(p) != 1 {
-			t.Fatal("slot lost")
-		}
+		started, release := make(chan string, 100), make(chan struct{})
+		test(t, newTestPool(runners, slots, func(ctx context.Context, addr string, a Attempt) (Answer, error) {
+			started <- addr
+			select {
+			case <-release:
+				return Answer{Status: 200, Body: a.Body}, nil
+			case <-ctx.Done():
+				return Answer{}, ErrUncertain
+			}
+		}), started, release)
 	})
 }
 
-// hanging returns a runner whose calls wait for release, and the channel of started calls.
-func hanging() (runnerFunc, chan string, chan struct{}) {
-	started, release := make(chan string, 100), make(chan struct{})
-	return func(ctx context.Context, addr string, a Attempt) (Answer, error) {
-		started <- addr
-		select {
-		case <-release:
-			return Answer{Status: 200, Body: a.Body}, nil
-		case <-ctx.Done():
-			return Answer{}, ErrUncertain
-		}
-	}, started, release
-}
-
 // Guards against a not-run reply for a request that a runner has, and against giving its slot away before the
 // runner has finished.
 func TestDeadlineOfASentRequestIsUnknown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		do, started, release := hanging()
-		p := newTestPool(1, 1, do)
-		want(t, p.Dispatch(t.Context(), "a", request("1")), structs.OutcomeUnknown, structs.ReasonDeadline)
+	onPool(t, 1, 1, func(t *testing.T, p *Pool, started chan string, release chan struct{}) {
+		wantReply(t, p.Dispatch(t.Context(), "a", request("1")), structs.OutcomeUnknown, structs.ReasonDeadline)
 		<-started
-		if free(p) != 0 {
-			t.Fatal("slot was freed while the runner works")
-		}
+		want(t, free(p), 0, "free slots while the runner works")
 		close(release)
 		synctest.Wait()
-		if free(p) != 1 {
-			t.Fatal("slot was not freed by the late answer")
-		}
+		want(t, free(p), 1, "free slots after the late answer")
 	})
 }
 
 // Guards against running a request whose caller has left, and against calling a queued request unknown.
 func TestQueuedRequestsEndAsNotRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		do, started, release := hanging()
-		p := newTestPool(1, 1, do)
+	onPool(t, 1, 1, func(t *testing.T, p *Pool, started chan string, release chan struct{}) {
 		ctx, cancel := context.WithCancel(t.Context())
 		first := start(p, ctx, request("1"))
 		<-started
 		cancelled := start(p, ctx, request("2"))
-		if queued(p) != 1 {
-			t.Fatal("request does not wait")
-		}
+		want(t, queued(p), 1, "waiting requests")
 		cancel()
-		want(t, <-cancelled, structs.NotRun, structs.ReasonCancelled)
-
+		wantReply(t, <-cancelled, structs.NotRun, structs.ReasonCancelled)
 		short := request("3")
 		short.Remaining = time.Minute
-		want(t, p.Dispatch(t.Context(), "a", short), structs.NotRun, structs.ReasonDeadline)
-
+		wantReply(t, p.Dispatch(t.Context(), "a", short), structs.NotRun, structs.ReasonDeadline)
 		close(release)
-		want(t, <-first, structs.Answered, "")
-		if len(started) != 0 {
-			t.Fatal("a withdrawn request was sent")
-		}
+		wantReply(t, <-first, structs.Answered, "")
+		want(t, len(started), 0, "withdrawn requests sent")
 	})
 }
 
@@ -240,18 +211,15 @@
 			p.advanceLocked()
 			p.mu.Unlock()
 			<-reply
-			if synctest.Wait(); free(p) != 1 {
-				t.Fatal("slot lost")
-			}
+			synctest.Wait()
+			want(t, free(p), 1, "free slots")
 		}
 	})
 }
 
 // Guards against a hedge that waits on the runner whose slowness caused it.
 func TestSecondAttemptGoesToAnotherRunner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		do, started, release := hanging()
-		p := newTestPool(1, 8, do)
+	onPool(t, 1, 8, func(t *testing.T, p *Pool, started chan string, release chan struct{}) {
 		replies := []<-chan structs.Reply{start(p, t.Context(), request("1"))}
 		slow := <-started
 		p.SetRunners(hosts(2, 8)[1:])
@@ -261,96 +229,62 @@
 		}
 		p.SetRunners(hosts(2, 8))
 		replies = append(replies, start(p, t.Context(), request("1")))
-		if addr := <-started; addr == slow {
-			t.Fatal("both attempts on one runner")
-		}
+		want(t, <-started != slow, true, "second attempt on another runner")
 		close(release)
 		for _, reply := range replies {
 			<-reply
 		}
-		if len(p.holders) != 0 {
-			t.Fatal("ended attempts are remembered")
-		}
-	})
-}
-
-// Guards against a shutdown that interrupts requests in progress or takes new ones, and one that never ends.
-func TestCloseDrains(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		do, started, release := hanging()
-		p := newTestPool(1, 1, do)
-		running := start(p, t.Context(), request("1"))
-		<-started
-		waiting := start(p, t.Context(), request("2"))
-		if queued(p) != 1 {
-			t.Fatal("request does not wait")
-		}
-		closed := make(chan error, 1)
-		go func() { closed <- p.Close(context.Background()) }()
-		synctest.Wait()
-		want(t, p.Dispatch(t.Context(), "a", request("3")), structs.NotRun, structs.ReasonDraining)
-		close(release)
-		want(t, <-running, structs.Answered, "")
-		want(t, <-waiting, structs.Answered, "")
-		if err := <-closed; err != nil {
-			t.Fatal(err)
-		}
+		want(t, len(p.holders), 0, "ended attempts remembered")
 	})
 }
 
-// Guards against a forced shutdown that hides requests in progress or leaves queued callers waiting.
-func TestForcedCloseRejectsTheQueue(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		do, started, release := hanging()
-		p := newTestPool(1, 1, do)
-		running := start(p, t.Context(), request("1"))
-		<-started
-		waiting := start(p, t.Context(), request("2"))
-		if queued(p) != 1 {
-			t.Fatal("request does not wait")
-		}
-		ctx, cancel := context.WithCancel(t.Context())
-		cancel()
-		if err := p.Close(ctx); !errors.Is(err, ErrForced) {
-			t.Fatalf("forced close returned %v", err)
-		}
-		want(t, <-waiting, structs.NotRun, structs.ReasonDraining)
-		close(release)
-		want(t, <-running, structs.Answered, "")
-	})
+// Guards against a shutdown that interrupts requests in progress or takes new ones, and a forced one that hides
+// requests in progress or leaves queued callers waiting.
+func TestClose(t *testing.T) {
+	for _, forced := range []bool{false, true} {
+		onPool(t, 1, 1, func(t *testing.T, p *Pool, started chan string, release chan struct{}) {
+			running, waiting := start(p, t.Context(), request("1")), start(p, t.Context(), request("2"))
+			want(t, queued(p), 1, "waiting requests")
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			closed := make(chan error, 1)
+			go func() { closed <- p.Close(ctx) }()
+			synctest.Wait()
+			wantReply(t, p.Dispatch(t.Context(), "a", request("3")), structs.NotRun, structs.ReasonDraining)
+			if forced {
+				cancel()
+				want(t, errors.Is(<-closed, ErrForced), true, "error of a forced close")
+				wantReply(t, <-waiting, structs.NotRun, structs.ReasonDraining)
+			}
+			close(release)
+			wantReply(t, <-running, structs.Answered, "")
+			if !forced {
+				wantReply(t, <-waiting, structs.Answered, "")
+				want(t, <-closed, nil, "close")
+			}
+		})
+	}
 }
 
 // Guards against new requests on a runner that the host list shows as leaving or no longer lists, and against
 // interrupting the one it still works on.
 func TestLeavingRunnerGetsNothingNew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		do, started, release := hanging()
-		p := newTestPool(2, 1, do)
+	onPool(t, 2, 1, func(t *testing.T, p *Pool, started chan string, release chan struct{}) {
 		first := start(p, t.Context(), request("1"))
 		leaving := <-started
 		list := hosts(2, 1)
-		for i := range list {
-			if list[i].Address == leaving {
-				list[i].State = structs.HostLeaving
-			}
-		}
+		list[slices.IndexFunc(list, func(h structs.Host) bool { return h.Address == leaving })].State = structs.HostLeaving
 		p.SetRunners(list)
 		second := start(p, t.Context(), request("2"))
-		if addr := <-started; addr == leaving {
-			t.Fatal("leaving runner got a request")
-		}
+		want(t, <-started != leaving, true, "new request on another runner")
 		third := start(p, t.Context(), request("3"))
-		if queued(p) != 1 {
-			t.Fatal("request does not wait")
-		}
+		want(t, queued(p), 1, "waiting requests")
 		close(release)
 		for _, done := range []<-chan structs.Reply{first, second, third} {
-			want(t, <-done, structs.Answered, "")
-		}
-		if addr := <-started; addr == leaving {
-			t.Fatal("leaving runner got a queued request")
+			wantReply(t, <-done, structs.Answered, "")
 		}
+		want(t, <-started != leaving, true, "queued request on another runner")
 		p.SetRunners(nil)
-		want(t, p.Dispatch(t.Context(), "a", request("4")), structs.NotRun, structs.ReasonNoRunner)
+		wantReply(t, p.Dispatch(t.Context(), "a", request("4")), structs.NotRun, structs.ReasonNoRunner)
 	})
 }
