--- a/pkg/ownership/service_test.go
+++ b/pkg/ownership/service_test.go
@@ -18,6 +18,9 @@
 func TestClaimMakesTheRecordsOfTheEpoch(t *testing.T) {
 	c := newCluster(t)
 	a, b := c.pair()
+	if want := membership.Preferred(shard0, []structs.HostID{"a", "b"}); a.self.Host != want {
+		t.Fatalf("%s owns the shard, %s is preferred", a.self.Host, want)
+	}
 	epoch, until, err := a.ValidUntil(shard0)
 	record, last := c.store.entries[keys1.shard(shard0)], c.store.entries[keys1.lastOwner(shard0)]
 	if err != nil || record.CreateRevision != int64(epoch) || last.ModRevision != int64(epoch) || record.Lease == 0 || last.Lease != 0 {
