Take only a leaving member's word that it will not claim

Only a member that is leaving gives up its right for good; for the others the registry decides. Register and the end of the registration are serialised, so that the right does not come back after Release. Ruled out: a revision in the message, which does not order it against the registry when it is 0.

--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -24,6 +24,10 @@
 	RemovalAttempted bool   // it attempted to take a data centre out of service and does not know the result
 }
 
+// GaveUp reports whether the process has given up its right to claim for good. A process without the right that is
+// not leaving may have registered since it sent the report; only the registry tells.
+func (r Report) GaveUp() bool { return r.Leaving && !r.MayClaim }
+
 // Member is the view of one peer at a moment.
 type Member struct {
 	Report
--- a/core/ownership/holder.go
+++ b/core/ownership/holder.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// MemberLeft records that a process gave up its right to claim, until it registers again, no later than `at`. The
-// caller has checked that no newer message of that process is known.
+// MemberLeft records that a process gave up its right to claim for good no later than `at`. A message that only says
+// that the process is not registered is no such proof: it may have been under way while the process registered.
 func (h *Holder) MemberLeft(p membership.Process, at time.Time) {
 	if w, known := h.witnesses[p.Host]; known && w.incarnation == p.Incarnation {
 		h.drop(p.Host, at)
--- a/core/ownership/simhost_test.go
+++ b/core/ownership/simhost_test.go
@@ -207,7 +207,7 @@
 		return h.report(), 0
 	}
 	h.ledger.Acknowledge(report.Process, echo)
-	if outcome != membership.Reordered && !report.MayClaim {
+	if outcome != membership.Reordered && report.GaveUp() {
 		h.holder.MemberLeft(report.Process, h.now())
 	}
 	if outcome == membership.Replaced && membership.Newer(report.Incarnation, former.Incarnation) {
@@ -226,9 +226,9 @@
 		h.holder.MemberDied(former, h.now())
 	}
 	latest, _ := h.table.Member(report.Host, h.now())
-	if !latest.MayClaim {
+	if latest.GaveUp() {
 		h.holder.MemberLeft(report.Process, h.now())
-	} else if report.MayClaim && ttl > 0 {
+	} else if latest.MayClaim && report.MayClaim && ttl > 0 {
 		h.holder.RecordPromise(Promise{From: report.Process, SentAt: sentAt, ReceivedAt: h.now(), TTL: ttl})
 		h.echo[report.Process] = max(h.echo[report.Process], report.Sequence)
 	}
--- a/pkg/members/heartbeat.go
+++ b/pkg/members/heartbeat.go
@@ -115,13 +115,13 @@
 		return
 	}
 	latest, _ := s.table.Member(report.Host, receivedAt)
-	if !latest.MayClaim {
-		// A reordered reply from before the member gave up its right must not bring it back.
+	if latest.GaveUp() {
 		s.cfg.Promises.MemberLeft(report.Process, receivedAt)
 		return
 	}
 	ttl := time.Duration(reply.GetPromiseMs()) * time.Millisecond
-	if !report.MayClaim || ttl <= 0 {
+	// A reordered reply from before the member lost its right must not bring it back.
+	if !latest.MayClaim || !report.MayClaim || ttl <= 0 {
 		return
 	}
 	promise := ownership.Promise{From: report.Process, SentAt: sentAt, ReceivedAt: receivedAt, TTL: ttl}
--- a/pkg/members/members_test.go
+++ b/pkg/members/members_test.go
@@ -226,9 +226,14 @@
 	n := newNetwork()
 	a, b := n.start(t, "a", "1", "d1"), n.start(t, "b", "1", "d1")
 	n.run(2 * time.Second)
-	b.SetLeaving()
 	b.mayClaim = false
 	n.run(time.Second)
+	// Such a message may have been under way while the peer registered.
+	if len(a.left) != 0 {
+		t.Fatal("a peer that is only not registered was taken for one that gave up its right to claim")
+	}
+	b.SetLeaving()
+	n.run(time.Second)
 	a.requireLive(t, "a")
 	b.requireLive(t, "a")
 	if !slices.Contains(a.left, b.self) {
--- a/pkg/ownership/book.go
+++ b/pkg/ownership/book.go
@@ -67,7 +67,7 @@
 	b.ledger.Acknowledge(peer, sequence)
 }
 
-// MemberLeft records that p gave up its right to claim no later than at.
+// MemberLeft records that p gave up its right to claim for good no later than at.
 func (b *Book) MemberLeft(p membership.Process, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/ownership/config.go
+++ b/pkg/ownership/config.go
@@ -5,8 +5,8 @@
 // read of the member registry every 5 s, one renewal of the registration every 20 s, and one transaction per
 // claim or release. A shard without a record adds one read per range read.
 //
-// Lock order: Service.steps, then Service.mu, then Book.mu. Service.steps is held during store calls; the other
-// two are not. Callbacks run without Service.mu and Book.mu.
+// Lock order: Service.steps, then Service.entering, then Service.mu, then Book.mu. The first two are held during
+// store calls; the others are not. Callbacks run without Service.mu and Book.mu.
 package ownership
 
 import (
--- a/pkg/ownership/register.go
+++ b/pkg/ownership/register.go
@@ -22,8 +22,10 @@
 }
 
 // Register keeps the host in the member registry and reads the registry. Run calls it every second; it calls the
-// store only when something is due.
+// store only when something is due. After Release it does nothing, so the right to claim never comes back.
 func (s *Service) Register(ctx context.Context) {
+	s.entering.Lock()
+	defer s.entering.Unlock()
 	if s.isStopping() {
 		return
 	}
--- a/pkg/ownership/release.go
+++ b/pkg/ownership/release.go
@@ -14,7 +14,8 @@
 // errUnfinished means that OnLost did not return in time, so the record was left to lapse with its lease.
 const errUnfinished = errors.ConstError("work in progress did not finish in time")
 
-// Release gives up all shards and the registration, for shutdown. For each shard OnLost first finishes what is
+// Release gives up all shards and the registration, for shutdown, after the heartbeats have announced that this host
+// is leaving. For each shard OnLost first finishes what is
 // in progress, with the ownership still valid; then the record is deleted. Run must still be running, so that
 // the lease is renewed meanwhile. When ctx ends, validity ends and records that remain lapse with the lease.
 // It returns the errors of all shards together.
@@ -158,6 +159,8 @@
 // leaveRegistry gives up the right to claim and, if all shards were released, the owner lease. s.steps is held,
 // so that no claim is in progress; a claim whose result is unknown loses its effect with the lease.
 func (s *Service) leaveRegistry(ctx context.Context, released bool) {
+	s.entering.Lock() // waits for a registration in progress
+	defer s.entering.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	if lease, _ := s.cfg.Book.lease(); released && lease != 0 {
--- a/pkg/ownership/service.go
+++ b/pkg/ownership/service.go
@@ -35,6 +35,7 @@
 
 	renewals chan struct{} // limits the renewals in flight
 	granting sync.Mutex    // held while a lease is requested
+	entering sync.Mutex    // serialises Register and the end of the registration
 
 	mu        sync.Mutex // guards the fields below
 	owned     map[structs.ShardID]*owned
