--- a/core/admission/ledger_test.go
+++ b/core/admission/ledger_test.go
@@ -66,7 +66,7 @@
 			},
 			"release": func(t *rapid.T) {
 				if len(slots) == 0 {
-					t.Skip("nothing taken")
+					return
 				}
 				i := rapid.IntRange(0, len(slots)-1).Draw(t, "slot")
 				if !ledger.Release(slots[i]) || ledger.Release(slots[i]) {
