Make the routing policy a setting and measure the policies

The policies random, two-choices and slot-aware existed, but the product always used the default, so they could not be compared on real processes.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -162,6 +162,7 @@
 		StoreEndpoint:       set.StoreEndpoint.String(),
 		HostListEndpoint:    set.HostlistEndpoint.String(),
 		ShardsPerDatacentre: set.ShardsPerDatacentre,
+		RoutingPolicy:       set.RoutingPolicy,
 		ShutdownTimeout:     set.ShutdownTimeout,
 		Seed:                uint64(time.Now().UnixNano()),
 		Log:                 logger,
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -26,6 +26,7 @@
 	Peers               []string
 	ShardsPerDatacentre int
 	PlacementPolicy     string
+	RoutingPolicy       string // name of a policy of core/routing; routing.DefaultPolicy when empty
 	ShutdownTimeout     time.Duration
 	Seed                uint64 // of placement and home choices
 	Log                 *eventlog.Logger
--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"fulmarcourse.example/core/routing"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/jobs"
@@ -127,3 +129,15 @@
 	}
 	return addr, false, ok
 }
+
+// routingPolicy returns the policy with the given name, the default one for an empty name.
+func routingPolicy(name string) (routing.Policy, error) {
+	if name == "" {
+		name = routing.DefaultPolicy
+	}
+	policy, ok := routing.ByName(name)
+	if !ok {
+		return nil, errors.NotValidf("routing policy %q", name)
+	}
+	return policy, nil
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -288,8 +288,13 @@
 // buildRequests makes the request path and the HTTP interface.
 func (n *Node) buildRequests() error {
 	n.dispatch = requests.NewPeerDispatcher(requests.DispatcherConfig{Pools: n.pools, Source: n.cfg.SourceAddress, Log: n.cfg.Log})
+	policy, err := routingPolicy(n.cfg.RoutingPolicy)
+	if err != nil {
+		return err
+	}
 	n.requests = requests.NewService(requests.Config{
 		Directory:  n.directory,
+		Policy:     policy,
 		Dispatcher: n.dispatch,
 		Keys: keys.NewKeys(keys.Config{
 			Store:       n.store,
@@ -305,7 +310,6 @@
 		Scope: n.cfg.Metrics.Scope,
 		Log:   n.cfg.Log,
 	})
-	var err error
 	n.http, err = httpapi.NewServer(httpapi.Config{
 		Address:   n.cfg.HTTPAddress,
 		Requests:  n.requests,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"fulmarcourse.example/core/inifile"
+	"fulmarcourse.example/core/routing"
 	"fulmarcourse.example/core/structs"
 )
 
@@ -47,6 +48,7 @@
 	PeerListen          netip.AddrPort // listens for other entry hosts; defaults to PeerAddress
 	SourceAddress       netip.Addr     // local address of outgoing connections; the system chooses when zero
 	ShardsPerDatacentre int
+	RoutingPolicy       string // name of a policy of core/routing
 	StoreEndpoint       url.URL
 	HostlistEndpoint    url.URL
 	Peers               []netip.AddrPort // peers to contact before the member registry is known
@@ -79,6 +81,7 @@
 	file := inifile.Open(name, text)
 	settings := Settings{
 		ShardsPerDatacentre: DefaultShardsPerDatacentre,
+		RoutingPolicy:       routing.DefaultPolicy,
 		LogLevel:            log.InfoLevel,
 		Trace:               Trace{Exporter: TraceNone},
 		ShutdownTimeout:     DefaultShutdownTimeout,
@@ -116,7 +119,7 @@
 
 func (set *Settings) readNode(s *inifile.Section) {
 	s.Known("host", "datacentre", "environment", "trial_environment", "http_address", "peer_address", "peer_listen", "source_address",
-		"shards_per_datacentre")
+		"shards_per_datacentre", "routing_policy")
 	host, _ := inifile.Required(s, "host", inifile.Name)
 	datacentre, _ := inifile.Required(s, "datacentre", inifile.Name)
 	set.Host, set.Datacentre = structs.HostID(host), structs.DatacentreID(datacentre)
@@ -127,6 +130,8 @@
 	set.PeerListen = inifile.Optional(s, "peer_listen", inifile.AddressPort, set.PeerAddress)
 	set.SourceAddress = inifile.Optional(s, "source_address", inifile.Address, netip.Addr{})
 	set.ShardsPerDatacentre = int(inifile.Optional(s, "shards_per_datacentre", inifile.Integer(1, maxShards), DefaultShardsPerDatacentre))
+	policies := inifile.OneOf(routing.RandomName, routing.TwoChoicesName, routing.SlotAwareName)
+	set.RoutingPolicy = inifile.Optional(s, "routing_policy", policies, routing.DefaultPolicy)
 }
 
 // maxShards limits the shards of a data centre. Each costs one store record and one renewal per lease period.
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -48,10 +48,10 @@
 		Host: "a1", Datacentre: "north", Environment: "production", TrialEnvironment: "production",
 		HTTPAddress: netip.MustParseAddrPort("0.0.0.0:8080"), PeerAddress: netip.MustParseAddrPort("10.1.0.5:7400"),
 		PeerListen:          netip.MustParseAddrPort("10.1.0.5:7400"),
-		ShardsPerDatacentre: 2,
-		StoreEndpoint:       url.URL{Scheme: "http", Host: "10.1.0.9:2379"},
-		HostlistEndpoint:    url.URL{Scheme: "http", Host: "[fd00::9]:9000"},
-		LogLevel:            log.InfoLevel, Trace: Trace{Exporter: TraceNone}, ShutdownTimeout: 30 * time.Second,
+		ShardsPerDatacentre: 2, RoutingPolicy: "slot-aware",
+		StoreEndpoint:    url.URL{Scheme: "http", Host: "10.1.0.9:2379"},
+		HostlistEndpoint: url.URL{Scheme: "http", Host: "[fd00::9]:9000"},
+		LogLevel:         log.InfoLevel, Trace: Trace{Exporter: TraceNone}, ShutdownTimeout: 30 * time.Second,
 		Timings: DefaultTimings(),
 	}
 	compare := cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
@@ -59,11 +59,12 @@
 	if diff := cmp.Diff(want, got, compare, compareAddr); diff != "" {
 		t.Fatalf("settings differ (-want +got):\n%s", diff)
 	}
-	got, findings = Parse("s.ini", []byte(valid+optional))
+	got, findings = Parse("s.ini", []byte(strings.Replace(valid, "[store]", "routing_policy = random\n[store]", 1)+optional))
 	if len(findings) > 0 {
 		t.Fatal(findings)
 	}
 	want.Peers = []netip.AddrPort{netip.MustParseAddrPort("10.1.0.6:7400"), netip.MustParseAddrPort("10.2.0.6:7400")}
+	want.RoutingPolicy = "random"
 	want.LogLevel, want.Trace = log.DebugLevel, Trace{Exporter: TraceStdout, File: "spans.json"}
 	want.ShutdownTimeout, want.Timings.PermitTTL = 20*time.Second, 2*time.Second
 	if diff := cmp.Diff(want, got, compare, compareAddr); diff != "" {
@@ -80,6 +81,7 @@
 		{"missing port", "0.0.0.0:8080", "0.0.0.0", "node http_address"},
 		{"host name in an endpoint", "http://10.1.0.9:2379", "http://localhost:2379", "store endpoint"},
 		{"path in an endpoint", "http://10.1.0.9:2379", "http://10.1.0.9:2379/v3", "store endpoint"},
+		{"bad routing policy", "host = a1", "host = a1\nrouting_policy = best", "node routing_policy"},
 		{"bad peer", "10.2.0.6:7400", "peer:7400", "peers addresses"},
 		{"missing section", "[store]\nendpoint = http://10.1.0.9:2379\n", "", "store "},
 		{"unknown section", "[peers]\naddresses = 10.1.0.6:7400, 10.2.0.6:7400", "[peer]", "peer "},
--- /dev/null
+++ b/test/measure/routing_test.go
@@ -0,0 +1,234 @@
+package measure
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/routing"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
+	"fulmarcourse.example/fulmarcourse/test/cluster"
+)
+
+// Size of the first firm (docs/design.md, section 1): 65 runners of 8 slots in three data centres.
+const (
+	firmRunners = 65
+	slotsEach   = 8
+	firmSlots   = firmRunners * slotsEach
+)
+
+// Times and factors of the routing measurement.
+const (
+	deadlineFactor = 5 // of the service time
+	linkDelay      = 5 * time.Millisecond
+	slowLinkDelay  = 60 * time.Millisecond
+	slowFactor     = 5 // of one slow runner
+	warmUp         = 1500 * time.Millisecond
+	pauseBetween   = 1500 * time.Millisecond // lets queues and limits recover from the load before
+)
+
+// Flags of the routing measurement. The service time must be long enough for one machine to carry the load generator,
+// the stand-ins and the entry hosts at three times the capacity; the column of processor time shows it.
+var (
+	loadTime    = flag.Duration("load", 4*time.Second, "counted time of each load in the routing measurement")
+	serviceTime = flag.Duration("service", 400*time.Millisecond, "mean service time of the runners")
+	only        = flag.String("only", "", "part of the names of the loads to measure; all when empty")
+)
+
+// scenario is one load on the cluster of the first firm.
+type scenario struct {
+	name    string
+	percent int // of the capacity of all slots
+	onlyA   bool
+	begin   func(*cluster.Cluster)
+	end     func(*cluster.Cluster)
+}
+
+func scenarios() []scenario {
+	var all []scenario
+	for _, percent := range []int{50, 70, 85, 95, 120} {
+		all = append(all, scenario{name: fmt.Sprintf("%d %%", percent), percent: percent})
+	}
+	runner := func(c *cluster.Cluster) *standin.Runner { return c.Platform.Runners["a-0-runner-0"] }
+	return append(all,
+		scenario{name: "70 %, one slow runner", percent: 70,
+			begin: func(c *cluster.Cluster) { runner(c).SetSlow(slowFactor) },
+			end:   func(c *cluster.Cluster) { runner(c).SetSlow(1) }},
+		scenario{name: "70 %, one frozen runner", percent: 70,
+			begin: func(c *cluster.Cluster) { runner(c).SetFrozen(true) },
+			end:   func(c *cluster.Cluster) { runner(c).SetFrozen(false) }},
+		scenario{name: "70 %, one slow link", percent: 70,
+			begin: func(c *cluster.Cluster) { slowLink(c, slowLinkDelay) },
+			end:   func(c *cluster.Cluster) { slowLink(c, linkDelay) }},
+		scenario{name: "70 %, all in one data centre", percent: 70, onlyA: true},
+		scenario{name: "goodput at 100 %", percent: 100},
+		scenario{name: "goodput at 150 %", percent: 150},
+		scenario{name: "goodput at 300 %", percent: 300},
+	)
+}
+
+// slowLink sets the delay between the data centres a and b.
+func slowLink(c *cluster.Cluster, delay time.Duration) {
+	c.SlowLinks(delay, func(from, to string) bool {
+		return (from[:1] == "a" && to[:1] == "b") || (from[:1] == "b" && to[:1] == "a")
+	})
+}
+
+// firm returns the cluster of the first firm with a routing policy.
+func firm(policy string) cluster.Config {
+	cfg := config([]cluster.Datacentre{
+		{ID: "a", EntryHosts: 2, Racks: 11, RunnersPerRack: 2},
+		{ID: "b", EntryHosts: 2, Racks: 11, RunnersPerRack: 2},
+		{ID: "c", EntryHosts: 2, Racks: 7, RunnersPerRack: 3},
+	})
+	cfg.Runner.ServiceTime = map[structs.KindName]time.Duration{"quote": *serviceTime, "preview": *serviceTime}
+	cfg.NodeSettings = "routing_policy = " + policy
+	cfg.LinkDelay = linkDelay
+	cfg.DirectBackends = true
+	return cfg
+}
+
+// routed is the result of one scenario.
+type routed struct {
+	*Requests
+	repeats int
+	remote  int           // run by a runner of another data centre than the caller's
+	run     int           // run by any runner
+	time    time.Duration // counted
+	cpu     time.Duration // of all entry hosts, warm-up included
+	own     time.Duration // of the measuring process with its stand-ins, warm-up included
+}
+
+// Measures the routing policies. Each repetition measures every policy on a cluster of its own.
+func TestRouting(t *testing.T) {
+	if !*measuring {
+		return
+	}
+	policies := []string{routing.RandomName, routing.TwoChoicesName, routing.SlotAwareName}
+	results := map[string]*routed{}
+	for round := range *repeats {
+		for _, policy := range policies {
+			t.Run(fmt.Sprint(policy, round), func(t *testing.T) { measurePolicy(t, policy, uint64(round), results) })
+		}
+	}
+	fmt.Printf("\n| load | policy | requests | p50 ms | p99 ms | p99.9 ms | not run %% | unknown or lost %% | run | other data centre %% | goodput/s | cores, entry hosts | cores, load |\n")
+	fmt.Printf("| --- | --- |%s\n", strings.Repeat(" ---: |", 11))
+	for _, s := range scenarios() {
+		for _, policy := range policies {
+			if r := results[s.name+policy]; r != nil {
+				printRouted(s.name, policy, r)
+			}
+		}
+	}
+}
+
+func printRouted(name, policy string, r *routed) {
+	ms := func(quantile float64) float64 { return float64(r.Latency.ValueAtQuantile(quantile)) / 1000 }
+	share := func(n, of int) float64 { return 100 * float64(n) / float64(max(1, of)) }
+	cores := func(d time.Duration) float64 {
+		return d.Seconds() / (r.time.Seconds() + float64(r.repeats)*warmUp.Seconds())
+	}
+	fmt.Printf("| %s | %s | %d | %.0f | %.0f | %.0f | %.2f | %.3f | %d | %.1f | %.0f | %.1f | %.1f |\n", name, policy, r.Total(), ms(50),
+		ms(99), ms(99.9), share(r.NotRun, r.Total()), share(r.Unknown+r.Lost, r.Total()), r.run, share(r.remote, r.run),
+		float64(r.Answered)/r.time.Seconds(), cores(r.cpu), cores(r.own))
+}
+
+func measurePolicy(t *testing.T, policy string, round uint64, results map[string]*routed) {
+	c := cluster.Start(t, firm(policy))
+	time.Sleep(*settle)
+	for i, s := range scenarios() {
+		if !strings.Contains(s.name, *only) {
+			continue
+		}
+		if s.begin != nil {
+			s.begin(c)
+		}
+		got := runScenario(t, c, s, fmt.Sprint(i), seed+round)
+		if s.end != nil {
+			s.end(c)
+		}
+		if sum, known := results[s.name+policy]; known {
+			sum.Merge(got.Requests)
+			sum.repeats++
+			sum.remote, sum.run = sum.remote+got.remote, sum.run+got.run
+			sum.time, sum.cpu, sum.own = sum.time+got.time, sum.cpu+got.cpu, sum.own+got.own
+		} else {
+			results[s.name+policy] = got
+		}
+		time.Sleep(pauseBetween)
+	}
+}
+
+// runScenario sends the load of a scenario, an equal share in each data centre unless all arrives in one.
+func runScenario(t *testing.T, c *cluster.Cluster, s scenario, id string, seed uint64) *routed {
+	bases := map[structs.DatacentreID][]string{}
+	for _, entry := range c.Entries() {
+		e := c.Entry(entry)
+		if !s.onlyA || e.Datacentre == "a" {
+			bases[e.Datacentre] = append(bases[e.Datacentre], e.HTTP)
+		}
+	}
+	rate := float64(s.percent) / 100 * firmSlots / serviceTime.Seconds() / float64(len(bases))
+	ctx, cancel := context.WithTimeout(t.Context(), warmUp+*loadTime)
+	defer cancel()
+	result := &routed{Requests: NewRequests(), repeats: 1, time: *loadTime}
+	before := processorTimes(t, c)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for dc, urls := range bases {
+		wait.Go(func() {
+			load := Load{
+				Rate: rate, Deadline: deadlineFactor * *serviceTime, Kind: "quote", Bases: urls,
+				Label: fmt.Sprintf("%s %s", id, dc), Seed: seed + uint64(dc[0]),
+			}
+			got := load.Run(ctx, warmUp)
+			mu.Lock()
+			defer mu.Unlock()
+			result.Merge(got)
+		})
+	}
+	wait.Wait()
+	after := processorTimes(t, c)
+	result.cpu, result.own = after.entries-before.entries, after.own-before.own
+	result.run, result.remote = ran(c, id)
+	return result
+}
+
+// usedCPU is processor time of the entry hosts and of the measuring process.
+type usedCPU struct{ entries, own time.Duration }
+
+func processorTimes(t *testing.T, c *cluster.Cluster) usedCPU {
+	t.Helper()
+	r, err := read(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	own, err := ReadProcess(os.Getpid())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return usedCPU{r.processes.CPU, own.CPU}
+}
+
+// ran counts the requests of a scenario that a runner ran, and those among them whose runner is in another data centre
+// than the caller. Request bodies have the form "scenario datacentre counted number"; hosts are named after their data
+// centres.
+func ran(c *cluster.Cluster, id string) (all, elsewhere int) {
+	for _, e := range c.Platform.History.OfType(standin.RequestStarted) {
+		fields := strings.Fields(e.Body)
+		if len(fields) != 4 || fields[0] != id || fields[2] != "true" {
+			continue
+		}
+		all++
+		if !strings.HasPrefix(string(e.Host), fields[1]+"-") {
+			elsewhere++
+		}
+	}
+	return all, elsewhere
+}
