Require that nearly all queued requests can meet their deadlines

In overload every granted request has waited until its deadline was close. A grant needed only the median service time to fit, so about half of the granted requests missed their deadlines: their slots did work that nobody received, and they ended with an unknown outcome. A request that had to wait now needs the 95th percentile of the service time; one that finds a free slot still needs the median, so that tight deadlines are served while there is room.

The 90th percentile was ruled out by calculation: one granted request in ten would be lost.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -93,7 +93,8 @@
 	if remaining <= 0 || wait >= remaining {
 		return RejectedDeadline
 	}
-	if wait+c.times.needed(now, item.Kind) > remaining {
+	item.waited = wait > 0
+	if wait+c.needed(now, item) > remaining {
 		if item.probe = c.times.probe(now, item.Kind); !item.probe {
 			return RejectedDeadline
 		}
@@ -122,7 +123,7 @@
 		return nil, false
 	}
 	remaining := head.Deadline.Sub(now)
-	if remaining > 0 && (head.probe || c.times.needed(now, head.Kind) <= remaining) {
+	if remaining > 0 && (head.probe || c.needed(now, head) <= remaining) {
 		return nil, false
 	}
 	c.queue.Remove(head)
@@ -162,13 +163,18 @@
 	if head := c.queue.Head(); head != nil {
 		typical := c.times.typical(now, head.Kind)
 		consider(head.Deadline)
-		consider(head.Deadline.Add(-c.times.needed(now, head.Kind)))
+		consider(head.Deadline.Add(-c.needed(now, head)))
 		consider(head.Deadline.Add(-ShortFactor * typical))
 		consider(head.Arrived.Add(typical))
 	}
 	return next, !next.IsZero()
 }
 
+// needed returns the service time that must fit into the remaining time of item.
+func (c *Controller) needed(now time.Time, item *Item) time.Duration {
+	return c.times.needed(now, item.Kind, item.waited)
+}
+
 // short reports whether item has a short deadline.
 func (c *Controller) short(now time.Time, item *Item) bool {
 	return item.Deadline.Sub(now) <= ShortFactor*c.times.typical(now, item.Kind)
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -14,9 +14,10 @@
 	Deadline time.Time
 	Avoid    []structs.HostID // runners that hold or failed an attempt of the same request
 
-	probe bool // admitted to learn whether the service time is still as long as it seems
-	index int  // position in the heap; notQueued if not in the queue
-	order uint64
+	waited bool // there was no free slot for it when it arrived
+	probe  bool // admitted to learn whether the service time is still as long as it seems
+	index  int  // position in the heap; notQueued if not in the queue
+	order  uint64
 }
 
 const notQueued = -1
--- a/core/admission/times.go
+++ b/core/admission/times.go
@@ -11,6 +11,10 @@
 	// MeetQuantile is the quantile of the service time that must fit into the remaining time: a request that is
 	// more likely to miss its deadline than to meet it is rejected while that is still certain.
 	MeetQuantile = 0.5
+	// QueuedMeetQuantile takes the place of MeetQuantile for requests that had to wait. In overload every granted
+	// request has waited until its deadline was close: with the median, half of the slots were spent on requests that
+	// missed their deadlines, and the goodput fell to half of the capacity.
+	QueuedMeetQuantile = 0.95
 	// ProbeInterval is how often a request is let through although its service time seems too long. Without
 	// probes, a passing slowdown would leave no samples and reject requests for ever.
 	ProbeInterval = 500 * time.Millisecond
@@ -57,10 +61,18 @@
 	return d
 }
 
-// needed returns the service time that must fit into the remaining time: the usual one, or the recent one if that
-// is shorter.
-func (s *serviceTimes) needed(now time.Time, kind structs.KindName) time.Duration {
-	return min(s.typical(now, kind), time.Duration(s.kind(kind).recent))
+// needed returns the service time that must fit into the remaining time: the usual one, or that of QueuedMeetQuantile
+// when the request has waited. It is scaled down while the recent service time is shorter than the usual one.
+func (s *serviceTimes) needed(now time.Time, kind structs.KindName, waited bool) time.Duration {
+	usual, recent := s.typical(now, kind), time.Duration(s.kind(kind).recent)
+	if !waited {
+		return min(usual, recent)
+	}
+	long, _ := s.kind(kind).window.Quantile(now, QueuedMeetQuantile)
+	if recent >= usual || usual == 0 {
+		return long
+	}
+	return time.Duration(float64(long) * float64(recent) / float64(usual))
 }
 
 // turnover returns the mean time for which a request of the kind holds a slot; 0 if there are no samples.
--- a/test/measure/routing_test.go
+++ b/test/measure/routing_test.go
@@ -112,35 +112,54 @@
 	}
 	policies := []string{routing.RandomName, routing.TwoChoicesName, routing.SlotAwareName}
 	results := map[string]*routed{}
+	variants := []string{""}
+	if *baseline != "" {
+		variants = []string{*baseline, ""}
+	}
+	var names []string
+	for _, policy := range policies {
+		for _, binary := range variants {
+			names = append(names, name(policy, binary))
+		}
+	}
 	for round := range *repeats {
 		for _, policy := range policies {
-			t.Run(fmt.Sprint(policy, round), func(t *testing.T) { measurePolicy(t, policy, uint64(round), results) })
+			for _, binary := range variants {
+				t.Run(fmt.Sprint(name(policy, binary), round), func(t *testing.T) {
+					measurePolicy(t, policy, binary, uint64(round), results)
+				})
+			}
 		}
 	}
 	fmt.Printf("\n| load | policy | requests | p50 ms | p99 ms | p99.9 ms | not run %% | unknown or lost %% | run | other data centre %% | goodput/s | cores, entry hosts | cores, load |\n")
 	fmt.Printf("| --- | --- |%s\n", strings.Repeat(" ---: |", 11))
 	for _, s := range scenarios() {
-		for _, policy := range policies {
-			if r := results[s.name+policy]; r != nil {
-				printRouted(s.name, policy, r)
+		for _, name := range names {
+			if r := results[s.name+name]; r != nil {
+				printRouted(s.name, name, r)
 			}
 		}
 	}
 }
 
-func printRouted(name, policy string, r *routed) {
+// name identifies a policy in one of the two programs.
+func name(policy, binary string) string { return strings.TrimSpace(policy + " " + label(binary)) }
+
+func printRouted(load, variant string, r *routed) {
 	ms := func(quantile float64) float64 { return float64(r.Latency.ValueAtQuantile(quantile)) / 1000 }
 	share := func(n, of int) float64 { return 100 * float64(n) / float64(max(1, of)) }
 	cores := func(d time.Duration) float64 {
 		return d.Seconds() / (r.time.Seconds() + float64(r.repeats)*warmUp.Seconds())
 	}
-	fmt.Printf("| %s | %s | %d | %.0f | %.0f | %.0f | %.2f | %.3f | %d | %.1f | %.0f | %.1f | %.1f |\n", name, policy, r.Total(), ms(50),
+	fmt.Printf("| %s | %s | %d | %.0f | %.0f | %.0f | %.2f | %.3f | %d | %.1f | %.0f | %.1f | %.1f |\n", load, variant, r.Total(), ms(50),
 		ms(99), ms(99.9), share(r.NotRun, r.Total()), share(r.Unknown+r.Lost, r.Total()), r.run, share(r.remote, r.run),
 		float64(r.Answered)/r.time.Seconds(), cores(r.cpu), cores(r.own))
 }
 
-func measurePolicy(t *testing.T, policy string, round uint64, results map[string]*routed) {
-	c := cluster.Start(t, firm(policy))
+func measurePolicy(t *testing.T, policy, binary string, round uint64, results map[string]*routed) {
+	cfg := firm(policy)
+	cfg.Binary = binary
+	c := cluster.Start(t, cfg)
 	time.Sleep(*settle)
 	for i, s := range scenarios() {
 		if !strings.Contains(s.name, *only) {
@@ -153,13 +172,13 @@
 		if s.end != nil {
 			s.end(c)
 		}
-		if sum, known := results[s.name+policy]; known {
+		if sum, known := results[s.name+name(policy, binary)]; known {
 			sum.Merge(got.Requests)
 			sum.repeats++
 			sum.remote, sum.run = sum.remote+got.remote, sum.run+got.run
 			sum.time, sum.cpu, sum.own = sum.time+got.time, sum.cpu+got.cpu, sum.own+got.own
 		} else {
-			results[s.name+policy] = got
+			results[s.name+name(policy, binary)] = got
 		}
 		time.Sleep(pauseBetween)
 	}
