--- /dev/null
+++ b/pkg/node/adapters.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/api/peerpb"
+	"fulmarcourse.example/fulmarcourse/pkg/control"
+)
+
+// memberRevisions implements control.Revisions. The membership service is made after the control service.
+type memberRevisions struct{ node *Node }
+
+// MemberRevisions implements control.Revisions.
+func (m memberRevisions) MemberRevisions() map[structs.HostID]int64 {
+	return m.node.members.MemberRevisions()
+}
+
+// environment implements shard.Environment.
+type environment struct{ node *Node }
+
+func (e environment) Document() (structs.Document, structs.DocumentRecord, bool) {
+	return e.node.control.Document()
+}
+
+func (e environment) Datacentre(id structs.DatacentreID) structs.DatacentreState {
+	return e.node.control.Datacentre(id)
+}
+
+func (e environment) Workers(id structs.ShardID) []structs.Host {
+	return e.node.hosts.inShard(structs.RoleWorker, id)
+}
+
+func (e environment) TotalCapacity() structs.Resources {
+	var sum structs.Resources
+	for _, host := range e.node.hosts.all() {
+		if host.Role == structs.RoleWorker {
+			sum = sum.Add(host.Capacity)
+		}
+	}
+	return sum
+}
+
+// slowdownTarget is the service time of a co-located runner, relative to the usual one, that batch work may cause.
+const slowdownTarget = 1.5
+
+// LatencyByMachine returns the ratio of each co-located runner's slowdown to slowdownTarget. Runners that share a
+// machine with a worker belong to the worker's shard, so their answers are seen by the owner that runs the guard.
+func (e environment) LatencyByMachine() map[string]float64 {
+	latency := map[string]float64{}
+	for id, pool := range e.node.pools.snapshot() {
+		slowdowns := pool.Slowdowns()
+		for _, host := range e.node.hosts.inShard(structs.RoleRunner, id) {
+			if host.Machine != "" {
+				latency[host.Machine] = max(latency[host.Machine], slowdowns[host.ID]/slowdownTarget)
+			}
+		}
+	}
+	return latency
+}
+
+func (e environment) StoreConfirmedAt() time.Time { return e.node.control.Confirmation().ReadAt }
+
+// catalogue implements httpapi.Catalogue.
+type catalogue struct{ control *control.Service }
+
+// Kind returns a latency-critical kind of a service.
+func (c catalogue) Kind(service structs.ServiceName, name structs.KindName) (structs.Kind, bool) {
+	document, _, ok := c.control.Document()
+	if !ok {
+		return structs.Kind{}, false
+	}
+	kind, ok := document.Kinds[name]
+	return kind, ok && kind.Service == service && kind.Class == structs.LatencyCritical
+}
+
+// controlServer implements peerpb.ControlServer.
+type controlServer struct {
+	peerpb.UnimplementedControlServer
+	service *control.Service
+}
+
+// FetchControl implements peerpb.ControlServer.
+func (c controlServer) FetchControl(ctx context.Context, m *peerpb.FetchControlRequest) (*peerpb.FetchControlReply, error) {
+	return c.service.FetchControl(ctx, m)
+}
+
+// fetchTimeout bounds one transfer of control state from a peer.
+const fetchTimeout = time.Second
--- /dev/null
+++ b/pkg/node/run.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+)
+
+// Run serves until ctx ends, then shuts down gracefully within the shutdown timeout.
+func (n *Node) Run(ctx context.Context) error {
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	var services sync.WaitGroup
+	services.Go(func() { n.hosts.run(background, n.pools.refresh) })
+	services.Go(func() { n.control.Run(background) })
+	services.Go(func() { n.members.Run(background) })
+	services.Go(func() { n.ownership.Run(background) })
+	failures := make(chan error, 2)
+	go func() { failures <- errors.Annotate(n.grpc.Serve(n.listener), "peer server") }()
+	go func() { failures <- errors.Annotate(n.http.Serve(), "HTTP server") }()
+	n.cfg.Log.Event(eventlog.NodeStarted).Str("http", n.HTTPAddr()).Str("peer", n.self.PeerAddr).Msg("")
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failures:
+	}
+	n.shutdown()
+	stopBackground()
+	services.Wait()
+	n.pool.Close()
+	return err
+}
+
+// shutdown ends the work in order: announce, hand over shards, finish requests in progress, close the servers.
+func (n *Node) shutdown() {
+	n.cfg.Log.Event(eventlog.NodeLeaving).Msg("")
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.ShutdownTimeout)
+	defer cancel()
+	n.members.SetLeaving()
+	var wait sync.WaitGroup
+	wait.Go(func() { n.release(ctx) })
+	wait.Go(func() { n.stopHTTP(ctx) })
+	wait.Wait()
+	n.dispatch.Close()
+	if err := n.grpc.Stop(ctx); err != nil {
+		n.cfg.Log.Event(eventlog.NodeForced).Err(err).Msg("")
+	}
+	n.cfg.Log.Event(eventlog.NodeStopped).Msg("")
+}
+
+// readinessDelay is the time between reporting not ready and refusing connections, so that the balancer notices.
+const readinessDelay = time.Second
+
+func (n *Node) stopHTTP(ctx context.Context) {
+	select {
+	case <-time.After(readinessDelay):
+	case <-ctx.Done():
+	}
+	if err := n.http.Stop(ctx); err != nil {
+		n.cfg.Log.Event(eventlog.NodeForced).Err(err).Msg("")
+	}
+	if err := n.requests.Close(ctx); err != nil {
+		n.cfg.Log.Event(eventlog.NodeForced).Err(err).Msg("")
+	}
+}
+
+// release hands over the owned shards.
+func (n *Node) release(ctx context.Context) {
+	if err := n.ownership.Release(ctx); err != nil {
+		n.cfg.Log.Event(eventlog.NodeForced).Err(err).Msg("")
+	}
+}
