Store jobs with many tasks in parts with a home shard each

A job had one home shard, so a job of 100 tasks ran on the few workers of one shard while other shards were idle, and its waiting tasks could not leave while some of its tasks ran.

Parts are records jobs/<id> and jobs/<id>.<n>, created in one transaction that compares only the first key; the first part is deleted last, so that no other part exists without it. Get, List, Cancel, Explain and Wait assemble the parts; a cancellation that reached only some parts is reported as unknown. Workers receive job_task, the number over all parts, because it selects the work to do, while the loop keeps the record's own numbering.

Waiter starts from the revision of the callers' first reads instead of reading all records when the first caller comes.

Ruled out: one record with several home shards, since each owner guards its writes by its own shard record.

--- a/core/structs/ids.go
+++ b/core/structs/ids.go
@@ -2,7 +2,10 @@
 // The types carry no behaviour beyond small derivations and hold no locks.
 package structs
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // HostID names one machine of the platform: an entry host, a worker or a runner.
 type HostID string
@@ -22,6 +25,12 @@
 // JobID names a job. It is derived from the team and the idempotency key when a key is given.
 type JobID string
 
+// Whole returns the id under which a job was accepted. It differs from j if j names a part of a job, "<id>.<n>".
+func (j JobID) Whole() JobID {
+	whole, _, _ := strings.Cut(string(j), ".")
+	return JobID(whole)
+}
+
 // Digest is the lower-case hexadecimal SHA-256 of a document's text.
 type Digest string
 
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -55,11 +55,19 @@
 	Evictions  int       `json:"evictions,omitempty"`
 }
 
-// JobRecord is a job as it is stored under jobs/<id>.
+// JobPart places a record in a job that is stored as several records. It is zero for a job in one record.
+type JobPart struct {
+	Index     int `json:"index"`      // of this part, from 0
+	Count     int `json:"count"`      // of parts of the job
+	FirstTask int `json:"first_task"` // number of the part's first task among all tasks of the job
+}
+
+// JobRecord is a job, or one part of it, as it is stored under jobs/<id>. Spec is that of the whole job.
 // Only the owner of the home shard changes it, except for CancelRequested.
 type JobRecord struct {
 	ID              JobID        `json:"id"`
 	Spec            JobSpec      `json:"spec"`
+	Part            JobPart      `json:"part,omitzero"`
 	Home            ShardID      `json:"home"`
 	HomeSince       time.Time    `json:"home_since"`
 	CancelRequested bool         `json:"cancel_requested,omitempty"`
@@ -78,3 +86,8 @@
 	}
 	return true
 }
+
+// JobTask returns a task of the record as callers number it: by the whole job and over all its parts.
+func (j *JobRecord) JobTask(index int) TaskID {
+	return TaskID{Job: j.ID.Whole(), Index: j.Part.FirstTask + index}
+}
--- a/core/structs/worker.go
+++ b/core/structs/worker.go
@@ -18,6 +18,7 @@
 // without running it twice.
 type StartCommand struct {
 	Task       TaskID        `json:"task"`
+	JobTask    TaskID        `json:"job_task"` // the task as callers number it; selects the work to do
 	Attempt    int           `json:"attempt"`
 	Kind       KindName      `json:"kind"`
 	Shard      ShardID       `json:"shard"`
--- a/pkg/jobs/batch.go
+++ b/pkg/jobs/batch.go
@@ -57,7 +57,8 @@
 	modRevision int64
 	nonce       string    // of the latest write of an owner
 	cancelled   bool      // CancelRequested is stored
-	finished    time.Time // zero while the job is open
+	finished    time.Time // zero while the record has open tasks
+	part        structs.JobPart
 }
 
 // tombstone is left by a record that was deleted or has moved. A read that was sent before must not bring the
@@ -121,7 +122,7 @@
 	}
 	if k == nil {
 		delete(b.gone, id)
-		b.known[id] = &known{stored.ModRevision, stored.Record.Nonce, stored.Record.CancelRequested, stored.Record.Finished}
+		b.known[id] = &known{stored.ModRevision, stored.Record.Nonce, stored.Record.CancelRequested, stored.Record.Finished, stored.Record.Part}
 		return ObservedNew
 	}
 	if stored.ModRevision <= k.modRevision {
@@ -187,7 +188,7 @@
 	}
 }
 
-// Sweep queues the deletion of jobs that finished more than Retention ago and returns their number.
+// Sweep queues the deletion of jobs in one record that finished more than Retention ago and returns their number.
 func (b *Batch) Sweep() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -197,18 +198,25 @@
 			delete(b.gone, id)
 		}
 	}
-	limit := now.Add(-Retention)
 	count := 0
 	for id, k := range b.known {
-		if k.finished.IsZero() || k.finished.After(limit) || b.queue[id] != nil || b.err != nil {
-			continue
+		if k.part.Count <= 1 && b.due(id, k, now) {
+			b.enqueue(entry{record: structs.JobRecord{ID: id}, remove: true}, LazyFlushInterval)
+			count++
 		}
-		b.enqueue(entry{record: structs.JobRecord{ID: id}, remove: true}, LazyFlushInterval)
-		count++
 	}
 	return count
 }
 
+// due reports whether a record finished more than Retention ago and is not about to be written. The caller holds mu.
+func (b *Batch) due(id structs.JobID, k *known, now time.Time) bool {
+	return expired(k.finished, now) && b.queue[id] == nil && b.err == nil
+}
+
+func expired(finished, now time.Time) bool {
+	return !finished.IsZero() && !finished.After(now.Add(-Retention))
+}
+
 // Pending returns the number of changes that wait in the queue.
 func (b *Batch) Pending() int {
 	b.mu.Lock()
@@ -256,6 +264,7 @@
 			return ctx.Err()
 		case <-sweep.C:
 			b.Sweep()
+			_ = b.SweepParts(ctx) // the error of the store; the next sweep tries again
 		case <-b.wake:
 			if err := b.flushQueue(ctx); err != nil {
 				return err
--- a/pkg/jobs/cancel.go
+++ b/pkg/jobs/cancel.go
@@ -30,36 +30,34 @@
 func (s *Service) CancelMany(ctx context.Context, ids []structs.JobID) []CancelResult {
 	ctx, span := s.tracer.Start(ctx, "jobs.Cancel")
 	defer span.End()
-	byID := make(map[structs.JobID]*CancelResult, len(ids))
+	byID := make(map[structs.JobID]CancelResult, len(ids))
 	var unique []structs.JobID
 	for _, id := range ids {
-		if byID[id] == nil {
-			byID[id] = &CancelResult{ID: id}
-			unique = append(unique, id)
+		if _, seen := byID[id.Whole()]; !seen {
+			byID[id.Whole()] = CancelResult{}
+			unique = append(unique, id.Whole())
 		}
 	}
 	for wave := range slices.Chunk(unique, MaxBatchRecords) {
-		open := make(map[string]*CancelResult, len(wave))
+		c := newCancellation(s, wave)
+		c.run(ctx)
+		s.notifyCancelled(ctx, c.results)
 		for _, id := range wave {
-			open[s.keys.job(id)] = byID[id]
+			byID[id] = c.combine(id)
 		}
-		c := cancellation{service: s, open: open, tried: map[string]bool{}}
-		c.run(ctx)
-		s.notifyCancelled(ctx, wave, byID)
 	}
 	results := make([]CancelResult, len(ids))
 	for i, id := range ids {
-		results[i] = *byID[id]
+		results[i] = byID[id.Whole()]
 	}
 	return results
 }
 
 // notifyCancelled tells the owners which of their jobs have to be stopped. Jobs that were already marked are
 // included, since an earlier notification may have been lost.
-func (s *Service) notifyCancelled(ctx context.Context, wave []structs.JobID, results map[structs.JobID]*CancelResult) {
+func (s *Service) notifyCancelled(ctx context.Context, results map[structs.JobID]*CancelResult) {
 	byHome := map[structs.ShardID][]structs.JobID{}
-	for _, id := range wave {
-		result := results[id]
+	for id, result := range results {
 		if result.Err != nil || !result.Record.CancelRequested || result.Record.Final() {
 			continue
 		}
@@ -76,9 +74,64 @@
 // cancellation is the compare-and-swap loop over the records of one wave.
 type cancellation struct {
 	service *Service
-	open    map[string]*CancelResult // by store key; entries leave when their result is set
-	tried   map[string]bool          // keys of writes whose answer was lost
-	cause   error                    // latest error of the store
+	results map[structs.JobID]*CancelResult // by id of the record; the parts of a job are added once its first is read
+	parts   map[structs.JobID]int           // number of records of each job whose parts were added
+	open    map[string]*CancelResult        // by store key; entries leave when their result is set
+	tried   map[string]bool                 // keys of writes whose answer was lost
+	cause   error                           // latest error of the store
+}
+
+func newCancellation(s *Service, wave []structs.JobID) *cancellation {
+	c := &cancellation{
+		service: s, results: map[structs.JobID]*CancelResult{}, parts: map[structs.JobID]int{},
+		open: map[string]*CancelResult{}, tried: map[string]bool{},
+	}
+	for _, id := range wave {
+		c.add(id)
+	}
+	return c
+}
+
+func (c *cancellation) add(id structs.JobID) {
+	result := &CancelResult{ID: id}
+	c.results[id], c.open[c.service.keys.job(id)] = result, result
+}
+
+// expand adds the other parts of a job to the wave when its first record is read, and reports whether it did. All
+// parts are then marked in one transaction, unless a busy owner keeps interfering.
+func (c *cancellation) expand(record *structs.JobRecord) bool {
+	if record.Part.Count <= 1 || c.parts[record.ID.Whole()] > 0 {
+		return false
+	}
+	c.parts[record.ID.Whole()] = record.Part.Count
+	for n := 1; n < record.Part.Count; n++ {
+		c.add(partID(record.ID, n))
+	}
+	return true
+}
+
+// combine returns the result of a job from those of its parts. When some parts are marked and others are not, the
+// result is unknown, so that the caller repeats the call.
+func (c *cancellation) combine(id structs.JobID) CancelResult {
+	if c.parts[id] == 0 {
+		return *c.results[id]
+	}
+	var records []structs.JobRecord
+	var failed error
+	marked := false
+	for n := range c.parts[id] {
+		result := c.results[partID(id, n)]
+		records = append(records, result.Record)
+		marked = marked || (result.Err == nil && result.Record.CancelRequested) || errors.Is(result.Err, ErrUnknown)
+		failed = firstError(failed, result.Err)
+	}
+	if failed != nil && marked {
+		return CancelResult{ID: id, Err: &UnknownError{ID: id, Cause: failed}}
+	}
+	if failed != nil {
+		return CancelResult{ID: id, Err: failed}
+	}
+	return CancelResult{ID: id, Record: assemble(records)}
 }
 
 // run reads the open records and writes those that need the mark until none is left. A write touches only the
@@ -86,7 +139,9 @@
 func (c *cancellation) run(ctx context.Context) {
 	limit := MaxBatchRecords
 	for attempt := 0; attempt < MaxCancelAttempts && len(c.open) > 0 && ctx.Err() == nil; attempt++ {
-		reads, err := readAll(ctx, c.service.cfg.Store, sortedKeys(c.open))
+		keys := sortedKeys(c.open)
+		keys = keys[:min(len(keys), MaxBatchRecords)]
+		reads, err := readAll(ctx, c.service.cfg.Store, keys)
 		if err != nil {
 			c.cause = err
 			if len(c.tried) == 0 {
@@ -94,14 +149,15 @@
 			}
 			continue
 		}
-		txn, written := c.prepare(reads, limit)
+		txn, written := c.prepare(keys, reads, limit)
 		if len(written) == 0 {
-			return
+			attempt-- // every record read was closed, or parts were added
+			continue
 		}
 		result, err := c.service.cfg.Store.Txn(ctx, txn)
 		if err == nil && result.Applied {
 			c.finish(written)
-			limit = min(2*limit, MaxBatchRecords)
+			limit, attempt = min(2*limit, MaxBatchRecords), -1
 			continue
 		}
 		if err == nil {
@@ -124,9 +180,9 @@
 	c.fail()
 }
 
-// prepare sets the results of records that need no write and returns the transaction for up to limit others.
-// The nonce stays that of the owner: Batch recognises its own writes by it.
-func (c *cancellation) prepare(reads []store.KeyValue, limit int) (store.Txn, map[string]structs.JobRecord) {
+// prepare sets the results of records that need no write and returns the transaction for up to limit others. Reads
+// are the present ones among keys. The nonce stays that of the owner: Batch recognises its own writes by it.
+func (c *cancellation) prepare(keys []string, reads []store.KeyValue, limit int) (store.Txn, map[string]structs.JobRecord) {
 	var txn store.Txn
 	written := map[string]structs.JobRecord{}
 	present := map[string]bool{}
@@ -138,6 +194,9 @@
 			c.close(kv.Key, structs.JobRecord{}, err)
 			continue
 		}
+		if c.expand(&stored.Record) {
+			continue // next round, with the other parts
+		}
 		if stored.Record.CancelRequested || stored.Record.Final() {
 			c.close(kv.Key, stored.Record, nil)
 			continue
@@ -156,8 +215,8 @@
 		txn.Compares = append(txn.Compares, store.Compare{Key: kv.Key, Target: store.CompareModRevision, Revision: kv.ModRevision})
 		txn.Puts = append(txn.Puts, store.Put{Key: kv.Key, Value: value})
 	}
-	for key, result := range c.open {
-		if !present[key] {
+	for _, key := range keys {
+		if result := c.open[key]; result != nil && !present[key] {
 			c.close(key, structs.JobRecord{}, errors.Annotatef(ErrNotFound, "job %s", result.ID))
 		}
 	}
@@ -194,12 +253,18 @@
 
 // readAll reads several keys in one call: a transaction whose condition never holds returns them.
 func readAll(ctx context.Context, s Store, keys []string) ([]store.KeyValue, error) {
+	result, err := readAt(ctx, s, keys)
+	return result.Read, err
+}
+
+// readAt is readAll with the revision of the store at the time of the read.
+func readAt(ctx context.Context, s Store, keys []string) (store.TxnResult, error) {
 	never := store.Compare{Key: keys[0], Target: store.CompareModRevision, Revision: -1}
 	result, err := s.Txn(ctx, store.Txn{Compares: []store.Compare{never}, ReadOnFail: keys})
 	if err != nil {
-		return nil, errors.Annotatef(err, "reading %d records", len(keys))
+		return store.TxnResult{}, errors.Annotatef(err, "reading %d records", len(keys))
 	}
-	return result.Read, nil
+	return result, nil
 }
 
 // sortedKeys returns the keys of m in a fixed order.
--- a/pkg/jobs/move.go
+++ b/pkg/jobs/move.go
@@ -39,7 +39,7 @@
 	return home, nil
 }
 
-// Rehome moves a job away from a shard that has no owner, because its data centre is lost. The caller has made sure
+// Rehome moves a job, or a part of one, away from a shard that has no owner, because its data centre is lost. The caller has made sure
 // that no task of the job can run there any more; prepare brings the task states of the record up to date with
 // that. The write applies only while the shard has no owner: an owner that comes later finds the job moved.
 //
@@ -51,7 +51,7 @@
 	nonce := newNonce()
 	var lost error
 	for attempt := 0; attempt < MaxSettleAttempts; attempt++ {
-		current, err := s.Get(ctx, id)
+		current, err := s.readRecord(ctx, id)
 		if err != nil {
 			return structs.JobRecord{}, firstError(unknown(id, lost), err)
 		}
--- /dev/null
+++ b/pkg/jobs/parts.go
@@ -0,0 +1,204 @@
+package jobs
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/store"
+)
+
+// A job with many tasks is stored in parts, each a record with a home shard of its own. The first has the id of the
+// job, the others "<id>.<n>". Owners handle a part like a job. Callers see one job under the id of the first part,
+// whose tasks are those of the parts in order.
+//
+// The first part exists as long as any other does: all are created together, and the first is deleted last.
+
+// partID returns the id of the record of one part of a job; n is 0 for the first.
+func partID(whole structs.JobID, n int) structs.JobID {
+	if n == 0 {
+		return whole
+	}
+	return whole + "." + structs.JobID(strconv.Itoa(n))
+}
+
+// partKeys returns the store keys of all parts of a job.
+func (k keyspace) partKeys(whole structs.JobID, count int) []string {
+	keys := make([]string, count)
+	for n := range keys {
+		keys[n] = k.job(partID(whole, n))
+	}
+	return keys
+}
+
+// readParts returns the records of a job in order and the revision of the store at the time of the read. It fails
+// with ErrNotFound, also while the job is being deleted, or with an error of the store.
+func (s *Service) readParts(ctx context.Context, id structs.JobID) ([]Stored, int64, error) {
+	whole := id.Whole()
+	keys := s.keys.partKeys(whole, 1)
+	for {
+		result, err := readAt(ctx, s.cfg.Store, keys)
+		if err != nil {
+			return nil, 0, errors.Annotatef(err, "reading job %s", whole)
+		}
+		if len(result.Read) < len(keys) {
+			return nil, 0, errors.Annotatef(ErrNotFound, "job %s", whole)
+		}
+		parts, err := decodeParts(result.Read)
+		if err != nil {
+			return nil, 0, err
+		}
+		if count := max(parts[0].Record.Part.Count, 1); count != len(keys) {
+			keys = s.keys.partKeys(whole, count)
+			continue // once, unless the job was deleted and submitted anew between the reads
+		}
+		return parts, result.Revision, nil
+	}
+}
+
+func decodeParts(entries []store.KeyValue) ([]Stored, error) {
+	parts := make([]Stored, len(entries))
+	for i, kv := range entries {
+		var err error
+		if parts[i], err = decode(kv); err != nil {
+			return nil, err
+		}
+	}
+	sortParts(parts)
+	return parts, nil
+}
+
+func sortParts(parts []Stored) {
+	slices.SortFunc(parts, func(a, b Stored) int { return a.Record.Part.Index - b.Record.Part.Index })
+}
+
+// assemble returns the job that is stored in parts, which are complete and in order. The home is that of the first.
+func assemble(parts []structs.JobRecord) structs.JobRecord {
+	if len(parts) == 1 {
+		return parts[0]
+	}
+	whole := parts[0]
+	whole.Part, whole.Tasks = structs.JobPart{}, nil
+	open := false
+	for _, part := range parts {
+		whole.Tasks = append(whole.Tasks, part.Tasks...)
+		whole.CancelRequested = whole.CancelRequested || part.CancelRequested
+		open = open || part.Finished.IsZero()
+		if part.Finished.After(whole.Finished) {
+			whole.Finished = part.Finished
+		}
+	}
+	if open {
+		whole.Finished = time.Time{}
+	}
+	return whole
+}
+
+// assembleStored is assemble for records with the revision of their last change; the latest is kept.
+func assembleStored(parts []Stored) Stored {
+	whole := Stored{Record: assemble(recordsOf(parts))}
+	for _, part := range parts {
+		whole.ModRevision = max(whole.ModRevision, part.ModRevision)
+	}
+	return whole
+}
+
+func recordsOf(parts []Stored) []structs.JobRecord {
+	records := make([]structs.JobRecord, len(parts))
+	for i, part := range parts {
+		records[i] = part.Record
+	}
+	return records
+}
+
+// wholeJobs returns the jobs that match filter from records in any order. Jobs with missing parts are left out: they
+// are being deleted, or a part cannot be decoded, which load has reported.
+func wholeJobs(records []Stored, filter Filter) []structs.JobRecord {
+	byID := map[structs.JobID][]Stored{}
+	for _, stored := range records {
+		whole := stored.Record.ID.Whole()
+		byID[whole] = append(byID[whole], stored)
+	}
+	jobs := make([]structs.JobRecord, 0, len(byID))
+	for _, parts := range byID {
+		sortParts(parts)
+		if len(parts) != max(parts[0].Record.Part.Count, 1) {
+			continue
+		}
+		job, inHome := assemble(recordsOf(parts)), filter
+		inHome.Home = structs.ShardID{}
+		home := filter.Home == structs.ShardID{} ||
+			slices.ContainsFunc(parts, func(p Stored) bool { return p.Record.Home == filter.Home })
+		if home && inHome.matches(&job) {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
+// SweepParts queues the deletion of parts whose whole job finished more than Retention ago, the first part once the
+// others are gone. It reads the other parts of at most MaxBatchRecords/MaxParts jobs, in any order.
+func (b *Batch) SweepParts(ctx context.Context) error {
+	due, keys := b.dueParts()
+	if len(keys) == 0 {
+		return nil
+	}
+	entries, err := readAll(ctx, b.cfg.Store, keys)
+	if err != nil {
+		return err
+	}
+	siblings := map[structs.JobID][]structs.JobRecord{}
+	for _, kv := range entries {
+		id := b.keys.id(kv.Key)
+		part := structs.JobRecord{ID: id} // a part that cannot be decoded counts as not finished
+		if stored, err := decode(kv); err == nil {
+			part = stored.Record
+		}
+		siblings[id.Whole()] = append(siblings[id.Whole()], part)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.cfg.Clock()
+	for _, id := range due {
+		if k := b.known[id]; k != nil && b.due(id, k, now) && removable(id, siblings[id.Whole()], now) {
+			b.enqueue(entry{record: structs.JobRecord{ID: id}, remove: true}, LazyFlushInterval)
+		}
+	}
+	return nil
+}
+
+// dueParts returns parts of this shard that finished more than Retention ago, and the keys of all parts of their jobs.
+func (b *Batch) dueParts() ([]structs.JobID, []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var due []structs.JobID
+	var keys []string
+	now := b.cfg.Clock()
+	for id, k := range b.known {
+		if k.part.Count <= 1 || !b.due(id, k, now) {
+			continue
+		}
+		if len(due) == MaxBatchRecords/MaxParts {
+			break
+		}
+		due = append(due, id)
+		keys = append(keys, b.keys.partKeys(id.Whole(), k.part.Count)...)
+	}
+	slices.Sort(keys)
+	return due, slices.Compact(keys)
+}
+
+// removable reports whether a part may be deleted: every part that is still stored has expired, and the first part
+// has no other beside it. A part that is gone had found all others expired.
+func removable(id structs.JobID, stored []structs.JobRecord, now time.Time) bool {
+	for _, part := range stored {
+		if !expired(part.Finished, now) || (id == id.Whole() && part.ID != id) {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/jobs/read.go
+++ b/pkg/jobs/read.go
@@ -16,9 +16,9 @@
 type Filter struct {
 	Team  structs.TeamName
 	Kind  structs.KindName
-	Home  structs.ShardID
-	Open  bool // only jobs with a task that is not final
-	Limit int  // at most this many, the latest submissions first; 0 means no limit
+	Home  structs.ShardID // of any part
+	Open  bool            // only jobs with a task that is not final
+	Limit int             // at most this many, the latest submissions first; 0 means no limit
 }
 
 func (f Filter) matches(record *structs.JobRecord) bool {
@@ -35,10 +35,28 @@
 	Revision int64           // store revision of the read; changes after it are found with Changes(Revision)
 }
 
-// Get returns one job record. It fails with ErrNotFound or an error of the store.
+// Get returns a job with all its tasks, also when id names one of its parts. The revision is that of the latest change
+// of a part. It fails with ErrNotFound or an error of the store.
 func (s *Service) Get(ctx context.Context, id structs.JobID) (Stored, error) {
 	ctx, span := s.tracer.Start(ctx, "jobs.Get")
 	defer span.End()
+	parts, _, err := s.readParts(ctx, id)
+	if err != nil {
+		return Stored{}, err
+	}
+	return assembleStored(parts), nil
+}
+
+// Parts returns the records in which a job is stored, in the order of its tasks. Errors are those of Get.
+func (s *Service) Parts(ctx context.Context, id structs.JobID) ([]structs.JobRecord, error) {
+	ctx, span := s.tracer.Start(ctx, "jobs.Parts")
+	defer span.End()
+	parts, _, err := s.readParts(ctx, id)
+	return recordsOf(parts), err
+}
+
+// readRecord returns the record stored under id. It fails with ErrNotFound or an error of the store.
+func (s *Service) readRecord(ctx context.Context, id structs.JobID) (Stored, error) {
 	kv, found, err := s.cfg.Store.Get(ctx, s.keys.job(id))
 	if err != nil {
 		return Stored{}, errors.Annotatef(err, "reading job %s", id)
@@ -53,14 +71,11 @@
 func (s *Service) List(ctx context.Context, filter Filter) ([]structs.JobRecord, error) {
 	ctx, span := s.tracer.Start(ctx, "jobs.List")
 	defer span.End()
-	loaded, err := s.load(ctx, 0, filter.matches)
+	loaded, err := s.load(ctx, 0, Filter{}.matches)
 	if err != nil {
 		return nil, err
 	}
-	records := make([]structs.JobRecord, 0, len(loaded.Jobs))
-	for _, job := range loaded.Jobs {
-		records = append(records, job.Record)
-	}
+	records := wholeJobs(loaded.Jobs, filter)
 	slices.SortFunc(records, func(a, b structs.JobRecord) int {
 		return cmp.Or(b.Submitted.Compare(a.Submitted), cmp.Compare(a.ID, b.ID))
 	})
@@ -70,7 +85,7 @@
 	return records, nil
 }
 
-// LoadHome returns all jobs whose home is shard. A new owner calls it after its owner record was created: from
+// LoadHome returns all records whose home is shard: jobs, and parts of jobs. A new owner calls it after its owner record was created: from
 // then on no former owner can change the records.
 func (s *Service) LoadHome(ctx context.Context, shard structs.ShardID) (Loaded, error) {
 	ctx, span := s.tracer.Start(ctx, "jobs.LoadHome")
--- a/pkg/jobs/submit.go
+++ b/pkg/jobs/submit.go
@@ -10,78 +10,107 @@
 	"fulmarcourse.example/fulmarcourse/pkg/store"
 )
 
-// Submit accepts a job: it checks spec, chooses the home shard and creates the record. The job is accepted once
-// the store has acknowledged the record. Submitting the same specification under the same key again returns the
-// existing record.
+// Submit accepts a job: it checks spec, splits the tasks over home shards and creates the records of all parts in one
+// transaction. The job is accepted once the store has acknowledged it. Submitting the same specification under the
+// same key again returns the existing job. The result has all tasks, under the id of the first part.
 //
 // Errors: ErrInvalid, ErrTooLarge, ErrNoHome, ErrNoDocument, ErrKeyReused and ErrNotAccepted mean that this call
 // stored nothing; ErrUnknown means that the record may exist.
 func (s *Service) Submit(ctx context.Context, spec structs.JobSpec) (structs.JobRecord, error) {
 	ctx, span := s.tracer.Start(ctx, "jobs.Submit")
 	defer span.End()
-	record, err := s.admit(spec)
+	parts, err := s.admit(spec)
 	if err != nil {
+		var record structs.JobRecord
 		if spec.Key != "" {
 			record, err = s.repeated(ctx, spec, err)
 		}
 		return record, s.report(spec, err)
 	}
-	record, err = s.create(ctx, record)
+	record, err := s.create(ctx, parts)
 	if err != nil {
 		return structs.JobRecord{}, s.report(spec, err)
 	}
 	s.cfg.Scope.Counter("accepted").Inc(1)
-	s.cfg.Log.Event(eventlog.JobAccepted).Str("job", string(record.ID)).Str("home", record.Home.String()).Msg("")
-	s.cfg.Notifier.NotifyJobs(ctx, record.Home, []structs.JobID{record.ID})
+	s.cfg.Log.Event(eventlog.JobAccepted).Str("job", string(record.ID)).Str("home", record.Home.String()).
+		Int("parts", len(parts)).Msg("")
+	for _, part := range parts {
+		s.cfg.Notifier.NotifyJobs(ctx, part.Home, []structs.JobID{part.ID})
+	}
 	return record, nil
 }
 
-// admit checks spec and returns the record to create. It makes no store call.
-func (s *Service) admit(spec structs.JobSpec) (structs.JobRecord, error) {
+// admit checks spec and returns the records to create. It makes no store call.
+func (s *Service) admit(spec structs.JobSpec) ([]structs.JobRecord, error) {
 	doc, _, ok := s.cfg.Documents.Document()
 	if !ok {
-		return structs.JobRecord{}, errors.Trace(ErrNoDocument)
+		return nil, errors.Trace(ErrNoDocument)
 	}
 	if err := checkSpec(doc, spec); err != nil {
-		return structs.JobRecord{}, err
+		return nil, err
 	}
 	size := DeclaredSize(doc, spec)
 	if err := checkFits(doc, s.cfg.Capacity.Largest(), size); err != nil {
-		return structs.JobRecord{}, err
+		return nil, err
 	}
 	demand := HomeDemand{Size: size, Tasks: spec.Tasks, Own: s.cfg.Datacentre}
-	home, ok := s.cfg.Home(s.cfg.Shards.Candidates(), demand, s.seeds())
+	candidates, rnd := s.cfg.Shards.Candidates(), s.seeds()
+	home, ok := s.cfg.Home(candidates, demand, rnd)
 	if !ok {
-		return structs.JobRecord{}, errors.Annotatef(ErrNoHome, "a task asks for %s", describe(size))
+		return nil, errors.Annotatef(ErrNoHome, "a task asks for %s", describe(size))
 	}
-	return s.newRecord(spec, home), nil
+	return s.newRecords(spec, Split(candidates, demand, home, maxPartsOf(spec), rnd)), nil
 }
 
-// newRecord returns the first record of a job. The specification is stored as submitted, without defaults of the
-// document, so that a repeat can be compared with it after the document has changed.
-func (s *Service) newRecord(spec structs.JobSpec, home structs.ShardID) structs.JobRecord {
-	now := s.cfg.Clock().UTC()
-	tasks := make([]structs.TaskRecord, spec.Tasks)
-	for i := range tasks {
-		tasks[i].State = structs.TaskPending
-	}
-	return structs.JobRecord{ID: newID(spec), Spec: spec, Home: home, HomeSince: now, Tasks: tasks, Submitted: now, Nonce: newNonce()}
+// newRecords returns the first records of a job, one per share. The specification is stored as submitted, without
+// defaults of the document, so that a repeat can be compared with it after the document has changed.
+func (s *Service) newRecords(spec structs.JobSpec, shares []Share) []structs.JobRecord {
+	now, id, nonce := s.cfg.Clock().UTC(), newID(spec), newNonce()
+	records := make([]structs.JobRecord, len(shares))
+	first := 0
+	for n, share := range shares {
+		tasks := make([]structs.TaskRecord, share.Tasks)
+		for i := range tasks {
+			tasks[i].State = structs.TaskPending
+		}
+		records[n] = structs.JobRecord{
+			ID: partID(id, n), Spec: spec, Home: share.Shard, HomeSince: now, Tasks: tasks, Submitted: now, Nonce: nonce,
+		}
+		if len(shares) > 1 {
+			records[n].Part = structs.JobPart{Index: n, Count: len(shares), FirstTask: first}
+		}
+		first += share.Tasks
+	}
+	return records
 }
 
-// create writes record if its key is absent. After a lost answer it re-reads the key. If the key is still absent
-// the write may be on its way, so the same create-if-absent is repeated with the same nonce: at most one of the
-// attempts takes effect.
-func (s *Service) create(ctx context.Context, record structs.JobRecord) (structs.JobRecord, error) {
-	value, err := encode(&record)
-	if err != nil {
-		return structs.JobRecord{}, err
-	}
-	key := s.keys.job(record.ID)
+// creation returns the transaction that creates all parts of a job if the first is absent. The other parts are
+// absent whenever the first is: SweepParts deletes it last.
+func (s *Service) creation(parts []structs.JobRecord) (store.Txn, error) {
+	key := s.keys.job(parts[0].ID)
 	txn := store.Txn{
 		Compares:   []store.Compare{{Key: key, Target: store.CompareCreateRevision}},
-		Puts:       []store.Put{{Key: key, Value: value}},
 		ReadOnFail: []string{key},
 	}
+	for n := range parts {
+		value, err := encode(&parts[n])
+		if err != nil {
+			return store.Txn{}, err
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: s.keys.job(parts[n].ID), Value: value})
+	}
+	return txn, nil
+}
+
+// create writes the parts of a job if the key of the first is absent. After a lost answer it re-reads the key. If the
+// key is still absent the write may be on its way, so the same create-if-absent is repeated with the same nonce: at
+// most one of the attempts takes effect.
+func (s *Service) create(ctx context.Context, parts []structs.JobRecord) (structs.JobRecord, error) {
+	txn, err := s.creation(parts)
+	if err != nil {
+		return structs.JobRecord{}, err
+	}
+	record, key := assemble(parts), txn.ReadOnFail[0]
 	var cause error
 	for attempt := 0; attempt < MaxSettleAttempts && ctx.Err() == nil; attempt++ {
 		result, err := s.cfg.Store.Txn(ctx, txn)
@@ -89,14 +118,14 @@
 			return record, nil
 		}
 		if err == nil && len(result.Read) == 1 {
-			return sameJob(record, result.Read[0])
+			return s.sameJob(ctx, record, result.Read[0])
 		}
 		if cause == nil && errors.Is(err, store.ErrUnavailable) {
 			return structs.JobRecord{}, errors.Annotate(ErrNotAccepted, err.Error())
 		}
 		cause = errors.Annotate(err, "creating the record")
 		if kv, found, err := s.cfg.Store.Get(ctx, key); err == nil && found {
-			return sameJob(record, kv)
+			return s.sameJob(ctx, record, kv)
 		}
 	}
 	if cause == nil {
@@ -105,9 +134,9 @@
 	return structs.JobRecord{}, &UnknownError{ID: record.ID, Cause: cause}
 }
 
-// sameJob settles a submission against the record found under its key: the record of this attempt (same nonce),
+// sameJob settles a submission against the first record found under its key: the record of this attempt (same nonce),
 // or of an earlier one with the same specification. An owner may already have replaced the nonce.
-func sameJob(submitted structs.JobRecord, kv store.KeyValue) (structs.JobRecord, error) {
+func (s *Service) sameJob(ctx context.Context, submitted structs.JobRecord, kv store.KeyValue) (structs.JobRecord, error) {
 	found, err := decode(kv)
 	if err != nil {
 		return structs.JobRecord{}, errors.Trace(err)
@@ -115,7 +144,20 @@
 	if found.Record.Nonce != submitted.Nonce && found.Record.Spec != submitted.Spec {
 		return structs.JobRecord{}, errors.Annotatef(ErrKeyReused, "job %s", submitted.ID)
 	}
-	return found.Record, nil
+	if found.Record.Part.Count <= 1 {
+		return found.Record, nil
+	}
+	if found.Record.Nonce == submitted.Nonce {
+		return submitted, nil
+	}
+	parts, _, err := s.readParts(ctx, submitted.ID)
+	if errors.Is(err, ErrNotFound) {
+		return structs.JobRecord{}, errors.Annotatef(ErrNotAccepted, "an earlier job %s with this key is being deleted", submitted.ID)
+	}
+	if err != nil {
+		return structs.JobRecord{}, &UnknownError{ID: submitted.ID, Cause: err}
+	}
+	return assemble(recordsOf(parts)), nil
 }
 
 // repeated looks for the record of an earlier submission under the same key when the checks reject this one: the
@@ -128,7 +170,7 @@
 	if !found {
 		return structs.JobRecord{}, rejection
 	}
-	return sameJob(structs.JobRecord{ID: IDFor(spec.Team, spec.Key), Spec: spec}, kv)
+	return s.sameJob(ctx, structs.JobRecord{ID: IDFor(spec.Team, spec.Key), Spec: spec}, kv)
 }
 
 // report counts and logs a submission that was not accepted and returns err unchanged.
--- a/pkg/jobs/wait.go
+++ b/pkg/jobs/wait.go
@@ -17,34 +17,67 @@
 	service *Service
 
 	mu       sync.Mutex
-	waiting  map[structs.JobID]map[chan structs.JobRecord]bool // each channel has capacity 1
-	revision int64                                             // changes up to here have been delivered
-	wake     chan struct{}                                     // capacity 1: a caller has begun to wait
+	waiting  map[structs.JobID]map[*waitCall]bool // by id of the whole job
+	revision int64                                // changes up to here have been delivered; 0 while nobody waits
+	wake     chan struct{}                        // capacity 1: a caller has begun to wait
+}
+
+// waitCall is one call of Wait.
+type waitCall struct {
+	changed chan struct{}            // capacity 1: news is not empty
+	news    map[structs.JobID]Stored // changed records since the caller last looked; guarded by Waiter.mu
 }
 
 // NewWaiter returns a Waiter that reads through service. Run delivers the changes.
 func NewWaiter(service *Service) *Waiter {
-	return &Waiter{service: service, waiting: map[structs.JobID]map[chan structs.JobRecord]bool{}, wake: make(chan struct{}, 1)}
+	return &Waiter{service: service, waiting: map[structs.JobID]map[*waitCall]bool{}, wake: make(chan struct{}, 1)}
 }
 
-// Wait returns the record of a job when all its tasks are final. When ctx ends first it returns the latest record
-// known and the error of ctx. It fails with ErrNotFound or an error of the store if the first read fails.
+// Wait returns the job when all its tasks are final. When ctx ends first it returns the latest state known and the
+// error of ctx. It fails with ErrNotFound or an error of the store if the first read fails.
 func (w *Waiter) Wait(ctx context.Context, id structs.JobID) (structs.JobRecord, error) {
-	changed := w.add(id)
-	defer w.remove(id, changed)
-	stored, err := w.service.Get(ctx, id) // after add, so that no change falls between the two
+	call := w.add(id.Whole())
+	defer w.remove(id.Whole(), call)
+	parts, revision, err := w.service.readParts(ctx, id) // after add, so that no change falls between the two
 	if err != nil {
 		return structs.JobRecord{}, err
 	}
-	record := stored.Record
-	for !record.Final() {
+	w.start(revision)
+	for {
+		record := assemble(recordsOf(parts))
+		if record.Final() {
+			return record, nil
+		}
 		select {
-		case record = <-changed:
+		case <-call.changed:
+			w.update(call, parts)
 		case <-ctx.Done():
 			return record, ctx.Err()
 		}
 	}
-	return record, nil
+}
+
+// start lets Poll begin at the revision of a caller's first read. All changes after it are delivered to the caller,
+// who was registered before. A read by another caller may have been earlier.
+func (w *Waiter) start(revision int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.revision == 0 || revision < w.revision {
+		w.revision = revision
+	}
+	signal(w.wake)
+}
+
+// update takes the news of a call over into parts.
+func (w *Waiter) update(call *waitCall, parts []Stored) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range parts {
+		if news, ok := call.news[parts[i].Record.ID]; ok && news.ModRevision > parts[i].ModRevision {
+			parts[i] = news
+		}
+	}
+	clear(call.news)
 }
 
 // Run reads changes for the waiting callers until ctx ends.
@@ -74,6 +107,9 @@
 	w.mu.Lock()
 	since := w.revision
 	w.mu.Unlock()
+	if since == 0 {
+		return // no caller has read its job yet
+	}
 	loaded, err := w.service.Changes(ctx, since)
 	if err != nil {
 		w.service.cfg.Scope.Counter("wait_errors").Inc(1)
@@ -81,45 +117,41 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.revision = max(w.revision, loaded.Revision)
+	if w.revision == since {
+		w.revision = max(since, loaded.Revision) // else a caller has begun with an earlier read
+	}
 	for _, stored := range loaded.Jobs {
-		for changed := range w.waiting[stored.Record.ID] {
-			replace(changed, stored.Record)
+		for call := range w.waiting[stored.Record.ID.Whole()] {
+			call.news[stored.Record.ID] = stored
+			signal(call.changed)
 		}
 	}
 }
 
-// replace puts record into a channel of capacity 1 in place of an older one. Only Poll sends, under mu.
-func replace(changed chan structs.JobRecord, record structs.JobRecord) {
-	select {
-	case <-changed:
-	default:
-	}
-	changed <- record
-}
-
 func (w *Waiter) active() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return len(w.waiting) > 0
 }
 
-func (w *Waiter) add(id structs.JobID) chan structs.JobRecord {
-	changed := make(chan structs.JobRecord, 1)
+func (w *Waiter) add(id structs.JobID) *waitCall {
+	call := &waitCall{changed: make(chan struct{}, 1), news: map[structs.JobID]Stored{}}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.waiting[id] == nil {
-		w.waiting[id] = map[chan structs.JobRecord]bool{}
+		w.waiting[id] = map[*waitCall]bool{}
 	}
-	w.waiting[id][changed] = true
-	signal(w.wake)
-	return changed
+	w.waiting[id][call] = true
+	return call
 }
 
-func (w *Waiter) remove(id structs.JobID, changed chan structs.JobRecord) {
+func (w *Waiter) remove(id structs.JobID, call *waitCall) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if delete(w.waiting[id], changed); len(w.waiting[id]) == 0 {
+	if delete(w.waiting[id], call); len(w.waiting[id]) == 0 {
 		delete(w.waiting, id)
 	}
+	if len(w.waiting) == 0 {
+		w.revision = 0
+	}
 }
--- a/pkg/node/jobsapi.go
+++ b/pkg/node/jobsapi.go
@@ -47,13 +47,15 @@
 
 // Explain implements httpapi.Jobs.
 func (a jobsAPI) Explain(ctx context.Context, id structs.JobID) (httpapi.Explanation, error) {
-	record, err := a.Get(ctx, id)
+	parts, err := a.service.Parts(ctx, id)
 	if err != nil {
-		return httpapi.Explanation{}, err
+		return httpapi.Explanation{}, jobError(err)
 	}
-	explanation := httpapi.Explanation{Job: id}
-	for i := range record.Tasks {
-		explanation.Tasks = append(explanation.Tasks, a.explainTask(ctx, &record, i))
+	explanation := httpapi.Explanation{Job: id.Whole()}
+	for n := range parts {
+		for i := range parts[n].Tasks {
+			explanation.Tasks = append(explanation.Tasks, a.explainTask(ctx, &parts[n], i))
+		}
 	}
 	return explanation, nil
 }
--- a/pkg/shard/start.go
+++ b/pkg/shard/start.go
@@ -222,6 +222,7 @@
 		settling: true,
 		command: structs.StartCommand{
 			Task:       p.Task,
+			JobTask:    j.record.JobTask(p.Task.Index),
 			Attempt:    rec.Attempt,
 			Kind:       p.Kind,
 			Shard:      l.shard,
--- a/test/cluster/caller.go
+++ b/test/cluster/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/jobs"
 )
 
 // Reply is what a caller sees of one request. Status is 0 when the connection failed.
@@ -72,11 +74,11 @@
 	return post(base+"/v1/jobs/"+string(id)+"/cancel", nil, nil)
 }
 
-// Job reads a job record from the store, not through an entry host.
+// Job reads a job with the tasks of all its parts from the store, not through an entry host.
 func (c *Cluster) Job(id structs.JobID) (structs.JobRecord, bool) {
-	var record structs.JobRecord
-	ok := c.readJSON("/fulmarcourse/production/jobs/"+string(id), &record)
-	return record, ok
+	service := jobs.NewService(jobs.Config{Store: c.reader, Environment: "production"})
+	stored, err := service.Get(context.Background(), id)
+	return stored.Record, err == nil
 }
 
 // AwaitJob waits until every task of a job is final and returns the record.
