Let callers of GET /v1/jobs/{id}/wait share one read of changes

Every waiting caller read its job from the store each second, so a hundred callers took a hundred of the about two thousand reads per second that the store sustains.

The handler now waits through jobs.Waiter, which reads the changes once a second for all callers of an entry host and nothing while nobody waits. Wait takes a channel for the end of the wait, so that its first read is not cut short by a short timeout and a shutdown still answers 202 with the latest state.

--- a/pkg/httpapi/httpapi_test.go
+++ b/pkg/httpapi/httpapi_test.go
@@ -35,7 +35,7 @@
 	job  structs.JobRecord
 	err  error
 	spec structs.JobSpec
-	read chan struct{} // closed by the first Get when set
+	read chan struct{} // closed by the first Wait when set
 	once sync.Once
 }
 
@@ -44,10 +44,21 @@
 	return f.job, f.err
 }
 func (f *fakeJobs) Get(context.Context, structs.JobID) (structs.JobRecord, error) {
+	return f.job, f.err
+}
+func (f *fakeJobs) Wait(ctx context.Context, _ structs.JobID, until <-chan struct{}) (structs.JobRecord, error) {
 	if f.read != nil {
 		f.once.Do(func() { close(f.read) })
 	}
-	return f.job, f.err
+	if f.err != nil || f.job.Final() {
+		return f.job, f.err
+	}
+	select {
+	case <-until:
+		return f.job, nil
+	case <-ctx.Done():
+		return f.job, ctx.Err()
+	}
 }
 func (f *fakeJobs) List(context.Context, Filter) ([]structs.JobRecord, error) {
 	return []structs.JobRecord{f.job}, f.err
--- a/pkg/httpapi/jobs.go
+++ b/pkg/httpapi/jobs.go
@@ -36,6 +36,8 @@
 	List(ctx context.Context, filter Filter) ([]structs.JobRecord, error)
 	Cancel(ctx context.Context, id structs.JobID) (structs.JobRecord, error)
 	Explain(ctx context.Context, id structs.JobID) (Explanation, error)
+	// Wait returns the job when it is final, or its latest known state when until is closed.
+	Wait(ctx context.Context, id structs.JobID, until <-chan struct{}) (structs.JobRecord, error)
 }
 
 // Explanation says why the tasks of a job wait or where they run.
@@ -48,8 +50,6 @@
 	// DefaultWait and MaxWait bound GET /v1/jobs/{id}/wait.
 	DefaultWait = 30 * time.Second
 	MaxWait     = 5 * time.Minute
-	// waitPoll is the time between reads of a waiting call; each read counts towards the rate of the store.
-	waitPoll = time.Second
 )
 
 // submitJob handles POST /v1/jobs.
@@ -124,7 +124,9 @@
 		}
 		timeout = parsed
 	}
-	job, err := a.waitFinal(r.Context(), jobID(r), timeout)
+	until, cancel := a.waitEnd(timeout)
+	defer cancel()
+	job, err := a.cfg.Jobs.Wait(r.Context(), jobID(r), until)
 	status := http.StatusOK
 	if !job.Final() {
 		status = http.StatusAccepted
@@ -132,26 +134,17 @@
 	respond(w, status, job, err)
 }
 
-func (a *api) waitFinal(ctx context.Context, id structs.JobID, timeout time.Duration) (structs.JobRecord, error) {
-	expired := time.NewTimer(timeout)
-	defer expired.Stop()
-	poll := time.NewTicker(waitPoll)
-	defer poll.Stop()
-	for {
-		job, err := a.cfg.Jobs.Get(ctx, id)
-		if err != nil || job.Final() {
-			return job, err
-		}
+// waitEnd returns a channel that is closed at the timeout, at a shutdown of the server, or by cancel.
+func (a *api) waitEnd(timeout time.Duration) (until <-chan struct{}, cancel func()) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	go func() {
+		defer cancel()
 		select {
-		case <-poll.C:
-		case <-expired.C:
-			return job, nil
 		case <-a.cfg.stopping:
-			return job, nil
 		case <-ctx.Done():
-			return job, ctx.Err()
 		}
-	}
+	}()
+	return ctx.Done(), cancel
 }
 
 func jobID(r *http.Request) structs.JobID { return structs.JobID(pathvar.Vars(r)["id"]) }
--- a/pkg/jobs/parts_test.go
+++ b/pkg/jobs/parts_test.go
@@ -229,7 +229,7 @@
 	}
 	waiter, result := NewWaiter(w.service()), make(chan structs.JobRecord, 1)
 	go func() {
-		record, _ := waiter.Wait(ctx, parts[0].ID)
+		record, _ := waiter.Wait(ctx, parts[0].ID, nil)
 		result <- record
 	}()
 	for n, part := range slices.Backward(parts) {
--- a/pkg/jobs/wait.go
+++ b/pkg/jobs/wait.go
@@ -33,9 +33,9 @@
 	return &Waiter{service: service, waiting: map[structs.JobID]map[*waitCall]bool{}, wake: make(chan struct{}, 1)}
 }
 
-// Wait returns the job when all its tasks are final. When ctx ends first it returns the latest state known and the
-// error of ctx. It fails with ErrNotFound or an error of the store if the first read fails.
-func (w *Waiter) Wait(ctx context.Context, id structs.JobID) (structs.JobRecord, error) {
+// Wait returns the job when all its tasks are final, or its latest known state when until is closed first; a nil until
+// never is. It fails with ErrNotFound or an error of the store if the first read fails, and with the error of ctx.
+func (w *Waiter) Wait(ctx context.Context, id structs.JobID, until <-chan struct{}) (structs.JobRecord, error) {
 	call := w.add(id.Whole())
 	defer w.remove(id.Whole(), call)
 	parts, revision, err := w.service.readParts(ctx, id) // after add, so that no change falls between the two
@@ -51,6 +51,8 @@
 		select {
 		case <-call.changed:
 			w.update(call, parts)
+		case <-until:
+			return record, nil
 		case <-ctx.Done():
 			return record, ctx.Err()
 		}
--- a/pkg/jobs/wait_test.go
+++ b/pkg/jobs/wait_test.go
@@ -21,7 +21,7 @@
 	results := make(chan error, 20)
 	for range cap(results) {
 		go func() {
-			got, err := waiter.Wait(ctx, record.ID)
+			got, err := waiter.Wait(ctx, record.ID, nil)
 			if err == nil && got.Tasks[0].State != structs.TaskDone {
 				err = errors.New("job returned before its end")
 			}
@@ -47,7 +47,41 @@
 	if waiter.active() {
 		t.Error("a caller that has returned is still registered")
 	}
-	if _, err := waiter.Wait(ctx, "missing"); !errors.Is(err, ErrNotFound) {
+	if _, err := waiter.Wait(ctx, "missing", nil); !errors.Is(err, ErrNotFound) {
 		t.Errorf("missing job: %v", err)
 	}
 }
+
+// Guards against a wait that outlives its limit, and against a first caller for which all records of the environment
+// are read.
+func TestWaitEndsAndReadsOnlyChanges(t *testing.T) {
+	w := newWorld()
+	record := w.submit(t, nil, "k", 1)
+	waiter := NewWaiter(w.service())
+	until, result := make(chan struct{}), make(chan error, 1)
+	go func() {
+		got, err := waiter.Wait(context.Background(), record.ID, until)
+		if err == nil && got.ID != record.ID {
+			err = errors.New("the latest state is missing")
+		}
+		result <- err
+	}()
+	for began := false; !began; {
+		waiter.mu.Lock()
+		began = waiter.revision > 0
+		waiter.mu.Unlock()
+	}
+	stored, _ := w.stored(record.ID)
+	waiter.mu.Lock()
+	if waiter.revision < stored.ModRevision {
+		t.Errorf("reads begin at revision %d, the job was stored at %d", waiter.revision, stored.ModRevision)
+	}
+	waiter.mu.Unlock()
+	close(until)
+	if err := <-result; err != nil {
+		t.Error(err)
+	}
+	if waiter.revision != 0 {
+		t.Error("the next caller begins at an old revision")
+	}
+}
--- a/pkg/node/jobsapi.go
+++ b/pkg/node/jobsapi.go
@@ -16,6 +16,7 @@
 // jobsAPI implements httpapi.Jobs: records come from the store, explanations from the owner of the home shard.
 type jobsAPI struct {
 	service   *jobs.Service
+	waiter    *jobs.Waiter
 	manager   *shard.Manager
 	directory *directory
 	pool      *peer.Pool
@@ -45,6 +46,12 @@
 	return record, jobError(err)
 }
 
+// Wait implements httpapi.Jobs.
+func (a jobsAPI) Wait(ctx context.Context, id structs.JobID, until <-chan struct{}) (structs.JobRecord, error) {
+	record, err := a.waiter.Wait(ctx, id, until)
+	return record, jobError(err)
+}
+
 // Explain implements httpapi.Jobs.
 func (a jobsAPI) Explain(ctx context.Context, id structs.JobID) (httpapi.Explanation, error) {
 	parts, err := a.service.Parts(ctx, id)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -50,6 +50,7 @@
 	pools     *slotPools
 	directory *directory
 	jobs      *jobs.Service
+	waiter    *jobs.Waiter
 	dispatch  *requests.PeerDispatcher
 	requests  *requests.Service
 	http      *httpapi.Server
@@ -206,6 +207,7 @@
 		Scope:       n.cfg.Metrics.Scope,
 		Log:         n.cfg.Log,
 	})
+	n.waiter = jobs.NewWaiter(n.jobs)
 	n.manager = shard.NewManager(shard.Config{
 		Ownership:   n.ownership,
 		Permits:     &permits{n.self, n.control, n.peerMembers, n.cfg.Clock},
@@ -310,7 +312,7 @@
 		Address:   n.cfg.HTTPAddress,
 		Requests:  n.requests,
 		Catalogue: catalogue{n.control},
-		Jobs:      jobsAPI{n.jobs, n.manager, n.directory, n.pool},
+		Jobs:      jobsAPI{n.jobs, n.waiter, n.manager, n.directory, n.pool},
 		Healthy:   func() error { return nil },
 		Ready:     n.ready,
 		Routes:    n.operatorRoutes(),
@@ -453,6 +455,7 @@
 	services.Go(func() { n.control.Run(background) })
 	services.Go(func() { n.members.Run(background) })
 	services.Go(func() { n.ownership.Run(background) })
+	services.Go(func() { n.waiter.Run(background) })
 	failures := make(chan error, 2)
 	go func() { failures <- errors.Annotate(n.grpc.Serve(n.listener), "peer server") }()
 	go func() { failures <- errors.Annotate(n.http.Serve(), "HTTP server") }()
--- a/test/cluster/caller.go
+++ b/test/cluster/caller.go
@@ -76,11 +76,20 @@
 
 // Job reads a job with the tasks of all its parts from the store, not through an entry host.
 func (c *Cluster) Job(id structs.JobID) (structs.JobRecord, bool) {
-	service := jobs.NewService(jobs.Config{Store: c.reader, Environment: "production"})
-	stored, err := service.Get(context.Background(), id)
+	stored, err := c.jobs().Get(context.Background(), id)
 	return stored.Record, err == nil
 }
 
+// Parts reads the records in which a job is stored; none if it cannot be read.
+func (c *Cluster) Parts(id structs.JobID) []structs.JobRecord {
+	parts, _ := c.jobs().Parts(context.Background(), id) // the caller repeats until it finds what it waits for
+	return parts
+}
+
+func (c *Cluster) jobs() *jobs.Service {
+	return jobs.NewService(jobs.Config{Store: c.reader, Environment: "production"})
+}
+
 // AwaitJob waits until every task of a job is final and returns the record.
 func (c *Cluster) AwaitJob(id structs.JobID) structs.JobRecord {
 	c.t.Helper()
