--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -134,6 +134,7 @@
 		Scope:       n.cfg.Metrics.Scope,
 		Log:         n.cfg.Log,
 	})
+	n.waiter = jobs.NewWaiter(n.jobs)
 	n.manager = shard.NewManager(shard.Config{
 		Ownership:   n.ownership,
 		Permits:     &permits{n.self, n.control, n.peerMembers, n.cfg.Clock},
@@ -197,7 +198,7 @@
 		Address:   n.cfg.HTTPAddress,
 		Requests:  n.requests,
 		Catalogue: catalogue{n.control},
-		Jobs:      jobsAPI{n.jobs, n.manager, n.directory, n.pool},
+		Jobs:      jobsAPI{n.jobs, n.waiter, n.manager, n.directory, n.pool},
 		Healthy:   func() error { return nil },
 		Ready:     n.ready,
 		Routes:    n.operatorRoutes(),
--- a/pkg/node/jobsapi.go
+++ b/pkg/node/jobsapi.go
@@ -16,6 +16,7 @@
 // jobsAPI implements httpapi.Jobs: records come from the store, explanations from the owner of the home shard.
 type jobsAPI struct {
 	service   *jobs.Service
+	waiter    *jobs.Waiter
 	manager   *shard.Manager
 	directory *directory
 	pool      *peer.Pool
@@ -45,15 +46,23 @@
 	return record, jobError(err)
 }
 
+// Wait implements httpapi.Jobs.
+func (a jobsAPI) Wait(ctx context.Context, id structs.JobID, until <-chan struct{}) (structs.JobRecord, error) {
+	record, err := a.waiter.Wait(ctx, id, until)
+	return record, jobError(err)
+}
+
 // Explain implements httpapi.Jobs.
 func (a jobsAPI) Explain(ctx context.Context, id structs.JobID) (httpapi.Explanation, error) {
-	record, err := a.Get(ctx, id)
+	parts, err := a.service.Parts(ctx, id)
 	if err != nil {
-		return httpapi.Explanation{}, err
+		return httpapi.Explanation{}, jobError(err)
 	}
-	explanation := httpapi.Explanation{Job: id}
-	for i := range record.Tasks {
-		explanation.Tasks = append(explanation.Tasks, a.explainTask(ctx, &record, i))
+	explanation := httpapi.Explanation{Job: id.Whole()}
+	for n := range parts {
+		for i := range parts[n].Tasks {
+			explanation.Tasks = append(explanation.Tasks, a.explainTask(ctx, &parts[n], i))
+		}
 	}
 	return explanation, nil
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -37,6 +37,7 @@
 	pools     *slotPools
 	directory *directory
 	jobs      *jobs.Service
+	waiter    *jobs.Waiter
 	dispatch  *requests.PeerDispatcher
 	requests  *requests.Service
 	http      *httpapi.Server
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -19,6 +19,7 @@
 	services.Go(func() { n.control.Run(background) })
 	services.Go(func() { n.members.Run(background) })
 	services.Go(func() { n.ownership.Run(background) })
+	services.Go(func() { n.waiter.Run(background) })
 	failures := make(chan error, 2)
 	go func() { failures <- errors.Annotate(n.grpc.Serve(n.listener), "peer server") }()
 	go func() { failures <- errors.Annotate(n.http.Serve(), "HTTP server") }()
--- a/test/cluster/caller.go
+++ b/test/cluster/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/jobs"
 )
 
 // Reply is what a caller sees of one request. Status is 0 when the connection failed.
@@ -72,11 +74,20 @@
 	return post(base+"/v1/jobs/"+string(id)+"/cancel", nil, nil)
 }
 
-// Job reads a job record from the store, not through an entry host.
+// Job reads a job with the tasks of all its parts from the store, not through an entry host.
 func (c *Cluster) Job(id structs.JobID) (structs.JobRecord, bool) {
-	var record structs.JobRecord
-	ok := c.readJSON("/fulmarcourse/production/jobs/"+string(id), &record)
-	return record, ok
+	stored, err := c.jobs().Get(context.Background(), id)
+	return stored.Record, err == nil
+}
+
+// Parts reads the records in which a job is stored; none if it cannot be read.
+func (c *Cluster) Parts(id structs.JobID) []structs.JobRecord {
+	parts, _ := c.jobs().Parts(context.Background(), id) // the caller repeats until it finds what it waits for
+	return parts
+}
+
+func (c *Cluster) jobs() *jobs.Service {
+	return jobs.NewService(jobs.Config{Store: c.reader, Environment: "production"})
 }
 
 // AwaitJob waits until every task of a job is final and returns the record.
