--- /dev/null
+++ b/test/integration/pairs_test.go
@@ -0,0 +1,114 @@
+package integration
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/test/cluster"
+)
+
+// pairSeeds is the number of seeds that TestPairsOfFaults runs, from 1 on.
+var pairSeeds = flag.Int("pairs", 2, "number of seeds of TestPairsOfFaults")
+
+// faultFor is how long a fault lasts. It is longer than the owner lease (4 s), so that a takeover can happen.
+const faultFor = 6 * time.Second
+
+// fault begins at once and returns the step that ends it.
+type fault struct {
+	name  string
+	begin func(c *cluster.Cluster, rnd *rand.Rand) (end func())
+}
+
+var shardA = structs.ShardID{Datacentre: "a", Index: 0}
+
+// anyEntry draws an entry host of data centre b or c; data centre a is the one whose owner other faults hit.
+func anyEntry(c *cluster.Cluster, rnd *rand.Rand) structs.HostID {
+	return c.Entries()[2+rnd.IntN(len(c.Entries())-2)]
+}
+
+var faults = []fault{
+	{"owner killed and restarted", func(c *cluster.Cluster, _ *rand.Rand) func() {
+		owner := c.Owner(shardA)
+		if owner == "" {
+			return func() {}
+		}
+		c.Kill(owner)
+		return func() { c.Restart(owner) }
+	}},
+	{"entry host frozen", func(c *cluster.Cluster, rnd *rand.Rand) func() {
+		host := anyEntry(c, rnd)
+		c.Pause(host)
+		return func() { c.Resume(host) }
+	}},
+	{"data centre b cut off", func(c *cluster.Cluster, _ *rand.Rand) func() {
+		c.IsolateDatacentre("b")
+		return c.Heal
+	}},
+	{"store down", func(c *cluster.Cluster, _ *rand.Rand) func() {
+		c.Platform.Store.SetDown(true)
+		return func() { c.Platform.Store.SetDown(false) }
+	}},
+	{"store slow and losing responses", func(c *cluster.Cluster, rnd *rand.Rand) func() {
+		c.Platform.Store.SetDelay(300 * time.Millisecond)
+		c.Platform.Store.LoseResponses(5 + rnd.IntN(10))
+		return func() { c.Platform.Store.SetDelay(0) }
+	}},
+	{"worker host failed", func(c *cluster.Cluster, _ *rand.Rand) func() {
+		c.Platform.Kill("c-0-worker-0")
+		return func() {}
+	}},
+	{"data centre c out and back", func(c *cluster.Cluster, _ *rand.Rand) func() {
+		host := base(c, "c-entry-0")
+		cluster.SetDatacentre(host, "c", structs.DatacentreOut)
+		return func() {
+			c.Await("data centre c is back", func() bool {
+				return cluster.SetDatacentre(host, "c", structs.DatacentreIn) < 300
+			})
+		}
+	}},
+}
+
+// Guards against combinations of two faults that make tasks run twice, lose them, or overcommit a host.
+func TestPairsOfFaults(t *testing.T) {
+	for seed := range uint64(*pairSeeds) {
+		rnd := rand.New(rand.NewPCG(seed+1, 0))
+		chosen := rnd.Perm(len(faults))[:2]
+		name := fmt.Sprintf("seed %d: %s, %s", seed+1, faults[chosen[0]].name, faults[chosen[1]].name)
+		t.Run(name, func(t *testing.T) { runPair(t, rnd, faults[chosen[0]], faults[chosen[1]]) })
+	}
+}
+
+func runPair(t *testing.T, rnd *rand.Rand, first, second fault) {
+	cfg := small()
+	c := start(t, cfg)
+	ids := submitWork(t, c, 5)
+	c.Await("tasks have started", func() bool { return started(c) >= 4 })
+	endFirst := first.begin(c, rnd)
+	<-time.After(time.Duration(rnd.IntN(2000)) * time.Millisecond)
+	endSecond := second.begin(c, rnd)
+	<-time.After(faultFor)
+	endSecond()
+	endFirst()
+	for _, id := range ids {
+		for i, task := range c.AwaitJob(id).Tasks {
+			if !slices.Contains(allowedEnds(task), task.State) {
+				t.Errorf("job %s task %d: %+v", id, i, task)
+			}
+		}
+	}
+	checkTasks(t, c, cfg)
+}
+
+// allowedEnds returns the final states that a task may have after faults: done, or unknown for a template whose
+// attempt was lost with its worker, since it may have run.
+func allowedEnds(task structs.TaskRecord) []structs.TaskState {
+	if task.Attempt == 1 && task.State == structs.TaskUnknown {
+		return []structs.TaskState{structs.TaskUnknown}
+	}
+	return []structs.TaskState{structs.TaskDone}
+}
