--- a/test/integration/pairs_test.go
+++ b/test/integration/pairs_test.go
@@ -63,10 +63,10 @@
 	}},
 	{"data centre c out and back", func(c *cluster.Cluster, _ *rand.Rand) func() {
 		host := base(c, "c-entry-0")
-		cluster.SetDatacentre(host, "c", structs.DatacentreOut)
+		c.SetDatacentre(host, "c", structs.DatacentreOut)
 		return func() {
 			c.Await("data centre c is back", func() bool {
-				return cluster.SetDatacentre(host, "c", structs.DatacentreIn) < 300
+				return c.SetDatacentre(host, "c", structs.DatacentreIn) < 300
 			})
 		}
 	}},
