--- a/test/integration/pairs_test.go
+++ b/test/integration/pairs_test.go
@@ -66,7 +66,8 @@
 		c.SetDatacentre(host, "c", structs.DatacentreOut)
 		return func() {
 			c.Await("data centre c is back", func() bool {
-				return c.SetDatacentre(host, "c", structs.DatacentreIn) < 300
+				status := c.SetDatacentre(host, "c", structs.DatacentreIn)
+				return status > 0 && status < 300
 			})
 		}
 	}},
