Bound task leases by the host's own store contact

Cause: the horizon of 75 min after which jobs of a lost data centre may move was compared with the newest confirmation of control state, which peers relay. A sole owner that is cut off from the store but hears peers would go on renewing task leases for up to 4 h, while another host moves its jobs: two runs of one task. The leases now depend on the last renewal of the host's own owner lease. TestLeasesEndWithoutStoreContact covers the bound; it was written with the fix, since the old code had no way to tell the two apart in a test.

--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -60,7 +60,7 @@
 	return latency
 }
 
-func (e environment) StoreConfirmedAt() time.Time { return e.node.control.Confirmation().ReadAt }
+func (e environment) LastStoreContact() time.Time { return e.node.ownership.LastStoreContact() }
 
 // catalogue implements httpapi.Catalogue.
 type catalogue struct{ control *control.Service }
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -83,7 +83,7 @@
 	TotalCapacity() structs.Resources // of all workers of the environment
 	// LatencyByMachine returns, per machine, the worst ratio of tail latency to deadline of its runners' requests.
 	LatencyByMachine() map[string]float64
-	StoreConfirmedAt() time.Time // when the store last confirmed control state; relays count with their age
+	LastStoreContact() time.Time // when this host last renewed its owner lease in the store
 }
 
 // Config configures the loops of one host.
--- a/pkg/shard/renew.go
+++ b/pkg/shard/renew.go
@@ -92,8 +92,9 @@
 	if !w.absentSince.IsZero() && now.Sub(w.absentSince) > unreachableAfter {
 		return false
 	}
-	confirmed := l.cfg.Environment.StoreConfirmedAt()
-	return now.Sub(confirmed) < TaskHorizon-TaskLeaseTTL
+	// Only this host's own contact counts. Another host may move the jobs of a shard whose owner record has been absent
+	// for the horizon, and a relayed confirmation says nothing about that record.
+	return now.Sub(l.cfg.Environment.LastStoreContact()) < TaskHorizon-TaskLeaseTTL
 }
 
 // settled lists the ended attempts on the worker whose outcome is durable. Called with mu held.
--- a/pkg/shard/renew_test.go
+++ b/pkg/shard/renew_test.go
@@ -26,3 +26,19 @@
 		t.Fatalf("the task is %s (%s) while it runs", rec.State, rec.Reason)
 	}
 }
+
+// Guards against tasks that run on in a data centre without the store after another host may have moved their jobs.
+func TestLeasesEndWithoutStoreContact(t *testing.T) {
+	w := newWorld()
+	w.contact = w.now
+	l := newTestLoop(t, w)
+	step(t, l, w, 0)
+	step(t, l, w, time.Minute)
+	if w.lease != TaskLeaseTTL {
+		t.Fatalf("lease of %v a minute after the last store contact", w.lease)
+	}
+	step(t, l, w, TaskHorizon-time.Minute-TaskLeaseTTL)
+	if w.lease != 0 {
+		t.Fatalf("lease of %v at the horizon", w.lease)
+	}
+}
