Order the incarnations of entry hosts by start time

Cause: the node took a random UUID as incarnation, while membership and ownership take the greater one of two for the later process. After a restart the entry host held the registry entry of its dead former process for a newer one in half of the cases, logged member_superseded and could not register or claim until that entry lapsed (60 s). Seen as a takeover that took 27 to 34 s instead of 4 to 5 s in the test of leaving hosts, when the only other host of the data centre had been restarted before. The peers also took heartbeats of the new process for stale ones. Ruled out: store leases (gone after 4 s) and promises (the former owner was proved dead after 1 s). Before: TestLaterProcessHasNewerIncarnation fails with random UUIDs. After: it passes.

--- /dev/null
+++ b/pkg/node/incarnation_test.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/membership"
+)
+
+// Guards against a restarted entry host that takes the registry entry of its former process for a newer one, and then
+// cannot register until that entry has lapsed.
+func TestLaterProcessHasNewerIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	former := newIncarnation(func() time.Time { return now })
+	for range 50 {
+		now = now.Add(time.Millisecond)
+		next := newIncarnation(func() time.Time { return now })
+		if !membership.Newer(next, former) {
+			t.Fatalf("%s started after %s and is not newer", next, former)
+		}
+		former = next
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"fulmarcourse.example/core/structs"
@@ -58,7 +57,7 @@
 	}
 	n.self = structs.MemberRecord{
 		Host:        cfg.Host,
-		Incarnation: uuid.NewString(),
+		Incarnation: newIncarnation(cfg.Clock),
 		Datacentre:  cfg.Datacentre,
 		PeerAddr:    cfg.PeerAddress,
 	}
