Remove the settings of protocol timings; use the revision asked for in fetches

Need: the section [timings] was checked and then ignored, which misleads operators; all entry hosts must use the same protocol timings anyway, so they stay constants. The section is a finding now. A reply without entries means 'unchanged since that revision', so it was thrown away, and a heartbeat with a newer revision brought no confirmation. It calls IngestAfter now, whose handling of such replies is tested in pkg/control.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -135,12 +135,11 @@
 		if err != nil {
 			return
 		}
+		after := n.control.Confirmation().Revision
 		sentAt := n.cfg.Clock()
-		reply, err := peerpb.NewControlClient(conn).FetchControl(ctx, &peerpb.FetchControlRequest{
-			AfterRevision: n.control.Confirmation().Revision,
-		})
+		reply, err := peerpb.NewControlClient(conn).FetchControl(ctx, &peerpb.FetchControlRequest{AfterRevision: after})
 		if err == nil {
-			n.control.Ingest(reply, sentAt)
+			n.control.IngestAfter(reply, sentAt, after)
 		}
 	}()
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -31,7 +31,7 @@
 	TraceOTLP   TraceExporter = "otlp"   // OTLP over HTTP
 )
 
-// Defaults of settings outside [timings].
+// Defaults of settings.
 const (
 	DefaultShardsPerDatacentre = 2
 	DefaultShutdownTimeout     = 30 * time.Second
@@ -55,7 +55,6 @@
 	LogLevel            log.Level
 	Trace               Trace
 	ShutdownTimeout     time.Duration
-	Timings             Timings
 }
 
 // Trace tells where trace spans go.
@@ -85,7 +84,6 @@
 		LogLevel:            log.InfoLevel,
 		Trace:               Trace{Exporter: TraceNone},
 		ShutdownTimeout:     DefaultShutdownTimeout,
-		Timings:             DefaultTimings(),
 	}
 	readers := map[string]func(*inifile.Section){
 		"node":     settings.readNode,
@@ -95,7 +93,6 @@
 		"log":      settings.readLog,
 		"trace":    settings.readTrace,
 		"shutdown": settings.readShutdown,
-		"timings":  settings.Timings.read,
 	}
 	present := map[string]bool{}
 	for _, section := range file.Sections() {
@@ -115,7 +112,7 @@
 	return settings, file.Findings()
 }
 
-const acceptedSections = "[node], [store], [hostlist], [peers], [log], [trace], [shutdown] or [timings]"
+const acceptedSections = "[node], [store], [hostlist], [peers], [log], [trace] or [shutdown]"
 
 func (set *Settings) readNode(s *inifile.Section) {
 	s.Known("host", "datacentre", "environment", "trial_environment", "http_address", "peer_address", "peer_listen", "source_address",
