Generate the catalogue of log events

Need: package eventlog names docs/EVENTS.md, which did not exist. A test generates it with -update and fails when it is out of date; another finds names that are used twice.

--- /dev/null
+++ b/pkg/eventlog/page_test.go
@@ -0,0 +1,43 @@
+package eventlog
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md")
+
+const pagePath = "../../docs/EVENTS.md"
+
+// Guards against a catalogue of events that is out of date.
+func TestPageIsUpToDate(t *testing.T) {
+	if *update {
+		if err := os.WriteFile(pagePath, []byte(Page()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	written, err := os.ReadFile(pagePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(Page(), string(written)); diff != "" {
+		t.Fatalf("run go test ./pkg/eventlog -update (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against two events with one name, which the names in queries and alerts could not tell apart.
+func TestNamesAreUnique(t *testing.T) {
+	numbers := map[string]Code{}
+	for _, def := range Catalogue() {
+		if other, taken := numbers[def.Name]; taken {
+			t.Errorf("events %d and %d are both named %s", other, def.Code, def.Name)
+		}
+		numbers[def.Name] = def.Code
+		if def.Name == "" || def.Text == "" {
+			t.Errorf("event %d has no name or no text", def.Code)
+		}
+	}
+}
