--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"fulmarcourse.example/core/structs"
@@ -58,7 +57,7 @@
 	}
 	n.self = structs.MemberRecord{
 		Host:        cfg.Host,
-		Incarnation: uuid.NewString(),
+		Incarnation: newIncarnation(cfg.Clock),
 		Datacentre:  cfg.Datacentre,
 		PeerAddr:    cfg.PeerAddress,
 	}
@@ -136,12 +135,11 @@
 		if err != nil {
 			return
 		}
+		after := n.control.Confirmation().Revision
 		sentAt := n.cfg.Clock()
-		reply, err := peerpb.NewControlClient(conn).FetchControl(ctx, &peerpb.FetchControlRequest{
-			AfterRevision: n.control.Confirmation().Revision,
-		})
+		reply, err := peerpb.NewControlClient(conn).FetchControl(ctx, &peerpb.FetchControlRequest{AfterRevision: after})
 		if err == nil {
-			n.control.Ingest(reply, sentAt)
+			n.control.IngestAfter(reply, sentAt, after)
 		}
 	}()
 }
