Bound the tries at other shards after rejections for load

When all shards are overloaded, each rejected request was tried at up to four shards. At three times the capacity these tries took most of the processor time of the entry hosts, and answers came too late. A second budget, filled by offered requests and full at the start, now allows one such try for two requests in a lasting overload.

--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -96,3 +96,30 @@
 		t.Fatal("hedged although the hedge cannot finish in time")
 	}
 }
+
+// Guards against rejections for load that multiply the attempts when all shards are overloaded, and against a first
+// overloaded shard whose load is not moved to others.
+func TestDetoursAreBounded(t *testing.T) {
+	var d Detours
+	const offered = 10_000
+	taken := 0
+	for range offered {
+		d.Offer()
+		for range 3 {
+			if d.Spend() {
+				taken++
+			}
+		}
+	}
+	if limit := offered/OffersPerDetour + MaxDetours; taken > limit || taken < offered/OffersPerDetour {
+		t.Fatalf("%d detours for %d requests, want at most %d", taken, offered, limit)
+	}
+	for range MaxDetours * OffersPerDetour {
+		d.Offer()
+	}
+	for n := range MaxDetours {
+		if !d.Spend() {
+			t.Fatalf("only %d detours after a quiet time", n)
+		}
+	}
+}
--- a/pkg/requests/race.go
+++ b/pkg/requests/race.go
@@ -116,6 +116,11 @@
 	switch retry.Decide(reply, r.req.Idempotent) {
 	case retry.Stop:
 		return
+	case retry.Elsewhere:
+		if rejectedForLoad(reply) && !r.service.mayDetour() {
+			r.service.scope.Counter("detours_exhausted").Inc(1)
+			return
+		}
 	case retry.Budgeted:
 		if !r.service.spend() {
 			r.service.scope.Counter("budget_exhausted").Inc(1)
@@ -127,6 +132,11 @@
 	}
 }
 
+// rejectedForLoad reports whether a shard had no room for the request.
+func rejectedForLoad(reply structs.Reply) bool {
+	return reply.Reason == structs.ReasonQueueFull || reply.Reason == structs.ReasonDeadline
+}
+
 // verdict combines the ends of all attempts: not run only if none of them may have run.
 func (r *race) verdict() structs.Reply {
 	if r.unknown != nil {
--- a/pkg/requests/service.go
+++ b/pkg/requests/service.go
@@ -40,6 +40,7 @@
 
 	mu     sync.Mutex
 	budget retry.Budget
+	detour retry.Detours
 	times  map[kindKey]*latency.Window // latency of answered attempts
 	active int                         // Serve calls and attempts in progress
 	closed bool
@@ -142,6 +143,7 @@
 	}
 	s.active++
 	s.budget.Offer()
+	s.detour.Offer()
 	return true
 }
 
@@ -166,6 +168,13 @@
 	return s.budget.Spend()
 }
 
+// mayDetour takes the budget of a try at another shard after a rejection for load.
+func (s *Service) mayDetour() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.detour.Spend()
+}
+
 // observe records the latency of an answered attempt.
 func (s *Service) observe(req structs.Request, d time.Duration) {
 	s.mu.Lock()
