Test that a cancellation of some parts is reported as unknown

The new test lets an owner interfere until a transaction holds one record and then fails the store; it fails without the rule.

--- a/pkg/jobs/parts_test.go
+++ b/pkg/jobs/parts_test.go
@@ -202,6 +202,41 @@
 	}
 }
 
+// Guards against a cancellation that marked one part before the store failed and is reported as not accepted. A busy
+// owner has reduced the transactions to one record.
+func TestCancelOfSomePartsIsUnknown(t *testing.T) {
+	const conflicts = 6 // halve MaxBatchRecords to 1
+	w := newWideWorld()
+	parts := w.submitWide(t)
+	count := 0
+	var busy func()
+	busy = func() {
+		if count++; count <= conflicts {
+			w.change(t, parts[0])
+			w.store.between = busy
+		}
+	}
+	w.store.between = busy
+	w.store.script(append(slices.Repeat([]fault{noFault}, conflicts+1), slices.Repeat([]fault{unavailable}, MaxCancelAttempts)...)...)
+	_, err := w.service().Cancel(context.Background(), parts[0].ID)
+	if first, _ := w.stored(parts[0].ID); !first.Record.CancelRequested {
+		t.Fatal("the first part is not marked")
+	}
+	if last, _ := w.stored(parts[3].ID); last.Record.CancelRequested {
+		t.Fatal("the last part is marked")
+	}
+	if !errors.Is(err, ErrUnknown) {
+		t.Errorf("got %v, want ErrUnknown", err)
+	}
+	w.store.heal()
+	if record, err := w.service().Cancel(context.Background(), parts[0].ID); err != nil || !record.CancelRequested {
+		t.Errorf("repeat: %v", err)
+	}
+	if last, _ := w.stored(parts[3].ID); !last.Record.CancelRequested {
+		t.Error("the repeat does not reach the last part")
+	}
+}
+
 // change writes a part past all guards, as its owner does.
 func (w *world) change(t *testing.T, part structs.JobRecord) {
 	t.Helper()
