Let discarded jobs of the integration test of parts finish

The product was right, since a cancelled task must not resume. The jobs, of one-second tasks, are now left to finish, so the check stays as strict. The test also waits over HTTP and requires all tasks in the answer.

--- a/test/cluster/caller.go
+++ b/test/cluster/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -74,6 +75,24 @@
 	return post(base+"/v1/jobs/"+string(id)+"/cancel", nil, nil)
 }
 
+// waitLimit is how long WaitJob lets an entry host wait; below the time-out of callers.
+const waitLimit = 25 * time.Second
+
+// WaitJob waits through an entry host until a job is final and returns it with the HTTP status, 202 if it is not final
+// within waitLimit and 0 if there was no answer.
+func WaitJob(base string, id structs.JobID) (structs.JobRecord, int) {
+	var record structs.JobRecord
+	resp, err := callers.Get(fmt.Sprintf("%s/v1/jobs/%s/wait?timeout=%s", base, id, waitLimit))
+	if err != nil {
+		return record, 0
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(&record) != nil {
+		return structs.JobRecord{}, 0
+	}
+	return record, resp.StatusCode
+}
+
 // Job reads a job with the tasks of all its parts from the store, not through an entry host.
 func (c *Cluster) Job(id structs.JobID) (structs.JobRecord, bool) {
 	stored, err := c.jobs().Get(context.Background(), id)
--- a/test/integration/parts_test.go
+++ b/test/integration/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 
 	"fulmarcourse.example/core/structs"
@@ -12,8 +13,8 @@
 const wideTasks = 60
 
 // submitWide submits jobs until one has homes in all data centres: an entry host spreads a job only over the shards
-// whose digests it has received.
-func submitWide(t *testing.T, c *cluster.Cluster, runSeconds float64) structs.JobRecord {
+// whose digests it has received. Jobs before that are given to discard and awaited.
+func submitWide(t *testing.T, c *cluster.Cluster, runSeconds float64, discard func(structs.JobID)) structs.JobRecord {
 	t.Helper()
 	var record structs.JobRecord
 	attempt := 0
@@ -36,7 +37,7 @@
 		if len(homes) == 3 {
 			return true
 		}
-		cluster.CancelJob(base(c, "a-entry-0"), record.ID)
+		discard(record.ID)
 		c.AwaitJob(record.ID)
 		return false
 	})
@@ -48,7 +49,11 @@
 func TestJobUsesWorkersOfAllDatacentres(t *testing.T) {
 	cfg := small()
 	c := start(t, cfg)
-	record := submitWide(t, c, 1)
+	record := submitWide(t, c, 1, func(structs.JobID) {}) // they finish soon
+	ended, status := cluster.WaitJob(base(c, "c-entry-1"), record.ID)
+	if status != http.StatusOK || !ended.Final() || len(ended.Tasks) != wideTasks {
+		t.Errorf("wait over HTTP: status %d, %d tasks", status, len(ended.Tasks))
+	}
 	awaitDone(t, c, []structs.JobID{record.ID})
 	datacentres := map[string]bool{}
 	for _, e := range c.Platform.History.Events() {
@@ -70,7 +75,7 @@
 func TestCancelReachesEveryPart(t *testing.T) {
 	cfg := small()
 	c := start(t, cfg)
-	record := submitWide(t, c, 600)
+	record := submitWide(t, c, 600, func(id structs.JobID) { cluster.CancelJob(base(c, "a-entry-0"), id) })
 	c.Await("tasks have started", func() bool { return started(c) >= 10 })
 	c.Kill("c-entry-0")
 	c.Await("cancellation is accepted", func() bool {
