Move the jobs of lost data centres after the task horizon

Nothing called jobs.Rehome, so the jobs of a data centre that does not come back stayed there for ever.

A host cannot see an owner that comes and goes between two reads, so a move also compares the revision of the last owner's record, which each claim rewrites; after a release, which deletes that record, a job that changed since the previous read stays for another round.

A fault came up on the way: an owner extended task leases while control state was confirmed, also through peers. Cut off from the store but not from its peers it would have kept tasks running, and started more, beyond the horizon, while other hosts saw only that its record was gone. The horizon now counts from the last renewal of the owner lease that the store confirmed, and starts obey it as well. The new test in pkg/shard fails without the check of starts.

The horizon is a field of node.Config and shard.Config for tests. Ruled out: a marker of lost shards in the store, since the last owner's record serves the purpose without a further writer.

--- a/pkg/jobs/doc.go
+++ b/pkg/jobs/doc.go
@@ -12,7 +12,11 @@
 //     the nonce, by which the owner recognises its own writes.
 //   - Batch writes everything else. Its transactions compare the create revision of the shard's owner record, so
 //     a former owner can change nothing, and the revision of each record, so a cancellation is never overwritten.
-//   - Rehome gives a job of a shard without an owner another home. It compares the absence of the owner record.
+//   - Rehome, called by Rescuer, gives a job of a shard without an owner another home. It compares the absence of the
+//     owner record and the revision of the record of the last owner.
+//
+// A job with many tasks is stored in several records, see partID. They have owners of their own and are created in
+// one transaction.
 //
 // # Lost answers
 //
--- a/pkg/jobs/keys.go
+++ b/pkg/jobs/keys.go
@@ -34,6 +34,15 @@
 	return k.root + "control/shards/" + shard.String()
 }
 
+// owners returns the prefix of all owner records.
+func (k keyspace) owners() string { return k.root + "control/shards/" }
+
+// lastOwners returns the prefix of the records of the shards' latest owners, which package ownership writes with
+// each claim and deletes with a release.
+func (k keyspace) lastOwners() string { return k.root + "lastowners/" }
+
+func (k keyspace) lastOwner(shard structs.ShardID) string { return k.lastOwners() + shard.String() }
+
 // idBytes is the length of an id derived from a key, the same as that of a UUID.
 const idBytes = 16
 
--- a/pkg/jobs/move.go
+++ b/pkg/jobs/move.go
@@ -39,13 +39,25 @@
 	return home, nil
 }
 
-// Rehome moves a job, or a part of one, away from a shard that has no owner, because its data centre is lost. The caller has made sure
-// that no task of the job can run there any more; prepare brings the task states of the record up to date with
-// that. The write applies only while the shard has no owner: an owner that comes later finds the job moved.
+// Absence is what was read about a shard without an owner record.
+type Absence struct {
+	Shard structs.ShardID
+	// LastOwner is the revision of the record that every claim writes, and that a release deletes; 0 if it is absent.
+	// While it is the same, nobody has claimed the shard.
+	LastOwner int64
+	// Revision is the store revision of an earlier read that found the same. With LastOwner 0 an owner may have come
+	// and gone since, and has then written the jobs of which it started tasks.
+	Revision int64
+}
+
+// Rehome moves a job, or a part of one, away from a shard that has no owner, because its data centre is lost. The
+// caller has made sure that no task of the job can run there any more; prepare brings the task states of the record
+// up to date with that. The write applies only while the shard has no owner and had none since the caller read from:
+// an owner that comes later finds the job moved. A job that may have been started since fails with ErrContended.
 //
 // Errors: ErrHasOwner, ErrNotFound, ErrNoHome, ErrNoDocument, ErrContended, ErrNotAccepted and those of reads of the
 // store (nothing written), and ErrUnknown.
-func (s *Service) Rehome(ctx context.Context, id structs.JobID, from structs.ShardID, prepare func(*structs.JobRecord)) (structs.JobRecord, error) {
+func (s *Service) Rehome(ctx context.Context, id structs.JobID, from Absence, prepare func(*structs.JobRecord)) (structs.JobRecord, error) {
 	ctx, span := s.tracer.Start(ctx, "jobs.Rehome")
 	defer span.End()
 	nonce := newNonce()
@@ -55,10 +67,13 @@
 		if err != nil {
 			return structs.JobRecord{}, firstError(unknown(id, lost), err)
 		}
-		if current.Record.Home != from {
+		if current.Record.Home != from.Shard {
 			return s.moved(ctx, current.Record), nil // by this call, or by another host
 		}
-		next, txn, err := s.prepareMove(current, nonce, prepare)
+		if from.LastOwner == 0 && current.ModRevision > from.Revision {
+			return structs.JobRecord{}, firstError(unknown(id, lost), errors.Annotatef(ErrContended, "job %s has changed lately", id))
+		}
+		next, txn, err := s.prepareMove(current, from, nonce, prepare)
 		if err != nil {
 			return structs.JobRecord{}, firstError(unknown(id, lost), err)
 		}
@@ -66,8 +81,8 @@
 		switch {
 		case err == nil && result.Applied:
 			return s.moved(ctx, next), nil
-		case err == nil && s.hasOwner(from, result.Read):
-			return structs.JobRecord{}, errors.Annotatef(ErrHasOwner, "shard %s", from)
+		case err == nil && s.claimedSince(from, result.Read):
+			return structs.JobRecord{}, errors.Annotatef(ErrHasOwner, "shard %s", from.Shard)
 		case err != nil && lost == nil && errors.Is(err, store.ErrUnavailable):
 			return structs.JobRecord{}, errors.Annotatef(ErrNotAccepted, "moving job %s: %v", id, err)
 		case err != nil:
@@ -86,7 +101,7 @@
 }
 
 // prepareMove returns the record with its new home and the write that stores it.
-func (s *Service) prepareMove(current Stored, nonce string, prepare func(*structs.JobRecord)) (structs.JobRecord, store.Txn, error) {
+func (s *Service) prepareMove(current Stored, from Absence, nonce string, prepare func(*structs.JobRecord)) (structs.JobRecord, store.Txn, error) {
 	next := clone(current.Record)
 	prepare(&next)
 	trimRecord(&next)
@@ -94,29 +109,39 @@
 	if err != nil {
 		return next, store.Txn{}, err
 	}
-	next.Home, next.HomeSince, next.Nonce = home, s.cfg.Clock().UTC(), nonce
+	now := s.cfg.Clock().UTC()
+	next.Home, next.HomeSince, next.Nonce = home, now, nonce
+	if next.Final() && next.Finished.IsZero() {
+		next.Finished = now
+	}
 	value, err := encode(&next)
 	if err != nil {
 		return next, store.Txn{}, err
 	}
-	key, owner := s.keys.job(next.ID), s.keys.owner(current.Record.Home)
+	key, owner, last := s.keys.job(next.ID), s.keys.owner(from.Shard), s.keys.lastOwner(from.Shard)
 	return next, store.Txn{
 		Compares: []store.Compare{
 			{Key: owner, Target: store.CompareCreateRevision},
+			{Key: last, Target: store.CompareModRevision, Revision: from.LastOwner},
 			{Key: key, Target: store.CompareModRevision, Revision: current.ModRevision},
 		},
 		Puts:       []store.Put{{Key: key, Value: value}},
-		ReadOnFail: []string{owner},
+		ReadOnFail: []string{owner, last},
 	}, nil
 }
 
-func (s *Service) hasOwner(shard structs.ShardID, read []store.KeyValue) bool {
+// claimedSince reports whether the shard has an owner, or had one after from was read.
+func (s *Service) claimedSince(from Absence, read []store.KeyValue) bool {
+	last := int64(0)
 	for _, kv := range read {
-		if kv.Key == s.keys.owner(shard) {
+		if kv.Key == s.keys.owner(from.Shard) {
 			return true
 		}
+		if kv.Key == s.keys.lastOwner(from.Shard) {
+			last = kv.ModRevision
+		}
 	}
-	return false
+	return last != from.LastOwner
 }
 
 // moved reports the new home of a job and tells its owner.
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -27,7 +27,8 @@
 	ShardsPerDatacentre int
 	PlacementPolicy     string
 	ShutdownTimeout     time.Duration
-	Seed                uint64 // of placement and home choices
+	TaskHorizon         time.Duration // shard.TaskHorizon when 0; for tests, the same on all hosts
+	Seed                uint64        // of placement and home choices
 	Log                 *eventlog.Logger
 	Metrics             *metrics.Metrics
 	Clock               func() time.Time
--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fulmarcourse.example/core/membership"
 	"fulmarcourse.example/core/routing"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/jobs"
@@ -127,3 +128,20 @@
 	}
 	return addr, false, ok
 }
+
+// rescues reports whether this host moves the jobs of a lost shard: rendezvous hashing prefers it among the hosts that
+// own a shard of another data centre. Owners in the lost one may be cut off from the store.
+func (d *directory) rescues(lost structs.ShardID) bool {
+	var owners []structs.HostID
+	for _, digest := range d.local() {
+		if digest.Shard.Datacentre != lost.Datacentre {
+			owners = append(owners, d.self.Host)
+		}
+	}
+	for _, view := range d.remote() {
+		if view.Digest.Shard.Datacentre != lost.Datacentre {
+			owners = append(owners, view.Owner)
+		}
+	}
+	return membership.Preferred(lost, owners) == d.self.Host
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -51,6 +51,7 @@
 	directory *directory
 	jobs      *jobs.Service
 	waiter    *jobs.Waiter
+	rescuer   *jobs.Rescuer
 	dispatch  *requests.PeerDispatcher
 	requests  *requests.Service
 	http      *httpapi.Server
@@ -61,6 +62,9 @@
 
 // NewNode builds an entry host and listens. Run serves.
 func NewNode(cfg Config) (*Node, error) {
+	if cfg.TaskHorizon == 0 {
+		cfg.TaskHorizon = shard.TaskHorizon
+	}
 	n := &Node{cfg: cfg}
 	var err error
 	if n.listener, err = net.Listen("tcp", cfg.PeerListen); err != nil {
@@ -208,6 +212,9 @@
 		Log:         n.cfg.Log,
 	})
 	n.waiter = jobs.NewWaiter(n.jobs)
+	n.rescuer = jobs.NewRescuer(jobs.RescueConfig{
+		Service: n.jobs, Horizon: n.cfg.TaskHorizon, Shards: n.batchShards, Chosen: n.directory.rescues, Pace: jobs.RescuePace,
+	})
 	n.manager = shard.NewManager(shard.Config{
 		Ownership:   n.ownership,
 		Permits:     &permits{n.self, n.control, n.peerMembers, n.cfg.Clock},
@@ -216,6 +223,7 @@
 		NewBatch:    n.newBatch(notify),
 		Homes:       newHomeChooser(n.directory, n.control, n.cfg.Seed),
 		Environment: environment{n},
+		TaskHorizon: n.cfg.TaskHorizon,
 		Policy:      n.cfg.PlacementPolicy,
 		Clock:       n.cfg.Clock,
 		Metrics:     n.cfg.Metrics.Scope,
@@ -285,7 +293,19 @@
 	return latency
 }
 
-func (e environment) StoreConfirmedAt() time.Time { return e.node.control.Confirmation().ReadAt }
+func (e environment) StoreConfirmedAt() time.Time { return e.node.ownership.LastStoreContact() }
+
+// batchShards returns the shards of all data centres that the document names for batch work.
+func (n *Node) batchShards() []structs.ShardID {
+	document, _, _ := n.control.Document()
+	var shards []structs.ShardID
+	for dc := range document.BatchIn {
+		for index := range n.cfg.ShardsPerDatacentre {
+			shards = append(shards, structs.ShardID{Datacentre: dc, Index: index})
+		}
+	}
+	return shards
+}
 
 // buildRequests makes the request path and the HTTP interface.
 func (n *Node) buildRequests() error {
@@ -456,6 +476,7 @@
 	services.Go(func() { n.members.Run(background) })
 	services.Go(func() { n.ownership.Run(background) })
 	services.Go(func() { n.waiter.Run(background) })
+	services.Go(func() { n.rescuer.Run(background) })
 	failures := make(chan error, 2)
 	go func() { failures <- errors.Annotate(n.grpc.Serve(n.listener), "peer server") }()
 	go func() { failures <- errors.Annotate(n.http.Serve(), "HTTP server") }()
--- a/pkg/shard/command.go
+++ b/pkg/shard/command.go
@@ -144,10 +144,16 @@
 	if err := l.cfg.Permits.MayStart(); err != nil {
 		return errors.Annotate(err, "no permit")
 	}
+	if !l.beforeHorizon(l.cfg.Clock()) {
+		return errBeyondHorizon
+	}
 	_, err := l.valid()
 	return err
 }
 
+// errBeyondHorizon means that the jobs of the shard may have moved while the store did not confirm the ownership.
+const errBeyondHorizon = errors.ConstError("the store has not confirmed the ownership for too long")
+
 // certainlyNotRun reports whether a start command that ended with err was certainly not executed. It says nothing about
 // earlier sendings of the same command.
 func certainlyNotRun(err error) bool {
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -38,8 +38,8 @@
 // error and the time it takes the worker to stop a task.
 const leaseDrift = time.Second
 
-// TaskHorizon is how long tasks keep running without any confirmation from the store. It is longer than the hour for
-// which regions may be partitioned. Jobs of a lost data centre may move only after it.
+// TaskHorizon is how long tasks keep running after the store last confirmed the ownership of their shard. It is longer
+// than the hour for which regions may be partitioned. Jobs of a lost data centre may move only after it.
 const TaskHorizon = 75 * time.Minute
 
 // poolSize bounds the worker calls in progress per shard.
@@ -83,7 +83,9 @@
 	TotalCapacity() structs.Resources // of all workers of the environment
 	// LatencyByMachine returns, per machine, the worst ratio of tail latency to deadline of its runners' requests.
 	LatencyByMachine() map[string]float64
-	StoreConfirmedAt() time.Time // when the store last confirmed control state; relays count with their age
+	// StoreConfirmedAt returns when a renewal that the store confirmed was sent for the lease of this host's owner
+	// records. Control state relayed by peers does not count: other hosts see only whether the record exists.
+	StoreConfirmedAt() time.Time
 }
 
 // Config configures the loops of one host.
@@ -95,7 +97,8 @@
 	NewBatch    func(shard structs.ShardID, epoch structs.Epoch, onCancel func(structs.JobID)) *jobs.Batch
 	Homes       Homes
 	Environment Environment
-	Policy      string // name of the placement policy; empty takes placement.Learned
+	TaskHorizon time.Duration // TaskHorizon when 0; the same on all hosts
+	Policy      string        // name of the placement policy; empty takes placement.Learned
 	Clock       func() time.Time
 	Metrics     tally.Scope
 	Log         *eventlog.Logger
--- a/pkg/shard/loop.go
+++ b/pkg/shard/loop.go
@@ -39,6 +39,9 @@
 
 // newLoop returns the loop of a shard acquired with epoch. Run starts it.
 func newLoop(cfg Config, id structs.ShardID, epoch structs.Epoch) *Loop {
+	if cfg.TaskHorizon == 0 {
+		cfg.TaskHorizon = TaskHorizon
+	}
 	l := &Loop{
 		cfg:        cfg,
 		shard:      id,
--- a/pkg/shard/loop_test.go
+++ b/pkg/shard/loop_test.go
@@ -45,6 +45,8 @@
 	startTime     time.Duration           // from the sending of a start command to its answer
 	silent        map[structs.HostID]bool // workers that do not answer renewals
 	starts        []structs.StartCommand
+	extensions    int           // renewals that extended leases
+	unconfirmed   time.Duration // since the store confirmed the ownership
 	records       []jobs.Stored
 	afterLoad     []jobs.Stored // appear after the first load
 	loop          *Loop
@@ -81,9 +83,12 @@
 
 func (w *world) MayStart() error { return w.permit }
 
-func (w *world) Renew(_ context.Context, addr string, _ worker.RenewRequest) (structs.Inventory, error) {
+func (w *world) Renew(_ context.Context, addr string, req worker.RenewRequest) (structs.Inventory, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if req.Lease > 0 {
+		w.extensions++
+	}
 	id := structs.HostID(addr)
 	if w.silent[id] {
 		return structs.Inventory{}, errors.WithType(errors.New("no answer"), worker.ErrUncertain)
@@ -158,7 +163,11 @@
 
 func (w *world) LatencyByMachine() map[string]float64 { return nil }
 
-func (w *world) StoreConfirmedAt() time.Time { return w.clock() }
+func (w *world) StoreConfirmedAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now.Add(-w.unconfirmed)
+}
 
 func (w *world) NotifyJobs(context.Context, structs.ShardID, []structs.JobID) {}
 
--- a/pkg/shard/renew.go
+++ b/pkg/shard/renew.go
@@ -92,8 +92,12 @@
 	if !w.absentSince.IsZero() && now.Sub(w.absentSince) > unreachableAfter {
 		return false
 	}
-	confirmed := l.cfg.Environment.StoreConfirmedAt()
-	return now.Sub(confirmed) < TaskHorizon-TaskLeaseTTL
+	return l.beforeHorizon(now)
+}
+
+// beforeHorizon reports whether a lease granted now ends before other hosts may move the jobs of the shard.
+func (l *Loop) beforeHorizon(now time.Time) bool {
+	return now.Sub(l.cfg.Environment.StoreConfirmedAt()) < l.cfg.TaskHorizon-TaskLeaseTTL
 }
 
 // settled lists the ended attempts on the worker whose outcome is durable. Called with mu held.
--- a/pkg/shard/renew_test.go
+++ b/pkg/shard/renew_test.go
@@ -26,3 +26,28 @@
 		t.Fatalf("the task is %s (%s) while it runs", rec.State, rec.Reason)
 	}
 }
+
+// Guards against tasks that run, or start, in a data centre whose jobs other hosts may have moved, because its owner
+// was cut off from the store for longer than the horizon while peers still relayed control state to it.
+func TestNothingRunsBeyondTheHorizon(t *testing.T) {
+	w := newWorld()
+	w.records = []jobs.Stored{storedJob("j", "trace", pendingTask())}
+	l := newTestLoop(t, w)
+	w.unconfirmed = TaskHorizon - TaskLeaseTTL
+	for range 5 {
+		step(t, l, w, time.Second)
+	}
+	if len(w.starts) > 0 || w.extensions > 0 {
+		t.Errorf("%d starts and %d extended leases beyond the horizon", len(w.starts), w.extensions)
+	}
+	w.unconfirmed = TaskHorizon - TaskLeaseTTL - time.Minute
+	for range 5 {
+		step(t, l, w, time.Second)
+	}
+	if len(w.starts) != 1 || w.extensions == 0 {
+		t.Errorf("%d starts and %d extended leases before the horizon", len(w.starts), w.extensions)
+	}
+	if got := w.starts[0].JobTask; got != w.starts[0].Task {
+		t.Errorf("task of an undivided job is numbered %v, want %v", got, w.starts[0].Task)
+	}
+}
