--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"fulmarcourse.example/core/membership"
 	"fulmarcourse.example/core/routing"
 	"fulmarcourse.example/core/structs"
@@ -145,3 +147,15 @@
 	}
 	return membership.Preferred(lost, owners) == d.self.Host
 }
+
+// routingPolicy returns the policy with the given name, the default one for an empty name.
+func routingPolicy(name string) (routing.Policy, error) {
+	if name == "" {
+		name = routing.DefaultPolicy
+	}
+	policy, ok := routing.ByName(name)
+	if !ok {
+		return nil, errors.NotValidf("routing policy %q", name)
+	}
+	return policy, nil
+}
--- a/pkg/shard/loop_test.go
+++ b/pkg/shard/loop_test.go
@@ -45,8 +45,8 @@
 	startTime     time.Duration           // from the sending of a start command to its answer
 	silent        map[structs.HostID]bool // workers that do not answer renewals
 	starts        []structs.StartCommand
-	extensions    int           // renewals that extended leases
-	unconfirmed   time.Duration // since the store confirmed the ownership
+	contact       time.Time     // last store contact; now when zero
+	lease         time.Duration // of the latest renewal
 	records       []jobs.Stored
 	afterLoad     []jobs.Stored // appear after the first load
 	loop          *Loop
@@ -86,9 +86,7 @@
 func (w *world) Renew(_ context.Context, addr string, req worker.RenewRequest) (structs.Inventory, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if req.Lease > 0 {
-		w.extensions++
-	}
+	w.lease = req.Lease
 	id := structs.HostID(addr)
 	if w.silent[id] {
 		return structs.Inventory{}, errors.WithType(errors.New("no answer"), worker.ErrUncertain)
@@ -163,10 +161,13 @@
 
 func (w *world) LatencyByMachine() map[string]float64 { return nil }
 
-func (w *world) StoreConfirmedAt() time.Time {
+func (w *world) LastStoreContact() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.now.Add(-w.unconfirmed)
+	if !w.contact.IsZero() {
+		return w.contact
+	}
+	return w.now
 }
 
 func (w *world) NotifyJobs(context.Context, structs.ShardID, []structs.JobID) {}
--- a/pkg/shard/renew_test.go
+++ b/pkg/shard/renew_test.go
@@ -27,25 +27,41 @@
 	}
 }
 
-// Guards against tasks that run, or start, in a data centre whose jobs other hosts may have moved, because its owner
-// was cut off from the store for longer than the horizon while peers still relayed control state to it.
-func TestNothingRunsBeyondTheHorizon(t *testing.T) {
+// Guards against tasks that run on in a data centre without the store after another host may have moved their jobs.
+func TestLeasesEndWithoutStoreContact(t *testing.T) {
+	w := newWorld()
+	w.contact = w.now
+	l := newTestLoop(t, w)
+	step(t, l, w, 0)
+	step(t, l, w, time.Minute)
+	if w.lease != TaskLeaseTTL {
+		t.Fatalf("lease of %v a minute after the last store contact", w.lease)
+	}
+	step(t, l, w, TaskHorizon-time.Minute-TaskLeaseTTL)
+	if w.lease != 0 {
+		t.Fatalf("lease of %v at the horizon", w.lease)
+	}
+}
+
+// Guards against a task that starts in a data centre without the store after another host may have moved its job. Peers
+// may still relay the permit to start.
+func TestNothingStartsBeyondTheHorizon(t *testing.T) {
 	w := newWorld()
 	w.records = []jobs.Stored{storedJob("j", "trace", pendingTask())}
+	w.contact = w.now.Add(TaskLeaseTTL - TaskHorizon)
 	l := newTestLoop(t, w)
-	w.unconfirmed = TaskHorizon - TaskLeaseTTL
 	for range 5 {
 		step(t, l, w, time.Second)
 	}
-	if len(w.starts) > 0 || w.extensions > 0 {
-		t.Errorf("%d starts and %d extended leases beyond the horizon", len(w.starts), w.extensions)
+	if len(w.starts) > 0 {
+		t.Errorf("%d starts beyond the horizon", len(w.starts))
 	}
-	w.unconfirmed = TaskHorizon - TaskLeaseTTL - time.Minute
+	w.contact = w.now
 	for range 5 {
 		step(t, l, w, time.Second)
 	}
-	if len(w.starts) != 1 || w.extensions == 0 {
-		t.Errorf("%d starts and %d extended leases before the horizon", len(w.starts), w.extensions)
+	if len(w.starts) != 1 {
+		t.Fatalf("%d starts before the horizon, want 1", len(w.starts))
 	}
 	if got := w.starts[0].JobTask; got != w.starts[0].Task {
 		t.Errorf("task of an undivided job is numbered %v, want %v", got, w.starts[0].Task)
