Read only changes while a lost data centre stays empty

The host that moves the jobs of lost shards read all job records once a minute and shard for as long as the loss lasts. It now reads once a minute for all lost shards, and only the changes after it has emptied them; a failed move or a further lost shard makes it read everything again. The new test covers a failed move and a job that is accepted late for a lost shard.

--- a/pkg/eventlog/codes_jobs.go
+++ b/pkg/eventlog/codes_jobs.go
@@ -11,7 +11,7 @@
 	JobRecordBroken    = define(5004, "job_record_broken", log.ErrorLevel, "A stored job record cannot be read. The job is left alone; inspect the record in the store.")
 	JobHomeMoved       = define(5005, "job_home_moved", log.InfoLevel, "A job has a new home shard.")
 	JobDeleted         = define(5006, "job_deleted", log.InfoLevel, "A finished job was deleted after the retention time.")
-	JobsRescued        = define(5007, "jobs_rescued", log.WarnLevel, "A shard has had no owner for longer than its tasks can run. This host moves its jobs to other shards.")
+	JobsRescued        = define(5007, "jobs_rescued", log.WarnLevel, "Shards have had no owner for longer than their tasks can run. This host moves their jobs to other shards.")
 	JobBatchLost       = define(5010, "job_batch_not_owner", log.WarnLevel, "A write of job records found another owner of the shard. This host stops writing for the shard.")
 	JobBatchUnsettled  = define(5011, "job_batch_unsettled", log.WarnLevel, "The result of a write of job records is not known yet. It is settled by re-reading the records.")
 	JobBatchConflict   = define(5012, "job_batch_conflict", log.ErrorLevel, "A job record was changed by a writer that is not the owner of its home shard. The change of this host was dropped.")
--- a/pkg/jobs/rescue.go
+++ b/pkg/jobs/rescue.go
@@ -47,6 +47,9 @@
 type Rescuer struct {
 	cfg    RescueConfig
 	absent map[structs.ShardID]absentShard
+	// emptied are the lost shards without jobs at store revision readTo. Later rounds read only changes since.
+	emptied map[structs.ShardID]bool
+	readTo  int64
 }
 
 // absentShard is a shard without an owner record.
@@ -84,15 +87,17 @@
 	if err != nil {
 		return 0, err
 	}
-	moved := 0
+	chosen := map[structs.ShardID]Absence{}
 	for _, from := range lost {
-		if !r.cfg.Chosen(from.Shard) {
-			continue
+		if r.cfg.Chosen(from.Shard) {
+			chosen[from.Shard] = from
 		}
-		n, failed := r.empty(ctx, from)
-		moved, err = moved+n, firstError(err, failed)
 	}
-	return moved, err
+	if len(chosen) == 0 {
+		r.emptied = nil
+		return 0, nil
+	}
+	return r.empty(ctx, chosen)
 }
 
 // look takes over the owner records and returns the shards that are lost. The records of the last owners are read
@@ -140,23 +145,21 @@
 	return revisions
 }
 
-// empty moves all jobs of a lost shard.
-func (r *Rescuer) empty(ctx context.Context, from Absence) (int, error) {
-	s := r.cfg.Service
-	readCtx, cancel := context.WithTimeout(ctx, rescueTimeout)
-	defer cancel()
-	loaded, err := s.LoadHome(readCtx, from.Shard)
+// empty moves the jobs of lost shards.
+func (r *Rescuer) empty(ctx context.Context, lost map[structs.ShardID]Absence) (int, error) {
+	loaded, err := r.read(ctx, lost)
 	if err != nil {
 		return 0, err
 	}
+	r.emptied = nil
 	if len(loaded.Jobs) > 0 {
-		s.cfg.Log.Event(eventlog.JobsRescued).Str("shard", from.Shard.String()).Int("jobs", len(loaded.Jobs)).Msg("")
+		r.cfg.Service.cfg.Log.Event(eventlog.JobsRescued).Int("shards", len(lost)).Int("jobs", len(loaded.Jobs)).Msg("")
 	}
 	moved := 0
 	for _, stored := range loaded.Jobs {
-		failed := r.move(ctx, stored.Record.ID, from)
-		if errors.Is(failed, ErrHasOwner) || ctx.Err() != nil {
-			return moved, failed
+		failed := r.move(ctx, stored.Record.ID, lost[stored.Record.Home])
+		if ctx.Err() != nil {
+			return moved, ctx.Err()
 		}
 		if failed == nil {
 			moved++
@@ -164,9 +167,31 @@
 		err = firstError(err, failed)
 		pause(ctx, r.cfg.Pace, nil)
 	}
+	if err == nil {
+		r.emptied, r.readTo = map[structs.ShardID]bool{}, loaded.Revision
+		for shard := range lost {
+			r.emptied[shard] = true
+		}
+	}
 	return moved, err
 }
 
+// read returns the jobs of lost shards with one range read, of the changes only if the shards were empty before.
+func (r *Rescuer) read(ctx context.Context, lost map[structs.ShardID]Absence) (Loaded, error) {
+	ctx, cancel := context.WithTimeout(ctx, rescueTimeout)
+	defer cancel()
+	since := r.readTo
+	for shard := range lost {
+		if !r.emptied[shard] {
+			since = 0
+		}
+	}
+	return r.cfg.Service.load(ctx, since+1, func(record *structs.JobRecord) bool {
+		_, ok := lost[record.Home]
+		return ok
+	})
+}
+
 func (r *Rescuer) move(ctx context.Context, id structs.JobID, from Absence) error {
 	ctx, cancel := context.WithTimeout(ctx, rescueTimeout)
 	defer cancel()
--- a/pkg/jobs/rescue_test.go
+++ b/pkg/jobs/rescue_test.go
@@ -196,3 +196,38 @@
 		t.Errorf("job with a task started lately: moved %d, %v", moved, err)
 	}
 }
+
+// Guards against a job that is accepted late for a lost shard, or whose move failed, and then stays there, and against
+// reads of all job records in every round after a loss.
+func TestRescueGoesOnWithWhatIsLeft(t *testing.T) {
+	ctx := context.Background()
+	w, record := newLostWorld(t)
+	r := w.rescuer(true)
+	if _, err := r.Check(ctx); err != nil {
+		t.Fatal(err)
+	}
+	w.now = w.now.Add(testHorizon + time.Second)
+	w.store.script(unavailable)
+	if moved, err := r.Check(ctx); moved != 0 || !errors.Is(err, ErrNotAccepted) {
+		t.Errorf("store down during the move: moved %d, %v", moved, err)
+	}
+	if moved, err := r.Check(ctx); moved != 1 || err != nil {
+		t.Errorf("after a failed move: moved %d, %v", moved, err)
+	}
+	if r.readTo == 0 || !r.emptied[testShard] {
+		t.Error("the next round reads all records")
+	}
+	late := record
+	late.ID = "late"
+	w.change(t, late)
+	for want := 1; want >= 0; want-- {
+		w.now = w.now.Add(RescueInterval)
+		moved, err := r.Check(ctx)
+		if errors.Is(err, ErrContended) { // it has changed since the previous round
+			moved, err = r.Check(ctx)
+		}
+		if moved != want || err != nil {
+			t.Errorf("late job: moved %d, want %d, %v", moved, want, err)
+		}
+	}
+}
