--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -62,6 +62,18 @@
 
 func (e environment) LastStoreContact() time.Time { return e.node.ownership.LastStoreContact() }
 
+// batchShards returns the shards of all data centres that the document names.
+func (n *Node) batchShards() []structs.ShardID {
+	document, _, _ := n.control.Document()
+	var shards []structs.ShardID
+	for dc := range document.BatchIn {
+		for index := range n.cfg.ShardsPerDatacentre {
+			shards = append(shards, structs.ShardID{Datacentre: dc, Index: index})
+		}
+	}
+	return shards
+}
+
 // catalogue implements httpapi.Catalogue.
 type catalogue struct{ control *control.Service }
 
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -135,6 +135,9 @@
 		Log:         n.cfg.Log,
 	})
 	n.waiter = jobs.NewWaiter(n.jobs)
+	n.rescuer = jobs.NewRescuer(jobs.RescueConfig{
+		Service: n.jobs, Horizon: n.cfg.TaskHorizon, Shards: n.batchShards, Chosen: n.directory.rescues, Pace: jobs.RescuePace,
+	})
 	n.manager = shard.NewManager(shard.Config{
 		Ownership:   n.ownership,
 		Permits:     &permits{n.self, n.control, n.peerMembers, n.cfg.Clock},
@@ -143,6 +146,7 @@
 		NewBatch:    n.newBatch(notify),
 		Homes:       newHomeChooser(n.directory, n.control, n.cfg.Seed),
 		Environment: environment{n},
+		TaskHorizon: n.cfg.TaskHorizon,
 		Policy:      n.cfg.PlacementPolicy,
 		Clock:       n.cfg.Clock,
 		Metrics:     n.cfg.Metrics.Scope,
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -38,6 +38,7 @@
 	directory *directory
 	jobs      *jobs.Service
 	waiter    *jobs.Waiter
+	rescuer   *jobs.Rescuer
 	dispatch  *requests.PeerDispatcher
 	requests  *requests.Service
 	http      *httpapi.Server
@@ -50,6 +51,9 @@
 
 // NewNode builds an entry host and listens. Run serves.
 func NewNode(cfg Config) (*Node, error) {
+	if cfg.TaskHorizon == 0 {
+		cfg.TaskHorizon = shard.TaskHorizon
+	}
 	n := &Node{cfg: cfg}
 	var err error
 	if n.listener, err = net.Listen("tcp", cfg.PeerListen); err != nil {
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -38,7 +38,7 @@
 // error and the time it takes the worker to stop a task.
 const leaseDrift = time.Second
 
-// TaskHorizon is how long tasks keep running without any confirmation from the store. It is longer than the hour for
+// TaskHorizon is how long tasks keep running after the store last confirmed the ownership of their shard. It is longer than the hour for
 // which regions may be partitioned. Jobs of a lost data centre may move only after it.
 const TaskHorizon = 75 * time.Minute
 
@@ -95,7 +95,8 @@
 	NewBatch    func(shard structs.ShardID, epoch structs.Epoch, onCancel func(structs.JobID)) *jobs.Batch
 	Homes       Homes
 	Environment Environment
-	Policy      string // name of the placement policy; empty takes placement.Learned
+	TaskHorizon time.Duration // TaskHorizon when 0; the same on all hosts
+	Policy      string        // name of the placement policy; empty takes placement.Learned
 	Clock       func() time.Time
 	Metrics     tally.Scope
 	Log         *eventlog.Logger
--- a/pkg/shard/renew.go
+++ b/pkg/shard/renew.go
@@ -92,9 +92,14 @@
 	if !w.absentSince.IsZero() && now.Sub(w.absentSince) > unreachableAfter {
 		return false
 	}
+	return l.beforeHorizon(now)
+}
+
+// beforeHorizon reports whether a lease granted now ends before other hosts may move the jobs of the shard.
+func (l *Loop) beforeHorizon(now time.Time) bool {
 	// Only this host's own contact counts. Another host may move the jobs of a shard whose owner record has been absent
 	// for the horizon, and a relayed confirmation says nothing about that record.
-	return now.Sub(l.cfg.Environment.LastStoreContact()) < TaskHorizon-TaskLeaseTTL
+	return now.Sub(l.cfg.Environment.LastStoreContact()) < l.cfg.TaskHorizon-TaskLeaseTTL
 }
 
 // settled lists the ended attempts on the worker whose outcome is durable. Called with mu held.
--- a/pkg/shard/renew_test.go
+++ b/pkg/shard/renew_test.go
@@ -42,3 +42,28 @@
 		t.Fatalf("lease of %v at the horizon", w.lease)
 	}
 }
+
+// Guards against a task that starts in a data centre without the store after another host may have moved its job. Peers
+// may still relay the permit to start.
+func TestNothingStartsBeyondTheHorizon(t *testing.T) {
+	w := newWorld()
+	w.records = []jobs.Stored{storedJob("j", "trace", pendingTask())}
+	w.contact = w.now.Add(TaskLeaseTTL - TaskHorizon)
+	l := newTestLoop(t, w)
+	for range 5 {
+		step(t, l, w, time.Second)
+	}
+	if len(w.starts) > 0 {
+		t.Errorf("%d starts beyond the horizon", len(w.starts))
+	}
+	w.contact = w.now
+	for range 5 {
+		step(t, l, w, time.Second)
+	}
+	if len(w.starts) != 1 {
+		t.Fatalf("%d starts before the horizon, want 1", len(w.starts))
+	}
+	if got := w.starts[0].JobTask; got != w.starts[0].Task {
+		t.Errorf("task of an undivided job is numbered %v, want %v", got, w.starts[0].Task)
+	}
+}
