Check the permit when the first byte of a start command is written

Cause: the permit, the ownership and the worker's state were checked before the HTTP client got a connection. A start that waited for one of the four connections of a worker, or a process that was frozen in between, sent the command long after the check. Change: a request may carry a check that the connection calls immediately before its first byte; a failed check writes nothing and the request counts as not sent. Start commands use it for permit and ownership. Ruled out: evidence that looks newer after a pause; store reads and heartbeat replies count from their send time. Before: TestCheckBeforeWrite could not be written; the check came before the wait. After: it passes with the race detector. The window is now between the check and the write call.

--- a/pkg/httpsend/client.go
+++ b/pkg/httpsend/client.go
@@ -105,11 +105,25 @@
 	return c.send(ctx, http.MethodGet, url, header, nil)
 }
 
+type checkKey struct{}
+
+// BeforeWrite returns a context whose request calls check immediately before its first byte is written, after any wait
+// for a connection. If check returns an error, nothing is written and the request fails with ErrNotSent. check may be
+// called from another goroutine.
+func BeforeWrite(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, checkKey{}, &check)
+}
+
+func checkOf(ctx context.Context) *func() error {
+	check, _ := ctx.Value(checkKey{}).(*func() error)
+	return check
+}
+
 // CloseIdle closes the connections that carry no request.
 func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
 
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (Response, error) {
-	var used usedConn
+	used := usedConn{check: checkOf(ctx)}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.record})
 	req, err := newRequest(ctx, method, url, header, body)
 	if err != nil {
@@ -165,6 +179,7 @@
 	mu     sync.Mutex
 	conn   *conn
 	writes int64 // writes of earlier requests on the connection
+	check  *func() error
 }
 
 // record is called by net/http before it writes the request.
@@ -173,6 +188,7 @@
 	defer u.mu.Unlock()
 	u.conn = info.Conn.(*conn) // DialContext of NewClient makes no other type
 	u.writes = u.conn.writes.Load()
+	u.conn.check.Store(u.check)
 }
 
 // nothingWritten reports whether the failed request wrote nothing and never will.
--- a/pkg/httpsend/client_test.go
+++ b/pkg/httpsend/client_test.go
@@ -19,6 +19,46 @@
 // refusing is an address at which nothing listens. A free port could be taken by another test meanwhile.
 const refusing = "http://127.0.0.1:1"
 
+// Guards against a request that is written although its condition ended while it waited for a connection.
+func TestCheckBeforeWrite(t *testing.T) {
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	var served atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		served.Add(1)
+		arrived <- struct{}{}
+		<-release
+	}))
+	defer server.Close()
+	client := NewClient(Config{Name: "test", MaxConnsPerHost: 1})
+	results := make(chan error, 2)
+	go func() {
+		_, err := client.Post(context.Background(), server.URL, nil, []byte("first"))
+		results <- err
+	}()
+	<-arrived
+	checked := errors.New("not allowed any more")
+	waiting := make(chan struct{})
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{GetConn: func(string) { close(waiting) }})
+	go func() {
+		_, err := client.Post(BeforeWrite(ctx, func() error { return checked }), server.URL, nil, []byte("second"))
+		results <- err
+	}()
+	<-waiting
+	close(release)
+	failed := 0
+	for range 2 {
+		if err := <-results; errors.Is(err, ErrNotSent) {
+			failed++
+		}
+	}
+	if failed != 1 || served.Load() != 1 {
+		t.Fatalf("%d requests were not sent, the server got %d", failed, served.Load())
+	}
+	if _, err := client.Post(BeforeWrite(t.Context(), func() error { return nil }), server.URL, nil, []byte("third")); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against a refused connection being reported as a request that may have run.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	client := NewClient(Config{Name: "test"})
--- a/pkg/httpsend/conn.go
+++ b/pkg/httpsend/conn.go
@@ -17,10 +17,17 @@
 type conn struct {
 	net.Conn
 	writes atomic.Int64
+	check  atomic.Pointer[func() error] // of the request that is about to be written; nil when there is none
 }
 
-// Write writes to the connection unless it is sealed.
+// Write writes to the connection unless it is sealed or the check of the request fails. A failed check writes nothing
+// and is not counted.
 func (c *conn) Write(b []byte) (int, error) {
+	if check := c.check.Swap(nil); check != nil {
+		if err := (*check)(); err != nil {
+			return 0, err
+		}
+	}
 	for {
 		n := c.writes.Load()
 		if n == sealed {
--- a/pkg/shard/command.go
+++ b/pkg/shard/command.go
@@ -109,7 +109,8 @@
 func (l *Loop) sendStart(ctx context.Context, w *workerEntry, id structs.TaskID, c *commitment) {
 	address, command, err := l.prepareStart(w, c)
 	if err == nil {
-		err = l.cfg.Workers.Start(ctx, address, command)
+		// The command may wait for a connection, and this process may be paused meanwhile.
+		err = l.cfg.Workers.Start(worker.BeforeSend(ctx, l.checkStart), address, command)
 	} else {
 		err = notSent{err}
 	}
--- a/pkg/worker/client.go
+++ b/pkg/worker/client.go
@@ -47,6 +47,12 @@
 	Metrics           tally.Scope   // tally.NoopScope when nil
 }
 
+// BeforeSend returns a context whose command is sent only if check returns nil immediately before its first byte is
+// written. Otherwise the error of the command matches ErrRefused.
+func BeforeSend(ctx context.Context, check func() error) context.Context {
+	return httpsend.BeforeWrite(ctx, check)
+}
+
 // Client calls workers. It is safe for concurrent use and never repeats a call by itself.
 type Client struct {
 	commands          *httpsend.Client
