Share an in-memory store between tests: package storetest, used by jobs

The tests of pkg/jobs use it first, since their fake had most features. Faults are drawn in the same order from the same seeds, and no check changed. Differences to the former fake: a removed key advances the revision, and a range read fails when its context has ended, both as in the real client. go test -race -count=2 ./pkg/jobs passes.

--- a/pkg/jobs/batch_test.go
+++ b/pkg/jobs/batch_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/store/storetest"
 )
 
 // Guards against lost or repeated changes of an owner under store faults, against lost cancellations, and against
@@ -30,7 +31,7 @@
 			batch.Observe(stored)
 			current[record.ID], ids = record, append(ids, record.ID)
 		}
-		w.store.random(rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, 0.7).Draw(t, "faults"))
+		w.store.Random(rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, 0.7).Draw(t, "faults"))
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			id := rapid.SampledFrom(ids).Draw(t, "job")
 			switch rapid.IntRange(0, 3).Draw(t, "action") {
@@ -53,7 +54,7 @@
 				}
 			}
 		}
-		w.store.heal()
+		w.store.Heal()
 		for batch.unwritten() {
 			if err := batch.Flush(ctx); err != nil && !errors.Is(err, ErrContended) {
 				t.Fatal(err)
@@ -80,14 +81,14 @@
 		record.Tasks[0].State = structs.TaskRunning
 		ticket := batch.Put(record)
 		if first == delayed {
-			w.store.next = func(bool) fault { return delayed }
+			w.store.SetFaults(func(storetest.Call) fault { return delayed })
 			if err := batch.Flush(context.Background()); err == nil {
 				t.Fatal("flush succeeded without an answer")
 			}
 		}
-		w.store.remove(newKeyspace("trial").owner(testShard))
+		w.store.Remove(newKeyspace("trial").owner(testShard))
 		w.own(nil) // the next owner
-		w.store.heal()
+		w.store.Heal()
 		if err := batch.Flush(context.Background()); !errors.Is(err, ErrNotOwner) || !errors.Is(outcome(ticket), ErrNotOwner) {
 			t.Errorf("flush %v, ticket %v", err, outcome(ticket))
 		}
@@ -110,7 +111,7 @@
 	other := structs.ShardID{Datacentre: "b", Index: 1}
 	record.Home = other
 	ticket := batch.Put(record)
-	w.store.script(lostAnswer)
+	w.store.Script(lostAnswer)
 	if err := batch.Flush(context.Background()); err != nil || outcome(ticket) != nil {
 		t.Fatal(err, outcome(ticket))
 	}
@@ -148,7 +149,7 @@
 	if batch.Sweep() != 1 {
 		t.Error("job not swept after the retention time")
 	}
-	w.store.script(lostAnswer)
+	w.store.Script(lostAnswer)
 	if err := batch.Flush(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -170,14 +171,14 @@
 	large := w.submit(t, batch, "large", 1)
 	large.Tasks[0].Checkpoint = strings.Repeat("c", MaxRecordBytes)
 	oversized := batch.Put(large)
-	w.store.calls = 0
+	w.store.ResetCalls()
 	for batch.unwritten() {
 		if err := batch.Flush(context.Background()); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if w.store.calls != 2 {
-		t.Errorf("%d transactions, want 2", w.store.calls)
+	if w.store.Calls() != 2 {
+		t.Errorf("%d transactions, want 2", w.store.Calls())
 	}
 	for i, ticket := range tickets {
 		if outcome(ticket) != nil {
@@ -200,7 +201,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.store.put(newKeyspace("trial").job(record.ID), string(value))
+	w.store.Put(newKeyspace("trial").job(record.ID), value)
 	ticket := batch.Put(record)
 	if err := batch.Flush(context.Background()); err != nil || !errors.Is(outcome(ticket), ErrConflict) {
 		t.Errorf("flush %v, ticket %v", err, outcome(ticket))
@@ -222,9 +223,7 @@
 	runCtx, stop := context.WithCancel(ctx)
 	ended := make(chan error, 1)
 	go func() { ended <- batch.Run(runCtx) }()
-	w.store.mu.Lock()
-	w.store.script(unavailable, lostAnswer)
-	w.store.mu.Unlock()
+	w.store.Script(unavailable, lostAnswer)
 	if err := batch.Put(record).Wait(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -251,7 +250,7 @@
 	mine := w.submit(t, nil, "mine", 1)
 	w.shards[0].Digest.Shard = structs.ShardID{Datacentre: "b"}
 	other := w.submit(t, nil, "other", 1)
-	w.store.put(newKeyspace("trial").job("broken"), "{")
+	w.store.Put(newKeyspace("trial").job("broken"), []byte("{"))
 	loaded, err := w.service().LoadHome(ctx, testShard)
 	if err != nil || len(loaded.Jobs) != 1 || loaded.Jobs[0].Record.ID != mine.ID || len(loaded.Broken) != 1 || loaded.Broken[0] != "broken" {
 		t.Fatalf("loaded %+v %v", loaded, err)
--- a/pkg/jobs/cancel_test.go
+++ b/pkg/jobs/cancel_test.go
@@ -19,7 +19,7 @@
 		ids = append(ids, w.submit(t, nil, fmt.Sprint("k", i), 1).ID)
 	}
 	ids = append(ids, "missing", ids[0])
-	w.store.calls = 0
+	w.store.ResetCalls()
 	results := w.service().CancelMany(context.Background(), ids)
 	for i, r := range results {
 		stored, _ := w.stored(r.ID)
@@ -32,8 +32,8 @@
 			t.Errorf("job %d not cancelled: %v", i, r.Err)
 		}
 	}
-	if limit := 3 * 3; w.store.calls > limit { // per wave: read, write, and a read that finds nothing left at most
-		t.Errorf("%d store calls for 3 waves, limit %d", w.store.calls, limit)
+	if limit := 3 * 3; w.store.Calls() > limit { // per wave: read, write, and a read that finds nothing left at most
+		t.Errorf("%d store calls for 3 waves, limit %d", w.store.Calls(), limit)
 	}
 	if len(w.notified[testShard]) < 250 {
 		t.Errorf("owner notified of %d jobs", len(w.notified[testShard]))
@@ -55,7 +55,7 @@
 	for _, c := range cases {
 		w := newWorld()
 		id := w.submit(t, nil, "k", 1).ID
-		w.store.script(c.faults...)
+		w.store.Script(c.faults...)
 		record, err := w.service().Cancel(context.Background(), id)
 		stored, _ := w.stored(id)
 		if !errors.Is(err, c.want) || stored.Record.CancelRequested != (c.want == nil) || record.CancelRequested != (c.want == nil) {
@@ -64,7 +64,7 @@
 	}
 	w := newWorld()
 	id := w.submit(t, nil, "k", 1).ID
-	w.store.script(slices.Repeat([]fault{lostRequest}, MaxCancelAttempts)...)
+	w.store.Script(slices.Repeat([]fault{lostRequest}, MaxCancelAttempts)...)
 	if _, err := w.service().Cancel(context.Background(), id); !errors.Is(err, ErrUnknown) {
 		t.Errorf("silent store: %v", err)
 	}
@@ -81,7 +81,7 @@
 		record.Tasks[0].Attempt = attempt
 		ticket = batch.Put(record)
 		if attempt == 3 { // the owner writes between the read and the write of the cancellation
-			w.store.between = func() { _ = batch.Flush(context.Background()) }
+			w.store.BeforeWrite(func() { _ = batch.Flush(context.Background()) })
 			if _, err := w.service().Cancel(context.Background(), record.ID); err != nil {
 				t.Fatal(err)
 			}
--- a/pkg/jobs/fake_test.go
+++ b/pkg/jobs/fake_test.go
@@ -3,190 +3,30 @@
 import (
 	"context"
 	"flag"
-	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/juju/errors"
-
 	"fulmarcourse.example/core/structs"
-	"fulmarcourse.example/fulmarcourse/pkg/store"
+	"fulmarcourse.example/fulmarcourse/pkg/store/storetest"
 )
 
 // Property tests draw the same cases on every run.
 func init() { _ = flag.Set("rapid.seed", "1") }
 
-// fault is what happens to one store call.
-type fault int
+type fault = storetest.Fault
 
 const (
-	noFault     fault = iota
-	unavailable       // certainly no effect
-	lostRequest       // no effect, but the caller cannot tell
-	lostAnswer        // took effect, but the caller cannot tell
-	delayed           // takes effect at a later call, and the caller cannot tell
+	noFault     = storetest.NoFault
+	unavailable = storetest.Unavailable
+	lostRequest = storetest.LostRequest
+	lostAnswer  = storetest.LostAnswer
+	delayed     = storetest.Delayed
 )
 
-// fakeStore is an in-memory store with faults.
-type fakeStore struct {
-	mu      sync.Mutex
-	rev     int64
-	data    map[string]store.KeyValue
-	pending []store.Txn // delayed writes
-	next    func(write bool) fault
-	calls   int
-	between func() // called once, before the next write
-}
-
-func newFakeStore() *fakeStore {
-	return &fakeStore{data: map[string]store.KeyValue{}, next: func(bool) fault { return noFault }}
-}
-
-// script makes the next writes suffer the given faults; later ones none.
-func (f *fakeStore) script(faults ...fault) {
-	f.next = func(write bool) fault {
-		if !write || len(faults) == 0 {
-			return noFault
-		}
-		first := faults[0]
-		faults = faults[1:]
-		return first
-	}
-}
-
-// random makes each call suffer a fault with the given probability.
-func (f *fakeStore) random(seed uint64, share float64) {
-	rnd := rand.New(rand.NewPCG(seed, 1))
-	f.next = func(write bool) fault {
-		switch {
-		case rnd.Float64() >= share:
-			return noFault
-		case !write:
-			return unavailable
-		}
-		return []fault{unavailable, lostRequest, lostAnswer, delayed}[rnd.IntN(4)]
-	}
-}
-
-// heal ends all faults and applies what is still delayed.
-func (f *fakeStore) heal() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.next = func(bool) fault { return noFault }
-	f.land()
-}
-
-// land applies delayed writes. The caller holds mu.
-func (f *fakeStore) land() {
-	for _, txn := range f.pending {
-		f.apply(txn)
-	}
-	f.pending = nil
-}
-
-func (f *fakeStore) Get(ctx context.Context, key string) (store.KeyValue, bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calls++
-	if f.next(false) != noFault || ctx.Err() != nil {
-		return store.KeyValue{}, false, store.ErrUnavailable
-	}
-	kv, found := f.data[key]
-	return kv, found, nil
-}
-
-func (f *fakeStore) Range(_ context.Context, prefix string, minModRevision int64) (store.RangeResult, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calls++
-	if f.next(false) != noFault {
-		return store.RangeResult{}, store.ErrUnavailable
-	}
-	result := store.RangeResult{Revision: f.rev}
-	for key, kv := range f.data {
-		if strings.HasPrefix(key, prefix) && kv.ModRevision >= minModRevision {
-			result.Entries = append(result.Entries, kv)
-		}
-	}
-	slices.SortFunc(result.Entries, func(a, b store.KeyValue) int { return strings.Compare(a.Key, b.Key) })
-	return result, nil
-}
-
-func (f *fakeStore) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
-	if hook := f.between; hook != nil && len(txn.Puts) > 0 {
-		f.between = nil
-		hook()
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calls++
-	if ctx.Err() != nil {
-		return store.TxnResult{}, store.ErrUnavailable
-	}
-	what := f.next(len(txn.Puts)+len(txn.Deletes) > 0)
-	if what == delayed {
-		f.pending = append(f.pending, txn)
-		return store.TxnResult{}, errors.Trace(store.ErrUncertain)
-	}
-	if what == unavailable || what == lostRequest {
-		return store.TxnResult{}, map[fault]error{unavailable: store.ErrUnavailable, lostRequest: store.ErrUncertain}[what]
-	}
-	result := f.apply(txn)
-	f.land()
-	if what == lostAnswer {
-		return store.TxnResult{}, store.ErrUncertain
-	}
-	return result, nil
-}
-
-// apply runs one transaction. The caller holds mu.
-func (f *fakeStore) apply(txn store.Txn) store.TxnResult {
-	for _, c := range txn.Compares {
-		kv := f.data[c.Key]
-		if (c.Target == store.CompareCreateRevision && kv.CreateRevision != c.Revision) ||
-			(c.Target == store.CompareModRevision && kv.ModRevision != c.Revision) {
-			result := store.TxnResult{Revision: f.rev}
-			for _, key := range txn.ReadOnFail {
-				if kv, found := f.data[key]; found {
-					result.Read = append(result.Read, kv)
-				}
-			}
-			return result
-		}
-	}
-	f.rev++
-	for _, p := range txn.Puts {
-		created := f.rev
-		if old, found := f.data[p.Key]; found {
-			created = old.CreateRevision
-		}
-		f.data[p.Key] = store.KeyValue{Key: p.Key, Value: p.Value, CreateRevision: created, ModRevision: f.rev}
-	}
-	for _, key := range txn.Deletes {
-		delete(f.data, key)
-	}
-	return store.TxnResult{Applied: true, Revision: f.rev}
-}
-
-// put writes a key without conditions.
-func (f *fakeStore) put(key, value string) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.apply(store.Txn{Puts: []store.Put{{Key: key, Value: []byte(value)}}}).Revision
-}
-
-func (f *fakeStore) remove(key string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.data, key)
-}
-
 // world is the surroundings of a Service in tests.
 type world struct {
-	store    *fakeStore
+	store    *storetest.Store
 	doc      structs.Document
 	noDoc    bool
 	largest  map[structs.DatacentreID]structs.Resources
@@ -201,7 +41,7 @@
 func newWorld() *world {
 	host := structs.Resources{MilliCPU: 16_000, MemoryBytes: 60e9, Accelerators: 2}
 	return &world{
-		store: newFakeStore(),
+		store: storetest.NewStore(storetest.Config{}),
 		doc: structs.Document{
 			Kinds: map[structs.KindName]structs.Kind{
 				"render": {Name: "render", Class: structs.Batch, Idempotent: true, Declared: structs.Resources{MilliCPU: 2000, MemoryBytes: 4e9}},
@@ -239,7 +79,7 @@
 
 // own creates the owner record of testShard and returns a batch of its owner.
 func (w *world) own(onCancel func(structs.JobID)) *Batch {
-	epoch := w.store.put(newKeyspace("trial").owner(testShard), "owner")
+	epoch := w.store.Put(newKeyspace("trial").owner(testShard), []byte("owner"))
 	return NewBatch(BatchConfig{
 		Store: w.store, Notifier: w, Environment: "trial", Shard: testShard, Epoch: structs.Epoch(epoch),
 		OnCancel: onCancel, Clock: func() time.Time { return w.now },
@@ -264,9 +104,7 @@
 
 // stored reads a record past all faults.
 func (w *world) stored(id structs.JobID) (Stored, bool) {
-	w.store.mu.Lock()
-	defer w.store.mu.Unlock()
-	kv, found := w.store.data[newKeyspace("trial").job(id)]
+	kv, found := w.store.Entry(newKeyspace("trial").job(id))
 	if !found {
 		return Stored{}, false
 	}
--- a/pkg/jobs/history_test.go
+++ b/pkg/jobs/history_test.go
@@ -69,7 +69,7 @@
 	for seed := uint64(1); seed <= 60; seed++ {
 		w := newWorld()
 		batch := w.own(nil)
-		w.store.random(seed, 0.4)
+		w.store.Random(seed, 0.4)
 		var clock atomic.Int64
 		var mu sync.Mutex
 		history := map[string][]porcupine.Operation{} // by key
@@ -93,7 +93,7 @@
 			})
 		}
 		wg.Wait()
-		w.store.heal()
+		w.store.Heal()
 		for _, key := range historyKeys { // what is stored in the end has to fit the answers
 			for _, in := range []jobInput{{key: key, tasks: 1}, {key: key, cancel: true}} {
 				op := porcupine.Operation{ClientId: 9, Input: in, Call: clock.Add(1)}
--- a/pkg/jobs/parts_test.go
+++ b/pkg/jobs/parts_test.go
@@ -116,20 +116,20 @@
 	}
 	for _, c := range cases {
 		w := newWideWorld()
-		w.store.script(c.faults...)
+		w.store.Script(c.faults...)
 		record, err := w.service().Submit(context.Background(), wideSpec)
 		if !errors.Is(err, c.want) || (err == nil && (len(record.Tasks) != 40 || record.ID != IDFor("gilders", "wide") || record.Part.Count != 0)) {
 			t.Errorf("%v: got %d tasks, error %v, want %v", c.faults, len(record.Tasks), err, c.want)
 		}
-		w.store.heal()
-		if n := len(w.store.data); n != 0 && n != 4 {
+		w.store.Heal()
+		if n := w.store.Len(); n != 0 && n != 4 {
 			t.Errorf("%v: %d records stored, want none or all 4", c.faults, n)
 		}
-		before := len(w.store.data)
+		before := w.store.Len()
 		w.shards = w.shards[:2] // a repeat now would be split otherwise
 		again, err := w.service().Submit(context.Background(), wideSpec)
-		if err != nil || len(again.Tasks) != 40 || (before > 0 && len(w.store.data) != before) {
-			t.Errorf("%v: repeat got %d tasks, error %v, %d records", c.faults, len(again.Tasks), err, len(w.store.data))
+		if err != nil || len(again.Tasks) != 40 || (before > 0 && w.store.Len() != before) {
+			t.Errorf("%v: repeat got %d tasks, error %v, %d records", c.faults, len(again.Tasks), err, w.store.Len())
 		}
 		other := wideSpec
 		other.Tasks = 41
@@ -171,9 +171,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.store.random(rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, 0.9).Draw(t, "faults"))
+		w.store.Random(rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, 0.9).Draw(t, "faults"))
 		cancelled, err := w.service().Cancel(context.Background(), record.ID)
-		w.store.heal()
+		w.store.Heal()
 		parts, readErr := w.service().Parts(context.Background(), record.ID)
 		if readErr != nil {
 			t.Fatal(readErr)
@@ -191,9 +191,9 @@
 	})
 	w := newWideWorld()
 	parts := w.submitWide(t)
-	w.store.calls = 0
-	if _, err := w.service().Cancel(context.Background(), partID(parts[0].ID, 2)); err != nil || w.store.calls > 4 {
-		t.Errorf("%v, %d store calls, want at most 4", err, w.store.calls)
+	w.store.ResetCalls()
+	if _, err := w.service().Cancel(context.Background(), partID(parts[0].ID, 2)); err != nil || w.store.Calls() > 4 {
+		t.Errorf("%v, %d store calls, want at most 4", err, w.store.Calls())
 	}
 	for _, part := range parts {
 		if !slices.Contains(w.notified[part.Home], part.ID) {
@@ -213,11 +213,11 @@
 	busy = func() {
 		if count++; count <= conflicts {
 			w.change(t, parts[0])
-			w.store.between = busy
+			w.store.BeforeWrite(busy)
 		}
 	}
-	w.store.between = busy
-	w.store.script(append(slices.Repeat([]fault{noFault}, conflicts+1), slices.Repeat([]fault{unavailable}, MaxCancelAttempts)...)...)
+	w.store.BeforeWrite(busy)
+	w.store.Script(append(slices.Repeat([]fault{noFault}, conflicts+1), slices.Repeat([]fault{unavailable}, MaxCancelAttempts)...)...)
 	_, err := w.service().Cancel(context.Background(), parts[0].ID)
 	if first, _ := w.stored(parts[0].ID); !first.Record.CancelRequested {
 		t.Fatal("the first part is not marked")
@@ -228,7 +228,7 @@
 	if !errors.Is(err, ErrUnknown) {
 		t.Errorf("got %v, want ErrUnknown", err)
 	}
-	w.store.heal()
+	w.store.Heal()
 	if record, err := w.service().Cancel(context.Background(), parts[0].ID); err != nil || !record.CancelRequested {
 		t.Errorf("repeat: %v", err)
 	}
@@ -244,7 +244,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.store.put(newKeyspace("trial").job(part.ID), string(value))
+	w.store.Put(newKeyspace("trial").job(part.ID), value)
 }
 
 // Guards against parts that show up as jobs of their own, tasks whose number changes, and jobs that count as final
@@ -312,7 +312,7 @@
 	parts := w.submitWide(t)
 	var batches []*Batch
 	for n, part := range parts {
-		epoch := w.store.put(newKeyspace("trial").owner(part.Home), "owner")
+		epoch := w.store.Put(newKeyspace("trial").owner(part.Home), []byte("owner"))
 		batch := NewBatch(BatchConfig{Store: w.store, Notifier: w, Environment: "trial", Shard: part.Home,
 			Epoch: structs.Epoch(epoch), Clock: func() time.Time { return w.now }})
 		if n < 3 {
@@ -336,7 +336,7 @@
 				t.Fatal(n, err)
 			}
 		}
-		if left := len(w.store.data) - len(batches); left != want {
+		if left := w.store.Len() - len(batches); left != want {
 			t.Fatalf("%d parts are left, want %d", left, want)
 		}
 	}
--- a/pkg/jobs/rescue_test.go
+++ b/pkg/jobs/rescue_test.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/store/storetest"
 )
 
 const testHorizon = 10 * time.Minute
@@ -38,17 +39,17 @@
 
 // claim writes what package ownership writes for a claim of testShard.
 func (w *world) claim() {
-	w.store.put(newKeyspace("trial").owner(testShard), "owner")
-	w.store.put(newKeyspace("trial").lastOwner(testShard), "owner")
+	w.store.Put(newKeyspace("trial").owner(testShard), []byte("owner"))
+	w.store.Put(newKeyspace("trial").lastOwner(testShard), []byte("owner"))
 }
 
 // lapse ends an ownership as an expired lease does.
-func (w *world) lapse() { w.store.remove(newKeyspace("trial").owner(testShard)) }
+func (w *world) lapse() { w.store.Remove(newKeyspace("trial").owner(testShard)) }
 
 // release ends an ownership as a graceful shutdown does.
 func (w *world) release() {
 	w.lapse()
-	w.store.remove(newKeyspace("trial").lastOwner(testShard))
+	w.store.Remove(newKeyspace("trial").lastOwner(testShard))
 }
 
 // Guards against jobs that move while tasks may still run in a lost data centre: before the horizon has passed since
@@ -93,7 +94,7 @@
 			}
 		}, 5 + rounds},
 		{"reads fail in between", true, func(w *world, n int) {
-			w.store.next = func(bool) fault { return map[bool]fault{true: unavailable}[n >= 2 && n < 5] }
+			w.store.SetFaults(func(storetest.Call) fault { return map[bool]fault{true: unavailable}[n >= 2 && n < 5] })
 		}, rounds},
 	}
 	for _, c := range cases {
@@ -102,15 +103,15 @@
 		moved := -1
 		for n := 0; n <= 2*rounds && moved < 0; n++ {
 			c.before(w, n)
-			w.store.calls = 0
+			w.store.ResetCalls()
 			count, err := r.Check(context.Background())
-			if err != nil && !errors.Is(err, ErrContended) && w.store.next(false) == noFault {
+			if err != nil && !errors.Is(err, ErrContended) && w.store.Draw(storetest.Call{}) == noFault {
 				t.Errorf("%s: round %d: %v", c.name, n, err)
 			}
 			if count > 0 {
 				moved = n
-			} else if w.store.calls > 4 {
-				t.Errorf("%s: %d store calls in round %d", c.name, w.store.calls, n)
+			} else if w.store.Calls() > 4 {
+				t.Errorf("%s: %d store calls in round %d", c.name, w.store.Calls(), n)
 			}
 			w.now = w.now.Add(round)
 		}
@@ -169,12 +170,12 @@
 			t.Fatal(err)
 		}
 		w.now = w.now.Add(testHorizon + time.Second)
-		w.store.between = func() { // before the write of the move
+		w.store.BeforeWrite(func() { // before the write of the move
 			w.claim()
 			if !stays {
 				w.lapse()
 			}
-		}
+		})
 		if _, err := r.Check(context.Background()); !errors.Is(err, ErrHasOwner) {
 			t.Errorf("owner stays %v: %v", stays, err)
 		}
@@ -207,7 +208,7 @@
 		t.Fatal(err)
 	}
 	w.now = w.now.Add(testHorizon + time.Second)
-	w.store.script(unavailable)
+	w.store.Script(unavailable)
 	if moved, err := r.Check(ctx); moved != 0 || !errors.Is(err, ErrNotAccepted) {
 		t.Errorf("store down during the move: moved %d, %v", moved, err)
 	}
--- a/pkg/jobs/submit_test.go
+++ b/pkg/jobs/submit_test.go
@@ -12,6 +12,7 @@
 
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/problem"
+	"fulmarcourse.example/fulmarcourse/pkg/store/storetest"
 )
 
 var goodSpec = structs.JobSpec{Team: "gilders", Kind: "render", Tasks: 3, Key: "k1"}
@@ -36,7 +37,7 @@
 			t.Errorf("no finding for %s that says what is accepted", want)
 		}
 	}
-	if len(w.store.data) != 0 {
+	if w.store.Len() != 0 {
 		t.Error("a rejected job was stored")
 	}
 }
@@ -59,7 +60,7 @@
 		{"only data centre is out", func(w *world) { w.shards[0].State = structs.DatacentreOut }, goodSpec, ErrNoHome},
 		{"batch not allowed", func(w *world) { w.shards[0].BatchAllowed = false }, goodSpec, ErrNoHome},
 		{"team may not be urgent", func(*world) {}, urgent, ErrInvalid},
-		{"store unreachable", func(w *world) { w.store.script(unavailable) }, goodSpec, ErrNotAccepted},
+		{"store unreachable", func(w *world) { w.store.Script(unavailable) }, goodSpec, ErrNotAccepted},
 	}
 	for _, c := range cases {
 		w := newWorld()
@@ -67,7 +68,7 @@
 		if _, err := w.service().Submit(context.Background(), c.spec); !errors.Is(err, c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
 		}
-		if len(w.store.data) != 0 {
+		if w.store.Len() != 0 {
 			t.Errorf("%s: a rejected job was stored", c.name)
 		}
 	}
@@ -98,12 +99,12 @@
 	if again, err = s.Submit(context.Background(), goodSpec); err != nil || again.ID != first.ID {
 		t.Errorf("repeat after the kind was removed: %v", err)
 	}
-	w.store.next = func(bool) fault { return unavailable }
+	w.store.SetFaults(func(storetest.Call) fault { return unavailable })
 	if _, err = s.Submit(context.Background(), goodSpec); !errors.Is(err, ErrNotAccepted) {
 		t.Errorf("repeat that cannot be looked up must not be reported as invalid: %v", err)
 	}
-	if len(w.store.data) != 1 {
-		t.Errorf("%d records, want 1", len(w.store.data))
+	if w.store.Len() != 1 {
+		t.Errorf("%d records, want 1", w.store.Len())
 	}
 	if got := w.notified[testShard]; len(got) != 2 {
 		t.Errorf("home shard notified %d times, want 2", len(got))
@@ -126,15 +127,15 @@
 	}
 	for _, c := range cases {
 		w := newWorld()
-		w.store.script(c.faults...)
+		w.store.Script(c.faults...)
 		spec := goodSpec
 		spec.Key = "" // a random id: nothing but the settled write protects against a second job
 		record, err := w.service().Submit(context.Background(), spec)
 		if !errors.Is(err, c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
 		}
-		w.store.heal()
-		if _, found := w.stored(record.ID); c.want == nil && (!found || len(w.store.data) != 1) {
+		w.store.Heal()
+		if _, found := w.stored(record.ID); c.want == nil && (!found || w.store.Len() != 1) {
 			t.Errorf("%s: accepted job not stored exactly once", c.name)
 		}
 		var unknown *UnknownError
