Use the shared in-memory store in the tests of control

The former fake of pkg/control compared every condition with the revision of the last change; the shared one follows the target of the condition, as etcd does. No check changed. go test ./pkg/control passes.

--- a/pkg/control/datacentre_test.go
+++ b/pkg/control/datacentre_test.go
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	expires := start.Add(PermitTTL)
-	want := Report{Datacentre: "b", State: structs.DatacentreOut, Outcome: Applied, Revision: f.store.revision, ExpiresAt: expires,
+	want := Report{Datacentre: "b", State: structs.DatacentreOut, Outcome: Applied, Revision: f.store.Revision(), ExpiresAt: expires,
 		Datacentres: []DatacentreReport{
 			{Datacentre: "a", Confirmed: true},
 			{Datacentre: "b", Waiting: []structs.HostID{"b1"}, ExpiresAt: &expires},
@@ -44,7 +44,7 @@
 	if later, _ := f.DatacentreReport("b"); !later.Confirmed() {
 		t.Fatalf("not confirmed: %+v", later)
 	}
-	before := f.store.revision
+	before := f.store.Revision()
 	if again, err := f.SetDatacentre(t.Context(), "b", structs.DatacentreOut, "bob"); err != nil || again.Revision != before {
 		t.Fatalf("repeated removal: %+v, %v", again, err)
 	}
@@ -59,9 +59,9 @@
 	if _, err := f.SetDatacentre(t.Context(), "z", structs.DatacentreOut, "ann"); !errors.Is(err, ErrUnknownDatacentre) {
 		t.Errorf("unknown data centre: %v", err)
 	}
-	f.store.beforeTxn = func() {
+	f.store.BeforeWrite(func() {
 		f.store.put(f.layout.datacentre("b"), structs.DatacentreRecord{State: structs.DatacentreIn, Author: "bob"})
-	}
+	})
 	var conflict *DatacentreConflictError
 	if _, err := f.SetDatacentre(t.Context(), "b", structs.DatacentreOut, "ann"); !errors.As(err, &conflict) || conflict.Current.Author != "bob" {
 		t.Errorf("race: %v", err)
@@ -74,12 +74,12 @@
 	for name, fault := range map[string]txnFault{"applied": loseAck, "lost": loseTxn, "delayed": delayTxn} {
 		t.Run(name, func(t *testing.T) {
 			f, _ := withMembers(t)
-			f.store.txnFaults = []txnFault{fault, loseTxn, loseTxn, loseTxn}
-			f.store.beforeTxn = func() {
+			f.store.Script(fault, loseTxn, loseTxn, loseTxn)
+			f.store.BeforeWrite(func() {
 				if !f.RemovalAttempted() {
 					t.Error("the removal is sent before it is recorded as attempted")
 				}
-			}
+			})
 			_, err := f.SetDatacentre(t.Context(), "b", structs.DatacentreOut, "ann")
 			if fault == loseAck {
 				if err != nil || f.Datacentre("b") != structs.DatacentreOut {
@@ -96,7 +96,7 @@
 			if f.RemovalAttempted() {
 				t.Fatal("the removal is not settled although the store can be reached")
 			}
-			if applied := f.store.deliver(); applied != 0 {
+			if applied := f.store.Deliver(); applied != 0 {
 				t.Fatal("a removal took effect after it was settled")
 			}
 			if f.Datacentre("b") != structs.DatacentreIn {
@@ -111,16 +111,16 @@
 func TestRemovalAttemptedUntilCovered(t *testing.T) {
 	f, _ := withMembers(t)
 	f.store.put(f.layout.datacentre("b"), structs.DatacentreRecord{State: structs.DatacentreOut})
-	kv := f.store.data[f.layout.datacentre("b")]
+	kv, _ := f.store.Entry(f.layout.datacentre("b"))
 	f.learnDatacentre("b", toEntry(kv))
-	f.store.setDown(true)
+	f.store.SetDown(true)
 	if err := f.PollNow(t.Context()); err == nil {
 		t.Fatal("the poll reached a store that is down")
 	}
 	if !f.RemovalAttempted() || f.Datacentre("b") != structs.DatacentreOut {
 		t.Fatal("the removal is not stated")
 	}
-	f.store.setDown(false)
+	f.store.SetDown(false)
 	f.poll(t)
 	if f.RemovalAttempted() {
 		t.Fatal("the removal is covered by the revision and still stated as attempted")
--- a/pkg/control/document_test.go
+++ b/pkg/control/document_test.go
@@ -63,7 +63,7 @@
 	if _, err := f.Try(t.Context(), text("1s"), "ann"); err != nil {
 		t.Fatal(err)
 	}
-	f.store.beforeTxn = func() { f.store.put(f.layout.document(), record(1, text("9s"))) }
+	f.store.BeforeWrite(func() { f.store.put(f.layout.document(), record(1, text("9s"))) })
 	_, err := f.Promote(t.Context(), PromoteRequest{document.Digest([]byte(text("1s"))), 0, "ann"})
 	var conflict *VersionConflictError
 	if !errors.As(err, &conflict) || conflict.Current != 1 {
@@ -92,13 +92,13 @@
 			if _, err := f.Try(t.Context(), text("1s"), "ann"); err != nil {
 				t.Fatal(err)
 			}
-			f.store.txnFaults = c.faults
+			f.store.Script(c.faults...)
 			result, err := f.Promote(t.Context(), PromoteRequest{document.Digest([]byte(text("1s"))), 0, "ann"})
 			if result.Outcome != c.outcome || errors.Is(err, ErrUnknown) != (c.outcome == Unknown) {
 				t.Fatalf("outcome %s, %v; want %s", result.Outcome, err, c.outcome)
 			}
-			f.store.setDown(false)
-			if applied := f.store.deliver(); applied != 0 {
+			f.store.SetDown(false)
+			if applied := f.store.Deliver(); applied != 0 {
 				t.Fatal("the delayed copy of a settled write took effect")
 			}
 			f.poll(t)
@@ -115,11 +115,11 @@
 	if _, err := f.Try(t.Context(), text("1s"), "ann"); err != nil {
 		t.Fatal(err)
 	}
-	f.store.txnFaults = []txnFault{loseTxn}
-	f.store.beforeTxn = func() {
+	f.store.Script(loseTxn)
+	f.store.BeforeWrite(func() {
 		f.store.put(f.layout.document(), record(1, text("9s")))
 		f.store.put(f.layout.history(1), record(1, ""))
-	}
+	})
 	result, err := f.Promote(t.Context(), PromoteRequest{document.Digest([]byte(text("1s"))), 0, "ann"})
 	var conflict *VersionConflictError
 	if result.Outcome != NotApplied || !errors.As(err, &conflict) {
@@ -132,7 +132,7 @@
 	f := newFixture(t, nil)
 	f.store.put(f.layout.key(partMembers+"a1"), structs.MemberRecord{Host: "a1", Datacentre: "a"})
 	f.poll(t)
-	f.store.setDown(true)
+	f.store.SetDown(true)
 	if result, err := f.Try(t.Context(), text("1s"), "ann"); !errors.Is(err, ErrNotApplied) || result.Outcome != NotApplied {
 		t.Errorf("try: %+v, %v", result, err)
 	}
@@ -185,14 +185,14 @@
 			f.poll(t)
 			f.store.put(f.layout.document(), offered)
 			f.poll(t)
-			other.store.revision = 50
+			other.store.SetRevision(50)
 			other.store.put(f.layout.document(), offered)
 			other.poll(t)
 			relayFrom(t, f.Service, other.Service, f.clock)
 			if f.version() != 5 {
 				t.Fatalf("version %d is in effect, want 5", f.version())
 			}
-			f.store.revision = other.store.revision
+			f.store.SetRevision(other.store.Revision())
 			f.clock.advance(DefaultFullInterval)
 			f.poll(t)
 			if f.version() != 5 {
--- a/pkg/control/fake_test.go
+++ b/pkg/control/fake_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"sort"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,157 +13,26 @@
 	"fulmarcourse.example/core/document"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/api/peerpb"
-	"fulmarcourse.example/fulmarcourse/pkg/store"
+	"fulmarcourse.example/fulmarcourse/pkg/store/storetest"
 )
 
-// fakeStore is an in-memory store with faults.
-type fakeStore struct {
-	mu       sync.Mutex
-	revision int64
-	data     map[string]store.KeyValue
-	down     bool
-	// txnFaults are consumed one per transaction; none means no fault.
-	txnFaults []txnFault
-	delayed   []store.Txn // transactions that arrive later
-	beforeTxn func()      // runs once before the next transaction
-	afterRead func()      // runs once after the next range read
-}
-
-type txnFault int
+type txnFault = storetest.Fault
 
 const (
-	noFault  txnFault = iota
-	loseAck           // applied, the response is lost
-	loseTxn           // not applied, the response is lost
-	delayTxn          // not applied yet, the response is lost; deliver applies it
-	cutStore          // applied, the response is lost and the store is down from then on
+	loseAck  = storetest.LostAnswer
+	loseTxn  = storetest.LostRequest
+	delayTxn = storetest.Held
+	cutStore = storetest.Cut
 )
 
-func newFakeStore() *fakeStore { return &fakeStore{revision: 1, data: map[string]store.KeyValue{}} }
-
-func (f *fakeStore) Get(_ context.Context, key string) (store.KeyValue, bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return store.KeyValue{}, false, store.ErrUnavailable
-	}
-	kv, found := f.data[key]
-	return kv, found, nil
-}
-
-func (f *fakeStore) Range(_ context.Context, prefix string, from int64) (store.RangeResult, error) {
-	defer f.runHook(&f.afterRead)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return store.RangeResult{}, store.ErrUnavailable
-	}
-	result := store.RangeResult{Revision: f.revision}
-	for key, kv := range f.data {
-		if strings.HasPrefix(key, prefix) && kv.ModRevision >= from {
-			result.Entries = append(result.Entries, kv)
-		}
-	}
-	sort.Slice(result.Entries, func(i, j int) bool { return result.Entries[i].Key < result.Entries[j].Key })
-	return result, nil
-}
-
-func (f *fakeStore) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
-	f.runHook(&f.beforeTxn)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return store.TxnResult{}, store.ErrUnavailable
-	}
-	fault := noFault
-	if len(f.txnFaults) > 0 {
-		fault, f.txnFaults = f.txnFaults[0], f.txnFaults[1:]
-	}
-	switch fault {
-	case loseTxn:
-		return store.TxnResult{}, store.ErrUncertain
-	case delayTxn:
-		f.delayed = append(f.delayed, txn)
-		return store.TxnResult{}, store.ErrUncertain
-	}
-	result := f.applyLocked(txn)
-	f.down = fault == cutStore
-	if fault != noFault {
-		return store.TxnResult{}, store.ErrUncertain
-	}
-	return result, nil
-}
-
-// runHook runs and removes a hook. f.mu is not held.
-func (f *fakeStore) runHook(hook *func()) {
-	f.mu.Lock()
-	run := *hook
-	*hook = nil
-	f.mu.Unlock()
-	if run != nil {
-		run()
-	}
-}
-
-func (f *fakeStore) applyLocked(txn store.Txn) store.TxnResult {
-	for _, c := range txn.Compares {
-		if f.data[c.Key].ModRevision != c.Revision {
-			return store.TxnResult{Revision: f.revision}
-		}
-	}
-	f.revision++
-	for _, p := range txn.Puts {
-		f.putLocked(p.Key, p.Value)
-	}
-	for _, key := range txn.Deletes {
-		delete(f.data, key)
-	}
-	return store.TxnResult{Applied: true, Revision: f.revision}
-}
-
-func (f *fakeStore) putLocked(key string, value []byte) {
-	kv := f.data[key]
-	if kv.CreateRevision == 0 {
-		kv.CreateRevision = f.revision
-	}
-	kv.Key, kv.Value, kv.ModRevision = key, value, f.revision
-	f.data[key] = kv
-}
-
-// put writes a record as another process would.
-func (f *fakeStore) put(key string, record any) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision++
-	f.putLocked(key, mustJSON(record))
-}
+// fakeStore is a store that can be written to as by another process.
+type fakeStore struct{ *storetest.Store }
 
-func (f *fakeStore) remove(key string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision++
-	delete(f.data, key)
+func newFakeStore() *fakeStore {
+	return &fakeStore{storetest.NewStore(storetest.Config{Revision: 1})}
 }
 
-// deliver applies the delayed transactions and returns how many took effect.
-func (f *fakeStore) deliver() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	applied := 0
-	for _, txn := range f.delayed {
-		if f.applyLocked(txn).Applied {
-			applied++
-		}
-	}
-	f.delayed = nil
-	return applied
-}
-
-func (f *fakeStore) setDown(down bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.down = down
-}
+func (f *fakeStore) put(key string, record any) { f.Put(key, mustJSON(record)) }
 
 // clock is a settable clock.
 type clock struct {
--- a/pkg/control/poll_test.go
+++ b/pkg/control/poll_test.go
@@ -31,7 +31,7 @@
 	f.poll(t)
 	changed := f.Changed()
 	f.store.put(shard, structs.ShardOwnerRecord{Owner: "a1"})
-	created := f.store.revision
+	created := f.store.Revision()
 	f.poll(t)
 	select {
 	case <-changed:
@@ -43,8 +43,8 @@
 	if owner, epoch, known := f.Owner(shardA0); !known || owner.Nonce != "renewed" || int64(epoch) != created {
 		t.Fatalf("owner %+v, epoch %d, known %v; want epoch %d", owner, epoch, known, created)
 	}
-	f.store.remove(member)
-	f.store.remove(shard)
+	f.store.Remove(member)
+	f.store.Remove(shard)
 	f.clock.advance(DefaultFullInterval)
 	f.poll(t)
 	if len(f.Members()) != 0 || len(f.Owners()) != 0 {
@@ -56,7 +56,7 @@
 func TestConfirmationAge(t *testing.T) {
 	a := newFixture(t, nil)
 	b := newFixture(t, func(cfg *Config) { cfg.Peers = fakePeers{"a1": a.Service}; cfg.Host = "b1" })
-	b.store.setDown(true)
+	b.store.SetDown(true)
 	if err := b.PollNow(t.Context()); err == nil || b.StoreReachable() || !b.Confirmation().ReadAt.IsZero() {
 		t.Fatal("a service without any source has a confirmation")
 	}
@@ -67,16 +67,16 @@
 	if err := b.PollNow(t.Context()); err == nil {
 		t.Fatal("the error of the store is hidden by a relay")
 	}
-	want := Confirmation{Revision: a.store.revision, ReadAt: b.clock.Now().Add(-1501 * time.Millisecond)}
+	want := Confirmation{Revision: a.store.Revision(), ReadAt: b.clock.Now().Add(-1501 * time.Millisecond)}
 	if got := b.Confirmation(); got != want || b.version() != 1 {
 		t.Fatalf("confirmation %+v with version %d, want %+v with version 1", got, b.version(), want)
 	}
 	b.clock.advance(time.Second)
-	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.revision + 7}, b.clock.Now())
+	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.Revision() + 7}, b.clock.Now())
 	if got := b.Confirmation(); got != want {
 		t.Fatalf("a revision without its entries was confirmed: %+v", got)
 	}
-	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.revision, AgeMs: 100}, b.clock.Now())
+	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.Revision(), AgeMs: 100}, b.clock.Now())
 	if got := b.Confirmation().ReadAt; got != b.clock.Now().Add(-100*time.Millisecond) {
 		t.Fatalf("a fresher confirmation of the same revision was not used: %v", got)
 	}
@@ -88,7 +88,7 @@
 	f.store.put(f.layout.document(), record(1, text("1s")))
 	f.poll(t)
 	before := f.Confirmation()
-	f.store.revision = 1
+	f.store.SetRevision(1)
 	f.clock.advance(time.Second)
 	if err := f.PollNow(t.Context()); err == nil || f.StoreReachable() {
 		t.Fatal("a store that went back was accepted")
@@ -103,9 +103,9 @@
 	f := newFixture(t, nil)
 	key := f.layout.key(partMembers + "a9")
 	f.store.put(key, structs.MemberRecord{Host: "a9"})
-	stale := f.store.data[key]
+	stale, _ := f.store.Entry(key)
 	f.poll(t)
-	f.store.remove(key)
+	f.store.Remove(key)
 	f.clock.advance(DefaultFullInterval)
 	f.poll(t)
 	f.Ingest(&peerpb.FetchControlReply{Revision: stale.ModRevision, Entries: []*peerpb.ControlEntry{
@@ -122,7 +122,7 @@
 	f := newFixture(t, nil)
 	key := f.layout.datacentre("a")
 	f.store.put(key, structs.DatacentreRecord{State: structs.DatacentreIn})
-	older := f.store.data[key]
+	older, _ := f.store.Entry(key)
 	f.store.put(key, structs.DatacentreRecord{State: structs.DatacentreOut})
 	f.poll(t)
 	f.Ingest(&peerpb.FetchControlReply{Revision: older.ModRevision, Entries: []*peerpb.ControlEntry{
@@ -136,10 +136,10 @@
 // Guards against a change that falls between the ranges of a full read and is never read.
 func TestChangeDuringFullRead(t *testing.T) {
 	f := newFixture(t, nil)
-	f.store.afterRead = func() {
+	f.store.AfterRange(func() {
 		f.store.put(f.layout.datacentre("a"), structs.DatacentreRecord{State: structs.DatacentreOut})
 		f.store.put(f.layout.document(), record(1, text("1s")))
-	}
+	})
 	f.poll(t)
 	f.poll(t)
 	if f.Datacentre("a") != structs.DatacentreOut || f.version() != 1 {
