Use the shared in-memory store in the tests of ownership

Each host of the test cluster has its own connection to one storetest.Store, so that faults and outages stay on the link of one host. No check changed. go test -race ./pkg/ownership passes.

--- a/pkg/ownership/cluster_test.go
+++ b/pkg/ownership/cluster_test.go
@@ -11,6 +11,7 @@
 	"fulmarcourse.example/core/ownership"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/members"
+	"fulmarcourse.example/fulmarcourse/pkg/store/storetest"
 )
 
 var (
@@ -18,10 +19,18 @@
 	keys1  = newKeys("trial")
 )
 
+type fault = storetest.Fault
+
+const (
+	unavailable = storetest.Unavailable
+	lostAnswer  = storetest.LostAnswer
+	lostRequest = storetest.LostRequest
+)
+
 // cluster runs services on one manual clock. Steps run one after the other, so nothing here needs a lock.
 type cluster struct {
 	t      *testing.T
-	store  *fakeStore
+	store  *storetest.Store
 	hosts  []*host
 	starts int
 	now    time.Time
@@ -32,7 +41,7 @@
 	*Service
 	cluster  *cluster
 	book     *Book
-	link     *link
+	link     *storetest.Store
 	paused   bool // takes no step
 	silent   bool // exchanges no heartbeat
 	refuses  bool // its address refuses connections
@@ -44,7 +53,7 @@
 
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{t: t, now: time.Date(2024, 1, 1, 0, 0, 0, 0, time.UTC)}
-	c.store = newFakeStore(c.clock)
+	c.store = storetest.NewStore(storetest.Config{Clock: c.clock})
 	return c
 }
 
@@ -58,7 +67,7 @@
 		Host: id, Incarnation: fmt.Sprintf("%04d", c.starts), Datacentre: "d1", PeerAddr: "addr-" + string(id),
 	}
 	h := &host{
-		cluster: c, link: &link{store: c.store}, echo: make(map[structs.HostID]uint64),
+		cluster: c, link: c.store.Connect(), echo: make(map[structs.HostID]uint64),
 		book: NewBook(membership.Process{Host: id, Incarnation: self.Incarnation}, ownership.DefaultLimits(), c.clock),
 	}
 	service, err := NewService(Config{
--- a/pkg/ownership/release_test.go
+++ b/pkg/ownership/release_test.go
@@ -16,7 +16,7 @@
 	c := newCluster(t)
 	a, b := c.pair()
 	a.onLost = func() {
-		if _, found := c.store.entries[keys1.shard(shard0)]; !found || !a.owns() {
+		if _, found := c.store.Entry(keys1.shard(shard0)); !found || !a.owns() {
 			t.Error("ownership ended before OnLost returned")
 		}
 	}
@@ -27,7 +27,7 @@
 		t.Fatal("still an owner or registered after Release")
 	}
 	for _, key := range []string{keys1.shard(shard0), keys1.lastOwner(shard0), keys1.member(a.self.Host)} {
-		if _, found := c.store.entries[key]; found {
+		if _, found := c.store.Entry(key); found {
 			t.Errorf("%s remains in the store", key)
 		}
 	}
@@ -69,7 +69,7 @@
 func TestReleaseWithLostAnswer(t *testing.T) {
 	c := newCluster(t)
 	a, b := c.pair()
-	a.link.txns = []fault{lostAnswer}
+	a.link.Script(lostAnswer)
 	if err := a.Release(context.Background()); err == nil {
 		t.Fatal("an uncertain release was reported as done")
 	}
--- a/pkg/ownership/service_test.go
+++ b/pkg/ownership/service_test.go
@@ -22,7 +22,8 @@
 		t.Fatalf("%s owns the shard, %s is preferred", a.self.Host, want)
 	}
 	epoch, until, err := a.ValidUntil(shard0)
-	record, last := c.store.entries[keys1.shard(shard0)], c.store.entries[keys1.lastOwner(shard0)]
+	record, _ := c.store.Entry(keys1.shard(shard0))
+	last, _ := c.store.Entry(keys1.lastOwner(shard0))
 	if err != nil || record.CreateRevision != int64(epoch) || last.ModRevision != int64(epoch) || record.Lease == 0 || last.Lease != 0 {
 		t.Fatalf("epoch %d, err %v, record %+v, last owner %+v", epoch, err, record, last)
 	}
@@ -67,12 +68,16 @@
 		c.run(5 * time.Second)
 		other := c.start(preferred)
 		c.run(5 * time.Second)
-		owner.link.down, other.link.down, other.silent = true, true, silent
+		owner.link.SetDown(true)
+		other.link.SetDown(true)
+		other.silent = silent
 		c.run(30 * time.Second)
 		if owner.owns() == silent {
 			t.Fatalf("other member silent %v: owner is valid %v", silent, owner.owns())
 		}
-		owner.link.down, other.link.down, other.silent = false, false, false
+		owner.link.SetDown(false)
+		other.link.SetDown(false)
+		other.silent = false
 		c.run(2 * time.Second)
 		if !owner.owns() {
 			t.Fatalf("other member silent %v: the owner did not take its shard back within 2 s", silent)
@@ -115,11 +120,11 @@
 			c := newCluster(t)
 			a := c.start("a")
 			c.run(time.Second)
-			a.link.txns = faults
+			a.link.Script(faults...)
 			a.Reconcile(context.Background())
 			c.run(5 * time.Second)
 			epoch, err := a.Valid(shard0)
-			if record := c.store.entries[keys1.shard(shard0)]; err != nil || record.CreateRevision != int64(epoch) {
+			if record, _ := c.store.Entry(keys1.shard(shard0)); err != nil || record.CreateRevision != int64(epoch) {
 				t.Fatalf("epoch %d, err %v, record %+v", epoch, err, record)
 			}
 			a.requireEvents("acquired d1/0")
@@ -156,7 +161,7 @@
 	c := newCluster(t)
 	a := c.start("a")
 	c.run(5 * time.Second)
-	a.link.down = true
+	a.link.SetDown(true)
 	a.silent = true
 	b := c.start("b")
 	c.run(time.Hour)
@@ -180,9 +185,9 @@
 	a := c.start("a")
 	c.run(5 * time.Second)
 	old := a.book.registration()
-	a.link.down = true
+	a.link.SetDown(true)
 	c.run(MemberLeaseTTL + time.Second)
-	a.link.down = false
+	a.link.SetDown(false)
 	a.Register(context.Background())
 	if a.book.MayClaim() {
 		t.Fatal("may claim without a registration")
