Use the shared in-memory store in the tests of request keys

The check of the time to live of granted leases stays in a small wrapper. A lost lease is now a lease that is revoked before the write, in place of an identifier that the fake refuses. The random test draws the same faults from the same seeds. No check changed. go test -race ./pkg/requests/... passes.

--- a/pkg/requests/keys/commit_test.go
+++ b/pkg/requests/keys/commit_test.go
@@ -22,7 +22,7 @@
 	s := newFakeStore()
 	c := newTestCommitter(s)
 	c.commit([]*write{newWrite("7")})
-	s.txns = nil
+	s.ResetCalls()
 	var writes []*write
 	for i := range MaxBatch {
 		writes = append(writes, newWrite(fmt.Sprint(i)))
@@ -38,7 +38,7 @@
 		want(t, result.applied, i != 7, "applied")
 		want(t, result.existing != nil, i == 7, "existing record returned")
 	}
-	want(t, len(s.txns) <= 2*6+1, true, "transactions of repeated halving")
+	want(t, len(s.Txns()) <= 2*6+1, true, "transactions of repeated halving")
 	large := newWrite("large")
 	large.value = make([]byte, MaxBatchBytes)
 	c.waiting = []*write{newWrite("a"), large, newWrite("b")}
@@ -70,9 +70,10 @@
 // Guards against rejecting keyed requests for the rest of the rotation when the store has lost the lease.
 func TestLostLeaseIsReplaced(t *testing.T) {
 	s := newFakeStore()
-	s.gone = 1
+	s.BeforeWrite(func() { _ = s.RevokeLease(t.Context(), 1) })
 	w := newWrite("key")
 	newTestCommitter(s).commit([]*write{w})
 	want(t, (<-w.done).applied, true, "applied")
-	want(t, s.entries["key"].Lease, 2, "lease")
+	kv, _ := s.Entry("key")
+	want(t, kv.Lease, 2, "lease")
 }
--- a/pkg/requests/keys/keys_test.go
+++ b/pkg/requests/keys/keys_test.go
@@ -141,13 +141,13 @@
 		<-time.After(ResolveFor)
 	}))
 	t.Run("no answer in time", onHosts(func(t *testing.T, f *fixture, a, b *Keys) {
-		f.store.hang = make(chan struct{})
+		release := f.store.Block()
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		defer cancel()
 		_, reply, ok := a.Claim(ctx, quote("body"))
 		want(t, ok, false, "claimed")
 		want(t, reply.Outcome, structs.NotRun, "outcome")
-		close(f.store.hang)
+		release()
 		<-time.After(time.Second) // the record is resolved
 		mustClaim(t, b, "body")
 	}))
@@ -160,7 +160,7 @@
 			refusedWith(t, a, "body", structs.NotRun, structs.ReasonStoreUnavailable)
 			f.store.set(nil, false)
 			<-time.After(ResolveFor / 2) // the record is resolved
-			f.store.applyLate()
+			f.store.Deliver()
 			mustClaim(t, b, "body")
 		}))
 	}
@@ -244,7 +244,7 @@
 func faultySequence(t *testing.T, rnd *rand.Rand) {
 	f := &fixture{newFakeStore(), &alive{}}
 	faults := rand.New(rand.NewPCG(rnd.Uint64(), 2)) // used under the store's lock
-	anyFault := func(store.Txn) fault { return fault(faults.IntN(5)) % 4 }
+	anyFault := func(store.Txn) fault { return []fault{noFault, refused, lost, late}[faults.IntN(5)%4] }
 	f.store.set(anyFault, false)
 	dead, cancel := context.WithCancel(t.Context())
 	cancel()
@@ -263,14 +263,14 @@
 			_ = hosts[i].Close(dead) // ends its background work; the error tells only whether there was any
 			hosts[i] = start()
 		case 1:
-			f.store.applyLate()
+			f.store.Deliver()
 			f.store.set(anyFault, rnd.IntN(2) == 0)
 		default:
 			ran = claimAndRun(t, hosts[i], rnd, ran)
 		}
 	}
 	f.store.set(nil, false)
-	f.store.applyLate()
+	f.store.Deliver()
 	for _, k := range hosts {
 		want(t, k.Close(t.Context()), nil, "close")
 	}
