--- a/pkg/standin/clock.go
+++ b/pkg/standin/clock.go
@@ -12,7 +12,10 @@
 }
 
 // NewManualClock returns a clock that shows a fixed time.
-func NewManualClock() *ManualClock { return &ManualClock{now: time.Unix(1_000_000_000, 0)} }
+func NewManualClock() *ManualClock { return NewManualClockAt(time.Unix(1_000_000_000, 0)) }
+
+// NewManualClockAt returns a clock that shows now.
+func NewManualClockAt(now time.Time) *ManualClock { return &ManualClock{now: now} }
 
 // Now returns the time that the clock shows.
 func (c *ManualClock) Now() time.Time {
