--- a/pkg/control/document_test.go
+++ b/pkg/control/document_test.go
@@ -193,7 +193,7 @@
 				t.Fatalf("version %d is in effect, want 5", f.version())
 			}
 			f.store.SetRevision(other.store.Revision())
-			f.clock.advance(DefaultFullInterval)
+			f.clock.Advance(DefaultFullInterval)
 			f.poll(t)
 			if f.version() != 5 {
 				t.Fatalf("version %d is in effect after a full read, want 5", f.version())
--- a/pkg/control/fake_test.go
+++ b/pkg/control/fake_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 	"fulmarcourse.example/core/document"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/api/peerpb"
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
 	"fulmarcourse.example/fulmarcourse/pkg/store/storetest"
 )
 
@@ -34,24 +34,6 @@
 
 func (f *fakeStore) put(key string, record any) { f.Put(key, mustJSON(record)) }
 
-// clock is a settable clock.
-type clock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *clock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *clock) advance(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 // fakePeers reaches other services directly.
 type fakePeers map[structs.HostID]*Service
 
@@ -79,14 +61,14 @@
 type fixture struct {
 	*Service
 	store *fakeStore
-	clock *clock
+	clock *standin.ManualClock
 }
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
 func newFixture(t *testing.T, change func(*Config)) *fixture {
 	t.Helper()
-	f := &fixture{store: newFakeStore(), clock: &clock{now: start}}
+	f := &fixture{store: newFakeStore(), clock: standin.NewManualClockAt(start)}
 	nonces := 0
 	cfg := Config{
 		Host: "a1", Environment: "production", TrialEnvironment: "trial", Store: f.store, Now: f.clock.Now,
--- a/pkg/control/poll_test.go
+++ b/pkg/control/poll_test.go
@@ -9,10 +9,11 @@
 
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/api/peerpb"
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
 )
 
 // relayFrom passes the state of one service to another as a heartbeat partner would.
-func relayFrom(t interface{ Fatal(...any) }, to, from *Service, c *clock) {
+func relayFrom(t interface{ Fatal(...any) }, to, from *Service, c *standin.ManualClock) {
 	after := to.Confirmation().Revision
 	reply, err := from.FetchControl(context.Background(), &peerpb.FetchControlRequest{AfterRevision: after})
 	if err != nil {
@@ -45,7 +46,7 @@
 	}
 	f.store.Remove(member)
 	f.store.Remove(shard)
-	f.clock.advance(DefaultFullInterval)
+	f.clock.Advance(DefaultFullInterval)
 	f.poll(t)
 	if len(f.Members()) != 0 || len(f.Owners()) != 0 {
 		t.Fatalf("deleted entries are still known: %v, %v", f.Members(), f.Owners())
@@ -62,8 +63,8 @@
 	}
 	a.store.put(a.layout.document(), record(1, text("1s")))
 	a.poll(t)
-	a.clock.advance(1500*time.Millisecond + time.Microsecond)
-	b.clock.advance(time.Hour)
+	a.clock.Advance(1500*time.Millisecond + time.Microsecond)
+	b.clock.Advance(time.Hour)
 	if err := b.PollNow(t.Context()); err == nil {
 		t.Fatal("the error of the store is hidden by a relay")
 	}
@@ -71,7 +72,7 @@
 	if got := b.Confirmation(); got != want || b.version() != 1 {
 		t.Fatalf("confirmation %+v with version %d, want %+v with version 1", got, b.version(), want)
 	}
-	b.clock.advance(time.Second)
+	b.clock.Advance(time.Second)
 	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.Revision() + 7}, b.clock.Now())
 	if got := b.Confirmation(); got != want {
 		t.Fatalf("a revision without its entries was confirmed: %+v", got)
@@ -89,7 +90,7 @@
 	f.poll(t)
 	before := f.Confirmation()
 	f.store.SetRevision(1)
-	f.clock.advance(time.Second)
+	f.clock.Advance(time.Second)
 	if err := f.PollNow(t.Context()); err == nil || f.StoreReachable() {
 		t.Fatal("a store that went back was accepted")
 	}
@@ -106,7 +107,7 @@
 	stale, _ := f.store.Entry(key)
 	f.poll(t)
 	f.store.Remove(key)
-	f.clock.advance(DefaultFullInterval)
+	f.clock.Advance(DefaultFullInterval)
 	f.poll(t)
 	f.Ingest(&peerpb.FetchControlReply{Revision: stale.ModRevision, Entries: []*peerpb.ControlEntry{
 		{Key: key, Value: stale.Value, ModRevision: stale.ModRevision},
@@ -151,7 +152,7 @@
 // at different times and relay to each other in any order.
 func TestRelayNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		shared, c := newFakeStore(), &clock{now: start}
+		shared, c := newFakeStore(), standin.NewManualClockAt(start)
 		var hosts []*Service
 		for _, host := range []structs.HostID{"a1", "b1"} {
 			hosts = append(hosts, NewService(Config{Host: host, Environment: "production", Store: shared, Now: c.Now}))
@@ -161,7 +162,7 @@
 		revisions, versions := map[*Service]int64{}, map[*Service]int64{}
 		version := int64(0)
 		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
-			c.advance(time.Duration(rapid.IntRange(1, 6000).Draw(rt, "pause ms")) * time.Millisecond)
+			c.Advance(time.Duration(rapid.IntRange(1, 6000).Draw(rt, "pause ms")) * time.Millisecond)
 			host := rapid.IntRange(0, 1).Draw(rt, "host")
 			switch rapid.SampledFrom([]string{"poll", "poll", "relay", "relay", "switch", "promote"}).Draw(rt, "step") {
 			case "poll":
