--- a/test/cluster/caller.go
+++ b/test/cluster/caller.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"fulmarcourse.example/core/structs"
 )
 
@@ -17,6 +20,7 @@
 	Outcome structs.Outcome
 	Body    []byte
 	Whole   bool // the body was received completely
+	Refused bool // no connection was made, so nothing was sent
 }
 
 // Call is one request of a caller.
@@ -42,7 +46,8 @@
 	}
 	resp, err := callers.Do(req)
 	if err != nil {
-		return Reply{}
+		var op *net.OpError
+		return Reply{Refused: errors.As(err, &op) && op.Op == "dial"}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
--- a/test/cluster/traffic.go
+++ b/test/cluster/traffic.go
@@ -55,3 +55,17 @@
 		}
 	}
 }
+
+// LoseConnections closes the open connections of the links for which lossy returns true, and a share of their new
+// connections after at most maxBytes. A share of 0 ends the loss. Links that are used for the first time later are not
+// affected.
+func (c *Cluster) LoseConnections(share float64, maxBytes int, lossy func(from, to string) bool) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	for link, proxy := range c.net.proxies {
+		if lossy(string(link.From), link.To) {
+			proxy.SetLoss(share, maxBytes, c.cfg.Seed)
+			proxy.CloseConnections()
+		}
+	}
+}
