Bound the graceful shutdown by its timeout

With requests that run for a minute or more, an entry host with a shutdown timeout of 3 s was still running a minute after SIGTERM. The goroutine dump showed the cause: the gRPC server's GracefulStop waits for all handlers, also after a Stop, and the handler of a request on a runner ends with the runner's answer. It is not waited for any more once the time is over. The wait for the background services, which may still drain a slot pool for up to 10 s, is bounded as well; this wait was found by reading and was not seen to hang.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -465,11 +465,29 @@
 	}
 	n.shutdown()
 	stopBackground()
-	services.Wait()
+	n.awaitServices(&services)
 	n.pool.Close()
 	return err
 }
 
+// servicesTimeout bounds the wait for the background services after shutdown. Work on a released shard that has not
+// ended within the shutdown timeout does not end soon, and the process exits anyway.
+const servicesTimeout = time.Second
+
+// awaitServices waits for the background services, up to servicesTimeout.
+func (n *Node) awaitServices(services *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		services.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(servicesTimeout):
+		n.cfg.Log.Event(eventlog.NodeForced).Msg("background services are still at work")
+	}
+}
+
 // shutdown ends the work in order: announce, hand over shards, finish requests in progress, close the servers.
 func (n *Node) shutdown() {
 	n.cfg.Log.Event(eventlog.NodeLeaving).Msg("")
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -73,8 +73,9 @@
 // Serve answers calls on listener until Stop. It returns nil after Stop.
 func (s *Server) Serve(listener net.Listener) error { return s.grpc.Serve(listener) }
 
-// Stop refuses new calls and waits for those in progress. When ctx ends first, it breaks them off and returns the
-// error of ctx.
+// Stop refuses new calls and waits for those in progress. When ctx ends first, it closes their connections and returns
+// the error of ctx; their handlers may still run, since one that has sent a request to a runner ends with the runner's
+// answer. GracefulStop waits for all handlers even after a Stop, so it is not waited for then.
 func (s *Server) Stop(ctx context.Context) error {
 	stopped := make(chan struct{})
 	go func() {
@@ -86,7 +87,6 @@
 		return nil
 	case <-ctx.Done():
 		s.grpc.Stop()
-		<-stopped
 		return ctx.Err()
 	}
 }
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"os"
@@ -55,6 +56,8 @@
 	LinkDelay   time.Duration // one way between data centres, and between data centres and the platform
 	Seed        uint64
 
+	ShutdownTimeout time.Duration // of the entry hosts; defaultShutdownTimeout when zero
+
 	Binary         string        // test binary that runs the entry hosts; the present one when empty
 	NodeSettings   string        // further lines of the section [node]
 	DirectBackends bool          // entry hosts reach workers and runners without proxies, for high rates
@@ -208,9 +211,12 @@
 level = info
 
 [shutdown]
-timeout = 20s
+timeout = %s
 `
 
+// defaultShutdownTimeout is far above the time that the requests of most tests take.
+const defaultShutdownTimeout = 20 * time.Second
+
 // StartEntry starts the process of an entry host, also again after Kill or Stop.
 func (c *Cluster) StartEntry(id structs.HostID) {
 	c.t.Helper()
@@ -221,7 +227,8 @@
 	c.check(err)
 	path := filepath.Join(c.dir, string(id)+".ini")
 	text := fmt.Sprintf(settingsTemplate, e.ID, e.Datacentre, strings.TrimPrefix(e.HTTP, "http://"), e.advertised, e.listen,
-		e.source, c.cfg.NodeSettings, store, hosts, strings.Join(c.seeds, ", "))
+		e.source, c.cfg.NodeSettings, store, hosts, strings.Join(c.seeds, ", "),
+		cmp.Or(c.cfg.ShutdownTimeout, defaultShutdownTimeout))
 	c.check(os.WriteFile(path, []byte(text), 0o600))
 	log, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	c.check(err)
