Let slot pools drain for the whole shutdown timeout

A pool that is closed rejected queued requests as not-run after a fixed 10 s, even if the operator's shutdown timeout is longer. Found by reading; the shutdown tests run with the whole suite next.

--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -109,7 +109,7 @@
 		clock:     n.cfg.Clock,
 	}
 	runners := runnerAdapter{runner.NewClient(runner.Config{Source: n.cfg.SourceAddress, Metrics: n.cfg.Metrics.Scope, Log: n.cfg.Log})}
-	n.pools = newSlotPools(n.hosts, func(id structs.ShardID, epoch structs.Epoch) *slots.Pool {
+	n.pools = newSlotPools(n.hosts, n.cfg.ShutdownTimeout, func(id structs.ShardID, epoch structs.Epoch) *slots.Pool {
 		return slots.NewPool(slots.Config{
 			Shard:  id,
 			Epoch:  epoch,
--- a/pkg/node/pools.go
+++ b/pkg/node/pools.go
@@ -13,20 +13,20 @@
 	"fulmarcourse.example/fulmarcourse/pkg/slots"
 )
 
-// poolCloseTimeout bounds the wait for the requests of a shard that is handed over or lost.
-const poolCloseTimeout = 10 * time.Second
-
 // slotPools holds the slot pool of each owned shard.
 type slotPools struct {
-	newPool func(shard structs.ShardID, epoch structs.Epoch) *slots.Pool
-	hosts   *hostTable
+	newPool      func(shard structs.ShardID, epoch structs.Epoch) *slots.Pool
+	hosts        *hostTable
+	closeTimeout time.Duration // bounds the wait for the requests of a shard that is handed over or lost
 
 	mu    sync.Mutex
 	pools map[structs.ShardID]*slots.Pool
 }
 
-func newSlotPools(hosts *hostTable, newPool func(structs.ShardID, structs.Epoch) *slots.Pool) *slotPools {
-	return &slotPools{newPool: newPool, hosts: hosts, pools: map[structs.ShardID]*slots.Pool{}}
+func newSlotPools(
+	hosts *hostTable, closeTimeout time.Duration, newPool func(structs.ShardID, structs.Epoch) *slots.Pool,
+) *slotPools {
+	return &slotPools{newPool: newPool, hosts: hosts, closeTimeout: closeTimeout, pools: map[structs.ShardID]*slots.Pool{}}
 }
 
 // Pool implements requests.Pools.
@@ -46,7 +46,7 @@
 	p.pools[shard] = pool
 }
 
-// close ends the pool of a shard after its requests in progress, or after poolCloseTimeout.
+// close ends the pool of a shard after its requests in progress, or after closeTimeout.
 func (p *slotPools) close(shard structs.ShardID) {
 	p.mu.Lock()
 	pool, ok := p.pools[shard]
@@ -55,7 +55,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), poolCloseTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), p.closeTimeout)
 	defer cancel()
 	// The only error is ErrForced; requests still on runners end with their own answers.
 	_ = pool.Close(ctx)
