--- a/pkg/control/poll_test.go
+++ b/pkg/control/poll_test.go
@@ -9,10 +9,11 @@
 
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/api/peerpb"
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
 )
 
 // relayFrom passes the state of one service to another as a heartbeat partner would.
-func relayFrom(t interface{ Fatal(...any) }, to, from *Service, c *clock) {
+func relayFrom(t interface{ Fatal(...any) }, to, from *Service, c *standin.ManualClock) {
 	after := to.Confirmation().Revision
 	reply, err := from.FetchControl(context.Background(), &peerpb.FetchControlRequest{AfterRevision: after})
 	if err != nil {
@@ -31,7 +32,7 @@
 	f.poll(t)
 	changed := f.Changed()
 	f.store.put(shard, structs.ShardOwnerRecord{Owner: "a1"})
-	created := f.store.revision
+	created := f.store.Revision()
 	f.poll(t)
 	select {
 	case <-changed:
@@ -43,9 +44,9 @@
 	if owner, epoch, known := f.Owner(shardA0); !known || owner.Nonce != "renewed" || int64(epoch) != created {
 		t.Fatalf("owner %+v, epoch %d, known %v; want epoch %d", owner, epoch, known, created)
 	}
-	f.store.remove(member)
-	f.store.remove(shard)
-	f.clock.advance(DefaultFullInterval)
+	f.store.Remove(member)
+	f.store.Remove(shard)
+	f.clock.Advance(DefaultFullInterval)
 	f.poll(t)
 	if len(f.Members()) != 0 || len(f.Owners()) != 0 {
 		t.Fatalf("deleted entries are still known: %v, %v", f.Members(), f.Owners())
@@ -56,27 +57,27 @@
 func TestConfirmationAge(t *testing.T) {
 	a := newFixture(t, nil)
 	b := newFixture(t, func(cfg *Config) { cfg.Peers = fakePeers{"a1": a.Service}; cfg.Host = "b1" })
-	b.store.setDown(true)
+	b.store.SetDown(true)
 	if err := b.PollNow(t.Context()); err == nil || b.StoreReachable() || !b.Confirmation().ReadAt.IsZero() {
 		t.Fatal("a service without any source has a confirmation")
 	}
 	a.store.put(a.layout.document(), record(1, text("1s")))
 	a.poll(t)
-	a.clock.advance(1500*time.Millisecond + time.Microsecond)
-	b.clock.advance(time.Hour)
+	a.clock.Advance(1500*time.Millisecond + time.Microsecond)
+	b.clock.Advance(time.Hour)
 	if err := b.PollNow(t.Context()); err == nil {
 		t.Fatal("the error of the store is hidden by a relay")
 	}
-	want := Confirmation{Revision: a.store.revision, ReadAt: b.clock.Now().Add(-1501 * time.Millisecond)}
+	want := Confirmation{Revision: a.store.Revision(), ReadAt: b.clock.Now().Add(-1501 * time.Millisecond)}
 	if got := b.Confirmation(); got != want || b.version() != 1 {
 		t.Fatalf("confirmation %+v with version %d, want %+v with version 1", got, b.version(), want)
 	}
-	b.clock.advance(time.Second)
-	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.revision + 7}, b.clock.Now())
+	b.clock.Advance(time.Second)
+	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.Revision() + 7}, b.clock.Now())
 	if got := b.Confirmation(); got != want {
 		t.Fatalf("a revision without its entries was confirmed: %+v", got)
 	}
-	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.revision, AgeMs: 100}, b.clock.Now())
+	b.Ingest(&peerpb.FetchControlReply{Revision: a.store.Revision(), AgeMs: 100}, b.clock.Now())
 	if got := b.Confirmation().ReadAt; got != b.clock.Now().Add(-100*time.Millisecond) {
 		t.Fatalf("a fresher confirmation of the same revision was not used: %v", got)
 	}
@@ -88,8 +89,8 @@
 	f.store.put(f.layout.document(), record(1, text("1s")))
 	f.poll(t)
 	before := f.Confirmation()
-	f.store.revision = 1
-	f.clock.advance(time.Second)
+	f.store.SetRevision(1)
+	f.clock.Advance(time.Second)
 	if err := f.PollNow(t.Context()); err == nil || f.StoreReachable() {
 		t.Fatal("a store that went back was accepted")
 	}
@@ -103,10 +104,10 @@
 	f := newFixture(t, nil)
 	key := f.layout.key(partMembers + "a9")
 	f.store.put(key, structs.MemberRecord{Host: "a9"})
-	stale := f.store.data[key]
+	stale, _ := f.store.Entry(key)
 	f.poll(t)
-	f.store.remove(key)
-	f.clock.advance(DefaultFullInterval)
+	f.store.Remove(key)
+	f.clock.Advance(DefaultFullInterval)
 	f.poll(t)
 	f.Ingest(&peerpb.FetchControlReply{Revision: stale.ModRevision, Entries: []*peerpb.ControlEntry{
 		{Key: key, Value: stale.Value, ModRevision: stale.ModRevision},
@@ -122,7 +123,7 @@
 	f := newFixture(t, nil)
 	key := f.layout.datacentre("a")
 	f.store.put(key, structs.DatacentreRecord{State: structs.DatacentreIn})
-	older := f.store.data[key]
+	older, _ := f.store.Entry(key)
 	f.store.put(key, structs.DatacentreRecord{State: structs.DatacentreOut})
 	f.poll(t)
 	f.Ingest(&peerpb.FetchControlReply{Revision: older.ModRevision, Entries: []*peerpb.ControlEntry{
@@ -136,10 +137,10 @@
 // Guards against a change that falls between the ranges of a full read and is never read.
 func TestChangeDuringFullRead(t *testing.T) {
 	f := newFixture(t, nil)
-	f.store.afterRead = func() {
+	f.store.AfterRange(func() {
 		f.store.put(f.layout.datacentre("a"), structs.DatacentreRecord{State: structs.DatacentreOut})
 		f.store.put(f.layout.document(), record(1, text("1s")))
-	}
+	})
 	f.poll(t)
 	f.poll(t)
 	if f.Datacentre("a") != structs.DatacentreOut || f.version() != 1 {
@@ -151,7 +152,7 @@
 // at different times and relay to each other in any order.
 func TestRelayNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		shared, c := newFakeStore(), &clock{now: start}
+		shared, c := newFakeStore(), standin.NewManualClockAt(start)
 		var hosts []*Service
 		for _, host := range []structs.HostID{"a1", "b1"} {
 			hosts = append(hosts, NewService(Config{Host: host, Environment: "production", Store: shared, Now: c.Now}))
@@ -161,7 +162,7 @@
 		revisions, versions := map[*Service]int64{}, map[*Service]int64{}
 		version := int64(0)
 		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
-			c.advance(time.Duration(rapid.IntRange(1, 6000).Draw(rt, "pause ms")) * time.Millisecond)
+			c.Advance(time.Duration(rapid.IntRange(1, 6000).Draw(rt, "pause ms")) * time.Millisecond)
 			host := rapid.IntRange(0, 1).Draw(rt, "host")
 			switch rapid.SampledFrom([]string{"poll", "poll", "relay", "relay", "switch", "promote"}).Draw(rt, "step") {
 			case "poll":
