Accept compressed inventories from workers

The tasks of an inventory look alike, so the worker client now accepts gzip for renewals; workers that do not compress work as before. The stand-in compresses replies from 512 bytes on.

Renewing less often was ruled out: usage reports and task leases depend on it.

--- a/pkg/httpsend/client.go
+++ b/pkg/httpsend/client.go
@@ -40,7 +40,8 @@
 	MaxConnsPerHost int           // open connections per server; 0 means no limit
 	DialTimeout     time.Duration // time to connect; 1 s when zero
 	Source          netip.Addr    // local address of connections; the system chooses when zero
-	MaxBody         int64         // longest accepted response body in bytes; 64 MiB when zero
+	MaxBody         int64         // longest accepted response body in bytes, without compression; 64 MiB when zero
+	Gzip            bool          // servers may compress their responses
 }
 
 // Client sends requests. It never repeats a request and follows no redirect.
@@ -48,6 +49,7 @@
 	service   httpc.Service
 	transport *http.Transport
 	maxBody   int64
+	gzip      bool
 }
 
 // Response is a completely received response.
@@ -55,7 +57,7 @@
 	Status        int
 	Header        http.Header
 	Body          []byte
-	ContentLength int64 // as stated by the server; -1 when it stated none
+	ContentLength int64 // as stated by the server; -1 when it stated none. Of a compressed body, the compressed length
 }
 
 // NewClient returns a client with its own connections.
@@ -86,7 +88,7 @@
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &Client{service: httpc.NewServiceWithClient(cfg.Name, client), transport: transport, maxBody: cfg.MaxBody}
+	return &Client{service: httpc.NewServiceWithClient(cfg.Name, client), transport: transport, maxBody: cfg.MaxBody, gzip: cfg.Gzip}
 }
 
 // Post sends body to url with header and returns the complete response, whatever its status.
@@ -115,6 +117,9 @@
 	if err != nil {
 		return Response{}, errors.WithType(err, ErrNotSent)
 	}
+	if c.gzip {
+		req.Header.Set("Accept-Encoding", "gzip")
+	}
 	resp, err := c.service.DoRequest(req)
 	if err != nil {
 		if used.nothingWritten() {
@@ -128,7 +133,12 @@
 // read receives the whole response body.
 func (c *Client) read(resp *http.Response) (Response, error) {
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
+	body, done, err := bodyOf(resp)
+	if err != nil {
+		return Response{}, err
+	}
+	defer done()
+	data, err := io.ReadAll(io.LimitReader(body, c.maxBody+1))
 	if err != nil {
 		return Response{}, errors.Annotate(err, "response is incomplete")
 	}
--- /dev/null
+++ b/pkg/httpsend/gzip_test.go
@@ -0,0 +1,49 @@
+package httpsend
+
+import (
+	"bytes"
+	"compress/gzip"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// Guards against a compressed response that is returned as it is, that is longer than allowed after decompression, or
+// that is incomplete and taken for a whole one; also against asking for compression where it is not wanted.
+func TestCompressedResponses(t *testing.T) {
+	text := strings.Repeat("inventory ", 100)
+	var packed bytes.Buffer
+	writer := gzip.NewWriter(&packed)
+	_, _ = writer.Write([]byte(text))
+	_ = writer.Close()
+	cases := []struct {
+		name   string
+		gzip   bool
+		body   []byte
+		max    int64
+		wantOK bool
+	}{
+		{"whole", true, packed.Bytes(), 2000, true},
+		{"whole again, with a used decoder", true, packed.Bytes(), 2000, true},
+		{"too long", true, packed.Bytes(), 999, false},
+		{"incomplete", true, packed.Bytes()[:packed.Len()-4], 2000, false},
+		{"not asked for", false, []byte(text), 2000, true},
+	}
+	for _, c := range cases {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if asked := r.Header.Get("Accept-Encoding") == "gzip"; asked != c.gzip {
+				t.Errorf("%s: asked for compression: %t", c.name, asked)
+			}
+			if c.gzip {
+				w.Header().Set("Content-Encoding", "gzip")
+			}
+			_, _ = w.Write(c.body)
+		}))
+		resp, err := NewClient(Config{Name: "test", MaxBody: c.max, Gzip: c.gzip}).Post(t.Context(), server.URL, nil, []byte("body"))
+		if (err == nil) != c.wantOK || (c.wantOK && string(resp.Body) != text) {
+			t.Errorf("%s: got %d bytes, error %v", c.name, len(resp.Body), err)
+		}
+		server.Close()
+	}
+}
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -4,9 +4,13 @@
 package standin
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -73,3 +77,34 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(data) // the caller may have closed the connection
 }
+
+// compressFrom is the length of the shortest body worth compressing, in bytes.
+const compressFrom = 512
+
+// encoders keeps gzip writers, since a new one allocates hundreds of kilobytes.
+var encoders = sync.Pool{New: func() any {
+	encoder, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed) // fails only for unknown levels
+	return encoder
+}}
+
+// writeCompressed is writeJSON with status 200, and with compression for callers that accept it.
+func writeCompressed(w http.ResponseWriter, r *http.Request, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if len(data) < compressFrom || r.Header.Get("Accept-Encoding") != "gzip" {
+		_, _ = w.Write(data) // the caller may have closed the connection
+		return
+	}
+	var packed bytes.Buffer
+	encoder := encoders.Get().(*gzip.Writer)
+	defer encoders.Put(encoder)
+	encoder.Reset(&packed)
+	_, _ = encoder.Write(data) // writes to memory do not fail
+	_ = encoder.Close()
+	w.Header().Set("Content-Encoding", "gzip")
+	_, _ = w.Write(packed.Bytes())
+}
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -49,7 +49,7 @@
 		case refused != nil:
 			w.reject(rw, path, refused)
 		default:
-			writeJSON(rw, http.StatusOK, body)
+			writeCompressed(rw, r, body)
 		}
 	})
 }
--- a/pkg/worker/client.go
+++ b/pkg/worker/client.go
@@ -70,7 +70,7 @@
 	}
 	return &Client{
 		commands:          httpsend.NewClient(httpsend.Config{Source: cfg.Source, Name: "worker", MaxConnsPerHost: maxCommandConns}),
-		renewals:          httpsend.NewClient(httpsend.Config{Source: cfg.Source, Name: "worker", MaxConnsPerHost: maxRenewConns}),
+		renewals:          httpsend.NewClient(httpsend.Config{Source: cfg.Source, Name: "worker", MaxConnsPerHost: maxRenewConns, Gzip: true}),
 		timeout:           cfg.Timeout,
 		checkpointTimeout: cfg.CheckpointTimeout,
 		metrics:           cfg.Metrics,
@@ -78,7 +78,8 @@
 	}
 }
 
-// Renew renews the task leases of a shard on the worker at addr ("IP:port") and returns its inventory.
+// Renew renews the task leases of a shard on the worker at addr ("IP:port") and returns its inventory. Workers may
+// compress the inventory: it is most of the idle traffic of a shard owner, and its tasks look alike.
 // The leases run from the moment the worker handles the call, which is not before it is sent.
 func (c *Client) Renew(ctx context.Context, addr string, req RenewRequest) (structs.Inventory, error) {
 	var inventory structs.Inventory
