Read job records in the background of the shard loop

Cause: the loop waited for its read of changed job records, up to 3 s, each second. While the store does not answer, as in a partition that drops packets, renewals were late and tasks started in bursts every few seconds. The read now runs beside the loop, one at a time. With the old call TestSilentStoreHoldsUpNothing hangs until the test's time limit; with the new one it passes, and so do the other tests of the package with the race detector, three times. One test takes a further step, because the first cycle no longer waits for the records.

--- a/pkg/shard/loop.go
+++ b/pkg/shard/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarcourse.example/core/drain"
@@ -25,6 +26,8 @@
 	calls      sync.WaitGroup
 	batch      *jobs.Batch
 
+	refreshing atomic.Bool // a read of job records is in progress
+
 	mu        sync.Mutex
 	planner   *planner
 	tracker   *quarantine.Tracker
@@ -121,7 +124,7 @@
 	now := l.cfg.Clock()
 	if !now.Before(due.refresh) {
 		due.refresh = now.Add(refreshInterval)
-		l.refresh(ctx)
+		l.startRefresh(ctx)
 	}
 	l.updateWorkers()
 	if !now.Before(due.renew) {
--- a/pkg/shard/loop_test.go
+++ b/pkg/shard/loop_test.go
@@ -49,6 +49,7 @@
 	lease         time.Duration // of the latest renewal
 	records       []jobs.Stored
 	afterLoad     []jobs.Stored // appear after the first load
+	storeAnswers  chan struct{} // when set, reads of changes wait until it is closed
 	loop          *Loop
 }
 
@@ -134,6 +135,12 @@
 }
 
 func (w *world) Changes(context.Context, int64) (jobs.Loaded, error) {
+	w.mu.Lock()
+	answers := w.storeAnswers
+	w.mu.Unlock()
+	if answers != nil {
+		<-answers
+	}
 	return jobs.Loaded{Jobs: w.afterLoad, Revision: 11}, nil
 }
 
@@ -244,7 +251,8 @@
 	w.workers = nil // nothing can start, so the job waits
 	w.records = []jobs.Stored{storedJob("j", "trace", pendingTask())}
 	l := newTestLoop(t, w)
-	step(t, l, w, 0)
+	step(t, l, w, 0) // reads the records
+	step(t, l, w, 0) // plans for the first time
 	step(t, l, w, rehomeAfter+time.Second)
 	if home := l.table.jobs["j"]; home != nil && home.record.Home != otherShard {
 		t.Fatalf("home is %s", home.record.Home)
--- a/pkg/shard/records.go
+++ b/pkg/shard/records.go
@@ -11,6 +11,18 @@
 	"fulmarcourse.example/fulmarcourse/pkg/jobs"
 )
 
+// startRefresh reads job records in the background, unless a read is in progress: a store that does not answer must not
+// hold up renewals and starts. Called by the loop goroutine, no lock held.
+func (l *Loop) startRefresh(ctx context.Context) {
+	if !l.refreshing.CompareAndSwap(false, true) {
+		return
+	}
+	l.calls.Go(func() {
+		defer l.refreshing.Store(false)
+		l.refresh(ctx)
+	})
+}
+
 // refresh reads job records from the store: all records homed here the first time, changed ones afterwards.
 // When the store cannot be reached, the loop goes on with the records that it has.
 func (l *Loop) refresh(ctx context.Context) {
--- a/pkg/shard/renew_test.go
+++ b/pkg/shard/renew_test.go
@@ -67,3 +67,24 @@
 		t.Errorf("task of an undivided job is numbered %v, want %v", got, w.starts[0].Task)
 	}
 }
+
+// Guards against renewals and starts that wait for a store which does not answer.
+func TestSilentStoreHoldsUpNothing(t *testing.T) {
+	w := newWorld()
+	w.records = []jobs.Stored{storedJob("j", "trace", pendingTask())}
+	l := newTestLoop(t, w)
+	step(t, l, w, 0)
+	step(t, l, w, time.Second)
+	w.mu.Lock()
+	w.storeAnswers = make(chan struct{})
+	w.lease = 0
+	w.mu.Unlock()
+	w.advance(time.Second)
+	var due schedule
+	l.cycle(t.Context(), &due) // returns although the read of changes does not
+	close(w.storeAnswers)
+	l.calls.Wait()
+	if w.lease != TaskLeaseTTL {
+		t.Fatalf("lease of %v while the store was silent", w.lease)
+	}
+}
