--- a/test/measure/load.go
+++ b/test/measure/load.go
@@ -111,6 +111,9 @@
 	return result
 }
 
+// pause waits for d. Measuring runs have phases of fixed length; no verdict depends on them.
+func pause(d time.Duration) { <-time.After(d) }
+
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	if wait := time.Until(at); wait > 0 {
 		timer := time.NewTimer(wait)
--- a/test/measure/measure_test.go
+++ b/test/measure/measure_test.go
@@ -137,7 +137,7 @@
 		cfg.Binary = binary
 		c := cluster.Start(t, cfg)
 		during := load(c, n)
-		time.Sleep(*settle)
+		pause(*settle)
 		var err error
 		if sample, err = Window(c, during); err != nil {
 			t.Fatal(err)
@@ -148,7 +148,7 @@
 }
 
 // idle is a load of nothing.
-func idle(*cluster.Cluster, int) func() { return func() { time.Sleep(*window) } }
+func idle(*cluster.Cluster, int) func() { return func() { pause(*window) } }
 
 // Guards against figures from the wrong field of the process status.
 func TestReadProcess(t *testing.T) {
--- a/test/measure/routing_test.go
+++ b/test/measure/routing_test.go
@@ -160,7 +160,7 @@
 	cfg := firm(policy)
 	cfg.Binary = binary
 	c := cluster.Start(t, cfg)
-	time.Sleep(*settle)
+	pause(*settle)
 	for i, s := range scenarios() {
 		if !strings.Contains(s.name, *only) {
 			continue
@@ -180,7 +180,7 @@
 		} else {
 			results[s.name+name(policy, binary)] = got
 		}
-		time.Sleep(pauseBetween)
+		pause(pauseBetween)
 	}
 }
 
--- a/test/measure/work_test.go
+++ b/test/measure/work_test.go
@@ -67,7 +67,7 @@
 	return func(c *cluster.Cluster, rate int) func() {
 		return func() {
 			if rate == 0 {
-				time.Sleep(*window)
+				pause(*window)
 				return
 			}
 			clock := historyClock(c)
