Accept jobs and start tasks right after a shard was acquired

Cause: on a quiet machine 11 integration tests failed with status 503 at their first submission. Since the job records are read beside the loop, the first renewals were sent before the records were known, their inventories did not count, and for one more second the shard had no known worker and no largest worker, so that no shard could take a job. Ruled out: missing documents (the hosts were ready). Listed live workers now count for the largest one at once, and the workers' inventories are read as soon as the records are known.

Before: TestAcquiredShardIsUsableAtOnce finds a largest worker of 0 and no free capacity. After: it passes, with the other tests of the package, twice with the race detector.

--- a/pkg/shard/explain.go
+++ b/pkg/shard/explain.go
@@ -15,11 +15,13 @@
 	defer l.mu.Unlock()
 	digest := structs.ShardDigest{Shard: l.shard, Epoch: l.epoch}
 	for _, w := range l.table.workers {
-		if !w.usable(now) {
-			continue
+		if w.listed && w.host.State == structs.HostLive {
+			// A worker that has not answered yet can run the tasks of a job that is submitted now.
+			digest.Largest = maxResources(digest.Largest, w.host.Capacity)
+		}
+		if w.usable(now) {
+			digest.Free = digest.Free.Add(w.free())
 		}
-		digest.Free = digest.Free.Add(w.free())
-		digest.Largest = maxResources(digest.Largest, w.host.Capacity)
 	}
 	if ramp := l.draining.ramp; ramp != nil {
 		digest.Free = scale(digest.Free, ramp.Share(now))
--- a/pkg/shard/loop.go
+++ b/pkg/shard/loop.go
@@ -27,6 +27,7 @@
 	batch      *jobs.Batch
 
 	refreshing atomic.Bool // a read of job records is in progress
+	justLoaded atomic.Bool // the records were read for the first time; inventories are needed at once
 
 	mu        sync.Mutex
 	planner   *planner
@@ -127,7 +128,7 @@
 		l.startRefresh(ctx)
 	}
 	l.updateWorkers()
-	if !now.Before(due.renew) {
+	if l.justLoaded.Swap(false) || !now.Before(due.renew) {
 		due.renew = now.Add(renewInterval)
 		l.renewAll(ctx)
 	}
--- a/pkg/shard/records.go
+++ b/pkg/shard/records.go
@@ -61,6 +61,7 @@
 	}
 	l.revision = loaded.Revision
 	l.loaded = true
+	l.justLoaded.Store(true)
 	// An inventory that arrived before the records were read could not be matched with them.
 	for _, w := range l.table.workers {
 		w.known = false
--- a/pkg/shard/renew_test.go
+++ b/pkg/shard/renew_test.go
@@ -88,3 +88,20 @@
 		t.Fatalf("lease of %v while the store was silent", w.lease)
 	}
 }
+
+// Guards against submissions that are refused, and starts that wait for the next renewal, right after a shard was
+// acquired: its workers are listed, and their inventories are wanted as soon as the records are read.
+func TestAcquiredShardIsUsableAtOnce(t *testing.T) {
+	w := newWorld()
+	l := newTestLoop(t, w)
+	step(t, l, w, 0)
+	if got := l.Digest().Largest.MilliCPU; got != 4000 {
+		t.Errorf("largest worker of %dm before any inventory was matched", got)
+	}
+	due := schedule{renew: w.clock().Add(time.Hour)}
+	l.cycle(t.Context(), &due)
+	l.calls.Wait()
+	if free := l.Digest().Free.MilliCPU; free != 8000 {
+		t.Errorf("%dm free after the records were read", free)
+	}
+}
