Measure quotes while a data centre leaves and returns

Two clusters of one test took each other's addresses, so the first try failed; each has a subtest now.

--- a/test/measure/drain_test.go
+++ b/test/measure/drain_test.go
@@ -23,7 +23,7 @@
 const (
 	leaveDatacentres = 4
 	taskTime         = 6 * time.Second
-	backlogJobs      = 150
+	backlogJobs      = 400
 	backlogTasks     = 16
 	quoteRate        = 320 // of 640 requests/s that 4 x 4 runners of 8 slots serve at 200 ms
 )
@@ -42,8 +42,10 @@
 		return
 	}
 	for round := range *repeats {
-		unchanged := leaveRun(t, false)
-		changed := leaveRun(t, true)
+		var unchanged, changed change
+		// A cluster ends with its subtest; two at once would take each other's addresses.
+		t.Run("unchanged", func(t *testing.T) { unchanged = leaveRun(t, false) })
+		t.Run("leaves and returns", func(t *testing.T) { changed = leaveRun(t, true) })
 		fmt.Printf("round %d\n%s%s", round+1, changeLine("unchanged", unchanged), changeLine("leaves and returns", changed))
 		away := (returnAt - leaveAt).Seconds() / runFor.Seconds()
 		ideal := 1 - away/leaveDatacentres
