Share the small cluster of the integration tests as test support

The document, the cluster and the waits stood in test files, and the measuring tests had a similar document. They are in test/cluster now; no check changed.

--- a/test/integration/datacentre_test.go
+++ b/test/integration/datacentre_test.go
@@ -49,9 +49,9 @@
 
 // twoDatacentres is a cluster of two data centres with two entry hosts and two racks each.
 func twoDatacentres() cluster.Config {
-	cfg := small()
+	cfg := cluster.Small()
 	cfg.Datacentres = cfg.Datacentres[:2]
-	cfg.Document = document + shiftKinds
+	cfg.Document = cluster.SmallDocument + shiftKinds
 	return cfg
 }
 
--- a/test/integration/documents_test.go
+++ b/test/integration/documents_test.go
@@ -22,7 +22,7 @@
 
 // revised returns a document that differs from all others with another number.
 func revised(number int) string {
-	return strings.Replace(document, "[team cutters]\ncpu = 64", fmt.Sprintf("[team cutters]\ncpu = %d", 64+number), 1)
+	return strings.Replace(cluster.SmallDocument, "[team cutters]\ncpu = 64", fmt.Sprintf("[team cutters]\ncpu = %d", 64+number), 1)
 }
 
 // versionWatch reads the document in effect at every entry host until it is closed, and finds versions that fall or
--- a/test/integration/failover_test.go
+++ b/test/integration/failover_test.go
@@ -1,7 +1,6 @@
 package integration
 
 import (
-	"fmt"
 	"testing"
 
 	"fulmarcourse.example/core/structs"
@@ -28,32 +27,15 @@
 	}
 }
 
-// submitWork submits jobs of both kinds through every entry host and returns their ids.
-func submitWork(t *testing.T, c *cluster.Cluster, runSeconds float64) []structs.JobID {
-	t.Helper()
-	var ids []structs.JobID
-	for i, host := range c.Entries() {
-		for _, kind := range []structs.KindName{"trace", "template"} {
-			spec := structs.JobSpec{Team: "cutters", Kind: kind, Tasks: 4, RunSeconds: runSeconds, Key: fmt.Sprint(kind, i)}
-			record, status := cluster.SubmitJob(base(c, host), spec)
-			if status >= 300 || record.ID == "" {
-				t.Fatalf("submission of %s through %s: status %d", kind, host, status)
-			}
-			ids = append(ids, record.ID)
-		}
-	}
-	return ids
-}
-
 // started counts task starts so far.
 func started(c *cluster.Cluster) int { return count(c, standin.TaskStarted) }
 
 // Guards against tasks that run twice, or hosts that are overcommitted, when a shard owner dies and another entry
 // host takes over while tasks start.
 func TestOwnerKilledWhileTasksStart(t *testing.T) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
-	ids := submitWork(t, c, 6)
+	ids := c.SubmitWork(6)
 	c.Await("tasks have started", func() bool { return started(c) >= 10 })
 	owner := c.Owner(structs.ShardID{Datacentre: "a", Index: 0})
 	c.Kill(owner)
@@ -69,9 +51,9 @@
 
 // Guards against a frozen owner that goes on sending commands when it resumes after another host has taken over.
 func TestOwnerFrozenDuringTakeover(t *testing.T) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
-	ids := submitWork(t, c, 6)
+	ids := c.SubmitWork(6)
 	c.Await("tasks have started", func() bool { return started(c) >= 4 })
 	shard := structs.ShardID{Datacentre: "a", Index: 0}
 	owner := c.Owner(shard)
--- a/test/integration/keys_test.go
+++ b/test/integration/keys_test.go
@@ -129,7 +129,7 @@
 // Guards against a second run, or different answers, when keys are repeated through random hosts while the store loses
 // responses, is slow and has an outage, and entry hosts die and return.
 func TestKeysRepeatedDuringFailures(t *testing.T) {
-	c := start(t, small())
+	c := start(t, cluster.Small())
 	const callers = 24
 	var (
 		work  sync.WaitGroup
--- a/test/integration/operators_test.go
+++ b/test/integration/operators_test.go
@@ -24,7 +24,7 @@
 	unknown // it may take effect at any time after the call, or never
 )
 
-// register is the state of a compare-and-swap register: the version and digest of a document, or the state of a data
+// register is the state of a compare-and-swap register: the version and digest of a cluster.SmallDocument, or the state of a data
 // centre with version 0.
 type register struct {
 	version int64
--- a/test/integration/pairs_test.go
+++ b/test/integration/pairs_test.go
@@ -90,9 +90,9 @@
 }
 
 func runPair(t *testing.T, rnd *rand.Rand, first, second fault) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
-	ids := submitWork(t, c, 5)
+	ids := c.SubmitWork(5)
 	c.Await("tasks have started", func() bool { return started(c) >= 4 })
 	endFirst := first.begin(c, rnd)
 	<-time.After(time.Duration(rnd.IntN(2000)) * time.Millisecond)
--- a/test/integration/parts_test.go
+++ b/test/integration/parts_test.go
@@ -8,6 +8,7 @@
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/standin"
 	"fulmarcourse.example/fulmarcourse/test/cluster"
+	"fulmarcourse.example/fulmarcourse/test/invariants"
 )
 
 const wideTasks = 60
@@ -47,7 +48,7 @@
 // Guards against a job that runs on the workers of one shard while others are idle, and against tasks of a part that
 // are left out or run twice.
 func TestJobUsesWorkersOfAllDatacentres(t *testing.T) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
 	record := submitWide(t, c, 1, func(structs.JobID) {}) // they finish soon
 	ended, status := cluster.WaitJob(base(c, "c-entry-1"), record.ID)
@@ -73,7 +74,7 @@
 // Guards against parts that are left running, or taken over by nobody, when a job is cancelled through one entry host
 // while the owner of a part is killed.
 func TestCancelReachesEveryPart(t *testing.T) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
 	record := submitWide(t, c, 600, func(id structs.JobID) { cluster.CancelJob(base(c, "a-entry-0"), id) })
 	c.Await("tasks have started", func() bool { return started(c) >= 10 })
@@ -87,7 +88,7 @@
 			t.Errorf("task %d: %+v", i, task)
 		}
 	}
-	if n := runningAtEnd(c.Platform.History.Events()); n > 0 {
+	if n := invariants.Running(c.Platform.History.Events()); n > 0 {
 		t.Errorf("%d tasks run although the job is cancelled", n)
 	}
 }
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -10,7 +10,7 @@
 
 // Guards against a break anywhere on the path from a caller to a runner and from a submission to a finished task.
 func TestQuoteAndTraceThroughSeparateProcesses(t *testing.T) {
-	c := start(t, small())
+	c := start(t, cluster.Small())
 	for _, id := range c.Entries() {
 		reply := cluster.Send(base(c, id), cluster.Call{Service: service, Kind: "quote", Key: "q-" + string(id), Deadline: callDeadline, Body: string(id)})
 		if reply.Outcome != structs.Answered || string(reply.Body) != "quote answer to "+string(id) || !reply.Whole {
--- a/test/integration/requests_test.go
+++ b/test/integration/requests_test.go
@@ -31,7 +31,7 @@
 // Guards against quotes that run twice, run after they were reported as not run, or are answered wrongly when an owner
 // dies, or is frozen and resumes after a takeover, with requests in progress.
 func TestRequestsWhileOwnersDieAndFreeze(t *testing.T) {
-	c := start(t, small())
+	c := start(t, cluster.Small())
 	l := startLoad(t, c, false)
 	l.awaitAnswers("no fault", time.Now(), c.Entries()...)
 
@@ -61,7 +61,7 @@
 // Guards against wrong, incomplete or repeated answers when runners answer late, in part, with the answer to another
 // request, without an attempt id, or not at all, and against slots that are lost for good by it.
 func TestRequestsWhileRunnersAnswerWrongly(t *testing.T) {
-	c := start(t, small())
+	c := start(t, cluster.Small())
 	l := startLoad(t, c, false)
 	l.awaitAnswers("no fault", time.Now(), c.Entries()...)
 	const rounds, faults = 2, 5
@@ -94,7 +94,7 @@
 // Guards against a data centre that stops answering its own callers when it is cut off from the others and from the
 // store, and against requests that run twice or are misreported at the cut and when it heals.
 func TestRequestsInPartitionedDatacentre(t *testing.T) {
-	c := start(t, small())
+	c := start(t, cluster.Small())
 	l := startLoad(t, c, false)
 	l.awaitAnswers("no fault", time.Now(), c.Entries()...)
 	cut := time.Now()
@@ -115,7 +115,7 @@
 // Guards against requests that run twice, are misreported or are answered in part when links between entry hosts and
 // to runners are slow and lose connections at any byte.
 func TestRequestsOverLossyLinks(t *testing.T) {
-	c := start(t, small())
+	c := start(t, cluster.Small())
 	l := startLoad(t, c, false)
 	l.awaitAnswers("no fault", time.Now(), c.Entries()...)
 	links := func(_, to string) bool { return to != "store" && to != "hostlist" }
--- a/test/integration/shutdown_test.go
+++ b/test/integration/shutdown_test.go
@@ -13,7 +13,7 @@
 
 // slow is small with the given mean service time of quotes, half of which is fixed.
 func slow(quote time.Duration) cluster.Config {
-	cfg := small()
+	cfg := cluster.Small()
 	cfg.Runner.ServiceTime = map[structs.KindName]time.Duration{"quote": quote, "preview": 20 * time.Millisecond}
 	return cfg
 }
@@ -87,7 +87,7 @@
 
 // Guards against interrupted or lost requests while all entry hosts are restarted one after another.
 func TestRollingRestartUnderLoad(t *testing.T) {
-	c := start(t, small())
+	c := start(t, cluster.Small())
 	l := startLoad(t, c, true)
 	for _, host := range c.Entries() {
 		mark := time.Now()
--- a/test/integration/store_test.go
+++ b/test/integration/store_test.go
@@ -8,6 +8,7 @@
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/standin"
 	"fulmarcourse.example/fulmarcourse/test/cluster"
+	"fulmarcourse.example/fulmarcourse/test/invariants"
 )
 
 // awaitDone waits for jobs and requires every task to be done.
@@ -36,7 +37,7 @@
 // Guards against a store outage that stops running tasks, makes tasks run twice, or loses results: tasks that wait in
 // their home shard start during the outage, and their results are recorded after it.
 func TestStoreOutageWhileTasksRun(t *testing.T) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
 	spec := structs.JobSpec{Team: "cutters", Kind: "trace", Tasks: 100, RunSeconds: 3, Key: "long"}
 	record, status := cluster.SubmitJob(base(c, "a-entry-0"), spec)
@@ -61,7 +62,7 @@
 // Guards against double runs and lost records when the store is slow and loses the responses of writes that took
 // effect, while an owner dies.
 func TestLostResponsesAndSlowStoreWithKilledOwner(t *testing.T) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
 	c.Platform.Store.SetDelay(100 * time.Millisecond)
 	c.Platform.Store.LoseResponses(3)
@@ -92,7 +93,7 @@
 // Guards against tasks that are lost, or run twice, when a worker's host fails, and against another attempt before the
 // leases on it have certainly expired.
 func TestWorkerHostFails(t *testing.T) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
 	record, status := cluster.SubmitJob(base(c, "a-entry-0"), structs.JobSpec{Team: "cutters", Kind: "trace", Tasks: 16, RunSeconds: 8, Key: "k"})
 	if status >= 300 {
@@ -112,7 +113,7 @@
 
 // Guards against a worker that fails everything draining the queue, and against jobs that are parked because of it.
 func TestWorkerThatFailsEverything(t *testing.T) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
 	var bad *standin.Worker
 	for id, w := range c.Platform.Workers {
@@ -137,7 +138,7 @@
 // Guards against cancelled tasks that go on running or start again, in a wave of cancellations during which an owner
 // is killed.
 func TestWaveOfCancellations(t *testing.T) {
-	cfg := small()
+	cfg := cluster.Small()
 	c := start(t, cfg)
 	var ids []structs.JobID
 	for i := range 40 {
@@ -166,21 +167,7 @@
 		}
 	}
 	events := c.Platform.History.Events()
-	if n := runningAtEnd(events); n > 0 {
+	if n := invariants.Running(events); n > 0 {
 		t.Errorf("%d tasks run although every job is cancelled", n)
 	}
 }
-
-// runningAtEnd returns the number of tasks that have started and not ended.
-func runningAtEnd(events []standin.Event) int {
-	n := 0
-	for _, e := range events {
-		switch e.Type {
-		case standin.TaskStarted:
-			n++
-		case standin.TaskStopped, standin.TaskFinished, standin.TaskFailed, standin.TaskExpired:
-			n--
-		}
-	}
-	return n
-}
--- a/test/invariants/invariants.go
+++ b/test/invariants/invariants.go
@@ -175,6 +175,20 @@
 	return counts
 }
 
+// Running returns the number of runs that have started and not ended.
+func Running(events []standin.Event) int {
+	n := 0
+	for _, e := range events {
+		switch {
+		case e.Type == standin.TaskStarted:
+			n++
+		case ended(e.Type):
+			n--
+		}
+	}
+	return n
+}
+
 // InDatacentre selects the hosts of a data centre by the naming of the fakes, "<dc>-...".
 func InDatacentre(dc structs.DatacentreID) func(structs.HostID) bool {
 	return func(id structs.HostID) bool { return strings.HasPrefix(string(id), string(dc)+"-") }
