Use one piece of code for pending counts, record copies and member statements

The count of pending tasks stood three times, the copy of a job record twice (the loop's one shared FailedOn with its source), and the permits rebuilt what members.Statements returns. They are JobRecord.Pending, JobRecord.Clone and the existing method now.

--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -1,6 +1,9 @@
 package structs
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // TaskState is the state of one task of a job.
 type TaskState string
@@ -91,3 +94,23 @@
 func (j *JobRecord) JobTask(index int) TaskID {
 	return TaskID{Job: j.ID.Whole(), Index: j.Part.FirstTask + index}
 }
+
+// Pending returns the number of tasks that wait for a start.
+func (j *JobRecord) Pending() int {
+	count := 0
+	for i := range j.Tasks {
+		if j.Tasks[i].State == TaskPending {
+			count++
+		}
+	}
+	return count
+}
+
+// Clone returns a copy that shares no slice with the record.
+func (j JobRecord) Clone() JobRecord {
+	j.Tasks = slices.Clone(j.Tasks)
+	for i := range j.Tasks {
+		j.Tasks[i].FailedOn = slices.Clone(j.Tasks[i].FailedOn)
+	}
+	return j
+}
--- a/pkg/jobs/batch.go
+++ b/pkg/jobs/batch.go
@@ -144,7 +144,7 @@
 func (b *Batch) PutLazy(record structs.JobRecord) *Ticket { return b.put(record, LazyFlushInterval) }
 
 func (b *Batch) put(record structs.JobRecord, within time.Duration) *Ticket {
-	record = clone(record)
+	record = record.Clone()
 	trimRecord(&record)
 	if record.Final() && record.Finished.IsZero() {
 		record.Finished = b.cfg.Clock().UTC()
--- a/pkg/jobs/batch_test.go
+++ b/pkg/jobs/batch_test.go
@@ -36,7 +36,7 @@
 			id := rapid.SampledFrom(ids).Draw(t, "job")
 			switch rapid.IntRange(0, 3).Draw(t, "action") {
 			case 0:
-				record := clone(current[id])
+				record := current[id].Clone()
 				record.Tasks[0].Attempt++
 				current[id] = record
 				latest[id] = batch.Put(record)
@@ -195,7 +195,7 @@
 	w := newWorld()
 	batch := w.own(nil)
 	record := w.submit(t, batch, "k", 1)
-	foreign := clone(record)
+	foreign := record.Clone()
 	foreign.Nonce = "foreign"
 	value, err := encode(&foreign)
 	if err != nil {
--- a/pkg/jobs/codec.go
+++ b/pkg/jobs/codec.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"strings"
 	"unicode"
 
@@ -42,15 +41,6 @@
 	return stored, nil
 }
 
-// clone copies record so that later changes by the caller do not reach the copy.
-func clone(record structs.JobRecord) structs.JobRecord {
-	record.Tasks = slices.Clone(record.Tasks)
-	for i := range record.Tasks {
-		record.Tasks[i].FailedOn = slices.Clone(record.Tasks[i].FailedOn)
-	}
-	return record
-}
-
 // trimRecord bounds the parts of a record that grow, so that a job of MaxTasks tasks stays below MaxRecordBytes.
 func trimRecord(record *structs.JobRecord) {
 	for i := range record.Tasks {
--- a/pkg/jobs/move.go
+++ b/pkg/jobs/move.go
@@ -102,7 +102,7 @@
 
 // prepareMove returns the record with its new home and the write that stores it.
 func (s *Service) prepareMove(current Stored, from Absence, nonce string, prepare func(*structs.JobRecord)) (structs.JobRecord, store.Txn, error) {
-	next := clone(current.Record)
+	next := current.Record.Clone()
 	prepare(&next)
 	trimRecord(&next)
 	home, err := s.NextHome(&current.Record)
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -140,7 +140,7 @@
 	})
 	n.manager = shard.NewManager(shard.Config{
 		Ownership:   n.ownership,
-		Permits:     &permits{n.self, n.control, n.peerMembers, n.cfg.Clock},
+		Permits:     &permits{n.self, n.control, n.members, n.cfg.Clock},
 		Workers:     worker.NewClient(worker.Config{Source: n.cfg.SourceAddress, Metrics: n.cfg.Metrics.Scope}),
 		Records:     n.jobs,
 		NewBatch:    n.newBatch(notify),
--- a/pkg/node/homes.go
+++ b/pkg/node/homes.go
@@ -61,18 +61,8 @@
 		}
 		candidates = append(candidates, c)
 	}
-	demand := jobs.HomeDemand{Size: size, Tasks: pendingTasks(record), Own: exclude.Datacentre}
+	demand := jobs.HomeDemand{Size: size, Tasks: record.Pending(), Own: exclude.Datacentre}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return jobs.TwoChoiceHome(candidates, demand, h.rnd)
 }
-
-func pendingTasks(record structs.JobRecord) int {
-	count := 0
-	for i := range record.Tasks {
-		if record.Tasks[i].State == structs.TaskPending {
-			count++
-		}
-	}
-	return count
-}
--- a/pkg/node/permits.go
+++ b/pkg/node/permits.go
@@ -15,7 +15,7 @@
 type permits struct {
 	self    structs.MemberRecord
 	control *control.Service
-	members func() []members.Member
+	members *members.Service
 	clock   func() time.Time
 }
 
@@ -31,7 +31,7 @@
 			RemovalAttempted: p.control.RemovalAttempted(),
 		},
 		Registered: p.registered(),
-		Statements: p.statements(),
+		Statements: p.members.Statements(),
 	}
 	if decision := permit.Decide(input, now); !decision.Allowed {
 		return errors.New(string(decision.Reason))
@@ -48,19 +48,3 @@
 	}
 	return hosts
 }
-
-func (p *permits) statements() map[structs.HostID]permit.Statement {
-	statements := map[structs.HostID]permit.Statement{}
-	for _, m := range p.members() {
-		s := permit.Statement{
-			SentAt:           m.LastReplied,
-			Revision:         m.ControlRevision,
-			RemovalAttempted: m.RemovalAttempted,
-		}
-		if !m.ControlReadAt.IsZero() {
-			s.ReadAt = m.ControlReadAt
-		}
-		statements[m.Host] = s
-	}
-	return statements
-}
--- a/pkg/shard/drain.go
+++ b/pkg/shard/drain.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"slices"
 	"time"
 
 	"fulmarcourse.example/core/drain"
@@ -149,7 +148,7 @@
 			continue
 		}
 		if len(records) < rehomeBatch && now.Sub(j.waitingSince()) > rehomeAfter && l.movable(j) {
-			records = append(records, cloneRecord(j.record))
+			records = append(records, j.record.Clone())
 		}
 	}
 	return records
@@ -166,31 +165,16 @@
 	var candidates []drain.Job
 	for id, j := range l.table.jobs {
 		if l.movable(j) {
-			candidates = append(candidates, drain.Job{ID: id, Urgent: j.record.Spec.Urgent, Pending: pendingCount(&j.record)})
+			candidates = append(candidates, drain.Job{ID: id, Urgent: j.record.Spec.Urgent, Pending: j.record.Pending()})
 		}
 	}
 	var records []structs.JobRecord
 	for _, id := range l.draining.drainer.Moves(now, candidates) {
-		records = append(records, cloneRecord(l.table.jobs[id].record))
+		records = append(records, l.table.jobs[id].record.Clone())
 	}
 	return records
 }
 
-func cloneRecord(record structs.JobRecord) structs.JobRecord {
-	record.Tasks = slices.Clone(record.Tasks)
-	return record
-}
-
-func pendingCount(record *structs.JobRecord) int {
-	count := 0
-	for i := range record.Tasks {
-		if record.Tasks[i].State == structs.TaskPending {
-			count++
-		}
-	}
-	return count
-}
-
 // movable reports whether a job certainly runs nowhere and may get another home. Called with mu held.
 func (l *Loop) movable(j *job) bool {
 	return j.record.Home == l.shard && !j.record.CancelRequested && idle(&j.record) && j.durable() && l.recovered(j)
--- a/pkg/shard/explain.go
+++ b/pkg/shard/explain.go
@@ -27,11 +27,7 @@
 		digest.Free = scale(digest.Free, ramp.Share(now))
 	}
 	for _, j := range l.table.jobs {
-		for i := range j.record.Tasks {
-			if j.record.Tasks[i].State == structs.TaskPending {
-				digest.Pending++
-			}
-		}
+		digest.Pending += j.record.Pending()
 	}
 	return digest
 }
