Start no filler beside a service that is over its target

Ruled out: the guard's own delay (it paused the fillers it knew within its 1.5 s). A service that is over its target by its own load must not block fillers, so a worker without fillers excuses its services after 0.9 s, as a pause of all fillers already did.

Tests: TestNoFillerStartsBesideServiceOverItsTarget and TestFillersStartBesideServiceOverByItsOwnLoad failed before.

--- a/core/schedule/guard.go
+++ b/core/schedule/guard.go
@@ -46,10 +46,15 @@
 	}
 	s.model.observe(now.Boot, w)
 	services, fillers := w.split()
+	for _, service := range services {
+		service.watchTarget(now.Boot)
+	}
 	if len(fillers) == 0 {
 		w.paced = false
+		w.watchAlone(now.Boot, services)
 		return
 	}
+	w.aloneSince = 0
 	if s.slowDown(now.Boot, w, services, fillers) == 0 {
 		s.speedUp(now.Boot, w, services, fillers)
 	}
@@ -79,8 +84,7 @@
 	over := 0
 	adjust := now-w.slowedAt >= slowDownEvery
 	for _, service := range services {
-		service.watchTarget(now)
-		if service.tailRatio() < tailHigh || now < service.blamelessUntil {
+		if service.tailRatio() < tailHigh || service.blameless(now) {
 			continue
 		}
 		over++
@@ -133,9 +137,37 @@
 		return
 	}
 	if now-w.pausedAt >= blamelessAfter {
-		service.blamelessUntil = now + blamelessFor
-		service.overSince = 0
+		service.excuse(now)
+	}
+}
+
+// watchAlone notes which services are over their targets although no filler works beside them.
+func (w *worker) watchAlone(now time.Duration, services []*attempt) {
+	if w.aloneSince == 0 {
+		w.aloneSince = now
+	}
+	if now-w.aloneSince < blamelessAfter {
+		return
 	}
+	for _, service := range services {
+		if service.overSince > 0 {
+			service.excuse(now)
+		}
+	}
+}
+
+// excuse notes that a service is over its target by its own load.
+func (a *attempt) excuse(now time.Duration) {
+	a.blamelessUntil = now + blamelessFor
+	a.overSince = 0
+}
+
+// blameless reports whether fillers are known not to be the cause of the tail latency of a service.
+func (a *attempt) blameless(now time.Duration) bool { return now < a.blamelessUntil }
+
+// pressed reports whether a service is over its target and fillers may be the cause.
+func (a *attempt) pressed(now time.Duration) bool {
+	return a.serving() && a.overSince > 0 && !a.blameless(now)
 }
 
 func (s *Scheduler) notePaced(filler, service *attempt) {
@@ -174,7 +206,7 @@
 	budgets := make([]float64, len(services))
 	for i, service := range services {
 		budgets[i] = max(service.headroom(tailGoal), 0)
-		if now < service.blamelessUntil {
+		if service.blameless(now) {
 			budgets[i] = math.Inf(1)
 		}
 	}
@@ -227,7 +259,7 @@
 func (s *Scheduler) harm(now time.Duration, w *worker, filler *task) (tail, pressure float64) {
 	for _, service := range w.list {
 		spec := service.task.step.spec
-		if !spec.Service || spec.TailTargetMs <= 0 {
+		if !spec.Service || spec.TailTargetMs <= 0 || service.blameless(now) {
 			continue
 		}
 		own := s.model.pressure(service.task, filler) * float64(filler.step.spec.Size.MilliCPU) / 1000
--- a/core/schedule/guard_test.go
+++ b/core/schedule/guard_test.go
@@ -216,6 +216,58 @@
 	}
 }
 
+// pressedService returns a harness with a service that is over its target on the only worker, and no report yet.
+func pressedService(t *testing.T) (h *harness, report func()) {
+	h = newHarness(t, 1)
+	h.addWorker("w", nil)
+	h.s.AddJob(testJob("service", serviceStep("sensitive", 1)), nil, false)
+	h.run()
+	return h, func() {
+		h.pass(worldReport)
+		for i := range h.workers["w"].running {
+			if r := &h.workers["w"].running[i]; r.Task.Job == "service" {
+				r.Percent, r.Figure = 100, 2*worldTarget
+			} else {
+				r.Figure = 1000
+			}
+		}
+		h.report("w")
+	}
+}
+
+// Answers the pattern of a service that is over its target beside fillers whose pressure on it is underrated. Guards
+// against new fillers that take the place of those that the guard has slowed down.
+func TestNoFillerStartsBesideServiceOverItsTarget(t *testing.T) {
+	h, report := pressedService(t)
+	h.s.AddJob(testJob("first", fillerStep("light", 1)), nil, false)
+	h.wantStarts(h.run(), 1)
+	report()
+	report()
+	h.s.model.refresh(h.now.Boot)
+	h.s.model.pressures[h.s.task(taskID("service", 0, 0)).step.image][h.s.task(taskID("first", 0, 0)).step.image] = 0
+	h.s.AddJob(testJob("second", fillerStep("light", 1)), nil, false)
+	h.wantStarts(h.run(), 0)
+}
+
+// Answers the pattern of a service that is over its target by its own load on a worker without fillers. Guards against
+// fillers that never start there.
+func TestFillersStartBesideServiceOverByItsOwnLoad(t *testing.T) {
+	h, report := pressedService(t)
+	for range 6 {
+		report()
+		h.run()
+	}
+	h.s.AddJob(testJob("filler", fillerStep("light", 1)), nil, false)
+	started := 0
+	for range 6 {
+		report()
+		started += len(starts(h.run()))
+	}
+	if started != 1 {
+		t.Errorf("%d fillers started, want 1", started)
+	}
+}
+
 // Guards against memory that grows with every image that jobs ever named.
 func TestPressuresStayBounded(t *testing.T) {
 	m := newInterference()
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -198,12 +198,18 @@
 }
 
 // fillerFits reports whether there is unused processor time for a filler and the services on the worker keep to their
-// targets beside it.
+// targets beside it. Nothing starts beside a service that is over its target, however harmless it is taken to be: the
+// pressures are estimates, and a new filler would take the place of those that the guard slows down.
 func (s *Scheduler) fillerFits(now time.Duration, t *task, w *worker) bool {
 	size := t.step.spec.Size.MilliCPU
 	if w.fillerRoom() < size*minFillerRoom/100 {
 		return false
 	}
+	for _, a := range w.list {
+		if a.pressed(now) {
+			return false
+		}
+	}
 	tail, _ := s.harm(now, w, t)
 	return tail < tailStart
 }
