Tell an owner that its relay has forgotten the workers; widen the soak

From the owner's log: after its process was paused for 5 s while the store was away, partition_status shows 0 available workers and 19 running attempts for the rest of the run. The relay in the same process found on waking that its owner had not called for 3 s and dropped its sessions; the owner's next Collect was answered as if nothing had happened, so the link never assigned the workers again. A relay host that is paused shows the same.

Ruled out: the store and the term (confirmed again at once, no other owner), the workers (reachable through their proxies).

Change: Collect returns ErrNoAssignment until the owner has listed all its workers, and the link then lists them again. TestOwnerComesBackToAnAbandonedRelay failed before at the new check.

The soak now runs through proxies before the store of each host and before each worker: connections are cut one way, silenced, delayed and reset.

--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -176,6 +176,10 @@
 		o.holding.Lose("a relay works for a later owner")
 		return true
 	}
+	if errors.Is(err, relay.ErrNoAssignment) {
+		l.assignAnew()
+		return false
+	}
 	o.mu.Lock()
 	lost := bootclock.Since()-l.answeredAt > relayLostAfter
 	o.mu.Unlock()
@@ -185,6 +189,15 @@
 	return lost
 }
 
+// assignAnew tells a relay all its workers again. It forgets them when this process or its own was frozen.
+func (l *link) assignAnew() {
+	o := l.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l.reset, l.answeredAt = true, bootclock.Since()
+	o.wake(l.wake)
+}
+
 // take passes results to the scheduler. sent is when they were asked for.
 func (l *link) take(sent time.Duration, results relay.Results) {
 	o := l.owner
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -22,6 +22,9 @@
 	ErrFenced = errors.ConstError("worker has seen a later owner")
 	// ErrStaleTerm means that the relay works for a later owner.
 	ErrStaleTerm = errors.ConstError("relay works for a later owner")
+	// ErrNoAssignment means that the relay does not know the workers of the owner: it has just started, or it had ended
+	// the work for an owner that did not call. The owner has to send an update with Reset.
+	ErrNoAssignment = errors.ConstError("relay has not been told its workers")
 )
 
 // Look asks a worker what it runs, extends its task leases and acknowledges ends.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -37,6 +37,7 @@
 	term       int64
 	leaseUntil time.Duration // boot clock
 	sessions   map[schedule.WorkerID]*session
+	assigned   bool // the owner has told all its workers
 	results    Results
 	ready      chan struct{} // capacity 1; signalled when there are results
 	contact    time.Duration // boot time of the owner's last call
@@ -63,6 +64,7 @@
 	r.leaseUntil = max(r.leaseUntil, u.LeaseUntil)
 	if u.Reset {
 		r.releaseOthers(u.Assign)
+		r.assigned = true
 	}
 	for _, a := range u.Assign {
 		r.assign(a)
@@ -96,8 +98,7 @@
 		r.leaseUntil = 0
 	}
 	r.term = term
-	r.results = Results{}
-	clear(r.sessions)
+	r.forget()
 	r.running, r.stop = context.WithCancel(context.Background())
 	return nil
 }
@@ -135,7 +136,7 @@
 }
 
 // Collect returns the results for the owner of a term as soon as there are any, at the latest after wait. Errors:
-// ErrStaleTerm.
+// ErrStaleTerm, ErrNoAssignment.
 func (r *Relay) Collect(ctx context.Context, term int64, leaseUntil, wait time.Duration) (Results, error) {
 	r.mu.Lock()
 	err := r.enter(term)
@@ -161,6 +162,9 @@
 	if term < r.term {
 		return Results{}, errors.Trace(ErrStaleTerm)
 	}
+	if !r.assigned {
+		return Results{}, errors.Trace(ErrNoAssignment)
+	}
 	return r.takeResults(), nil
 }
 
@@ -170,11 +174,17 @@
 		return false
 	}
 	r.stop()
-	clear(r.sessions)
-	r.results = Results{}
+	r.forget()
 	return true
 }
 
+// forget drops what the owner has told. r.mu is held.
+func (r *Relay) forget() {
+	r.results = Results{}
+	clear(r.sessions)
+	r.assigned = false
+}
+
 func (r Results) empty() bool { return len(r.Reports) == 0 && len(r.Outcomes) == 0 && !r.Fenced }
 
 // takeResults returns and forgets the results, or the first of them when there are many. r.mu is held.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -159,8 +159,16 @@
 	f.mu.Lock()
 	made := len(f.looks)
 	f.mu.Unlock()
-	if err := r.Update(assign(1, 0)); err != nil {
+	if _, err := r.Collect(context.Background(), 1, 0, 0); !errors.Is(err, ErrNoAssignment) {
+		t.Fatalf("the owner is not told that its workers are forgotten: %v", err)
+	}
+	all := assign(1, 0)
+	all.Reset = true
+	if err := r.Update(all); err != nil {
 		t.Fatal(err)
 	}
 	f.look(t, made+2)
+	if _, err := r.Collect(context.Background(), 1, 0, 0); err != nil {
+		t.Fatal(err)
+	}
 }
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -72,15 +72,21 @@
 }
 
 func toStatus(err error) error {
-	if errors.Is(err, relay.ErrStaleTerm) {
+	switch {
+	case errors.Is(err, relay.ErrStaleTerm):
 		return status.Error(codes.FailedPrecondition, err.Error())
+	case errors.Is(err, relay.ErrNoAssignment):
+		return status.Error(codes.NotFound, err.Error())
 	}
 	return err
 }
 
 func fromStatus(err error) error {
-	if status.Code(err) == codes.FailedPrecondition {
+	switch status.Code(err) {
+	case codes.FailedPrecondition:
 		return errors.WithType(err, relay.ErrStaleTerm)
+	case codes.NotFound:
+		return errors.WithType(err, relay.ErrNoAssignment)
 	}
 	return errors.Trace(err)
 }
--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -15,8 +16,13 @@
 	Datacentres []string
 	Workers     int                             // spread over the data centres
 	Work        func(task string) time.Duration // of a task; 0 lasts until it is stopped
+	Front       func(target string) string      // address at which callers reach a worker, for a proxy; nil for its own
+	ClockLag    float64                         // largest share by which a worker's clock is slow, for instance 0.02
 }
 
+// MaxClockLag is the largest share by which the clock of a worker may be slow, as PROTOCOL.md allows.
+const MaxClockLag = 0.02
+
 // Platform is a store with workers and an operator.
 type Platform struct {
 	Store *Store
@@ -47,9 +53,14 @@
 	p.server = &http.Server{Handler: p.Store}
 	go func() { _ = p.server.Serve(listener) }() // it ends with Close
 	p.Configure(1)
+	if cfg.Front == nil {
+		cfg.Front = func(target string) string { return target }
+	}
+	rnd := rand.New(rand.NewPCG(cfg.Seed, 17))
 	for n := range cfg.Workers {
 		w := &Worker{
-			ID: fmt.Sprintf("i-%04d", n), Datacentre: cfg.Datacentres[n%len(cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8),
+			clockRate: 1 - cfg.ClockLag*rnd.Float64(),
+			ID:        fmt.Sprintf("i-%04d", n), Datacentre: cfg.Datacentres[n%len(cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8),
 			platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
 		}
 		w.start()
@@ -57,6 +68,7 @@
 			p.Close()
 			return nil, err
 		}
+		w.address = cfg.Front(w.listener.Addr().String())
 		p.workers = append(p.workers, w)
 		w.announce()
 	}
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -44,9 +44,11 @@
 	ID string
 	Datacentre,
 	Rack string
-	platform *Platform
-	listener net.Listener
-	server   *http.Server
+	platform  *Platform
+	listener  net.Listener
+	address   string  // at which callers reach it
+	clockRate float64 // of its clock, 1 for an exact one
+	server    *http.Server
 
 	mu       sync.Mutex // guards the fields below
 	faults   WorkerFaults
@@ -64,7 +66,9 @@
 	stop     chan struct{}
 }
 
-func (w *Worker) clockMs() int64 { return time.Since(w.booted).Milliseconds() + 1 }
+func (w *Worker) clockMs() int64 {
+	return int64(float64(time.Since(w.booted).Milliseconds())*w.clockRate) + 1
+}
 
 // SetFaults changes how the worker misbehaves.
 func (w *Worker) SetFaults(f WorkerFaults) {
@@ -108,7 +112,7 @@
 	}
 	w.mu.Unlock()
 	w.platform.Store.Put("servers/"+w.ID, map[string]any{
-		"service": w.platform.Pool, "address": w.listener.Addr().String(), "zone": w.Datacentre, "version": "v1",
+		"service": w.platform.Pool, "address": w.address, "zone": w.Datacentre, "version": "v1",
 		"slots": 8, "state": state, "coldRemainingMs": 0, "remainingMs": 3000, "seq": 1, "born": born,
 		"capacity": map[string]int{"cpu": 16000, "memMb": 64000, "gpu": 0}, "labels": []string{"a", w.Rack},
 	})
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -2,8 +2,8 @@
 package fleet
 
 import (
+	"flag"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -31,6 +31,9 @@
 const twoSteps = `{"spec":"text","steps":[{"count":3,"cpu":1000,"memMb":100,"estimateMs":300},` +
 	`{"count":2,"cpu":1000,"memMb":100,"estimateMs":300,"after":[0]}]}`
 
+// twoStepsTasks is the number of tasks of twoSteps.
+const twoStepsTasks = 5
+
 const lasting = `{"spec":"text","steps":[{"count":3,"cpu":1000,"memMb":100,"longRunning":true,"mayMiss":1}]}`
 
 // Guards against a path from a caller to the workers and back that does not work with separate processes: every host
@@ -108,20 +111,38 @@
 	s.checkHistory()
 }
 
-// Guards against an acknowledged job that is lost, a refused job that runs, a task that runs twice and a job that never
-// ends, under random faults of the store, the workers and the hosts. A failing seed is kept in the list below.
+// Guards against an acknowledged job that is lost, a refused job that runs, a task that runs twice, a final state that
+// changes and a job that never ends, under random faults of the store, the workers, the hosts and the connections. A
+// seed that has ever failed stays in the list, with its cause.
 func TestShortSoak(t *testing.T) {
-	for _, seed := range []uint64{1, 2} {
+	seeds := []uint64{
+		1, 2,
+		301, // the owner was paused for longer than its relay waits; its workers stayed without looks for good
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			soak(t, seed, 12*time.Second)
 		})
 	}
 }
 
-func soak(t *testing.T, seed uint64, length time.Duration) {
-	rnd := rand.New(rand.NewPCG(seed, 11))
-	s := newSite(t, fleet.Config{Seed: seed, Datacentres: []string{"dc1", "dc2"}, Workers: 5, Work: shortTasks}, 3)
-	run := newSoak(s, rnd)
-	run.play(length)
-	run.settle()
+var (
+	soakCount  = flag.Int("soak.count", 0, "number of seeds that TestLongSoak plays")
+	soakFirst  = flag.Uint64("soak.first", 1, "first seed of TestLongSoak")
+	soakLength = flag.Duration("soak.length", 20*time.Second, "time with faults for each seed of TestLongSoak")
+)
+
+// Guards against the same faults as TestShortSoak, with as many seeds as the command line names.
+func TestLongSoak(t *testing.T) {
+	if *soakCount == 0 {
+		t.Skip("-soak.count names no seeds")
+	}
+	for n := range *soakCount {
+		seed := *soakFirst + uint64(n)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, *soakLength)
+		})
+	}
 }
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -16,6 +16,7 @@
 
 	"fulmarcourse.example/fulmarcourse/pkg/standin/fleet"
 	"fulmarcourse.example/fulmarcourse/test/cluster"
+	"fulmarcourse.example/fulmarcourse/test/faultproxy"
 	"fulmarcourse.example/fulmarcourse/test/poll"
 )
 
@@ -25,6 +26,7 @@
 	dir      string
 	platform *fleet.Platform
 	hosts    []*host
+	links    []*faultproxy.Proxy // from each host to the store, and to each worker
 	client   *http.Client
 }
 
@@ -41,11 +43,13 @@
 
 func newSite(t *testing.T, cfg fleet.Config, hosts int) *site {
 	t.Helper()
+	s := &site{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}}
+	cfg.Front = s.link
 	platform, err := fleet.NewPlatform(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &site{t: t, dir: t.TempDir(), platform: platform, client: &http.Client{Timeout: 5 * time.Second}}
+	s.platform = platform
 	t.Cleanup(s.close)
 	for n := range hosts {
 		s.addHost(n, cfg.Datacentres[n%len(cfg.Datacentres)])
@@ -59,6 +63,13 @@
 	return s
 }
 
+// link returns the address of a proxy before target.
+func (s *site) link(target string) string {
+	proxy := faultproxy.Start(s.t, target)
+	s.links = append(s.links, proxy)
+	return proxy.Addr()
+}
+
 // nextAddress numbers the loopback addresses of entry hosts, so that each has its own ports.
 var nextAddress atomic.Uint32
 
@@ -74,7 +85,7 @@
 		name: name, callers: fmt.Sprintf("%s:%d", ip, fleet.PortCallers), ready: fmt.Sprintf("%s:%d", ip, fleet.PortReady),
 		settings: filepath.Join(s.dir, name+".conf"), log: filepath.Join(s.dir, name+".log"),
 	}
-	text := fleet.Settings(name, datacentre, ip, s.platform.StoreAddress())
+	text := fleet.Settings(name, datacentre, ip, s.link(s.platform.StoreAddress()))
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
