Never ask the store to end lease 0

A host that was stopped while it had no lease, because the store had refused one, ended "lease 0" on its way out; the stand-in took that for the keys without a lease and deleted them all. What the firms' store does with lease 0 is not written anywhere, so it must not be asked.

Ruled out: a second site on the same port (the owner's log shows term 4 turn into term 1 within one process, at the moment another host got SIGTERM).

Change: the registry ends only a lease that it has. The stand-in answers 404 for a lease that does not exist, as for renewals. TestNoLeaseIsEndedThatWasNotGranted failed before.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -66,6 +66,14 @@
 		case <-time.After(renewEvery):
 		}
 	}
+	r.remove(lease)
+}
+
+// remove deletes the record with its lease. Lease 0 is the mark of keys without a lease and must not be ended.
+func (r *Registry) remove(lease kv.LeaseID) {
+	if lease == 0 {
+		return
+	}
 	call, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if err := r.cfg.Store.Revoke(call, lease); err != nil {
--- a/pkg/standin/fleet/store.go
+++ b/pkg/standin/fleet/store.go
@@ -328,15 +328,23 @@
 	case strings.HasPrefix(path, "/fulmarcourse/kv-keep/"):
 		s.serveKeep(w, leaseOf(path))
 	case strings.HasPrefix(path, "/fulmarcourse/kv-lease-end/"):
-		s.mu.Lock()
-		s.endLease(leaseOf(path))
-		s.mu.Unlock()
-		writeJSON(w, http.StatusOK, struct{}{})
+		s.serveEnd(w, leaseOf(path))
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
+func (s *Store) serveEnd(w http.ResponseWriter, id int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, exists := s.leases[id]; !exists {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.endLease(id)
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
 func leaseOf(path string) int64 {
 	id, err := strconv.ParseInt(path[strings.LastIndexByte(path, '/')+1:], 10, 64)
 	if err != nil {
