--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -88,7 +88,7 @@
 	leaving := o.leavingLinks(hosts)
 	want += len(leaving)
 	if len(o.links) >= want {
-		o.closeLeaving(leaving, len(hosts))
+		o.closeLeaving(ctx, leaving, len(hosts))
 		return
 	}
 	slices.SortFunc(hosts, func(a, b RelayHost) int {
@@ -130,13 +130,12 @@
 
 // closeLeaving gives the workers of leaving hosts to the links that were opened in their place. Without any registered
 // host besides this one, the register is not to be trusted. o.mu is held.
-func (o *Owner) closeLeaving(leaving []*link, registered int) {
+func (o *Owner) closeLeaving(ctx context.Context, leaving []*link, registered int) {
 	if registered < 2 {
 		return
 	}
 	for _, l := range leaving {
-		o.cfg.Log.Event(eventlog.RelayLeft).Str("relay", l.host.Name).Msg("no longer registered")
-		o.unlink(bootclock.Now(), l)
+		o.leave(ctx, l, "no longer registered")
 	}
 }
 
@@ -146,11 +145,19 @@
 	if !local || len(o.links) < 2 {
 		return
 	}
+	o.leave(ctx, l, "there are enough others")
+}
+
+// leave gives the workers of a working relay to others and tells the relay to stop looking at them: until then both
+// would call them. A relay that is not reached stops by itself. o.mu is held.
+func (o *Owner) leave(ctx context.Context, l *link, reason string) {
 	o.unlink(bootclock.Now(), l)
-	term := o.holding.Term
+	update := relay.Update{Partition: int(o.cfg.Partition), Term: o.holding.Term, Reset: true}
 	o.linkWG.Go(func() {
-		err := l.host.Client.Update(ctx, relay.Update{Partition: int(o.cfg.Partition), Term: term, Reset: true})
-		o.cfg.Log.Event(eventlog.RelayLeft).Str("relay", l.host.Name).Err(err).Msg("")
+		call, cancel := context.WithTimeout(ctx, relayTimeout)
+		defer cancel()
+		err := l.host.Client.Update(call, update)
+		o.cfg.Log.Event(eventlog.RelayLeft).Str("relay", l.host.Name).Str("reason", reason).Err(err).Msg("")
 	})
 }
 
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -20,7 +20,7 @@
 	RelayOpened        = define(7017, "relay_opened", log.InfoLevel, "An entry host looks at workers for the owner.")
 	RelayLost          = define(7018, "relay_lost", log.WarnLevel, "A relay does not answer; its workers move to others. Their task leases may be extended for at most 1.5 s more.")
 	HostNotRegistered  = define(7019, "host_not_registered", log.WarnLevel, "This entry host could not enter itself in the list of entry hosts. Owners do not use it as a relay until it can.")
-	RelayLeft          = define(7009, "relay_left", log.InfoLevel, "The owner's own host no longer looks at workers; other entry hosts do.")
+	RelayLeft          = define(7009, "relay_left", log.InfoLevel, "An entry host no longer looks at workers for the owner, and others do; the reason tells why.")
 	OwnerStopped       = define(7016, "owner_stopped", log.InfoLevel, "The loops of an owner have ended.")
 )
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -37,7 +37,7 @@
 	term       int64
 	leaseUntil time.Duration // boot clock
 	sessions   map[schedule.WorkerID]*session
-	assigned   bool // the owner has told all its workers
+	assigned   bool // the owner has listed workers; a late update of a link that was left lists none
 	results    Results
 	ready      chan struct{} // capacity 1; signalled when there are results
 	contact    time.Duration // boot time of the owner's last call
@@ -64,7 +64,7 @@
 	r.leaseUntil = max(r.leaseUntil, u.LeaseUntil)
 	if u.Reset {
 		r.releaseOthers(u.Assign)
-		r.assigned = true
+		r.assigned = len(u.Assign) > 0
 	}
 	for _, a := range u.Assign {
 		r.assign(a)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -172,3 +172,21 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a late update by which the owner had left the relay: it ends the looks that a newer link of the same
+// owner has asked for, and the owner has to learn that.
+func TestOwnerLearnsThatItsWorkersWereReleased(t *testing.T) {
+	f := &fakeWorkers{answer: func(int, Look) (LookReply, error) { return LookReply{ClockMs: 1}, nil }}
+	r := startRelay(t, f)
+	all := assign(1, 0)
+	all.Reset = true
+	if err := r.Update(all); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Update(Update{Term: 1, Reset: true}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Collect(context.Background(), 1, 0, 0); !errors.Is(err, ErrNoAssignment) {
+		t.Fatalf("the owner is not told: %v", err)
+	}
+}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -117,7 +117,7 @@
 func TestShortSoak(t *testing.T) {
 	seeds := []uint64{
 		1, 2,
-		301, // the owner was paused for longer than its relay waits; its workers stayed without looks for good
+		301,        // the owner was paused for longer than its relay waits; its workers stayed without looks for good
 		1003, 1023, // a host that stopped without a lease had the store end lease 0, and with it all keys without one
 	}
 	for _, seed := range seeds {
