Check documents in fulmarctl before they are sent; escape what it prints

A file of 1 MB of NUL bytes was sent; the server closes the connection beyond its limit and fulmarctl could only say that there was no reply. Text that is not UTF-8 was changed by its JSON encoding on the way. Names from documents and replies, for instance with a mark that turns the direction of text, went to the terminal as they were.

Ruled out: the finding's own quoting, which escapes values already; raw text remained in section names, file names, changes and problem details.

Change: validate, diff and try check length and text first and name the line. All output goes through one writer that escapes what is not printable, with the escapes of JSON, so that -o json stays JSON. TestUnreadableDocumentIsNotSent failed before; TestOutputIsPrintable is new with the writer.

--- a/cmd/fulmarctl/documents.go
+++ b/cmd/fulmarctl/documents.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"fulmarcourse.example/core/document"
+	"fulmarcourse.example/core/inifile"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/control"
 	"fulmarcourse.example/fulmarcourse/pkg/operatorapi"
@@ -21,7 +22,7 @@
 		return err
 	}
 	name := flags.Arg(0)
-	text, err := readFile(name)
+	text, err := readDocument(name)
 	if err != nil {
 		return err
 	}
@@ -48,7 +49,7 @@
 		return err
 	}
 	name := flags.Arg(0)
-	text, err := readFile(name)
+	text, err := readDocument(name)
 	if err != nil {
 		return err
 	}
@@ -70,7 +71,7 @@
 }
 
 func diffFiles(oldName, newName string, newText []byte) (operatorapi.DiffReply, error) {
-	oldText, err := readFile(oldName)
+	oldText, err := readDocument(oldName)
 	if err != nil {
 		return operatorapi.DiffReply{}, err
 	}
@@ -90,7 +91,7 @@
 	if err := a.parse(flags, args, 1); err != nil {
 		return err
 	}
-	text, err := readFile(flags.Arg(0))
+	text, err := readDocument(flags.Arg(0))
 	if err != nil {
 		return err
 	}
@@ -148,11 +149,16 @@
 	})
 }
 
-func readFile(name string) ([]byte, error) {
+// readDocument reads a document and checks what no server can judge differently: its length and that it is text. A
+// server that receives too much closes the connection, which says nothing about the cause.
+func readDocument(name string) ([]byte, error) {
 	text, err := os.ReadFile(name)
 	if err != nil {
 		return nil, fail(exitUsage, "the file cannot be read", err.Error())
 	}
+	if findings := document.CheckText(name, text); len(findings) > 0 {
+		return nil, findingsFailure(findings)
+	}
 	return text, nil
 }
 
@@ -162,11 +168,15 @@
 	if len(findings) == 0 {
 		return parsed, nil
 	}
+	return parsed, findingsFailure(findings)
+}
+
+func findingsFailure(findings inifile.Findings) *failure {
 	p := problem.Problem{Type: operatorapi.ProblemFindings, Title: "The document has findings", Status: http.StatusUnprocessableEntity}
 	for _, f := range findings {
 		p.Findings = append(p.Findings, problem.Finding{
 			Place: f.Place(), Section: f.Section, Key: f.Key, Message: f.Message, Accepted: f.Accepted,
 		})
 	}
-	return parsed, &failure{exitNegative, p}
+	return &failure{exitNegative, p}
 }
--- a/cmd/fulmarctl/fulmarctl_test.go
+++ b/cmd/fulmarctl/fulmarctl_test.go
@@ -139,6 +139,43 @@
 	}
 }
 
+// Guards against a document that is sent although no server can read it: too long for a request, or no text, which JSON
+// would change on the way.
+func TestUnreadableDocumentIsNotSent(t *testing.T) {
+	s := newServer(t, answer(struct{}{}))
+	for text, want := range map[string]string{
+		strings.Repeat("\x00", 1<<20):  "1048576 bytes",
+		"[environment]\nname = \xff\n": ":2: the line is not valid UTF-8",
+		"\x00":                         ":1: the line is not valid UTF-8",
+	} {
+		for _, command := range []string{"validate", "diff", "try"} {
+			code, _, errOut := fulmarctl(t, "-server", s.URL, command, writeFile(t, text))
+			if code != exitNegative || !strings.Contains(errOut, want) {
+				t.Errorf("%s: exit %d, %s", command, code, errOut)
+			}
+		}
+	}
+	if len(s.seen()) > 0 {
+		t.Errorf("calls %v", s.seen())
+	}
+}
+
+// Guards against text from a document or a reply that changes what the terminal shows.
+func TestOutputIsPrintable(t *testing.T) {
+	for text, want := range map[string]string{
+		"a\u202eb\x1b[2J\n": `a\u202eb\u001b[2J` + "\n",
+		"p\U000e0001q\tä":   `p\udb40\udc01q` + "\tä",
+	} {
+		if got := printable(text); got != want {
+			t.Errorf("%q is written as %q, want %q", text, got, want)
+		}
+	}
+	var decoded string
+	if err := json.Unmarshal([]byte(`"`+printable("x\u202e\U000e0001")+`"`), &decoded); err != nil || decoded != "x\u202e\U000e0001" {
+		t.Errorf("JSON does not stay JSON: %q, %v", decoded, err)
+	}
+}
+
 // Guards against command lines that are misread: each must end with the usage code and reach no server.
 func TestUsage(t *testing.T) {
 	s := newServer(t, answer(struct{}{}))
--- a/cmd/fulmarctl/main.go
+++ b/cmd/fulmarctl/main.go
@@ -86,7 +86,7 @@
 }
 
 func newApp(getenv func(string) string, out, errOut io.Writer) *app {
-	a := &app{out: out, errOut: errOut, getenv: getenv, sleep: sleep}
+	a := &app{out: printableWriter{out}, errOut: printableWriter{errOut}, getenv: getenv, sleep: sleep}
 	a.options = options{output: outputText, author: getenv("USER"), timeout: defaultTimeout}
 	a.client = newClient(a)
 	return a
--- a/core/document/parse.go
+++ b/core/document/parse.go
@@ -43,11 +43,8 @@
 // Parse checks text and returns the document; name is the file name used in findings. The document may be
 // used only when there are no findings.
 func Parse(name string, text []byte) (structs.Document, Findings) {
-	if len(text) > MaxTextBytes {
-		return structs.Document{}, Findings{{
-			File: name, Line: 1, Message: "the document has " + strconv.Itoa(len(text)) + " bytes",
-			Accepted: "at most " + strconv.Itoa(MaxTextBytes) + " bytes",
-		}}
+	if findings := checkLength(name, text); len(findings) > 0 {
+		return structs.Document{}, findings
 	}
 	p := newParser(inifile.Open(name, text))
 	p.readSections()
@@ -55,6 +52,24 @@
 	return p.doc, p.file.Findings()
 }
 
+// CheckText checks what JSON cannot carry or a server would not read: the length of a document, and that it is text.
+func CheckText(name string, text []byte) Findings {
+	if findings := checkLength(name, text); len(findings) > 0 {
+		return findings
+	}
+	return inifile.CheckText(name, text)
+}
+
+func checkLength(name string, text []byte) Findings {
+	if len(text) <= MaxTextBytes {
+		return nil
+	}
+	return Findings{{
+		File: name, Line: 1, Message: "the document has " + strconv.Itoa(len(text)) + " bytes",
+		Accepted: "at most " + strconv.Itoa(MaxTextBytes) + " bytes",
+	}}
+}
+
 // parser holds the document while it is read. Sections are kept for the findings of the reference check.
 type parser struct {
 	file     *inifile.File
--- a/core/inifile/locator.go
+++ b/core/inifile/locator.go
@@ -45,11 +45,29 @@
 	return l
 }
 
+const (
+	notText      = "the line is not valid UTF-8 text"
+	acceptedText = "UTF-8 without NUL characters"
+)
+
+func isText(line string) bool { return utf8.ValidString(line) && !strings.ContainsRune(line, 0) }
+
+// CheckText returns a finding for each line that is not text.
+func CheckText(file string, text []byte) Findings {
+	var findings Findings
+	for i, line := range strings.Split(string(text), "\n") {
+		if !isText(line) {
+			findings = append(findings, Finding{File: file, Line: i + 1, Message: notText, Accepted: acceptedText})
+		}
+	}
+	return findings
+}
+
 // scan examines one line. It returns the line for the INI parser and the section that the next line belongs to.
 func (l *locator) scan(number int, line, section string) (readable, next string) {
 	switch {
-	case !utf8.ValidString(line) || strings.ContainsRune(line, 0):
-		l.add(number, section, "", "the line is not valid UTF-8 text", "UTF-8 without NUL characters")
+	case !isText(line):
+		l.add(number, section, "", notText, acceptedText)
 		return "", section
 	case line == "" || line[0] == '#' || line[0] == ';':
 		return "", section
