Excuse a service only after a time without working fillers

At 9.4 s, when all were to be paused, none worked any more, and the time of the last pause was never set, so the service at once counted as over by its own load for 3 s. Eight new fillers started beside it up to 12.4 s.

Ruled out: the figures (they showed the service over its target all the time), a lost order on pace (shares in the moves were 0), the rule that no filler starts beside a service over its target (it excepts excused ones).

Change: the worker keeps since when no filler works, confirmed by the worker itself, whatever the reason; a service is excused after 0.9 s of that, for 1.5 s instead of 3 s: with 3 s the fillers that start then may press it for 2.8 s before they are blamed, and figures and orders take up to 1.5 s more. TestServiceIsNotBlamedBeforeItWasAlone and TestFillersAreBlamedOnceTheOwnLoadIsGone failed before.

--- a/core/schedule/guard.go
+++ b/core/schedule/guard.go
@@ -28,10 +28,11 @@
 	// pauseAfter is how long a service may stay over its target before all fillers beside it are paused, whatever is known
 	// of their pressure. Together with the lag of the figures it stays well below the bound of harm of the platform.
 	pauseAfter = 1500 * time.Millisecond
-	// blamelessAfter is how long all fillers must have been paused before a service that is still over its target is
-	// known to be so by its own load, and blamelessFor how long that is taken to last.
+	// blamelessAfter is how long no filler must have worked before a service that is still over its target is known to be
+	// so by its own load: its figure then covers that time alone. blamelessFor is how long that is taken to last; with the
+	// lag of the figures and the orders it stays below the bound of harm of the platform.
 	blamelessAfter = 900 * time.Millisecond
-	blamelessFor   = 3 * time.Second
+	blamelessFor   = 1500 * time.Millisecond
 	// cautiousFor is how long after a pause all fillers are sped up in steps only.
 	cautiousFor = 4 * time.Second
 	// unexplainedShare is the factor for all fillers when a service is over its target and the known pressure of its
@@ -49,12 +50,12 @@
 	for _, service := range services {
 		service.watchTarget(now.Boot)
 	}
+	w.watchQuiet(now.Boot, fillers)
+	w.excuse(now.Boot, services)
 	if len(fillers) == 0 {
 		w.paced = false
-		w.watchAlone(now.Boot, services)
 		return
 	}
-	w.aloneSince = 0
 	if s.slowDown(now.Boot, w, services, fillers) == 0 {
 		s.speedUp(now.Boot, w, services, fillers)
 	}
@@ -121,47 +122,44 @@
 	}
 }
 
-// pauseAll pauses every filler beside a service that stays over its target. If that does not help, the service is over
-// by its own load.
+// pauseAll pauses every filler beside a service that stays over its target.
 func (s *Scheduler) pauseAll(now time.Duration, w *worker, service *attempt, fillers []*attempt) {
-	paused := true
 	for _, f := range fillers {
-		paused = paused && f.share == 0 && f.pacedTo == 0
 		if f.share > 0 {
 			f.share = 0
+			w.pausedAt = now
 			s.notePaced(f, service)
 		}
 	}
-	if !paused {
-		w.pausedAt = now
-		return
+}
+
+// watchQuiet notes since when no filler works on the worker, as far as it has confirmed that.
+func (w *worker) watchQuiet(now time.Duration, fillers []*attempt) {
+	for _, f := range fillers {
+		if f.share > 0 || f.pacedTo > 0 {
+			w.quietSince = 0
+			return
+		}
 	}
-	if now-w.pausedAt >= blamelessAfter {
-		service.excuse(now)
+	if w.quietSince == 0 {
+		w.quietSince = now
 	}
 }
 
-// watchAlone notes which services are over their targets although no filler works beside them.
-func (w *worker) watchAlone(now time.Duration, services []*attempt) {
-	if w.aloneSince == 0 {
-		w.aloneSince = now
-	}
-	if now-w.aloneSince < blamelessAfter {
+// excuse notes which services are over their targets although no filler works beside them: they are so by their own
+// load.
+func (w *worker) excuse(now time.Duration, services []*attempt) {
+	if w.quietSince == 0 || now-w.quietSince < blamelessAfter {
 		return
 	}
 	for _, service := range services {
 		if service.overSince > 0 {
-			service.excuse(now)
+			service.blamelessUntil = now + blamelessFor
+			service.overSince = 0
 		}
 	}
 }
 
-// excuse notes that a service is over its target by its own load.
-func (a *attempt) excuse(now time.Duration) {
-	a.blamelessUntil = now + blamelessFor
-	a.overSince = 0
-}
-
 // blameless reports whether fillers are known not to be the cause of the tail latency of a service.
 func (a *attempt) blameless(now time.Duration) bool { return now < a.blamelessUntil }
 
--- a/core/schedule/guard_test.go
+++ b/core/schedule/guard_test.go
@@ -18,6 +18,7 @@
 	paced   map[attemptKey]int
 	over    map[attemptKey]time.Duration // since when a service is over its target
 	longest time.Duration
+	base    float64 // tail latency of a service alone, ms
 }
 
 const (
@@ -31,7 +32,7 @@
 func newInterferenceWorld(t *testing.T, workers int) *interferenceWorld {
 	w := &interferenceWorld{
 		harness: newHarness(t, 1), started: map[attemptKey]time.Duration{}, paced: map[attemptKey]int{},
-		over: map[attemptKey]time.Duration{},
+		over: map[attemptKey]time.Duration{}, base: worldBase,
 	}
 	for n := range workers {
 		w.addWorker(WorkerID(fmt.Sprintf("w%02d", n)), nil)
@@ -89,7 +90,7 @@
 			continue
 		}
 		r.Percent = 100
-		r.Figure = worldBase * math.Exp(w.pressureOn(worker, spec.Image))
+		r.Figure = w.base * math.Exp(w.pressureOn(worker, spec.Image))
 		w.watch(key, r.Figure)
 	}
 	for _, r := range append([]Running(nil), worker.running...) {
@@ -249,6 +250,30 @@
 	h.wantStarts(h.run(), 0)
 }
 
+// Answers the pattern of a service over its target beside a filler that counts as harmless, while all others are slowed
+// to nothing. Guards against a service that counts as over by its own load as soon as that filler ends: its figure does
+// not cover a time without fillers yet.
+func TestServiceIsNotBlamedBeforeItWasAlone(t *testing.T) {
+	h, report := pressedService(t)
+	h.s.AddJob(testJob("slowed", fillerStep("heavy", 1)), nil, false)
+	h.s.AddJob(testJob("harmless", fillerStep("light", 1)), nil, false)
+	h.wantStarts(h.run(), 2)
+	service := h.s.task(taskID("service", 0, 0))
+	light := h.s.task(taskID("harmless", 0, 0)).step.image
+	for n := range 5 {
+		h.s.model.refresh(h.now.Boot)
+		h.s.model.pressures[service.step.image][light] = 0
+		if n == 3 {
+			h.end(taskID("harmless", 0, 0), EndDone)
+		}
+		report()
+		h.run()
+		if service.attempts[0].blameless(h.now.Boot) {
+			t.Fatalf("look %d: the service counts as over by its own load", n)
+		}
+	}
+}
+
 // Answers the pattern of a service that is over its target by its own load on a worker without fillers. Guards against
 // fillers that never start there.
 func TestFillersStartBesideServiceOverByItsOwnLoad(t *testing.T) {
@@ -268,6 +293,33 @@
 	}
 }
 
+// Answers the pattern of a service that is over its target by its own load, until fillers have started beside it.
+// Guards against a guard that takes the fillers for harmless for too long: the platform tolerates 4 s, of which figures,
+// looks and orders take up to 1.5 s.
+func TestFillersAreBlamedOnceTheOwnLoadIsGone(t *testing.T) {
+	w := newInterferenceWorld(t, 1)
+	w.base = 1.2 * worldTarget
+	w.s.AddJob(testJob("sensitive", serviceStep("sensitive", 1)), nil, false)
+	for range 8 {
+		w.step()
+	}
+	filler := fillerStep("heavy", 4)
+	filler.Checkpoints = false
+	w.s.AddJob(testJob("heavy", filler), nil, false)
+	for len(w.workers["w00"].running) == 1 {
+		w.step()
+	}
+	w.base = 0.6 * worldTarget
+	clear(w.over)
+	w.longest = 0
+	for range 20 {
+		w.step()
+	}
+	if w.longest >= 2500*time.Millisecond {
+		t.Errorf("the fillers kept the service over its target for %v", w.longest)
+	}
+}
+
 // Guards against memory that grows with every image that jobs ever named.
 func TestPressuresStayBounded(t *testing.T) {
 	m := newInterference()
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -49,7 +49,7 @@
 	slowedAt    time.Duration     // when fillers were slowed down last
 	pausedAt    time.Duration     // when a pause of all fillers was ordered last
 	raisedAt    time.Duration     // when fillers got faster last
-	aloneSince  time.Duration     // since when no filler runs beside the services; 0 while one does
+	quietSince  time.Duration     // since when no filler works beside the services; 0 while one does
 	services    int               // service attempts
 	health      health
 	slowness    slowness
