--- /dev/null
+++ b/pkg/kv/kvtest/store.go
@@ -0,0 +1,264 @@
+// Package kvtest has a store in memory for tests of the packages that keep state in the platform's store.
+package kvtest
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"fulmarcourse.example/fulmarcourse/pkg/kv"
+)
+
+// pageSize is small, so that tests read several pages.
+const pageSize = 3
+
+// Fault decides what becomes of a call.
+type Fault int
+
+// Faults.
+const (
+	None     Fault = iota
+	Refuse         // the call is not carried out; its error is kv.ErrNotDone
+	LoseCall       // the call is not carried out; its error is kv.ErrUncertain
+	LoseDone       // the call is carried out; its error is kv.ErrUncertain
+)
+
+// Store is a store in memory. Leases do not end by time but by EndLease. It implements kv.Store and is safe for
+// concurrent use.
+type Store struct {
+	mu       sync.Mutex // guards the fields below
+	fault    func(call string) Fault
+	items    map[string]kv.Item
+	history  []kv.Change
+	forgot   int64 // watches after an older revision are refused
+	revision int64
+	leases   map[kv.LeaseID]bool
+	last     kv.LeaseID
+	changed  chan struct{} // closed and replaced at each change
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		items: map[string]kv.Item{}, leases: map[kv.LeaseID]bool{}, revision: 1, changed: make(chan struct{}),
+		fault: func(string) Fault { return None },
+	}
+}
+
+// SetFault decides the fate of later calls by the name of the method. The function is called with the store locked.
+func (s *Store) SetFault(fault func(call string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// EndLease ends a lease as its time does.
+func (s *Store) EndLease(id kv.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLease(id)
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgot = nil, s.revision
+	s.signal()
+}
+
+// begin locks the store for a call. carryOut tells whether to carry it out, err what to answer instead of its result.
+func (s *Store) begin(call string) (carryOut bool, err error) {
+	s.mu.Lock()
+	switch s.fault(call) {
+	case Refuse:
+		return false, kv.ErrNotDone
+	case LoseCall:
+		return false, kv.ErrUncertain
+	case LoseDone:
+		return true, kv.ErrUncertain
+	}
+	return true, nil
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(_ context.Context, key string) (kv.Item, bool, error) {
+	_, err := s.begin("Get")
+	defer s.mu.Unlock()
+	item, found := s.items[key]
+	return item, found && err == nil, err
+}
+
+// Range implements kv.Store.
+func (s *Store) Range(_ context.Context, prefix, after string) (kv.Page, error) {
+	_, err := s.begin("Range")
+	defer s.mu.Unlock()
+	if err != nil {
+		return kv.Page{}, err
+	}
+	page := kv.Page{AsOf: s.revision}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Items = append(page.Items, item)
+		}
+	}
+	slices.SortFunc(page.Items, func(a, b kv.Item) int { return strings.Compare(a.Key, b.Key) })
+	if len(page.Items) > pageSize {
+		page.Items, page.More = page.Items[:pageSize], true
+	}
+	return page, nil
+}
+
+// Watch implements kv.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Changes, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for last := false; ; {
+		_, err := s.begin("Watch")
+		changes, forgot, changed := s.since(prefix, after), after < s.forgot, s.changed
+		s.mu.Unlock()
+		switch {
+		case err != nil:
+			return kv.Changes{}, err
+		case forgot:
+			return kv.Changes{}, kv.ErrCompacted
+		case last || len(changes.Changes) > 0:
+			return changes, nil
+		}
+		select {
+		case <-ctx.Done():
+			return kv.Changes{}, ctx.Err()
+		case <-timer.C:
+			last = true
+		case <-changed:
+		}
+	}
+}
+
+// since returns the changes under a prefix after a revision. s.mu is held.
+func (s *Store) since(prefix string, after int64) kv.Changes {
+	changes := kv.Changes{AsOf: s.revision}
+	for _, change := range s.history {
+		if change.Item.Revision > after && strings.HasPrefix(change.Item.Key, prefix) {
+			changes.Changes = append(changes.Changes, change)
+		}
+	}
+	return changes
+}
+
+// Commit implements kv.Store.
+func (s *Store) Commit(_ context.Context, txn kv.Txn) (int64, error) {
+	carryOut, err := s.begin("Commit")
+	defer s.mu.Unlock()
+	if !carryOut {
+		return 0, err
+	}
+	if conflict := s.conflict(txn.If); conflict != nil {
+		return 0, conflict
+	}
+	for _, put := range txn.Put {
+		if put.Lease != 0 && !s.leases[put.Lease] {
+			return 0, kv.ErrLeaseEnded
+		}
+	}
+	s.revision++
+	for _, put := range txn.Put {
+		s.put(put)
+	}
+	for _, key := range txn.Delete {
+		s.remove(key)
+	}
+	s.signal()
+	return s.revision, err
+}
+
+// conflict returns nil when all conditions hold. s.mu is held.
+func (s *Store) conflict(conditions []kv.Condition) error {
+	conflict := &kv.Conflict{}
+	holds := true
+	for _, condition := range conditions {
+		item, exists := s.items[condition.Key]
+		if exists {
+			conflict.Items = append(conflict.Items, item)
+		}
+		holds = holds && item.Revision == condition.Revision
+	}
+	if holds {
+		return nil
+	}
+	return conflict
+}
+
+// put writes a key at the present revision. s.mu is held.
+func (s *Store) put(put kv.Put) {
+	item := kv.Item{Key: put.Key, Value: put.Value, Revision: s.revision, Created: s.revision, Lease: put.Lease}
+	if before, exists := s.items[put.Key]; exists {
+		item.Created = before.Created
+	}
+	s.items[put.Key] = item
+	s.history = append(s.history, kv.Change{Item: item})
+}
+
+// remove deletes a key at the present revision. s.mu is held.
+func (s *Store) remove(key string) {
+	if _, exists := s.items[key]; !exists {
+		return
+	}
+	delete(s.items, key)
+	s.history = append(s.history, kv.Change{Item: kv.Item{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+// Grant implements kv.Store.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (kv.LeaseID, time.Duration, error) {
+	_, err := s.begin("Grant")
+	defer s.mu.Unlock()
+	if err != nil {
+		return 0, 0, err
+	}
+	s.last++
+	s.leases[s.last] = true
+	return s.last, ttl, nil
+}
+
+// KeepAlive implements kv.Store.
+func (s *Store) KeepAlive(_ context.Context, id kv.LeaseID) (time.Duration, error) {
+	_, err := s.begin("KeepAlive")
+	defer s.mu.Unlock()
+	if err == nil && !s.leases[id] {
+		err = kv.ErrLeaseEnded
+	}
+	return 0, err
+}
+
+// Revoke implements kv.Store.
+func (s *Store) Revoke(_ context.Context, id kv.LeaseID) error {
+	carryOut, err := s.begin("Revoke")
+	defer s.mu.Unlock()
+	if carryOut {
+		s.endLease(id)
+	}
+	return err
+}
+
+// endLease deletes the keys of a lease. s.mu is held.
+func (s *Store) endLease(id kv.LeaseID) {
+	if !s.leases[id] {
+		return
+	}
+	delete(s.leases, id)
+	s.revision++
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.remove(key)
+		}
+	}
+	s.signal()
+}
+
+// signal wakes the watches. s.mu is held.
+func (s *Store) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
