--- /dev/null
+++ b/pkg/mirror/mirror_test.go
@@ -0,0 +1,140 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/kv"
+	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
+	"fulmarcourse.example/fulmarcourse/test/poll"
+)
+
+// copyOf is what a mirror has passed on.
+type copyOf struct {
+	mu     sync.Mutex // guards the fields below
+	values map[string]string
+	resets int
+}
+
+func (c *copyOf) reset(items []kv.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets++
+	c.values = map[string]string{}
+	for _, item := range items {
+		c.values[item.Key] = string(item.Value)
+	}
+}
+
+func (c *copyOf) apply(changes []kv.Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, change := range changes {
+		if change.Deleted {
+			delete(c.values, change.Item.Key)
+		} else {
+			c.values[change.Item.Key] = string(change.Item.Value)
+		}
+	}
+}
+
+func (c *copyOf) is(want map[string]string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Equal(c.values, want)
+}
+
+func (c *copyOf) resetCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.resets
+}
+
+func follow(t *testing.T, store kv.Store) (*Mirror, *copyOf) {
+	t.Helper()
+	c := &copyOf{}
+	m := New(Config{
+		Store: store, Prefix: "p/", Wait: 10 * time.Second, Retry: time.Millisecond, Log: eventlog.Discard(),
+		Reset: c.reset, Apply: c.apply,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		m.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return m, c
+}
+
+func put(t *testing.T, store *kvtest.Store, key, value string) {
+	t.Helper()
+	if _, err := store.Commit(t.Context(), kv.Txn{Put: []kv.Put{{Key: key, Value: []byte(value)}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against keys that are missed: those of later pages, those that change while the pages are read, deletions, and
+// keys of other prefixes that are taken in.
+func TestMirrorFollowsAPrefix(t *testing.T) {
+	store := kvtest.NewStore()
+	want := map[string]string{}
+	for n := range 10 {
+		key := fmt.Sprint("p/", n)
+		put(t, store, key, "1")
+		want[key] = "1"
+	}
+	put(t, store, "q/other", "1")
+	_, c := follow(t, store)
+	poll.Until(t, "all pages are read", func() bool { return c.is(want) })
+	put(t, store, "p/3", "2")
+	want["p/3"] = "2"
+	if _, err := store.Commit(t.Context(), kv.Txn{Delete: []string{"p/4"}}); err != nil {
+		t.Fatal(err)
+	}
+	delete(want, "p/4")
+	poll.Until(t, "changes are taken in", func() bool { return c.is(want) })
+	if n := c.resetCount(); n != 1 {
+		t.Errorf("the prefix was read %d times", n)
+	}
+}
+
+// Guards against a copy that stays old when the store has dropped its history.
+func TestMirrorReadsAnewAfterCompaction(t *testing.T) {
+	store := kvtest.NewStore()
+	put(t, store, "p/a", "1")
+	_, c := follow(t, store)
+	poll.Until(t, "the key is read", func() bool { return c.is(map[string]string{"p/a": "1"}) })
+	store.SetFault(func(string) kvtest.Fault { return kvtest.Refuse })
+	store.Compact() // the waiting watch ends
+	store.SetFault(func(string) kvtest.Fault { return kvtest.None })
+	put(t, store, "p/b", "2")
+	store.Compact()
+	poll.Until(t, "both keys are known", func() bool { return c.is(map[string]string{"p/a": "1", "p/b": "2"}) })
+}
+
+// Guards against a store that counts as reached while it refuses calls, and against an outage that is not noticed to be
+// over.
+func TestMirrorTellsWhenTheStoreAnswered(t *testing.T) {
+	store := kvtest.NewStore()
+	m, c := follow(t, store)
+	poll.Until(t, "the store has answered", func() bool { return c.resetCount() == 1 })
+	store.SetFault(func(string) kvtest.Fault { return kvtest.Refuse })
+	store.Compact()
+	time.Sleep(5 * time.Millisecond)
+	before := m.Contact()
+	time.Sleep(20 * time.Millisecond)
+	if after := m.Contact(); after != before {
+		t.Errorf("contact at %v, after that at %v, with a store that refuses", before, after)
+	}
+	store.SetFault(func(string) kvtest.Fault { return kvtest.None })
+	poll.Until(t, "the store is reached again", func() bool { return m.Contact().After(before) })
+}
