--- a/core/workload/validate.go
+++ b/core/workload/validate.go
@@ -53,6 +53,10 @@
 		if size := step.Size; size.MilliCPU < 0 || size.MemoryBytes < 0 || size.Accelerators < 0 {
 			add(field, "the size must not be negative")
 		}
+		if step.Gang {
+			// Its tasks would be started one by one, and each would wait for the others in vain.
+			add(field+".gang", "tasks that only work together are not supported")
+		}
 		for _, earlier := range step.After {
 			if earlier < 0 || earlier >= i {
 				add(field+".after", "%d is not an earlier step", earlier)
