Permit nothing to a relay by the clock of a former boot

The owner computes up to when a relay may extend leases from a reading of the relay's boot clock. When the relay's host starts anew within the 1.2 s for which calls may fail, that clock has another zero, and the time may lie far in the future: leases would be extended without the owner.

Change: after a failed call and after ErrNoAssignment the owner permits nothing before it has a new reading; a relay takes no permission before its owner has listed the workers, and forgets it with them. TestRebootedRelayIsPermittedNothingByItsFormerClock failed before (35 min too far).

--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -37,7 +37,7 @@
 	inFlight map[orderKey]inFlight
 
 	relayNow   time.Duration // last reading of the relay's boot clock
-	readAt     time.Duration // boot time by which it had been taken; 0 before the first
+	readAt     time.Duration // boot time by which it had been taken; 0 before the first and after a failed call
 	permitted  time.Duration // boot time up to which the relay may extend leases
 	answeredAt time.Duration // boot time of the last answer, or of the start
 }
@@ -118,6 +118,8 @@
 
 // permit returns the time on the relay's clock up to which it may extend task leases, and notes the same moment on this
 // host's clock. A call that is delayed permits nothing longer, since the time is a reading of the relay's own clock.
+// After a failed call it permits nothing before the next reading: the relay's host may have been started anew, and its
+// boot clock with it.
 func (l *link) permit() time.Duration {
 	if l.readAt == 0 {
 		return 0
@@ -137,6 +139,7 @@
 	}
 	l.owner.mu.Lock()
 	l.reset = true // the update may or may not have been taken in
+	l.readAt = 0
 	l.owner.mu.Unlock()
 	for _, order := range u.Orders {
 		l.owner.answered(order, schedule.Unanswered, err.Error())
@@ -181,6 +184,7 @@
 		return false
 	}
 	o.mu.Lock()
+	l.readAt = 0
 	lost := bootclock.Since()-l.answeredAt > relayLostAfter
 	o.mu.Unlock()
 	if lost {
@@ -194,7 +198,7 @@
 	o := l.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l.reset, l.answeredAt = true, bootclock.Since()
+	l.reset, l.answeredAt, l.readAt = true, bootclock.Since(), 0
 	o.wake(l.wake)
 }
 
--- a/pkg/dispatch/owner_test.go
+++ b/pkg/dispatch/owner_test.go
@@ -34,6 +34,8 @@
 	ended     []schedule.Ended
 	stored    int64 // newest end that the relay may acknowledge
 	outcomes  []relay.OrderOutcome
+	clock     time.Duration // by which the relay's boot clock is ahead
+	permitted time.Duration // latest time, on the relay's clock, up to which it was allowed to extend leases
 }
 
 func (w *oneWorker) Update(_ context.Context, u relay.Update) error {
@@ -43,6 +45,7 @@
 		w.assigned++
 		w.forgotten = false
 	}
+	w.permit(u.LeaseUntil)
 	for _, stored := range u.Stored {
 		w.stored = max(w.stored, stored.Number)
 	}
@@ -58,7 +61,17 @@
 	return nil
 }
 
-func (w *oneWorker) Collect(ctx context.Context, _ int, _ int64, _, _ time.Duration) (relay.Results, error) {
+// permit notes a permission as a relay does: not before it knows its workers. w.mu is held.
+func (w *oneWorker) permit(until time.Duration) {
+	if w.assigned > 0 && !w.forgotten {
+		w.permitted = max(w.permitted, until)
+	}
+}
+
+func (w *oneWorker) Collect(ctx context.Context, _ int, _ int64, until, _ time.Duration) (relay.Results, error) {
+	w.mu.Lock()
+	w.permit(until)
+	w.mu.Unlock()
 	select {
 	case <-ctx.Done():
 		return relay.Results{}, ctx.Err()
@@ -69,7 +82,7 @@
 	if w.assigned == 0 || w.forgotten {
 		return relay.Results{}, relay.ErrNoAssignment
 	}
-	now := bootclock.Since()
+	now := bootclock.Since() + w.clock
 	results := relay.Results{Now: now, Outcomes: w.outcomes}
 	w.outcomes = nil
 	report := schedule.Report{Incarnation: 1, SentAt: now, Ended: slices.Clone(w.ended[w.stored:])}
@@ -102,6 +115,20 @@
 	w.forgotten = true
 }
 
+// reboot lets the relay's host start anew with a boot clock that is so much behind the former one.
+func (w *oneWorker) reboot(behind time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forgotten, w.clock, w.permitted = true, -behind, 0
+}
+
+// excess returns by how much the relay may extend leases beyond what any owner permits at once.
+func (w *oneWorker) excess() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.permitted - (bootclock.Since() + w.clock + permission)
+}
+
 // startOwner lets an owner of term 1 work until the test ends.
 func startOwner(t *testing.T, store *kvtest.Store, w *oneWorker) *Owner {
 	t.Helper()
@@ -207,3 +234,22 @@
 	o.Announce(twoSteps("job"))
 	poll.Until(t, "the job is completed", func() bool { return state(o, "job") == workload.StateCompleted })
 }
+
+// Guards against leases that are extended for as long as a former boot of the relay's host had lasted: the owner knows the
+// relay's boot clock from before.
+func TestRebootedRelayIsPermittedNothingByItsFormerClock(t *testing.T) {
+	w := &oneWorker{}
+	o := startOwner(t, kvtest.NewStore(), w)
+	poll.Until(t, "the relay's clock is known", func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.links["host"].readAt > 0
+	})
+	w.reboot(bootclock.Since() / 2)
+	poll.Until(t, "the worker is assigned again", func() bool { _, _, n := w.counts(); return n >= 2 })
+	o.Announce(twoSteps("job"))
+	poll.Until(t, "the job is completed", func() bool { return state(o, "job") == workload.StateCompleted })
+	if excess := w.excess(); excess > 0 {
+		t.Errorf("leases are extended %v too far", excess)
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -61,11 +61,11 @@
 	if err := r.enter(u.Term); err != nil {
 		return err
 	}
-	r.leaseUntil = max(r.leaseUntil, u.LeaseUntil)
 	if u.Reset {
 		r.releaseOthers(u.Assign)
 		r.assigned = len(u.Assign) > 0
 	}
+	r.permit(u.LeaseUntil)
 	for _, a := range u.Assign {
 		r.assign(a)
 	}
@@ -94,9 +94,6 @@
 	}
 	// The owner is new, or it has come back after this relay had ended the work for it.
 	r.stop()
-	if term > r.term {
-		r.leaseUntil = 0
-	}
 	r.term = term
 	r.forget()
 	r.running, r.stop = context.WithCancel(context.Background())
@@ -140,7 +137,9 @@
 func (r *Relay) Collect(ctx context.Context, term int64, leaseUntil, wait time.Duration) (Results, error) {
 	r.mu.Lock()
 	err := r.enter(term)
-	r.leaseUntil = max(r.leaseUntil, leaseUntil)
+	if err == nil {
+		r.permit(leaseUntil)
+	}
 	empty := r.results.empty()
 	r.mu.Unlock()
 	if err != nil {
@@ -168,6 +167,14 @@
 	return r.takeResults(), nil
 }
 
+// permit takes in up to when leases may be extended. Before the owner has listed its workers, the time may be a reading of
+// the clock of a former boot of this host. r.mu is held.
+func (r *Relay) permit(leaseUntil time.Duration) {
+	if r.assigned {
+		r.leaseUntil = max(r.leaseUntil, leaseUntil)
+	}
+}
+
 // abandoned ends the work for an owner that has not called for some time. r.mu is held.
 func (r *Relay) abandoned(term int64) bool {
 	if term != r.term || bootclock.Since()-r.contact < idleAfter {
@@ -182,7 +189,7 @@
 func (r *Relay) forget() {
 	r.results = Results{}
 	clear(r.sessions)
-	r.assigned = false
+	r.assigned, r.leaseUntil = false, 0
 }
 
 func (r Results) empty() bool { return len(r.Reports) == 0 && len(r.Outcomes) == 0 && !r.Fenced }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -52,8 +52,9 @@
 	return r
 }
 
+// assign is the first update of an owner.
 func assign(term int64, leaseUntil time.Duration) Update {
-	return Update{Term: term, LeaseUntil: leaseUntil, Assign: []Assignment{{Worker: schedule.WorkerInfo{ID: "w"}}}}
+	return Update{Term: term, LeaseUntil: leaseUntil, Reset: true, Assign: []Assignment{{Worker: schedule.WorkerInfo{ID: "w"}}}}
 }
 
 // Guards against leases that are extended without the owner's permission, or on a worker that has not answered its last
@@ -162,9 +163,7 @@
 	if _, err := r.Collect(context.Background(), 1, 0, 0); !errors.Is(err, ErrNoAssignment) {
 		t.Fatalf("the owner is not told that its workers are forgotten: %v", err)
 	}
-	all := assign(1, 0)
-	all.Reset = true
-	if err := r.Update(all); err != nil {
+	if err := r.Update(assign(1, 0)); err != nil {
 		t.Fatal(err)
 	}
 	f.look(t, made+2)
@@ -178,9 +177,7 @@
 func TestOwnerLearnsThatItsWorkersWereReleased(t *testing.T) {
 	f := &fakeWorkers{answer: func(int, Look) (LookReply, error) { return LookReply{ClockMs: 1}, nil }}
 	r := startRelay(t, f)
-	all := assign(1, 0)
-	all.Reset = true
-	if err := r.Update(all); err != nil {
+	if err := r.Update(assign(1, 0)); err != nil {
 		t.Fatal(err)
 	}
 	if err := r.Update(Update{Term: 1, Reset: true}); err != nil {
