Count leases as extended when reports may be lost

A relay forgets a report once it has answered with it; when that answer is lost, or the connection ends, the owner has heard nothing of workers whose leases the relay has extended. Scheduler.Unwatched raised the end of the leases only for workers that had reported to this owner before, so an inherited worker counted as expired from the takeover on, while its tasks ran under extended leases: they were started again elsewhere, and nobody stopped the former ones.

TestInheritedTaskOutlastsLostReports failed before.

Conclusion: a fault mended; likely the cause, not shown to be.

--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -102,6 +102,35 @@
 	h.wantStarts(h.run(), 1)
 }
 
+// Guards against an inherited task that is started again while whoever looks at its worker extends its lease: the reports
+// of the worker are lost on their way to the owner.
+func TestInheritedTaskOutlastsLostReports(t *testing.T) {
+	for name, lose := range map[string]func(*harness){
+		"connection lost": func(h *harness) { h.s.Unwatched("w2", h.now.Boot) },
+		"reports lost, then the worker is silent": func(h *harness) {
+			h.s.ReportsLost("w2")
+			h.s.LookFailed(h.now, "w2")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
+			h.newTerm(2)
+			h.s.InheritWorkers(h.now, []WorkerInfo{w1.info, w2.info})
+			h.s.SetWorkers(h.now, []WorkerInfo{w1.info, w2.info})
+			h.s.AddJob(testJob("old", testStep(1)), nil, true)
+			h.pass(h.s.cfg.HandoverSilence + h.s.cfg.leaseBound() - time.Second)
+			lose(h)
+			h.pass(h.s.cfg.leaseBound() - time.Second)
+			h.report("w1")
+			h.wantStarts(h.run(), 0)
+			h.pass(time.Second)
+			h.report("w1")
+			h.wantStarts(h.run(), 1)
+		})
+	}
+}
+
 // Guards against a second start while the first one, which was not answered, may still be carried out.
 func TestUnansweredStartIsStoppedBeforeTheNext(t *testing.T) {
 	h := newHarness(t, 1)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -201,13 +201,21 @@
 }
 
 // Unwatched notes that the connection to whoever looks at a worker is lost. The leases of the worker may still be
-// extended up to a boot time.
+// extended up to a boot time, also when no report has come over that connection: it may have been lost.
 func (s *Scheduler) Unwatched(id WorkerID, extendedUntil time.Duration) {
+	s.ReportsLost(id)
 	if w, known := s.workers[id]; known {
 		w.stopExtending(extendedUntil + s.cfg.leaseBound())
 	}
 }
 
+// ReportsLost notes that reports of a worker may be lost, and with them the sign that its leases are extended.
+func (s *Scheduler) ReportsLost(id WorkerID) {
+	if w, known := s.workers[id]; known {
+		w.extending = true
+	}
+}
+
 // stopExtending notes that no lease on the worker ends after a boot time unless the worker reports again.
 func (w *worker) stopExtending(end time.Duration) {
 	if w.extending {
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -185,6 +185,9 @@
 	}
 	o.mu.Lock()
 	l.readAt = 0
+	for id := range l.workers {
+		o.scheduler.ReportsLost(id) // the relay forgets what it has told, whether the answer arrives or not
+	}
 	lost := bootclock.Since()-l.answeredAt > relayLostAfter
 	o.mu.Unlock()
 	if lost {
@@ -198,6 +201,9 @@
 	o := l.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for id := range l.workers {
+		o.scheduler.Unwatched(id, l.permitted)
+	}
 	l.reset, l.answeredAt, l.readAt = true, bootclock.Since(), 0
 	o.wake(l.wake)
 }
