Use one piece of code where the change had written it twice

- core/schedule: orders and events about an attempt were put together field by field in eleven places, and four places noted a move and stopped the attempt. attempt.order, attempt.event and Scheduler.move serve all of them. cmpID was cmp.Compare.
- pkg/standin/fleet had a listener, a server and a JSON writer of its own; it uses Server and WriteJSON of pkg/standin.
- pkg/scheduling: a field that repeated another and a method that nothing called are gone.
- fulmarctl: three commands parsed and read their document alike; job-log formatted every line of the logs, now those that it prints.
Waits by time.Sleep in the tests of mirror, dispatch and registry wait for what they are about.
The one that stays, in pkg/intake, can only miss a fault, not report one that is not there.

--- a/cmd/fulmarctl/documents.go
+++ b/cmd/fulmarctl/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,11 +19,7 @@
 func runValidate(ctx context.Context, a *app, args []string) error {
 	flags := a.flagSet("validate")
 	offline := flags.Bool("offline", false, "check with fulmarctl itself and call no server")
-	if err := a.parse(flags, args, 1); err != nil {
-		return err
-	}
-	name := flags.Arg(0)
-	text, err := readDocument(name)
+	name, text, err := a.documentArgument(flags, args)
 	if err != nil {
 		return err
 	}
@@ -45,11 +42,7 @@
 func runDiff(ctx context.Context, a *app, args []string) error {
 	flags := a.flagSet("diff")
 	against := flags.String("against", "", "compare with this `file` and call no server")
-	if err := a.parse(flags, args, 1); err != nil {
-		return err
-	}
-	name := flags.Arg(0)
-	text, err := readDocument(name)
+	name, text, err := a.documentArgument(flags, args)
 	if err != nil {
 		return err
 	}
@@ -88,17 +81,14 @@
 
 func runTry(ctx context.Context, a *app, args []string) error {
 	flags := a.flagSet("try")
-	if err := a.parse(flags, args, 1); err != nil {
-		return err
-	}
-	text, err := readDocument(flags.Arg(0))
+	name, text, err := a.documentArgument(flags, args)
 	if err != nil {
 		return err
 	}
 	var result control.DocumentResult
 	// Trying a document again that is already in effect in the trial environment changes nothing.
 	err = a.client.do(ctx, call{method: http.MethodPost, path: "/v1/documents/try", repeat: repeatIfNotRun, changes: true,
-		body: operatorapi.DocumentBody{Name: flags.Arg(0), Text: string(text), Author: a.options.author}}, &result)
+		body: operatorapi.DocumentBody{Name: name, Text: string(text), Author: a.options.author}}, &result)
 	if err != nil {
 		return err
 	}
@@ -149,6 +139,16 @@
 	})
 }
 
+// documentArgument parses a command line whose only argument is a document, and reads that.
+func (a *app) documentArgument(flags *flag.FlagSet, args []string) (name string, text []byte, err error) {
+	if err := a.parse(flags, args, 1); err != nil {
+		return "", nil, err
+	}
+	name = flags.Arg(0)
+	text, err = readDocument(name)
+	return name, text, err
+}
+
 // readDocument reads a document and checks what no server can judge differently: its length and that it is text. A
 // server that receives too much closes the connection, which says nothing about the cause.
 func readDocument(name string) ([]byte, error) {
--- a/cmd/fulmarctl/joblog.go
+++ b/cmd/fulmarctl/joblog.go
@@ -26,13 +26,13 @@
 
 // logLine is one line of the logs of entry hosts.
 type logLine struct {
-	Time    time.Time `json:"time"`
-	Host    string    `json:"host"`
-	Name    string    `json:"name"`
-	Job     string    `json:"job"`
-	Path    string    `json:"path"`
-	Worker  string    `json:"worker"`
-	details string
+	Time   time.Time `json:"time"`
+	Host   string    `json:"host"`
+	Name   string    `json:"name"`
+	Job    string    `json:"job"`
+	Path   string    `json:"path"`
+	Worker string    `json:"worker"`
+	text   []byte
 }
 
 // contextEvents are the events that concern all jobs of a host or partition.
@@ -67,7 +67,7 @@
 		return errors.NotFoundf("job %s in these logs", flags.Arg(0))
 	}
 	for _, line := range found {
-		fmt.Fprintf(a.out, "%s %-22s %-22s %s\n", line.Time.Format("15:04:05.000"), line.Host, line.Name, line.details)
+		fmt.Fprintf(a.out, "%s %-22s %-22s %s\n", line.Time.Format("15:04:05.000"), line.Host, line.Name, details(line.text))
 	}
 	return nil
 }
@@ -108,7 +108,7 @@
 		if err := json.Unmarshal(text, &line); err != nil || line.Name == "" {
 			continue
 		}
-		line.details = details(text)
+		line.text = bytes.Clone(text)
 		lines = append(lines, line)
 	}
 	return lines, errors.Trace(scanner.Err())
--- a/core/schedule/event.go
+++ b/core/schedule/event.go
@@ -32,6 +32,11 @@
 	Value   float64 // the input that decided, by kind: percent, milliseconds or a count
 }
 
+// event returns an event about an attempt.
+func (a *attempt) event(kind EventKind) Event {
+	return Event{Kind: kind, Worker: a.worker.info.ID, Task: a.task.id(), Attempt: a.number}
+}
+
 func (s *Scheduler) note(e Event) {
 	if e.Job == "" {
 		e.Job = e.Task.Job
--- a/core/schedule/guard.go
+++ b/core/schedule/guard.go
@@ -169,8 +169,9 @@
 }
 
 func (s *Scheduler) notePaced(filler, service *attempt) {
-	s.note(Event{Kind: EventFillersPaced, Worker: filler.worker.info.ID, Task: filler.task.id(), Attempt: filler.number,
-		Value: float64(filler.share), How: "tail latency of " + string(service.task.step.job.rec.ID)})
+	event := filler.event(EventFillersPaced)
+	event.Value, event.How = float64(filler.share), "tail latency of "+string(service.task.step.job.rec.ID)
+	s.note(event)
 }
 
 // relieve slows the fillers so that the expected tail latency of a service falls to its goal.
@@ -284,8 +285,7 @@
 		return
 	}
 	a.paceSentAt = now
-	s.orders = append(s.orders, Order{
-		Kind: OrderPace, Worker: a.worker.info.ID, Address: a.worker.info.Address,
-		Task: a.task.id(), Attempt: a.number, Percent: percent,
-	})
+	order := a.order(OrderPace)
+	order.Percent = percent
+	s.orders = append(s.orders, order)
 }
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// move stops an attempt so that its task starts elsewhere. value is the input that decided.
+func (s *Scheduler) move(now Time, a *attempt, how string, value float64) {
+	event := a.event(EventTaskMoved)
+	event.How, event.Value = how, value
+	s.note(event)
+	s.stop(now.Boot, a)
+}
+
 // leaveDraining stops what would end with a worker that leaves: service tasks at once, so that they move while the
 // worker still answers, other tasks when they have had all the time that the worker gives.
 func (s *Scheduler) leaveDraining(now Time) {
@@ -40,8 +48,7 @@
 			if a.phase != running || !(leaving || a.task.step.spec.Service) {
 				continue
 			}
-			s.note(Event{Kind: EventTaskMoved, Worker: w.info.ID, Task: a.task.id(), Attempt: a.number, How: "worker drains"})
-			s.stop(now.Boot, a)
+			s.move(now, a, "worker drains", 0)
 		}
 	}
 }
@@ -58,9 +65,7 @@
 			if !a.worthMoving(now.Boot) || s.chooseHarmless(now, a) == nil {
 				continue
 			}
-			s.note(Event{Kind: EventTaskMoved, Worker: w.info.ID, Task: a.task.id(), Attempt: a.number,
-				How: "slowed beside a service", Value: float64(a.share)})
-			s.stop(now.Boot, a)
+			s.move(now, a, "slowed beside a service", float64(a.share))
 			moves++
 			break
 		}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -31,6 +31,13 @@
 	Percent    int    // OrderPace only, 0 to 100
 }
 
+// order returns an order about an attempt.
+func (a *attempt) order(kind OrderKind) Order {
+	return Order{
+		Kind: kind, Worker: a.worker.info.ID, Address: a.worker.info.Address, Task: a.task.id(), Attempt: a.number,
+	}
+}
+
 // Outcome is what is known after an order was sent.
 type Outcome uint8
 
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -154,12 +154,10 @@
 
 // orderStart orders the start of an attempt.
 func (s *Scheduler) orderStart(a *attempt) {
-	t := a.task
-	s.orders = append(s.orders, Order{
-		Kind: OrderStart, Worker: a.worker.info.ID, Address: a.worker.info.Address, Task: t.id(), Attempt: a.number,
-		Input: t.step.job.rec.Input, Checkpoint: t.checkpoint,
-	})
-	s.note(Event{Kind: EventTaskStarted, Worker: a.worker.info.ID, Task: t.id(), Attempt: a.number})
+	order := a.order(OrderStart)
+	order.Input, order.Checkpoint = a.task.step.job.rec.Input, a.task.checkpoint
+	s.orders = append(s.orders, order)
+	s.note(a.event(EventTaskStarted))
 }
 
 // choose returns the best worker for a task, or nil when none has room.
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -119,7 +119,7 @@
 	a := &attempt{task: t, number: row.Attempt, worker: w, phase: running, startedAt: now.Boot,
 		share: fullShare, pacedTo: fullShare, resumed: true}
 	s.attach(a)
-	s.note(Event{Kind: EventAttemptAdopted, Worker: w.info.ID, Task: row.Task, Attempt: row.Attempt})
+	s.note(a.event(EventAttemptAdopted))
 	return a
 }
 
@@ -271,7 +271,7 @@
 		}
 		switch {
 		case a.confirmedAt > 0 && a.confirmedAt < report.SentAt, a.stopAckedAt > 0 && a.stopAckedAt < report.SentAt:
-			s.note(Event{Kind: EventAttemptLost, Worker: w.info.ID, Task: a.task.id(), Attempt: a.number})
+			s.note(a.event(EventAttemptLost))
 			s.drop(a)
 		case a.phase == unanswered, a.phase == stopping:
 			s.stop(now.Boot, a)
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -77,14 +77,20 @@
 	h.wantState("job", workload.StateFailed)
 }
 
-// Guards against two runs of a task after a takeover: an inherited task may run on a worker that has not reported.
-func TestInheritedTaskWaitsForSilentWorkers(t *testing.T) {
+// inheritedHarness returns the owner of term 2, which has inherited the workers w1 and w2 and the job old.
+func inheritedHarness(t *testing.T) *harness {
 	h := newHarness(t, 2)
 	w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
 	h.newTerm(2)
 	h.s.InheritWorkers(h.now, []WorkerInfo{w1.info, w2.info})
 	h.s.SetWorkers(h.now, []WorkerInfo{w1.info, w2.info})
 	h.s.AddJob(testJob("old", testStep(1)), nil, true)
+	return h
+}
+
+// Guards against two runs of a task after a takeover: an inherited task may run on a worker that has not reported.
+func TestInheritedTaskWaitsForSilentWorkers(t *testing.T) {
+	h := inheritedHarness(t)
 	h.s.AddJob(testJob("new", testStep(1)), nil, false)
 	h.report("w1")
 	orders := h.run()
@@ -113,12 +119,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, 2)
-			w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
-			h.newTerm(2)
-			h.s.InheritWorkers(h.now, []WorkerInfo{w1.info, w2.info})
-			h.s.SetWorkers(h.now, []WorkerInfo{w1.info, w2.info})
-			h.s.AddJob(testJob("old", testStep(1)), nil, true)
+			h := inheritedHarness(t)
 			h.pass(h.s.cfg.HandoverSilence + h.s.cfg.leaseBound() - time.Second)
 			lose(h)
 			h.pass(h.s.cfg.leaseBound() - time.Second)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -123,10 +124,7 @@
 	a.phase = stopping
 	s.stopping[a] = struct{}{}
 	a.stopSentAt = now
-	s.orders = append(s.orders, Order{
-		Kind: OrderStop, Worker: a.worker.info.ID, Address: a.worker.info.Address,
-		Task: a.task.id(), Attempt: a.number,
-	})
+	s.orders = append(s.orders, a.order(OrderStop))
 }
 
 // SetEvacuated replaces the set of data centres in which no task may start.
@@ -172,17 +170,7 @@
 func (s *Scheduler) addWorker(w *worker) {
 	s.workers[w.info.ID] = w
 	s.order = append(s.order, w)
-	slices.SortFunc(s.order, func(a, b *worker) int { return cmpID(a.info.ID, b.info.ID) })
-}
-
-func cmpID(a, b WorkerID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	slices.SortFunc(s.order, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
 }
 
 // forget removes a worker that has left.
@@ -203,8 +191,8 @@
 // Unwatched notes that the connection to whoever looks at a worker is lost. The leases of the worker may still be
 // extended up to a boot time, also when no report has come over that connection: it may have been lost.
 func (s *Scheduler) Unwatched(id WorkerID, extendedUntil time.Duration) {
-	s.ReportsLost(id)
 	if w, known := s.workers[id]; known {
+		w.extending = true
 		w.stopExtending(extendedUntil + s.cfg.leaseBound())
 	}
 }
@@ -238,7 +226,7 @@
 		}
 		delete(s.askFirst, w.info.ID)
 		for _, a := range slices.Clone(w.list) {
-			s.note(Event{Kind: EventAttemptExpired, Worker: w.info.ID, Task: a.task.id(), Attempt: a.number})
+			s.note(a.event(EventAttemptExpired))
 			s.drop(a)
 		}
 		for key := range w.strays {
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -182,8 +182,7 @@
 			if still {
 				how = "no progress"
 			}
-			s.note(Event{Kind: EventTaskMoved, Worker: w.info.ID, Task: a.task.id(), Attempt: a.number, How: how, Value: a.percent})
-			s.stop(now.Boot, a)
+			s.move(now, a, how, a.percent)
 			moves++
 		}
 	}
@@ -197,8 +196,7 @@
 	if s.choose(now, a.task) == nil {
 		return false
 	}
-	s.note(Event{Kind: EventTaskMoved, Worker: a.worker.info.ID, Task: a.task.id(), Attempt: a.number, How: "service on slow worker"})
-	s.stop(now.Boot, a)
+	s.move(now, a, "service on slow worker", 0)
 	return true
 }
 
--- a/pkg/dispatch/owner_test.go
+++ b/pkg/dispatch/owner_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,16 +147,7 @@
 		Host: "host", Store: store, Relays: w, Directory: w, TaskLease: 6 * time.Second,
 		StopTime: 400 * time.Millisecond, KeepEnded: time.Hour, Log: log, Scope: tally.NoopScope,
 	}, holding)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		o.Run(ctx)
-		close(done)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	poll.Background(t, o.Run)
 	poll.Until(t, "the worker is assigned", func() bool { _, _, n := w.counts(); return n > 0 })
 	return o
 }
@@ -182,15 +174,18 @@
 		_, found, _ := store.Get(t.Context(), statekeys.Roster(0))
 		return found
 	})
+	var refused atomic.Int64
 	store.SetFault(func(call string) kvtest.Fault {
 		if call == "Commit" {
+			refused.Add(1)
 			return kvtest.Refuse
 		}
 		return kvtest.None
 	})
 	o.Announce(twoSteps("job"))
 	poll.Until(t, "all tasks are started", func() bool { n, _, _ := w.counts(); return n == 4 })
-	time.Sleep(2 * saveDelay)
+	tried := refused.Load()
+	poll.Until(t, "the store has refused the progress again", func() bool { return refused.Load() >= tried+2 })
 	if _, stored, _ := w.counts(); stored != 0 || state(o, "job").Final() {
 		t.Errorf("end %d is acknowledged, the job is %s", stored, state(o, "job"))
 	}
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -1,10 +1,10 @@
 package mirror
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,16 +62,7 @@
 		Store: store, Prefix: "p/", Wait: 10 * time.Second, Retry: time.Millisecond, Log: eventlog.Discard(),
 		Reset: c.reset, Apply: c.apply,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		m.Run(ctx)
-		close(done)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	poll.Background(t, m.Run)
 	return m, c
 }
 
@@ -127,11 +118,14 @@
 	store := kvtest.NewStore()
 	m, c := follow(t, store)
 	poll.Until(t, "the store has answered", func() bool { return c.resetCount() == 1 })
-	store.SetFault(func(string) kvtest.Fault { return kvtest.Refuse })
-	store.Compact()
-	time.Sleep(5 * time.Millisecond)
+	var refused atomic.Int64
+	store.SetFault(func(string) kvtest.Fault {
+		refused.Add(1)
+		return kvtest.Refuse
+	})
 	before := m.Contact()
-	time.Sleep(20 * time.Millisecond)
+	store.Compact()
+	poll.Until(t, "several calls were refused", func() bool { return refused.Load() >= 5 })
 	if after := m.Contact(); after != before {
 		t.Errorf("contact at %v, after that at %v, with a store that refuses", before, after)
 	}
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -8,6 +8,7 @@
 
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/kv"
+	"fulmarcourse.example/fulmarcourse/test/poll"
 )
 
 // downStore refuses every lease. Other calls than Grant and Revoke are not expected.
@@ -36,9 +37,7 @@
 		r.Run(ctx)
 		close(done)
 	}()
-	for store.grants.Load() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	poll.Until(t, "a lease was asked for", func() bool { return store.grants.Load() > 0 })
 	cancel()
 	<-done
 	if n := store.revoked.Load(); n != 0 {
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -93,7 +93,7 @@
 		Reset: n.view.Reset, Apply: n.view.Apply,
 	})
 	n.intake = intake.New(intake.Config{
-		Store: cfg.Store, Reachable: cfg.Reachable, View: n.view, Owners: &owners{n, n.pool}, Partitions: cfg.Partitions, Log: cfg.Log,
+		Store: cfg.Store, Reachable: cfg.Reachable, View: n.view, Owners: &owners{n}, Partitions: cfg.Partitions, Log: cfg.Log,
 	})
 	return n
 }
@@ -101,9 +101,6 @@
 // Intake serves callers.
 func (n *Node) Intake() *intake.Intake { return n.intake }
 
-// StoreContact returns when the store last answered.
-func (n *Node) StoreContact() time.Time { return n.mirror.Contact() }
-
 // SetEvacuated sets the data centres in which no task may start.
 func (n *Node) SetEvacuated(datacentres []structs.DatacentreID) {
 	n.mu.Lock()
--- a/pkg/scheduling/owners.go
+++ b/pkg/scheduling/owners.go
@@ -11,7 +11,6 @@
 	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/api/ownerpb"
 	"fulmarcourse.example/fulmarcourse/pkg/dispatch"
-	"fulmarcourse.example/fulmarcourse/pkg/peer"
 	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
 	"fulmarcourse.example/fulmarcourse/pkg/term"
 )
@@ -20,10 +19,7 @@
 const errNotOwner = errors.ConstError("not the owner in this term")
 
 // owners reaches owners in this process directly and others with gRPC. It implements intake.Owners.
-type owners struct {
-	node *Node
-	pool *peer.Pool
-}
+type owners struct{ node *Node }
 
 func (o *owners) local(p statekeys.Partition, state term.State) *dispatch.Owner {
 	return o.node.ownerOf(p, state.Term)
@@ -33,7 +29,7 @@
 	if state.Holder.Address == "" || state.Holder.Incarnation == o.node.cfg.Self.Incarnation {
 		return nil, errNotOwner
 	}
-	conn, err := o.pool.Conn(state.Holder.Address)
+	conn, err := o.node.pool.Conn(state.Holder.Address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/pkg/standin/control.go
+++ b/pkg/standin/control.go
@@ -35,7 +35,7 @@
 
 // serveStatus returns the Status as JSON.
 func (p *Platform) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, p.Status())
+	WriteJSON(w, http.StatusOK, p.Status())
 }
 
 // ErrUnknownHost means that a Control names a host that the platform does not have. Nothing of it was applied.
--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
 )
 
 // Config configures a Platform.
@@ -30,11 +32,10 @@
 	Queue string // path prefix of the only queue
 	Host  string // host name of the only queue
 
-	work     func(string) time.Duration
-	listener net.Listener
-	server   *http.Server
-	workers  []*Worker
-	stop     chan struct{}
+	work    func(string) time.Duration
+	server  *standin.Server
+	workers []*Worker
+	stop    chan struct{}
 
 	mu      sync.Mutex // guards history
 	history []Run
@@ -45,13 +46,11 @@
 	p := &Platform{
 		Store: NewStore(cfg.Seed), Pool: "pool", Queue: "/jobs/", Host: "jobs.example", work: cfg.Work, stop: make(chan struct{}),
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := standin.NewServer(p.Store)
 	if err != nil {
-		return nil, fmt.Errorf("store: %w", err)
+		return nil, errors.Annotate(err, "store")
 	}
-	p.listener = listener
-	p.server = &http.Server{Handler: p.Store}
-	go func() { _ = p.server.Serve(listener) }() // it ends with Close
+	p.server = server
 	p.Configure(1)
 	if cfg.Front == nil {
 		cfg.Front = func(target string) string { return target }
@@ -68,7 +67,7 @@
 			p.Close()
 			return nil, err
 		}
-		w.address = cfg.Front(w.listener.Addr().String())
+		w.address = cfg.Front(w.server.Addr())
 		p.workers = append(p.workers, w)
 		w.announce()
 	}
@@ -120,7 +119,7 @@
 }
 
 // StoreAddress returns the address of the store, IP:port.
-func (p *Platform) StoreAddress() string { return p.listener.Addr().String() }
+func (p *Platform) StoreAddress() string { return p.server.Addr() }
 
 // Workers returns the workers.
 func (p *Platform) Workers() []*Worker { return p.workers }
@@ -212,8 +211,8 @@
 	close(p.stop)
 	for _, w := range p.workers {
 		close(w.stop)
-		_ = w.server.Close() // nothing is left to serve
+		w.server.Close()
 	}
-	_ = p.server.Close()
+	p.server.Close()
 	p.Store.Close()
 }
--- a/pkg/standin/fleet/store.go
+++ b/pkg/standin/fleet/store.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
 )
 
 const (
@@ -300,7 +302,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, status, body)
+	standin.WriteJSON(w, status, body)
 }
 
 func (s *Store) serveOther(w http.ResponseWriter, r *http.Request) {
@@ -315,7 +317,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		writeJSON(w, http.StatusOK, struct {
+		standin.WriteJSON(w, http.StatusOK, struct {
 			item
 			AsOf int64 `json:"asOf"`
 		}{entry, asOf})
@@ -342,7 +344,7 @@
 		return
 	}
 	s.endLease(id)
-	writeJSON(w, http.StatusOK, struct{}{})
+	standin.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
 func leaseOf(path string) int64 {
@@ -368,7 +370,7 @@
 		}
 		items = append(items, s.items[key])
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "asOf": s.revision})
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "asOf": s.revision})
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string) {
@@ -401,14 +403,14 @@
 		asOf, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
+			standin.WriteJSON(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
 			return
 		}
 		select {
 		case <-r.Context().Done():
 			return
 		case <-deadline.C:
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
+			standin.WriteJSON(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
 			return
 		case <-changed:
 		}
@@ -431,7 +433,7 @@
 	s.nextLease++
 	ttl := time.Duration(body.TTLMs) * time.Millisecond
 	s.leases[s.nextLease], s.ttls[s.nextLease] = time.Now().Add(ttl), ttl
-	writeJSON(w, http.StatusOK, leaseBody{Lease: s.nextLease, TTLMs: body.TTLMs})
+	standin.WriteJSON(w, http.StatusOK, leaseBody{Lease: s.nextLease, TTLMs: body.TTLMs})
 }
 
 func (s *Store) serveKeep(w http.ResponseWriter, id int64) {
@@ -443,14 +445,7 @@
 		return
 	}
 	s.leases[id] = time.Now().Add(ttl)
-	writeJSON(w, http.StatusOK, leaseBody{TTLMs: ttl.Milliseconds()})
-}
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The only error is a closed connection.
-	_ = json.NewEncoder(w).Encode(body)
+	standin.WriteJSON(w, http.StatusOK, leaseBody{TTLMs: ttl.Milliseconds()})
 }
 
 // Value returns the value of a key, nil when it does not exist.
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
+
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
 )
 
 // WorkerFaults are the ways in which a worker misbehaves. The zero value is a worker that works.
@@ -45,10 +47,9 @@
 	Datacentre,
 	Rack string
 	platform  *Platform
-	listener  net.Listener
 	address   string  // at which callers reach it
 	clockRate float64 // of its clock, 1 for an exact one
-	server    *http.Server
+	server    *standin.Server
 
 	mu       sync.Mutex // guards the fields below
 	faults   WorkerFaults
@@ -205,7 +206,7 @@
 	status, reason := w.carryOut(r.URL.Path, o)
 	clock := w.clockMs()
 	w.mu.Unlock()
-	writeJSON(rw, status, map[string]any{"clockMs": clock, "reason": reason})
+	standin.WriteJSON(rw, status, map[string]any{"clockMs": clock, "reason": reason})
 }
 
 // carryOut does what an order says. w.mu is held.
@@ -255,7 +256,7 @@
 	if o.Fence < w.fence {
 		clock := w.clockMs()
 		w.mu.Unlock()
-		writeJSON(rw, http.StatusConflict, map[string]any{"clockMs": clock, "reason": "fence"})
+		standin.WriteJSON(rw, http.StatusConflict, map[string]any{"clockMs": clock, "reason": "fence"})
 		return
 	}
 	w.fence = o.Fence
@@ -288,20 +289,18 @@
 		}
 		rows = append(rows, []any{key.task, key.run, "", int(percent), 0})
 	}
-	writeJSON(rw, http.StatusOK, map[string]any{
+	standin.WriteJSON(rw, http.StatusOK, map[string]any{
 		"clockMs": w.clockMs(), "born": w.born, "running": rows, "ended": append([][]any{}, w.ended...),
 	})
 }
 
 // serve starts the worker's server.
 func (w *Worker) serve() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := standin.NewServer(w)
 	if err != nil {
-		return fmt.Errorf("worker %s: %w", w.ID, err)
+		return errors.Annotatef(err, "worker %s", w.ID)
 	}
-	w.listener = listener
-	w.server = &http.Server{Handler: w}
-	go func() { _ = w.server.Serve(listener) }() // it ends with Close
+	w.server = server
 	go w.tick()
 	return nil
 }
--- a/pkg/standin/history.go
+++ b/pkg/standin/history.go
@@ -128,5 +128,5 @@
 		return
 	}
 	events := h.Events()
-	writeJSON(w, http.StatusOK, HistoryBody{Events: events[min(max(after, 0), len(events)):]})
+	WriteJSON(w, http.StatusOK, HistoryBody{Events: events[min(max(after, 0), len(events)):]})
 }
--- a/pkg/standin/hostlist.go
+++ b/pkg/standin/hostlist.go
@@ -164,5 +164,5 @@
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
-	writeJSON(w, http.StatusOK, hostlist.List{Hosts: hosts})
+	WriteJSON(w, http.StatusOK, hostlist.List{Hosts: hosts})
 }
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -67,7 +67,8 @@
 // abort closes the connection of the current request without a response.
 func abort() { panic(http.ErrAbortHandler) }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+// WriteJSON answers with a status and a JSON body.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -87,7 +88,7 @@
 	return encoder
 }}
 
-// writeCompressed is writeJSON with status 200, and with compression for callers that accept it.
+// writeCompressed is WriteJSON with status 200, and with compression for callers that accept it.
 func writeCompressed(w http.ResponseWriter, r *http.Request, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/pkg/standin/store.go
+++ b/pkg/standin/store.go
@@ -191,14 +191,14 @@
 
 func send(w http.ResponseWriter, rep reply) {
 	if rep.code == 0 {
-		writeJSON(w, http.StatusOK, rep.body)
+		WriteJSON(w, http.StatusOK, rep.body)
 		return
 	}
 	status := http.StatusBadRequest
 	if rep.code == gateway.CodeNotFound {
 		status = http.StatusNotFound
 	}
-	writeJSON(w, status, gateway.Error{Code: rep.code, Message: rep.text})
+	WriteJSON(w, status, gateway.Error{Code: rep.code, Message: rep.text})
 }
 
 func (s *Store) serveRange(_ time.Time, req gateway.RangeRequest) reply {
--- a/pkg/term/term_test.go
+++ b/pkg/term/term_test.go
@@ -11,6 +11,7 @@
 	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
 	"fulmarcourse.example/fulmarcourse/pkg/mirror"
 	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
+	"fulmarcourse.example/fulmarcourse/test/poll"
 )
 
 const testPartition = statekeys.Partition(0)
@@ -23,16 +24,7 @@
 		Store: store, Prefix: statekeys.Owners, Wait: time.Second, Retry: time.Millisecond, Log: eventlog.Discard(),
 		Reset: view.Reset, Apply: view.Apply,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		m.Run(ctx)
-		close(done)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	poll.Background(t, m.Run)
 	return NewCandidate(Config{
 		Store: store, Partition: testPartition, Cores: 1, Log: eventlog.Discard(),
 		Self: Record{Host: host, Incarnation: incarnation, Address: host + ":1"},
--- a/test/poll/poll.go
+++ b/test/poll/poll.go
@@ -1,8 +1,9 @@
-// Package poll lets tests wait for a condition without a fixed sleep. Its limit is far above any expected time,
+// Package poll lets tests wait for a condition without a fixed sleep, and run something beside them. Its limit is far above any expected time,
 // so that a slow machine does not change a verdict.
 package poll
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -28,3 +29,17 @@
 		}
 	}
 }
+
+// Background runs something until the test ends and waits for its end.
+func Background(t testing.TB, run func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
