Give a job one final state when its cancellation races with its end

The owner ignored the cancellation of an unknown job, learned of it only with the next watch of the submissions (up to 3 s) and completed the job meanwhile, while other hosts showed the stored cancellation.

Change: the scheduler keeps the cancellation of a job that has not been added. A completed or failed state is stored only on condition that the cancellation is not stored; on a conflict the owner cancels the job, unless an earlier write of the final state took effect. So a cancellation that is stored first is the only final state that anyone sees.

Ruled out: a lost announcement (the log shows both), a takeover (one term).

--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -11,6 +11,7 @@
 // Plan stops attempts that have to leave their worker and starts the tasks that can start now. TakeOrders returns the
 // resulting orders.
 func (s *Scheduler) Plan(now Time) {
+	s.expireEarlyCancels(now)
 	s.repeatStops(now)
 	s.moveFromDraining(now)
 	s.interference.refresh(now.Boot)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -24,9 +24,14 @@
 	takeoverAt          time.Duration     // when the takeover began
 	knownWorkersChanged bool              // the set of known workers has changed since it was last stored
 	interference        *interference
-	dirty               map[*job]struct{} // jobs whose progress has changed since it was stored
+	dirty               map[*job]struct{}       // jobs whose progress has changed since it was stored
+	earlyCancels        map[workload.JobID]Time // cancellations of jobs that have not been added yet, by arrival
 }
 
+// earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
+// owner finds the job in the store within a few seconds.
+const earlyCancelRetention = 30 * time.Second
+
 // NewScheduler returns a scheduler without jobs and workers.
 func NewScheduler(cfg Config) *Scheduler {
 	return &Scheduler{
@@ -39,6 +44,7 @@
 		awaitingReport: map[WorkerID]bool{},
 		dirty:          map[*job]struct{}{},
 		interference:   newInterference(),
+		earlyCancels:   map[workload.JobID]Time{},
 	}
 }
 
@@ -63,6 +69,10 @@
 	for _, st := range j.steps {
 		s.openStep(st)
 	}
+	if arrived, cancelled := s.earlyCancels[rec.ID]; cancelled {
+		delete(s.earlyCancels, rec.ID)
+		s.finish(arrived, j, workload.StateCancelled)
+	}
 }
 
 // AddEndedJob adds a job that ended under a former owner. Only its state is kept.
@@ -79,16 +89,39 @@
 	}
 }
 
-// Cancel cancels a job. It returns false when the job does not exist.
-func (s *Scheduler) Cancel(now Time, id workload.JobID) bool {
+// Cancel cancels a job. The cancellation of a job that has not been added takes effect when it is added: the
+// announcement of a cancellation may overtake that of its job.
+func (s *Scheduler) Cancel(now Time, id workload.JobID) {
 	j, known := s.jobs[id]
 	if !known {
-		return false
+		s.earlyCancels[id] = now
+		return
 	}
 	if !j.state.Final() {
 		s.finish(now, j, workload.StateCancelled)
 	}
-	return true
+}
+
+// CancelUnstored cancels a job whose cancellation was stored before its final state. Until a final state other than
+// cancelled is stored, the job was shown as running, so the state may still change.
+func (s *Scheduler) CancelUnstored(now Time, id workload.JobID) {
+	j, known := s.jobs[id]
+	if !known || j.state == workload.StateCancelled {
+		return
+	}
+	if _, unstored := s.dirty[j]; j.state.Final() && !unstored {
+		return
+	}
+	s.finish(now, j, workload.StateCancelled)
+}
+
+// expireEarlyCancels drops cancellations whose job was not added in time.
+func (s *Scheduler) expireEarlyCancels(now Time) {
+	for id, arrived := range s.earlyCancels {
+		if now.Boot-arrived.Boot > earlyCancelRetention {
+			delete(s.earlyCancels, id)
+		}
+	}
 }
 
 // finish sets the final state of a job and stops its attempts.
--- a/pkg/dispatch/owner_test.go
+++ b/pkg/dispatch/owner_test.go
@@ -16,6 +16,7 @@
 	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/kv"
 	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
 	"fulmarcourse.example/fulmarcourse/pkg/relay"
 	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
@@ -110,6 +111,13 @@
 	return len(r.started), r.stored, r.assigned
 }
 
+// allDone reports whether all tasks of a job of twoStepJob have ended.
+func (r *fakeRelay) allDone() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.ended) == 4
+}
+
 // dropAssignments makes the relay drop its workers, as after a pause of its process.
 func (r *fakeRelay) dropAssignments() {
 	r.mu.Lock()
@@ -249,3 +257,88 @@
 		t.Errorf("permitted lease extension exceeds the limit by %v", excess)
 	}
 }
+
+// Guards against a cancellation that is lost because its announcement overtakes the announcement of its job.
+func TestCancellationAnnouncedBeforeItsJob(t *testing.T) {
+	r := &fakeRelay{}
+	o := startOwner(t, kvtest.NewStore(), r)
+	o.Cancel("job")
+	o.Announce(twoStepJob("job"))
+	if got := state(o, "job"); got != workload.StateCancelled {
+		t.Errorf("job is %q, want %q", got, workload.StateCancelled)
+	}
+	if n, _, _ := r.counts(); n != 0 {
+		t.Errorf("%d task starts, want 0", n)
+	}
+}
+
+// Guards against two final states of one job: its cancellation is stored, but the owner has not learned of it when the
+// last task ends. Another entry host shows the stored cancellation, so the owner must not complete the job.
+func TestStoredCancellationPrecedesCompletion(t *testing.T) {
+	store, r := kvtest.NewStore(), &fakeRelay{}
+	o := startOwner(t, store, r)
+	store.SetFault(func(call string) kvtest.Fault {
+		if call == "Watch" || call == "Range" {
+			return kvtest.LoseRequest
+		}
+		return kvtest.None
+	})
+	put := kv.Txn{Put: []kv.Put{{Key: statekeys.Cancel(0, "job"), Value: []byte("{}")}}}
+	if _, err := store.Commit(t.Context(), put); err != nil {
+		t.Fatal(err)
+	}
+	o.Announce(twoStepJob("job"))
+	poll.Until(t, "the job has a final state", func() bool { return state(o, "job").Final() })
+	if got := state(o, "job"); got != workload.StateCancelled {
+		t.Errorf("job is %q, want %q", got, workload.StateCancelled)
+	}
+	poll.Until(t, "the final state is stored", func() bool { return storedState(t, store, "job").Final() })
+	if got := storedState(t, store, "job"); got != workload.StateCancelled {
+		t.Errorf("job is stored as %q, want %q", got, workload.StateCancelled)
+	}
+}
+
+// Guards against a completed job that turns cancelled: the response to the write of its completion was lost, and the
+// cancellation was stored after that write.
+func TestCompletionStoredBeforeTheCancellationStays(t *testing.T) {
+	store, r := kvtest.NewStore(), &fakeRelay{}
+	o := startOwner(t, store, r)
+	lost := false
+	store.SetFault(func(call string) kvtest.Fault {
+		switch {
+		case call == "Watch" || call == "Range":
+			return kvtest.LoseRequest
+		case call == "Commit" && !lost && r.allDone():
+			lost = true
+			return kvtest.LoseResponse
+		}
+		return kvtest.None
+	})
+	o.Announce(twoStepJob("job"))
+	poll.Until(t, "the completion is stored", func() bool { return storedState(t, store, "job").Final() })
+	put := kv.Txn{Put: []kv.Put{{Key: statekeys.Cancel(0, "job"), Value: []byte("{}")}}}
+	if _, err := store.Commit(t.Context(), put); err != nil {
+		t.Fatal(err)
+	}
+	poll.Until(t, "the job has a final state", func() bool { return state(o, "job").Final() })
+	if got := state(o, "job"); got != workload.StateCompleted {
+		t.Errorf("job is %q, want %q", got, workload.StateCompleted)
+	}
+}
+
+// storedState returns the state in the stored progress of a job, or an empty string if there is none.
+func storedState(t *testing.T, store *kvtest.Store, id workload.JobID) workload.State {
+	t.Helper()
+	item, found, err := store.Get(t.Context(), statekeys.Progress(0, id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !found {
+		return ""
+	}
+	var progress workload.Progress
+	if err := json.Unmarshal(item.Value, &progress); err != nil {
+		t.Fatal(err)
+	}
+	return progress.State
+}
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -22,9 +22,6 @@
 	saveBatchDelay = 25 * time.Millisecond
 	// saveTimeout bounds one write, and the read that confirms the term. It is long enough for a slow store.
 	saveTimeout = 1500 * time.Millisecond
-	// recordsPerTxn keeps a transaction within the store's entry limit: one condition on the term, plus one condition
-	// and one write per record.
-	recordsPerTxn = (kv.MaxTxnEntries - 1) / 2
 	// deleteEndedInterval is the time between two deletions of ended jobs whose retention has expired.
 	deleteEndedInterval = 10 * time.Second
 	// deletionsPerTxn keeps a transaction that deletes up to three keys per job within the store's entry limit.
@@ -98,11 +95,12 @@
 			return errors.Trace(err)
 		}
 	}
-	for start := 0; start < len(b.records); start += recordsPerTxn {
-		chunk := b.records[start:min(start+recordsPerTxn, len(b.records))]
-		if err := o.saveRecords(ctx, chunk); err != nil {
+	for records := b.records; len(records) > 0; {
+		n := recordsOfTxn(records)
+		if err := o.saveRecords(ctx, records[:n]); err != nil {
 			return errors.Trace(err)
 		}
+		records = records[n:]
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -150,6 +148,27 @@
 	return nil
 }
 
+// recordsOfTxn returns how many of the records fit into one transaction, which also has a condition on the term.
+func recordsOfTxn(records []schedule.Record) int {
+	entries := 1
+	for n, r := range records {
+		entries += 2 // a condition and a write
+		if excludesCancellation(r) {
+			entries++
+		}
+		if entries > kv.MaxTxnEntries {
+			return n
+		}
+	}
+	return len(records)
+}
+
+// excludesCancellation reports whether a record may be written only if the job's cancellation is not stored. A stored
+// cancellation without a stored final state is shown to callers as cancelled, so no other final state may follow it.
+func excludesCancellation(r schedule.Record) bool {
+	return r.Progress.State.Final() && r.Progress.State != workload.StateCancelled
+}
+
 // saveRecords stores progress records in one transaction. Each write is conditional on the record's last known
 // revision, so that a write which the store applies late cannot overwrite a newer one.
 func (o *Owner) saveRecords(ctx context.Context, records []schedule.Record) error {
@@ -163,12 +182,15 @@
 		}
 		key := statekeys.Progress(o.cfg.Partition, r.Job)
 		txn.If = append(txn.If, kv.Condition{Key: key, Revision: o.revisions[r.Job]})
+		if excludesCancellation(r) {
+			txn.If = append(txn.If, kv.Condition{Key: statekeys.Cancel(o.cfg.Partition, r.Job)})
+		}
 		txn.Put = append(txn.Put, kv.Put{Key: key, Value: data})
 	}
 	o.mu.Unlock()
 	revision, err := o.commit(ctx, txn, func(c *kv.Conflict) {
 		for _, r := range records {
-			o.revisions[r.Job] = c.Revision(statekeys.Progress(o.cfg.Partition, r.Job))
+			o.resolveRecord(r, c)
 		}
 	})
 	if err != nil {
@@ -184,6 +206,31 @@
 	return nil
 }
 
+// resolveRecord brings the owner up to date after a conflict. Either an earlier write of this owner whose response was
+// lost has taken effect, or the job's cancellation was stored before its final state. o.mu is held.
+func (o *Owner) resolveRecord(r schedule.Record, c *kv.Conflict) {
+	key := statekeys.Progress(o.cfg.Partition, r.Job)
+	stored, found := c.Item(key)
+	o.revisions[r.Job] = stored.Revision
+	if found && o.storedAsFinal(stored) {
+		o.scheduler.MarkStored(r)
+		return
+	}
+	if c.Revision(statekeys.Cancel(o.cfg.Partition, r.Job)) != 0 {
+		o.scheduler.CancelUnstored(bootclock.Now(), r.Job)
+	}
+}
+
+// storedAsFinal reports whether a progress record in the store has a final state.
+func (o *Owner) storedAsFinal(item kv.Item) bool {
+	var progress workload.Progress
+	if err := json.Unmarshal(item.Value, &progress); err != nil {
+		o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Err(err).Msg("")
+		return false
+	}
+	return progress.State.Final()
+}
+
 // commit writes a transaction. On a conflict it marks the ownership as lost if the term has changed. Otherwise an
 // earlier write whose response was lost has taken effect, and onConflict is called with o.mu held to update the known
 // revisions.
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -83,14 +83,20 @@
 // Error implements the error interface.
 func (c *Conflict) Error() string { return "store condition does not hold" }
 
-// Revision returns the current revision of a key of the conditions, 0 if the key does not exist.
-func (c *Conflict) Revision(key string) int64 {
+// Item returns the current state of a key of the conditions; found is false if the key does not exist.
+func (c *Conflict) Item(key string) (item Item, found bool) {
 	for _, item := range c.Items {
 		if item.Key == key {
-			return item.Revision
+			return item, true
 		}
 	}
-	return 0
+	return Item{}, false
+}
+
+// Revision returns the current revision of a key of the conditions, 0 if the key does not exist.
+func (c *Conflict) Revision(key string) int64 {
+	item, _ := c.Item(key)
+	return item.Revision
 }
 
 // Store is the platform's key-value store. Every method makes a single call without retries.
