Count with the longest lease that a worker grants

Cause (soak): a poll for a former incarnation of a worker names a time on that incarnation's clock and extends the leases of the new one beyond the task lease. The owner counted with the task lease alone and started the tasks elsewhere while the worker still held them.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -12,6 +12,7 @@
 type Config struct {
 	Term          int64         // fencing token of the owner's orders; increases with every change of owner
 	TaskLease     time.Duration // how long each report or start extends the task leases of a worker
+	MaxTaskLease  time.Duration // longest task lease that a worker grants
 	StopTime      time.Duration // maximum time that a worker takes to stop a task
 	HandoverGrace time.Duration // how long a former owner may keep acting after it has lost its ownership
 }
@@ -42,7 +43,9 @@
 	maxEndedPerReport = 500
 )
 
-// leaseBound returns the time after which a task lease granted now has certainly expired.
+// leaseBound returns the time after which a task lease granted now has certainly expired. A lease may be longer than
+// TaskLease: a poll that reaches a restarted worker names a time on the clock of the worker's former incarnation, and the
+// worker shortens such a lease only to the longest one that it grants.
 func (c Config) leaseBound() time.Duration {
-	return time.Duration(float64(c.TaskLease)*clockSlack) + leaseMargin
+	return time.Duration(float64(max(c.TaskLease, c.MaxTaskLease))*clockSlack) + leaseMargin
 }
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -482,3 +482,21 @@
 		t.Fatalf("started %s", describe(orders))
 	}
 }
+
+// Guards against starting a task of a silent worker while it still runs there: a poll for a former incarnation of the
+// worker may have extended its leases up to the longest one that it grants.
+func TestSilentWorkerMayHoldTheLongestLease(t *testing.T) {
+	h := newHarness(t, 1)
+	h.s.cfg.MaxTaskLease = testLease + 4*time.Second
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.wantStarts(h.run(), 1)
+	h.addWorker("w2", nil)
+	h.s.PollFailed(h.now, "w1")
+	h.advanceClock(h.s.cfg.MaxTaskLease)
+	h.report("w2")
+	h.wantStarts(h.run(), 0)
+	h.advanceClock(time.Second)
+	h.report("w2")
+	h.wantStarts(h.run(), 1)
+}
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -48,6 +48,7 @@
 	Relays            Relays
 	Directory         Directory
 	TaskLease         time.Duration // duration by which a poll extends the task leases of a worker
+	MaxTaskLease      time.Duration // longest task lease that a worker grants
 	StopTime          time.Duration // maximum time that a worker takes to stop a task
 	EndedJobRetention time.Duration // how long the state of an ended job can be queried
 	Log               *eventlog.Logger
@@ -104,7 +105,8 @@
 			storeTime: cfg.Scope.Histogram("progress_write_seconds", storeBuckets),
 		},
 		scheduler: schedule.NewScheduler(schedule.Config{
-			Term: ownership.Term, TaskLease: cfg.TaskLease, StopTime: cfg.StopTime, HandoverGrace: term.TTL,
+			Term: ownership.Term, TaskLease: cfg.TaskLease, MaxTaskLease: cfg.MaxTaskLease, StopTime: cfg.StopTime,
+			HandoverGrace: term.TTL,
 		}),
 		links:             map[string]*link{},
 		linkOf:            map[schedule.WorkerID]*link{},
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -54,6 +54,7 @@
 	Workers           relay.Workers
 	Directory         dispatch.Directory
 	TaskLease         time.Duration // duration by which a poll extends the task leases of a worker
+	MaxTaskLease      time.Duration // longest task lease that a worker grants
 	StopTime          time.Duration // maximum time that a worker takes to stop a task
 	EndedJobRetention time.Duration // how long the state of an ended job can be queried
 	Log               *eventlog.Logger
@@ -172,7 +173,7 @@
 func (n *Node) runOwner(ctx context.Context, p statekeys.Partition, ownership *term.Ownership) {
 	owner := dispatch.NewOwner(dispatch.Config{
 		Partition: p, Host: n.cfg.Self.Host, Store: n.cfg.Store, Relays: &relayHosts{n, p}, Directory: n.cfg.Directory,
-		TaskLease: n.cfg.TaskLease, StopTime: n.cfg.StopTime, EndedJobRetention: n.cfg.EndedJobRetention,
+		TaskLease: n.cfg.TaskLease, MaxTaskLease: n.cfg.MaxTaskLease, StopTime: n.cfg.StopTime, EndedJobRetention: n.cfg.EndedJobRetention,
 		Log: n.cfg.Log, Scope: n.cfg.Scope,
 	}, ownership)
 	n.mu.Lock()
