Mend four limits of the shard owner that were found by reading

- assignProbes stopped at the first quarantined worker without a candidate; the others got no probe in that cycle.
- planStarts took a start of the ramp before it was known that the placement was still possible.
- repeatCommand moved the next stop by a whole interval although no call was free to send this one.
- refusedAt and workerDrainers kept an entry for every worker that had ever refused a start or drained.

Tests in pkg/shard/limits_test.go; those of the first, third and fourth fail on the former code. The second cannot occur today, since the plan and the check see the same state under one lock; the order is now right all the same.

--- a/pkg/shard/command.go
+++ b/pkg/shard/command.go
@@ -45,8 +45,10 @@
 	case startDue:
 		c.sending = l.goCall(ctx, commandTimeout, func(ctx context.Context) { l.sendStart(ctx, w, id, c) })
 	case stopDue:
-		c.stopAt = now.Add(commandRepeatInterval)
 		c.sending = l.goCall(ctx, 2*commandTimeout, func(ctx context.Context) { l.sendStop(ctx, w, id, c) })
+		if c.sending {
+			c.stopAt = now.Add(commandRepeatInterval)
+		}
 	}
 }
 
--- a/pkg/shard/drain.go
+++ b/pkg/shard/drain.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"time"
 
 	"fulmarcourse.example/core/drain"
@@ -78,6 +79,7 @@
 // drainLeavingWorkers stops the tasks on workers that the host list shows as leaving, those with the least work to
 // lose first. Called with mu held.
 func (l *Loop) drainLeavingWorkers(now time.Time) {
+	maps.DeleteFunc(l.workerDrainers, func(id structs.HostID, _ *drain.Drainer) bool { return l.table.workers[id] == nil })
 	for id, w := range l.table.workers {
 		if w.host.State != structs.HostLeaving {
 			delete(l.workerDrainers, id)
--- a/pkg/shard/failures.go
+++ b/pkg/shard/failures.go
@@ -73,7 +73,7 @@
 	for _, host := range l.tracker.DueProbes(now) {
 		task, ok := l.tracker.PickProbe(host, l.probeCandidates(pending))
 		if !ok {
-			return
+			continue // the candidates depend on the worker
 		}
 		for i := range pending {
 			if pending[i].Task == task {
--- a/pkg/shard/planner.go
+++ b/pkg/shard/planner.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -59,8 +60,9 @@
 	}
 }
 
-// recordRefusal records when a worker refused a start.
+// recordRefusal records when a worker refused a start. Refusals whose back-off has ended are dropped.
 func (p *planner) recordRefusal(worker structs.HostID, now time.Time) {
+	maps.DeleteFunc(p.refusedAt, func(_ structs.HostID, at time.Time) bool { return now.Sub(at) >= refusalBackOff })
 	p.refusedAt[worker] = now
 }
 
--- a/pkg/shard/start.go
+++ b/pkg/shard/start.go
@@ -75,16 +75,24 @@
 	l.preempt(teams, unplacedTasks(pending, plan.Unplaced), now)
 	var starts []start
 	for _, p := range plan.Placements {
+		if !l.mayBegin(p) {
+			continue
+		}
 		if len(starts) == freeCalls || !l.rampAllows(now) {
 			break
 		}
-		if s, ok := l.beginStart(p, now); ok {
-			starts = append(starts, s)
-		}
+		starts = append(starts, l.beginStart(p, now))
 	}
 	return starts
 }
 
+// mayBegin reports whether a placement is still possible. Called with mu held.
+func (l *Loop) mayBegin(p placement.Placement) bool {
+	w := l.table.workers[p.Host]
+	_, rec := l.table.task(p.Task)
+	return w != nil && rec != nil && rec.State == structs.TaskPending && p.Reserved.Fits(w.free())
+}
+
 // rampAllows reports whether the ramp after the return of the data centre to service allows one more start, and counts
 // that start. Called with mu held.
 func (l *Loop) rampAllows(now time.Time) bool {
@@ -208,14 +216,11 @@
 	return kinds
 }
 
-// beginStart reserves the capacity of one placement and records the new attempt. It returns false if the placement is
-// no longer possible. Called with mu held.
-func (l *Loop) beginStart(p placement.Placement, now time.Time) (start, bool) {
+// beginStart reserves the capacity of a placement that mayBegin allows and records the new attempt. Called with mu held.
+func (l *Loop) beginStart(p placement.Placement, now time.Time) start {
 	w := l.table.workers[p.Host]
 	j, rec := l.table.task(p.Task)
-	if w == nil || rec == nil || !p.Reserved.Fits(w.free()) || !reconcile.BeginStart(rec, p.Host) {
-		return start{}, false
-	}
+	reconcile.BeginStart(rec, p.Host)
 	kind, _ := l.lookupKind(j.record.Spec.Kind)
 	c := l.table.commit(w, p.Task, commitment{
 		attempt:     rec.Attempt,
@@ -247,5 +252,5 @@
 	if !kind.Idempotent {
 		s.intent = l.saveNow(j)
 	}
-	return s, true
+	return s
 }
