Mend a data race, an unannounced job and a leaked lease

- pkg/relay: pollFailed read the session's worker without the lock under which an update writes it.
- pkg/intake: a write whose response was lost had stored the job; its repetition found the key and announced nothing, so the job waited for the owner's next watch.
The stored job is announced now if it was created under the current term (TestJobOfALostResponseIsAnnounced, failed before; TestJobOfAFormerTermIsNotAnnounced).
- pkg/registry: the lease of a record that was not written is revoked (TestLeaseOfAFailedWriteIsRevoked, failed before).

--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -87,15 +87,31 @@
 	write := kv.Put{Key: statekeys.Job(p, job.ID), Value: data}
 	w := writer{intake: i, partition: p, put: write, newKey: write.Key}
 	outcome, err := w.run(ctx)
-	if outcome == Done && !w.keyExists {
+	if stored := i.storedJob(&w, job); outcome == Done && stored != nil {
 		go i.announce(p, w.termRevision, func(ctx context.Context, state term.State) error {
-			return i.cfg.Owners.Announce(ctx, p, state, job)
+			return i.cfg.Owners.Announce(ctx, p, state, *stored)
 		})
 	}
 	i.logSubmit(job, outcome, w.keyExists, err)
 	return outcome, err
 }
 
+// storedJob returns the job that this call has stored and has to announce, or nil if another call has stored it.
+func (i *Intake) storedJob(w *writer, job workload.Job) *workload.Job {
+	if !w.keyExists {
+		return &job
+	}
+	if !w.unannounced() {
+		return nil
+	}
+	var stored workload.Job
+	if err := json.Unmarshal(w.existing.Value, &stored); err != nil {
+		i.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", w.existing.Key).Err(err).Msg("")
+		return nil
+	}
+	return &stored
+}
+
 func (i *Intake) logSubmit(job workload.Job, outcome Outcome, existed bool, err error) {
 	code := eventlog.JobStored
 	switch {
--- a/pkg/intake/intake_test.go
+++ b/pkg/intake/intake_test.go
@@ -242,3 +242,36 @@
 		t.Errorf("state %q, %v, %v", state, found, err)
 	}
 }
+
+// Guards against a job that waits for the owner's next watch of the submissions: the response to the write that stored it
+// was lost, the repeated write found the key, and nobody announced the job.
+func TestJobOfALostResponseIsAnnounced(t *testing.T) {
+	ti := newTestIntake(t)
+	ti.faultOnCommits(faultSequence(kvtest.LoseResponse, kvtest.None))
+	if got, err := ti.Submit(t.Context(), workload.Job{ID: "job"}); got != Done || err != nil {
+		t.Fatalf("outcome %s, %v", got, err)
+	}
+	poll.Until(t, "the owner is notified", func() bool { return len(ti.owners.announcements()) == 1 })
+}
+
+// Guards against announcing a job as new to an owner of a later term than the one under which it was stored: that owner
+// has to look for attempts of the former one first.
+func TestJobOfAFormerTermIsNotAnnounced(t *testing.T) {
+	ti := newTestIntake(t)
+	ti.faultOnCommits(faultSequence(kvtest.LoseResponse, kvtest.None))
+	calls := 0
+	ti.cfg.Reachable = func() bool {
+		if calls++; calls == 2 { // between the two writes
+			ti.setTerm(t, `{"term":2}`)
+			ti.refreshTerm(t)
+		}
+		return true
+	}
+	if got, err := ti.Submit(t.Context(), workload.Job{ID: "job"}); got != Done || err != nil {
+		t.Fatalf("outcome %s, %v", got, err)
+	}
+	time.Sleep(2 * announceInterval)
+	if n := len(ti.owners.announcements()); n != 0 {
+		t.Errorf("the owner was notified %d times, want 0", n)
+	}
+}
--- a/pkg/intake/writer.go
+++ b/pkg/intake/writer.go
@@ -22,9 +22,10 @@
 	newKey    string // the key that must not exist yet
 	require   []kv.Condition
 
-	termRevision int64 // required by the latest attempt
-	keyExists    bool  // an attempt failed because the key exists
-	mayExist     bool  // an attempt without a certain outcome may have created the key
+	termRevision int64   // required by the latest attempt
+	keyExists    bool    // an attempt failed because the key exists
+	mayExist     bool    // an attempt without a certain outcome may have created the key
+	existing     kv.Item // the key as an attempt found it; only if keyExists
 }
 
 // run repeats the write until its outcome is certain, ctx ends, or the store becomes unreachable after a write without
@@ -73,8 +74,9 @@
 }
 
 func (w *writer) resolveConflict(conflict *kv.Conflict, termKey string) (Outcome, error) {
-	if conflict.Revision(w.newKey) != 0 {
-		w.keyExists = true
+	if existing, found := conflict.Item(w.newKey); found {
+		w.keyExists, w.existing = true, existing
+		w.termRevision = conflict.Revision(termKey)
 		return Done, nil
 	}
 	for _, condition := range w.require {
@@ -85,3 +87,10 @@
 	w.termRevision = conflict.Revision(termKey)
 	return "", errors.Trace(conflict)
 }
+
+// unannounced reports whether the key exists because of an attempt of this writer whose response was lost, so that no
+// other host has announced it. The key must have been created under the current term: the owner of a later term finds
+// it in the store, where it may also find attempts of a former owner.
+func (w *writer) unannounced() bool {
+	return w.keyExists && w.mayExist && w.existing.Created > w.termRevision
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -94,13 +94,15 @@
 		}
 	}
 	lease, _, err := r.cfg.Store.Grant(call, leaseTTL)
-	if err == nil {
-		err = r.writeRecord(call, lease)
-	}
 	if err != nil {
 		r.cfg.Log.Event(eventlog.HostNotRegistered).Err(err).Msg("")
 		return 0
 	}
+	if err := r.writeRecord(call, lease); err != nil {
+		r.cfg.Log.Event(eventlog.HostNotRegistered).Err(err).Msg("")
+		r.remove(lease) // the next refresh grants another lease; a late write under this one fails
+		return 0
+	}
 	return lease
 }
 
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -8,6 +8,7 @@
 
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/kv"
+	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
 	"fulmarcourse.example/fulmarcourse/test/poll"
 )
 
@@ -45,3 +46,27 @@
 		t.Errorf("%d leases were revoked, want 0", n)
 	}
 }
+
+// Guards against leases that nobody renews or revokes: each was granted for a record that was not written.
+func TestLeaseOfAFailedWriteIsRevoked(t *testing.T) {
+	store := kvtest.NewStore()
+	granted, revoked := 0, 0
+	store.SetFault(func(call string) kvtest.Fault {
+		switch call {
+		case "Commit":
+			return kvtest.LoseRequest
+		case "Grant":
+			granted++
+		case "Revoke":
+			revoked++
+		}
+		return kvtest.None
+	})
+	r := New(Config{Store: store, Self: Record{Host: "a"}, Log: eventlog.Discard()})
+	if lease := r.refresh(t.Context(), 0); lease != 0 {
+		t.Errorf("registered under lease %d although the record was not written", lease)
+	}
+	if granted != 1 || revoked != 1 {
+		t.Errorf("%d leases granted and %d revoked, want 1 of each", granted, revoked)
+	}
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -187,3 +188,26 @@
 		t.Fatalf("collect after the workers were released: error %v, want ErrNoAssignment", err)
 	}
 }
+
+// Guards against a data race between a poll that fails and an update that changes the assignment of its worker; the race
+// detector reports it.
+func TestPollsFailWhileAssignmentsChange(t *testing.T) {
+	const workers = 300
+	f := &fakeWorkers{reply: func(int, PollRequest) (PollReply, error) { return PollReply{}, errors.New("no answer") }}
+	r := startRelay(t, f)
+	update := Update{Term: 1, Reset: true}
+	for n := range workers {
+		info := schedule.WorkerInfo{ID: schedule.WorkerID(fmt.Sprint("w", n))}
+		update.Assign = append(update.Assign, Assignment{Worker: info})
+	}
+	polls := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.polls)
+	}
+	for polls() < 4*workers {
+		if err := r.Update(update); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	if err != nil {
-		s.pollFailed(err)
+		s.pollFailed(req.Worker.ID, err)
 		return false
 	}
 	s.recordReply(reply)
@@ -124,7 +124,8 @@
 	return true
 }
 
-func (s *session) pollFailed(err error) {
+// pollFailed records that a poll of the worker has failed. s.worker belongs to Relay.mu, so the ID is passed.
+func (s *session) pollFailed(id schedule.WorkerID, err error) {
 	if errors.Is(err, ErrFenced) {
 		s.relay.markFenced(s.term)
 		return
@@ -132,7 +133,7 @@
 	s.relay.mu.Lock()
 	s.lastPollOK = false
 	s.relay.mu.Unlock()
-	s.relay.addReport(s.term, WorkerReport{Worker: s.worker.ID, Failed: err.Error()})
+	s.relay.addReport(s.term, WorkerReport{Worker: id, Failed: err.Error()})
 }
 
 // recordReply records the clock and the newest task end of the worker. Each incarnation numbers its ends from 1.
