Honour the count of unavailable service tasks and widen the attempt numbers of a term

- MaxUnavailable was read as zero or not; it now limits how many tasks of a step are away at the same time.
- The attempt numbers of two terms were 1000 apart, which a task without a failure limit on flapping workers can pass.
Both found by reading.
Tests, both failed before: TestServiceLeavesSlowWorkersWithinItsLimit, TestAttemptNumbersOfTermsDoNotMeet.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -34,8 +34,9 @@
 	// noCapacityBackOff is how long a worker gets no tasks after it has rejected one for lack of capacity.
 	noCapacityBackOff = 500 * time.Millisecond
 	// attemptsPerTerm is the distance between the first attempt numbers of consecutive terms. A new owner cannot know
-	// the numbers of attempts on workers that it does not reach, so the numbers of two owners must not collide.
-	attemptsPerTerm = 1000
+	// the numbers of attempts on workers that it does not reach, so the numbers of two owners must not collide. A task
+	// cannot be started that often within a term, even if each attempt ends at once.
+	attemptsPerTerm = 1 << 16
 	// staleAttemptSkip is added to a task's attempt number when a worker has seen a higher one.
 	staleAttemptSkip = 16
 	// maxEndedPerReport is the maximum number of ended attempts in a report; the worker lists the rest in its next
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -500,3 +500,44 @@
 	h.report("w2")
 	h.wantStarts(h.run(), 1)
 }
+
+// Guards against stopping more tasks of a service at a time than its step tolerates, and against tolerating only one
+// where the step allows more.
+func TestServiceLeavesSlowWorkersWithinItsLimit(t *testing.T) {
+	for maxUnavailable, want := range map[int]int{0: 0, 1: 1, 2: 2} {
+		h := newHarness(t, 1)
+		service := testStep(4)
+		service.Service, service.MaxUnavailable = true, maxUnavailable
+		h.addWorker("slow", func(info *WorkerInfo) { info.Capacity.MilliCPU = 4000 })
+		h.s.AddJob(testJob("service", service), nil, false)
+		h.wantStarts(h.run(), 4)
+		h.addWorker("other", nil)
+		h.advanceClock(minRunTime)
+		for i := range h.workers["slow"].running {
+			h.workers["slow"].running[i].Percent = fullShare
+		}
+		h.reportAll()
+		h.s.workers["slow"].slowness.add(h.now.Boot, maxSlowness, 2*minSlowWeight)
+		if stops := len(ofKind(h.plan(), OrderStop)); stops != want {
+			t.Errorf("limit %d: %d tasks are stopped, want %d", maxUnavailable, stops, want)
+		}
+	}
+}
+
+// Guards against a task without a failure limit whose attempt numbers run into those of the next term: workers would
+// reject its starts as stale, or take them for attempts of another owner.
+func TestAttemptNumbersOfTermsDoNotMeet(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	for range 1100 { // more attempts than flapping workers cause in a long day
+		orders := h.run()
+		h.wantStarts(orders, 1)
+		if orders[0].Attempt > attemptsPerTerm {
+			t.Fatalf("attempt %d of term 1 is in the range of term 2", orders[0].Attempt)
+		}
+		h.end(taskID("job", 0, 0), EndStopped)
+		h.workers["w1"].ended = h.workers["w1"].ended[len(h.workers["w1"].ended)-1:]
+		h.reportAll()
+	}
+}
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -203,18 +203,16 @@
 	return true
 }
 
-// toleratesStop reports whether a service task may be stopped: every other task of its step must run at full speed, and
-// the step must tolerate one unavailable task.
+// toleratesStop reports whether a service task may be stopped: together with the other tasks of its step that do not run
+// at full speed, at most MaxUnavailable tasks are unavailable then.
 func (st *step) toleratesStop(a *attempt) bool {
-	if st.spec.MaxUnavailable == 0 {
-		return false
-	}
+	unavailable := 1
 	for _, t := range st.tasks {
 		if t != a.task && !t.atFullSpeed() {
-			return false
+			unavailable++
 		}
 	}
-	return true
+	return unavailable <= st.spec.MaxUnavailable
 }
 
 // atFullSpeed reports whether any attempt of a service task runs at full speed.
--- a/core/workload/job.go
+++ b/core/workload/job.go
@@ -60,7 +60,7 @@
 	Image          string            `json:"image,omitempty"`           // identifies the program of the tasks; equal images behave alike
 	TailTargetMs   float64           `json:"tail_target_ms,omitempty"`  // upper bound of a service task's tail latency
 	Filler         bool              `json:"filler,omitempty"`          // tasks use only processor time that others leave idle, and reserve none
-	MaxUnavailable int               `json:"max_unavailable,omitempty"` // maximum unavailable tasks of a service while the scheduler moves it off slow workers; 0: no moves
+	MaxUnavailable int               `json:"max_unavailable,omitempty"` // maximum unavailable tasks of a service step while the scheduler moves tasks off slow workers; 0: no moves
 }
 
 // Reserved returns the capacity that one task of the step reserves on its worker.
