Place tasks through an index of free capacity and serve small jobs first

Cause: choose checked every worker for every task and predictTail every pair of attempts on it, and every planning cycle scanned all attempts for moves.

Change: workers are indexed by free and by spare processor time and by rack; a search compares 24 that fit. Steps are ordered by response ratio within a rank, services last. Services are packed by size first and by image second; short tasks are packed where room is scarce. Data on the right rack is a rank of its own instead of a penalty, which an unbounded pressure term could exceed.

--- /dev/null
+++ b/core/schedule/choose.go
@@ -0,0 +1,227 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// Limits of one search for a worker. The workers are searched in the order of poolIndex, so that the best ones come
+// early and a search costs about the same in a small and in a large fleet.
+const (
+	// maxCandidates is the number of workers that fit a task and are compared.
+	maxCandidates = 24
+	// maxFillerChecks is the number of workers that are checked for a filler. Whether a filler fits beside the services of
+	// a worker does not follow from the order of the index. The next search continues with the workers that follow.
+	maxFillerChecks = 200
+)
+
+// candidate is a worker that fits a task, with its rating.
+type candidate struct {
+	worker  *worker
+	hasData bool    // the worker is in the rack of the task's data, or the task has none
+	rating  float64 // the highest is best
+}
+
+// better reports whether c is a better choice than other. Tasks take several times as long on another rack than that of
+// their data, so the rack comes before the rating.
+func (c candidate) better(other candidate) bool {
+	if other.worker == nil || c.hasData != other.hasData {
+		return other.worker == nil || c.hasData
+	}
+	return c.rating > other.rating
+}
+
+// search collects the candidates for one task.
+type search struct {
+	s     *Scheduler
+	now   Time
+	task  *task
+	found int
+	best  candidate
+}
+
+// consider checks one worker and reports whether the search may end.
+func (c *search) consider(w *worker) (enough bool) {
+	if !c.s.fits(c.now, c.task, w) {
+		return false
+	}
+	c.found++
+	next := candidate{w, w.hasLabel(c.task.step.spec.DataRack), c.s.score(c.now.Boot, c.task, w)}
+	if next.better(c.best) {
+		c.best = next
+	}
+	return c.found >= maxCandidates
+}
+
+// choose returns the best of the workers that a search finds for a task, or nil when it fits on none.
+func (s *Scheduler) choose(now Time, t *task) *worker {
+	s.index.update(s, now)
+	p := s.index.pools[t.step.job.rec.Queue.Pool]
+	if p == nil {
+		return nil
+	}
+	c := &search{s: s, now: now, task: t}
+	for _, w := range p.racks[t.step.spec.DataRack] {
+		if c.consider(w) {
+			break
+		}
+	}
+	if c.best.worker != nil {
+		return c.best.worker
+	}
+	switch spec := &t.step.spec; {
+	case spec.Filler:
+		s.searchFillers(c, p)
+	case spec.Service:
+		p.byFree.tightest(spec.Size.MilliCPU, c.consider)
+	case p.scarce(spec.Size.MilliCPU):
+		p.byFree.tightest(spec.Size.MilliCPU, c.consider)
+	default:
+		p.byFree.largest(spec.Size.MilliCPU, c.consider)
+	}
+	return c.best.worker
+}
+
+// scarceShare is the inverse of the share of a pool's workers below which capacity for a task counts as scarce.
+const scarceShare = 4
+
+// scarce reports whether few workers have the capacity for a task. Such tasks are packed tightly, so that larger ones
+// still find a worker; otherwise they are spread, so that a faulty worker affects few of them.
+func (p *poolIndex) scarce(milliCPU int64) bool {
+	return p.byFree.count(milliCPU) < len(p.byFree.workers)/scarceShare
+}
+
+// searchFillers searches the workers with the most spare processor time, from where the last search of the step ended.
+func (s *Scheduler) searchFillers(c *search, p *poolIndex) {
+	st := c.task.step
+	enough := p.bySpare.count(minSpare(st.spec.Size.MilliCPU))
+	if st.searchFrom >= enough {
+		st.searchFrom = 0
+	}
+	end := min(st.searchFrom+maxFillerChecks, enough)
+	for _, w := range p.bySpare.workers[st.searchFrom:end] {
+		if c.consider(w) {
+			break
+		}
+	}
+	if c.best.worker == nil {
+		st.searchFrom = end
+	}
+}
+
+// usable reports whether tasks may start on a worker at all.
+func (s *Scheduler) usable(now time.Duration, w *worker) bool {
+	return w.available(now) && !s.evacuated[w.info.Datacentre] && !w.health.inBackOff(now) && !w.slowness.slow(now)
+}
+
+// fits reports whether a task may start on a worker.
+func (s *Scheduler) fits(now Time, t *task, w *worker) bool {
+	spec := &t.step.spec
+	switch {
+	case !spec.Reserved().Fits(w.free()),
+		w.info.Pool != t.step.job.rec.Queue.Pool,
+		!w.hasLabel(spec.Label),
+		slices.Contains(t.failedOn, w.info.ID),
+		!s.usable(now.Boot, w):
+		return false
+	}
+	if spec.Filler && !s.fillerFits(now.Boot, t, w) {
+		return false
+	}
+	return spec.MaxPerWorker == 0 || w.tasksOf(t.step) < spec.MaxPerWorker
+}
+
+// fillerFits reports whether a worker has unused processor time for a filler and its services are expected to meet
+// their targets with it. No filler starts on the worker of a service that is over its target, however low its estimated
+// pressure: pressures are estimates, and a new filler would use the processor time that the guard frees by throttling
+// others.
+func (s *Scheduler) fillerFits(now time.Duration, t *task, w *worker) bool {
+	size := t.step.spec.Size.MilliCPU
+	if w.spareFillerCPU() < minSpare(size) {
+		return false
+	}
+	for _, a := range w.attemptList {
+		if a.mayBeOverByFillers(now) {
+			return false
+		}
+	}
+	tail, _ := s.predictTail(now, w, t)
+	return tail < tailStart
+}
+
+// minFillerCPUShare is the share of its processor demand, in percent, that must be unused for a filler task to start.
+// With less it would only take processor time from the fillers that already run.
+const minFillerCPUShare = 60
+
+// minSpare returns the thousandths of a core that must be unused for a filler of a size to start.
+func minSpare(milliCPU int64) int64 { return milliCPU * minFillerCPUShare / 100 }
+
+// serviceUse is the share of their reservation, in percent, that service tasks are assumed to use.
+const serviceUse = 50
+
+// spareFillerCPU returns the thousandths of a core that further filler tasks are expected to get. Fillers that are
+// throttled leave the rest of their demand to others.
+func (w *worker) spareFillerCPU() int64 {
+	others := w.reserved.MilliCPU - w.serviceCPU + w.serviceCPU*serviceUse/100
+	fillers := int64(0)
+	for _, a := range w.attemptList {
+		if a.filler() {
+			fillers += a.task.step.spec.Size.MilliCPU * int64(a.share) / fullShare
+		}
+	}
+	return w.info.Capacity.MilliCPU - others - fillers
+}
+
+// tasksOf counts the tasks of a step on the worker.
+func (w *worker) tasksOf(st *step) int {
+	n := 0
+	for _, a := range w.attemptList {
+		if a.task.step == st {
+			n++
+		}
+	}
+	return n
+}
+
+// score rates a worker that fits a task; the highest score is best.
+func (s *Scheduler) score(now time.Duration, t *task, w *worker) float64 {
+	spec := &t.step.spec
+	capacity := float64(max(w.info.Capacity.MilliCPU, 1))
+	var rating float64
+	switch {
+	case spec.Filler:
+		_, rise := s.predictTail(now, w, t)
+		rating = float64(w.spareFillerCPU())/capacity - pressurePenalty*rise
+	case spec.Service:
+		// Services are packed onto few workers, so that others keep capacity for large tasks and for fillers that
+		// interfere with no service. Services of the same image share workers, so that a filler that interferes with
+		// one image finds workers without it.
+		rating = float64(w.serviceCPU)/capacity - mixedImagePenalty*w.otherImageShare(spec.Image)
+	case w.indexed.pool.scarce(spec.Size.MilliCPU):
+		rating = -float64(w.free().MilliCPU) / capacity
+	default:
+		rating = float64(w.free().MilliCPU) / capacity
+	}
+	return rating
+}
+
+const (
+	// pressurePenalty is the weight of the pressure on services relative to the unused share of the processor time.
+	pressurePenalty = 3.0
+	// mixedImagePenalty is the weight of services of other images relative to the share of the worker used by services.
+	mixedImagePenalty = 0.1
+)
+
+// otherImageShare returns the share of the services on the worker that run other images.
+func (w *worker) otherImageShare(image string) float64 {
+	if w.services == 0 {
+		return 0
+	}
+	others := 0
+	for _, a := range w.attemptList {
+		if spec := a.task.step.spec; spec.Service && spec.Image != image {
+			others++
+		}
+	}
+	return float64(others) / float64(w.services)
+}
--- a/core/schedule/guard.go
+++ b/core/schedule/guard.go
@@ -267,6 +267,10 @@
 // also returns the largest rise of the logarithm of a service's tail latency that the new filler alone causes when it
 // uses all the cores that it demands.
 func (s *Scheduler) predictTail(now time.Duration, w *worker, filler *task) (tail, maxRise float64) {
+	if w.services == 0 {
+		return 0, 0
+	}
+	recent := w.recentFillers(now)
 	for _, service := range w.attemptList {
 		spec := service.task.step.spec
 		if !spec.Service || spec.TailTargetMs <= 0 || service.overByOwnLoad(now) {
@@ -277,16 +281,25 @@
 			continue
 		}
 		maxRise = max(maxRise, rise)
-		for _, other := range w.attemptList {
-			if other.filler() && now-other.startedAt < fillerMetricLag {
-				rise += s.interference.pressure(service.task, other.task) * float64(other.task.step.spec.Size.MilliCPU) / 1000
-			}
+		for _, other := range recent {
+			rise += s.interference.pressure(service.task, other.task) * float64(other.task.step.spec.Size.MilliCPU) / 1000
 		}
 		tail = max(tail, service.tailRatio()*math.Exp(rise))
 	}
 	return tail, maxRise
 }
 
+// recentFillers returns the fillers that started too recently to show in the metrics of their worker.
+func (w *worker) recentFillers(now time.Duration) []*attempt {
+	var recent []*attempt
+	for _, a := range w.attemptList {
+		if a.filler() && now-a.startedAt < fillerMetricLag {
+			recent = append(recent, a)
+		}
+	}
+	return recent
+}
+
 // pace orders a worker to set the share of an attempt unless the worker has already confirmed that share.
 func (s *Scheduler) pace(now time.Duration, a *attempt, percent int) {
 	if a.phase != running || a.confirmedShare == percent {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -69,6 +69,7 @@
 	w.reportedAt = now.Boot
 	w.leasesExtended = true
 	w.suspect = false
+	s.index.markChanged(w)
 	delete(s.awaitingReport, id)
 	listed := s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -15,10 +15,13 @@
 	jobs                map[workload.JobID]*job
 	workers             map[WorkerID]*worker
 	sortedWorkers       []*worker // sorted by ID, so that decisions do not depend on map order
+	index               *workerIndex
 	evacuated           map[structs.DatacentreID]bool
-	openSteps           map[*step]struct{}    // steps that may start tasks
-	stopping            map[*attempt]struct{} // attempts that have to end
-	orders              []Order               // issued since the last call of TakeOrders
+	openSteps           map[*step]struct{}             // steps that may start tasks
+	compareSteps        func(now Time, a, b *step) int // order in which steps get capacity
+	stopping            map[*attempt]struct{}          // attempts that have to end
+	scannedAt           time.Duration                  // when all attempts were last scanned for moves and copies
+	orders              []Order                        // issued since the last call of TakeOrders
 	events              []Event
 	awaitingReport      map[WorkerID]bool // workers that a former owner may have used and that have not reported yet
 	takeoverAt          time.Duration     // when the takeover began
@@ -38,8 +41,10 @@
 		cfg:            cfg,
 		jobs:           map[workload.JobID]*job{},
 		workers:        map[WorkerID]*worker{},
+		index:          newWorkerIndex(),
 		evacuated:      map[structs.DatacentreID]bool{},
 		openSteps:      map[*step]struct{}{},
+		compareSteps:   compareByResponse,
 		stopping:       map[*attempt]struct{}{},
 		awaitingReport: map[WorkerID]bool{},
 		dirty:          map[*job]struct{}{},
@@ -166,6 +171,7 @@
 	for _, dc := range datacentres {
 		s.evacuated[dc] = true
 	}
+	s.index.refreshed = 0
 }
 
 // SetWorkers replaces the platform's list of workers.
@@ -187,7 +193,7 @@
 func (s *Scheduler) updateListed(now time.Duration, info WorkerInfo) {
 	w, known := s.workers[info.ID]
 	if !known {
-		w = newWorker(info)
+		w = newWorker(info, s.index)
 		s.addWorker(w)
 		s.knownWorkersChanged = true
 	}
@@ -196,19 +202,26 @@
 		s.emit(Event{Kind: EventWorkerDraining, Worker: info.ID})
 	}
 	s.knownWorkersChanged = s.knownWorkersChanged || info.Draining != w.info.Draining
+	if !slices.Equal(w.info.Labels, info.Labels) {
+		s.index.remove(w)
+	}
 	w.info = info
 	w.listed = true
+	s.index.markChanged(w)
 }
 
 func (s *Scheduler) addWorker(w *worker) {
 	s.workers[w.info.ID] = w
-	s.sortedWorkers = append(s.sortedWorkers, w)
-	slices.SortFunc(s.sortedWorkers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	n, _ := slices.BinarySearchFunc(s.sortedWorkers, w.info.ID, func(other *worker, id WorkerID) int {
+		return cmp.Compare(other.info.ID, id)
+	})
+	s.sortedWorkers = slices.Insert(s.sortedWorkers, n, w)
 }
 
 // removeWorker removes a worker that has left.
 func (s *Scheduler) removeWorker(w *worker) {
 	delete(s.workers, w.info.ID)
+	s.index.remove(w)
 	delete(s.awaitingReport, w.info.ID)
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(other *worker) bool { return other == w })
 	s.knownWorkersChanged = true
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -10,7 +10,7 @@
 	for _, info := range infos {
 		w, known := s.workers[info.ID]
 		if !known {
-			w = newWorker(info)
+			w = newWorker(info, s.index)
 			w.unlistedAt = now.Boot
 			s.addWorker(w)
 		}
@@ -23,11 +23,13 @@
 // TakeoverComplete reports whether all attempts of former owners are known or have certainly expired.
 func (s *Scheduler) TakeoverComplete() bool { return len(s.awaitingReport) == 0 }
 
-// KnownWorkers returns the workers from which a later owner needs a report, and whether the set has changed since the
-// last call.
+// KnownWorkers returns the workers from which a later owner needs a report if the set has changed since the last call.
 func (s *Scheduler) KnownWorkers() (infos []WorkerInfo, changed bool) {
 	changed = s.knownWorkersChanged
 	s.knownWorkersChanged = false
+	if !changed {
+		return nil, false
+	}
 	infos = make([]WorkerInfo, 0, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
 		if w.drained() {
@@ -50,6 +52,7 @@
 	for _, info := range infos {
 		if w, known := s.workers[info.ID]; known {
 			w.stored = true
+			s.index.markChanged(w)
 		}
 	}
 }
--- /dev/null
+++ b/core/schedule/urgency.go
@@ -0,0 +1,88 @@
+package schedule
+
+import "cmp"
+
+// Ranks of jobs that miss their objective, which is the time from their acceptance to dueByMs. Late jobs have little
+// value left for their callers and come after all jobs that can still be in time; worthless ones have none and come
+// last.
+const (
+	lateRank      = 1 << 10
+	worthlessRank = 1 << 20
+)
+
+// worthlessFactor is the multiple of a job's objective after which its result has no value.
+const worthlessFactor = 3
+
+// initialWaitMs is added to the time that a job has waited, in milliseconds, so that new jobs compare by their work.
+const initialWaitMs = 300
+
+// compareByResponse orders steps by rank. Within a rank, tasks that end come before service tasks, which hold their
+// capacity for long, and jobs with the least work for the time that they have waited come first (highest response ratio
+// next): when capacity is short, most jobs are in time if small ones go first, and large ones overtake them as they wait.
+func compareByResponse(now Time, a, b *step) int {
+	return cmp.Or(
+		cmp.Compare(a.rank(now), b.rank(now)),
+		compareBool(a.spec.Service, b.spec.Service),
+		cmp.Compare(a.workPerWait(now), b.workPerWait(now)),
+		cmp.Compare(a.job.dueByMs, b.job.dueByMs),
+		compareIDs(a, b),
+	)
+}
+
+// compareIDs orders steps by their identity, so that no decision depends on the order of a map.
+func compareIDs(a, b *step) int {
+	return cmp.Or(
+		cmp.Compare(a.job.rec.ID, b.job.rec.ID),
+		cmp.Compare(a.occurrence, b.occurrence),
+		cmp.Compare(a.index, b.index),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// rank returns the sort rank of a step, the lowest first: the priority of its queue, with late jobs after all others.
+func (st *step) rank(now Time) int {
+	rec := &st.job.rec
+	if st.spec.Service || rec.Recurrence.Count > 0 {
+		return rec.Queue.Priority
+	}
+	objective := st.job.dueByMs - rec.AcceptedMs
+	switch {
+	case now.UnixMs > rec.AcceptedMs+worthlessFactor*objective:
+		return worthlessRank
+	case now.UnixMs > st.job.dueByMs:
+		return lateRank + rec.Queue.Priority
+	}
+	return rec.Queue.Priority
+}
+
+// workPerWait returns the remaining work of the step's occurrence, in thousandths of a core times milliseconds, divided
+// by the milliseconds since it was due. It is 0 for services.
+func (st *step) workPerWait(now Time) float64 {
+	rec := &st.job.rec
+	due := max(rec.AcceptedMs, rec.Recurrence.DueMs(st.occurrence))
+	waited := max(now.UnixMs-due, 0) + initialWaitMs
+	return float64(st.job.remainingWork(st.occurrence)) / float64(waited)
+}
+
+// remainingWork returns the estimated work of the tasks of an occurrence that are not done, in thousandths of a core
+// times milliseconds. Services do not count: they never end.
+func (j *job) remainingWork(occurrence int) int64 {
+	n := len(j.rec.Steps)
+	work := int64(0)
+	for _, st := range j.steps[occurrence*n : (occurrence+1)*n] {
+		if !st.spec.Service {
+			work += int64(st.unfinished) * st.spec.Size.MilliCPU * st.spec.EstimateMs
+		}
+	}
+	return work
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -55,6 +55,10 @@
 	health           health
 	slowness         slowness
 	stability        stability
+	index            *workerIndex // of the scheduler
+	indexed          indexKeys    // the keys under which the index holds the worker
+	indexedLabels    []string     // the labels under which the index holds the worker
+	indexStale       bool         // the keys may have changed
 }
 
 type attemptKey struct {
@@ -69,9 +73,10 @@
 	stopSentAt time.Duration
 }
 
-func newWorker(info WorkerInfo) *worker {
+func newWorker(info WorkerInfo, index *workerIndex) *worker {
 	return &worker{
 		info:     info,
+		index:    index,
 		attempts: map[attemptKey]*attempt{},
 		orphans:  map[attemptKey]*orphan{},
 	}
@@ -103,6 +108,7 @@
 
 // add adds an attempt and reserves its capacity.
 func (w *worker) add(a *attempt) {
+	w.index.markChanged(w)
 	w.attempts[a.key()] = a
 	w.attemptList = append(w.attemptList, a)
 	spec := a.task.step.spec
@@ -121,6 +127,7 @@
 	if w.attempts[a.key()] != a {
 		return
 	}
+	w.index.markChanged(w)
 	delete(w.attempts, a.key())
 	w.attemptList = slices.DeleteFunc(w.attemptList, func(other *attempt) bool { return other == a })
 	spec := a.task.step.spec
@@ -136,12 +143,14 @@
 
 // addOrphan adds an attempt that has to be stopped and reserves its capacity.
 func (w *worker) addOrphan(key attemptKey, reserved structs.Resources) {
+	w.index.markChanged(w)
 	w.orphans[key] = &orphan{key: key, reserved: reserved}
 	w.reserved = w.reserved.Add(reserved)
 }
 
 func (w *worker) removeOrphan(key attemptKey) {
 	if o, known := w.orphans[key]; known {
+		w.index.markChanged(w)
 		w.reserved = w.reserved.Sub(o.reserved)
 		delete(w.orphans, key)
 	}
