--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -123,14 +123,13 @@
 
 // step returns a step of an occurrence, or nil if the job has no such step.
 func (j *job) step(occurrence, index int) *step {
-	if occurrence < 0 || index < 0 || index >= len(j.rec.Steps) { // a job that ended under a former owner has no steps
+	if occurrence < 0 || occurrence >= j.rec.Recurrence.Occurrences() {
 		return nil
 	}
-	n := occurrence*len(j.rec.Steps) + index
-	if n >= len(j.steps) {
+	if index < 0 || index >= len(j.rec.Steps) { // a job that ended under a former owner has no steps
 		return nil
 	}
-	return j.steps[n]
+	return j.steps[occurrence*len(j.rec.Steps)+index]
 }
 
 // dueBy returns the Unix millisecond after which the result of a job loses most of its value to the caller: the
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"strconv"
 	"time"
 
 	"fulmarcourse.example/core/workload"
@@ -17,7 +18,15 @@
 )
 
 // String returns the name of the kind for logs.
-func (k OrderKind) String() string { return [...]string{"start", "stop", "pace"}[k] }
+func (k OrderKind) String() string { return nameOf(k, "start", "stop", "pace") }
+
+// nameOf returns the name of a value, or its number if it has none: values arrive from other hosts.
+func nameOf[T ~uint8](value T, names ...string) string {
+	if int(value) < len(names) {
+		return names[value]
+	}
+	return strconv.Itoa(int(value))
+}
 
 // Order is one command to a worker. The caller sends it and reports the outcome with OrderAnswered.
 type Order struct {
@@ -54,7 +63,7 @@
 
 // String returns the name of the outcome for logs.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "unanswered", "not_run", "no_room", "old_attempt", "unhealthy", "fenced"}[o]
+	return nameOf(o, "accepted", "unanswered", "not_run", "no_room", "old_attempt", "unhealthy", "fenced")
 }
 
 // OrderAnswered records the outcome of an order. It returns false when the worker has seen a later owner.
--- a/core/workload/validate.go
+++ b/core/workload/validate.go
@@ -13,6 +13,8 @@
 	MaxTasks = 20000
 	// MaxOccurrences bounds the recurrence of one job.
 	MaxOccurrences = 10000
+	// MaxJobTasks bounds the tasks of all occurrences of one job, which the owner keeps in memory.
+	MaxJobTasks = 100000
 )
 
 // Finding is one fault in a submitted job.
@@ -66,5 +68,8 @@
 	if total > MaxTasks {
 		add("steps", "more than %d tasks", MaxTasks)
 	}
+	if n := job.Recurrence.Occurrences(); n <= MaxOccurrences && n*total > MaxJobTasks {
+		add("recurrence", "more than %d tasks in all occurrences", MaxJobTasks)
+	}
 	return findings
 }
--- a/core/workload/workload_test.go
+++ b/core/workload/workload_test.go
@@ -81,3 +81,16 @@
 		t.Errorf("a task reserves %+v", got)
 	}
 }
+
+// Guards against one job that takes more memory than a host has: the tasks of all occurrences are built at once, and the
+// job would end the process of each owner in turn.
+func TestValidateBoundsTheTasksOfAllOccurrences(t *testing.T) {
+	job := Job{ID: "job", Steps: []Step{{Tasks: MaxTasks}}, Recurrence: Recurrence{Count: MaxOccurrences, IntervalMs: 1}}
+	if findings := Validate(job); len(findings) == 0 {
+		t.Error("a job with 200 million tasks is valid")
+	}
+	job.Recurrence.Count, job.Steps[0].Tasks = 10, 100
+	if findings := Validate(job); len(findings) != 0 {
+		t.Errorf("findings of a small recurring job: %v", findings)
+	}
+}
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -160,15 +160,19 @@
 
 // update runs f on the scheduler, queues the resulting orders for the relays and logs the resulting events.
 func (o *Owner) update(f func(s *schedule.Scheduler, now schedule.Time)) {
+	for _, event := range o.apply(f) {
+		o.logEvent(event)
+	}
+}
+
+// apply runs f on the scheduler, queues the resulting orders and returns the resulting events.
+func (o *Owner) apply(f func(s *schedule.Scheduler, now schedule.Time)) []schedule.Event {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	now := bootclock.Now()
 	f(o.scheduler, now)
 	o.queueOrders(now)
-	events := o.scheduler.TakeEvents()
-	o.mu.Unlock()
-	for _, event := range events {
-		o.logEvent(event)
-	}
+	return o.scheduler.TakeEvents()
 }
 
 // updateAndPlan runs f on the scheduler and then triggers planning and saving.
@@ -295,6 +299,11 @@
 
 func decodeJob(item kv.Item) (workload.Job, error) {
 	var job workload.Job
-	err := json.Unmarshal(item.Value, &job)
-	return job, errors.Annotatef(err, "decode job record %s", item.Key)
+	if err := json.Unmarshal(item.Value, &job); err != nil {
+		return job, errors.Annotatef(err, "decode job record %s", item.Key)
+	}
+	if findings := workload.Validate(job); len(findings) > 0 {
+		return job, errors.Errorf("job record %s: %v", item.Key, findings[0])
+	}
+	return job, nil
 }
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -2,7 +2,9 @@
 package eventlog
 
 import (
+	"fmt"
 	"io"
+	"runtime/debug"
 
 	"github.com/phuslu/log"
 )
@@ -52,3 +54,9 @@
 	def := catalogue[code]
 	return l.log.WithLevel(def.Level).Int("event", int(code)).Str("name", def.Name)
 }
+
+// CallPanicked logs that the handler of a call from another entry host has panicked. It is called while the panic is
+// recovered, so that the stack shows its place.
+func (l *Logger) CallPanicked(method string, cause any) {
+	l.Event(CallPanicked).Str("method", method).Str("cause", fmt.Sprint(cause)).Str("stack", string(debug.Stack())).Msg("")
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -77,7 +77,7 @@
 	if err := n.buildRequests(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	n.grpc = peer.NewServer(peer.ServerConfig{Register: n.registerServices})
+	n.grpc = peer.NewServer(peer.ServerConfig{Register: n.registerServices, OnPanic: n.cfg.Log.CallPanicked})
 	return n, nil
 }
 
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -161,3 +162,42 @@
 		t.Fatal("a cancelled connection attempt counts as refused")
 	}
 }
+
+// panickingStub panics in each call.
+type panickingStub struct {
+	peerpb.UnimplementedMembershipServer
+}
+
+func (panickingStub) Heartbeat(context.Context, *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
+	panic("malformed message")
+}
+
+// Guards against one call that ends the process: a handler that panics must fail its own call only.
+func TestPanicFailsOnlyItsCall(t *testing.T) {
+	var logged any
+	server := NewServer(ServerConfig{
+		Register: func(r grpc.ServiceRegistrar) { peerpb.RegisterMembershipServer(r, panickingStub{}) },
+		OnPanic:  func(method string, cause any) { logged = cause },
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }() // returns nil after Stop
+	defer func() { _ = server.Stop(t.Context()) }()
+	pool := NewPool(PoolConfig{Metrics: tally.NoopScope})
+	defer pool.Close()
+	conn, err := pool.Conn(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		_, err = peerpb.NewMembershipClient(conn).Heartbeat(t.Context(), &peerpb.HeartbeatRequest{})
+		if status.Code(err) != codes.Internal {
+			t.Errorf("the call ended with %v", err)
+		}
+	}
+	if logged == nil {
+		t.Error("the panic was not reported")
+	}
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -9,7 +9,9 @@
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc/filters"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"fulmarcourse.example/fulmarcourse/api/peerpb"
 )
@@ -41,6 +43,8 @@
 type ServerConfig struct {
 	// Register adds the services, for example with peerpb.RegisterMembershipServer.
 	Register func(grpc.ServiceRegistrar)
+	// OnPanic is called when the handler of a method has panicked. The call fails with status Internal.
+	OnPanic func(method string, cause any)
 }
 
 // Server is the gRPC server of a process.
@@ -51,6 +55,7 @@
 // NewServer returns a server that does not accept connections until Serve.
 func NewServer(cfg ServerConfig) *Server {
 	server := grpc.NewServer(
+		grpc.UnaryInterceptor(recoverPanics(cfg.OnPanic)),
 		grpc.StatsHandler(otelgrpc.NewServerHandler(otelgrpc.WithFilter(tracedCalls()))),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: PingInterval, Timeout: PingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
@@ -66,6 +71,22 @@
 	return &Server{grpc: server}
 }
 
+// recoverPanics returns an interceptor that fails the call whose handler panics, so that one malformed message does not
+// end the process.
+func recoverPanics(onPanic func(method string, cause any)) grpc.UnaryServerInterceptor {
+	return func(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (reply any, err error) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				err = status.Error(codes.Internal, "the handler of the call failed")
+				if onPanic != nil {
+					onPanic(info.FullMethod, cause)
+				}
+			}
+		}()
+		return handler(ctx, req)
+	}
+}
+
 // tracedCalls excludes heartbeats from traces: they are the most frequent calls and belong to no request.
 func tracedCalls() otelgrpc.Filter {
 	return filters.Not(filters.FullMethodName(peerpb.Membership_Heartbeat_FullMethodName))
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -22,9 +22,17 @@
 	relays func(partition int) *relay.Relay
 }
 
-// NewServer returns a server for the relays that relays returns by partition.
+// NewServer returns a server for the relays that relays returns by partition; nil for a partition that does not exist.
 func NewServer(relays func(partition int) *relay.Relay) *Server { return &Server{relays: relays} }
 
+// relayOf returns the relay of a partition, or InvalidArgument if the partition does not exist.
+func (s *Server) relayOf(partition int) (*relay.Relay, error) {
+	if r := s.relays(partition); r != nil {
+		return r, nil
+	}
+	return nil, status.Errorf(codes.InvalidArgument, "there is no partition %d", partition)
+}
+
 // Update implements ownerpb.RelayServer.
 func (s *Server) Update(_ context.Context, req *ownerpb.UpdateRequest) (*ownerpb.UpdateReply, error) {
 	u := relay.Update{
@@ -46,7 +54,11 @@
 	for _, order := range req.Orders {
 		u.Orders = append(u.Orders, fromOrder(order))
 	}
-	if err := s.relays(u.Partition).Update(u); err != nil {
+	r, err := s.relayOf(u.Partition)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.Update(u); err != nil {
 		return nil, toStatus(err)
 	}
 	return &ownerpb.UpdateReply{}, nil
@@ -54,8 +66,11 @@
 
 // Collect implements ownerpb.RelayServer.
 func (s *Server) Collect(ctx context.Context, req *ownerpb.CollectRequest) (*ownerpb.CollectReply, error) {
-	results, err := s.relays(int(req.Partition)).Collect(
-		ctx, req.Term, time.Duration(req.LeaseUntilNs), time.Duration(req.WaitNs))
+	r, err := s.relayOf(int(req.Partition))
+	if err != nil {
+		return nil, err
+	}
+	results, err := r.Collect(ctx, req.Term, time.Duration(req.LeaseUntilNs), time.Duration(req.WaitNs))
 	if err != nil {
 		return nil, toStatus(err)
 	}
@@ -143,6 +158,10 @@
 	if err != nil {
 		return relay.Results{}, fromStatus(err)
 	}
+	return fromCollectReply(reply), nil
+}
+
+func fromCollectReply(reply *ownerpb.CollectReply) relay.Results {
 	results := relay.Results{Now: time.Duration(reply.NowNs), Fenced: reply.Fenced}
 	for _, report := range reply.Reports {
 		results.Reports = append(results.Reports, fromReport(report))
@@ -152,7 +171,7 @@
 			Order: fromOrder(outcome.Order), Outcome: schedule.Outcome(outcome.Outcome), Reason: outcome.Reason,
 		})
 	}
-	return results, nil
+	return results
 }
 
 func toTask(id workload.TaskID) *ownerpb.Task {
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -125,10 +125,13 @@
 	if err != nil {
 		return errors.Annotatef(err, "listen on %s", n.cfg.Listen)
 	}
-	server := peer.NewServer(peer.ServerConfig{Register: func(r grpc.ServiceRegistrar) {
-		ownerpb.RegisterOwnerServer(r, &ownerServer{node: n})
-		ownerpb.RegisterRelayServer(r, relaygrpc.NewServer(n.relayOf))
-	}})
+	server := peer.NewServer(peer.ServerConfig{
+		Register: func(r grpc.ServiceRegistrar) {
+			ownerpb.RegisterOwnerServer(r, &ownerServer{node: n})
+			ownerpb.RegisterRelayServer(r, relaygrpc.NewServer(n.relayOf))
+		},
+		OnPanic: n.cfg.Log.CallPanicked,
+	})
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(listener) }()
 	var wg sync.WaitGroup
--- a/pkg/scheduling/owners.go
+++ b/pkg/scheduling/owners.go
@@ -136,6 +136,9 @@
 	if err := json.Unmarshal(req.Job, &job); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	if findings := workload.Validate(job); len(findings) > 0 {
+		return nil, status.Error(codes.InvalidArgument, findings[0].String())
+	}
 	owner, err := s.ownerOfJob(req.Term, string(job.ID))
 	if err != nil {
 		return nil, err
--- a/pkg/scheduling/relays.go
+++ b/pkg/scheduling/relays.go
@@ -37,8 +37,13 @@
 	return hosts
 }
 
-// relayOf returns this host's relay for a partition.
-func (n *Node) relayOf(partition int) *relay.Relay { return n.relays[partition] }
+// relayOf returns this host's relay for a partition, or nil if the partition does not exist.
+func (n *Node) relayOf(partition int) *relay.Relay {
+	if partition < 0 || partition >= len(n.relays) {
+		return nil
+	}
+	return n.relays[partition]
+}
 
 // localRelay calls a relay in this process. It implements dispatch.RelayClient.
 type localRelay struct{ relay *relay.Relay }
