Show in the simulation why lost reports of relays made tasks run twice

The fault simulation now cuts the owner off from relays that go on extending leases, also right after a takeover and several times in a row, and some tasks outlast that.

--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -20,6 +20,11 @@
 	simEnd         = 200 * time.Second
 	simWorkerCount = 6
 	maxOrderDelay  = 8 * time.Second // maximum delay of an order
+	simLongTask    = 25 * time.Second
+	// simRelayLost is how long a relay has to be unresponsive before its workers go to another one, and simPermission how
+	// long it may extend leases after the owner's last call.
+	simRelayLost  = 1200 * time.Millisecond
+	simPermission = 1500 * time.Millisecond
 )
 
 // faultSimWorker is a simulated worker with leases and a fence.
@@ -33,6 +38,14 @@
 	ends             int64
 	newest           map[workload.TaskID]int64 // highest attempt that was stopped or ended on the worker
 	unreachableUntil time.Duration
+	cut              *relayCut // nil while the owner reaches the worker's relay
+}
+
+// relayCut is the time in which the owner does not reach the relay that polls a worker. The relay goes on polling and
+// extends the leases of the worker as long as it is permitted, but its reports are lost.
+type relayCut struct {
+	lostAt         time.Duration // when the owner gives up the relay
+	permittedUntil time.Duration
 }
 
 // delayedOrder is an order that reaches its worker late.
@@ -119,6 +132,12 @@
 		f.s.AddJob(job, &progress, true)
 	}
 	f.listWorkers()
+	for _, worker := range f.workers {
+		worker.cut = nil
+		if f.term > 1 && f.faulty(3) {
+			f.cutRelay(worker) // no report of the worker has reached the new owner
+		}
+	}
 }
 
 func (f *faultSim) listWorkers() {
@@ -206,6 +225,13 @@
 // acknowledges ends only once their progress is stored.
 func (f *faultSim) poll(worker *faultSimWorker) {
 	id := worker.info.ID
+	if worker.cut == nil && f.faulty(300) {
+		f.cutRelay(worker)
+	}
+	if worker.cut != nil {
+		f.pollBehindCut(worker)
+		return
+	}
 	lease := time.Duration(0)
 	if f.polled[id] {
 		lease = f.now + testLease
@@ -237,6 +263,35 @@
 	f.polled[id] = true
 }
 
+// cutRelay cuts the owner off from the relay that polls a worker.
+func (f *faultSim) cutRelay(worker *faultSimWorker) {
+	f.logf("relay of %s is cut off", worker.info.ID)
+	worker.cut = &relayCut{f.now + simRelayLost, f.now + simPermission}
+	f.s.ReportsLost(worker.info.ID)
+}
+
+// pollBehindCut makes the relay that the owner does not reach poll a worker. When the owner gives it up, the relay has
+// extended the leases of a worker that it reaches for as long as it was permitted.
+func (f *faultSim) pollBehindCut(worker *faultSimWorker) {
+	id, cut := worker.info.ID, worker.cut
+	lost := f.now >= cut.lostAt
+	if !f.unreachable(worker) && worker.fence <= f.term {
+		worker.fence = f.term
+		until := min(f.now, cut.permittedUntil)
+		if lost {
+			until = cut.permittedUntil
+		}
+		worker.leaseEnd = max(worker.leaseEnd, until+testLease)
+	}
+	if lost {
+		worker.cut, f.polled[id] = nil, false
+		f.s.PollerLost(id, cut.permittedUntil)
+		if f.faulty(2) {
+			f.cutRelay(worker) // the next relay is lost before a report arrives, as when hosts stop in turn
+		}
+	}
+}
+
 func (f *faultSim) pollFailed(id WorkerID) {
 	f.polled[id] = false
 	f.s.PollFailed(f.time(), id)
@@ -305,12 +360,20 @@
 			f.fatalf("%v attempt %d starts after the task was done", key.task, key.number)
 		}
 		worker.leaseEnd = max(worker.leaseEnd, d.leaseEnd)
-		worker.running[key] = f.now + time.Duration(300+f.rnd.IntN(4000))*time.Millisecond
+		worker.running[key] = f.now + f.runTime()
 		f.logf("%v attempt %d runs on %s", key.task, key.number, worker.info.ID)
 	}
 	return Accepted
 }
 
+// runTime returns how long an attempt runs. Some outlast a takeover and several losses of their relay.
+func (f *faultSim) runTime() time.Duration {
+	if f.rnd.IntN(6) == 0 {
+		return simLongTask
+	}
+	return time.Duration(300+f.rnd.IntN(4000)) * time.Millisecond
+}
+
 func (f *faultSim) worker(id WorkerID) *faultSimWorker {
 	for _, worker := range f.workers {
 		if worker.info.ID == id {
