Choose relays by their network links and compress what they exchange with owners

Ruled out: processor time (0.05 of a core at most).

Change: a relay's capacity follows its cores and its link as well as the former limit of 75 workers; hosts register their bandwidth. Calls between owners and relays use gzip at its fastest level.

--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -14,9 +14,15 @@
 )
 
 const (
-	// workersPerRelay is the number of workers that one entry host polls. With frequent task ends, polling them takes
-	// about a tenth of a core.
+	// workersPerRelay is the maximum number of workers that one entry host polls.
 	workersPerRelay = 75
+	// workersPerCore and workersPerMbps bound the workers that a host polls by its processor and by its network link: with
+	// frequent task ends a worker takes about 0.0013 of a core and 20 kbit/s in each direction, and both must suffice for
+	// some times as much, because a relay that falls behind delays all its workers.
+	workersPerCore = 400
+	workersPerMbps = 12
+	// minRelayCapacity is the number of workers that even the smallest host polls.
+	minRelayCapacity = 4
 	// collectWait is how long a relay may hold a Collect call open for results. Each response also serves as a liveness
 	// check of the relay.
 	collectWait = 250 * time.Millisecond
@@ -50,10 +56,23 @@
 	Name       string
 	Datacentre structs.DatacentreID
 	Cores      float64
-	Local      bool // the relay runs in this process
+	LinkMbps   float64 // bandwidth of the host's network link; 0 if unknown
+	Local      bool    // the relay runs in this process
 	Client     RelayClient
 }
 
+// capacity returns how many workers the host can poll.
+func (h RelayHost) capacity() int {
+	capacity := workersPerRelay
+	if h.Cores > 0 {
+		capacity = min(capacity, int(h.Cores*workersPerCore))
+	}
+	if h.LinkMbps > 0 {
+		capacity = min(capacity, int(h.LinkMbps*workersPerMbps))
+	}
+	return max(capacity, minRelayCapacity)
+}
+
 // Relays lists the entry hosts that can run relays.
 type Relays interface {
 	// RelayHosts returns the live entry hosts, including this one.
@@ -81,40 +100,59 @@
 	}
 }
 
-// openLinks opens as many links as the number of workers requires, to the hosts with the most cores first. Links to
-// unregistered hosts do not count; they are released once replacement links are open. o.mu is held.
+// openLinks opens links until the hosts behind them can poll all workers, and then releases those that are not needed
+// any more. o.mu is held.
 func (o *Owner) openLinks(ctx context.Context, workers int) {
-	want := max((workers+workersPerRelay-1)/workersPerRelay, 1)
-	if len(o.links) > want {
-		o.releaseLocalRelay(ctx)
-	}
 	hosts := o.cfg.Relays.RelayHosts()
-	unregistered := o.unregisteredLinks(hosts)
-	want += len(unregistered)
-	if len(o.links) >= want {
-		o.releaseUnregistered(ctx, unregistered, len(hosts))
-		return
-	}
-	slices.SortFunc(hosts, func(a, b RelayHost) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
-	})
-	if want == 1 || len(hosts) == 1 {
-		hosts = slices.DeleteFunc(hosts, func(h RelayHost) bool { return !h.Local })
-	} else {
-		// Planning needs the processor time of the owner's own host.
-		hosts = slices.DeleteFunc(hosts, func(h RelayHost) bool { return h.Local })
+	candidates := relayCandidates(hosts, workers)
+	capacity := o.openCapacity(candidates)
+	for _, host := range candidates {
+		if capacity >= workers {
+			break
+		}
+		if _, open := o.links[host.Name]; open || bootclock.Uptime() < o.relayBackOffUntil[host.Name] {
+			continue
+		}
+		o.openLink(ctx, host)
+		capacity += host.capacity()
 	}
-	if _, local := o.links[o.cfg.Host]; local && want > 1 {
-		want++ // the local link is released once there are enough remote ones
+	if capacity >= workers {
+		o.releaseUnregistered(ctx, o.unregisteredLinks(hosts), len(hosts))
+		if !slices.ContainsFunc(candidates, func(h RelayHost) bool { return h.Local }) {
+			o.releaseLocalRelay(ctx)
+		}
 	}
+}
+
+// relayCandidates returns the hosts that may poll the workers, in order of preference: this host alone if it can poll all
+// of them, else the others, since planning needs the processor time and the network link of this one.
+func relayCandidates(hosts []RelayHost, workers int) []RelayHost {
+	var local, remote []RelayHost
 	for _, host := range hosts {
-		if len(o.links) >= want {
-			return
+		if host.Local {
+			local = append(local, host)
+		} else {
+			remote = append(remote, host)
 		}
-		if _, open := o.links[host.Name]; !open && bootclock.Uptime() >= o.relayBackOffUntil[host.Name] {
-			o.openLink(ctx, host)
+	}
+	if len(remote) == 0 || (len(local) > 0 && workers <= local[0].capacity()) {
+		return local
+	}
+	slices.SortFunc(remote, func(a, b RelayHost) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
+	})
+	return remote
+}
+
+// openCapacity returns how many workers those of the hosts can poll to which links are open. o.mu is held.
+func (o *Owner) openCapacity(hosts []RelayHost) int {
+	capacity := 0
+	for _, host := range hosts {
+		if _, open := o.links[host.Name]; open {
+			capacity += host.capacity()
 		}
 	}
+	return capacity
 }
 
 // unregisteredLinks returns the links to hosts that are no longer registered; such a host is about to stop. o.mu is
@@ -182,7 +220,7 @@
 	o.linkWG.Go(func() { l.collectLoop(linkCtx) })
 }
 
-// assignWorker assigns a worker to the link with the fewest workers, preferring links in the worker's data centre, and
+// assignWorker assigns a worker to the link with the most room, preferring links in the worker's data centre, and
 // updates its poll wait. o.mu is held.
 func (o *Owner) assignWorker(info schedule.WorkerInfo) {
 	wait := pollWait
@@ -210,11 +248,11 @@
 // o.mu is held.
 func (o *Owner) leastLoaded(dc structs.DatacentreID) *link {
 	var best *link
-	bestLoad := 0
+	bestLoad := 0.0
 	for _, l := range o.links {
-		load := len(l.workers)
+		load := float64(len(l.workers)) / float64(l.host.capacity())
 		if l.host.Datacentre != dc {
-			load += workersPerRelay // used only if the relays in the worker's data centre are above workersPerRelay
+			load++ // used only if the relays in the worker's data centre have reached their capacity
 		}
 		if best == nil || load < bestLoad || (load == bestLoad && l.host.Name < best.host.Name) {
 			best, bestLoad = l, load
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -38,6 +38,7 @@
 	Address     string               `json:"address"`     // IP:port at which the host serves other entry hosts
 	Incarnation string               `json:"incarnation"` // unique identifier of the process
 	Cores       float64              `json:"cores"`       // processor cores that the host may use
+	LinkMbps    float64              `json:"link_mbps"`   // bandwidth of the host's network link; 0 if unknown
 }
 
 // Config configures a Registry.
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -2,12 +2,14 @@
 package relaygrpc
 
 import (
+	"compress/flate"
 	"context"
 	"time"
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
 
 	"fulmarcourse.example/core/schedule"
@@ -16,6 +18,13 @@
 	"fulmarcourse.example/fulmarcourse/pkg/relay"
 )
 
+func init() {
+	// The fastest level finds the repetitions in rows and orders; the others cost several times the processor time.
+	if err := gzip.SetLevel(flate.BestSpeed); err != nil {
+		panic("relaygrpc: " + err.Error()) // cannot happen: the level is valid
+	}
+}
+
 // Server serves the relays of this host to owners. It implements ownerpb.RelayServer.
 type Server struct {
 	ownerpb.UnimplementedRelayServer
@@ -108,6 +117,9 @@
 	return errors.Trace(err)
 }
 
+// compressed makes a call and its reply use gzip. The rows of reports and the orders of a step repeat most of each other.
+var compressed = grpc.UseCompressor(gzip.Name)
+
 // Client calls a relay on another entry host. It implements dispatch.RelayClient.
 type Client struct {
 	// Conn returns the connection to the host.
@@ -139,7 +151,7 @@
 	for _, order := range u.Orders {
 		req.Orders = append(req.Orders, toOrder(order))
 	}
-	_, err = ownerpb.NewRelayClient(conn).Update(ctx, req)
+	_, err = ownerpb.NewRelayClient(conn).Update(ctx, req, compressed)
 	if err != nil {
 		return fromStatus(err)
 	}
@@ -154,7 +166,7 @@
 	}
 	reply, err := ownerpb.NewRelayClient(conn).Collect(ctx, &ownerpb.CollectRequest{
 		Partition: int32(partition), Term: term, LeaseUntilNs: int64(leaseUntil), WaitNs: int64(wait),
-	})
+	}, compressed)
 	if err != nil {
 		return relay.Results{}, fromStatus(err)
 	}
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -50,6 +50,7 @@
 	Store             kv.Store
 	Reachable         func() bool // reports whether the store has responded recently
 	Cores             float64     // processor cores that this host may use
+	LinkMbps          float64     // bandwidth of this host's network link; 0 if unknown
 	Datacentre        structs.DatacentreID
 	Workers           relay.Workers
 	Directory         dispatch.Directory
@@ -86,7 +87,7 @@
 	}
 	n.registry = registry.New(registry.Config{Store: cfg.Store, Log: cfg.Log, Self: registry.Record{
 		Host: cfg.Self.Host, Datacentre: cfg.Datacentre, Address: cfg.Self.Address, Incarnation: cfg.Self.Incarnation,
-		Cores: cfg.Cores,
+		Cores: cfg.Cores, LinkMbps: cfg.LinkMbps,
 	}})
 	for range cfg.Partitions {
 		n.relays = append(n.relays, relay.New(relay.Config{Workers: cfg.Workers, TaskLease: cfg.TaskLease}))
--- a/pkg/scheduling/relays.go
+++ b/pkg/scheduling/relays.go
@@ -22,7 +22,7 @@
 func (r *relayHosts) RelayHosts() []dispatch.RelayHost {
 	self := r.node.cfg.Self.Host
 	hosts := []dispatch.RelayHost{{
-		Name: self, Datacentre: r.node.cfg.Datacentre, Cores: r.node.cfg.Cores, Local: true,
+		Name: self, Datacentre: r.node.cfg.Datacentre, Cores: r.node.cfg.Cores, LinkMbps: r.node.cfg.LinkMbps, Local: true,
 		Client: localRelay{r.node.relayOf(int(r.partition))},
 	}}
 	for _, record := range r.node.registry.Hosts() {
@@ -30,7 +30,7 @@
 			continue
 		}
 		hosts = append(hosts, dispatch.RelayHost{
-			Name: record.Host, Datacentre: record.Datacentre, Cores: record.Cores,
+			Name: record.Host, Datacentre: record.Datacentre, Cores: record.Cores, LinkMbps: record.LinkMbps,
 			Client: relaygrpc.Client{Conn: func() (grpc.ClientConnInterface, error) { return r.node.pool.Conn(record.Address) }},
 		})
 	}
