Back off repeated stops and collect reports in batches

Cause, from the logs of the small twin: while a data centre was cut off, 966 stops to its workers were repeated every 300 ms each; and a relay returned a response to the owner for nearly every report, of which most say nothing that the owner acts on.

Change: the repeat of a stop is delayed twice as long each time, up to 2.4 s, and is not sent to a worker that does not report; reports without ends wait 50 ms for others.

Tests: TestStopsAreRepeatedLessAndLessOften, TestReportsWithoutEndsAreCollectedTogether.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -26,8 +26,10 @@
 	// unreachableAfter is the age of a worker's last report after which it counts as unreachable and gets no new tasks.
 	// Workers report at least once a second. Copies of a worker's tasks start earlier, after silentAfter.
 	unreachableAfter = 2500 * time.Millisecond
-	// resendAfter is the delay before an unanswered order is sent again.
-	resendAfter = 300 * time.Millisecond
+	// resendAfter is the delay before an unanswered order is sent again for the first time. It doubles with each repeat of
+	// a stop up to maxResendAfter, so that repeats do not fill a link on which orders are already late.
+	resendAfter    = 300 * time.Millisecond
+	maxResendAfter = 2400 * time.Millisecond
 	// listingGrace is how long a worker that is missing from the platform's list but still reports counts as listed.
 	// The platform restores the entries of live workers within 2 s after an outage of its store.
 	listingGrace = 2 * time.Second
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -67,6 +67,7 @@
 	phase            phase
 	confirmedAt      time.Duration // when the worker confirmed the start; 0 before
 	stopSentAt       time.Duration // when the latest stop order was sent; 0 before the first
+	stopResendAfter  time.Duration // delay before the stop order is sent again
 	stopConfirmedAt  time.Duration // when the worker confirmed a stop order; 0 before
 	percent          float64       // progress, or share of full speed for service tasks
 	rate             float64       // latest measured progress at full speed, in percent of the task per second
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -541,3 +541,37 @@
 		h.reportAll()
 	}
 }
+
+// Scenario: many tasks of cancelled jobs on workers behind a link on which every order is lost. Guards against repeats that
+// fill such a link: the stop of one attempt must take a bounded number of orders, and none while its worker is silent.
+func TestStopsAreRepeatedLessAndLessOften(t *testing.T) {
+	const tasks = 10
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(tasks)), nil, false)
+	h.run()
+	h.s.Cancel(h.now, "job")
+	play := func(length time.Duration, reports bool) (stops int) {
+		for end := h.now.Boot + length; h.now.Boot < end; h.advanceClock(50 * time.Millisecond) {
+			if reports {
+				h.report("w1")
+			}
+			for _, o := range ofKind(h.plan(), OrderStop) {
+				h.s.OrderAnswered(h.now, o, Unanswered)
+				stops++
+			}
+		}
+		return stops
+	}
+	if stops := play(10*time.Second, true); stops < 4*tasks || stops > 8*tasks {
+		t.Errorf("%d stops of %d attempts in 10 s", stops, tasks)
+	}
+	h.advanceClock(unreachableAfter)
+	if stops := play(10*time.Second, false); stops != 0 {
+		t.Errorf("%d stops were sent to a silent worker", stops)
+	}
+	h.report("w1")
+	if stops := len(ofKind(h.plan(), OrderStop)); stops != tasks {
+		t.Errorf("%d stops of %d attempts after the worker has reported again", stops, tasks)
+	}
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -147,7 +147,8 @@
 // markDirty records that the progress of a job has to be stored.
 func (s *Scheduler) markDirty(j *job) { s.dirty[j] = struct{}{} }
 
-// stop orders the worker of an attempt to end it, unless the order was confirmed or sent less than resendAfter ago.
+// stop orders the worker of an attempt to end it, unless the order was confirmed or was sent a short time ago. To a worker
+// that does not report the order is sent once; resolveAbsent repeats it when the worker reports again.
 func (s *Scheduler) stop(now time.Duration, a *attempt) {
 	if a.phase == awaitingStore {
 		s.drop(a) // its start was never ordered
@@ -156,9 +157,10 @@
 	if a.stopConfirmedAt > 0 {
 		return
 	}
-	if a.stopSentAt > 0 && now-a.stopSentAt < resendAfter {
+	if a.stopSentAt > 0 && (now-a.stopSentAt < a.stopResendAfter || !a.worker.reachable(now)) {
 		return
 	}
+	a.stopResendAfter = min(max(2*a.stopResendAfter, resendAfter), maxResendAfter)
 	a.phase = stopping
 	s.stopping[a] = struct{}{}
 	a.stopSentAt = now
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -70,7 +70,7 @@
 type orphan struct {
 	key        attemptKey
 	reserved   structs.Resources
-	stopSentAt time.Duration
+	stopSentAt time.Duration // when the latest stop order was sent; 0 if it has to be sent again
 }
 
 func newWorker(info WorkerInfo, index *workerIndex) *worker {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -17,7 +17,10 @@
 	// outcome of an order that takes longer is determined by a poll.
 	orderTimeout = 400 * time.Millisecond
 	// resultBatchDelay batches results that arrive close together into one response.
-	resultBatchDelay = 4 * time.Millisecond
+	resultBatchDelay = 8 * time.Millisecond
+	// reportBatchDelay is how long reports without ends wait for further results. They are most of the reports, and what
+	// they say changes slowly.
+	reportBatchDelay = 50 * time.Millisecond
 	// maxReports limits the number of reports in one response, and thus its size.
 	maxReports = 400
 	// ownerTimeout is how long a relay continues without a call from its owner, which calls several times a second.
@@ -40,7 +43,8 @@
 	sessions   map[schedule.WorkerID]*session
 	assigned   bool          // the owner has listed workers; the update that releases a relay lists none and may be late
 	results    Results       // collected for the owner and not yet returned by Collect
-	ready      chan struct{} // capacity 1; signalled when results are added
+	ready      chan struct{} // capacity 1; signalled when results are to be returned
+	signalling bool          // ready will be signalled after reportBatchDelay
 	lastCall   time.Duration // boot time of the owner's last call
 	stop       context.CancelFunc
 	sessionCtx context.Context // parent context of the term's sessions; cancelled by stop
@@ -144,12 +148,12 @@
 	if err == nil {
 		r.raiseLeaseLimit(leaseUntil)
 	}
-	empty := r.results.empty()
+	waiting := r.results.empty() || r.signalling
 	r.mu.Unlock()
 	if err != nil {
 		return Results{}, err
 	}
-	if empty {
+	if waiting {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
@@ -228,7 +232,28 @@
 		return
 	}
 	r.results.Reports = append(r.results.Reports, report)
-	r.signal()
+	if report.urgent() {
+		r.signal()
+	} else {
+		r.signalLater()
+	}
+}
+
+// urgent reports whether the owner can act on a report at once.
+func (w WorkerReport) urgent() bool { return w.Failed != "" || len(w.Report.Ended) > 0 }
+
+// signalLater wakes a waiting Collect call after reportBatchDelay. r.mu is held.
+func (r *Relay) signalLater() {
+	if r.signalling {
+		return
+	}
+	r.signalling = true
+	time.AfterFunc(reportBatchDelay, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.signalling = false
+		r.signal()
+	})
 }
 
 // markFenced records that a worker has accepted a later owner.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -211,3 +211,39 @@
 		}
 	}
 }
+
+// Scenario: many workers report at different moments, and nothing has ended. Guards against a response to the owner for
+// each report: most reports can wait for others.
+func TestReportsWithoutEndsAreCollectedTogether(t *testing.T) {
+	r := startRelay(t, &fakeWorkers{reply: func(int, PollRequest) (PollReply, error) { return PollReply{}, nil }})
+	if err := r.Update(Update{Term: 1}); err != nil {
+		t.Fatal(err)
+	}
+	r.mu.Lock()
+	r.assigned = true
+	r.mu.Unlock()
+	const reports = 40
+	go func() {
+		for range reports {
+			r.addReport(1, WorkerReport{Worker: "w"})
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	collected, calls := 0, 0
+	for collected < reports {
+		results, err := r.Collect(t.Context(), 1, 0, time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		collected, calls = collected+len(results.Reports), calls+1
+	}
+	if calls > reports/4 {
+		t.Errorf("%d calls for %d reports", calls, reports)
+	}
+	r.addReport(1, WorkerReport{Worker: "w", Report: schedule.Report{Ended: []schedule.Ended{{Number: 1}}}})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ready) == 0 {
+		t.Error("an end waits for further reports")
+	}
+}
