Let reads of the store finish over slow links

The reads were given up when most of the answer had arrived and started again at once, which filled the links of all hosts for good: renewals of the owner timed out, relays were lost, and after all hosts had lost power six owners in a row failed to load the partition (term 2 at 44 s, not loaded at 79 s).

--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -27,9 +27,10 @@
 	// check of the relay.
 	collectWait = 250 * time.Millisecond
 	// relayTimeout is the timeout of a call to a relay, in addition to the time that the relay may wait.
-	relayTimeout = 600 * time.Millisecond
-	// relayLostAfter is how long a relay may be unresponsive before its workers are assigned to other relays.
-	relayLostAfter = 1200 * time.Millisecond
+	relayTimeout = 900 * time.Millisecond
+	// relayLostAfter is how long a relay may be unresponsive before its workers are assigned to other relays. A
+	// configuration with many routes fills the link of a small host for more than a second.
+	relayLostAfter = 1800 * time.Millisecond
 	// relayRetryDelay is the pause after a failed call to a relay.
 	relayRetryDelay = 100 * time.Millisecond
 	// leasePermission is how long a relay may extend task leases after the owner's last call.
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	submissions, _, err := kv.List(ctx, o.cfg.Store, statekeys.Submissions(o.cfg.Partition))
+	submissions, err := kv.ListInParts(ctx, o.cfg.Store, statekeys.Submissions(o.cfg.Partition))
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -73,7 +73,7 @@
 
 func (o *Owner) readProgress(ctx context.Context) (map[workload.JobID]workload.Progress, error) {
 	prefix := statekeys.ProgressPrefix(o.cfg.Partition)
-	items, _, err := kv.List(ctx, o.cfg.Store, prefix)
+	items, err := kv.ListInParts(ctx, o.cfg.Store, prefix)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -137,3 +137,37 @@
 		after = page.Items[len(page.Items)-1].Key
 	}
 }
+
+// partNames are the first characters by which ListInParts divides the keys under a prefix.
+const partNames = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// partAttempts is how often ListInParts tries to read one part.
+const partAttempts = 3
+
+// ListInParts reads all keys with a prefix like List. If one page takes too long, for instance over a slow network link,
+// it reads the keys in parts by the character after the prefix, which must be a letter or a digit. It does not start over
+// when a part fails.
+func ListInParts(ctx context.Context, store Store, prefix string) ([]Item, error) {
+	items, _, err := List(ctx, store, prefix)
+	if err == nil || !errors.Is(err, ErrUncertain) {
+		return items, errors.Trace(err)
+	}
+	items = nil
+	for _, name := range partNames {
+		part, err := listPart(ctx, store, prefix+string(name))
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		items = append(items, part...)
+	}
+	return items, nil
+}
+
+func listPart(ctx context.Context, store Store, prefix string) (items []Item, err error) {
+	for range partAttempts {
+		if items, _, err = List(ctx, store, prefix); err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return items, errors.Trace(err)
+}
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -23,6 +23,7 @@
 	"fulmarcourse.example/fulmarcourse/pkg/intake"
 	"fulmarcourse.example/fulmarcourse/pkg/kv"
 	"fulmarcourse.example/fulmarcourse/pkg/mirror"
+	"fulmarcourse.example/fulmarcourse/pkg/pause"
 	"fulmarcourse.example/fulmarcourse/pkg/peer"
 	"fulmarcourse.example/fulmarcourse/pkg/registry"
 	"fulmarcourse.example/fulmarcourse/pkg/relay"
@@ -49,6 +50,7 @@
 	Partitions        int
 	Store             kv.Store
 	Reachable         func() bool // reports whether the store has responded recently
+	Configured        func() bool // reports whether this host has read the operator's configuration
 	Cores             float64     // processor cores that this host may use
 	LinkMbps          float64     // bandwidth of this host's network link; 0 if unknown
 	Datacentre        structs.DatacentreID
@@ -164,6 +166,7 @@
 	candidate := term.NewCandidate(term.Config{
 		Store: n.cfg.Store, Partition: p, Self: n.cfg.Self, Cores: n.cfg.Cores, Log: n.cfg.Log,
 	}, n.view)
+	n.awaitConfiguration(ctx)
 	for ctx.Err() == nil {
 		ownership, err := candidate.Acquire(ctx)
 		if err != nil {
@@ -173,6 +176,18 @@
 	}
 }
 
+// maxConfigurationWait is how long a starting host waits for the operator's configuration before it campaigns. Existing
+// jobs need an owner even if the configuration cannot be read.
+const maxConfigurationWait = 3 * time.Second
+
+// awaitConfiguration waits until this host has the operator's configuration. Reading it may fill a slow network link, on
+// which the renewals of an owner and its reading of the partition would be late.
+func (n *Node) awaitConfiguration(ctx context.Context) {
+	for end := time.Now().Add(maxConfigurationWait); !n.cfg.Configured() && time.Now().Before(end) && ctx.Err() == nil; {
+		pause.For(ctx, viewRetryDelay)
+	}
+}
+
 // runOwner runs the owner of a partition until ctx ends or the ownership is lost.
 func (n *Node) runOwner(ctx context.Context, p statekeys.Partition, ownership *term.Ownership) {
 	owner := dispatch.NewOwner(dispatch.Config{
