Let weak hosts wait before they acquire a partition from a strong one

The strong hosts return within two seconds of their failure, but the record is acquired by then. The term now names the cores of its owner; a candidate with half of them or less waits 1.5 s more. Test: TestWeakCandidateWaitsForStrongerHosts.

--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -38,6 +38,10 @@
 	// singleCoreDelay is the delay of a candidate on a host with one core. The delay is inversely proportional to the
 	// number of cores, since an owner on a slow host delays all jobs.
 	singleCoreDelay = 25 * time.Millisecond
+	// weakerFactor is how many times as many cores the latest owner must have had for a candidate to count as weak, and
+	// weakDelay the additional delay of such a candidate: the strong hosts may have failed together and return at once.
+	weakerFactor = 2.0
+	weakDelay    = 1500 * time.Millisecond
 )
 
 // Record is the stored record of an owner.
@@ -48,8 +52,10 @@
 	Term        int64  `json:"term"`
 }
 
+// termValue is the stored value of the term.
 type termValue struct {
-	Term int64 `json:"term"`
+	Term  int64   `json:"term"`
+	Cores float64 `json:"cores,omitempty"` // processor cores of the owner's host
 }
 
 // Config configures a Candidate.
@@ -109,7 +115,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(c.campaignDelay()):
+		case <-time.After(c.campaignDelay(state)):
 		}
 		if now := c.view.State(c.cfg.Partition); now.ownerRevision != 0 {
 			return nil
@@ -125,9 +131,12 @@
 
 // campaignDelay returns how long this candidate waits before an attempt, so that candidates on hosts with more cores
 // go first.
-func (c *Candidate) campaignDelay() time.Duration {
-	coreDelay := time.Duration(float64(singleCoreDelay) / max(c.cfg.Cores, minCores))
-	return coreDelay + rand.N(maxCampaignDelay)
+func (c *Candidate) campaignDelay(state State) time.Duration {
+	delay := time.Duration(float64(singleCoreDelay)/max(c.cfg.Cores, minCores)) + rand.N(maxCampaignDelay)
+	if weakerFactor*c.cfg.Cores <= state.cores {
+		delay += weakDelay
+	}
+	return delay
 }
 
 // minCores limits the delay of a host with a small share of a core.
@@ -151,7 +160,7 @@
 		},
 		Put: []kv.Put{
 			{Key: statekeys.Owner(c.cfg.Partition), Value: mustEncode(record), Lease: lease},
-			{Key: statekeys.Term(c.cfg.Partition), Value: mustEncode(termValue{record.Term})},
+			{Key: statekeys.Term(c.cfg.Partition), Value: mustEncode(termValue{record.Term, c.cfg.Cores})},
 		},
 	}
 	revision, err := c.cfg.Store.Commit(ctx, txn)
--- a/pkg/term/term_test.go
+++ b/pkg/term/term_test.go
@@ -179,3 +179,29 @@
 		t.Errorf("term %d, want 2", next.Term)
 	}
 }
+
+// Scenario: the strongest hosts fail together and return within two seconds. Guards against a weak host that acquires the
+// partition at once and then delays all jobs, and against hosts of equal strength that wait for nobody.
+func TestWeakCandidateWaitsForStrongerHosts(t *testing.T) {
+	store := kvtest.NewStore()
+	strong := candidate(t, store, "strong", "1")
+	strong.cfg.Cores = 0.8
+	first := acquire(t, strong)
+	state := strong.view.State(testPartition)
+	poll.Until(t, "the view shows the term", func() bool {
+		state = strong.view.State(testPartition)
+		return state.Term == 1
+	})
+	weak := candidate(t, store, "weak", "1")
+	weak.cfg.Cores = 0.2
+	if delay := weak.campaignDelay(state); delay < weakDelay {
+		t.Errorf("a weak candidate waits %v", delay)
+	}
+	if delay := strong.campaignDelay(state); delay >= weakDelay {
+		t.Errorf("a candidate as strong as the latest owner waits %v", delay)
+	}
+	store.EndLease(first.leaseID())
+	if ownership := acquire(t, weak); ownership.Term != 2 {
+		t.Errorf("term %d, want 2", ownership.Term)
+	}
+}
--- a/pkg/term/view.go
+++ b/pkg/term/view.go
@@ -17,6 +17,7 @@
 	read          bool // the store has been read
 	ownerRevision int64
 	termRevision  int64
+	cores         float64 // of the newest owner's host; 0 if unknown
 	lease         kv.LeaseID
 }
 
@@ -101,7 +102,7 @@
 	if item, found := v.items[statekeys.Term(p)]; found {
 		var value termValue
 		v.decode(item, &value)
-		state.Term, state.termRevision = value.Term, item.Revision
+		state.Term, state.termRevision, state.cores = value.Term, item.Revision, value.Cores
 	}
 	return state
 }
