Start nothing before a new owner has read the list of workers

It started tasks on workers that had announced their end 5 s before. Change: no worker is used before the list has been read once in the term. Test, failed before: TestNothingStartsBeforeTheWorkersAreListed.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -109,9 +109,10 @@
 	}
 }
 
-// usable reports whether tasks may start on a worker at all.
+// usable reports whether tasks may start on a worker at all. Before the platform's list has been read, a worker that the
+// former owner knew may be draining.
 func (s *Scheduler) usable(now time.Duration, w *worker) bool {
-	return w.available(now) && !s.evacuated[w.info.Datacentre] && !w.health.inBackOff(now) && !w.slowness.slow(now)
+	return s.listRead && w.available(now) && !s.evacuated[w.info.Datacentre] && !w.health.inBackOff(now) && !w.slowness.slow(now)
 }
 
 // fits reports whether a task may start on a worker.
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -575,3 +575,22 @@
 		t.Errorf("%d stops of %d attempts after the worker has reported again", stops, tasks)
 	}
 }
+
+// Guards against a new owner that starts tasks on workers that are draining or have left: it knows them from its
+// predecessor's record, and they report, before it has read the platform's list.
+func TestNothingStartsBeforeTheWorkersAreListed(t *testing.T) {
+	h := newHarness(t, 1)
+	w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{w1.info, w2.info})
+	h.s.AddJob(testJob("job", testStep(20)), nil, false)
+	h.reportAll()
+	h.wantStarts(h.run(), 0)
+	w1.info.Draining = true
+	h.listWorkers()
+	for _, o := range starts(h.run()) {
+		if o.Worker == "w1" {
+			t.Fatalf("a task starts on a draining worker: %s", describe([]Order{o}))
+		}
+	}
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -16,6 +16,7 @@
 	workers             map[WorkerID]*worker
 	sortedWorkers       []*worker // sorted by ID, so that decisions do not depend on map order
 	index               *workerIndex
+	listRead            bool // SetWorkers has been called
 	evacuated           map[structs.DatacentreID]bool
 	openSteps           map[*step]struct{}             // steps that may start tasks
 	compareSteps        func(now Time, a, b *step) int // order in which steps get capacity
@@ -178,6 +179,7 @@
 
 // SetWorkers replaces the platform's list of workers.
 func (s *Scheduler) SetWorkers(now Time, infos []WorkerInfo) {
+	s.listRead = true
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
 		listed[info.ID] = true
