Rate all workers for fillers and services, cheaply

Cause: the search through the index compared the 24 workers with the most spare time for a filler, and the 24 fullest for a service, so that fillers met sensitive services and images were mixed; 4 moves in 100 ms were too few; the lower penalty on mixed images cost more than it gave. Change: a rating of every worker with room is estimated from figures kept per worker (pressure by image, services by image), the 24 best are checked; 40 moves a scan.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -8,11 +8,9 @@
 // Limits of one search for a worker. The workers are searched in the order of poolIndex, so that the best ones come
 // early and a search costs about the same in a small and in a large fleet.
 const (
-	// maxCandidates is the number of workers that fit a task and are compared.
+	// maxCandidates is the number of workers that fit a short task and are compared, and the number of workers with the
+	// highest estimated ratings that are checked for a filler or a service.
 	maxCandidates = 24
-	// maxFillerChecks is the number of workers that are checked for a filler. Whether a filler fits beside the services of
-	// a worker does not follow from the order of the index. The next search continues with the workers that follow.
-	maxFillerChecks = 200
 )
 
 // candidate is a worker that fits a task, with its rating.
@@ -73,7 +71,7 @@
 	case spec.Filler:
 		s.searchFillers(c, p)
 	case spec.Service:
-		p.byFree.tightest(spec.Size.MilliCPU, c.consider)
+		s.searchServices(c, p)
 	case p.scarce(spec.Size.MilliCPU):
 		p.byFree.tightest(spec.Size.MilliCPU, c.consider)
 	default:
@@ -91,22 +89,82 @@
 	return p.byFree.count(milliCPU) < len(p.byFree.workers)/scarceShare
 }
 
-// searchFillers searches the workers with the most spare processor time, from where the last search of the step ended.
+// searchFillers checks the workers with the highest estimated ratings, the best first.
 func (s *Scheduler) searchFillers(c *search, p *poolIndex) {
-	st := c.task.step
-	enough := p.bySpare.count(minSpare(st.spec.Size.MilliCPU))
-	if st.searchFrom >= enough {
-		st.searchFrom = 0
+	size := c.task.step.spec.Size.MilliCPU
+	cores := float64(size) / 1000
+	var top topWorkers
+	for _, w := range p.bySpare.workers[:p.bySpare.count(minSpare(size))] {
+		rise := s.pressureOn(w, c.task.step.imageIndex) * cores
+		top.add(w, fillerRating(float64(w.indexed.spare), rise, w))
 	}
-	end := min(st.searchFrom+maxFillerChecks, enough)
-	for _, w := range p.bySpare.workers[st.searchFrom:end] {
-		if c.consider(w) {
-			break
-		}
+	top.considerAll(c)
+}
+
+// searchServices checks the workers with the highest ratings, the best first.
+func (s *Scheduler) searchServices(c *search, p *poolIndex) {
+	var top topWorkers
+	for _, w := range p.byFree.workers[:p.byFree.count(c.task.step.spec.Size.MilliCPU)] {
+		top.add(w, serviceRating(w, c.task.step.imageIndex))
+	}
+	top.considerAll(c)
+}
+
+// topWorkers holds the workers with the highest ratings, the best first. Of equal ones the first added comes first.
+type topWorkers struct {
+	n       int
+	workers [maxCandidates]candidate
+}
+
+func (t *topWorkers) add(w *worker, rating float64) {
+	if t.n == maxCandidates && rating <= t.workers[t.n-1].rating {
+		return
+	}
+	if t.n < maxCandidates {
+		t.n++
+	}
+	i := t.n - 1
+	for ; i > 0 && t.workers[i-1].rating < rating; i-- {
+		t.workers[i] = t.workers[i-1]
+	}
+	t.workers[i] = candidate{worker: w, rating: rating}
+}
+
+func (t *topWorkers) considerAll(c *search) {
+	for _, w := range t.workers[:t.n] {
+		c.consider(w.worker)
+	}
+}
+
+// fillerRating rates a worker for a filler that gets spare thousandths of a core and raises the logarithm of a service's
+// tail latency by rise.
+func fillerRating(spare, rise float64, w *worker) float64 {
+	return spare/float64(max(w.info.Capacity.MilliCPU, 1)) - pressurePenalty*rise
+}
+
+// pressureOn returns the largest pressure per core of fillers of an image on the services of a worker.
+func (s *Scheduler) pressureOn(w *worker, image int) float64 {
+	if w.pressuresAt != s.interference.refreshed || len(w.pressures) < len(s.interference.names) {
+		w.pressuresAt = s.interference.refreshed
+		w.pressures = slices.Repeat([]float64{unknownValue}, len(s.interference.names))
 	}
-	if c.best.worker == nil {
-		st.searchFrom = end
+	if w.pressures[image] == unknownValue {
+		w.pressures[image] = s.highestPressure(w, image)
 	}
+	return w.pressures[image]
+}
+
+// unknownValue marks an entry of worker.pressures that has not been computed. Pressures are not negative.
+const unknownValue = -1
+
+func (s *Scheduler) highestPressure(w *worker, image int) float64 {
+	highest := 0.0
+	for _, a := range w.attemptList {
+		if spec := &a.task.step.spec; spec.Service && spec.TailTargetMs > 0 {
+			highest = max(highest, s.interference.pressures[a.task.step.imageIndex][image])
+		}
+	}
+	return highest
 }
 
 // usable reports whether tasks may start on a worker at all. Before the platform's list has been read, a worker that the
@@ -192,12 +250,9 @@
 	switch {
 	case spec.Filler:
 		_, rise := s.predictTail(now, w, t)
-		rating = float64(w.spareFillerCPU())/capacity - pressurePenalty*rise
+		rating = fillerRating(float64(w.spareFillerCPU()), rise, w)
 	case spec.Service:
-		// Services are packed onto few workers, so that others keep capacity for large tasks and for fillers that
-		// interfere with no service. Services of the same image share workers, so that a filler that interferes with
-		// one image finds workers without it.
-		rating = float64(w.serviceCPU)/capacity - mixedImagePenalty*w.otherImageShare(spec.Image)
+		rating = serviceRating(w, t.step.imageIndex)
 	case w.indexed.pool.scarce(spec.Size.MilliCPU):
 		rating = -float64(w.free().MilliCPU) / capacity
 	default:
@@ -209,20 +264,19 @@
 const (
 	// pressurePenalty is the weight of the pressure on services relative to the unused share of the processor time.
 	pressurePenalty = 3.0
-	// mixedImagePenalty is the weight of services of other images relative to the share of the worker used by services.
-	mixedImagePenalty = 0.1
+	// mixedImagePenalty is the weight of services of other images relative to the share of the worker used by services. It
+	// is below 1, so that a worker nearly full of other images is better than an empty one, which large tasks may need.
+	mixedImagePenalty = 0.7
 )
 
-// otherImageShare returns the share of the services on the worker that run other images.
-func (w *worker) otherImageShare(image string) float64 {
+// serviceRating rates a worker for a service task. Services are packed onto few workers, so that others keep capacity for
+// large tasks and for fillers that interfere with no service. Services of the same image share workers, so that a filler
+// that interferes with one image finds workers without it.
+func serviceRating(w *worker, image int) float64 {
+	rating := float64(w.serviceCPU) / float64(max(w.info.Capacity.MilliCPU, 1))
 	if w.services == 0 {
-		return 0
-	}
-	others := 0
-	for _, a := range w.attemptList {
-		if spec := a.task.step.spec; spec.Service && spec.Image != image {
-			others++
-		}
+		return rating
 	}
-	return float64(others) / float64(w.services)
+	others := w.services - w.servicesByImage[image]
+	return rating - mixedImagePenalty*float64(others)/float64(w.services)
 }
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -31,7 +31,6 @@
 	unfinished int           // tasks that are not done
 	pending    int           // tasks that have no attempt and are not done
 	retryAt    time.Duration // when a search for capacity is worth trying again
-	searchFrom int           // position in the index from which the next search for a filler starts
 }
 
 // task is one task of a step.
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -15,9 +15,8 @@
 	minRunTime = 3 * time.Second
 	// almostDone is the progress, in percent, from which a move costs more than it gains.
 	almostDone = 80
-	// movesPerPlan bounds the tasks that one kind of move stops per call of Plan, because each needs capacity
-	// elsewhere.
-	movesPerPlan = 4
+	// movesPerScan bounds the tasks that one kind of move stops per scan, because each needs capacity elsewhere.
+	movesPerScan = 40
 )
 
 // drainMargin is added to the time that a stop takes when checking whether a draining worker is about to leave. It
@@ -61,7 +60,7 @@
 func (s *Scheduler) moveThrottledFillers(now Time) {
 	moves := 0
 	for _, w := range s.sortedWorkers {
-		if !w.fillersThrottled || moves >= movesPerPlan {
+		if !w.fillersThrottled || moves >= movesPerScan {
 			continue
 		}
 		for _, a := range w.attemptList {
@@ -89,10 +88,7 @@
 // chooseWithoutPressure returns a worker that fits a filler and on which it interferes with no service, or nil.
 func (s *Scheduler) chooseWithoutPressure(now Time, a *attempt) *worker {
 	for _, w := range s.sortedWorkers {
-		if w == a.worker || !s.fits(now, a.task, w) {
-			continue
-		}
-		if _, rise := s.predictTail(now.Boot, w, a.task); rise == 0 {
+		if w != a.worker && s.pressureOn(w, a.task.step.imageIndex) == 0 && s.fits(now, a.task, w) {
 			return w
 		}
 	}
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -162,7 +162,7 @@
 	for _, w := range s.sortedWorkers {
 		slow := w.slowness.slow(now.Boot)
 		for _, a := range w.attemptList {
-			if moves >= movesPerPlan {
+			if moves >= movesPerScan {
 				return
 			}
 			if slow && a.task.step.spec.Service {
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -52,6 +52,9 @@
 	spedUpAt         time.Duration     // when fillers were last sped up
 	fillersIdleSince time.Duration     // since when all fillers on the worker have been idle; 0 while one runs
 	services         int               // number of service attempts
+	servicesByImage  map[int]int       // number of service attempts by image index
+	pressures        []float64         // by filler image, see pressureOn; reset when a service starts or ends
+	pressuresAt      time.Duration     // refresh of the interference model that pressures belong to
 	health           health
 	slowness         slowness
 	stability        stability
@@ -75,10 +78,11 @@
 
 func newWorker(info WorkerInfo, index *workerIndex) *worker {
 	return &worker{
-		info:     info,
-		index:    index,
-		attempts: map[attemptKey]*attempt{},
-		orphans:  map[attemptKey]*orphan{},
+		info:            info,
+		index:           index,
+		attempts:        map[attemptKey]*attempt{},
+		servicesByImage: map[int]int{},
+		orphans:         map[attemptKey]*orphan{},
 	}
 }
 
@@ -117,7 +121,9 @@
 	case spec.Filler:
 		w.fillerCPU += spec.Size.MilliCPU
 	case spec.Service:
+		w.pressures = nil
 		w.serviceCPU += spec.Size.MilliCPU
+		w.servicesByImage[a.task.step.imageIndex]++
 		w.services++
 	}
 }
@@ -136,7 +142,9 @@
 	case spec.Filler:
 		w.fillerCPU -= spec.Size.MilliCPU
 	case spec.Service:
+		w.pressures = nil
 		w.serviceCPU -= spec.Size.MilliCPU
+		w.servicesByImage[a.task.step.imageIndex]--
 		w.services--
 	}
 }
