--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -266,7 +266,7 @@
 	pressurePenalty = 3.0
 	// mixedImagePenalty is the weight of services of other images relative to the share of the worker used by services. It
 	// is below 1, so that a worker nearly full of other images is better than an empty one, which large tasks may need.
-	mixedImagePenalty = 0.7
+	mixedImagePenalty = 0.85
 )
 
 // serviceRating rates a worker for a service task. Services are packed onto few workers, so that others keep capacity for
