Search beyond the highest rated workers

Change: if none of them fits, a service is tried on all workers with room and a filler on 200 further ones a search. Test, failed before: TestSearchGoesBeyondTheHighestRatings.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -11,6 +11,9 @@
 	// maxCandidates is the number of workers that fit a short task and are compared, and the number of workers with the
 	// highest estimated ratings that are checked for a filler or a service.
 	maxCandidates = 24
+	// maxFillerChecks is the number of further workers that are checked for a filler if none of the highest rated ones
+	// fits. The next search of its step continues with the workers that follow.
+	maxFillerChecks = 200
 )
 
 // candidate is a worker that fits a task, with its rating.
@@ -99,6 +102,24 @@
 		top.add(w, fillerRating(float64(w.indexed.spare), rise, w))
 	}
 	top.considerAll(c)
+	if c.best.worker == nil {
+		s.searchFurther(c, p.bySpare.workers[:p.bySpare.count(minSpare(size))])
+	}
+}
+
+// searchFurther checks maxFillerChecks of the workers, from where the last search of the step ended, until one fits.
+func (s *Scheduler) searchFurther(c *search, workers []*worker) {
+	st := c.task.step
+	if st.searchFrom >= len(workers) {
+		st.searchFrom = 0
+	}
+	end := min(st.searchFrom+maxFillerChecks, len(workers))
+	for _, w := range workers[st.searchFrom:end] {
+		if c.consider(w); c.best.worker != nil {
+			return
+		}
+	}
+	st.searchFrom = end
 }
 
 // searchServices checks the workers with the highest ratings, the best first.
@@ -108,6 +129,9 @@
 		top.add(w, serviceRating(w, c.task.step.imageIndex))
 	}
 	top.considerAll(c)
+	if c.best.worker == nil { // for instance, each of them has as many tasks of the step as it may
+		p.byFree.tightest(c.task.step.spec.Size.MilliCPU, c.consider)
+	}
 }
 
 // topWorkers holds the workers with the highest ratings, the best first. Of equal ones the first added comes first.
--- a/core/schedule/index_test.go
+++ b/core/schedule/index_test.go
@@ -86,3 +86,36 @@
 		}
 	}
 }
+
+// Guards against a search that only checks the workers with the highest ratings: these may be the ones on which a task must
+// not run, because of its limit per worker or its label.
+func TestSearchGoesBeyondTheHighestRatings(t *testing.T) {
+	const workers = 3 * maxCandidates
+	h := newHarness(t, 1)
+	for n := range workers {
+		h.addWorker(WorkerID(fmt.Sprintf("w%03d", n)), func(info *WorkerInfo) {
+			info.Labels = []string{"common"}
+			if n == workers-1 {
+				info.Labels, info.Capacity.MilliCPU = []string{"rare"}, 8000
+			}
+		})
+	}
+	service := serviceStep("service", workers)
+	service.MaxPerWorker = 1
+	h.s.AddJob(testJob("service", service), nil, false)
+	h.wantStarts(h.run(), workers)
+	labelled := serviceStep("labelled", 1)
+	labelled.Label = "rare"
+	h.s.AddJob(testJob("labelled", labelled), nil, false)
+	h.wantStarts(h.run(), 1)
+	filler := fillerStep("filler", 1)
+	filler.Label = "rare"
+	h.s.AddJob(testJob("filler", filler), nil, false)
+	for n := 0; len(starts(h.run())) == 0; n++ {
+		if n == workers {
+			t.Fatal("the filler with a rare label is not started")
+		}
+		h.advanceClock(fillerRetryDelay)
+		h.reportAll()
+	}
+}
