--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Limits of one search for a worker. The workers are searched in the order of poolIndex, so that the best ones come
-// early and a search costs about the same in a small and in a large fleet.
+// Limits of one search for a worker. Only few workers are checked and rated in full, so that a search costs little more in
+// a large fleet than in a small one.
 const (
 	// maxCandidates is the number of workers that fit a short task and are compared, and the number of workers with the
 	// highest estimated ratings that are checked for a filler or a service.
@@ -154,6 +154,7 @@
 	t.workers[i] = candidate{worker: w, rating: rating}
 }
 
+// considerAll checks all workers of the list, the best first.
 func (t *topWorkers) considerAll(c *search) {
 	for _, w := range t.workers[:t.n] {
 		c.consider(w.worker)
@@ -181,6 +182,7 @@
 // unknownValue marks an entry of worker.pressures that has not been computed. Pressures are not negative.
 const unknownValue = -1
 
+// highestPressure computes pressureOn.
 func (s *Scheduler) highestPressure(w *worker, image int) float64 {
 	highest := 0.0
 	for _, a := range w.attemptList {
--- a/core/schedule/index.go
+++ b/core/schedule/index.go
@@ -15,8 +15,8 @@
 // unusableKey is the key of workers on which no task may start. It sorts after all others.
 const unusableKey = -1
 
-// workerIndex orders the workers by unused capacity. It is an upper bound at the time of its last update: the caller
-// checks each worker before using it.
+// workerIndex orders the workers by unused capacity. Changes since the last update are missing, so the caller checks each
+// worker before using it.
 type workerIndex struct {
 	pools     map[workload.PoolName]*poolIndex
 	changed   []*worker // workers whose keys have to be computed again
@@ -71,7 +71,7 @@
 	for _, w := range x.changed {
 		w.indexStale = false
 		if s.workers[w.info.ID] == w {
-			x.place(w, s.indexKeys(now.Boot, w, x.pool(w.info.Pool)))
+			x.place(w, s.currentKeys(now.Boot, w, x.pool(w.info.Pool)))
 		}
 	}
 	x.changed = x.changed[:0]
@@ -87,8 +87,8 @@
 	return p
 }
 
-// indexKeys returns the present keys of a worker.
-func (s *Scheduler) indexKeys(now time.Duration, w *worker, p *poolIndex) indexKeys {
+// currentKeys returns the keys of a worker as of now.
+func (s *Scheduler) currentKeys(now time.Duration, w *worker, p *poolIndex) indexKeys {
 	if !s.usable(now, w) {
 		return indexKeys{p, unusableKey, unusableKey}
 	}
