--- /dev/null
+++ b/pkg/dispatch/relays_test.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"fulmarcourse.example/core/schedule"
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
+)
+
+// listedHosts implements Relays. Its relays have no assignments.
+type listedHosts []RelayHost
+
+func (l listedHosts) RelayHosts() []RelayHost { return append([]RelayHost(nil), l...) }
+
+// fleetOwner returns an owner with workers and an owner's host among equal hosts, and runs their assignment once.
+func fleetOwner(t *testing.T, workers, hosts int, cores, linkMbps float64) *Owner {
+	t.Helper()
+	var list listedHosts
+	for n := range hosts {
+		list = append(list, RelayHost{
+			Name: fmt.Sprintf("host-%02d", n), Datacentre: "dc", Cores: cores, LinkMbps: linkMbps, Local: n == 0,
+			Client: &fakeRelay{},
+		})
+	}
+	o := NewOwner(Config{Host: "host-00", Store: kvtest.NewStore(), Relays: list, Log: eventlog.Discard(),
+		Scope: tally.NoopScope, TaskLease: time.Second}, confirmedOwnership(t))
+	var infos []schedule.WorkerInfo
+	for n := range workers {
+		infos = append(infos, schedule.WorkerInfo{ID: schedule.WorkerID(fmt.Sprint("w", n)), Datacentre: "dc",
+			Capacity: structs.Resources{MilliCPU: 16000}})
+	}
+	o.setWorkers(infos)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); o.linkWG.Wait() })
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.loaded = true
+	o.assignWorkers(ctx)
+	return o
+}
+
+// Scenario: a fleet whose hosts have slow network links or few cores. Guards against relays that poll more workers than
+// their link or processor carries: their calls time out, are repeated on new connections and fill the link further.
+func TestRelaysPollWhatTheirHostsCarry(t *testing.T) {
+	for name, c := range map[string]struct {
+		workers, hosts  int
+		cores, linkMbps float64
+		relays          int // that are needed
+		local           bool
+	}{
+		"slow links":                     {140, 18, 0.8, 2, 6, false},
+		"few cores":                      {350, 37, 0.2, 100, 7, false},
+		"strong hosts":                   {490, 42, 0.8, 200, 7, false},
+		"owner alone":                    {66, 7, 0.4, 1000, 1, true},
+		"unknown links":                  {66, 7, 0.4, 0, 1, true},
+		"more workers than hosts can do": {400, 5, 0.8, 2, 4, false},
+	} {
+		o := fleetOwner(t, c.workers, c.hosts, c.cores, c.linkMbps)
+		o.mu.Lock()
+		total := 0
+		for host, l := range o.links {
+			total += len(l.workers)
+			if l.host.Local != c.local {
+				t.Errorf("%s: %s is a relay", name, host)
+			}
+			if len(l.workers) > l.host.capacity() && len(o.links)*l.host.capacity() >= c.workers {
+				t.Errorf("%s: %s polls %d workers, its capacity is %d", name, host, len(l.workers), l.host.capacity())
+			}
+		}
+		if len(o.links) != c.relays || total != c.workers {
+			t.Errorf("%s: %d relays poll %d of %d workers, want %d relays", name, len(o.links), total, c.workers, c.relays)
+		}
+		o.mu.Unlock()
+	}
+}
