--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -36,18 +36,24 @@
 	}
 }
 
-// orderStoredStarts orders the starts of service tasks whose worker is now stored.
+// orderStoredStarts orders the starts of service tasks whose worker is now stored. A start that is no longer allowed is
+// dropped: the store may have taken seconds.
 func (s *Scheduler) orderStoredStarts(j *job, sp workload.StepProgress) {
 	st := j.step(sp.Occurrence, sp.Step)
 	if st == nil || !st.spec.Service {
 		return
 	}
 	for _, tp := range sp.Tasks {
-		for _, a := range st.tasks[tp.Index].attempts {
-			if a.phase == awaitingStore && a.number == tp.LastAttempt && string(a.worker.info.ID) == tp.Worker {
-				a.phase = starting
-				s.orderStart(a)
+		for _, a := range slices.Clone(st.tasks[tp.Index].attempts) {
+			if a.phase != awaitingStore || a.number != tp.LastAttempt || string(a.worker.info.ID) != tp.Worker {
+				continue
 			}
+			if a.worker.info.Draining || s.evacuated[a.worker.info.Datacentre] {
+				s.drop(a)
+				continue
+			}
+			a.phase = starting
+			s.orderStart(a)
 		}
 	}
 }
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -594,3 +594,30 @@
 		}
 	}
 }
+
+// Guards against the start of a service on a worker that has announced its end, or in a data centre that was taken out of
+// service, while the store was slow to confirm the worker of the service: the decision is seconds old by then.
+func TestServiceStartIsCheckedAgainOnceItIsStored(t *testing.T) {
+	for name, leave := range map[string]func(h *harness){
+		"draining": func(h *harness) {
+			h.workers["w1"].info.Draining = true
+			h.listWorkers()
+		},
+		"evacuated": func(h *harness) { h.s.SetEvacuated([]structs.DatacentreID{"dc1"}) },
+	} {
+		h := newHarness(t, 1)
+		h.addWorker("w1", nil)
+		service := testStep(1)
+		service.Service = true
+		h.s.AddJob(testJob("service", service), nil, false)
+		h.s.Plan(h.now)
+		leave(h)
+		h.store()
+		h.wantStarts(h.s.TakeOrders(), 0)
+		h.addWorker("w2", func(info *WorkerInfo) { info.Datacentre = "dc2" })
+		orders := starts(h.run())
+		if len(orders) != 1 || orders[0].Worker != "w2" {
+			t.Errorf("%s: %s", name, describe(orders))
+		}
+	}
+}
