--- /dev/null
+++ b/core/schedule/takeover_test.go
@@ -0,0 +1,180 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/workload"
+)
+
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	h := newHarness(t, 2)
+	ids := []WorkerID{"w1", "w2", "w3", "w4"}
+	var infos []WorkerInfo
+	for _, id := range ids {
+		infos = append(infos, h.addWorker(id, nil).info)
+	}
+	for i, id := range ids {
+		if w := h.workers[id]; id != "w4" {
+			w.ends = 1
+			w.ended = []Ended{{Number: 1, Task: taskID("job", 0, 0), Attempt: int64(i + 1), Kind: EndFailed}}
+		}
+	}
+	h.s.InheritWorkers(h.now, infos)
+	h.s.AddJob(testJob("job", testStep(1)), nil, true)
+	for _, id := range []WorkerID{"w3", "w1", "w2", "w4"} {
+		h.report(id)
+	}
+	h.wantStarts(h.run(), 0)
+	h.store()
+	h.wantState("job", workload.StateFailed)
+}
+
+func inheritedHarness(t *testing.T) *harness {
+	h := newHarness(t, 2)
+	w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{w1.info, w2.info})
+	h.s.SetWorkers(h.now, []WorkerInfo{w1.info, w2.info})
+	h.s.AddJob(testJob("old", testStep(1)), nil, true)
+	return h
+}
+
+func TestInheritedTaskWaitsForSilentWorkers(t *testing.T) {
+	h := inheritedHarness(t)
+	h.s.AddJob(testJob("new", testStep(1)), nil, false)
+	h.report("w1")
+	orders := h.run()
+	h.wantStarts(orders, 1)
+	if orders[0].Task.Job != "new" {
+		t.Fatalf("started %v before w2 reported", orders[0].Task)
+	}
+	h.end(taskID("new", 0, 0), EndDone)
+	bound := h.s.cfg.HandoverGrace + h.s.cfg.leaseBound()
+	h.advanceClock(bound - time.Second)
+	h.report("w1")
+	h.wantStarts(h.run(), 0)
+	h.advanceClock(time.Second)
+	h.report("w1")
+	h.wantStarts(h.run(), 1)
+}
+
+func TestInheritedTaskOutlastsLostReports(t *testing.T) {
+	for name, lose := range map[string]func(*harness){
+		"connection lost": func(h *harness) { h.s.PollerLost("w2", h.now.Boot) },
+		"reports lost, then the worker is silent": func(h *harness) {
+			h.s.ReportsLost("w2")
+			h.s.PollFailed(h.now, "w2")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := inheritedHarness(t)
+			h.advanceClock(h.s.cfg.HandoverGrace + h.s.cfg.leaseBound() - time.Second)
+			lose(h)
+			h.advanceClock(h.s.cfg.leaseBound() - time.Second)
+			h.report("w1")
+			h.wantStarts(h.run(), 0)
+			h.advanceClock(time.Second)
+			h.report("w1")
+			h.wantStarts(h.run(), 1)
+		})
+	}
+}
+
+func TestLaterOwnersDoNotWaitForDrainedWorkers(t *testing.T) {
+	h := newHarness(t, 1)
+	w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
+	h.s.AddJob(testJob("job", testStep(2)), nil, false)
+	h.run()
+	w1.info.Draining, w2.info.Draining = true, true
+	h.listWorkers()
+	if infos, _ := h.s.KnownWorkers(); len(infos) != 2 {
+		t.Fatalf("%d known workers while tasks run on both", len(infos))
+	}
+	h.end(taskID("job", 0, 0), EndDone)
+	h.end(taskID("job", 0, 1), EndDone)
+	h.reportAll()
+	infos, changed := h.s.KnownWorkers()
+	if len(infos) != 0 || !changed {
+		t.Fatalf("%d known workers, changed %v, after both are empty", len(infos), changed)
+	}
+	w1.info.Draining = false
+	h.listWorkers()
+	if infos, changed := h.s.KnownWorkers(); len(infos) != 1 || !changed {
+		t.Fatalf("%d known workers, changed %v, after one came back", len(infos), changed)
+	}
+}
+
+func TestUnconfirmedOwnerPresumesNothingExpired(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.run()
+	h.addWorker("w2", nil)
+	h.s.PollFailed(h.now, "w1")
+	h.advanceClock(2 * h.s.cfg.leaseBound())
+	h.report("w2")
+	h.s.Expire(h.now, false)
+	h.s.Plan(h.now)
+	h.wantStarts(h.s.TakeOrders(), 0)
+	h.s.Expire(h.now, true)
+	h.s.Plan(h.now)
+	h.wantStarts(h.s.TakeOrders(), 1)
+}
+
+func TestProgressSurvivesATakeover(t *testing.T) {
+	h := newHarness(t, 1)
+	w := h.addWorker("w1", nil)
+	second := testStep(1)
+	second.After = []int{0}
+	job := testJob("job", testStep(2), second)
+	h.s.AddJob(job, nil, false)
+	h.run()
+	h.end(taskID("job", 0, 0), EndDone)
+	h.end(taskID("job", 0, 1), EndFailed)
+	h.reportAll()
+	records := h.store()
+	w.ended = nil // acknowledged
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{w.info})
+	h.s.AddJob(job, &records[len(records)-1].Progress, true)
+	h.listWorkers()
+	orders := h.run()
+	h.wantStarts(orders, 1)
+	if orders[0].Task != taskID("job", 0, 1) || orders[0].Attempt <= attemptsPerTerm {
+		t.Fatalf("started %s", describe(orders))
+	}
+}
+
+func TestAttemptNumbersOfTermsDoNotMeet(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	for range 1100 { // more attempts than flapping workers cause in a long day
+		orders := h.run()
+		h.wantStarts(orders, 1)
+		if orders[0].Attempt > attemptsPerTerm {
+			t.Fatalf("attempt %d of term 1 is in the range of term 2", orders[0].Attempt)
+		}
+		h.end(taskID("job", 0, 0), EndStopped)
+		h.workers["w1"].ended = h.workers["w1"].ended[len(h.workers["w1"].ended)-1:]
+		h.reportAll()
+	}
+}
+
+func TestNothingStartsBeforeTheWorkersAreListed(t *testing.T) {
+	h := newHarness(t, 1)
+	w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{w1.info, w2.info})
+	h.s.AddJob(testJob("job", testStep(20)), nil, false)
+	h.reportAll()
+	h.wantStarts(h.run(), 0)
+	w1.info.Draining = true
+	h.listWorkers()
+	for _, o := range starts(h.run()) {
+		if o.Worker == "w1" {
+			t.Fatalf("a task starts on a draining worker: %s", describe([]Order{o}))
+		}
+	}
+}
