State once when a host counts as weak beside another

Found on the last read of the change: the factor 2 stood in pkg/term (a weak candidate waits) and in pkg/dispatch (a weak owner hands over). If they differed, a partition could move back and forth; both use term.WeakFactor now. score returns its ratings directly. Behaviour is unchanged.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -272,19 +272,16 @@
 func (s *Scheduler) score(now time.Duration, t *task, w *worker) float64 {
 	spec := &t.step.spec
 	capacity := float64(max(w.info.Capacity.MilliCPU, 1))
-	var rating float64
 	switch {
 	case spec.Filler:
 		_, rise := s.predictTail(now, w, t)
-		rating = fillerRating(float64(w.spareFillerCPU()), rise, w)
+		return fillerRating(float64(w.spareFillerCPU()), rise, w)
 	case spec.Service:
-		rating = serviceRating(w, t.step.imageIndex)
+		return serviceRating(w, t.step.imageIndex)
 	case w.indexed.pool.scarce(spec.Size.MilliCPU):
-		rating = -float64(w.free().MilliCPU) / capacity
-	default:
-		rating = float64(w.free().MilliCPU) / capacity
+		return -float64(w.free().MilliCPU) / capacity
 	}
-	return rating
+	return float64(w.free().MilliCPU) / capacity
 }
 
 const (
--- a/pkg/dispatch/handover.go
+++ b/pkg/dispatch/handover.go
@@ -4,11 +4,10 @@
 	"time"
 
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
+	"fulmarcourse.example/fulmarcourse/pkg/term"
 )
 
 const (
-	// strongerFactor is how many times as many cores another host must have for a hand-over to be worth the takeover.
-	strongerFactor = 2.0
 	// minOwnership is how long an owner keeps a partition before it hands it over, and provenRelay how long the link to the
 	// stronger host must have existed. Both keep the ownership from moving between hosts that restart.
 	minOwnership = 5 * time.Second
@@ -26,7 +25,7 @@
 		return "", false
 	}
 	for _, l := range o.links {
-		if l.host.Local || l.host.Cores < strongerFactor*cores {
+		if l.host.Local || l.host.Cores < term.WeakFactor*cores {
 			continue
 		}
 		if now-l.openedAt >= provenRelay && now-l.lastResponseAt < relayTimeout {
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -38,12 +38,15 @@
 	// singleCoreDelay is the delay of a candidate on a host with one core. The delay is inversely proportional to the
 	// number of cores, since an owner on a slow host delays all jobs.
 	singleCoreDelay = 25 * time.Millisecond
-	// weakerFactor is how many times as many cores the latest owner must have had for a candidate to count as weak, and
-	// weakDelay the additional delay of such a candidate: the strong hosts may have failed together and return at once.
-	weakerFactor = 2.0
-	weakDelay    = 1500 * time.Millisecond
+	// weakDelay is the additional delay of a candidate that is weak beside the latest owner: the strong hosts may have
+	// failed together and return at once.
+	weakDelay = 1500 * time.Millisecond
 )
 
+// WeakFactor is how many times as many cores as a host another one must have for the host to count as weak beside it. A
+// weak candidate leaves the partition to others for a while, and a weak owner hands it over.
+const WeakFactor = 2.0
+
 // Record is the stored record of an owner.
 type Record struct {
 	Host        string `json:"host"`
@@ -133,7 +136,7 @@
 // go first.
 func (c *Candidate) campaignDelay(state State) time.Duration {
 	delay := time.Duration(float64(singleCoreDelay)/max(c.cfg.Cores, minCores)) + rand.N(maxCampaignDelay)
-	if weakerFactor*c.cfg.Cores <= state.cores {
+	if WeakFactor*c.cfg.Cores <= state.cores {
 		delay += weakDelay
 	}
 	return delay
