--- a/core/schedule/event.go
+++ b/core/schedule/event.go
@@ -16,6 +16,8 @@
 	EventJobEnded
 	EventWorkerDraining
 	EventWorkerRestarted  // everything that ran on the worker was lost
+	EventWorkerReplaced   // another worker, named in Reason, has its address; everything that ran on it was lost
+	EventAttemptCrashed   // the attempt ran on a worker whose process has ended; Value is for how long it was listed
 	EventWorkerInBackOff  // the worker gets no tasks for some time because several jobs have failed on it
 	EventFillersThrottled // the share of a filler was lowered because of a service
 	EventTaskMoved        // an attempt is stopped so that its task runs elsewhere
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -66,6 +66,7 @@
 	worker           *worker
 	phase            phase
 	confirmedAt      time.Duration // when the worker confirmed the start; 0 before
+	listedAt         time.Duration // when a report last listed it as running; 0 before the first
 	stopSentAt       time.Duration // when the latest stop order was sent; 0 before the first
 	stopResendAfter  time.Duration // delay before the stop order is sent again
 	stopConfirmedAt  time.Duration // when the worker confirmed a stop order; 0 before
@@ -86,6 +87,9 @@
 	paceSentAt       time.Duration // when the latest pace order was sent; 0 when none is outstanding
 }
 
+// listedFor returns for how long after its start the worker has listed the attempt as running; 0 if it never has.
+func (a *attempt) listedFor() time.Duration { return max(a.listedAt-a.startedAt, 0) }
+
 func (a *attempt) key() attemptKey { return attemptKey{a.task.id(), a.number} }
 
 func (t *task) id() workload.TaskID {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -59,6 +59,7 @@
 	if w.incarnation != report.Incarnation {
 		if w.incarnation != 0 {
 			s.emit(Event{Kind: EventWorkerRestarted, Worker: id})
+			s.recordCrash(now, w)
 			w.health, w.slowness = health{}, slowness{}
 			w.stability.recordLoss(now.Boot)
 		}
@@ -96,6 +97,7 @@
 			continue
 		}
 		s.confirm(now.Boot, a)
+		a.listedAt = now.Boot
 		if a.phase == starting || a.phase == unanswered {
 			a.phase = running
 		}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -191,6 +191,7 @@
 			w.unlistedAt = now.Boot
 		}
 	}
+	s.findReplaced(now, infos)
 }
 
 // updateListed adds or updates a worker of the platform's list.
--- a/pkg/dispatch/log.go
+++ b/pkg/dispatch/log.go
@@ -21,13 +21,26 @@
 	schedule.EventJobEnded:         eventlog.JobEnded,
 	schedule.EventWorkerDraining:   eventlog.WorkerDraining,
 	schedule.EventWorkerRestarted:  eventlog.WorkerRestarted,
+	schedule.EventWorkerReplaced:   eventlog.WorkerReplaced,
+	schedule.EventAttemptCrashed:   eventlog.AttemptCrashed,
 	schedule.EventWorkerInBackOff:  eventlog.WorkerInBackOff,
 	schedule.EventFillersThrottled: eventlog.FillersThrottled,
 	schedule.EventTaskMoved:        eventlog.TaskMoved,
 }
 
-// logEvent logs an event of the scheduler.
+// countEvent counts an event of the scheduler in the metrics.
+func (o *Owner) countEvent(kind schedule.EventKind) {
+	switch kind {
+	case schedule.EventWorkerReplaced, schedule.EventWorkerRestarted:
+		o.metrics.crashes.Inc(1)
+	case schedule.EventAttemptCrashed:
+		o.metrics.crashedRuns.Inc(1)
+	}
+}
+
+// logEvent counts and logs an event of the scheduler.
 func (o *Owner) logEvent(e schedule.Event) {
+	o.countEvent(e.Kind)
 	entry := o.cfg.Log.Event(eventCodes[e.Kind]).Int64("term", o.ownership.Term)
 	if e.Job != "" {
 		entry = entry.Str("job", string(e.Job))
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -88,6 +88,7 @@
 
 type ownerMetrics struct {
 	orders, ends, stores tally.Counter
+	crashes, crashedRuns tally.Counter // processes of workers that have ended, and the attempts that they ran
 	storeTime            tally.Histogram
 }
 
@@ -101,10 +102,12 @@
 		saveWake:   make(chan struct{}, 1),
 		assignWake: make(chan struct{}, 1),
 		metrics: ownerMetrics{
-			orders:    cfg.Scope.Counter("orders_sent"),
-			ends:      cfg.Scope.Counter("ends_taken"),
-			stores:    cfg.Scope.Counter("progress_writes"),
-			storeTime: cfg.Scope.Histogram("progress_write_seconds", storeBuckets),
+			orders:      cfg.Scope.Counter("orders_sent"),
+			ends:        cfg.Scope.Counter("ends_taken"),
+			stores:      cfg.Scope.Counter("progress_writes"),
+			crashes:     cfg.Scope.Counter("worker_crashes"),
+			crashedRuns: cfg.Scope.Counter("attempts_crashed"),
+			storeTime:   cfg.Scope.Histogram("progress_write_seconds", storeBuckets),
 		},
 		scheduler: schedule.NewScheduler(schedule.Config{
 			Term: ownership.Term, TaskLease: cfg.TaskLease, MaxTaskLease: cfg.MaxTaskLease, StopTime: cfg.StopTime,
