Add failing tests of crashing tasks and shrinking capacity

The test workers answer orders meant for a process that has ended as the platform does: they were not run.

--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -1,6 +1,13 @@
 package schedule
 
-import "testing"
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/workload"
+)
 
 // replace ends the process of a worker with all that it runs and lists another worker at its address.
 func (h *harness) replace(id, next WorkerID) *simWorker {
@@ -40,3 +47,217 @@
 		t.Fatalf("%d workers replaced, %d attempts crashed, want 1 and 2: %+v", replaced, crashed, events)
 	}
 }
+
+// crash ends the process of the worker that runs a task and lists its successor. It returns the ID of the crashed worker.
+func (h *harness) crash(task workload.TaskID) WorkerID {
+	h.t.Helper()
+	for id, w := range h.workers {
+		for _, r := range w.running {
+			if r.Task == task {
+				h.replace(id, id+"'")
+				return id
+			}
+		}
+	}
+	h.t.Fatalf("%v runs on no worker", task)
+	return ""
+}
+
+// settle plans and executes orders until the scheduler has nothing more to start.
+func (h *harness) settle() (starts []Order) {
+	for range 20 {
+		for _, o := range h.run() {
+			if o.Kind == OrderStart {
+				starts = append(starts, o)
+			}
+		}
+		h.advanceClock(100 * time.Millisecond)
+		h.reportAll()
+	}
+	return starts
+}
+
+// inherit replaces the owner by one that knows what is stored.
+func (h *harness) inherit(term int64, jobs ...workload.Job) {
+	known, _ := h.s.KnownWorkers()
+	if known == nil {
+		known = h.s.Workers()
+	}
+	stored := map[workload.JobID]workload.Progress{}
+	for _, j := range h.s.jobs {
+		stored[j.rec.ID] = j.progress()
+	}
+	h.newTerm(term)
+	h.s.InheritWorkers(h.now, known)
+	for _, job := range jobs {
+		p := stored[job.ID]
+		h.s.AddJob(job, &p, true)
+	}
+}
+
+// Guards against a task that crashes one worker after another because crashes are not counted (issue 21).
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, service := range []bool{false, true} {
+		h := newHarness(t, 1)
+		for i := range 8 {
+			h.addStarted(WorkerID(fmt.Sprint("w", i)))
+		}
+		step := testStep(1)
+		step.Service = service
+		h.s.AddJob(testJob("deadly", step), nil, false)
+		total := 0
+		for total < maxStartsOfCrashingTask {
+			ordered := len(starts(h.run()))
+			if total += ordered; ordered == 0 {
+				break
+			}
+			h.crash(taskID("deadly", 0, 0))
+			h.settleWithoutStarts()
+		}
+		h.store()
+		h.wantState("deadly", workload.StateFailed)
+	}
+}
+
+// maxStartsOfCrashingTask is the platform's bound: after three crashes under a task, fewer than three further starts.
+const maxStartsOfCrashingTask = 3 + 2
+
+// settleWithoutStarts lets back-offs of workers pass and all workers report.
+func (h *harness) settleWithoutStarts() {
+	for range 50 {
+		h.advanceClock(100 * time.Millisecond)
+		h.reportAll()
+	}
+}
+
+// Guards against crashes that are forgotten when the owner changes: each owner would start the task again.
+func TestCrashesAreCountedOverOwners(t *testing.T) {
+	h := newHarness(t, 1)
+	for i := range 8 {
+		h.addStarted(WorkerID(fmt.Sprint("w", i)))
+	}
+	job := testJob("deadly", testStep(1))
+	h.s.AddJob(job, nil, false)
+	total := 0
+	for term := int64(2); total < maxStartsOfCrashingTask; term++ {
+		ordered := len(starts(h.run()))
+		if total += ordered; ordered == 0 {
+			break
+		}
+		h.crash(taskID("deadly", 0, 0))
+		h.settleWithoutStarts()
+		h.store()
+		h.inherit(term, job)
+		h.listWorkers()
+		h.settleWithoutStarts()
+	}
+	h.store()
+	h.wantState("deadly", workload.StateFailed)
+}
+
+// Guards against a crash that nobody counts because the owner is replaced before it has noticed it: a task with a crash on
+// record is started only once the start is stored.
+func TestStartOfSuspectIsStoredFirst(t *testing.T) {
+	h := newHarness(t, 1)
+	for i := range 8 {
+		h.addStarted(WorkerID(fmt.Sprint("w", i)))
+	}
+	job := testJob("deadly", testStep(1))
+	h.s.AddJob(job, nil, false)
+	h.wantStarts(h.run(), 1)
+	h.crash(taskID("deadly", 0, 0))
+	total := 1
+	for term := int64(2); total < maxStartsOfCrashingTask; term++ {
+		h.settleWithoutStarts()
+		ordered := len(starts(h.run()))
+		if total += ordered; ordered == 0 {
+			break
+		}
+		h.inherit(term, job) // before the crash is listed
+		h.crash(taskID("deadly", 0, 0))
+		h.settleWithoutStarts()
+	}
+	h.store()
+	h.wantState("deadly", workload.StateFailed)
+}
+
+// Guards against services that wait for the leases of a process that no longer exists, under its owner and under the next.
+func TestServiceOfReplacedWorkerStartsAtOnce(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		h := newHarness(t, 1)
+		h.addStarted("w1")
+		step := testStep(1)
+		step.Service = true
+		job := testJob("service", step)
+		h.s.AddJob(job, nil, false)
+		h.wantStarts(h.run(), 1)
+		h.reportAll()
+		if takeover {
+			h.inherit(2, job)
+		}
+		h.replace("w1", "w2")
+		h.reportAll()
+		h.wantStarts(h.settle(), 1)
+		if !h.s.TakeoverComplete() {
+			t.Error("the takeover waits for a worker whose process has ended")
+		}
+	}
+}
+
+// Guards against giving up the tasks that happened to run beside one that crashes its workers.
+func TestTasksBesideACrashingTaskGoOn(t *testing.T) {
+	h := newHarness(t, 1)
+	for i := range 3 {
+		h.addStarted(WorkerID(fmt.Sprint("w", i)))
+	}
+	service := testStep(9)
+	service.Service = true
+	h.s.AddJob(testJob("service", service), nil, false)
+	h.settle()
+	h.s.AddJob(testJob("batch", testStep(6)), nil, false)
+	h.s.AddJob(testJob("deadly", testStep(1)), nil, false)
+	for range maxStartsOfCrashingTask {
+		if len(h.orderedFor(h.run(), "deadly")) == 0 {
+			break
+		}
+		h.crash(taskID("deadly", 0, 0))
+		h.settleWithoutStarts()
+	}
+	h.store()
+	h.wantState("deadly", workload.StateFailed)
+	h.settle()
+	h.wantState("service", workload.StateRunning)
+	h.wantState("batch", workload.StateRunning)
+	for _, id := range []workload.JobID{"service", "batch"} {
+		for _, task := range h.s.jobs[id].steps[0].tasks {
+			if len(task.attempts) != 1 {
+				t.Errorf("%v has %d attempts, want 1", task.id(), len(task.attempts))
+			}
+		}
+	}
+}
+
+// orderedFor returns the start orders for a job.
+func (h *harness) orderedFor(orders []Order, id workload.JobID) []Order {
+	return slices.DeleteFunc(starts(orders), func(o Order) bool { return o.Task.Job != id })
+}
+
+// Guards against a start on a worker whose capacity has shrunk while the start waited for the store.
+func TestStoredStartIsCheckedAgainstShrunkCapacity(t *testing.T) {
+	h := newHarness(t, 1)
+	w := h.addWorker("w1", nil)
+	step := testStep(1)
+	step.Service = true
+	h.s.AddJob(testJob("service", step), nil, false)
+	h.s.Plan(h.now)
+	records := h.s.Changed()
+	w.info.Capacity.MilliCPU = 500
+	h.s.SetWorkers(h.now, []WorkerInfo{w.info})
+	for _, r := range records {
+		h.s.MarkStored(r)
+	}
+	h.wantStarts(h.s.TakeOrders(), 0)
+	w.info.Capacity.MilliCPU = 16000
+	h.listWorkers()
+	h.wantStarts(h.settle(), 1)
+}
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -103,6 +103,9 @@
 // execute makes a worker execute an order. The caller decides whether the scheduler gets the outcome.
 func (h *harness) execute(o Order) Outcome {
 	w := h.workers[o.Worker]
+	if w == nil {
+		return NotRun // the worker that has the address now is not the one that the order names
+	}
 	key := attemptKey{o.Task, o.Attempt}
 	switch o.Kind {
 	case OrderStart:
