End what ran on a worker once a later process has its address

Cause: a worker that crashes returns at its address under a new id, and the owner went on waiting for the leases of the old one, as if it were silent. Ruled out: missing capacity (the workers were half empty) and the store (it answered). Now the list of workers shows it: an entry at the same address whose process started later proves that the former process has ended, also to an owner that has only inherited it, and a start that is carried out late is rejected by the new id. Nothing is concluded from silence alone, as before.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -1,7 +1,9 @@
 package schedule
 
+import "slices"
+
 // recordCrash logs that the process of a worker has ended, with the attempts that ran on it.
-func (s *Scheduler) recordCrash(now Time, w *worker) {
+func (s *Scheduler) recordCrash(w *worker) {
 	for _, a := range w.attemptList {
 		if a.phase == awaitingStore {
 			continue
@@ -12,9 +14,9 @@
 	}
 }
 
-// findReplaced finds the workers at whose address the platform lists a worker that started later: a process that has
-// crashed comes back at its address under a new ID.
-func (s *Scheduler) findReplaced(now Time, infos []WorkerInfo) {
+// latestByAddress returns the listed worker of each address whose process started last. A process that has crashed comes
+// back at its address under a new ID, and the platform lists both until the entry of the first one lapses.
+func latestByAddress(infos []WorkerInfo) map[string]*WorkerInfo {
 	latest := make(map[string]*WorkerInfo, len(infos))
 	for i := range infos {
 		info := &infos[i]
@@ -22,13 +24,27 @@
 			latest[info.Address] = info
 		}
 	}
-	for _, w := range s.sortedWorkers {
+	return latest
+}
+
+// supersedes reports whether a worker started later than another one at the same address, whose process has thus ended.
+func (info *WorkerInfo) supersedes(other *WorkerInfo) bool {
+	return info != nil && info.ID != other.ID && other.StartedMs > 0 && info.StartedMs > other.StartedMs
+}
+
+// removeSuperseded removes the workers whose process has ended because a later one has its address. What ran on them has
+// ended as well, so its leases need not expire.
+func (s *Scheduler) removeSuperseded(latest map[string]*WorkerInfo) {
+	for _, w := range slices.Clone(s.sortedWorkers) {
 		next := latest[w.info.Address]
-		if w.replaced || next == nil || next.ID == w.info.ID || w.info.StartedMs == 0 || next.StartedMs <= w.info.StartedMs {
+		if !next.supersedes(&w.info) {
 			continue
 		}
-		w.replaced = true
 		s.emit(Event{Kind: EventWorkerReplaced, Worker: w.info.ID, Reason: string(next.ID)})
-		s.recordCrash(now, w)
+		s.recordCrash(w)
+		for _, a := range slices.Clone(w.attemptList) {
+			s.drop(a)
+		}
+		s.removeWorker(w)
 	}
 }
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -55,7 +55,7 @@
 	if change != nil {
 		change(&info)
 	}
-	w := &simWorker{info: info, incarnation: 1, stopped: map[attemptKey]bool{}}
+	w := &simWorker{info: info, incarnation: max(info.StartedMs, 1), stopped: map[attemptKey]bool{}}
 	h.workers[id] = w
 	h.listWorkers()
 	return w
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -180,8 +180,13 @@
 // SetWorkers replaces the platform's list of workers.
 func (s *Scheduler) SetWorkers(now Time, infos []WorkerInfo) {
 	s.listRead = true
+	latest := latestByAddress(infos)
+	s.removeSuperseded(latest)
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
+		if latest[info.Address].supersedes(&info) {
+			continue
+		}
 		listed[info.ID] = true
 		s.updateListed(now.Boot, info)
 	}
@@ -191,7 +196,6 @@
 			w.unlistedAt = now.Boot
 		}
 	}
-	s.findReplaced(now, infos)
 }
 
 // updateListed adds or updates a worker of the platform's list.
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -32,7 +32,6 @@
 	unlistedAt       time.Duration // when it was first missing from the platform's list; only if not listed
 	leavesAt         time.Duration // earliest time at which it leaves; only with info.Draining
 	stored           bool          // it is in the stored set of known workers, so that a later owner waits for its report
-	replaced         bool          // its process has ended: another worker has its address
 	incarnation      int64         // start of the worker process, Unix milliseconds; 0 before the first report
 	polledAt         time.Duration // when the poll was sent whose report was applied last
 	reportedAt       time.Duration // when the last report was received; 0 before the first
