Count the crashes of workers under a task and give it up

Class of fault: an outcome that no worker reports leaves no trace, so nothing bounds its repetition.

- Each task that ran on a worker when its process ended gets the crash on record.
The record is stored with the progress, with the process that ended, so that no crash counts twice and later owners go on counting.
- A task with a crash on record, and one whose start was not answered, has its worker stored; the start of the former waits for this.
A later owner then counts a crash that this owner does not notice.
- Tasks on probation do not share a worker and go where least runs.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -71,6 +71,8 @@
 		return c.best.worker
 	}
 	switch spec := &t.step.spec; {
+	case t.onProbation():
+		p.byFree.largest(0, c.consider)
 	case spec.Filler:
 		s.searchFillers(c, p)
 	case spec.Service:
@@ -207,7 +209,8 @@
 		w.info.Pool != t.step.job.rec.Queue.Pool,
 		!w.hasLabel(spec.Label),
 		slices.Contains(t.failedOn, w.info.ID),
-		!s.usable(now.Boot, w):
+		!s.usable(now.Boot, w),
+		t.onProbation() && w.onProbation(t.step.job):
 		return false
 	}
 	if spec.Filler && !s.fillerFits(now.Boot, t, w) {
@@ -273,6 +276,8 @@
 	spec := &t.step.spec
 	capacity := float64(max(w.info.Capacity.MilliCPU, 1))
 	switch {
+	case t.onProbation():
+		return -float64(len(w.attemptList)) // what a crash would take with it
 	case spec.Filler:
 		_, rise := s.predictTail(now, w, t)
 		return fillerRating(float64(w.spareFillerCPU()), rise, w)
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -230,7 +230,7 @@
 	h.wantState("batch", workload.StateRunning)
 	for _, id := range []workload.JobID{"service", "batch"} {
 		for _, task := range h.s.jobs[id].steps[0].tasks {
-			if len(task.attempts) != 1 {
+			if len(task.attempts) != 1 || task.suspect() {
 				t.Errorf("%v has %d attempts, want 1", task.id(), len(task.attempts))
 			}
 		}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -42,8 +42,9 @@
 	failed       []int64 // attempts that have failed; not kept for service tasks, which have no failure limit
 	lastAttempt  int64
 	checkpoint   string
-	storedWorker WorkerID // service tasks: worker of the latest attempt, to be stored
-	rate         float64  // rate of the attempt that completed the task; 0 if unknown
+	storedWorker WorkerID         // worker of the latest attempt if it has to be known to a later owner, see recordWorker
+	crashes      []workload.Crash // on record, see crash.go
+	rate         float64          // rate of the attempt that completed the task; 0 if unknown
 	attempts     []*attempt
 	failedOn     []WorkerID // workers on which it failed
 }
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -100,6 +100,7 @@
 		w.suspect = true
 		if a.phase == starting {
 			a.phase = unanswered
+			s.recordWorker(a) // it may have crashed the worker
 		}
 	case NotRun:
 		w.suspect = true
@@ -158,6 +159,10 @@
 	delete(s.stopping, a)
 	s.interference.removeAttempt(a)
 	t := a.task
+	if t.storedWorker == a.worker.info.ID && !t.step.spec.Service {
+		t.storedWorker = ""
+		s.markDirty(t.step.job)
+	}
 	for i, other := range t.attempts {
 		if other != a {
 			continue
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -106,7 +106,7 @@
 		if st.spec.Filler {
 			st.retryAt = cycle.now.Boot + fillerRetryDelay
 		}
-		if sufficient && len(t.failedOn) == 0 {
+		if sufficient && len(t.failedOn) == 0 && !t.onProbation() {
 			cycle.unplaceable = append(cycle.unplaceable, shape)
 			return
 		}
@@ -124,21 +124,27 @@
 }
 
 // start creates an attempt of a task on a worker. The start of a service task is ordered once its worker is stored: a
-// later owner then knows where the task may run and need not wait for other workers.
+// later owner then knows where the task may run and need not wait for other workers. So is that of a suspect: a crash
+// under it is then counted even if this owner does not notice it.
 func (s *Scheduler) start(now time.Duration, t *task, w *worker) {
 	base := (s.cfg.Term - 1) * attemptsPerTerm
 	a := &attempt{task: t, number: max(t.lastAttempt, base) + 1, worker: w, phase: starting,
 		startedAt: now, share: fullShare, confirmedShare: fullShare, resumed: t.checkpoint != ""}
 	s.attach(a)
-	if t.step.spec.Service {
+	if t.step.spec.Service || t.suspect() {
 		a.phase = awaitingStore
-		t.storedWorker = w.info.ID
-		s.markDirty(t.step.job)
+		s.recordWorker(a)
 		return
 	}
 	s.orderStart(a)
 }
 
+// recordWorker marks the worker of an attempt to be stored.
+func (s *Scheduler) recordWorker(a *attempt) {
+	a.task.storedWorker = a.worker.info.ID
+	s.markDirty(a.task.step.job)
+}
+
 // orderStart issues the start order of an attempt.
 func (s *Scheduler) orderStart(a *attempt) {
 	order := a.order(OrderStart)
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -21,7 +21,7 @@
 	return records
 }
 
-// MarkStored records that r was stored, and orders the starts of service tasks that waited for this. The job stays
+// MarkStored records that r was stored, and orders the starts that waited for this. The job stays
 // marked as changed if its progress has changed since r was made.
 func (s *Scheduler) MarkStored(r Record) {
 	j, known := s.jobs[r.Job]
@@ -36,14 +36,17 @@
 	}
 }
 
-// orderStoredStarts orders the starts of service tasks whose worker is now stored. A start that is no longer allowed is
+// orderStoredStarts orders the starts whose worker is now stored. A start that is no longer allowed is
 // dropped: the store may have taken seconds.
 func (s *Scheduler) orderStoredStarts(j *job, sp workload.StepProgress) {
 	st := j.step(sp.Occurrence, sp.Step)
-	if st == nil || !st.spec.Service {
+	if st == nil {
 		return
 	}
 	for _, tp := range sp.Tasks {
+		if tp.Worker == "" {
+			continue
+		}
 		for _, a := range slices.Clone(st.tasks[tp.Index].attempts) {
 			if a.phase != awaitingStore || a.number != tp.LastAttempt || string(a.worker.info.ID) != tp.Worker {
 				continue
@@ -86,8 +89,9 @@
 		}
 		tp := workload.TaskProgress{
 			Index: t.index, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint, Worker: string(t.storedWorker),
+			Crashes: slices.Clone(t.crashes),
 		}
-		if tp.Worker != "" || len(tp.Failed) > 0 || tp.Checkpoint != "" {
+		if tp.Worker != "" || len(tp.Failed) > 0 || tp.Checkpoint != "" || len(tp.Crashes) > 0 {
 			tp.LastAttempt = t.lastAttempt
 			sp.Tasks = append(sp.Tasks, tp)
 		}
@@ -139,7 +143,7 @@
 			continue
 		}
 		t := st.tasks[tp.Index]
-		t.failed, t.storedWorker = tp.Failed, WorkerID(tp.Worker)
+		t.failed, t.storedWorker, t.crashes = tp.Failed, WorkerID(tp.Worker), tp.Crashes
 		t.lastAttempt, t.checkpoint = tp.LastAttempt, tp.Checkpoint
 	}
 	st.unfinished, st.pending = 0, 0
@@ -171,6 +175,6 @@
 	}
 	return slices.EqualFunc(a.Tasks, b.Tasks, func(a, b workload.TaskProgress) bool {
 		return a.Index == b.Index && a.LastAttempt == b.LastAttempt && a.Worker == b.Worker && a.Checkpoint == b.Checkpoint &&
-			slices.Equal(a.Failed, b.Failed)
+			slices.Equal(a.Failed, b.Failed) && slices.Equal(a.Crashes, b.Crashes)
 	})
 }
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -46,6 +46,12 @@
 	Ended       []Ended
 }
 
+// lists reports whether the report lists an attempt as running or ended.
+func (r Report) lists(key attemptKey) bool {
+	return slices.ContainsFunc(r.Running, func(row Running) bool { return row.Task == key.task && row.Attempt == key.number }) ||
+		slices.ContainsFunc(r.Ended, func(end Ended) bool { return end.Task == key.task && end.Attempt == key.number })
+}
+
 // Report applies a worker's report of what it runs and what has ended there. It returns the number of the latest end
 // that was applied, which may be acknowledged once the progress is stored.
 func (s *Scheduler) Report(now Time, id WorkerID, report Report) (lastEnd int64) {
@@ -59,7 +65,7 @@
 	if w.incarnation != report.Incarnation {
 		if w.incarnation != 0 {
 			s.emit(Event{Kind: EventWorkerRestarted, Worker: id})
-			s.recordCrash(w)
+			s.workerCrashed(now, w, report.lists)
 			w.health, w.slowness = health{}, slowness{}
 			w.stability.recordLoss(now.Boot)
 		}
@@ -71,6 +77,7 @@
 	w.leasesExtended = true
 	w.suspect = false
 	s.index.markChanged(w)
+	s.forgetInherited(w)
 	delete(s.awaitingReport, id)
 	listed := s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
@@ -101,6 +108,7 @@
 		if a.phase == starting || a.phase == unanswered {
 			a.phase = running
 		}
+		s.clearRecord(a)
 		if a.percent != row.Percent {
 			a.percentChangedAt = now.Boot
 		}
@@ -208,6 +216,7 @@
 	}
 	t.done = true
 	t.checkpoint = ""
+	delete(s.suspects, t)
 	st.unfinished--
 	s.markDirty(st.job)
 	for _, a := range t.attempts {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -30,6 +30,9 @@
 	interference        *interference
 	dirty               map[*job]struct{}       // jobs whose progress has changed since it was stored
 	earlyCancels        map[workload.JobID]Time // cancellations of jobs that have not been added yet, by arrival
+	suspects            map[*task]struct{}      // tasks with crashes on record
+	inheritedOn         map[WorkerID][]*task    // tasks that a former owner may have started on a worker that has not reported
+	vanished            map[WorkerID]vanishedWorker
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -51,6 +54,9 @@
 		dirty:          map[*job]struct{}{},
 		interference:   newInterference(),
 		earlyCancels:   map[workload.JobID]Time{},
+		suspects:       map[*task]struct{}{},
+		inheritedOn:    map[WorkerID][]*task{},
+		vanished:       map[WorkerID]vanishedWorker{},
 	}
 }
 
@@ -72,6 +78,7 @@
 	if j.state.Final() {
 		return
 	}
+	s.recordInherited(j)
 	for _, st := range j.steps {
 		s.openStep(st)
 	}
@@ -138,6 +145,7 @@
 	for _, st := range j.steps {
 		delete(s.openSteps, st)
 		for _, t := range st.tasks {
+			delete(s.suspects, t)
 			for _, a := range slices.Clone(t.attempts) {
 				s.stop(now.Boot, a)
 			}
@@ -181,7 +189,7 @@
 func (s *Scheduler) SetWorkers(now Time, infos []WorkerInfo) {
 	s.listRead = true
 	latest := latestByAddress(infos)
-	s.removeSuperseded(latest)
+	s.removeSuperseded(now, latest)
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
 		if latest[info.Address].supersedes(&info) {
@@ -210,7 +218,9 @@
 		w.leavesAt = now + info.Remaining
 		s.emit(Event{Kind: EventWorkerDraining, Worker: info.ID})
 	}
-	s.knownWorkersChanged = s.knownWorkersChanged || info.Draining != w.info.Draining
+	if info.Draining != w.info.Draining || info.StartedMs != w.info.StartedMs {
+		s.knownWorkersChanged = true
+	}
 	if !slices.Equal(w.info.Labels, info.Labels) {
 		s.index.remove(w)
 	}
@@ -283,12 +293,16 @@
 		delete(s.awaitingReport, w.info.ID)
 		for _, a := range slices.Clone(w.attemptList) {
 			s.emit(a.event(EventAttemptExpired))
+			if a.phase != awaitingStore {
+				w.expired = append(w.expired, expiredAttempt{a.task, a.number, a.listedFor()})
+			}
 			s.drop(a)
 		}
 		for key := range w.orphans {
 			w.removeOrphan(key)
 		}
 		if !w.listed && now.Boot-w.unlistedAt > listingGrace {
+			s.vanished[w.info.ID] = vanishedWorker{w, now.Boot}
 			s.removeWorker(w)
 		}
 	}
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -15,6 +15,7 @@
 			s.addWorker(w)
 		}
 		w.stored = true
+		w.incarnation = info.StartedMs
 		w.leaseEnd = max(w.leaseEnd, now.Boot+s.cfg.HandoverGrace+s.cfg.leaseBound())
 		s.awaitingReport[info.ID] = true
 	}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -28,19 +28,20 @@
 // worker is the scheduler's view of one worker.
 type worker struct {
 	info             WorkerInfo
-	listed           bool          // it is in the platform's list
-	unlistedAt       time.Duration // when it was first missing from the platform's list; only if not listed
-	leavesAt         time.Duration // earliest time at which it leaves; only with info.Draining
-	stored           bool          // it is in the stored set of known workers, so that a later owner waits for its report
-	incarnation      int64         // start of the worker process, Unix milliseconds; 0 before the first report
-	polledAt         time.Duration // when the poll was sent whose report was applied last
-	reportedAt       time.Duration // when the last report was received; 0 before the first
-	leasesExtended   bool          // its task leases are being extended
-	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
-	lastEnd          int64         // number of the latest end that was applied
-	suspect          bool          // a poll or an order has failed since the last report
-	fullUntil        time.Duration // end of the back-off after it has rejected a task for lack of capacity
-	unhealthyUntil   time.Duration // end of the back-off after it has reported itself unhealthy
+	listed           bool             // it is in the platform's list
+	unlistedAt       time.Duration    // when it was first missing from the platform's list; only if not listed
+	leavesAt         time.Duration    // earliest time at which it leaves; only with info.Draining
+	stored           bool             // it is in the stored set of known workers, so that a later owner waits for its report
+	incarnation      int64            // start of the worker process, Unix milliseconds; 0 before the first report
+	polledAt         time.Duration    // when the poll was sent whose report was applied last
+	reportedAt       time.Duration    // when the last report was received; 0 before the first
+	leasesExtended   bool             // its task leases are being extended
+	leaseEnd         time.Duration    // unless leasesExtended: when every task lease on the worker has certainly expired
+	lastEnd          int64            // number of the latest end that was applied
+	suspect          bool             // a poll or an order has failed since the last report
+	fullUntil        time.Duration    // end of the back-off after it has rejected a task for lack of capacity
+	unhealthyUntil   time.Duration    // end of the back-off after it has reported itself unhealthy
+	expired          []expiredAttempt // since the last report
 	attempts         map[attemptKey]*attempt
 	attemptList      []*attempt // the attempts in the order in which they were added
 	orphans          map[attemptKey]*orphan
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -22,6 +22,19 @@
 	Index       int     `json:"i"`
 	Failed      []int64 `json:"f,omitempty"` // attempts that have failed
 	LastAttempt int64   `json:"a,omitempty"` // highest attempt that has ended or that Worker may run
-	Worker      string  `json:"w,omitempty"` // service tasks: the only worker on which LastAttempt may run
+	Worker      string  `json:"w,omitempty"` // service tasks, suspects and unanswered starts: the only worker on which LastAttempt may run
+	Crashes     []Crash `json:"x,omitempty"` // crashes of workers that ran the task and may have been caused by it
 	Checkpoint  string  `json:"c,omitempty"` // latest checkpoint of an attempt that has ended
 }
+
+// Crash is the end of a worker's process while it ran a task.
+type Crash struct {
+	Worker    string `json:"w"`
+	StartedMs int64  `json:"s"`           // start of the process that has ended, Unix milliseconds
+	RanMs     int64  `json:"r,omitempty"` // for how long the task was listed as running
+}
+
+// SameProcess reports whether both are the end of the same process.
+func (c Crash) SameProcess(other Crash) bool {
+	return c.Worker == other.Worker && c.StartedMs == other.StartedMs
+}
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -34,7 +34,7 @@
 	AttemptExpired           = define(7024, "attempt_expired", log.WarnLevel, "A worker has not answered and its task leases have certainly expired; the task is pending again.")
 	AttemptAdopted           = define(7025, "attempt_adopted", log.InfoLevel, "An attempt that a former owner started continues under this owner.")
 	AttemptOrphaned          = define(7026, "attempt_stray", log.WarnLevel, "A worker runs an orphaned attempt, which is stopped.")
-	JobEnded                 = define(7027, "job_ended", log.InfoLevel, "A job has completed or failed. For a failed job, `task` is the task that exceeded its failure limit.")
+	JobEnded                 = define(7027, "job_ended", log.InfoLevel, "A job has completed or failed. For a failed job, `task` is the task that exceeded its failure limit, or that crashed `value` workers if `how` says so.")
 	WorkerDraining           = define(7030, "worker_draining", log.InfoLevel, "A worker is draining and receives no new tasks.")
 	WorkerRestarted          = define(7031, "worker_reborn", log.WarnLevel, "A worker has restarted under the same id; the attempts that it ran are lost.")
 	WorkerInBackOff          = define(7032, "worker_held_back", log.WarnLevel, "Consecutive tasks of several jobs failed on a worker; it is in back-off and receives no tasks until the boot clock of the owner reads `value` seconds.")
