Check a stored start against a capacity that has shrunk meanwhile

Rule LIMIT counts a capacity that has shrunk contactMs and one beat later. The start of a service, and now of a suspect, waits for the store, which may take seconds; it was checked again for drains and evacuations but not for the capacity.

--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// orderStoredStarts orders the starts whose worker is now stored. A start that is no longer allowed is
-// dropped: the store may have taken seconds.
+// orderStoredStarts orders the starts whose worker is now stored. A start that is no longer allowed, or for which the worker
+// no longer has the capacity, is dropped: the store may have taken seconds.
 func (s *Scheduler) orderStoredStarts(j *job, sp workload.StepProgress) {
 	st := j.step(sp.Occurrence, sp.Step)
 	if st == nil {
@@ -51,7 +51,7 @@
 			if a.phase != awaitingStore || a.number != tp.LastAttempt || string(a.worker.info.ID) != tp.Worker {
 				continue
 			}
-			if a.worker.info.Draining || s.evacuated[a.worker.info.Datacentre] {
+			if a.worker.info.Draining || s.evacuated[a.worker.info.Datacentre] || a.worker.overCommitted() {
 				s.drop(a)
 				continue
 			}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -91,6 +91,9 @@
 // free returns the capacity that is not reserved.
 func (w *worker) free() structs.Resources { return w.info.Capacity.Sub(w.reserved) }
 
+// overCommitted reports whether more is reserved than the worker has: its capacity may shrink while it runs.
+func (w *worker) overCommitted() bool { return !structs.Resources{}.Fits(w.free()) }
+
 // reachable reports whether the worker has reported recently.
 func (w *worker) reachable(now time.Duration) bool {
 	return w.reportedAt > 0 && now-w.reportedAt < unreachableAfter
