Count unanswered starts as brief crashes after a takeover

A deadly task needed three to four crashes where the owner was killed between the start that crashed a worker and the worker's return: the next owner counted the crash as one of unknown age. TestUnansweredStartOfCrashedWorkerIsCounted failed before.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -103,13 +103,22 @@
 	}
 	for _, t := range s.inheritedOn[w.info.ID] {
 		if len(t.attempts) == 0 && !survives(attemptKey{t.id(), t.lastAttempt}) {
-			record(t, briefRun) // at most: how long it ran is unknown
+			record(t, t.inheritedRun())
 		}
 	}
 	s.forgetInherited(w)
 	s.giveUpCrashing(now, tasks)
 }
 
+// inheritedRun returns for how long a task counts as having run under a former owner. That of a service is unknown. Of other
+// tasks only the starts of suspects and the unanswered ones are stored.
+func (t *task) inheritedRun() time.Duration {
+	if t.step.spec.Service {
+		return briefRun
+	}
+	return 0
+}
+
 // forgetInherited drops what is kept about the tasks of a worker in case it has crashed.
 func (s *Scheduler) forgetInherited(w *worker) {
 	w.expired = nil
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -261,3 +261,26 @@
 	h.listWorkers()
 	h.wantStarts(h.settle(), 1)
 }
+
+// Guards against an unnoticed crash that the next owner does not count: the start that had crashed the worker was not
+// answered, and the owner was replaced before the worker returned.
+func TestUnansweredStartOfCrashedWorkerIsCounted(t *testing.T) {
+	h := newHarness(t, 1)
+	for i := range 8 {
+		h.addStarted(WorkerID(fmt.Sprint("w", i)))
+	}
+	job := testJob("deadly", testStep(1))
+	h.s.AddJob(job, nil, false)
+	for term := int64(2); term <= 3; term++ {
+		orders := starts(h.plan())
+		h.wantStarts(orders, 1)
+		h.execute(orders[0])
+		h.s.OrderAnswered(h.now, orders[0], Unanswered)
+		h.store()
+		h.inherit(term, job)
+		h.crash(taskID("deadly", 0, 0))
+		h.settleWithoutStarts()
+	}
+	h.store()
+	h.wantState("deadly", workload.StateFailed)
+}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -88,6 +88,13 @@
 	return true
 }
 
+// forgetUnanswered clears the worker that was recorded when the start was not answered, because the attempt runs.
+func (a *attempt) forgetUnanswered() {
+	if t := a.task; !t.step.spec.Service && !t.suspect() {
+		t.storedWorker = ""
+	}
+}
+
 func (s *Scheduler) startAnswered(now Time, a *attempt, outcome Outcome) {
 	w := a.worker
 	switch outcome {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -107,6 +107,7 @@
 		a.listedAt = now.Boot
 		if a.phase == starting || a.phase == unanswered {
 			a.phase = running
+			a.forgetUnanswered()
 		}
 		s.clearRecord(a)
 		if a.percent != row.Percent {
