Keep the room of a task whose size a new owner does not know

On a worker that does not guard its capacity a start could then exceed it; one that does would reject it. Until the worker lists the end, the whole worker counts as taken. TestTaskOfEndedJobKeepsItsRoomUntilItEnds failed before.

--- /dev/null
+++ b/core/schedule/capacity_test.go
@@ -0,0 +1,48 @@
+package schedule
+
+import (
+	"testing"
+
+	"fulmarcourse.example/core/workload"
+)
+
+// Guards against a start on a worker whose capacity has shrunk while the start waited for the store.
+func TestStoredStartIsCheckedAgainstShrunkCapacity(t *testing.T) {
+	h := newHarness(t, 1)
+	w := h.addWorker("w1", nil)
+	step := testStep(1)
+	step.Service = true
+	h.s.AddJob(testJob("service", step), nil, false)
+	h.s.Plan(h.now)
+	records := h.s.Changed()
+	w.info.Capacity.MilliCPU = 500
+	h.s.SetWorkers(h.now, []WorkerInfo{w.info})
+	for _, r := range records {
+		h.s.MarkStored(r)
+	}
+	h.wantStarts(h.s.TakeOrders(), 0)
+	w.info.Capacity.MilliCPU = 16000
+	h.listWorkers()
+	h.wantStarts(h.settle(), 1)
+}
+
+// Guards against a new owner that fills the room of a task which is still being stopped: the job has ended under the former
+// owner, so its size is not known.
+func TestTaskOfEndedJobKeepsItsRoomUntilItEnds(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("ended", testStep(1)), nil, false)
+	h.run()
+	h.inherit(2)
+	h.s.AddEndedJob("ended", workload.Progress{State: workload.StateCancelled})
+	h.listWorkers()
+	h.s.AddJob(testJob("next", testStep(1)), nil, false)
+	orders := h.plan()
+	h.wantStarts(orders, 0)
+	if stops := ofKind(orders, OrderStop); len(stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(stops))
+	}
+	h.end(taskID("ended", 0, 0), EndStopped)
+	h.reportAll()
+	h.wantStarts(h.run(), 1)
+}
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -242,26 +242,6 @@
 	return slices.DeleteFunc(starts(orders), func(o Order) bool { return o.Task.Job != id })
 }
 
-// Guards against a start on a worker whose capacity has shrunk while the start waited for the store.
-func TestStoredStartIsCheckedAgainstShrunkCapacity(t *testing.T) {
-	h := newHarness(t, 1)
-	w := h.addWorker("w1", nil)
-	step := testStep(1)
-	step.Service = true
-	h.s.AddJob(testJob("service", step), nil, false)
-	h.s.Plan(h.now)
-	records := h.s.Changed()
-	w.info.Capacity.MilliCPU = 500
-	h.s.SetWorkers(h.now, []WorkerInfo{w.info})
-	for _, r := range records {
-		h.s.MarkStored(r)
-	}
-	h.wantStarts(h.s.TakeOrders(), 0)
-	w.info.Capacity.MilliCPU = 16000
-	h.listWorkers()
-	h.wantStarts(h.settle(), 1)
-}
-
 // Guards against an unnoticed crash that the next owner does not count: the start that had crashed the worker was not
 // answered, and the owner was replaced before the worker returned.
 func TestUnansweredStartOfCrashedWorkerIsCounted(t *testing.T) {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -151,11 +151,11 @@
 func (s *Scheduler) stopOrphan(now time.Duration, w *worker, key attemptKey) {
 	orphaned, known := w.orphans[key]
 	if !known {
-		var spec workload.Step
+		reserved := w.info.Capacity // of a job that ended under a former owner the size is not kept
 		if t := s.task(key.task); t != nil {
-			spec = t.step.spec
+			reserved = t.step.spec.Reserved()
 		}
-		w.addOrphan(key, spec.Reserved())
+		w.addOrphan(key, reserved)
 		orphaned = w.orphans[key]
 		s.emit(Event{Kind: EventAttemptOrphaned, Worker: w.info.ID, Task: key.task, Attempt: key.number})
 	} else if now-orphaned.stopSentAt < resendAfter {
