Start nothing on unguarded workers while the list of workers is old

An owner that does not reach the store goes on starting tasks for as long as its lease permission lasts, by reading up to 12 s, with the capacities that it read last. Workers that guard their capacity reject what is too much; others do not. Whether they do is decoded from the configuration and kept with the job's queue; an unknown pool counts as unguarded. The list now also counts as read when the store answers that nothing has changed. TestNoStartWithOutdatedCapacity failed before (the starts went out).

--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"fulmarcourse.example/core/workload"
 )
@@ -18,7 +19,7 @@
 	w.info.Capacity.MilliCPU = 500
 	h.s.SetWorkers(h.now, []WorkerInfo{w.info})
 	for _, r := range records {
-		h.s.MarkStored(r)
+		h.s.MarkStored(h.now, r)
 	}
 	h.wantStarts(h.s.TakeOrders(), 0)
 	w.info.Capacity.MilliCPU = 16000
@@ -46,3 +47,30 @@
 	h.reportAll()
 	h.wantStarts(h.run(), 1)
 }
+
+// Guards against starts on workers that do not guard a capacity which may have shrunk since the list was last read, as when
+// the store is away.
+func TestNoStartWithOutdatedCapacity(t *testing.T) {
+	for _, service := range []bool{false, true} {
+		h := newHarness(t, 1)
+		h.addWorker("w1", nil)
+		step := testStep(1)
+		step.Service = service
+		job := testJob("job", step)
+		job.Queue.CapacityGuarded = false
+		h.s.AddJob(job, nil, false)
+		var records []Record
+		if service { // the start waits for the store while the list becomes outdated
+			h.s.Plan(h.now)
+			records = h.s.Changed()
+		}
+		h.advanceClock(maxCapacityAge + time.Millisecond)
+		h.reportAll()
+		for _, r := range records {
+			h.s.MarkStored(h.now, r)
+		}
+		h.wantStarts(h.plan(), 0)
+		h.listWorkers()
+		h.wantStarts(h.plan(), 1)
+	}
+}
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -198,7 +198,17 @@
 // usable reports whether tasks may start on a worker at all. Before the platform's list has been read, a worker that the
 // former owner knew may be draining.
 func (s *Scheduler) usable(now time.Duration, w *worker) bool {
-	return s.listRead && w.available(now) && !s.evacuated[w.info.Datacentre] && !w.health.inBackOff(now) && !w.slowness.slow(now)
+	return s.listReadAt > 0 && w.available(now) && !s.evacuated[w.info.Datacentre] && !w.health.inBackOff(now) && !w.slowness.slow(now)
+}
+
+// maxCapacityAge is the age of the list of workers up to which tasks start on workers that do not guard their capacity: it
+// may have shrunk since. The list is read again at least every 2.5 s while the store answers.
+const maxCapacityAge = 3 * time.Second
+
+// capacityOutdated reports whether the capacity of the workers in the pool of a task may have shrunk unnoticed. Workers that
+// guard their capacity reject what exceeds it.
+func (s *Scheduler) capacityOutdated(now time.Duration, t *task) bool {
+	return !t.step.job.rec.Queue.CapacityGuarded && now-s.listReadAt > maxCapacityAge
 }
 
 // fits reports whether a task may start on a worker.
@@ -210,6 +220,7 @@
 		!w.hasLabel(spec.Label),
 		slices.Contains(t.failedOn, w.info.ID),
 		!s.usable(now.Boot, w),
+		s.capacityOutdated(now.Boot, t),
 		t.onProbation() && w.onProbation(t.step.job):
 		return false
 	}
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -153,13 +153,14 @@
 func (h *harness) store() []Record {
 	records := h.s.Changed()
 	for _, r := range records {
-		h.s.MarkStored(r)
+		h.s.MarkStored(h.now, r)
 	}
 	return records
 }
 
 func testQueue() workload.Queue {
-	return workload.Queue{Name: "queue", Pool: testPool, MaxFailures: 3, Stretch: 2, TargetMs: 1000}
+	return workload.Queue{Name: "queue", Pool: testPool, MaxFailures: 3, Stretch: 2, TargetMs: 1000,
+		CapacityGuarded: true}
 }
 
 func testJob(id workload.JobID, steps ...workload.Step) workload.Job {
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"fulmarcourse.example/core/workload"
 )
@@ -23,7 +24,7 @@
 
 // MarkStored records that r was stored, and orders the starts that waited for this. The job stays
 // marked as changed if its progress has changed since r was made.
-func (s *Scheduler) MarkStored(r Record) {
+func (s *Scheduler) MarkStored(now Time, r Record) {
 	j, known := s.jobs[r.Job]
 	if !known {
 		return
@@ -32,13 +33,13 @@
 		delete(s.dirty, j)
 	}
 	for _, sp := range r.Progress.Steps {
-		s.orderStoredStarts(j, sp)
+		s.orderStoredStarts(now.Boot, j, sp)
 	}
 }
 
 // orderStoredStarts orders the starts whose worker is now stored. A start that is no longer allowed, or for which the worker
 // no longer has the capacity, is dropped: the store may have taken seconds.
-func (s *Scheduler) orderStoredStarts(j *job, sp workload.StepProgress) {
+func (s *Scheduler) orderStoredStarts(now time.Duration, j *job, sp workload.StepProgress) {
 	st := j.step(sp.Occurrence, sp.Step)
 	if st == nil {
 		return
@@ -51,7 +52,8 @@
 			if a.phase != awaitingStore || a.number != tp.LastAttempt || string(a.worker.info.ID) != tp.Worker {
 				continue
 			}
-			if a.worker.info.Draining || s.evacuated[a.worker.info.Datacentre] || a.worker.overCommitted() {
+			if a.worker.info.Draining || s.evacuated[a.worker.info.Datacentre] || a.worker.overCommitted() ||
+				s.capacityOutdated(now, a.task) {
 				s.drop(a)
 				continue
 			}
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -391,7 +391,7 @@
 	}
 	for _, r := range f.s.Changed() {
 		f.stored[r.Job] = r.Progress
-		f.s.MarkStored(r)
+		f.s.MarkStored(f.time(), r)
 		for _, step := range r.Progress.Steps {
 			for _, index := range step.Done {
 				f.done[workload.TaskID{Job: r.Job, Step: step.Step, Index: index}] = true
@@ -429,7 +429,7 @@
 		for _, job := range f.jobs {
 			f.s.Changed()
 			for _, r := range f.s.Changed() {
-				f.s.MarkStored(r)
+				f.s.MarkStored(f.time(), r)
 			}
 			if state, _ := f.s.JobState(job.ID); !state.Final() {
 				f.fatalf("job %s is still %q", job.ID, state)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -16,7 +16,7 @@
 	workers             map[WorkerID]*worker
 	sortedWorkers       []*worker // sorted by ID, so that decisions do not depend on map order
 	index               *workerIndex
-	listRead            bool // SetWorkers has been called
+	listReadAt          time.Duration // time of the last call of SetWorkers; 0 before the first
 	evacuated           map[structs.DatacentreID]bool
 	openSteps           map[*step]struct{}             // steps that may start tasks
 	compareSteps        func(now Time, a, b *step) int // order in which steps get capacity
@@ -185,9 +185,9 @@
 	s.index.refreshed = 0
 }
 
-// SetWorkers replaces the platform's list of workers.
+// SetWorkers replaces the platform's list of workers. It is also called with an unchanged list that is known to be current.
 func (s *Scheduler) SetWorkers(now Time, infos []WorkerInfo) {
-	s.listRead = true
+	s.listReadAt = now.Boot
 	latest := latestByAddress(infos)
 	s.removeSuperseded(now, latest)
 	listed := make(map[WorkerID]bool, len(infos))
--- a/core/workload/job.go
+++ b/core/workload/job.go
@@ -88,6 +88,8 @@
 	MaxFailures int       `json:"max_failures"` // failures of one task after which its job fails; 0 means no limit
 	Stretch     float64   `json:"stretch"`      // factor by which the longest chain of estimated work may be exceeded
 	TargetMs    int64     `json:"target_ms"`    // added to the stretched chain of estimated work
+	// CapacityGuarded states that the workers of the pool reject what exceeds their capacity.
+	CapacityGuarded bool `json:"capacity_guarded,omitempty"`
 }
 
 // State is the state of a job as shown to callers.
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -26,7 +26,8 @@
 
 // Directory provides the platform's list of workers.
 type Directory interface {
-	// Follow calls update with the full list of workers, initially and after each change, until ctx ends.
+	// Follow calls update with the full list of workers, initially, after each change and each time that it is found to
+	// be current, until ctx ends.
 	Follow(ctx context.Context, update func([]schedule.WorkerInfo))
 }
 
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -200,7 +200,7 @@
 	defer o.mu.Unlock()
 	for _, r := range records {
 		o.revisions[r.Job] = revision
-		o.scheduler.MarkStored(r)
+		o.scheduler.MarkStored(bootclock.Now(), r)
 	}
 	o.queueOrders(bootclock.Now())
 	return nil
@@ -213,7 +213,7 @@
 	stored, found := c.Item(key)
 	o.revisions[r.Job] = stored.Revision
 	if found && o.storedAsFinal(stored) {
-		o.scheduler.MarkStored(r)
+		o.scheduler.MarkStored(bootclock.Now(), r)
 		return
 	}
 	if c.Revision(statekeys.Cancel(o.cfg.Partition, r.Job)) != 0 {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -25,6 +25,8 @@
 	Reset func(items []kv.Item)
 	// Apply is called with subsequent changes, in the order of their revisions.
 	Apply func(changes []kv.Change)
+	// Unchanged, if set, is called after each response without changes: the copy is as old as the response.
+	Unchanged func()
 }
 
 // Mirror tracks the keys under one prefix.
@@ -92,8 +94,11 @@
 		}
 		m.recordSuccess()
 		asOf = max(asOf, changes.AsOf)
-		if len(changes.Changes) > 0 {
+		switch {
+		case len(changes.Changes) > 0:
 			m.cfg.Apply(changes.Changes)
+		case m.cfg.Unchanged != nil:
+			m.cfg.Unchanged()
 		}
 		pause.For(ctx, m.cfg.Pause-time.Since(started))
 	}
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -132,3 +132,13 @@
 	store.SetFault(func(string) kvtest.Fault { return kvtest.None })
 	poll.Until(t, "the store is reached again", func() bool { return m.LastContact().After(before) })
 }
+
+// Guards against a copy that counts as outdated although the store has answered that nothing has changed.
+func TestAnswersWithoutChangesAreReported(t *testing.T) {
+	store := kvtest.NewStore()
+	var unchanged atomic.Int64
+	m := New(Config{Store: store, Prefix: "p/", Wait: time.Millisecond, Retry: time.Millisecond, Log: eventlog.Discard(),
+		Reset: func([]kv.Item) {}, Apply: func([]kv.Change) {}, Unchanged: func() { unchanged.Add(1) }})
+	go m.Run(t.Context())
+	poll.Until(t, "several answers without changes are reported", func() bool { return unchanged.Load() >= 3 })
+}
--- a/pkg/relay/relaygrpc/relaygrpc_test.go
+++ b/pkg/relay/relaygrpc/relaygrpc_test.go
@@ -96,6 +96,6 @@
 		s.Plan(now)
 	}
 	for _, record := range s.Changed() {
-		s.MarkStored(record)
+		s.MarkStored(now, record)
 	}
 }
