Count a crash only under tasks that the worker had accepted

Now only attempts count that the worker had accepted or listed, and that were not stopped before it fell silent. A task is not started again while the crashes on record and the silent workers that it was on reach the limit.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -8,18 +8,19 @@
 )
 
 // A task that crashes the workers that start it has to be told apart from the tasks beside it. Each of them gets the crash
-// on record. A task is given up once the record points to it alone, and the crashes that this explains are removed from the
-// records of the others. Crashes soon after a start point to the task more than later ones.
+// on record. A task is given up once the record points to it alone, which explains its crashes to the tasks beside it.
+// Crashes soon after a start point to the task more than later ones. Only a worker that has accepted the task counts: a start
+// without an answer may have arrived after the crash, and a task may not be given up for a crash of which it has no part.
 const (
 	// briefRun is how long a task has to be listed as running for a later crash not to count as brief.
 	briefRun = time.Second
-	// briefCrashLimit is the number of brief crashes on record after which a task is given up if it is the only one on
-	// the crashed worker with so many.
+	// briefCrashLimit is the number of brief crashes without another explanation after which a task is given up, if no task
+	// of another job on the crashed worker has as many.
 	briefCrashLimit = 2
-	// certainBriefCrashes is the number of brief crashes on record after which a task is given up in any case.
+	// certainBriefCrashes is the number of brief crashes, explained or not, after which a task is given up in any case. The
+	// platform allows two starts after the third crash; owners that are replaced may not notice some.
 	certainBriefCrashes = 3
-	// crashLimit is the number of crashes on record, brief or not, after which a task is given up in any case. The
-	// platform allows two starts after the third crash; one of them may crash a worker while no owner notices.
+	// crashLimit is the number of crashes without another explanation after which a task is given up in any case.
 	crashLimit = 4
 	// crashFreeRun is how long a task has to run for its record to be cleared, unless it has crashed after a longer run.
 	crashFreeRun = 15 * time.Second
@@ -46,19 +47,33 @@
 
 // onProbation reports whether a worker has crashed soon after it had started the task. Such tasks of different
 // jobs do not share a worker until they have run for briefRun, so that a further crash points to one job.
-func (t *task) onProbation() bool { return t.briefCrashes() > 0 }
+func (t *task) onProbation() bool { return t.countCrashes(isBrief) > 0 }
 
-// briefCrashes returns the number of brief crashes on record.
-func (t *task) briefCrashes() int {
+// countCrashes returns the number of crashes on record that satisfy a condition.
+func (t *task) countCrashes(condition func(workload.Crash) bool) int {
 	n := 0
 	for _, c := range t.crashes {
-		if c.RanMs < briefRun.Milliseconds() {
+		if condition(c) {
 			n++
 		}
 	}
 	return n
 }
 
+// briefUnexplained returns the number of brief crashes on record without another explanation.
+func (t *task) briefUnexplained() int {
+	return t.countCrashes(func(c workload.Crash) bool { return isBrief(c) && !c.Explained })
+}
+
+func isBrief(c workload.Crash) bool { return c.RanMs < briefRun.Milliseconds() }
+
+func isUnexplained(c workload.Crash) bool { return !c.Explained }
+
+// certainlyCrashes reports whether a task is given up whatever the records of the tasks beside it are.
+func (t *task) certainlyCrashes() bool {
+	return t.countCrashes(isBrief) >= certainBriefCrashes || t.countCrashes(isUnexplained) >= crashLimit
+}
+
 // onProbation reports whether the worker runs a task on probation of a job other than j.
 func (w *worker) onProbation(j *job) bool {
 	return slices.ContainsFunc(w.attemptList, func(a *attempt) bool {
@@ -90,7 +105,7 @@
 		}
 	}
 	for _, a := range w.attemptList {
-		if a.phase == awaitingStore || a.stopConfirmedAt > 0 || survives(a.key()) {
+		if !a.certainlyRan() || survives(a.key()) {
 			continue
 		}
 		e := a.event(EventAttemptCrashed)
@@ -101,28 +116,62 @@
 	for _, x := range w.expired {
 		record(x.task, x.ran)
 	}
-	for _, t := range s.inheritedOn[w.info.ID] {
-		if len(t.attempts) == 0 && !survives(attemptKey{t.id(), t.lastAttempt}) {
-			record(t, t.inheritedRun())
+	for _, t := range s.silentOn[w.info.ID] {
+		if !survives(attemptKey{t.id(), t.lastAttempt}) {
+			record(t, 0)
 		}
 	}
-	s.forgetInherited(w)
+	s.forgetSilent(w)
 	s.giveUpCrashing(now, tasks)
 }
 
-// inheritedRun returns for how long a task counts as having run under a former owner. That of a service is unknown. Of other
-// tasks only the starts of suspects and the unanswered ones are stored.
-func (t *task) inheritedRun() time.Duration {
-	if t.step.spec.Service {
-		return briefRun
+// certainlyRan reports whether the worker ran the attempt until it stopped answering.
+func (a *attempt) certainlyRan() bool { return a.confirmedAt > 0 && !a.stoppedInTime }
+
+// recordSilence records that a worker does not answer. A later owner then counts a crash that this owner does not notice for
+// the attempts that the worker has just accepted.
+func (s *Scheduler) recordSilence(w *worker) {
+	for _, a := range w.attemptList {
+		t := a.task
+		if !a.certainlyRan() || a.listedFor() >= briefRun || slices.Contains(t.silentOn, w.info.ID) {
+			continue
+		}
+		t.silentOn = append(t.silentOn, w.info.ID)
+		s.silentOn[w.info.ID] = append(s.silentOn[w.info.ID], t)
+		s.markRecordDirty(t)
 	}
-	return 0
 }
 
-// forgetInherited drops what is kept about the tasks of a worker in case it has crashed.
-func (s *Scheduler) forgetInherited(w *worker) {
+// forgetSilent drops what is kept about the tasks of a worker in case it has crashed.
+func (s *Scheduler) forgetSilent(w *worker) {
 	w.expired = nil
-	delete(s.inheritedOn, w.info.ID)
+	for _, t := range s.silentOn[w.info.ID] {
+		t.silentOn = slices.DeleteFunc(t.silentOn, func(id WorkerID) bool { return id == w.info.ID })
+		s.markRecordDirty(t)
+	}
+	delete(s.silentOn, w.info.ID)
+}
+
+// markRecordDirty records that the record of a task has to be stored unless the task or its job has ended.
+func (s *Scheduler) markRecordDirty(t *task) {
+	if !t.done && !t.step.job.state.Final() {
+		s.markDirty(t.step.job)
+	}
+}
+
+// mayBeCrashing reports whether so many workers have crashed under a task, or may have, that it is not started again before
+// it is known whether they have.
+func (s *Scheduler) mayBeCrashing(t *task) bool {
+	if len(t.silentOn) == 0 {
+		return false
+	}
+	unresolved := 0
+	for _, id := range t.silentOn {
+		if s.awaitingReport[id] {
+			unresolved++
+		}
+	}
+	return unresolved > 0 && unresolved+t.briefUnexplained() >= briefCrashLimit
 }
 
 // addCrash adds a crash to the record of a task. It returns false if the task has ended or has it on record.
@@ -139,69 +188,47 @@
 // giveUpCrashing gives up the jobs of those of the tasks of a crashed worker that are found to have crashed it.
 func (s *Scheduler) giveUpCrashing(now Time, tasks []*task) {
 	for t := culprit(tasks); t != nil; t = culprit(tasks) {
-		crashes := t.crashes
 		s.emit(Event{Kind: EventJobEnded, Job: t.step.job.rec.ID, Reason: "crashes workers", Task: t.id(),
-			Attempt: t.lastAttempt, Value: float64(len(crashes))})
+			Attempt: t.lastAttempt, Value: float64(len(t.crashes))})
 		s.finish(now, t.step.job, workload.StateFailed)
-		s.removeExplained(crashes)
+		s.explain(t.crashes)
 	}
 }
 
-// culprit returns the task that is to be given up after a crash, or nil. If several jobs have the same number of brief
-// crashes on record, none is given up before the record of one of them is certain.
+// culprit returns the task that is to be given up after a crash, or nil. If tasks of several jobs have the same number of
+// brief crashes on record, none is given up before the record of one of them is certain.
 func culprit(tasks []*task) *task {
 	var best *task
 	tied := false
 	for _, t := range tasks {
+		if t.step.job.state.Final() {
+			continue
+		}
+		if t.certainlyCrashes() {
+			return t
+		}
 		switch {
-		case t.step.job.state.Final():
-		case best == nil || t.briefCrashes() > best.briefCrashes():
+		case best == nil || t.briefUnexplained() > best.briefUnexplained():
 			best, tied = t, false
-		case t.briefCrashes() == best.briefCrashes():
+		case t.briefUnexplained() == best.briefUnexplained():
 			tied = tied || t.step.job != best.step.job
-			if len(t.crashes) > len(best.crashes) {
-				best = t
-			}
 		}
 	}
-	switch {
-	case best == nil:
-		return nil
-	case best.briefCrashes() >= certainBriefCrashes, len(best.crashes) >= crashLimit:
-		return best
-	case best.briefCrashes() >= briefCrashLimit && !tied:
-		return best
-	}
-	return mostCrashes(tasks)
-}
-
-// mostCrashes returns a task with crashLimit crashes on record, or nil.
-func mostCrashes(tasks []*task) *task {
-	n := slices.IndexFunc(tasks, func(t *task) bool {
-		return len(t.crashes) >= crashLimit && !t.step.job.state.Final()
-	})
-	if n < 0 {
+	if best == nil || tied || best.briefUnexplained() < briefCrashLimit {
 		return nil
 	}
-	return tasks[n]
+	return best
 }
 
-// removeExplained removes crashes from the records of all tasks once the task that caused them is known.
-func (s *Scheduler) removeExplained(crashes []workload.Crash) {
+// explain marks crashes in the records of all tasks once the task that caused them is known.
+func (s *Scheduler) explain(crashes []workload.Crash) {
 	for t := range s.suspects {
-		if t.step.job.state.Final() {
-			delete(s.suspects, t)
-			continue
-		}
-		before := len(t.crashes)
-		t.crashes = slices.DeleteFunc(t.crashes, func(c workload.Crash) bool {
-			return slices.ContainsFunc(crashes, c.SameProcess)
-		})
-		if len(t.crashes) < before {
-			s.markDirty(t.step.job)
-		}
-		if len(t.crashes) == 0 {
-			delete(s.suspects, t)
+		for i := range t.crashes {
+			c := &t.crashes[i]
+			if !c.Explained && slices.ContainsFunc(crashes, c.SameProcess) {
+				c.Explained = true
+				s.markRecordDirty(t)
+			}
 		}
 	}
 }
@@ -219,7 +246,7 @@
 	}
 	a.task.crashes = nil
 	delete(s.suspects, a.task)
-	s.markDirty(a.task.step.job)
+	s.markRecordDirty(a.task)
 }
 
 // latestByAddress returns the listed worker of each address whose process started last. A process that has crashed comes
@@ -260,6 +287,7 @@
 			s.workerCrashed(now, v.worker, noneSurvives)
 			delete(s.vanished, id)
 		} else if now.Boot-v.at > vanishedRetention {
+			s.forgetSilent(v.worker)
 			delete(s.vanished, id)
 		}
 	}
@@ -267,17 +295,17 @@
 
 func noneSurvives(attemptKey) bool { return false }
 
-// recordInherited records on which workers a former owner may have started the tasks of a job, and which tasks are
-// suspects.
+// recordInherited records which tasks of a job have crashes on record, and on which workers tasks were when these stopped
+// answering to a former owner.
 func (s *Scheduler) recordInherited(j *job) {
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if t.storedWorker != "" && !t.done {
-				s.inheritedOn[t.storedWorker] = append(s.inheritedOn[t.storedWorker], t)
-			}
 			if t.suspect() {
 				s.suspects[t] = struct{}{}
 			}
+			for _, id := range t.silentOn {
+				s.silentOn[id] = append(s.silentOn[id], t)
+			}
 		}
 	}
 }
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -42,8 +42,9 @@
 	failed       []int64 // attempts that have failed; not kept for service tasks, which have no failure limit
 	lastAttempt  int64
 	checkpoint   string
-	storedWorker WorkerID         // worker of the latest attempt if it has to be known to a later owner, see recordWorker
+	storedWorker WorkerID         // service tasks: worker of the latest attempt, to be stored
 	crashes      []workload.Crash // on record, see crash.go
+	silentOn     []WorkerID       // workers that stopped answering soon after they had accepted the task
 	rate         float64          // rate of the attempt that completed the task; 0 if unknown
 	attempts     []*attempt
 	failedOn     []WorkerID // workers on which it failed
@@ -69,6 +70,7 @@
 	confirmedAt      time.Duration // when the worker confirmed the start; 0 before
 	listedAt         time.Duration // when a report last listed it as running; 0 before the first
 	stopSentAt       time.Duration // when the latest stop order was sent; 0 before the first
+	stoppedInTime    bool          // the worker answered polls when the attempt was first to be stopped
 	stopResendAfter  time.Duration // delay before the stop order is sent again
 	stopConfirmedAt  time.Duration // when the worker confirmed a stop order; 0 before
 	percent          float64       // progress, or share of full speed for service tasks
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -88,13 +88,6 @@
 	return true
 }
 
-// forgetUnanswered clears the worker that was recorded when the start was not answered, because the attempt runs.
-func (a *attempt) forgetUnanswered() {
-	if t := a.task; !t.step.spec.Service && !t.suspect() {
-		t.storedWorker = ""
-	}
-}
-
 func (s *Scheduler) startAnswered(now Time, a *attempt, outcome Outcome) {
 	w := a.worker
 	switch outcome {
@@ -107,7 +100,6 @@
 		w.suspect = true
 		if a.phase == starting {
 			a.phase = unanswered
-			s.recordWorker(a) // it may have crashed the worker
 		}
 	case NotRun:
 		w.suspect = true
@@ -166,10 +158,6 @@
 	delete(s.stopping, a)
 	s.interference.removeAttempt(a)
 	t := a.task
-	if t.storedWorker == a.worker.info.ID && !t.step.spec.Service {
-		t.storedWorker = ""
-		s.markDirty(t.step.job)
-	}
 	for i, other := range t.attempts {
 		if other != a {
 			continue
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -95,7 +95,7 @@
 		return
 	}
 	for _, t := range st.tasks {
-		if !t.pending() || s.mayRunElsewhere(t) {
+		if !t.pending() || s.mayRunElsewhere(t) || s.mayBeCrashing(t) {
 			continue
 		}
 		w := s.choose(cycle.now, t)
@@ -124,27 +124,21 @@
 }
 
 // start creates an attempt of a task on a worker. The start of a service task is ordered once its worker is stored: a
-// later owner then knows where the task may run and need not wait for other workers. So is that of a suspect: a crash
-// under it is then counted even if this owner does not notice it.
+// later owner then knows where the task may run and need not wait for other workers.
 func (s *Scheduler) start(now time.Duration, t *task, w *worker) {
 	base := (s.cfg.Term - 1) * attemptsPerTerm
 	a := &attempt{task: t, number: max(t.lastAttempt, base) + 1, worker: w, phase: starting,
 		startedAt: now, share: fullShare, confirmedShare: fullShare, resumed: t.checkpoint != ""}
 	s.attach(a)
-	if t.step.spec.Service || t.suspect() {
+	if t.step.spec.Service {
 		a.phase = awaitingStore
-		s.recordWorker(a)
+		t.storedWorker = w.info.ID
+		s.markDirty(t.step.job)
 		return
 	}
 	s.orderStart(a)
 }
 
-// recordWorker marks the worker of an attempt to be stored.
-func (s *Scheduler) recordWorker(a *attempt) {
-	a.task.storedWorker = a.worker.info.ID
-	s.markDirty(a.task.step.job)
-}
-
 // orderStart issues the start order of an attempt.
 func (s *Scheduler) orderStart(a *attempt) {
 	order := a.order(OrderStart)
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -22,7 +22,7 @@
 	return records
 }
 
-// MarkStored records that r was stored, and orders the starts that waited for this. The job stays
+// MarkStored records that r was stored, and orders the starts of service tasks that waited for this. The job stays
 // marked as changed if its progress has changed since r was made.
 func (s *Scheduler) MarkStored(now Time, r Record) {
 	j, known := s.jobs[r.Job]
@@ -37,17 +37,14 @@
 	}
 }
 
-// orderStoredStarts orders the starts whose worker is now stored. A start that is no longer allowed, or for which the worker
+// orderStoredStarts orders the starts of service tasks whose worker is now stored. A start that is no longer allowed, or for which the worker
 // no longer has the capacity, is dropped: the store may have taken seconds.
 func (s *Scheduler) orderStoredStarts(now time.Duration, j *job, sp workload.StepProgress) {
 	st := j.step(sp.Occurrence, sp.Step)
-	if st == nil {
+	if st == nil || !st.spec.Service {
 		return
 	}
 	for _, tp := range sp.Tasks {
-		if tp.Worker == "" {
-			continue
-		}
 		for _, a := range slices.Clone(st.tasks[tp.Index].attempts) {
 			if a.phase != awaitingStore || a.number != tp.LastAttempt || string(a.worker.info.ID) != tp.Worker {
 				continue
@@ -91,9 +88,9 @@
 		}
 		tp := workload.TaskProgress{
 			Index: t.index, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint, Worker: string(t.storedWorker),
-			Crashes: slices.Clone(t.crashes),
+			Crashes: slices.Clone(t.crashes), SilentOn: workerNames(t.silentOn),
 		}
-		if tp.Worker != "" || len(tp.Failed) > 0 || tp.Checkpoint != "" || len(tp.Crashes) > 0 {
+		if tp.Worker != "" || len(tp.Failed) > 0 || tp.Checkpoint != "" || len(tp.Crashes) > 0 || len(tp.SilentOn) > 0 {
 			tp.LastAttempt = t.lastAttempt
 			sp.Tasks = append(sp.Tasks, tp)
 		}
@@ -145,7 +142,10 @@
 			continue
 		}
 		t := st.tasks[tp.Index]
-		t.failed, t.storedWorker, t.crashes = tp.Failed, WorkerID(tp.Worker), tp.Crashes
+		t.failed, t.storedWorker, t.crashes = tp.Failed, WorkerID(tp.Worker), slices.Clone(tp.Crashes)
+		for _, id := range tp.SilentOn {
+			t.silentOn = append(t.silentOn, WorkerID(id))
+		}
 		t.lastAttempt, t.checkpoint = tp.LastAttempt, tp.Checkpoint
 	}
 	st.unfinished, st.pending = 0, 0
@@ -157,6 +157,14 @@
 	}
 }
 
+func workerNames(ids []WorkerID) []string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	return names
+}
+
 // equalProgress reports whether two progress records of one job are equal.
 func equalProgress(a, b workload.Progress) bool {
 	if a.State != b.State || a.EndedMs != b.EndedMs || len(a.Steps) != len(b.Steps) {
@@ -177,6 +185,7 @@
 	}
 	return slices.EqualFunc(a.Tasks, b.Tasks, func(a, b workload.TaskProgress) bool {
 		return a.Index == b.Index && a.LastAttempt == b.LastAttempt && a.Worker == b.Worker && a.Checkpoint == b.Checkpoint &&
-			slices.Equal(a.Failed, b.Failed) && slices.Equal(a.Crashes, b.Crashes)
+			slices.Equal(a.Failed, b.Failed) && slices.Equal(a.Crashes, b.Crashes) &&
+			slices.Equal(a.SilentOn, b.SilentOn)
 	})
 }
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -77,7 +77,7 @@
 	w.leasesExtended = true
 	w.suspect = false
 	s.index.markChanged(w)
-	s.forgetInherited(w)
+	s.forgetSilent(w)
 	delete(s.awaitingReport, id)
 	listed := s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
@@ -107,7 +107,6 @@
 		a.listedAt = now.Boot
 		if a.phase == starting || a.phase == unanswered {
 			a.phase = running
-			a.forgetUnanswered()
 		}
 		s.clearRecord(a)
 		if a.percent != row.Percent {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -31,7 +31,7 @@
 	dirty               map[*job]struct{}       // jobs whose progress has changed since it was stored
 	earlyCancels        map[workload.JobID]Time // cancellations of jobs that have not been added yet, by arrival
 	suspects            map[*task]struct{}      // tasks with crashes on record
-	inheritedOn         map[WorkerID][]*task    // tasks that a former owner may have started on a worker that has not reported
+	silentOn            map[WorkerID][]*task    // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker
 }
 
@@ -55,7 +55,7 @@
 		interference:   newInterference(),
 		earlyCancels:   map[workload.JobID]Time{},
 		suspects:       map[*task]struct{}{},
-		inheritedOn:    map[WorkerID][]*task{},
+		silentOn:       map[WorkerID][]*task{},
 		vanished:       map[WorkerID]vanishedWorker{},
 	}
 }
@@ -170,6 +170,9 @@
 		return
 	}
 	a.stopResendAfter = min(max(2*a.stopResendAfter, resendAfter), maxResendAfter)
+	if a.phase != stopping {
+		a.stoppedInTime = !a.worker.suspect
+	}
 	a.phase = stopping
 	s.stopping[a] = struct{}{}
 	a.stopSentAt = now
@@ -250,6 +253,7 @@
 func (s *Scheduler) PollFailed(now Time, id WorkerID) {
 	if w, known := s.workers[id]; known {
 		w.stopExtending(now.Boot + s.cfg.leaseBound())
+		s.recordSilence(w)
 	}
 }
 
@@ -293,7 +297,7 @@
 		delete(s.awaitingReport, w.info.ID)
 		for _, a := range slices.Clone(w.attemptList) {
 			s.emit(a.event(EventAttemptExpired))
-			if a.phase != awaitingStore {
+			if a.certainlyRan() {
 				w.expired = append(w.expired, expiredAttempt{a.task, a.number, a.listedFor()})
 			}
 			s.drop(a)
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -22,9 +22,12 @@
 	Index       int     `json:"i"`
 	Failed      []int64 `json:"f,omitempty"` // attempts that have failed
 	LastAttempt int64   `json:"a,omitempty"` // highest attempt that has ended or that Worker may run
-	Worker      string  `json:"w,omitempty"` // service tasks, suspects and unanswered starts: the only worker on which LastAttempt may run
+	Worker      string  `json:"w,omitempty"` // service tasks: the only worker on which LastAttempt may run
 	Crashes     []Crash `json:"x,omitempty"` // crashes of workers that ran the task and may have been caused by it
-	Checkpoint  string  `json:"c,omitempty"` // latest checkpoint of an attempt that has ended
+	// SilentOn lists workers that stopped answering soon after they had accepted the task. Whether they have crashed is not
+	// known yet.
+	SilentOn   []string `json:"q,omitempty"`
+	Checkpoint string   `json:"c,omitempty"` // latest checkpoint of an attempt that has ended
 }
 
 // Crash is the end of a worker's process while it ran a task.
@@ -32,6 +35,7 @@
 	Worker    string `json:"w"`
 	StartedMs int64  `json:"s"`           // start of the process that has ended, Unix milliseconds
 	RanMs     int64  `json:"r,omitempty"` // for how long the task was listed as running
+	Explained bool   `json:"e,omitempty"` // another task was found to have caused it
 }
 
 // SameProcess reports whether both are the end of the same process.
