Count no crash under a task whose lease had expired before it

The time of the worker's last report is kept (and stored with the silent workers), and the crash counts only if the next process started within one task lease of it. Silent workers of tasks on draining workers are forgotten too, and the numbers of what is stored are reset with what they count. TestCrashAfterTheLeaseIsNotCounted fails without it, with and without a takeover.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -8,6 +8,9 @@
 	UnixMs int64         // wall-clock time, Unix milliseconds
 }
 
+// unixMsAt converts a boot time in the past to wall-clock time.
+func (t Time) unixMsAt(boot time.Duration) int64 { return t.UnixMs - (t.Boot - boot).Milliseconds() }
+
 // Config holds the owner's term and the time limits that the platform sets.
 type Config struct {
 	Term          int64         // fencing token of the owner's orders; increases with every change of owner
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -31,9 +31,8 @@
 // expiredAttempt is an attempt whose lease has expired on a worker that did not report. Whether the worker had crashed is
 // known once it reports again or another worker has its address.
 type expiredAttempt struct {
-	task   *task
-	number int64
-	ran    time.Duration // for how long it was listed as running
+	task *task
+	ran  time.Duration // for how long it was listed as running
 }
 
 // vanishedWorker is a worker that was removed while it did not report.
@@ -95,20 +94,23 @@
 	return workload.Crash{Worker: string(w.info.ID), StartedMs: started}
 }
 
-// workerCrashed records the crash of a worker's process for the tasks that it ran. survives states which attempts the
-// worker's next process runs. A worker that left after it had announced it has not crashed.
-func (s *Scheduler) workerCrashed(now Time, w *worker, survives func(attemptKey) bool) {
+// workerCrashed records the crash of a worker's process for the tasks that it ran. survives states which attempts the next
+// process runs, which started at nextMs. A worker that left after it had announced it has not crashed. A task does not count
+// if its lease may have expired before the crash.
+func (s *Scheduler) workerCrashed(now Time, w *worker, nextMs int64, survives func(attemptKey) bool) {
+	defer s.forgetSilent(w)
 	if w.info.Draining {
 		return
 	}
 	var tasks []*task
-	record := func(t *task, ran time.Duration) {
+	record := func(t *task, sinceMs int64, ran time.Duration) {
 		crash := w.process()
 		crash.RanMs = ran.Milliseconds()
-		if s.addCrash(t, crash) {
+		if nextMs < sinceMs+s.cfg.TaskLease.Milliseconds() && s.addCrash(t, crash) {
 			tasks = append(tasks, t)
 		}
 	}
+	lastReportMs := now.unixMsAt(w.reportedAt)
 	for _, a := range w.attemptList {
 		if survives(a.key()) {
 			continue
@@ -124,20 +126,29 @@
 		e := a.event(EventAttemptCrashed)
 		e.Value = a.listedFor().Seconds()
 		s.emit(e)
-		record(a.task, a.listedFor())
+		record(a.task, max(lastReportMs, now.unixMsAt(a.confirmedAt)), a.listedFor())
 	}
 	for _, x := range w.expired {
-		record(x.task, x.ran)
+		record(x.task, lastReportMs, x.ran)
 	}
 	for _, t := range s.silentOn[w.info.ID] {
 		if !survives(attemptKey{t.id(), t.lastAttempt}) {
-			record(t, 0)
+			record(t, t.silentSince(w.info.ID), 0)
 		}
 	}
-	s.forgetSilent(w)
 	s.giveUpCrashing(now, tasks)
 }
 
+// silentSince returns when a worker on which the task was has last reported, in Unix milliseconds.
+func (t *task) silentSince(id WorkerID) int64 {
+	n := slices.IndexFunc(t.silentOn, isWorker(id))
+	return t.silentOn[n].SinceMs
+}
+
+func isWorker(id WorkerID) func(workload.Silence) bool {
+	return func(s workload.Silence) bool { return s.Worker == string(id) }
+}
+
 // certainlyRan reports whether the worker ran the attempt until it stopped answering.
 func (a *attempt) certainlyRan() bool { return a.confirmedAt > 0 && !a.stoppedInTime }
 
@@ -146,13 +157,14 @@
 
 // recordSilence records that a worker does not answer. A later owner then counts a crash that this owner does not notice for
 // the attempts that the worker has just accepted.
-func (s *Scheduler) recordSilence(w *worker) {
+func (s *Scheduler) recordSilence(now Time, w *worker) {
 	for _, a := range w.attemptList {
 		t := a.task
-		if !a.certainlyRan() || a.listedFor() >= briefRun || slices.Contains(t.silentOn, w.info.ID) {
+		if !a.certainlyRan() || a.listedFor() >= briefRun || slices.ContainsFunc(t.silentOn, isWorker(w.info.ID)) {
 			continue
 		}
-		t.silentOn = append(t.silentOn, w.info.ID)
+		since := now.unixMsAt(max(w.reportedAt, a.confirmedAt))
+		t.silentOn = append(t.silentOn, workload.Silence{Worker: string(w.info.ID), SinceMs: since})
 		s.silentOn[w.info.ID] = append(s.silentOn[w.info.ID], t)
 		s.markRecordDirty(t)
 	}
@@ -162,7 +174,8 @@
 func (s *Scheduler) forgetSilent(w *worker) {
 	w.expired = nil
 	for _, t := range s.silentOn[w.info.ID] {
-		t.silentOn = slices.DeleteFunc(t.silentOn, func(id WorkerID) bool { return id == w.info.ID })
+		t.silentOn = slices.DeleteFunc(t.silentOn, isWorker(w.info.ID))
+		t.storedSilentOn = 0 // until the shorter list is stored
 		s.markRecordDirty(t)
 	}
 	delete(s.silentOn, w.info.ID)
@@ -195,8 +208,8 @@
 // suffice to give a task up.
 func (s *Scheduler) mayBeCrashing(t *task) bool {
 	unresolved := 0
-	for _, id := range t.silentOn {
-		if s.awaitingReport[id] {
+	for _, silence := range t.silentOn {
+		if s.awaitingReport[WorkerID(silence.Worker)] {
 			unresolved++
 		}
 	}
@@ -273,7 +286,7 @@
 			return
 		}
 	}
-	a.task.crashes, a.task.uncertainCrashes = nil, 0
+	a.task.crashes, a.task.storedCrashes, a.task.uncertainCrashes = nil, 0, 0
 	delete(s.suspects, a.task)
 	s.markRecordDirty(a.task)
 }
@@ -305,15 +318,15 @@
 			continue
 		}
 		s.emit(Event{Kind: EventWorkerReplaced, Worker: w.info.ID, Reason: string(next.ID)})
-		s.workerCrashed(now, w, noneSurvives)
+		s.workerCrashed(now, w, next.StartedMs, noneSurvives)
 		for _, a := range slices.Clone(w.attemptList) {
 			s.drop(a)
 		}
 		s.removeWorker(w)
 	}
 	for id, v := range s.vanished {
-		if latest[v.worker.info.Address].supersedes(&v.worker.info) {
-			s.workerCrashed(now, v.worker, noneSurvives)
+		if next := latest[v.worker.info.Address]; next.supersedes(&v.worker.info) {
+			s.workerCrashed(now, v.worker, next.StartedMs, noneSurvives)
 			delete(s.vanished, id)
 		} else if now.Boot-v.at > vanishedRetention {
 			s.forgetSilent(v.worker)
@@ -332,7 +345,8 @@
 			if t.suspect() {
 				s.suspects[t] = struct{}{}
 			}
-			for _, id := range t.silentOn {
+			for _, silence := range t.silentOn {
+				id := WorkerID(silence.Worker)
 				s.silentOn[id] = append(s.silentOn[id], t)
 			}
 		}
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -408,3 +408,31 @@
 		t.Errorf("crashes on record: %v", task.crashes)
 	}
 }
+
+// Guards against counting a crash under a task whose lease had expired before it: a worker that is cut off stops what it runs.
+func TestCrashAfterTheLeaseIsNotCounted(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		for _, c := range []struct {
+			silentFor time.Duration
+			counted   bool
+		}{{testLease - time.Second, true}, {testLease + time.Second, false}} {
+			h := newHarness(t, 1)
+			h.addStarted("w1")
+			job := testJob("job", testStep(1))
+			h.s.AddJob(job, nil, false)
+			h.wantStarts(h.run(), 1)
+			h.silence(taskID("job", 0, 0))
+			h.store()
+			if takeover {
+				h.inherit(2, job)
+			}
+			h.advanceClock(c.silentFor)
+			address := h.workers["w1"].info.Address
+			delete(h.workers, "w1")
+			h.addWorker("w2", func(info *WorkerInfo) { info.Address, info.StartedMs = address, h.now.UnixMs })
+			if counted := h.s.jobs["job"].steps[0].tasks[0].suspect(); counted != c.counted {
+				t.Errorf("silent for %v, takeover %t: crash counted %t, want %t", c.silentFor, takeover, counted, c.counted)
+			}
+		}
+	}
+}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -42,11 +42,11 @@
 	failed           []int64 // attempts that have failed; not kept for service tasks, which have no failure limit
 	lastAttempt      int64
 	checkpoint       string
-	storedWorker     WorkerID         // service tasks: worker of the latest attempt, to be stored
-	crashes          []workload.Crash // on record, see crash.go
-	silentOn         []WorkerID       // workers that stopped answering soon after they had accepted the task
-	uncertainCrashes int              // crashes of workers that may have started it: the starts were not answered
-	rate             float64          // rate of the attempt that completed the task; 0 if unknown
+	storedWorker     WorkerID           // service tasks: worker of the latest attempt, to be stored
+	crashes          []workload.Crash   // on record, see crash.go
+	silentOn         []workload.Silence // workers that stopped answering soon after they had accepted the task
+	uncertainCrashes int                // crashes of workers that may have started it: the starts were not answered
+	rate             float64            // rate of the attempt that completed the task; 0 if unknown
 	attempts         []*attempt
 	storedCrashes,
 	storedSilentOn int // numbers of crashes and silentOn that are stored
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -100,7 +100,7 @@
 		}
 		tp := workload.TaskProgress{
 			Index: t.index, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint, Worker: string(t.storedWorker),
-			Crashes: slices.Clone(t.crashes), SilentOn: workerNames(t.silentOn), UncertainCrashes: t.uncertainCrashes,
+			Crashes: slices.Clone(t.crashes), SilentOn: slices.Clone(t.silentOn), UncertainCrashes: t.uncertainCrashes,
 		}
 		if tp.Worker != "" || len(tp.Failed) > 0 || tp.Checkpoint != "" || len(tp.Crashes) > 0 || len(tp.SilentOn) > 0 || tp.UncertainCrashes > 0 {
 			tp.LastAttempt = t.lastAttempt
@@ -157,9 +157,7 @@
 		t.failed, t.storedWorker, t.crashes = tp.Failed, WorkerID(tp.Worker), slices.Clone(tp.Crashes)
 		t.markRecordStored(tp)
 		t.uncertainCrashes = tp.UncertainCrashes
-		for _, id := range tp.SilentOn {
-			t.silentOn = append(t.silentOn, WorkerID(id))
-		}
+		t.silentOn = slices.Clone(tp.SilentOn)
 		t.lastAttempt, t.checkpoint = tp.LastAttempt, tp.Checkpoint
 	}
 	st.unfinished, st.pending = 0, 0
@@ -171,14 +169,6 @@
 	}
 }
 
-func workerNames(ids []WorkerID) []string {
-	names := make([]string, len(ids))
-	for i, id := range ids {
-		names[i] = string(id)
-	}
-	return names
-}
-
 // equalProgress reports whether two progress records of one job are equal.
 func equalProgress(a, b workload.Progress) bool {
 	if a.State != b.State || a.EndedMs != b.EndedMs || len(a.Steps) != len(b.Steps) {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -65,7 +65,7 @@
 	if w.incarnation != report.Incarnation {
 		if w.incarnation != 0 {
 			s.emit(Event{Kind: EventWorkerRestarted, Worker: id})
-			s.workerCrashed(now, w, report.lists)
+			s.workerCrashed(now, w, report.Incarnation, report.lists)
 			w.health, w.slowness = health{}, slowness{}
 			w.stability.recordLoss(now.Boot)
 		}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -253,7 +253,7 @@
 func (s *Scheduler) PollFailed(now Time, id WorkerID) {
 	if w, known := s.workers[id]; known {
 		w.stopExtending(now.Boot + s.cfg.leaseBound())
-		s.recordSilence(w)
+		s.recordSilence(now, w)
 	}
 }
 
@@ -298,7 +298,7 @@
 		for _, a := range slices.Clone(w.attemptList) {
 			s.emit(a.event(EventAttemptExpired))
 			if a.certainlyRan() {
-				w.expired = append(w.expired, expiredAttempt{a.task, a.number, a.listedFor()})
+				w.expired = append(w.expired, expiredAttempt{a.task, a.listedFor()})
 			}
 			s.drop(a)
 		}
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -26,7 +26,7 @@
 	Crashes     []Crash `json:"x,omitempty"` // crashes of workers that ran the task and may have been caused by it
 	// SilentOn lists workers that stopped answering soon after they had accepted the task. Whether they have crashed is not
 	// known yet.
-	SilentOn []string `json:"q,omitempty"`
+	SilentOn []Silence `json:"q,omitempty"`
 	// UncertainCrashes is the number of crashes of workers that may have started the task: the starts were not answered.
 	UncertainCrashes int    `json:"y,omitempty"`
 	Checkpoint       string `json:"c,omitempty"` // latest checkpoint of an attempt that has ended
@@ -44,3 +44,9 @@
 func (c Crash) SameProcess(other Crash) bool {
 	return c.Worker == other.Worker && c.StartedMs == other.StartedMs
 }
+
+// Silence is a worker that has stopped answering.
+type Silence struct {
+	Worker  string `json:"w"`
+	SinceMs int64  `json:"t"` // last report, Unix milliseconds
+}
