Play crashing tasks and workers with new ids with real processes

A task with a given input now crashes its worker 10 ms after its start, the worker returns a second later at its address under another id, its old entry stays for three seconds, and calls for the old id are rejected.

--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -60,7 +60,7 @@
 		w := &Worker{
 			clockRate: 1 - cfg.ClockDrift*rnd.Float64(),
 			ID:        fmt.Sprintf("i-%04d", n), Datacentre: cfg.Datacentres[n%len(cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8),
-			platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
+			id: fmt.Sprintf("i-%04d", n), platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
 		}
 		w.start()
 		if err := w.serve(); err != nil {
@@ -91,6 +91,7 @@
 				if !unresponsive {
 					w.writeEntry()
 				}
+				w.removeFormerEntries()
 			}
 		}
 	}
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -21,6 +22,25 @@
 	Slowdown       float64       // factor of the run time of tasks; values below 1 count as 1
 }
 
+// CrashingInput is the input of tasks that crash their worker soon after they have started. The worker returns at its address
+// under another id.
+const CrashingInput = "crash the worker"
+
+const (
+	crashDelay      = 10 * time.Millisecond // until a task with CrashingInput crashes its worker
+	crashDowntime   = time.Second           // until a worker that has crashed answers under its new id
+	entryExpiration = 3 * time.Second       // until the entry of its former id is removed
+)
+
+// headerExpectInstance names the id of the worker that a call is meant for. A worker with another id rejects it.
+const headerExpectInstance = "Fulmarcourse-Expect-Instance"
+
+// formerID is an id under which a worker is still listed after its process has ended.
+type formerID struct {
+	id    string
+	until time.Time // when its entry is removed
+}
+
 // maxTaskLease is the longest lease that a worker grants, on its own clock. It shortens longer ones.
 const maxTaskLease = 6 * time.Second
 
@@ -68,6 +88,9 @@
 	server    *standin.Server
 
 	mu             sync.Mutex // guards the fields below
+	id             string     // of the current process: ID, or another one after a crash under a new id
+	former         []formerID
+	downUntil      time.Time // it answers no calls before
 	faults         WorkerFaults
 	incarnation    int64
 	startedAt      time.Time
@@ -113,6 +136,35 @@
 	w.start()
 }
 
+// CrashUnderNewID ends all runs without reporting them. A new process answers at the worker's address after crashDowntime,
+// under another id. The entry of the former one remains for entryExpiration.
+func (w *Worker) CrashUnderNewID() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key := range w.running {
+		w.finish(key, "gone", false)
+	}
+	now := time.Now()
+	w.former = append(w.former, formerID{w.id, now.Add(entryExpiration)})
+	w.start()
+	w.downUntil = now.Add(crashDowntime)
+	w.incarnation = w.downUntil.UnixMilli()
+	w.id = fmt.Sprintf("%s-%d", w.ID, w.incarnation)
+}
+
+// removeFormerEntries removes the entries of former ids that have expired.
+func (w *Worker) removeFormerEntries() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.former = slices.DeleteFunc(w.former, func(f formerID) bool {
+		expired := time.Now().After(f.until)
+		if expired {
+			w.platform.Store.Delete("servers/" + f.id)
+		}
+		return expired
+	})
+}
+
 // start begins a new incarnation without a lease, runs or ends. w.mu is held.
 func (w *Worker) start() {
 	w.incarnation = time.Now().UnixMilli()
@@ -124,12 +176,16 @@
 // writeEntry writes the worker's entry to the store.
 func (w *Worker) writeEntry() {
 	w.mu.Lock()
-	state, incarnation := "ready", w.incarnation
+	state, incarnation, id := "ready", w.incarnation, w.id
 	if w.draining {
 		state = "draining"
 	}
+	down := time.Now().Before(w.downUntil)
 	w.mu.Unlock()
-	w.platform.Store.Put("servers/"+w.ID, map[string]any{
+	if down {
+		return
+	}
+	w.platform.Store.Put("servers/"+id, map[string]any{
 		"service": w.platform.Pool, "address": w.address, "zone": w.Datacentre, "version": "v1",
 		"slots": 8, "state": state, "coldRemainingMs": 0, "remainingMs": 3000, "seq": 1, "born": incarnation,
 		"capacity": map[string]int{"cpu": 16000, "memMb": 64000, "gpu": 0}, "labels": []string{"a", w.Rack},
@@ -218,7 +274,16 @@
 	faults := w.faults
 	late := faults.LateOrderOneIn > 0 && r.URL.Path != "/fulmarcourse/hold" && w.orders%faults.LateOrderOneIn == 0
 	incarnation := w.incarnation
+	expected := r.Header.Get(headerExpectInstance)
+	down, other := time.Now().Before(w.downUntil), expected != "" && expected != w.id
 	w.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	if other {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if faults.Unresponsive {
 		<-r.Context().Done()
 		return
@@ -275,11 +340,14 @@
 		return http.StatusConflict, "old"
 	}
 	now := time.Now()
-	r := activeRun{startedAt: now, index: w.platform.recordStart(Run{Task: key.task, Attempt: key.attempt, Worker: w.ID, Started: now})}
+	r := activeRun{startedAt: now, index: w.platform.recordStart(Run{Task: key.task, Attempt: key.attempt, Worker: w.id, Started: now})}
 	if work := w.platform.runTime(key.task); work > 0 {
 		r.endsAt = now.Add(time.Duration(float64(work) * max(w.faults.Slowdown, 1)))
 	}
 	w.running[key] = r
+	if o.Spec == CrashingInput {
+		time.AfterFunc(crashDelay, w.CrashUnderNewID)
+	}
 	return http.StatusOK, ""
 }
 
--- a/test/fleet/faults_test.go
+++ b/test/fleet/faults_test.go
@@ -31,7 +31,7 @@
 	{"store slow", storeFault(fleet.StoreFaults{Delay: storeDelay})},
 	{"store compacts history", func(r *soakRun) func() { r.s.platform.Store.Compact(); return noHeal }},
 	{"store revokes leases", func(r *soakRun) func() { r.s.platform.Store.RevokeLeases(); return noHeal }},
-	{"worker crashes", func(r *soakRun) func() { r.randomWorker().Crash(); return noHeal }},
+	{"worker crashes", (*soakRun).crashWorker},
 	{"worker unresponsive", workerFault(fleet.WorkerFaults{Unresponsive: true})},
 	{"worker executes orders late", workerFault(fleet.WorkerFaults{LateOrderOneIn: 2, LateOrderDelay: lateOrderDelay})},
 	{"worker fails tasks", workerFault(fleet.WorkerFaults{FailTasks: true})},
@@ -77,6 +77,18 @@
 
 func noHeal() {}
 
+// crashWorker crashes a worker. Every second one returns under a new id; the choice uses no random number, so that a seed
+// still decides on the same faults as before.
+func (r *soakRun) crashWorker() (heal func()) {
+	r.crashes++
+	if r.crashes%2 == 0 {
+		r.randomWorker().CrashUnderNewID()
+	} else {
+		r.randomWorker().Crash()
+	}
+	return noHeal
+}
+
 func storeFault(faults fleet.StoreFaults) func(*soakRun) func() {
 	return func(r *soakRun) func() {
 		r.s.platform.Store.SetFaults(faults)
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -69,6 +69,40 @@
 	s.checkHistory()
 }
 
+const crashingJob = `{"spec":"` + fleet.CrashingInput + `","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":300}]}`
+
+// maxStartsOfCrashingTask is the platform's bound: after three crashes under a task, fewer than three further starts.
+const maxStartsOfCrashingTask = 3 + 2
+
+// Guards against a task that crashes one worker after another while its owner is replaced, against giving up the jobs beside
+// it, and against services that wait for the leases of processes that no longer exist.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	s := newSite(t, fleet.Config{Seed: 6, Datacentres: []string{"dc1"}, Workers: 5, RunTime: shortTasks}, 3)
+	s.submit(0, longRunningID, longRunningJob)
+	poll.Until(t, "all services run", func() bool { return s.runningNow() == 3 })
+	s.submit(1, jobID(1), crashingJob)
+	crashes := func() (n int) {
+		for _, r := range s.platform.History() {
+			if r.Task == jobID(1)+".0.0.0" {
+				n++
+			}
+		}
+		return n
+	}
+	poll.Until(t, "the task has started", func() bool { return crashes() > 0 })
+	owner := s.owner()
+	s.kill(owner)
+	other := (owner + 1) % 3
+	s.submit(other, jobID(2), twoStepJob)
+	s.awaitState(other, jobID(1), "failed")
+	s.awaitState(other, jobID(2), "completed")
+	poll.Until(t, "all services run again", func() bool { return s.runningNow() == 3 })
+	if n := crashes(); n > maxStartsOfCrashingTask {
+		t.Errorf("the crashing task was started %d times, want at most %d", n, maxStartsOfCrashingTask)
+	}
+	s.checkHistory()
+}
+
 // Guards against tasks that keep running after their job was cancelled through a host that does not own it, and against
 // hosts that report different states of the job.
 func TestCancelReachesTheOwner(t *testing.T) {
--- a/test/fleet/soak_test.go
+++ b/test/fleet/soak_test.go
@@ -38,6 +38,7 @@
 	uncertain    map[string]bool // the submission got no definite response
 	final        map[string]string
 	down         map[int]bool // hosts whose process was terminated and has not been restarted
+	crashes      int          // of workers so far
 	activeFaults []activeFault
 }
 
