--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -46,11 +46,11 @@
 	crashes          []workload.Crash   // on record, see crash.go
 	silentOn         []workload.Silence // workers that stopped answering soon after they had accepted the task
 	uncertainCrashes int                // crashes of workers that may have started it: the starts were not answered
+	storedCrashes    int                // number of crashes that are stored
+	storedSilentOn   int                // number of entries of silentOn that are stored
 	rate             float64            // rate of the attempt that completed the task; 0 if unknown
 	attempts         []*attempt
-	storedCrashes,
-	storedSilentOn int // numbers of crashes and silentOn that are stored
-	failedOn []WorkerID // workers on which it failed
+	failedOn         []WorkerID // workers on which it failed
 }
 
 // phase is the state of an attempt.
