Count one crash of a worker per attempt

Cause, from the logs: an attempt stays with its worker until a poll that was sent after its start is answered; the worker crashed again a second later, and both crashes were counted under the attempt. An attempt now counts once. TestAttemptEndsWithTheFirstCrash failed before.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -120,6 +120,10 @@
 
 // addAttempt adds the crash to the record of the task that the worker ran in an attempt.
 func (c *crash) addAttempt(now Time, a *attempt) {
+	if a.crashCounted {
+		return
+	}
+	a.crashCounted = true
 	if a.mayHaveRun() {
 		a.task.uncertainCrashes++
 		c.s.markRecordDirty(a.task)
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -416,3 +416,21 @@
 		}
 	}
 }
+
+// Guards against counting two crashes under an attempt that ended with the first: until a poll that was sent after its start
+// is answered, it stays with the worker, which may crash again (soak seed 20261639).
+func TestAttemptEndsWithTheFirstCrash(t *testing.T) {
+	h := newStartedHarness(t, 1)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.wantStarts(h.run(), 1)
+	w := h.workers["w0"]
+	w.incarnation, w.running = 2, nil
+	h.s.Report(h.now, "w0", Report{Incarnation: 2, SentAt: h.now.Boot}) // sent before the start was confirmed
+	h.workers["w0"].info.StartedMs = 2
+	h.replace("w0", "w1")
+	h.settleWithoutStarts()
+	if n := len(h.s.jobs["job"].steps[0].tasks[0].crashes); n != 1 {
+		t.Errorf("%d crashes on record, want 1", n)
+	}
+	h.wantState("job", workload.StateRunning)
+}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -156,6 +156,7 @@
 		1, 2,
 		301,        // the owner was paused for longer than its relay waits, and its workers were never polled again
 		20261307,   // a poll for a worker's former incarnation extended its leases beyond the time that the owner counted with
+		20261639,   // two crashes of a worker were counted under one attempt, and its job was given up
 		20261403,   // a cancellation overtook its job on the way to the owner, which completed the job
 		1003, 1023, // a host that stopped without a lease revoked lease 0, which deleted all keys without a lease
 	}
