Keep an attempt that has crashed out of the silent ones

An attempt whose crash was counted is neither certain nor uncertain any more. TestAttemptEndsWithTheFirstCrash now fails a poll between the two crashes and failed before.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -120,16 +120,14 @@
 
 // addAttempt adds the crash to the record of the task that the worker ran in an attempt.
 func (c *crash) addAttempt(now Time, a *attempt) {
-	if a.crashCounted {
-		return
-	}
+	certain, uncertain := a.certainlyRan(), a.mayHaveRun()
 	a.crashCounted = true
-	if a.mayHaveRun() {
+	if uncertain {
 		a.task.uncertainCrashes++
 		c.s.markRecordDirty(a.task)
 		c.tasks = append(c.tasks, a.task)
 	}
-	if !a.certainlyRan() {
+	if !certain {
 		return
 	}
 	e := a.event(EventAttemptCrashed)
@@ -152,10 +150,14 @@
 }
 
 // certainlyRan reports whether the worker ran the attempt until it stopped answering.
-func (a *attempt) certainlyRan() bool { return a.confirmedAt > 0 && !a.stoppedInTime }
+func (a *attempt) certainlyRan() bool {
+	return a.confirmedAt > 0 && !a.stoppedInTime && !a.crashCounted
+}
 
 // mayHaveRun reports whether it is unknown if the worker ran the attempt: its start was not answered.
-func (a *attempt) mayHaveRun() bool { return a.confirmedAt == 0 && a.phase != awaitingStore }
+func (a *attempt) mayHaveRun() bool {
+	return a.confirmedAt == 0 && a.phase != awaitingStore && !a.crashCounted
+}
 
 // markRecordDirty records that the record of a task has to be stored unless the task or its job has ended.
 func (s *Scheduler) markRecordDirty(t *task) {
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -426,6 +426,7 @@
 	w := h.workers["w0"]
 	w.incarnation, w.running = 2, nil
 	h.s.Report(h.now, "w0", Report{Incarnation: 2, SentAt: h.now.Boot}) // sent before the start was confirmed
+	h.s.PollFailed(h.now, "w0")
 	h.workers["w0"].info.StartedMs = 2
 	h.replace("w0", "w1")
 	h.settleWithoutStarts()
