--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -17,8 +17,9 @@
 	// briefCrashLimit is the number of brief crashes without another explanation after which a task is given up, if no task
 	// of another job on the crashed worker has as many.
 	briefCrashLimit = 2
-	// certainBriefCrashes is the number of brief crashes, explained or not, after which a task is given up in any case. The
-	// platform allows two starts after the third crash; owners that are replaced may not notice some.
+	// certainBriefCrashes is the number of brief crashes, explained or not and with the uncertain ones, after which a task is
+	// given up in any case. The platform allows two starts after the third crash; owners that are replaced may not notice
+	// some.
 	certainBriefCrashes = 3
 	// crashLimit is the number of crashes without another explanation after which a task is given up in any case.
 	crashLimit = 4
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -57,19 +57,18 @@
 	}
 }
 
-// crash ends the process of the worker that runs a task and lists its successor. It returns the ID of the crashed worker.
-func (h *harness) crash(task workload.TaskID) WorkerID {
+// crash ends the process of the worker that runs a task and lists its successor.
+func (h *harness) crash(task workload.TaskID) {
 	h.t.Helper()
 	for id, w := range h.workers {
 		for _, r := range w.running {
 			if r.Task == task {
 				h.replace(id, id+"'")
-				return id
+				return
 			}
 		}
 	}
 	h.t.Fatalf("%v runs on no worker", task)
-	return ""
 }
 
 // settle plans and executes orders until the scheduler has nothing more to start.
@@ -110,18 +109,18 @@
 		h := newStartedHarness(t, 8)
 		step := testStep(1)
 		step.Service = service
-		h.s.AddJob(testJob("deadly", step), nil, false)
+		h.s.AddJob(testJob("crashing", step), nil, false)
 		total := 0
 		for total < maxStartsOfCrashingTask {
 			ordered := len(starts(h.run()))
 			if total += ordered; ordered == 0 {
 				break
 			}
-			h.crash(taskID("deadly", 0, 0))
+			h.crash(taskID("crashing", 0, 0))
 			h.settleWithoutStarts()
 		}
 		h.store()
-		h.wantState("deadly", workload.StateFailed)
+		h.wantState("crashing", workload.StateFailed)
 	}
 }
 
@@ -140,7 +139,7 @@
 // Guards against crashes that are forgotten when the owner changes: each owner would start the task again.
 func TestCrashesAreCountedOverOwners(t *testing.T) {
 	h := newStartedHarness(t, 8)
-	job := testJob("deadly", testStep(1))
+	job := testJob("crashing", testStep(1))
 	h.s.AddJob(job, nil, false)
 	total := 0
 	for term := int64(2); total < maxStartsOfCrashingTask; term++ {
@@ -148,7 +147,7 @@
 		if total += ordered; ordered == 0 {
 			break
 		}
-		h.crash(taskID("deadly", 0, 0))
+		h.crash(taskID("crashing", 0, 0))
 		h.settleWithoutStarts()
 		h.store()
 		h.inherit(term, job)
@@ -156,7 +155,7 @@
 		h.settleWithoutStarts()
 	}
 	h.store()
-	h.wantState("deadly", workload.StateFailed)
+	h.wantState("crashing", workload.StateFailed)
 }
 
 // silence makes the poll of the worker that runs a task fail.
@@ -172,18 +171,18 @@
 // the worker returns.
 func TestCrashAfterSilenceIsCountedByTheNextOwner(t *testing.T) {
 	h := newStartedHarness(t, 8)
-	job := testJob("deadly", testStep(1))
+	job := testJob("crashing", testStep(1))
 	h.s.AddJob(job, nil, false)
 	for term := int64(2); term <= 1+briefCrashLimit; term++ {
 		h.wantStarts(h.run(), 1)
-		h.silence(taskID("deadly", 0, 0))
+		h.silence(taskID("crashing", 0, 0))
 		h.store()
 		h.inherit(term, job)
-		h.crash(taskID("deadly", 0, 0))
+		h.crash(taskID("crashing", 0, 0))
 		h.settleWithoutStarts()
 	}
 	h.store()
-	h.wantState("deadly", workload.StateFailed)
+	h.wantState("crashing", workload.StateFailed)
 }
 
 // Guards against owners that each start two copies of a crashing task: they are replaced before any worker returns.
@@ -191,7 +190,7 @@
 	h := newStartedHarness(t, 12)
 	step := testStep(1)
 	step.Copies = true
-	job := testJob("deadly", step)
+	job := testJob("crashing", step)
 	h.s.AddJob(job, nil, false)
 	total := 0
 	for term := int64(2); term <= 5; term++ {
@@ -202,7 +201,7 @@
 				h.accept(o)
 				total++
 			}
-			h.silence(taskID("deadly", 0, 0))
+			h.silence(taskID("crashing", 0, 0))
 			h.store()
 		}
 		h.inherit(term, job)
@@ -230,13 +229,13 @@
 		h := newStartedHarness(t, 4)
 		step := testStep(1)
 		step.Copies = copies
-		h.s.AddJob(testJob("deadly", step), nil, false)
+		h.s.AddJob(testJob("crashing", step), nil, false)
 		h.wantStarts(h.run(), 1)
 		if copies {
-			h.silence(taskID("deadly", 0, 0))
+			h.silence(taskID("crashing", 0, 0))
 			h.advanceClock(silentAfter)
 		} else {
-			h.crash(taskID("deadly", 0, 0))
+			h.crash(taskID("crashing", 0, 0))
 		}
 		h.listIdle()
 		h.s.Plan(h.now)
@@ -253,17 +252,17 @@
 	h := newHarness(t, 1)
 	h.addStarted("w1")
 	h.addStarted("w2")
-	h.s.AddJob(testJob("deadly", testStep(1)), nil, false)
+	h.s.AddJob(testJob("crashing", testStep(1)), nil, false)
 	h.wantStarts(h.run(), 1)
-	task := h.s.jobs["deadly"].steps[0].tasks[0]
+	task := h.s.jobs["crashing"].steps[0].tasks[0]
 	for i := range certainBriefCrashes {
 		crash := workload.Crash{Worker: fmt.Sprint("other", i), StartedMs: 1}
 		h.s.addCrash(task, crash)
 		h.s.explain([]workload.Crash{crash})
 	}
-	h.s.giveUpCrashing(h.now, h.s.jobs["deadly"].steps[0].tasks)
+	h.s.giveUpCrashing(h.now, h.s.jobs["crashing"].steps[0].tasks)
 	h.store()
-	h.wantState("deadly", workload.StateFailed)
+	h.wantState("crashing", workload.StateFailed)
 }
 
 // Guards against services that wait for the leases of a process that no longer exists, under its owner and under the next.
@@ -297,16 +296,16 @@
 	h.s.AddJob(testJob("service", service), nil, false)
 	h.settle()
 	h.s.AddJob(testJob("batch", testStep(6)), nil, false)
-	h.s.AddJob(testJob("deadly", testStep(1)), nil, false)
+	h.s.AddJob(testJob("crashing", testStep(1)), nil, false)
 	for range maxStartsOfCrashingTask {
-		if len(h.orderedFor(h.run(), "deadly")) == 0 {
+		if len(h.orderedFor(h.run(), "crashing")) == 0 {
 			break
 		}
-		h.crash(taskID("deadly", 0, 0))
+		h.crash(taskID("crashing", 0, 0))
 		h.settleWithoutStarts()
 	}
 	h.store()
-	h.wantState("deadly", workload.StateFailed)
+	h.wantState("crashing", workload.StateFailed)
 	h.settle()
 	h.wantState("service", workload.StateRunning)
 	h.wantState("batch", workload.StateRunning)
@@ -354,8 +353,8 @@
 func TestUnansweredStartsCountBesideCertainCrashes(t *testing.T) {
 	for unanswered := range certainBriefCrashes {
 		h := newStartedHarness(t, 4)
-		h.s.AddJob(testJob("deadly", testStep(1)), nil, false)
-		task := h.s.jobs["deadly"].steps[0].tasks[0]
+		h.s.AddJob(testJob("crashing", testStep(1)), nil, false)
+		task := h.s.jobs["crashing"].steps[0].tasks[0]
 		for i := range certainBriefCrashes {
 			orders := starts(h.plan())
 			h.wantStarts(orders, 1)
@@ -369,7 +368,7 @@
 			}
 			h.settleWithoutStarts()
 		}
-		h.wantState("deadly", workload.StateFailed)
+		h.wantState("crashing", workload.StateFailed)
 	}
 }
 
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -74,7 +74,7 @@
 	listedAt         time.Duration // when a report last listed it as running; 0 before the first
 	stopSentAt       time.Duration // when the latest stop order was sent; 0 before the first
 	stoppedInTime    bool          // the worker answered polls when the attempt was first to be stopped
-	crashCounted     bool          // the end of its worker's process was counted; the attempt may outlast it until a report shows this
+	crashCounted     bool          // the end of its worker's process was counted
 	stopResendAfter  time.Duration // delay before the stop order is sent again
 	stopConfirmedAt  time.Duration // when the worker confirmed a stop order; 0 before
 	percent          float64       // progress, or share of full speed for service tasks
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// orderStoredStarts orders the starts of service tasks whose worker is now stored. A start that is no longer allowed, or for which the worker
-// no longer has the capacity, is dropped: the store may have taken seconds.
+// orderStoredStarts orders the starts of service tasks whose worker is now stored. A start that is no longer allowed, or for
+// which the worker no longer has the capacity, is dropped: the store may have taken seconds.
 func (s *Scheduler) orderStoredStarts(now time.Duration, j *job, sp workload.StepProgress) {
 	st := j.step(sp.Occurrence, sp.Step)
 	if st == nil || !st.spec.Service {
@@ -102,7 +102,8 @@
 			Index: t.index, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint, Worker: string(t.storedWorker),
 			Crashes: slices.Clone(t.crashes), SilentOn: slices.Clone(t.silentOn), UncertainCrashes: t.uncertainCrashes,
 		}
-		if tp.Worker != "" || len(tp.Failed) > 0 || tp.Checkpoint != "" || len(tp.Crashes) > 0 || len(tp.SilentOn) > 0 || tp.UncertainCrashes > 0 {
+		if tp.Worker != "" || len(tp.Failed) > 0 || tp.Checkpoint != "" ||
+			len(tp.Crashes) > 0 || len(tp.SilentOn) > 0 || tp.UncertainCrashes > 0 {
 			tp.LastAttempt = t.lastAttempt
 			sp.Tasks = append(sp.Tasks, tp)
 		}
@@ -188,8 +189,8 @@
 		return false
 	}
 	return slices.EqualFunc(a.Tasks, b.Tasks, func(a, b workload.TaskProgress) bool {
-		return a.Index == b.Index && a.UncertainCrashes == b.UncertainCrashes && a.LastAttempt == b.LastAttempt && a.Worker == b.Worker && a.Checkpoint == b.Checkpoint &&
-			slices.Equal(a.Failed, b.Failed) && slices.Equal(a.Crashes, b.Crashes) &&
-			slices.Equal(a.SilentOn, b.SilentOn)
+		return a.Index == b.Index && a.LastAttempt == b.LastAttempt && a.Worker == b.Worker && a.Checkpoint == b.Checkpoint &&
+			a.UncertainCrashes == b.UncertainCrashes && slices.Equal(a.Failed, b.Failed) &&
+			slices.Equal(a.Crashes, b.Crashes) && slices.Equal(a.SilentOn, b.SilentOn)
 	})
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -28,11 +28,11 @@
 	takeoverAt          time.Duration     // when the takeover began
 	knownWorkersChanged bool              // the set of known workers has changed since it was last stored
 	interference        *interference
-	dirty               map[*job]struct{}       // jobs whose progress has changed since it was stored
-	earlyCancels        map[workload.JobID]Time // cancellations of jobs that have not been added yet, by arrival
-	suspects            map[*task]struct{}      // tasks with crashes on record
-	silentOn            map[WorkerID][]*task    // by worker, the tasks whose silentOn names it
-	vanished            map[WorkerID]vanishedWorker
+	dirty               map[*job]struct{}           // jobs whose progress has changed since it was stored
+	earlyCancels        map[workload.JobID]Time     // cancellations of jobs that have not been added yet, by arrival
+	suspects            map[*task]struct{}          // tasks with crashes on record
+	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
+	vanished            map[WorkerID]vanishedWorker // removed while they did not report
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
