Write log lines as a whole or not at all

An owner's log had torn and joined lines ("occurren{"time":...), lost lines and no word of it. Cause: AsyncWriter ignored the result of a write. When the pipe was full and took only a part, the rest of the batch was lost and the next batch followed in the middle of a line. The announcement of dropped lines was written by hand without time and host, at the end of a batch, and so was the first to be lost. Close waited without bound for a stalled reader.

511 torn lines of 47,537, 506 of them of the owner. In it a line also continues after lines of other hosts, so the reader splits long writes as well; whether writes of whole lines are enough there is not shown yet.

--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -67,5 +67,6 @@
 	SchedulerStop    = define(7111, "scheduler_stop", log.InfoLevel, "The scheduling process is stopping. `cause` states why.")
 	SchedulerReload  = define(7112, "scheduler_reload", log.InfoLevel, "The settings file was reloaded after SIGHUP.")
 	ReadinessChanged = define(7113, "readiness_changed", log.InfoLevel, "The entry host has started or stopped accepting new requests.")
-	LogLinesDropped  = define(7114, "log_lines_dropped", log.WarnLevel, "The log could not be written fast enough; `lines` is the number of dropped lines.")
+	LogLinesDropped  = define(7114, "log_lines_dropped", log.WarnLevel, "The log could not be written fast enough; `lines` is the number of lines that are missing before this one. Lines about single tasks, jobs and requests are dropped first.")
+	LogWriteShort    = define(7115, "log_write_short", log.WarnLevel, "The reader of the log took only a part of a write; the rest follows later and no line is torn. `writes` is the number of such writes since the last event, which is logged at most every 10 s.")
 )
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -32,18 +32,46 @@
 	return code
 }
 
+// essentialEvents are the events below the level of warnings that are needed to follow a process as a whole. They are
+// rare.
+var essentialEvents = map[Code]bool{
+	SchedulerStart: true, SchedulerStop: true, SchedulerReload: true, ReadinessChanged: true, PartitionStatus: true,
+	TermAcquired: true, TermReleased: true, TermConfirmed: true, PartitionLoaded: true, TakeoverComplete: true,
+	ProgressStored: true, MirrorRecovered: true, RelayOpened: true, RelayReplaced: true, OwnerHandedOver: true,
+	OwnerStopped: true, ConfigurationInUse: true, DatacentresOutOfService: true,
+}
+
+// essential reports whether lines of the event are kept when others are dropped.
+func (d Definition) essential() bool { return d.Level >= log.WarnLevel || essentialEvents[d.Code] }
+
+// essentialWriter is implemented by writers that may drop lines, and then drop essential lines last.
+type essentialWriter interface {
+	WriteEssential(line []byte) (int, error)
+}
+
+// writeEssential adapts an essentialWriter to io.Writer.
+type writeEssential struct{ essentialWriter }
+
+func (w writeEssential) Write(line []byte) (int, error) { return w.WriteEssential(line) }
+
 // Logger writes the events of one process.
 type Logger struct {
-	log log.Logger
+	ordinary  log.Logger
+	essential log.Logger
 }
 
 // NewLogger returns a logger that writes JSON lines to w and drops events below level.
 func NewLogger(w io.Writer, level log.Level, host string) *Logger {
-	return &Logger{log: log.Logger{
+	l := &Logger{ordinary: log.Logger{
 		Level:   level,
 		Writer:  log.IOWriter{Writer: w},
 		Context: log.NewContext(nil).Str("host", host).Value(),
 	}}
+	l.essential = l.ordinary
+	if w, ok := w.(essentialWriter); ok {
+		l.essential.Writer = log.IOWriter{Writer: writeEssential{w}}
+	}
+	return l
 }
 
 // Discard returns a logger that writes nothing.
@@ -52,7 +80,11 @@
 // Event starts a log entry for code. The caller adds fields and writes the entry with Msg.
 func (l *Logger) Event(code Code) *log.Entry {
 	def := catalogue[code]
-	return l.log.WithLevel(def.Level).Int("event", int(code)).Str("name", def.Name)
+	logger := &l.ordinary
+	if def.essential() {
+		logger = &l.essential
+	}
+	return logger.WithLevel(def.Level).Int("event", int(code)).Str("name", def.Name)
 }
 
 // CallPanicked logs that the handler of a call from another entry host has panicked. It is called while the panic is
