Outlive the reader of standard output

When the reader of an entry host's standard output ended, the next log line killed the host: Go ends a process with SIGPIPE when a write to a broken pipe on standard output fails. The writer of the log now ignores the signal, so that the write fails with an error and the host goes on; its lines are dropped and counted.

TestEndOfTheReaderDoesNotEndTheProcess failed before with "signal: broken pipe".

--- a/pkg/eventlog/async.go
+++ b/pkg/eventlog/async.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -58,8 +60,10 @@
 	unannounced int        // lines dropped since the last announcement
 }
 
-// NewAsyncWriter returns a writer of whole lines to cfg.Out. Close stops it.
+// NewAsyncWriter returns a writer of whole lines to cfg.Out. Close stops it. From then on the process ignores SIGPIPE, so
+// that it outlives a reader of its standard output that has ended.
 func NewAsyncWriter(cfg AsyncConfig) *AsyncWriter {
+	signal.Ignore(syscall.SIGPIPE)
 	w := &AsyncWriter{
 		out: cfg.Out, limit: cfg.Limit,
 		wake: make(chan struct{}, 1), stopped: make(chan struct{}), done: make(chan struct{}),
--- a/pkg/eventlog/async_test.go
+++ b/pkg/eventlog/async_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"syscall"
@@ -174,6 +175,37 @@
 	checkComplete(t, parseLines(t, <-text), n)
 }
 
+// Guards against a reader of standard output whose end takes the process down: by default a Go process is killed by SIGPIPE
+// when it writes to a broken pipe on standard output.
+func TestEndOfTheReaderDoesNotEndTheProcess(t *testing.T) {
+	const child = "EVENTLOG_TEST_BROKEN_PIPE"
+	if os.Getenv(child) != "" {
+		w, logger := newTestWriter(os.Stdout, tally.NoopScope)
+		for n := range 5 {
+			logNumbered(logger, 100*n, 100)
+			time.Sleep(2 * flushInterval)
+		}
+		w.Close()
+		os.Exit(0)
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := reader.Close(); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "-test.run", "^"+t.Name()+"$")
+	cmd.Env = append(os.Environ(), child+"=1")
+	cmd.Stdout = writer
+	if err := cmd.Run(); err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+	if err := writer.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // fdWriter writes to a file descriptor without waiting for it.
 type fdWriter int
 
