Measure where reports, orders and restarts of services wait

Services of a large deployment start again about 11 s late, and neither log nor metrics told whether their reports waited in a relay, at the owner, for the store or in the order of waiting work.

A relay now says when it received each report, how long each order took and how many reports a collection left behind (new fields of the results; a relay of another version leaves them 0, which counts as no wait). The owner adds up, in plain numbers under Owner.mu, the age of reports when they are applied (since the poll and since the relay had them), the wait in the relay and at the owner, the wait for and the holding of Owner.mu, planning runs, orders (before they are sent, at the relay, in all) and its processor time, and publishes them every 2 s in the status line and in the metrics. The scheduler adds up, for services that run again, the time to the decision, to the order (the worker is stored first) and to the answer, and knows the longest wait of a service that ran before. task_end has the age of the report, task_start of a task that ran before has the whole wait (waited) and its part after the decision (stored).

Nothing that is decided changes.

--- a/core/schedule/event.go
+++ b/core/schedule/event.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "fulmarcourse.example/core/workload"
+import (
+	"time"
+
+	"fulmarcourse.example/core/workload"
+)
 
 // EventKind is the kind of a scheduling decision or state change.
 type EventKind uint8
@@ -30,8 +34,11 @@
 	Job     workload.JobID
 	Task    workload.TaskID
 	Attempt int64
-	Reason  string  // how an attempt or job ended, or why an attempt was moved or throttled
-	Value   float64 // quantity behind the decision; the unit depends on Kind: percent, seconds or a count
+	Reason  string        // how an attempt or job ended, or why an attempt was moved or throttled
+	Value   float64       // quantity behind the decision; the unit depends on Kind: percent, seconds or a count
+	Age     time.Duration // EventTaskEnded: since the relay has received the report with the end
+	Waited  time.Duration // EventTaskStarted: since the end of the task's former attempt was known; 0 if none has run
+	Stored  time.Duration // EventTaskStarted: the part of the wait after the decision to start the task
 }
 
 // event returns an event about an attempt.
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -50,7 +50,8 @@
 	storedSilentOn   int                // number of entries of silentOn that are stored
 	rate             float64            // rate of the attempt that completed the task; 0 if unknown
 	attempts         []*attempt
-	failedOn         []WorkerID // workers on which it failed
+	failedOn         []WorkerID    // workers on which it failed
+	endedAt          time.Duration // when the end of its last attempt became known; 0 if none has run, or one runs
 }
 
 // phase is the state of an attempt.
@@ -86,6 +87,7 @@
 	percentChangedAt time.Duration // when percent last changed
 	metric           float64       // tail latency in ms for a service task, else thousandths of a core in use
 	startedAt        time.Duration // when the start was decided or the attempt was adopted
+	orderedAt        time.Duration // when the start was ordered; 0 before, and if it was adopted
 	share            int           // share that a filler should have, in percent of full speed
 	overTargetSince  time.Duration // since when a service has been over its target; 0 when it is not
 	slowSince        time.Duration // since when the share of a filler has been at most slowShare; 0 when it is higher
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -38,6 +38,8 @@
 	Input      string // OrderStart only
 	Checkpoint string // OrderStart only; empty to start from the beginning
 	Percent    int    // OrderPace only, 0 to 100
+
+	DecidedAt time.Duration // boot clock of the owner, set by the caller and not sent; for measurements only
 }
 
 // order returns an order about an attempt.
@@ -68,6 +70,7 @@
 
 // OrderAnswered records the outcome of an order. It returns false when the worker has seen a later owner.
 func (s *Scheduler) OrderAnswered(now Time, o Order, outcome Outcome) bool {
+	s.calledAt = now.Boot
 	w, known := s.workers[o.Worker]
 	if !known {
 		return outcome != RejectedFenced
@@ -143,6 +146,7 @@
 	if a.confirmedAt == 0 {
 		a.confirmedAt = now
 		a.percentChangedAt = now
+		s.recordConfirmation(now, a)
 	}
 	j := a.task.step.job
 	if j.state == workload.StatePending {
@@ -164,6 +168,7 @@
 		}
 		t.attempts = append(t.attempts[:i], t.attempts[i+1:]...)
 		t.step.job.attempts--
+		s.recordEnd(a)
 		if t.pending() {
 			t.step.pending++
 		}
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -14,6 +14,7 @@
 // Plan stops attempts that have to leave their worker and starts the tasks that can start now. TakeOrders returns the
 // resulting orders.
 func (s *Scheduler) Plan(now Time) {
+	s.calledAt = now.Boot
 	s.expireEarlyCancels(now)
 	s.repeatStops(now)
 	s.moveFromDraining(now)
@@ -136,13 +137,18 @@
 		s.markDirty(t.step.job)
 		return
 	}
-	s.orderStart(a)
+	s.orderStart(now, a)
 }
 
 // orderStart issues the start order of an attempt.
-func (s *Scheduler) orderStart(a *attempt) {
+func (s *Scheduler) orderStart(now time.Duration, a *attempt) {
+	a.orderedAt = now
 	order := a.order(OrderStart)
 	order.Input, order.Checkpoint = a.task.step.job.rec.Input, a.task.checkpoint
 	s.orders = append(s.orders, order)
-	s.emit(a.event(EventTaskStarted))
+	event := a.event(EventTaskStarted)
+	if a.task.endedAt > 0 {
+		event.Waited, event.Stored = now-a.task.endedAt, now-a.startedAt
+	}
+	s.emit(event)
 }
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -25,6 +25,7 @@
 // MarkStored records that r was stored, and orders the starts of service tasks that waited for this. The job stays
 // marked as changed if its progress has changed since r was made.
 func (s *Scheduler) MarkStored(now Time, r Record) {
+	s.calledAt = now.Boot
 	j, known := s.jobs[r.Job]
 	if !known {
 		return
@@ -67,7 +68,7 @@
 				continue
 			}
 			a.phase = starting
-			s.orderStart(a)
+			s.orderStart(now, a)
 		}
 	}
 }
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -42,6 +42,7 @@
 type Report struct {
 	Incarnation int64         // start of the worker process, Unix milliseconds; 0 when not reported
 	SentAt      time.Duration // when the poll was sent, boot clock of the owner
+	ReceivedAt  time.Duration // when the report was received from the worker, boot clock of the owner; for measurements only
 	Running     []Running
 	Ended       []Ended
 }
@@ -55,6 +56,7 @@
 // Report applies a worker's report of what it runs and what has ended there. It returns the number of the latest end
 // that was applied, which may be acknowledged once the progress is stored.
 func (s *Scheduler) Report(now Time, id WorkerID, report Report) (lastEnd int64) {
+	s.calledAt = now.Boot
 	w, known := s.workers[id]
 	if !known {
 		return 0
@@ -174,18 +176,19 @@
 		}
 		w.lastEnd = end.Number
 		w.removeOrphan(attemptKey{end.Task, end.Attempt})
-		s.applyEnd(now, w, end)
+		s.applyEnd(now, w, end, now.Boot-report.ReceivedAt)
 	}
 }
 
-// applyEnd applies one end. Ends that a former owner has already stored are recognised by their attempt number.
-func (s *Scheduler) applyEnd(now Time, w *worker, end Ended) {
+// applyEnd applies one end, of which a report of the given age tells. Ends that a former owner has already stored are
+// recognised by their attempt number.
+func (s *Scheduler) applyEnd(now Time, w *worker, end Ended, age time.Duration) {
 	t := s.task(end.Task)
 	if t == nil {
 		return
 	}
 	a := w.attempts[attemptKey{end.Task, end.Attempt}]
-	s.emit(Event{Kind: EventTaskEnded, Worker: w.info.ID, Task: end.Task, Attempt: end.Attempt, Reason: string(end.Kind)})
+	s.emit(Event{Kind: EventTaskEnded, Worker: w.info.ID, Task: end.Task, Attempt: end.Attempt, Reason: string(end.Kind), Age: age})
 	t.lastAttempt = max(t.lastAttempt, end.Attempt)
 	if end.Checkpoint != "" && (a != nil || len(t.attempts) == 0) && t.checkpoint != end.Checkpoint {
 		t.checkpoint = end.Checkpoint
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -22,6 +22,8 @@
 	compareSteps        func(now Time, a, b *step) int // order in which steps get capacity
 	stopping            map[*attempt]struct{}          // attempts that have to end
 	scannedAt           time.Duration                  // when all attempts were last scanned for moves and copies
+	calledAt            time.Duration                  // time of the latest call that may end attempts
+	restarts            Restarts                       // since the last call of TakeRestarts
 	orders              []Order                        // issued since the last call of TakeOrders
 	events              []Event
 	awaitingReport      map[WorkerID]bool // workers that a former owner may have used and that have not reported yet
@@ -190,6 +192,7 @@
 
 // SetWorkers replaces the platform's list of workers. It is also called with an unchanged list that is known to be current.
 func (s *Scheduler) SetWorkers(now Time, infos []WorkerInfo) {
+	s.calledAt = now.Boot
 	s.listReadAt = now.Boot
 	latest := latestByAddress(infos)
 	s.removeSuperseded(now, latest)
@@ -287,6 +290,7 @@
 // have left. confirmed states that the store has confirmed the ownership up to now. Without it nothing expires: a later
 // owner may have extended the leases of workers that this one does not reach.
 func (s *Scheduler) Expire(now Time, confirmed bool) {
+	s.calledAt = now.Boot
 	if !confirmed {
 		return
 	}
@@ -352,11 +356,12 @@
 	FillerDemand, FillerUse   int64
 	ServicesOverTarget        int // services above their tail latency target
 	FillersThrottled          int
+	LongestServiceWait        time.Duration // of the pending service tasks that ran before
 }
 
 // Counts returns the totals.
 func (s *Scheduler) Counts(now Time) Counts {
-	c := Counts{Jobs: len(s.jobs), Workers: len(s.workers)}
+	c := Counts{Jobs: len(s.jobs), Workers: len(s.workers), LongestServiceWait: s.longestServiceWait(now.Boot)}
 	for _, w := range s.sortedWorkers {
 		if w.available(now.Boot) {
 			c.Available++
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -112,6 +112,7 @@
 	now := bootclock.Uptime()
 	for _, order := range l.orders {
 		l.inFlight[keyOf(order)] = inFlight{order, now + orderLostAfter}
+		o.measures.orderQueue.Add(now - order.DecidedAt)
 	}
 	ok = l.reset || len(u.Assign) > 0 || len(u.Release) > 0 || len(u.Stored) > 0 || len(u.Orders) > 0
 	l.reset, l.orders = false, nil
@@ -174,7 +175,7 @@
 			pause.For(ctx, relayRetryDelay)
 			continue
 		}
-		l.applyResults(sent, results)
+		l.applyResults(sent, bootclock.Uptime(), results)
 	}
 }
 
@@ -215,8 +216,9 @@
 	o.wake(l.wake)
 }
 
-// applyResults passes results to the scheduler. sent is the boot time at which they were requested.
-func (l *link) applyResults(sent time.Duration, results relay.Results) {
+// applyResults passes results to the scheduler. sent is the boot time at which they were requested, arrived that of their
+// arrival.
+func (l *link) applyResults(sent, arrived time.Duration, results relay.Results) {
 	o := l.owner
 	if results.Fenced {
 		o.ownership.MarkLost("a worker has accepted a later owner")
@@ -224,6 +226,7 @@
 	}
 	o.updateAndPlan(func(s *schedule.Scheduler, now schedule.Time) {
 		l.relayClock, l.relayClockReadAt, l.lastResponseAt = results.Now, now.Boot, now.Boot
+		o.measures.recordResults(now.Boot, arrived, results)
 		for _, outcome := range results.Outcomes {
 			l.applyOutcome(s, now, outcome)
 		}
@@ -231,6 +234,7 @@
 			// The relay read its clock after this request was sent, so the converted time is not later than the actual
 			// time of the poll.
 			report.Report.SentAt = sent - (results.Now - report.Report.SentAt)
+			report.Report.ReceivedAt = sent - relayWait(results, report.Report)
 			l.applyReport(s, now, report)
 		}
 		l.expireOrders(s, now)
@@ -239,9 +243,11 @@
 
 func (l *link) applyOutcome(s *schedule.Scheduler, now schedule.Time, outcome relay.OrderOutcome) {
 	key := keyOf(outcome.Order)
-	if _, found := l.inFlight[key]; !found {
+	entry, found := l.inFlight[key]
+	if !found {
 		return // already recorded as unanswered
 	}
+	l.owner.measures.recordOutcome(now.Boot, entry, outcome)
 	delete(l.inFlight, key)
 	l.owner.logOutcome(outcome.Order, outcome.Outcome, outcome.Reason)
 	if !s.OrderAnswered(now, outcome.Order, outcome.Outcome) {
@@ -267,6 +273,7 @@
 		delete(o.unreachable, id)
 		o.cfg.Log.Event(eventlog.WorkerReachable).Str("worker", string(id)).Msg("")
 	}
+	o.measures.recordReport(now.Boot, report.Report)
 	applied := s.Report(now, id, report.Report)
 	ends := o.ends[id]
 	if ends.incarnation != report.Report.Incarnation {
@@ -285,6 +292,7 @@
 	for key, entry := range l.inFlight {
 		if now.Boot >= entry.deadline {
 			delete(l.inFlight, key)
+			l.owner.measures.orderAge.Add(clampAge(now.Boot - entry.order.DecidedAt))
 			s.OrderAnswered(now, entry.order, schedule.Unanswered)
 		}
 	}
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -136,6 +136,7 @@
 func (o *Owner) queueOrders(now schedule.Time) {
 	for _, order := range o.scheduler.TakeOrders() {
 		if l, assigned := o.linkOf[order.Worker]; assigned {
+			order.DecidedAt = now.Boot
 			l.orders = append(l.orders, order)
 			o.wake(l.wake)
 			continue
--- a/pkg/dispatch/log.go
+++ b/pkg/dispatch/log.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"fulmarcourse.example/core/schedule"
-	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/pause"
 )
@@ -58,6 +57,12 @@
 	if e.Value != 0 {
 		entry = entry.Float64("value", e.Value)
 	}
+	if e.Age > 0 {
+		entry = entry.Int64("age", ms(clampAge(e.Age)))
+	}
+	if e.Waited > 0 {
+		entry = entry.Int64("waited", ms(e.Waited)).Int64("stored", ms(e.Stored))
+	}
 	entry.Msg("")
 }
 
@@ -66,17 +71,12 @@
 
 // logStatus logs the totals of the partition periodically until ctx ends.
 func (o *Owner) logStatus(ctx context.Context) {
+	o.statusClock.next()
+	defer o.metrics.status.publish(&status{}) // the gauges of an owner that has ended
 	for ctx.Err() == nil {
 		pause.For(ctx, statusInterval)
-		o.mu.Lock()
-		c := o.scheduler.Counts(bootclock.Now())
-		o.mu.Unlock()
-		o.cfg.Log.Event(eventlog.PartitionStatus).Int64("term", o.ownership.Term).
-			Int("jobs", c.Jobs).Int("workers", c.Workers).Int("available", c.Available).
-			Int("services", c.Services).Int("fillers", c.Fillers).Int("others", c.Others).
-			Int("waiting", c.Pending).Int("waiting_fillers", c.PendingFillers).
-			Int64("capacity", c.Capacity).Int64("reserved", c.Reserved).
-			Int64("filler_demand", c.FillerDemand).Int64("filler_use", c.FillerUse).
-			Int("services_over", c.ServicesOverTarget).Int("fillers_slowed", c.FillersThrottled).Msg("")
+		s := o.takeStatus()
+		o.metrics.status.publish(&s)
+		s.log(o.cfg.Log, o.ownership.Term)
 	}
 }
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -66,6 +66,8 @@
 	assignWake chan struct{} // capacity 1
 	metrics    ownerMetrics
 
+	statusClock statusClock // used by logStatus only
+
 	mu                   sync.Mutex // guards the fields below
 	scheduler            *schedule.Scheduler
 	links                map[string]*link // by host name
@@ -77,6 +79,7 @@
 	knownWorkersRevision int64                    // store revision of the known workers
 	loaded               bool
 	takenOver            bool // the completed takeover has been logged
+	measures             measures
 	linkWG               sync.WaitGroup
 }
 
@@ -91,6 +94,7 @@
 	orders, ends, stores tally.Counter
 	crashes, crashedRuns tally.Counter // processes of workers that have ended, and the attempts that they ran
 	storeTime            tally.Histogram
+	status               statusMetrics
 }
 
 // NewOwner returns the owner of an acquired partition. Run starts it.
@@ -109,6 +113,7 @@
 			crashes:     cfg.Scope.Counter("worker_crashes"),
 			crashedRuns: cfg.Scope.Counter("attempts_crashed"),
 			storeTime:   cfg.Scope.Histogram("progress_write_seconds", storeBuckets),
+			status:      newStatusMetrics(cfg.Scope),
 		},
 		scheduler: schedule.NewScheduler(schedule.Config{
 			Term: ownership.Term, TaskLease: cfg.TaskLease, MaxTaskLease: cfg.MaxTaskLease, StopTime: cfg.StopTime,
@@ -173,12 +178,17 @@
 
 // apply runs f on the scheduler, queues the resulting orders and returns the resulting events.
 func (o *Owner) apply(f func(s *schedule.Scheduler, now schedule.Time)) []schedule.Event {
+	called := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	locked := time.Now()
+	o.measures.lockWait.Add(locked.Sub(called))
 	now := bootclock.Now()
 	f(o.scheduler, now)
 	o.queueOrders(now)
-	return o.scheduler.TakeEvents()
+	events := o.scheduler.TakeEvents()
+	o.measures.lockHeld.Add(time.Since(locked))
+	return events
 }
 
 // updateAndPlan runs f on the scheduler and then triggers planning and saving.
@@ -219,7 +229,9 @@
 			return
 		}
 		s.Expire(now, now.Boot < o.ownership.ValidUntil())
+		started := time.Now()
 		s.Plan(now)
+		o.measures.plan.Add(time.Since(started))
 		if !o.takenOver && s.TakeoverComplete() {
 			o.takenOver = true
 			o.cfg.Log.Event(eventlog.TakeoverComplete).Int64("term", o.ownership.Term).Msg("")
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -93,18 +93,21 @@
 	Reports  []WorkerReport
 	Outcomes []OrderOutcome
 	Fenced   bool // a worker has accepted a later owner
+
+	Uncollected int // number of reports that did not fit into these results
 }
 
 // WorkerReport is the result of one poll.
 type WorkerReport struct {
 	Worker schedule.WorkerID
 	Failed string          // reason why the poll failed; empty if it succeeded
-	Report schedule.Report // SentAt is on the relay's boot clock
+	Report schedule.Report // SentAt and ReceivedAt are on the relay's boot clock; ReceivedAt is also set if the poll failed
 }
 
 // OrderOutcome is the outcome of one order as far as it is known.
 type OrderOutcome struct {
 	Order   schedule.Order // Kind, Worker, Task, Attempt and Percent only
 	Outcome schedule.Outcome
-	Reason  string // empty if the order was accepted
+	Reason  string        // empty if the order was accepted
+	Took    time.Duration // from the arrival of the order at the relay to its outcome
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
@@ -31,11 +32,17 @@
 type Config struct {
 	Workers   Workers
 	TaskLease time.Duration // duration by which a poll extends the task leases of a worker
+	Scope     tally.Scope
 }
 
+// reportWaitBuckets are the histogram buckets for the time for which reports wait in a relay, from 4 ms to about 16 s.
+var reportWaitBuckets = tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 13)
+
 // Relay serves one owner at a time, the one with the highest term.
 type Relay struct {
-	cfg Config
+	cfg         Config
+	reportWait  tally.Histogram // of the oldest report at each Collect
+	uncollected tally.Gauge     // number of reports left behind by the latest Collect
 
 	mu         sync.Mutex // guards the fields below
 	term       int64
@@ -54,7 +61,9 @@
 // New returns a relay without an owner.
 func New(cfg Config) *Relay {
 	return &Relay{
-		cfg: cfg, sessions: map[schedule.WorkerID]*session{}, ready: make(chan struct{}, 1),
+		cfg: cfg, reportWait: cfg.Scope.Histogram("relay_report_wait_seconds", reportWaitBuckets),
+		uncollected: cfg.Scope.Gauge("relay_reports_uncollected"),
+		sessions:    map[schedule.WorkerID]*session{}, ready: make(chan struct{}, 1),
 		stop: func() {}, sessionCtx: context.Background(),
 	}
 }
@@ -213,6 +222,11 @@
 		r.signal()
 	}
 	out.Now = bootclock.Uptime()
+	out.Uncollected = len(r.results.Reports)
+	r.uncollected.Update(float64(out.Uncollected))
+	if len(out.Reports) > 0 {
+		r.reportWait.RecordDuration(out.Now - out.Reports[0].Report.ReceivedAt)
+	}
 	return out
 }
 
@@ -231,6 +245,7 @@
 	if term != r.term {
 		return
 	}
+	report.Report.ReceivedAt = bootclock.Uptime()
 	r.results.Reports = append(r.results.Reports, report)
 	if report.urgent() {
 		r.signal()
@@ -268,6 +283,7 @@
 
 // send sends an order to its worker and records the outcome.
 func (r *Relay) send(term int64, order schedule.Order) {
+	arrived := bootclock.Uptime()
 	command := Command{Order: order, Fence: term}
 	outcome, err := schedule.NotRun, errors.New("no task lease can be granted")
 	if r.prepareCommand(term, &command) {
@@ -275,7 +291,7 @@
 		outcome, err = r.cfg.Workers.Send(ctx, command)
 		cancel()
 	}
-	result := OrderOutcome{Order: order, Outcome: outcome}
+	result := OrderOutcome{Order: order, Outcome: outcome, Took: bootclock.Uptime() - arrived}
 	result.Order.Input, result.Order.Checkpoint, result.Order.Address = "", "", ""
 	if err != nil {
 		result.Reason = err.Error()
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
@@ -48,7 +49,7 @@
 }
 
 func startRelay(t *testing.T, f *fakeWorkers) *Relay {
-	r := New(Config{Workers: f, TaskLease: 6 * time.Second})
+	r := New(Config{Workers: f, TaskLease: 6 * time.Second, Scope: tally.NoopScope})
 	t.Cleanup(r.Close)
 	return r
 }
@@ -247,3 +248,31 @@
 		t.Error("an end waits for further reports")
 	}
 }
+
+// Guards against reports whose wait in the relay cannot be told: neither the time of their receipt nor the number of those
+// that one Collect leaves behind.
+func TestResultsTellWhatWaitsInTheRelay(t *testing.T) {
+	f := &fakeWorkers{reply: func(int, PollRequest) (PollReply, error) { return PollReply{}, errors.New("no answer") }}
+	r := startRelay(t, f)
+	if err := r.Update(Update{Term: 1, Reset: true, Assign: []Assignment{{Worker: schedule.WorkerInfo{ID: "w"}}}}); err != nil {
+		t.Fatal(err)
+	}
+	before := bootclock.Uptime()
+	for range maxReports + 30 {
+		r.addReport(1, WorkerReport{Worker: "other"})
+	}
+	r.send(1, schedule.Order{Kind: schedule.OrderStop, Worker: "w"})
+	results, err := r.Collect(context.Background(), 1, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if results.Uncollected < 30 {
+		t.Errorf("%d reports left behind, want 30", results.Uncollected)
+	}
+	if at := results.Reports[0].Report.ReceivedAt; at < before-time.Second || at > results.Now {
+		t.Errorf("received at %v, collected at %v", at, results.Now)
+	}
+	if took := results.Outcomes[0].Took; took < 0 || took > orderTimeout {
+		t.Errorf("an order that is answered at once took %v", took)
+	}
+}
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -83,13 +83,16 @@
 	if err != nil {
 		return nil, toStatus(err)
 	}
-	reply := &ownerpb.CollectReply{NowNs: int64(results.Now), Fenced: results.Fenced}
+	reply := &ownerpb.CollectReply{
+		NowNs: int64(results.Now), Fenced: results.Fenced, Uncollected: int64(results.Uncollected),
+	}
 	for _, report := range results.Reports {
 		reply.Reports = append(reply.Reports, toReport(report))
 	}
 	for _, outcome := range results.Outcomes {
 		reply.Outcomes = append(reply.Outcomes, &ownerpb.OrderOutcome{
 			Order: toOrder(outcome.Order), Outcome: int32(outcome.Outcome), Reason: outcome.Reason,
+			TookNs: int64(outcome.Took),
 		})
 	}
 	return reply, nil
@@ -174,13 +177,16 @@
 }
 
 func fromCollectReply(reply *ownerpb.CollectReply) relay.Results {
-	results := relay.Results{Now: time.Duration(reply.NowNs), Fenced: reply.Fenced}
+	results := relay.Results{
+		Now: time.Duration(reply.NowNs), Fenced: reply.Fenced, Uncollected: int(reply.Uncollected),
+	}
 	for _, report := range reply.Reports {
 		results.Reports = append(results.Reports, fromReport(report))
 	}
 	for _, outcome := range reply.Outcomes {
 		results.Outcomes = append(results.Outcomes, relay.OrderOutcome{
 			Order: fromOrder(outcome.Order), Outcome: schedule.Outcome(outcome.Outcome), Reason: outcome.Reason,
+			Took: time.Duration(outcome.TookNs),
 		})
 	}
 	return results
@@ -216,6 +222,7 @@
 func toReport(r relay.WorkerReport) *ownerpb.WorkerReport {
 	out := &ownerpb.WorkerReport{
 		Worker: string(r.Worker), Failed: r.Failed, SentAtNs: int64(r.Report.SentAt), Incarnation: r.Report.Incarnation,
+		ReceivedAtNs: int64(r.Report.ReceivedAt),
 	}
 	for _, row := range r.Report.Running {
 		out.Running = append(out.Running, &ownerpb.Running{
@@ -232,7 +239,7 @@
 
 func fromReport(r *ownerpb.WorkerReport) relay.WorkerReport {
 	out := relay.WorkerReport{Worker: schedule.WorkerID(r.Worker), Failed: r.Failed, Report: schedule.Report{
-		SentAt: time.Duration(r.SentAtNs), Incarnation: r.Incarnation,
+		SentAt: time.Duration(r.SentAtNs), ReceivedAt: time.Duration(r.ReceivedAtNs), Incarnation: r.Incarnation,
 	}}
 	for _, row := range r.Running {
 		out.Report.Running = append(out.Report.Running, schedule.Running{
--- a/pkg/relay/relaygrpc/relaygrpc_test.go
+++ b/pkg/relay/relaygrpc/relaygrpc_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
@@ -20,7 +21,7 @@
 
 // newServer returns a server for the relay of partition 0.
 func newServer() (*Server, *relay.Relay) {
-	r := relay.New(relay.Config{Workers: noWorkers{}, TaskLease: time.Second})
+	r := relay.New(relay.Config{Workers: noWorkers{}, TaskLease: time.Second, Scope: tally.NoopScope})
 	return NewServer(func(partition int) *relay.Relay {
 		if partition != 0 {
 			return nil
@@ -99,3 +100,17 @@
 		s.MarkStored(now, record)
 	}
 }
+
+// Guards against measurements that are lost between relay and owner.
+func TestMeasurementsReachTheOwner(t *testing.T) {
+	report := toReport(relay.WorkerReport{Worker: "w", Report: schedule.Report{SentAt: 1, ReceivedAt: 2}})
+	results := fromCollectReply(&ownerpb.CollectReply{
+		Reports: []*ownerpb.WorkerReport{report}, Outcomes: []*ownerpb.OrderOutcome{{TookNs: 3}}, Uncollected: 4,
+	})
+	if at := results.Reports[0].Report; at.SentAt != 1 || at.ReceivedAt != 2 {
+		t.Errorf("sent at %d, received at %d", at.SentAt, at.ReceivedAt)
+	}
+	if results.Outcomes[0].Took != 3 || results.Uncollected != 4 {
+		t.Errorf("took %d, %d uncollected", results.Outcomes[0].Took, results.Uncollected)
+	}
+}
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -92,7 +92,7 @@
 		Cores: cfg.Cores, LinkMbps: cfg.LinkMbps,
 	}})
 	for range cfg.Partitions {
-		n.relays = append(n.relays, relay.New(relay.Config{Workers: cfg.Workers, TaskLease: cfg.TaskLease}))
+		n.relays = append(n.relays, relay.New(relay.Config{Workers: cfg.Workers, TaskLease: cfg.TaskLease, Scope: cfg.Scope}))
 	}
 	n.mirror = mirror.New(mirror.Config{
 		Store: cfg.Store, Prefix: statekeys.Owners, Wait: viewWatchWait, Retry: viewRetryDelay, Log: cfg.Log,
