Warn when the owner decides on outdated reports

Nothing told an operator that an owner at its processor limit, or with reports that wait in relays, decides on an old view of the workers. The owner now logs owner_behind once when more than 5 % of the reports of an interval were older than 1 s when it applied them, counted from their receipt by the relays, and owner_caught_up when 95 % are younger than 0.3 s again. Both have the figures of the status line that tell where the reports waited. An interval without reports changes nothing.

--- a/pkg/dispatch/log.go
+++ b/pkg/dispatch/log.go
@@ -72,11 +72,13 @@
 // logStatus logs the totals of the partition periodically until ctx ends.
 func (o *Owner) logStatus(ctx context.Context) {
 	o.statusClock.next()
+	var late lateness
 	defer o.metrics.status.publish(&status{}) // the gauges of an owner that has ended
 	for ctx.Err() == nil {
 		pause.For(ctx, statusInterval)
 		s := o.takeStatus()
 		o.metrics.status.publish(&s)
 		s.log(o.cfg.Log, o.ownership.Term)
+		late.update(time.Now(), &s, o.cfg.Log, o.ownership.Term)
 	}
 }
--- a/pkg/dispatch/measures.go
+++ b/pkg/dispatch/measures.go
@@ -4,6 +4,7 @@
 	"syscall"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
 	"fulmarcourse.example/core/schedule"
@@ -141,21 +142,13 @@
 // log writes the status line. Durations are in milliseconds.
 func (s *status) log(l *eventlog.Logger, term int64) {
 	c := s.counts
-	l.Event(eventlog.PartitionStatus).Int64("term", term).
+	s.logAges(l, eventlog.PartitionStatus, term).
 		Int("jobs", c.Jobs).Int("workers", c.Workers).Int("available", c.Available).
 		Int("services", c.Services).Int("fillers", c.Fillers).Int("others", c.Others).
 		Int("waiting", c.Pending).Int("waiting_fillers", c.PendingFillers).
 		Int64("capacity", c.Capacity).Int64("reserved", c.Reserved).
 		Int64("filler_demand", c.FillerDemand).Int64("filler_use", c.FillerUse).
 		Int("services_over", c.ServicesOverTarget).Int("fillers_slowed", c.FillersThrottled).
-		Int64("interval", ms(s.interval)).Int64("cpu", ms(s.cpu)).
-		Int("reports", s.reportAge.Count).
-		Int64("report_age_mean", ms(s.reportAge.Mean())).Int64("report_age_max", ms(s.reportAge.Max)).
-		Int64("received_age_mean", ms(s.receivedAge.Mean())).Int64("received_age_p95", ms(s.receivedAge.percentile(95))).
-		Int64("received_age_max", ms(s.receivedAge.Max)).
-		Int64("relay_wait_mean", ms(s.relayWait.Mean())).Int64("relay_wait_max", ms(s.relayWait.Max)).
-		Int("relay_left", s.uncollected).
-		Int64("owner_wait_mean", ms(s.ownerWait.Mean())).Int64("owner_wait_max", ms(s.ownerWait.Max)).
 		Int("changes", s.lockWait.Count).
 		Int64("lock_wait_total", ms(s.lockWait.Total)).Int64("lock_wait_max", ms(s.lockWait.Max)).
 		Int64("lock_held_total", ms(s.lockHeld.Total)).Int64("lock_held_max", ms(s.lockHeld.Max)).
@@ -171,6 +164,19 @@
 		Int64("service_wait_max", ms(c.LongestServiceWait)).Msg("")
 }
 
+// logAges starts an entry with the figures that tell whether and why the owner decides on outdated reports.
+func (s *status) logAges(l *eventlog.Logger, code eventlog.Code, term int64) *log.Entry {
+	return l.Event(code).Int64("term", term).
+		Int64("interval", ms(s.interval)).Int64("cpu", ms(s.cpu)).
+		Int("reports", s.reportAge.Count).
+		Int64("report_age_mean", ms(s.reportAge.Mean())).Int64("report_age_max", ms(s.reportAge.Max)).
+		Int64("received_age_mean", ms(s.receivedAge.Mean())).Int64("received_age_p95", ms(s.receivedAge.percentile(95))).
+		Int64("received_age_max", ms(s.receivedAge.Max)).
+		Int64("relay_wait_mean", ms(s.relayWait.Mean())).Int64("relay_wait_max", ms(s.relayWait.Max)).
+		Int("relay_left", s.uncollected).
+		Int64("owner_wait_mean", ms(s.ownerWait.Mean())).Int64("owner_wait_max", ms(s.ownerWait.Max))
+}
+
 func ms(d time.Duration) int64 { return d.Milliseconds() }
 
 // delayMetrics publish a delay of each interval. The counters allow a mean over any number of intervals.
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -27,8 +27,8 @@
 
 // Events of tasks, workers, store mirrors and configuration, 7020 to 7059.
 var (
-	TaskStartDecided         = define(7020, "task_start", log.InfoLevel, "A task is started on a worker.")
-	TaskEndRecorded          = define(7021, "task_end", log.InfoLevel, "A worker reported the end of an attempt. `how` is done, failed, stopped, expired, broken or alone.")
+	TaskStartDecided         = define(7020, "task_start", log.InfoLevel, "A task is started on a worker. For a task that ran before, `waited` is the time in milliseconds since the owner knew of its end, and `stored` the part of it after the decision, in which the worker of a service is stored.")
+	TaskEndRecorded          = define(7021, "task_end", log.InfoLevel, "A worker reported the end of an attempt. `how` is done, failed, stopped, expired, broken or alone; `age` is the time in milliseconds since the relay has received the report.")
 	OrderFailed              = define(7022, "order_failed", log.WarnLevel, "A worker rejected an order or did not answer; `outcome` states which.")
 	AttemptLost              = define(7023, "attempt_lost", log.WarnLevel, "An attempt is missing in a report of its worker; the task is pending again.")
 	AttemptExpired           = define(7024, "attempt_expired", log.WarnLevel, "A worker has not answered and its task leases have certainly expired; the task is pending again.")
@@ -48,7 +48,9 @@
 	MirrorRecovered          = define(7041, "mirror_recovered", log.InfoLevel, "The local copy of a store prefix is up to date again.")
 	ConfigurationInUse       = define(7042, "configuration_in_use", log.InfoLevel, "A version of the configuration is in effect on this entry host.")
 	DatacentresOutOfService  = define(7043, "datacentres_out", log.InfoLevel, "The set of data centres that are out of service, in which no task may start, has changed.")
-	PartitionStatus          = define(7045, "partition_status", log.InfoLevel, "Totals of an owner, logged every two seconds: attempts by kind, pending tasks, capacity in thousandths of a core.")
+	PartitionStatus          = define(7045, "partition_status", log.InfoLevel, "Totals of an owner, logged every two seconds: attempts by kind, pending tasks, capacity in thousandths of a core; and what it has measured in these seconds, in milliseconds, which docs/OPERATIONS.md explains.")
+	OwnerBehind              = define(7046, "owner_behind", log.WarnLevel, "The owner decides on outdated reports: more than 5 % of them were older than 1 s when it applied them, counted from their receipt by the relays. The figures are those of `partition_status`; docs/OPERATIONS.md leads from them to the cause.")
+	OwnerCaughtUp            = define(7047, "owner_caught_up", log.InfoLevel, "An owner that was behind for `behind_for` milliseconds applies reports in time again: 95 % of them within 0.3 s.")
 	PlatformEntryUndecodable = define(7044, "platform_entry_broken", log.WarnLevel, "An entry of the platform cannot be decoded and is ignored. Logged once for each entry.")
 )
 
