Start the tasks whose stored intent a killed owner had not sent

The owner logged job_batch_unsettled and was killed before it had read the records back, so it sent no start command; this is its last line. The next owner read the tasks as starting, its first inventory did not contain the attempts, and it ended them as unknown, since their kind is not idempotent. The class is a lost answer before a takeover: the work was not done twice, but never, although nothing had run.

The next owner now sends the start again with the stored attempt number if the worker's inventory under its own epoch lacks the attempt and no other worker can still run a later one. This is the repetition that an owner already makes of its own unanswered starts: a worker runs an attempt at most once, and rejects the former owner's epoch since it has answered the inventory. A refusal still ends the task as unknown, since the former owner's command may have been executed. Tasks of idempotent kinds begin a new attempt as before: their intents are not durable.

Ruled out by reading: a start that was sent and forgotten by the worker; attempts stay in the inventory until their end is acknowledged, and an end is acknowledged only once its record is stored.

Not covered: a worker that loses its memory of attempts while its owner changes could run such an attempt again, as with the repetition of unanswered starts by the same owner.

--- a/pkg/eventlog/codes_shard.go
+++ b/pkg/eventlog/codes_shard.go
@@ -17,5 +17,6 @@
 	TaskParked        = define(4111, "task_parked", log.WarnLevel, "A task failed on several healthy workers and is not retried. Check the job.")
 	TaskEvicted       = define(4112, "task_evicted", log.InfoLevel, "A task is checkpointed and moved because of resource pressure on its worker.")
 	ThrottleFailed    = define(4113, "throttle_failed", log.WarnLevel, "A throttle command failed; it is retried while the pressure lasts.")
+	IntentAdopted     = define(4114, "intent_adopted", log.InfoLevel, "A former owner stored a start intent, but no worker lists the attempt; its start is sent again with the same number.")
 	JobRehomed        = define(4106, "job_rehomed", log.InfoLevel, "A job moves to another shard.")
 )
--- a/pkg/shard/renew.go
+++ b/pkg/shard/renew.go
@@ -6,6 +6,7 @@
 
 	"fulmarcourse.example/core/reconcile"
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/worker"
 )
 
@@ -201,5 +202,31 @@
 	if c.unconfirmed || !c.since.Before(sentAt) {
 		return
 	}
+	if l.adoptIntent(w, id, c) {
+		return
+	}
 	l.applyAttemptLost(id, w, reconcile.ReasonAttemptMissing)
 }
+
+// adoptIntent makes the loop repeat the start of an attempt whose intent a former owner stored, if the attempt is absent
+// from the worker's inventory. It reports whether the start is repeated now or once the job is recovered. The former
+// owner may have ended before it sent the command; otherwise the worker would run or report the attempt, and it rejects
+// the former epoch from now on. The attempt keeps its number, of which a worker runs at most one. Tasks of idempotent
+// kinds begin another attempt instead: their intents are not durable, so that a later attempt may run elsewhere. Called
+// with mu held.
+func (l *Loop) adoptIntent(w *workerEntry, id structs.TaskID, c *commitment) bool {
+	j, rec := l.table.task(id)
+	if rec == nil || rec.State != structs.TaskStarting || rec.Worker != w.host.ID || c.commanded() {
+		return false
+	}
+	if kind, known := l.lookupKind(j.record.Spec.Kind); !known || kind.Idempotent || j.record.CancelRequested {
+		return false
+	}
+	if l.recovered(j) {
+		c.command = l.startCommand(j, id, c)
+		// The former owner may have sent the command as well, so a refusal proves nothing about the attempt.
+		c.unconfirmed, c.sentBefore = true, true
+		l.cfg.Log.Event(eventlog.IntentAdopted).Str("task", id.String()).Str("worker", string(w.host.ID)).Int("attempt", c.attempt).Msg("")
+	}
+	return true
+}
--- a/pkg/shard/renew_test.go
+++ b/pkg/shard/renew_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/jobs"
+	"fulmarcourse.example/fulmarcourse/pkg/worker"
 )
 
 // Guards against a second run of a task: an inventory that the worker took before a start command arrived does not
@@ -106,3 +109,63 @@
 		t.Errorf("%dm free after the records were read", free)
 	}
 }
+
+// startingTask is a task of which a former owner has stored the intent to start its first attempt on worker.
+func startingTask(worker structs.HostID) structs.TaskRecord {
+	return structs.TaskRecord{State: structs.TaskStarting, Attempt: 1, Worker: worker}
+}
+
+// Scenario: an owner is killed after the start intents of a job are durable and before it sends the start commands, for
+// example because the response of the store was lost. Guards against a task that ends as unknown although no worker has
+// run it, and against another attempt, since the former owner may have sent the first one.
+func TestStoredIntentOfFormerOwnerIsStarted(t *testing.T) {
+	f := newFakes()
+	f.records = []jobs.Stored{storedJob("j", "template", startingTask("w1"), startingTask("w1"))}
+	l := newTestLoop(t, f)
+	for range 5 {
+		step(t, l, f, time.Second)
+	}
+	if len(f.starts) != 2 {
+		t.Fatalf("starts %+v, want one of each task", f.starts)
+	}
+	for _, cmd := range f.starts {
+		_, rec := l.table.task(cmd.Task)
+		if cmd.Attempt != 1 || rec.Worker != "w1" || rec.State != structs.TaskRunning {
+			t.Errorf("start %+v, task %+v", cmd, rec)
+		}
+		if cmd.Kind != "template" || cmd.Epoch != testEpoch || cmd.Lease != TaskLeaseTTL || cmd.LeaseFrom == 0 || cmd.Reserved.MilliCPU != 1000 {
+			t.Errorf("incomplete start %+v", cmd)
+		}
+	}
+}
+
+// Guards against a second run of a task whose start intent is stored: its attempt has run, a later attempt may run on a
+// worker that has not sent an inventory, or the worker may have executed the command and refuses its repetition.
+func TestStoredIntentIsStartedOnlyIfNothingHasRun(t *testing.T) {
+	report := func(state structs.WorkerTaskState) structs.WorkerTask {
+		return structs.WorkerTask{Task: structs.TaskID{Job: "j"}, Attempt: 1, Kind: "template", State: state}
+	}
+	for name, c := range map[string]struct {
+		prepare func(f *fakes)
+		starts  int
+		want    structs.TaskState
+	}{
+		"running":             {func(f *fakes) { f.running["w1"][structs.TaskID{Job: "j"}] = report(structs.WorkerTaskRunning) }, 0, structs.TaskRunning},
+		"done":                {func(f *fakes) { f.running["w1"][structs.TaskID{Job: "j"}] = report(structs.WorkerTaskDone) }, 0, structs.TaskDone},
+		"other worker silent": {func(f *fakes) { f.unresponsive["w2"] = true }, 0, structs.TaskStarting},
+		"refused":             {func(f *fakes) { f.startErr = errors.WithType(errors.New("refused"), worker.ErrRefused) }, 1, structs.TaskUnknown},
+		"cancelled":           {func(f *fakes) { f.records[0].Record.CancelRequested = true }, 0, structs.TaskCancelled},
+	} {
+		f := newFakes()
+		f.records = []jobs.Stored{storedJob("j", "template", startingTask("w1"))}
+		c.prepare(f)
+		l := newTestLoop(t, f)
+		for range 8 {
+			step(t, l, f, time.Second)
+		}
+		_, rec := l.table.task(structs.TaskID{Job: "j"})
+		if len(f.starts) != c.starts || rec.State != c.want || rec.Attempt != 1 {
+			t.Errorf("%s: starts %+v, task %+v, want %d starts and state %s", name, f.starts, rec, c.starts, c.want)
+		}
+	}
+}
--- a/pkg/shard/start.go
+++ b/pkg/shard/start.go
@@ -229,20 +229,8 @@
 		since:       now,
 		sending:     true,
 		unconfirmed: true,
-		command: structs.StartCommand{
-			Task:       p.Task,
-			JobTask:    j.record.JobTask(p.Task.Index),
-			Attempt:    rec.Attempt,
-			Kind:       p.Kind,
-			Shard:      l.shard,
-			Epoch:      l.epoch,
-			Reserved:   p.Reserved,
-			Lease:      TaskLeaseTTL,
-			Checkpoint: rec.Checkpoint,
-			Input:      j.record.Spec.Input,
-			RunSeconds: j.record.Spec.RunSeconds,
-		},
 	})
+	c.command = l.startCommand(j, p.Task, c)
 	j.dirty = true
 	l.planner.recordColocation(w, now)
 	if l.tracker.Quarantined(p.Host) {
@@ -254,3 +242,21 @@
 	}
 	return s
 }
+
+// startCommand returns the start command of the attempt that c reserves capacity for. Its lease begins when it is sent.
+// Called with mu held.
+func (l *Loop) startCommand(j *job, id structs.TaskID, c *commitment) structs.StartCommand {
+	return structs.StartCommand{
+		Task:       id,
+		JobTask:    j.record.JobTask(id.Index),
+		Attempt:    c.attempt,
+		Kind:       c.kind,
+		Shard:      l.shard,
+		Epoch:      l.epoch,
+		Reserved:   c.reserved,
+		Lease:      TaskLeaseTTL,
+		Checkpoint: j.record.Tasks[id.Index].Checkpoint,
+		Input:      j.record.Spec.Input,
+		RunSeconds: j.record.Spec.RunSeconds,
+	}
+}
--- a/pkg/shard/table.go
+++ b/pkg/shard/table.go
@@ -33,6 +33,9 @@
 	sending     bool                 // a command for the attempt is in progress
 }
 
+// commanded reports whether this owner has decided to send a start command of the attempt.
+func (c *commitment) commanded() bool { return c.command.Attempt != 0 }
+
 // workerEntry is the state of one worker of the shard as seen by the owner.
 type workerEntry struct {
 	host              structs.Host
--- a/test/integration/store_test.go
+++ b/test/integration/store_test.go
@@ -90,6 +90,32 @@
 	checkTasks(t, c, cfg)
 }
 
+// Scenario: an owner is killed after the store has applied the start intents of a job, before the owner knows that and
+// sends the start commands. Guards against tasks that end as unknown although no worker has run them, or that run twice.
+func TestOwnerKilledBetweenIntentAndStart(t *testing.T) {
+	cfg := cluster.Small()
+	c := start(t, cfg)
+	spec := structs.JobSpec{Team: "cutters", Kind: "template", Tasks: 4, RunSeconds: 1, Key: "k"}
+	c.Platform.Store.SetDelay(300 * time.Millisecond)
+	record, status := cluster.SubmitJob(base(c, "b-entry-0"), spec)
+	if status >= 300 {
+		t.Fatalf("submission: status %d", status)
+	}
+	owner := c.Owner(record.Home)
+	// The owner learns of an applied write only after further reads.
+	c.Platform.Store.SetTxnFault(standin.TxnFault{Prefix: "/fulmarcourse/production/jobs/", Count: 100})
+	c.Await("intents are stored", func() bool {
+		stored, ok := c.Job(record.ID)
+		return ok && stored.Tasks[0].State != structs.TaskPending
+	})
+	c.Kill(owner)
+	t.Logf("%d of %d tasks had started when their owner was killed", started(c), spec.Tasks)
+	c.Platform.Store.SetTxnFault(standin.TxnFault{})
+	c.Platform.Store.SetDelay(0)
+	awaitDone(t, c, []structs.JobID{record.ID})
+	checkTasks(t, c, cfg)
+}
+
 // Guards against tasks that are lost, or run twice, when the host of a worker fails, and against a new attempt before
 // the leases on that worker have certainly expired.
 func TestWorkerHostFails(t *testing.T) {
