Write no request whose context has ended

Cause: a context cancels its children one after the other. The first cancelled orders close their connections, and net/http hands the freed places to orders that wait and have not been cancelled yet. These were written to the worker although their caller had given up, and so were reported as unanswered. The report was true, but such a start costs a stop and a poll before its task can start again, and it can run on a worker for an owner that no longer waits for it. The same holds for any request whose deadline passes while its connection is handed over, because net/http writes first and looks at the context afterwards.

A request now checks its context right before its first byte, where BeforeWrite is checked, and fails with ErrNotSent. A context states its end before it cancels any child, so that no place freed by a cancellation is used by its siblings.

Ruled out: orders that end while they wait for a connection or dial; they have no connection and are ErrNotSent. Orders that were handed a connection and not written; their connection is sealed before ErrNotSent is returned.

TestRequestOfEndedContextIsNotWritten fails without the change in every run, since its context ends exactly at the hand-over.

--- a/pkg/httpsend/client.go
+++ b/pkg/httpsend/client.go
@@ -20,7 +20,7 @@
 )
 
 // ErrNotSent means that no byte of the request was written. After any other error the server may have received the
-// request.
+// request. Nothing is written once the context of the request has ended.
 const ErrNotSent = errors.ConstError("request not sent")
 
 const (
@@ -121,16 +121,27 @@
 	return context.WithValue(ctx, checkKey{}, &check)
 }
 
-func checkFrom(ctx context.Context) *func() error {
-	check, _ := ctx.Value(checkKey{}).(*func() error)
-	return check
+// writeCheck returns the check before the first byte of a request: that ctx has not ended, and the one of BeforeWrite.
+// net/http may hand over a connection and write to it after ctx has ended, because it notices the end later.
+func writeCheck(ctx context.Context) *func() error {
+	custom, _ := ctx.Value(checkKey{}).(*func() error)
+	check := func() error {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if custom != nil {
+			return (*custom)()
+		}
+		return nil
+	}
+	return &check
 }
 
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
 
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (Response, error) {
-	used := usedConn{check: checkFrom(ctx)}
+	used := usedConn{check: writeCheck(ctx)}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.record})
 	req, err := newRequest(ctx, method, url, header, body)
 	if err != nil {
--- a/pkg/httpsend/client_test.go
+++ b/pkg/httpsend/client_test.go
@@ -211,6 +211,50 @@
 	}
 }
 
+// endingContext is a context whose Err tells its end before its Done channel is closed, as with a context that is being
+// cancelled: its children are cancelled one after the other.
+type endingContext struct {
+	context.Context
+	ended atomic.Bool
+}
+
+func (c *endingContext) Err() error {
+	if c.ended.Load() {
+		return context.Canceled
+	}
+	return c.Context.Err()
+}
+
+// Scenario: the context of a request ends while a connection is handed over to it, for example the connection of another
+// request that was cancelled with it. Guards against a request that reaches the server although its caller has given up,
+// so that it counts as possibly run.
+func TestRequestOfEndedContextIsNotWritten(t *testing.T) {
+	var served atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	defer server.Close()
+	client := NewClient(Config{Name: "test"})
+	for _, reused := range []bool{false, true} {
+		before := served.Load()
+		ctx := &endingContext{Context: t.Context()}
+		traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+			if info.Reused != reused {
+				t.Errorf("connection reused: %v, want %v", info.Reused, reused)
+			}
+			ctx.ended.Store(true)
+		}})
+		_, err := client.Post(traced, server.URL, nil, []byte("body"))
+		if !errors.Is(err, ErrNotSent) {
+			t.Errorf("reused %v: got %v, want ErrNotSent", reused, err)
+		}
+		if n := served.Load() - before; n != 0 {
+			t.Errorf("reused %v: the server got %d requests", reused, n)
+		}
+		if _, err := client.Post(t.Context(), server.URL, nil, []byte("body")); err != nil { // leaves an idle connection
+			t.Fatal(err)
+		}
+	}
+}
+
 // countingConn is a connection that counts the writes and discards the data.
 type countingConn struct {
 	net.Conn
