Record the pool with task shapes that fit nowhere

Callers of a pool with room waited while another pool was full: within a planning cycle, a task that fitted on no worker kept tasks of at least its size from being tried, whatever pool they needed. With tasks waiting in the full pool in each cycle, tasks of the other one did not start at all.

TestFullPoolDoesNotHoldUpOtherPools failed before (0 starts, want 3). The shape now includes the pool, so that it decides alone where a task fits.

--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/core/workload"
 )
 
 // scanInterval is the minimum time between two scans of all attempts for those that are worth moving or copying. The
@@ -36,17 +37,18 @@
 	unplaceable []taskShape // tasks that fit on no worker
 }
 
-// taskShape holds the properties of a task that decide where it fits: its size and, for fillers, its image.
+// taskShape holds the properties of a task that decide where it fits: its pool, its size and, for fillers, its image.
 type taskShape struct {
+	pool  workload.PoolName
 	size  structs.Resources
 	image int
 }
 
-// fitsNowhere reports whether a task with the same image and at most the same size has already failed to fit on any
-// worker.
+// fitsNowhere reports whether a task of the same pool and image and of at most the same size has already failed to fit on
+// any worker.
 func (c *planCycle) fitsNowhere(t taskShape) bool {
 	return slices.ContainsFunc(c.unplaceable, func(u taskShape) bool {
-		return u.image == t.image && u.size.Fits(t.size)
+		return u.pool == t.pool && u.image == t.image && u.size.Fits(t.size)
 	})
 }
 
@@ -116,9 +118,10 @@
 // shape returns the shape of the step's tasks, and whether the shape is sufficient to decide where they fit.
 func (st *step) shape() (shape taskShape, sufficient bool) {
 	spec := st.spec
-	shape = taskShape{spec.Reserved(), noImage}
+	pool := st.job.rec.Queue.Pool
+	shape = taskShape{pool, spec.Reserved(), noImage}
 	if spec.Filler {
-		shape = taskShape{spec.Size, st.imageIndex}
+		shape = taskShape{pool, spec.Size, st.imageIndex}
 	}
 	return shape, spec.Label == "" && spec.MaxPerWorker == 0
 }
