Drop stored service starts on workers that no longer answer

The start of a service task is ordered once its worker is stored, which takes as long as the store does. If the worker stopped answering meanwhile, the order was sent all the same: a permission to start from before the write was acted on without a look at the worker. Without an answer the attempt keeps the task's place until the leases of the worker have certainly expired, and the service task stays down for seconds although other workers have room.

TestServiceStartIsNotOrderedOnceItsWorkerIsSilent failed before: the start was ordered on the silent worker, after a failed poll as well as after unreachableAfter without a report. Now the conditions for a start are checked again as a whole when the write is confirmed (mayStartOn, which also contains the former checks of draining workers and evacuated data centres). Nothing has been ordered by then, so the attempt is dropped and the task starts elsewhere. A worker that answers again meanwhile costs one more write of the record.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -195,10 +195,15 @@
 	return highest
 }
 
-// usable reports whether tasks may start on a worker at all. Before the platform's list has been read, a worker that the
-// former owner knew may be draining.
+// usable reports whether tasks may start on a worker and it is not avoided because of recent faults.
 func (s *Scheduler) usable(now time.Duration, w *worker) bool {
-	return s.listReadAt > 0 && w.available(now) && !s.evacuated[w.info.Datacentre] && !w.health.inBackOff(now) && !w.slowness.slow(now)
+	return s.mayStartOn(now, w) && w.available(now) && !w.health.inBackOff(now) && !w.slowness.slow(now)
+}
+
+// mayStartOn reports whether tasks may start on a worker if its recent faults are ignored. Before the platform's list has
+// been read, a worker that the former owner knew may be draining.
+func (s *Scheduler) mayStartOn(now time.Duration, w *worker) bool {
+	return s.listReadAt > 0 && w.accepts(now) && !s.evacuated[w.info.Datacentre]
 }
 
 // maxCapacityAge is the age of the list of workers up to which tasks start on workers that do not guard their capacity: it
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -50,7 +50,7 @@
 }
 
 // orderStoredStarts orders the starts of service tasks whose worker is now stored. A start that is no longer allowed, or for
-// which the worker no longer has the capacity, is dropped: the store may have taken seconds.
+// which the worker no longer has the capacity or does not answer, is dropped: the store may have taken seconds.
 func (s *Scheduler) orderStoredStarts(now time.Duration, j *job, sp workload.StepProgress) {
 	st := j.step(sp.Occurrence, sp.Step)
 	if st == nil || !st.spec.Service {
@@ -61,8 +61,7 @@
 			if a.phase != awaitingStore || a.number != tp.LastAttempt || string(a.worker.info.ID) != tp.Worker {
 				continue
 			}
-			if a.worker.info.Draining || s.evacuated[a.worker.info.Datacentre] || a.worker.overCommitted() ||
-				s.capacityOutdated(now, a.task) {
+			if !s.mayStartOn(now, a.worker) || a.worker.overCommitted() || s.capacityOutdated(now, a.task) {
 				s.drop(a)
 				continue
 			}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -99,12 +99,15 @@
 	return w.reportedAt > 0 && now-w.reportedAt < unreachableAfter
 }
 
-// available reports whether the worker may get new tasks.
-func (w *worker) available(now time.Duration) bool {
+// available reports whether the worker may get new tasks and was not lost recently.
+func (w *worker) available(now time.Duration) bool { return w.accepts(now) && now >= w.stability.until }
+
+// accepts reports whether the worker is expected to accept new tasks.
+func (w *worker) accepts(now time.Duration) bool {
 	if !w.stored || w.info.Draining || w.suspect || !w.reachable(now) {
 		return false
 	}
-	if now < w.fullUntil || now < w.unhealthyUntil || now < w.stability.until {
+	if now < w.fullUntil || now < w.unhealthyUntil {
 		return false
 	}
 	return w.listed || now-w.unlistedAt < listingGrace
