Restart displaced service tasks before others once they are passed over

A task of a service that had run and lost its place (its worker crashed, it failed) stayed down for as long as tasks that end were waiting: within a priority all of those came first, so each core that became free went to them.

Now the starts of other tasks on workers with room for a displaced task are counted; after 20 within 1.5 s it comes before all other work, whatever its priority. Before that it keeps the place of its service, after the tasks that end, but before services that have not run. Nothing is stopped for it, and no capacity is held. A next owner takes a task with a stored worker for one that has run.

TestDisplacedServiceTaskIsNotPassedOverForLong and TestNextOwnerRestartsDisplacedServiceTask failed before (no start within 3 s), as did TestNewServiceTasksComeAfterTasksThatEndAndDisplacedOnes (a service that had not run came before the task that had).

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -143,6 +143,7 @@
 	if a.confirmedAt == 0 {
 		a.confirmedAt = now
 		a.percentChangedAt = now
+		a.task.ran, a.task.displacement = true, displacement{}
 	}
 	j := a.task.step.job
 	if j.state == workload.StatePending {
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -25,8 +25,9 @@
 		s.moveThrottledFillers(now)
 		s.startCopies(now)
 	}
-	cycle := planCycle{now: now}
+	cycle := planCycle{now: now, displaced: s.displacedTasks(now)}
 	for _, st := range s.stepsByUrgency(now) {
+		s.restartBefore(&cycle, st)
 		s.startStep(&cycle, st)
 	}
 }
@@ -34,6 +35,7 @@
 // planCycle records the task shapes that fit on no worker, so that they are not tried again in the same cycle.
 type planCycle struct {
 	now         Time
+	displaced   []*task     // displaced tasks whose turn has not come yet in this cycle, the most urgent first
 	unplaceable []taskShape // tasks that fit on no worker
 }
 
@@ -87,7 +89,7 @@
 // workers, and what their services bear changes with the reports, which take longer than this.
 const fillerRetryDelay = 100 * time.Millisecond
 
-// startStep starts the pending tasks of a step as far as capacity allows.
+// startStep starts the pending tasks of a step, except for displaced ones, as far as capacity allows.
 func (s *Scheduler) startStep(cycle *planCycle, st *step) {
 	if cycle.now.Boot < st.retryAt {
 		return
@@ -97,11 +99,14 @@
 		return
 	}
 	for _, t := range st.tasks {
-		if !t.pending() || s.mayRunElsewhere(t) || s.heldBack(t) {
+		if !t.pending() || t.displaced() || s.mayRunElsewhere(t) || s.heldBack(t) {
 			continue
 		}
 		w := s.choose(cycle.now, t)
 		if w != nil {
+			if !st.spec.Filler {
+				s.countPassedOver(cycle, w)
+			}
 			s.start(cycle.now.Boot, t, w)
 			continue
 		}
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -155,6 +155,7 @@
 		}
 		t := st.tasks[tp.Index]
 		t.failed, t.storedWorker, t.crashes = tp.Failed, WorkerID(tp.Worker), slices.Clone(tp.Crashes)
+		t.ran = tp.Worker != ""
 		t.markRecordStored(tp)
 		t.uncertainCrashes = tp.UncertainCrashes
 		t.silentOn = slices.Clone(tp.SilentOn)
--- /dev/null
+++ b/core/schedule/restart.go
@@ -0,0 +1,119 @@
+package schedule
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxPassedOver is the number of other tasks within passedOverWindow that may start on workers with room for a displaced
+	// service task before it comes first. A place that has become free is taken after about 150 ms, so that at this rate
+	// two places for it are free at nearly any moment, and the platform demands that it runs. Restarting tasks that find
+	// room less often would cost the tasks that end more than the service gains.
+	maxPassedOver    = 20
+	passedOverWindow = 1500 * time.Millisecond
+)
+
+// displacement describes a service task that has run and has lost its place. The zero value describes one that has not.
+type displacement struct {
+	since      time.Duration // when it was first seen to be displaced
+	countFrom  time.Duration // start of the current passedOverWindow
+	passedOver int           // starts of other tasks in the window on workers with room for it
+	first      bool          // it has been passed over too often and comes before all other tasks
+}
+
+// displaced reports whether a service task has run and has lost its place.
+func (t *task) displaced() bool { return t.ran && t.step.spec.Service && t.pending() }
+
+// update starts a new window to count in once the current one has passed.
+func (d *displacement) update(now time.Duration) {
+	if d.since == 0 {
+		d.since = now
+	}
+	if now-d.countFrom > passedOverWindow {
+		d.countFrom, d.passedOver = now, 0
+	}
+}
+
+// countPassedOver records that a task is started on a worker on which displaced tasks might have started.
+func (s *Scheduler) countPassedOver(cycle *planCycle, w *worker) {
+	for _, t := range cycle.displaced {
+		if t.displacement.first || !s.fits(cycle.now, t, w) {
+			continue
+		}
+		t.displacement.passedOver++
+		t.displacement.first = t.displacement.passedOver >= maxPassedOver
+	}
+}
+
+// restartRank returns the sort rank of a displaced task. It compares with step.rank.
+func (t *task) restartRank(now Time) int {
+	if t.displacement.first {
+		return math.MinInt
+	}
+	return t.step.rank(now)
+}
+
+// displacedTasks returns the displaced tasks that may start, the most urgent first.
+func (s *Scheduler) displacedTasks(now Time) []*task {
+	var tasks []*task
+	for st := range s.openSteps {
+		if st.pending == 0 || !st.spec.Service || !s.startable(now, st) {
+			continue
+		}
+		for _, t := range st.tasks {
+			if !t.displaced() {
+				continue
+			}
+			t.displacement.update(now.Boot)
+			if !s.mayRunElsewhere(t) && !s.heldBack(t) {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	slices.SortFunc(tasks, func(a, b *task) int {
+		return cmp.Or(
+			cmp.Compare(a.restartRank(now), b.restartRank(now)),
+			cmp.Compare(a.displacement.since, b.displacement.since),
+			compareIDs(a.step, b.step),
+			cmp.Compare(a.index, b.index),
+		)
+	})
+	return tasks
+}
+
+// restartBefore starts the displaced tasks that come before the tasks of a step, as far as capacity allows: those that come
+// first, those of a lower rank, and before a service those of its own rank.
+func (s *Scheduler) restartBefore(cycle *planCycle, st *step) {
+	rank := st.rank(cycle.now)
+	for len(cycle.displaced) > 0 {
+		t := cycle.displaced[0]
+		own := t.restartRank(cycle.now)
+		if own > rank || own == rank && !st.spec.Service {
+			return
+		}
+		cycle.displaced = cycle.displaced[1:]
+		w := s.chooseForRestart(cycle, t)
+		if w != nil {
+			s.start(cycle.now.Boot, t, w)
+		}
+	}
+}
+
+// chooseForRestart returns the best worker for a displaced task, or nil when it fits on none.
+func (s *Scheduler) chooseForRestart(cycle *planCycle, t *task) *worker {
+	shape, sufficient := t.step.shape()
+	sufficient = sufficient && !t.onProbation()
+	if !cycle.fitsNowhere(shape) {
+		w := s.choose(cycle.now, t)
+		if w != nil {
+			return w
+		}
+		if sufficient && len(t.failedOn) == 0 {
+			cycle.unplaceable = append(cycle.unplaceable, shape)
+		}
+	}
+	return nil
+}
--- a/core/schedule/restart_test.go
+++ b/core/schedule/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"fulmarcourse.example/core/workload"
 )
@@ -13,11 +14,103 @@
 	return step
 }
 
+// startedService adds a service and starts its tasks.
+func (h *harness) startedService(id workload.JobID, tasks int) {
+	h.t.Helper()
+	h.s.AddJob(testJob(id, testService(tasks)), nil, false)
+	h.wantStarts(h.orderedFor(h.run(), id), tasks)
+	h.reportAll()
+}
+
+// fail ends the attempt of a task as failed, and its worker reports.
+func (h *harness) fail(id workload.TaskID) {
+	h.end(id, EndFailed)
+	h.reportAll()
+}
+
 // withCores returns a change that gives a worker a number of cores.
 func withCores(cores int64) func(*WorkerInfo) {
 	return func(info *WorkerInfo) { info.Capacity.MilliCPU = 1000 * cores }
 }
 
+// waitForRestart makes tasks end one reporting interval after their start, until a task of a service starts, and returns how
+// long that took.
+func (h *harness) waitForRestart(service workload.JobID) time.Duration {
+	h.t.Helper()
+	const interval = 100 * time.Millisecond
+	for waited := time.Duration(0); waited < restartBound; waited += interval {
+		orders := starts(h.run())
+		if len(h.orderedFor(orders, service)) > 0 {
+			return waited
+		}
+		h.advanceClock(interval)
+		for _, o := range orders {
+			h.end(o.Task, EndDone)
+		}
+		h.reportAll()
+	}
+	h.t.Fatalf("no task of %s has started within %v", service, restartBound)
+	return 0
+}
+
+// restartBound is the time within which the platform demands that a service task runs again if there is room for it.
+const restartBound = 3 * time.Second
+
+// Guards against a service task that had run and stays down while tasks that end take each core that becomes free, of the
+// same or of a higher priority.
+func TestDisplacedServiceTaskIsNotPassedOverForLong(t *testing.T) {
+	for _, priority := range []int{0, 1} {
+		h := newHarness(t, 1)
+		h.addWorker("w1", withCores(1))
+		service := testJob("service", testService(1))
+		service.Queue.Priority = priority
+		h.s.AddJob(service, nil, false)
+		h.wantStarts(h.run(), 1)
+		h.s.AddJob(testJob("short", testStep(1000)), nil, false)
+		h.addWorker("w2", withCores(1))
+		h.addWorker("w3", withCores(1))
+		h.fail(taskID("service", 0, 0))
+		h.waitForRestart("service")
+	}
+}
+
+// Guards against the next owner taking a displaced task for one that has never run.
+func TestNextOwnerRestartsDisplacedServiceTask(t *testing.T) {
+	h := newHarness(t, 1)
+	w1 := h.addWorker("w1", withCores(2))
+	h.startedService("service", 1)
+	service, progress := h.s.jobs["service"].rec, h.s.jobs["service"].progress()
+	w1.running = nil
+	w1.incarnation++
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{w1.info})
+	h.s.AddJob(service, &progress, true)
+	h.s.AddJob(testJob("short", testStep(1000)), nil, false)
+	h.listWorkers()
+	h.waitForRestart("service")
+}
+
+// Guards against services that have not run and take the capacity for which tasks that end are waiting, and against tasks
+// of a service that start while one that has run waits.
+func TestNewServiceTasksComeAfterTasksThatEndAndDisplacedOnes(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(1))
+	h.s.AddJob(testJob("service", testService(3)), nil, false)
+	h.wantStarts(h.orderedFor(h.run(), "service"), 1)
+	h.s.AddJob(testJob("a new service", testService(3)), nil, false)
+	h.s.AddJob(testJob("short", testStep(2)), nil, false)
+	h.fail(taskID("service", 0, 0))
+	h.workers["w1"].info.Draining = true
+	h.addWorker("w2", withCores(3))
+	orders := h.run()
+	h.wantStarts(h.orderedFor(orders, "short"), 2)
+	restarted := h.orderedFor(orders, "service")
+	h.wantStarts(restarted, 1)
+	if restarted[0].Task.Index != 0 {
+		t.Fatalf("started %s", describe(restarted))
+	}
+}
+
 // Guards against a full pool whose waiting tasks keep those of another pool, which has room, from starting.
 func TestFullPoolDoesNotHoldUpOtherPools(t *testing.T) {
 	h := newHarness(t, 1)
