Restart service tasks on workers that are avoided for long

A displaced service task found no worker although some had room, in three ways, all seen by reading and shown by tests that failed before:

- TestServiceRestartsAlsoWhereItHasFailed: a task is never started again on a worker on which it has failed.
Service tasks have no failure limit, so after one failure on each worker they stayed down for good.
- TestServiceRestartsOnWorkersInBackOff: failures of two jobs without a success in between put a worker into a back-off of up to 8 s.
Services never succeed, so on a worker that runs services failures hours apart add up, and each further one doubles the back-off.
- TestServiceRestartsOnReturnedWorkers: a worker that was lost repeatedly gets no tasks for up to 6 s after it has returned, although nothing runs on it.

The platform demands that a service task runs again within 3 s if there is room. A displaced task now takes such a worker if no other one fits: one on which it has failed once it has waited for 1.5 s, and one with a fault of its own 1.5 s after the fault. Slow workers stay avoided, as do those that do not answer, drain, have just rejected a task or report themselves unhealthy. Tasks that end are not affected: their failures are bounded, and a start on a faulty worker costs them an attempt. The search runs with the scan of all attempts, at most ten times a second, and once for each shape.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -216,15 +216,18 @@
 	return !t.step.job.rec.Queue.CapacityGuarded && now-s.listReadAt > maxCapacityAge
 }
 
-// fits reports whether a task may start on a worker.
+// fits reports whether a task may start on a worker that is not avoided because of recent faults.
 func (s *Scheduler) fits(now Time, t *task, w *worker) bool {
+	return !slices.Contains(t.failedOn, w.info.ID) && s.usable(now.Boot, w) && s.hasRoom(now, t, w)
+}
+
+// hasRoom reports whether a worker has the capacity and the properties that a task needs.
+func (s *Scheduler) hasRoom(now Time, t *task, w *worker) bool {
 	spec := &t.step.spec
 	switch {
 	case !spec.Reserved().Fits(w.free()),
 		w.info.Pool != t.step.job.rec.Queue.Pool,
 		!w.hasLabel(spec.Label),
-		slices.Contains(t.failedOn, w.info.ID),
-		!s.usable(now.Boot, w),
 		s.capacityOutdated(now.Boot, t),
 		t.onProbation() && w.onProbation(t.step.job):
 		return false
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -8,8 +8,8 @@
 	"fulmarcourse.example/core/workload"
 )
 
-// scanInterval is the minimum time between two scans of all attempts for those that are worth moving or copying. The
-// conditions are durations of a second or more.
+// scanInterval is the minimum time between two scans of all attempts for those that are worth moving or copying, and of all
+// workers for overdue restarts. The conditions are durations of a second or more.
 const scanInterval = 100 * time.Millisecond
 
 // Plan stops attempts that have to leave their worker and starts the tasks that can start now. TakeOrders returns the
@@ -19,13 +19,14 @@
 	s.repeatStops(now)
 	s.moveFromDraining(now)
 	s.interference.refresh(now.Boot)
-	if now.Boot-s.scannedAt >= scanInterval {
+	scan := now.Boot-s.scannedAt >= scanInterval
+	if scan {
 		s.scannedAt = now.Boot
 		s.moveFromSlow(now)
 		s.moveThrottledFillers(now)
 		s.startCopies(now)
 	}
-	cycle := planCycle{now: now, displaced: s.displacedTasks(now)}
+	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
 	for _, st := range s.stepsByUrgency(now) {
 		s.restartBefore(&cycle, st)
 		s.startStep(&cycle, st)
@@ -34,9 +35,11 @@
 
 // planCycle records the task shapes that fit on no worker, so that they are not tried again in the same cycle.
 type planCycle struct {
-	now         Time
-	displaced   []*task     // displaced tasks whose turn has not come yet in this cycle, the most urgent first
-	unplaceable []taskShape // tasks that fit on no worker
+	now              Time
+	scan             bool        // scanInterval has passed since the last cycle in which it was set
+	displaced        []*task     // displaced tasks whose turn has not come yet in this cycle, the most urgent first
+	unplaceable      []taskShape // tasks that fit on no worker
+	unplaceableAtAll []taskShape // tasks that do not fit on avoided workers either, see chooseAvoided
 }
 
 // taskShape holds the properties of a task that decide where it fits: its pool, its size and, for fillers, its image.
@@ -49,7 +52,12 @@
 // fitsNowhere reports whether a task of the same pool and image and of at most the same size has already failed to fit on
 // any worker.
 func (c *planCycle) fitsNowhere(t taskShape) bool {
-	return slices.ContainsFunc(c.unplaceable, func(u taskShape) bool {
+	return t.among(c.unplaceable)
+}
+
+// among reports whether one of the shapes fits wherever a task of shape t does.
+func (t taskShape) among(shapes []taskShape) bool {
+	return slices.ContainsFunc(shapes, func(u taskShape) bool {
 		return u.pool == t.pool && u.image == t.image && u.size.Fits(t.size)
 	})
 }
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -14,6 +14,10 @@
 	// room less often would cost the tasks that end more than the service gains.
 	maxPassedOver    = 20
 	passedOverWindow = 1500 * time.Millisecond
+	// restartOverdueAfter is how long a displaced service task waits for a worker on which it has not failed, and how long
+	// it avoids a worker after a fault. With the write to the store and the start it stays below the 3 s that the platform
+	// allows while there is room.
+	restartOverdueAfter = 1500 * time.Millisecond
 )
 
 // displacement describes a service task that has run and has lost its place. The zero value describes one that has not.
@@ -27,6 +31,11 @@
 // displaced reports whether a service task has run and has lost its place.
 func (t *task) displaced() bool { return t.ran && t.step.spec.Service && t.pending() }
 
+// restartOverdue reports whether a displaced task has waited for too long.
+func (t *task) restartOverdue(now Time) bool {
+	return now.Boot-t.displacement.since >= restartOverdueAfter
+}
+
 // update starts a new window to count in once the current one has passed.
 func (d *displacement) update(now time.Duration) {
 	if d.since == 0 {
@@ -115,5 +124,37 @@
 			cycle.unplaceable = append(cycle.unplaceable, shape)
 		}
 	}
-	return nil
+	if !cycle.scan || !t.restartOverdue(cycle.now) || shape.among(cycle.unplaceableAtAll) {
+		return nil
+	}
+	w := s.chooseAvoided(cycle.now, t)
+	if w == nil && sufficient {
+		cycle.unplaceableAtAll = append(cycle.unplaceableAtAll, shape)
+	}
+	return w
+}
+
+// chooseAvoided returns the best of the workers with room for a task among those on which it has failed and those whose
+// latest fault was restartOverdueAfter ago. Workers on which the task has failed come last.
+func (s *Scheduler) chooseAvoided(now Time, t *task) *worker {
+	var best *worker
+	bestFailed, bestScore := false, 0.0
+	for _, w := range s.sortedWorkers {
+		if !s.mayStartOn(now.Boot, w) || w.faultyWithin(now.Boot, restartOverdueAfter) || !s.hasRoom(now, t, w) {
+			continue
+		}
+		failed, score := slices.Contains(t.failedOn, w.info.ID), s.score(now.Boot, t, w)
+		if best == nil || bestFailed && !failed || bestFailed == failed && score > bestScore {
+			best, bestFailed, bestScore = w, failed, score
+		}
+	}
+	return best
+}
+
+// faultyWithin reports whether the worker is slow, or was lost or put into back-off within a time that has just passed.
+func (w *worker) faultyWithin(now, d time.Duration) bool {
+	backOffFrom := w.health.until - w.health.length
+	return w.slowness.slow(now) ||
+		now < w.stability.until && now-w.stability.lostAt < d ||
+		w.health.inBackOff(now) && now-backOffFrom < d
 }
--- a/core/schedule/restart_test.go
+++ b/core/schedule/restart_test.go
@@ -111,6 +111,72 @@
 	}
 }
 
+// Guards against a service task that never starts again because it has failed once on each worker.
+func TestServiceRestartsAlsoWhereItHasFailed(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.addWorker("w2", nil)
+	h.startedService("service", 1)
+	for range 4 {
+		h.fail(taskID("service", 0, 0))
+		started := len(starts(h.run()))
+		h.advanceClock(restartOverdueAfter)
+		h.reportAll()
+		if started += len(starts(h.run())); started != 1 {
+			t.Fatalf("%d starts within %v", started, restartOverdueAfter)
+		}
+		h.reportAll()
+	}
+}
+
+// Guards against a service task that stays down while all workers with room are in back-off, because tasks of several
+// services have failed on them: services never succeed, so their failures add up.
+func TestServiceRestartsOnWorkersInBackOff(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.addWorker("w2", nil)
+	h.startedService("a", 1)
+	h.startedService("b", 1)
+	h.startedService("c", 1)
+	for _, w := range h.s.sortedWorkers {
+		w.health.recordFailure(h.now.Boot, "x")
+		w.health.recordFailure(h.now.Boot, "y")
+	}
+	h.fail(taskID("c", 0, 0))
+	h.run()
+	h.advanceClock(restartOverdueAfter)
+	h.reportAll()
+	h.run()
+	h.reportAll()
+	if h.s.task(taskID("c", 0, 0)).pending() {
+		t.Fatalf("the task is still down after %v", restartOverdueAfter)
+	}
+}
+
+// Guards against service tasks that stay down while the only workers with room have returned after repeated losses and get
+// no tasks for up to maxProbation.
+func TestServiceRestartsOnReturnedWorkers(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.startedService("service", 4)
+	for range 3 { // each loss doubles the time in which the worker gets no tasks
+		h.advanceClock(2 * briefRun)
+		h.reportAll()
+		w := h.workers["w1"]
+		w.running, w.ended, w.ends = nil, nil, 0
+		w.incarnation++
+		h.reportAll()
+		h.run()
+		h.advanceClock(restartOverdueAfter)
+		h.reportAll()
+		h.run()
+		h.reportAll()
+		if pending := h.s.jobs["service"].steps[0].pending; pending > 0 {
+			t.Fatalf("%d tasks are still down after %v", pending, restartOverdueAfter)
+		}
+	}
+}
+
 // Guards against a full pool whose waiting tasks keep those of another pool, which has room, from starting.
 func TestFullPoolDoesNotHoldUpOtherPools(t *testing.T) {
 	h := newHarness(t, 1)
