Back off from workers without capacity as the list of workers shows it

While the list shows more capacity than a worker has, as after it has shrunk while the store is away, a start was sent to it and rejected every 0.5 s. Where the list showed the capacity, smaller or larger, the worker still got nothing for the rest of the 0.5 s.

The back-off now doubles up to 2 s while rejections follow each other. It ends when the list shows another capacity or a start is accepted, and a rejection that the list explains by now starts none.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -36,8 +36,10 @@
 	// listingGrace is how long a worker that is missing from the platform's list but still reports counts as listed.
 	// The platform restores the entries of live workers within 2 s after an outage of its store.
 	listingGrace = 2 * time.Second
-	// noCapacityBackOff is how long a worker gets no tasks after it has rejected one for lack of capacity.
-	noCapacityBackOff = 500 * time.Millisecond
+	// noCapacityBackOff is how long a worker gets no tasks after it has rejected one for lack of capacity. It doubles up to
+	// maxNoCapacityBackOff while the worker rejects more and the list does not show why, as while the store is away.
+	noCapacityBackOff    = 500 * time.Millisecond
+	maxNoCapacityBackOff = 2 * time.Second
 	// attemptsPerTerm is the distance between the first attempt numbers of consecutive terms. A new owner cannot know
 	// the numbers of attempts on workers that it does not reach, so the numbers of two owners must not collide. A task
 	// cannot be started that often within a term, even if each attempt ends at once.
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -95,6 +95,7 @@
 		if a.phase == starting {
 			a.phase = running
 		}
+		w.full = fullBackOff{}
 		s.confirm(now.Boot, a)
 	case Unanswered:
 		w.suspect = true
@@ -105,8 +106,10 @@
 		w.suspect = true
 		s.drop(a)
 	case RejectedNoCapacity:
-		w.fullUntil = now.Boot + noCapacityBackOff
 		s.drop(a)
+		if a.task.step.spec.Reserved().Fits(w.free()) { // the list does not show the lack of capacity yet
+			w.full.extend(now.Boot)
+		}
 	case RejectedStaleAttempt:
 		a.task.lastAttempt += staleAttemptSkip
 		s.drop(a)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -227,6 +227,9 @@
 	if !slices.Equal(w.info.Labels, info.Labels) {
 		s.index.remove(w)
 	}
+	if info.Capacity != w.info.Capacity {
+		w.full = fullBackOff{}
+	}
 	w.info = info
 	w.listed = true
 	s.index.markChanged(w)
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -28,18 +28,18 @@
 // worker is the scheduler's view of one worker.
 type worker struct {
 	info             WorkerInfo
-	listed           bool             // it is in the platform's list
-	unlistedAt       time.Duration    // when it was first missing from the platform's list; only if not listed
-	leavesAt         time.Duration    // earliest time at which it leaves; only with info.Draining
-	stored           bool             // it is in the stored set of known workers, so that a later owner waits for its report
-	incarnation      int64            // start of the worker process, Unix milliseconds; 0 before the first report
-	polledAt         time.Duration    // when the poll was sent whose report was applied last
-	reportedAt       time.Duration    // when the last report was received; 0 before the first
-	leasesExtended   bool             // its task leases are being extended
-	leaseEnd         time.Duration    // unless leasesExtended: when every task lease on the worker has certainly expired
-	lastEnd          int64            // number of the latest end that was applied
-	suspect          bool             // a poll or an order has failed since the last report
-	fullUntil        time.Duration    // end of the back-off after it has rejected a task for lack of capacity
+	listed           bool          // it is in the platform's list
+	unlistedAt       time.Duration // when it was first missing from the platform's list; only if not listed
+	leavesAt         time.Duration // earliest time at which it leaves; only with info.Draining
+	stored           bool          // it is in the stored set of known workers, so that a later owner waits for its report
+	incarnation      int64         // start of the worker process, Unix milliseconds; 0 before the first report
+	polledAt         time.Duration // when the poll was sent whose report was applied last
+	reportedAt       time.Duration // when the last report was received; 0 before the first
+	leasesExtended   bool          // its task leases are being extended
+	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
+	lastEnd          int64         // number of the latest end that was applied
+	suspect          bool          // a poll or an order has failed since the last report
+	full             fullBackOff
 	unhealthyUntil   time.Duration    // end of the back-off after it has reported itself unhealthy
 	expired          []expiredAttempt // since the last report
 	attempts         map[attemptKey]*attempt
@@ -94,6 +94,21 @@
 // overCommitted reports whether more is reserved than the worker has: its capacity may shrink while it runs.
 func (w *worker) overCommitted() bool { return !structs.Resources{}.Fits(w.free()) }
 
+// fullBackOff is the time in which a worker gets no tasks because it has rejected some for lack of capacity.
+type fullBackOff struct {
+	until  time.Duration
+	length time.Duration // of the latest back-off; doubles while rejections follow each other
+}
+
+// extend starts a back-off unless one is in progress: starts that were sent together are rejected together.
+func (b *fullBackOff) extend(now time.Duration) {
+	if now < b.until {
+		return
+	}
+	b.length = min(max(2*b.length, noCapacityBackOff), maxNoCapacityBackOff)
+	b.until = now + b.length
+}
+
 // reachable reports whether the worker has reported recently.
 func (w *worker) reachable(now time.Duration) bool {
 	return w.reportedAt > 0 && now-w.reportedAt < unreachableAfter
@@ -104,7 +119,7 @@
 	if !w.stored || w.info.Draining || w.suspect || !w.reachable(now) {
 		return false
 	}
-	if now < w.fullUntil || now < w.unhealthyUntil || now < w.stability.until {
+	if now < w.full.until || now < w.unhealthyUntil || now < w.stability.until {
 		return false
 	}
 	return w.listed || now-w.unlistedAt < listingGrace
