Start nothing where the capacity of an unlisted worker may be outdated

Workers that do not guard their capacity got tasks for up to 2 s while they were missing from the list of workers, with the capacity that an earlier list had shown. A new owner used the one that was stored when the worker joined, however long ago. If it had shrunk since, the start went beyond it (LIMIT). The age that was checked was that of the list, not of the worker's entry in it.

Each worker now keeps when a list that has it was last read. Guarded workers still get tasks meanwhile: they reject what does not fit, and after such an outage nothing could start for two seconds otherwise.

--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -74,3 +74,25 @@
 		h.wantStarts(h.plan(), 1)
 	}
 }
+
+// Guards against starts on workers that do not guard their capacity and are missing from the list, as when their entries have
+// lapsed while the store was away: what a former owner has stored of their capacity, or an earlier list, may be outdated.
+func TestNoStartWithCapacityOfAnUnlistedWorker(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		h := newHarness(t, 1)
+		h.addWorker("w1", nil)
+		if takeover {
+			h.inherit(2)
+		} else {
+			h.advanceClock(maxCapacityAge + time.Millisecond)
+		}
+		h.s.SetWorkers(h.now, nil)
+		h.reportAll()
+		job := testJob("job", testStep(1))
+		job.Queue.CapacityGuarded = false
+		h.s.AddJob(job, nil, false)
+		h.wantStarts(h.plan(), 0)
+		h.listWorkers()
+		h.wantStarts(h.plan(), 1)
+	}
+}
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -205,10 +205,13 @@
 // may have shrunk since. The list is read again at least every 2.5 s while the store answers.
 const maxCapacityAge = 3 * time.Second
 
-// capacityOutdated reports whether the capacity of the workers in the pool of a task may have shrunk unnoticed. Workers that
-// guard their capacity reject what exceeds it.
-func (s *Scheduler) capacityOutdated(now time.Duration, t *task) bool {
-	return !t.step.job.rec.Queue.CapacityGuarded && now-s.listReadAt > maxCapacityAge
+// capacityOutdated reports whether the capacity of a worker may have shrunk unnoticed, and the pool of a task does not guard
+// it. Workers that guard their capacity reject what exceeds it.
+func (s *Scheduler) capacityOutdated(now time.Duration, t *task, w *worker) bool {
+	if t.step.job.rec.Queue.CapacityGuarded {
+		return false
+	}
+	return w.listedAt == 0 || now-w.listedAt > maxCapacityAge
 }
 
 // fits reports whether a task may start on a worker.
@@ -220,7 +223,7 @@
 		!w.hasLabel(spec.Label),
 		slices.Contains(t.failedOn, w.info.ID),
 		!s.usable(now.Boot, w),
-		s.capacityOutdated(now.Boot, t),
+		s.capacityOutdated(now.Boot, t, w),
 		t.onProbation() && w.onProbation(t.step.job):
 		return false
 	}
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -62,7 +62,7 @@
 				continue
 			}
 			if a.worker.info.Draining || s.evacuated[a.worker.info.Datacentre] || a.worker.overCommitted() ||
-				s.capacityOutdated(now, a.task) {
+				s.capacityOutdated(now, a.task, a.worker) {
 				s.drop(a)
 				continue
 			}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -232,6 +232,7 @@
 	}
 	w.info = info
 	w.listed = true
+	w.listedAt = now
 	s.index.markChanged(w)
 }
 
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -29,6 +29,7 @@
 type worker struct {
 	info             WorkerInfo
 	listed           bool          // it is in the platform's list
+	listedAt         time.Duration // when a list that has it was last read; 0 if none has been
 	unlistedAt       time.Duration // when it was first missing from the platform's list; only if not listed
 	leavesAt         time.Duration // earliest time at which it leaves; only with info.Draining
 	stored           bool          // it is in the stored set of known workers, so that a later owner waits for its report
