Keep a crashed worker known until its crash is stored

Cause: the owner records in the store on which worker a task was when the worker fell silent, so that a later owner can count the crash. For that the later owner needs the crashed worker in the stored list of known workers: it sees that another process has its address, or that the process has changed. But once the crash was noticed, the list was stored without the worker, or with its next process, in a transaction of its own before the record of the crash.

The scheduler now keeps such a process in the list until the records that name it as silent are stored without it, and the list names the process that has reported last. Ruled out: changing only the order of the two writes, which would keep new workers without tasks while records cannot be stored.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -94,6 +94,7 @@
 	if w.info.Draining {
 		return
 	}
+	s.retainCrashed(w)
 	c := crash{s: s, worker: w, nextMs: nextMs}
 	for _, a := range w.attemptList {
 		if !survives(a.key()) {
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -32,6 +32,7 @@
 	if equalProgress(j.progress(), r.Progress) {
 		delete(s.dirty, j)
 	}
+	s.releaseCrashed(j, r.Progress)
 	for _, sp := range r.Progress.Steps {
 		j.markRecordsStored(sp)
 		s.orderStoredStarts(now.Boot, j, sp)
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -68,6 +68,7 @@
 			s.workerCrashed(now, w, report.Incarnation, report.lists)
 			w.health, w.slowness = health{}, slowness{}
 			w.stability.recordLoss(now.Boot)
+			s.knownWorkersChanged = true
 		}
 		w.incarnation = report.Incarnation
 		w.lastEnd = 0
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -37,9 +37,9 @@
 			w.stored = false
 			continue
 		}
-		infos = append(infos, w.info)
+		infos = append(infos, w.knownInfo())
 	}
-	return infos, changed
+	return s.addUnstoredCrashes(infos), changed
 }
 
 // drained reports whether a draining worker runs nothing more. No task is started on it, and a later owner that waits
@@ -78,6 +78,7 @@
 
 // RemoveJob removes a job that has ended.
 func (s *Scheduler) RemoveJob(id workload.JobID) {
+	s.releaseCrashed(s.jobs[id], workload.Progress{})
 	delete(s.dirty, s.jobs[id])
 	delete(s.jobs, id)
 }
