Store a restarted worker as leaving while its last crash is not stored

The entry that keeps a crashed process known replaced the one of the next process with the same ID, and with it that this process is leaving. A later owner could have started tasks on it before it had read the list. Found by reading while looking for servers that are in use again after they had left; the test failed before.

--- a/core/schedule/unstored.go
+++ b/core/schedule/unstored.go
@@ -54,15 +54,18 @@
 	})
 }
 
-// addUnstoredCrashes replaces the workers whose process has crashed, or adds them, in a list of known workers.
+// addUnstoredCrashes adds the processes that have crashed to a list of known workers. If the next process has the same ID, one
+// entry describes both: the crashed process by its start, everything else as it is now.
 func (s *Scheduler) addUnstoredCrashes(infos []WorkerInfo) []WorkerInfo {
 	for _, id := range slices.Sorted(maps.Keys(s.unstoredCrashes)) {
 		info := s.unstoredCrashes[id].info
-		if n := slices.IndexFunc(infos, func(other WorkerInfo) bool { return other.ID == id }); n >= 0 {
-			infos[n] = info
-		} else {
-			infos = append(infos, info)
+		if w, known := s.workers[id]; known {
+			started := info.StartedMs
+			info = w.info
+			info.StartedMs = started
+			infos = slices.DeleteFunc(infos, func(other WorkerInfo) bool { return other.ID == id })
 		}
+		infos = append(infos, info)
 	}
 	return infos
 }
--- a/core/schedule/unstored_test.go
+++ b/core/schedule/unstored_test.go
@@ -63,3 +63,22 @@
 		t.Fatalf("changed %t, %d known workers, want 2: %+v", changed, len(known), known)
 	}
 }
+
+// Guards against a later owner that uses a worker which is leaving, because the store describes the process that crashed
+// before it.
+func TestCrashedWorkerIsStoredAsLeaving(t *testing.T) {
+	h := newStartedHarness(t, 1)
+	h.s.AddJob(testJob("crashing", testStep(1)), nil, false)
+	orders := starts(h.run())
+	h.wantStarts(orders, 1)
+	h.silence(orders[0].Task)
+	h.store()
+	h.restart("w0")
+	h.listWorkers()
+	h.workers["w0"].info.Draining = true
+	h.listWorkers()
+	known, _ := h.s.KnownWorkers()
+	if len(known) != 1 || !known[0].Draining || known[0].StartedMs != 1 {
+		t.Errorf("stored as %+v, want one draining worker with the process that crashed", known)
+	}
+}
