--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -33,6 +33,7 @@
 	if equalProgress(j.progress(), r.Progress) {
 		delete(s.dirty, j)
 	}
+	s.releaseCrashed(j, r.Progress)
 	for _, sp := range r.Progress.Steps {
 		j.markRecordsStored(sp)
 		s.orderStoredStarts(now.Boot, j, sp)
@@ -62,7 +63,7 @@
 			if a.phase != awaitingStore || a.number != tp.LastAttempt || string(a.worker.info.ID) != tp.Worker {
 				continue
 			}
-			if !s.mayStartOn(now, a.worker) || a.worker.overCommitted() || s.capacityOutdated(now, a.task) {
+			if !s.mayStartOn(now, a.worker) || a.worker.overCommitted() || s.capacityOutdated(now, a.task, a.worker) {
 				s.drop(a)
 				continue
 			}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -35,6 +35,7 @@
 	suspects            map[*task]struct{}          // tasks with crashes on record
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
+	unstoredCrashes     map[WorkerID]unstoredCrash
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -59,6 +60,8 @@
 		suspects:       map[*task]struct{}{},
 		silentOn:       map[WorkerID][]*task{},
 		vanished:       map[WorkerID]vanishedWorker{},
+
+		unstoredCrashes: map[WorkerID]unstoredCrash{},
 	}
 }
 
@@ -230,8 +233,12 @@
 	if !slices.Equal(w.info.Labels, info.Labels) {
 		s.index.remove(w)
 	}
+	if info.Capacity != w.info.Capacity {
+		w.full = fullBackOff{}
+	}
 	w.info = info
 	w.listed = true
+	w.listedAt = now
 	s.index.markChanged(w)
 }
 
