--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -36,6 +36,8 @@
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
 	unstoredCrashes     map[WorkerID]unstoredCrash
+	gaps                map[structs.DatacentreID]*reportGaps
+	latestReportAt      time.Duration // when the last report of any worker was received
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -60,6 +62,7 @@
 		suspects:       map[*task]struct{}{},
 		silentOn:       map[WorkerID][]*task{},
 		vanished:       map[WorkerID]vanishedWorker{},
+		gaps:           map[structs.DatacentreID]*reportGaps{},
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
 	}
