Keep only the newest report of each worker in a relay

A report lists everything that runs on a worker and every end that is not acknowledged, so it supersedes the earlier ones of the same process; a relay now keeps one report of each worker, and returns those that the owner can act on at once first.

A session now polls again without an acknowledgement only when the owner has collected its last report, or after the usual wait of a poll.

TestReportsWithoutEndsAreCollectedTogether reports from 40 workers, as its scenario says, in place of one worker 40 times; its bound is unchanged.

--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -94,7 +94,7 @@
 	Outcomes []OrderOutcome
 	Fenced   bool // a worker has accepted a later owner
 
-	Uncollected int // number of reports that did not fit into these results
+	Uncollected int // number of workers whose reports did not fit into these results
 }
 
 // WorkerReport is the result of one poll.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -22,7 +22,7 @@
 	// reportBatchDelay is how long reports without ends wait for further results. They are most of the reports, and what
 	// they say changes slowly.
 	reportBatchDelay = 50 * time.Millisecond
-	// maxReports limits the number of reports in one response, and thus its size.
+	// maxReports limits the number of workers whose reports are in one response, and thus its size.
 	maxReports = 400
 	// ownerTimeout is how long a relay continues without a call from its owner, which calls several times a second.
 	ownerTimeout = 3 * time.Second
@@ -48,11 +48,12 @@
 	term       int64
 	leaseUntil time.Duration // boot time up to which the owner permits lease extensions
 	sessions   map[schedule.WorkerID]*session
-	assigned   bool          // the owner has listed workers; the update that releases a relay lists none and may be late
-	results    Results       // collected for the owner and not yet returned by Collect
-	ready      chan struct{} // capacity 1; signalled when results are to be returned
-	signalling bool          // ready will be signalled after reportBatchDelay
-	lastCall   time.Duration // boot time of the owner's last call
+	assigned   bool           // the owner has listed workers; the update that releases a relay lists none and may be late
+	reports    pendingReports // not yet returned by Collect
+	results    Results        // outcomes and fencing, not yet returned by Collect
+	ready      chan struct{}  // capacity 1; signalled when results are to be returned
+	signalling bool           // ready will be signalled after reportBatchDelay
+	lastCall   time.Duration  // boot time of the owner's last call
 	stop       context.CancelFunc
 	sessionCtx context.Context // parent context of the term's sessions; cancelled by stop
 	wg         sync.WaitGroup
@@ -136,7 +137,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.sessionCtx)
 	s := &session{relay: r, term: r.term, worker: a.Worker, wait: a.Wait, cancel: cancel,
-		storedChanged: make(chan struct{}, 1)}
+		changed: make(chan struct{}, 1)}
 	r.sessions[a.Worker.ID] = s
 	r.wg.Go(func() { s.run(ctx) })
 }
@@ -157,7 +158,7 @@
 	if err == nil {
 		r.raiseLeaseLimit(leaseUntil)
 	}
-	waiting := r.results.empty() || r.signalling
+	waiting := r.nothingToReturn() || r.signalling
 	r.mu.Unlock()
 	if err != nil {
 		return Results{}, err
@@ -205,24 +206,31 @@
 
 // clearState drops the owner's assignments, its lease permission and the results collected for it. r.mu is held.
 func (r *Relay) clearState() {
-	r.results = Results{}
+	r.reports, r.results = pendingReports{}, Results{}
 	clear(r.sessions)
 	r.assigned, r.leaseUntil = false, 0
 }
 
-func (r Results) empty() bool { return len(r.Reports) == 0 && len(r.Outcomes) == 0 && !r.Fenced }
+// nothingToReturn reports whether there are no results for the owner. r.mu is held.
+func (r *Relay) nothingToReturn() bool {
+	return r.reports.empty() && len(r.results.Outcomes) == 0 && !r.results.Fenced
+}
 
-// takeResults removes and returns the results, with at most maxReports reports. r.mu is held.
+// takeResults removes and returns the results, with the reports of at most maxReports workers. r.mu is held.
 func (r *Relay) takeResults() Results {
 	out := r.results
 	r.results = Results{}
-	if len(out.Reports) > maxReports {
-		r.results.Reports = out.Reports[maxReports:]
-		out.Reports = out.Reports[:maxReports]
+	out.Reports = r.reports.take(maxReports)
+	for _, report := range out.Reports {
+		if s, known := r.sessions[report.Worker]; known {
+			s.notify()
+		}
+	}
+	if !r.reports.empty() {
 		r.signal()
 	}
 	out.Now = bootclock.Uptime()
-	out.Uncollected = len(r.results.Reports)
+	out.Uncollected = r.reports.workers()
 	r.uncollected.Update(float64(out.Uncollected))
 	if len(out.Reports) > 0 {
 		r.reportWait.RecordDuration(out.Now - out.Reports[0].Report.ReceivedAt)
@@ -246,7 +254,7 @@
 		return
 	}
 	report.Report.ReceivedAt = bootclock.Uptime()
-	r.results.Reports = append(r.results.Reports, report)
+	r.reports.add(report)
 	if report.urgent() {
 		r.signal()
 	} else {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -225,8 +225,8 @@
 	r.mu.Unlock()
 	const reports = 40
 	go func() {
-		for range reports {
-			r.addReport(1, WorkerReport{Worker: "w"})
+		for n := range reports {
+			r.addReport(1, WorkerReport{Worker: schedule.WorkerID(fmt.Sprint("w", n))})
 			time.Sleep(time.Millisecond)
 		}
 	}()
@@ -258,8 +258,8 @@
 		t.Fatal(err)
 	}
 	before := bootclock.Uptime()
-	for range maxReports + 30 {
-		r.addReport(1, WorkerReport{Worker: "other"})
+	for n := range maxReports + 30 {
+		r.addReport(1, WorkerReport{Worker: schedule.WorkerID(fmt.Sprint("other", n))})
 	}
 	r.send(1, schedule.Order{Kind: schedule.OrderStop, Worker: "w"})
 	results, err := r.Collect(context.Background(), 1, 0, 0)
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -14,8 +14,8 @@
 const (
 	// pollTimeout is the timeout of a poll, in addition to its wait. It allows for retransmissions on a lossy network.
 	pollTimeout = 800 * time.Millisecond
-	// storedWait is how long a session waits for task ends to be stored before it polls again without acknowledging
-	// them.
+	// storedWait is how long a session waits at least for task ends to be stored before it polls again without
+	// acknowledging them.
 	storedWait = 100 * time.Millisecond
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
@@ -31,15 +31,15 @@
 	term   int64
 	cancel context.CancelFunc
 
-	worker        schedule.WorkerInfo
-	wait          time.Duration // how long the worker may hold a poll open until a task ends
-	incarnation   int64         // of the worker process, as last reported
-	newestEnd     int64         // newest task end that the worker has reported
-	storedEnd     int64         // newest task end that is stored
-	lastPollOK    bool          // the worker answered the last poll
-	clockMs       int64         // last reading of the worker's clock, in milliseconds
-	clockReadAt   time.Duration // boot time at which clockMs was received
-	storedChanged chan struct{} // capacity 1; signalled when storedEnd has changed
+	worker      schedule.WorkerInfo
+	wait        time.Duration // how long the worker may hold a poll open until a task ends
+	incarnation int64         // of the worker process, as last reported
+	newestEnd   int64         // newest task end that the worker has reported
+	storedEnd   int64         // newest task end that is stored
+	lastPollOK  bool          // the worker answered the last poll
+	clockMs     int64         // last reading of the worker's clock, in milliseconds
+	clockReadAt time.Duration // boot time at which clockMs was received
+	changed     chan struct{} // capacity 1; signalled when storedEnd has changed or the owner has collected the reports
 }
 
 // run polls the worker until ctx ends or the owner has abandoned the relay.
@@ -150,36 +150,61 @@
 	}
 }
 
-// awaitStored waits until the task ends that the worker has reported are stored, at most storedWait. The next poll then
-// acknowledges them; without the acknowledgement it would return the same ends again immediately.
+// awaitStored waits until the task ends that the worker has reported are stored. The next poll then acknowledges them;
+// without the acknowledgement it would return the same ends again immediately. After storedWait it waits only until the
+// owner has collected them, so that an owner which falls behind is not sent more reports than others; after the wait of a
+// poll it returns in any case, since polls extend the leases.
 func (s *session) awaitStored(ctx context.Context) {
-	deadline := time.NewTimer(storedWait)
-	defer deadline.Stop()
+	minimum := time.NewTimer(storedWait)
+	defer minimum.Stop()
+	maximum := time.NewTimer(max(s.pollWait(), storedWait))
+	defer maximum.Stop()
+	mayRepeat := false
 	for {
-		s.relay.mu.Lock()
-		done := s.storedEnd >= s.newestEnd
-		s.relay.mu.Unlock()
-		if done {
+		stored, collected := s.progress()
+		if stored || (mayRepeat && collected) {
 			return
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-deadline.C:
+		case <-maximum.C:
 			return
-		case <-s.storedChanged:
+		case <-minimum.C:
+			mayRepeat = true
+		case <-s.changed:
 		}
 	}
 }
 
+// pollWait returns how long the worker may hold a poll open.
+func (s *session) pollWait() time.Duration {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	return s.wait
+}
+
+// progress reports whether the ends that the worker has reported are stored, and whether the owner has collected its
+// reports.
+func (s *session) progress() (stored, collected bool) {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	return s.storedEnd >= s.newestEnd, !s.relay.reports.has(s.worker.ID)
+}
+
+// notify wakes awaitStored.
+func (s *session) notify() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
 // markStored records that task ends are stored, unless they are of another incarnation. Relay.mu is held.
 func (s *session) markStored(stored StoredEnd) {
 	if stored.Incarnation != s.incarnation {
 		return
 	}
 	s.storedEnd = max(s.storedEnd, min(stored.Number, s.newestEnd))
-	select {
-	case s.storedChanged <- struct{}{}:
-	default:
-	}
+	s.notify()
 }
