Store the records of a batch in several transactions at once

Up to four are in progress at once now, and records are encoded outside the owner's lock. Each record has its own condition, so the order of the transactions does not matter, and nothing is acknowledged before all are stored.

TestTransactionsOfABatchDoNotWaitForEachOther fails with one transaction at a time.

--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/workload"
@@ -22,6 +24,9 @@
 	saveBatchDelay = 25 * time.Millisecond
 	// saveTimeout bounds one write, and the read that confirms the term. It is long enough for a slow store.
 	saveTimeout = 1500 * time.Millisecond
+	// concurrentTxns is the maximum number of transactions of a batch that are in progress at once. Ends are acknowledged and
+	// services started when all are done, so their number must not multiply the response time of the store.
+	concurrentTxns = 4
 	// deleteEndedInterval is the time between two deletions of ended jobs whose retention has expired.
 	deleteEndedInterval = 10 * time.Second
 	// deletionsPerTxn keeps a transaction that deletes up to three keys per job within the store's entry limit.
@@ -95,12 +100,8 @@
 			return errors.Trace(err)
 		}
 	}
-	for records := b.records; len(records) > 0; {
-		n := recordsOfTxn(records)
-		if err := o.saveRecords(ctx, records[:n]); err != nil {
-			return errors.Trace(err)
-		}
-		records = records[n:]
+	if err := o.saveAllRecords(ctx, b.records); err != nil {
+		return errors.Trace(err)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -169,23 +170,44 @@
 	return r.Progress.State.Final() && r.Progress.State != workload.StateCancelled
 }
 
+// saveAllRecords stores progress records in as many transactions as they need. Once one has failed no further ones begin, and
+// the first error is returned.
+func (o *Owner) saveAllRecords(ctx context.Context, records []schedule.Record) error {
+	var group errgroup.Group
+	group.SetLimit(concurrentTxns)
+	var failed atomic.Bool
+	for len(records) > 0 && !failed.Load() {
+		n := recordsOfTxn(records)
+		part := records[:n]
+		records = records[n:]
+		group.Go(func() error {
+			err := o.saveRecords(ctx, part)
+			if err != nil {
+				failed.Store(true)
+			}
+			return err
+		})
+	}
+	return group.Wait()
+}
+
 // saveRecords stores progress records in one transaction. Each write is conditional on the record's last known
 // revision, so that a write which the store applies late cannot overwrite a newer one.
 func (o *Owner) saveRecords(ctx context.Context, records []schedule.Record) error {
 	txn := kv.Txn{If: []kv.Condition{o.ownership.Condition()}}
-	o.mu.Lock()
 	for _, r := range records {
 		data, err := json.Marshal(r.Progress)
 		if err != nil {
-			o.mu.Unlock()
 			return errors.Trace(err)
 		}
-		key := statekeys.Progress(o.cfg.Partition, r.Job)
-		txn.If = append(txn.If, kv.Condition{Key: key, Revision: o.revisions[r.Job]})
+		txn.Put = append(txn.Put, kv.Put{Key: statekeys.Progress(o.cfg.Partition, r.Job), Value: data})
+	}
+	o.mu.Lock()
+	for n, r := range records {
+		txn.If = append(txn.If, kv.Condition{Key: txn.Put[n].Key, Revision: o.revisions[r.Job]})
 		if excludesCancellation(r) {
 			txn.If = append(txn.If, kv.Condition{Key: statekeys.Cancel(o.cfg.Partition, r.Job)})
 		}
-		txn.Put = append(txn.Put, kv.Put{Key: key, Value: data})
 	}
 	o.mu.Unlock()
 	revision, err := o.commit(ctx, txn, func(c *kv.Conflict) {
