Compute the urgency of a step once per planning run

The scheduler now keeps the steps that have pending tasks apart, and computes their urgency once. The order is unchanged.

--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -31,6 +31,7 @@
 	unfinished int           // tasks that are not done
 	pending    int           // tasks that have no attempt and are not done
 	retryAt    time.Duration // when a search for capacity is worth trying again
+	urgency    urgency       // as of the last planning run
 	searchFrom int           // position among the workers with spare time from which searchFurther continues
 }
 
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -175,6 +175,7 @@
 		s.recordEnd(a)
 		if t.pending() {
 			t.step.pending++
+			s.pendingSteps[t.step] = struct{}{}
 		}
 		break
 	}
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -66,8 +66,13 @@
 // stepsByUrgency returns the startable steps with pending tasks, the most urgent first.
 func (s *Scheduler) stepsByUrgency(now Time) []*step {
 	var steps []*step
-	for st := range s.openSteps {
-		if st.pending > 0 && s.startable(now, st) {
+	for st := range s.pendingSteps {
+		if _, open := s.openSteps[st]; !open || st.pending == 0 {
+			delete(s.pendingSteps, st)
+			continue
+		}
+		if s.startable(now, st) {
+			st.urgency = st.urgencyAt(now)
 			steps = append(steps, st)
 		}
 	}
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -68,8 +68,9 @@
 // displacedTasks returns the displaced tasks that may start, the most urgent first.
 func (s *Scheduler) displacedTasks(now Time) []*task {
 	var tasks []*task
-	for st := range s.openSteps {
-		if st.pending == 0 || !st.spec.Service || !s.startable(now, st) {
+	for st := range s.pendingSteps {
+		_, open := s.openSteps[st]
+		if !open || st.pending == 0 || !st.spec.Service || !s.startable(now, st) {
 			continue
 		}
 		for _, t := range st.tasks {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -19,6 +19,7 @@
 	listReadAt          time.Duration // time of the last call of SetWorkers; 0 before the first
 	evacuated           map[structs.DatacentreID]bool
 	openSteps           map[*step]struct{}             // steps that may start tasks
+	pendingSteps        map[*step]struct{}             // all open steps with pending tasks, and some others; see stepsByUrgency
 	compareSteps        func(now Time, a, b *step) int // order in which steps get capacity
 	stopping            map[*attempt]struct{}          // attempts that have to end
 	scannedAt           time.Duration                  // when all attempts were last scanned for moves and copies
@@ -53,6 +54,7 @@
 		index:          newWorkerIndex(),
 		evacuated:      map[structs.DatacentreID]bool{},
 		openSteps:      map[*step]struct{}{},
+		pendingSteps:   map[*step]struct{}{},
 		compareSteps:   compareByResponse,
 		stopping:       map[*attempt]struct{}{},
 		awaitingReport: map[WorkerID]bool{},
@@ -107,6 +109,7 @@
 func (s *Scheduler) openStep(st *step) {
 	if st.unmetDeps == 0 && st.unfinished > 0 && !st.job.state.Final() {
 		s.openSteps[st] = struct{}{}
+		s.pendingSteps[st] = struct{}{}
 	}
 }
 
--- a/core/schedule/urgency.go
+++ b/core/schedule/urgency.go
@@ -19,16 +19,28 @@
 // compareByResponse orders steps by rank. Within a rank, tasks that end come before service tasks, which hold their
 // capacity for long, and jobs with the least work for the time that they have waited come first (highest response ratio
 // next): when capacity is short, most jobs are in time if small ones go first, and large ones overtake them as they wait.
-func compareByResponse(now Time, a, b *step) int {
+func compareByResponse(_ Time, a, b *step) int {
 	return cmp.Or(
-		cmp.Compare(a.rank(now), b.rank(now)),
+		cmp.Compare(a.urgency.rank, b.urgency.rank),
 		compareBool(a.spec.Service, b.spec.Service),
-		cmp.Compare(a.workPerWait(now), b.workPerWait(now)),
+		cmp.Compare(a.urgency.workPerWait, b.urgency.workPerWait),
 		cmp.Compare(a.job.dueByMs, b.job.dueByMs),
 		compareIDs(a, b),
 	)
 }
 
+// urgency holds what decides the order of a step. It is computed once per planning run, since a sort compares each step with
+// many others.
+type urgency struct {
+	rank        int
+	workPerWait float64
+}
+
+// urgencyAt returns the urgency of a step as of now.
+func (st *step) urgencyAt(now Time) urgency {
+	return urgency{rank: st.rank(now), workPerWait: st.workPerWait(now)}
+}
+
 // compareIDs orders steps by their identity, so that no decision depends on the order of a map.
 func compareIDs(a, b *step) int {
 	return cmp.Or(
