Share one search for workers among the fillers of a step, and mark listed attempts in place

Only the order among the 24 best workers changes: a task takes the best one left in place of the best one after it was rated again.

A report also built a map of the attempts that it lists, each time; attempts and orphans keep the number of the report instead.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -94,8 +94,12 @@
 	return p.byFree.count(milliCPU) < len(p.byFree.workers)/scarceShare
 }
 
-// searchFillers checks the workers with the highest estimated ratings, the best first.
+// searchFillers checks the workers with the highest estimated ratings, the best first. The tasks of a step start together, so
+// those that follow in the same planning run take the workers that remain of one search before the next one begins.
 func (s *Scheduler) searchFillers(c *search, p *poolIndex) {
+	if s.fillerSearch.matches(c) && s.fillerSearch.takeNext(c) {
+		return
+	}
 	size := c.task.step.spec.Size.MilliCPU
 	cores := float64(size) / 1000
 	var top topWorkers
@@ -104,11 +108,32 @@
 		top.add(w, fillerRating(float64(w.indexed.spare), rise, w))
 	}
 	top.considerAll(c)
+	s.fillerSearch = fillerSearch{step: c.task.step, at: c.now, remaining: top.without(c.best.worker)}
 	if c.best.worker == nil {
 		s.searchFurther(c, p.bySpare.workers[:p.bySpare.count(minSpare(size))])
 	}
 }
 
+// fillerSearch holds the workers that remain of a search for the fillers of a step, the best first.
+type fillerSearch struct {
+	step      *step
+	at        Time
+	remaining []*worker
+}
+
+// matches reports whether the workers may be used for a search.
+func (f *fillerSearch) matches(c *search) bool { return f.step == c.task.step && f.at == c.now }
+
+// takeNext checks the remaining workers until one fits, and reports whether one does.
+func (f *fillerSearch) takeNext(c *search) bool {
+	for len(f.remaining) > 0 && c.best.worker == nil {
+		w := f.remaining[0]
+		f.remaining = f.remaining[1:]
+		c.consider(w)
+	}
+	return c.best.worker != nil
+}
+
 // searchFurther checks maxFillerChecks of the workers, from where the last search of the step ended, until one fits.
 func (s *Scheduler) searchFurther(c *search, workers []*worker) {
 	st := c.task.step
@@ -156,6 +181,17 @@
 	t.workers[i] = candidate{worker: w, rating: rating}
 }
 
+// without returns the workers of the list except for one.
+func (t *topWorkers) without(chosen *worker) []*worker {
+	workers := make([]*worker, 0, t.n)
+	for _, w := range t.workers[:t.n] {
+		if w.worker != chosen {
+			workers = append(workers, w.worker)
+		}
+	}
+	return workers
+}
+
 // considerAll checks all workers of the list, the best first.
 func (t *topWorkers) considerAll(c *search) {
 	for _, w := range t.workers[:t.n] {
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -76,6 +76,7 @@
 	phase            phase
 	confirmedAt      time.Duration // when the worker confirmed the start; 0 before
 	listedAt         time.Duration // when a report last listed it as running; 0 before the first
+	listedIn         int64         // number of that report of the worker
 	stopSentAt       time.Duration // when the latest stop order was sent; 0 before the first
 	stoppedInTime    bool          // the worker answered polls when the attempt was first to be stopped
 	crashCounted     bool          // the end of its worker's process was counted
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -83,22 +83,21 @@
 	s.index.markChanged(w)
 	s.forgetSilent(w)
 	delete(s.awaitingReport, id)
-	listed := s.applyRunning(now, w, report)
+	w.reports++
+	s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
 	if len(report.Ended) < maxEndedPerReport {
-		s.resolveAbsent(now, w, report, listed)
+		s.resolveAbsent(now, w, report)
 	}
 	s.updateSlowness(now.Boot, w)
 	s.guardServices(now, w)
 	return w.lastEnd
 }
 
-// applyRunning applies the list of running attempts and returns their keys.
-func (s *Scheduler) applyRunning(now Time, w *worker, report Report) map[attemptKey]bool {
-	listed := make(map[attemptKey]bool, len(report.Running))
+// applyRunning applies the list of running attempts.
+func (s *Scheduler) applyRunning(now Time, w *worker, report Report) {
 	for _, row := range report.Running {
 		key := attemptKey{row.Task, row.Attempt}
-		listed[key] = true
 		a := w.attempts[key]
 		if a == nil {
 			a = s.adopt(now, w, row)
@@ -108,7 +107,7 @@
 			continue
 		}
 		s.confirm(now.Boot, a)
-		a.listedAt = now.Boot
+		a.listedAt, a.listedIn = now.Boot, w.reports
 		if a.phase == starting || a.phase == unanswered {
 			a.phase = running
 		}
@@ -122,7 +121,6 @@
 			a.task.checkpoint = row.Checkpoint
 		}
 	}
-	return listed
 }
 
 // adopt takes over an attempt that this scheduler has not started. It returns nil if the attempt has to be stopped.
@@ -161,7 +159,9 @@
 		w.addOrphan(key, reserved)
 		orphaned = w.orphans[key]
 		s.emit(Event{Kind: EventAttemptOrphaned, Worker: w.info.ID, Task: key.task, Attempt: key.number})
-	} else if now-orphaned.stopSentAt < resendAfter {
+	}
+	orphaned.listedIn = w.reports
+	if known && now-orphaned.stopSentAt < resendAfter {
 		return
 	}
 	orphaned.stopSentAt = now
@@ -274,14 +274,14 @@
 // resolveAbsent handles the attempts that the worker neither runs nor lists as ended. A report proves the absence only
 // of attempts whose start or stop was confirmed before the poll was sent; these are removed. Other attempts that
 // have to be stopped or whose start is unanswered get a stop order.
-func (s *Scheduler) resolveAbsent(now Time, w *worker, report Report, listed map[attemptKey]bool) {
+func (s *Scheduler) resolveAbsent(now Time, w *worker, report Report) {
 	for key, orphaned := range w.orphans {
-		if !listed[key] && orphaned.stopSentAt < report.SentAt {
+		if orphaned.listedIn != w.reports && orphaned.stopSentAt < report.SentAt {
 			w.removeOrphan(key)
 		}
 	}
 	for _, a := range slices.Clone(w.attemptList) {
-		if listed[a.key()] {
+		if a.listedIn == w.reports {
 			if a.phase == stopping {
 				s.stop(now.Boot, a)
 			}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -16,6 +16,7 @@
 	workers             map[WorkerID]*worker
 	sortedWorkers       []*worker // sorted by ID, so that decisions do not depend on map order
 	index               *workerIndex
+	fillerSearch        fillerSearch  // the latest one
 	listReadAt          time.Duration // time of the last call of SetWorkers; 0 before the first
 	evacuated           map[structs.DatacentreID]bool
 	openSteps           map[*step]struct{}             // steps that may start tasks
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -36,6 +36,7 @@
 	incarnation      int64         // start of the worker process, Unix milliseconds; 0 before the first report
 	polledAt         time.Duration // when the poll was sent whose report was applied last
 	reportedAt       time.Duration // when the last report was received; 0 before the first
+	reports          int64         // number of reports that were applied
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
 	lastEnd          int64         // number of the latest end that was applied
@@ -77,6 +78,7 @@
 	key        attemptKey
 	reserved   structs.Resources
 	stopSentAt time.Duration // when the latest stop order was sent; 0 if it has to be sent again
+	listedIn   int64         // number of the report of the worker that last listed it
 }
 
 func newWorker(info WorkerInfo, index *workerIndex) *worker {
