Limit the precedence of displaced service tasks in time

A displaced task that had been passed over stayed before all other work until it started. Where workers are lost for good all of them reach that, the large ones too, and tasks that end wait behind tasks for which there is no room any more. Now the precedence lasts for 1.5 s, and the count starts again; it begins after 10 starts of other tasks in 1.5 s in place of 20, about what one service leaves behind when it ends.

So this is the load that has to count.

--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -9,11 +9,14 @@
 
 const (
 	// maxPassedOver is the number of other tasks within passedOverWindow that may start on workers with room for a displaced
-	// service task before it comes first. A place that has become free is taken after about 150 ms, so that at this rate
-	// two places for it are free at nearly any moment, and the platform demands that it runs. Restarting tasks that find
-	// room less often would cost the tasks that end more than the service gains.
-	maxPassedOver    = 20
+	// service task before it comes first for precedence. A service that ends leaves about as many places. While places
+	// keep becoming free at this rate the platform demands that the task runs; at a lower rate, its restart would cost the
+	// tasks that end more than the service gains.
+	maxPassedOver    = 10
 	passedOverWindow = 1500 * time.Millisecond
+	// precedence is how long a displaced task that was passed over comes first. It is limited so that tasks that end do not
+	// wait for capacity that is no longer there for both.
+	precedence = 1500 * time.Millisecond
 	// restartOverdueAfter is how long a displaced service task waits for a worker on which it has not failed, and how long
 	// it avoids a worker after a fault. With the write to the store and the start it stays below the 3 s that the platform
 	// allows while there is room.
@@ -25,7 +28,7 @@
 	since      time.Duration // when it was first seen to be displaced
 	countFrom  time.Duration // start of the current passedOverWindow
 	passedOver int           // starts of other tasks in the window on workers with room for it
-	first      bool          // it has been passed over too often and comes before all other tasks
+	firstUntil time.Duration // until when it comes before all other tasks, because it was passed over too often
 }
 
 // displaced reports whether a service task has run and has lost its place.
@@ -46,20 +49,26 @@
 	}
 }
 
+// first reports whether the task comes before all other tasks.
+func (d *displacement) first(now time.Duration) bool { return now < d.firstUntil }
+
 // countPassedOver records that a task is started on a worker on which displaced tasks might have started.
 func (s *Scheduler) countPassedOver(cycle *planCycle, w *worker) {
 	for _, t := range cycle.displaced {
-		if t.displacement.first || !s.fits(cycle.now, t, w) {
+		d := &t.displacement
+		if d.first(cycle.now.Boot) || !s.fits(cycle.now, t, w) {
 			continue
 		}
-		t.displacement.passedOver++
-		t.displacement.first = t.displacement.passedOver >= maxPassedOver
+		d.passedOver++
+		if d.passedOver >= maxPassedOver {
+			*d = displacement{since: d.since, firstUntil: cycle.now.Boot + precedence}
+		}
 	}
 }
 
 // restartRank returns the sort rank of a displaced task. It compares with step.rank.
 func (t *task) restartRank(now Time) int {
-	if t.displacement.first {
+	if t.displacement.first(now.Boot) {
 		return math.MinInt
 	}
 	return t.step.rank(now)
