Simulate service tasks under faults

The fault simulation had no services, so no test played their starts, restarts and takeovers with crashes, cuts, lost answers and changes of the owner, and it could not show that one stays down. It now has a job of eight service tasks whose runs fail at some time. None may run in two places, and 20 s after the last fault none may be down for 9 s, which the platform demands where there is room.

The simulation crashes each of six workers about every 40 s.

--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -254,7 +254,7 @@
 			worker.end(f.now, key, EndExpired)
 		case f.now >= worker.running[key]:
 			kind := EndDone
-			if f.rnd.IntN(12) == 0 {
+			if key.task.Job == serviceJob || f.rnd.IntN(12) == 0 {
 				kind = EndFailed
 			}
 			worker.end(f.now, key, kind)
