Bound the checks of displaced tasks at each start

After the loss of a data centre hundreds of service tasks are displaced at once. Each start of another task checked all of them, so that a planning run took as many checks as there are displaced tasks times starts. The most urgent ones are checked.

--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -52,9 +52,14 @@
 // first reports whether the task comes before all other tasks.
 func (d *displacement) first(now time.Duration) bool { return now < d.firstUntil }
 
-// countPassedOver records that a task is started on a worker on which displaced tasks might have started.
+// maxPassedOverChecks is the maximum number of displaced tasks that are checked at each start of another task. After the loss
+// of a data centre there are hundreds, and most of them differ little.
+const maxPassedOverChecks = 32
+
+// countPassedOver records that a task is started on a worker on which displaced tasks might have started. It checks the most
+// urgent ones only.
 func (s *Scheduler) countPassedOver(cycle *planCycle, w *worker) {
-	for _, t := range cycle.displaced {
+	for _, t := range cycle.displaced[:min(len(cycle.displaced), maxPassedOverChecks)] {
 		d := &t.displacement
 		if d.first(cycle.now.Boot) || !s.fits(cycle.now, t, w) {
 			continue
