--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -11,6 +11,9 @@
 	// maxCandidates is the number of workers that fit a short task and are compared, and the number of workers with the
 	// highest estimated ratings that are checked for a filler or a service.
 	maxCandidates = 24
+	// maxShared is the number of workers of one search that the next fillers of a step may take. The workers behind them are
+	// often worse than those that a new search finds.
+	maxShared = 8
 	// maxFillerChecks is the number of further workers that are checked for a filler if none of the highest rated ones
 	// fits. The next search of its step continues with the workers that follow.
 	maxFillerChecks = 200
@@ -108,7 +111,7 @@
 		top.add(w, fillerRating(float64(w.indexed.spare), rise, w))
 	}
 	top.considerAll(c)
-	s.fillerSearch = fillerSearch{step: c.task.step, at: c.now, remaining: top.without(c.best.worker)}
+	s.fillerSearch = fillerSearch{step: c.task.step, at: c.now, remaining: top.best(maxShared, c.best.worker)}
 	if c.best.worker == nil {
 		s.searchFurther(c, p.bySpare.workers[:p.bySpare.count(minSpare(size))])
 	}
@@ -181,10 +184,10 @@
 	t.workers[i] = candidate{worker: w, rating: rating}
 }
 
-// without returns the workers of the list except for one.
-func (t *topWorkers) without(chosen *worker) []*worker {
-	workers := make([]*worker, 0, t.n)
-	for _, w := range t.workers[:t.n] {
+// best returns the first n workers of the list, without the chosen one.
+func (t *topWorkers) best(n int, chosen *worker) []*worker {
+	workers := make([]*worker, 0, n)
+	for _, w := range t.workers[:min(n, t.n)] {
 		if w.worker != chosen {
 			workers = append(workers, w.worker)
 		}
