Give displaced service tasks the places that services leave

Now displaced tasks start before all others as long as they take no more than services have left, on workers that answer, since displaced tasks wait. So services and tasks that end keep their shares where capacity is lost.

TestDisplacedServiceTaskTakesThePlaceThatAServiceLeaves failed before (the place of a cancelled service went to a task that ends); it also checks that the place of a task that has ended goes to the next one.

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -155,6 +155,7 @@
 // attempt.
 func (s *Scheduler) drop(a *attempt) {
 	a.worker.remove(a)
+	s.recordVacated(a)
 	s.knownWorkersChanged = s.knownWorkersChanged || a.worker.drained()
 	delete(s.stopping, a)
 	s.interference.removeAttempt(a)
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -27,6 +27,7 @@
 		s.startCopies(now)
 	}
 	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
+	s.restartInVacated(&cycle)
 	for _, st := range s.stepsByUrgency(now) {
 		s.restartBefore(&cycle, st)
 		s.startStep(&cycle, st)
@@ -147,6 +148,7 @@
 		startedAt: now, share: fullShare, confirmedShare: fullShare, resumed: t.checkpoint != ""}
 	s.attach(a)
 	if t.step.spec.Service {
+		s.recordTaken(t)
 		a.phase = awaitingStore
 		t.storedWorker = w.info.ID
 		s.markDirty(t.step.job)
--- a/core/schedule/restart_test.go
+++ b/core/schedule/restart_test.go
@@ -74,6 +74,34 @@
 	}
 }
 
+// Guards against tasks that end taking the places that services leave while a displaced service task waits, and against
+// the displaced task taking the place of a task that has ended.
+func TestDisplacedServiceTaskTakesThePlaceThatAServiceLeaves(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(1))
+	h.startedService("service", 1)
+	h.addWorker("w2", withCores(1))
+	h.startedService("other", 1)
+	h.addWorker("w3", withCores(1))
+	h.s.AddJob(testJob("first", testStep(1)), nil, false)
+	h.wantStarts(h.orderedFor(h.run(), "first"), 1)
+	h.s.PollFailed(h.now, "w1")
+	delete(h.workers, "w1")
+	h.advanceClock(h.s.cfg.leaseBound())
+	h.reportAll()
+	h.wantStarts(h.run(), 0)
+	short := testJob("short", testStep(100))
+	short.AcceptedMs = h.now.UnixMs
+	h.s.AddJob(short, nil, false)
+	h.end(taskID("first", 0, 0), EndDone)
+	h.reportAll()
+	h.wantStarts(h.orderedFor(h.run(), "short"), 1)
+	h.s.Cancel(h.now, "other")
+	h.run()
+	h.reportAll()
+	h.wantStarts(h.orderedFor(h.run(), "service"), 1)
+}
+
 // Guards against the next owner taking a displaced task for one that has never run.
 func TestNextOwnerRestartsDisplacedServiceTask(t *testing.T) {
 	h := newHarness(t, 1)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -33,6 +33,7 @@
 	suspects            map[*task]struct{}          // tasks with crashes on record
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
+	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that services have left and not taken since
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -57,6 +58,7 @@
 		suspects:       map[*task]struct{}{},
 		silentOn:       map[WorkerID][]*task{},
 		vanished:       map[WorkerID]vanishedWorker{},
+		vacated:        map[workload.PoolName]int64{},
 	}
 }
 
