--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -40,6 +40,7 @@
 	unstoredCrashes     map[WorkerID]unstoredCrash
 	gaps                map[structs.DatacentreID]*reportGaps
 	latestReportAt      time.Duration // when the last report of any worker was received
+	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that services have left and not taken since
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -68,6 +69,7 @@
 		gaps:           map[structs.DatacentreID]*reportGaps{},
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
+		vacated:        map[workload.PoolName]int64{},
 	}
 }
 
