--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -198,8 +198,7 @@
 // usable reports whether tasks may start on a worker at all. Before the platform's list has been read, a worker that the
 // former owner knew may be draining.
 func (s *Scheduler) usable(now time.Duration, w *worker) bool {
-	return s.listReadAt > 0 && w.available(now) && !s.evacuated[w.info.Datacentre] && !w.health.inBackOff(now) &&
-		!w.slowness.slow(now) && !s.cutOff(w.info.Datacentre)
+	return s.listReadAt > 0 && w.available(now) && !s.evacuated[w.info.Datacentre] && !w.health.inBackOff(now) && !w.slowness.slow(now)
 }
 
 // maxCapacityAge is the age of the list of workers up to which tasks start on workers that do not guard their capacity: it
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -74,7 +74,6 @@
 	}
 	w.polledAt = report.SentAt
 	w.reportedAt = now.Boot
-	s.recordReportFrom(now.Boot, w.info.Datacentre)
 	w.leasesExtended = true
 	w.suspect = false
 	s.index.markChanged(w)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -33,8 +33,6 @@
 	suspects            map[*task]struct{}          // tasks with crashes on record
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
-	gaps                map[structs.DatacentreID]*reportGaps
-	latestReportAt      time.Duration // when the last report of any worker was received
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -59,7 +57,6 @@
 		suspects:       map[*task]struct{}{},
 		silentOn:       map[WorkerID][]*task{},
 		vanished:       map[WorkerID]vanishedWorker{},
-		gaps:           map[structs.DatacentreID]*reportGaps{},
 	}
 }
 
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -145,15 +145,14 @@
 	return 0, 0
 }
 
-// stalled reports whether an attempt made no progress at all for longer than its whole task is estimated to take, up to the
-// last report of its worker: the silence of a worker, for instance behind a network partition, tells nothing about progress.
-func (a *attempt) stalled() bool {
+// stalled reports whether an attempt has made no progress at all for longer than its whole task is estimated to take.
+func (a *attempt) stalled(now time.Duration) bool {
 	if a.phase != running || a.confirmedAt == 0 || a.task.step.spec.Service || a.speedShare() < minSpeedShare {
 		return false
 	}
 	estimate := time.Duration(a.task.step.spec.EstimateMs) * time.Millisecond
 	limit := max(time.Duration(float64(estimate)*stalledFactor), minStalledTime)
-	return a.worker.reportedAt-max(a.percentChangedAt, a.confirmedAt) > limit
+	return now-max(a.percentChangedAt, a.confirmedAt) > limit
 }
 
 // moveFromSlow stops stalled tasks, tasks on slow workers that are expected to end sooner elsewhere, and service tasks
@@ -172,7 +171,7 @@
 				}
 				continue
 			}
-			stalled := a.stalled()
+			stalled := a.stalled(now.Boot)
 			if stalled {
 				w.slowness.add(now.Boot, maxSlowness, 1)
 			}
