--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -242,7 +242,7 @@
 // mayStartOn reports whether tasks may start on a worker if its recent faults are ignored. Before the platform's list has
 // been read, a worker that the former owner knew may be draining.
 func (s *Scheduler) mayStartOn(now time.Duration, w *worker) bool {
-	return s.listReadAt > 0 && w.accepts(now) && !s.evacuated[w.info.Datacentre] && !s.cutOff(w.info.Datacentre)
+	return s.listReadAt > 0 && w.accepts(now) && !s.evacuated[w.info.Datacentre]
 }
 
 // maxCapacityAge is the age of the list of workers up to which tasks start on workers that do not guard their capacity: it
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -38,8 +38,6 @@
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
 	unstoredCrashes     map[WorkerID]unstoredCrash
-	gaps                map[structs.DatacentreID]*reportGaps
-	latestReportAt      time.Duration // when the last report of any worker was received
 	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that services have left and not taken since
 }
 
@@ -66,10 +64,9 @@
 		suspects:       map[*task]struct{}{},
 		silentOn:       map[WorkerID][]*task{},
 		vanished:       map[WorkerID]vanishedWorker{},
-		gaps:           map[structs.DatacentreID]*reportGaps{},
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
-		vacated:        map[workload.PoolName]int64{},
+		vacated:         map[workload.PoolName]int64{},
 	}
 }
 
