Collect from workers without ends beside many with ends

Cause: a response holds the reports of 400 workers, those with ends or a failed poll first. A session whose ends are not stored polls again as soon as its report is collected, so that an owner that collects late finds the reports of more than 400 workers with ends at each collection, and never those of the others. It takes a worker without a report for 2.5 s for unreachable, although the worker answers: its services are what end least often.

Evidence: with 800 workers that report ends between two collections, TestWorkersWithoutEndsAreCollectedFromBesideManyWithEnds failed before with "the report of the worker without ends is left after 9 responses". Not seen on a site.

A quarter of each response now goes to the workers that have waited longest, with or without ends, so that every report leaves the relay within a number of responses that the number of workers bounds.

--- a/pkg/relay/pending.go
+++ b/pkg/relay/pending.go
@@ -59,11 +59,18 @@
 	return known
 }
 
-// take removes and returns the results of at most limit workers, those that the owner can act on at once first.
+// longestWaitingShare is the inverse of the share of the workers in a response that is kept for those that have waited
+// longest.
+const longestWaitingShare = 4
+
+// take removes and returns the results of at most limit workers, those that the owner can act on at once first. A share of
+// the limit goes to the workers that have waited longest: a worker without ends would otherwise never be collected from while
+// enough others have ends, and would count as silent.
 func (p *pendingReports) take(limit int) []WorkerReport {
 	taken := make([]WorkerReport, 0, min(len(p.order), limit))
-	taken, limit = p.takeIf((*workerReports).urgent, taken, limit)
-	taken, _ = p.takeIf(func(*workerReports) bool { return true }, taken, limit)
+	kept := limit / longestWaitingShare
+	taken, unused := p.takeIf((*workerReports).urgent, taken, limit-kept)
+	taken, _ = p.takeIf(func(*workerReports) bool { return true }, taken, unused+kept)
 	return taken
 }
 
--- a/pkg/relay/pending_test.go
+++ b/pkg/relay/pending_test.go
@@ -104,6 +104,33 @@
 	}
 }
 
+// Scenario: more workers report ends between two collections than one response holds. Guards against workers without ends
+// whose reports are never collected: they would count as silent, and their services would be started elsewhere.
+func TestWorkersWithoutEndsAreCollectedFromBesideManyWithEnds(t *testing.T) {
+	const withEnds = 2 * maxReports
+	var p pendingReports
+	addEnds := func(poll int) {
+		for n := range withEnds {
+			p.add(reportOf(schedule.WorkerID(fmt.Sprint("ended", n)), 1, time.Duration(poll), int64(poll)))
+		}
+	}
+	addEnds(1)
+	p.add(reportOf("quiet", 1, 1))
+	// Each response advances the queue by the share of the longest waiting at least.
+	const responses = withEnds/(maxReports/longestWaitingShare) + 1
+	for n := range responses {
+		taken := p.take(maxReports)
+		if len(taken) != maxReports {
+			t.Fatalf("%d reports in a response, want %d", len(taken), maxReports)
+		}
+		addEnds(n + 2)
+		if !p.has("quiet") {
+			return
+		}
+	}
+	t.Errorf("the report of the worker without ends is left after %d responses", responses)
+}
+
 // Scenario: the owner neither collects reports nor stores ends for a second, because it lacks processor time or its store is
 // slow. Guards against polls that become more frequent meanwhile: their reports would slow the owner down further.
 func TestUnacknowledgedEndsAreNotPolledMoreOften(t *testing.T) {
