Keep the pause after a planning run beside periodic runs

Cause: planLoop selected between a ticker and the signal of a change, and only the latter led to the pause after a run. Under load a tick is due after each run and so is a signal, so that about half of the runs began at once: an owner whose runs take 60 ms was to plan for at most 38 % of the time and did so for about 55 %.

Evidence: TestPlanningPausesBesidePeriodicRuns, on a fake clock, failed before for 23 of 50 runs with "begins 0s after the one before, which took 60ms". The percentages follow from the constants; they were not measured on a site.

The time of the next periodic run now counts from the end of the last run, so that a tick is due only when none has run for planInterval. The pause counts from the end of the run as well, which keeps two runs at most planInterval and planDelay apart when a change arrives shortly before a tick.

--- a/pkg/dispatch/overload_test.go
+++ b/pkg/dispatch/overload_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -80,3 +81,34 @@
 		}
 	}
 }
+
+// Scenario: planning runs take long and changes arrive all the time. Guards against a periodic run that begins right after
+// another one: planning would take more of the owner's time than it leaves for reports.
+func TestPlanningPausesBesidePeriodicRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			took = 60 * time.Millisecond
+			runs = 50
+		)
+		ctx, cancel := context.WithCancel(t.Context())
+		wake := make(chan struct{}, 1)
+		wake <- struct{}{}
+		var ended time.Time
+		n := 0
+		repeatPlan(ctx, wake, func() time.Duration {
+			if pause := time.Since(ended); n > 0 && pause < delayAfterPlan(took) {
+				t.Errorf("run %d begins %v after the one before, which took %v", n, pause, took)
+			}
+			time.Sleep(took)
+			select {
+			case wake <- struct{}{}:
+			default:
+			}
+			if n++; n == runs {
+				cancel()
+			}
+			ended = time.Now()
+			return took
+		})
+	})
+}
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -203,20 +203,25 @@
 }
 
 // planLoop plans when it is triggered, and at least once per planInterval, until ctx ends.
-func (o *Owner) planLoop(ctx context.Context) {
-	timer := time.NewTicker(planInterval)
+func (o *Owner) planLoop(ctx context.Context) { repeatPlan(ctx, o.planWake, o.plan) }
+
+// repeatPlan calls plan, which returns how long it took, after each signal of wake, and planInterval after its last call
+// otherwise, until ctx ends.
+func repeatPlan(ctx context.Context, wake chan struct{}, plan func() time.Duration) {
+	timer := time.NewTimer(planInterval)
 	defer timer.Stop()
-	delay := planDelay
+	delay, ended := planDelay, time.Time{}
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-		case <-o.planWake:
-			pause.For(ctx, delay)
-			drain(o.planWake)
+		case <-wake:
+			pause.For(ctx, max(delay-time.Since(ended), planDelay))
+			drain(wake)
 		}
-		delay = delayAfterPlan(o.plan())
+		delay, ended = delayAfterPlan(plan()), time.Now()
+		timer.Reset(planInterval) // also drops a tick of the meantime, which would start the next run without a pause
 	}
 }
 
