Acknowledge no ends of a process whose report was ignored

Cause: a report whose poll counts as sent before that of the last applied one is ignored. Times of polls are converted to the owner's clock with the duration of the call that returned them, so that a later poll may count as earlier. If the ignored report was the first of a worker's next process, the owner acknowledged that process's ends up to the number of the former process's last end: Report returned the latter, and applyReport took it for the process of the report. The relay passes on what the worker has listed, so ends that were never applied were dropped by the worker, and a task that was done would start again.

Evidence: TestIgnoredReportOfNextProcessAcknowledgesNothing failed before with "acknowledges ends of the next process up to 3, of which none was applied".

--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -54,15 +54,18 @@
 }
 
 // Report applies a worker's report of what it runs and what has ended there. It returns the number of the latest end
-// that was applied, which may be acknowledged once the progress is stored.
+// that was applied of the process that the report is of, which may be acknowledged once the progress is stored.
 func (s *Scheduler) Report(now Time, id WorkerID, report Report) (lastEnd int64) {
 	s.calledAt = now.Boot
 	w, known := s.workers[id]
 	if !known {
 		return 0
 	}
-	if report.SentAt < w.polledAt {
-		return w.lastEnd // a later poll was answered first; the next report lists again what this one lists
+	if report.SentAt < w.polledAt { // a later poll was answered first; the next report lists again what this one lists
+		if w.incarnation != report.Incarnation {
+			return 0 // the processes number their ends independently
+		}
+		return w.lastEnd
 	}
 	if w.incarnation != report.Incarnation {
 		if w.incarnation != 0 {
