Apply the ends in a report in any order

Cause: ends were applied in the order of the list, and each one moved the limit below which ends count as applied. An end behind one with a higher number was skipped, and acknowledged with it: a task that was done would start again. The platform states that the numbers increase, not that the list is sorted.

Evidence: TestEndsAreAppliedInAnyOrder failed before with "{job 0 0 1} is not done".

--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -172,13 +172,14 @@
 	})
 }
 
-// applyEnded applies the ends that are new.
+// applyEnded applies the ends that are new. The order in which a worker lists them is not defined.
 func (s *Scheduler) applyEnded(now Time, w *worker, report Report) {
+	applied := w.lastEnd
 	for _, end := range report.Ended {
-		if end.Number <= w.lastEnd {
+		if end.Number <= applied {
 			continue
 		}
-		w.lastEnd = end.Number
+		w.lastEnd = max(w.lastEnd, end.Number)
 		w.removeOrphan(attemptKey{end.Task, end.Attempt})
 		s.applyEnd(now, w, end, now.Boot-report.ReceivedAt)
 	}
