Take no lease for expired while reports wait in a relay

Cause: an owner that has no report of a worker takes its leases for expired at a time that it computes when a poll fails, or when it loses the relay. The next polls may succeed, and the relay then extends the leases as long as the owner permits. An owner past its processor limit applies these reports seconds later, and until then it took the attempts for ended and started the tasks again: 8.2 s after the loss of a relay (1.5 s of permission and 6.7 s of lease) while the tasks ran on or had ended "done". The worker's end was acknowledged later, with the lease never lapsed.

A worker now expires only once the results that its relay had at the end of its leases have been applied: Owner keeps the time of the request of the last Collect that left no report behind. A report that is ignored, because its poll counts as sent before that of an earlier one, counts as evidence that the leases are extended.

Evidence: the fault simulation has reports that are applied up to 8 s late and in another order, a store that is slow or down and lost responses. TestWorkerWithUncollectedReportsKeepsItsTasks and TestIgnoredReportShowsThatLeasesAreExtended failed before.

Price: in a system that is not behind, leases expire up to the time of one Collect call (0.25 s) later.

--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -76,6 +76,7 @@
 	lastStart    map[workload.TaskID]time.Duration // when a worker last started each task
 	starts       map[workload.TaskID]int           // how often workers have started each task
 	unanswered   map[workload.TaskID]int           // how many of its starts were not answered
+	late         *lateFaults                       // nil without an owner past its processor limit and a slow store
 	log          []string
 }
 
@@ -128,6 +129,7 @@
 	f.s = NewScheduler(Config{Term: f.term, TaskLease: testLease, StopTime: 400 * time.Millisecond,
 		HandoverGrace: 2500 * time.Millisecond})
 	f.polled, f.acknowledged = map[WorkerID]bool{}, map[WorkerID]int64{}
+	f.resetLate()
 	f.s.InheritWorkers(f.time(), f.knownWorkers)
 	for _, job := range f.jobs {
 		progress, found := f.stored[job.ID]
@@ -161,9 +163,10 @@
 
 func (f *faultSim) step() {
 	f.now += simStep
-	if f.faulty(150) {
+	if f.faulty(150) && !f.storeDown() {
 		f.takeOver()
 	}
+	f.advanceLate()
 	for _, worker := range f.workers {
 		f.advance(worker)
 	}
@@ -176,7 +179,7 @@
 			f.poll(worker)
 		}
 	}
-	f.s.Expire(f.time(), true)
+	f.s.Expire(f.time(), f.confirmed(), f.collectedUpTo)
 	f.s.Plan(f.time())
 	for _, order := range f.s.TakeOrders() {
 		f.send(order)
@@ -285,7 +288,7 @@
 	}
 	lease := time.Duration(0)
 	if f.polled[id] {
-		lease = f.now + testLease
+		lease = f.permittedFor(0) + testLease
 	}
 	if f.unreachable(worker) || f.faulty(15) {
 		f.pollFailed(id)
@@ -307,7 +310,7 @@
 		f.pollFailed(id) // the answer is lost
 		return
 	}
-	f.s.Report(f.time(), id, report)
+	f.addResult(lateResult{worker: id, report: report})
 	if !f.polled[id] {
 		f.acknowledged[id] = 0
 	}
@@ -333,7 +336,8 @@
 // cutRelay cuts the owner off from the relay that polls a worker.
 func (f *faultSim) cutRelay(worker *faultSimWorker) {
 	f.logf("relay of %s is cut off", worker.info.ID)
-	worker.cut = &relayCut{f.now + simRelayLost, f.now + simPermission}
+	worker.cut = &relayCut{f.now + simRelayLost, f.permittedFor(simPermission)}
+	f.dropResults(worker.info.ID)
 	f.s.ReportsLost(worker.info.ID)
 }
 
@@ -361,7 +365,7 @@
 
 func (f *faultSim) pollFailed(id WorkerID) {
 	f.polled[id] = false
-	f.s.PollFailed(f.time(), id)
+	f.addResult(lateResult{worker: id, failed: true})
 }
 
 func (f *faultSim) send(order Order) {
@@ -376,7 +380,10 @@
 			f.s.OrderAnswered(f.time(), order, NotRun)
 			return
 		}
-		delayed.leaseEnd = f.now + testLease
+		delayed.leaseEnd = f.permittedFor(0) + testLease
+		if worker.cut != nil {
+			delayed.leaseEnd = min(delayed.leaseEnd, worker.cut.permittedUntil+testLease)
+		}
 	}
 	outcome := Unanswered
 	switch {
@@ -460,6 +467,10 @@
 
 // store stores progress; the ends that it includes are acknowledged with the next poll.
 func (f *faultSim) store() {
+	if f.late != nil {
+		f.beginWrite()
+		return
+	}
 	if f.faulty(3) {
 		return
 	}
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -21,6 +21,8 @@
 	now     Time
 	workers map[WorkerID]*simWorker
 	orders  []Order
+
+	collected time.Duration // boot time up to which the results of all polls have been applied; 0 for now
 }
 
 // simWorker is a simulated worker that executes orders like the workers behind package relay.
@@ -84,12 +86,20 @@
 
 // plan runs one cycle, marks the changed progress as stored and returns the new orders.
 func (h *harness) plan() []Order {
-	h.s.Expire(h.now, true)
+	h.s.Expire(h.now, true, h.collectedUpTo)
 	h.s.Plan(h.now)
 	h.store()
 	return h.s.TakeOrders()
 }
 
+// collectedUpTo returns the time up to which the results of all polls have been applied.
+func (h *harness) collectedUpTo(WorkerID) time.Duration {
+	if h.collected > 0 {
+		return h.collected
+	}
+	return h.now.Boot
+}
+
 // run plans and makes the workers execute every order at once.
 func (h *harness) run() []Order {
 	orders := h.plan()
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -11,18 +11,30 @@
 // delayed orders, lost answers and reports, crashes, network failures and changes of owner in any combination.
 func TestNoTaskRunsTwiceUnderFaults(t *testing.T) {
 	for seed := range uint64(150) {
-		f := newFaultSim(t, seed)
-		for f.now < time.Hour+simEnd {
-			f.step()
+		newFaultSim(t, seed).playJobs()
+	}
+}
+
+// Guards against the same while the owner applies reports late, in another order than their polls, and while the store is
+// slow, is down or loses its responses: an end may be acknowledged only if every later owner knows it.
+func TestNoTaskRunsTwiceUnderLateReports(t *testing.T) {
+	for seed := range uint64(150) {
+		newLateFaultSim(newFaultSim(t, seed)).playJobs()
+	}
+}
+
+// playJobs plays the simulation and fails the test if a job has not ended then.
+func (f *faultSim) playJobs() {
+	for f.now < time.Hour+simEnd {
+		f.step()
+	}
+	for _, job := range f.jobs {
+		f.s.Changed()
+		for _, r := range f.s.Changed() {
+			f.s.MarkStored(f.time(), r)
 		}
-		for _, job := range f.jobs {
-			f.s.Changed()
-			for _, r := range f.s.Changed() {
-				f.s.MarkStored(f.time(), r)
-			}
-			if state, _ := f.s.JobState(job.ID); !state.Final() {
-				f.fatalf("job %s is still %q", job.ID, state)
-			}
+		if state, _ := f.s.JobState(job.ID); !state.Final() {
+			f.fatalf("job %s is still %q", job.ID, state)
 		}
 	}
 }
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -62,6 +62,7 @@
 		return 0
 	}
 	if report.SentAt < w.polledAt { // a later poll was answered first; the next report lists again what this one lists
+		w.leasesExtended = true
 		if w.incarnation != report.Incarnation {
 			return 0 // the processes number their ends independently
 		}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -301,14 +301,16 @@
 
 // Expire ends the attempts on unreachable workers whose task leases have certainly expired, and removes workers that
 // have left. confirmed states that the store has confirmed the ownership up to now. Without it nothing expires: a later
-// owner may have extended the leases of workers that this one does not reach.
-func (s *Scheduler) Expire(now Time, confirmed bool) {
+// owner may have extended the leases of workers that this one does not reach. collectedUpTo returns the boot time up to which
+// the results of all polls of a worker have been applied. A worker may have answered after that, and its leases may have been
+// extended, even if they would have expired by now.
+func (s *Scheduler) Expire(now Time, confirmed bool, collectedUpTo func(WorkerID) time.Duration) {
 	s.calledAt = now.Boot
 	if !confirmed {
 		return
 	}
 	for _, w := range slices.Clone(s.sortedWorkers) {
-		if w.leasesExtended || w.reachable(now.Boot) || now.Boot < w.leaseEnd {
+		if w.leasesExtended || w.reachable(now.Boot) || now.Boot < w.leaseEnd || collectedUpTo(w.info.ID) < w.leaseEnd {
 			continue
 		}
 		delete(s.awaitingReport, w.info.ID)
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -114,14 +114,47 @@
 	h.s.PollFailed(h.now, "w1")
 	h.advanceClock(2 * h.s.cfg.leaseBound())
 	h.report("w2")
-	h.s.Expire(h.now, false)
+	h.s.Expire(h.now, false, h.collectedUpTo)
 	h.s.Plan(h.now)
 	h.wantStarts(h.s.TakeOrders(), 0)
-	h.s.Expire(h.now, true)
+	h.s.Expire(h.now, true, h.collectedUpTo)
 	h.s.Plan(h.now)
 	h.wantStarts(h.s.TakeOrders(), 1)
 }
 
+// Scenario: a worker does not answer a poll, and answers again soon after. The owner is past its processor limit: the reports wait
+// in the relay, which goes on extending the leases. Guards against taking the leases for expired meanwhile, so that tasks that
+// run, or have ended, are started again.
+func TestWorkerWithUncollectedReportsKeepsItsTasks(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.run()
+	h.addWorker("w2", nil)
+	h.s.PollFailed(h.now, "w1")
+	h.collected = h.now.Boot
+	h.advanceClock(h.s.cfg.leaseBound())
+	h.report("w2")
+	h.wantStarts(h.run(), 0)
+	h.collected += h.s.cfg.leaseBound()
+	h.wantStarts(h.run(), 1)
+}
+
+// Guards against taking the leases of a worker for expired although it has answered: its report is ignored because the poll
+// counts as sent before that of an earlier report, and the next poll may have extended the leases.
+func TestIgnoredReportShowsThatLeasesAreExtended(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.run()
+	h.addWorker("w2", nil)
+	h.s.PollFailed(h.now, "w1")
+	h.s.Report(h.now, "w1", Report{Incarnation: h.workers["w1"].incarnation, SentAt: h.now.Boot - time.Second})
+	h.advanceClock(h.s.cfg.leaseBound())
+	h.report("w2")
+	h.wantStarts(h.run(), 0)
+}
+
 func TestProgressSurvivesATakeover(t *testing.T) {
 	h := newHarness(t, 1)
 	w := h.addWorker("w1", nil)
--- a/pkg/dispatch/ends_test.go
+++ b/pkg/dispatch/ends_test.go
@@ -41,3 +41,26 @@
 		t.Errorf("acknowledges %v, want the one end of the next process", ends)
 	}
 }
+
+// Guards against taking the leases of a worker for expired while reports of it may wait in its relay: the relay did not return
+// all of them, or has not returned anything yet.
+func TestRelayIsCollectedUpToItsLastCompleteResults(t *testing.T) {
+	o, l, _ := measuredOwner(t)
+	now := bootclock.Now()
+	check := func(when string, want time.Duration) {
+		t.Helper()
+		if got := o.collectedUpTo(now, testWorker); got != want {
+			t.Errorf("%s: collected up to %v, want %v", when, got, want)
+		}
+	}
+	check("before the first results", 0)
+	sent := now.Boot - time.Minute
+	l.applyResults(sent, now.Boot, relay.Results{Now: now.Boot, Uncollected: 1})
+	check("after incomplete results", 0)
+	l.applyResults(sent, now.Boot, relay.Results{Now: now.Boot})
+	check("after complete results", sent)
+	l.applyResults(now.Boot, now.Boot, relay.Results{Now: now.Boot, Uncollected: 1})
+	check("after further incomplete results", sent)
+	delete(o.linkOf, testWorker)
+	check("without a relay", now.Boot)
+}
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -42,6 +42,7 @@
 	permittedUntil   time.Duration // boot time up to which the relay may extend leases
 	openedAt         time.Duration // boot time of the creation of the link
 	lastResponseAt   time.Duration // boot time of the last successful call, or of the creation of the link
+	collectedUpTo    time.Duration // boot time up to which all results of the relay have been applied; 0 before the first
 }
 
 // inFlight is an order that was sent to the relay and has no outcome yet.
@@ -237,10 +238,22 @@
 			report.Report.ReceivedAt = sent - relayWait(results, report.Report)
 			l.applyReport(s, now, report)
 		}
+		if results.Uncollected == 0 {
+			l.collectedUpTo = sent // the relay took its results after the request was sent
+		}
 		l.expireOrders(s, now)
 	})
 }
 
+// collectedUpTo returns the boot time up to which the results of all polls of a worker have been applied. A worker without a
+// relay is not polled. o.mu is held.
+func (o *Owner) collectedUpTo(now schedule.Time, id schedule.WorkerID) time.Duration {
+	if l, assigned := o.linkOf[id]; assigned {
+		return l.collectedUpTo
+	}
+	return now.Boot
+}
+
 func (l *link) applyOutcome(s *schedule.Scheduler, now schedule.Time, outcome relay.OrderOutcome) {
 	key := keyOf(outcome.Order)
 	entry, found := l.inFlight[key]
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -244,7 +244,7 @@
 		if !o.loaded {
 			return
 		}
-		s.Expire(now, now.Boot < o.ownership.ValidUntil())
+		s.Expire(now, now.Boot < o.ownership.ValidUntil(), func(id schedule.WorkerID) time.Duration { return o.collectedUpTo(now, id) })
 		started := time.Now()
 		s.Plan(now)
 		took = time.Since(started)
