Use a first list of workers only once it is current

Cause: an owner that takes over reads the entries of all workers page by page and starts tasks as soon as the read is complete. Each worker writes its entry about once a second, so that with thousands of workers and a busy processor or link the first page is seconds old by then, and the first watch has to return thousands of changes, for seconds again. Workers that have announced their end meanwhile get tasks.

A mirror now knows whether its copy has been current: after a complete read of more than Config.CatchUp, watches neither wait nor pause until one is answered within it, each for what changed during the one before.

Evidence: TestFirstListOfWorkersIsCurrent failed before with a draining worker listed as ready (its read took 3 s, the first watch 2 s).

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -20,7 +20,11 @@
 	Wait   time.Duration // maximum duration of one watch; an unresponsive connection is detected soon after it
 	Pause  time.Duration // minimum time between the starts of two watches, so that changes are fetched in batches
 	Retry  time.Duration // pause after a failed call
-	Log    *eventlog.Logger
+	// CatchUp is the duration of a call up to which its response counts as current. If a complete read has taken longer, watches
+	// neither wait nor pause until one has been answered within it: each one has to return only what changed during the
+	// one before. 0 disables this.
+	CatchUp time.Duration
+	Log     *eventlog.Logger
 	// Reset is called with all keys after each complete read of the prefix.
 	Reset func(items []kv.Item)
 	// Apply is called with subsequent changes, in the order of their revisions.
@@ -36,6 +40,7 @@
 	mu          sync.Mutex // guards the fields below
 	lastContact time.Time
 	failing     bool // the last call failed
+	caughtUp    bool // a call since the last complete read, or the read itself, was answered within Config.CatchUp
 }
 
 // New returns a mirror. Run starts it.
@@ -48,6 +53,21 @@
 	return m.lastContact
 }
 
+// CaughtUp reports whether the copy was current, up to Config.CatchUp, at a time since the last complete read.
+func (m *Mirror) CaughtUp() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.caughtUp
+}
+
+// recordDuration records how long the latest successful call took. A complete read starts over.
+func (m *Mirror) recordDuration(took time.Duration, complete bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current := m.cfg.CatchUp == 0 || took <= m.cfg.CatchUp
+	m.caughtUp = current || (m.caughtUp && !complete)
+}
+
 // Run tracks the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -66,11 +86,13 @@
 // readAll reads all keys under the prefix and passes them to Reset. It returns the store revision after which changes
 // are to be followed.
 func (m *Mirror) readAll(ctx context.Context) (asOf int64, err error) {
+	started := time.Now()
 	items, asOf, err := kv.List(ctx, m.cfg.Store, m.cfg.Prefix)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
 	m.recordSuccess()
+	m.recordDuration(time.Since(started), true)
 	m.cfg.Reset(items)
 	return asOf, nil
 }
@@ -93,6 +115,7 @@
 			continue
 		}
 		m.recordSuccess()
+		m.recordDuration(time.Since(started), false)
 		asOf = max(asOf, changes.AsOf)
 		switch {
 		case len(changes.Changes) > 0:
@@ -100,7 +123,9 @@
 		case m.cfg.Unchanged != nil:
 			m.cfg.Unchanged()
 		}
-		pause.For(ctx, m.cfg.Pause-time.Since(started))
+		if m.CaughtUp() {
+			pause.For(ctx, m.cfg.Pause-time.Since(started))
+		}
 	}
 	return nil
 }
@@ -110,7 +135,7 @@
 func (m *Mirror) watchWait() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.failing {
+	if m.failing || !m.caughtUp {
 		return 0
 	}
 	return m.cfg.Wait
