Check queued starts again right before they are sent

Cause: an order is queued while the update before it is in progress, up to its time-out of 0.9 s and a pause of 0.1 s for each update that fails. What the owner learns meanwhile stops no start that is queued: a worker that has announced its end, a data centre that was taken out and a cancelled job got it all the same. Starts of services were checked again once they were stored, but not after that.

Starts are now checked when the update is built, by the rule of stored starts. One that is no longer allowed is not sent: its task waits again at once, without a stop order and without counting against the worker.

The time that an update takes to a relay, and that the relay takes to send the order, are not covered: the update carries no latest time of sending.

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -91,6 +91,33 @@
 	return true
 }
 
+// MaySend checks an order again right before it is sent for the first time. A start that is no longer allowed, because its
+// worker drains or its task was cancelled while the order was queued, must not be sent, and its attempt is dropped.
+func (s *Scheduler) MaySend(now Time, o Order) bool {
+	if o.Kind != OrderStart {
+		return true
+	}
+	s.calledAt = now.Boot
+	w, known := s.workers[o.Worker]
+	if !known {
+		return false
+	}
+	a := w.attempts[attemptKey{o.Task, o.Attempt}]
+	if a == nil {
+		return false
+	}
+	if a.phase == starting && s.startAllowed(now.Boot, a) {
+		return true
+	}
+	s.drop(a)
+	return false
+}
+
+// startAllowed checks an attempt that has capacity reserved but whose start was not sent.
+func (s *Scheduler) startAllowed(now time.Duration, a *attempt) bool {
+	return s.mayStartOn(now, a.worker) && !a.worker.overCommitted() && !s.capacityOutdated(now, a.task, a.worker)
+}
+
 func (s *Scheduler) startAnswered(now Time, a *attempt, outcome Outcome) {
 	w := a.worker
 	switch outcome {
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -63,7 +63,7 @@
 			if a.phase != awaitingStore || a.number != tp.LastAttempt || string(a.worker.info.ID) != tp.Worker {
 				continue
 			}
-			if !s.mayStartOn(now, a.worker) || a.worker.overCommitted() || s.capacityOutdated(now, a.task, a.worker) {
+			if !s.startAllowed(now, a) {
 				s.drop(a)
 				continue
 			}
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -90,7 +90,7 @@
 	defer o.mu.Unlock()
 	u = relay.Update{
 		Partition: int(o.cfg.Partition), Term: o.ownership.Term, LeaseUntil: l.permitLeases(),
-		Reset: l.reset, Orders: l.orders,
+		Reset: l.reset, Orders: l.takeOrders(bootclock.Now()),
 	}
 	assign := l.assign
 	if l.reset {
@@ -110,19 +110,33 @@
 	for _, stored := range l.stored {
 		u.Stored = append(u.Stored, stored)
 	}
-	now := bootclock.Uptime()
-	for _, order := range l.orders {
-		l.inFlight[keyOf(order)] = inFlight{order, now + orderLostAfter}
-		o.measures.orderQueue.Add(now - order.DecidedAt)
-	}
 	ok = l.reset || len(u.Assign) > 0 || len(u.Release) > 0 || len(u.Stored) > 0 || len(u.Orders) > 0
-	l.reset, l.orders = false, nil
+	l.reset = false
 	clear(l.assign)
 	clear(l.release)
 	clear(l.stored)
 	return u, ok
 }
 
+// takeOrders removes and returns the queued orders that may still be sent, and records them as in flight. An order is queued
+// while the update before it is in progress, which a slow relay may delay up to its time-out. Owner.mu is held.
+func (l *link) takeOrders(now schedule.Time) []schedule.Order {
+	o := l.owner
+	var orders []schedule.Order
+	for _, order := range l.orders {
+		if !o.scheduler.MaySend(now, order) {
+			o.logOutcome(order, schedule.NotRun, "no longer allowed when it was to be sent")
+			o.wake(o.planWake)
+			continue
+		}
+		orders = append(orders, order)
+		l.inFlight[keyOf(order)] = inFlight{order, now.Boot + orderLostAfter}
+		o.measures.orderQueue.Add(now.Boot - order.DecidedAt)
+	}
+	l.orders = nil
+	return orders
+}
+
 // permitLeases returns the time on the relay's boot clock up to which the relay may extend task leases, and records the
 // same instant on this host's clock in permittedUntil. A delayed call does not extend the permission, because the
 // limit is a reading of the relay's own clock. After a failed call no permission is given until the relay's clock has
