--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// Guards against a task that crashes one worker after another while the owner applies reports late and the store is slow or
+// down.
+func TestCrashingTaskIsGivenUpUnderLateReports(t *testing.T) {
+	for seed := range uint64(100) {
+		newLateFaultSim(newFaultSim(t, seed)).playCrashingJob()
+	}
+}
+
 // startsPerOwner is how often an owner may start a task and its copy without noticing a crash before it is replaced.
 const startsPerOwner = 2
 
@@ -46,22 +54,26 @@
 // platform's bound it may be started by former owners that were replaced too early, and by starts without an answer.
 func TestCrashingTaskIsGivenUpUnderFaults(t *testing.T) {
 	for seed := range uint64(200) {
-		f := newFaultSim(t, seed)
-		f.addCrashingJob(seed%2 == 0)
-		for f.now < time.Hour+simEnd {
-			f.step()
-		}
-		f.s.Changed()
-		for _, r := range f.s.Changed() {
-			f.s.MarkStored(f.time(), r)
-		}
-		if state, _ := f.s.JobState(crashingJob); state != workload.StateFailed {
-			f.fatalf("the crashing job is %q", state)
-		}
-		id := workload.TaskID{Job: crashingJob}
-		most := maxStartsOfCrashingTask + startsPerOwner*int(f.term-1) + f.unanswered[id]
-		if n := f.starts[id]; n > most {
-			f.fatalf("%d starts of the crashing task over %d owners, want at most %d", n, f.term, most)
-		}
+		newFaultSim(t, seed).playCrashingJob()
+	}
+}
+
+// playCrashingJob plays the simulation with a job that crashes workers, and fails the test if it is started too often.
+func (f *faultSim) playCrashingJob() {
+	f.addCrashingJob(f.seed%2 == 0)
+	for f.now < time.Hour+simEnd {
+		f.step()
+	}
+	f.s.Changed()
+	for _, r := range f.s.Changed() {
+		f.s.MarkStored(f.time(), r)
+	}
+	if state, _ := f.s.JobState(crashingJob); state != workload.StateFailed {
+		f.fatalf("the crashing job is %q", state)
+	}
+	id := workload.TaskID{Job: crashingJob}
+	most := maxStartsOfCrashingTask + startsPerOwner*int(f.term-1) + f.unanswered[id]
+	if n := f.starts[id]; n > most {
+		f.fatalf("%d starts of the crashing task over %d owners, want at most %d", n, f.term, most)
 	}
 }
--- a/core/schedule/service_faultsim_test.go
+++ b/core/schedule/service_faultsim_test.go
@@ -40,9 +40,21 @@
 // that stays down after them although there is room. Random crashes soon after starts may look as if the service caused
 // them; a service that is given up for that does not run again, and such seeds check only that nothing runs twice.
 func TestServiceTasksRunAgainAfterFaults(t *testing.T) {
+	playServices(t, newFaultSim)
+}
+
+// Guards against the same after the owner has applied reports late and the store was slow, was down or has lost responses: each
+// start of a service waits for the store.
+func TestServiceTasksRunAgainAfterLateReports(t *testing.T) {
+	playServices(t, func(t *testing.T, seed uint64) *faultSim { return newLateFaultSim(newFaultSim(t, seed)) })
+}
+
+// playServices plays simulations with services and fails the test if a task of theirs stays down after the faults.
+func playServices(t *testing.T, newSim func(*testing.T, uint64) *faultSim) {
+	t.Helper()
 	checked := 0
 	for seed := range uint64(100) {
-		f := newFaultSim(t, seed)
+		f := newSim(t, seed)
 		f.addServices()
 		var seenAt [simServices]time.Duration
 		for f.now < time.Hour+simEnd {
