--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -54,15 +54,19 @@
 }
 
 // Report applies a worker's report of what it runs and what has ended there. It returns the number of the latest end
-// that was applied, which may be acknowledged once the progress is stored.
+// that was applied of the process that the report is of, which may be acknowledged once the progress is stored.
 func (s *Scheduler) Report(now Time, id WorkerID, report Report) (lastEnd int64) {
 	s.calledAt = now.Boot
 	w, known := s.workers[id]
 	if !known {
 		return 0
 	}
-	if report.SentAt < w.polledAt {
-		return w.lastEnd // a later poll was answered first; the next report lists again what this one lists
+	if report.SentAt < w.polledAt { // a later poll was answered first; the next report lists again what this one lists
+		w.leasesExtended = true
+		if w.incarnation != report.Incarnation {
+			return 0 // the processes number their ends independently
+		}
+		return w.lastEnd
 	}
 	if w.incarnation != report.Incarnation {
 		if w.incarnation != 0 {
@@ -169,13 +173,14 @@
 	})
 }
 
-// applyEnded applies the ends that are new.
+// applyEnded applies the ends that are new. The order in which a worker lists them is not defined.
 func (s *Scheduler) applyEnded(now Time, w *worker, report Report) {
+	applied := w.lastEnd
 	for _, end := range report.Ended {
-		if end.Number <= w.lastEnd {
+		if end.Number <= applied {
 			continue
 		}
-		w.lastEnd = end.Number
+		w.lastEnd = max(w.lastEnd, end.Number)
 		w.removeOrphan(attemptKey{end.Task, end.Attempt})
 		s.applyEnd(now, w, end, now.Boot-report.ReceivedAt)
 	}
