Register a host only under the known revision of its record

A host could be missing from the list of live entry hosts for good, so that no owner used its relay. The store may carry out an unanswered write seconds later. A registration that it carried out after a later one attached the record to the earlier lease, and the record ended with that lease while the host went on renewing the later one. The late write may come from the previous process of the host, which a restart does not take back.

The write had no condition. Ending the earlier lease before the next attempt does not exclude the case: that call may be lost or late as well.

Each write now requires the last known revision of the record; a conflict tells the current one, which a second attempt replaces. A late write finds a changed revision and fails.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -23,6 +23,8 @@
 	renewInterval = 1500 * time.Millisecond
 	// callTimeout bounds one call to the store. It is long enough for a slow store.
 	callTimeout = time.Second
+	// writeAttempts allows for an earlier record of this host and for a late write of it.
+	writeAttempts = 3
 	// watchWait limits the duration of one watch.
 	watchWait = 5 * time.Second
 	// watchPause batches changes that arrive close together into one watch.
@@ -50,7 +52,8 @@
 
 // Registry registers this host and lists the registered hosts.
 type Registry struct {
-	cfg Config
+	cfg      Config
+	revision int64 // last known store revision of this host's record, 0 if it does not exist; used by Run only
 
 	mu    sync.Mutex        // guards hosts; a leaf lock
 	hosts map[string]Record // by store key
@@ -101,20 +104,37 @@
 	}
 	if err := r.writeRecord(call, lease); err != nil {
 		r.cfg.Log.Event(eventlog.HostNotRegistered).Err(err).Msg("")
-		r.remove(lease) // the next refresh grants another lease; a late write under this one fails
+		r.remove(lease) // the next refresh grants another lease
 		return 0
 	}
 	return lease
 }
 
+// writeRecord writes the record under a lease. The write requires that the record has not changed since this process last
+// learned its revision, so that the store cannot carry it out late, after a later registration: the record would end with
+// the earlier lease, which nobody renews. An earlier write of this process or of the previous one of this host is replaced.
 func (r *Registry) writeRecord(ctx context.Context, lease kv.LeaseID) error {
 	data, err := json.Marshal(r.cfg.Self)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, err = r.cfg.Store.Commit(ctx, kv.Txn{
-		Put: []kv.Put{{Key: statekeys.Host(r.cfg.Self.Host), Value: data, Lease: lease}},
-	})
+	key := statekeys.Host(r.cfg.Self.Host)
+	for range writeAttempts {
+		var revision int64
+		revision, err = r.cfg.Store.Commit(ctx, kv.Txn{
+			If:  []kv.Condition{{Key: key, Revision: r.revision}},
+			Put: []kv.Put{{Key: key, Value: data, Lease: lease}},
+		})
+		var conflict *kv.Conflict
+		if errors.As(err, &conflict) {
+			r.revision = conflict.Revision(key)
+			continue
+		}
+		if err == nil {
+			r.revision = revision
+		}
+		break
+	}
 	return errors.Trace(err)
 }
 
