Do not write a request whose deadline has passed during a pause

A request could reach a worker or the store seconds after its time limit, when the process was paused while the request waited for a connection: a start order that had 0.4 s was sent after the owner had counted it as unanswered.

The check before the first byte asked whether the context had ended. The timer of a context fires some time after the process goes on; until then the context has not ended, although its deadline has passed. The check compares the deadline with the clock as well.

TestRequestIsNotWrittenAfterItsDeadline failed before ("the server got 1 requests").

--- a/pkg/httpsend/client.go
+++ b/pkg/httpsend/client.go
@@ -122,13 +122,17 @@
 }
 
 // writeCheck returns the check before the first byte of a request: that ctx has not ended, and the one of BeforeWrite.
-// net/http may hand over a connection and write to it after ctx has ended, because it notices the end later.
+// net/http may hand over a connection and write to it after ctx has ended, because it notices the end later. After a pause of
+// the process, the deadline of ctx may have passed although its timer has not fired yet.
 func writeCheck(ctx context.Context) *func() error {
 	custom, _ := ctx.Value(checkKey{}).(*func() error)
 	check := func() error {
 		if err := ctx.Err(); err != nil {
 			return err
 		}
+		if deadline, limited := ctx.Deadline(); limited && !time.Now().Before(deadline) {
+			return context.DeadlineExceeded
+		}
 		if custom != nil {
 			return (*custom)()
 		}
--- a/pkg/httpsend/client_test.go
+++ b/pkg/httpsend/client_test.go
@@ -255,6 +255,29 @@
 	}
 }
 
+// pausedContext is a context whose deadline has passed while the process was paused: its timer has not fired yet.
+type pausedContext struct {
+	context.Context
+}
+
+func (pausedContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+
+// Scenario: the process is paused while a request waits for a connection, and goes on before the timer of the request's
+// context has fired. Guards against a request that is written after its time limit.
+func TestRequestIsNotWrittenAfterItsDeadline(t *testing.T) {
+	var served atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	defer server.Close()
+	client := NewClient(Config{Name: "test"})
+	_, err := client.Post(pausedContext{t.Context()}, server.URL, nil, []byte("body"))
+	if !errors.Is(err, ErrNotSent) {
+		t.Errorf("got %v, want ErrNotSent", err)
+	}
+	if n := served.Load(); n != 0 {
+		t.Errorf("the server got %d requests", n)
+	}
+}
+
 // countingConn is a connection that counts the writes and discards the data.
 type countingConn struct {
 	net.Conn
