Do not send a start that has waited in a relay across a pause

A start order could reach its worker seconds late when the process of the relay was paused, or its machine suspended, after the order had arrived. By then the owner has counted it as unanswered and has sent a stop through another relay. That stop outlaws the start only for the process that got it: if the worker has crashed and come back under its id meanwhile, the task runs a second time. Or the worker is draining, or its data centre has been taken out.

The time limit of the call began when the order was about to be sent, and it is measured on the monotonic clock, which does not count suspensions.

A start that is not sent counts as not run. Stops and pace orders have no limit.

--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"fulmarcourse.example/core/schedule"
+	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 )
 
 // Errors of workers and relays, to be tested with errors.Is.
@@ -28,6 +29,8 @@
 	// released it, or it dropped its assignments because the owner had not called for too long. The owner has to send
 	// an update with Reset.
 	ErrNoAssignment = errors.ConstError("relay has not been told its workers")
+	// ErrExpired means that a command was not sent in time, for instance because the process was paused.
+	ErrExpired = errors.ConstError("command has waited for too long")
 )
 
 // PollRequest is a request that reads the running and ended tasks of a worker, extends its task leases and acknowledges
@@ -51,13 +54,25 @@
 	Order     schedule.Order
 	Fence     int64 // fencing token: term of the owner
 	LeaseToMs int64 // end of the task lease on the worker's clock; OrderStart only
+
+	// SendBefore is the boot time from which on nothing of the command may be sent; 0 means no limit. A timeout does not
+	// replace it: it does not count the time for which the machine was suspended.
+	SendBefore time.Duration
+}
+
+// CheckExpired returns ErrExpired if the command may not be sent any more.
+func (c Command) CheckExpired() error {
+	if c.SendBefore > 0 && bootclock.Uptime() >= c.SendBefore {
+		return ErrExpired
+	}
+	return nil
 }
 
 // Workers is the client for calls to workers.
 type Workers interface {
 	// Poll sends a poll. It returns an error if the worker did not answer, or ErrFenced.
 	Poll(ctx context.Context, req PollRequest) (PollReply, error)
-	// Send sends a command and returns its outcome. err is the reason if it was not accepted.
+	// Send sends a command unless it has expired, and returns its outcome. err is the reason if it was not accepted.
 	Send(ctx context.Context, command Command) (outcome schedule.Outcome, err error)
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -17,6 +17,9 @@
 	// orderTimeout bounds the call that sends an order. It is far above the response time of a healthy worker. The
 	// outcome of an order that takes longer is determined by a poll.
 	orderTimeout = 400 * time.Millisecond
+	// startExpiry is the time from the arrival of a start order after which it is not sent any more. It allows for many orders
+	// that arrive together, and is below the time after which the owner counts the order as unanswered.
+	startExpiry = time.Second
 	// resultBatchDelay batches results that arrive close together into one response.
 	resultBatchDelay = 8 * time.Millisecond
 	// reportBatchDelay is how long reports without ends wait for further results. They are most of the reports, and what
@@ -92,8 +95,9 @@
 			s.markStored(stored)
 		}
 	}
+	arrived := bootclock.Uptime()
 	for _, order := range u.Orders {
-		r.wg.Go(func() { r.send(u.Term, order) })
+		r.wg.Go(func() { r.send(u.Term, order, arrived) })
 	}
 	return nil
 }
@@ -289,12 +293,14 @@
 	}
 }
 
-// send sends an order to its worker and records the outcome.
-func (r *Relay) send(term int64, order schedule.Order) {
-	arrived := bootclock.Uptime()
+// send sends an order, which arrived at a boot time, to its worker and records the outcome.
+func (r *Relay) send(term int64, order schedule.Order, arrived time.Duration) {
 	command := Command{Order: order, Fence: term}
-	outcome, err := schedule.NotRun, errors.New("no task lease can be granted")
-	if r.prepareCommand(term, &command) {
+	if order.Kind == schedule.OrderStart {
+		command.SendBefore = arrived + startExpiry
+	}
+	outcome, err := schedule.NotRun, r.prepareCommand(term, &command)
+	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		outcome, err = r.cfg.Workers.Send(ctx, command)
 		cancel()
@@ -336,23 +342,33 @@
 	s.poll(ctx, req)
 }
 
-// prepareCommand sets the task lease of a start order; ok is false if no lease can be granted or the owner was
-// replaced.
-func (r *Relay) prepareCommand(term int64, command *Command) (ok bool) {
+// Reasons for which a command is not sent.
+const (
+	errReplaced = errors.ConstError("the relay serves another owner")
+	errNoLease  = errors.ConstError("no task lease can be granted")
+)
+
+// prepareCommand sets the task lease of a start order. Errors, which mean that the command must not be sent: errReplaced,
+// errNoLease, ErrExpired.
+func (r *Relay) prepareCommand(term int64, command *Command) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if term != r.term {
-		return false
+		return errReplaced
 	}
 	if command.Order.Kind != schedule.OrderStart {
-		return true
+		return nil
 	}
 	s, known := r.sessions[command.Order.Worker]
 	if !known {
-		return false
+		return errNoLease
+	}
+	leaseTo, granted := s.grant()
+	if !granted {
+		return errNoLease
 	}
-	command.LeaseToMs, ok = s.grant()
-	return ok
+	command.LeaseToMs = leaseTo
+	return command.CheckExpired()
 }
 
 // Close ends all sessions and waits for them and for orders in flight.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -19,6 +19,7 @@
 type fakeWorkers struct {
 	mu    sync.Mutex
 	polls []PollRequest
+	sent  []Command
 	reply func(n int, req PollRequest) (PollReply, error) // n is the number of the poll, from 1
 }
 
@@ -29,7 +30,10 @@
 	return f.reply(len(f.polls), req)
 }
 
-func (f *fakeWorkers) Send(context.Context, Command) (schedule.Outcome, error) {
+func (f *fakeWorkers) Send(_ context.Context, command Command) (schedule.Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent = append(f.sent, command)
 	return schedule.Accepted, nil
 }
 
@@ -97,6 +101,37 @@
 	}
 }
 
+// Scenario: the process or its machine is paused for seconds after an order has arrived. Guards against a start that the
+// worker gets after the owner has counted it as unanswered: the worker may be draining by then, or a later process of it may
+// have taken its place, which knows neither the task nor the stop that the owner has sent. Stops are sent all the same.
+func TestStartIsNotSentAfterAPause(t *testing.T) {
+	f := &fakeWorkers{reply: func(int, PollRequest) (PollReply, error) { return PollReply{ClockMs: 1000}, nil }}
+	r := startRelay(t, f)
+	if err := r.Update(assign(1, bootclock.Uptime()+time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	f.waitForPoll(t, 2) // the worker has answered once, so that leases can be granted
+	paused := bootclock.Uptime() - startExpiry
+	r.send(1, schedule.Order{Kind: schedule.OrderStart, Worker: "w"}, paused)
+	r.send(1, schedule.Order{Kind: schedule.OrderStop, Worker: "w"}, paused)
+	r.send(1, schedule.Order{Kind: schedule.OrderStart, Worker: "w", Attempt: 2}, bootclock.Uptime())
+	f.mu.Lock()
+	sent := f.sent
+	f.mu.Unlock()
+	if len(sent) != 2 || sent[0].Order.Kind != schedule.OrderStop || sent[1].Order.Attempt != 2 {
+		t.Errorf("sent %+v, want the stop and the second start only", sent)
+	}
+	r.mu.Lock()
+	outcomes := r.results.Outcomes
+	r.mu.Unlock()
+	if outcomes[0].Outcome != schedule.NotRun {
+		t.Errorf("outcome of the late start is %v, want %v", outcomes[0].Outcome, schedule.NotRun)
+	}
+	if before := sent[1].SendBefore; before < bootclock.Uptime() || before > bootclock.Uptime()+startExpiry {
+		t.Errorf("the start has to be sent before %v, now is %v", before, bootclock.Uptime())
+	}
+}
+
 // Guards against acknowledging task ends of a new worker incarnation with the numbers of the old one: the worker would
 // drop ends that were never reported.
 func TestNewIncarnationKeepsItsEnds(t *testing.T) {
@@ -261,7 +296,7 @@
 	for n := range maxReports + 30 {
 		r.addReport(1, WorkerReport{Worker: schedule.WorkerID(fmt.Sprint("other", n))})
 	}
-	r.send(1, schedule.Order{Kind: schedule.OrderStop, Worker: "w"})
+	r.send(1, schedule.Order{Kind: schedule.OrderStop, Worker: "w"}, bootclock.Uptime())
 	results, err := r.Collect(context.Background(), 1, 0, 0)
 	if err != nil {
 		t.Fatal(err)
