Permit nothing over a link that the owner has closed

The leases of a worker could be extended beyond the time that its owner had recorded, after which it starts the worker's tasks elsewhere. When a link is closed, the owner records until when its relay may extend leases. A loop of the link that was between two calls then still raised that time and made one more call. To a relay on another host this call fails, because its context has ended. The relay of the owner's own process carries it out: the context is checked only when it waits. The update would also list the workers again, which another relay polls by then.

A closed link now permits nothing and has no update to send.

Not seen in a run; found by reading.

--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -29,6 +29,7 @@
 	stop  context.CancelFunc
 	wake  chan struct{} // capacity 1
 
+	closed   bool                                // nothing is sent to the relay any more
 	workers  map[schedule.WorkerID]time.Duration // value: how long a poll of the worker may wait
 	reset    bool                                // the next update replaces the relay's list of workers
 	assign   map[schedule.WorkerID]bool
@@ -82,11 +83,15 @@
 	}
 }
 
-// takeUpdate returns the pending changes for the relay and clears them; ok is false when there are none.
+// takeUpdate returns the pending changes for the relay and clears them; ok is false when there are none or the link is
+// closed.
 func (l *link) takeUpdate() (u relay.Update, ok bool) {
 	o := l.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if l.closed {
+		return u, false
+	}
 	u = relay.Update{
 		Partition: int(o.cfg.Partition), Term: o.ownership.Term, LeaseUntil: l.permitLeases(),
 		Reset: l.reset, Orders: l.orders,
@@ -125,9 +130,10 @@
 // permitLeases returns the time on the relay's boot clock up to which the relay may extend task leases, and records the
 // same instant on this host's clock in permittedUntil. A delayed call does not extend the permission, because the
 // limit is a reading of the relay's own clock. After a failed call no permission is given until the relay's clock has
-// been read again: the relay's host may have rebooted, which resets its boot clock. Owner.mu is held.
+// been read again: the relay's host may have rebooted, which resets its boot clock. A closed link permits nothing, since
+// the owner has recorded permittedUntil for its workers. Owner.mu is held.
 func (l *link) permitLeases() time.Duration {
-	if l.relayClockReadAt == 0 {
+	if l.closed || l.relayClockReadAt == 0 {
 		return 0
 	}
 	until := min(bootclock.Uptime()+leasePermission, l.owner.ownership.ValidUntil())
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -160,6 +160,7 @@
 // recorded as unanswered. o.mu is held.
 func (o *Owner) unlink(now schedule.Time, l *link) {
 	l.stop()
+	l.closed = true
 	delete(o.links, l.host.Name)
 	for id := range l.workers {
 		delete(o.linkOf, id)
