Do not send starts that have waited in a link across a pause

A task could be started seconds after the start was decided, on a worker that had announced its end, in a data centre that had been taken out or for a job that had been cancelled meanwhile. When the owner's process is paused, orders that wait in a link are sent as soon as it goes on, before it learns anything new, and a relay on another host sends them to the workers at once. The worker refuses them only if a later owner has already polled it.

A start that has waited for 1.5 s in its link is now dropped as not run, and its task is planned again. Without a pause an order waits for at most the call to the relay that precedes it, 1 s if that call fails. Stops and pace orders are sent whatever their age.

TestStartsThatWaitedAcrossAPauseAreNotSent failed before (the start was sent).

--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -92,6 +92,7 @@
 	if l.closed {
 		return u, false
 	}
+	l.dropOldStarts(bootclock.Now())
 	u = relay.Update{
 		Partition: int(o.cfg.Partition), Term: o.ownership.Term, LeaseUntil: l.permitLeases(),
 		Reset: l.reset, Orders: l.orders,
@@ -127,6 +128,22 @@
 	return u, ok
 }
 
+// dropOldStarts drops the starts that were decided too long ago: this process was paused meanwhile, and a relay would send
+// them at once. Owner.mu is held.
+func (l *link) dropOldStarts(now schedule.Time) {
+	kept := l.orders[:0]
+	for _, order := range l.orders {
+		if order.Kind != schedule.OrderStart || now.Boot-order.DecidedAt < maxStartWait {
+			kept = append(kept, order)
+			continue
+		}
+		l.owner.logOutcome(order, schedule.NotRun, "it has waited for too long")
+		l.owner.scheduler.OrderAnswered(now, order, schedule.NotRun)
+		l.owner.wake(l.owner.planWake)
+	}
+	l.orders = kept
+}
+
 // permitLeases returns the time on the relay's boot clock up to which the relay may extend task leases, and records the
 // same instant on this host's clock in permittedUntil. A delayed call does not extend the permission, because the
 // limit is a reading of the relay's own clock. After a failed call no permission is given until the relay's clock has
--- a/pkg/dispatch/link_test.go
+++ b/pkg/dispatch/link_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 )
 
@@ -25,3 +27,39 @@
 		t.Errorf("a closed link sends %+v", update)
 	}
 }
+
+// Scenario: the owner's process is paused while orders wait in a link. Guards against starts that a relay, which was not
+// paused, sends seconds after they were decided: the worker may be draining or the job cancelled by then. Stops and pace
+// orders are sent whatever their age.
+func TestStartsThatWaitedAcrossAPauseAreNotSent(t *testing.T) {
+	o, l, _ := measuredOwner(t)
+	now := bootclock.Uptime()
+	order := func(kind schedule.OrderKind, attempt int64, age time.Duration) schedule.Order {
+		return schedule.Order{Kind: kind, Worker: testWorker, Attempt: attempt, DecidedAt: now - age}
+	}
+	l.orders = []schedule.Order{
+		order(schedule.OrderStart, 1, maxStartWait), order(schedule.OrderStop, 2, time.Minute),
+		order(schedule.OrderPace, 3, time.Minute), order(schedule.OrderStart, 4, 0),
+	}
+	update, _ := l.takeUpdate()
+	var sent []int64
+	for _, sentOrder := range update.Orders {
+		sent = append(sent, sentOrder.Attempt)
+	}
+	if len(sent) != 3 || sent[0] != 2 || sent[1] != 3 || sent[2] != 4 {
+		t.Errorf("attempts with orders that are sent: %d, want [2 3 4]", sent)
+	}
+	if len(l.inFlight) != 3 {
+		t.Errorf("%d orders wait for an outcome, want 3", len(l.inFlight))
+	}
+	if wait := o.takeStatus().orderQueue; wait.Count != 3 {
+		t.Errorf("the wait of %d orders was measured, want 3", wait.Count)
+	}
+	if _, ok := l.takeUpdate(); ok {
+		t.Error("something is left to send")
+	}
+	l.orders = []schedule.Order{order(schedule.OrderStart, 5, maxStartWait)}
+	if update, ok := l.takeUpdate(); ok {
+		t.Errorf("an update without content is sent: %+v", update)
+	}
+}
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -27,6 +27,9 @@
 	// orderLostAfter is the time after which an order without an outcome is recorded as unanswered. An order takes up
 	// to half a second, and its outcome is returned with the next results.
 	orderLostAfter = 2500 * time.Millisecond
+	// maxStartWait is how long a start may wait in its link. It is longer than a call to the relay that fails, and exceeded when
+	// this process is paused.
+	maxStartWait = 1500 * time.Millisecond
 	// pollWait is how long a worker may hold a poll open until a task ends. Each poll also extends the worker's task
 	// leases.
 	pollWait = time.Second
