Hold planning back after a pause until the owner is confirmed again

An owner whose process had been paused, or whose machine had been suspended, planned as soon as it went on, with what it knew before the pause. Its starts went through relays that were not paused, to workers that had announced their end or whose data centre had been taken out, and for jobs that had been cancelled meanwhile. The renewal that shows whether another host has taken over comes 0.15 s later at the earliest; a worker refuses the starts only if that host has polled it already.

A planning run that begins 1.2 s (the lease of the owner's record) or more after the last one, while the ownership is not confirmed, now starts and moves nothing. Planning goes on once the store has confirmed the ownership and the list of workers was read again. While the store fails without a pause, it goes on as before. Event 7050, owner_resumed, states the length of the pause.

--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -83,6 +83,7 @@
 	knownWorkersRevision int64                    // store revision of the known workers
 	loaded               bool
 	takenOver            bool // the completed takeover has been logged
+	resumption           resumption
 	measures             measures
 	linkWG               sync.WaitGroup
 }
@@ -238,13 +239,21 @@
 	}
 }
 
-// plan runs the planner and returns how long it took.
+// plan runs the planner and returns how long it took; 0 if it was not run.
 func (o *Owner) plan() (took time.Duration) {
 	o.update(func(s *schedule.Scheduler, now schedule.Time) {
 		if !o.loaded {
 			return
 		}
-		s.Expire(now, now.Boot < o.ownership.ValidUntil())
+		validUntil := o.ownership.ValidUntil()
+		s.Expire(now, now.Boot < validUntil)
+		held, pausedFor := o.resumption.holds(now.Boot, validUntil)
+		if pausedFor > 0 {
+			o.cfg.Log.Event(eventlog.OwnerResumed).Int64("term", o.ownership.Term).Int64("paused_for", ms(pausedFor)).Msg("")
+		}
+		if held {
+			return
+		}
 		started := time.Now()
 		s.Plan(now)
 		took = time.Since(started)
@@ -273,7 +282,10 @@
 
 // setWorkers replaces the list of workers.
 func (o *Owner) setWorkers(infos []schedule.WorkerInfo) {
-	o.updateAndPlan(func(s *schedule.Scheduler, now schedule.Time) { s.SetWorkers(now, infos) })
+	o.updateAndPlan(func(s *schedule.Scheduler, now schedule.Time) {
+		s.SetWorkers(now, infos)
+		o.resumption.listedAt = now.Boot
+	})
 	o.wake(o.assignWake)
 }
 
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -51,6 +51,7 @@
 	PartitionStatus          = define(7045, "partition_status", log.InfoLevel, "Totals of an owner, logged every two seconds: attempts by kind, pending tasks, capacity in thousandths of a core; and what it has measured in these seconds, in milliseconds, which docs/OPERATIONS.md explains.")
 	OwnerBehind              = define(7046, "owner_behind", log.WarnLevel, "The owner decides on outdated reports: more than 5 % of them were older than 1 s when it applied them, counted from their receipt by the relays. The figures are those of `partition_status`; docs/OPERATIONS.md leads from them to the cause.")
 	OwnerCaughtUp            = define(7047, "owner_caught_up", log.InfoLevel, "An owner that was behind for `behind_for` milliseconds applies reports in time again: 95 % of them within 0.3 s.")
+	OwnerResumed             = define(7050, "owner_resumed", log.WarnLevel, "The owner's process was paused, or its machine suspended, for `paused_for` milliseconds, after which the store has not confirmed its ownership. It starts and moves nothing until the store has, and the list of workers was read again.")
 	PlatformEntryUndecodable = define(7044, "platform_entry_broken", log.WarnLevel, "An entry of the platform cannot be decoded and is ignored. Logged once for each entry.")
 )
 
