Do not run a deleted job again after a complete read of the store

A job that had ended could run a second time, minutes later. When its retention has passed, the owner deletes it from the store and forgets it. A complete read of the submissions that began before (the store has compacted its history, or the watch has failed for long) still lists the job. Applied afterwards, it adds the job as one that has not started. The same happens with one batch of changes that shows both the creation and the deletion. The read is applied late on large partitions, over slow links, and while the store fails: the owner confirms its term first.

The scheduler now keeps a deleted job until the watch shows that it is gone. Reads and changes arrive in order, so nothing that was read before the deletion follows then. A job that is submitted again under the id meanwhile is added by the watch.

TestDeletedJobIsNotAddedAgain ("the deleted job is pending"), TestJobDeletedInTheSameBatchIsNotAdded and TestDeletedJobIsForgotten failed before. Found by reading.

--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -142,23 +142,26 @@
 
 // watchSubmissions watches the store for jobs and cancellations whose announcement was lost.
 func (o *Owner) watchSubmissions(ctx context.Context) {
-	apply := func(items []kv.Item) { o.applySubmissions(ctx, items) }
 	mirror.New(mirror.Config{
 		Store: o.cfg.Store, Prefix: statekeys.Submissions(o.cfg.Partition), Log: o.cfg.Log,
 		Wait: submissionsWatchWait, Pause: submissionsWatchPause, Retry: storeRetryDelay,
-		Reset: apply,
-		Apply: func(changes []kv.Change) {
-			var items []kv.Item
-			for _, change := range changes {
-				if !change.Deleted {
-					items = append(items, change.Item)
-				}
-			}
-			apply(items)
-		},
+		Reset: func(items []kv.Item) { o.resetSubmissions(ctx, items) },
+		Apply: func(changes []kv.Change) { o.applySubmissionChanges(ctx, changes) },
 	}).Run(ctx)
 }
 
+// resetSubmissions applies a complete read of the submissions.
+func (o *Owner) resetSubmissions(ctx context.Context, items []kv.Item) {
+	o.forgetUnlisted(items)
+	o.applySubmissions(ctx, items)
+}
+
+// applySubmissionChanges applies changes of the submissions.
+func (o *Owner) applySubmissionChanges(ctx context.Context, changes []kv.Change) {
+	o.forgetDeleted(changes)
+	o.applySubmissions(ctx, remaining(changes))
+}
+
 // addSubmissions adds jobs first and applies cancellations afterwards. A job that was stored before this term is
 // inherited: a former owner may have started it. o.mu is held.
 func (o *Owner) addSubmissions(now schedule.Time, items []kv.Item, progress map[workload.JobID]workload.Progress) {
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -80,6 +80,7 @@
 	ends                 map[schedule.WorkerID]endNumbers
 	unreachable          map[schedule.WorkerID]bool
 	revisions            map[workload.JobID]int64 // of the stored progress records; no entry without a record
+	deletions            map[workload.JobID]int64 // see deletion.go
 	knownWorkersRevision int64                    // store revision of the known workers
 	loaded               bool
 	takenOver            bool // the completed takeover has been logged
@@ -130,6 +131,7 @@
 		ends:              map[schedule.WorkerID]endNumbers{},
 		unreachable:       map[schedule.WorkerID]bool{},
 		revisions:         map[workload.JobID]int64{},
+		deletions:         map[workload.JobID]int64{},
 	}
 }
 
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -295,21 +295,18 @@
 	}
 }
 
-// deleteJobs deletes ended jobs from the store and from the scheduler.
+// deleteJobs deletes ended jobs from the store. They are forgotten once the watch of the submissions shows it.
 func (o *Owner) deleteJobs(ctx context.Context, ids []workload.JobID) error {
 	txn := kv.Txn{If: []kv.Condition{o.ownership.Condition()}}
 	for _, id := range ids {
 		txn.Delete = append(txn.Delete, statekeys.Job(o.cfg.Partition, id), statekeys.Cancel(o.cfg.Partition, id),
 			statekeys.Progress(o.cfg.Partition, id))
 	}
-	if _, err := o.commit(ctx, txn, func(*kv.Conflict) {}); err != nil {
+	o.recordDeletions(ids, 0)
+	revision, err := o.commit(ctx, txn, func(*kv.Conflict) {})
+	if err != nil {
 		return errors.Trace(err)
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, id := range ids {
-		o.scheduler.RemoveJob(id)
-		delete(o.revisions, id)
-	}
+	o.recordDeletions(ids, revision)
 	return nil
 }
