Do not take a worker for ended because of an entry of another pool

A task could be started elsewhere while its worker ran it. A process that crashed comes back at its address under another id, so the scheduler takes the later process at an address for the proof that the earlier one has ended. The entries may come from another writer, with a service that does not exist. Such an entry with the address of a worker and a later start ended the worker for the scheduler, and its tasks started again at once.

Only an entry of the same pool now replaces a worker, and entries of other pools do not hide it. A process that comes back in another pool is found by its expired leases, as on workers without an address in common.

--- a/core/schedule/replaced.go
+++ b/core/schedule/replaced.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"fulmarcourse.example/core/workload"
 )
 
 // vanishedRetention is how long a worker that has vanished is remembered: its successor shows that it crashed.
@@ -14,29 +16,38 @@
 	at     time.Duration // when it was removed
 }
 
-// latestByAddress returns the listed worker of each address whose process started last. A process that has crashed comes
-// back at its address under a new ID, and the platform lists both until the entry of the first one lapses.
-func latestByAddress(infos []WorkerInfo) map[string]*WorkerInfo {
-	latest := make(map[string]*WorkerInfo, len(infos))
+// place is where the processes of one worker follow each other. An entry of another pool at the address says nothing about the
+// worker: it may come from another writer.
+type place struct {
+	address string
+	pool    workload.PoolName
+}
+
+func (info *WorkerInfo) place() place { return place{info.Address, info.Pool} }
+
+// latestByPlace returns the listed worker of each place whose process started last. A process that has crashed comes back at
+// its address under a new ID, and the platform lists both until the entry of the first one lapses.
+func latestByPlace(infos []WorkerInfo) map[place]*WorkerInfo {
+	latest := make(map[place]*WorkerInfo, len(infos))
 	for i := range infos {
 		info := &infos[i]
-		if other := latest[info.Address]; other == nil || info.StartedMs > other.StartedMs {
-			latest[info.Address] = info
+		if other := latest[info.place()]; other == nil || info.StartedMs > other.StartedMs {
+			latest[info.place()] = info
 		}
 	}
 	return latest
 }
 
-// supersedes reports whether a worker started later than another one at the same address, whose process has thus ended.
+// supersedes reports whether a worker started later than another one at the same place, whose process has thus ended.
 func (info *WorkerInfo) supersedes(other *WorkerInfo) bool {
 	return info != nil && info.ID != other.ID && other.StartedMs > 0 && info.StartedMs > other.StartedMs
 }
 
-// removeSuperseded removes the workers whose process has ended because a later one has its address. What ran on them has
+// removeSuperseded removes the workers whose process has ended because a later one has their place. What ran on them has
 // ended as well, so its leases need not expire.
-func (s *Scheduler) removeSuperseded(now Time, latest map[string]*WorkerInfo) {
+func (s *Scheduler) removeSuperseded(now Time, latest map[place]*WorkerInfo) {
 	for _, w := range slices.Clone(s.sortedWorkers) {
-		next := latest[w.info.Address]
+		next := latest[w.info.place()]
 		if !next.supersedes(&w.info) {
 			continue
 		}
@@ -48,7 +59,7 @@
 		s.removeWorker(w)
 	}
 	for id, v := range s.vanished {
-		if next := latest[v.worker.info.Address]; next.supersedes(&v.worker.info) {
+		if next := latest[v.worker.info.place()]; next.supersedes(&v.worker.info) {
 			s.workerCrashed(now, v.worker, next.StartedMs, noneSurvives)
 			delete(s.vanished, id)
 		} else if now.Boot-v.at > vanishedRetention {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -203,11 +203,11 @@
 func (s *Scheduler) SetWorkers(now Time, infos []WorkerInfo) {
 	s.calledAt = now.Boot
 	s.listReadAt = now.Boot
-	latest := latestByAddress(infos)
+	latest := latestByPlace(infos)
 	s.removeSuperseded(now, latest)
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
-		if latest[info.Address].supersedes(&info) {
+		if latest[info.place()].supersedes(&info) {
 			continue
 		}
 		listed[info.ID] = true
