Load a partition although a progress record is damaged

One progress record that cannot be decoded, for instance of another version or damaged, kept every owner from loading the partition: each read of all records failed at it and was repeated for good, and no job of any caller ran any more.

The owner now leaves out the job of such a record for its term and logs the record. It does not take the job for one that has not started, since its tasks may have run: neither when it loads nor when the watch lists the job.

TestDamagedProgressRecordStopsOnlyItsJob failed before ("the partition is not loaded").

--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -71,6 +71,8 @@
 	return nil
 }
 
+// readProgress reads the progress of all jobs. A job whose record cannot be decoded is left alone in this term: without its
+// progress, tasks that are done would run again.
 func (o *Owner) readProgress(ctx context.Context) (map[workload.JobID]workload.Progress, error) {
 	prefix := statekeys.ProgressPrefix(o.cfg.Partition)
 	items, err := kv.ListInParts(ctx, o.cfg.Store, prefix)
@@ -79,15 +81,20 @@
 	}
 	progress := make(map[workload.JobID]workload.Progress, len(items))
 	for _, item := range items {
-		var p workload.Progress
-		if err := json.Unmarshal(item.Value, &p); err != nil {
-			return nil, errors.Annotatef(err, "decode progress record %s", item.Key)
-		}
 		id := workload.JobID(item.Key[len(prefix):])
-		progress[id] = p
+		var p workload.Progress
+		err := json.Unmarshal(item.Value, &p)
 		o.mu.Lock()
 		o.revisions[id] = item.Revision
+		if err != nil {
+			o.undecodable[id] = true
+		}
 		o.mu.Unlock()
+		if err != nil {
+			o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Err(err).Msg("")
+			continue
+		}
+		progress[id] = p
 	}
 	return progress, nil
 }
@@ -167,7 +174,7 @@
 func (o *Owner) addSubmissions(now schedule.Time, items []kv.Item, progress map[workload.JobID]workload.Progress) {
 	for _, item := range items {
 		id, cancel, ok := statekeys.ParseSubmission(o.cfg.Partition, item.Key)
-		if !ok || cancel || o.scheduler.HasJob(id) {
+		if !ok || cancel || o.scheduler.HasJob(id) || o.undecodable[id] {
 			continue
 		}
 		if p, found := progress[id]; found && p.State.Final() {
--- a/pkg/dispatch/load_test.go
+++ b/pkg/dispatch/load_test.go
@@ -10,6 +10,7 @@
 	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/kv"
+	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
 	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
 	"fulmarcourse.example/fulmarcourse/pkg/term"
 )
@@ -53,3 +54,40 @@
 		t.Error("the ownership was not marked as lost")
 	}
 }
+
+// Guards against one damaged progress record that keeps every owner from loading the partition, so that no job runs any more.
+// The job of the record must not be taken for one that has not started either, neither at once nor by the watch.
+func TestDamagedProgressRecordStopsOnlyItsJob(t *testing.T) {
+	store, log := kvtest.NewStore(), eventlog.Discard()
+	put := func(key string, value []byte) int64 {
+		revision, err := store.Commit(t.Context(), kv.Txn{Put: []kv.Put{{Key: key, Value: value}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return revision
+	}
+	for _, id := range []workload.JobID{"damaged", "sound"} {
+		data, err := json.Marshal(twoStepJob(id))
+		if err != nil {
+			t.Fatal(err)
+		}
+		put(statekeys.Job(0, id), data)
+	}
+	put(statekeys.Progress(0, "damaged"), []byte(`{"state":7}`))
+	ownership := term.NewOwnership(term.Config{Store: store, Log: log}, 1, put(statekeys.Term(0), []byte(`{"term":1}`)))
+	o := NewOwner(Config{Host: "host", Store: store, Relays: listedHosts{}, Log: log, Scope: tally.NoopScope}, ownership)
+	if err := o.loadOnce(t.Context()); err != nil {
+		t.Fatalf("the partition is not loaded: %v", err)
+	}
+	items, err := kv.ListInParts(t.Context(), store, statekeys.Submissions(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.resetSubmissions(t.Context(), items)
+	if state, known := o.JobState("damaged"); known {
+		t.Errorf("the job of the damaged record is %q, want it to be left out", state)
+	}
+	if _, known := o.JobState("sound"); !known {
+		t.Error("the other job is not loaded")
+	}
+}
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -80,6 +80,7 @@
 	ends                 map[schedule.WorkerID]endNumbers
 	unreachable          map[schedule.WorkerID]bool
 	revisions            map[workload.JobID]int64 // of the stored progress records; no entry without a record
+	undecodable          map[workload.JobID]bool  // jobs whose progress record cannot be decoded
 	deletions            map[workload.JobID]int64 // see deletion.go
 	knownWorkersRevision int64                    // store revision of the known workers
 	loaded               bool
@@ -131,6 +132,7 @@
 		ends:              map[schedule.WorkerID]endNumbers{},
 		unreachable:       map[schedule.WorkerID]bool{},
 		revisions:         map[workload.JobID]int64{},
+		undecodable:       map[workload.JobID]bool{},
 		deletions:         map[workload.JobID]int64{},
 	}
 }
