Attach the comments of the scheduler's tests to their tests again

When the tests of services and takeovers were moved to files of their own, the comments that say which failure each test guards against stayed behind, broken into lines apart from any test, and the moved tests had none. Only comments change.

--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -9,7 +9,6 @@
 )
 
 // Guards against a step that starts before the steps it depends on are done.
-
 func TestStepWaitsForEarlierSteps(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -26,7 +25,6 @@
 }
 
 // Guards against stopping an attempt that has just ended, which costs one more order and one more poll for each task.
-
 func TestEndedAttemptsAreNotStopped(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -42,7 +40,6 @@
 }
 
 // Guards against showing a job as completed before that state is stored: a later owner would revert it.
-
 func TestCompletedIsShownOnceStored(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -55,20 +52,7 @@
 	h.wantState("job", workload.StateCompleted)
 }
 
-// Guards against restarting a task that has reached its failure limit: after a takeover the ends reported by several
-
-// workers arrive in any order.
-
-// inheritedHarness returns the owner of term 2, which has inherited the workers w1 and w2 and the job named old.
-
-// Guards against running a task twice after a takeover: an inherited task may run on a worker that has not reported.
-
-// Guards against restarting an inherited task while the process that polls its worker still extends its lease: the
-
-// reports of the worker are lost on their way to the owner.
-
 // Guards against a second start while the first one is unanswered and may still be executed.
-
 func TestUnansweredStartIsStoppedBeforeTheNext(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -95,7 +79,6 @@
 }
 
 // Guards against presuming an attempt dead while its worker may run it: only an expired lease proves the end.
-
 func TestSilentWorkerKeepsItsTasksUntilTheLeaseExpires(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -115,26 +98,8 @@
 	h.wantStarts(h.run(), 1)
 }
 
-// Guards against a service that stays down after a takeover because another worker is silent, and against starting one
-
-// while its former attempt may still run on a silent worker.
-
-// Guards against a takeover that waits for the leases of workers that were drained and have left: with several changes
-
-// of owner in a row, pending tasks would be delayed each time.
-
-// Guards against ordering the start of a service before its worker is stored: a later owner could not know where it
-
-// runs.
-
-// Guards against running a task twice when an owner is cut off from the store and from some workers: a later owner may
-
-// have extended the leases of those workers.
-
 // Guards against a task that waits for the leases of a silent worker although it allows copies, and against copies of
-
 // any other task.
-
 func TestCopiesReplaceAttemptsOnSilentWorkers(t *testing.T) {
 	for _, copies := range []bool{true, false} {
 		h := newHarness(t, 1)
@@ -155,7 +120,6 @@
 }
 
 // Guards against tasks that stay on a slow worker, and against new tasks there.
-
 func TestTasksLeaveSlowWorkers(t *testing.T) {
 	h := newHarness(t, 1)
 	for _, id := range []WorkerID{"w1", "w2", "w3"} {
@@ -197,7 +161,6 @@
 }
 
 // Guards against tasks of a cancelled job that keep running.
-
 func TestCancelStopsEveryAttempt(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -219,9 +182,7 @@
 }
 
 // Guards against starts on draining workers and in evacuated data centres, and against services that end with their
-
 // worker instead of moving beforehand.
-
 func TestNoStartsWhereWorkersLeave(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -245,7 +206,6 @@
 }
 
 // Guards against exceeding the limit of tasks per worker.
-
 func TestMaxPerWorker(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -257,9 +217,7 @@
 }
 
 // Scenario: a burst beyond capacity. Guards against late jobs that take capacity from jobs that could still be in time,
-
 // so that in the end all are late.
-
 func TestJobsThatCanBeInTimeComeBeforeLateOnes(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", func(info *WorkerInfo) { info.Capacity.MilliCPU = 1000 })
@@ -283,7 +241,6 @@
 }
 
 // Guards against committing more than a worker's capacity, including by attempts that are being stopped.
-
 func TestCapacityIsNeverExceeded(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", func(info *WorkerInfo) { info.Capacity.MilliCPU = 3500 })
@@ -295,7 +252,6 @@
 }
 
 // Guards against tasks that are wasted on a worker on which every task fails.
-
 func TestWorkerThatFailsSeveralJobsIsInBackOff(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("bad", nil)
@@ -313,7 +269,6 @@
 }
 
 // Guards against attempts that are never replaced after their worker restarts under the same ID.
-
 func TestRestartedWorkerRunsNothing(t *testing.T) {
 	h := newHarness(t, 1)
 	w := h.addWorker("w1", nil)
@@ -332,12 +287,8 @@
 	h.wantState("job", workload.StateCompleted)
 }
 
-// Guards against a new owner that does not restore stored progress.
-
 // Guards against starting a task of a silent worker while it still runs there: a poll for a former incarnation of the
-
 // worker may have extended its leases up to the longest one that it grants.
-
 func TestSilentWorkerMayHoldTheLongestLease(t *testing.T) {
 	h := newHarness(t, 1)
 	h.s.cfg.MaxTaskLease = testLease + 4*time.Second
@@ -354,18 +305,8 @@
 	h.wantStarts(h.run(), 1)
 }
 
-// Guards against stopping more tasks of a service at a time than its step tolerates, and against tolerating only one
-
-// where the step allows more.
-
-// Guards against a task without a failure limit whose attempt numbers run into those of the next term: workers would
-
-// reject its starts as stale, or take them for attempts of another owner.
-
 // Scenario: many tasks of cancelled jobs on workers behind a link on which every order is lost. Guards against repeats that
-
 // fill such a link: the stop of one attempt must take a bounded number of orders, and none while its worker is silent.
-
 func TestStopsAreRepeatedLessAndLessOften(t *testing.T) {
 	const tasks = 10
 	h := newHarness(t, 1)
@@ -397,11 +338,3 @@
 		t.Errorf("%d stops of %d attempts after the worker has reported again", stops, tasks)
 	}
 }
-
-// Guards against a new owner that starts tasks on workers that are draining or have left: it knows them from its
-
-// predecessor's record, and they report, before it has read the platform's list.
-
-// Guards against the start of a service on a worker that has announced its end, or in a data centre that was taken out of
-
-// service, while the store was slow to confirm the worker of the service: the decision is seconds old by then.
--- a/core/schedule/service_test.go
+++ b/core/schedule/service_test.go
@@ -6,6 +6,8 @@
 	"fulmarcourse.example/core/structs"
 )
 
+// Guards against a service that stays down after a takeover because another worker is silent, and against starting one
+// while its former attempt may still run on a silent worker.
 func TestServicesWaitOnlyForTheirOwnWorker(t *testing.T) {
 	h := newHarness(t, 1)
 	w1 := h.addWorker("w1", nil)
@@ -33,6 +35,8 @@
 	}
 }
 
+// Guards against ordering the start of a service before its worker is stored: a later owner could not know where it
+// runs.
 func TestServiceStartsOnceItsWorkerIsStored(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -48,6 +52,8 @@
 	h.wantStarts(h.s.TakeOrders(), 1)
 }
 
+// Guards against stopping more tasks of a service at a time than its step tolerates, and against tolerating only one
+// where the step allows more.
 func TestServiceLeavesSlowWorkersWithinItsLimit(t *testing.T) {
 	for maxUnavailable, want := range map[int]int{0: 0, 1: 1, 2: 2} {
 		h := newHarness(t, 1)
@@ -69,6 +75,8 @@
 	}
 }
 
+// Guards against the start of a service on a worker that has announced its end, or in a data centre that was taken out of
+// service, while the store was slow to confirm the worker of the service: the decision is seconds old by then.
 func TestServiceStartIsCheckedAgainOnceItIsStored(t *testing.T) {
 	for name, leave := range map[string]func(h *harness){
 		"draining": func(h *harness) {
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -7,6 +7,8 @@
 	"fulmarcourse.example/core/workload"
 )
 
+// Guards against restarting a task that has reached its failure limit: after a takeover the ends reported by several
+// workers arrive in any order.
 func TestFailuresCountInAnyOrder(t *testing.T) {
 	h := newHarness(t, 2)
 	ids := []WorkerID{"w1", "w2", "w3", "w4"}
@@ -30,6 +32,7 @@
 	h.wantState("job", workload.StateFailed)
 }
 
+// inheritedHarness returns the owner of term 2, which has inherited the workers w1 and w2 and the job named old.
 func inheritedHarness(t *testing.T) *harness {
 	h := newHarness(t, 2)
 	w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
@@ -40,6 +43,7 @@
 	return h
 }
 
+// Guards against running a task twice after a takeover: an inherited task may run on a worker that has not reported.
 func TestInheritedTaskWaitsForSilentWorkers(t *testing.T) {
 	h := inheritedHarness(t)
 	h.s.AddJob(testJob("new", testStep(1)), nil, false)
@@ -59,6 +63,8 @@
 	h.wantStarts(h.run(), 1)
 }
 
+// Guards against restarting an inherited task while the process that polls its worker still extends its lease: the
+// reports of the worker are lost on their way to the owner.
 func TestInheritedTaskOutlastsLostReports(t *testing.T) {
 	for name, lose := range map[string]func(*harness){
 		"connection lost": func(h *harness) { h.s.PollerLost("w2", h.now.Boot) },
@@ -81,6 +87,8 @@
 	}
 }
 
+// Guards against a takeover that waits for the leases of workers that were drained and have left: with several changes
+// of owner in a row, pending tasks would be delayed each time.
 func TestLaterOwnersDoNotWaitForDrainedWorkers(t *testing.T) {
 	h := newHarness(t, 1)
 	w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
@@ -105,6 +113,8 @@
 	}
 }
 
+// Guards against running a task twice when an owner is cut off from the store and from some workers: a later owner may
+// have extended the leases of those workers.
 func TestUnconfirmedOwnerPresumesNothingExpired(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -122,6 +132,7 @@
 	h.wantStarts(h.s.TakeOrders(), 1)
 }
 
+// Guards against a new owner that does not restore stored progress.
 func TestProgressSurvivesATakeover(t *testing.T) {
 	h := newHarness(t, 1)
 	w := h.addWorker("w1", nil)
@@ -146,6 +157,8 @@
 	}
 }
 
+// Guards against a task without a failure limit whose attempt numbers run into those of the next term: workers would
+// reject its starts as stale, or take them for attempts of another owner.
 func TestAttemptNumbersOfTermsDoNotMeet(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
@@ -162,6 +175,8 @@
 	}
 }
 
+// Guards against a new owner that starts tasks on workers that are draining or have left: it knows them from its
+// predecessor's record, and they report, before it has read the platform's list.
 func TestNothingStartsBeforeTheWorkersAreListed(t *testing.T) {
 	h := newHarness(t, 1)
 	w1, w2 := h.addWorker("w1", nil), h.addWorker("w2", nil)
