--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -20,7 +20,6 @@
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/kv"
-	"fulmarcourse.example/fulmarcourse/pkg/pause"
 	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
 	"fulmarcourse.example/fulmarcourse/pkg/term"
 )
@@ -33,14 +32,6 @@
 }
 
 const (
-	// planDelay batches changes that arrive close together into one planning run.
-	planDelay = 4 * time.Millisecond
-	// planPauseFactor is the minimum pause after a planning run as a multiple of its duration. Reports and outcomes wait while
-	// the owner plans, and a run grows with the number of waiting tasks.
-	planPauseFactor = 3
-	// planInterval is the maximum time between two planning runs: leases expire and job occurrences become due without
-	// an event that triggers planning.
-	planInterval = 100 * time.Millisecond
 	// storeRetryDelay is the pause after a failed call to the store.
 	storeRetryDelay = 200 * time.Millisecond
 )
@@ -178,6 +169,14 @@
 	}
 }
 
+// drain removes a pending signal from a channel.
+func drain(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+	}
+}
+
 // update runs f on the scheduler, queues the resulting orders for the relays and logs the resulting events.
 func (o *Owner) update(f func(s *schedule.Scheduler, now schedule.Time)) {
 	for _, event := range o.apply(f) {
@@ -207,69 +206,6 @@
 	o.wake(o.saveWake)
 }
 
-// planLoop plans when it is triggered, and at least once per planInterval, until ctx ends.
-func (o *Owner) planLoop(ctx context.Context) { repeatPlan(ctx, o.planWake, o.plan) }
-
-// repeatPlan calls plan, which returns how long it took, after each signal of wake, and planInterval after its last call
-// otherwise, until ctx ends.
-func repeatPlan(ctx context.Context, wake chan struct{}, plan func() time.Duration) {
-	timer := time.NewTimer(planInterval)
-	defer timer.Stop()
-	delay, ended := planDelay, time.Time{}
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-wake:
-			pause.For(ctx, max(delay-time.Since(ended), planDelay))
-			drain(wake)
-		}
-		delay, ended = delayAfterPlan(plan()), time.Now()
-		timer.Reset(planInterval) // also drops a tick of the meantime, which would start the next run without a pause
-	}
-}
-
-// delayAfterPlan returns how long changes are batched after a planning run that took the given time.
-func delayAfterPlan(took time.Duration) time.Duration {
-	return min(max(planPauseFactor*took, planDelay), planInterval)
-}
-
-// drain removes a pending signal from a channel.
-func drain(c chan struct{}) {
-	select {
-	case <-c:
-	default:
-	}
-}
-
-// plan runs the planner and returns how long it took; 0 if it was not run.
-func (o *Owner) plan() (took time.Duration) {
-	o.update(func(s *schedule.Scheduler, now schedule.Time) {
-		if !o.loaded {
-			return
-		}
-		validUntil := o.ownership.ValidUntil()
-		s.Expire(now, now.Boot < validUntil)
-		held, pausedFor := o.resumption.holds(now.Boot, validUntil)
-		if pausedFor > 0 {
-			o.cfg.Log.Event(eventlog.OwnerResumed).Int64("term", o.ownership.Term).Int64("paused_for", ms(pausedFor)).Msg("")
-		}
-		if held {
-			return
-		}
-		started := time.Now()
-		s.Plan(now)
-		took = time.Since(started)
-		o.measures.plan.Add(took)
-		if !o.takenOver && s.TakeoverComplete() {
-			o.takenOver = true
-			o.cfg.Log.Event(eventlog.TakeoverComplete).Int64("term", o.ownership.Term).Msg("")
-		}
-	})
-	return took
-}
-
 // assignLoop assigns new workers, and workers of lost relays, to relays until ctx ends.
 func (o *Owner) assignLoop(ctx context.Context) {
 	for ctx.Err() == nil {
