--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -71,6 +71,8 @@
 	return nil
 }
 
+// readProgress reads the progress of all jobs. A job whose record cannot be decoded is left alone in this term: without its
+// progress, tasks that are done would run again.
 func (o *Owner) readProgress(ctx context.Context) (map[workload.JobID]workload.Progress, error) {
 	prefix := statekeys.ProgressPrefix(o.cfg.Partition)
 	items, err := kv.ListInParts(ctx, o.cfg.Store, prefix)
@@ -79,15 +81,20 @@
 	}
 	progress := make(map[workload.JobID]workload.Progress, len(items))
 	for _, item := range items {
-		var p workload.Progress
-		if err := json.Unmarshal(item.Value, &p); err != nil {
-			return nil, errors.Annotatef(err, "decode progress record %s", item.Key)
-		}
 		id := workload.JobID(item.Key[len(prefix):])
-		progress[id] = p
+		var p workload.Progress
+		err := json.Unmarshal(item.Value, &p)
 		o.mu.Lock()
 		o.revisions[id] = item.Revision
+		if err != nil {
+			o.undecodable[id] = true
+		}
 		o.mu.Unlock()
+		if err != nil {
+			o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Err(err).Msg("")
+			continue
+		}
+		progress[id] = p
 	}
 	return progress, nil
 }
@@ -142,29 +149,32 @@
 
 // watchSubmissions watches the store for jobs and cancellations whose announcement was lost.
 func (o *Owner) watchSubmissions(ctx context.Context) {
-	apply := func(items []kv.Item) { o.applySubmissions(ctx, items) }
 	mirror.New(mirror.Config{
 		Store: o.cfg.Store, Prefix: statekeys.Submissions(o.cfg.Partition), Log: o.cfg.Log,
 		Wait: submissionsWatchWait, Pause: submissionsWatchPause, Retry: storeRetryDelay,
-		Reset: apply,
-		Apply: func(changes []kv.Change) {
-			var items []kv.Item
-			for _, change := range changes {
-				if !change.Deleted {
-					items = append(items, change.Item)
-				}
-			}
-			apply(items)
-		},
+		Reset: func(items []kv.Item) { o.resetSubmissions(ctx, items) },
+		Apply: func(changes []kv.Change) { o.applySubmissionChanges(ctx, changes) },
 	}).Run(ctx)
 }
 
+// resetSubmissions applies a complete read of the submissions.
+func (o *Owner) resetSubmissions(ctx context.Context, items []kv.Item) {
+	o.forgetUnlisted(items)
+	o.applySubmissions(ctx, items)
+}
+
+// applySubmissionChanges applies changes of the submissions.
+func (o *Owner) applySubmissionChanges(ctx context.Context, changes []kv.Change) {
+	o.forgetDeleted(changes)
+	o.applySubmissions(ctx, remaining(changes))
+}
+
 // addSubmissions adds jobs first and applies cancellations afterwards. A job that was stored before this term is
 // inherited: a former owner may have started it. o.mu is held.
 func (o *Owner) addSubmissions(now schedule.Time, items []kv.Item, progress map[workload.JobID]workload.Progress) {
 	for _, item := range items {
 		id, cancel, ok := statekeys.ParseSubmission(o.cfg.Partition, item.Key)
-		if !ok || cancel || o.scheduler.HasJob(id) {
+		if !ok || cancel || o.scheduler.HasJob(id) || o.undecodable[id] {
 			continue
 		}
 		if p, found := progress[id]; found && p.State.Final() {
--- a/pkg/dispatch/recheck_test.go
+++ b/pkg/dispatch/recheck_test.go
@@ -21,15 +21,7 @@
 		"the data centre is evacuated": {func(o *Owner) { o.SetEvacuated([]structs.DatacentreID{"dc"}) }, 0},
 		"the job is cancelled":         {func(o *Owner) { o.Cancel("job") }, 0},
 	} {
-		o, l, _ := measuredOwner(t)
-		l.release, l.assign, l.stored = map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}, map[schedule.WorkerID]relay.StoredEnd{}
-		o.setWorkers(oneWorker(false))
-		o.loaded = true
-		now := bootclock.Uptime()
-		l.applyResults(now, now, reported(now, 0, 0))
-		o.scheduler.KnownWorkersStored(oneWorker(false))
-		o.Announce(twoStepJob("job"))
-		o.plan()
+		o, l := plannedOwner(t)
 		c.change(o)
 		update, _ := l.takeUpdate()
 		starts := 0
@@ -44,6 +36,21 @@
 	}
 }
 
+// plannedOwner returns an owner that has planned a job on testWorker, and its link, in which the starts are queued.
+func plannedOwner(t *testing.T) (*Owner, *link) {
+	t.Helper()
+	o, l, _ := measuredOwner(t)
+	l.release, l.assign, l.stored = map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}, map[schedule.WorkerID]relay.StoredEnd{}
+	o.setWorkers(oneWorker(false))
+	o.loaded = true
+	now := bootclock.Uptime()
+	l.applyResults(now, now, reported(now, 0, 0))
+	o.scheduler.KnownWorkersStored(oneWorker(false))
+	o.Announce(twoStepJob("job"))
+	o.plan()
+	return o, l
+}
+
 // oneWorker returns a list with testWorker.
 func oneWorker(draining bool) []schedule.WorkerInfo {
 	return []schedule.WorkerInfo{{
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// orderTimeout bounds the call that sends an order. It is far above the response time of a healthy worker. The
-	// outcome of an order that takes longer is determined by a poll.
-	orderTimeout = 400 * time.Millisecond
 	// resultBatchDelay batches results that arrive close together into one response.
 	resultBatchDelay = 8 * time.Millisecond
 	// reportBatchDelay is how long reports without ends wait for further results. They are most of the reports, and what
@@ -92,8 +89,9 @@
 			s.markStored(stored)
 		}
 	}
+	arrived := bootclock.Uptime()
 	for _, order := range u.Orders {
-		r.wg.Go(func() { r.send(u.Term, order) })
+		r.wg.Go(func() { r.send(u.Term, order, arrived) })
 	}
 	return nil
 }
@@ -289,72 +287,6 @@
 	}
 }
 
-// send sends an order to its worker and records the outcome.
-func (r *Relay) send(term int64, order schedule.Order) {
-	arrived := bootclock.Uptime()
-	command := Command{Order: order, Fence: term}
-	outcome, err := schedule.NotRun, errors.New("no task lease can be granted")
-	if r.prepareCommand(term, &command) {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		outcome, err = r.cfg.Workers.Send(ctx, command)
-		cancel()
-	}
-	result := OrderOutcome{Order: order, Outcome: outcome, Took: bootclock.Uptime() - arrived}
-	result.Order.Input, result.Order.Checkpoint, result.Order.Address = "", "", ""
-	if err != nil {
-		result.Reason = err.Error()
-	}
-	r.addOutcome(term, result)
-	unanswered := order.Kind == schedule.OrderStart && outcome == schedule.Unanswered
-	stopped := order.Kind == schedule.OrderStop && outcome == schedule.Accepted
-	if unanswered || stopped {
-		r.pollNow(term, order.Worker)
-	}
-}
-
-func (r *Relay) addOutcome(term int64, result OrderOutcome) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if term == r.term {
-		r.results.Outcomes = append(r.results.Outcomes, result)
-		r.signal()
-	}
-}
-
-// pollNow polls a worker without a wait, concurrently with the session's poll, which may be held open until a task
-// ends. The owner needs the result at once, to determine whether an attempt is running.
-func (r *Relay) pollNow(term int64, id schedule.WorkerID) {
-	r.mu.Lock()
-	s, known := r.sessions[id]
-	if !known || term != r.term {
-		r.mu.Unlock()
-		return
-	}
-	req := PollRequest{Worker: s.worker, Fence: term, AckedEnd: s.acknowledged()}
-	ctx := r.sessionCtx
-	r.mu.Unlock()
-	s.poll(ctx, req)
-}
-
-// prepareCommand sets the task lease of a start order; ok is false if no lease can be granted or the owner was
-// replaced.
-func (r *Relay) prepareCommand(term int64, command *Command) (ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if term != r.term {
-		return false
-	}
-	if command.Order.Kind != schedule.OrderStart {
-		return true
-	}
-	s, known := r.sessions[command.Order.Worker]
-	if !known {
-		return false
-	}
-	command.LeaseToMs, ok = s.grant()
-	return ok
-}
-
 // Close ends all sessions and waits for them and for orders in flight.
 func (r *Relay) Close() {
 	r.mu.Lock()
