Bound the searches for fillers in a planning run

A run starts 300 tasks, most of them fillers, and tries to place 200 to 600 waiting ones.

A run now searches for workers for fillers at most 64 times and leaves the other steps to the next one, which follows after the usual pause. In a large pool more fillers of a step share a search (a 32nd of the workers, 8 as before in a small one), and workers with a service over its target, on which no filler may start, are not searched.

--- /dev/null
+++ b/core/schedule/burst_bench_test.go
@@ -0,0 +1,101 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"fulmarcourse.example/core/workload"
+)
+
+// Load of a large fleet in a burst.
+const (
+	burstWorkers     = 900
+	burstServices    = 5   // on each worker
+	burstFillers     = 4   // on each worker
+	burstSteps       = 60  // filler steps that wait, of eight tasks each
+	burstEnds        = 300 // fillers that end between two planning runs, and are replaced by new ones
+	burstImages      = 30  // images of fillers
+	burstServiceKind = 16  // images of services
+)
+
+// burstFleet returns a scheduler with workers whose services reserve most of the capacity, with running fillers and with
+// more of them waiting than fit.
+func burstFleet(b *testing.B) (*harness, *rand.Rand) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	h := newHarness(&testing.T{}, 1)
+	infos := make([]WorkerInfo, 0, burstWorkers)
+	for n := range burstWorkers {
+		id := WorkerID(fmt.Sprintf("w%05d", n))
+		w := &simWorker{incarnation: 1, stopped: map[attemptKey]bool{}}
+		w.info = WorkerInfo{ID: id, Address: string(id), Datacentre: "dc1", Pool: testPool, Labels: []string{fmt.Sprint("r-", n/20)}}
+		w.info.Capacity = testStep(1).Size
+		w.info.Capacity.MilliCPU, w.info.Capacity.MemoryBytes = 16000, 64<<30
+		h.workers[id] = w
+		infos = append(infos, w.info)
+	}
+	h.s.SetWorkers(h.now, infos)
+	h.s.KnownWorkersStored(infos)
+	h.reportAll()
+	for n := range burstWorkers {
+		service, filler := fleetService(burstServices, rng.IntN(burstServiceKind)), burstFiller(rng, burstFillers)
+		job := testJob(workload.JobID(fmt.Sprint("load", n)), service, filler)
+		h.s.AddJob(job, nil, false)
+		for _, st := range h.s.jobs[job.ID].steps {
+			for _, t := range st.tasks {
+				w := h.s.workers[WorkerID(fmt.Sprintf("w%05d", n))]
+				a := &attempt{task: t, number: 1, worker: w, phase: running, confirmedAt: 1, startedAt: 1,
+					share: fullShare, confirmedShare: fullShare, percent: fullShare, metric: 8 + 20*rng.Float64()}
+				h.s.attach(a)
+			}
+		}
+	}
+	for n := range burstSteps {
+		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("waiting", n)), burstFiller(rng, 8)), nil, false)
+	}
+	h.s.TakeEvents()
+	return h, rng
+}
+
+func burstFiller(rng *rand.Rand, tasks int) workload.Step {
+	step := fleetFiller(tasks, rng.IntN(burstImages))
+	step.Size.MilliCPU = 1000 + rng.Int64N(1500)
+	return step
+}
+
+// BenchmarkBurst measures a planning run of a large fleet while more fillers wait than fit and some end before each run.
+func BenchmarkBurst(b *testing.B) {
+	h, rng := burstFleet(b)
+	b.ResetTimer()
+	started := 0
+	for n := range b.N {
+		b.StopTimer()
+		h.advanceClock(fillerRetryDelay)
+		for _, w := range h.s.sortedWorkers {
+			w.reportedAt, w.listedAt = h.now.Boot, h.now.Boot
+			h.s.index.markChanged(w)
+		}
+		for range burstEnds {
+			w := h.s.sortedWorkers[rng.IntN(burstWorkers)]
+			for _, a := range w.attemptList {
+				if a.filler() {
+					a.task.done = true
+					h.s.drop(a)
+					break
+				}
+			}
+		}
+		for k := 0; h.s.Counts(h.now).PendingFillers < 8*burstSteps; k++ {
+			h.s.AddJob(testJob(workload.JobID(fmt.Sprint("new", n, "-", k)), burstFiller(rng, 8)), nil, false)
+		}
+		h.s.TakeOrders()
+		h.s.TakeEvents()
+		b.StartTimer()
+		h.s.Plan(h.now)
+		started += len(h.s.orders)
+	}
+	c := h.s.Counts(h.now)
+	b.ReportMetric(float64(started)/float64(b.N), "starts/op")
+	b.ReportMetric(float64(c.PendingFillers), "waiting")
+	b.ReportMetric(float64(c.Fillers), "fillers")
+}
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -11,9 +11,11 @@
 	// maxCandidates is the number of workers that fit a short task and are compared, and the number of workers with the
 	// highest estimated ratings that are checked for a filler or a service.
 	maxCandidates = 24
-	// maxShared is the number of workers of one search that the next fillers of a step may take. The workers behind them are
-	// often worse than those that a new search finds.
-	maxShared = 8
+	// minShared is the number of workers of one search that the next fillers of a step may take in a small pool, and
+	// sharedPart the inverse of their share of a larger one. The workers behind them are often worse than those that a new
+	// search finds.
+	minShared  = 8
+	sharedPart = 32
 	// maxFillerChecks is the number of further workers that are checked for a filler if none of the highest rated ones
 	// fits. The next search of its step continues with the workers that follow.
 	maxFillerChecks = 200
@@ -103,6 +105,7 @@
 	if s.fillerSearch.matches(c) && s.fillerSearch.takeNext(c) {
 		return
 	}
+	s.fillerSearches++
 	size := c.task.step.spec.Size.MilliCPU
 	cores := float64(size) / 1000
 	var top topWorkers
@@ -111,12 +114,15 @@
 		top.add(w, fillerRating(float64(w.indexed.spare), rise, w))
 	}
 	top.considerAll(c)
-	s.fillerSearch = fillerSearch{step: c.task.step, at: c.now, remaining: top.best(maxShared, c.best.worker)}
+	s.fillerSearch = fillerSearch{step: c.task.step, at: c.now, remaining: top.best(p.shared(), c.best.worker)}
 	if c.best.worker == nil {
 		s.searchFurther(c, p.bySpare.workers[:p.bySpare.count(minSpare(size))])
 	}
 }
 
+// shared returns the number of workers of one search that the fillers of a step may take.
+func (p *poolIndex) shared() int { return max(len(p.bySpare.workers)/sharedPart, minShared) }
+
 // fillerSearch holds the workers that remain of a search for the fillers of a step, the best first.
 type fillerSearch struct {
 	step      *step
@@ -125,7 +131,10 @@
 }
 
 // matches reports whether the workers may be used for a search.
-func (f *fillerSearch) matches(c *search) bool { return f.step == c.task.step && f.at == c.now }
+func (f *fillerSearch) matches(c *search) bool { return f.has(c.now, c.task.step) }
+
+// has reports whether the workers may be used for the fillers of a step.
+func (f *fillerSearch) has(now Time, st *step) bool { return f.step == st && f.at == now }
 
 // takeNext checks the remaining workers until one fits, and reports whether one does.
 func (f *fillerSearch) takeNext(c *search) bool {
@@ -289,15 +298,18 @@
 	if w.spareFillerCPU() < minSpare(size) {
 		return false
 	}
-	for _, a := range w.attemptList {
-		if a.mayBeOverByFillers(now) {
-			return false
-		}
+	if w.mayBeOverByFillers(now) {
+		return false
 	}
 	tail, _ := s.predictTail(now, w, t)
 	return tail < tailStart
 }
 
+// mayBeOverByFillers reports whether a service on the worker is over its target and fillers may be the cause.
+func (w *worker) mayBeOverByFillers(now time.Duration) bool {
+	return slices.ContainsFunc(w.attemptList, func(a *attempt) bool { return a.mayBeOverByFillers(now) })
+}
+
 // minFillerCPUShare is the share of its processor demand, in percent, that must be unused for a filler task to start.
 // With less it would only take processor time from the fillers that already run.
 const minFillerCPUShare = 60
--- a/core/schedule/index.go
+++ b/core/schedule/index.go
@@ -92,7 +92,11 @@
 	if !s.usable(now, w) {
 		return indexKeys{p, unusableKey, unusableKey}
 	}
-	return indexKeys{p, max(w.free().MilliCPU, 0), max(w.spareFillerCPU(), unusableKey)}
+	spare := int64(unusableKey)
+	if !w.mayBeOverByFillers(now) {
+		spare = max(w.spareFillerCPU(), unusableKey)
+	}
+	return indexKeys{p, max(w.free().MilliCPU, 0), spare}
 }
 
 // place moves a worker to the position of its new keys.
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -27,6 +27,7 @@
 		s.moveThrottledFillers(now)
 		s.startCopies(now)
 	}
+	s.fillerSearches, s.incomplete = 0, false
 	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
 	s.restartInVacated(&cycle)
 	for _, st := range s.stepsByUrgency(now) {
@@ -35,6 +36,9 @@
 	}
 }
 
+// Incomplete reports whether the latest planning run has left fillers that may fit to the next one.
+func (s *Scheduler) Incomplete() bool { return s.incomplete }
+
 // planCycle records the task shapes that fit on no worker, so that they are not tried again in the same cycle.
 type planCycle struct {
 	now              Time
@@ -104,6 +108,15 @@
 // workers, and what their services bear changes with the reports, which take longer than this.
 const fillerRetryDelay = 100 * time.Millisecond
 
+// maxFillerSearches is the maximum number of searches for fillers in a planning run. Reports and more urgent tasks wait for
+// the end of a run, and in a large fleet a search rates a thousand workers.
+const maxFillerSearches = 64
+
+// mayPlaceFiller reports whether the planning run may place a further filler of a step.
+func (s *Scheduler) mayPlaceFiller(now Time, st *step) bool {
+	return s.fillerSearches < maxFillerSearches || s.fillerSearch.has(now, st) && len(s.fillerSearch.remaining) > 0
+}
+
 // startStep starts the pending tasks of a step, except for displaced ones, as far as capacity allows.
 func (s *Scheduler) startStep(cycle *planCycle, st *step) {
 	if cycle.now.Boot < st.retryAt {
@@ -117,6 +130,10 @@
 		if !t.pending() || t.displaced() || s.mayRunElsewhere(t) || s.heldBack(t) {
 			continue
 		}
+		if st.spec.Filler && !s.mayPlaceFiller(cycle.now, st) {
+			s.incomplete = true
+			return
+		}
 		w := s.choose(cycle.now, t)
 		if w != nil {
 			if !st.spec.Filler {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -17,6 +17,8 @@
 	sortedWorkers       []*worker // sorted by ID, so that decisions do not depend on map order
 	index               *workerIndex
 	fillerSearch        fillerSearch  // the latest one
+	fillerSearches      int           // number of searches in the latest planning run
+	incomplete          bool          // the latest planning run ended before all steps were tried
 	listReadAt          time.Duration // time of the last call of SetWorkers; 0 before the first
 	evacuated           map[structs.DatacentreID]bool
 	openSteps           map[*step]struct{}             // steps that may start tasks
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -249,6 +249,9 @@
 		s.Plan(now)
 		took = time.Since(started)
 		o.measures.plan.Add(took)
+		if s.Incomplete() {
+			o.wake(o.planWake)
+		}
 		if !o.takenOver && s.TakeoverComplete() {
 			o.takenOver = true
 			o.cfg.Log.Event(eventlog.TakeoverComplete).Int64("term", o.ownership.Term).Msg("")
