Store the records first for which starts of services wait

Cause: the start of a service task waits until its worker is stored. The records of a batch were stored in random order: with the ends of 1,000 jobs a batch takes 67 transactions, four at a time, and the start waited for up to all of them, beside the batch before it.

Jobs with starts that wait now come first, so that these starts are ordered after the first round trip of their batch. They still wait for the batch in progress: ends may be acknowledged only when everything that changed is stored.

--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -13,15 +13,34 @@
 	Progress workload.Progress
 }
 
-// Changed returns the progress of the jobs that have changed since it was last stored.
+// Changed returns the progress of the jobs that have changed since it was last stored. Jobs with tasks that start only once they
+// are stored come first: a batch of many records takes many transactions.
 func (s *Scheduler) Changed() []Record {
 	records := make([]Record, 0, len(s.dirty))
+	waiting := 0
 	for j := range s.dirty {
 		records = append(records, Record{j.rec.ID, j.progress()})
+		if j.awaitsStore() {
+			last := len(records) - 1
+			records[waiting], records[last] = records[last], records[waiting]
+			waiting++
+		}
 	}
 	return records
 }
 
+// awaitsStore reports whether a start of a service task waits until its worker is stored.
+func (j *job) awaitsStore() bool {
+	if j.attempts == 0 {
+		return false
+	}
+	return slices.ContainsFunc(j.steps, func(st *step) bool {
+		return st.spec.Service && slices.ContainsFunc(st.tasks, func(t *task) bool {
+			return slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.phase == awaitingStore })
+		})
+	})
+}
+
 // MarkStored records that r was stored, and orders the starts of service tasks that waited for this. The job stays
 // marked as changed if its progress has changed since r was made.
 func (s *Scheduler) MarkStored(now Time, r Record) {
