Add no job again that was deleted meanwhile

Cause: the watch of the submissions reads all of them again when the store has dropped its history. A read that was made before a job was deleted, because its retention had expired, may arrive after the deletion: the owner no longer knew the job and added it like one whose announcement was lost. All its tasks would run again, hours after the job was shown as completed. Deleted jobs are now remembered for a minute, longer than a read takes.

Evidence: TestDeletedJobIsNotAddedByAnEarlierRead failed before ("the deleted job is pending").

--- a/pkg/dispatch/ends_test.go
+++ b/pkg/dispatch/ends_test.go
@@ -1,13 +1,18 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
+	"fulmarcourse.example/fulmarcourse/pkg/kv"
+	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
 	"fulmarcourse.example/fulmarcourse/pkg/relay"
+	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
+	"fulmarcourse.example/fulmarcourse/test/poll"
 )
 
 // endsOf returns results with the report of a worker process, polled at a time, which lists ends of tasks of a job with the
@@ -64,3 +69,32 @@
 	delete(o.linkOf, testWorker)
 	check("without a relay", now.Boot)
 }
+
+// Scenario: the submissions are read again, as after the store has dropped its history, and a job whose retention has expired is
+// deleted before the response arrives. Guards against adding the job again: all its tasks would run a second time.
+func TestDeletedJobIsNotAddedByAnEarlierRead(t *testing.T) {
+	store := kvtest.NewStore()
+	o := startOwner(t, store, &fakeRelay{})
+	job := twoStepJob("job")
+	data, err := json.Marshal(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := kv.Put{Key: statekeys.Job(0, "job"), Value: data}
+	if _, err := store.Commit(t.Context(), kv.Txn{Put: []kv.Put{put}}); err != nil {
+		t.Fatal(err)
+	}
+	o.Announce(job)
+	poll.Until(t, "the job is completed", func() bool { return state(o, "job") == workload.StateCompleted })
+	read, _, err := kv.List(t.Context(), store, statekeys.Submissions(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := o.deleteJobs(t.Context(), []workload.JobID{"job"}); err != nil {
+		t.Fatal(err)
+	}
+	o.applySubmissions(t.Context(), read)
+	if got, known := o.JobState("job"); known {
+		t.Errorf("the deleted job is %s", got)
+	}
+}
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -164,7 +164,7 @@
 func (o *Owner) addSubmissions(now schedule.Time, items []kv.Item, progress map[workload.JobID]workload.Progress) {
 	for _, item := range items {
 		id, cancel, ok := statekeys.ParseSubmission(o.cfg.Partition, item.Key)
-		if !ok || cancel || o.scheduler.HasJob(id) {
+		if _, deleted := o.deleted[id]; !ok || cancel || deleted || o.scheduler.HasJob(id) {
 			continue
 		}
 		if p, found := progress[id]; found && p.State.Final() {
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -79,8 +79,9 @@
 	relayBackOffUntil    map[string]time.Duration // by host; boot time until which a lost relay is not used
 	ends                 map[schedule.WorkerID]endNumbers
 	unreachable          map[schedule.WorkerID]bool
-	revisions            map[workload.JobID]int64 // of the stored progress records; no entry without a record
-	knownWorkersRevision int64                    // store revision of the known workers
+	revisions            map[workload.JobID]int64         // of the stored progress records; no entry without a record
+	deleted              map[workload.JobID]time.Duration // boot time at which jobs were deleted, for deletedRetention
+	knownWorkersRevision int64                            // store revision of the known workers
 	loaded               bool
 	takenOver            bool // the completed takeover has been logged
 	measures             measures
@@ -129,6 +130,7 @@
 		ends:              map[schedule.WorkerID]endNumbers{},
 		unreachable:       map[schedule.WorkerID]bool{},
 		revisions:         map[workload.JobID]int64{},
+		deleted:           map[workload.JobID]time.Duration{},
 	}
 }
 
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,9 @@
 	concurrentTxns = 4
 	// deleteEndedInterval is the time between two deletions of ended jobs whose retention has expired.
 	deleteEndedInterval = 10 * time.Second
+	// deletedRetention is how long the IDs of deleted jobs are kept: a read of the submissions that was made before the deletion
+	// may arrive after it, and would otherwise add the job again.
+	deletedRetention = time.Minute
 	// deletionsPerTxn keeps a transaction that deletes up to three keys per job within the store's entry limit.
 	deletionsPerTxn = (kv.MaxTxnEntries - 1) / 3
 )
@@ -307,9 +311,12 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	now := bootclock.Uptime()
+	maps.DeleteFunc(o.deleted, func(_ workload.JobID, at time.Duration) bool { return now-at > deletedRetention })
 	for _, id := range ids {
 		o.scheduler.RemoveJob(id)
 		delete(o.revisions, id)
+		o.deleted[id] = now
 	}
 	return nil
 }
