Play the soak with relays and with faults between entry hosts

The soak cut and delayed the links of hosts to the store and to the workers, but not those between hosts, and its owner polled all workers itself, so that no run had a relay on another host.

A relayed site has more workers than a host polls, and proxies between its hosts. The addresses of the hosts stand in the store, so each host reads the store through a view in which the addresses of the others are those of proxies; revisions and writes are those of the store.

--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -194,12 +194,12 @@
 	return found
 }
 
-// Ports of entry hosts. They are the same on all hosts, as on the real platform. firstPort and lastPort bound the port
-// range in the settings; other entry hosts connect to firstPort.
+// Ports of entry hosts. They are the same on all hosts, as on the real platform. PeerPort and lastPort bound the port
+// range in the settings; other entry hosts connect to PeerPort.
 const (
 	CallerPort    = 8161
 	ReadinessPort = 8167
-	firstPort     = 7720
+	PeerPort      = 7720
 	lastPort      = 7735
 )
 
@@ -209,7 +209,7 @@
 	lines := []string{
 		"node=" + host, "zone=" + datacentre, "ip=" + ip,
 		fmt.Sprintf("listen.front=%s:%d", ip, CallerPort), fmt.Sprintf("listen.ready=%s:%d", ip, ReadinessPort),
-		fmt.Sprintf("portRange=%d,%d", firstPort, lastPort), "limits.cpuShare=0.4", "limits.cores=1",
+		fmt.Sprintf("portRange=%d,%d", PeerPort, lastPort), "limits.cpuShare=0.4", "limits.cores=1",
 		"platform.address=" + store, "platform.valueBytes=1048576",
 		fmt.Sprintf("bounds.holdMaxMs=%d", maxTaskLease.Milliseconds()), "bounds.contactMs=3000", "bounds.stopMs=400", "bounds.status_s=120",
 	}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -216,9 +216,14 @@
 	}
 }
 
+// Guards against the same failures as TestShortSoak on a site whose owner polls the workers through relays on the other hosts,
+// with faults of the links between the hosts as well.
+func TestShortRelayedSoak(t *testing.T) { relayedSoak(t, 1, 12*time.Second) }
+
 var (
 	soakSeeds     = flag.Int("soak.count", 0, "number of seeds that TestLongSoak runs")
 	soakFirstSeed = flag.Uint64("soak.first", 1, "first seed of TestLongSoak")
+	soakRelayed   = flag.Bool("soak.relayed", false, "whether TestLongSoak polls through relays, with faults between the hosts")
 	soakDuration  = flag.Duration("soak.length", 20*time.Second, "time with injected faults for each seed of TestLongSoak")
 )
 
@@ -227,11 +232,15 @@
 	if *soakSeeds == 0 {
 		t.Skip("-soak.count is 0")
 	}
+	run := soak
+	if *soakRelayed {
+		run = relayedSoak
+	}
 	for n := range *soakSeeds {
 		seed := *soakFirstSeed + uint64(n)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed, *soakDuration)
+			run(t, seed, *soakDuration)
 		})
 	}
 }
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -27,12 +27,14 @@
 	platform *fleet.Platform
 	hosts    []*host
 	links    []*faultproxy.Proxy // from each host to the store, and from all hosts to each worker
+	peers    *peerLinks          // between the hosts; nil if they connect to each other directly
 	client   *http.Client
 }
 
 // host is an entry host. It keeps its addresses when its process is restarted.
 type host struct {
 	name             string
+	peerAddress      string
 	callerAddress    string
 	readinessAddress string
 	settingsPath     string
@@ -49,6 +51,17 @@
 }
 
 func newSite(t *testing.T, cfg fleet.Config, hosts int) *site {
+	t.Helper()
+	s := newPlatform(t, cfg)
+	for n := range hosts {
+		s.addHost(n, cfg.Datacentres[n%len(cfg.Datacentres)], s.platform.StoreAddress())
+	}
+	s.startAll()
+	return s
+}
+
+// newPlatform returns a site without hosts.
+func newPlatform(t *testing.T, cfg fleet.Config) *site {
 	t.Helper()
 	s := &site{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}}
 	cfg.ProxyAddress = s.link
@@ -58,16 +71,18 @@
 	}
 	s.platform = platform
 	t.Cleanup(s.close)
-	for n := range hosts {
-		s.addHost(n, cfg.Datacentres[n%len(cfg.Datacentres)])
-	}
-	for n := range hosts {
+	return s
+}
+
+// startAll starts all hosts and waits until they are ready.
+func (s *site) startAll() {
+	s.t.Helper()
+	for n := range s.hosts {
 		s.start(n)
 	}
-	for n := range hosts {
+	for n := range s.hosts {
 		s.awaitReady(n)
 	}
-	return s
 }
 
 // link starts a proxy in front of target and returns the address of the proxy.
@@ -88,14 +103,15 @@
 	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 1+n/200, 1+n%200)
 }
 
-func (s *site) addHost(n int, datacentre string) {
+// addHost adds a host that reaches the store at an address, through a proxy.
+func (s *site) addHost(n int, datacentre, store string) {
 	name, ip := fmt.Sprint("entry-", n), loopback()
 	h := &host{
-		name: name, callerAddress: fmt.Sprintf("%s:%d", ip, fleet.CallerPort),
+		name: name, peerAddress: fmt.Sprintf("%s:%d", ip, fleet.PeerPort), callerAddress: fmt.Sprintf("%s:%d", ip, fleet.CallerPort),
 		readinessAddress: fmt.Sprintf("%s:%d", ip, fleet.ReadinessPort),
 		settingsPath:     filepath.Join(s.dir, name+".conf"), logPath: filepath.Join(s.dir, name+".log"),
 	}
-	text := fleet.Settings(name, datacentre, ip, s.link(s.platform.StoreAddress()))
+	text := fleet.Settings(name, datacentre, ip, s.link(store))
 	if err := os.WriteFile(h.settingsPath, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/test/fleet/soak_test.go
+++ b/test/fleet/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 type soakRun struct {
 	s            *site
 	rnd          *rand.Rand
+	faults       []fault // that the run injects
 	start        time.Time
 	jobs         int
 	version      int // of the stored configuration
@@ -52,12 +54,33 @@
 
 // soak runs one seed. The seed determines the actions, but not how long the processes take for them.
 func soak(t *testing.T, seed uint64, length time.Duration) {
-	rnd := rand.New(rand.NewPCG(seed, 11))
-	cfg := fleet.Config{
-		Seed: seed, Datacentres: []string{"dc1", "dc2"}, Workers: 5, RunTime: shortTasks, ClockDrift: fleet.MaxClockDrift,
+	s := newSite(t, soakConfig(seed, soakWorkers), soakHosts)
+	runSoak(s, soakFaults, seed, length)
+}
+
+// relayedSoak runs one seed on a site whose owner polls the workers through relays on the other hosts, with faults of the links
+// between the hosts as well.
+func relayedSoak(t *testing.T, seed uint64, length time.Duration) {
+	s := newRelayedSite(t, soakConfig(seed, relayedWorkers), soakHosts)
+	runSoak(s, slices.Concat(soakFaults, peerFaults), seed, length)
+}
+
+// Sizes of the site of a soak run.
+const (
+	soakHosts   = 3
+	soakWorkers = 5
+)
+
+func soakConfig(seed uint64, workers int) fleet.Config {
+	return fleet.Config{
+		Seed: seed, Datacentres: []string{"dc1", "dc2"}, Workers: workers, RunTime: shortTasks, ClockDrift: fleet.MaxClockDrift,
 	}
+}
+
+func runSoak(s *site, faults []fault, seed uint64, length time.Duration) {
+	rnd := rand.New(rand.NewPCG(seed, 11))
 	r := &soakRun{
-		s: newSite(t, cfg, 3), rnd: rnd, start: time.Now(), version: 1, accepted: map[string]bool{}, cancelled: map[string]bool{},
+		s: s, rnd: rnd, faults: faults, start: time.Now(), version: 1, accepted: map[string]bool{}, cancelled: map[string]bool{},
 		refused: map[string]bool{}, uncertain: map[string]bool{}, final: map[string]string{}, down: map[int]bool{},
 	}
 	r.run(length)
@@ -94,7 +117,7 @@
 
 // injectFault starts a random fault for a random time.
 func (r *soakRun) injectFault() {
-	fault := soakFaults[r.rnd.IntN(len(soakFaults))]
+	fault := r.faults[r.rnd.IntN(len(r.faults))]
 	heal := fault.start(r)
 	length := time.Duration(r.rnd.Int64N(int64(maxFaultDuration)))
 	r.activeFaults = append(r.activeFaults, activeFault{time.Now().Add(length), fault.name, heal})
