Close a fault proxy while a connection waits for a cut link

A test hung until its time limit, at one full core, after all its checks had passed. A proxy that is closed while its direction to the target is cut waits for the connections that it has accepted. One that waited to be connected to the target returned to its wait at once, since it only looked at the cut, and did so for ever.

Such a connection now ends when it is closed. TestCloseWhileAConnectionWaitsForACutLink failed before ("Close does not return").

--- a/test/faultproxy/pair.go
+++ b/test/faultproxy/pair.go
@@ -77,6 +77,7 @@
 			select {
 			case <-c.proxy.linkChanged():
 			case <-c.done:
+				return false
 			}
 			continue
 		}
--- a/test/faultproxy/proxy_test.go
+++ b/test/faultproxy/proxy_test.go
@@ -271,3 +271,34 @@
 		t.Errorf("accepted %d connections, want 2", n)
 	}
 }
+
+// Guards against a proxy that cannot be closed while a connection waits for a cut direction: the test that uses it would never
+// end.
+func TestCloseWhileAConnectionWaitsForACutLink(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = target.Close() }()
+	p, err := Listen(target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Cut(ToTarget)
+	conn, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	poll.Until(t, "the connection is accepted", func() bool { return p.Accepted() == 1 })
+	closed := make(chan struct{})
+	go func() {
+		p.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("Close does not return")
+	}
+}
