Keep the order of a relay's polls when their times are converted

What callers see: ends of tasks are noticed 200 ms and more too late, and later steps and completions with them.

Cause: the owner converts the time of each poll with the time at which it requested the results, which is too early by as long as the Collect call took. It then ignores a report whose poll seems older than the one applied last. After a call that was answered at once, the report of a call that was held open or delayed seems older, and is dropped; its ends are listed again only by the next poll, for which the session waits 200 ms or more because they are not acknowledged. The slower the owner and its relays, the more the calls differ. The other way round, a report that has been overtaken passes for the newest after a long call.

The order of two polls of a relay is told by the relay's own clock. A link now compares these, and the converted time of a poll is never earlier than that of one before it; it stays a lower bound of the actual time. After a failed call the times are forgotten, since the relay's host may have rebooted.

--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -36,6 +36,7 @@
 	stored   map[schedule.WorkerID]relay.StoredEnd
 	orders   []schedule.Order
 	inFlight map[orderKey]inFlight
+	polls    pollOrder
 
 	relayClock       time.Duration // last reading of the relay's boot clock
 	relayClockReadAt time.Duration // boot time of its receipt; 0 before the first and after a failed call
@@ -57,6 +58,7 @@
 	delete(l.workers, id)
 	delete(l.assign, id)
 	delete(l.stored, id)
+	l.polls.forget(id)
 	l.release[id] = true
 	l.owner.wake(l.wake)
 }
@@ -192,6 +194,7 @@
 	}
 	o.mu.Lock()
 	l.relayClockReadAt = 0
+	l.polls.reset()
 	for id := range l.workers {
 		o.scheduler.ReportsLost(id) // the relay drops results once it has sent them, even if the response is lost
 	}
@@ -213,6 +216,7 @@
 		o.scheduler.PollerLost(id, l.permittedUntil)
 	}
 	l.reset, l.lastResponseAt, l.relayClockReadAt = true, bootclock.Uptime(), 0
+	l.polls.reset()
 	o.wake(l.wake)
 }
 
@@ -231,11 +235,10 @@
 			l.applyOutcome(s, now, outcome)
 		}
 		for _, report := range results.Reports {
-			// The relay read its clock after this request was sent, so the converted time is not later than the actual
-			// time of the poll.
-			report.Report.SentAt = sent - (results.Now - report.Report.SentAt)
 			report.Report.ReceivedAt = sent - relayWait(results, report.Report)
-			l.applyReport(s, now, report)
+			// The relay read its clock after this request was sent, so a time converted like this is not later than the
+			// actual time.
+			l.applyReport(s, now, report, sent-results.Now)
 		}
 		l.expireOrders(s, now)
 	})
@@ -255,7 +258,8 @@
 	}
 }
 
-func (l *link) applyReport(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport) {
+// applyReport applies the result of a poll. Its SentAt is on the relay's clock, and toOwner converts it to this host's.
+func (l *link) applyReport(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport, toOwner time.Duration) {
 	o := l.owner
 	id := report.Worker
 	if o.linkOf[id] != l {
@@ -269,6 +273,11 @@
 		}
 		return
 	}
+	sentAt, ok := l.polls.convert(id, report.Report.SentAt, report.Report.SentAt+toOwner)
+	if !ok {
+		return // the newer report lists everything that this one does
+	}
+	report.Report.SentAt = sentAt
 	if o.unreachable[id] {
 		delete(o.unreachable, id)
 		o.cfg.Log.Event(eventlog.WorkerReachable).Str("worker", string(id)).Msg("")
