Do not add a deleted job again from an earlier read of the store

What callers see: a job that ended long ago runs once more from its first task, after it was shown as completed.

Cause: the owner reads all submissions again when the store has dropped its history, and confirms its term before it applies them, which takes as long as the store is slow. If it deletes jobs whose retention has expired in the meantime, they are no longer known, so that those in the read count as new; their progress is deleted, and with it what has run. An announcement by a host that was paused for longer than the retention has the same effect.

The owner remembers the store revision of each deletion for ten minutes, and skips submissions and cancellations that were created before it. A job that was accepted under the same ID afterwards has a later revision and is found in the store.

Not covered: an announcement by a host that was paused for more than the retention and ten minutes.

--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -160,11 +160,11 @@
 }
 
 // addSubmissions adds jobs first and applies cancellations afterwards. A job that was stored before this term is
-// inherited: a former owner may have started it. o.mu is held.
+// inherited: a former owner may have started it. What has been deleted since it was read is skipped. o.mu is held.
 func (o *Owner) addSubmissions(now schedule.Time, items []kv.Item, progress map[workload.JobID]workload.Progress) {
 	for _, item := range items {
 		id, cancel, ok := statekeys.ParseSubmission(o.cfg.Partition, item.Key)
-		if !ok || cancel || o.scheduler.HasJob(id) {
+		if !ok || cancel || o.scheduler.HasJob(id) || o.deleted.deleted(id, item.Created) {
 			continue
 		}
 		if p, found := progress[id]; found && p.State.Final() {
@@ -183,7 +183,7 @@
 		o.scheduler.AddJob(job, stored, item.Created <= o.ownership.Revision)
 	}
 	for _, item := range items {
-		if id, cancel, ok := statekeys.ParseSubmission(o.cfg.Partition, item.Key); ok && cancel {
+		if id, cancel, ok := statekeys.ParseSubmission(o.cfg.Partition, item.Key); ok && cancel && !o.deleted.deleted(id, item.Created) {
 			o.scheduler.Cancel(now, id)
 		}
 	}
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -80,7 +80,8 @@
 	ends                 map[schedule.WorkerID]endNumbers
 	unreachable          map[schedule.WorkerID]bool
 	revisions            map[workload.JobID]int64 // of the stored progress records; no entry without a record
-	knownWorkersRevision int64                    // store revision of the known workers
+	deleted              deletedJobs
+	knownWorkersRevision int64 // store revision of the known workers
 	loaded               bool
 	takenOver            bool // the completed takeover has been logged
 	measures             measures
@@ -285,9 +286,13 @@
 // Term returns the term of the owner.
 func (o *Owner) Term() int64 { return o.ownership.Term }
 
-// Announce adds a job that was accepted under the owner's term.
+// Announce adds a job that was accepted under the owner's term, unless it may have been deleted since.
 func (o *Owner) Announce(job workload.Job) {
-	o.updateAndPlan(func(s *schedule.Scheduler, _ schedule.Time) { s.AddJob(job, nil, false) })
+	o.updateAndPlan(func(s *schedule.Scheduler, _ schedule.Time) {
+		if !o.deleted.announced(job.ID) {
+			s.AddJob(job, nil, false)
+		}
+	})
 }
 
 // Cancel applies a stored cancellation. If the job is not loaded yet, job and cancellation are both read from the store
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -284,6 +284,7 @@
 		pause.For(ctx, deleteEndedInterval)
 		before := bootclock.Now().UnixMs - o.cfg.EndedJobRetention.Milliseconds()
 		o.mu.Lock()
+		o.deleted.expire(bootclock.Uptime())
 		ids := o.scheduler.JobsEndedBefore(before)
 		o.mu.Unlock()
 		for start := 0; start < len(ids) && ctx.Err() == nil; start += deletionsPerTxn {
@@ -302,12 +303,15 @@
 		txn.Delete = append(txn.Delete, statekeys.Job(o.cfg.Partition, id), statekeys.Cancel(o.cfg.Partition, id),
 			statekeys.Progress(o.cfg.Partition, id))
 	}
-	if _, err := o.commit(ctx, txn, func(*kv.Conflict) {}); err != nil {
+	revision, err := o.commit(ctx, txn, func(*kv.Conflict) {})
+	if err != nil {
 		return errors.Trace(err)
 	}
+	now := bootclock.Uptime()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, id := range ids {
+		o.deleted.add(id, revision, now)
 		o.scheduler.RemoveJob(id)
 		delete(o.revisions, id)
 	}
