Keep the results of a relay when the call for them was given up

What callers see: after a relay's process was paused or short of processor time for a second, tasks that had started are stopped and start again seconds later.

Cause: an owner gives a Collect call up after 1.15 s and calls again. A relay that continues then answered both calls, the first one with all results. Nobody read that response, so that the outcomes of orders were lost: after 2.5 s the owner counts a start without outcome as unanswered. The more a relay lags, the more of its results are discarded.

A relay now returns nothing to a call that has ended or whose deadline has passed; the next call gets the results. The call to the relay in the owner's own process has no deadline any more: after a pause of the process it would fail, the relay would count as lost and its workers would not be polled for the back-off of 5 s, while their leases run out.

--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -165,7 +165,7 @@
 		leaseUntil := l.permitLeases()
 		l.owner.mu.Unlock()
 		sent := bootclock.Uptime()
-		call, cancel := context.WithTimeout(ctx, collectWait+relayTimeout)
+		call, cancel := l.collectContext(ctx)
 		results, err := l.host.Client.Collect(call, int(l.owner.cfg.Partition), l.owner.ownership.Term, leaseUntil, collectWait)
 		cancel()
 		if ctx.Err() != nil {
@@ -182,6 +182,15 @@
 	}
 }
 
+// collectContext returns the context of a Collect call. A relay in this process responds in time whenever it can run; if it
+// cannot, neither can the owner, and a deadline would only discard the results.
+func (l *link) collectContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if l.host.Local {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, collectWait+relayTimeout)
+}
+
 // collectFailed handles a failed Collect call and reports whether the loop must end.
 func (l *link) collectFailed(err error) bool {
 	o := l.owner
--- a/pkg/dispatch/relays_test.go
+++ b/pkg/dispatch/relays_test.go
@@ -80,3 +80,19 @@
 		o.mu.Unlock()
 	}
 }
+
+// Guards against a relay that counts as lost because the process was paused, although it runs in the process of the owner: its
+// workers would not be polled while it is backed off from, and their leases would expire.
+func TestLocalRelayIsNotLostInAPause(t *testing.T) {
+	for _, local := range []bool{true, false} {
+		l := &link{host: RelayHost{Local: local}}
+		ctx, cancel := l.collectContext(t.Context())
+		if _, bounded := ctx.Deadline(); bounded == local {
+			t.Errorf("relay in this process: %v, its call has a deadline: %v", local, bounded)
+		}
+		cancel()
+		if ctx.Err() == nil {
+			t.Error("the call does not end with its link")
+		}
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -182,9 +182,19 @@
 	if !r.assigned {
 		return Results{}, errors.Trace(ErrNoAssignment)
 	}
+	if givenUp(ctx) {
+		return Results{}, errors.Trace(context.DeadlineExceeded) // the results stay for the next call
+	}
 	return r.takeResults(), nil
 }
 
+// givenUp reports whether nobody waits for the response of a call any more. After a pause of the process the deadline may have
+// passed before its timer has ended the context.
+func givenUp(ctx context.Context) bool {
+	deadline, bounded := ctx.Deadline()
+	return ctx.Err() != nil || (bounded && !time.Now().Before(deadline))
+}
+
 // raiseLeaseLimit raises the time up to which leases may be extended. The time is ignored until the owner has listed
 // its workers, because it may refer to the boot clock of a previous boot of this host. r.mu is held.
 func (r *Relay) raiseLeaseLimit(leaseUntil time.Duration) {
