Acknowledge ends only soon after an answer of the worker

What callers see: a task that was done runs again, if its worker had crashed and started again under the same ID just before.

A process that has started in between numbers its ends from 1 again. If it has already completed a task by then, it drops that end without anybody having read it: the owner finds the attempt neither running nor ended, and starts the task again. An owner that has fallen behind makes the wait long.

A poll now acknowledges ends only within 400 ms of the worker's last answer. Later ones list the ends again without a wait, and the poll after their answer acknowledges them. While ends are stored in less than that, nothing changes.

What remains: a poll that the network delivers to the next process late; the protocol has no condition on the start of a process.

--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -17,6 +17,9 @@
 	// storedWait is how long a session waits at least for task ends to be stored before it polls again without
 	// acknowledging them.
 	storedWait = 200 * time.Millisecond
+	// maxAckAge is the age of a worker's last answer up to which polls acknowledge its ends. It is too short for a worker to
+	// start again and to complete a task, whose end would be acknowledged with the number of a former one.
+	maxAckAge = 400 * time.Millisecond
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
 	// minLeaseRemaining is the minimum remaining time of a lease that is granted.
@@ -58,7 +61,7 @@
 }
 
 // nextPoll returns the next poll request; ok is false if the owner has abandoned the relay. Task ends are acknowledged
-// only to the worker incarnation that answered last.
+// only to the worker incarnation that answered last, and a poll that leaves stored ends unacknowledged does not wait.
 func (s *session) nextPoll() (req PollRequest, ok bool) {
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
@@ -73,15 +76,16 @@
 		req.LeaseToMs = leaseTo
 	}
 	req.AckedEnd = s.acknowledged()
-	if s.storedEnd >= s.newestEnd {
+	if s.storedEnd >= s.newestEnd && req.AckedEnd == s.storedEnd {
 		req.Wait = s.wait
 	}
 	return req, true
 }
 
-// acknowledged returns the newest task end that the worker may drop. Relay.mu is held.
+// acknowledged returns the newest task end that the worker may drop; 0 if its process may have been replaced since its last
+// answer. Relay.mu is held.
 func (s *session) acknowledged() int64 {
-	if !s.lastPollOK {
+	if !s.lastPollOK || bootclock.Uptime()-s.clockReadAt > maxAckAge {
 		return 0
 	}
 	return s.storedEnd
