Keep a worker known until the end of its last task is stored

What callers see: a task that was done on a worker that leaves runs again, if the owner is lost at that moment.

Cause: a batch wrote the known workers first and the progress afterwards. A worker that leaves is dropped from the known ones as soon as its last task has ended, with an end that is only in the progress of the same batch. If the owner is lost between the two writes, or the second one fails before, the next owner reads neither the end nor the worker: it does not wait for the worker's report, and starts the task again. The worker lists the end all the same, and it is acknowledged later. During rolling restarts of workers and a slow store there is such a moment for each worker.

Progress is now stored before the known workers. Workers that are new wait for it as well; nothing in the progress refers to them, because no task starts on a worker that is not stored.

Evidence: TestWorkerIsKnownUntilItsLastEndIsStored failed before.

--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -92,15 +92,12 @@
 	if b.empty() {
 		return nil
 	}
-	if b.knownWorkers != nil {
-		if err := o.saveKnownWorkers(ctx, b.knownWorkers); err != nil {
+	if err := o.saveBatch(ctx, b); err != nil {
+		if b.knownWorkers != nil {
 			o.mu.Lock()
 			o.scheduler.KnownWorkersNotStored()
 			o.mu.Unlock()
-			return errors.Trace(err)
 		}
-	}
-	if err := o.saveAllRecords(ctx, b.records); err != nil {
 		return errors.Trace(err)
 	}
 	o.mu.Lock()
@@ -111,6 +108,18 @@
 	return nil
 }
 
+// saveBatch stores the progress, and then the known workers: a worker is dropped from them when its last task has ended, and a
+// later owner must know of that end or wait for the worker's report.
+func (o *Owner) saveBatch(ctx context.Context, b batch) error {
+	if err := o.saveAllRecords(ctx, b.records); err != nil {
+		return errors.Trace(err)
+	}
+	if b.knownWorkers == nil {
+		return nil
+	}
+	return errors.Trace(o.saveKnownWorkers(ctx, b.knownWorkers))
+}
+
 // acknowledgeEnds queues the acknowledgement of stored ends for the worker's relay. o.mu is held.
 func (o *Owner) acknowledgeEnds(stored relay.StoredEnd) {
 	ends := o.ends[stored.Worker]
