Read on after a failed page of the store instead of starting over

What callers see: after an owner is lost on a large deployment, nothing starts for as long as the store refuses some reads.

Cause: an owner that takes over, and a mirror that reads again after the store has dropped its history, read all pages of a prefix and started over with the first one whenever a page failed. With P pages and a share f of failed reads an attempt succeeds with (1-f)^P: 10,000 jobs are 40 pages of submissions and progress, so that with 5 % refused reads seven attempts of eight fail, and with 65,000 jobs practically all. Each attempt reads for nothing and adds to the load for which the store refuses reads.

--- /dev/null
+++ b/pkg/kv/export_test.go
@@ -0,0 +1,4 @@
+package kv
+
+// PageAttempts is pageAttempts for tests.
+const PageAttempts = pageAttempts
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -66,7 +66,7 @@
 // readAll reads all keys under the prefix and passes them to Reset. It returns the store revision after which changes
 // are to be followed.
 func (m *Mirror) readAll(ctx context.Context) (asOf int64, err error) {
-	items, asOf, err := kv.List(ctx, m.cfg.Store, m.cfg.Prefix)
+	items, asOf, err := kv.ListResuming(ctx, m.cfg.Store, m.cfg.Prefix)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
