Tell a new owner of evacuations in their order

What callers see: tasks go on starting in a data centre that was taken out, until the next change of evacuations.

Cause: a host that became the owner read the evacuations, released the lock and then told the owner. A change in between reached the owner first, and the older state replaced it.

Owners are now told with the lock held, in pkg/scheduling/evacuation.go.

--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -2,7 +2,7 @@
 // the partition's jobs on the platform's workers. All entry hosts have the same role: each accepts jobs and may own
 // partitions.
 //
-// Locks: Node.mu is a leaf lock.
+// Locks: Node.mu is a leaf lock. evacuations.mu is taken before the locks of the owners.
 package scheduling
 
 import (
@@ -74,9 +74,10 @@
 	intake   *intake.Intake
 	pool     *peer.Pool
 
-	mu          sync.Mutex                              // guards the fields below
+	evacuations evacuations
+
+	mu          sync.Mutex                              // guards localOwners
 	localOwners map[statekeys.Partition]*dispatch.Owner // owners that run in this process
-	evacuated   []structs.DatacentreID                  // data centres in which no task may be started
 }
 
 // NewNode returns a node. Run starts it.
@@ -108,18 +109,7 @@
 func (n *Node) Intake() *intake.Intake { return n.intake }
 
 // SetEvacuated sets the data centres in which no task may be started.
-func (n *Node) SetEvacuated(datacentres []structs.DatacentreID) {
-	n.mu.Lock()
-	n.evacuated = datacentres
-	owners := make([]*dispatch.Owner, 0, len(n.localOwners))
-	for _, owner := range n.localOwners {
-		owners = append(owners, owner)
-	}
-	n.mu.Unlock()
-	for _, owner := range owners {
-		owner.SetEvacuated(datacentres)
-	}
-}
+func (n *Node) SetEvacuated(datacentres []structs.DatacentreID) { n.evacuations.set(datacentres) }
 
 // Run campaigns for partitions and runs their owners until owningCtx ends, and then releases them. It serves other
 // entry hosts until ctx ends, which must not be before owningCtx ends.
@@ -197,9 +187,9 @@
 	}, ownership)
 	n.mu.Lock()
 	n.localOwners[p] = owner
-	evacuated := n.evacuated
 	n.mu.Unlock()
-	owner.SetEvacuated(evacuated)
+	n.evacuations.add(owner)
+	defer n.evacuations.remove(owner)
 	ownerCtx, stop := context.WithCancel(ctx)
 	go n.registry.Follow(ownerCtx)
 	go n.handOver(ownerCtx, p, owner, stop)
