Allow an owner connections to more than 64 relays

What callers see: on a deployment that needs more than 64 relays the tasks on some workers end when their leases do, and start again for the same reason.

Cause: the pool of connections to other entry hosts had its default limit of 64, the size for the first design. Beyond that it closes connections between two calls of a relay, and once all are in use a further relay cannot be called: it counts as lost after 1.8 s, its workers go to another one, and so on. 64 relays poll 4,800 workers, and 3,000 where hosts have 0.19 of a core.

The limit of the scheduling node is now 1,024.

--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -38,6 +38,9 @@
 	viewWatchWait = 2 * time.Second
 	// viewRetryDelay is the pause after a failed read or watch of the ownership records.
 	viewRetryDelay = 150 * time.Millisecond
+	// maxPeers is the maximum number of connections to other entry hosts. An owner has calls to all its relays in progress at
+	// any time, and where hosts have slow network links or few cores that is every host.
+	maxPeers = 1024
 	// stopTimeout bounds the wait at shutdown for calls of other entry hosts that are in progress.
 	stopTimeout = 500 * time.Millisecond
 )
@@ -85,7 +88,7 @@
 	n := &Node{
 		cfg:         cfg,
 		view:        term.NewView(cfg.Log),
-		pool:        peer.NewPool(peer.PoolConfig{Source: cfg.Source, Metrics: cfg.Scope}),
+		pool:        peer.NewPool(peer.PoolConfig{MaxConns: maxPeers, Source: cfg.Source, Metrics: cfg.Scope}),
 		localOwners: map[statekeys.Partition]*dispatch.Owner{},
 	}
 	n.registry = registry.New(registry.Config{Store: cfg.Store, Log: cfg.Log, Self: registry.Record{
