Check starts again when they are sent

What callers see: a task starts on a worker that has announced its end, in a data centre that was taken out, or for a job that was cancelled; or a task that was started elsewhere meanwhile starts a second time.

Cause: starts were checked when they were decided. They may wait in the owner for the updates before them, each of which takes up to 0.9 s over a slow link, and while the process is paused. An owner that is paused while the store is down goes on in the same term, and its queue held the decisions from before the pause; attempts that had expired by then were no longer known, but their starts were sent.

A start is now sent only if its attempt still waits to be started, and neither its worker leaves nor its data centre is out of service. Otherwise its attempt is dropped and the task is planned again.

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -91,6 +91,28 @@
 	return true
 }
 
+// MaySend reports whether an order that was issued earlier may be sent now. A start may no longer be sent if it is to be stopped
+// already, or if nothing may start on its worker any more; in the second case its attempt is dropped.
+func (s *Scheduler) MaySend(now Time, o Order) bool {
+	if o.Kind != OrderStart {
+		return true
+	}
+	w, known := s.workers[o.Worker]
+	if !known {
+		return false
+	}
+	a := w.attempts[attemptKey{o.Task, o.Attempt}]
+	if a == nil || a.phase != starting {
+		return false
+	}
+	if !w.info.Draining && !s.evacuated[w.info.Datacentre] {
+		return true
+	}
+	s.calledAt = now.Boot
+	s.drop(a)
+	return false
+}
+
 func (s *Scheduler) startAnswered(now Time, a *attempt, outcome Outcome) {
 	w := a.worker
 	switch outcome {
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -92,7 +92,7 @@
 	defer o.mu.Unlock()
 	u = relay.Update{
 		Partition: int(o.cfg.Partition), Term: o.ownership.Term, LeaseUntil: l.permitLeases(),
-		Reset: l.reset, Orders: l.takeOrders(),
+		Reset: l.reset, Orders: l.takeOrders(bootclock.Now()),
 	}
 	assign := l.assign
 	if l.reset {
--- a/pkg/dispatch/measures_test.go
+++ b/pkg/dispatch/measures_test.go
@@ -121,7 +121,7 @@
 func TestStatusTellsWhereOrdersWait(t *testing.T) {
 	o, l, _ := measuredOwner(t)
 	now := bootclock.Uptime()
-	order := schedule.Order{Worker: testWorker, Attempt: 1, DecidedAt: now - 5*time.Second}
+	order := schedule.Order{Kind: schedule.OrderStop, Worker: testWorker, Attempt: 1, DecidedAt: now - 5*time.Second}
 	l.orders = []schedule.Order{order}
 	l.takeUpdate()
 	l.applyResults(now, now, relay.Results{Now: now, Outcomes: []relay.OrderOutcome{{Order: order, Took: 300 * time.Millisecond}}})
--- a/pkg/dispatch/order_queue.go
+++ b/pkg/dispatch/order_queue.go
@@ -16,23 +16,26 @@
 )
 
 // takeOrders removes and returns the orders for the next update, starts last: a stop must not wait behind the starts of a
-// burst. What exceeds maxUpdateBytes stays for the updates that follow. Owner.mu is held.
-func (l *link) takeOrders() []schedule.Order {
+// burst. What exceeds maxUpdateBytes stays for the updates that follow. Starts that are no longer allowed are dropped: they may
+// have waited for earlier updates, or while the process was paused. Owner.mu is held.
+func (l *link) takeOrders(now schedule.Time) []schedule.Order {
 	slices.SortStableFunc(l.orders, func(a, b schedule.Order) int { return cmp.Compare(sendRank(a), sendRank(b)) })
-	n, size := 0, 0
-	for ; n < len(l.orders); n++ {
-		order := &l.orders[n]
+	var taken []schedule.Order
+	size := 0
+	for n, order := range l.orders {
 		size += orderBytes + len(order.Input) + len(order.Checkpoint)
-		if n > 0 && size > maxUpdateBytes {
-			break
+		if len(taken) > 0 && size > maxUpdateBytes {
+			l.orders = slices.Clone(l.orders[n:])
+			l.owner.wake(l.wake)
+			return taken
 		}
+		if !l.owner.scheduler.MaySend(now, order) {
+			l.owner.wake(l.owner.planWake)
+			continue
+		}
+		taken = append(taken, order)
 	}
-	taken, rest := l.orders[:n], l.orders[n:]
 	l.orders = nil
-	if len(rest) > 0 {
-		l.orders = slices.Clone(rest)
-		l.owner.wake(l.wake)
-	}
 	return taken
 }
 
