--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -37,6 +37,7 @@
 	stored   map[schedule.WorkerID]relay.StoredEnd
 	orders   []schedule.Order
 	inFlight map[orderKey]inFlight
+	polls    pollOrder
 
 	relayClock       time.Duration // last reading of the relay's boot clock
 	relayClockReadAt time.Duration // boot time of its receipt; 0 before the first and after a failed call
@@ -59,6 +60,7 @@
 	delete(l.workers, id)
 	delete(l.assign, id)
 	delete(l.stored, id)
+	l.polls.forget(id)
 	l.release[id] = true
 	l.owner.wake(l.wake)
 }
@@ -84,8 +86,8 @@
 	}
 }
 
-// takeUpdate returns the pending changes for the relay and clears them; ok is false when there are none or the link is
-// closed.
+// takeUpdate returns the pending changes for the relay and clears them, except for orders beyond the size of an update; ok is
+// false when there are none or the link is closed.
 func (l *link) takeUpdate() (u relay.Update, ok bool) {
 	o := l.owner
 	o.mu.Lock()
@@ -93,7 +95,6 @@
 	if l.closed {
 		return u, false
 	}
-	l.dropOldStarts(bootclock.Now())
 	u = relay.Update{
 		Partition: int(o.cfg.Partition), Term: o.ownership.Term, LeaseUntil: l.permitLeases(),
 		Reset: l.reset, Orders: l.takeOrders(bootclock.Now()),
@@ -124,41 +125,6 @@
 	return u, ok
 }
 
-// takeOrders removes and returns the queued orders that may still be sent, and records them as in flight. An order is queued
-// while the update before it is in progress, which a slow relay may delay up to its time-out. Owner.mu is held.
-func (l *link) takeOrders(now schedule.Time) []schedule.Order {
-	o := l.owner
-	var orders []schedule.Order
-	for _, order := range l.orders {
-		if !o.scheduler.MaySend(now, order) {
-			o.logOutcome(order, schedule.NotRun, "no longer allowed when it was to be sent")
-			o.wake(o.planWake)
-			continue
-		}
-		orders = append(orders, order)
-		l.inFlight[keyOf(order)] = inFlight{order, now.Boot + orderLostAfter}
-		o.measures.orderQueue.Add(now.Boot - order.DecidedAt)
-	}
-	l.orders = nil
-	return orders
-}
-
-// dropOldStarts drops the starts that were decided too long ago: this process was paused meanwhile, and a relay would send
-// them at once. Owner.mu is held.
-func (l *link) dropOldStarts(now schedule.Time) {
-	kept := l.orders[:0]
-	for _, order := range l.orders {
-		if order.Kind != schedule.OrderStart || now.Boot-order.DecidedAt < maxStartWait {
-			kept = append(kept, order)
-			continue
-		}
-		l.owner.logOutcome(order, schedule.NotRun, "it has waited for too long")
-		l.owner.scheduler.OrderAnswered(now, order, schedule.NotRun)
-		l.owner.wake(l.owner.planWake)
-	}
-	l.orders = kept
-}
-
 // permitLeases returns the time on the relay's boot clock up to which the relay may extend task leases, and records the
 // same instant on this host's clock in permittedUntil. A delayed call does not extend the permission, because the
 // limit is a reading of the relay's own clock. After a failed call no permission is given until the relay's clock has
@@ -200,7 +166,7 @@
 		leaseUntil := l.permitLeases()
 		l.owner.mu.Unlock()
 		sent := bootclock.Uptime()
-		call, cancel := context.WithTimeout(ctx, collectWait+relayTimeout)
+		call, cancel := l.collectContext(ctx)
 		results, err := l.host.Client.Collect(call, int(l.owner.cfg.Partition), l.owner.ownership.Term, leaseUntil, collectWait)
 		cancel()
 		if ctx.Err() != nil {
@@ -217,6 +183,15 @@
 	}
 }
 
+// collectContext returns the context of a Collect call. A relay in this process responds in time whenever it can run; if it
+// cannot, neither can the owner, and a deadline would only discard the results.
+func (l *link) collectContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if l.host.Local {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, collectWait+relayTimeout)
+}
+
 // collectFailed handles a failed Collect call and reports whether the loop must end.
 func (l *link) collectFailed(err error) bool {
 	o := l.owner
@@ -230,6 +205,7 @@
 	}
 	o.mu.Lock()
 	l.relayClockReadAt = 0
+	l.polls.reset()
 	for id := range l.workers {
 		o.scheduler.ReportsLost(id) // the relay drops results once it has sent them, even if the response is lost
 	}
@@ -251,6 +227,7 @@
 		o.scheduler.PollerLost(id, l.permittedUntil)
 	}
 	l.reset, l.lastResponseAt, l.relayClockReadAt = true, bootclock.Uptime(), 0
+	l.polls.reset()
 	o.wake(l.wake)
 }
 
@@ -269,11 +246,10 @@
 			l.applyOutcome(s, now, outcome)
 		}
 		for _, report := range results.Reports {
-			// The relay read its clock after this request was sent, so the converted time is not later than the actual
-			// time of the poll.
-			report.Report.SentAt = sent - (results.Now - report.Report.SentAt)
 			report.Report.ReceivedAt = sent - relayWait(results, report.Report)
-			l.applyReport(s, now, report)
+			// The relay read its clock after this request was sent, so a time converted like this is not later than the
+			// actual time.
+			l.applyReport(s, now, report, sent-results.Now)
 		}
 		if results.Uncollected == 0 {
 			l.collectedUpTo = sent // the relay took its results after the request was sent
@@ -305,7 +281,8 @@
 	}
 }
 
-func (l *link) applyReport(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport) {
+// applyReport applies the result of a poll. Its SentAt is on the relay's clock, and toOwner converts it to this host's.
+func (l *link) applyReport(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport, toOwner time.Duration) {
 	o := l.owner
 	id := report.Worker
 	if o.linkOf[id] != l {
@@ -319,6 +296,12 @@
 		}
 		return
 	}
+	sentAt, ok := l.polls.convert(id, report.Report.SentAt, report.Report.SentAt+toOwner)
+	if !ok {
+		s.ReportsLost(id) // the newer report lists everything that this one does, but the next poll may have extended leases
+		return
+	}
+	report.Report.SentAt = sentAt
 	if o.unreachable[id] {
 		delete(o.unreachable, id)
 		o.cfg.Log.Event(eventlog.WorkerReachable).Str("worker", string(id)).Msg("")
--- a/pkg/dispatch/link_test.go
+++ b/pkg/dispatch/link_test.go
@@ -33,7 +33,7 @@
 // paused, sends seconds after they were decided: the worker may be draining or the job cancelled by then. Stops and pace
 // orders are sent whatever their age.
 func TestStartsThatWaitedAcrossAPauseAreNotSent(t *testing.T) {
-	o, l := plannedOwner(t)
+	o, l := startingOwner(t, 1, "")
 	fresh := l.orders[0]
 	now := bootclock.Uptime()
 	order := func(kind schedule.OrderKind, attempt int64, age time.Duration) schedule.Order {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -87,7 +87,7 @@
 // are to be followed.
 func (m *Mirror) readAll(ctx context.Context) (asOf int64, err error) {
 	started := time.Now()
-	items, asOf, err := kv.List(ctx, m.cfg.Store, m.cfg.Prefix)
+	items, asOf, err := kv.ListResuming(ctx, m.cfg.Store, m.cfg.Prefix)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
