Apply no complete read of a mirror that has ended

A host that had left could be in an owner's list of hosts again, and stay there until its record changed. The list is kept by a mirror of each owner in turn, in the same place. When an owner ended during its mirror's complete read, the read was applied all the same, possibly after the one of the next owner on this host, which saw changes only from then on. The next owner then opened links to relays that did not exist, and left out new hosts.

A complete read is now dropped once the mirror has ended, as changes already were.

TestEndedMirrorAppliesNothing failed before ("1 complete reads applied"). Found by reading.

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -70,6 +70,9 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
+	if ctx.Err() != nil {
+		return 0, ctx.Err() // a later mirror of the prefix may have passed newer keys to the same place
+	}
 	m.recordSuccess()
 	m.cfg.Reset(items)
 	return asOf, nil
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"sync"
@@ -142,3 +143,30 @@
 	go m.Run(t.Context())
 	poll.Until(t, "several answers without changes are reported", func() bool { return unchanged.Load() >= 3 })
 }
+
+// endingStore is a store whose reads arrive after their context has ended.
+type endingStore struct {
+	kv.Store
+	end context.CancelFunc
+}
+
+func (s *endingStore) Range(ctx context.Context, prefix, after string) (kv.Page, error) {
+	page, err := s.Store.Range(ctx, prefix, after)
+	s.end()
+	return page, err
+}
+
+// Scenario: an owner is replaced and acquires the partition again while its first list of hosts is being read. Guards against
+// the list of the ended mirror, which replaces the one of its successor: hosts that have left would be in use again until they
+// change.
+func TestEndedMirrorAppliesNothing(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	resets := 0
+	New(Config{
+		Store: &endingStore{kvtest.NewStore(), cancel}, Prefix: "p/", Wait: time.Second, Retry: time.Millisecond,
+		Log: eventlog.Discard(), Reset: func([]kv.Item) { resets++ }, Apply: func([]kv.Change) {},
+	}).Run(ctx)
+	if resets != 0 {
+		t.Errorf("%d complete reads applied after the mirror had ended, want none", resets)
+	}
+}
