Keep the list of workers current in the tests of the owner

TestProgressIsStoredAfterLostAnswers failed in 3 of 32 runs on a machine with a load of 30: the job was not completed within a minute. The stand-in for the platform's list of workers published it once, whereas a Directory also does so each time that it finds the list to be current. Since nothing starts on workers that do not guard their capacity and were listed more than 3 s ago, so that a test that takes longer waits for good. No check has changed.

--- a/pkg/dispatch/owner_test.go
+++ b/pkg/dispatch/owner_test.go
@@ -18,6 +18,7 @@
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/kv"
 	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
+	"fulmarcourse.example/fulmarcourse/pkg/pause"
 	"fulmarcourse.example/fulmarcourse/pkg/relay"
 	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
 	"fulmarcourse.example/fulmarcourse/pkg/term"
@@ -96,12 +97,17 @@
 	return []RelayHost{{Name: "host", Datacentre: "dc", Cores: 1, Local: true, Client: r}}
 }
 
+// Follow finds the list of workers to be current every listInterval. Without that nothing starts any more once its capacity
+// may be outdated.
 func (r *fakeRelay) Follow(ctx context.Context, update func([]schedule.WorkerInfo)) {
-	update([]schedule.WorkerInfo{{
-		ID: testWorker, Address: "w", Datacentre: "dc", Pool: "pool",
-		Capacity: structs.Resources{MilliCPU: 16000, MemoryBytes: 64 << 30},
-	}})
-	<-ctx.Done()
+	const listInterval = time.Second
+	for ctx.Err() == nil {
+		update([]schedule.WorkerInfo{{
+			ID: testWorker, Address: "w", Datacentre: "dc", Pool: "pool",
+			Capacity: structs.Resources{MilliCPU: 16000, MemoryBytes: 64 << 30},
+		}})
+		pause.For(ctx, listInterval)
+	}
 }
 
 // counts returns the number of started tasks, the newest end reported as stored, and how often the worker was assigned.
