Store other records after a conflict of one

What callers see: completions, and starts of services, wait for further batches while the store loses responses.

Cause: no further transactions of a batch began once one had failed. A conflict, which follows each lost response and each cancellation that was stored before a completion, concerns only the records of its transaction; the others were written again 0.2 s later, in a batch that may hold the next conflict.

After a conflict the other transactions are written as well. After any other failure none begin, as before: the store may be away.

--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -179,8 +179,8 @@
 	return r.Progress.State.Final() && r.Progress.State != workload.StateCancelled
 }
 
-// saveAllRecords stores progress records in as many transactions as they need. Once one has failed no further ones begin, and
-// the first error is returned.
+// saveAllRecords stores progress records in as many transactions as they need, and returns the first error. Once one has failed no
+// further ones begin, unless it was in conflict, which concerns its own records only.
 func (o *Owner) saveAllRecords(ctx context.Context, records []schedule.Record) error {
 	var group errgroup.Group
 	group.SetLimit(concurrentTxns)
@@ -191,7 +191,8 @@
 		records = records[n:]
 		group.Go(func() error {
 			err := o.saveRecords(ctx, part)
-			if err != nil {
+			var conflict *kv.Conflict
+			if err != nil && !errors.As(err, &conflict) {
 				failed.Store(true)
 			}
 			return err
--- a/pkg/dispatch/save_order_test.go
+++ b/pkg/dispatch/save_order_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"fulmarcourse.example/core/schedule"
@@ -108,3 +110,32 @@
 		t.Errorf("known workers %v once the end is stored, want none", ids)
 	}
 }
+
+// Scenario: the response of the store to an earlier write was lost, so that one of many records has another revision than the
+// owner knows. Guards against a conflict that holds up the records of all other jobs: completions and starts of services would
+// wait for the next batch, which may have a conflict as well.
+func TestConflictOfOneRecordDoesNotHoldUpOthers(t *testing.T) {
+	o, job, _ := ownerOfEndedJob(t)
+	const jobs = 20 * kv.MaxTxnEntries
+	records := []schedule.Record{{Job: job.ID, Progress: workload.Progress{State: workload.StateRunning}}}
+	for n := range jobs {
+		records = append(records, schedule.Record{
+			Job: workload.JobID(fmt.Sprint("other", n)), Progress: workload.Progress{State: workload.StateRunning},
+		})
+	}
+	delete(o.revisions, job.ID)
+	var conflict *kv.Conflict
+	if err := o.saveAllRecords(t.Context(), records); !errors.As(err, &conflict) {
+		t.Fatalf("error %v, want a conflict", err)
+	}
+	items, _, err := kv.List(t.Context(), o.cfg.Store, statekeys.ProgressPrefix(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if stored := len(items); stored < jobs+1-kv.MaxTxnEntries {
+		t.Errorf("%d of %d records are stored", stored, jobs+1)
+	}
+	if o.revisions[job.ID] == 0 {
+		t.Error("the revision of the conflicting record is still unknown")
+	}
+}
