Do not count a slow decision as a wait of its orders

The age after which a start is dropped from its link was counted from the start of the decision. A planning run that takes 1.5 s, on a large site beside load, would have had all its starts dropped, and the next one again. It is counted from the moment at which the order is queued now.

TestStartsThatWaitedAcrossAPauseAreNotSent now has orders whose decision began a minute before, and failed with the former age (no start was sent).

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -39,7 +39,9 @@
 	Checkpoint string // OrderStart only; empty to start from the beginning
 	Percent    int    // OrderPace only, 0 to 100
 
-	DecidedAt time.Duration // boot clock of the owner, set by the caller and not sent; for measurements only
+	// These are set by the caller, on the boot clock of the owner, and not sent.
+	DecidedAt time.Duration // start of the decision; for measurements only
+	QueuedAt  time.Duration // when it was queued to be sent
 }
 
 // order returns an order about an attempt.
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -128,12 +128,12 @@
 	return u, ok
 }
 
-// dropOldStarts drops the starts that were decided too long ago: this process was paused meanwhile, and a relay would send
-// them at once. Owner.mu is held.
+// dropOldStarts drops the starts that have waited for too long: this process was paused meanwhile, and a relay would send them
+// at once. The time that a decision takes does not count: an owner that decides slowly would start nothing. Owner.mu is held.
 func (l *link) dropOldStarts(now schedule.Time) {
 	kept := l.orders[:0]
 	for _, order := range l.orders {
-		if order.Kind != schedule.OrderStart || now.Boot-order.DecidedAt < maxStartWait {
+		if order.Kind != schedule.OrderStart || now.Boot-order.QueuedAt < maxStartWait {
 			kept = append(kept, order)
 			continue
 		}
--- a/pkg/dispatch/link_test.go
+++ b/pkg/dispatch/link_test.go
@@ -30,12 +30,12 @@
 
 // Scenario: the owner's process is paused while orders wait in a link. Guards against starts that a relay, which was not
 // paused, sends seconds after they were decided: the worker may be draining or the job cancelled by then. Stops and pace
-// orders are sent whatever their age.
+// orders are sent whatever their age, and starts after a decision that has taken long.
 func TestStartsThatWaitedAcrossAPauseAreNotSent(t *testing.T) {
 	o, l, _ := measuredOwner(t)
 	now := bootclock.Uptime()
 	order := func(kind schedule.OrderKind, attempt int64, age time.Duration) schedule.Order {
-		return schedule.Order{Kind: kind, Worker: testWorker, Attempt: attempt, DecidedAt: now - age}
+		return schedule.Order{Kind: kind, Worker: testWorker, Attempt: attempt, DecidedAt: now - time.Minute, QueuedAt: now - age}
 	}
 	l.orders = []schedule.Order{
 		order(schedule.OrderStart, 1, maxStartWait), order(schedule.OrderStop, 2, time.Minute),
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -137,9 +137,10 @@
 
 // queueOrders queues the scheduler's orders on the links of their workers. o.mu is held.
 func (o *Owner) queueOrders(now schedule.Time) {
+	queuedAt := bootclock.Uptime()
 	for _, order := range o.scheduler.TakeOrders() {
 		if l, assigned := o.linkOf[order.Worker]; assigned {
-			order.DecidedAt = now.Boot
+			order.DecidedAt, order.QueuedAt = now.Boot, queuedAt
 			l.orders = append(l.orders, order)
 			o.wake(l.wake)
 			continue
