--- a/pkg/dispatch/save_order_test.go
+++ b/pkg/dispatch/save_order_test.go
@@ -115,15 +115,16 @@
 // owner knows. Guards against a conflict that holds up the records of all other jobs: completions and starts of services would
 // wait for the next batch, which may have a conflict as well.
 func TestConflictOfOneRecordDoesNotHoldUpOthers(t *testing.T) {
-	o, job, _ := ownerOfEndedJob(t)
+	const jobID = workload.JobID("job")
+	o, _ := ownerOfEndedJob(t, jobID)
 	const jobs = 20 * kv.MaxTxnEntries
-	records := []schedule.Record{{Job: job.ID, Progress: workload.Progress{State: workload.StateRunning}}}
+	records := []schedule.Record{{Job: jobID, Progress: workload.Progress{State: workload.StateRunning}}}
 	for n := range jobs {
 		records = append(records, schedule.Record{
 			Job: workload.JobID(fmt.Sprint("other", n)), Progress: workload.Progress{State: workload.StateRunning},
 		})
 	}
-	delete(o.revisions, job.ID)
+	delete(o.revisions, jobID)
 	var conflict *kv.Conflict
 	if err := o.saveAllRecords(t.Context(), records); !errors.As(err, &conflict) {
 		t.Fatalf("error %v, want a conflict", err)
@@ -135,7 +136,7 @@
 	if stored := len(items); stored < jobs+1-kv.MaxTxnEntries {
 		t.Errorf("%d of %d records are stored", stored, jobs+1)
 	}
-	if o.revisions[job.ID] == 0 {
+	if o.revisions[jobID] == 0 {
 		t.Error("the revision of the conflicting record is still unknown")
 	}
 }
