Treat starts that were queued for a lost relay as not sent

Cause: when a relay is lost, its orders without an outcome were recorded as unanswered, also those that were still queued. An attempt whose start may have been executed keeps its task until a stop is confirmed and a later poll shows its absence, or, if the worker does not answer, until the leases expire: services and other tasks waited for seconds for starts that no host had sent.

Queued starts now count as not run, and the queue is emptied in the same step, so that the loop of the link, which may take one more update, does not send them. Stops stay unanswered and are repeated.

Evidence: TestStartsQueuedForALostRelayAreNotRun failed before ("0 tasks are pending and 2 have an attempt, want 2 and 0").

--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -157,7 +157,7 @@
 }
 
 // unlink removes a link and leaves its workers unassigned until the next assignment. Its orders without an outcome are
-// recorded as unanswered. o.mu is held.
+// recorded as unanswered, and starts that were not sent as not run. o.mu is held.
 func (o *Owner) unlink(now schedule.Time, l *link) {
 	l.stop()
 	delete(o.links, l.host.Name)
@@ -169,8 +169,13 @@
 		o.scheduler.OrderAnswered(now, entry.order, schedule.Unanswered)
 	}
 	for _, order := range l.orders {
-		o.scheduler.OrderAnswered(now, order, schedule.Unanswered)
+		outcome := schedule.Unanswered
+		if order.Kind == schedule.OrderStart {
+			outcome = schedule.NotRun
+		}
+		o.scheduler.OrderAnswered(now, order, outcome)
 	}
+	l.orders = nil // the loop of the link may take one more update
 	o.wake(o.assignWake)
 }
 
--- a/pkg/dispatch/recheck_test.go
+++ b/pkg/dispatch/recheck_test.go
@@ -44,6 +44,30 @@
 	}
 }
 
+// Scenario: a relay is lost while starts are queued for it. Guards against treating these as sent: their tasks would wait until a
+// stop is confirmed, or the leases of the worker expire. They must not be sent afterwards either.
+func TestStartsQueuedForALostRelayAreNotRun(t *testing.T) {
+	o, l, _ := measuredOwner(t)
+	l.stop = func() {}
+	o.setWorkers(oneWorker(false))
+	o.loaded = true
+	now := bootclock.Now()
+	l.applyResults(now.Boot, now.Boot, reported(now.Boot, 0, 0))
+	o.scheduler.KnownWorkersStored(oneWorker(false))
+	o.Announce(twoStepJob("job"))
+	o.plan()
+	if len(l.orders) != 2 {
+		t.Fatalf("%d orders are queued, want 2", len(l.orders))
+	}
+	o.unlink(now, l)
+	if c := o.scheduler.Counts(now); c.Pending != 2 || c.Others != 0 {
+		t.Errorf("%d tasks are pending and %d have an attempt, want 2 and 0", c.Pending, c.Others)
+	}
+	if update, _ := l.takeUpdate(); len(update.Orders) != 0 {
+		t.Errorf("%d orders are sent after the relay was lost", len(update.Orders))
+	}
+}
+
 // oneWorker returns a list with testWorker.
 func oneWorker(draining bool) []schedule.WorkerInfo {
 	return []schedule.WorkerInfo{{
