--- a/pkg/dispatch/link_test.go
+++ b/pkg/dispatch/link_test.go
@@ -65,3 +65,21 @@
 		t.Errorf("an update without content is sent: %+v", update)
 	}
 }
+
+// Scenario: a relay is lost while starts are queued for it. Guards against treating these as sent: their tasks would wait until a
+// stop is confirmed, or the leases of the worker expire. They must not be sent afterwards either.
+func TestStartsQueuedForALostRelayAreNotRun(t *testing.T) {
+	o, l := startingOwner(t, 2, "")
+	l.stop = func() {}
+	now := bootclock.Now()
+	if len(l.orders) != 2 {
+		t.Fatalf("%d orders are queued, want 2", len(l.orders))
+	}
+	o.unlink(now, l)
+	if c := o.scheduler.Counts(now); c.Pending != 2 || c.Others != 0 {
+		t.Errorf("%d tasks are pending and %d have an attempt, want 2 and 0", c.Pending, c.Others)
+	}
+	if update, _ := l.takeUpdate(); len(update.Orders) != 0 {
+		t.Errorf("%d orders are sent after the relay was lost", len(update.Orders))
+	}
+}
