Learn slowdowns from differences between the replicas of a service

Cause: the estimate compared each measurement of a service task with its own earlier ones only. Pairs that had been known to interfere counted as harmless (0.23, then 0).

A measurement is now also compared with those of the other replicas on other hosts in the 600 ms before.

Ruled out: a lag between the use of fillers and the tail latency (use of the report before explains as much as the current use). Not a cause: waiting fillers found half of the workers with a service over its target, a third too little spare time.

--- a/core/placement/learn/slowdown.go
+++ b/core/placement/learn/slowdown.go
@@ -69,17 +69,19 @@
 //
 // Tasks of a kind differ widely in length, so rates of different tasks are not compared. Each measurement of an
 // attempt is compared with the mean of its earlier ones, scaled so that the differences are independent (forward
-// orthogonal deviations: Arellano and Bover, 1995). The differences feed a ridge regression per victim kind whose
-// evidence decays exponentially, so that without new measurements an estimate returns to 0.
+// orthogonal deviations: Arellano and Bover, 1995), and this difference with those of the other attempts of its group
+// at the same time (see relativeToPeers). The differences feed a ridge regression per victim kind whose evidence decays
+// exponentially, so that without new measurements an estimate returns to 0.
 type Slowdowns struct {
 	index     map[structs.KindName]int // indexes of the kinds
 	rows      []*row                   // by the kind index of the victim
 	baselines map[attempt]*baseline
+	groups    map[structs.TaskID]*peerGroup
 }
 
 // NewSlowdowns returns an estimator without measurements, which estimates no slowdown.
 func NewSlowdowns() *Slowdowns {
-	return &Slowdowns{index: map[structs.KindName]int{}, baselines: map[attempt]*baseline{}}
+	return &Slowdowns{index: map[structs.KindName]int{}, baselines: map[attempt]*baseline{}, groups: map[structs.TaskID]*peerGroup{}}
 }
 
 // kindIndex returns the index of a kind and adds the kind if it is new; -1 if there are MaxKinds others.
@@ -111,24 +113,42 @@
 	}
 }
 
+// Measurement is one progress rate of an attempt.
+type Measurement struct {
+	Task       structs.TaskID
+	Attempt    int
+	Kind       structs.KindName
+	Rate       float64    // share of the task per second
+	Neighbours []Exposure // mean numbers during the measurement
+	// Group is the first task of those whose rates change together for causes other than their neighbours, for instance
+	// the replicas of a service, which share the load of its clients. The zero value stands for none.
+	Group structs.TaskID
+	Host  string // where the attempt runs; attempts of a group on one host are not compared with each other
+}
+
 // Observe adds one progress rate (share of the task per second) of an attempt, with the mean number of its neighbours
 // during the measurement.
 func (s *Slowdowns) Observe(task structs.TaskID, number int, kind structs.KindName, rate float64, exposures []Exposure, now time.Time) {
-	victim := s.kindIndex(kind)
-	if victim < 0 || !(rate > 0) || math.IsInf(rate, 0) {
+	s.Add(Measurement{Task: task, Attempt: number, Kind: kind, Rate: rate, Neighbours: exposures}, now)
+}
+
+// Add adds one measurement.
+func (s *Slowdowns) Add(m Measurement, now time.Time) {
+	victim := s.kindIndex(m.Kind)
+	if victim < 0 || !(m.Rate > 0) || math.IsInf(m.Rate, 0) {
 		return
 	}
-	neighbours := s.neighbourVector(exposures)
-	key := attempt{task, number}
+	neighbours := s.neighbourVector(m.Neighbours)
+	key := attempt{m.Task, m.Attempt}
 	base := s.baselines[key]
 	if base == nil {
 		base = &baseline{}
 		s.baselines[key] = base
 	}
 	base.neighbours = append(base.neighbours, make([]float64, len(neighbours)-len(base.neighbours))...)
-	logRate := math.Log(rate)
+	logRate := math.Log(m.Rate)
 	if base.count > 0 {
-		s.rows[victim].add(base, logRate, neighbours, now)
+		s.rows[victim].add(s.relativeToPeers(m, base.deviation(logRate, neighbours), now), now)
 	}
 	base.latest = now
 	base.count = min(base.count+1, BaselineSamples)
@@ -138,6 +158,25 @@
 	}
 }
 
+// deviation is the difference between one measurement and the baseline of its attempt.
+type deviation struct {
+	slower     float64   // decrease of the logarithm of the rate
+	neighbours []float64 // increase of the number of neighbours by kind index
+	weight     float64   // inverse of the variance
+}
+
+// deviation returns the difference between a measurement and the baseline.
+func (b *baseline) deviation(logRate float64, neighbours []float64) deviation {
+	d := deviation{
+		slower: b.logRate - logRate, neighbours: make([]float64, len(neighbours)),
+		weight: b.count / (b.count + 1) / (NoiseDeviation * NoiseDeviation),
+	}
+	for i := range neighbours {
+		d.neighbours[i] = neighbours[i] - b.neighbours[i]
+	}
+	return d
+}
+
 // neighbourVector returns the mean numbers of neighbours by kind index.
 func (s *Slowdowns) neighbourVector(exposures []Exposure) []float64 {
 	for _, e := range exposures {
@@ -152,19 +191,17 @@
 	return result
 }
 
-// add adds the difference between one measurement and the baseline of its attempt to the equations.
-func (r *row) add(base *baseline, logRate float64, neighbours []float64, now time.Time) {
+// add adds a deviation to the equations.
+func (r *row) add(d deviation, now time.Time) {
 	r.decay(now)
-	weight := base.count / (base.count + 1) / (NoiseDeviation * NoiseDeviation)
-	slower := min(max(base.logRate-logRate, -MaxLogDeviation), MaxLogDeviation)
-	for i := range neighbours {
-		di := neighbours[i] - base.neighbours[i]
+	slower := min(max(d.slower, -MaxLogDeviation), MaxLogDeviation)
+	for i, di := range d.neighbours {
 		if di == 0 {
 			continue
 		}
-		r.effect[i] += weight * di * slower
-		for j := range neighbours {
-			r.evidence[i][j] += weight * di * (neighbours[j] - base.neighbours[j])
+		r.effect[i] += d.weight * di * slower
+		for j, dj := range d.neighbours {
+			r.evidence[i][j] += d.weight * di * dj
 		}
 	}
 	r.stale = true
@@ -207,6 +244,7 @@
 			delete(s.baselines, key) // created by a late measurement that arrived after the end of its attempt
 		}
 	}
+	s.removeIdleGroups(now)
 }
 
 // LogSlowdown returns the natural logarithm of the slowdown that one neighbour causes to a task of kind victim, as of
--- a/core/schedule/interference.go
+++ b/core/schedule/interference.go
@@ -82,7 +82,10 @@
 	exposures = mergeImages(exposures)
 	for _, a := range w.attemptList {
 		if a.tailKnown() {
-			m.slowdowns.Observe(learnTaskID(a.task.id()), int(a.number), imageOf(a), 1/a.metric, exposures, at)
+			m.slowdowns.Add(learn.Measurement{
+				Task: learnTaskID(a.task.id()), Attempt: int(a.number), Kind: imageOf(a), Rate: 1 / a.metric,
+				Neighbours: exposures, Group: a.task.step.replicas(), Host: string(w.info.ID),
+			}, at)
 		}
 	}
 }
@@ -142,6 +145,11 @@
 
 func imageOf(a *attempt) structs.KindName { return structs.KindName(a.task.step.spec.Image) }
 
+// replicas returns the ID under which package learn compares the tasks of a service, which share the load of its clients.
+func (st *step) replicas() structs.TaskID {
+	return learnTaskID(workload.TaskID{Job: st.job.rec.ID, Occurrence: st.occurrence, Step: st.index})
+}
+
 // learnTaskID returns the ID of a task for package learn, whose IDs have no steps and occurrences.
 func learnTaskID(id workload.TaskID) structs.TaskID {
 	return structs.TaskID{
