Allow a task of the soak to start again after its end was lost in a crash

Trace: the tasks were done on two workers from 53.5 s on. The store had stopped answering at 53.4 s, so that the owner could not store their ends and acknowledged none ("progress_not_stored" at 54.9 s, and the next owner found ends of the same moment still listed by other workers). The store was back at 55.5 s; the owner's process got no processor time from 56.0 to 57.9 s ("owner_resumed", 1,883 ms). Both workers crashed at 56.7 and 58.0 s. The next owner learned of the crashes and started the tasks again.

By the platform's rules an end counts once its worker has got the acknowledgement, and a process that crashes takes the others with it: a fault of the check, which allowed a start after the lease had lapsed in between, but not after a crash. It now treats both alike. A start after an end that was acknowledged before the crash is still reported, and a job must not be shown as completed before its ends are stored, as before.

TestStartAfterALostEndIsAllowed failed before.

--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -146,11 +146,11 @@
 	p.history[index].Outcome = outcome
 }
 
-// recordEndLapsed records that the lease of the run's worker lapsed before the end was acknowledged.
-func (p *Platform) recordEndLapsed(index int) {
+// recordEndLost records that the run's worker will never get an acknowledgement of the end.
+func (p *Platform) recordEndLost(index int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.history[index].EndLapsed = true
+	p.history[index].EndLost = true
 }
 
 // OverlappingRuns returns a description of each pair of runs of one task that overlap in time.
@@ -177,11 +177,11 @@
 }
 
 // RunsAfterDone returns a description of each start of a task after one of its runs was done, except for runs whose end
-// lapsed (see Run.EndLapsed).
+// was lost (see Run.EndLost).
 func (p *Platform) RunsAfterDone() []string {
 	done := map[string]time.Time{}
 	for _, r := range p.History() {
-		if r.Outcome == "done" && !r.EndLapsed {
+		if r.Outcome == "done" && !r.EndLost {
 			done[r.Task] = r.Ended
 		}
 	}
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -53,9 +53,9 @@
 	Started time.Time
 	Ended   time.Time // zero while it runs
 	Outcome string
-	// EndLapsed states that the worker's lease lapsed after the end and before its acknowledgement. The platform then
-	// treats the end as never reported, for good, and allows the task to start again.
-	EndLapsed bool
+	// EndLost states that the worker's lease lapsed, or its process crashed, after the end and before its acknowledgement. The
+	// platform then treats the end as never reported, for good, and allows the task to start again.
+	EndLost bool
 }
 
 type runKey struct {
@@ -167,6 +167,7 @@
 
 // start begins a new incarnation without a lease, runs or ends. w.mu is held.
 func (w *Worker) start() {
+	w.loseEnds()
 	w.incarnation = time.Now().UnixMilli()
 	w.startedAt = time.Now()
 	w.fence, w.leaseUntil, w.lastEnd, w.ended = 0, 0, 0, nil
@@ -225,8 +226,13 @@
 	if w.clockMs() <= w.leaseUntil {
 		return
 	}
+	w.loseEnds()
+}
+
+// loseEnds records in the history that the listed ends will never be acknowledged. w.mu is held.
+func (w *Worker) loseEnds() {
 	for _, end := range w.ended {
-		w.platform.recordEndLapsed(end.index)
+		w.platform.recordEndLost(end.index)
 	}
 }
 
