--- a/pkg/standin/fleet/worker_test.go
+++ b/pkg/standin/fleet/worker_test.go
@@ -49,6 +49,7 @@
 			}
 			crash(first)
 			start.Attempt = 2
+			second.SetFaults(WorkerFaults{Slowdown: 60_000}) // so that the second run goes on
 			call(t, second, "/fulmarcourse/run-start", start)
 			found := fmt.Sprint(p.RunsAfterDone())
 			if reported := len(p.RunsAfterDone()) == 1; reported != acknowledged {
