Compare a measurement with its peers at a third of the cost

A group now keeps the sum of its measurements, the memory is used again, the equations decay once a second at most, and only the kinds with neighbours are added. BenchmarkMeasurementsOfServices, in turn beside other work: 11.3 and 13.9 us a measurement before, 4.9 and 5.1 us after.

--- a/core/placement/learn/peers.go
+++ b/core/placement/learn/peers.go
@@ -14,75 +14,106 @@
 	MaxPeers = 16
 )
 
-// peerGroup holds the latest measurements of the attempts of a group.
+// peerGroup holds the simultaneous measurements of the attempts of a group: the latest MaxPeers that are at most PeerWindow
+// old, and their sum.
 type peerGroup struct {
-	recent [MaxPeers]peerDeviation
-	next   int // index of the oldest entry of recent
-	latest time.Time
+	recent     [MaxPeers]peerDeviation // a ring
+	first, n   int                     // index of the oldest entry of recent, and number of entries
+	slower     float64                 // sum of the entries
+	neighbours []float64               // sum of the entries
+	latest     time.Time
 }
 
 type peerDeviation struct {
-	deviation
-	host string
-	at   time.Time
+	slower     float64
+	neighbours []float64
+	host       string
+	at         time.Time
 }
 
-// relativeToPeers returns the difference between a deviation and the mean of the simultaneous deviations of the same
-// group on other hosts. The load that a group shares moves all of them alike. Without the comparison it is attributed to
-// the neighbours, which are themselves throttled when the load is high.
-func (s *Slowdowns) relativeToPeers(m Measurement, d deviation, now time.Time) deviation {
+// relativeToPeers changes a deviation into the difference from the mean of the simultaneous deviations of the same group
+// on other hosts. The load that a group shares moves all of them alike. Without the comparison it is attributed to the
+// neighbours, which are themselves throttled when the load is high.
+func (s *Slowdowns) relativeToPeers(m Measurement, d *deviation, now time.Time) {
 	if m.Group == (structs.TaskID{}) {
-		return d
+		return
 	}
 	g := s.groups[m.Group]
 	if g == nil {
 		g = &peerGroup{}
 		s.groups[m.Group] = g
 	}
-	mean, n := g.meanElsewhere(m.Host, len(d.neighbours), now)
-	g.record(d, m.Host, now)
+	g.expire(now)
+	s.peers = append(s.peers[:0], make([]float64, len(d.neighbours))...)
+	slower, n := g.sumElsewhere(m.Host, s.peers)
+	g.record(*d, m.Host, now)
 	if n == 0 {
-		return d
+		return
 	}
-	relative := deviation{
-		slower: d.slower - mean.slower, neighbours: mean.neighbours,
-		weight: d.weight * float64(n) / float64(n+1),
+	d.slower -= slower / float64(n)
+	for i, sum := range s.peers {
+		d.neighbours[i] -= sum / float64(n)
 	}
-	for i := range d.neighbours {
-		relative.neighbours[i] = d.neighbours[i] - mean.neighbours[i]
+	d.weight *= float64(n) / float64(n+1)
+}
+
+// expire removes the measurements that are not simultaneous any more.
+func (g *peerGroup) expire(now time.Time) {
+	for g.n > 0 && now.Sub(g.recent[g.first].at) > PeerWindow {
+		g.removeOldest()
+	}
+}
+
+func (g *peerGroup) removeOldest() {
+	oldest := &g.recent[g.first]
+	g.slower -= oldest.slower
+	for k, v := range oldest.neighbours {
+		g.neighbours[k] -= v
+	}
+	g.first = (g.first + 1) % MaxPeers
+	g.n--
+	if g.n == 0 { // without the rounding errors of the subtractions
+		g.slower = 0
+		clear(g.neighbours)
 	}
-	return relative
 }
 
-// meanElsewhere returns the mean of the simultaneous deviations on other hosts and their number.
-func (g *peerGroup) meanElsewhere(host string, kinds int, now time.Time) (mean deviation, n int) {
-	mean.neighbours = make([]float64, kinds)
-	for i := range g.recent {
-		peer := &g.recent[i]
-		if peer.at.IsZero() || peer.host == host || now.Sub(peer.at) > PeerWindow {
+// sumElsewhere adds the numbers of neighbours on other hosts to neighbours, and returns the sum of the decreases there and the
+// number of measurements.
+func (g *peerGroup) sumElsewhere(host string, neighbours []float64) (slower float64, n int) {
+	slower, n = g.slower, g.n
+	for k, v := range g.neighbours {
+		neighbours[k] += v
+	}
+	for i := range g.n {
+		peer := &g.recent[(g.first+i)%MaxPeers]
+		if peer.host != host {
 			continue
 		}
-		n++
-		mean.slower += peer.slower
+		n--
+		slower -= peer.slower
 		for k, v := range peer.neighbours {
-			mean.neighbours[k] += v
+			neighbours[k] -= v
 		}
 	}
-	if n == 0 {
-		return mean, 0
-	}
-	mean.slower /= float64(n)
-	for k := range mean.neighbours {
-		mean.neighbours[k] /= float64(n)
-	}
-	return mean, n
+	return slower, n
 }
 
-// record replaces the oldest measurement of the group.
+// record adds a measurement and removes the oldest one if there are too many.
 func (g *peerGroup) record(d deviation, host string, now time.Time) {
-	g.recent[g.next] = peerDeviation{deviation: d, host: host, at: now}
-	g.next = (g.next + 1) % MaxPeers
+	if g.n == MaxPeers {
+		g.removeOldest()
+	}
+	entry := &g.recent[(g.first+g.n)%MaxPeers]
+	entry.slower, entry.host, entry.at = d.slower, host, now
+	entry.neighbours = append(entry.neighbours[:0], d.neighbours...)
+	g.n++
 	g.latest = now
+	g.slower += d.slower
+	g.neighbours = append(g.neighbours, make([]float64, len(d.neighbours)-len(g.neighbours))...)
+	for k, v := range d.neighbours {
+		g.neighbours[k] += v
+	}
 }
 
 // removeIdleGroups removes the groups without measurements for HistoryRetention.
--- a/core/placement/learn/peers_test.go
+++ b/core/placement/learn/peers_test.go
@@ -113,3 +113,26 @@
 		t.Errorf("%d groups and %d baselines are left", len(s.groups), len(s.baselines))
 	}
 }
+
+// BenchmarkMeasurementsOfServices measures the addition of one measurement in a large fleet: each of 16 services has replicas on
+// many hosts, which run fillers of a few of 30 images.
+func BenchmarkMeasurementsOfServices(b *testing.B) {
+	const services, images, hosts, fillersPerHost = 16, 30, 900, 4
+	rnd := rand.New(rand.NewPCG(1, 2))
+	s := NewSlowdowns()
+	now := time.Unix(0, 0)
+	b.ReportAllocs()
+	for n := range b.N {
+		host := n % hosts
+		service := structs.KindName("service" + strconv.Itoa(host%services))
+		exposures := make([]Exposure, fillersPerHost)
+		for i := range exposures {
+			exposures[i] = Exposure{structs.KindName("filler" + strconv.Itoa(rnd.IntN(images))), rnd.Float64()}
+		}
+		now = now.Add(time.Second / 2 / hosts)
+		s.Add(Measurement{
+			Task: structs.TaskID{Job: structs.JobID(service), Index: host}, Attempt: 1, Kind: service, Rate: 0.1 + rnd.Float64(),
+			Neighbours: exposures, Group: structs.TaskID{Job: structs.JobID(service)}, Host: strconv.Itoa(host),
+		}, now)
+	}
+}
--- a/core/placement/learn/slowdown.go
+++ b/core/placement/learn/slowdown.go
@@ -27,6 +27,9 @@
 	MaxKinds = 64
 	// BaselineSamples is the number of measurements of an attempt that its mean rate covers.
 	BaselineSamples = 20
+	// DecayInterval is the minimum time between two decays of the equations of one kind, far below the half-life: a decay touches
+	// all of them.
+	DecayInterval = time.Second
 	// SolveInterval is the minimum time between two solutions of the equations of one kind.
 	SolveInterval = 2 * time.Second
 	// MaxSweeps bounds the number of sweeps of one solution. Each solution starts from the previous one.
@@ -79,7 +82,11 @@
 	baselines map[attempt]*baseline
 	groups    map[structs.TaskID]*peerGroup
 
-	neighbours []float64 // memory of neighbourVector
+	// Memory that is used again.
+	neighbours []float64 // of neighbourVector
+	increases  []float64 // of the latest deviation
+	peers      []float64 // of relativeToPeers
+	changed    []int     // of row.add
 }
 
 // NewSlowdowns returns an estimator without measurements, which estimates no slowdown.
@@ -151,7 +158,9 @@
 	base.neighbours = append(base.neighbours, make([]float64, len(neighbours)-len(base.neighbours))...)
 	logRate := math.Log(m.Rate)
 	if base.count > 0 {
-		s.rows[victim].add(s.relativeToPeers(m, base.deviation(logRate, neighbours), now), now)
+		d := s.deviation(base, logRate, neighbours)
+		s.relativeToPeers(m, &d, now)
+		s.changed = s.rows[victim].add(d, s.changed[:0], now)
 	}
 	base.latest = now
 	base.count = min(base.count+1, BaselineSamples)
@@ -168,16 +177,16 @@
 	weight     float64   // inverse of the variance
 }
 
-// deviation returns the difference between a measurement and the baseline.
-func (b *baseline) deviation(logRate float64, neighbours []float64) deviation {
-	d := deviation{
-		slower: b.logRate - logRate, neighbours: make([]float64, len(neighbours)),
-		weight: b.count / (b.count + 1) / (NoiseDeviation * NoiseDeviation),
-	}
+// deviation returns the difference between a measurement and a baseline. It is valid until the next call.
+func (s *Slowdowns) deviation(b *baseline, logRate float64, neighbours []float64) deviation {
+	s.increases = append(s.increases[:0], neighbours...)
 	for i := range neighbours {
-		d.neighbours[i] = neighbours[i] - b.neighbours[i]
+		s.increases[i] -= b.neighbours[i]
+	}
+	return deviation{
+		slower: b.logRate - logRate, neighbours: s.increases,
+		weight: b.count / (b.count + 1) / (NoiseDeviation * NoiseDeviation),
 	}
-	return d
 }
 
 // neighbourVector returns the mean numbers of neighbours by kind index. It is valid until the next call.
@@ -195,20 +204,26 @@
 	return s.neighbours
 }
 
-// add adds a deviation to the equations.
-func (r *row) add(d deviation, now time.Time) {
-	r.decay(now)
-	slower := min(max(d.slower, -MaxLogDeviation), MaxLogDeviation)
+// add adds a deviation to the equations. It returns the kinds with neighbours, appended to changed.
+func (r *row) add(d deviation, changed []int, now time.Time) []int {
+	if now.Sub(r.decayed) >= DecayInterval {
+		r.decay(now)
+	}
 	for i, di := range d.neighbours {
-		if di == 0 {
-			continue
+		if di != 0 {
+			changed = append(changed, i)
 		}
-		r.effect[i] += d.weight * di * slower
-		for j, dj := range d.neighbours {
-			r.evidence[i][j] += d.weight * di * dj
+	}
+	slower := min(max(d.slower, -MaxLogDeviation), MaxLogDeviation)
+	for _, i := range changed {
+		weighted := d.weight * d.neighbours[i]
+		r.effect[i] += weighted * slower
+		for _, j := range changed {
+			r.evidence[i][j] += weighted * d.neighbours[j]
 		}
 	}
 	r.stale = true
+	return changed
 }
 
 // decay reduces the weight of the evidence by the time since the latest decay.
