--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -181,7 +181,7 @@
 func (p *Platform) RunsAfterDone() []string {
 	done := map[string]time.Time{}
 	for _, r := range p.History() {
-		if r.Outcome == "done" && !r.EndLost {
+		if earlier, ended := done[r.Task]; r.Outcome == "done" && !r.EndLost && (!ended || r.Ended.Before(earlier)) {
 			done[r.Task] = r.Ended
 		}
 	}
