Report a start after the first end of a task that was done, not only after the last

The check of the soak compared starts with the latest done run of a task, so that a second run that was done as well hid the first.

--- a/pkg/standin/fleet/worker_test.go
+++ b/pkg/standin/fleet/worker_test.go
@@ -32,7 +32,7 @@
 
 // Guards against a check that reports a start which the platform allows: the end of the task before was not acknowledged when
 // the process of its worker crashed, so that no owner can know of it. Guards also against one that allows a start after an end
-// that was acknowledged before the crash.
+// that was acknowledged before the crash, also if the second run is done as well.
 func TestStartAfterALostEndIsAllowed(t *testing.T) {
 	for _, acknowledged := range []bool{false, true} {
 		for name, crash := range map[string]func(*Worker){"same id": (*Worker).Crash, "new id": (*Worker).CrashUnderNewID} {
@@ -49,8 +49,8 @@
 			}
 			crash(first)
 			start.Attempt = 2
-			second.SetFaults(WorkerFaults{Slowdown: 60_000}) // so that the second run goes on
 			call(t, second, "/fulmarcourse/run-start", start)
+			poll.Until(t, "the second run is done", func() bool { return call(t, second, "/fulmarcourse/hold", order{}) == 1 })
 			found := fmt.Sprint(p.RunsAfterDone())
 			if reported := len(p.RunsAfterDone()) == 1; reported != acknowledged {
 				t.Errorf("end acknowledged %t, crash under the %s: found %s", acknowledged, name, found)
