--- a/core/schedule/burst_bench_test.go
+++ b/core/schedule/burst_bench_test.go
@@ -21,34 +21,13 @@
 
 // burstFleet returns a scheduler with workers whose services reserve most of the capacity, with running fillers and with
 // more of them waiting than fit.
-func burstFleet(b *testing.B) (*harness, *rand.Rand) {
+func burstFleet() (*harness, *rand.Rand) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	h := newHarness(&testing.T{}, 1)
-	infos := make([]WorkerInfo, 0, burstWorkers)
-	for n := range burstWorkers {
-		id := WorkerID(fmt.Sprintf("w%05d", n))
-		w := &simWorker{incarnation: 1, stopped: map[attemptKey]bool{}}
-		w.info = WorkerInfo{ID: id, Address: string(id), Datacentre: "dc1", Pool: testPool, Labels: []string{fmt.Sprint("r-", n/20)}}
-		w.info.Capacity = testStep(1).Size
-		w.info.Capacity.MilliCPU, w.info.Capacity.MemoryBytes = 16000, 64<<30
-		h.workers[id] = w
-		infos = append(infos, w.info)
-	}
-	h.s.SetWorkers(h.now, infos)
-	h.s.KnownWorkersStored(infos)
-	h.reportAll()
+	h := fleet(burstWorkers)
 	for n := range burstWorkers {
 		service, filler := fleetService(burstServices, rng.IntN(burstServiceKind)), burstFiller(rng, burstFillers)
 		job := testJob(workload.JobID(fmt.Sprint("load", n)), service, filler)
-		h.s.AddJob(job, nil, false)
-		for _, st := range h.s.jobs[job.ID].steps {
-			for _, t := range st.tasks {
-				w := h.s.workers[WorkerID(fmt.Sprintf("w%05d", n))]
-				a := &attempt{task: t, number: 1, worker: w, phase: running, confirmedAt: 1, startedAt: 1,
-					share: fullShare, confirmedShare: fullShare, percent: fullShare, metric: 8 + 20*rng.Float64()}
-				h.s.attach(a)
-			}
-		}
+		h.runFleetJob(job, n, func() float64 { return 8 + 20*rng.Float64() })
 	}
 	for n := range burstSteps {
 		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("waiting", n)), burstFiller(rng, 8)), nil, false)
@@ -65,7 +44,7 @@
 
 // BenchmarkBurst measures a planning run of a large fleet while more fillers wait than fit and some end before each run.
 func BenchmarkBurst(b *testing.B) {
-	h, rng := burstFleet(b)
+	h, rng := burstFleet()
 	b.ResetTimer()
 	started := 0
 	for n := range b.N {
--- a/core/schedule/fleet_bench_test.go
+++ b/core/schedule/fleet_bench_test.go
@@ -14,12 +14,12 @@
 	benchShort    = 1
 )
 
-// loadedFleet returns a scheduler with workers that run benchServices + benchFillers + benchShort attempts each.
-func loadedFleet(b *testing.B, workers int) *harness {
+// fleet returns a scheduler with workers that have reported and run nothing, 20 a rack.
+func fleet(workers int) *harness {
 	h := newHarness(&testing.T{}, 1)
 	infos := make([]WorkerInfo, 0, workers)
 	for n := range workers {
-		id := WorkerID(fmt.Sprintf("w%05d", n))
+		id := fleetWorker(n)
 		rack := fmt.Sprint("r-", n/20)
 		w := &simWorker{incarnation: 1, stopped: map[attemptKey]bool{}}
 		w.info = WorkerInfo{ID: id, Address: string(id), Datacentre: "dc1", Pool: testPool, Labels: []string{rack}}
@@ -31,18 +31,29 @@
 	h.s.SetWorkers(h.now, infos)
 	h.s.KnownWorkersStored(infos)
 	h.reportAll()
+	return h
+}
+
+func fleetWorker(n int) WorkerID { return WorkerID(fmt.Sprintf("w%05d", n)) }
+
+// runFleetJob adds a job to the scheduler and lets all its tasks run on a worker; metric returns the metric of each.
+func (h *harness) runFleetJob(job workload.Job, worker int, metric func() float64) {
+	h.s.AddJob(job, nil, false)
+	for _, st := range h.s.jobs[job.ID].steps {
+		for _, t := range st.tasks {
+			h.s.attach(&attempt{task: t, number: 1, worker: h.s.workers[fleetWorker(worker)], phase: running, confirmedAt: 1, startedAt: 1,
+				share: fullShare, confirmedShare: fullShare, percent: fullShare, metric: metric()})
+		}
+	}
+}
+
+// loadedFleet returns a scheduler with workers that run benchServices + benchFillers + benchShort attempts each.
+func loadedFleet(workers int) *harness {
+	h := fleet(workers)
 	for n := range workers {
 		service, filler, short := fleetService(benchServices, n%16), fleetFiller(benchFillers, n%30), testStep(benchShort)
 		job := testJob(workload.JobID(fmt.Sprint("load", n)), service, filler, short)
-		h.s.AddJob(job, nil, false)
-		for _, st := range h.s.jobs[job.ID].steps {
-			for _, t := range st.tasks {
-				w := h.s.workers[WorkerID(fmt.Sprintf("w%05d", n))]
-				a := &attempt{task: t, number: 1, worker: w, phase: running, confirmedAt: 1, startedAt: 1,
-					share: fullShare, confirmedShare: fullShare, percent: fullShare, metric: 20}
-				h.s.attach(a)
-			}
-		}
+		h.runFleetJob(job, n, func() float64 { return 20 })
 	}
 	h.s.TakeEvents()
 	return h
@@ -68,7 +79,7 @@
 		"short": testStep(tasks), "service": fleetService(tasks, 3), "filler": fleetFiller(tasks, 7),
 	}
 	for _, workers := range []int{100, 1000, 10000} {
-		h := loadedFleet(b, workers)
+		h := loadedFleet(workers)
 		for _, kind := range []string{"short", "service", "filler"} {
 			b.Run(fmt.Sprintf("%s/%d", kind, workers), func(b *testing.B) {
 				for n := 0; n < b.N; n += tasks {
