Keep a draining worker known until it has reported to the new owner

A worker that drains and runs nothing is left out of the stored list of known workers, so that a later owner does not wait for it. An owner that has just taken over took a draining worker for empty before its first report, since it knew of no attempt on it: if that owner was lost next, its successor did not wait for the worker and started its tasks a second time. The worker is now kept until it has reported or its leases have certainly expired.

Found by reading. TestDrainingWorkerIsKnownUntilItHasReported failed before.

--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -77,6 +77,7 @@
 	starts       map[workload.TaskID]int           // how often workers have started each task
 	unanswered   map[workload.TaskID]int           // how many of its starts were not answered
 	late         *lateFaults                       // nil without an owner past its processor limit and a slow store
+	known        *knownFaults                      // nil if the known workers are stored at once
 	log          []string
 }
 
@@ -154,6 +155,10 @@
 	for _, worker := range f.workers {
 		infos = append(infos, worker.info)
 	}
+	if f.known != nil {
+		f.s.SetWorkers(f.time(), append(infos, oddEntry))
+		return
+	}
 	f.s.SetWorkers(f.time(), infos)
 	if known, changed := f.s.KnownWorkers(); changed {
 		f.knownWorkers = known
@@ -167,6 +172,7 @@
 		f.takeOver()
 	}
 	f.advanceLate()
+	f.advanceKnown()
 	for _, worker := range f.workers {
 		f.advance(worker)
 	}
@@ -483,6 +489,12 @@
 			f.acknowledged[worker.info.ID] = known.lastEnd
 		}
 	}
+	if f.known == nil {
+		return
+	}
+	if infos, changed := f.takeKnown(); changed {
+		f.writeKnown(infos)
+	}
 }
 
 // check fails the test if a task runs twice.
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -192,7 +192,7 @@
 func (s *Scheduler) drop(a *attempt) {
 	a.worker.remove(a)
 	s.recordVacated(a)
-	s.knownWorkersChanged = s.knownWorkersChanged || a.worker.drained()
+	s.knownWorkersChanged = s.knownWorkersChanged || s.drained(a.worker)
 	delete(s.stopping, a)
 	s.interference.removeAttempt(a)
 	t := a.task
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -1,26 +1,47 @@
 package schedule
 
 import (
+	"flag"
 	"testing"
 	"time"
 
 	"fulmarcourse.example/core/workload"
 )
 
+// Seeds of the simulations of TestNoTaskRunsTwice*.
+var (
+	simSeeds     = flag.Uint64("sim.count", 150, "number of seeds")
+	simFirstSeed = flag.Uint64("sim.first", 0, "first seed")
+)
+
+// playSeeds plays a simulation with each of the seeds that the flags select.
+func playSeeds(play func(seed uint64)) {
+	for n := range *simSeeds {
+		play(*simFirstSeed + n)
+	}
+}
+
 // Guards against a task that runs in two places or after it was done, and against jobs that never end, under lost and
 // delayed orders, lost answers and reports, crashes, network failures and changes of owner in any combination.
 func TestNoTaskRunsTwiceUnderFaults(t *testing.T) {
-	for seed := range uint64(150) {
-		newFaultSim(t, seed).playJobs()
-	}
+	playSeeds(func(seed uint64) { newFaultSim(t, seed).playJobs() })
 }
 
 // Guards against the same while the owner applies reports late, in another order than their polls, and while the store is
 // slow, is down or loses its responses: an end may be acknowledged only if every later owner knows it.
 func TestNoTaskRunsTwiceUnderLateReports(t *testing.T) {
-	for seed := range uint64(150) {
-		newLateFaultSim(newFaultSim(t, seed)).playJobs()
-	}
+	playSeeds(func(seed uint64) { newLateFaultSim(newFaultSim(t, seed)).playJobs() })
+}
+
+// Guards against the same while workers drain and come back, and while the known workers are stored late, not at all or without a
+// response: a later owner has to wait for each worker on which tasks may run.
+func TestNoTaskRunsTwiceWhileKnownWorkersChange(t *testing.T) {
+	playSeeds(func(seed uint64) { newKnownFaultSim(newFaultSim(t, seed)).playJobs() })
+}
+
+// Guards against the same with the faults of TestNoTaskRunsTwiceUnderLateReports as well.
+func TestNoTaskRunsTwiceWhileKnownWorkersAreStoredLate(t *testing.T) {
+	playSeeds(func(seed uint64) { newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed))).playJobs() })
 }
 
 // playJobs plays the simulation and fails the test if a job has not ended then.
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -85,7 +85,7 @@
 	w.suspect = false
 	s.index.markChanged(w)
 	s.forgetSilent(w)
-	delete(s.awaitingReport, id)
+	s.stopAwaiting(w)
 	w.reports++
 	s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -318,7 +318,7 @@
 		}
 	}
 	for _, w := range expired {
-		delete(s.awaitingReport, w.info.ID)
+		s.stopAwaiting(w)
 		for _, a := range slices.Clone(w.attemptList) {
 			s.emit(a.event(EventAttemptExpired))
 			if a.certainlyRan() {
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -33,7 +33,7 @@
 	}
 	infos = make([]WorkerInfo, 0, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
-		if w.drained() {
+		if s.drained(w) {
 			w.stored = false
 			continue
 		}
@@ -42,10 +42,18 @@
 	return s.addUnstoredCrashes(infos), changed
 }
 
-// drained reports whether a draining worker runs nothing more. No task is started on it, and a later owner that waits
-// for its report would be delayed until its leases expire.
-func (w *worker) drained() bool {
-	return w.info.Draining && len(w.attempts) == 0 && len(w.orphans) == 0
+// drained reports whether a draining worker certainly runs nothing more. No task is started on it, and a later owner that
+// waits for its report would be delayed until its leases expire.
+func (s *Scheduler) drained(w *worker) bool {
+	return w.info.Draining && len(w.attempts) == 0 && len(w.orphans) == 0 && !s.awaitingReport[w.info.ID]
+}
+
+// stopAwaiting records that all attempts of former owners on a worker are known or have certainly expired.
+func (s *Scheduler) stopAwaiting(w *worker) {
+	if s.awaitingReport[w.info.ID] {
+		delete(s.awaitingReport, w.info.ID)
+		s.knownWorkersChanged = true
+	}
 }
 
 // KnownWorkersStored records that the workers are stored for a later owner, so that they may get tasks.
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -226,3 +226,26 @@
 		}
 	}
 }
+
+// Scenario: an owner is lost soon after its takeover, while a draining worker has not reported to it yet. Guards against a later
+// owner that does not wait for this worker: its tasks would run twice.
+func TestDrainingWorkerIsKnownUntilItHasReported(t *testing.T) {
+	h := newHarness(t, 1)
+	w1 := h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.run()
+	w1.info.Draining = true
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{w1.info})
+	h.list()
+	h.s.KnownWorkersNotStored()
+	if infos, _ := h.s.KnownWorkers(); len(infos) != 1 {
+		t.Errorf("known workers %v before the draining one has reported, want it among them", infos)
+	}
+	h.reportAll()
+	h.end(taskID("job", 0, 0), EndDone)
+	h.reportAll()
+	if infos, changed := h.s.KnownWorkers(); len(infos) != 0 || !changed {
+		t.Errorf("known workers %v, changed %v, once it runs nothing", infos, changed)
+	}
+}
