Wait only for workers that have answered after a takeover

Callers saw that a job handed in around the loss of the owner took 8.9 to 9.2 s in place of 1 s when the platform's list had one entry that names no real worker. Cause: the list of known workers, for each of which a later owner waits, held everything that the platform lists. Nothing starts on a worker before it has reported, so a later owner needs no report of one that never has.

A worker is now stored once it has answered a poll, and before the first task starts on it as before. It is dropped again when its leases have certainly expired without an answer, because nothing runs on it until it is stored again; workers of a former owner stay until they have reported or expired, and those that may have crashed under a task until the record of the crash needs them no more. While the store is down, a worker that answers for the first time, or after its leases have expired, gets no task.

TestWorkerIsKnownUntilItsLastEndIsStored lets the worker report before the first write: the write that it checks comes after the first report now.

--- a/core/schedule/faultsim_known_test.go
+++ b/core/schedule/faultsim_known_test.go
@@ -101,3 +101,13 @@
 		f.s.KnownWorkersNotStored()
 	}
 }
+
+// percentOf returns the progress that a worker reports for an attempt; 0 without knownFaults. Attempts without progress are moved
+// again and again, so that over many seeds some job would not end in time.
+func (f *faultSim) percentOf(worker *faultSimWorker, key attemptKey) float64 {
+	if f.known == nil {
+		return 0
+	}
+	started, endsAt := f.lastStart[key.task], worker.running[key]
+	return max(fullShare*(f.now-started).Seconds()/(endsAt-started).Seconds(), 1)
+}
--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -310,7 +310,7 @@
 	}
 	report := Report{Incarnation: worker.incarnation, SentAt: f.now, Ended: slices.Clone(worker.ended)}
 	for key := range worker.running {
-		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.number})
+		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.number, Percent: f.percentOf(worker, key)})
 	}
 	if f.faulty(15) {
 		f.pollFailed(id) // the answer is lost
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -86,6 +86,7 @@
 	s.index.markChanged(w)
 	s.forgetSilent(w)
 	s.stopAwaiting(w)
+	s.setAnswers(w, true)
 	w.reports++
 	s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -229,7 +229,6 @@
 	if !known {
 		w = newWorker(info, s.index)
 		s.addWorker(w)
-		s.knownWorkersChanged = true
 	}
 	if info.Draining && !w.info.Draining {
 		w.leavesAt = now + info.Remaining
@@ -319,6 +318,7 @@
 	}
 	for _, w := range expired {
 		s.stopAwaiting(w)
+		s.setAnswers(w, false)
 		for _, a := range slices.Clone(w.attemptList) {
 			s.emit(a.event(EventAttemptExpired))
 			if a.certainlyRan() {
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -24,7 +24,8 @@
 // TakeoverComplete reports whether all attempts of former owners are known or have certainly expired.
 func (s *Scheduler) TakeoverComplete() bool { return len(s.awaitingReport) == 0 }
 
-// KnownWorkers returns the workers from which a later owner needs a report if the set has changed since the last call.
+// KnownWorkers returns the workers from which a later owner needs a report if the set may have changed since the last call. The
+// descriptions hold only what a later owner needs before it has read the platform's list.
 func (s *Scheduler) KnownWorkers() (infos []WorkerInfo, changed bool) {
 	changed = s.knownWorkersChanged
 	s.knownWorkersChanged = false
@@ -33,7 +34,7 @@
 	}
 	infos = make([]WorkerInfo, 0, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
-		if s.drained(w) {
+		if !s.needsReport(w) {
 			w.stored = false
 			continue
 		}
@@ -42,6 +43,13 @@
 	return s.addUnstoredCrashes(infos), changed
 }
 
+// needsReport reports whether a later owner needs a report of a worker: tasks run on it or may start on it. None has been started
+// on a worker that has not answered since this owner knows it or since its leases have certainly expired, unless a former owner
+// has. A worker that may have crashed stays known as well, so that its crash is noticed.
+func (s *Scheduler) needsReport(w *worker) bool {
+	return (w.answers || s.awaitingReport[w.info.ID] || len(s.silentOn[w.info.ID]) > 0) && !s.drained(w)
+}
+
 // drained reports whether a draining worker certainly runs nothing more. No task is started on it, and a later owner that
 // waits for its report would be delayed until its leases expire.
 func (s *Scheduler) drained(w *worker) bool {
@@ -56,6 +64,14 @@
 	}
 }
 
+// setAnswers records whether a worker answers.
+func (s *Scheduler) setAnswers(w *worker, answers bool) {
+	if w.answers != answers {
+		w.answers = answers
+		s.knownWorkersChanged = true
+	}
+}
+
 // KnownWorkersStored records that the workers are stored for a later owner, so that they may get tasks.
 func (s *Scheduler) KnownWorkersStored(infos []WorkerInfo) {
 	for _, info := range infos {
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/core/workload"
 )
 
@@ -249,3 +250,70 @@
 		t.Errorf("known workers %v, changed %v, once it runs nothing", infos, changed)
 	}
 }
+
+// Guards against an entry of the platform's list that names no real worker and is stored as a known one: each later owner would
+// hold up the tasks of older jobs until leases that nobody has granted would have ended.
+func TestWorkerThatHasNeverAnsweredIsNotKnown(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	infos := append(h.s.Workers(), oddEntry)
+	h.s.SetWorkers(h.now, infos)
+	h.s.PollFailed(h.now, oddEntry.ID)
+	known, changed := h.s.KnownWorkers()
+	if !changed || len(known) != 1 || known[0].ID != "w1" {
+		t.Fatalf("known workers %v, changed %v, want w1", known, changed)
+	}
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, known)
+	h.s.AddJob(testJob("old", testStep(1)), nil, true)
+	h.s.SetWorkers(h.now, infos)
+	h.report("w1")
+	h.wantStarts(h.run(), 1)
+}
+
+// Guards against a start on a worker for which a later owner would not wait, because its first answer is not stored yet.
+func TestNothingStartsBeforeTheWorkerIsStored(t *testing.T) {
+	h := newHarness(t, 1)
+	w := &simWorker{info: WorkerInfo{ID: "w1", Address: "w1", Pool: testPool, Capacity: structs.Resources{MilliCPU: 16000, MemoryBytes: 64 << 30}},
+		incarnation: 1, stopped: map[attemptKey]bool{}}
+	h.workers["w1"] = w
+	h.s.SetWorkers(h.now, []WorkerInfo{w.info})
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.report("w1")
+	h.wantStarts(h.run(), 0)
+	known, changed := h.s.KnownWorkers()
+	if !changed || len(known) != 1 {
+		t.Fatalf("known workers %v, changed %v after the first answer", known, changed)
+	}
+	h.s.KnownWorkersStored(known)
+	h.wantStarts(h.run(), 1)
+}
+
+// Scenario: a worker that the platform still lists does not answer for longer than its leases last, and answers again. Guards
+// against later owners that wait for it meanwhile, and against a start on it before it is stored again.
+func TestWorkerIsKnownAgainOnceItAnswersAgain(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.KnownWorkers()
+	h.s.PollFailed(h.now, "w1")
+	h.advanceClock(h.s.cfg.leaseBound() - time.Second)
+	h.plan()
+	if known, changed := h.s.KnownWorkers(); changed {
+		t.Fatalf("known workers %v while a lease may last", known)
+	}
+	h.advanceClock(time.Second)
+	h.plan()
+	if known, changed := h.s.KnownWorkers(); !changed || len(known) != 0 {
+		t.Fatalf("known workers %v, changed %v, once all leases have expired", known, changed)
+	}
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.s.SetWorkers(h.now, []WorkerInfo{h.workers["w1"].info})
+	h.reportAll()
+	h.wantStarts(h.run(), 0)
+	known, changed := h.s.KnownWorkers()
+	if !changed || len(known) != 1 {
+		t.Fatalf("known workers %v, changed %v, once it answers again", known, changed)
+	}
+	h.s.KnownWorkersStored(known)
+	h.wantStarts(h.run(), 1)
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -37,6 +37,7 @@
 	polledAt         time.Duration // when the poll was sent whose report was applied last
 	reportedAt       time.Duration // when the last report was received; 0 before the first
 	reports          int64         // number of reports that were applied
+	answers          bool          // it has reported, and its leases have not certainly expired since
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
 	lastEnd          int64         // number of the latest end that was applied
--- a/pkg/dispatch/save_order_test.go
+++ b/pkg/dispatch/save_order_test.go
@@ -77,10 +77,10 @@
 	}
 	save := func() error { return o.save(t.Context()) }
 	o.setWorkers([]schedule.WorkerInfo{info})
+	report()
 	if err := save(); err != nil {
 		t.Fatal(err)
 	}
-	report()
 	o.Announce(workload.Job{ID: "job", Queue: workload.Queue{Name: "queue", Pool: "pool", MaxFailures: 3},
 		Steps: []workload.Step{{Tasks: 1, Size: structs.Resources{MilliCPU: 1000}, EstimateMs: 100}}})
 	var orders []schedule.Order
