Return a typed reason from the checks before a start

Change: hold returns the reason of a task, obstacle that of a task on one worker, as a WaitReason. The boolean functions are thin uses of them, so that plan and log cannot disagree. The order of the checks has changed, not their conjunction. slowness.slow no longer changes the samples, so that an explanation has no effect on later decisions; below the minimum weight it needs no exponential.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -243,17 +243,6 @@
 	return highest
 }
 
-// usable reports whether tasks may start on a worker and it is not avoided because of recent faults.
-func (s *Scheduler) usable(now time.Duration, w *worker) bool {
-	return s.mayStartOn(now, w) && w.available(now) && !w.health.inBackOff(now) && !w.slowness.slow(now)
-}
-
-// mayStartOn reports whether tasks may start on a worker if its recent faults are ignored. Before the platform's list has
-// been read, a worker that the former owner knew may be draining.
-func (s *Scheduler) mayStartOn(now time.Duration, w *worker) bool {
-	return s.listReadAt > 0 && w.accepts(now) && !s.evacuated[w.info.Datacentre]
-}
-
 // maxCapacityAge is the age of the list of workers up to which tasks start on workers that do not guard their capacity: it
 // may have shrunk since. The list is read again at least every 2.5 s while the store answers.
 const maxCapacityAge = 3 * time.Second
@@ -267,44 +256,6 @@
 	return w.listedAt == 0 || now-w.listedAt > maxCapacityAge
 }
 
-// fits reports whether a task may start on a worker that is not avoided because of recent faults.
-func (s *Scheduler) fits(now Time, t *task, w *worker) bool {
-	return !slices.Contains(t.failedOn, w.info.ID) && s.usable(now.Boot, w) && s.hasRoom(now, t, w)
-}
-
-// hasRoom reports whether a worker has the capacity and the properties that a task needs.
-func (s *Scheduler) hasRoom(now Time, t *task, w *worker) bool {
-	spec := &t.step.spec
-	switch {
-	case !spec.Reserved().Fits(w.free()),
-		w.info.Pool != t.step.job.rec.Queue.Pool,
-		!w.hasLabel(spec.Label),
-		s.capacityOutdated(now.Boot, t, w),
-		t.onProbation() && w.onProbation(t.step.job):
-		return false
-	}
-	if spec.Filler && !s.fillerFits(now.Boot, t, w) {
-		return false
-	}
-	return spec.MaxPerWorker == 0 || w.tasksOf(t.step) < spec.MaxPerWorker
-}
-
-// fillerFits reports whether a worker has unused processor time for a filler and its services are expected to meet
-// their targets with it. No filler starts on the worker of a service that is over its target, however low its estimated
-// pressure: pressures are estimates, and a new filler would use the processor time that the guard frees by throttling
-// others.
-func (s *Scheduler) fillerFits(now time.Duration, t *task, w *worker) bool {
-	size := t.step.spec.Size.MilliCPU
-	if w.spareFillerCPU() < minSpare(size) {
-		return false
-	}
-	if w.mayBeOverByFillers(now) {
-		return false
-	}
-	tail, _ := s.predictTail(now, w, t)
-	return tail < tailStart
-}
-
 // mayBeOverByFillers reports whether a service on the worker is over its target and fillers may be the cause.
 func (w *worker) mayBeOverByFillers(now time.Duration) bool {
 	return slices.ContainsFunc(w.attemptList, func(a *attempt) bool { return a.mayBeOverByFillers(now) })
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -168,13 +168,6 @@
 	}
 }
 
-// heldBack reports whether a task is not started yet because of its record. The crashes have to be stored first: a later
-// owner would otherwise not know of those that this owner has noticed. And so many workers must not be silent that the
-// number of crashes, once known, may suffice to give the task up.
-func (s *Scheduler) heldBack(t *task) bool {
-	return len(t.crashes) > t.storedCrashes || s.mayBeCrashing(t)
-}
-
 // markRecordStored records what is stored of the crashes and silent workers of a task.
 func (t *task) markRecordStored(tp workload.TaskProgress) {
 	t.storedCrashes, t.storedSilentOn = len(tp.Crashes), len(tp.SilentOn)
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -85,25 +85,6 @@
 	return steps
 }
 
-// startable reports whether a step is due and its tasks are certainly not running under a former owner. The second
-// condition does not apply to services, whose tasks are checked one by one by mayRunElsewhere, nor to steps that allow
-// copies once takeoverCopyDelay has passed.
-func (s *Scheduler) startable(now Time, st *step) bool {
-	if s.placementUnknown(st.job) && !st.spec.Service && !(st.spec.Copies && now.Boot-s.takeoverAt > takeoverCopyDelay) {
-		return false
-	}
-	return now.UnixMs >= st.job.rec.Recurrence.DueMs(st.occurrence)
-}
-
-// placementUnknown reports whether a former owner may have started tasks of a job on workers that have not reported
-// yet.
-func (s *Scheduler) placementUnknown(j *job) bool { return j.inherited && !s.TakeoverComplete() }
-
-// mayRunElsewhere reports whether a former owner may have started a service task on a worker that has not reported yet.
-func (s *Scheduler) mayRunElsewhere(t *task) bool {
-	return t.step.spec.Service && s.placementUnknown(t.step.job) && s.awaitingReport[t.storedWorker]
-}
-
 // fillerRetryDelay is the time after which a filler that fitted nowhere is tried again. A search for a filler checks many
 // workers, and what their services bear changes with the reports, which take longer than this.
 const fillerRetryDelay = 100 * time.Millisecond
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -154,7 +154,7 @@
 	var best *worker
 	bestFailed, bestScore := false, 0.0
 	for _, w := range s.sortedWorkers {
-		if !s.mayStartOn(now.Boot, w) || w.faultyWithin(now.Boot, restartOverdueAfter) || !s.hasRoom(now, t, w) {
+		if !s.fitsAvoided(now, t, w) {
 			continue
 		}
 		failed, score := slices.Contains(t.failedOn, w.info.ID), s.score(now.Boot, t, w)
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -46,16 +46,23 @@
 }
 
 func (s *slowness) decay(now time.Duration) {
-	factor := math.Exp2(-float64(now-s.at) / float64(speedHalfLife))
+	factor := s.decayFactor(now)
 	s.sum *= factor
 	s.weight *= factor
 	s.at = now
 }
 
+// decayFactor returns the share of their weight that the samples have kept since they were last decayed.
+func (s *slowness) decayFactor(now time.Duration) float64 {
+	return math.Exp2(-float64(now-s.at) / float64(speedHalfLife))
+}
+
 // slow reports whether tasks on the worker run much slower than elsewhere.
 func (s *slowness) slow(now time.Duration) bool {
-	s.decay(now)
-	return s.weight >= minSlowWeight && s.sum/s.weight >= math.Log(slowFactor)
+	if s.weight < minSlowWeight { // it only decays until the next sample
+		return false
+	}
+	return s.weight*s.decayFactor(now) >= minSlowWeight && s.sum/s.weight >= math.Log(slowFactor)
 }
 
 // updateSlowness measures the progress of the tasks on a worker and compares it with that of equal tasks elsewhere.
--- /dev/null
+++ b/core/schedule/wait_reason.go
@@ -0,0 +1,93 @@
+package schedule
+
+import (
+	"strconv"
+	"strings"
+)
+
+// WaitReason is why a task does not start, or why it does not start on one worker. The values are ordered by their distance
+// from a start. What holds several workers back differs, so a task waits for the lowest value among them.
+type WaitReason uint8
+
+// Reasons, the nearest to a start first.
+const (
+	Suitable     WaitReason = iota // nothing: the task may start, or the worker suits it
+	WaitStore                      // a worker was chosen; the start is ordered once it is stored
+	WaitTurn                       // a worker suits the task, which comes after others
+	WaitNotFound                   // a worker suits the task now, but the latest planning run has found none
+	WaitPlan                       // a worker suits the task, but no planning run has been made for maxPlanAge
+
+	// Of one worker, in the reverse order of the checks in obstacle.
+	WaitServiceTarget    // fillers: a service on the worker is near or over its target
+	WaitSpare            // fillers: too little processor time is unused
+	WaitFailedThere      // the task has failed on the worker
+	WaitSlow             // tasks run much slower on the worker than elsewhere
+	WaitFaulty           // tasks of several jobs have failed on the worker
+	WaitLostRecently     // the worker was lost and has returned
+	WaitProbation        // task and worker would be shared with another suspect of crashes
+	WaitMaxPerWorker     // the worker has as many tasks of the step as it may
+	WaitRejections       // the worker has rejected tasks for lack of capacity that the list does not show
+	WaitUnhealthy        // the worker has reported itself unhealthy
+	WaitNotStored        // the worker is not in the stored set of known workers
+	WaitCapacityOutdated // the capacity may have shrunk since the list was read
+	WaitCapacity         // too little capacity is free
+	WaitUnreachable      // the worker does not answer, or has not reported yet
+	WaitUnlisted         // the worker is no longer listed
+	WaitDraining         // the worker will leave
+	WaitEvacuated        // the worker's data centre is evacuated
+	WaitListNotRead      // the platform's list of workers was not read yet
+	WaitLabel            // the worker lacks the label that the step needs
+	WaitPool             // the worker belongs to another pool
+	WaitNoWorker         // the pool has no worker
+
+	// Of the task, whatever the workers are.
+	WaitSilentWorkers  // as many workers of its record are silent as would give it up if they have crashed
+	WaitCrashNotStored // a crash on its record is not stored yet
+	WaitOwnWorker      // its worker under a former owner has not reported yet
+	WaitTakeover       // some worker of a former owner has not reported yet
+	WaitNotDue         // its occurrence is not due
+
+	WaitUnexplained // was not determined: the number of searches per summary is limited
+
+	numWaitReasons
+)
+
+var waitReasonNames = [numWaitReasons]string{
+	"suitable", "start_not_stored", "not_its_turn", "worker_not_found", "no_plan",
+	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "probation",
+	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "capacity_outdated", "no_capacity", "unreachable",
+	"unlisted", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
+	"silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "unexplained",
+}
+
+// String returns the name of the reason for logs and metrics.
+func (r WaitReason) String() string { return nameOf(r, waitReasonNames[:]...) }
+
+// WaitReasons returns all reasons for which a task may wait.
+func WaitReasons() []WaitReason {
+	reasons := make([]WaitReason, 0, numWaitReasons-1)
+	for r := Suitable + 1; r < numWaitReasons; r++ {
+		reasons = append(reasons, r)
+	}
+	return reasons
+}
+
+// WaitCounts holds numbers of tasks or workers by reason.
+type WaitCounts [numWaitReasons]int32
+
+// String lists the reasons that occur with their numbers, for logs.
+func (c *WaitCounts) String() string {
+	var text strings.Builder
+	for r, n := range c {
+		if n == 0 {
+			continue
+		}
+		if text.Len() > 0 {
+			text.WriteByte(' ')
+		}
+		text.WriteString(waitReasonNames[r])
+		text.WriteByte('=')
+		text.WriteString(strconv.Itoa(int(n)))
+	}
+	return text.String()
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -122,13 +122,7 @@
 
 // accepts reports whether the worker is expected to accept new tasks.
 func (w *worker) accepts(now time.Duration) bool {
-	if !w.stored || w.info.Draining || w.suspect || !w.reachable(now) {
-		return false
-	}
-	if now < w.full.until || now < w.unhealthyUntil {
-		return false
-	}
-	return w.listed || now-w.unlistedAt < listingGrace
+	return w.gone(now) == Suitable && w.refuses(now) == Suitable
 }
 
 // hasLabel reports whether the worker has a label; every worker has the empty label.
