Explain why tasks wait in a summary of the scheduler

The reasons of a task and of a task on one worker are typed; nothing combined them.

Change: Scheduler.Waits counts the waiting tasks by reason and describes the longest waiting task of each step: the reason nearest to a start over all workers of its pool, the workers by reason, and one worker by name. A service whose start is not stored yet counts as waiting. Tasks that a worker suits are told apart by what the planner did: their turn has not come, the latest run found no worker for them, or no run was made for a second. Tasks that need the same share a search; one summary checks at most 50,000 workers, the longest waits first, and describes at most 16 steps of each reason. The event of a start after more than 2 s names the last known reason. The harness reports workers in a fixed order, since the comparison below differed between equal runs with the order of a map.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -11,6 +11,12 @@
 // unixMsAt converts a boot time in the past to wall-clock time.
 func (t Time) unixMsAt(boot time.Duration) int64 { return t.UnixMs - (t.Boot - boot).Milliseconds() }
 
+// bootAt converts wall-clock time, Unix milliseconds, to boot time. A time beyond the range of durations is limited to it.
+func (t Time) bootAt(unixMs int64) time.Duration {
+	const limit = int64(1 << 40) // milliseconds, 35 years
+	return t.Boot + time.Duration(min(max(unixMs-t.UnixMs, -limit), limit))*time.Millisecond
+}
+
 // Config holds the owner's term and the time limits that the platform sets.
 type Config struct {
 	Term          int64         // fencing token of the owner's orders; increases with every change of owner
--- a/core/schedule/event.go
+++ b/core/schedule/event.go
@@ -37,8 +37,10 @@
 	Reason  string        // how an attempt or job ended, or why an attempt was moved or throttled
 	Value   float64       // quantity behind the decision; the unit depends on Kind: percent, seconds or a count
 	Age     time.Duration // EventTaskEnded: since the relay has received the report with the end
-	Waited  time.Duration // EventTaskStarted: since the end of the task's former attempt was known; 0 if none has run
+	Waited  time.Duration // EventTaskStarted: for how long the task has waited, see Waiting; 0 if none has run and it is at most LongWait
 	Stored  time.Duration // EventTaskStarted: the part of the wait after the decision to start the task
+
+	WaitReason WaitReason // EventTaskStarted after more than LongWait: the last known one, Suitable if none is known
 }
 
 // event returns an event about an attempt.
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,8 +74,8 @@
 // list passes the list of workers to the scheduler and marks them as stored.
 func (h *harness) list() {
 	var infos []WorkerInfo
-	for _, w := range h.workers {
-		infos = append(infos, w.info)
+	for _, id := range h.workerIDs() {
+		infos = append(infos, h.workers[id].info)
 	}
 	h.s.SetWorkers(h.now, infos)
 	h.s.KnownWorkersStored(infos)
@@ -159,11 +161,14 @@
 
 func (h *harness) reportAll() {
 	h.advanceClock(time.Millisecond)
-	for id := range h.workers {
+	for _, id := range h.workerIDs() {
 		h.report(id)
 	}
 }
 
+// workerIDs returns the workers in an order that does not differ between runs.
+func (h *harness) workerIDs() []WorkerID { return slices.Sorted(maps.Keys(h.workers)) }
+
 // store marks all changed progress as stored.
 func (h *harness) store() []Record {
 	records := h.s.Changed()
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -30,7 +30,9 @@
 	dependents []*step
 	unfinished int           // tasks that are not done
 	pending    int           // tasks that have no attempt and are not done
+	openedAt   time.Duration // when the steps that it depends on were done, or the job was added
 	retryAt    time.Duration // when a search for capacity is worth trying again
+	unplacedAt time.Duration // time of the latest planning run in which it was due and no worker was found for a task
 	urgency    urgency       // as of the last planning run
 	searchFrom int           // position among the workers with spare time from which searchFurther continues
 }
@@ -55,6 +57,7 @@
 	attempts         []*attempt
 	failedOn         []WorkerID    // workers on which it failed
 	endedAt          time.Duration // when the end of its last attempt became known; 0 if none has run, or one runs
+	waitReason       WaitReason    // why it waited when Waits was last called; Suitable if it has started since
 }
 
 // phase is the state of an attempt.
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -15,7 +15,7 @@
 // Plan stops attempts that have to leave their worker and starts the tasks that can start now. TakeOrders returns the
 // resulting orders.
 func (s *Scheduler) Plan(now Time) {
-	s.calledAt = now.Boot
+	s.calledAt, s.plannedAt = now.Boot, now
 	s.expireEarlyCancels(now)
 	s.repeatStops(now)
 	s.moveFromDraining(now)
@@ -101,10 +101,12 @@
 // startStep starts the pending tasks of a step, except for displaced ones, as far as capacity allows.
 func (s *Scheduler) startStep(cycle *planCycle, st *step) {
 	if cycle.now.Boot < st.retryAt {
+		st.unplacedAt = cycle.now.Boot
 		return
 	}
 	shape, sufficient := st.shape()
 	if sufficient && cycle.fitsNowhere(shape) {
+		st.unplacedAt = cycle.now.Boot
 		return
 	}
 	for _, t := range st.tasks {
@@ -123,6 +125,7 @@
 			s.start(cycle.now.Boot, t, w)
 			continue
 		}
+		st.unplacedAt = cycle.now.Boot
 		if st.spec.Filler {
 			st.retryAt = cycle.now.Boot + fillerRetryDelay
 		}
@@ -168,8 +171,13 @@
 	order.Input, order.Checkpoint = a.task.step.job.rec.Input, a.task.checkpoint
 	s.orders = append(s.orders, order)
 	event := a.event(EventTaskStarted)
-	if a.task.endedAt > 0 {
-		event.Waited, event.Stored = now-a.task.endedAt, now-a.startedAt
+	waited := now - s.waitsSince(a.task)
+	if a.task.endedAt > 0 || waited > LongWait {
+		event.Waited, event.Stored = waited, now-a.startedAt
 	}
+	if waited > LongWait {
+		event.WaitReason = a.task.waitReason
+	}
+	a.task.waitReason = Suitable
 	s.emit(event)
 }
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -138,6 +138,7 @@
 			cycle.unplaceable = append(cycle.unplaceable, shape)
 		}
 	}
+	t.step.unplacedAt = cycle.now.Boot
 	if !cycle.scan || !t.restartOverdue(cycle.now) || shape.among(cycle.unplaceableAtAll) {
 		return nil
 	}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -27,6 +27,7 @@
 	stopping            map[*attempt]struct{}          // attempts that have to end
 	scannedAt           time.Duration                  // when all attempts were last scanned for moves and copies
 	calledAt            time.Duration                  // time of the latest call that may end attempts
+	plannedAt           Time                           // time of the latest planning run
 	restarts            Restarts                       // since the last call of TakeRestarts
 	orders              []Order                        // issued since the last call of TakeOrders
 	events              []Event
@@ -110,6 +111,7 @@
 // openStep makes the tasks of a step startable once all steps that it depends on are done.
 func (s *Scheduler) openStep(st *step) {
 	if st.unmetDeps == 0 && st.unfinished > 0 && !st.job.state.Final() {
+		st.openedAt = s.calledAt
 		s.openSteps[st] = struct{}{}
 		s.pendingSteps[st] = struct{}{}
 	}
