Limit the totals of an owner and count what starts wait for

Cause: the totals of Counts added the capacities that entries of the platform state, and overflowed to a negative capacity with absurd ones; the conversion of a metric beyond int64 differs between processors. The totals did not tell how old the list of workers is, how many listed workers are not stored yet and how many are awaited after a takeover.

Change: sums and conversions stop at the limits of int64. Counts has ListAge, Unstored and Awaited.

Conclusion: an absurd entry distorts the totals, but does not turn them negative. The addition of reservations on one worker is unchanged.

--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -369,7 +370,8 @@
 	return n
 }
 
-// Counts holds totals of a partition for logs and metrics. Processor time is in thousandths of a core.
+// Counts holds totals of a partition for logs and metrics. Processor time is in thousandths of a core; a total beyond the range
+// of its type is the limit of the range, since entries of the platform may state any capacity.
 type Counts struct {
 	Jobs, Workers, Available  int
 	Services, Fillers, Others int   // attempts by kind of step
@@ -379,18 +381,28 @@
 	ServicesOverTarget        int // services above their tail latency target
 	FillersThrottled          int
 	LongestServiceWait        time.Duration // of the pending service tasks that ran before
+	ListAge                   time.Duration // since the platform's list of workers was read; -1 before the first time
+	Unstored                  int           // listed workers that do not drain and are not in the stored set of known workers
+	Awaited                   int           // workers of a former owner that have not reported yet
 }
 
 // Counts returns the totals.
 func (s *Scheduler) Counts(now Time) Counts {
-	c := Counts{Jobs: len(s.jobs), Workers: len(s.workers), LongestServiceWait: s.longestServiceWait(now.Boot)}
+	c := Counts{Jobs: len(s.jobs), Workers: len(s.workers), LongestServiceWait: s.longestServiceWait(now.Boot),
+		ListAge: -1, Awaited: len(s.awaitingReport)}
+	if s.listReadAt > 0 {
+		c.ListAge = now.Boot - s.listReadAt
+	}
 	for _, w := range s.sortedWorkers {
 		if w.available(now.Boot) {
 			c.Available++
-			c.Capacity += w.info.Capacity.MilliCPU
-			c.Reserved += w.reserved.MilliCPU
+			c.Capacity = addLimited(c.Capacity, w.info.Capacity.MilliCPU)
+			c.Reserved = addLimited(c.Reserved, w.reserved.MilliCPU)
+		}
+		if w.listed && !w.stored && !w.info.Draining { // a drained worker leaves the set
+			c.Unstored++
 		}
-		c.FillerDemand += w.fillerCPU
+		c.FillerDemand = addLimited(c.FillerDemand, w.fillerCPU)
 		for _, a := range w.attemptList {
 			c.countAttempt(a)
 		}
@@ -408,7 +420,7 @@
 	switch {
 	case a.filler():
 		c.Fillers++
-		c.FillerUse += int64(a.metric)
+		c.FillerUse = addLimited(c.FillerUse, limitedInt(a.metric))
 		if a.share < fullShare {
 			c.FillersThrottled++
 		}
@@ -421,3 +433,28 @@
 		c.Others++
 	}
 }
+
+// addLimited returns the sum of a and b, or the limit of the range that it exceeds.
+func addLimited(a, b int64) int64 {
+	switch {
+	case b > 0 && a > math.MaxInt64-b:
+		return math.MaxInt64
+	case b < 0 && a < math.MinInt64-b:
+		return math.MinInt64
+	}
+	return a + b
+}
+
+// limitedInt converts a number that a worker has reported; 0 if it is not a number. The conversion of a number beyond the
+// range differs between processors.
+func limitedInt(f float64) int64 {
+	switch {
+	case math.IsNaN(f):
+		return 0
+	case f >= math.MaxInt64:
+		return math.MaxInt64
+	case f <= math.MinInt64:
+		return math.MinInt64
+	}
+	return int64(f)
+}
