Log why tasks wait, and count the waiting tasks by reason

Cause: the status line had the number of waiting tasks and one maximum.

Change: with each status the owner logs task_waits (7039) for at most 8 steps that have waited for 2 s or more, the longest wait of each reason first; a step is logged again only when its reason has changed or after 10 s. The status line has waiting_for, waiting_max, list_age, unstored_workers and awaited_workers, the metrics accordingly. task_start names the last known reason of a wait of more than 2 s. job-log shows these lines with the events of the worker that a task waits for, and owner_resumed.

Conclusion: from a job's id to its reason in one command; the volume is at most 4 lines a second.

--- a/cmd/fulmarctl/joblog.go
+++ b/cmd/fulmarctl/joblog.go
@@ -40,6 +40,7 @@
 	"term_acquired", "term_lost", "term_released", "term_unconfirmed", "term_confirmed", "partition_loaded",
 	"partition_not_loaded", "takeover_complete", "progress_not_stored", "progress_stored_again", "mirror_lost",
 	"mirror_recovered", "readiness_changed", "datacentres_out", "relay_lost", "scheduler_start", "scheduler_stop",
+	"owner_resumed",
 }
 
 // workerEvents are the events of a worker that affect the jobs on it.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -381,7 +381,7 @@
 	ServicesOverTarget        int // services above their tail latency target
 	FillersThrottled          int
 	LongestServiceWait        time.Duration // of the pending service tasks that ran before
-	ListAge                   time.Duration // since the platform's list of workers was read; -1 before the first time
+	ListAge                   time.Duration // since the platform's list of workers was read; before the first time since the takeover
 	Unstored                  int           // listed workers that do not drain and are not in the stored set of known workers
 	Awaited                   int           // workers of a former owner that have not reported yet
 }
@@ -389,10 +389,7 @@
 // Counts returns the totals.
 func (s *Scheduler) Counts(now Time) Counts {
 	c := Counts{Jobs: len(s.jobs), Workers: len(s.workers), LongestServiceWait: s.longestServiceWait(now.Boot),
-		ListAge: -1, Awaited: len(s.awaitingReport)}
-	if s.listReadAt > 0 {
-		c.ListAge = now.Boot - s.listReadAt
-	}
+		ListAge: now.Boot - max(s.listReadAt, s.takeoverAt), Awaited: len(s.awaitingReport)}
 	for _, w := range s.sortedWorkers {
 		if w.available(now.Boot) {
 			c.Available++
--- a/pkg/dispatch/log.go
+++ b/pkg/dispatch/log.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fulmarcourse.example/core/schedule"
+	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/pause"
 )
@@ -63,22 +64,29 @@
 	if e.Waited > 0 {
 		entry = entry.Int64("waited", ms(e.Waited)).Int64("stored", ms(e.Stored))
 	}
+	if e.WaitReason != schedule.Suitable {
+		entry = entry.Str("reason", e.WaitReason.String())
+	}
 	entry.Msg("")
 }
 
 // statusInterval is the time between two log entries with the totals of the partition.
 const statusInterval = 2 * time.Second
 
-// logStatus logs the totals of the partition periodically until ctx ends.
+// logStatus logs the totals of the partition, and why tasks wait, periodically until ctx ends.
 func (o *Owner) logStatus(ctx context.Context) {
 	o.statusClock.next()
 	var late lateness
+	var waits waitLog
 	defer o.metrics.status.publish(&status{}) // the gauges of an owner that has ended
 	for ctx.Err() == nil {
 		pause.For(ctx, statusInterval)
 		s := o.takeStatus()
 		o.metrics.status.publish(&s)
 		s.log(o.cfg.Log, o.ownership.Term)
+		for _, w := range waits.choose(bootclock.Uptime(), s.waits.Steps) {
+			logWaiting(o.cfg.Log, o.ownership.Term, &w)
+		}
 		late.update(time.Now(), &s, o.cfg.Log, o.ownership.Term)
 	}
 }
--- a/pkg/dispatch/measures.go
+++ b/pkg/dispatch/measures.go
@@ -101,6 +101,7 @@
 	measures
 	counts   schedule.Counts
 	restarts schedule.Restarts
+	waits    schedule.Waits
 	interval time.Duration // since the last status
 	cpu      time.Duration // processor time of the process in the interval
 }
@@ -133,7 +134,8 @@
 	s.interval, s.cpu = o.statusClock.next()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s.counts = o.scheduler.Counts(bootclock.Now())
+	now := bootclock.Now()
+	s.counts, s.waits = o.scheduler.Counts(now), o.scheduler.Waits(now)
 	s.restarts = o.scheduler.TakeRestarts()
 	s.measures, o.measures = o.measures, measures{}
 	return s
@@ -161,7 +163,9 @@
 		Int64("restart_decision_max", ms(s.restarts.Decision.Max)).
 		Int64("restart_store_max", ms(s.restarts.Store.Max)).
 		Int64("restart_confirm_max", ms(s.restarts.Confirmation.Max)).
-		Int64("service_wait_max", ms(c.LongestServiceWait)).Msg("")
+		Int64("service_wait_max", ms(c.LongestServiceWait)).
+		Str("waiting_for", s.waits.Tasks.String()).Int64("waiting_max", ms(s.waits.Longest)).
+		Int64("list_age", ms(c.ListAge)).Int("unstored_workers", c.Unstored).Int("awaited_workers", c.Awaited).Msg("")
 }
 
 // logAges starts an entry with the figures that tell whether and why the owner decides on outdated reports.
@@ -205,6 +209,7 @@
 	orderQueue, orderTook, orderAge                           delayMetrics
 	restartDecision, restartStore, restartConfirmation        delayMetrics
 	receivedAgeP95, uncollected, cpuShare, longestServiceWait tally.Gauge
+	waits                                                     waitMetrics
 }
 
 func newStatusMetrics(scope tally.Scope) statusMetrics {
@@ -221,6 +226,7 @@
 		uncollected:         scope.Gauge("reports_left_in_relay"),
 		cpuShare:            scope.Gauge("owner_cpu_cores"),
 		longestServiceWait:  scope.Gauge("service_wait_max_seconds"),
+		waits:               newWaitMetrics(scope),
 	}
 }
 
@@ -244,4 +250,5 @@
 		m.cpuShare.Update(s.cpu.Seconds() / s.interval.Seconds())
 	}
 	m.longestServiceWait.Update(s.counts.LongestServiceWait.Seconds())
+	m.waits.publish(s)
 }
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -27,7 +27,7 @@
 
 // Events of tasks, workers, store mirrors and configuration, 7020 to 7059.
 var (
-	TaskStartDecided         = define(7020, "task_start", log.InfoLevel, "A task is started on a worker. For a task that ran before, `waited` is the time in milliseconds since the owner knew of its end, and `stored` the part of it after the decision, in which the worker of a service is stored.")
+	TaskStartDecided         = define(7020, "task_start", log.InfoLevel, "A task is started on a worker. For a task that ran before, `waited` is the time in milliseconds since the owner knew of its end, and `stored` the part of it after the decision, in which the worker of a service is stored. A task that has not run before has both if it has waited for more than 2 s. `reason` is the last known reason of a wait of more than 2 s, as in `task_waits`.")
 	TaskEndRecorded          = define(7021, "task_end", log.InfoLevel, "A worker reported the end of an attempt. `how` is done, failed, stopped, expired, broken or alone; `age` is the time in milliseconds since the relay has received the report.")
 	OrderFailed              = define(7022, "order_failed", log.WarnLevel, "A worker rejected an order or did not answer; `outcome` states which.")
 	AttemptLost              = define(7023, "attempt_lost", log.WarnLevel, "An attempt is missing in a report of its worker; the task is pending again.")
@@ -44,11 +44,12 @@
 	WorkerReachable          = define(7034, "worker_reachable", log.InfoLevel, "A worker answers again.")
 	FillersThrottled         = define(7035, "fillers_paced", log.InfoLevel, "Filler tasks on a worker are throttled to `value` percent of full speed, because a service task is near its tail latency target.")
 	TaskMoved                = define(7036, "task_moved", log.InfoLevel, "An attempt is stopped so that the task can run on another worker.")
+	TaskWaits                = define(7039, "task_waits", log.InfoLevel, "A task has waited for 2 s or more, the longest of its step; `reason` states for what. At most 8 steps are logged every two seconds, each again when its reason has changed or after 10 s. `workers` counts the workers of the pool by what they lack for the task, `worker` names one to which `reason` applies or that is awaited, `tasks` counts the tasks of the step with the same reason; `cpu` is in thousandths of a core, `memory` in bytes. docs/OPERATIONS.md lists the reasons.")
 	MirrorLost               = define(7040, "mirror_lost", log.WarnLevel, "The local copy of a store prefix is out of date.")
 	MirrorRecovered          = define(7041, "mirror_recovered", log.InfoLevel, "The local copy of a store prefix is up to date again.")
 	ConfigurationInUse       = define(7042, "configuration_in_use", log.InfoLevel, "A version of the configuration is in effect on this entry host.")
 	DatacentresOutOfService  = define(7043, "datacentres_out", log.InfoLevel, "The set of data centres that are out of service, in which no task may start, has changed.")
-	PartitionStatus          = define(7045, "partition_status", log.InfoLevel, "Totals of an owner, logged every two seconds: attempts by kind, pending tasks, capacity in thousandths of a core; and what it has measured in these seconds, in milliseconds, which docs/OPERATIONS.md explains.")
+	PartitionStatus          = define(7045, "partition_status", log.InfoLevel, "Totals of an owner, logged every two seconds: attempts by kind, pending tasks, capacity in thousandths of a core; and what it has measured in these seconds, in milliseconds, which docs/OPERATIONS.md explains. `waiting_for` counts the waiting tasks by the reasons of `task_waits`.")
 	OwnerBehind              = define(7046, "owner_behind", log.WarnLevel, "The owner decides on outdated reports: more than 5 % of them were older than 1 s when it applied them, counted from their receipt by the relays. The figures are those of `partition_status`; docs/OPERATIONS.md leads from them to the cause.")
 	OwnerCaughtUp            = define(7047, "owner_caught_up", log.InfoLevel, "An owner that was behind for `behind_for` milliseconds applies reports in time again: 95 % of them within 0.3 s.")
 	OwnerResumed             = define(7050, "owner_resumed", log.WarnLevel, "The owner's process was paused, or its machine suspended, for `paused_for` milliseconds, after which the store has not confirmed its ownership. It starts and moves nothing until the store has, and the list of workers was read again.")
