Name starts without an answer and silent workers among the waits

Change: a task waits until one of its attempts is confirmed on a worker that answers. start_not_confirmed and worker_silent name the worker. A copy does not count as a start after a wait. Memory is logged in MiB.

TestUnresolvedAttemptIsNamed; TestCopyHasNotWaited fails without its change.

Conclusion: what neither runs for certain nor is pending has a line, too.

--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -171,7 +171,10 @@
 	order.Input, order.Checkpoint = a.task.step.job.rec.Input, a.task.checkpoint
 	s.orders = append(s.orders, order)
 	event := a.event(EventTaskStarted)
-	waited := now - s.waitsSince(a.task)
+	waited := time.Duration(0)
+	if len(a.task.attempts) == 1 { // a copy does not wait
+		waited = now - s.waitsSince(a.task)
+	}
 	if a.task.endedAt > 0 || waited > LongWait {
 		event.Waited, event.Stored = waited, now-a.startedAt
 	}
--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -13,6 +13,7 @@
 const (
 	Suitable     WaitReason = iota // nothing: the task may start, or the worker suits it
 	WaitStore                      // a worker was chosen; the start is ordered once it is stored
+	WaitAnswer                     // the start was ordered; no answer or report shows that it took effect
 	WaitTurn                       // a worker suits the task, which comes after others
 	WaitNotFound                   // a worker suits the task now, but the latest planning run has found none
 	WaitPlan                       // a worker suits the task, but no planning run has been made for maxPlanAge
@@ -46,6 +47,7 @@
 	WaitOwnWorker      // its worker under a former owner has not reported yet
 	WaitTakeover       // some worker of a former owner has not reported yet
 	WaitNotDue         // its occurrence is not due
+	WaitWorkerSilent   // it may run on a worker that does not answer, until its lease has expired
 
 	WaitUnexplained // was not determined: the number of searches per summary is limited
 
@@ -53,11 +55,11 @@
 )
 
 var waitReasonNames = [numWaitReasons]string{
-	"suitable", "start_not_stored", "not_its_turn", "worker_not_found", "no_plan",
+	"suitable", "start_not_stored", "start_not_confirmed", "not_its_turn", "worker_not_found", "no_plan",
 	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "probation",
 	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "capacity_outdated", "no_capacity", "unreachable",
 	"unlisted", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
-	"silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "unexplained",
+	"silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "worker_silent", "unexplained",
 }
 
 // String returns the name of the reason for logs and metrics.
--- a/core/schedule/waiting.go
+++ b/core/schedule/waiting.go
@@ -23,7 +23,7 @@
 
 // Waits is a summary of the tasks that wait, and why.
 type Waits struct {
-	Tasks   WaitCounts    // tasks by reason; beside pending tasks these are those whose start is not stored yet
+	Tasks   WaitCounts    // pending tasks, and those with attempts of which none is known to run, by reason
 	Longest time.Duration // of all that are due
 	Steps   []Waiting     // the steps whose tasks have waited for LongWait or more, the longest wait first; see maxWaitsPerReason
 }
@@ -67,12 +67,9 @@
 func (s *Scheduler) waitingSteps(now Time) []waitingStep {
 	var steps []waitingStep
 	for st := range s.openSteps {
-		if st.pending == 0 && !st.spec.Service {
-			continue
-		}
 		waits, longest := false, time.Duration(0)
 		for _, t := range st.tasks {
-			if t.waits() {
+			if t.waits(now.Boot) {
 				waits, longest = true, max(longest, now.Boot-s.waitsSince(t))
 			}
 		}
@@ -86,18 +83,27 @@
 	return steps
 }
 
-// waits reports whether a task is pending or its start is not stored yet.
-func (t *task) waits() bool { return t.pending() || t.awaitsStore() }
+// waits reports whether a task is not done and none of its attempts is known to run.
+func (t *task) waits(now time.Duration) bool {
+	return !t.done && !slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.knownToRun(now) })
+}
 
-func (t *task) awaitsStore() bool {
-	return len(t.attempts) == 1 && t.attempts[0].phase == awaitingStore
+// knownToRun reports whether an attempt was confirmed and its worker answers.
+func (a *attempt) knownToRun(now time.Duration) bool {
+	return a.confirmedAt > 0 && a.worker.reachable(now)
 }
 
-// waitsSince returns the boot time since which a task waits: when its last attempt has ended, or when its step was opened or
-// due. A new owner counts from the takeover.
+// waitsSince returns the boot time since which a task waits: since the latest report of a worker that may run it, since its
+// last attempt has ended, or since its step was opened or due. A new owner counts from the takeover.
 func (s *Scheduler) waitsSince(t *task) time.Duration {
-	if t.endedAt > 0 {
-		return t.endedAt
+	reported := time.Duration(0)
+	for _, a := range t.attempts {
+		if a.confirmedAt > 0 {
+			reported = max(reported, a.worker.reportedAt)
+		}
+	}
+	if since := max(reported, t.endedAt); since > 0 {
+		return since
 	}
 	since := max(t.step.openedAt, s.takeoverAt)
 	if due := t.step.job.rec.Recurrence.DueMs(t.step.occurrence); due > 0 {
@@ -141,11 +147,11 @@
 	var counts WaitCounts
 	longest := Waiting{Waited: -1}
 	for _, t := range st.tasks {
-		if !t.waits() {
+		if !t.waits(e.now.Boot) {
 			continue
 		}
 		reason, search := e.reason(t)
-		if reason != WaitStore { // the wait before it is the one to name
+		if len(t.attempts) == 0 { // else the wait before the start is the one to name
 			t.waitReason = reason
 		}
 		counts[reason]++
@@ -171,8 +177,8 @@
 // reason returns why a task waits, with the worker that the reason names and the obstacles on all workers, if they were
 // checked.
 func (e *explainer) reason(t *task) (WaitReason, workerSearch) {
-	if t.awaitsStore() {
-		return WaitStore, workerSearch{worker: t.attempts[0].worker.info.ID}
+	if n := len(t.attempts); n > 0 {
+		return t.attempts[n-1].waitReason(), workerSearch{worker: t.attempts[n-1].worker.info.ID}
 	}
 	switch r := e.s.hold(e.now, t); r {
 	case Suitable:
@@ -199,6 +205,17 @@
 	return e.s.notStarted(e.now, t.step), search
 }
 
+// waitReason returns why an attempt is not known to run.
+func (a *attempt) waitReason() WaitReason {
+	switch {
+	case a.phase == awaitingStore:
+		return WaitStore
+	case a.confirmedAt > 0:
+		return WaitWorkerSilent
+	}
+	return WaitAnswer
+}
+
 // awaitedSilent returns a worker of a task's record that was silent and has not reported yet.
 func (s *Scheduler) awaitedSilent(t *task) WorkerID {
 	for _, silence := range t.silentOn {
--- a/core/schedule/waiting_test.go
+++ b/core/schedule/waiting_test.go
@@ -237,6 +237,50 @@
 	}
 }
 
+// Guards against a task that counts as running for seconds although its start was not answered or its worker is silent: no
+// line would say why it does not run.
+func TestUnresolvedAttemptIsNamed(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.Plan(h.now)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.wantStarts(h.plan(), 1) // not answered
+	h.advanceClock(LongWait)
+	want := func(reason WaitReason, waited time.Duration) {
+		t.Helper()
+		waits := h.s.Waits(h.now)
+		if len(waits.Steps) != 1 || waits.Steps[0].Reason != reason || waits.Steps[0].Worker != "w1" || waits.Longest != waited {
+			t.Errorf("%v after %v, want %v after %v", &waits.Tasks, waits.Longest, reason, waited)
+		}
+	}
+	want(WaitAnswer, LongWait)
+	h.s.Report(h.now, "w1", Report{Incarnation: 1, SentAt: h.now.Boot, Running: []Running{{Task: taskID("job", 0, 0), Attempt: 1}}})
+	if waits := h.s.Waits(h.now); waits.Tasks != (WaitCounts{}) {
+		t.Errorf("the task runs and waits for %v", &waits.Tasks)
+	}
+	h.advanceClock(unreachableAfter)
+	want(WaitWorkerSilent, unreachableAfter)
+}
+
+// Guards against a copy, whose task runs, that is logged as a start after a long wait.
+func TestCopyHasNotWaited(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	step := testStep(1)
+	step.Copies = true
+	h.s.AddJob(testJob("job", step), nil, false)
+	h.wantStarts(h.run(), 1)
+	h.addWorker("w2", nil)
+	h.advanceClock(LongWait + silentAfter)
+	h.report("w2")
+	h.wantStarts(h.run(), 1)
+	for _, event := range h.s.TakeEvents() {
+		if event.Kind == EventTaskStarted && event.Waited != 0 {
+			t.Errorf("attempt %d has waited %v", event.Attempt, event.Waited)
+		}
+	}
+}
+
 // Guards against a start after a long wait that does not name what the task has waited for, and against one that names the
 // reason of an earlier wait.
 func TestLateStartNamesItsReason(t *testing.T) {
--- a/pkg/dispatch/waits.go
+++ b/pkg/dispatch/waits.go
@@ -74,7 +74,7 @@
 		Int("occurrence", w.Task.Occurrence).Int("step", w.Task.Step).Int("task", w.Task.Index).
 		Str("reason", w.Reason.String()).Int64("waited", ms(w.Waited)).Int("tasks", w.Tasks).
 		Str("kind", kindOf(w)).
-		Int64("cpu", w.Size.MilliCPU).Int64("memory", w.Size.MemoryBytes).Int64("accelerators", w.Size.Accelerators)
+		Int64("cpu", w.Size.MilliCPU).Int64("memory_mib", w.Size.MemoryBytes>>20).Int64("accelerators", w.Size.Accelerators)
 	if w.Label != "" {
 		entry = entry.Str("label", w.Label)
 	}
--- a/pkg/dispatch/waits_test.go
+++ b/pkg/dispatch/waits_test.go
@@ -91,7 +91,7 @@
 	}
 	for field, want := range map[string]string{
 		"event": fmt.Sprint(eventlog.TaskWaits), "job": "job", "reason": "no_capacity", "waited": "12000", "tasks": "3",
-		"worker": "w1", "label": "ssd", "kind": "service", "cpu": "3000", "workers": "no_capacity=5 no_label=7", "term": "2",
+		"worker": "w1", "label": "ssd", "kind": "service", "cpu": "3000", "memory_mib": "1024", "workers": "no_capacity=5 no_label=7", "term": "2",
 	} {
 		if got := fmt.Sprint(line[field]); got != want {
 			t.Errorf("%s is %s, want %s", field, got, want)
