--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -15,7 +15,7 @@
 // Plan stops attempts that have to leave their worker and starts the tasks that can start now. TakeOrders returns the
 // resulting orders.
 func (s *Scheduler) Plan(now Time) {
-	s.calledAt = now.Boot
+	s.calledAt, s.plannedAt = now.Boot, now
 	s.expireEarlyCancels(now)
 	s.repeatStops(now)
 	s.moveFromDraining(now)
@@ -85,25 +85,6 @@
 	return steps
 }
 
-// startable reports whether a step is due and its tasks are certainly not running under a former owner. The second
-// condition does not apply to services, whose tasks are checked one by one by mayRunElsewhere, nor to steps that allow
-// copies once takeoverCopyDelay has passed.
-func (s *Scheduler) startable(now Time, st *step) bool {
-	if s.placementUnknown(st.job) && !st.spec.Service && !(st.spec.Copies && now.Boot-s.takeoverAt > takeoverCopyDelay) {
-		return false
-	}
-	return now.UnixMs >= st.job.rec.Recurrence.DueMs(st.occurrence)
-}
-
-// placementUnknown reports whether a former owner may have started tasks of a job on workers that have not reported
-// yet.
-func (s *Scheduler) placementUnknown(j *job) bool { return j.inherited && !s.TakeoverComplete() }
-
-// mayRunElsewhere reports whether a former owner may have started a service task on a worker that has not reported yet.
-func (s *Scheduler) mayRunElsewhere(t *task) bool {
-	return t.step.spec.Service && s.placementUnknown(t.step.job) && s.awaitingReport[t.storedWorker]
-}
-
 // fillerRetryDelay is the time after which a filler that fitted nowhere is tried again. A search for a filler checks many
 // workers, and what their services bear changes with the reports, which take longer than this.
 const fillerRetryDelay = 100 * time.Millisecond
@@ -120,10 +101,12 @@
 // startStep starts the pending tasks of a step, except for displaced ones, as far as capacity allows.
 func (s *Scheduler) startStep(cycle *planCycle, st *step) {
 	if cycle.now.Boot < st.retryAt {
+		st.unplacedAt = cycle.now.Boot
 		return
 	}
 	shape, sufficient := st.shape()
 	if sufficient && cycle.fitsNowhere(shape) {
+		st.unplacedAt = cycle.now.Boot
 		return
 	}
 	for _, t := range st.tasks {
@@ -142,6 +125,7 @@
 			s.start(cycle.now.Boot, t, w)
 			continue
 		}
+		st.unplacedAt = cycle.now.Boot
 		if st.spec.Filler {
 			st.retryAt = cycle.now.Boot + fillerRetryDelay
 		}
@@ -187,8 +171,16 @@
 	order.Input, order.Checkpoint = a.task.step.job.rec.Input, a.task.checkpoint
 	s.orders = append(s.orders, order)
 	event := a.event(EventTaskStarted)
-	if a.task.endedAt > 0 {
-		event.Waited, event.Stored = now-a.task.endedAt, now-a.startedAt
+	waited := time.Duration(0)
+	if len(a.task.attempts) == 1 { // a copy does not wait
+		waited = now - s.waitsSince(a.task)
+	}
+	if a.task.endedAt > 0 || waited > LongWait {
+		event.Waited, event.Stored = waited, now-a.startedAt
+	}
+	if waited > LongWait {
+		event.WaitReason = a.task.waitReason
 	}
+	a.task.waitReason = Suitable
 	s.emit(event)
 }
