--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -19,6 +19,7 @@
 	Workers      int                             // spread over the data centres
 	RunTime      func(task string) time.Duration // run time of a task; 0 for one that runs until it is stopped
 	ProxyAddress func(target string) string      // address of a proxy for the worker at target; nil for no proxies
+	Limits       Limits                          // of the store
 	ClockDrift   float64                         // largest share by which a worker's clock runs slow, for instance 0.02
 }
 
@@ -46,6 +47,7 @@
 	p := &Platform{
 		Store: NewStore(cfg.Seed), Pool: "pool", QueuePrefix: "/jobs/", QueueHost: "jobs.example", runTime: cfg.RunTime, stop: make(chan struct{}),
 	}
+	p.Store.SetLimits(cfg.Limits)
 	server, err := standin.NewServer(p.Store)
 	if err != nil {
 		return nil, errors.Annotate(err, "store")
--- a/pkg/standin/fleet/store.go
+++ b/pkg/standin/fleet/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -17,10 +18,10 @@
 )
 
 const (
-	// pageItems is the largest number of items in one page.
-	pageItems = 500
 	// historyLength is the number of changes that are kept for watches.
 	historyLength = 20000
+	// maxWatchWaitMs is the longest time in milliseconds that a watch may wait.
+	maxWatchWaitMs = 30000
 	// leaseCheckInterval is the interval at which leases are checked for expiry.
 	leaseCheckInterval = 20 * time.Millisecond
 )
@@ -60,6 +61,10 @@
 	nextLease int64
 	changed   chan struct{}  // closed and replaced at each change
 	calls     map[string]int // by path
+	limits    Limits
+	reads     rateLimit
+	writes    rateLimit
+	refusals  []string // see Refusals
 	stop      chan struct{}
 }
 
@@ -68,7 +73,7 @@
 	s := &Store{
 		rnd:   rand.New(rand.NewPCG(seed, 7)),
 		items: map[string]item{}, revision: 1, leases: map[int64]time.Time{}, ttls: map[int64]time.Duration{},
-		changed: make(chan struct{}), calls: map[string]int{}, stop: make(chan struct{}),
+		changed: make(chan struct{}), calls: map[string]int{}, limits: DefaultLimits, stop: make(chan struct{}),
 	}
 	go s.expireLeases()
 	return s
@@ -224,7 +229,7 @@
 	Revision int64  `json:"revision"`
 }
 
-type put struct {
+type putEntry struct {
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
 	Lease int64  `json:"lease"`
@@ -232,7 +237,7 @@
 
 type txn struct {
 	Expect []condition `json:"expect"`
-	Set    []put       `json:"setKeys"`
+	Set    []putEntry  `json:"setKeys"`
 	Remove []string    `json:"remove"`
 }
 
@@ -274,6 +279,7 @@
 	s.calls[r.URL.Path]++
 	lose := faults.LoseResponseOneIn > 0 && s.rnd.IntN(faults.LoseResponseOneIn) == 0
 	late := faults.LateWriteOneIn > 0 && s.rnd.IntN(faults.LateWriteOneIn) == 0
+	admitted := s.admit(r)
 	s.mu.Unlock()
 	if faults.Unresponsive {
 		<-r.Context().Done()
@@ -283,6 +289,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !admitted {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	time.Sleep(faults.Delay)
 	if r.URL.Path == "/fulmarcourse/kv-txn" {
 		s.serveTxn(w, r, lose, late, faults.LateWriteDelay)
@@ -293,8 +303,15 @@
 
 func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request, lose, late bool, delay time.Duration) {
 	var t txn
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Expect)+len(t.Set)+len(t.Remove) > 32 {
-		w.WriteHeader(http.StatusBadRequest)
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		s.refuse(w, refusal{http.StatusBadRequest, "transaction: " + err.Error()})
+		return
+	}
+	s.mu.Lock()
+	refused := s.limits.check(t)
+	s.mu.Unlock()
+	if refused != nil {
+		s.refuse(w, *refused)
 		return
 	}
 	if late {
@@ -361,13 +378,14 @@
 func (s *Store) serveRange(w http.ResponseWriter, prefix, after string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := []item{}
+	items, size := []item{}, 0
 	more := false
 	for _, key := range s.keys(prefix) {
 		if key <= after {
 			continue
 		}
-		if len(items) == pageItems {
+		size += len(s.items[key].Value)
+		if len(items) == s.limits.PageItems || (len(items) > 0 && size > s.limits.PageBytes) {
 			more = true
 			break
 		}
@@ -379,7 +397,7 @@
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string) {
 	after, err1 := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	waitMs, err2 := strconv.Atoi(r.URL.Query().Get("waitMs"))
-	if err1 != nil || err2 != nil {
+	if err1 != nil || err2 != nil || waitMs < 0 || waitMs > maxWatchWaitMs {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -427,14 +445,18 @@
 
 func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
 	var body leaseBody
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTLMs <= 0 {
-		w.WriteHeader(http.StatusBadRequest)
+	err := json.NewDecoder(r.Body).Decode(&body)
+	ttl := time.Duration(body.TTLMs) * time.Millisecond
+	s.mu.Lock()
+	allowed := ttl >= s.limits.MinTTL && ttl <= s.limits.MaxTTL
+	s.mu.Unlock()
+	if err != nil || !allowed {
+		s.refuse(w, refusal{http.StatusBadRequest, fmt.Sprintf("a lease of %v", ttl)})
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextLease++
-	ttl := time.Duration(body.TTLMs) * time.Millisecond
 	s.leases[s.nextLease], s.ttls[s.nextLease] = time.Now().Add(ttl), ttl
 	standin.WriteJSON(w, http.StatusOK, leaseBody{Lease: s.nextLease, TTLMs: body.TTLMs})
 }
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -273,7 +273,8 @@
 	return n
 }
 
-// checkHistory fails the test if two runs of a task overlapped, or if a task was started again after it was done.
+// checkHistory fails the test if two runs of a task overlapped, if a task was started again after it was done, or if a host
+// sent a write that the store can never accept.
 func (s *site) checkHistory() {
 	s.t.Helper()
 	for _, overlap := range s.platform.OverlappingRuns() {
@@ -282,6 +283,9 @@
 	for _, repeat := range s.platform.RunsAfterDone() {
 		s.t.Errorf("task started again after it was done: %s", repeat)
 	}
+	for _, refusal := range s.platform.Store.Refusals() {
+		s.t.Errorf("the store refuses a write for good: %s", refusal)
+	}
 }
 
 func (s *site) close() {
