--- a/pkg/dispatch/deletion.go
+++ b/pkg/dispatch/deletion.go
@@ -60,6 +60,7 @@
 	o.scheduler.RemoveJob(id)
 	delete(o.revisions, id)
 	delete(o.deletions, id)
+	delete(o.refusedRecords, id)
 }
 
 // remaining returns the items that were written and not deleted again by the same changes.
--- a/pkg/dispatch/interference.go
+++ b/pkg/dispatch/interference.go
@@ -39,6 +39,7 @@
 
 // saveInterference stores the interference model periodically until ctx ends.
 func (o *Owner) saveInterference(ctx context.Context) {
+	failing := false
 	for {
 		pause.For(ctx, interferenceSaveInterval)
 		if ctx.Err() != nil {
@@ -50,9 +51,11 @@
 		if len(state.Victims) == 0 {
 			continue
 		}
-		if err := o.putInterference(ctx, state); err != nil && ctx.Err() == nil {
+		err := o.putInterference(ctx, state)
+		if err != nil && ctx.Err() == nil && !failing {
 			o.cfg.Log.Event(eventlog.ProgressNotStored).Str("record", "interference").Err(err).Msg("")
 		}
+		failing = err != nil
 	}
 }
 
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -318,6 +318,7 @@
 		ends = endNumbers{incarnation: report.Report.Incarnation}
 	}
 	o.metrics.ends.Inc(max(applied-ends.applied, 0))
+	ends.unstored = appendEnds(ends.unstored, report.Report.Ended, ends.applied, applied)
 	ends.applied = applied
 	if len(report.Report.Ended) > 0 {
 		ends.acknowledged = 0 // the worker still lists ends, so it has not received the acknowledgement
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -70,10 +70,11 @@
 	relayBackOffUntil    map[string]time.Duration // by host; boot time until which a lost relay is not used
 	ends                 map[schedule.WorkerID]endNumbers
 	unreachable          map[schedule.WorkerID]bool
-	revisions            map[workload.JobID]int64 // of the stored progress records; no entry without a record
-	undecodable          map[workload.JobID]bool  // jobs whose progress record cannot be decoded
-	deletions            map[workload.JobID]int64 // see deletion.go
-	knownWorkersRevision int64                    // store revision of the known workers
+	revisions            map[workload.JobID]int64         // of the stored progress records; no entry without a record
+	undecodable          map[workload.JobID]bool          // jobs whose progress record cannot be decoded
+	deletions            map[workload.JobID]int64         // see deletion.go
+	refusedRecords       map[workload.JobID]refusedRecord // records that the store has refused for good, see refused.go
+	knownWorkersRevision int64                            // store revision of the known workers
 	loaded               bool
 	takenOver            bool // the completed takeover has been logged
 	resumption           resumption
@@ -84,8 +85,9 @@
 // endNumbers records how far the numbered task ends of a worker incarnation have been processed.
 type endNumbers struct {
 	incarnation  int64
-	applied      int64 // newest end applied by the scheduler
-	acknowledged int64 // newest end that is stored and queued for acknowledgement by the relay
+	applied      int64    // newest end applied by the scheduler
+	acknowledged int64    // newest end that is stored and queued for acknowledgement by the relay
+	unstored     []jobEnd // ends that were applied and have not been acknowledged, by number
 }
 
 type ownerMetrics struct {
@@ -124,6 +126,7 @@
 		unreachable:       map[schedule.WorkerID]bool{},
 		revisions:         map[workload.JobID]int64{},
 		undecodable:       map[workload.JobID]bool{},
+		refusedRecords:    map[workload.JobID]refusedRecord{},
 		deletions:         map[workload.JobID]int64{},
 	}
 }
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -100,20 +100,20 @@
 		}
 		return errors.Trace(err)
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, stored := range b.ends {
-		o.acknowledgeEnds(stored)
-	}
 	return nil
 }
 
-// saveBatch stores the progress, and then the known workers: a worker is dropped from them when its last task has ended, and a
-// later owner must know of that end or wait for the worker's report.
+// saveBatch stores the progress and acknowledges the ends that it includes, and then stores the known workers: a worker is dropped
+// from them when its last task has ended, and a later owner must know of that end or wait for the worker's report.
 func (o *Owner) saveBatch(ctx context.Context, b batch) error {
 	if err := o.saveAllRecords(ctx, b.records); err != nil {
 		return errors.Trace(err)
 	}
+	o.mu.Lock()
+	for _, stored := range b.ends {
+		o.acknowledgeEnds(stored)
+	}
+	o.mu.Unlock()
 	if b.knownWorkers == nil {
 		return nil
 	}
@@ -127,7 +127,12 @@
 	if !assigned || ends.incarnation != stored.Incarnation {
 		return
 	}
+	stored.Number = o.lastStoredEnd(ends.unstored, stored.Number)
+	if stored.Number <= ends.acknowledged {
+		return
+	}
 	ends.acknowledged = stored.Number
+	ends.unstored = endsAfter(ends.unstored, stored.Number)
 	o.ends[stored.Worker] = ends
 	l.stored[stored.Worker] = stored
 	o.wake(l.wake)
@@ -180,17 +185,23 @@
 }
 
 // saveAllRecords stores progress records in as many transactions as they need, and returns the first error. Once one has failed no
-// further ones begin, unless it was in conflict, which concerns its own records only.
+// further ones begin, unless it was in conflict, which concerns its own records only. A record that the store refuses for good is
+// no error: it is set aside.
 func (o *Owner) saveAllRecords(ctx context.Context, records []schedule.Record) error {
+	records = o.withoutSetAside(bootclock.Uptime(), records)
 	var group errgroup.Group
 	group.SetLimit(concurrentTxns)
 	var failed atomic.Bool
+	alone := o.refusedBefore(records)
 	for len(records) > 0 && !failed.Load() {
 		n := recordsOfTxn(records)
+		if alone > 0 {
+			n, alone = 1, alone-1
+		}
 		part := records[:n]
 		records = records[n:]
 		group.Go(func() error {
-			err := o.saveRecords(ctx, part)
+			err := o.saveUnrefused(ctx, part)
 			var conflict *kv.Conflict
 			if err != nil && !errors.As(err, &conflict) {
 				failed.Store(true)
@@ -201,12 +212,12 @@
 	return group.Wait()
 }
 
-// saveRecords stores progress records in one transaction. Each write is conditional on the record's last known
-// revision, so that a write which the store applies late cannot overwrite a newer one.
-func (o *Owner) saveRecords(ctx context.Context, records []schedule.Record) error {
+// saveRecords stores progress records in one transaction, with the value that encode returns for each. Each write is conditional
+// on the record's last known revision, so that a write which the store applies late cannot overwrite a newer one.
+func (o *Owner) saveRecords(ctx context.Context, records []schedule.Record, encode func(workload.Progress) ([]byte, error)) error {
 	txn := kv.Txn{If: []kv.Condition{o.ownership.Condition()}}
 	for _, r := range records {
-		data, err := json.Marshal(r.Progress)
+		data, err := encode(r.Progress)
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -232,6 +243,7 @@
 	defer o.mu.Unlock()
 	for _, r := range records {
 		o.revisions[r.Job] = revision
+		delete(o.refusedRecords, r.Job) // saveReduced adds it again
 		o.scheduler.MarkStored(bootclock.Now(), r)
 	}
 	o.queueOrders(bootclock.Now())
--- a/pkg/intake/writer.go
+++ b/pkg/intake/writer.go
@@ -65,8 +65,8 @@
 		return Done, nil
 	case errors.As(err, &conflict):
 		return w.resolveConflict(conflict, termKey)
-	case errors.Is(err, kv.ErrNotDone) && !w.mayExist:
-		return Refused, errors.Trace(err)
+	case errors.Is(err, kv.ErrRefused), errors.Is(err, kv.ErrNotDone) && !w.mayExist:
+		return Refused, errors.Trace(err) // a write that is refused for good cannot take effect later either
 	case !errors.Is(err, kv.ErrNotDone):
 		w.mayExist = true
 	}
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -67,6 +67,9 @@
 const (
 	// ErrNotDone means that the call has certainly had no effect and will have none.
 	ErrNotDone = errors.ConstError("store did not carry out the call")
+	// ErrRefused means that the store refuses the call for good, for instance because a value is too large. An error that
+	// matches it matches ErrNotDone as well.
+	ErrRefused = errors.ConstError("store refuses the call for good")
 	// ErrUncertain means that the call may have taken effect, or may take effect later if its conditions hold then.
 	ErrUncertain = errors.ConstError("store call may have been carried out")
 	// ErrCompacted means that the history which a watch needs has been compacted. The prefix has to be read again.
@@ -99,6 +102,11 @@
 	return item.Revision
 }
 
+// Refused returns an error that matches ErrRefused and ErrNotDone.
+func Refused(reason error) error {
+	return errors.WithType(errors.WithType(reason, ErrNotDone), ErrRefused)
+}
+
 // Store is the platform's key-value store. Every method makes a single call without retries.
 type Store interface {
 	// Get returns a key; found is false if it does not exist.
@@ -108,7 +116,8 @@
 	// Watch returns the changes under a prefix after a revision. If there are none, it waits for one, at most for wait.
 	// Errors: ErrCompacted.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
-	// Commit applies a transaction and returns its revision. Errors: *Conflict, ErrLeaseEnded, ErrNotDone, ErrUncertain.
+	// Commit applies a transaction and returns its revision. Errors: *Conflict, ErrLeaseEnded, ErrNotDone, ErrRefused,
+	// ErrUncertain.
 	Commit(ctx context.Context, txn Txn) (revision int64, err error)
 	// Grant creates a lease and returns its time to live.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
--- a/pkg/kv/kvtest/store.go
+++ b/pkg/kv/kvtest/store.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"fulmarcourse.example/fulmarcourse/pkg/kv"
 )
 
@@ -37,6 +39,7 @@
 	leases    map[kv.LeaseID]bool
 	lastLease kv.LeaseID
 	changed   chan struct{} // closed and replaced at every change
+	maxValue  int           // largest value in bytes; 0 for no limit
 }
 
 // NewStore returns an empty store.
@@ -55,6 +58,13 @@
 	s.fault = fault
 }
 
+// SetMaxValueBytes sets the size above which a value is refused for good; 0 means that there is no limit.
+func (s *Store) SetMaxValueBytes(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxValue = n
+}
+
 // EndLease ends a lease as if it had expired.
 func (s *Store) EndLease(id kv.LeaseID) {
 	s.mu.Lock()
@@ -157,6 +167,11 @@
 	if !execute {
 		return 0, err
 	}
+	for _, put := range txn.Put {
+		if s.maxValue > 0 && len(put.Value) > s.maxValue {
+			return 0, kv.Refused(errors.Errorf("%s: a value of %d bytes", put.Key, len(put.Value)))
+		}
+	}
 	if conflict := s.conflict(txn.If); conflict != nil {
 		return 0, conflict
 	}
