--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -87,6 +87,7 @@
 	s.forgetSilent(w)
 	delete(s.awaitingReport, id)
 	w.reports++
+	w.recordPlace(report.SentAt)
 	s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
 	if len(report.Ended) < maxEndedPerReport {
@@ -94,6 +95,9 @@
 	}
 	s.updateSlowness(now.Boot, w)
 	s.guardServices(now, w)
+	if s.contested[w.place()] {
+		s.removeSuperseded(now, s.latestByPlace())
+	}
 	return w.lastEnd
 }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -39,6 +39,7 @@
 	suspects            map[*task]struct{}          // tasks with crashes on record
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
+	contested           map[place]bool              // places of several workers, see latestByPlace
 	unstoredCrashes     map[WorkerID]unstoredCrash
 	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that services have left and not taken since
 }
@@ -66,6 +67,7 @@
 		suspects:       map[*task]struct{}{},
 		silentOn:       map[WorkerID][]*task{},
 		vanished:       map[WorkerID]vanishedWorker{},
+		contested:      map[place]bool{},
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
 		vacated:         map[workload.PoolName]int64{},
@@ -205,11 +207,11 @@
 func (s *Scheduler) SetWorkers(now Time, infos []WorkerInfo) {
 	s.calledAt = now.Boot
 	s.listReadAt = now.Boot
-	latest := latestByPlace(infos)
+	latest := s.latestByPlace()
 	s.removeSuperseded(now, latest)
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
-		if latest[info.place()].supersedes(&info) {
+		if latest[info.place()].supersedes(info.ID, info.StartedMs) {
 			continue
 		}
 		listed[info.ID] = true
@@ -221,6 +223,7 @@
 			w.unlistedAt = now.Boot
 		}
 	}
+	s.recordContested()
 }
 
 // updateListed adds or updates a worker of the platform's list.
@@ -241,6 +244,9 @@
 	if !slices.Equal(w.info.Labels, info.Labels) {
 		s.index.remove(w)
 	}
+	if info.place() != w.info.place() {
+		w.placeChangedAt = now
+	}
 	if info.Capacity != w.info.Capacity {
 		w.full = fullBackOff{}
 	}
