--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -33,12 +34,14 @@
 	QueuePrefix string // path prefix of the only queue
 	QueueHost   string // host name of the only queue
 
+	cfg     Config
+	rnd     *rand.Rand // decides on the clocks of workers
 	runTime func(string) time.Duration
 	server  *standin.Server
-	workers []*Worker
 	stop    chan struct{}
 
-	mu      sync.Mutex // guards history
+	mu      sync.Mutex // guards the fields below
+	workers []*Worker
 	history []Run
 }
 
@@ -57,26 +60,38 @@
 	if cfg.ProxyAddress == nil {
 		cfg.ProxyAddress = func(target string) string { return target }
 	}
-	rnd := rand.New(rand.NewPCG(cfg.Seed, 17))
-	for n := range cfg.Workers {
-		w := &Worker{
-			clockRate: 1 - cfg.ClockDrift*rnd.Float64(),
-			ID:        fmt.Sprintf("i-%04d", n), Datacentre: cfg.Datacentres[n%len(cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8),
-			id: fmt.Sprintf("i-%04d", n), platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
-		}
-		w.start()
-		if err := w.serve(); err != nil {
+	p.cfg = cfg
+	p.rnd = rand.New(rand.NewPCG(cfg.Seed, 17))
+	for range cfg.Workers {
+		if _, err := p.AddWorker(); err != nil {
 			p.Close()
 			return nil, err
 		}
-		w.address = cfg.ProxyAddress(w.server.Addr())
-		p.workers = append(p.workers, w)
-		w.writeEntry()
 	}
 	go p.heartbeats()
 	return p, nil
 }
 
+// AddWorker starts a further worker. It is called by one goroutine at a time.
+func (p *Platform) AddWorker() (*Worker, error) {
+	n := len(p.Workers())
+	w := &Worker{
+		clockRate: 1 - p.cfg.ClockDrift*p.rnd.Float64(),
+		ID:        fmt.Sprintf("i-%04d", n), Datacentre: p.cfg.Datacentres[n%len(p.cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8),
+		id: fmt.Sprintf("i-%04d", n), platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
+	}
+	w.start()
+	if err := w.serve(); err != nil {
+		return nil, err
+	}
+	w.address = p.cfg.ProxyAddress(w.server.Addr())
+	p.mu.Lock()
+	p.workers = append(p.workers, w)
+	p.mu.Unlock()
+	w.writeEntry()
+	return w, nil
+}
+
 // heartbeats writes the entries of all responsive workers every second.
 func (p *Platform) heartbeats() {
 	ticker := time.NewTicker(time.Second)
@@ -86,7 +101,7 @@
 		case <-p.stop:
 			return
 		case <-ticker.C:
-			for _, w := range p.workers {
+			for _, w := range p.Workers() {
 				w.mu.Lock()
 				unresponsive := w.faults.Unresponsive
 				w.mu.Unlock()
@@ -125,7 +140,11 @@
 func (p *Platform) StoreAddress() string { return p.server.Addr() }
 
 // Workers returns all workers of the platform.
-func (p *Platform) Workers() []*Worker { return p.workers }
+func (p *Platform) Workers() []*Worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.workers)
+}
 
 // History returns a copy of all runs so far, in order of start.
 func (p *Platform) History() []Run {
@@ -221,7 +240,7 @@
 // Close stops the store, the workers and their servers.
 func (p *Platform) Close() {
 	close(p.stop)
-	for _, w := range p.workers {
+	for _, w := range p.Workers() {
 		close(w.stop)
 		w.server.Close()
 	}
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -304,6 +304,16 @@
 	}
 }
 
+// log returns the log of a host so far.
+func (s *site) log(h *host) string {
+	s.t.Helper()
+	text, err := os.ReadFile(h.logPath)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return string(text)
+}
+
 // saveLog copies the log of a host to the directory FULMARCOURSE_TEST_LOGS, if that variable is set.
 func (s *site) saveLog(h *host) {
 	dir := os.Getenv("FULMARCOURSE_TEST_LOGS")
