--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -88,6 +88,7 @@
 	s.stopAwaiting(w)
 	s.setAnswers(w, true)
 	w.reports++
+	w.recordPlace(report.SentAt)
 	s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
 	if len(report.Ended) < maxEndedPerReport {
@@ -95,6 +96,9 @@
 	}
 	s.updateSlowness(now.Boot, w)
 	s.guardServices(now, w)
+	if s.contested[w.place()] {
+		s.removeSuperseded(now, s.latestByPlace())
+	}
 	return w.lastEnd
 }
 
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -273,7 +273,8 @@
 	return n
 }
 
-// checkHistory fails the test if two runs of a task overlapped, or if a task was started again after it was done.
+// checkHistory fails the test if two runs of a task overlapped, if a task was started again after it was done, or if a host
+// sent a write that the store can never accept.
 func (s *site) checkHistory() {
 	s.t.Helper()
 	for _, overlap := range s.platform.OverlappingRuns() {
@@ -282,6 +283,9 @@
 	for _, repeat := range s.platform.RunsAfterDone() {
 		s.t.Errorf("task started again after it was done: %s", repeat)
 	}
+	for _, refusal := range s.platform.Store.Refusals() {
+		s.t.Errorf("the store refuses a write for good: %s", refusal)
+	}
 }
 
 func (s *site) close() {
@@ -300,6 +304,16 @@
 	}
 }
 
+// log returns the log of a host so far.
+func (s *site) log(h *host) string {
+	s.t.Helper()
+	text, err := os.ReadFile(h.logPath)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return string(text)
+}
+
 // saveLog copies the log of a host to the directory FULMARCOURSE_TEST_LOGS, if that variable is set.
 func (s *site) saveLog(h *host) {
 	dir := os.Getenv("FULMARCOURSE_TEST_LOGS")
