--- a/pkg/dispatch/refused_test.go
+++ b/pkg/dispatch/refused_test.go
@@ -41,10 +41,10 @@
 		Capacity: structs.Resources{MilliCPU: 1000000, MemoryBytes: 64 << 30}}})
 	l := &link{owner: o, wake: make(chan struct{}, 1), stored: map[schedule.WorkerID]relay.StoredEnd{}}
 	o.linkOf[testWorker] = l
+	l.report(nil)
 	if err := o.save(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	l.report(nil)
 	for id, tasks := range map[workload.JobID]int{"large": largeTasks, "small": smallTasks} {
 		o.Announce(workload.Job{ID: id, Queue: workload.Queue{Name: "queue", Pool: "pool", MaxFailures: 3},
 			Steps: []workload.Step{{Tasks: tasks, Size: structs.Resources{MilliCPU: 100}, EstimateMs: 100}}})
@@ -129,6 +129,9 @@
 		{ID: testWorker, Address: "w", Datacentre: "dc", Pool: "pool", Capacity: structs.Resources{MilliCPU: 1000000, MemoryBytes: 64 << 30}},
 		{ID: "w2", Address: "w2", Datacentre: "dc", Pool: "pool"},
 	})
+	o.update(func(s *schedule.Scheduler, now schedule.Time) {
+		s.Report(now, "w2", schedule.Report{Incarnation: 1, SentAt: now.Boot})
+	})
 	for range 3 {
 		if err := o.save(t.Context()); err != nil {
 			t.Errorf("error %v", err)
