Let tasks on a draining worker run on under a new owner

A new owner stopped all tasks of a worker that was stored as draining at its first report: the time until which the worker stays was set only when a worker began to drain under this owner, so it counted as over. It is taken from the first list of the term now, and until then nothing is stopped. TestInheritedDrainingWorkerKeepsItsTasks failed before: one stop at once, of a task on a worker that stays for 20 s.

--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -45,7 +45,7 @@
 		if !w.info.Draining || len(w.attempts) == 0 {
 			continue
 		}
-		leaving := now.Boot+s.cfg.StopTime+drainMargin >= w.leavesAt
+		leaving := w.listedAt > 0 && now.Boot+s.cfg.StopTime+drainMargin >= w.leavesAt
 		for _, a := range slices.Clone(w.attemptList) {
 			if a.phase != running || !(leaving || a.task.step.spec.Service) {
 				continue
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -238,7 +238,7 @@
 		s.addWorker(w)
 		s.inheritListed(w)
 	}
-	if info.Draining && !w.info.Draining {
+	if info.Draining && (!w.info.Draining || w.listedAt == 0) {
 		w.leavesAt = now + info.Remaining
 		s.emit(Event{Kind: EventWorkerDraining, Worker: info.ID})
 	}
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -377,3 +377,30 @@
 		t.Fatalf("started %s, want the other service task", describe(got))
 	}
 }
+
+// Guards against a new owner that stops all tasks on a draining worker at once, because it does not know for how long the worker
+// stays.
+func TestInheritedDrainingWorkerKeepsItsTasks(t *testing.T) {
+	h := newHarness(t, 1)
+	w1 := h.addWorker("w1", nil)
+	job := testJob("job", testStep(1))
+	h.s.AddJob(job, nil, false)
+	h.run()
+	w1.info.Draining, w1.info.Remaining = true, 20*time.Second
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{{ID: "w1", Address: "w1", Pool: testPool, StartedMs: 1, Draining: true}})
+	h.s.AddJob(job, nil, true)
+	h.report("w1")
+	if orders := h.run(); len(orders) != 0 {
+		t.Errorf("%s before the list of workers was read", describe(orders))
+	}
+	h.addWorker("w2", nil)
+	if orders := h.run(); len(orders) != 0 {
+		t.Errorf("%s although the worker stays for 20 s", describe(orders))
+	}
+	h.advanceClock(19 * time.Second)
+	h.reportAll()
+	if stops := ofKind(h.run(), OrderStop); len(stops) != 1 {
+		t.Errorf("%d stops just before the worker leaves, want 1", len(stops))
+	}
+}
