--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -54,6 +54,7 @@
 	OwnerResumed             = define(7050, "owner_resumed", log.WarnLevel, "The owner's process was paused, or its machine suspended, for `paused_for` milliseconds, after which the store has not confirmed its ownership. It starts and moves nothing until the store has, and the list of workers was read again.")
 	PlatformEntryUndecodable = define(7044, "platform_entry_broken", log.WarnLevel, "An entry of the platform cannot be decoded and is ignored. Logged once for each entry.")
 	RecordRefused            = define(7058, "record_refused", log.ErrorLevel, "The store refuses a record of `bytes` bytes for good, also without checkpoints; all others are stored. The job goes on, but its ends are not acknowledged and its final state is not shown until a record of it is stored, which is tried again after 1 to 30 s. If this owner is lost meanwhile, the next one learns of the ends from the workers that still list them; tasks whose worker was lost as well start again.")
+	RecordReplaced           = define(7057, "record_replaced", log.WarnLevel, "Another writer had overwritten the record of this process, which has written it again.")
 	RecordReduced            = define(7059, "record_reduced", log.WarnLevel, "The store refuses a record of `bytes` bytes for good, so it is stored without checkpoints. If this owner is lost, the next one starts the job's unfinished tasks from their beginning.")
 )
 
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -26,6 +26,10 @@
 const (
 	// renewInterval allows for two lost renewals within TTL.
 	renewInterval = 300 * time.Millisecond
+	// checkInterval is the time between two checks that the owner's record is still under a lease.
+	checkInterval = 3 * time.Second
+	// maxUnchecked is the time without a check after which renewals no longer confirm the ownership.
+	maxUnchecked = 10 * time.Second
 	// renewTimeout bounds one renewal. It is long enough for a slow store.
 	renewTimeout = 500 * time.Millisecond
 	// callTimeout bounds one call to the store. It is long enough for a slow store.
@@ -89,8 +93,11 @@
 			return ownership, nil
 		}
 		wait := time.Hour
-		if state.acquirableBy(c.cfg.Self) {
+		switch {
+		case state.acquirableBy(c.cfg.Self):
 			wait = retryDelay
+		case !state.unleasedSince.IsZero():
+			wait = max(unleasedGrace-time.Since(state.unleasedSince), retryDelay)
 		}
 		select {
 		case <-ctx.Done():
@@ -114,13 +121,13 @@
 		// first renewal.
 		return c.newOwnership(state.lease, state.Term, state.termRevision, bootclock.Uptime()-TTL)
 	}
-	if state.ownerRevision == 0 {
+	if state.ownerRevision == 0 || state.abandoned() {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-time.After(c.campaignDelay(state)):
 		}
-		if now := c.view.State(c.cfg.Partition); now.ownerRevision != 0 {
+		if now := c.view.State(c.cfg.Partition); now.ownerRevision != state.ownerRevision {
 			return nil
 		}
 	}
@@ -200,6 +207,7 @@
 	mu         sync.Mutex // guards the fields below
 	lease      kv.LeaseID
 	validUntil time.Duration // boot time up to which the store has confirmed the lease
+	checkedAt  time.Duration // boot time at which the record was last known to be under a lease
 	warned     bool          // a failed renewal has been logged and none has succeeded since
 	isLost     bool
 	lost       chan struct{} // closed when isLost is set
@@ -208,7 +216,7 @@
 // NewOwnership returns the ownership in a term. revision is the store revision of the term key. The ownership counts as
 // unconfirmed until its first renewal.
 func NewOwnership(cfg Config, term, revision int64) *Ownership {
-	return &Ownership{cfg: cfg, Term: term, Revision: revision, lost: make(chan struct{})}
+	return &Ownership{cfg: cfg, Term: term, Revision: revision, checkedAt: bootclock.Uptime(), lost: make(chan struct{})}
 }
 
 // ValidUntil returns the boot time up to which the store has confirmed the ownership.
@@ -240,6 +248,9 @@
 
 // Renew renews the lease until ctx ends or the ownership is lost.
 func (o *Ownership) Renew(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { o.checkLoop(ctx) })
 	for {
 		pause := renewInterval
 		if err := o.renewOnce(ctx); err != nil {
@@ -268,6 +279,58 @@
 	return err
 }
 
+// checkLoop checks the owner's record every checkInterval until ctx ends or the ownership is lost.
+func (o *Ownership) checkLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.lost:
+			return
+		case <-time.After(checkInterval):
+		}
+		o.check(ctx)
+	}
+}
+
+// check makes sure that the owner's record is still under a lease. If another writer has overwritten it, it is written again;
+// otherwise it would stay when the owner ends, and no other host could acquire the partition. A check that fails has no effect:
+// renewals stop to confirm the ownership when none has succeeded for maxUnchecked.
+func (o *Ownership) check(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := bootclock.Uptime()
+	item, found, err := o.cfg.Store.Get(ctx, statekeys.Owner(o.cfg.Partition))
+	if err == nil && found && item.Lease == 0 {
+		err = o.replaceRecord(ctx, item)
+	}
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checkedAt = sent
+}
+
+// replaceRecord writes the owner's record in place of one of another writer.
+func (o *Ownership) replaceRecord(ctx context.Context, foreign kv.Item) error {
+	record := o.cfg.Self
+	record.Term = o.Term
+	_, err := o.cfg.Store.Commit(ctx, kv.Txn{
+		If:  []kv.Condition{o.Condition(), {Key: foreign.Key, Revision: foreign.Revision}},
+		Put: []kv.Put{{Key: foreign.Key, Value: mustEncode(record), Lease: o.leaseID()}},
+	})
+	var conflict *kv.Conflict
+	if errors.As(err, &conflict) && conflict.Revision(statekeys.Term(o.cfg.Partition)) != o.Revision {
+		o.MarkLost("the term in the store has changed")
+	}
+	if err != nil {
+		return errors.Annotate(err, "write owner record")
+	}
+	o.cfg.Log.Event(eventlog.RecordReplaced).Str("key", foreign.Key).Int64("revision", foreign.Revision).Msg("")
+	return nil
+}
+
 func (o *Ownership) keepAlive(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
@@ -325,11 +388,17 @@
 	return errors.Trace(conflict)
 }
 
+// errUnchecked means that the owner's record may have been overwritten and the partition acquired by another host meanwhile.
+const errUnchecked = errors.ConstError("the owner's record was not read for too long")
+
 // recordRenewal records the result of a renewal. sent is the boot time at which it was sent. Only the first of
 // consecutive failures is logged.
 func (o *Ownership) recordRenewal(sent time.Duration, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err == nil && sent-o.checkedAt > maxUnchecked {
+		err = errUnchecked
+	}
 	if err == nil {
 		o.validUntil = sent + TTL
 		if o.warned {
--- a/pkg/term/view.go
+++ b/pkg/term/view.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sync"
+	"time"
 
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/kv"
@@ -16,6 +17,7 @@
 
 	read          bool // the store has been read
 	ownerRevision int64
+	unleasedSince time.Time // since when the owner's record has had no lease; zero if it has one or does not exist
 	termRevision  int64
 	cores         float64 // of the newest owner's host; 0 if unknown
 	lease         kv.LeaseID
@@ -27,13 +29,24 @@
 // Lease returns the lease of the owner's record, or 0 if there is no owner.
 func (s State) Lease() kv.LeaseID { return s.lease }
 
+// unleasedGrace is how long a record of an owner without a lease excludes other candidates. No owner writes such a record: another
+// writer has overwritten one. An owner that is alive finds and replaces it after checkInterval. One that cannot is confirmed for
+// maxUnchecked and TTL at most.
+const unleasedGrace = maxUnchecked + TTL + time.Second
+
 // acquirableBy reports whether self may acquire the partition: it has no owner, or its owner is a process with the same
-// host and address as self, that is self or a previous process that has certainly ended.
+// host and address as self, that is self or a previous process that has certainly ended, or the owner's record does not end with a
+// lease.
 func (s State) acquirableBy(self Record) bool {
 	if !s.read {
 		return false
 	}
-	return s.ownerRevision == 0 || (s.Owner.Host == self.Host && s.Owner.Address == self.Address)
+	return s.ownerRevision == 0 || (s.Owner.Host == self.Host && s.Owner.Address == self.Address) || s.abandoned()
+}
+
+// abandoned reports whether the owner's record will not end by itself and no owner has replaced it in time.
+func (s State) abandoned() bool {
+	return !s.unleasedSince.IsZero() && time.Since(s.unleasedSince) >= unleasedGrace
 }
 
 // View is a local copy of all ownership records in the store.
@@ -43,12 +56,15 @@
 	mu      sync.Mutex // guards the fields below
 	read    bool       // Reset has been called
 	items   map[string]kv.Item
-	changed chan struct{} // closed and replaced on each change
+	since   map[string]time.Time // when the revision in items was first seen
+	logged  map[string]int64     // revisions of undecodable records that were logged
+	changed chan struct{}        // closed and replaced on each change
 }
 
 // NewView returns an empty view. Reset and Apply are the callbacks of a mirror of statekeys.Owners.
 func NewView(log *eventlog.Logger) *View {
-	return &View{log: log, items: map[string]kv.Item{}, changed: make(chan struct{})}
+	return &View{log: log, items: map[string]kv.Item{}, since: map[string]time.Time{}, logged: map[string]int64{},
+		changed: make(chan struct{})}
 }
 
 // Reset replaces all records.
@@ -56,9 +72,13 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.read = true
-	clear(v.items)
+	before, since := v.items, v.since
+	v.items, v.since = make(map[string]kv.Item, len(items)), make(map[string]time.Time, len(items))
 	for _, item := range items {
-		v.items[item.Key] = item
+		v.items[item.Key], v.since[item.Key] = item, time.Now()
+		if before[item.Key].Revision == item.Revision {
+			v.since[item.Key] = since[item.Key]
+		}
 	}
 	v.signal()
 }
@@ -70,8 +90,9 @@
 	for _, change := range changes {
 		if change.Deleted {
 			delete(v.items, change.Item.Key)
+			delete(v.since, change.Item.Key)
 		} else {
-			v.items[change.Item.Key] = change.Item
+			v.items[change.Item.Key], v.since[change.Item.Key] = change.Item, time.Now()
 		}
 	}
 	v.signal()
@@ -97,18 +118,44 @@
 	state := State{read: v.read}
 	if item, found := v.items[statekeys.Owner(p)]; found {
 		state.ownerRevision, state.lease = item.Revision, item.Lease
-		v.decode(item, &state.Owner)
+		if item.Lease == 0 {
+			state.unleasedSince = v.since[item.Key]
+		}
+		if !v.decode(item, &state.Owner) {
+			state.Owner = Record{}
+		}
 	}
 	if item, found := v.items[statekeys.Term(p)]; found {
-		var value termValue
-		v.decode(item, &value)
-		state.Term, state.termRevision, state.cores = value.Term, item.Revision, value.Cores
+		state.Term, state.cores = v.term(item)
+		state.termRevision = item.Revision
 	}
 	return state
 }
 
-func (v *View) decode(item kv.Item, out any) {
-	if err := json.Unmarshal(item.Value, out); err != nil {
-		v.log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Err(err).Msg("")
+// term returns the term in a record, and the cores of its owner's host. Each term takes a revision of the store at least, so a term
+// above the record's revision comes from another writer, as one that cannot be decoded does. The revision takes its place: it is not
+// below any earlier term, which the workers may have seen.
+func (v *View) term(item kv.Item) (term int64, cores float64) {
+	var value termValue
+	if v.decode(item, &value) && value.Term > 0 && value.Term <= item.Revision {
+		return value.Term, value.Cores
+	}
+	return item.Revision, 0
+}
+
+// maxErrorBytes bounds the text of a decoding error, which may quote a part of the record of any length.
+const maxErrorBytes = 200
+
+// decode decodes a record and reports whether it could. A failure is logged once for each revision.
+func (v *View) decode(item kv.Item, out any) bool {
+	err := json.Unmarshal(item.Value, out)
+	if err == nil {
+		return true
+	}
+	if v.logged[item.Key] != item.Revision {
+		v.logged[item.Key] = item.Revision
+		text := err.Error()
+		v.log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Str("error", text[:min(len(text), maxErrorBytes)]).Msg("")
 	}
+	return false
 }
