--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	leaseTTL = 5 * time.Second
 	// renewInterval allows for two lost renewals within leaseTTL.
 	renewInterval = 1500 * time.Millisecond
+	// checkEvery is the number of renewals after which the record is read.
+	checkEvery = 10
 	// callTimeout bounds one call to the store. It is long enough for a slow store.
 	callTimeout = time.Second
 	// writeAttempts allows for an earlier record of this host and for a late write of it.
@@ -54,6 +57,7 @@
 type Registry struct {
 	cfg      Config
 	revision int64 // last known store revision of this host's record, 0 if it does not exist; used by Run only
+	renewals int   // of the lease, so far; used by Run only
 
 	mu    sync.Mutex        // guards hosts; a leaf lock
 	hosts map[string]Record // by store key
@@ -94,6 +98,7 @@
 	defer cancel()
 	if lease != 0 {
 		if _, err := r.cfg.Store.KeepAlive(call, lease); !errors.Is(err, kv.ErrLeaseEnded) {
+			r.checkRecord(call, lease)
 			return lease // after a failure, the next refresh tries again
 		}
 	}
@@ -110,6 +115,25 @@
 	return lease
 }
 
+// checkRecord reads the record in one of checkEvery calls and writes it again if another writer has overwritten it: later owners would
+// not list this host.
+func (r *Registry) checkRecord(ctx context.Context, lease kv.LeaseID) {
+	r.renewals++
+	if r.renewals%checkEvery != 0 {
+		return
+	}
+	key := statekeys.Host(r.cfg.Self.Host)
+	item, found, err := r.cfg.Store.Get(ctx, key)
+	if err != nil || (found && item.Lease == lease) {
+		return
+	}
+	if err := r.writeRecord(ctx, lease); err != nil {
+		r.cfg.Log.Event(eventlog.HostNotRegistered).Err(err).Msg("")
+		return
+	}
+	r.cfg.Log.Event(eventlog.RecordReplaced).Str("key", key).Int64("revision", item.Revision).Msg("")
+}
+
 // writeRecord writes the record under a lease. The write requires that the record has not changed since this process last
 // learned its revision, so that the store cannot carry it out late, after a later registration: the record would end with
 // the earlier lease, which nobody renews. An earlier write of this process or of the previous one of this host is replaced.
@@ -146,8 +170,12 @@
 		Reset: func(items []kv.Item) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			clear(r.hosts)
+			before := r.hosts
+			r.hosts = make(map[string]Record, len(items))
 			for _, item := range items {
+				if last, listed := before[item.Key]; listed {
+					r.hosts[item.Key] = last
+				}
 				r.addRecord(item)
 			}
 		},
@@ -165,16 +193,47 @@
 	}).Run(ctx)
 }
 
-// addRecord adds or replaces the record of a host. r.mu is held.
+// addRecord adds or replaces the record of a host. If it cannot be decoded, the last one that could stays. r.mu is held.
 func (r *Registry) addRecord(item kv.Item) {
-	var record Record
-	if err := json.Unmarshal(item.Value, &record); err != nil {
-		r.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Err(err).Msg("")
+	record, err := decodeRecord(item)
+	if err != nil {
+		text := err.Error()
+		r.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Str("error", text[:min(len(text), maxErrorBytes)]).Msg("")
 		return
 	}
 	r.hosts[item.Key] = record
 }
 
+// maxErrorBytes bounds the text of a decoding error, which may quote a part of the record of any length.
+const maxErrorBytes = 200
+
+// Limits of the figures of a host.
+const (
+	maxCores    = 1e5
+	maxLinkMbps = 1e7
+)
+
+// decodeRecord decodes and validates the record of a host.
+func decodeRecord(item kv.Item) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		return Record{}, errors.Trace(err)
+	}
+	if item.Key != statekeys.Host(record.Host) || record.Host == "" {
+		return Record{}, errors.NotValidf("host: %.40q", record.Host)
+	}
+	if address, err := netip.ParseAddrPort(record.Address); err != nil || address.Port() == 0 {
+		return Record{}, errors.NotValidf("address: %.60q", record.Address)
+	}
+	if record.Cores < 0 || record.Cores > maxCores {
+		return Record{}, errors.NotValidf("cores: %g", record.Cores)
+	}
+	if record.LinkMbps < 0 || record.LinkMbps > maxLinkMbps {
+		return Record{}, errors.NotValidf("link_mbps: %g", record.LinkMbps)
+	}
+	return record, nil
+}
+
 // Hosts returns the records of the registered entry hosts.
 func (r *Registry) Hosts() []Record {
 	r.mu.Lock()
