--- a/core/workload/job.go
+++ b/core/workload/job.go
@@ -104,6 +104,15 @@
 	StateCancelled State = "cancelled"
 )
 
+// Known reports whether the state is one of those above.
+func (s State) Known() bool {
+	switch s {
+	case StatePending, StateRunning, StateCompleted, StateFailed, StateCancelled:
+		return true
+	}
+	return false
+}
+
 // Final reports whether a job in state s never changes again.
 func (s State) Final() bool {
 	return s == StateCompleted || s == StateFailed || s == StateCancelled
--- a/pkg/dispatch/interference.go
+++ b/pkg/dispatch/interference.go
@@ -31,7 +31,7 @@
 		err = json.Unmarshal(item.Value, &state)
 	}
 	if err != nil {
-		o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", statekeys.Interference(o.cfg.Partition)).Err(err).Msg("")
+		o.logUnreadable(statekeys.Interference(o.cfg.Partition), err)
 		return
 	}
 	o.update(func(s *schedule.Scheduler, now schedule.Time) { s.RestoreInterference(now, state) })
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -82,8 +82,7 @@
 	progress := make(map[workload.JobID]workload.Progress, len(items))
 	for _, item := range items {
 		id := workload.JobID(item.Key[len(prefix):])
-		var p workload.Progress
-		err := json.Unmarshal(item.Value, &p)
+		p, err := decodeProgress(item.Value)
 		o.mu.Lock()
 		o.revisions[id] = item.Revision
 		if err != nil {
@@ -91,7 +90,7 @@
 		}
 		o.mu.Unlock()
 		if err != nil {
-			o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Err(err).Msg("")
+			o.logUnreadable(item.Key, err)
 			continue
 		}
 		progress[id] = p
@@ -99,6 +98,27 @@
 	return progress, nil
 }
 
+// decodeProgress decodes a progress record. One without a state comes from another writer: it says nothing about the tasks.
+func decodeProgress(value []byte) (workload.Progress, error) {
+	var p workload.Progress
+	if err := json.Unmarshal(value, &p); err != nil {
+		return p, errors.Trace(err)
+	}
+	if !p.State.Known() {
+		return p, errors.NotValidf("state %.40q", string(p.State))
+	}
+	return p, nil
+}
+
+// maxErrorBytes bounds the text of a decoding error, which may quote a part of the record of any length.
+const maxErrorBytes = 200
+
+// logUnreadable logs that a stored record cannot be decoded.
+func (o *Owner) logUnreadable(key string, err error) {
+	text := err.Error()
+	o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", key).Str("error", text[:min(len(text), maxErrorBytes)]).Msg("")
+}
+
 func decodeKnownWorkers(item kv.Item, found bool) ([]schedule.WorkerInfo, error) {
 	if !found {
 		return nil, nil
@@ -181,9 +201,9 @@
 			o.scheduler.AddEndedJob(id, p)
 			continue
 		}
-		job, err := decodeJob(item)
+		job, err := decodeJob(id, item)
 		if err != nil {
-			o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Err(err).Msg("")
+			o.logUnreadable(item.Key, err)
 			continue
 		}
 		var stored *workload.Progress
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -288,11 +288,15 @@
 		Str("kind", order.Kind.String()).Str("outcome", outcome.String()).Str("reason", reason).Msg("")
 }
 
-func decodeJob(item kv.Item) (workload.Job, error) {
+// decodeJob decodes the record of a job, whose ID is that of its key: under another one, its progress would not be found.
+func decodeJob(id workload.JobID, item kv.Item) (workload.Job, error) {
 	var job workload.Job
 	if err := json.Unmarshal(item.Value, &job); err != nil {
 		return job, errors.Annotatef(err, "decode job record %s", item.Key)
 	}
+	if job.ID != id {
+		return job, errors.NotValidf("job record %s: id %.40q", item.Key, string(job.ID))
+	}
 	if findings := workload.Validate(job); len(findings) > 0 {
 		return job, errors.Errorf("job record %s: %v", item.Key, findings[0])
 	}
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -267,9 +267,9 @@
 
 // storedAsFinal reports whether a progress record in the store has a final state.
 func (o *Owner) storedAsFinal(item kv.Item) bool {
-	var progress workload.Progress
-	if err := json.Unmarshal(item.Value, &progress); err != nil {
-		o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Err(err).Msg("")
+	progress, err := decodeProgress(item.Value)
+	if err != nil {
+		o.logUnreadable(item.Key, err)
 		return false
 	}
 	return progress.State.Final()
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -252,6 +252,9 @@
 		if err := json.Unmarshal(item.Value, &progress); err != nil {
 			return "", false, errors.Annotatef(err, "progress record %s", item.Key)
 		}
+		if !progress.State.Known() {
+			return "", false, errors.NotValidf("progress record %s: state %.40q", item.Key, string(progress.State))
+		}
 	}
 	if stored.cancelled && !progress.State.Final() {
 		return workload.StateCancelled, true, nil
