--- a/pkg/httpsend/client.go
+++ b/pkg/httpsend/client.go
@@ -23,6 +23,9 @@
 // request. Nothing is written once the context of the request has ended.
 const ErrNotSent = errors.ConstError("request not sent")
 
+// ErrIncomplete means that a response has begun and did not arrive completely, or is longer than the limit.
+const ErrIncomplete = errors.ConstError("response is incomplete")
+
 const (
 	defaultDialTimeout = time.Second
 	// idleTimeout is shorter than the idle time-out of common servers, so that requests are rarely written to a connection
@@ -112,6 +115,25 @@
 	return c.send(ctx, method, url, header, body)
 }
 
+type readKey struct{}
+
+// OnRead returns a context that makes a request call onRead each time that a part of the body of its response has arrived.
+func OnRead(ctx context.Context, onRead func()) context.Context {
+	return context.WithValue(ctx, readKey{}, onRead)
+}
+
+// notifyingReader calls onRead after each read.
+type notifyingReader struct {
+	io.Reader
+	onRead func()
+}
+
+func (r notifyingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.onRead()
+	return n, err
+}
+
 type checkKey struct{}
 
 // BeforeWrite returns a context that makes a request call check immediately before its first byte is written, after any
@@ -172,12 +194,15 @@
 		return Response{}, err
 	}
 	defer done()
+	if onRead, ok := resp.Request.Context().Value(readKey{}).(func()); ok {
+		body = notifyingReader{body, onRead}
+	}
 	data, err := io.ReadAll(io.LimitReader(body, c.maxBody+1))
 	if err != nil {
-		return Response{}, errors.Annotate(err, "response is incomplete")
+		return Response{}, errors.WithType(errors.Annotate(err, "response is incomplete"), ErrIncomplete)
 	}
 	if int64(len(data)) > c.maxBody {
-		return Response{}, errors.Errorf("response is longer than %d bytes", c.maxBody)
+		return Response{}, errors.WithType(errors.Errorf("response is longer than %d bytes", c.maxBody), ErrIncomplete)
 	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: data, ContentLength: resp.ContentLength}, nil
 }
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -72,6 +72,9 @@
 	ErrRefused = errors.ConstError("store refuses the call for good")
 	// ErrUncertain means that the call may have taken effect, or may take effect later if its conditions hold then.
 	ErrUncertain = errors.ConstError("store call may have been carried out")
+	// ErrIncomplete means that the response to a read has begun and did not arrive completely: it may be too large. An error that
+	// matches it matches ErrUncertain as well.
+	ErrIncomplete = errors.ConstError("store response did not arrive completely")
 	// ErrCompacted means that the history which a watch needs has been compacted. The prefix has to be read again.
 	ErrCompacted = errors.ConstError("store history is compacted")
 	// ErrLeaseEnded means that the lease does not exist.
@@ -114,7 +117,7 @@
 	// Range returns a page of the keys with a prefix that sort after the key after, which is empty for the first page.
 	Range(ctx context.Context, prefix, after string) (Page, error)
 	// Watch returns the changes under a prefix after a revision. If there are none, it waits for one, at most for wait.
-	// Errors: ErrCompacted.
+	// Errors: ErrCompacted, ErrIncomplete.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
 	// Commit applies a transaction and returns its revision. Errors: *Conflict, ErrLeaseEnded, ErrNotDone, ErrRefused,
 	// ErrUncertain.
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -100,9 +100,14 @@
 	return asOf, nil
 }
 
-// follow watches for changes since revision asOf until the store has compacted the revisions it needs. After other
-// failures it continues from the same revision.
+// maxIncompleteWatches is the number of consecutive watches whose response did not arrive completely after which the prefix is read
+// again: the changes since the revision may be too large for one response, while a page is bounded.
+const maxIncompleteWatches = 2
+
+// follow watches for changes since revision asOf until the store has compacted the revisions it needs, or the changes do not
+// arrive in one response. After other failures it continues from the same revision.
 func (m *Mirror) follow(ctx context.Context, asOf int64) error {
+	incomplete := 0 // consecutive watches
 	for ctx.Err() == nil {
 		started := time.Now()
 		changes, err := m.cfg.Store.Watch(ctx, m.cfg.Prefix, asOf, m.watchWait())
@@ -113,10 +118,17 @@
 			return nil
 		}
 		if err != nil {
+			if incomplete++; !errors.Is(err, kv.ErrIncomplete) {
+				incomplete = 0
+			}
+			if incomplete == maxIncompleteWatches {
+				return errors.Trace(err)
+			}
 			m.recordFailure(err)
 			pause.For(ctx, m.cfg.Retry)
 			continue
 		}
+		incomplete = 0
 		m.recordSuccess()
 		m.recordDuration(time.Since(started), false)
 		asOf = max(asOf, changes.AsOf)
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -170,3 +170,38 @@
 		t.Errorf("%d complete reads applied after the mirror had ended, want none", resets)
 	}
 }
+
+// incompleteWatches is a store whose watches never return a complete response if there are changes, as if those were too large.
+type incompleteWatches struct{ *kvtest.Store }
+
+func (s incompleteWatches) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Changes, error) {
+	changes, err := s.Store.Watch(ctx, prefix, after, wait)
+	if err == nil && len(changes.Changes) > 0 {
+		return kv.Changes{}, kv.ErrIncomplete
+	}
+	return changes, err
+}
+
+// Guards against a mirror that stops for good because the changes since its revision do not arrive in one response.
+func TestMirrorReadsAgainIfTheChangesDoNotArrive(t *testing.T) {
+	store := kvtest.NewStore()
+	put(t, store, "p/a", "1")
+	_, c := follow(t, incompleteWatches{store})
+	poll.Until(t, "the prefix is read", func() bool { return c.equals(map[string]string{"p/a": "1"}) })
+	put(t, store, "p/b", "2")
+	poll.Until(t, "the change is found", func() bool { return c.equals(map[string]string{"p/a": "1", "p/b": "2"}) })
+	put(t, store, "p/a", "3")
+	poll.Until(t, "the next change is found", func() bool { return c.equals(map[string]string{"p/a": "3", "p/b": "2"}) })
+}
+
+// Guards against a copy that holds large values of other writers under a prefix of small records.
+func TestLargeValuesAreNotKept(t *testing.T) {
+	store := kvtest.NewStore()
+	put(t, store, "p/a", "1234")
+	put(t, store, "p/odd", "12345")
+	_, c := follow(t, kv.BoundValues(store, 4))
+	poll.Until(t, "the prefix is read", func() bool { return c.equals(map[string]string{"p/a": "1234", "p/odd": ""}) })
+	put(t, store, "p/b", "123456")
+	put(t, store, "p/odd", "1")
+	poll.Until(t, "the changes are found", func() bool { return c.equals(map[string]string{"p/a": "1234", "p/odd": "1", "p/b": ""}) })
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -22,6 +22,8 @@
 	leaseTTL = 5 * time.Second
 	// renewInterval allows for two lost renewals within leaseTTL.
 	renewInterval = 1500 * time.Millisecond
+	// maxRecordBytes bounds a record. Valid ones are far smaller.
+	maxRecordBytes = 16 << 10
 	// checkEvery is the number of renewals after which the record is read.
 	checkEvery = 10
 	// callTimeout bounds one call to the store. It is long enough for a slow store.
@@ -165,7 +167,7 @@
 // Follow keeps the list of hosts up to date until ctx ends. Only owners need the list.
 func (r *Registry) Follow(ctx context.Context) {
 	mirror.New(mirror.Config{
-		Store: r.cfg.Store, Prefix: statekeys.Hosts, Log: r.cfg.Log,
+		Store: kv.BoundValues(r.cfg.Store, maxRecordBytes), Prefix: statekeys.Hosts, Log: r.cfg.Log,
 		Wait: watchWait, Pause: watchPause, Retry: watchRetryDelay,
 		Reset: func(items []kv.Item) {
 			r.mu.Lock()
