--- a/test/fleet/entries_test.go
+++ b/test/fleet/entries_test.go
@@ -216,3 +216,44 @@
 	s.awaitState(other, jobID(3), "completed")
 	s.checkHistory()
 }
+
+// Scenario: another writer overwrites the owner's record, the term and the records of hosts. Guards against a partition that gets no
+// further owner, or one whose orders the workers reject.
+func TestOddRecordsOfOwnerAndHosts(t *testing.T) {
+	s := newSite(t, fleet.Config{Seed: 14, Datacentres: []string{"dc1"}, Workers: 3, RunTime: shortTasks}, 3)
+	s.submit(0, longRunningID, longRunningJob)
+	poll.Until(t, "all services run", func() bool { return s.runningNow() == 3 })
+	owner := s.owner()
+	n := 0
+	for name, value := range oddValues() {
+		n++
+		s.platform.Store.PutRaw("fulmarcourse/owners/0/holder", value)
+		for _, h := range s.hosts {
+			s.platform.Store.PutRaw("fulmarcourse/hosts/"+h.name, value)
+		}
+		s.submit(n%3, jobID(n), twoStepJob)
+		s.awaitState((n+1)%3, jobID(n), "completed")
+		if n == 3 {
+			poll.Until(t, "the owner's record is written again beside "+name, func() bool { return s.owner() == owner })
+		}
+	}
+	poll.Until(t, "the owner's record is written again", func() bool { return s.owner() == owner })
+	s.kill(owner)
+	started := time.Now()
+	other := (owner + 1) % 3
+	s.submit(other, jobID(100), twoStepJob)
+	s.awaitState(other, jobID(100), "completed")
+	if took := time.Since(started); took > takeoverBound {
+		t.Errorf("a job took %v when the owner was killed, want at most %v", took, takeoverBound)
+	}
+	for _, value := range []string{"", `{"term":1e400}`, `{"term":9223372036854775807}`, "{}"} {
+		s.platform.Store.PutRaw("fulmarcourse/owners/0/term", []byte(value))
+		n++
+		s.submit(other, jobID(n), twoStepJob)
+		s.awaitState(other, jobID(n), "completed")
+	}
+	if got := s.runningNow(); got != 3 {
+		t.Errorf("%d tasks of the service run, want 3", got)
+	}
+	s.checkHistory()
+}
