--- a/pkg/dispatch/known_workers.go
+++ b/pkg/dispatch/known_workers.go
@@ -247,7 +247,7 @@
 			continue
 		}
 		if err := k.load(n, item); err != nil {
-			o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Err(err).Msg("")
+			o.logUnreadable(item.Key, err)
 		}
 	}
 	return k, nil
