--- a/pkg/scheduling/owners.go
+++ b/pkg/scheduling/owners.go
@@ -134,11 +134,14 @@
 func (s *ownerServer) AnnounceJob(_ context.Context, req *ownerpb.AnnounceJobRequest) (*ownerpb.AnnounceReply, error) {
 	var job workload.Job
 	if err := json.Unmarshal(req.Job, &job); err != nil {
-		return nil, status.Error(codes.InvalidArgument, err.Error())
+		return nil, status.Errorf(codes.InvalidArgument, "job: %.200s", err.Error())
 	}
 	if findings := workload.Validate(job); len(findings) > 0 {
 		return nil, status.Error(codes.InvalidArgument, findings[0].String())
 	}
+	if job.ID == "" {
+		return nil, status.Error(codes.InvalidArgument, "job: no id")
+	}
 	owner, err := s.ownerOfJob(req.Term, string(job.ID))
 	if err != nil {
 		return nil, err
