--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -138,6 +138,7 @@
 			cycle.unplaceable = append(cycle.unplaceable, shape)
 		}
 	}
+	t.step.unplacedAt = cycle.now.Boot
 	if !cycle.scan || !t.restartOverdue(cycle.now) || shape.among(cycle.unplaceableAtAll) {
 		return nil
 	}
@@ -154,7 +155,7 @@
 	var best *worker
 	bestFailed, bestScore := false, 0.0
 	for _, w := range s.sortedWorkers {
-		if !s.mayStartOn(now.Boot, w) || w.faultyWithin(now.Boot, restartOverdueAfter) || !s.hasRoom(now, t, w) {
+		if !s.fitsAvoided(now, t, w) {
 			continue
 		}
 		failed, score := slices.Contains(t.failedOn, w.info.ID), s.score(now.Boot, t, w)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +28,7 @@
 	stopping            map[*attempt]struct{}          // attempts that have to end
 	scannedAt           time.Duration                  // when all attempts were last scanned for moves and copies
 	calledAt            time.Duration                  // time of the latest call that may end attempts
+	plannedAt           Time                           // time of the latest planning run
 	restarts            Restarts                       // since the last call of TakeRestarts
 	orders              []Order                        // issued since the last call of TakeOrders
 	events              []Event
@@ -112,6 +114,7 @@
 // openStep makes the tasks of a step startable once all steps that it depends on are done.
 func (s *Scheduler) openStep(st *step) {
 	if st.unmetDeps == 0 && st.unfinished > 0 && !st.job.state.Final() {
+		st.openedAt = s.calledAt
 		s.openSteps[st] = struct{}{}
 		s.pendingSteps[st] = struct{}{}
 	}
@@ -373,7 +376,8 @@
 	return n
 }
 
-// Counts holds totals of a partition for logs and metrics. Processor time is in thousandths of a core.
+// Counts holds totals of a partition for logs and metrics. Processor time is in thousandths of a core; a total beyond the range
+// of its type is the limit of the range, since entries of the platform may state any capacity.
 type Counts struct {
 	Jobs, Workers, Available  int
 	Services, Fillers, Others int   // attempts by kind of step
@@ -383,18 +387,25 @@
 	ServicesOverTarget        int // services above their tail latency target
 	FillersThrottled          int
 	LongestServiceWait        time.Duration // of the pending service tasks that ran before
+	ListAge                   time.Duration // since the platform's list of workers was read; before the first time since the takeover
+	Unstored                  int           // listed workers that do not drain and are not in the stored set of known workers
+	Awaited                   int           // workers of a former owner that have not reported yet
 }
 
 // Counts returns the totals.
 func (s *Scheduler) Counts(now Time) Counts {
-	c := Counts{Jobs: len(s.jobs), Workers: len(s.workers), LongestServiceWait: s.longestServiceWait(now.Boot)}
+	c := Counts{Jobs: len(s.jobs), Workers: len(s.workers), LongestServiceWait: s.longestServiceWait(now.Boot),
+		ListAge: now.Boot - max(s.listReadAt, s.takeoverAt), Awaited: len(s.awaitingReport)}
 	for _, w := range s.sortedWorkers {
 		if w.available(now.Boot) {
 			c.Available++
-			c.Capacity += w.info.Capacity.MilliCPU
-			c.Reserved += w.reserved.MilliCPU
+			c.Capacity = addLimited(c.Capacity, w.info.Capacity.MilliCPU)
+			c.Reserved = addLimited(c.Reserved, w.reserved.MilliCPU)
 		}
-		c.FillerDemand += w.fillerCPU
+		if w.listed && !w.stored && !w.info.Draining { // a drained worker leaves the set
+			c.Unstored++
+		}
+		c.FillerDemand = addLimited(c.FillerDemand, w.fillerCPU)
 		for _, a := range w.attemptList {
 			c.countAttempt(a)
 		}
@@ -412,7 +423,7 @@
 	switch {
 	case a.filler():
 		c.Fillers++
-		c.FillerUse += int64(a.metric)
+		c.FillerUse = addLimited(c.FillerUse, limitedInt(a.metric))
 		if a.share < fullShare {
 			c.FillersThrottled++
 		}
@@ -425,3 +436,28 @@
 		c.Others++
 	}
 }
+
+// addLimited returns the sum of a and b, or the limit of the range that it exceeds.
+func addLimited(a, b int64) int64 {
+	switch {
+	case b > 0 && a > math.MaxInt64-b:
+		return math.MaxInt64
+	case b < 0 && a < math.MinInt64-b:
+		return math.MinInt64
+	}
+	return a + b
+}
+
+// limitedInt converts a number that a worker has reported; 0 if it is not a number. The conversion of a number beyond the
+// range differs between processors.
+func limitedInt(f float64) int64 {
+	switch {
+	case math.IsNaN(f):
+		return 0
+	case f >= math.MaxInt64:
+		return math.MaxInt64
+	case f <= math.MinInt64:
+		return math.MinInt64
+	}
+	return int64(f)
+}
