--- a/pkg/standin/fleet/limits_test.go
+++ b/pkg/standin/fleet/limits_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 )
 
@@ -128,3 +130,23 @@
 		}
 	}
 }
+
+// Guards against a call whose connection breaks before its body is complete and that is recorded as refused for good.
+func TestIncompleteCallIsNoRefusal(t *testing.T) {
+	s := NewStore(1)
+	defer s.Close()
+	for _, path := range []string{"/fulmarcourse/kv-txn", "/fulmarcourse/kv-lease"} {
+		func() {
+			defer func() {
+				if recover() != http.ErrAbortHandler {
+					t.Errorf("%s: the call was answered", path)
+				}
+			}()
+			body := io.MultiReader(strings.NewReader(`{"ttlMs":1`), iotest.ErrReader(io.ErrUnexpectedEOF))
+			s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, path, body))
+		}()
+	}
+	if got := s.Refusals(); len(got) != 0 {
+		t.Errorf("refusals %v", got)
+	}
+}
--- a/pkg/standin/fleet/store.go
+++ b/pkg/standin/fleet/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -303,7 +304,7 @@
 
 func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request, lose, late bool, delay time.Duration) {
 	var t txn
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+	if err := json.Unmarshal(readBody(r), &t); err != nil {
 		s.refuse(w, refusal{http.StatusBadRequest, "transaction: " + err.Error()})
 		return
 	}
@@ -325,6 +326,15 @@
 	standin.WriteJSON(w, status, body)
 }
 
+// readBody returns the body of a request. If the connection breaks before it is complete, the request ends without a response.
+func readBody(r *http.Request) []byte {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return data
+}
+
 func (s *Store) serveOther(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	switch path := r.URL.Path; {
@@ -445,7 +455,7 @@
 
 func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
 	var body leaseBody
-	err := json.NewDecoder(r.Body).Decode(&body)
+	err := json.Unmarshal(readBody(r), &body)
 	ttl := time.Duration(body.TTLMs) * time.Millisecond
 	s.mu.Lock()
 	allowed := ttl >= s.limits.MinTTL && ttl <= s.limits.MaxTTL
