--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -225,13 +225,15 @@
 )
 
 // Settings returns the text of the settings file of an entry host that listens on ip. store is the address of the
-// store, IP:port.
-func Settings(host, datacentre, ip, store string) string {
+// store, IP:port, and limits are those of the store.
+func Settings(host, datacentre, ip, store string, limits Limits) string {
+	limits = limits.withDefaults()
 	lines := []string{
 		"node=" + host, "zone=" + datacentre, "ip=" + ip,
 		fmt.Sprintf("listen.front=%s:%d", ip, CallerPort), fmt.Sprintf("listen.ready=%s:%d", ip, ReadinessPort),
 		fmt.Sprintf("portRange=%d,%d", PeerPort, lastPort), "limits.cpuShare=0.4", "limits.cores=1",
-		"platform.address=" + store, "platform.valueBytes=1048576",
+		"platform.address=" + store, fmt.Sprintf("platform.valueBytes=%d", limits.ValueBytes),
+		fmt.Sprintf("platform.minTtlMs=%d", limits.MinTTL.Milliseconds()),
 		fmt.Sprintf("bounds.holdMaxMs=%d", maxTaskLease.Milliseconds()), "bounds.contactMs=3000", "bounds.stopMs=400", "bounds.status_s=120",
 	}
 	return strings.Join(lines, "\n") + "\n"
--- a/test/fleet/entries_test.go
+++ b/test/fleet/entries_test.go
@@ -257,3 +257,17 @@
 	}
 	s.checkHistory()
 }
+
+// Guards against hosts that are refused every lease, and ask for it again and again, on a store whose shortest lease is longer than
+// that of an owner's record.
+func TestStoreWithALongShortestLease(t *testing.T) {
+	s := newSite(t, fleet.Config{Seed: 15, Datacentres: []string{"dc1"}, Workers: 2, RunTime: shortTasks,
+		Limits: fleet.Limits{MinTTL: 2 * time.Second}}, 2)
+	s.submit(0, jobID(1), twoStepJob)
+	s.awaitState(1, jobID(1), "completed")
+	owner := s.owner()
+	s.kill(owner)
+	s.submit(1-owner, jobID(2), twoStepJob)
+	s.awaitState(1-owner, jobID(2), "completed")
+	s.checkHistory()
+}
