--- a/test/fleet/entries_test.go
+++ b/test/fleet/entries_test.go
@@ -258,6 +258,21 @@
 	s.checkHistory()
 }
 
+// Guards against a caller that is asked to retry a submission which the store can never hold, and against jobs that wait behind it.
+func TestSubmissionAboveTheStoresLimit(t *testing.T) {
+	s := newSite(t, fleet.Config{Seed: 16, Datacentres: []string{"dc1"}, Workers: 2, RunTime: shortTasks,
+		Limits: fleet.Limits{ValueBytes: 8 << 10}}, 2)
+	image := `"image":"` + strings.Repeat("x", 16<<10) + `",`
+	if status := s.post(0, jobID(1), strings.Replace(twoStepJob, `"count":3`, image+`"count":3`, 1)); status != 413 {
+		t.Errorf("status %d, want 413", status)
+	}
+	s.submit(1, jobID(2), twoStepJob)
+	s.awaitState(0, jobID(2), "completed")
+	if status := s.status("GET", s.url(0, jobID(1)), ""); status != 410 {
+		t.Errorf("status %d for the job that was refused, want 410", status)
+	}
+}
+
 // Guards against hosts that are refused every lease, and ask for it again and again, on a store whose shortest lease is longer than
 // that of an owner's record.
 func TestStoreWithALongShortestLease(t *testing.T) {
