Add failing tests of fillers that wait beside free workers

Temporary log lines name the tasks: 192 steps of fillers for which a worker has room at 72.7 s (188 of them of jobs without a label or with the label of the workers), behind 83 steps of fillers that need a label which no worker has. Nothing but fillers waits beside room.

A planning run makes at most 64 searches for fillers and starts again with the most urgent step. The tests have the two patterns that use them up: steps whose tasks are searched for one by one although the first fits nowhere, and more steps that fit nowhere than the runs between two tries of a step can search for. The two other tests pass and keep what a fix must not break.

--- /dev/null
+++ b/core/schedule/starvation_test.go
@@ -0,0 +1,140 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/workload"
+)
+
+// runInterval is the time between two planning runs in these tests. It is below fillerRetryDelay, after which a step is searched
+// for again.
+const runInterval = fillerRetryDelay / 2
+
+// runFor makes planning runs for a time and returns the number of tasks of a job that have started.
+func (h *harness) runFor(d time.Duration, job workload.JobID) int {
+	started := 0
+	for range int(d / runInterval) {
+		for _, order := range starts(h.run()) {
+			if order.Task.Job == job {
+				started++
+			}
+		}
+		h.advanceClock(runInterval)
+		h.reportAll()
+	}
+	return started
+}
+
+// addLabelledWorker adds a worker with one label.
+func (h *harness) addLabelledWorker(id WorkerID, label string) {
+	h.addWorker(id, func(info *WorkerInfo) { info.Labels = []string{label} })
+}
+
+// Scenario: many fillers wait that need a label which no worker has, and behind them fillers for which there is room. Guards
+// against searches for each task of a step that fits nowhere, which use up those of a planning run, so that free workers stay
+// unused for as long as such steps wait.
+func TestFillersWithALabelThatNoWorkerHasDoNotStopOthers(t *testing.T) {
+	const waiting, tasks = 100, 8
+	h := newHarness(t, 1)
+	for n := range 10 {
+		h.addLabelledWorker(WorkerID(fmt.Sprint("w", n)), "common")
+	}
+	for n := range waiting {
+		step := fillerStep("image", tasks)
+		step.Size.MilliCPU, step.Label = int64(1000+n), "rare"
+		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("labelled", n)), step), nil, false)
+	}
+	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
+	if started := h.runFor(time.Second, "behind"); started != tasks {
+		t.Errorf("%d of %d fillers have started on free workers", started, tasks)
+	}
+}
+
+// Scenario: the workers with a label are full, and fillers of many sizes wait for them, before others for which there is room.
+// Guards against the same as the test above where the label exists.
+func TestFillersWithALabelOfFullWorkersDoNotStopOthers(t *testing.T) {
+	const waiting, tasks = 100, 8
+	h := newHarness(t, 1)
+	h.addLabelledWorker("rare", "rare")
+	h.addLabelledWorker("common", "common")
+	full := testStep(1)
+	full.Size.MilliCPU, full.Label = h.workers["rare"].info.Capacity.MilliCPU, "rare"
+	h.s.AddJob(testJob("full", full), nil, false)
+	h.wantStarts(h.run(), 1)
+	for n := range waiting {
+		step := fillerStep("image", tasks)
+		step.Size.MilliCPU, step.Label = int64(1000+n), "rare"
+		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("labelled", n)), step), nil, false)
+	}
+	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
+	if started := h.runFor(time.Second, "behind"); started != tasks {
+		t.Errorf("%d of %d fillers have started on a free worker", started, tasks)
+	}
+}
+
+// Scenario: fillers of so many different sizes fit nowhere that one planning run cannot search for all of them, and runs follow
+// each other more quickly than a step is searched for again. Guards against runs that begin with the same steps each time, so
+// that those behind them are never tried.
+func TestEachWaitingFillerIsTried(t *testing.T) {
+	const waiting, tasks = 6 * maxFillerSearches, 8
+	h := newHarness(t, 1)
+	for n := range 10 {
+		h.addWorker(WorkerID(fmt.Sprint("w", n)), nil)
+	}
+	capacity := h.workers["w0"].info.Capacity.MilliCPU
+	for n := range waiting {
+		step := fillerStep("image", tasks)
+		step.EstimateMs = int64(n + 1)
+		step.Size.MilliCPU = 3*capacity - int64(n) // smaller than those before, so that none is known to fit nowhere
+		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("large", n)), step), nil, false)
+	}
+	behind := lessUrgent(fillerStep("image", tasks))
+	h.s.AddJob(testJob("behind", behind), nil, false)
+	if started := h.runFor(time.Second, "behind"); started != tasks {
+		t.Errorf("%d of %d fillers have started on free workers", started, tasks)
+	}
+}
+
+// lessUrgent returns a step that comes after others of the same priority.
+func lessUrgent(step workload.Step) workload.Step {
+	step.EstimateMs *= 1000
+	return step
+}
+
+// Scenario: a task that needs a label which no worker has comes before tasks of the same size that need another label or none.
+// Guards against tasks that are not tried because one with a different label fits nowhere.
+func TestTasksThatFitNowhereStopOnlyThoseThatNeedTheirLabel(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addLabelledWorker("w", "common")
+	for id, label := range map[workload.JobID]string{"a-rare": "rare", "b-common": "common", "c-any": ""} {
+		step := testStep(2)
+		step.Label = label
+		h.s.AddJob(testJob(id, step), nil, false)
+	}
+	started := map[workload.JobID]int{}
+	for _, order := range h.run() {
+		started[order.Task.Job]++
+	}
+	if started["a-rare"] != 0 || started["b-common"] != 2 || started["c-any"] != 2 {
+		t.Errorf("started tasks by job: %v", started)
+	}
+}
+
+// Scenario: the first task of a step avoids the only worker with room, on which it has failed. Guards against its other tasks
+// waiting beside that worker.
+func TestATaskThatAvoidsAWorkerDoesNotStopOthersOfItsStep(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addLabelledWorker("w", "common")
+	step := testStep(2)
+	step.Label = "common"
+	h.s.AddJob(testJob("job", step), nil, false)
+	first := h.s.jobs["job"].steps[0].tasks[0]
+	first.failedOn = []WorkerID{"w"}
+	orders := starts(h.run())
+	h.wantStarts(orders, 1)
+	if got := orders[0].Task.Index; got != 1 {
+		t.Errorf("task %d has started, want 1", got)
+	}
+}
