Search once for the tasks of a step that fits nowhere

Cause: the tasks of a step with a label or a limit per worker were searched for one by one, although they differ in nothing that decides where they fit. A step of fillers that need a label which no worker has took one of the 64 searches of a planning run for each of its tasks, and was tried again 100 ms later.

Now a step ends with its first task that fits nowhere, unless this task avoids workers of its own, and the label belongs to the shape that is remembered for the rest of the run: a task with a label fits nowhere where one without fits nowhere, and not the other way round.

--- a/core/schedule/burst_bench_test.go
+++ b/core/schedule/burst_bench_test.go
@@ -78,3 +78,21 @@
 	b.ReportMetric(float64(c.PendingFillers), "waiting")
 	b.ReportMetric(float64(c.Fillers), "fillers")
 }
+
+// BenchmarkWaitForLabel measures a planning run of a large fleet while many tasks wait that need a label which no worker has.
+func BenchmarkWaitForLabel(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	h := fleet(burstWorkers)
+	for n := range burstSteps {
+		short, filler := testStep(8), burstFiller(rng, 8)
+		short.Label, filler.Label = "rare", "rare"
+		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("waiting", n)), short, filler), nil, false)
+	}
+	for b.Loop() {
+		h.advanceClock(fillerRetryDelay)
+		for _, w := range h.s.sortedWorkers {
+			w.reportedAt, w.listedAt = h.now.Boot, h.now.Boot
+		}
+		h.s.Plan(h.now)
+	}
+}
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -48,15 +48,16 @@
 	unplaceableAtAll []taskShape // tasks that do not fit on avoided workers either, see chooseAvoided
 }
 
-// taskShape holds the properties of a task that decide where it fits: its pool, its size and, for fillers, its image.
+// taskShape holds the properties of a task that decide where it fits: its pool, its label, its size and, for fillers, its image.
 type taskShape struct {
 	pool  workload.PoolName
+	label string
 	size  structs.Resources
 	image int
 }
 
-// fitsNowhere reports whether a task of the same pool and image and of at most the same size has already failed to fit on
-// any worker.
+// fitsNowhere reports whether a task of the same pool and image, of at most the same size and without a label or with the same
+// one has already failed to fit on any worker.
 func (c *planCycle) fitsNowhere(t taskShape) bool {
 	return t.among(c.unplaceable)
 }
@@ -64,7 +65,7 @@
 // among reports whether one of the shapes fits wherever a task of shape t does.
 func (t taskShape) among(shapes []taskShape) bool {
 	return slices.ContainsFunc(shapes, func(u taskShape) bool {
-		return u.pool == t.pool && u.image == t.image && u.size.Fits(t.size)
+		return u.pool == t.pool && (u.label == "" || u.label == t.label) && u.image == t.image && u.size.Fits(t.size)
 	})
 }
 
@@ -123,7 +124,7 @@
 		return
 	}
 	shape, sufficient := st.shape()
-	if sufficient && cycle.fitsNowhere(shape) {
+	if cycle.fitsNowhere(shape) {
 		return
 	}
 	for _, t := range st.tasks {
@@ -145,22 +146,26 @@
 		if st.spec.Filler {
 			st.retryAt = cycle.now.Boot + fillerRetryDelay
 		}
-		if sufficient && len(t.failedOn) == 0 && !t.onProbation() {
+		if len(t.failedOn) > 0 || t.onProbation() {
+			continue // the other tasks may start on workers that this one avoids
+		}
+		if sufficient {
 			cycle.unplaceable = append(cycle.unplaceable, shape)
-			return
 		}
+		return
 	}
 }
 
-// shape returns the shape of the step's tasks, and whether the shape is sufficient to decide where they fit.
+// shape returns the shape of the step's tasks, and whether it is sufficient to decide where they fit. If it is not, they do not
+// fit on some of the workers on which other tasks of the shape do.
 func (st *step) shape() (shape taskShape, sufficient bool) {
 	spec := st.spec
 	pool := st.job.rec.Queue.Pool
-	shape = taskShape{pool, spec.Reserved(), noImage}
+	shape = taskShape{pool, spec.Label, spec.Reserved(), noImage}
 	if spec.Filler {
-		shape = taskShape{pool, spec.Size, st.imageIndex}
+		shape = taskShape{pool, spec.Label, spec.Size, st.imageIndex}
 	}
-	return shape, spec.Label == "" && spec.MaxPerWorker == 0
+	return shape, spec.MaxPerWorker == 0
 }
 
 // start creates an attempt of a task on a worker. The start of a service task is ordered once its worker is stored: a
