Give each waiting step of fillers a turn to be searched for

Pattern: fillers of so many sizes and images wait without room that one planning run cannot search for all of them. Each run began with the most urgent step again, and after 100 ms its first 64 searches went to the same steps: those behind them were never tried, however much room there was for them.

Now the runs up to the first that reaches all steps form a pass. A step that has fitted nowhere in a pass may take half of the searches of a run, the steps that have not had their turn the rest.

Tried first and rejected: a step that has fitted nowhere waits until the next pass. A test keeps it out.

--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -20,19 +20,20 @@
 
 // step is one step of one occurrence.
 type step struct {
-	job        *job
-	spec       workload.Step
-	imageIndex int // index of spec.Image in the interference model
-	occurrence int
-	index      int
-	tasks      []*task
-	unmetDeps  int // earlier steps that are not done
-	dependents []*step
-	unfinished int           // tasks that are not done
-	pending    int           // tasks that have no attempt and are not done
-	retryAt    time.Duration // when a search for capacity is worth trying again
-	urgency    urgency       // as of the last planning run
-	searchFrom int           // position among the workers with spare time from which searchFurther continues
+	job           *job
+	spec          workload.Step
+	imageIndex    int // index of spec.Image in the interference model
+	occurrence    int
+	index         int
+	tasks         []*task
+	unmetDeps     int // earlier steps that are not done
+	dependents    []*step
+	unfinished    int           // tasks that are not done
+	pending       int           // tasks that have no attempt and are not done
+	retryAt       time.Duration // when a search for capacity is worth trying again
+	fitsNowhereIn int           // latest pass of searches for fillers in which the step had its turn, see hadTurn; 0 if none
+	urgency       urgency       // as of the last planning run
+	searchFrom    int           // position among the workers with spare time from which searchFurther continues
 }
 
 // task is one task of a step.
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -34,9 +34,12 @@
 		s.restartBefore(&cycle, st)
 		s.startStep(&cycle, st)
 	}
+	if !s.incomplete {
+		s.fillerPass++
+	}
 }
 
-// Incomplete reports whether the latest planning run has left fillers that may fit to the next one.
+// Incomplete reports whether the latest planning run has left fillers to the next one that have not had their turn.
 func (s *Scheduler) Incomplete() bool { return s.incomplete }
 
 // planCycle records the task shapes that fit on no worker, so that they are not tried again in the same cycle.
@@ -109,15 +112,30 @@
 // workers, and what their services bear changes with the reports, which take longer than this.
 const fillerRetryDelay = 100 * time.Millisecond
 
-// maxFillerSearches is the maximum number of searches for fillers in a planning run. Reports and more urgent tasks wait for
-// the end of a run, and in a large fleet a search rates a thousand workers.
-const maxFillerSearches = 64
+const (
+	// maxFillerSearches is the maximum number of searches for fillers in a planning run. Reports and more urgent tasks wait for
+	// the end of a run, and in a large fleet a search rates a thousand workers. The runs up to the first that can search for all
+	// steps form a pass.
+	maxFillerSearches = 64
+	// maxRepeatedSearches is the number of searches in a planning run up to which a step is searched for that has fitted nowhere
+	// in the same pass. The rest is for the steps that have not had their turn.
+	maxRepeatedSearches = maxFillerSearches / 2
+)
 
 // mayPlaceFiller reports whether the planning run may place a further filler of a step.
 func (s *Scheduler) mayPlaceFiller(now Time, st *step) bool {
-	return s.fillerSearches < maxFillerSearches || s.fillerSearch.has(now, st) && len(s.fillerSearch.remaining) > 0
+	if s.fillerSearch.has(now, st) && len(s.fillerSearch.remaining) > 0 {
+		return true
+	}
+	if st.hadTurn(s.fillerPass) {
+		return s.fillerSearches < maxRepeatedSearches
+	}
+	return s.fillerSearches < maxFillerSearches
 }
 
+// hadTurn reports whether all tasks of a step were tried in a pass and one of them has fitted nowhere.
+func (st *step) hadTurn(pass int) bool { return st.fitsNowhereIn == pass }
+
 // startStep starts the pending tasks of a step, except for displaced ones, as far as capacity allows.
 func (s *Scheduler) startStep(cycle *planCycle, st *step) {
 	if cycle.now.Boot < st.retryAt {
@@ -127,12 +145,13 @@
 	if cycle.fitsNowhere(shape) {
 		return
 	}
+	fitsNowhere := false // a task of the step
 	for _, t := range st.tasks {
 		if !t.pending() || t.displaced() || s.mayRunElsewhere(t) || s.heldBack(t) {
 			continue
 		}
 		if st.spec.Filler && !s.mayPlaceFiller(cycle.now, st) {
-			s.incomplete = true
+			s.incomplete = s.incomplete || !st.hadTurn(s.fillerPass)
 			return
 		}
 		w := s.choose(cycle.now, t)
@@ -143,6 +162,7 @@
 			s.start(cycle.now.Boot, t, w)
 			continue
 		}
+		fitsNowhere = true
 		if st.spec.Filler {
 			st.retryAt = cycle.now.Boot + fillerRetryDelay
 		}
@@ -152,7 +172,10 @@
 		if sufficient {
 			cycle.unplaceable = append(cycle.unplaceable, shape)
 		}
-		return
+		break
+	}
+	if fitsNowhere {
+		st.fitsNowhereIn = s.fillerPass
 	}
 }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -18,6 +18,7 @@
 	index               *workerIndex
 	fillerSearch        fillerSearch  // the latest one
 	fillerSearches      int           // number of searches in the latest planning run
+	fillerPass          int           // number of the current pass of searches, see maxFillerSearches
 	incomplete          bool          // the latest planning run ended before all steps were tried
 	listReadAt          time.Duration // time of the last call of SetWorkers; 0 before the first
 	evacuated           map[structs.DatacentreID]bool
@@ -51,6 +52,7 @@
 func NewScheduler(cfg Config) *Scheduler {
 	return &Scheduler{
 		cfg:            cfg,
+		fillerPass:     1,
 		jobs:           map[workload.JobID]*job{},
 		workers:        map[WorkerID]*worker{},
 		index:          newWorkerIndex(),
--- a/core/schedule/starvation_test.go
+++ b/core/schedule/starvation_test.go
@@ -83,20 +83,41 @@
 	for n := range 10 {
 		h.addWorker(WorkerID(fmt.Sprint("w", n)), nil)
 	}
-	capacity := h.workers["w0"].info.Capacity.MilliCPU
-	for n := range waiting {
-		step := fillerStep("image", tasks)
-		step.EstimateMs = int64(n + 1)
-		step.Size.MilliCPU = 3*capacity - int64(n) // smaller than those before, so that none is known to fit nowhere
-		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("large", n)), step), nil, false)
-	}
-	behind := lessUrgent(fillerStep("image", tasks))
-	h.s.AddJob(testJob("behind", behind), nil, false)
+	h.addTooLargeFillers(waiting)
+	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
 	if started := h.runFor(time.Second, "behind"); started != tasks {
 		t.Errorf("%d of %d fillers have started on free workers", started, tasks)
 	}
 }
 
+// Scenario: as above, and a worker joins on which the most urgent fillers fit. Guards against urgent fillers that wait until all
+// others have had their turn.
+func TestUrgentFillersAreTriedBesideThoseThatWaitForTheirTurn(t *testing.T) {
+	const waiting, tasks = 20 * maxFillerSearches, 8
+	h := newHarness(t, 1)
+	h.addLabelledWorker("w0", "common")
+	h.addTooLargeFillers(waiting)
+	urgent := fillerStep("image", tasks)
+	urgent.EstimateMs, urgent.Label = 1, "rare"
+	h.s.AddJob(testJob("urgent", urgent), nil, false)
+	h.runFor(5*runInterval, "urgent")
+	h.addLabelledWorker("w1", "rare")
+	if started := h.runFor(fillerRetryDelay+runInterval, "urgent"); started != tasks {
+		t.Errorf("%d of %d fillers have started", started, tasks)
+	}
+}
+
+// addTooLargeFillers adds jobs of fillers that are larger than worker w0, each smaller than those before, so that none is known
+// to fit nowhere.
+func (h *harness) addTooLargeFillers(jobs int) {
+	for n := range jobs {
+		step := fillerStep("image", 8)
+		step.EstimateMs = int64(n + 1)
+		step.Size.MilliCPU = 3*h.workers["w0"].info.Capacity.MilliCPU - int64(n)
+		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("large", n)), step), nil, false)
+	}
+}
+
 // lessUrgent returns a step that comes after others of the same priority.
 func lessUrgent(step workload.Step) workload.Step {
 	step.EstimateMs *= 1000
