Add a failing test of overdue occurrences that come first

Pattern: a recurring job cannot keep up, because a burst or a loss of workers left too little capacity, and its occurrences pile up. Each of them keeps the rank of its queue however late it is, so all come before jobs that could still be in time.

--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -240,6 +240,33 @@
 	}
 }
 
+// Scenario: occurrences of a recurring job pile up beyond capacity. Guards against overdue occurrences that come before all
+// that can still be in time, so that in the end all are late.
+func TestOccurrencesThatCanBeInTimeComeBeforeLateOnes(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", func(info *WorkerInfo) { info.Capacity.MilliCPU = 1000 })
+	recurring, fresh := testJob("recurring", testStep(1)), testJob("fresh", testStep(1))
+	objective := dueBy(fresh) - fresh.AcceptedMs
+	fresh.AcceptedMs = h.now.UnixMs - objective/10
+	recurring.AcceptedMs = h.now.UnixMs - 10*objective
+	recurring.Recurrence = workload.Recurrence{FirstMs: h.now.UnixMs - 6*objective, IntervalMs: 2 * objective, Count: 4}
+	h.s.AddJob(recurring, nil, false)
+	h.s.AddJob(fresh, nil, false)
+	h.advanceClock(time.Duration(objective/20) * time.Millisecond)
+	h.reportAll()
+	occurrence := func(k int) workload.TaskID { return workload.TaskID{Job: "recurring", Occurrence: k} }
+	inTime, late, worthless := occurrence(3), occurrence(2), []workload.TaskID{occurrence(0), occurrence(1)}
+	for _, want := range append([]workload.TaskID{{Job: "fresh"}, inTime, late}, worthless...) {
+		orders := h.run()
+		h.wantStarts(orders, 1)
+		if got := orders[0].Task; got != want {
+			t.Fatalf("started %v, want %v", got, want)
+		}
+		h.end(orders[0].Task, EndDone)
+		h.reportAll()
+	}
+}
+
 // Guards against committing more than a worker's capacity, including by attempts that are being stopped.
 func TestCapacityIsNeverExceeded(t *testing.T) {
 	h := newHarness(t, 1)
