Place occurrences without value last

What callers saw: beside a recurring job that falls behind, new jobs wait behind occurrences that are overdue by any time.

Cause: an occurrence kept the priority of its queue however late it was, and among equals the longest wait comes first. The due time of a recurring job was that of its first occurrence for all of them.

Now the objective counts for each occurrence from when it is due. One that has passed three times its objective has no value for its caller and comes last, as such jobs that do not recur do.

--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -15,7 +15,7 @@
 	steps           []*step
 	unfinishedSteps int   // steps that are not done
 	attempts        int   // number of attempts of all tasks of the job
-	dueByMs         int64 // Unix milliseconds; see dueBy
+	objectiveMs     int64 // see objectiveMs
 }
 
 // step is one step of one occurrence.
@@ -118,7 +118,7 @@
 
 // newJob builds a job with the steps of all its occurrences.
 func newJob(rec workload.Job) *job {
-	j := &job{rec: rec, state: workload.StatePending, dueByMs: dueBy(rec)}
+	j := &job{rec: rec, state: workload.StatePending, objectiveMs: objectiveMs(rec)}
 	for k := range rec.Recurrence.Occurrences() {
 		j.addOccurrence(k)
 	}
@@ -154,10 +154,9 @@
 	return j.steps[occurrence*len(j.rec.Steps)+index]
 }
 
-// dueBy returns the Unix millisecond after which the result of a job loses most of its value to the caller: the
-// estimated duration of the longest chain of steps, scaled and extended by the queue's settings, after the job was
-// accepted or its first occurrence is due.
-func dueBy(rec workload.Job) int64 {
+// objectiveMs returns the time in milliseconds after which the result of a job, or of one of its occurrences, loses most of its
+// value to the caller: the estimated duration of the longest chain of steps, scaled and extended by the queue's settings.
+func objectiveMs(rec workload.Job) int64 {
 	chain := make([]int64, len(rec.Steps))
 	longest := int64(0)
 	for i, spec := range rec.Steps {
@@ -171,6 +170,5 @@
 		chain[i] = before + spec.EstimateMs
 		longest = max(longest, chain[i])
 	}
-	start := max(rec.AcceptedMs, rec.Recurrence.FirstMs)
-	return start + int64(rec.Queue.Stretch*float64(longest)) + rec.Queue.TargetMs
+	return int64(rec.Queue.Stretch*float64(longest)) + rec.Queue.TargetMs
 }
--- a/core/schedule/urgency.go
+++ b/core/schedule/urgency.go
@@ -2,15 +2,14 @@
 
 import "cmp"
 
-// Ranks of jobs that miss their objective, which is the time from their acceptance to dueByMs. Late jobs have little
-// value left for their callers and come after all jobs that can still be in time; worthless ones have none and come
-// last.
+// Ranks of jobs that miss their objective, see objectiveMs. Late jobs have little value left for their callers and come after all
+// jobs that can still be in time; worthless ones, and worthless occurrences of recurring jobs, have none and come last.
 const (
 	lateRank      = 1 << 10
 	worthlessRank = 1 << 20
 )
 
-// worthlessFactor is the multiple of a job's objective after which its result has no value.
+// worthlessFactor is the multiple of the objective after which a result has no value.
 const worthlessFactor = 3
 
 // initialWaitMs is added to the time that a job has waited, in milliseconds, so that new jobs compare by their work.
@@ -24,7 +23,7 @@
 		cmp.Compare(a.urgency.rank, b.urgency.rank),
 		compareBool(a.spec.Service, b.spec.Service),
 		cmp.Compare(a.urgency.workPerWait, b.urgency.workPerWait),
-		cmp.Compare(a.job.dueByMs, b.job.dueByMs),
+		cmp.Compare(a.dueByMs(), b.dueByMs()),
 		compareIDs(a, b),
 	)
 }
@@ -61,28 +60,34 @@
 	return -1
 }
 
-// rank returns the sort rank of a step, the lowest first: the priority of its queue, with late jobs after all others.
+// rank returns the sort rank of a step, the lowest first: the priority of its queue, with late steps after all others. Occurrences
+// of recurring jobs keep their priority until they are worthless.
 func (st *step) rank(now Time) int {
 	rec := &st.job.rec
-	if st.spec.Service || rec.Recurrence.Count > 0 {
-		return rec.Queue.Priority
-	}
-	objective := st.job.dueByMs - rec.AcceptedMs
 	switch {
-	case now.UnixMs > rec.AcceptedMs+worthlessFactor*objective:
+	case st.spec.Service:
+		return rec.Queue.Priority
+	case now.UnixMs > st.readyMs()+worthlessFactor*st.job.objectiveMs:
 		return worthlessRank
-	case now.UnixMs > st.job.dueByMs:
+	case now.UnixMs > st.dueByMs() && rec.Recurrence.Count == 0:
 		return lateRank + rec.Queue.Priority
 	}
 	return rec.Queue.Priority
 }
 
+// readyMs returns the Unix millisecond from which the objective of the step's occurrence counts: when its job was accepted or,
+// if that is later, when the occurrence was due.
+func (st *step) readyMs() int64 {
+	return max(st.job.rec.AcceptedMs, st.job.rec.Recurrence.DueMs(st.occurrence))
+}
+
+// dueByMs returns the Unix millisecond after which the step's occurrence is late.
+func (st *step) dueByMs() int64 { return st.readyMs() + st.job.objectiveMs }
+
 // workPerWait returns the remaining work of the step's occurrence, in thousandths of a core times milliseconds, divided
-// by the milliseconds since it was due. It is 0 for services.
+// by the milliseconds since it was ready. It is 0 for services.
 func (st *step) workPerWait(now Time) float64 {
-	rec := &st.job.rec
-	due := max(rec.AcceptedMs, rec.Recurrence.DueMs(st.occurrence))
-	waited := max(now.UnixMs-due, 0) + initialWaitMs
+	waited := max(now.UnixMs-st.readyMs(), 0) + initialWaitMs
 	return float64(st.job.remainingWork(st.occurrence)) / float64(waited)
 }
 
