Add a failing test of fillers with a label that few workers have

Pattern: in a large pool few workers have the label that fillers need, and others have more spare time. A search rates the workers without the label as well and checks at most 224 of them, so the fillers wait beside room until a later search, 100 ms or a whole pass later, comes to the part of the list with their workers.

--- a/core/schedule/index_test.go
+++ b/core/schedule/index_test.go
@@ -119,3 +119,25 @@
 		h.reportAll()
 	}
 }
+
+// Scenario: one worker of a large pool has the label that fillers need, and the least spare time. Guards against fillers that wait
+// while the search passes over workers without the label, beside which it checks only some.
+func TestFillersWithARareLabelStartAtOnce(t *testing.T) {
+	const workers = maxFillerChecks + 2*maxCandidates
+	h := newHarness(t, 1)
+	for n := range workers {
+		label, capacity := "common", int64(16000)
+		if n == workers-1 {
+			label, capacity = "rare", 8000
+		}
+		w := &simWorker{incarnation: 1, stopped: map[attemptKey]bool{}}
+		w.info = WorkerInfo{ID: fleetWorker(n), Datacentre: "dc1", Pool: testPool, Labels: []string{label}, Capacity: testStep(1).Size}
+		w.info.Capacity.MilliCPU, w.info.Capacity.MemoryBytes = capacity, 64<<30
+		h.workers[w.info.ID] = w
+	}
+	h.listWorkers()
+	filler := fillerStep("filler", 2)
+	filler.Label = "rare"
+	h.s.AddJob(testJob("filler", filler), nil, false)
+	h.wantStarts(h.run(), 2)
+}
