Search only the workers that have the label of a task

What callers see: fillers and services with a label that few workers of a large pool have wait beside room, or start where they are rated lower.

Cause: the workers with the highest ratings were those of the whole pool, and a search for a filler checks 200 more of them at most. Now a search for a filler or a service takes the workers from the index by label, which the search for data in a rack uses already, and a label that no worker has costs no search. The index of racks is named for what it holds.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -66,8 +66,11 @@
 	if p == nil {
 		return nil
 	}
+	if label := t.step.spec.Label; label != "" && len(p.byLabel[label]) == 0 {
+		return nil
+	}
 	c := &search{s: s, now: now, task: t}
-	for _, w := range p.racks[t.step.spec.DataRack] {
+	for _, w := range p.byLabel[t.step.spec.DataRack] {
 		if c.consider(w) {
 			break
 		}
@@ -106,17 +109,18 @@
 		return
 	}
 	s.fillerSearches++
-	size := c.task.step.spec.Size.MilliCPU
-	cores := float64(size) / 1000
+	spec := &c.task.step.spec
+	cores := float64(spec.Size.MilliCPU) / 1000
+	workers := p.withLabel(spec.Label, &p.bySpare, minSpare(spec.Size.MilliCPU))
 	var top topWorkers
-	for _, w := range p.bySpare.workers[:p.bySpare.count(minSpare(size))] {
+	for _, w := range workers {
 		rise := s.pressureOn(w, c.task.step.imageIndex) * cores
 		top.add(w, fillerRating(float64(w.indexed.spare), rise, w))
 	}
 	top.considerAll(c)
 	s.fillerSearch = fillerSearch{step: c.task.step, at: c.now, remaining: top.best(p.shared(), c.best.worker)}
 	if c.best.worker == nil {
-		s.searchFurther(c, p.bySpare.workers[:p.bySpare.count(minSpare(size))])
+		s.searchFurther(c, workers)
 	}
 }
 
@@ -163,13 +167,14 @@
 
 // searchServices checks the workers with the highest ratings, the best first.
 func (s *Scheduler) searchServices(c *search, p *poolIndex) {
+	spec := &c.task.step.spec
 	var top topWorkers
-	for _, w := range p.byFree.workers[:p.byFree.count(c.task.step.spec.Size.MilliCPU)] {
+	for _, w := range p.withLabel(spec.Label, &p.byFree, spec.Size.MilliCPU) {
 		top.add(w, serviceRating(w, c.task.step.imageIndex))
 	}
 	top.considerAll(c)
 	if c.best.worker == nil { // for instance, each of them has as many tasks of the step as it may
-		p.byFree.tightest(c.task.step.spec.Size.MilliCPU, c.consider)
+		p.byFree.tightest(spec.Size.MilliCPU, c.consider)
 	}
 }
 
--- a/core/schedule/index.go
+++ b/core/schedule/index.go
@@ -27,7 +27,7 @@
 type poolIndex struct {
 	byFree  orderedWorkers       // by unreserved processor time
 	bySpare orderedWorkers       // by the processor time that further fillers are expected to get
-	racks   map[string][]*worker // by label; the labels of a worker include its rack
+	byLabel map[string][]*worker // the labels of a worker include its rack
 }
 
 // indexKeys are the keys under which a worker is indexed, in thousandths of a core.
@@ -48,7 +48,7 @@
 	return &poolIndex{
 		byFree:  orderedWorkers{key: func(w *worker) int64 { return w.indexed.free }},
 		bySpare: orderedWorkers{key: func(w *worker) int64 { return w.indexed.spare }},
-		racks:   map[string][]*worker{},
+		byLabel: map[string][]*worker{},
 	}
 }
 
@@ -108,7 +108,7 @@
 		x.remove(w)
 		for _, label := range w.info.Labels {
 			if label != "" { // the rack of tasks without data
-				keys.pool.racks[label] = append(keys.pool.racks[label], w)
+				keys.pool.byLabel[label] = append(keys.pool.byLabel[label], w)
 			}
 		}
 		w.indexedLabels = w.info.Labels
@@ -130,9 +130,9 @@
 	p.byFree.remove(w)
 	p.bySpare.remove(w)
 	for _, label := range w.indexedLabels {
-		p.racks[label] = slices.DeleteFunc(p.racks[label], func(other *worker) bool { return other == w })
-		if len(p.racks[label]) == 0 {
-			delete(p.racks, label)
+		p.byLabel[label] = slices.DeleteFunc(p.byLabel[label], func(other *worker) bool { return other == w })
+		if len(p.byLabel[label]) == 0 {
+			delete(p.byLabel, label)
 		}
 	}
 	w.indexed = indexKeys{}
@@ -154,6 +154,20 @@
 	}
 }
 
+// withLabel returns the usable workers with a label whose key in one of the orders is at least min.
+func (p *poolIndex) withLabel(label string, order *orderedWorkers, min int64) []*worker {
+	if label == "" {
+		return order.workers[:order.count(min)]
+	}
+	var workers []*worker
+	for _, w := range p.byLabel[label] {
+		if order.key(w) >= max(min, 0) {
+			workers = append(workers, w)
+		}
+	}
+	return workers
+}
+
 // count returns the number of usable workers whose key is at least min. They are the first ones of the list.
 func (l *orderedWorkers) count(min int64) int {
 	n, _ := slices.BinarySearchFunc(l.workers, max(min, 0), func(w *worker, min int64) int {
