--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -34,9 +34,12 @@
 		s.restartBefore(&cycle, st)
 		s.startStep(&cycle, st)
 	}
+	if !s.incomplete {
+		s.fillerPass++
+	}
 }
 
-// Incomplete reports whether the latest planning run has left fillers that may fit to the next one.
+// Incomplete reports whether the latest planning run has left fillers to the next one that have not had their turn.
 func (s *Scheduler) Incomplete() bool { return s.incomplete }
 
 // planCycle records the task shapes that fit on no worker, so that they are not tried again in the same cycle.
@@ -48,15 +51,16 @@
 	unplaceableAtAll []taskShape // tasks that do not fit on avoided workers either, see chooseAvoided
 }
 
-// taskShape holds the properties of a task that decide where it fits: its pool, its size and, for fillers, its image.
+// taskShape holds the properties of a task that decide where it fits: its pool, its label, its size and, for fillers, its image.
 type taskShape struct {
 	pool  workload.PoolName
+	label string
 	size  structs.Resources
 	image int
 }
 
-// fitsNowhere reports whether a task of the same pool and image and of at most the same size has already failed to fit on
-// any worker.
+// fitsNowhere reports whether a task of the same pool and image, of at most the same size and without a label or with the same
+// one has already failed to fit on any worker.
 func (c *planCycle) fitsNowhere(t taskShape) bool {
 	return t.among(c.unplaceable)
 }
@@ -64,7 +68,7 @@
 // among reports whether one of the shapes fits wherever a task of shape t does.
 func (t taskShape) among(shapes []taskShape) bool {
 	return slices.ContainsFunc(shapes, func(u taskShape) bool {
-		return u.pool == t.pool && u.image == t.image && u.size.Fits(t.size)
+		return u.pool == t.pool && (u.label == "" || u.label == t.label) && u.image == t.image && u.size.Fits(t.size)
 	})
 }
 
@@ -89,15 +93,30 @@
 // workers, and what their services bear changes with the reports, which take longer than this.
 const fillerRetryDelay = 100 * time.Millisecond
 
-// maxFillerSearches is the maximum number of searches for fillers in a planning run. Reports and more urgent tasks wait for
-// the end of a run, and in a large fleet a search rates a thousand workers.
-const maxFillerSearches = 64
+const (
+	// maxFillerSearches is the maximum number of searches for fillers in a planning run. Reports and more urgent tasks wait for
+	// the end of a run, and in a large fleet a search rates a thousand workers. The runs up to the first that can search for all
+	// steps form a pass.
+	maxFillerSearches = 64
+	// maxRepeatedSearches is the number of searches in a planning run up to which a step is searched for that has fitted nowhere
+	// in the same pass. The rest is for the steps that have not had their turn.
+	maxRepeatedSearches = maxFillerSearches / 2
+)
 
 // mayPlaceFiller reports whether the planning run may place a further filler of a step.
 func (s *Scheduler) mayPlaceFiller(now Time, st *step) bool {
-	return s.fillerSearches < maxFillerSearches || s.fillerSearch.has(now, st) && len(s.fillerSearch.remaining) > 0
+	if s.fillerSearch.has(now, st) && len(s.fillerSearch.remaining) > 0 {
+		return true
+	}
+	if st.hadTurn(s.fillerPass) {
+		return s.fillerSearches < maxRepeatedSearches
+	}
+	return s.fillerSearches < maxFillerSearches
 }
 
+// hadTurn reports whether all tasks of a step were tried in a pass and one of them has fitted nowhere.
+func (st *step) hadTurn(pass int) bool { return st.fitsNowhereIn == pass }
+
 // startStep starts the pending tasks of a step, except for displaced ones, as far as capacity allows.
 func (s *Scheduler) startStep(cycle *planCycle, st *step) {
 	if cycle.now.Boot < st.retryAt {
@@ -105,7 +124,7 @@
 		return
 	}
 	shape, sufficient := st.shape()
-	if sufficient && cycle.fitsNowhere(shape) {
+	if cycle.fitsNowhere(shape) {
 		st.unplacedAt = cycle.now.Boot
 		return
 	}
@@ -114,7 +133,7 @@
 			continue
 		}
 		if st.spec.Filler && !s.mayPlaceFiller(cycle.now, st) {
-			s.incomplete = true
+			s.incomplete = s.incomplete || !st.hadTurn(s.fillerPass)
 			return
 		}
 		w := s.choose(cycle.now, t)
@@ -129,22 +148,29 @@
 		if st.spec.Filler {
 			st.retryAt = cycle.now.Boot + fillerRetryDelay
 		}
-		if sufficient && len(t.failedOn) == 0 && !t.onProbation() {
+		if len(t.failedOn) > 0 || t.onProbation() {
+			continue // the other tasks may start on workers that this one avoids
+		}
+		if sufficient {
 			cycle.unplaceable = append(cycle.unplaceable, shape)
-			return
 		}
+		break
+	}
+	if st.unplacedAt == cycle.now.Boot {
+		st.fitsNowhereIn = s.fillerPass
 	}
 }
 
-// shape returns the shape of the step's tasks, and whether the shape is sufficient to decide where they fit.
+// shape returns the shape of the step's tasks, and whether it is sufficient to decide where they fit. If it is not, they do not
+// fit on some of the workers on which other tasks of the shape do.
 func (st *step) shape() (shape taskShape, sufficient bool) {
 	spec := st.spec
 	pool := st.job.rec.Queue.Pool
-	shape = taskShape{pool, spec.Reserved(), noImage}
+	shape = taskShape{pool, spec.Label, spec.Reserved(), noImage}
 	if spec.Filler {
-		shape = taskShape{pool, spec.Size, st.imageIndex}
+		shape = taskShape{pool, spec.Label, spec.Size, st.imageIndex}
 	}
-	return shape, spec.Label == "" && spec.MaxPerWorker == 0
+	return shape, spec.MaxPerWorker == 0
 }
 
 // start creates an attempt of a task on a worker. The start of a service task is ordered once its worker is stored: a
--- a/core/schedule/waiting.go
+++ b/core/schedule/waiting.go
@@ -127,7 +127,6 @@
 type searchKey struct {
 	shape    taskShape
 	reserved structs.Resources
-	label    string
 	filler   bool
 	guarded  bool
 	overdue  bool
@@ -271,7 +270,7 @@
 	spec := &t.step.spec
 	shape, _ := t.step.shape()
 	key := searchKey{
-		shape: shape, reserved: spec.Reserved(), label: spec.Label, filler: spec.Filler,
+		shape: shape, reserved: spec.Reserved(), filler: spec.Filler,
 		guarded: t.step.job.rec.Queue.CapacityGuarded,
 		overdue: t.displaced() && t.displacement.since > 0 && t.restartOverdue(e.now),
 	}
