--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	Workers      int                             // spread over the data centres
 	RunTime      func(task string) time.Duration // run time of a task; 0 for one that runs until it is stopped
 	ProxyAddress func(target string) string      // address of a proxy for the worker at target; nil for no proxies
+	Limits       Limits                          // of the store
 	ClockDrift   float64                         // largest share by which a worker's clock runs slow, for instance 0.02
 }
 
@@ -32,12 +34,14 @@
 	QueuePrefix string // path prefix of the only queue
 	QueueHost   string // host name of the only queue
 
+	cfg     Config
+	rnd     *rand.Rand // decides on the clocks of workers
 	runTime func(string) time.Duration
 	server  *standin.Server
-	workers []*Worker
 	stop    chan struct{}
 
-	mu      sync.Mutex // guards history
+	mu      sync.Mutex // guards the fields below
+	workers []*Worker
 	history []Run
 }
 
@@ -46,6 +50,7 @@
 	p := &Platform{
 		Store: NewStore(cfg.Seed), Pool: "pool", QueuePrefix: "/jobs/", QueueHost: "jobs.example", runTime: cfg.RunTime, stop: make(chan struct{}),
 	}
+	p.Store.SetLimits(cfg.Limits)
 	server, err := standin.NewServer(p.Store)
 	if err != nil {
 		return nil, errors.Annotate(err, "store")
@@ -55,26 +60,38 @@
 	if cfg.ProxyAddress == nil {
 		cfg.ProxyAddress = func(target string) string { return target }
 	}
-	rnd := rand.New(rand.NewPCG(cfg.Seed, 17))
-	for n := range cfg.Workers {
-		w := &Worker{
-			clockRate: 1 - cfg.ClockDrift*rnd.Float64(),
-			ID:        fmt.Sprintf("i-%04d", n), Datacentre: cfg.Datacentres[n%len(cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8),
-			id: fmt.Sprintf("i-%04d", n), platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
-		}
-		w.start()
-		if err := w.serve(); err != nil {
+	p.cfg = cfg
+	p.rnd = rand.New(rand.NewPCG(cfg.Seed, 17))
+	for range cfg.Workers {
+		if _, err := p.AddWorker(); err != nil {
 			p.Close()
 			return nil, err
 		}
-		w.address = cfg.ProxyAddress(w.server.Addr())
-		p.workers = append(p.workers, w)
-		w.writeEntry()
 	}
 	go p.heartbeats()
 	return p, nil
 }
 
+// AddWorker starts a further worker. It is called by one goroutine at a time.
+func (p *Platform) AddWorker() (*Worker, error) {
+	n := len(p.Workers())
+	w := &Worker{
+		clockRate: 1 - p.cfg.ClockDrift*p.rnd.Float64(),
+		ID:        fmt.Sprintf("i-%04d", n), Datacentre: p.cfg.Datacentres[n%len(p.cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8),
+		id: fmt.Sprintf("i-%04d", n), platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
+	}
+	w.start()
+	if err := w.serve(); err != nil {
+		return nil, err
+	}
+	w.address = p.cfg.ProxyAddress(w.server.Addr())
+	p.mu.Lock()
+	p.workers = append(p.workers, w)
+	p.mu.Unlock()
+	w.writeEntry()
+	return w, nil
+}
+
 // heartbeats writes the entries of all responsive workers every second.
 func (p *Platform) heartbeats() {
 	ticker := time.NewTicker(time.Second)
@@ -84,7 +101,7 @@
 		case <-p.stop:
 			return
 		case <-ticker.C:
-			for _, w := range p.workers {
+			for _, w := range p.Workers() {
 				w.mu.Lock()
 				unresponsive := w.faults.Unresponsive
 				w.mu.Unlock()
@@ -123,7 +140,11 @@
 func (p *Platform) StoreAddress() string { return p.server.Addr() }
 
 // Workers returns all workers of the platform.
-func (p *Platform) Workers() []*Worker { return p.workers }
+func (p *Platform) Workers() []*Worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.workers)
+}
 
 // History returns a copy of all runs so far, in order of start.
 func (p *Platform) History() []Run {
@@ -204,13 +225,15 @@
 )
 
 // Settings returns the text of the settings file of an entry host that listens on ip. store is the address of the
-// store, IP:port.
-func Settings(host, datacentre, ip, store string) string {
+// store, IP:port, and limits are those of the store.
+func Settings(host, datacentre, ip, store string, limits Limits) string {
+	limits = limits.withDefaults()
 	lines := []string{
 		"node=" + host, "zone=" + datacentre, "ip=" + ip,
 		fmt.Sprintf("listen.front=%s:%d", ip, CallerPort), fmt.Sprintf("listen.ready=%s:%d", ip, ReadinessPort),
 		fmt.Sprintf("portRange=%d,%d", PeerPort, lastPort), "limits.cpuShare=0.4", "limits.cores=1",
-		"platform.address=" + store, "platform.valueBytes=1048576",
+		"platform.address=" + store, fmt.Sprintf("platform.valueBytes=%d", limits.ValueBytes),
+		fmt.Sprintf("platform.minTtlMs=%d", limits.MinTTL.Milliseconds()),
 		fmt.Sprintf("bounds.holdMaxMs=%d", maxTaskLease.Milliseconds()), "bounds.contactMs=3000", "bounds.stopMs=400", "bounds.status_s=120",
 	}
 	return strings.Join(lines, "\n") + "\n"
@@ -219,7 +242,7 @@
 // Close stops the store, the workers and their servers.
 func (p *Platform) Close() {
 	close(p.stop)
-	for _, w := range p.workers {
+	for _, w := range p.Workers() {
 		close(w.stop)
 		w.server.Close()
 	}
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -25,6 +25,7 @@
 	t        *testing.T
 	dir      string
 	platform *fleet.Platform
+	limits   fleet.Limits // of the store
 	hosts    []*host
 	links    []*faultproxy.Proxy // from each host to the store, and from all hosts to each worker
 	peers    *peerLinks          // between the hosts; nil if they connect to each other directly
@@ -63,7 +64,7 @@
 // newPlatform returns a site without hosts.
 func newPlatform(t *testing.T, cfg fleet.Config) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}}
+	s := &site{t: t, dir: t.TempDir(), limits: cfg.Limits, client: &http.Client{Timeout: 5 * time.Second}}
 	cfg.ProxyAddress = s.link
 	platform, err := fleet.NewPlatform(cfg)
 	if err != nil {
@@ -111,7 +112,7 @@
 		readinessAddress: fmt.Sprintf("%s:%d", ip, fleet.ReadinessPort),
 		settingsPath:     filepath.Join(s.dir, name+".conf"), logPath: filepath.Join(s.dir, name+".log"),
 	}
-	text := fleet.Settings(name, datacentre, ip, s.link(store))
+	text := fleet.Settings(name, datacentre, ip, s.link(store), s.limits)
 	if err := os.WriteFile(h.settingsPath, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -273,7 +274,8 @@
 	return n
 }
 
-// checkHistory fails the test if two runs of a task overlapped, or if a task was started again after it was done.
+// checkHistory fails the test if two runs of a task overlapped, if a task was started again after it was done, or if a host
+// sent a write that the store can never accept.
 func (s *site) checkHistory() {
 	s.t.Helper()
 	for _, overlap := range s.platform.OverlappingRuns() {
@@ -282,6 +284,9 @@
 	for _, repeat := range s.platform.RunsAfterDone() {
 		s.t.Errorf("task started again after it was done: %s", repeat)
 	}
+	for _, refusal := range s.platform.Store.Refusals() {
+		s.t.Errorf("the store refuses a write for good: %s", refusal)
+	}
 }
 
 func (s *site) close() {
@@ -300,6 +305,16 @@
 	}
 }
 
+// log returns the log of a host so far.
+func (s *site) log(h *host) string {
+	s.t.Helper()
+	text, err := os.ReadFile(h.logPath)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return string(text)
+}
+
 // saveLog copies the log of a host to the directory FULMARCOURSE_TEST_LOGS, if that variable is set.
 func (s *site) saveLog(h *host) {
 	dir := os.Getenv("FULMARCOURSE_TEST_LOGS")
