--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -77,6 +77,7 @@
 	starts       map[workload.TaskID]int           // how often workers have started each task
 	unanswered   map[workload.TaskID]int           // how many of its starts were not answered
 	late         *lateFaults                       // nil without an owner past its processor limit and a slow store
+	known        *knownFaults                      // nil if the known workers are stored at once
 	log          []string
 }
 
@@ -130,7 +131,11 @@
 		HandoverGrace: 2500 * time.Millisecond})
 	f.polled, f.acknowledged = map[WorkerID]bool{}, map[WorkerID]int64{}
 	f.resetLate()
-	f.s.InheritWorkers(f.time(), f.knownWorkers)
+	if f.known != nil {
+		f.inheritKnown()
+	} else {
+		f.s.InheritWorkers(f.time(), f.knownWorkers)
+	}
 	for _, job := range f.jobs {
 		progress, found := f.stored[job.ID]
 		if !found {
@@ -154,6 +159,10 @@
 	for _, worker := range f.workers {
 		infos = append(infos, worker.info)
 	}
+	if f.known != nil {
+		f.s.SetWorkers(f.time(), append(infos, oddEntry))
+		return
+	}
 	f.s.SetWorkers(f.time(), infos)
 	if known, changed := f.s.KnownWorkers(); changed {
 		f.knownWorkers = known
@@ -167,6 +176,7 @@
 		f.takeOver()
 	}
 	f.advanceLate()
+	f.advanceKnown()
 	for _, worker := range f.workers {
 		f.advance(worker)
 	}
@@ -304,7 +314,7 @@
 	}
 	report := Report{Incarnation: worker.incarnation, SentAt: f.now, Ended: slices.Clone(worker.ended)}
 	for key := range worker.running {
-		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.number})
+		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.number, Percent: f.percentOf(worker, key)})
 	}
 	if f.faulty(15) {
 		f.pollFailed(id) // the answer is lost
@@ -483,6 +493,12 @@
 			f.acknowledged[worker.info.ID] = known.lastEnd
 		}
 	}
+	if f.known == nil {
+		return
+	}
+	if infos, dirty := f.takeKnown(); dirty {
+		f.writeKnown(infos)
+	}
 }
 
 // check fails the test if a task runs twice.
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -85,7 +85,8 @@
 	w.suspect = false
 	s.index.markChanged(w)
 	s.forgetSilent(w)
-	delete(s.awaitingReport, id)
+	s.stopAwaiting(w)
+	s.setAnswers(w, true)
 	w.reports++
 	w.recordPlace(report.SentAt)
 	s.applyRunning(now, w, report)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -35,6 +35,7 @@
 	events              []Event
 	awaitingReport      map[WorkerID]bool // workers that a former owner may have used and that have not reported yet
 	takeoverAt          time.Duration     // when the takeover began
+	unknownUntil        time.Duration     // until when workers that are not known may run tasks of former owners; 0 if all are known
 	knownWorkersChanged bool              // the set of known workers has changed since it was last stored
 	interference        *interference
 	dirty               map[*job]struct{}           // jobs whose progress has changed since it was stored
@@ -237,9 +238,9 @@
 	if !known {
 		w = newWorker(info, s.index)
 		s.addWorker(w)
-		s.knownWorkersChanged = true
+		s.inheritListed(w)
 	}
-	if info.Draining && !w.info.Draining {
+	if info.Draining && (!w.info.Draining || w.listedAt == 0) {
 		w.leavesAt = now + info.Remaining
 		s.emit(Event{Kind: EventWorkerDraining, Worker: info.ID})
 	}
@@ -322,6 +323,9 @@
 	if !confirmed {
 		return
 	}
+	if now.Boot >= s.unknownUntil {
+		s.unknownUntil = 0
+	}
 	var expired []*worker
 	for _, w := range s.sortedWorkers {
 		if !w.leasesExtended && !w.reachable(now.Boot) && now.Boot >= w.leaseEnd && collectedUpTo(w.info.ID) >= w.leaseEnd {
@@ -329,7 +333,8 @@
 		}
 	}
 	for _, w := range expired {
-		delete(s.awaitingReport, w.info.ID)
+		s.stopAwaiting(w)
+		s.setAnswers(w, false)
 		for _, a := range slices.Clone(w.attemptList) {
 			s.emit(a.event(EventAttemptExpired))
 			if a.certainlyRan() {
