--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -128,8 +128,9 @@
 		st.unplacedAt = cycle.now.Boot
 		return
 	}
+	var tried stepSearches
 	for _, t := range st.tasks {
-		if !t.pending() || t.displaced() || s.mayRunElsewhere(t) || s.heldBack(t) {
+		if !t.pending() || t.displaced() || s.mayRunElsewhere(t) || s.heldBack(t) || tried.exclude(t) {
 			continue
 		}
 		if st.spec.Filler && !s.mayPlaceFiller(cycle.now, st) {
@@ -148,8 +149,12 @@
 		if st.spec.Filler {
 			st.retryAt = cycle.now.Boot + fillerRetryDelay
 		}
-		if len(t.failedOn) > 0 || t.onProbation() {
-			continue // the other tasks may start on workers that this one avoids
+		if t.onProbation() {
+			continue // it avoids workers that the other tasks do not
+		}
+		tried.add(t)
+		if len(tried.untried) > 0 {
+			continue
 		}
 		if sufficient {
 			cycle.unplaceable = append(cycle.unplaceable, shape)
@@ -161,6 +166,27 @@
 	}
 }
 
+// stepSearches describes the searches of a planning run for tasks of a step that have found no worker. Such tasks differ only in the
+// workers on which they have failed, so few searches decide for all of them.
+type stepSearches struct {
+	made    bool
+	untried []WorkerID // workers that none of the searches has considered, since all these tasks have failed there
+}
+
+// exclude reports whether a task fits on no worker either: it has failed on all workers that were not considered.
+func (c *stepSearches) exclude(t *task) bool {
+	return c.made && !slices.ContainsFunc(c.untried, func(id WorkerID) bool { return !slices.Contains(t.failedOn, id) })
+}
+
+// add records that no worker was found for a task.
+func (c *stepSearches) add(t *task) {
+	if !c.made {
+		c.made, c.untried = true, slices.Clone(t.failedOn)
+		return
+	}
+	c.untried = slices.DeleteFunc(c.untried, func(id WorkerID) bool { return !slices.Contains(t.failedOn, id) })
+}
+
 // shape returns the shape of the step's tasks, and whether it is sufficient to decide where they fit. If it is not, they do not
 // fit on some of the workers on which other tasks of the shape do.
 func (st *step) shape() (shape taskShape, sufficient bool) {
--- a/core/schedule/starvation_test.go
+++ b/core/schedule/starvation_test.go
@@ -159,3 +159,44 @@
 		t.Errorf("task %d has started, want 1", got)
 	}
 }
+
+// Scenario: two large steps of fillers fit nowhere, and each of their tasks has failed on a worker before. Guards against a search for
+// each of these tasks, which use up those of every planning run, so that fillers behind them are never tried beside free workers.
+func TestFillersThatHaveFailedDoNotStopOthers(t *testing.T) {
+	const workers, tasks = 10, 8
+	h := newHarness(t, 1)
+	for n := range workers {
+		h.addWorker(WorkerID(fmt.Sprint("w", n)), nil)
+	}
+	for _, id := range []workload.JobID{"failed1", "failed2"} {
+		step := fillerStep("image", 3*maxFillerSearches)
+		step.EstimateMs = 1
+		step.Size.MilliCPU = 3 * h.workers["w0"].info.Capacity.MilliCPU
+		h.s.AddJob(testJob(id, step), nil, false)
+		for n, task := range h.s.jobs[id].steps[0].tasks {
+			task.failedOn = []WorkerID{WorkerID(fmt.Sprint("w", n%workers))}
+		}
+	}
+	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
+	if started := h.runFor(time.Second, "behind"); started != tasks {
+		t.Errorf("%d of %d fillers have started on free workers", started, tasks)
+	}
+}
+
+// Scenario: all tasks of a step have failed on one worker or another, and one worker has room. Guards against tasks that are not tried
+// on it because others of their step avoid it.
+func TestTasksThatAvoidAWorkerDoNotStopThoseThatAvoidOthers(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w", nil)
+	h.s.AddJob(testJob("job", testStep(4)), nil, false)
+	for n, failedOn := range [][]WorkerID{{"w", "other"}, {"w"}, {"other"}, {"other", "third"}} {
+		h.s.jobs["job"].steps[0].tasks[n].failedOn = failedOn
+	}
+	orders := starts(h.run())
+	h.wantStarts(orders, 2)
+	for n, order := range orders {
+		if order.Task.Index != n+2 {
+			t.Errorf("task %d has started, want 2 and 3", order.Task.Index)
+		}
+	}
+}
