--- a/pkg/term/entries_test.go
+++ b/pkg/term/entries_test.go
@@ -1,7 +1,9 @@
 package term
 
 import (
+	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,6 +96,59 @@
 	}
 }
 
+// Scenario: another writer deletes the record of a live owner, and another host acquires the partition. Guards against a former owner
+// that stays confirmed because its lease goes on.
+func TestRecordOfAnotherOwnerConfirmsNothing(t *testing.T) {
+	store := kvtest.NewStore()
+	former := acquire(t, candidate(t, store, "a", "a1"))
+	if _, err := store.Commit(t.Context(), kv.Txn{Delete: []string{statekeys.Owner(testPartition)}}); err != nil {
+		t.Fatal(err)
+	}
+	acquire(t, candidate(t, store, "b", "b1"))
+	former.checkedAt -= maxUnchecked
+	before := former.ValidUntil()
+	former.check(t.Context())
+	if err := former.renewOnce(t.Context()); err != nil || former.ValidUntil() != before || !isLost(former) {
+		t.Errorf("error %v, valid until %v, want still %v; lost: %t", err, former.ValidUntil(), before, isLost(former))
+	}
+}
+
+// Guards against an owner whose record stays deleted.
+func TestOwnerWritesADeletedRecordAgain(t *testing.T) {
+	store := kvtest.NewStore()
+	owner := acquire(t, candidate(t, store, "a", "a1"))
+	if _, err := store.Commit(t.Context(), kv.Txn{Delete: []string{statekeys.Owner(testPartition)}}); err != nil {
+		t.Fatal(err)
+	}
+	owner.check(t.Context())
+	item, found, err := store.Get(t.Context(), statekeys.Owner(testPartition))
+	if err != nil || !found || item.Lease != owner.leaseID() || isLost(owner) {
+		t.Errorf("found %t under lease %d, error %v", found, item.Lease, err)
+	}
+}
+
+// Scenario: the store answers renewals and refuses single reads, which cost ten times as much, when its rate limit is reached. Guards
+// against an owner that is no longer confirmed after as few as three of them.
+func TestFailedCheckIsRepeatedSoon(t *testing.T) {
+	t.Parallel()
+	const refusals = 5
+	store := kvtest.NewStore()
+	owner := acquire(t, candidate(t, store, "a", "a1"))
+	var reads atomic.Int32
+	store.SetFault(func(call string) kvtest.Fault {
+		if call == "Get" && reads.Add(1) <= refusals {
+			return kvtest.Refuse
+		}
+		return kvtest.None
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), checkInterval+2*time.Second)
+	defer cancel()
+	owner.Renew(ctx)
+	if n := reads.Load(); n <= refusals {
+		t.Errorf("%d reads within %v, want more than %d", n, checkInterval+2*time.Second, refusals)
+	}
+}
+
 // Guards against a line for each look at an odd record.
 func TestOddRecordIsLoggedOnce(t *testing.T) {
 	var out strings.Builder
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -28,6 +28,9 @@
 	renewInterval = 300 * time.Millisecond
 	// checkInterval is the time between two checks that the owner's record is still under a lease.
 	checkInterval = 3 * time.Second
+	// checkRetryDelay is the time until a check that failed is repeated. Under its rate limit the store refuses reads rather than
+	// renewals, which cost a tenth, so that few checks within maxUnchecked may succeed.
+	checkRetryDelay = 300 * time.Millisecond
 	// maxUnchecked is the time without a check after which renewals no longer confirm the ownership.
 	maxUnchecked = 10 * time.Second
 	// renewTimeout bounds one renewal. It is long enough for a slow store.
@@ -281,35 +284,63 @@
 
 // checkLoop checks the owner's record every checkInterval until ctx ends or the ownership is lost.
 func (o *Ownership) checkLoop(ctx context.Context) {
+	pause := checkInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-o.lost:
 			return
-		case <-time.After(checkInterval):
+		case <-time.After(pause):
+		}
+		pause = checkInterval
+		if err := o.check(ctx); err != nil {
+			pause = checkRetryDelay
 		}
-		o.check(ctx)
 	}
 }
 
-// check makes sure that the owner's record is still under a lease. If another writer has overwritten it, it is written again;
-// otherwise it would stay when the owner ends, and no other host could acquire the partition. A check that fails has no effect:
-// renewals stop to confirm the ownership when none has succeeded for maxUnchecked.
-func (o *Ownership) check(ctx context.Context) {
+// check makes sure that the owner's record is still under the owner's lease. If another writer has overwritten or deleted it, it is
+// written again: without a lease it would stay when the owner ends, and no other host could acquire the partition. A check that fails
+// has no effect: renewals stop to confirm the ownership when none has succeeded for maxUnchecked.
+func (o *Ownership) check(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := bootclock.Uptime()
-	item, found, err := o.cfg.Store.Get(ctx, statekeys.Owner(o.cfg.Partition))
-	if err == nil && found && item.Lease == 0 {
+	key := statekeys.Owner(o.cfg.Partition)
+	item, found, err := o.cfg.Store.Get(ctx, key)
+	switch {
+	case err != nil:
+	case !found:
+		err = o.replaceRecord(ctx, kv.Item{Key: key})
+	case item.Lease == 0:
 		err = o.replaceRecord(ctx, item)
+	case item.Lease != o.leaseID():
+		err = o.checkTerm(ctx)
 	}
 	if err != nil {
-		return
+		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.checkedAt = sent
+	return nil
+}
+
+// errForeignLease means that the owner's record is under a lease which is not known to be the owner's.
+const errForeignLease = errors.ConstError("the owner's record has another lease")
+
+// checkTerm ends the ownership if the term in the store has changed. The record has another lease for a moment while it is restored
+// as well, so the lease alone proves nothing.
+func (o *Ownership) checkTerm(ctx context.Context) error {
+	item, _, err := o.cfg.Store.Get(ctx, statekeys.Term(o.cfg.Partition))
+	if err != nil {
+		return errors.Annotate(err, "read term")
+	}
+	if item.Revision != o.Revision {
+		o.MarkLost("the term in the store has changed")
+	}
+	return errForeignLease
 }
 
 // replaceRecord writes the owner's record in place of one of another writer.
