--- a/pkg/term/entries_test.go
+++ b/pkg/term/entries_test.go
@@ -113,6 +113,23 @@
 	}
 }
 
+// Scenario: another writer overwrites the record of a live owner with one that names another host, for instance a copy of a former
+// record. Guards against that host as a second owner, in the same term if the copy names its process, while the first one is confirmed.
+func TestRecordWithoutALeaseGivesNobodyThePartition(t *testing.T) {
+	for _, incarnation := range []string{"b0", "b1"} {
+		store := kvtest.NewStore()
+		owner := acquire(t, candidate(t, store, "a", "a1"))
+		c := candidate(t, store, "b", "b1")
+		record := c.cfg.Self
+		record.Incarnation, record.Term = incarnation, owner.Term
+		put(t, store, statekeys.Owner(testPartition), string(mustEncode(record)))
+		poll.Until(t, "the record is seen", func() bool { return c.view.State(testPartition).Owner.Incarnation == incarnation })
+		if second := c.tryAcquire(t.Context(), c.view.State(testPartition)); second != nil {
+			t.Errorf("incarnation %s: acquired in term %d beside the owner of term %d", incarnation, second.Term, owner.Term)
+		}
+	}
+}
+
 // Guards against an owner whose record stays deleted.
 func TestOwnerWritesADeletedRecordAgain(t *testing.T) {
 	store := kvtest.NewStore()
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -116,7 +116,7 @@
 	if !state.acquirableBy(c.cfg.Self) {
 		return nil
 	}
-	if state.Owner.Incarnation == c.cfg.Self.Incarnation {
+	if state.lease != 0 && state.Owner.Incarnation == c.cfg.Self.Incarnation {
 		if state.Term <= c.lastTerm {
 			return nil // the view does not show the end of that ownership yet
 		}
--- a/pkg/term/view.go
+++ b/pkg/term/view.go
@@ -36,12 +36,13 @@
 
 // acquirableBy reports whether self may acquire the partition: it has no owner, or its owner is a process with the same
 // host and address as self, that is self or a previous process that has certainly ended, or the owner's record does not end with a
-// lease.
+// lease. Such a record comes from another writer, and the owner may be alive whatever it says.
 func (s State) acquirableBy(self Record) bool {
 	if !s.read {
 		return false
 	}
-	return s.ownerRevision == 0 || (s.Owner.Host == self.Host && s.Owner.Address == self.Address) || s.abandoned()
+	return s.ownerRevision == 0 || s.abandoned() ||
+		(s.lease != 0 && s.Owner.Host == self.Host && s.Owner.Address == self.Address)
 }
 
 // abandoned reports whether the owner's record will not end by itself and no owner has replaced it in time.
