--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -214,6 +214,17 @@
 	}
 }
 
+// wantStartAfter fails the test unless one task starts after a time, and none a second earlier, while a worker reports.
+func (h *harness) wantStartAfter(wait time.Duration, reporting WorkerID) {
+	h.t.Helper()
+	h.advanceClock(wait - time.Second)
+	h.report(reporting)
+	h.wantStarts(h.run(), 0)
+	h.advanceClock(time.Second)
+	h.report(reporting)
+	h.wantStarts(h.run(), 1)
+}
+
 func (h *harness) wantState(id workload.JobID, want workload.State) {
 	h.t.Helper()
 	if got, _ := h.s.JobState(id); got != want {
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -324,12 +324,7 @@
 	h.wantStarts(h.run(), 1)
 	h.addWorker("w2", nil)
 	h.s.PollFailed(h.now, "w1")
-	h.advanceClock(h.s.cfg.MaxTaskLease)
-	h.report("w2")
-	h.wantStarts(h.run(), 0)
-	h.advanceClock(time.Second)
-	h.report("w2")
-	h.wantStarts(h.run(), 1)
+	h.wantStartAfter(h.s.cfg.MaxTaskLease+time.Second, "w2")
 }
 
 // Scenario: many tasks of cancelled jobs on workers behind a link on which every order is lost. Guards against repeats that
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -55,13 +55,7 @@
 		t.Fatalf("started %v before w2 reported", orders[0].Task)
 	}
 	h.end(taskID("new", 0, 0), EndDone)
-	bound := h.s.cfg.HandoverGrace + h.s.cfg.leaseBound()
-	h.advanceClock(bound - time.Second)
-	h.report("w1")
-	h.wantStarts(h.run(), 0)
-	h.advanceClock(time.Second)
-	h.report("w1")
-	h.wantStarts(h.run(), 1)
+	h.wantStartAfter(h.s.cfg.HandoverGrace+h.s.cfg.leaseBound(), "w1")
 }
 
 // Guards against restarting an inherited task while the process that polls its worker still extends its lease: the
@@ -78,12 +72,7 @@
 			h := inheritedHarness(t)
 			h.advanceClock(h.s.cfg.HandoverGrace + h.s.cfg.leaseBound() - time.Second)
 			lose(h)
-			h.advanceClock(h.s.cfg.leaseBound() - time.Second)
-			h.report("w1")
-			h.wantStarts(h.run(), 0)
-			h.advanceClock(time.Second)
-			h.report("w1")
-			h.wantStarts(h.run(), 1)
+			h.wantStartAfter(h.s.cfg.leaseBound(), "w1")
 		})
 	}
 }
@@ -345,12 +334,7 @@
 				t.Fatalf("started %v", orders[0].Task)
 			}
 			h.end(taskID("new", 0, 0), EndDone)
-			h.advanceClock(h.s.cfg.HandoverGrace + h.s.cfg.leaseBound() - time.Second)
-			h.report("w1")
-			h.wantStarts(h.run(), 0)
-			h.advanceClock(time.Second)
-			h.report("w1")
-			h.wantStarts(h.run(), 1)
+			h.wantStartAfter(h.s.cfg.HandoverGrace+h.s.cfg.leaseBound(), "w1")
 		})
 	}
 }
