Add failing simulations of services in a full pool

A burst of short urgent tasks that never ends fills every place at once, services fail now and then, workers are lost for good or drain, owners change, or more services are accepted than fit. The bound is the 3 s that the platform allows while there is room, from when the owner knows that a service has lost its place; a wait counts while the worker it was on answers, or another has the capacity beside the services that run there or were there last. Tasks that end must get half of what services leave.

--- /dev/null
+++ b/core/schedule/full_pool_test.go
@@ -0,0 +1,476 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/core/workload"
+)
+
+// Parameters of the full-pool simulation: a pool in which services leave little capacity, and a burst of short urgent tasks
+// that asks for more than twice of that and never ends.
+const (
+	poolStep        = 20 * time.Millisecond
+	poolReportEvery = 300 * time.Millisecond // of each worker, at a time of its own
+	poolStoreEvery  = 100 * time.Millisecond
+	poolListEvery   = time.Second
+	poolWarmUp      = 5 * time.Second // the burst begins then
+	poolEnd         = 50 * time.Second
+	poolWorkers     = 16
+	poolNotice      = 3 * time.Second  // before a worker that drains leaves
+	poolServiceMean = 30 * time.Second // mean time until a run of a service task fails
+	poolTaskMin     = 100 * time.Millisecond
+	poolTaskMax     = 1600 * time.Millisecond
+	// minShareOfRest is the inverse of the share of the capacity that services leave which tasks that end must get, with
+	// the time in which ends and starts are under way.
+	minShareOfRest = 2
+)
+
+// poolWorker is a worker of the full-pool simulation.
+type poolWorker struct {
+	info     WorkerInfo
+	running  map[attemptKey]poolRun
+	ended    []Ended
+	ends     int64
+	nextPoll time.Duration
+	gone     bool
+	leavesAt time.Duration // 0 unless it drains
+}
+
+// poolRun is the time in which an attempt runs.
+type poolRun struct{ from, until time.Duration }
+
+// percent returns the progress of a task that ends.
+func (r poolRun) percent(now time.Duration) float64 {
+	return fullShare * float64(now-r.from) / float64(r.until-r.from)
+}
+
+// fullPool simulates an owner and its workers without faults of the network.
+type fullPool struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	seed    uint64
+	now     time.Duration // since the start
+	s       *Scheduler
+	term    int64
+	stored  map[workload.JobID]workload.Progress
+	workers []*poolWorker
+	jobs    int
+
+	services     []*task
+	displacedAt  map[*task]time.Duration // since when the owner knows of service tasks that have lost their place and would fit
+	longestWait  time.Duration           // of service tasks that have run, until the decision to start them again
+	longestTask  workload.TaskID
+	restarts     int
+	mayWait      map[*task]bool // tasks that may wait for longer until they have been started again
+	capacityTime float64        // thousandths of a core times milliseconds, since the burst began
+	serviceTime  float64
+	endingTime   float64
+}
+
+func newFullPool(t *testing.T, seed uint64) *fullPool {
+	p := &fullPool{t: t, rnd: rand.New(rand.NewPCG(seed, 2)), seed: seed,
+		term: 1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{}, mayWait: map[*task]bool{}}
+	p.newOwner()
+	for i := range poolWorkers {
+		id := WorkerID(fmt.Sprintf("w%02d", i))
+		p.workers = append(p.workers, &poolWorker{
+			info: WorkerInfo{ID: id, Address: string(id), Datacentre: "dc", Pool: testPool, StartedMs: 1,
+				Capacity: structs.Resources{MilliCPU: 16000, MemoryBytes: 64 << 30}},
+			running:  map[attemptKey]poolRun{},
+			nextPoll: time.Duration(p.rnd.Int64N(int64(poolReportEvery))),
+		})
+	}
+	p.list()
+	return p
+}
+
+func (p *fullPool) time() Time {
+	return Time{Boot: time.Hour + p.now, UnixMs: 1_000_000 + p.now.Milliseconds()}
+}
+
+// list passes the list of workers to the owner.
+func (p *fullPool) list() {
+	var infos []WorkerInfo
+	for _, w := range p.workers {
+		if !w.gone {
+			infos = append(infos, w.info)
+		}
+	}
+	p.s.SetWorkers(p.time(), infos)
+	p.s.KnownWorkersStored(infos)
+}
+
+// poolServices describes the services of a simulation.
+type poolServices struct {
+	percent  int64 // of the pool that they need
+	priority int   // of their queue; that of the short tasks is 0
+}
+
+// addServices adds services until they need their share of the pool.
+func (p *fullPool) addServices(services poolServices) {
+	for need := int64(0); need < poolWorkers*16000*services.percent/100; {
+		step := testService(4)
+		step.Size.MilliCPU = 2200 + p.rnd.Int64N(2000)
+		need += 4 * step.Size.MilliCPU
+		j := p.addJob("service", step, services.priority)
+		p.services = append(p.services, j.steps[0].tasks...)
+	}
+}
+
+// burst adds short tasks. Their work is more than twice of what the services leave.
+func (p *fullPool) burst(milliCPU int64) {
+	const meanWork = 1100 * 850 * 6 // of a job, thousandths of a core times milliseconds
+	chance := float64(milliCPU) * float64(poolStep.Milliseconds()) / meanWork
+	for ; chance > 0; chance-- {
+		if p.rnd.Float64() >= chance {
+			continue
+		}
+		step := testStep(6)
+		step.Size.MilliCPU = 400 + p.rnd.Int64N(1400)
+		step.EstimateMs = poolTaskMin.Milliseconds() + p.rnd.Int64N((poolTaskMax - poolTaskMin).Milliseconds())
+		p.addJob("short", step, 0)
+	}
+}
+
+func (p *fullPool) addJob(kind string, step workload.Step, priority int) *job {
+	p.jobs++
+	job := testJob(workload.JobID(fmt.Sprintf("%s-%04d", kind, p.jobs)), step)
+	job.AcceptedMs = p.time().UnixMs
+	job.Queue.Priority = priority
+	p.s.AddJob(job, nil, false)
+	return p.s.jobs[job.ID]
+}
+
+// lose makes a share of the workers, in percent, stop for good.
+func (p *fullPool) lose(percent int) {
+	for _, w := range p.workers[:len(p.workers)*percent/100] {
+		w.gone = true
+		p.s.PollFailed(p.time(), w.info.ID)
+	}
+	p.list()
+}
+
+// drain makes a share of the workers, in percent, announce that they leave in poolNotice.
+func (p *fullPool) drain(percent int) {
+	for _, w := range p.workers[:len(p.workers)*percent/100] {
+		w.info.Draining, w.info.Remaining = true, poolNotice
+		w.leavesAt = p.now + poolNotice
+	}
+	p.list()
+}
+
+// takeOver replaces the owner by one that knows only what is stored.
+func (p *fullPool) takeOver() {
+	former := p.s
+	p.term++
+	p.newOwner()
+	var infos []WorkerInfo
+	for _, w := range p.workers {
+		infos = append(infos, w.info)
+	}
+	p.s.InheritWorkers(p.time(), infos)
+	for id, j := range former.jobs {
+		if stored, found := p.stored[id]; found {
+			p.s.AddJob(j.rec, &stored, true)
+			continue
+		}
+		p.s.AddJob(j.rec, nil, true)
+	}
+	p.list()
+	for i, t := range p.services {
+		p.services[i] = p.s.task(t.id())
+	}
+	clear(p.displacedAt)
+}
+
+// newOwner creates the scheduler of a new owner.
+func (p *fullPool) newOwner() {
+	p.s = NewScheduler(Config{Term: p.term, TaskLease: testLease, StopTime: 400 * time.Millisecond,
+		HandoverGrace: 2500 * time.Millisecond})
+}
+
+// play runs the simulation until a time, with a burst of short tasks that asks for an amount of processor time.
+func (p *fullPool) play(until time.Duration, burstMilliCPU int64) {
+	for p.now < until {
+		p.now += poolStep
+		p.burst(burstMilliCPU)
+		if p.now%poolListEvery == 0 {
+			p.list()
+		}
+		for _, w := range p.workers {
+			p.advance(w, burstMilliCPU > 0)
+		}
+		p.s.Expire(p.time(), true, func(WorkerID) time.Duration { return p.time().Boot })
+		p.s.Plan(p.time())
+		if p.now%poolStoreEvery == 0 {
+			for _, r := range p.s.Changed() {
+				p.stored[r.Job] = r.Progress
+				p.s.MarkStored(p.time(), r)
+			}
+		}
+		p.watchServices()
+		orders := p.s.TakeOrders()
+		slices.SortStableFunc(orders, func(a, b Order) int { return compareTasks(a.Task, b.Task) })
+		for _, o := range orders {
+			p.execute(o)
+		}
+		p.s.TakeEvents()
+	}
+}
+
+// keys returns the attempts that the worker runs in a fixed order.
+func (w *poolWorker) keys() []attemptKey {
+	keys := make([]attemptKey, 0, len(w.running))
+	for key := range w.running {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b attemptKey) int { return compareTasks(a.task, b.task) })
+	return keys
+}
+
+// advance ends the attempts of a worker that are due and makes it report from time to time.
+func (p *fullPool) advance(w *poolWorker, count bool) {
+	if w.leavesAt > 0 && p.now >= w.leavesAt {
+		w.gone = true
+	}
+	if w.gone {
+		return
+	}
+	step := float64(poolStep.Milliseconds())
+	if count {
+		p.capacityTime += float64(w.info.Capacity.MilliCPU) * step
+	}
+	for _, key := range w.keys() {
+		spec := p.s.task(key.task).step.spec
+		switch {
+		case count && spec.Service:
+			p.serviceTime += float64(spec.Size.MilliCPU) * step
+		case count:
+			p.endingTime += float64(spec.Size.MilliCPU) * step
+		}
+		if p.now < w.running[key].until {
+			continue
+		}
+		kind := EndDone
+		if spec.Service {
+			kind = EndFailed
+		}
+		delete(w.running, key)
+		w.ends++
+		w.ended = append(w.ended, Ended{Number: w.ends, Task: key.task, Attempt: key.number, Kind: kind})
+	}
+	if p.now >= w.nextPoll {
+		w.nextPoll += poolReportEvery
+		p.report(w)
+	}
+}
+
+// worker returns the worker with an ID.
+func (p *fullPool) worker(id WorkerID) *poolWorker {
+	n := slices.IndexFunc(p.workers, func(w *poolWorker) bool { return w.info.ID == id })
+	return p.workers[n]
+}
+
+func (p *fullPool) report(w *poolWorker) {
+	r := Report{Incarnation: 1, SentAt: p.time().Boot, Ended: w.ended}
+	for _, key := range w.keys() {
+		row := Running{Task: key.task, Attempt: key.number, Percent: fullShare}
+		if !p.s.task(key.task).step.spec.Service {
+			row.Percent = w.running[key].percent(p.now)
+		}
+		r.Running = append(r.Running, row)
+	}
+	p.s.Report(p.time(), w.info.ID, r)
+	w.ended = nil
+}
+
+// execute makes a worker execute an order at once.
+func (p *fullPool) execute(o Order) {
+	for _, w := range p.workers {
+		if w.info.ID != o.Worker {
+			continue
+		}
+		key := attemptKey{o.Task, o.Attempt}
+		outcome := Accepted
+		switch {
+		case w.gone:
+			outcome = Unanswered
+		case o.Kind == OrderStart:
+			w.running[key] = poolRun{p.now, p.now + p.runTime(o.Task)}
+		case o.Kind == OrderStop:
+			delete(w.running, key)
+		}
+		p.s.OrderAnswered(p.time(), o, outcome)
+	}
+}
+
+// runTime returns how long an attempt of a task runs: about as long as estimated, and a service until it fails.
+func (p *fullPool) runTime(id workload.TaskID) time.Duration {
+	spec := p.s.task(id).step.spec
+	if spec.Service {
+		return time.Duration(p.rnd.ExpFloat64() * float64(poolServiceMean))
+	}
+	factor := 0.5 + p.rnd.Float64()
+	return time.Duration(float64(spec.EstimateMs)*factor) * time.Millisecond
+}
+
+// watchServices measures how long service tasks that have run wait for the decision to start them again.
+func (p *fullPool) watchServices() {
+	for _, t := range p.services {
+		since, waits := p.displacedAt[t]
+		switch {
+		case t.displaced() && (!waits || !p.fitsBesideServices(t)):
+			p.displacedAt[t] = p.now
+		case t.displaced() && !p.mayWait[t] && p.now-since > p.longestWait:
+			p.longestWait, p.longestTask = p.now-since, t.id()
+		case !t.displaced() && waits:
+			p.restarts++
+			delete(p.displacedAt, t)
+			delete(p.mayWait, t)
+		}
+	}
+}
+
+// fitsBesideServices reports whether a worker has the capacity for a task: its own one, whoever took the place that it left
+// there, or another beside the services that run there or were there last.
+func (p *fullPool) fitsBesideServices(t *task) bool {
+	for _, w := range p.workers {
+		if !w.gone && !w.info.Draining && w.info.ID == t.storedWorker {
+			return true
+		}
+		free := w.info.Capacity
+		for _, other := range p.services {
+			if other != t && other.storedWorker == w.info.ID {
+				free = free.Sub(other.step.spec.Size)
+			}
+		}
+		if !w.gone && t.step.spec.Size.Fits(free) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkWaits fails the test if a service task has waited for longer than restartBound.
+func (p *fullPool) checkWaits() {
+	p.t.Helper()
+	p.t.Logf("seed %d: %d restarts, the longest wait %v", p.seed, p.restarts, p.longestWait)
+	if p.longestWait > restartBound {
+		p.t.Errorf("seed %d: %v has waited for %v, more than %v", p.seed, p.longestTask, p.longestWait, restartBound)
+	}
+}
+
+// checkShare fails the test if tasks that end got less than 1/inverse of a capacity, in the unit of capacityTime.
+func (p *fullPool) checkShare(capacity, inverse float64) {
+	p.t.Helper()
+	p.t.Logf("seed %d: services had %.3f of the pool, tasks that end %.3f", p.seed, p.serviceTime/p.capacityTime,
+		p.endingTime/p.capacityTime)
+	if p.endingTime < capacity/inverse {
+		p.t.Errorf("seed %d: tasks that end had %.3f of the capacity that is for them", p.seed, p.endingTime/capacity)
+	}
+}
+
+// burstDemand is the demand of the burst, in thousandths of a core: two and a half times what services leave at first.
+const burstDemand = poolWorkers * 16000 * 3 / 4
+
+// Guards against services that fail now and then and do not run again for long because the pool is full: a burst of short
+// urgent tasks that never ends takes the places of all tasks that end before one is large enough for a service.
+func TestServicesRestartInAFullPool(t *testing.T) {
+	for _, services := range []poolServices{{70, 0}, {88, 2}} {
+		for seed := range uint64(3) {
+			p := newFullPool(t, seed)
+			p.addServices(services)
+			p.play(poolWarmUp, 0)
+			p.play(poolEnd, burstDemand)
+			p.checkWaits()
+			p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
+		}
+	}
+}
+
+// Guards against the same where a quarter of the workers is lost for good and the services still fit on the others.
+func TestServicesRestartInAFullPoolAfterWorkersAreLost(t *testing.T) {
+	for _, services := range []poolServices{{50, 0}, {60, 2}} {
+		for seed := range uint64(3) {
+			p := newFullPool(t, seed)
+			p.addServices(services)
+			p.play(poolWarmUp, 0)
+			p.play(2*poolWarmUp, burstDemand)
+			p.lose(25)
+			p.play(poolEnd, burstDemand)
+			p.checkWaits()
+			p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
+		}
+	}
+}
+
+// Guards against services or tasks that end which get nothing where the services alone no longer fit, and against services
+// that fail and lose the capacity that they left: only those whose workers are lost may wait, until others end.
+func TestServicesAndTasksThatEndShareAPoolThatIsTooSmall(t *testing.T) {
+	for seed := range uint64(3) {
+		p := newFullPool(t, seed)
+		p.addServices(poolServices{82, 0})
+		p.play(poolWarmUp, 0)
+		p.play(2*poolWarmUp, burstDemand)
+		p.lose(25)
+		for _, t := range p.services { // those on the lost workers and those that were there last
+			p.mayWait[t] = p.worker(t.storedWorker).gone
+		}
+		p.play(poolEnd, burstDemand)
+		p.checkWaits()
+		// The services on the other workers keep their places, and no more are restarted there than leave an eighth.
+		p.checkShare(min(p.capacityTime/8, p.capacityTime-p.serviceTime), minShareOfRest)
+		if p.serviceTime < p.capacityTime/2 {
+			t.Errorf("seed %d: services had %.3f of the pool", seed, p.serviceTime/p.capacityTime)
+		}
+	}
+}
+
+// Guards against services that are displaced by planned work and have to find a place in a full pool: workers that drain stop
+// them at once.
+func TestServicesMoveInAFullPool(t *testing.T) {
+	for seed := range uint64(3) {
+		p := newFullPool(t, seed)
+		p.addServices(poolServices{65, 2})
+		p.play(poolWarmUp, 0)
+		p.play(2*poolWarmUp, burstDemand)
+		p.drain(15)
+		p.play(poolEnd/2, burstDemand)
+		p.checkWaits()
+		p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
+	}
+}
+
+// Guards against a new owner that starts others in place of the services that it has found displaced.
+func TestServicesRestartInAFullPoolAfterTakeovers(t *testing.T) {
+	for seed := range uint64(3) {
+		p := newFullPool(t, seed)
+		p.addServices(poolServices{80, 2})
+		p.play(poolWarmUp, 0)
+		for range 5 {
+			p.play(p.now+poolWarmUp, burstDemand)
+			p.takeOver()
+		}
+		p.play(poolEnd, burstDemand)
+		p.checkWaits()
+		p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
+	}
+}
+
+// Guards against services that fail and lose the capacity that they left to services that have not run yet, in a pool that has
+// no room for all of them.
+func TestServicesRestartBesideServicesThatHaveNotRun(t *testing.T) {
+	for _, percent := range []int64{100, 115, 150} {
+		for seed := range uint64(3) {
+			p := newFullPool(t, seed)
+			p.addServices(poolServices{percent, 0})
+			p.play(poolEnd, 0)
+			p.checkWaits()
+		}
+	}
+}
