Keep the capacity that a displaced service needs

What services had left was counted per pool, so that older displaced services, or first starts, used it up.

Now a displaced service is nominated to a worker, which starts nothing that would take the capacity it needs: - to the worker that it was on, while the place it left is free. It starts there at once if it fits nowhere else and its last run was 1.5 s or longer, else after 1.5 s; - else to the worker on which it fits soonest by the expected ends of tasks there. At most half of the workers have such a nominee; another worker may be chosen after 1 s. A service whose worker is lost comes before tasks that end once it has waited 1 s, as long as services leave an eighth of the pool, or in what ended services have left. Beyond that it waits for its turn as before, without a bound; the count of passed-over starts remains for these only.

New wait reasons capacity_kept, kept_for_service, service_share; event task_nominated.

--- a/core/schedule/event.go
+++ b/core/schedule/event.go
@@ -25,6 +25,7 @@
 	EventWorkerInBackOff  // the worker gets no tasks for some time because several jobs have failed on it
 	EventFillersThrottled // the share of a filler was lowered because of a service
 	EventTaskMoved        // an attempt is stopped so that its task runs elsewhere
+	EventTaskNominated    // the worker keeps its free capacity for a displaced task; Value is the expected wait in seconds
 )
 
 // Event is one decision or state change, for the log.
--- a/core/schedule/index.go
+++ b/core/schedule/index.go
@@ -96,7 +96,7 @@
 	if !w.mayBeOverByFillers(now) {
 		spare = max(w.spareFillerCPU(), unusableKey)
 	}
-	return indexKeys{p, max(w.free().MilliCPU, 0), spare}
+	return indexKeys{p, max(w.freeFor(nil).MilliCPU, 0), spare}
 }
 
 // place moves a worker to the position of its new keys.
--- /dev/null
+++ b/core/schedule/nominate.go
@@ -0,0 +1,261 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/core/workload"
+)
+
+// A displaced service task that fits on no worker is nominated to one: to the worker that it was on, while the place that it
+// left there is free, or else to the worker on which it is expected to fit soonest. Until it has started somewhere, the
+// worker starts no task that would take the capacity it needs: in a full pool, other tasks would otherwise take each place as
+// soon as it is free, and none would become large enough for a service.
+const (
+	// maxNominatedShare is the inverse of the share of a pool's workers that may have a nominee at a time which waits for tasks
+	// there to end. Others go on with tasks that end.
+	maxNominatedShare = 2
+	// nominationReview is the time after which another worker may be chosen for a nominee that still does not fit. Tasks may
+	// run for much longer than estimated.
+	nominationReview = time.Second
+	// maxNominations is the maximum number of nominations in a planning run for which all workers are checked.
+	maxNominations = 32
+)
+
+// nomination is the worker that keeps capacity for a displaced task.
+type nomination struct {
+	worker   *worker
+	ownPlace bool // the task was there last and the place that it left is free
+	at       time.Duration
+}
+
+// keepsFor reports whether a worker keeps capacity for a nominee that a task may not take. The place that a task has left comes
+// before what others wait for there.
+func (t *task) keepsFor(nominee *task, ownPlace bool) bool {
+	return nominee != t && (!ownPlace || nominee.nomination.ownPlace)
+}
+
+// freeFor returns the capacity of a worker that a task may take: what is not reserved, less what its nominees need. It is not
+// negative unless more is reserved than the worker has.
+func (w *worker) freeFor(t *task) structs.Resources {
+	return w.freeBeside(t, t != nil && t.nomination.worker == w && t.nomination.ownPlace)
+}
+
+// freeBeside is freeFor for a task that has left its place on the worker, or has not.
+func (w *worker) freeBeside(t *task, ownPlace bool) structs.Resources {
+	free := w.free()
+	rest := free
+	for _, nominee := range w.nominees {
+		if t.keepsFor(nominee, ownPlace) {
+			rest = rest.Sub(nominee.step.spec.Reserved())
+		}
+	}
+	return structs.Resources{
+		MilliCPU:     max(rest.MilliCPU, min(free.MilliCPU, 0)),
+		MemoryBytes:  max(rest.MemoryBytes, min(free.MemoryBytes, 0)),
+		Accelerators: max(rest.Accelerators, min(free.Accelerators, 0)),
+	}
+}
+
+// nomineesOf returns the number of nominees of the worker of a task's step for which it keeps capacity beside the task.
+func (w *worker) nomineesOf(t *task) int {
+	n := 0
+	for _, nominee := range w.nominees {
+		if nominee.step == t.step && t.keepsFor(nominee, t.nomination.worker == w && t.nomination.ownPlace) {
+			n++
+		}
+	}
+	return n
+}
+
+// setNominee nominates a task to a worker.
+func (s *Scheduler) setNominee(t *task, n nomination) {
+	s.dropNomination(t)
+	t.nomination = n
+	n.worker.nominees = append(n.worker.nominees, t)
+	s.nominees[t] = struct{}{}
+	s.index.markChanged(n.worker)
+}
+
+// dropNomination ends the nomination of a task, if it has one.
+func (s *Scheduler) dropNomination(t *task) {
+	w := t.nomination.worker
+	if w == nil {
+		return
+	}
+	w.nominees = slices.DeleteFunc(w.nominees, func(other *task) bool { return other == t })
+	t.nomination = nomination{}
+	delete(s.nominees, t)
+	s.index.markChanged(w)
+}
+
+// dropOutdatedNominations ends the nominations of tasks that need not start any more and those to workers on which no task
+// may start.
+func (s *Scheduler) dropOutdatedNominations(now Time) {
+	for t := range s.nominees {
+		w := t.nomination.worker
+		if !t.displaced() || t.step.job.state.Final() || s.heldBack(t) || s.workers[w.info.ID] != w || !s.mayBeNominatedTo(now, t, w) {
+			s.dropNomination(t)
+		}
+	}
+}
+
+// mayBeNominatedTo reports whether a worker may start a task as soon as enough capacity is free.
+func (s *Scheduler) mayBeNominatedTo(now Time, t *task, w *worker) bool {
+	return w.lacks(t) == Suitable && s.mayStartOn(now.Boot, w) && w.limits(t) == Suitable && !w.slowness.slow(now.Boot)
+}
+
+// waitingNominees returns the number of nominees of a pool that wait for other tasks to end.
+func (s *Scheduler) waitingNominees(pool workload.PoolName) int {
+	n := 0
+	for t := range s.nominees {
+		if t.step.job.rec.Queue.Pool == pool && !t.nomination.ownPlace {
+			n++
+		}
+	}
+	return n
+}
+
+// nominate chooses a worker that keeps capacity for a displaced task which fits on none.
+func (s *Scheduler) nominate(cycle *planCycle, t *task, share *serviceShare) {
+	if s.nominateToOwnPlace(cycle.now, t) {
+		return
+	}
+	now, known := cycle.now, t.nomination.worker != nil
+	shape, sufficient := t.step.shape()
+	sufficient = sufficient && !t.onProbation()
+	switch {
+	case sufficient && shape.among(cycle.unnominatable),
+		!cycle.scan && t.displacement.since != now.Boot, cycle.nominations >= maxNominations,
+		known && now.Boot-t.nomination.at < nominationReview,
+		!known && s.waitingNominees(t.step.job.rec.Queue.Pool) >= max(share.workers/maxNominatedShare, 1):
+		return
+	}
+	cycle.nominations++
+	best, soonest := s.fitsSoonest(now, t)
+	if best == nil {
+		s.dropNomination(t)
+		if sufficient {
+			cycle.unnominatable = append(cycle.unnominatable, shape)
+		}
+		return
+	}
+	if best != t.nomination.worker {
+		s.emitNomination(t, best, soonest)
+	}
+	s.setNominee(t, nomination{worker: best, at: now.Boot})
+}
+
+// nominateToOwnPlace nominates a task to the worker that it was on, if the place that it left there is free.
+func (s *Scheduler) nominateToOwnPlace(now Time, t *task) bool {
+	w := s.workers[t.storedWorker]
+	if w == nil || !s.mayBeNominatedTo(now, t, w) || !t.step.spec.Reserved().Fits(w.freeBeside(t, true)) {
+		return false
+	}
+	if t.nomination.worker != w || !t.nomination.ownPlace {
+		s.emitNomination(t, w, t.avoids(now.Boot, w))
+		s.setNominee(t, nomination{worker: w, ownPlace: true, at: now.Boot})
+	}
+	return true
+}
+
+// fitsSoonest returns the worker without nominees on which a task is expected to fit soonest, and after which time.
+func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
+	for _, w := range s.sortedWorkers {
+		others := slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t })
+		if others || !s.mayBeNominatedTo(now, t, w) {
+			continue
+		}
+		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
+		if !possible {
+			continue
+		}
+		wait = max(wait, t.avoids(now.Boot, w))
+		if best == nil || wait < soonest {
+			best, soonest = w, wait
+		}
+	}
+	return best, soonest
+}
+
+func (s *Scheduler) emitNomination(t *task, w *worker, wait time.Duration) {
+	s.emit(Event{Kind: EventTaskNominated, Worker: w.info.ID, Task: t.id(), Attempt: t.lastAttempt + 1, Value: wait.Seconds()})
+}
+
+// fitsNominated reports whether a task may start on the worker to which it is nominated. A worker on which it has failed counts
+// at once if its last run was not brief, and one that is avoided after a fault once the task is overdue.
+func (s *Scheduler) fitsNominated(now Time, t *task) bool {
+	w := t.nomination.worker
+	switch {
+	case s.fits(now, t, w):
+		return true
+	case t.mayReturnTo(w):
+		return s.usable(now.Boot, w) && s.hasRoom(now, t, w)
+	}
+	return t.restartOverdue(now) && s.fitsAvoided(now, t, w)
+}
+
+// mayReturnTo reports whether a task was on a worker last and has run there for so long that its failure need not be the
+// worker's.
+func (t *task) mayReturnTo(w *worker) bool {
+	return w.info.ID == t.storedWorker && t.ranFor >= restartOverdueAfter
+}
+
+// avoids returns for how long a displaced task avoids a worker because of recent faults; see chooseAvoided.
+func (t *task) avoids(now time.Duration, w *worker) time.Duration {
+	if w.avoided(now) == Suitable && (!slices.Contains(t.failedOn, w.info.ID) || t.mayReturnTo(w)) {
+		return 0
+	}
+	since := t.displacement.since
+	if now < w.stability.until {
+		since = max(since, w.stability.lostAt)
+	}
+	if w.health.inBackOff(now) {
+		since = max(since, w.health.until-w.health.length)
+	}
+	return max(since+restartOverdueAfter-now, 0)
+}
+
+// fitsIn returns the time in which the tasks that end on a worker are expected to leave enough capacity for a task. It
+// returns false if they do not have as much.
+func (w *worker) fitsIn(now time.Duration, t *task, stopTime time.Duration) (wait time.Duration, possible bool) {
+	type release struct {
+		in   time.Duration
+		size structs.Resources
+	}
+	var buffer [64]release // on the stack, enough for most workers
+	releases := buffer[:0]
+	for _, a := range w.attemptList {
+		switch {
+		case a.phase == stopping:
+			releases = append(releases, release{stopTime, a.task.step.spec.Reserved()})
+		case !a.task.step.spec.Service:
+			releases = append(releases, release{a.remaining(now), a.task.step.spec.Reserved()})
+		}
+	}
+	slices.SortFunc(releases, func(a, b release) int { return int(a.in - b.in) })
+	need, free := t.step.spec.Reserved(), w.free()
+	for _, r := range releases {
+		if need.Fits(free) {
+			break
+		}
+		free, wait = free.Add(r.size), r.in
+	}
+	return wait, need.Fits(free)
+}
+
+// remaining returns the time after which an attempt of a task that ends is expected to have ended: from its measured rate, or
+// else by the caller's estimate. One that has run for longer than estimated is expected to run for half as long again.
+func (a *attempt) remaining(now time.Duration) time.Duration {
+	if a.rateKnown && a.rate > 0 {
+		seconds := (fullShare - a.percent) / a.rate
+		return max(time.Duration(seconds*float64(time.Second))-(now-a.measuredAt), 0)
+	}
+	ran := now - a.startedAt
+	estimate := time.Duration(a.task.step.spec.EstimateMs) * time.Millisecond
+	if ran >= estimate {
+		return ran / 2
+	}
+	return estimate - ran
+}
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -76,6 +76,8 @@
 	switch {
 	case !t.step.spec.Reserved().Fits(w.free()):
 		return WaitCapacity
+	case !t.step.spec.Reserved().Fits(w.freeFor(t)):
+		return WaitNominee
 	case s.capacityOutdated(now, t, w):
 		return WaitCapacityOutdated
 	}
@@ -99,7 +101,7 @@
 func (w *worker) limits(t *task) WaitReason {
 	spec := &t.step.spec
 	switch {
-	case spec.MaxPerWorker > 0 && w.tasksOf(t.step) >= spec.MaxPerWorker:
+	case spec.MaxPerWorker > 0 && w.tasksOf(t.step)+w.nomineesOf(t) >= spec.MaxPerWorker:
 		return WaitMaxPerWorker
 	case t.onProbation() && w.onProbation(t.step.job):
 		return WaitProbation
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -29,7 +29,7 @@
 	}
 	s.fillerSearches, s.incomplete = 0, false
 	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
-	s.restartInVacated(&cycle)
+	s.restartFirst(&cycle)
 	for _, st := range s.stepsByUrgency(now) {
 		s.restartBefore(&cycle, st)
 		s.startStep(&cycle, st)
@@ -46,6 +46,9 @@
 	displaced        []*task     // displaced tasks whose turn has not come yet in this cycle, the most urgent first
 	unplaceable      []taskShape // tasks that fit on no worker
 	unplaceableAtAll []taskShape // tasks that do not fit on avoided workers either, see chooseAvoided
+	nominations      int
+	unnominatable    []taskShape                         // tasks that could not be nominated to any worker
+	shares           map[workload.PoolName]*serviceShare // only with displaced tasks
 }
 
 // taskShape holds the properties of a task that decide where it fits: its pool, its size and, for fillers, its image.
@@ -153,9 +156,12 @@
 	base := (s.cfg.Term - 1) * attemptsPerTerm
 	a := &attempt{task: t, number: max(t.lastAttempt, base) + 1, worker: w, phase: starting,
 		startedAt: now, share: fullShare, confirmedShare: fullShare, resumed: t.checkpoint != ""}
+	if t.step.spec.Service {
+		s.recordTaken(now, t)
+		s.dropNomination(t)
+	}
 	s.attach(a)
 	if t.step.spec.Service {
-		s.recordTaken(t)
 		a.phase = awaitingStore
 		t.storedWorker = w.info.ID
 		s.markDirty(t.step.job)
--- a/core/schedule/restart_delay.go
+++ b/core/schedule/restart_delay.go
@@ -42,7 +42,7 @@
 // recordEnd records when a task has lost its last attempt. An attempt that never ran leaves the time unchanged.
 func (s *Scheduler) recordEnd(a *attempt) {
 	if a.confirmedAt > 0 && len(a.task.attempts) == 0 {
-		a.task.endedAt = s.calledAt
+		a.task.endedAt, a.task.ranFor = s.calledAt, s.calledAt-a.confirmedAt
 	}
 }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -42,7 +42,8 @@
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
 	unstoredCrashes     map[WorkerID]unstoredCrash
-	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that services have left and not taken since
+	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that ended services have left and none has taken since
+	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -71,6 +72,7 @@
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
 		vacated:         map[workload.PoolName]int64{},
+		nominees:        map[*task]struct{}{},
 	}
 }
 
--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -18,6 +18,10 @@
 	WaitNotFound                   // a worker suits the task now, but the latest planning run has found none
 	WaitPlan                       // a worker suits the task, but no planning run has been made for maxPlanAge
 
+	// Of displaced service tasks.
+	WaitNominated    // a worker keeps its free capacity for the task until tasks there have ended
+	WaitServiceShare // its own capacity is lost, and services have their share of the pool: it comes after tasks that end
+
 	// Of one worker, in the reverse order of the checks in obstacle.
 	WaitServiceTarget    // fillers: a service on the worker is near or over its target
 	WaitSpare            // fillers: too little processor time is unused
@@ -31,6 +35,7 @@
 	WaitUnhealthy        // the worker has reported itself unhealthy
 	WaitNotStored        // the worker is not in the stored set of known workers
 	WaitCapacityOutdated // the capacity may have shrunk since the list was read
+	WaitNominee          // the free capacity is kept for a displaced service task
 	WaitCapacity         // too little capacity is free
 	WaitUnreachable      // the worker does not answer, or has not reported yet
 	WaitUnlisted         // the worker is no longer listed
@@ -56,9 +61,10 @@
 
 var waitReasonNames = [numWaitReasons]string{
 	"suitable", "start_not_stored", "start_not_confirmed", "not_its_turn", "worker_not_found", "no_plan",
+	"capacity_kept", "service_share",
 	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "probation",
-	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "capacity_outdated", "no_capacity", "unreachable",
-	"unlisted", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
+	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "capacity_outdated", "kept_for_service", "no_capacity",
+	"unreachable", "unlisted", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
 	"silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "worker_silent", "unexplained",
 }
 
--- a/core/schedule/waiting.go
+++ b/core/schedule/waiting.go
@@ -120,6 +120,7 @@
 	searches  map[searchKey]workerSearch
 	checked   int // workers
 	described [numWaitReasons]int
+	shares    map[workload.PoolName]*serviceShare // nil before they are needed
 	waits     Waits
 }
 
@@ -199,12 +200,31 @@
 	if !known {
 		return WaitUnexplained, workerSearch{}
 	}
+	if t.nomination.worker != nil {
+		search.worker = t.nomination.worker.info.ID
+		return WaitNominated, search
+	}
+	if (search.nearest == WaitCapacity || search.nearest == WaitNominee) && e.overShare(t) {
+		return WaitServiceShare, search
+	}
 	if search.nearest != Suitable {
 		return search.nearest, search
 	}
 	return e.s.notStarted(e.now, t.step), search
 }
 
+// overShare reports whether a displaced task comes after tasks that end because services have their share of the pool.
+func (e *explainer) overShare(t *task) bool {
+	if !t.displaced() || t.displacement.since == 0 || e.now.Boot-t.displacement.since < restartAfterLoss {
+		return false
+	}
+	if e.shares == nil {
+		e.shares = e.s.serviceShares(e.now.Boot)
+	}
+	share := e.shares[t.step.job.rec.Queue.Pool]
+	return share != nil && !e.s.comesFirst(e.now.Boot, t, share)
+}
+
 // waitReason returns why an attempt is not known to run.
 func (a *attempt) waitReason() WaitReason {
 	switch {
--- a/core/schedule/waiting_test.go
+++ b/core/schedule/waiting_test.go
@@ -133,6 +133,24 @@
 			e.step.Filler = true
 			return e.add(false)
 		}},
+		{WaitNominated, "w1", func(e *explained) *task {
+			e.s.AddJob(testJob("other", testStep(8)), nil, false)
+			e.wantStarts(e.run(), 8)
+			return e.displacedTask("job", coresStep(9), "w1")
+		}},
+		{WaitNominee, "w1", func(e *explained) *task {
+			e.s.AddJob(testJob("other", testStep(8)), nil, false)
+			e.wantStarts(e.run(), 8)
+			e.displacedTask("service", coresStep(9), "w1")
+			return e.add(false)
+		}},
+		{WaitServiceShare, "w1", func(e *explained) *task {
+			e.s.AddJob(testJob("other", testStep(2)), nil, false)
+			e.wantStarts(e.run(), 2)
+			task := e.displacedTask("job", coresStep(15), "w0")
+			task.displacement.since = e.now.Boot - restartAfterLoss
+			return task
+		}},
 		{WaitLabel, "w1", func(e *explained) *task { e.step.Label = "ssd"; return e.add(false) }},
 		{WaitNoWorker, "", func(e *explained) *task { e.job.Queue.Pool = "other"; return e.add(false) }},
 	}
--- a/pkg/dispatch/log.go
+++ b/pkg/dispatch/log.go
@@ -26,6 +26,7 @@
 	schedule.EventWorkerInBackOff:  eventlog.WorkerInBackOff,
 	schedule.EventFillersThrottled: eventlog.FillersThrottled,
 	schedule.EventTaskMoved:        eventlog.TaskMoved,
+	schedule.EventTaskNominated:    eventlog.TaskNominated,
 }
 
 // countEvent counts an event of the scheduler in the metrics.
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -45,6 +45,7 @@
 	FillersThrottled         = define(7035, "fillers_paced", log.InfoLevel, "Filler tasks on a worker are throttled to `value` percent of full speed, because a service task is near its tail latency target.")
 	TaskMoved                = define(7036, "task_moved", log.InfoLevel, "An attempt is stopped so that the task can run on another worker.")
 	TaskWaits                = define(7039, "task_waits", log.InfoLevel, "A task has waited for 2 s or more, the longest of its step; `reason` states for what. At most 8 steps are logged every two seconds, each again when its reason has changed or after 10 s. `workers` counts the workers of the pool by what they lack for the task, `worker` names one to which `reason` applies or that is awaited, `tasks` counts the tasks of the step with the same reason; `cpu` is in thousandths of a core. docs/OPERATIONS.md lists the reasons.")
+	TaskNominated            = define(7058, "task_nominated", log.InfoLevel, "A service task that has lost its place fits on no worker. Until it starts, the worker keeps its free capacity for it; `value` is the time in seconds after which it is expected to fit there.")
 	MirrorLost               = define(7040, "mirror_lost", log.WarnLevel, "The local copy of a store prefix is out of date.")
 	MirrorRecovered          = define(7041, "mirror_recovered", log.InfoLevel, "The local copy of a store prefix is up to date again.")
 	ConfigurationInUse       = define(7042, "configuration_in_use", log.InfoLevel, "A version of the configuration is in effect on this entry host.")
