--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -45,7 +45,8 @@
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
 	contested           map[place]bool              // places of several workers, see latestByPlace
 	unstoredCrashes     map[WorkerID]unstoredCrash
-	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that services have left and not taken since
+	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that ended services have left and none has taken since
+	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -76,6 +77,7 @@
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
 		vacated:         map[workload.PoolName]int64{},
+		nominees:        map[*task]struct{}{},
 	}
 }
 
