--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -21,6 +21,8 @@
 	nominationReview = time.Second
 	// maxNominations is the maximum number of nominations in a planning run for which all workers are checked.
 	maxNominations = 32
+	// maxNominationChecks is the maximum number of workers that are compared for a nomination.
+	maxNominationChecks = 64
 )
 
 // nomination is the worker that keeps capacity for a displaced task.
@@ -160,11 +162,13 @@
 	return true
 }
 
-// fitsSoonest returns the worker without nominees on which a task is expected to fit soonest, and after which time.
+// fitsSoonest returns the worker without other nominees on which a task is expected to fit soonest, and after which time. It
+// compares maxNominationChecks workers on which the task can fit, from where the last search ended.
 func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
-	for _, w := range s.sortedWorkers {
-		others := slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t })
-		if others || !s.mayBeNominatedTo(now, t, w) {
+	found := 0
+	for i := range s.sortedWorkers {
+		w := s.sortedWorkers[(s.nominateFrom+i)%len(s.sortedWorkers)]
+		if !w.hasRoomBesideServices(t) || w.hasOtherNominee(t) || !s.mayBeNominatedTo(now, t, w) {
 			continue
 		}
 		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
@@ -175,10 +179,23 @@
 		if best == nil || wait < soonest {
 			best, soonest = w, wait
 		}
+		if found++; found == maxNominationChecks {
+			s.nominateFrom = (s.nominateFrom + i + 1) % len(s.sortedWorkers)
+			break
+		}
 	}
 	return best, soonest
 }
 
+// hasRoomBesideServices reports whether a worker has the processor time for a task if only its services run there.
+func (w *worker) hasRoomBesideServices(t *task) bool {
+	return w.info.Capacity.MilliCPU-w.serviceCPU >= t.step.spec.Size.MilliCPU
+}
+
+func (w *worker) hasOtherNominee(t *task) bool {
+	return slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t })
+}
+
 func (s *Scheduler) emitNomination(t *task, w *worker, wait time.Duration) {
 	s.emit(Event{Kind: EventTaskNominated, Worker: w.info.ID, Task: t.id(), Attempt: t.lastAttempt + 1, Value: wait.Seconds()})
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -43,6 +43,7 @@
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
 	unstoredCrashes     map[WorkerID]unstoredCrash
 	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that ended services have left and none has taken since
+	nominateFrom        int                         // position in sortedWorkers from which fitsSoonest continues
 	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
 }
 
