--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -163,22 +163,31 @@
 }
 
 // fitsSoonest returns the worker without other nominees on which a task is expected to fit soonest, and after which time. It
-// compares maxNominationChecks workers on which the task can fit, from where the last search ended.
+// compares the worker to which the task is nominated and maxNominationChecks others on which it can fit, from where the last search
+// ended. The former comes first: places that are kept there would otherwise be given up at each review.
 func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
-	found := 0
-	for i := range s.sortedWorkers {
-		w := s.sortedWorkers[(s.nominateFrom+i)%len(s.sortedWorkers)]
+	compare := func(w *worker) bool {
 		if !w.hasRoomBesideServices(t) || w.hasOtherNominee(t) || !s.mayBeNominatedTo(now, t, w) {
-			continue
+			return false
 		}
 		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
 		if !possible {
-			continue
+			return false
 		}
 		wait = max(wait, t.avoids(now.Boot, w))
 		if best == nil || wait < soonest {
 			best, soonest = w, wait
 		}
+		return true
+	}
+	if t.nomination.worker != nil {
+		compare(t.nomination.worker)
+	}
+	found := 0
+	for i := range s.sortedWorkers {
+		if !compare(s.sortedWorkers[(s.nominateFrom+i)%len(s.sortedWorkers)]) {
+			continue
+		}
 		if found++; found == maxNominationChecks {
 			s.nominateFrom = (s.nominateFrom + i + 1) % len(s.sortedWorkers)
 			break
--- a/core/schedule/nominate_test.go
+++ b/core/schedule/nominate_test.go
@@ -286,3 +286,35 @@
 		t.Errorf("%d nominees on 4 workers", n)
 	}
 }
+
+// Scenario: a nominee waits for its second place on a worker of a pool in which more workers than are compared would suit it later.
+// Guards against nominations that move to another worker at each review, so that places that were kept are given up and none becomes
+// large enough.
+func TestNominationStaysWhereTheTaskFitsSoonest(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w", withCores(2))
+	for n := range 4 * maxNominationChecks {
+		h.addWorker(WorkerID(fmt.Sprint("x", n)), withCores(2))
+	}
+	h.shortTasks("short", 100*maxNominationChecks, 10*time.Second)
+	h.run()
+	h.advanceClock(scanInterval)
+	h.reportAll()
+	w := h.s.workers["w"]
+	for _, a := range w.attemptList {
+		a.startedAt -= time.Second // they end first
+	}
+	service := h.displacedTask("service", coresStep(2), "w0")
+	service.displacement.since = h.now.Boot - restartAfterLoss
+	h.s.setNominee(service, nomination{worker: w, at: h.now.Boot})
+	h.endOne("w")
+	for range 3 {
+		service.nomination.at -= nominationReview
+		h.advanceClock(scanInterval)
+		h.reportAll()
+		h.run()
+		if service.nomination.worker != w {
+			t.Fatalf("nominated to %s, want w with one of two places free", service.nomination.worker.info.ID)
+		}
+	}
+}
