--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -129,6 +129,7 @@
 	sufficient = sufficient && !t.onProbation()
 	switch {
 	case sufficient && shape.among(cycle.unnominatable),
+		!known && slices.Contains(cycle.unnominatableSteps, t.step),
 		!cycle.scan && t.displacement.since != now.Boot, cycle.nominations >= maxNominations,
 		known && now.Boot-t.nomination.at < nominationReview,
 		!known && s.waitingNominees(t.step.job.rec.Queue.Pool) >= max(share.workers/maxNominatedShare, 1):
@@ -140,6 +141,8 @@
 		s.dropNomination(t)
 		if sufficient {
 			cycle.unnominatable = append(cycle.unnominatable, shape)
+		} else if !t.onProbation() {
+			cycle.unnominatableSteps = append(cycle.unnominatableSteps, t.step)
 		}
 		return
 	}
--- a/core/schedule/nominate_test.go
+++ b/core/schedule/nominate_test.go
@@ -318,3 +318,31 @@
 		}
 	}
 }
+
+// Scenario: more displaced tasks than a planning run nominates belong to a service that runs at most once on each worker, and does
+// so on all. Guards against their searches using up those of a planning run, so that a service behind them is not nominated.
+func TestTasksThatCannotBeNominatedDoNotStopOthers(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.addWorker("w2", withCores(4))
+	spread := coresStep(1)
+	spread.Service, spread.MaxPerWorker, spread.Tasks = true, 1, 2*maxNominations
+	h.s.AddJob(testJob("a-spread", spread), nil, false)
+	h.wantStarts(h.run(), 2)
+	h.shortTasks("short", 1000, time.Hour)
+	h.wantStarts(h.run(), 6)
+	for _, task := range h.s.jobs["a-spread"].steps[0].tasks[2:] {
+		task.ran, task.storedWorker = true, "w0"
+		task.displacement.since = h.now.Boot - restartAfterLoss
+	}
+	service := h.displacedTask("service", coresStep(2), "w0")
+	service.displacement.since = h.now.Boot - restartAfterLoss
+	for range 3 {
+		h.advanceClock(scanInterval)
+		h.reportAll()
+		h.run()
+	}
+	if service.nomination.worker == nil {
+		t.Error("the service is not nominated")
+	}
+}
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -50,8 +50,10 @@
 	unplaceable      []taskShape // tasks that fit on no worker
 	unplaceableAtAll []taskShape // tasks that do not fit on avoided workers either, see chooseAvoided
 	nominations      int
-	unnominatable    []taskShape                         // tasks that could not be nominated to any worker
-	shares           map[workload.PoolName]*serviceShare // only with displaced tasks
+	unnominatable    []taskShape // tasks that could not be nominated to any worker
+	// unnominatableSteps are steps whose tasks exclude each other and of which a task could not be nominated to any worker.
+	unnominatableSteps []*step
+	shares             map[workload.PoolName]*serviceShare // only with displaced tasks
 }
 
 // taskShape holds the properties of a task that decide where it fits: its pool, its label, its size and, for fillers, its image.
