--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -46,6 +46,7 @@
 	contested           map[place]bool              // places of several workers, see latestByPlace
 	unstoredCrashes     map[WorkerID]unstoredCrash
 	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that ended services have left and none has taken since
+	nominateFrom        int                         // position in sortedWorkers from which fitsSoonest continues
 	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
 }
 
