Add a failing test of waits that remain unexplained beside missing labels

Each size of such tasks costs a check of all workers of the pool, until the bound on checks is reached.

--- a/core/schedule/waiting_test.go
+++ b/core/schedule/waiting_test.go
@@ -348,6 +348,26 @@
 	}
 }
 
+// Scenario: in a large pool tasks of many sizes wait for a label that no worker has. Guards against a check of all workers for
+// each of them, after which the waits of other tasks remain unexplained.
+func TestMissingLabelsLeaveChecksForOtherWaits(t *testing.T) {
+	h := fleet(maxWaitChecks / 10)
+	const jobs = 40
+	for n := range jobs {
+		step := testStep(1)
+		step.Size.MilliCPU, step.Label = int64(1000+n), "rare"
+		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("labelled", n)), step), nil, false)
+	}
+	large := testStep(1)
+	large.Size.MilliCPU = 1 << 40
+	h.s.AddJob(testJob("z", large), nil, false)
+	h.s.Plan(h.now)
+	waits := h.s.Waits(h.now)
+	if waits.Tasks[WaitLabel] != jobs || waits.Tasks[WaitCapacity] != 1 {
+		t.Errorf("%v, want %d tasks without a label and one without capacity", &waits.Tasks, jobs)
+	}
+}
+
 // Guards against an explanation that changes decisions: two schedulers get the same disturbances, and one explains each time.
 func TestSummaryChangesNoDecision(t *testing.T) {
 	for seed := range uint64(40) {
