Explain waits for a label that no worker has with one check

Cause: each size of task with such a label cost a check of all workers, so that the bound on checks left other waits unexplained. Now one check for each pool and label finds whether any worker has it. It counts for the bound as well, since callers choose the labels.

Tasks of a label that some worker has are explained as before.

--- a/core/schedule/waiting.go
+++ b/core/schedule/waiting.go
@@ -44,7 +44,7 @@
 
 // Waits explains why tasks wait. It changes no decision.
 func (s *Scheduler) Waits(now Time) Waits {
-	e := explainer{s: s, now: now, searches: map[searchKey]workerSearch{}}
+	e := newExplainer(s, now)
 	for id := range s.awaitingReport {
 		if e.awaited == "" || id < e.awaited {
 			e.awaited = id
@@ -118,11 +118,16 @@
 	now       Time
 	awaited   WorkerID // one of the workers of a former owner that have not reported yet
 	searches  map[searchKey]workerSearch
-	checked   int // workers
+	lacking   map[taskShape]workerSearch // by pool and label, see lackingLabel
+	checked   int                        // workers
 	described [numWaitReasons]int
 	waits     Waits
 }
 
+func newExplainer(s *Scheduler, now Time) *explainer {
+	return &explainer{s: s, now: now, searches: map[searchKey]workerSearch{}, lacking: map[taskShape]workerSearch{}}
+}
+
 // searchKey holds what decides which obstacles a task meets. Tasks with equal keys share a search.
 type searchKey struct {
 	shape    taskShape
@@ -243,26 +248,64 @@
 	if search, known = e.searches[key]; known {
 		return search, true
 	}
-	if e.checked > 0 && e.checked+len(e.s.sortedWorkers) > maxWaitChecks {
-		return search, false
+	if search, known = e.lackingLabel(t); known {
+		return search, true
 	}
-	e.checked += len(e.s.sortedWorkers)
-	search.nearest = WaitNoWorker
-	for _, w := range e.s.sortedWorkers {
-		if w.info.Pool != key.shape.pool {
-			continue
-		}
+	if !e.mayCheckWorkers() {
+		return workerSearch{}, false
+	}
+	search = e.searchPool(key.shape.pool, func(w *worker) WaitReason {
 		r := e.s.obstacle(e.now, t, w)
 		if r != Suitable && key.overdue && e.s.fitsAvoided(e.now, t, w) {
 			r = Suitable
 		}
+		return r
+	})
+	e.searches[key] = search
+	return search, true
+}
+
+// searchPool returns the outcome of a check of all workers of a pool.
+func (e *explainer) searchPool(pool workload.PoolName, check func(*worker) WaitReason) workerSearch {
+	search := workerSearch{nearest: WaitNoWorker}
+	for _, w := range e.s.sortedWorkers {
+		if w.info.Pool != pool {
+			continue
+		}
+		r := check(w)
 		search.workers[r]++
 		if r < search.nearest {
 			search.nearest, search.worker = r, w.info.ID
 		}
 	}
-	e.searches[key] = search
-	return search, true
+	return search
+}
+
+// lackingLabel returns the outcome for a task whose label no worker of its pool has, and whether that is so. Tasks of one pool and
+// label share a check.
+func (e *explainer) lackingLabel(t *task) (search workerSearch, lacking bool) {
+	shape := taskShape{pool: t.step.job.rec.Queue.Pool, label: t.step.spec.Label}
+	if shape.label == "" {
+		return search, false
+	}
+	search, known := e.lacking[shape]
+	if !known {
+		if !e.mayCheckWorkers() {
+			return search, false
+		}
+		search = e.searchPool(shape.pool, func(w *worker) WaitReason { return w.lacks(t) })
+		e.lacking[shape] = search
+	}
+	return search, search.nearest != Suitable
+}
+
+// mayCheckWorkers reports whether all workers may be checked once more, and counts the check.
+func (e *explainer) mayCheckWorkers() bool {
+	if e.checked > 0 && e.checked+len(e.s.sortedWorkers) > maxWaitChecks {
+		return false
+	}
+	e.checked += len(e.s.sortedWorkers)
+	return true
 }
 
 // key returns the key of the search for a task.
--- a/core/schedule/waiting_test.go
+++ b/core/schedule/waiting_test.go
@@ -149,7 +149,8 @@
 			t.Errorf("%v: the task was started", row.want)
 			continue
 		}
-		x := explainer{s: e.s, now: e.now, awaited: "w0", searches: map[searchKey]workerSearch{}}
+		x := newExplainer(e.s, e.now)
+		x.awaited = "w0"
 		reason, search := x.reason(task)
 		if reason != row.want || search.worker != row.worker {
 			t.Errorf("waits for %v of %q, want %v of %q", reason, search.worker, row.want, row.worker)
