--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -35,6 +35,7 @@
 	events              []Event
 	awaitingReport      map[WorkerID]bool // workers that a former owner may have used and that have not reported yet
 	takeoverAt          time.Duration     // when the takeover began
+	unknownUntil        time.Duration     // until when workers that are not known may run tasks of former owners; 0 if all are known
 	knownWorkersChanged bool              // the set of known workers has changed since it was last stored
 	interference        *interference
 	dirty               map[*job]struct{}           // jobs whose progress has changed since it was stored
@@ -42,8 +43,10 @@
 	suspects            map[*task]struct{}          // tasks with crashes on record
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
+	contested           map[place]bool              // places of several workers, see latestByPlace
 	unstoredCrashes     map[WorkerID]unstoredCrash
-	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that services have left and not taken since
+	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that ended services have left and none has taken since
+	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -70,9 +73,11 @@
 		suspects:       map[*task]struct{}{},
 		silentOn:       map[WorkerID][]*task{},
 		vanished:       map[WorkerID]vanishedWorker{},
+		contested:      map[place]bool{},
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
 		vacated:         map[workload.PoolName]int64{},
+		nominees:        map[*task]struct{}{},
 	}
 }
 
@@ -210,11 +215,11 @@
 func (s *Scheduler) SetWorkers(now Time, infos []WorkerInfo) {
 	s.calledAt = now.Boot
 	s.listReadAt = now.Boot
-	latest := latestByPlace(infos)
+	latest := s.latestByPlace()
 	s.removeSuperseded(now, latest)
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
-		if latest[info.place()].supersedes(&info) {
+		if latest[info.place()].supersedes(info.ID, info.StartedMs) {
 			continue
 		}
 		listed[info.ID] = true
@@ -226,6 +231,7 @@
 			w.unlistedAt = now.Boot
 		}
 	}
+	s.recordContested()
 }
 
 // updateListed adds or updates a worker of the platform's list.
@@ -234,9 +240,9 @@
 	if !known {
 		w = newWorker(info, s.index)
 		s.addWorker(w)
-		s.knownWorkersChanged = true
+		s.inheritListed(w)
 	}
-	if info.Draining && !w.info.Draining {
+	if info.Draining && (!w.info.Draining || w.listedAt == 0) {
 		w.leavesAt = now + info.Remaining
 		s.emit(Event{Kind: EventWorkerDraining, Worker: info.ID})
 	}
@@ -246,6 +252,9 @@
 	if !slices.Equal(w.info.Labels, info.Labels) {
 		s.index.remove(w)
 	}
+	if info.place() != w.info.place() {
+		w.placeChangedAt = now
+	}
 	if info.Capacity != w.info.Capacity {
 		w.full = fullBackOff{}
 	}
@@ -316,6 +325,9 @@
 	if !confirmed {
 		return
 	}
+	if now.Boot >= s.unknownUntil {
+		s.unknownUntil = 0
+	}
 	var expired []*worker
 	for _, w := range s.sortedWorkers {
 		if !w.leasesExtended && !w.reachable(now.Boot) && now.Boot >= w.leaseEnd && collectedUpTo(w.info.ID) >= w.leaseEnd {
@@ -323,7 +335,8 @@
 		}
 	}
 	for _, w := range expired {
-		delete(s.awaitingReport, w.info.ID)
+		s.stopAwaiting(w)
+		s.setAnswers(w, false)
 		for _, a := range slices.Clone(w.attemptList) {
 			s.emit(a.event(EventAttemptExpired))
 			if a.certainlyRan() {
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -7,6 +7,7 @@
 // Config.HandoverGrace after it has lost its ownership.
 func (s *Scheduler) InheritWorkers(now Time, infos []WorkerInfo) {
 	s.takeoverAt = now.Boot
+	s.knownWorkersChanged = true
 	for _, info := range infos {
 		w, known := s.workers[info.ID]
 		if !known {
@@ -21,10 +22,32 @@
 	}
 }
 
+// InheritUnknown records that a former owner may have used further workers, which are not known. Every worker that is listed
+// before their task leases have certainly expired counts as one of them.
+func (s *Scheduler) InheritUnknown(now Time) {
+	s.takeoverAt = now.Boot
+	s.unknownUntil = now.Boot + s.cfg.HandoverGrace + s.cfg.leaseBound()
+}
+
+// inheritListed makes a worker that is listed for the first time an inherited one while it may be one of those that are not known.
+func (s *Scheduler) inheritListed(w *worker) {
+	if s.unknownUntil > 0 {
+		w.leaseEnd = s.unknownUntil
+		s.awaitingReport[w.info.ID] = true
+	}
+}
+
 // TakeoverComplete reports whether all attempts of former owners are known or have certainly expired.
-func (s *Scheduler) TakeoverComplete() bool { return len(s.awaitingReport) == 0 }
+func (s *Scheduler) TakeoverComplete() bool { return len(s.awaitingReport) == 0 && s.unknownUntil == 0 }
+
+// mayRunOn reports whether a former owner may have started a task on a worker that has not reported yet.
+func (s *Scheduler) mayRunOn(id WorkerID) bool {
+	_, known := s.workers[id]
+	return s.awaitingReport[id] || s.unknownUntil > 0 && id != "" && !known
+}
 
-// KnownWorkers returns the workers from which a later owner needs a report if the set has changed since the last call.
+// KnownWorkers returns the workers from which a later owner needs a report if the set may have changed since the last call. The
+// caller stores all sets in their order, or the latest.
 func (s *Scheduler) KnownWorkers() (infos []WorkerInfo, changed bool) {
 	changed = s.knownWorkersChanged
 	s.knownWorkersChanged = false
@@ -33,7 +56,7 @@
 	}
 	infos = make([]WorkerInfo, 0, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
-		if w.drained() {
+		if !s.needsReport(w) {
 			w.stored = false
 			continue
 		}
@@ -42,25 +65,45 @@
 	return s.addUnstoredCrashes(infos), changed
 }
 
-// drained reports whether a draining worker runs nothing more. No task is started on it, and a later owner that waits
-// for its report would be delayed until its leases expire.
-func (w *worker) drained() bool {
-	return w.info.Draining && len(w.attempts) == 0 && len(w.orphans) == 0
+// needsReport reports whether a later owner needs a report of a worker: tasks run on it or may start on it. None has been started
+// on a worker that has not answered since this owner knows it or since its leases have certainly expired, unless a former owner
+// has. A worker that may have crashed stays known as well, so that its crash is noticed.
+func (s *Scheduler) needsReport(w *worker) bool {
+	return (w.answers || s.awaitingReport[w.info.ID] || len(s.silentOn[w.info.ID]) > 0) && !s.drained(w)
+}
+
+// drained reports whether a draining worker certainly runs nothing more. No task is started on it, and a later owner that
+// waits for its report would be delayed until its leases expire.
+func (s *Scheduler) drained(w *worker) bool {
+	return w.info.Draining && len(w.attempts) == 0 && len(w.orphans) == 0 && !s.awaitingReport[w.info.ID]
+}
+
+// stopAwaiting records that all attempts of former owners on a worker are known or have certainly expired.
+func (s *Scheduler) stopAwaiting(w *worker) {
+	if s.awaitingReport[w.info.ID] {
+		delete(s.awaitingReport, w.info.ID)
+		s.knownWorkersChanged = true
+	}
+}
+
+// setAnswers records whether a worker answers.
+func (s *Scheduler) setAnswers(w *worker, answers bool) {
+	if w.answers != answers {
+		w.answers = answers
+		s.knownWorkersChanged = true
+	}
 }
 
 // KnownWorkersStored records that the workers are stored for a later owner, so that they may get tasks.
 func (s *Scheduler) KnownWorkersStored(infos []WorkerInfo) {
 	for _, info := range infos {
-		if w, known := s.workers[info.ID]; known {
+		if w, known := s.workers[info.ID]; known && !w.stored {
 			w.stored = true
 			s.index.markChanged(w)
 		}
 	}
 }
 
-// KnownWorkersNotStored records that the set of known workers was not stored and has to be stored again.
-func (s *Scheduler) KnownWorkersNotStored() { s.knownWorkersChanged = true }
-
 // Workers returns all workers that have to be polled.
 func (s *Scheduler) Workers() []WorkerInfo {
 	infos := make([]WorkerInfo, 0, len(s.sortedWorkers))
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/core/workload"
 )
 
@@ -54,13 +55,7 @@
 		t.Fatalf("started %v before w2 reported", orders[0].Task)
 	}
 	h.end(taskID("new", 0, 0), EndDone)
-	bound := h.s.cfg.HandoverGrace + h.s.cfg.leaseBound()
-	h.advanceClock(bound - time.Second)
-	h.report("w1")
-	h.wantStarts(h.run(), 0)
-	h.advanceClock(time.Second)
-	h.report("w1")
-	h.wantStarts(h.run(), 1)
+	h.wantStartAfter(h.s.cfg.HandoverGrace+h.s.cfg.leaseBound(), "w1")
 }
 
 // Guards against restarting an inherited task while the process that polls its worker still extends its lease: the
@@ -77,12 +72,7 @@
 			h := inheritedHarness(t)
 			h.advanceClock(h.s.cfg.HandoverGrace + h.s.cfg.leaseBound() - time.Second)
 			lose(h)
-			h.advanceClock(h.s.cfg.leaseBound() - time.Second)
-			h.report("w1")
-			h.wantStarts(h.run(), 0)
-			h.advanceClock(time.Second)
-			h.report("w1")
-			h.wantStarts(h.run(), 1)
+			h.wantStartAfter(h.s.cfg.leaseBound(), "w1")
 		})
 	}
 }
@@ -226,3 +216,175 @@
 		}
 	}
 }
+
+// Scenario: an owner is lost soon after its takeover, while a draining worker has not reported to it yet. Guards against a later
+// owner that does not wait for this worker: its tasks would run twice.
+func TestDrainingWorkerIsKnownUntilItHasReported(t *testing.T) {
+	h := newHarness(t, 1)
+	w1 := h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.run()
+	w1.info.Draining = true
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{w1.info})
+	h.list()
+	if infos, _ := h.s.KnownWorkers(); len(infos) != 1 {
+		t.Errorf("known workers %v before the draining one has reported, want it among them", infos)
+	}
+	h.reportAll()
+	h.end(taskID("job", 0, 0), EndDone)
+	h.reportAll()
+	if infos, changed := h.s.KnownWorkers(); len(infos) != 0 || !changed {
+		t.Errorf("known workers %v, changed %v, once it runs nothing", infos, changed)
+	}
+}
+
+// Guards against an entry of the platform's list that names no real worker and is stored as a known one: each later owner would
+// hold up the tasks of older jobs until leases that nobody has granted would have ended.
+func TestWorkerThatHasNeverAnsweredIsNotKnown(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	infos := append(h.s.Workers(), oddEntry)
+	h.s.SetWorkers(h.now, infos)
+	h.s.PollFailed(h.now, oddEntry.ID)
+	known, changed := h.s.KnownWorkers()
+	if !changed || len(known) != 1 || known[0].ID != "w1" {
+		t.Fatalf("known workers %v, changed %v, want w1", known, changed)
+	}
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, known)
+	h.s.AddJob(testJob("old", testStep(1)), nil, true)
+	h.s.SetWorkers(h.now, infos)
+	h.report("w1")
+	h.wantStarts(h.run(), 1)
+}
+
+// Guards against a start on a worker for which a later owner would not wait, because its first answer is not stored yet.
+func TestNothingStartsBeforeTheWorkerIsStored(t *testing.T) {
+	h := newHarness(t, 1)
+	w := &simWorker{info: WorkerInfo{ID: "w1", Address: "w1", Pool: testPool, Capacity: structs.Resources{MilliCPU: 16000, MemoryBytes: 64 << 30}},
+		incarnation: 1, stopped: map[attemptKey]bool{}}
+	h.workers["w1"] = w
+	h.s.SetWorkers(h.now, []WorkerInfo{w.info})
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.report("w1")
+	h.wantStarts(h.run(), 0)
+	known, changed := h.s.KnownWorkers()
+	if !changed || len(known) != 1 {
+		t.Fatalf("known workers %v, changed %v after the first answer", known, changed)
+	}
+	h.s.KnownWorkersStored(known)
+	h.wantStarts(h.run(), 1)
+}
+
+// Scenario: a worker that the platform still lists does not answer for longer than its leases last, and answers again. Guards
+// against later owners that wait for it meanwhile, and against a start on it before it is stored again.
+func TestWorkerIsKnownAgainOnceItAnswersAgain(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.KnownWorkers()
+	h.s.PollFailed(h.now, "w1")
+	h.advanceClock(h.s.cfg.leaseBound() - time.Second)
+	h.plan()
+	if known, changed := h.s.KnownWorkers(); changed {
+		t.Fatalf("known workers %v while a lease may last", known)
+	}
+	h.advanceClock(time.Second)
+	h.plan()
+	if known, changed := h.s.KnownWorkers(); !changed || len(known) != 0 {
+		t.Fatalf("known workers %v, changed %v, once all leases have expired", known, changed)
+	}
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.s.SetWorkers(h.now, []WorkerInfo{h.workers["w1"].info})
+	h.reportAll()
+	h.wantStarts(h.run(), 0)
+	known, changed := h.s.KnownWorkers()
+	if !changed || len(known) != 1 {
+		t.Fatalf("known workers %v, changed %v, once it answers again", known, changed)
+	}
+	h.s.KnownWorkersStored(known)
+	h.wantStarts(h.run(), 1)
+}
+
+// unknownHarness returns the owner of term 2, whose predecessor has used workers that are not known, with the listed worker w1.
+func unknownHarness(t *testing.T) *harness {
+	h := newHarness(t, 2)
+	h.s.InheritUnknown(h.now)
+	h.addWorker("w1", nil)
+	return h
+}
+
+// Scenario: a part of the known workers cannot be read. Guards against a task that runs twice, because it runs on a worker of that
+// part, whether the platform lists the worker or not, and against a takeover that never ends.
+func TestUnknownWorkersAreWaitedFor(t *testing.T) {
+	for name, listed := range map[string]bool{"listed": true, "not listed": false} {
+		t.Run(name, func(t *testing.T) {
+			h := unknownHarness(t)
+			if listed {
+				h.workers["w2"] = &simWorker{info: h.workers["w1"].info}
+				h.workers["w2"].info.ID = "w2"
+				h.list()
+			}
+			h.s.AddJob(testJob("old", testStep(1)), nil, true)
+			h.s.AddJob(testJob("new", testStep(1)), nil, false)
+			h.report("w1")
+			orders := h.run()
+			h.wantStarts(orders, 1)
+			if orders[0].Task.Job != "new" {
+				t.Fatalf("started %v", orders[0].Task)
+			}
+			h.end(taskID("new", 0, 0), EndDone)
+			h.wantStartAfter(h.s.cfg.HandoverGrace+h.s.cfg.leaseBound(), "w1")
+		})
+	}
+}
+
+// Guards against a service that runs twice because the worker on which it was started last is not known, and against one that
+// waits although it was never started.
+func TestServiceWaitsForAnUnknownWorker(t *testing.T) {
+	h := unknownHarness(t)
+	job := testJob("service", testService(2))
+	progress := workload.Progress{State: workload.StateRunning, Steps: []workload.StepProgress{{Tasks: []workload.TaskProgress{
+		{Index: 0, Worker: "w2"},
+	}}}}
+	h.s.AddJob(job, &progress, true)
+	h.report("w1")
+	orders := h.run()
+	h.store()
+	if got := append(starts(orders), starts(h.run())...); len(got) != 1 || got[0].Task.Index != 1 {
+		t.Fatalf("started %s, want the service task that was never started", describe(got))
+	}
+	h.advanceClock(h.s.cfg.HandoverGrace + h.s.cfg.leaseBound())
+	h.report("w1")
+	orders = h.run()
+	if got := append(starts(orders), starts(h.run())...); len(got) != 1 || got[0].Task.Index != 0 {
+		t.Fatalf("started %s, want the other service task", describe(got))
+	}
+}
+
+// Guards against a new owner that stops all tasks on a draining worker at once, because it does not know for how long the worker
+// stays.
+func TestInheritedDrainingWorkerKeepsItsTasks(t *testing.T) {
+	h := newHarness(t, 1)
+	w1 := h.addWorker("w1", nil)
+	job := testJob("job", testStep(1))
+	h.s.AddJob(job, nil, false)
+	h.run()
+	w1.info.Draining, w1.info.Remaining = true, 20*time.Second
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{{ID: "w1", Address: "w1", Pool: testPool, StartedMs: 1, Draining: true}})
+	h.s.AddJob(job, nil, true)
+	h.report("w1")
+	if orders := h.run(); len(orders) != 0 {
+		t.Errorf("%s before the list of workers was read", describe(orders))
+	}
+	h.addWorker("w2", nil)
+	if orders := h.run(); len(orders) != 0 {
+		t.Errorf("%s although the worker stays for 20 s", describe(orders))
+	}
+	h.advanceClock(19 * time.Second)
+	h.reportAll()
+	if stops := ofKind(h.run(), OrderStop); len(stops) != 1 {
+		t.Errorf("%d stops just before the worker leaves, want 1", len(stops))
+	}
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -33,10 +33,13 @@
 	unlistedAt       time.Duration // when it was first missing from the platform's list; only if not listed
 	leavesAt         time.Duration // earliest time at which it leaves; only with info.Draining
 	stored           bool          // it is in the stored set of known workers, so that a later owner waits for its report
+	placeChangedAt   time.Duration // when the list last gave it another address or pool; 0 if it has not
+	reportedPlace    place         // where it has reported from; zero before its first report
 	incarnation      int64         // start of the worker process, Unix milliseconds; 0 before the first report
 	polledAt         time.Duration // when the poll was sent whose report was applied last
 	reportedAt       time.Duration // when the last report was received; 0 before the first
 	reports          int64         // number of reports that were applied
+	answers          bool          // it has reported, and its leases have not certainly expired since
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
 	lastEnd          int64         // number of the latest end that was applied
@@ -56,6 +59,7 @@
 	spedUpAt         time.Duration     // when fillers were last sped up
 	fillersIdleSince time.Duration     // since when all fillers on the worker have been idle; 0 while one runs
 	services         int               // number of service attempts
+	nominees         []*task           // displaced tasks for which capacity is kept
 	servicesByImage  map[int]int       // number of service attempts by image index
 	pressures        []float64         // by filler image, see pressureOn; reset when a service starts or ends
 	pressuresAt      time.Duration     // refresh of the interference model that pressures belong to
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -63,29 +63,31 @@
 
 	statusClock statusClock // used by logStatus only
 
-	mu                   sync.Mutex // guards the fields below
-	scheduler            *schedule.Scheduler
-	links                map[string]*link // by host name
-	linkOf               map[schedule.WorkerID]*link
-	relayBackOffUntil    map[string]time.Duration // by host; boot time until which a lost relay is not used
-	ends                 map[schedule.WorkerID]endNumbers
-	unreachable          map[schedule.WorkerID]bool
-	revisions            map[workload.JobID]int64 // of the stored progress records; no entry without a record
-	undecodable          map[workload.JobID]bool  // jobs whose progress record cannot be decoded
-	deletions            map[workload.JobID]int64 // see deletion.go
-	knownWorkersRevision int64                    // store revision of the known workers
-	loaded               bool
-	takenOver            bool // the completed takeover has been logged
-	resumption           resumption
-	measures             measures
-	linkWG               sync.WaitGroup
+	mu                sync.Mutex // guards the fields below
+	scheduler         *schedule.Scheduler
+	links             map[string]*link // by host name
+	linkOf            map[schedule.WorkerID]*link
+	relayBackOffUntil map[string]time.Duration // by host; boot time until which a lost relay is not used
+	ends              map[schedule.WorkerID]endNumbers
+	unreachable       map[schedule.WorkerID]bool
+	revisions         map[workload.JobID]int64         // of the stored progress records; no entry without a record
+	undecodable       map[workload.JobID]bool          // jobs whose progress record cannot be decoded
+	deletions         map[workload.JobID]int64         // see deletion.go
+	refusedRecords    map[workload.JobID]refusedRecord // records that the store has refused for good, see refused.go
+	known             knownWorkers
+	loaded            bool
+	takenOver         bool // the completed takeover has been logged
+	resumption        resumption
+	measures          measures
+	linkWG            sync.WaitGroup
 }
 
 // endNumbers records how far the numbered task ends of a worker incarnation have been processed.
 type endNumbers struct {
 	incarnation  int64
-	applied      int64 // newest end applied by the scheduler
-	acknowledged int64 // newest end that is stored and queued for acknowledgement by the relay
+	applied      int64    // newest end applied by the scheduler
+	acknowledged int64    // newest end that is stored and queued for acknowledgement by the relay
+	unstored     []jobEnd // ends that were applied and have not been acknowledged, by number
 }
 
 type ownerMetrics struct {
@@ -124,7 +126,9 @@
 		unreachable:       map[schedule.WorkerID]bool{},
 		revisions:         map[workload.JobID]int64{},
 		undecodable:       map[workload.JobID]bool{},
+		refusedRecords:    map[workload.JobID]refusedRecord{},
 		deletions:         map[workload.JobID]int64{},
+		known:             knownWorkers{partOf: map[schedule.WorkerID]int{}},
 	}
 }
 
@@ -285,11 +289,15 @@
 		Str("kind", order.Kind.String()).Str("outcome", outcome.String()).Str("reason", reason).Msg("")
 }
 
-func decodeJob(item kv.Item) (workload.Job, error) {
+// decodeJob decodes the record of a job, whose ID is that of its key: under another one, its progress would not be found.
+func decodeJob(id workload.JobID, item kv.Item) (workload.Job, error) {
 	var job workload.Job
 	if err := json.Unmarshal(item.Value, &job); err != nil {
 		return job, errors.Annotatef(err, "decode job record %s", item.Key)
 	}
+	if job.ID != id {
+		return job, errors.NotValidf("job record %s: id %.40q", item.Key, string(job.ID))
+	}
 	if findings := workload.Validate(job); len(findings) > 0 {
 		return job, errors.Errorf("job record %s: %v", item.Key, findings[0])
 	}
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -45,6 +45,7 @@
 	FillersThrottled         = define(7035, "fillers_paced", log.InfoLevel, "Filler tasks on a worker are throttled to `value` percent of full speed, because a service task is near its tail latency target.")
 	TaskMoved                = define(7036, "task_moved", log.InfoLevel, "An attempt is stopped so that the task can run on another worker.")
 	TaskWaits                = define(7039, "task_waits", log.InfoLevel, "A task has waited for 2 s or more, the longest of its step; `reason` states for what. At most 8 steps are logged every two seconds, each again when its reason has changed or after 10 s. `workers` counts the workers of the pool by what they lack for the task, `worker` names one to which `reason` applies or that is awaited, `tasks` counts the tasks of the step with the same reason; `cpu` is in thousandths of a core. docs/OPERATIONS.md lists the reasons.")
+	TaskNominated            = define(7055, "task_nominated", log.InfoLevel, "A service task that has lost its place fits on no worker. Until it starts, the worker keeps its free capacity for it; `value` is the time in seconds after which it is expected to fit there.")
 	MirrorLost               = define(7040, "mirror_lost", log.WarnLevel, "The local copy of a store prefix is out of date.")
 	MirrorRecovered          = define(7041, "mirror_recovered", log.InfoLevel, "The local copy of a store prefix is up to date again.")
 	ConfigurationInUse       = define(7042, "configuration_in_use", log.InfoLevel, "A version of the configuration is in effect on this entry host.")
@@ -54,6 +55,10 @@
 	OwnerCaughtUp            = define(7047, "owner_caught_up", log.InfoLevel, "An owner that was behind for `behind_for` milliseconds applies reports in time again: 95 % of them within 0.3 s.")
 	OwnerResumed             = define(7050, "owner_resumed", log.WarnLevel, "The owner's process was paused, or its machine suspended, for `paused_for` milliseconds, after which the store has not confirmed its ownership. It starts and moves nothing until the store has, and the list of workers was read again.")
 	PlatformEntryUndecodable = define(7044, "platform_entry_broken", log.WarnLevel, "An entry of the platform cannot be decoded and is ignored. Logged once for each entry.")
+	RecordRefused            = define(7058, "record_refused", log.ErrorLevel, "The store refuses a record of `bytes` bytes for good, also without checkpoints; all others are stored. The job goes on, but its ends are not acknowledged and its final state is not shown until a record of it is stored, which is tried again after 1 to 30 s. If this owner is lost meanwhile, the next one learns of the ends from the workers that still list them; tasks whose worker was lost as well start again.")
+	RecordReplaced           = define(7057, "record_replaced", log.WarnLevel, "Another writer had overwritten the record of this process, which has written it again.")
+	RecordReduced            = define(7059, "record_reduced", log.WarnLevel, "The store refuses a record of `bytes` bytes for good, so it is stored without checkpoints. If this owner is lost, the next one starts the job's unfinished tasks from their beginning.")
+	KnownWorkersRefused      = define(7056, "known_workers_refused", log.ErrorLevel, "The store refuses a part of the list of workers that a later owner needs. Workers of this part that are not stored yet get no tasks; it is tried again after 1 to 30 s.")
 )
 
 // Events of submissions and of the scheduling process, 7100 to 7119.
