--- a/pkg/scheduling/watch.go
+++ b/pkg/scheduling/watch.go
@@ -39,7 +39,7 @@
 		case <-ticker.C:
 		}
 		state := n.view.State(p)
-		if state.Owner.Address == "" || state.Owner.Incarnation == n.cfg.Self.Incarnation {
+		if state.Owner.Address == "" || state.Lease() == 0 || state.Owner.Incarnation == n.cfg.Self.Incarnation {
 			continue
 		}
 		if n.ownerAnswers(ctx, state) || !n.connectionRefused(ctx, state.Owner.Address) {
