--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -110,13 +110,9 @@
 	return p, nil
 }
 
-// maxErrorBytes bounds the text of a decoding error, which may quote a part of the record of any length.
-const maxErrorBytes = 200
-
 // logUnreadable logs that a stored record cannot be decoded.
 func (o *Owner) logUnreadable(key string, err error) {
-	text := err.Error()
-	o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", key).Str("error", text[:min(len(text), maxErrorBytes)]).Msg("")
+	o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", key).Str("error", eventlog.Truncate(err.Error())).Msg("")
 }
 
 // errTermChanged means that another entry host owns the partition.
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -199,16 +199,12 @@
 func (r *Registry) addRecord(item kv.Item) {
 	record, err := decodeRecord(item)
 	if err != nil {
-		text := err.Error()
-		r.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Str("error", text[:min(len(text), maxErrorBytes)]).Msg("")
+		r.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Str("error", eventlog.Truncate(err.Error())).Msg("")
 		return
 	}
 	r.hosts[item.Key] = record
 }
 
-// maxErrorBytes bounds the text of a decoding error, which may quote a part of the record of any length.
-const maxErrorBytes = 200
-
 // Limits of the figures of a host.
 const (
 	maxCores    = 1e5
--- a/pkg/term/view.go
+++ b/pkg/term/view.go
@@ -144,9 +144,6 @@
 	return item.Revision, 0
 }
 
-// maxErrorBytes bounds the text of a decoding error, which may quote a part of the record of any length.
-const maxErrorBytes = 200
-
 // decode decodes a record and reports whether it could. A failure is logged once for each revision.
 func (v *View) decode(item kv.Item, out any) bool {
 	err := json.Unmarshal(item.Value, out)
@@ -155,8 +152,7 @@
 	}
 	if v.logged[item.Key] != item.Revision {
 		v.logged[item.Key] = item.Revision
-		text := err.Error()
-		v.log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Str("error", text[:min(len(text), maxErrorBytes)]).Msg("")
+		v.log.Event(eventlog.RecordUnreadable).Str("key", item.Key).Str("error", eventlog.Truncate(err.Error())).Msg("")
 	}
 	return false
 }
