--- a/review/harness/case_crash.go
+++ b/review/harness/case_crash.go
@@ -69,7 +69,7 @@
 				up := w.up
 				w.mu.Unlock()
 				if up {
-					w.crash(crashDown, false)
+					w.crash(crashDown, false, false)
 				}
 			}
 			time.Sleep(crashEvery)
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -18,6 +18,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"fulmarcourse.example/fulmarcourse/pkg/standin"
 )
 
 // Figures of a small deployment, as the users' pages give them for flojel-sched.
@@ -60,6 +62,10 @@
 	program string
 	workers []*worker
 	nodes   []*node
+	machine machine
+	links   []*link           // between the entry hosts, if linked
+	views   []*standin.Server // of the store, one for each entry host, if linked
+	linked  bool              // the entry hosts reach each other through links
 	stopped chan struct{}
 
 	mu    sync.Mutex      // guards the fields below
@@ -70,10 +76,20 @@
 // node is one entry host.
 type node struct {
 	name, ip, settings string
+	store              string // address at which it reaches the store
 	cmd                *exec.Cmd
 	exited             chan struct{}
 }
 
+// machine is the size of an entry host, and bounds what a site sets for all of them.
+type machine struct {
+	cpuShare, linkMbps float64
+	contact            time.Duration
+}
+
+// smallMachine is an entry host of flojel-sched.
+var smallMachine = machine{cpuShare: 0.4, linkMbps: 1000, contact: contact}
+
 const (
 	frontPort = 8161
 	readyPort = 8167
@@ -90,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &platform{record: r, store: s, dir: dir, program: program, stopped: make(chan struct{}), tasks: map[string]task{}}
+	p := &platform{record: r, store: s, dir: dir, program: program, machine: smallMachine, stopped: make(chan struct{}), tasks: map[string]task{}}
 	go p.heartbeats()
 	go p.ticks()
 	return p, nil
@@ -128,7 +144,7 @@
 
 // addWorker adds a runner. It is called before the nodes start.
 func (p *platform) addWorker(service, zone string, labels ...string) (*worker, error) {
-	w := &worker{p: p, machine: len(p.workers), service: service, zone: zone, labels: labels, address: "127.0.0.1:0"}
+	w := &worker{p: p, machine: len(p.workers), service: service, zone: zone, labels: labels, address: anyAddress}
 	if err := w.begin(false); err != nil {
 		return nil, err
 	}
@@ -197,8 +213,21 @@
 // startNodes starts the entry hosts and waits until all are ready. Each has a loopback address of its own.
 func (p *platform) startNodes(zones ...string) error {
 	network := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
+	ips := make([]string, len(zones))
+	for n := range zones {
+		ips[n] = fmt.Sprintf("%s.%d", network, n+1)
+	}
+	if p.linked {
+		var err error
+		if p.links, p.views, err = p.connectThroughLinks(ips); err != nil {
+			return err
+		}
+	}
 	for n, zone := range zones {
-		node := &node{name: fmt.Sprintf("edge-%s-%d", zone, n), ip: fmt.Sprintf("%s.%d", network, n+1)}
+		node := &node{name: fmt.Sprintf("edge-%s-%d", zone, n), ip: ips[n], store: p.store.server.Addr()}
+		if p.linked {
+			node.store = p.views[n].Addr()
+		}
 		node.settings = filepath.Join(p.dir, node.name+".conf")
 		if err := os.WriteFile(node.settings, []byte(p.settings(node, zone)), 0o600); err != nil {
 			return err
@@ -224,13 +253,14 @@
 		"node=" + n.name, "role=scheduler", "machineClass=edge", "serves=edge", "ip=" + n.ip, "zone=" + zone, "region=svealand",
 		"listen.front=" + address(frontPort), "listen.ready=" + address(readyPort),
 		fmt.Sprintf("portRange=%d,%d", firstPort, lastPort), "bootstrap=true",
-		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "limits.linkMbps=1000.0",
+		fmt.Sprintf("limits.cpuShare=%g", p.machine.cpuShare), "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100",
+		fmt.Sprintf("limits.linkMbps=%g", p.machine.linkMbps),
 		"discovery=platform", "entry=vip", fmt.Sprintf("heartbeatMs=%d", heartbeat.Milliseconds()),
 		"contracts=base,drain,config,cost,recover,sched,places,platform,advice,upkeep,sharing",
-		"bounds.contactMs=3000", "bounds.ackMs=4000", "bounds.catchUpS=4", "bounds.drainMs=2000", "bounds.graceS=6",
+		fmt.Sprintf("bounds.contactMs=%d", p.machine.contact.Milliseconds()), "bounds.ackMs=4000", "bounds.catchUpS=4", "bounds.drainMs=2000", "bounds.graceS=6",
 		"bounds.configApplyMs=2000", "bounds.recoveryS=12", "bounds.holdMaxMs=10000", "bounds.stopMs=400", "bounds.cancel_ms=3000",
 		"bounds.visible_ms=3000", "bounds.finish_s=14", "bounds.status_s=120", "bounds.checkpointS=2", "bounds.restoreMs=100",
-		"bounds.noticeMs=4500", "bounds.enforceFencing=false", "orders=call", "platform.address=" + p.store.server.Addr(),
+		"bounds.noticeMs=4500", "bounds.enforceFencing=false", "orders=call", "platform.address=" + n.store,
 		"platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20",
 		"platform.valueBytes=1048576", "platform.minTtlMs=1000", "",
 	}, "\n")
@@ -289,6 +319,12 @@
 		w.mu.Unlock()
 		_ = server.Close()
 	}
+	for _, l := range p.links {
+		_ = l.listener.Close()
+	}
+	for _, v := range p.views {
+		v.Close()
+	}
 	p.store.server.Close()
 	p.store.inner.Close()
 	if os.Getenv("KEEP") == "" {
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// anyAddress lets a runner listen at a free port.
+const anyAddress = "127.0.0.1:0"
+
 // run is one run of a task on a runner. Outcome is empty while it runs; "gone" means that its runner has crashed.
 type run struct {
 	task    string
@@ -114,8 +117,9 @@
 	return nil
 }
 
-// crash ends the runner's process with all that it runs. It is back at its address after the given time.
-func (w *worker) crash(downFor time.Duration, keepID bool) {
+// crash ends the runner's process with all that it runs. It is back after the given time: at its address under a new id or, if keepID
+// is set, under the id that it had, at its address or, if moves is set, at another one.
+func (w *worker) crash(downFor time.Duration, keepID, moves bool) {
 	w.mu.Lock()
 	now := time.Now()
 	w.up = false
@@ -134,20 +138,21 @@
 		time.AfterFunc(3*heartbeat, func() { w.p.store.inner.Delete("servers/" + id) })
 	}
 	time.AfterFunc(downFor, func() {
+		if moves {
+			w.mu.Lock()
+			w.address = anyAddress
+			w.mu.Unlock()
+		}
 		if err := w.begin(keepID); err != nil {
 			w.p.record.line("runner at %s cannot start again: %v", w.address, err)
 			return
 		}
-		w.p.record.line("runner %s is up at the address of %s", w.currentID(), id)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.p.record.line("runner %s is up at %s, after %s", w.id, w.address, id)
 	})
 }
 
-func (w *worker) currentID() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.id
-}
-
 func (w *worker) setFailing(failing bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -157,13 +162,13 @@
 // writeEntry writes the runner's entry to the store.
 func (w *worker) writeEntry() {
 	w.mu.Lock()
-	up, id, born := w.up, w.id, w.born
+	up, id, born, address := w.up, w.id, w.born, w.address
 	w.mu.Unlock()
 	if !up {
 		return
 	}
 	w.p.store.inner.Put("servers/"+id, map[string]any{
-		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
+		"service": w.service, "address": address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
 		"coldRemainingMs": 0, "seq": time.Since(w.p.record.started).Milliseconds(), "born": born,
 		"capacity": workerSize, "labels": w.labels,
 	})
