Review case 1: jobs whose tasks were done are shown as failed after cuts of their runners

Runners that are cut off run on, so their tasks end done, and crash behind the cut afterwards. The owner counts two such crashes against the task and gives its job up.

--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -84,6 +84,7 @@
 	ended     []endedRun
 	lastEnd   int64
 	failing   bool // everything that it starts fails
+	cut       bool // the entry hosts don't reach it, nor its answers them; it runs on
 	changed   chan struct{}
 }
 
@@ -245,6 +246,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.loseIfCut(r)
 	if !w.up {
 		panic(http.ErrAbortHandler)
 	}
@@ -275,6 +277,24 @@
 	}
 }
 
+// loseIfCut leaves a request without an answer if the runner is cut off. w.mu is held.
+func (w *worker) loseIfCut(r *http.Request) {
+	if !w.cut {
+		return
+	}
+	w.mu.Unlock()
+	<-r.Context().Done()
+	w.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
+// setCut cuts the runner off from the entry hosts, or ends that.
+func (w *worker) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
 // answer writes a response with the reading of the runner's clock. w.mu is held.
 func (w *worker) answer(rw http.ResponseWriter, status int, body map[string]any) {
 	body["clockMs"], body["born"] = w.clockMs(), w.born
@@ -356,6 +376,7 @@
 		}
 		w.mu.Lock()
 	}
+	w.loseIfCut(r)
 	if !w.up || w.born != born {
 		panic(http.ErrAbortHandler)
 	}
