--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -341,6 +341,7 @@
 	After       []int  `json:"after,omitempty"`
 	Requires    string `json:"requires,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
+	MayMiss     int    `json:"mayMiss,omitempty"`
 }
 
 // call sends a request to an entry host. Status 0 means that no response arrived within patience.
