Start tasks again that have failed on each worker that suits them

Cause: task.failedOn excludes the workers on which a task has failed, and no entry was ever removed. Only displaced services had a way round it. A task with a label of two workers, a size, accelerators or a pool that few workers have waits for ever after one failure on each.

The worker's own back-off of 2 to 8 s, after failures of several jobs, holds as before.

Ruled out: one rule with the services' (1.5 s, back-offs ignored) would use up the limited attempts of tasks that end on workers that still fail.

--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -57,7 +57,8 @@
 	displacement     displacement       // see restart.go; the zero value unless the task is displaced
 	nomination       nomination         // the zero value unless capacity is kept for the task, see nominate.go
 	attempts         []*attempt
-	failedOn         []WorkerID    // workers on which it failed
+	failedOn         []WorkerID    // workers on which it failed and that it avoids
+	failedAt         time.Duration // when it failed last
 	endedAt          time.Duration // when the end of its last attempt became known; 0 if none has run, or one runs
 	ranFor           time.Duration // for how long its last attempt had run by then
 	waitReason       WaitReason    // why it waited when Waits was last called; Suitable if it has started since
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -135,7 +135,10 @@
 	}
 	var tried stepSearches
 	for _, t := range st.tasks {
-		if !t.pending() || t.displaced() || s.mayRunElsewhere(t) || s.heldBack(t) || tried.exclude(t) {
+		if !t.pending() || t.displaced() || s.mayRunElsewhere(t) || s.heldBack(t) {
+			continue
+		}
+		if t.forgetFailedOn(cycle.now.Boot); tried.exclude(t) {
 			continue
 		}
 		if st.spec.Filler && !s.mayPlaceFiller(cycle.now, st) {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -265,9 +265,7 @@
 		t.failed = append(t.failed, number)
 		s.markDirty(j)
 	}
-	if !slices.Contains(t.failedOn, w.info.ID) {
-		t.failedOn = append(t.failedOn, w.info.ID)
-	}
+	t.recordFailedOn(now.Boot, w.info.ID)
 	if w.health.recordFailure(now.Boot, j.rec.ID) {
 		s.emit(Event{Kind: EventWorkerInBackOff, Worker: w.info.ID, Value: w.health.until.Seconds()})
 	}
--- a/core/schedule/starvation_test.go
+++ b/core/schedule/starvation_test.go
@@ -152,7 +152,7 @@
 	step.Label = "common"
 	h.s.AddJob(testJob("job", step), nil, false)
 	first := h.s.jobs["job"].steps[0].tasks[0]
-	first.failedOn = []WorkerID{"w"}
+	first.recordFailedOn(h.now.Boot, "w")
 	orders := starts(h.run())
 	h.wantStarts(orders, 1)
 	if got := orders[0].Task.Index; got != 1 {
@@ -174,7 +174,7 @@
 		step.Size.MilliCPU = 3 * h.workers["w0"].info.Capacity.MilliCPU
 		h.s.AddJob(testJob(id, step), nil, false)
 		for n, task := range h.s.jobs[id].steps[0].tasks {
-			task.failedOn = []WorkerID{WorkerID(fmt.Sprint("w", n%workers))}
+			task.recordFailedOn(h.now.Boot, WorkerID(fmt.Sprint("w", n%workers)))
 		}
 	}
 	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
@@ -190,7 +190,9 @@
 	h.addWorker("w", nil)
 	h.s.AddJob(testJob("job", testStep(4)), nil, false)
 	for n, failedOn := range [][]WorkerID{{"w", "other"}, {"w"}, {"other"}, {"other", "third"}} {
-		h.s.jobs["job"].steps[0].tasks[n].failedOn = failedOn
+		for _, id := range failedOn {
+			h.s.jobs["job"].steps[0].tasks[n].recordFailedOn(h.now.Boot, id)
+		}
 	}
 	orders := starts(h.run())
 	h.wantStarts(orders, 2)
--- a/core/schedule/waiting_test.go
+++ b/core/schedule/waiting_test.go
@@ -116,7 +116,7 @@
 		}},
 		{WaitFailedThere, "w1", func(e *explained) *task {
 			task := e.add(false)
-			task.failedOn = []WorkerID{"w1"}
+			task.recordFailedOn(e.now.Boot, "w1")
 			return task
 		}},
 		{WaitSpare, "w1", func(e *explained) *task {
