Keep submissions under way from being stored once their job is cancelled

Cause: the decision that a job is not there, beside a write that may still be done. The write of a submission required only that its own key is absent, and a DELETE that found no job left nothing behind. The store may carry the write out seconds after the caller has left.

Change: such a DELETE stores the cancellation, on condition that the job is still absent, and a submission requires that no cancellation is stored. The owner deletes it after 20 s if it has not changed and has no job. A host stores 10 a second at most, so that DELETEs of ids that do not exist use up neither the store nor its writes; beyond that they are refused. A submission of a cancelled id is refused at once with the time to come back.

Why it works: both writes are conditional on the key of the other, so the store decides which comes first, whichever hosts take them, also after a change of the owner and after the loss of the host that took the DELETE.

Test changed: TestCancelWithoutOwner cancelled an unknown job and then expected a submission of the same id to be stored at once. That asks for the fault: a late write of the same submission is no different.

Ruled out: a lease of the store for these keys, since leases may end while the store is down and with it the protection.

--- a/core/workload/job.go
+++ b/core/workload/job.go
@@ -3,9 +3,15 @@
 package workload
 
 import (
+	"time"
+
 	"fulmarcourse.example/core/structs"
 )
 
+// EarlyCancelRetention is how long the cancellation of a job that is not stored is kept. A submission that was sent before it may take
+// effect that late: its host may have been paused, and the store may carry out a write seconds after the call was given up.
+const EarlyCancelRetention = 20 * time.Second
+
 // JobID identifies a job. The caller chooses it, and it is unique across all queues.
 type JobID string
 
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -70,9 +70,10 @@
 	relayBackOffUntil map[string]time.Duration // by host; boot time until which a lost relay is not used
 	ends              map[schedule.WorkerID]endNumbers
 	unreachable       map[schedule.WorkerID]bool
-	revisions         map[workload.JobID]int64         // of the stored progress records; no entry without a record
-	undecodable       map[workload.JobID]bool          // jobs whose progress record cannot be decoded
-	deletions         map[workload.JobID]int64         // see deletion.go
+	revisions         map[workload.JobID]int64 // of the stored progress records; no entry without a record
+	undecodable       map[workload.JobID]bool  // jobs whose progress record cannot be decoded
+	deletions         map[workload.JobID]int64 // see deletion.go
+	earlyCancels      map[workload.JobID]earlyCancel
 	refusedRecords    map[workload.JobID]refusedRecord // records that the store has refused for good, see refused.go
 	known             knownWorkers
 	loaded            bool
@@ -128,6 +129,7 @@
 		undecodable:       map[workload.JobID]bool{},
 		refusedRecords:    map[workload.JobID]refusedRecord{},
 		deletions:         map[workload.JobID]int64{},
+		earlyCancels:      map[workload.JobID]earlyCancel{},
 		known:             knownWorkers{partOf: map[schedule.WorkerID]int{}},
 	}
 }
@@ -154,7 +156,7 @@
 		wg.Go(func() { o.assignLoop(ctx) })
 		wg.Go(func() { o.watchSubmissions(ctx) })
 		wg.Go(func() { o.saveLoop(ctx) })
-		wg.Go(func() { o.deleteEndedLoop(ctx) })
+		wg.Go(func() { o.deleteLoop(ctx) })
 		wg.Go(func() { o.logStatus(ctx) })
 		wg.Go(func() { o.saveInterference(ctx) })
 		o.planLoop(ctx)
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,9 +27,9 @@
 	// concurrentTxns is the maximum number of transactions of a batch that are in progress at once. Ends are acknowledged and
 	// services started when all are done, so their number must not multiply the response time of the store.
 	concurrentTxns = 4
-	// deleteEndedInterval is the time between two deletions of ended jobs whose retention has expired.
-	deleteEndedInterval = 10 * time.Second
-	// deletionsPerTxn keeps a transaction that deletes up to three keys per job within the store's entry limit.
+	// deleteInterval is the time between two deletions of what the retention has expired of.
+	deleteInterval = 10 * time.Second
+	// deletionsPerTxn keeps a transaction with up to three conditions and deletions per job within the store's entry limit.
 	deletionsPerTxn = (kv.MaxTxnEntries - 1) / 3
 )
 
@@ -264,19 +265,33 @@
 	return 0, errors.Trace(err)
 }
 
-// deleteEndedLoop periodically deletes ended jobs whose retention has expired, until ctx ends.
-func (o *Owner) deleteEndedLoop(ctx context.Context) {
+// deleteLoop periodically deletes ended jobs and early cancellations whose retention has expired, until ctx ends.
+func (o *Owner) deleteLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause.For(ctx, deleteEndedInterval)
-		before := bootclock.Now().UnixMs - o.cfg.EndedJobRetention.Milliseconds()
-		o.mu.Lock()
-		ids := o.scheduler.JobsEndedBefore(before)
-		o.mu.Unlock()
-		for start := 0; start < len(ids) && ctx.Err() == nil; start += deletionsPerTxn {
-			if err := o.deleteJobs(ctx, ids[start:min(start+deletionsPerTxn, len(ids))]); err != nil {
-				o.cfg.Log.Event(eventlog.ProgressNotStored).Err(err).Msg("")
-				break
-			}
+		pause.For(ctx, deleteInterval)
+		o.deleteInParts(ctx, o.endedJobs(), o.deleteJobs)
+		o.deleteInParts(ctx, o.expiredEarlyCancels(bootclock.Uptime()), o.deleteEarlyCancels)
+	}
+}
+
+// endedJobs returns the ended jobs whose retention has expired.
+func (o *Owner) endedJobs() []workload.JobID {
+	before := bootclock.Now().UnixMs - o.cfg.EndedJobRetention.Milliseconds()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.scheduler.JobsEndedBefore(before)
+}
+
+// deleteInParts calls deletePart with as many jobs at a time as a transaction may hold. It stops at the first failure; the rest is
+// deleted next time.
+func (o *Owner) deleteInParts(ctx context.Context, ids []workload.JobID, deletePart func(context.Context, []workload.JobID) error) {
+	for part := range slices.Chunk(ids, deletionsPerTxn) {
+		if ctx.Err() != nil {
+			return
+		}
+		if err := deletePart(ctx, part); err != nil {
+			o.cfg.Log.Event(eventlog.ProgressNotStored).Err(err).Msg("")
+			return
 		}
 	}
 }
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/time/rate"
 
 	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
@@ -66,11 +67,14 @@
 
 // Intake accepts, cancels and looks up jobs. It is safe for concurrent use.
 type Intake struct {
-	cfg Config
+	cfg          Config
+	earlyCancels *rate.Limiter
 }
 
 // New returns an Intake.
-func New(cfg Config) *Intake { return &Intake{cfg} }
+func New(cfg Config) *Intake {
+	return &Intake{cfg: cfg, earlyCancels: rate.NewLimiter(earlyCancelsPerSecond, earlyCancelBurst)}
+}
 
 // Submit stores a job and notifies its owner in the background. It repeats a write whose outcome is uncertain until ctx
 // ends.
@@ -84,8 +88,10 @@
 	if err != nil {
 		return Refused, errors.Trace(err)
 	}
-	write := kv.Put{Key: statekeys.Job(p, job.ID), Value: data}
-	w := writer{intake: i, partition: p, put: write, newKey: write.Key}
+	w := writer{
+		intake: i, partition: p, put: kv.Put{Key: statekeys.Job(p, job.ID), Value: data},
+		require: kv.Condition{Key: statekeys.Cancel(p, job.ID)}, refuted: refuseCancelled,
+	}
 	outcome, err := w.run(ctx)
 	if stored := i.storedJob(&w, job); outcome == Done && stored != nil {
 		go i.announce(p, w.termRevision, func(ctx context.Context, state term.State) error {
@@ -129,45 +135,6 @@
 	entry.Msg("")
 }
 
-// Cancel stores the cancellation of a job and notifies its owner in the background.
-func (i *Intake) Cancel(ctx context.Context, id workload.JobID) (Outcome, error) {
-	outcome, err := i.cancel(ctx, id)
-	if err != nil {
-		i.cfg.Log.Event(eventlog.JobCancelFailed).Str("job", string(id)).Str("outcome", string(outcome)).Err(err).Msg("")
-	} else {
-		i.cfg.Log.Event(eventlog.JobCancelStored).Str("job", string(id)).Str("outcome", string(outcome)).Msg("")
-	}
-	return outcome, err
-}
-
-func (i *Intake) cancel(ctx context.Context, id workload.JobID) (Outcome, error) {
-	if !i.cfg.Reachable() {
-		return Refused, errUnreachable
-	}
-	p := statekeys.PartitionOf(id, i.cfg.Partitions)
-	found, err := i.readRecords(ctx, p, id)
-	switch {
-	case err != nil:
-		return Refused, errors.Trace(err)
-	case found.job.Revision == 0:
-		return NotFound, nil
-	case found.cancelled:
-		return Done, nil
-	}
-	w := writer{
-		intake: i, partition: p, newKey: statekeys.Cancel(p, id),
-		put:     kv.Put{Key: statekeys.Cancel(p, id), Value: []byte("{}")},
-		require: []kv.Condition{{Key: found.job.Key, Revision: found.job.Revision}},
-	}
-	outcome, err := w.run(ctx)
-	if outcome == Done {
-		go i.announce(p, w.termRevision, func(ctx context.Context, state term.State) error {
-			return i.cfg.Owners.AnnounceCancel(ctx, p, state, id)
-		})
-	}
-	return outcome, err
-}
-
 // announce notifies the owner in the term under which a record was stored. The owner in a later term reads the record
 // from the store when it takes over, so it is not notified.
 func (i *Intake) announce(p statekeys.Partition, termRevision int64, call func(context.Context, term.State) error) {
@@ -192,10 +159,13 @@
 
 // records are the stored records of one job.
 type records struct {
-	job       kv.Item // zero when the job is not stored
-	cancelled bool
+	job    kv.Item // zero when the job is not stored
+	cancel kv.Item // zero when no cancellation is stored
 }
 
+// cancelled reports whether a cancellation is stored.
+func (r records) cancelled() bool { return r.cancel.Revision != 0 }
+
 func (i *Intake) readRecords(ctx context.Context, p statekeys.Partition, id workload.JobID) (records, error) {
 	var found records
 	items, _, err := kv.List(ctx, i.cfg.Store, statekeys.Submissions(p)+string(id)+"/")
@@ -207,7 +177,7 @@
 		case statekeys.Job(p, id):
 			found.job = item
 		case statekeys.Cancel(p, id):
-			found.cancelled = true
+			found.cancel = item
 		}
 	}
 	return found, nil
@@ -256,7 +226,7 @@
 			return "", false, errors.NotValidf("progress record %s: state %.40q", item.Key, string(progress.State))
 		}
 	}
-	if stored.cancelled && !progress.State.Final() {
+	if stored.cancelled() && !progress.State.Final() {
 		return workload.StateCancelled, true, nil
 	}
 	return progress.State, true, nil
--- a/pkg/intake/intake_test.go
+++ b/pkg/intake/intake_test.go
@@ -225,9 +225,12 @@
 // pending while its partition has no owner.
 func TestCancelWithoutOwner(t *testing.T) {
 	ti := newTestIntake(t)
-	if got, err := ti.Cancel(t.Context(), "job"); got != NotFound || err != nil {
+	if got, err := ti.Cancel(t.Context(), "unknown"); got != NotFound || err != nil {
 		t.Errorf("unknown job: %s, %v", got, err)
 	}
+	if _, found, err := ti.State(t.Context(), "unknown"); found || err != nil {
+		t.Errorf("unknown job after its cancellation: found %v, %v", found, err)
+	}
 	if got, err := ti.Submit(t.Context(), workload.Job{ID: "job"}); got != Done || err != nil {
 		t.Fatalf("outcome %s, %v", got, err)
 	}
--- a/pkg/intake/writer.go
+++ b/pkg/intake/writer.go
@@ -10,8 +10,8 @@
 	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
 )
 
-// writer creates one key and determines whether the write took effect. The write is safe to repeat, since it requires
-// that the key does not exist.
+// writer writes one key and determines whether the write took effect. The write is safe to repeat, since it requires
+// that the key does not exist or is unchanged.
 //
 // The write also requires the term that this entry host has observed. A job is therefore announced only to the owner in
 // the term under which it was stored, and never to a former owner that has lost contact with the store.
@@ -19,12 +19,15 @@
 	intake    *Intake
 	partition statekeys.Partition
 	put       kv.Put
-	newKey    string // the key that must not exist yet
-	require   []kv.Condition
+	replaces  int64 // revision of the key to be replaced; 0 if it must not exist yet
+	require   kv.Condition
+	// refuted returns the outcome if the required condition does not hold, given the current state of its key.
+	refuted func(kv.Item) (Outcome, error)
 
 	termRevision int64   // required by the latest attempt
-	keyExists    bool    // an attempt failed because the key exists
-	mayExist     bool    // an attempt without a certain outcome may have created the key
+	keyExists    bool    // an attempt failed because the key was written meanwhile
+	unmet        bool    // the required condition did not hold then
+	mayExist     bool    // an attempt without a certain outcome may have written the key
 	existing     kv.Item // the key as an attempt found it; only if keyExists
 }
 
@@ -57,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	termKey := statekeys.Term(w.partition)
-	conditions := append([]kv.Condition{{Key: termKey, Revision: w.termRevision}, {Key: w.newKey}}, w.require...)
+	conditions := []kv.Condition{{Key: termKey, Revision: w.termRevision}, {Key: w.put.Key, Revision: w.replaces}, w.require}
 	_, err := w.intake.cfg.Store.Commit(ctx, kv.Txn{If: conditions, Put: []kv.Put{w.put}})
 	var conflict *kv.Conflict
 	switch {
@@ -74,17 +77,17 @@
 }
 
 func (w *writer) resolveConflict(conflict *kv.Conflict, termKey string) (Outcome, error) {
-	if existing, found := conflict.Item(w.newKey); found {
+	w.termRevision = conflict.Revision(termKey)
+	w.unmet = conflict.Revision(w.require.Key) != w.require.Revision
+	if existing, found := conflict.Item(w.put.Key); found && existing.Revision != w.replaces {
 		w.keyExists, w.existing = true, existing
-		w.termRevision = conflict.Revision(termKey)
 		return Done, nil
 	}
-	for _, condition := range w.require {
-		if conflict.Revision(condition.Key) != condition.Revision {
-			return NotFound, nil
-		}
+	w.replaces = conflict.Revision(w.put.Key)
+	if w.unmet {
+		required, _ := conflict.Item(w.require.Key)
+		return w.refuted(required)
 	}
-	w.termRevision = conflict.Revision(termKey)
 	return "", errors.Trace(conflict)
 }
 
