Replace connections between hosts on which calls get no reply

Cause: a time-out was taken as a failure of the call and of the peer, never of the connection. Only heartbeats replaced a connection after time-outs. Calls to relays, announcements and the calls of waiting candidates used a silent one until the keep-alive or the kernel closed it after 10 s; by then relays had stopped polling for want of their owner's calls, and the leases had lapsed.

Change: the pool of pkg/peer replaces a connection on which calls have had no reply for 0.8 s as soon as another one to the same peer is ready. Calls in progress stay on the old one, and a peer that is paused answers no new connection, so it keeps the old one. The replacement is logged (peer_connection_replaced) and counted.

Ruled out: a shorter keep-alive or resetting the connection after time-outs, since a peer that is paused for 4 s would lose its requests in progress.

--- a/pkg/eventlog/codes_members.go
+++ b/pkg/eventlog/codes_members.go
@@ -13,4 +13,5 @@
 	PeerStale         = define(3006, "peer_stale", log.WarnLevel, "A heartbeat of an earlier incarnation was ignored. If this persists, two processes run with the same host id; stop one of them.")
 	PeerNewControl    = define(3007, "peer_newer_control", log.DebugLevel, "A peer has newer control state; it is fetched from that peer.")
 	PeerRemoved       = define(3008, "peer_forgotten", log.InfoLevel, "An entry host has been dead for longer than the retention time and was removed from the member table.")
+	PeerConnReplaced  = define(3009, "peer_connection_replaced", log.WarnLevel, "Calls on an open connection to an entry host had no reply, while a new connection works; it is used from now on. Check the network between the hosts if this persists.")
 )
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -67,7 +67,7 @@
 	JobAlreadyStored = define(7101, "job_known", log.InfoLevel, "A submission repeats a job that is already stored.")
 	JobRefused       = define(7102, "job_refused", log.InfoLevel, "A submission was refused and the job will never run. `reason` states why.")
 	JobUncertain     = define(7103, "job_uncertain", log.WarnLevel, "The store did not answer in time; the job may have been stored.")
-	JobCancelStored  = define(7104, "job_cancel_stored", log.InfoLevel, "The cancellation of a job was stored.")
+	JobCancelStored  = define(7104, "job_cancel_stored", log.InfoLevel, "The cancellation of a job was stored. With the outcome `unknown` the job is not, and no submission before the cancellation will store it.")
 	JobCancelFailed  = define(7105, "job_cancel_failed", log.WarnLevel, "The cancellation of a job could not be stored in time.")
 	JobStateFailed   = define(7106, "job_state_failed", log.WarnLevel, "Neither the owner nor the store returned the state of a job in time.")
 	AnnounceFailed   = define(7107, "announce_failed", log.InfoLevel, "The owner did not accept an announcement; it reads the record from the store instead.")
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -93,3 +93,8 @@
 func (l *Logger) CallPanicked(method string, cause any) {
 	l.Event(CallPanicked).Str("method", method).Str("cause", fmt.Sprint(cause)).Str("stack", string(debug.Stack())).Msg("")
 }
+
+// ConnectionReplaced logs that a silent connection to an entry host was replaced by a new one.
+func (l *Logger) ConnectionReplaced(addr string) {
+	l.Event(PeerConnReplaced).Str("address", addr).Msg("")
+}
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -38,7 +38,9 @@
 		Endpoint: n.cfg.HostListEndpoint, Source: n.cfg.SourceAddress, Metrics: n.cfg.Metrics.Scope, Log: n.cfg.Log,
 	})
 	n.hosts = newHostTable(list, n.cfg.ShardsPerDatacentre)
-	n.pool = peer.NewPool(peer.PoolConfig{Source: n.cfg.SourceAddress, Clock: n.cfg.Clock, Metrics: n.cfg.Metrics.Scope})
+	n.pool = peer.NewPool(peer.PoolConfig{
+		Source: n.cfg.SourceAddress, Clock: n.cfg.Clock, Metrics: n.cfg.Metrics.Scope, OnReplaced: n.cfg.Log.ConnectionReplaced,
+	})
 }
 
 // buildControl creates the control state service.
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fulmarcourse.example/fulmarcourse/pkg/netdial"
 	"net/netip"
 	"sync"
 	"time"
@@ -14,6 +13,8 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+
+	"fulmarcourse.example/fulmarcourse/pkg/netdial"
 )
 
 // Defaults of PoolConfig.
@@ -41,17 +42,21 @@
 
 // PoolConfig configures a Pool.
 type PoolConfig struct {
-	MaxConns    int              // 0 for DefaultMaxConns
-	IdleTimeout time.Duration    // a connection that is unused for this long is closed; 0 for DefaultIdleTimeout
-	Source      netip.Addr       // local address of connections; the system chooses when zero
-	Clock       func() time.Time // nil for time.Now
-	Metrics     tally.Scope      // nil for none
+	MaxConns    int               // 0 for DefaultMaxConns
+	IdleTimeout time.Duration     // a connection that is unused for this long is closed; 0 for DefaultIdleTimeout
+	Source      netip.Addr        // local address of connections; the system chooses when zero
+	Clock       func() time.Time  // nil for time.Now
+	Metrics     tally.Scope       // nil for none
+	OnReplaced  func(addr string) // called when a silent connection was replaced; nil for none
 }
 
 // Pool holds one client connection per peer address. It is safe for concurrent use. Heartbeats need a separate pool, so
-// that large messages do not delay them and Reset does not break requests.
+// that large messages do not delay them and Reset does not break requests. A connection that has gone silent is replaced, see
+// Conn.
 type Pool struct {
-	cfg PoolConfig
+	cfg  PoolConfig
+	ctx  context.Context // ends with Close
+	stop context.CancelFunc
 
 	mu     sync.Mutex // guards the fields below and the counters of the connections
 	conns  map[string]*Conn
@@ -72,7 +77,8 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
-	return &Pool{cfg: cfg, conns: make(map[string]*Conn)}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Pool{cfg: cfg, ctx: ctx, stop: stop, conns: make(map[string]*Conn)}
 }
 
 // Conn returns the connection to the peer at addr (IP:port), which connects on first use. Callers must request it for
@@ -96,7 +102,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "connection to %s", addr)
 	}
-	conn := &Conn{pool: p, client: client, lastUsed: now}
+	conn := &Conn{pool: p, addr: addr, transport: &transport{client: client}, lastUsed: now}
 	p.conns[addr] = conn
 	p.cfg.Metrics.Gauge("peer_connections").Update(float64(len(p.conns)))
 	return conn, nil
@@ -152,8 +158,7 @@
 // closeConn removes and closes a connection. p.mu is held.
 func (p *Pool) closeConn(addr string, conn *Conn) {
 	delete(p.conns, addr)
-	// Close fails only when the connection is already closed.
-	_ = conn.client.Close()
+	conn.close()
 }
 
 // CloseIdle closes connections that have been unused for IdleTimeout. The node calls it periodically; Conn does the
@@ -176,6 +181,7 @@
 
 // Close closes all connections; later calls of Conn return ErrClosed.
 func (p *Pool) Close() {
+	p.stop()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
@@ -183,31 +189,3 @@
 		p.closeConn(addr, conn)
 	}
 }
-
-// Conn is a connection of a Pool. It implements grpc.ClientConnInterface.
-type Conn struct {
-	pool     *Pool
-	client   *grpc.ClientConn
-	calls    int // calls in progress
-	lastUsed time.Time
-}
-
-// Invoke performs one unary call.
-func (c *Conn) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) error {
-	c.pool.mu.Lock()
-	c.calls++
-	c.pool.mu.Unlock()
-	defer func() {
-		now := c.pool.cfg.Clock()
-		c.pool.mu.Lock()
-		defer c.pool.mu.Unlock()
-		c.calls--
-		c.lastUsed = now
-	}()
-	return c.client.Invoke(ctx, method, args, reply, opts...)
-}
-
-// NewStream is not supported: the peer protocol has unary calls only, and a stream would not be counted in calls.
-func (c *Conn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
-	return nil, errors.NotSupportedf("streams between entry hosts")
-}
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -86,9 +86,11 @@
 // NewNode returns a node. Run starts it.
 func NewNode(cfg Config) *Node {
 	n := &Node{
-		cfg:         cfg,
-		view:        term.NewView(cfg.Log),
-		pool:        peer.NewPool(peer.PoolConfig{MaxConns: maxPeers, Source: cfg.Source, Metrics: cfg.Scope}),
+		cfg:  cfg,
+		view: term.NewView(cfg.Log),
+		pool: peer.NewPool(peer.PoolConfig{
+			MaxConns: maxPeers, Source: cfg.Source, Metrics: cfg.Scope, OnReplaced: cfg.Log.ConnectionReplaced,
+		}),
 		localOwners: map[statekeys.Partition]*dispatch.Owner{},
 	}
 	n.registry = registry.New(registry.Config{Store: cfg.Store, Log: cfg.Log, Self: registry.Record{
--- a/test/faultproxy/pair.go
+++ b/test/faultproxy/pair.go
@@ -24,6 +24,7 @@
 	target    *net.TCPConn
 	budget    int  // bytes that may still pass before the connection is closed; unlimited for no limit
 	lostBytes bool // bytes were lost, so the stream cannot continue after a partition
+	silent    bool // all bytes are lost from now on, and the connection stays open
 }
 
 func newPair(p *Proxy, caller *net.TCPConn, budget int) *pair {
@@ -227,10 +228,12 @@
 func (p *Proxy) linkState(c *pair, dir Direction) (link, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.links[dir].cut {
+	state := p.links[dir]
+	state.cut = state.cut || c.silent
+	if state.cut {
 		c.lostBytes = true
 	}
-	return p.links[dir], p.changed
+	return state, p.changed
 }
 
 // linkChanged returns a channel that is closed when a link changes.
--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -139,6 +139,19 @@
 	p.closePairs(func(c *pair) bool { return c.lostBytes })
 }
 
+// SilenceConnections makes the open connections lose all bytes for good, without a reset, and returns their number. New connections
+// work.
+func (p *Proxy) SilenceConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.pairs {
+		c.silent = true
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return len(p.pairs)
+}
+
 // Freeze holds back all bytes of the given directions until Thaw.
 func (p *Proxy) Freeze(dirs ...Direction) {
 	for _, dir := range dirs {
--- a/test/faultproxy/proxy_test.go
+++ b/test/faultproxy/proxy_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/goleak"
 
 	"fulmarcourse.example/fulmarcourse/test/poll"
@@ -302,3 +304,27 @@
 		t.Fatal("Close does not return")
 	}
 }
+
+// Guards against silent connections that pass bytes or are closed, and against new ones that are silent as well.
+func TestSilencedConnectionsStayOpen(t *testing.T) {
+	s := newTarget(t)
+	p := Start(t, s.Addr().String())
+	caller, remote := connect(t, p, s)
+	if n := p.SilenceConnections(); n != 1 {
+		t.Fatalf("%d connections are silent, want 1", n)
+	}
+	for _, c := range []net.Conn{caller, remote} {
+		if _, err := c.Write([]byte("lost")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range []net.Conn{caller, remote} {
+		if err := c.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := c.Read(make([]byte, 8)); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("read %d bytes, %v, want none until the deadline", n, err)
+		}
+	}
+	connect(t, p, s) // exchanges bytes
+}
--- a/test/fleet/peers_test.go
+++ b/test/fleet/peers_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"fulmarcourse.example/fulmarcourse/pkg/standin/fleet"
 	"fulmarcourse.example/fulmarcourse/test/faultproxy"
@@ -87,6 +88,44 @@
 	s.checkHistory()
 }
 
+// Scenario: all open connections between the hosts lose all bytes for good, without a reset, while services run and jobs arrive. Guards
+// against an owner that goes on using them until a keep-alive closes them: by then the leases of all tasks have lapsed.
+func TestConnectionsBetweenHostsGoSilent(t *testing.T) {
+	const (
+		observed = 12 * time.Second // the keep-alive, and the longest lease
+		pause    = 200 * time.Millisecond
+	)
+	s := newRelayedSite(t, soakConfig(9, relayedWorkers), soakHosts)
+	owner := s.owner()
+	s.submit(owner, longRunningID, longRunningJob)
+	poll.Until(t, "the service runs", func() bool { return s.runningNow() == 3 })
+	silent := 0
+	for _, links := range s.peers.links {
+		for _, link := range links {
+			if link != nil {
+				silent += link.SilenceConnections()
+			}
+		}
+	}
+	if silent == 0 {
+		t.Fatal("no connection between hosts is open")
+	}
+	submitted := 0
+	for end := time.Now().Add(observed); time.Now().Before(end); time.Sleep(pause) {
+		s.submit(submitted%soakHosts, jobID(submitted), twoStepJob)
+		submitted++
+	}
+	for n := range submitted {
+		s.awaitState(owner, jobID(n), "completed")
+	}
+	for _, r := range s.platform.History() {
+		if r.Outcome == "lapsed" {
+			t.Errorf("the lease of %s on %s lapsed", r.Task, r.Worker)
+		}
+	}
+	s.checkHistory()
+}
+
 // peerFaults are the faults of links between hosts, from which a soak run on a relayed site selects as well.
 var peerFaults = []fault{
 	{"peer link cut to the target", peerFault(func(p *faultproxy.Proxy) { p.Cut(faultproxy.ToTarget) }, healLink)},
@@ -96,6 +135,7 @@
 	{"peer link slow", peerFault(
 		func(p *faultproxy.Proxy) { p.SetDelay(faultproxy.ToTarget, linkDelay, linkDelay) },
 		func(p *faultproxy.Proxy) { p.SetDelay(faultproxy.ToTarget, 0, 0) })},
+	{"peer connections silent", peerFault(func(p *faultproxy.Proxy) { p.SilenceConnections() }, func(*faultproxy.Proxy) {})},
 	{"peer link reset", peerFault((*faultproxy.Proxy).CloseConnections, func(*faultproxy.Proxy) {})},
 	{"hosts cut from each other", func(r *soakRun) func() {
 		caller, called := r.randomPeers()
