Keep early cancellations under a key of their own

Cause: early cancellations had the key of other cancellations, which the owner remembers for 30 s in case their job is announced later, and applies whenever it reads the submissions. The store forgets an early one after 20 s, and a job may then be stored under the id.

Change: they have a key of their own, which submissions require to be absent. The owner only deletes it and applies none of them to a job.

--- a/pkg/dispatch/early_cancels.go
+++ b/pkg/dispatch/early_cancels.go
@@ -18,12 +18,8 @@
 	seenAt   time.Duration // boot time at which this revision was first seen
 }
 
-// recordEarlyCancel records a stored cancellation whose job is unknown. One that is stored anew is kept for longer. o.mu is held.
+// recordEarlyCancel records an early cancellation. One that is stored anew is kept for longer. o.mu is held.
 func (o *Owner) recordEarlyCancel(now time.Duration, id workload.JobID, revision int64) {
-	if o.scheduler.HasJob(id) {
-		delete(o.earlyCancels, id)
-		return
-	}
 	if o.earlyCancels[id].revision < revision {
 		o.earlyCancels[id] = earlyCancel{revision: revision, seenAt: now}
 	}
@@ -42,7 +38,7 @@
 	return ids
 }
 
-// deleteEarlyCancels deletes early cancellations from the store, unless one of them has changed or has a job.
+// deleteEarlyCancels deletes early cancellations from the store, unless one of them has changed.
 func (o *Owner) deleteEarlyCancels(ctx context.Context, ids []workload.JobID) error {
 	txn := kv.Txn{If: []kv.Condition{o.ownership.Condition()}}
 	revisions := make(map[workload.JobID]int64, len(ids))
@@ -52,14 +48,13 @@
 	}
 	o.mu.Unlock()
 	for id, revision := range revisions {
-		key := statekeys.Cancel(o.cfg.Partition, id)
-		txn.If = append(txn.If, kv.Condition{Key: key, Revision: revision}, kv.Condition{Key: statekeys.Job(o.cfg.Partition, id)})
+		key := statekeys.EarlyCancel(o.cfg.Partition, id)
+		txn.If = append(txn.If, kv.Condition{Key: key, Revision: revision})
 		txn.Delete = append(txn.Delete, key)
 	}
 	_, err := o.commit(ctx, txn, func(c *kv.Conflict) {
 		for id, revision := range revisions {
-			changed := c.Revision(statekeys.Cancel(o.cfg.Partition, id)) != revision
-			if changed || c.Revision(statekeys.Job(o.cfg.Partition, id)) != 0 {
+			if c.Revision(statekeys.EarlyCancel(o.cfg.Partition, id)) != revision {
 				o.forgetEarlyCancel(id, revision)
 			}
 		}
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -202,6 +202,8 @@
 	for _, item := range items {
 		if id, cancel, ok := statekeys.ParseSubmission(o.cfg.Partition, item.Key); ok && cancel {
 			o.scheduler.Cancel(now, id)
+		}
+		if id, ok := statekeys.ParseEarlyCancel(o.cfg.Partition, item.Key); ok {
 			o.recordEarlyCancel(now.Boot, id, item.Revision)
 		}
 	}
--- a/pkg/intake/cancellation.go
+++ b/pkg/intake/cancellation.go
@@ -16,8 +16,8 @@
 )
 
 // A cancellation of a job that is not stored is early: the write of the job's submission may still be under way, and the store may
-// carry it out seconds after its caller has left. The cancellation is stored nevertheless, and a submission requires that there is
-// none. The owner of the partition deletes it after workload.EarlyCancelRetention.
+// carry it out seconds after its caller has left. An early cancellation is stored under a key of its own, and a submission requires
+// that there is none. The owner of the partition deletes it after workload.EarlyCancelRetention. It is never applied to a job.
 
 // Anyone may cancel jobs that were never submitted. These limits of an entry host bound what that leaves in the store.
 const (
@@ -42,13 +42,13 @@
 	return fmt.Sprintf("the job was cancelled before it was stored; its id may be used again in %v", e.RetryAfter.Round(time.Second))
 }
 
-// cancellation is the stored form of a cancellation.
-type cancellation struct {
-	AtMs int64 `json:"at_ms,omitempty"` // Unix milliseconds; only of early ones
+// earlyCancellation is the stored form of an early cancellation.
+type earlyCancellation struct {
+	AtMs int64 `json:"at_ms"` // Unix milliseconds
 }
 
 // retryAfter returns the time until an early cancellation is deleted. Clocks of entry hosts differ little.
-func (c cancellation) retryAfter(now time.Time) time.Duration {
+func (c earlyCancellation) retryAfter(now time.Time) time.Duration {
 	const most = workload.EarlyCancelRetention
 	return min(max(time.UnixMilli(c.AtMs).Add(most).Sub(now), time.Second), most)
 }
@@ -56,7 +56,7 @@
 // refuseCancelled returns the outcome of a submission whose job is cancelled and not stored. No attempt to store it can succeed while
 // the cancellation is kept.
 func refuseCancelled(cancelled kv.Item) (Outcome, error) {
-	var c cancellation
+	var c earlyCancellation
 	if err := json.Unmarshal(cancelled.Value, &c); err != nil {
 		c.AtMs = time.Now().UnixMilli() // of another writer: the whole retention may be left
 	}
@@ -85,12 +85,12 @@
 		switch {
 		case err != nil:
 			return Refused, errors.Trace(err)
-		case found.job.Revision != 0 && found.cancelled():
+		case found.job.Revision != 0 && found.cancelled:
 			return Done, nil
 		case found.job.Revision != 0:
 			return i.cancelStored(ctx, p, id, found.job)
 		}
-		outcome, err := i.cancelEarly(ctx, p, id, found.cancel.Revision)
+		outcome, err := i.cancelEarly(ctx, p, id, found.earlyCancel.Revision)
 		if !errors.Is(err, errStoredMeanwhile) {
 			return outcome, err
 		}
@@ -119,12 +119,12 @@
 	if !i.earlyCancels.Allow() {
 		return Refused, errTooManyEarlyCancels
 	}
-	value, err := json.Marshal(cancellation{AtMs: time.Now().UnixMilli()})
+	value, err := json.Marshal(earlyCancellation{AtMs: time.Now().UnixMilli()})
 	if err != nil {
 		return Refused, errors.Trace(err)
 	}
 	w := writer{
-		intake: i, partition: p, put: kv.Put{Key: statekeys.Cancel(p, id), Value: value}, replaces: replaces,
+		intake: i, partition: p, put: kv.Put{Key: statekeys.EarlyCancel(p, id), Value: value}, replaces: replaces,
 		require: kv.Condition{Key: statekeys.Job(p, id)},
 		refuted: func(kv.Item) (Outcome, error) { return Refused, errStoredMeanwhile },
 	}
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -90,7 +90,7 @@
 	}
 	w := writer{
 		intake: i, partition: p, put: kv.Put{Key: statekeys.Job(p, job.ID), Value: data},
-		require: kv.Condition{Key: statekeys.Cancel(p, job.ID)}, refuted: refuseCancelled,
+		require: kv.Condition{Key: statekeys.EarlyCancel(p, job.ID)}, refuted: refuseCancelled,
 	}
 	outcome, err := w.run(ctx)
 	if stored := i.storedJob(&w, job); outcome == Done && stored != nil {
@@ -159,13 +159,11 @@
 
 // records are the stored records of one job.
 type records struct {
-	job    kv.Item // zero when the job is not stored
-	cancel kv.Item // zero when no cancellation is stored
+	job         kv.Item // zero when the job is not stored
+	cancelled   bool
+	earlyCancel kv.Item // zero when there is none
 }
 
-// cancelled reports whether a cancellation is stored.
-func (r records) cancelled() bool { return r.cancel.Revision != 0 }
-
 func (i *Intake) readRecords(ctx context.Context, p statekeys.Partition, id workload.JobID) (records, error) {
 	var found records
 	items, _, err := kv.List(ctx, i.cfg.Store, statekeys.Submissions(p)+string(id)+"/")
@@ -177,7 +175,9 @@
 		case statekeys.Job(p, id):
 			found.job = item
 		case statekeys.Cancel(p, id):
-			found.cancel = item
+			found.cancelled = true
+		case statekeys.EarlyCancel(p, id):
+			found.earlyCancel = item
 		}
 	}
 	return found, nil
@@ -226,7 +226,7 @@
 			return "", false, errors.NotValidf("progress record %s: state %.40q", item.Key, string(progress.State))
 		}
 	}
-	if stored.cancelled() && !progress.State.Final() {
+	if stored.cancelled && !progress.State.Final() {
 		return workload.StateCancelled, true, nil
 	}
 	return progress.State, true, nil
--- a/pkg/statekeys/statekeys.go
+++ b/pkg/statekeys/statekeys.go
@@ -40,6 +40,23 @@
 // Cancel returns the key of the cancellation of a job.
 func Cancel(p Partition, id workload.JobID) string { return Submissions(p) + string(id) + "/cancel" }
 
+// EarlyCancel returns the key of the cancellation of a job that is not stored. It keeps submissions of the job from being stored.
+func EarlyCancel(p Partition, id workload.JobID) string {
+	return Submissions(p) + string(id) + earlyCancelSuffix
+}
+
+const earlyCancelSuffix = "/early-cancel"
+
+// ParseEarlyCancel returns the job ID of a key of EarlyCancel; ok is false for other keys.
+func ParseEarlyCancel(p Partition, key string) (id workload.JobID, ok bool) {
+	rest, ok := strings.CutPrefix(key, Submissions(p))
+	if !ok {
+		return "", false
+	}
+	name, ok := strings.CutSuffix(rest, earlyCancelSuffix)
+	return workload.JobID(name), ok
+}
+
 // ParseSubmission returns the job ID of a key under Submissions and whether the key is that of a cancellation; ok is
 // false for other keys.
 func ParseSubmission(p Partition, key string) (id workload.JobID, cancel, ok bool) {
