Poll what the owner's host can while no relay can be used

Cause: relayCandidates names the other hosts only, if there are any.

Change: without any link the owner opens one to the relay of its own host, which gets as many workers as the host can poll, those with services first. It is released once the relays of other hosts have answered and can poll all workers; before, it was released as soon as links to them were opened.

Evidence: TestOwnerWithoutRelaysPollsWhatItCan failed before (no link).

--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -119,6 +119,14 @@
 	return known && w.services > 0 && w.fillerCPU > 0
 }
 
+// Services returns the number of service tasks on a worker.
+func (s *Scheduler) Services(id WorkerID) int {
+	if w, known := s.workers[id]; known {
+		return w.services
+	}
+	return 0
+}
+
 // RemoveJob removes a job that has ended.
 func (s *Scheduler) RemoveJob(id workload.JobID) {
 	s.releaseCrashed(s.jobs[id], workload.Progress{})
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"fulmarcourse.example/core/schedule"
@@ -51,6 +53,11 @@
 	}
 	infos := o.scheduler.Workers()
 	o.openLinks(ctx, len(infos))
+	if o.localSubstitutes && o.links[o.cfg.Host] != nil { // services first, since not all workers may be polled
+		slices.SortStableFunc(infos, func(a, b schedule.WorkerInfo) int {
+			return cmp.Compare(o.scheduler.Services(b.ID), o.scheduler.Services(a.ID))
+		})
+	}
 	known := make(map[schedule.WorkerID]bool, len(infos))
 	for _, info := range infos {
 		known[info.ID] = true
@@ -118,12 +125,15 @@
 	o.wake(l.wake)
 }
 
-// leastLoaded returns the link to which the next worker in a data centre is assigned, or nil if there are no links.
+// leastLoaded returns the link to which the next worker in a data centre is assigned, or nil if there is none.
 // o.mu is held.
 func (o *Owner) leastLoaded(dc structs.DatacentreID) *link {
 	var best *link
 	bestLoad := 0.0
 	for _, l := range o.links {
+		if o.full(l) {
+			continue
+		}
 		load := float64(len(l.workers)) / float64(l.host.capacity())
 		if l.host.Datacentre != dc {
 			load++ // used only if the relays in the worker's data centre have reached their capacity
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -68,6 +68,7 @@
 	links             map[string]*link // by host name
 	linkOf            map[schedule.WorkerID]*link
 	relayBackOffUntil map[string]time.Duration // by host; boot time until which a lost relay is not used
+	localSubstitutes  bool                     // the relay of this host is used only while no other one can be
 	ends              map[schedule.WorkerID]endNumbers
 	unreachable       map[schedule.WorkerID]bool
 	revisions         map[workload.JobID]int64 // of the stored progress records; no entry without a record
--- a/pkg/dispatch/relays.go
+++ b/pkg/dispatch/relays.go
@@ -66,14 +66,33 @@
 		o.openLink(ctx, host)
 		capacity += host.capacity()
 	}
+	o.localSubstitutes = !slices.ContainsFunc(candidates, isLocal)
+	if o.localSubstitutes && len(o.links) == 0 {
+		o.openLocalLink(ctx, hosts)
+	}
 	if capacity >= workers {
 		o.releaseUnregistered(ctx, o.unregisteredLinks(hosts), len(hosts))
-		if !slices.ContainsFunc(candidates, func(h RelayHost) bool { return h.Local }) {
-			o.releaseLocalRelay(ctx)
-		}
+	}
+	if o.localSubstitutes && o.answeredCapacity() >= workers {
+		o.releaseLocalRelay(ctx)
+	}
+}
+
+func isLocal(h RelayHost) bool { return h.Local }
+
+// openLocalLink opens a link to the relay of this host. While no other one can be used, its workers keep their leases. o.mu is held.
+func (o *Owner) openLocalLink(ctx context.Context, hosts []RelayHost) {
+	if n := slices.IndexFunc(hosts, isLocal); n >= 0 {
+		o.openLink(ctx, hosts[n])
 	}
 }
 
+// full reports whether a link gets no further workers: the relay of this host polls what the host can while it stands in for others.
+// Other relays get all workers, whatever their capacity. o.mu is held.
+func (o *Owner) full(l *link) bool {
+	return l.host.Local && o.localSubstitutes && len(l.workers) >= l.host.capacity()
+}
+
 // relayCandidates returns the hosts that may poll the workers, in order of preference: this host alone if it can poll all
 // of them, else the others, since planning needs the processor time and the network link of this one.
 func relayCandidates(hosts []RelayHost, workers int) []RelayHost {
@@ -105,6 +124,17 @@
 	return capacity
 }
 
+// answeredCapacity returns how many workers the other hosts can poll whose relays have answered. o.mu is held.
+func (o *Owner) answeredCapacity() int {
+	capacity := 0
+	for _, l := range o.links {
+		if !l.host.Local && l.relayClockReadAt > 0 {
+			capacity += l.host.capacity()
+		}
+	}
+	return capacity
+}
+
 // unregisteredLinks returns the links to hosts that are no longer registered; such a host is about to stop. o.mu is
 // held.
 func (o *Owner) unregisteredLinks(hosts []RelayHost) []*link {
--- a/pkg/dispatch/relays_test.go
+++ b/pkg/dispatch/relays_test.go
@@ -10,6 +10,7 @@
 
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
 )
@@ -20,7 +21,7 @@
 func (l listedHosts) RelayHosts() []RelayHost { return append([]RelayHost(nil), l...) }
 
 // fleetOwner returns an owner with workers and an owner's host among equal hosts, and runs their assignment once.
-func fleetOwner(t *testing.T, workers, hosts int, cores, linkMbps float64) *Owner {
+func fleetOwner(t *testing.T, workers, hosts int, cores, linkMbps float64) (*Owner, context.Context) {
 	t.Helper()
 	var list listedHosts
 	for n := range hosts {
@@ -43,7 +44,7 @@
 	defer o.mu.Unlock()
 	o.loaded = true
 	o.assignWorkers(ctx)
-	return o
+	return o, ctx
 }
 
 // Scenario: a fleet whose hosts have slow network links or few cores. Guards against relays that poll more workers than
@@ -62,7 +63,7 @@
 		"unknown links":                  {66, 7, 0.4, 0, 1, true},
 		"more workers than hosts can do": {400, 5, 0.8, 2, 4, false},
 	} {
-		o := fleetOwner(t, c.workers, c.hosts, c.cores, c.linkMbps)
+		o, _ := fleetOwner(t, c.workers, c.hosts, c.cores, c.linkMbps)
 		o.mu.Lock()
 		total := 0
 		for host, l := range o.links {
@@ -96,3 +97,86 @@
 		}
 	}
 }
+
+// lose makes the owner lose a relay and assigns the workers again.
+func (o *Owner) lose(ctx context.Context, host string) {
+	o.mu.Lock()
+	l := o.links[host]
+	o.mu.Unlock()
+	o.closeLink(l, "no answer")
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.assignWorkers(ctx)
+}
+
+// Scenario: an owner that cannot poll all workers itself loses all its relays, whose hosts are still registered: they are cut off from
+// it. Guards against an owner that polls no worker, so that the leases of all tasks lapse, against one that polls more than its host
+// can, and against workers without services that are polled in place of those with them.
+func TestOwnerWithoutRelaysPollsWhatItCan(t *testing.T) {
+	const workers, services = 90, 20
+	o, ctx := fleetOwner(t, workers, 3, 0.4, 1000)
+	service := workload.Job{ID: "000000000000000a", Steps: []workload.Step{{Tasks: services, Service: true}}}
+	o.update(func(s *schedule.Scheduler, now schedule.Time) {
+		s.AddJob(service, nil, false)
+		for n := range services {
+			row := schedule.Running{Task: workload.TaskID{Job: service.ID, Index: n}, Attempt: 1}
+			s.Report(now, schedule.WorkerID(fmt.Sprint("w", workers-1-n)), schedule.Report{
+				Incarnation: 1, SentAt: now.Boot, Running: []schedule.Running{row}})
+		}
+	})
+	o.lose(ctx, "host-01")
+	o.lose(ctx, "host-02")
+	local := o.linkTo("host-00")
+	if local == nil {
+		t.Fatal("the owner polls no worker")
+	}
+	if got, want := o.polledBy(local), local.host.capacity(); got != want {
+		t.Errorf("the owner polls %d workers, want %d", got, want)
+	}
+	for n := range services {
+		if id := schedule.WorkerID(fmt.Sprint("w", workers-1-n)); o.linkOfWorker(id) != local {
+			t.Errorf("%s runs a service and is not polled", id)
+		}
+	}
+	o.mu.Lock()
+	clear(o.relayBackOffUntil)
+	o.assignWorkers(ctx)
+	o.mu.Unlock()
+	if o.linkTo("host-01") == nil || o.polledBy(local) == 0 {
+		t.Errorf("the owner polls %d workers before its relays have answered", o.polledBy(local))
+	}
+	o.mu.Lock()
+	for _, host := range []string{"host-01", "host-02"} {
+		o.links[host].relayClockReadAt = 1
+	}
+	o.assignWorkers(ctx)
+	o.assignWorkers(ctx)
+	o.mu.Unlock()
+	if o.linkTo("host-00") != nil {
+		t.Error("the owner polls workers although its relays have answered")
+	}
+	for n := range workers {
+		if o.linkOfWorker(schedule.WorkerID(fmt.Sprint("w", n))) == nil {
+			t.Fatalf("w%d is not polled", n)
+		}
+	}
+}
+
+func (o *Owner) linkTo(host string) *link {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.links[host]
+}
+
+func (o *Owner) linkOfWorker(id schedule.WorkerID) *link {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.linkOf[id]
+}
+
+// polledBy returns the number of workers that are assigned to a link.
+func (o *Owner) polledBy(l *link) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(l.workers)
+}
