--- a/pkg/intake/cancellation.go
+++ b/pkg/intake/cancellation.go
@@ -102,7 +102,7 @@
 	w := writer{
 		intake: i, partition: p, put: kv.Put{Key: statekeys.Cancel(p, id), Value: []byte("{}")},
 		require: kv.Condition{Key: job.Key, Revision: job.Revision},
-		refuted: func(kv.Item) (Outcome, error) { return NotFound, nil },
+		onUnmet: func(kv.Item) (Outcome, error) { return NotFound, nil },
 	}
 	outcome, err := w.run(ctx)
 	if outcome == Done {
@@ -126,7 +126,7 @@
 	w := writer{
 		intake: i, partition: p, put: kv.Put{Key: statekeys.EarlyCancel(p, id), Value: value}, replaces: replaces,
 		require: kv.Condition{Key: statekeys.Job(p, id)},
-		refuted: func(kv.Item) (Outcome, error) { return Refused, errStoredMeanwhile },
+		onUnmet: func(kv.Item) (Outcome, error) { return Refused, errStoredMeanwhile },
 	}
 	outcome, err := w.run(ctx)
 	switch {
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -90,7 +90,7 @@
 	}
 	w := writer{
 		intake: i, partition: p, put: kv.Put{Key: statekeys.Job(p, job.ID), Value: data},
-		require: kv.Condition{Key: statekeys.EarlyCancel(p, job.ID)}, refuted: refuseCancelled,
+		require: kv.Condition{Key: statekeys.EarlyCancel(p, job.ID)}, onUnmet: refuseCancelled,
 	}
 	outcome, err := w.run(ctx)
 	if stored := i.storedJob(&w, job); outcome == Done && stored != nil {
--- a/pkg/intake/writer.go
+++ b/pkg/intake/writer.go
@@ -21,8 +21,8 @@
 	put       kv.Put
 	replaces  int64 // revision of the key to be replaced; 0 if it must not exist yet
 	require   kv.Condition
-	// refuted returns the outcome if the required condition does not hold, given the current state of its key.
-	refuted func(kv.Item) (Outcome, error)
+	// onUnmet returns the outcome if the required condition does not hold, given the current state of its key.
+	onUnmet func(kv.Item) (Outcome, error)
 
 	termRevision int64   // required by the latest attempt
 	keyExists    bool    // an attempt failed because the key was written meanwhile
@@ -86,7 +86,7 @@
 	w.replaces = conflict.Revision(w.put.Key)
 	if w.unmet {
 		required, _ := conflict.Item(w.require.Key)
-		return w.refuted(required)
+		return w.onUnmet(required)
 	}
 	return "", errors.Trace(conflict)
 }
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -137,7 +137,7 @@
 // replace connects to the peer anew and then uses that connection, unless the silent one has worked again by then.
 func (c *Conn) replace(silent *transport) {
 	fresh, ready := c.pool.connect(c.addr)
-	if !c.use(fresh, ready, silent) {
+	if !c.finishReplacement(fresh, ready, silent) {
 		closeTransport(fresh)
 		return
 	}
@@ -147,8 +147,8 @@
 	}
 }
 
-// use ends the attempt to replace a silent transport and reports whether a fresh one is used from now on.
-func (c *Conn) use(fresh *transport, ready bool, silent *transport) bool {
+// finishReplacement ends the attempt to replace a silent transport and reports whether a fresh one is used from now on.
+func (c *Conn) finishReplacement(fresh *transport, ready bool, silent *transport) bool {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	close(c.replacing)
