Say when a cancelled id is worth another try, and name a limiter

The refusal of a submission whose job is cancelled said that its id may be used again in so many seconds; the owner deletes the cancellation up to some seconds later, so it says "try again" now.

--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -27,7 +27,7 @@
 	// concurrentTxns is the maximum number of transactions of a batch that are in progress at once. Ends are acknowledged and
 	// services started when all are done, so their number must not multiply the response time of the store.
 	concurrentTxns = 4
-	// deleteInterval is the time between two deletions of what the retention has expired of.
+	// deleteInterval is the time between two deletions of ended jobs and early cancellations whose retention has expired.
 	deleteInterval = 10 * time.Second
 	// deletionsPerTxn keeps a transaction with up to three conditions and deletions per job within the store's entry limit.
 	deletionsPerTxn = (kv.MaxTxnEntries - 1) / 3
--- a/pkg/intake/cancellation.go
+++ b/pkg/intake/cancellation.go
@@ -34,12 +34,12 @@
 
 // CancelledError means that a submission was refused because its job was cancelled before.
 type CancelledError struct {
-	RetryAfter time.Duration // when the id may be used again
+	RetryAfter time.Duration // when a submission of the id is worth another try
 }
 
 // Error implements the error interface.
 func (e *CancelledError) Error() string {
-	return fmt.Sprintf("the job was cancelled before it was stored; its id may be used again in %v", e.RetryAfter.Round(time.Second))
+	return fmt.Sprintf("the job was cancelled before it was stored; try again in %v", e.RetryAfter.Round(time.Second))
 }
 
 // earlyCancellation is the stored form of an early cancellation.
@@ -47,7 +47,8 @@
 	AtMs int64 `json:"at_ms"` // Unix milliseconds
 }
 
-// retryAfter returns the time until an early cancellation is deleted. Clocks of entry hosts differ little.
+// retryAfter returns the time until the retention of an early cancellation ends, and 1 s after that: the owner deletes it some seconds
+// later. Clocks of entry hosts differ little.
 func (c earlyCancellation) retryAfter(now time.Time) time.Duration {
 	const most = workload.EarlyCancelRetention
 	return min(max(time.UnixMilli(c.AtMs).Add(most).Sub(now), time.Second), most)
@@ -116,7 +117,7 @@
 // cancelEarly stores the cancellation of a job that is not stored. An earlier one is replaced, since it may be about to be deleted;
 // replaces is its revision, 0 if there is none.
 func (i *Intake) cancelEarly(ctx context.Context, p statekeys.Partition, id workload.JobID, replaces int64) (Outcome, error) {
-	if !i.earlyCancels.Allow() {
+	if !i.earlyCancelLimit.Allow() {
 		return Refused, errTooManyEarlyCancels
 	}
 	value, err := json.Marshal(earlyCancellation{AtMs: time.Now().UnixMilli()})
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -67,13 +67,13 @@
 
 // Intake accepts, cancels and looks up jobs. It is safe for concurrent use.
 type Intake struct {
-	cfg          Config
-	earlyCancels *rate.Limiter
+	cfg              Config
+	earlyCancelLimit *rate.Limiter
 }
 
 // New returns an Intake.
 func New(cfg Config) *Intake {
-	return &Intake{cfg: cfg, earlyCancels: rate.NewLimiter(earlyCancelsPerSecond, earlyCancelBurst)}
+	return &Intake{cfg: cfg, earlyCancelLimit: rate.NewLimiter(earlyCancelsPerSecond, earlyCancelBurst)}
 }
 
 // Submit stores a job and notifies its owner in the background. It repeats a write whose outcome is uncertain until ctx
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -11,9 +11,9 @@
 	"google.golang.org/grpc/status"
 )
 
-// SilenceTimeout is the time without any reply to the calls on a connection after which a call that ends without a reply has the
+// silenceTimeout is the time without any reply to the calls on a connection after which a call that ends without a reply has the
 // connection replaced. It is shorter than the timeout of a usual call, so that the next call has a working connection.
-const SilenceTimeout = 800 * time.Millisecond
+const silenceTimeout = 800 * time.Millisecond
 
 // replacementWait is how long a call waits for a connection that is being replaced. A new connection takes two round trips.
 const replacementWait = 200 * time.Millisecond
@@ -21,7 +21,7 @@
 // Conn is the connection of a Pool to one peer. It implements grpc.ClientConnInterface.
 //
 // An open connection may lose all bytes for good, without a reset, while new ones work. Keep-alive and kernel notice it after about
-// 10 s. A connection on which calls get no reply for SilenceTimeout is therefore replaced, but only once another one to the same
+// 10 s. A connection on which calls get no reply for silenceTimeout is therefore replaced, but only once another one to the same
 // peer is ready: a peer that is paused or overloaded keeps the connection, and calls in progress keep theirs in any case.
 type Conn struct {
 	pool *Pool
@@ -127,10 +127,10 @@
 	return true
 }
 
-// silent reports whether calls have had no reply for SilenceTimeout on an established connection. gRPC itself connects again to a peer
+// silent reports whether calls have had no reply for silenceTimeout on an established connection. gRPC itself connects again to a peer
 // to which there is none.
 func (t *transport) silent(now time.Time) bool {
-	return !t.unansweredSince.IsZero() && now.Sub(t.unansweredSince) >= SilenceTimeout &&
+	return !t.unansweredSince.IsZero() && now.Sub(t.unansweredSince) >= silenceTimeout &&
 		t.client.GetState() == connectivity.Ready
 }
 
