Name workers that are listed as sound and not used

Cause: for a worker that the platform lists and that the owner does not use, no log line has the reason, the age of the list, the address that is polled or the time since the last answer, and there is no counter.

Change: the scheduler records since when a worker that is listed, does not drain and is not in an evacuated data centre gets no tasks, with the reason as in `task_waits`. Entries that are ignored because another worker has reported from their address count too, as `replaced`; nothing named these so far. Decisions do not depend on any of it. From 3 s on the owner logs `worker_not_used` (7051) with the starts and addresses of list, polls and reports, the times of the last answer and of the last failed poll, its text and the relay; `worker_used_again` (7052) ends it. A status has at most 8 such lines; each worker is named again when its reason changes or after 10 s, the one with the oldest line first, and workers that return take half of the lines at most.

Evidence: the tests of core/schedule, pkg/dispatch, pkg/eventlog and cmd/fulmarctl pass. With 900 unused workers each status has 8 lines, over 90 % of the workers have a line after 113 statuses, and no state is left after they have gone. Seven mutations of the new code (no limit of lines, order by id, all lines for returning workers, entries or records that are kept, times that include the wait for a line, a start that is not reset) each fail a test.

Conclusion: the three hypotheses give different lines. The address at which a worker answered is the one of the list at that time, not one that the relay reports.

--- a/cmd/fulmarctl/joblog.go
+++ b/cmd/fulmarctl/joblog.go
@@ -46,6 +46,7 @@
 // workerEvents are the events of a worker that affect the jobs on it.
 var workerEvents = []string{
 	"worker_draining", "worker_reborn", "worker_held_back", "worker_unreachable", "worker_reachable",
+	"worker_not_used", "worker_used_again",
 }
 
 // runJobLog prints the log lines about a job from the logs of entry hosts, ordered by time, together with the events of
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -44,6 +44,7 @@
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
 	contested           map[place]bool              // places of several workers, see latestByPlace
+	replacedEntries     map[WorkerID]replacedEntry  // of the latest list
 	unstoredCrashes     map[WorkerID]unstoredCrash
 	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that ended services have left and none has taken since
 	nominateFrom        int                         // position in sortedWorkers from which fitsSoonest continues
@@ -77,6 +78,7 @@
 		contested:      map[place]bool{},
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
+		replacedEntries: map[WorkerID]replacedEntry{},
 		vacated:         map[workload.PoolName]int64{},
 		nominees:        map[*task]struct{}{},
 	}
@@ -220,7 +222,8 @@
 	s.removeSuperseded(now, latest)
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
-		if latest[info.place()].supersedes(info.ID, info.StartedMs) {
+		if next := latest[info.place()]; next.supersedes(info.ID, info.StartedMs) {
+			s.recordReplaced(now.Boot, info, next.info.ID)
 			continue
 		}
 		listed[info.ID] = true
@@ -233,6 +236,7 @@
 		}
 	}
 	s.recordContested()
+	s.sampleUse(now.Boot)
 }
 
 // updateListed adds or updates a worker of the platform's list.
--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -39,6 +39,7 @@
 	WaitCapacity         // too little capacity is free
 	WaitUnreachable      // the worker does not answer, or has not reported yet
 	WaitUnlisted         // the worker is no longer listed
+	WaitReplaced         // another worker has reported from the address of the entry, which is ignored; never of a task
 	WaitDraining         // the worker will leave
 	WaitEvacuated        // the worker's data centre is evacuated
 	WaitListNotRead      // the platform's list of workers was not read yet
@@ -64,7 +65,7 @@
 	"capacity_kept", "service_share",
 	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "probation",
 	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "capacity_outdated", "kept_for_service", "no_capacity",
-	"unreachable", "unlisted", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
+	"unreachable", "unlisted", "replaced", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
 	"silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "worker_silent", "unexplained",
 }
 
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -66,10 +66,11 @@
 	health           health
 	slowness         slowness
 	stability        stability
-	index            *workerIndex // of the scheduler
-	indexed          indexKeys    // the keys under which the index holds the worker
-	indexedLabels    []string     // the labels under which the index holds the worker
-	indexStale       bool         // the keys may have changed
+	unusedSince      time.Duration // when it was first seen to be listed as sound and not used; 0 while it is not
+	index            *workerIndex  // of the scheduler
+	indexed          indexKeys     // the keys under which the index holds the worker
+	indexedLabels    []string      // the labels under which the index holds the worker
+	indexStale       bool          // the keys may have changed
 }
 
 type attemptKey struct {
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -121,6 +121,7 @@
 	for _, stored := range l.stored {
 		u.Stored = append(u.Stored, stored)
 	}
+	o.polls.assigned(u.Assign)
 	ok = l.reset || len(u.Assign) > 0 || len(u.Release) > 0 || len(u.Stored) > 0 || len(u.Orders) > 0
 	l.reset = false
 	clear(l.assign)
@@ -295,6 +296,7 @@
 	}
 	if report.Failed != "" {
 		s.PollFailed(now, id)
+		o.polls.failed(now.Boot, id, report.Failed)
 		if !o.unreachable[id] {
 			o.unreachable[id] = true
 			o.cfg.Log.Event(eventlog.WorkerUnreachable).Str("worker", string(id)).Str("reason", report.Failed).Msg("")
--- a/pkg/dispatch/log.go
+++ b/pkg/dispatch/log.go
@@ -74,7 +74,7 @@
 // statusInterval is the time between two log entries with the totals of the partition.
 const statusInterval = 2 * time.Second
 
-// logStatus logs the totals of the partition, and why tasks wait, periodically until ctx ends.
+// logStatus logs the totals of the partition, why tasks wait and which workers are not used, periodically until ctx ends.
 func (o *Owner) logStatus(ctx context.Context) {
 	o.statusClock.next()
 	var late lateness
@@ -88,6 +88,9 @@
 		for _, w := range waits.choose(bootclock.Uptime(), s.waits.Steps) {
 			logWaiting(o.cfg.Log, o.ownership.Term, &w)
 		}
+		for _, line := range s.use {
+			line.log(o.cfg.Log, o.ownership.Term, s.counts.ListAge)
+		}
 		late.update(time.Now(), &s, o.cfg.Log, o.ownership.Term)
 	}
 }
--- a/pkg/dispatch/measures.go
+++ b/pkg/dispatch/measures.go
@@ -102,6 +102,8 @@
 	counts   schedule.Counts
 	restarts schedule.Restarts
 	waits    schedule.Waits
+	unused   schedule.UnusedWorkers
+	use      []useLine     // lines about unused workers
 	interval time.Duration // since the last status
 	cpu      time.Duration // processor time of the process in the interval
 }
@@ -137,6 +139,8 @@
 	now := bootclock.Now()
 	s.counts, s.waits = o.scheduler.Counts(now), o.scheduler.Waits(now)
 	s.restarts = o.scheduler.TakeRestarts()
+	s.unused = o.scheduler.Unused(now)
+	s.use = o.useLines(now, s.unused.Workers)
 	s.measures, o.measures = o.measures, measures{}
 	return s
 }
@@ -165,7 +169,9 @@
 		Int64("restart_confirm_max", ms(s.restarts.Confirmation.Max)).
 		Int64("service_wait_max", ms(c.LongestServiceWait)).
 		Str("waiting_for", s.waits.Tasks.String()).Int64("waiting_max", ms(s.waits.Longest)).
-		Int64("list_age", ms(c.ListAge)).Int("unstored_workers", c.Unstored).Int("awaited_workers", c.Awaited).Msg("")
+		Int64("list_age", ms(c.ListAge)).Int("unstored_workers", c.Unstored).Int("awaited_workers", c.Awaited).
+		Int("not_used", len(s.unused.Workers)).Str("not_used_for", s.unused.ByReason.String()).
+		Int64("not_used_max", ms(s.unused.Longest)).Msg("")
 }
 
 // logAges starts an entry with the figures that tell whether and why the owner decides on outdated reports.
@@ -210,6 +216,7 @@
 	restartDecision, restartStore, restartConfirmation        delayMetrics
 	receivedAgeP95, uncollected, cpuShare, longestServiceWait tally.Gauge
 	waits                                                     waitMetrics
+	unused                                                    unusedMetrics
 }
 
 func newStatusMetrics(scope tally.Scope) statusMetrics {
@@ -227,6 +234,7 @@
 		cpuShare:            scope.Gauge("owner_cpu_cores"),
 		longestServiceWait:  scope.Gauge("service_wait_max_seconds"),
 		waits:               newWaitMetrics(scope),
+		unused:              newUnusedMetrics(scope),
 	}
 }
 
@@ -251,4 +259,5 @@
 	}
 	m.longestServiceWait.Update(s.counts.LongestServiceWait.Seconds())
 	m.waits.publish(s)
+	m.unused.publish(&s.unused)
 }
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -71,6 +71,8 @@
 	localSubstitutes  bool                     // the relay of this host is used only while no other one can be
 	ends              map[schedule.WorkerID]endNumbers
 	unreachable       map[schedule.WorkerID]bool
+	polls             pollRecords
+	unusedLog         unusedLog
 	revisions         map[workload.JobID]int64 // of the stored progress records; no entry without a record
 	undecodable       map[workload.JobID]bool  // jobs whose progress record cannot be decoded
 	deletions         map[workload.JobID]int64 // see deletion.go
@@ -126,6 +128,7 @@
 		relayBackOffUntil: map[string]time.Duration{},
 		ends:              map[schedule.WorkerID]endNumbers{},
 		unreachable:       map[schedule.WorkerID]bool{},
+		polls:             pollRecords{},
 		revisions:         map[workload.JobID]int64{},
 		undecodable:       map[workload.JobID]bool{},
 		refusedRecords:    map[workload.JobID]refusedRecord{},
