Stand-in: workers return at another address or as another kind

The protocol lets a worker start again under its id, at any address and as another kind. The workers of the stand-in could only return at their former address, with the same labels and capacity.

CrashAndReturn takes a Return: time until the return, same or new id, same or new address, or the former endpoint of another worker; a former address that closes connections or stays silent; an entry that stays the former one for a while; a start time that is not later than the former one; and another data centre, rack, pool, labels or capacity. Workers check starts against their capacity if the configuration says what a task needs, and the history has the labels of the process of each run. Endpoints keep their ports until the platform closes, so no server of another test gets calls for a former address; calls to an endpoint without a worker are accepted and closed, not refused.

Calls in progress end with the process that received them. An open poll of a process that had crashed was answered with the lists of the new process before. A crash of a worker that is down has no effect any more.

--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -19,7 +19,8 @@
 	Datacentres  []string
 	Workers      int                             // spread over the data centres
 	RunTime      func(task string) time.Duration // run time of a task; 0 for one that runs until it is stopped
-	ProxyAddress func(target string) string      // address of a proxy for the worker at target; nil for no proxies
+	Requires     func(task string) Requirements  // what a task needs; nil if workers are to accept all starts
+	ProxyAddress func(target string) string      // address of a proxy for the endpoint at target; nil for no proxies
 	Limits       Limits                          // of the store
 	ClockDrift   float64                         // largest share by which a worker's clock runs slow, for instance 0.02
 }
@@ -40,9 +41,10 @@
 	server  *standin.Server
 	stop    chan struct{}
 
-	mu      sync.Mutex // guards the fields below
-	workers []*Worker
-	history []Run
+	mu        sync.Mutex // guards the fields below
+	workers   []*Worker
+	endpoints []*Endpoint // of all workers, present and former
+	history   []Run
 }
 
 // NewPlatform starts a platform with a configuration of one queue.
@@ -76,15 +78,21 @@
 func (p *Platform) AddWorker() (*Worker, error) {
 	n := len(p.Workers())
 	w := &Worker{
-		clockRate: 1 - p.cfg.ClockDrift*p.rnd.Float64(),
-		ID:        fmt.Sprintf("i-%04d", n), Datacentre: p.cfg.Datacentres[n%len(p.cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8),
-		id: fmt.Sprintf("i-%04d", n), platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
+		clockRate: 1 - p.cfg.ClockDrift*p.rnd.Float64(), ID: fmt.Sprintf("i-%04d", n), id: fmt.Sprintf("i-%04d", n),
+		kind: Kind{
+			Datacentre: p.cfg.Datacentres[n%len(p.cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8), Pool: p.Pool, Labels: []string{"a"},
+			Capacity: defaultCapacity,
+		},
+		platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
 	}
-	w.start()
-	if err := w.serve(); err != nil {
-		return nil, err
+	endpoint, err := p.newEndpoint()
+	if err != nil {
+		return nil, errors.Annotatef(err, "worker %s", w.ID)
 	}
-	w.address = p.cfg.ProxyAddress(w.server.Addr())
+	w.startProcess()
+	w.endpoint = endpoint
+	endpoint.attach(w)
+	go w.endDueTasks()
 	p.mu.Lock()
 	p.workers = append(p.workers, w)
 	p.mu.Unlock()
@@ -146,6 +154,14 @@
 	return slices.Clone(p.workers)
 }
 
+// requirements returns what a task needs.
+func (p *Platform) requirements(task string) Requirements {
+	if p.cfg.Requires == nil {
+		return Requirements{}
+	}
+	return p.cfg.Requires(task)
+}
+
 // History returns a copy of all runs so far, in order of start.
 func (p *Platform) History() []Run {
 	p.mu.Lock()
@@ -215,6 +231,17 @@
 	return found
 }
 
+// RunsWithoutLabel returns a description of each start of a task on a process that does not have the label which the task needs.
+func (p *Platform) RunsWithoutLabel() []string {
+	var found []string
+	for _, r := range p.History() {
+		if label := p.requirements(r.Task).Label; label != "" && !slices.Contains(r.Labels, label) {
+			found = append(found, fmt.Sprintf("%s: attempt %d needs %s, on %s with %v", r.Task, r.Attempt, label, r.Worker, r.Labels))
+		}
+	}
+	return found
+}
+
 // Ports of entry hosts. They are the same on all hosts, as on the real platform. PeerPort and lastPort bound the port
 // range in the settings; other entry hosts connect to PeerPort.
 const (
@@ -244,7 +271,12 @@
 	close(p.stop)
 	for _, w := range p.Workers() {
 		close(w.stop)
-		w.server.Close()
+	}
+	p.mu.Lock()
+	endpoints := p.endpoints
+	p.mu.Unlock()
+	for _, e := range endpoints {
+		e.server.Close()
 	}
 	p.server.Close()
 	p.Store.Close()
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -2,14 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"fulmarcourse.example/fulmarcourse/pkg/standin"
 )
 
@@ -28,19 +25,13 @@
 
 const (
 	crashDelay      = 10 * time.Millisecond // until a task with CrashingInput crashes its worker
-	crashDowntime   = time.Second           // until a worker that has crashed answers under its new id
+	crashDowntime   = time.Second           // until a worker that has crashed answers again, unless Return.After is set
 	entryExpiration = 3 * time.Second       // until the entry of its former id is removed
 )
 
 // headerExpectInstance names the id of the worker that a call is meant for. A worker with another id rejects it.
 const headerExpectInstance = "Fulmarcourse-Expect-Instance"
 
-// formerID is an id under which a worker is still listed after its process has ended.
-type formerID struct {
-	id    string
-	until time.Time // when its entry is removed
-}
-
 // maxTaskLease is the longest lease that a worker grants, on its own clock. It shortens longer ones.
 const maxTaskLease = 6 * time.Second
 
@@ -50,6 +41,7 @@
 	Task    string
 	Attempt int64
 	Worker  string
+	Labels  []string // of the worker's process
 	Started time.Time
 	Ended   time.Time // zero while it runs
 	Outcome string
@@ -65,6 +57,7 @@
 
 type activeRun struct {
 	index     int // in Platform.history
+	needs     Resources
 	endsAt    time.Time
 	startedAt time.Time
 }
@@ -79,18 +72,18 @@
 
 // Worker is a fake of one worker. It is an http.Handler.
 type Worker struct {
-	ID string
-	Datacentre,
-	Rack string
+	ID        string
 	platform  *Platform
-	address   string  // at which callers reach the worker
 	clockRate float64 // speed of the worker's clock; 1 is exact
-	server    *standin.Server
 
 	mu             sync.Mutex // guards the fields below
 	id             string     // of the current process: ID, or another one after a crash under a new id
+	kind           Kind
+	endpoint       *Endpoint
 	former         []formerID
-	downUntil      time.Time // it answers no calls before
+	generation     int       // number of processes that have ended
+	down           bool      // there is no process
+	entryFrom      time.Time // the process writes no entry before
 	faults         WorkerFaults
 	incarnation    int64
 	startedAt      time.Time
@@ -102,10 +95,24 @@
 	highestAttempt map[string]int64 // highest attempt of a task that was stopped or has ended here
 	orders         int              // received so far, including polls
 	draining       bool
-	changed        chan struct{} // closed and replaced when a task ends
+	changed        chan struct{} // closed and replaced when a task or the process ends
 	stop           chan struct{}
 }
 
+// Endpoint returns where the worker listens or, while it is down, where it has listened.
+func (w *Worker) Endpoint() *Endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.endpoint
+}
+
+// Calls returns the number of calls that the worker has received, polls included.
+func (w *Worker) Calls() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.orders
+}
+
 // clockMs returns the worker's clock: milliseconds since its start, beginning with 1.
 func (w *Worker) clockMs() int64 {
 	return int64(float64(time.Since(w.startedAt).Milliseconds())*w.clockRate) + 1
@@ -126,70 +133,22 @@
 	w.writeEntry()
 }
 
-// Crash ends all runs without reporting them and restarts the worker under the same id with a new incarnation.
-func (w *Worker) Crash() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for key := range w.running {
-		w.finish(key, "gone", false)
-	}
-	w.start()
-}
-
-// CrashUnderNewID ends all runs without reporting them. A new process answers at the worker's address after crashDowntime,
-// under another id. The entry of the former one remains for entryExpiration.
-func (w *Worker) CrashUnderNewID() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for key := range w.running {
-		w.finish(key, "gone", false)
-	}
-	now := time.Now()
-	w.former = append(w.former, formerID{w.id, now.Add(entryExpiration)})
-	w.start()
-	w.downUntil = now.Add(crashDowntime)
-	w.incarnation = w.downUntil.UnixMilli()
-	w.id = fmt.Sprintf("%s-%d", w.ID, w.incarnation)
-}
-
-// removeFormerEntries removes the entries of former ids that have expired.
-func (w *Worker) removeFormerEntries() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.former = slices.DeleteFunc(w.former, func(f formerID) bool {
-		expired := time.Now().After(f.until)
-		if expired {
-			w.platform.Store.Delete("servers/" + f.id)
-		}
-		return expired
-	})
-}
-
-// start begins a new incarnation without a lease, runs or ends. w.mu is held.
-func (w *Worker) start() {
-	w.loseEnds()
-	w.incarnation = time.Now().UnixMilli()
-	w.startedAt = time.Now()
-	w.fence, w.leaseUntil, w.lastEnd, w.ended = 0, 0, 0, nil
-	w.running, w.highestAttempt = map[runKey]activeRun{}, map[string]int64{}
-}
-
 // writeEntry writes the worker's entry to the store.
 func (w *Worker) writeEntry() {
 	w.mu.Lock()
-	state, incarnation, id := "ready", w.incarnation, w.id
+	state, incarnation, id, kind, address := "ready", w.incarnation, w.id, w.kind, w.endpoint.Address
 	if w.draining {
 		state = "draining"
 	}
-	down := time.Now().Before(w.downUntil)
+	unwritten := w.down || time.Now().Before(w.entryFrom)
 	w.mu.Unlock()
-	if down {
+	if unwritten {
 		return
 	}
 	w.platform.Store.Put("servers/"+id, map[string]any{
-		"service": w.platform.Pool, "address": w.address, "zone": w.Datacentre, "version": "v1",
+		"service": kind.Pool, "address": address, "zone": kind.Datacentre, "version": "v1",
 		"slots": 8, "state": state, "coldRemainingMs": 0, "remainingMs": 3000, "seq": 1, "born": incarnation,
-		"capacity": map[string]int{"cpu": 16000, "memMb": 64000, "gpu": 0}, "labels": []string{"a", w.Rack},
+		"capacity": kind.Capacity, "labels": kind.labels(),
 	})
 }
 
@@ -253,6 +212,11 @@
 	w.highestAttempt[key.task] = max(w.highestAttempt[key.task], key.attempt)
 	w.lastEnd++
 	w.ended = append(w.ended, endedRun{number: w.lastEnd, key: key, outcome: outcome, index: r.index})
+	w.notify()
+}
+
+// notify wakes the polls that wait for a change. w.mu is held.
+func (w *Worker) notify() {
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -279,9 +243,9 @@
 	w.orders++
 	faults := w.faults
 	late := faults.LateOrderOneIn > 0 && r.URL.Path != "/fulmarcourse/hold" && w.orders%faults.LateOrderOneIn == 0
-	incarnation := w.incarnation
+	generation := w.generation
 	expected := r.Header.Get(headerExpectInstance)
-	down, other := time.Now().Before(w.downUntil), expected != "" && expected != w.id
+	down, other := w.down, expected != "" && expected != w.id
 	w.mu.Unlock()
 	if down {
 		panic(http.ErrAbortHandler)
@@ -298,23 +262,32 @@
 		time.AfterFunc(faults.LateOrderDelay, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if w.incarnation == incarnation {
+			if w.generation == generation {
 				w.execute(r.URL.Path, o)
 			}
 		})
 		panic(http.ErrAbortHandler)
 	}
 	if r.URL.Path == "/fulmarcourse/hold" {
-		w.servePoll(rw, r, o)
+		w.servePoll(rw, r, o, generation)
 		return
 	}
-	w.mu.Lock()
+	w.lockProcess(generation)
 	status, reason := w.execute(r.URL.Path, o)
 	clock := w.clockMs()
 	w.mu.Unlock()
 	standin.WriteJSON(rw, status, map[string]any{"clockMs": clock, "reason": reason})
 }
 
+// lockProcess locks w.mu, if the process that has received a call has not ended. Otherwise the call gets no response.
+func (w *Worker) lockProcess(generation int) {
+	w.mu.Lock()
+	if w.generation != generation {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // execute applies an order and returns the status of the response and the reason of a rejection. w.mu is held.
 func (w *Worker) execute(path string, o order) (status int, reason string) {
 	if o.Fence < w.fence {
@@ -345,8 +318,14 @@
 	if key.attempt <= w.highestAttempt[key.task] {
 		return http.StatusConflict, "old"
 	}
+	needs := w.platform.requirements(key.task).Resources
+	if !w.reserved().plus(needs).within(w.kind.Capacity) {
+		return http.StatusConflict, "room"
+	}
 	now := time.Now()
-	r := activeRun{startedAt: now, index: w.platform.recordStart(Run{Task: key.task, Attempt: key.attempt, Worker: w.id, Started: now})}
+	r := activeRun{startedAt: now, needs: needs, index: w.platform.recordStart(Run{
+		Task: key.task, Attempt: key.attempt, Worker: w.id, Labels: w.kind.labels(), Started: now,
+	})}
 	if work := w.platform.runTime(key.task); work > 0 {
 		r.endsAt = now.Add(time.Duration(float64(work) * max(w.faults.Slowdown, 1)))
 	}
@@ -357,12 +336,20 @@
 	return http.StatusOK, ""
 }
 
+// reserved returns the sum of what the running tasks need. w.mu is held.
+func (w *Worker) reserved() (sum Resources) {
+	for _, r := range w.running {
+		sum = sum.plus(r.needs)
+	}
+	return sum
+}
+
 // servePoll extends the lease, drops acknowledged ends and returns the running tasks and the other ends. If there are
 // no ends, it first waits for one, for at most o.WaitMs milliseconds.
-func (w *Worker) servePoll(rw http.ResponseWriter, r *http.Request, o order) {
+func (w *Worker) servePoll(rw http.ResponseWriter, r *http.Request, o order, generation int) {
 	deadline := time.NewTimer(time.Duration(o.WaitMs) * time.Millisecond)
 	defer deadline.Stop()
-	w.mu.Lock()
+	w.lockProcess(generation)
 	if o.Fence < w.fence {
 		clock := w.clockMs()
 		w.mu.Unlock()
@@ -382,7 +369,7 @@
 		case <-deadline.C:
 			o.WaitMs = 0
 		}
-		w.mu.Lock()
+		w.lockProcess(generation)
 	}
 	defer w.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
@@ -400,14 +387,3 @@
 		"clockMs": w.clockMs(), "born": w.incarnation, "running": running, "ended": ended,
 	})
 }
-
-// serve starts the worker's server and the loop that ends its tasks.
-func (w *Worker) serve() error {
-	server, err := standin.NewServer(w)
-	if err != nil {
-		return errors.Annotatef(err, "worker %s", w.ID)
-	}
-	w.server = server
-	go w.endDueTasks()
-	return nil
-}
--- a/pkg/standin/fleet/worker_test.go
+++ b/pkg/standin/fleet/worker_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	resp, err := http.Post("http://"+w.address+path, "application/json", bytes.NewReader(data))
+	resp, err := http.Post("http://"+w.Endpoint().Address+path, "application/json", bytes.NewReader(data))
 	if err != nil {
 		t.Fatal(err)
 	}
