--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -274,8 +274,8 @@
 	return n
 }
 
-// checkHistory fails the test if two runs of a task overlapped, if a task was started again after it was done, or if a host
-// sent a write that the store can never accept.
+// checkHistory fails the test if two runs of a task overlapped, if a task was started again after it was done or without the label
+// that it needs, or if a host sent a write that the store can never accept.
 func (s *site) checkHistory() {
 	s.t.Helper()
 	for _, overlap := range s.platform.OverlappingRuns() {
@@ -284,6 +284,9 @@
 	for _, repeat := range s.platform.RunsAfterDone() {
 		s.t.Errorf("task started again after it was done: %s", repeat)
 	}
+	for _, run := range s.platform.RunsWithoutLabel() {
+		s.t.Errorf("task started on a worker without its label: %s", run)
+	}
 	for _, refusal := range s.platform.Store.Refusals() {
 		s.t.Errorf("the store refuses a write for good: %s", refusal)
 	}
