--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -78,6 +78,7 @@
 	unanswered   map[workload.TaskID]int           // how many of its starts were not answered
 	late         *lateFaults                       // nil without an owner past its processor limit and a slow store
 	known        *knownFaults                      // nil if the known workers are stored at once
+	moves        *moveFaults                       // nil if all processes of a worker have one address
 	log          []string
 }
 
@@ -157,7 +158,7 @@
 func (f *faultSim) listWorkers() {
 	var infos []WorkerInfo
 	for _, worker := range f.workers {
-		infos = append(infos, worker.info)
+		infos = append(infos, f.entry(worker))
 	}
 	if f.known != nil {
 		f.s.SetWorkers(f.time(), append(infos, oddEntry))
@@ -177,6 +178,10 @@
 	}
 	f.advanceLate()
 	f.advanceKnown()
+	if f.moves != nil {
+		f.moves.disturb(f)
+		f.moves.pollFormer(f)
+	}
 	for _, worker := range f.workers {
 		f.advance(worker)
 	}
@@ -234,7 +239,7 @@
 	case f.faulty(12):
 		delayed.at = f.now + time.Duration(f.rnd.Int64N(int64(maxOrderDelay)))
 		f.delayed = append(f.delayed, delayed)
-	case f.unreachable(worker):
+	case f.unreachable(worker) || order.Address != worker.info.Address:
 	default:
 		outcome = f.execute(delayed)
 		if f.faulty(12) {
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -16,6 +16,9 @@
 	f.delayed = slices.DeleteFunc(f.delayed, func(d delayedOrder) bool { return d.order.Worker == worker.info.ID })
 	worker.incarnation++
 	worker.info.StartedMs = worker.incarnation
+	if f.moves != nil {
+		f.moves.restart(f, worker)
+	}
 	worker.fence, worker.ends, worker.ended, worker.leaseEnd = 0, 0, nil, 0
 	clear(worker.running)
 	clear(worker.endedAt)
@@ -94,7 +97,7 @@
 	if f.polled[id] {
 		lease = f.permittedFor(0) + testLease
 	}
-	if f.unreachable(worker) || f.faulty(15) {
+	if f.unreachable(worker) || !f.findable(worker) || f.faulty(15) {
 		f.pollFailed(id)
 		return
 	}
@@ -106,7 +109,7 @@
 	if f.polled[id] {
 		worker.ended = slices.DeleteFunc(worker.ended, func(e Ended) bool { return f.acknowledge(worker, e) })
 	}
-	report := Report{Incarnation: worker.incarnation, SentAt: f.now, Ended: slices.Clone(worker.ended)}
+	report := Report{Incarnation: worker.incarnation, Address: worker.info.Address, SentAt: f.now, Ended: slices.Clone(worker.ended)}
 	for key := range worker.running {
 		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.number, Percent: f.percentOf(worker, key)})
 	}
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -155,7 +155,7 @@
 func (h *harness) report(id WorkerID) {
 	w := h.workers[id]
 	h.s.Report(h.now, id, Report{
-		Incarnation: w.incarnation, SentAt: h.now.Boot, Running: w.running, Ended: w.ended,
+		Incarnation: w.incarnation, Address: w.info.Address, SentAt: h.now.Boot, Running: w.running, Ended: w.ended,
 	})
 }
 
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -32,7 +32,7 @@
 type Order struct {
 	Kind       OrderKind
 	Worker     WorkerID
-	Address    string
+	Address    string // where the worker has answered last, as far as the owner knows; its relay may know better
 	Task       workload.TaskID
 	Attempt    int64
 	Input      string // OrderStart only
@@ -47,7 +47,7 @@
 // order returns an order about an attempt.
 func (a *attempt) order(kind OrderKind) Order {
 	return Order{
-		Kind: kind, Worker: a.worker.info.ID, Address: a.worker.info.Address, Task: a.task.id(), Attempt: a.number,
+		Kind: kind, Worker: a.worker.info.ID, Address: a.worker.address(), Task: a.task.id(), Attempt: a.number,
 	}
 }
 
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -44,6 +44,17 @@
 	playSeeds(func(seed uint64) { newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed))).playJobs() })
 }
 
+// Guards against the same while workers start again at other addresses, at those of others, and while the list shows entries of
+// former processes or of other writers.
+func TestNoTaskRunsTwiceWhileWorkersMove(t *testing.T) {
+	playSeeds(func(seed uint64) { newMoveFaultSim(newFaultSim(t, seed)).playJobs() })
+}
+
+// Guards against the same with the faults of TestNoTaskRunsTwiceWhileKnownWorkersAreStoredLate as well.
+func TestNoTaskRunsTwiceWhileWorkersMoveAndKnownWorkersChange(t *testing.T) {
+	playSeeds(func(seed uint64) { newMoveFaultSim(newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed)))).playJobs() })
+}
+
 // playJobs plays the simulation and fails the test if a job has not ended then.
 func (f *faultSim) playJobs() {
 	for f.now < time.Hour+simEnd {
--- a/core/schedule/replaced.go
+++ b/core/schedule/replaced.go
@@ -25,25 +25,29 @@
 
 func (info *WorkerInfo) place() place { return place{info.Address, info.Pool} }
 
-// placeSettled is the time after a change of a worker's address in the list after which a report certainly comes from the new one.
-// The address of a live worker does not change; another writer may change its entry until the worker writes it again.
-const placeSettled = 2 * time.Second
-
-// recordPlace records where the process that has just reported listens.
-func (w *worker) recordPlace(sentAt time.Duration) {
-	if w.placeChangedAt == 0 || sentAt >= w.placeChangedAt+placeSettled {
-		w.reportedPlace = w.info.place()
+// recordAddress records where the process that has just reported listens.
+func (s *Scheduler) recordAddress(w *worker, address string) {
+	if address != "" && address != w.answeredAddress {
+		w.answeredAddress = address
+		s.knownWorkersChanged = true
 	}
 }
 
-// place returns where the worker's process listens or has listened: as far as is known from its reports, else from the list.
-func (w *worker) place() place {
-	if w.reportedPlace != (place{}) {
-		return w.reportedPlace
+// address returns where the worker's process listens or has listened: where it has answered, else what the list says. The list may
+// name another address before the worker answers there, and another writer may change the entry of a live worker.
+func (w *worker) address() string {
+	if w.answeredAddress != "" {
+		return w.answeredAddress
 	}
-	return w.info.place()
+	return w.info.Address
 }
 
+// place returns where the worker's process listens or has listened.
+func (w *worker) place() place { return place{w.address(), w.info.Pool} }
+
+// listedElsewhere reports whether the list names another address than the one at which the worker has answered.
+func (w *worker) listedElsewhere() bool { return w.listed && w.info.Address != w.address() }
+
 // latestByPlace returns the worker of each place whose process started last, among those that have reported. A process that has
 // crashed comes back at its address under a new ID, and the platform lists both until the entry of the first one lapses. Only a
 // report proves that: polls name the worker that they are meant for, and no other process answers them. An entry alone may come
@@ -51,16 +55,28 @@
 func (s *Scheduler) latestByPlace() map[place]*worker {
 	latest := make(map[place]*worker, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
-		if w.reports == 0 || w.reportedPlace == (place{}) {
+		if w.reports == 0 || w.answeredAddress == "" {
 			continue
 		}
-		if other := latest[w.reportedPlace]; other == nil || w.incarnation > other.incarnation {
-			latest[w.reportedPlace] = w
+		if other := latest[w.place()]; other == nil || w.incarnation > other.incarnation {
+			latest[w.place()] = w
 		}
 	}
 	return latest
 }
 
+// successor returns the worker whose process has replaced that of an entry of the list, given the latest worker of each place; nil if
+// none has.
+func (s *Scheduler) successor(info WorkerInfo, latest map[place]*worker) *worker {
+	if w, known := s.workers[info.ID]; known && w.answeredAddress != "" {
+		return nil // removeSuperseded removes it if its process has ended
+	}
+	if next := latest[info.place()]; next.supersedes(info.ID, info.StartedMs) {
+		return next
+	}
+	return nil
+}
+
 // supersedes reports whether the process of a worker, which has reported, started later than that of another worker at the same
 // place, which has thus ended.
 func (w *worker) supersedes(id WorkerID, startedMs int64) bool {
@@ -86,11 +102,12 @@
 }
 
 // removeSuperseded removes the workers whose process has ended because a later one has their place. What ran on them has
-// ended as well, so its leases need not expire.
+// ended as well, so its leases need not expire. A worker that the list shows elsewhere may have started again there and run tasks
+// of a former owner, so it stays until it answers or its leases expire.
 func (s *Scheduler) removeSuperseded(now Time, latest map[place]*worker) {
 	for _, w := range slices.Clone(s.sortedWorkers) {
 		next := latest[w.place()]
-		if !next.supersedes(w.info.ID, w.process().StartedMs) {
+		if w.listedElsewhere() || !next.supersedes(w.info.ID, w.process().StartedMs) {
 			continue
 		}
 		s.emit(Event{Kind: EventWorkerReplaced, Worker: w.info.ID, Reason: string(next.info.ID)})
--- a/core/schedule/replaced_test.go
+++ b/core/schedule/replaced_test.go
@@ -45,7 +45,7 @@
 // reportAs makes a worker that runs nothing report.
 func (h *harness) reportAs(info WorkerInfo) {
 	h.advanceClock(time.Millisecond)
-	h.s.Report(h.now, info.ID, Report{Incarnation: info.StartedMs, SentAt: h.now.Boot})
+	h.s.Report(h.now, info.ID, Report{Incarnation: info.StartedMs, Address: info.Address, SentAt: h.now.Boot})
 }
 
 // runningService starts a service of one task on one of three workers and returns that worker and all entries.
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -41,6 +41,7 @@
 // Report is a worker's response to a poll.
 type Report struct {
 	Incarnation int64         // start of the worker process, Unix milliseconds; 0 when not reported
+	Address     string        // where the worker has answered; empty if the relay does not tell
 	SentAt      time.Duration // when the poll was sent, boot clock of the owner
 	ReceivedAt  time.Duration // when the report was received from the worker, boot clock of the owner; for measurements only
 	Running     []Running
@@ -88,7 +89,7 @@
 	s.stopAwaiting(w)
 	s.setAnswers(w, true)
 	w.reports++
-	w.recordPlace(report.SentAt)
+	s.recordAddress(w, report.Address)
 	s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
 	if len(report.Ended) < maxEndedPerReport {
@@ -174,7 +175,7 @@
 	}
 	orphaned.stopSentAt = now
 	s.orders = append(s.orders, Order{
-		Kind: OrderStop, Worker: w.info.ID, Address: w.info.Address, Task: key.task, Attempt: key.number,
+		Kind: OrderStop, Worker: w.info.ID, Address: w.address(), Task: key.task, Attempt: key.number,
 	})
 }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -222,7 +222,7 @@
 	s.removeSuperseded(now, latest)
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
-		if next := latest[info.place()]; next.supersedes(info.ID, info.StartedMs) {
+		if next := s.successor(info, latest); next != nil {
 			s.recordReplaced(now.Boot, info, next.info.ID)
 			continue
 		}
@@ -257,9 +257,6 @@
 	if !slices.Equal(w.info.Labels, info.Labels) {
 		s.index.remove(w)
 	}
-	if info.place() != w.info.place() {
-		w.placeChangedAt = now
-	}
 	if info.Capacity != w.info.Capacity {
 		w.full = fullBackOff{}
 	}
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -16,6 +16,7 @@
 			s.addWorker(w)
 		}
 		w.stored = true
+		w.answeredAddress = info.Address
 		w.incarnation = info.StartedMs
 		w.leaseEnd = max(w.leaseEnd, now.Boot+s.cfg.HandoverGrace+s.cfg.leaseBound())
 		s.awaitingReport[info.ID] = true
@@ -113,6 +114,14 @@
 	return infos
 }
 
+// AnsweredAddress returns where a worker has answered last, "" if that is not known.
+func (s *Scheduler) AnsweredAddress(id WorkerID) string {
+	if w, known := s.workers[id]; known {
+		return w.answeredAddress
+	}
+	return ""
+}
+
 // HasServicesAndFillers reports whether service tasks and filler tasks share a worker, which is then polled more often.
 func (s *Scheduler) HasServicesAndFillers(id WorkerID) bool {
 	w, known := s.workers[id]
--- a/core/schedule/unstored.go
+++ b/core/schedule/unstored.go
@@ -61,7 +61,7 @@
 		info := s.unstoredCrashes[id].info
 		if w, known := s.workers[id]; known {
 			started := info.StartedMs
-			info = w.info
+			info = w.knownInfo()
 			info.StartedMs = started
 			infos = slices.DeleteFunc(infos, func(other WorkerInfo) bool { return other.ID == id })
 		}
@@ -74,6 +74,7 @@
 // the list may show the next one first, and a crash in between would not be noticed.
 func (w *worker) knownInfo() WorkerInfo {
 	info := w.info
+	info.Address = w.address()
 	info.StartedMs = w.process().StartedMs
 	return info
 }
--- a/core/schedule/unused.go
+++ b/core/schedule/unused.go
@@ -27,7 +27,7 @@
 	Since           time.Duration // boot time at which it was first seen to be unused
 	Unused          time.Duration
 	ReportedStartMs int64         // start of the process that has reported last, to this owner or to a former one, Unix milliseconds; 0 if none has
-	ReportedAddress string        // where the worker listened when it last reported; empty before its first report
+	ReportedAddress string        // where the worker has answered last, to this owner or to a former one; empty if it has not
 	SilentFor       time.Duration // since the latest report; NotReported before the first
 	Awaited         bool          // a former owner may have used it, and it has not reported to this one
 	ReplacedBy      WorkerID      // the worker at its address; only with WaitReplaced
@@ -115,7 +115,7 @@
 func (s *Scheduler) describeUnused(now time.Duration, w *worker) UnusedWorker {
 	u := UnusedWorker{
 		Info: w.info, Reason: s.unusedReason(now, w), Since: w.unusedSince, ReportedStartMs: w.incarnation,
-		ReportedAddress: w.reportedPlace.address, SilentFor: NotReported, Awaited: s.awaitingReport[w.info.ID],
+		ReportedAddress: w.answeredAddress, SilentFor: NotReported, Awaited: s.awaitingReport[w.info.ID],
 	}
 	if w.reportedAt > 0 {
 		u.SilentFor = now - w.reportedAt
--- a/core/schedule/unused_test.go
+++ b/core/schedule/unused_test.go
@@ -130,7 +130,7 @@
 	h.advanceClock(UnusedAfter)
 	workers := h.s.Unused(h.now).Workers
 	if len(workers) != 1 || !workers[0].Awaited || workers[0].SilentFor != NotReported || workers[0].ReportedStartMs != 7 ||
-		workers[0].ReportedAddress != "" || workers[0].Reason != WaitUnreachable {
+		workers[0].ReportedAddress != "a:1" || workers[0].Reason != WaitUnreachable {
 		t.Errorf("%+v", workers)
 	}
 }
--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -64,8 +64,8 @@
 	"suitable", "start_not_stored", "start_not_confirmed", "not_its_turn", "worker_not_found", "no_plan",
 	"capacity_kept", "service_share",
 	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "probation",
-	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "capacity_outdated", "kept_for_service", "no_capacity",
-	"unreachable", "unlisted", "replaced", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
+	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "capacity_outdated", "kept_for_service",
+	"no_capacity", "unreachable", "unlisted", "replaced", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
 	"silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "worker_silent", "unexplained",
 }
 
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -33,8 +33,7 @@
 	unlistedAt       time.Duration // when it was first missing from the platform's list; only if not listed
 	leavesAt         time.Duration // earliest time at which it leaves; only with info.Draining
 	stored           bool          // it is in the stored set of known workers, so that a later owner waits for its report
-	placeChangedAt   time.Duration // when the list last gave it another address or pool; 0 if it has not
-	reportedPlace    place         // where it has reported from; zero before its first report
+	answeredAddress  string        // where it has answered last, to this owner or a former one; empty if it has not
 	incarnation      int64         // start of the worker process, Unix milliseconds; 0 before the first report
 	polledAt         time.Duration // when the poll was sent whose report was applied last
 	reportedAt       time.Duration // when the last report was received; 0 before the first
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -29,9 +29,9 @@
 	stop  context.CancelFunc
 	wake  chan struct{} // capacity 1
 
-	closed   bool                                // nothing is sent to the relay any more
-	workers  map[schedule.WorkerID]time.Duration // value: how long a poll of the worker may wait
-	reset    bool                                // the next update replaces the relay's list of workers
+	closed   bool // nothing is sent to the relay any more
+	workers  map[schedule.WorkerID]assignment
+	reset    bool // the next update replaces the relay's list of workers
 	assign   map[schedule.WorkerID]bool
 	release  map[schedule.WorkerID]bool
 	stored   map[schedule.WorkerID]relay.StoredEnd
@@ -47,6 +47,12 @@
 	collectedUpTo    time.Duration // boot time up to which all results of the relay have been applied; 0 before the first
 }
 
+// assignment is what the relay is told of a worker.
+type assignment struct {
+	address string        // as the platform lists it
+	wait    time.Duration // how long a poll of the worker may wait
+}
+
 // inFlight is an order that was sent to the relay and has no outcome yet.
 type inFlight struct {
 	order    schedule.Order
@@ -112,7 +118,9 @@
 	}
 	for id := range assign {
 		if info, known := o.scheduler.Worker(id); known {
-			u.Assign = append(u.Assign, relay.Assignment{Worker: info, Wait: l.workers[id]})
+			u.Assign = append(u.Assign, relay.Assignment{
+				Worker: info, AnsweredAddress: o.scheduler.AnsweredAddress(id), Wait: l.workers[id].wait,
+			})
 		}
 	}
 	for id := range l.release {
--- a/pkg/dispatch/link_test.go
+++ b/pkg/dispatch/link_test.go
@@ -15,7 +15,7 @@
 	o, l, _ := measuredOwner(t)
 	now := bootclock.Now()
 	l.stop, l.reset, l.host.Name = func() {}, true, "host"
-	l.workers[testWorker] = pollWait
+	l.workers[testWorker] = assignment{wait: pollWait}
 	l.relayClock, l.relayClockReadAt = now.Boot, now.Boot
 	o.mu.Lock()
 	o.unlink(now, l)
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -91,7 +91,7 @@
 	linkCtx, stop := context.WithCancel(ctx)
 	l := &link{
 		owner: o, host: host, stop: stop, wake: make(chan struct{}, 1), reset: true,
-		workers: map[schedule.WorkerID]time.Duration{}, assign: map[schedule.WorkerID]bool{},
+		workers: map[schedule.WorkerID]assignment{}, assign: map[schedule.WorkerID]bool{},
 		release: map[schedule.WorkerID]bool{}, stored: map[schedule.WorkerID]relay.StoredEnd{},
 		inFlight: map[orderKey]inFlight{}, openedAt: bootclock.Uptime(), lastResponseAt: bootclock.Uptime(),
 	}
@@ -102,7 +102,7 @@
 }
 
 // assignWorker assigns a worker to the link with the most room, preferring links in the worker's data centre, and
-// updates its poll wait. o.mu is held.
+// sends the assignment again if anything in it has changed. o.mu is held.
 func (o *Owner) assignWorker(info schedule.WorkerInfo) {
 	wait := pollWait
 	if o.scheduler.HasServicesAndFillers(info.ID) {
@@ -116,10 +116,11 @@
 		}
 		o.linkOf[info.ID] = l
 	}
-	if before, known := l.workers[info.ID]; known && before == wait {
+	next := assignment{address: info.Address, wait: wait}
+	if before, known := l.workers[info.ID]; known && before == next {
 		return
 	}
-	l.workers[info.ID] = wait
+	l.workers[info.ID] = next
 	l.assign[info.ID] = true
 	delete(l.release, info.ID)
 	o.wake(l.wake)
--- a/pkg/dispatch/measures_test.go
+++ b/pkg/dispatch/measures_test.go
@@ -27,7 +27,7 @@
 		Scope: tally.NoopScope, TaskLease: time.Second,
 	}, confirmedOwnership(t))
 	o.setWorkers([]schedule.WorkerInfo{{ID: testWorker, Datacentre: "dc"}})
-	l := &link{owner: o, wake: make(chan struct{}, 1), inFlight: map[orderKey]inFlight{}, workers: map[schedule.WorkerID]time.Duration{}}
+	l := &link{owner: o, wake: make(chan struct{}, 1), inFlight: map[orderKey]inFlight{}, workers: map[schedule.WorkerID]assignment{}}
 	o.linkOf[testWorker] = l
 	return o, l, &text
 }
--- a/pkg/dispatch/pacing_test.go
+++ b/pkg/dispatch/pacing_test.go
@@ -44,7 +44,7 @@
 	r := &busyRelay{}
 	l := &link{
 		owner: o, host: RelayHost{Name: "host0", Client: r}, wake: make(chan struct{}, 1),
-		release: map[schedule.WorkerID]bool{}, inFlight: map[orderKey]inFlight{}, workers: map[schedule.WorkerID]time.Duration{},
+		release: map[schedule.WorkerID]bool{}, inFlight: map[orderKey]inFlight{}, workers: map[schedule.WorkerID]assignment{},
 	}
 	for n := range links {
 		o.links[fmt.Sprint("host", n)] = l
--- a/pkg/dispatch/unused.go
+++ b/pkg/dispatch/unused.go
@@ -177,7 +177,7 @@
 		Int64("listed_start", u.Info.StartedMs).Int64("reported_start", u.ReportedStartMs).
 		Str("listed_address", eventlog.Truncate(u.Info.Address))
 	for _, field := range []struct{ name, value string }{
-		{"reported_address", eventlog.Truncate(u.ReportedAddress)}, {"polled_address", eventlog.Truncate(u.poll.address)},
+		{"reported_address", eventlog.Truncate(u.ReportedAddress)}, {"assigned_address", eventlog.Truncate(u.poll.address)},
 		{"relay", u.relay}, {"failure", u.poll.failure}, {"replaced_by", string(u.ReplacedBy)},
 	} {
 		if field.value != "" {
--- a/pkg/dispatch/unused_test.go
+++ b/pkg/dispatch/unused_test.go
@@ -192,10 +192,12 @@
 		o.scheduler.KnownWorkersStored([]schedule.WorkerInfo{info})
 	}
 	list()
-	l.workers = map[schedule.WorkerID]time.Duration{testWorker: pollWait}
+	l.workers = map[schedule.WorkerID]assignment{testWorker: {wait: pollWait}}
 	l.takeUpdate()
 	now := bootclock.Uptime()
-	l.applyResults(now, now, reported(now, 0, 0))
+	first := reported(now, 0, 0)
+	first.Reports[0].Report.Address = info.Address
+	l.applyResults(now, now, first)
 	info.Address, info.StartedMs = "10.0.0.2:80", 2
 	list()
 	refusal := "dial 10.0.0.1:80: connection refused" + strings.Repeat(".", 1000)
@@ -220,7 +222,7 @@
 	checkFields(t, lines[0], map[string]string{
 		"worker": string(testWorker), "term": "7", "reason": "unreachable", "list_age": "300", "datacentre": "dc", "awaited": "false",
 		"listed_start": "2", "reported_start": "1", "listed_address": "10.0.0.2:80", "reported_address": "10.0.0.1:80",
-		"polled_address": "10.0.0.1:80", "relay": "relay-1", "failure": eventlog.Truncate(refusal), "replaced_by": "",
+		"assigned_address": "10.0.0.1:80", "relay": "relay-1", "failure": eventlog.Truncate(refusal), "replaced_by": "",
 	})
 	for _, field := range []string{"unused", "answered", "failed"} {
 		if value, _ := lines[0][field].(float64); value < 4000 || value > 6000 {
@@ -250,7 +252,7 @@
 		t.Fatalf("%d lines", len(lines))
 	}
 	checkFields(t, lines[0], map[string]string{
-		"relay": "", "polled_address": "", "reported_address": "", "reported_start": "0", "failure": "", "answered": "", "failed": "",
+		"relay": "", "assigned_address": "", "reported_address": "", "reported_start": "0", "failure": "", "answered": "", "failed": "",
 	})
 }
 
--- a/pkg/relay/orders.go
+++ b/pkg/relay/orders.go
@@ -62,7 +62,7 @@
 		r.mu.Unlock()
 		return
 	}
-	req := PollRequest{Worker: s.worker, Fence: term, AckedEnd: s.acknowledged()}
+	req := PollRequest{Worker: s.workerAt(s.orderAddress()), Fence: term, AckedEnd: s.acknowledged()}
 	ctx := r.sessionCtx
 	r.mu.Unlock()
 	s.poll(ctx, req)
@@ -74,18 +74,21 @@
 	errNoLease  = errors.ConstError("no task lease can be granted")
 )
 
-// prepareCommand sets the task lease of a start order. Errors, which mean that the command must not be sent: errReplaced,
-// errNoLease, ErrExpired.
+// prepareCommand sets the address of a command and the task lease of a start order. Without a session the address stays that of the
+// owner. Errors, which mean that the command must not be sent: errReplaced, errNoLease, ErrExpired.
 func (r *Relay) prepareCommand(term int64, command *Command) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if term != r.term {
 		return errReplaced
 	}
+	s, known := r.sessions[command.Order.Worker]
+	if known {
+		command.Order.Address = s.orderAddress()
+	}
 	if command.Order.Kind != schedule.OrderStart {
 		return nil
 	}
-	s, known := r.sessions[command.Order.Worker]
 	if !known {
 		return errNoLease
 	}
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -36,11 +36,11 @@
 // PollRequest is a request that reads the running and ended tasks of a worker, extends its task leases and acknowledges
 // task ends.
 type PollRequest struct {
-	Worker    schedule.WorkerInfo
-	Fence     int64         // fencing token: term of the owner
-	LeaseToMs int64         // time on the worker's clock up to which task leases are extended; 0 leaves them unchanged
-	AckedEnd  int64         // number of the newest task end that is stored; the worker may drop ends up to it
-	Wait      time.Duration // how long the worker may hold the poll open until a task ends
+	Worker    schedule.WorkerInfo // its Address is where the worker is polled
+	Fence     int64               // fencing token: term of the owner
+	LeaseToMs int64               // time on the worker's clock up to which task leases are extended; 0 leaves them unchanged
+	AckedEnd  int64               // number of the newest task end that is stored; the worker may drop ends up to it
+	Wait      time.Duration       // how long the worker may hold the poll open until a task ends
 }
 
 // PollReply is the response of a worker to a poll.
@@ -51,9 +51,9 @@
 
 // Command is an order with the fencing token and the lease that the relay adds.
 type Command struct {
-	Order     schedule.Order
-	Fence     int64 // fencing token: term of the owner
-	LeaseToMs int64 // end of the task lease on the worker's clock; OrderStart only
+	Order     schedule.Order // its Address is where the command is sent
+	Fence     int64          // fencing token: term of the owner
+	LeaseToMs int64          // end of the task lease on the worker's clock; OrderStart only
 
 	// SendBefore is the boot time from which on nothing of the command may be sent; 0 means no limit. A timeout does not
 	// replace it: it does not count the time for which the machine was suspended.
@@ -90,8 +90,9 @@
 
 // Assignment is a worker that the relay polls.
 type Assignment struct {
-	Worker schedule.WorkerInfo
-	Wait   time.Duration // how long the worker may hold a poll open until a task ends
+	Worker          schedule.WorkerInfo // as the platform lists it
+	AnsweredAddress string              // where it has answered last; empty if the owner does not know
+	Wait            time.Duration       // how long the worker may hold a poll open until a task ends
 }
 
 // StoredEnd states that the task ends of a worker incarnation up to and including Number are stored.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -134,7 +134,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(r.sessionCtx)
-	s := &session{relay: r, term: r.term, worker: a.Worker, wait: a.Wait, cancel: cancel,
+	s := &session{relay: r, term: r.term, worker: a.Worker, address: a.AnsweredAddress, wait: a.Wait, cancel: cancel,
 		changed: make(chan struct{}, 1)}
 	r.sessions[a.Worker.ID] = s
 	r.wg.Go(func() { s.run(ctx) })
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -49,7 +49,8 @@
 	}
 	for _, w := range req.Assign {
 		u.Assign = append(u.Assign, relay.Assignment{
-			Worker: schedule.WorkerInfo{ID: schedule.WorkerID(w.Id), Address: w.Address}, Wait: time.Duration(w.WaitNs),
+			Worker: schedule.WorkerInfo{ID: schedule.WorkerID(w.Id), Address: w.Address}, AnsweredAddress: w.AnsweredAddress,
+			Wait: time.Duration(w.WaitNs),
 		})
 	}
 	for _, id := range req.Release {
@@ -140,7 +141,7 @@
 	}
 	for _, a := range u.Assign {
 		req.Assign = append(req.Assign, &ownerpb.Worker{
-			Id: string(a.Worker.ID), Address: a.Worker.Address, WaitNs: int64(a.Wait),
+			Id: string(a.Worker.ID), Address: a.Worker.Address, AnsweredAddress: a.AnsweredAddress, WaitNs: int64(a.Wait),
 		})
 	}
 	for _, id := range u.Release {
@@ -224,7 +225,7 @@
 func toReport(r relay.WorkerReport) *ownerpb.WorkerReport {
 	out := &ownerpb.WorkerReport{
 		Worker: string(r.Worker), Failed: r.Failed, SentAtNs: int64(r.Report.SentAt), Incarnation: r.Report.Incarnation,
-		ReceivedAtNs: int64(r.Report.ReceivedAt),
+		ReceivedAtNs: int64(r.Report.ReceivedAt), Address: r.Report.Address,
 	}
 	for _, row := range r.Report.Running {
 		out.Running = append(out.Running, &ownerpb.Running{
@@ -241,7 +242,7 @@
 
 func fromReport(r *ownerpb.WorkerReport) relay.WorkerReport {
 	out := relay.WorkerReport{Worker: schedule.WorkerID(r.Worker), Failed: r.Failed, Report: schedule.Report{
-		SentAt: time.Duration(r.SentAtNs), ReceivedAt: time.Duration(r.ReceivedAtNs), Incarnation: r.Incarnation,
+		SentAt: time.Duration(r.SentAtNs), ReceivedAt: time.Duration(r.ReceivedAtNs), Incarnation: r.Incarnation, Address: r.Address,
 		Running: make([]schedule.Running, 0, len(r.Running)), Ended: make([]schedule.Ended, 0, len(r.Ended)),
 	}}
 	for _, row := range r.Running {
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -34,15 +34,17 @@
 	term   int64
 	cancel context.CancelFunc
 
-	worker      schedule.WorkerInfo
-	wait        time.Duration // how long the worker may hold a poll open until a task ends
-	incarnation int64         // of the worker process, as last reported
-	newestEnd   int64         // newest task end that the worker has reported
-	storedEnd   int64         // newest task end that is stored
-	lastPollOK  bool          // the worker answered the last poll
-	clockMs     int64         // last reading of the worker's clock, in milliseconds
-	clockReadAt time.Duration // boot time at which clockMs was received
-	changed     chan struct{} // capacity 1; signalled when storedEnd has changed or the owner has collected the reports
+	worker      schedule.WorkerInfo // as the platform lists it
+	address     string              // where the worker has answered last; empty if that is not known
+	tryListed   bool                // the last poll at address has failed, so the next one goes to the listed address
+	wait        time.Duration       // how long the worker may hold a poll open until a task ends
+	incarnation int64               // of the worker process, as last reported
+	newestEnd   int64               // newest task end that the worker has reported
+	storedEnd   int64               // newest task end that is stored
+	lastPollOK  bool                // the worker answered the last poll
+	clockMs     int64               // last reading of the worker's clock, in milliseconds
+	clockReadAt time.Duration       // boot time at which clockMs was received
+	changed     chan struct{}       // capacity 1; signalled when storedEnd has changed or the owner has collected the reports
 }
 
 // run polls the worker until ctx ends or the owner has abandoned the relay.
@@ -68,7 +70,7 @@
 	if s.relay.stopIfAbandoned(s.term) {
 		return PollRequest{}, false
 	}
-	req = PollRequest{Worker: s.worker, Fence: s.term}
+	req = PollRequest{Worker: s.workerAt(s.pollAddress()), Fence: s.term}
 	if !s.lastPollOK {
 		return req, true
 	}
@@ -82,6 +84,33 @@
 	return req, true
 }
 
+// pollAddress returns the address of the next poll. A worker that starts again may listen at another address, and its entry in the
+// platform's list names that one from then on. But another writer may change the entry of a live worker, so that the address at
+// which it has answered is used for as long as it answers there, and tried in turns with the listed one afterwards. Relay.mu is
+// held.
+func (s *session) pollAddress() string {
+	if s.address == "" || s.tryListed {
+		return s.worker.Address
+	}
+	return s.address
+}
+
+// orderAddress returns the address for orders: that of the process which has answered last, since the lease of a start is a time on
+// its clock. Relay.mu is held.
+func (s *session) orderAddress() string {
+	if s.address == "" {
+		return s.worker.Address
+	}
+	return s.address
+}
+
+// workerAt returns the worker with an address to poll. Relay.mu is held.
+func (s *session) workerAt(address string) schedule.WorkerInfo {
+	worker := s.worker
+	worker.Address = address
+	return worker
+}
+
 // acknowledged returns the newest task end that the worker may drop; 0 if its process may have been replaced since its last
 // answer. Relay.mu is held.
 func (s *session) acknowledged() int64 {
@@ -119,31 +148,34 @@
 		return false
 	}
 	if err != nil {
-		s.pollFailed(req.Worker.ID, err)
+		s.pollFailed(req, err)
 		return false
 	}
-	s.recordReply(reply)
-	reply.Report.SentAt = sent
+	s.recordReply(req.Worker.Address, reply)
+	reply.Report.SentAt, reply.Report.Address = sent, req.Worker.Address
 	s.relay.addReport(s.term, WorkerReport{Worker: req.Worker.ID, Report: reply.Report})
 	return true
 }
 
-// pollFailed records that a poll of the worker has failed. s.worker belongs to Relay.mu, so the ID is passed.
-func (s *session) pollFailed(id schedule.WorkerID, err error) {
+// pollFailed records that a poll of the worker has failed.
+func (s *session) pollFailed(req PollRequest, err error) {
 	if errors.Is(err, ErrFenced) {
 		s.relay.markFenced(s.term)
 		return
 	}
 	s.relay.mu.Lock()
 	s.lastPollOK = false
+	s.tryListed = req.Worker.Address == s.address
 	s.relay.mu.Unlock()
-	s.relay.addReport(s.term, WorkerReport{Worker: id, Failed: err.Error()})
+	s.relay.addReport(s.term, WorkerReport{Worker: req.Worker.ID, Failed: err.Error()})
 }
 
-// recordReply records the clock and the newest task end of the worker. Each incarnation numbers its ends from 1.
-func (s *session) recordReply(reply PollReply) {
+// recordReply records the clock and the newest task end of the worker, and where it has answered. Each incarnation numbers its
+// ends from 1.
+func (s *session) recordReply(address string, reply PollReply) {
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
+	s.address, s.tryListed = address, false
 	if s.incarnation != reply.Report.Incarnation {
 		s.incarnation = reply.Report.Incarnation
 		s.newestEnd, s.storedEnd = 0, 0
