--- a/core/schedule/address_test.go
+++ b/core/schedule/address_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 )
 
 // Scenario: a worker starts again under its ID at another address. Guards against a later owner that polls the former one if the
@@ -70,3 +71,40 @@
 		t.Errorf("the task that runs at the new address has %d attempts, want 1", n)
 	}
 }
+
+// Scenario: a worker starts again under its ID as another kind; its entry is still that of the former process, or is already the new
+// one while the former process has answered last. Guards against a task that starts on a worker without the label it needs.
+func TestNothingStartsOnAWorkerBesideTheEntryOfAnotherProcess(t *testing.T) {
+	step := testStep(1)
+	step.Label = "ssd"
+	for name, change := range map[string]func(h *harness, w *simWorker){
+		"former entry": func(_ *harness, w *simWorker) { w.incarnation = 2 },
+		"next entry": func(h *harness, w *simWorker) {
+			next := w.info
+			next.StartedMs = 2
+			h.s.SetWorkers(h.now, []WorkerInfo{next})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			w := h.addWorker("w1", func(info *WorkerInfo) { info.StartedMs, info.Labels = 1, []string{"ssd"} })
+			change(h, w)
+			h.reportAll()
+			h.s.AddJob(testJob("job", step), nil, false)
+			for range 100 { // 10 s, longer than a worker is avoided after a restart
+				h.advanceClock(100 * time.Millisecond)
+				h.reportAll()
+				h.wantStarts(h.run(), 0)
+			}
+			w.incarnation, w.info.StartedMs = 2, 2
+			h.list()
+			var started []Order
+			for n := 0; len(started) == 0 && n < 100; n++ {
+				h.advanceClock(100 * time.Millisecond)
+				h.reportAll()
+				started = starts(h.run())
+			}
+			h.wantStarts(started, 1)
+		})
+	}
+}
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -87,6 +87,8 @@
 // refuses returns why a worker that answers gets no tasks.
 func (w *worker) refuses(now time.Duration) WaitReason {
 	switch {
+	case w.entryOutdated():
+		return WaitEntryOutdated
 	case !w.stored:
 		return WaitNotStored
 	case now < w.unhealthyUntil:
@@ -97,6 +99,12 @@
 	return Suitable
 }
 
+// entryOutdated reports whether the list describes another process of the worker than the one that has answered last. The next
+// process may be of another kind, size, pool or data centre, and its entry may be written after it answers, or before.
+func (w *worker) entryOutdated() bool {
+	return w.info.StartedMs > 0 && w.incarnation > 0 && w.info.StartedMs != w.incarnation
+}
+
 // limits returns why the tasks on a worker exclude a further one.
 func (w *worker) limits(t *task) WaitReason {
 	spec := &t.step.spec
--- a/core/schedule/unused.go
+++ b/core/schedule/unused.go
@@ -39,7 +39,7 @@
 // UnusedReasons returns the reasons for which a worker that is listed as sound may be unused.
 func UnusedReasons() []WaitReason {
 	return []WaitReason{
-		WaitUnreachable, WaitReplaced, WaitNotStored, WaitUnhealthy, WaitRejections, WaitLostRecently, WaitFaulty, WaitSlow,
+		WaitUnreachable, WaitReplaced, WaitEntryOutdated, WaitNotStored, WaitUnhealthy, WaitRejections, WaitLostRecently, WaitFaulty, WaitSlow,
 	}
 }
 
--- a/core/schedule/unused_test.go
+++ b/core/schedule/unused_test.go
@@ -30,13 +30,14 @@
 func TestEachReasonForAnUnusedWorkerIsNamed(t *testing.T) {
 	forAWhile := time.Hour
 	rows := map[WaitReason]func(h *harness, w *worker){
-		WaitUnreachable:  func(h *harness, w *worker) { h.s.PollFailed(h.now, w.info.ID) },
-		WaitNotStored:    func(_ *harness, w *worker) { w.stored = false },
-		WaitUnhealthy:    func(h *harness, w *worker) { w.unhealthyUntil = h.now.Boot + forAWhile },
-		WaitRejections:   func(h *harness, w *worker) { w.full.until = h.now.Boot + forAWhile },
-		WaitLostRecently: func(h *harness, w *worker) { w.stability.until = h.now.Boot + forAWhile },
-		WaitFaulty:       func(h *harness, w *worker) { w.health.until = h.now.Boot + forAWhile },
-		WaitSlow:         func(h *harness, w *worker) { w.slowness = slowness{sum: 400, weight: 100, at: h.now.Boot} },
+		WaitUnreachable:   func(h *harness, w *worker) { h.s.PollFailed(h.now, w.info.ID) },
+		WaitNotStored:     func(_ *harness, w *worker) { w.stored = false },
+		WaitEntryOutdated: func(_ *harness, w *worker) { w.info.StartedMs = w.incarnation + 1 },
+		WaitUnhealthy:     func(h *harness, w *worker) { w.unhealthyUntil = h.now.Boot + forAWhile },
+		WaitRejections:    func(h *harness, w *worker) { w.full.until = h.now.Boot + forAWhile },
+		WaitLostRecently:  func(h *harness, w *worker) { w.stability.until = h.now.Boot + forAWhile },
+		WaitFaulty:        func(h *harness, w *worker) { w.health.until = h.now.Boot + forAWhile },
+		WaitSlow:          func(h *harness, w *worker) { w.slowness = slowness{sum: 400, weight: 100, at: h.now.Boot} },
 	}
 	for _, reason := range UnusedReasons() {
 		makeUnused, made := rows[reason]
@@ -102,6 +103,7 @@
 func TestUnusedWorkerTellsListAndReportsApart(t *testing.T) {
 	h := newHarness(t, 1)
 	w := h.addWorker("w1", func(info *WorkerInfo) { info.Address, info.StartedMs = "a:1", 1000 })
+	h.wantUnused()
 	w.info.Address, w.info.StartedMs = "b:1", 9000
 	for range 8 {
 		h.advanceClock(time.Second)
@@ -116,8 +118,8 @@
 		u.ReportedStartMs != 1000 || u.SilentFor != 8*time.Second || u.Awaited {
 		t.Errorf("%+v", u)
 	}
-	if u.Unused < 5*time.Second || u.Unused > 8*time.Second-unreachableAfter+time.Second {
-		t.Errorf("not used for %v", u.Unused)
+	if want := 7 * time.Second; u.Unused != want { // since the list names another process
+		t.Errorf("not used for %v, want %v", u.Unused, want)
 	}
 }
 
