--- a/pkg/dispatch/assignment_test.go
+++ b/pkg/dispatch/assignment_test.go
@@ -23,3 +23,21 @@
 		t.Errorf("after its address has changed, the worker is assigned as %+v", u.Assign)
 	}
 }
+
+// Guards against updates of one owner that a relay cannot tell apart by age: one that was given up and arrives late would undo later
+// assignments. The number rises over the links that an owner opens to one host, and over the update that releases a relay.
+func TestUpdatesOfAnOwnerAreNumbered(t *testing.T) {
+	o, ctx := fleetOwner(t, 1, 1, 1, 1000)
+	l := o.links["host-00"]
+	first, _ := l.takeUpdate()
+	o.mu.Lock()
+	o.releaseRelay(ctx, l, "test")
+	o.openLink(ctx, l.host)
+	o.assignWorkers(ctx)
+	next := o.links["host-00"]
+	o.mu.Unlock()
+	second, ok := next.takeUpdate()
+	if !ok || first.Sequence < 1 || second.Sequence <= first.Sequence+1 { // the release is between them
+		t.Errorf("updates are numbered %d and %d", first.Sequence, second.Sequence)
+	}
+}
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -107,7 +107,7 @@
 	}
 	u = relay.Update{
 		Partition: int(o.cfg.Partition), Term: o.ownership.Term, LeaseUntil: l.permitLeases(),
-		Reset: l.reset, Orders: l.takeOrders(bootclock.Now()),
+		Sequence: o.nextSequence(), Reset: l.reset, Orders: l.takeOrders(bootclock.Now()),
 	}
 	assign := l.assign
 	if l.reset {
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -77,7 +77,7 @@
 // held.
 func (o *Owner) releaseRelay(ctx context.Context, l *link, reason string) {
 	o.unlink(bootclock.Now(), l)
-	update := relay.Update{Partition: int(o.cfg.Partition), Term: o.ownership.Term, Reset: true}
+	update := relay.Update{Partition: int(o.cfg.Partition), Term: o.ownership.Term, Sequence: o.nextSequence(), Reset: true}
 	o.linkWG.Go(func() {
 		call, cancel := context.WithTimeout(ctx, relayTimeout)
 		defer cancel()
@@ -86,6 +86,12 @@
 	})
 }
 
+// nextSequence returns the number of the next update of this owner. o.mu is held.
+func (o *Owner) nextSequence() int64 {
+	o.sequence++
+	return o.sequence
+}
+
 // openLink opens a link to the relay on a host and starts its loops. o.mu is held.
 func (o *Owner) openLink(ctx context.Context, host RelayHost) {
 	linkCtx, stop := context.WithCancel(ctx)
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -67,6 +67,7 @@
 	scheduler         *schedule.Scheduler
 	links             map[string]*link // by host name
 	linkOf            map[schedule.WorkerID]*link
+	sequence          int64                    // of the latest update of a relay
 	relayBackOffUntil map[string]time.Duration // by host; boot time until which a lost relay is not used
 	localSubstitutes  bool                     // the relay of this host is used only while no other one can be
 	ends              map[schedule.WorkerID]endNumbers
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -29,6 +29,8 @@
 	// released it, or it dropped its assignments because the owner had not called for too long. The owner has to send
 	// an update with Reset.
 	ErrNoAssignment = errors.ConstError("relay has not been told its workers")
+	// ErrOutdated means that the relay has applied a later update of the owner. Nothing of the update was applied.
+	ErrOutdated = errors.ConstError("relay has applied a later update")
 	// ErrExpired means that a command was not sent in time, for instance because the process was paused.
 	ErrExpired = errors.ConstError("command has waited for too long")
 )
@@ -80,6 +82,7 @@
 type Update struct {
 	Partition  int
 	Term       int64
+	Sequence   int64         // rises with each update of an owner in a term; 0 if the owner does not number them
 	LeaseUntil time.Duration // time up to which the relay may extend task leases
 	Reset      bool          // Assign lists all workers of the relay; others are released
 	Assign     []Assignment
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -43,6 +43,7 @@
 
 	mu         sync.Mutex // guards the fields below
 	term       int64
+	sequence   int64         // of the latest update in the term
 	leaseUntil time.Duration // boot time up to which the owner permits lease extensions
 	sessions   map[schedule.WorkerID]*session
 	assigned   bool           // the owner has listed workers; the update that releases a relay lists none and may be late
@@ -66,13 +67,18 @@
 	}
 }
 
-// Update applies an update of an owner. Errors: ErrStaleTerm.
+// Update applies an update of an owner. An update that the owner has given up may arrive after later ones and is rejected: its list
+// of workers would leave out those that were assigned since. Errors: ErrStaleTerm, ErrOutdated.
 func (r *Relay) Update(u Update) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.checkTerm(u.Term); err != nil {
 		return err
 	}
+	if u.Sequence > 0 && u.Sequence <= r.sequence {
+		return errors.Annotatef(ErrOutdated, "update %d after %d", u.Sequence, r.sequence)
+	}
+	r.sequence = max(r.sequence, u.Sequence)
 	if u.Reset {
 		r.releaseOthers(u.Assign)
 		r.assigned = len(u.Assign) > 0
@@ -108,7 +114,9 @@
 	}
 	// The owner is new, or it calls again after this relay had stopped serving it.
 	r.stop()
-	r.term = term
+	if term > r.term {
+		r.term, r.sequence = term, 0
+	}
 	r.clearState()
 	r.sessionCtx, r.stop = context.WithCancel(context.Background())
 	return nil
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -311,3 +311,33 @@
 		t.Errorf("an order that is answered at once took %v", took)
 	}
 }
+
+// Scenario: an update times out at the owner, which sends later ones; it arrives after them. Guards against a list of workers that
+// leaves out those assigned since, so that they are polled by nobody although the owner has assigned them, and against orders that
+// the owner has counted as unanswered.
+func TestUpdateThatArrivesAfterLaterOnesIsRejected(t *testing.T) {
+	f := &fakeWorkers{reply: func(int, PollRequest) (PollReply, error) { return PollReply{ClockMs: 1000}, nil }}
+	r := startRelay(t, f)
+	later := assign(1, bootclock.Uptime()+time.Hour)
+	later.Sequence = 2
+	if err := r.Update(later); err != nil {
+		t.Fatal(err)
+	}
+	f.waitForPoll(t, 2)
+	late := Update{Term: 1, Sequence: 1, Reset: true, Orders: []schedule.Order{{Kind: schedule.OrderStop, Worker: "w"}}}
+	if err := r.Update(late); !errors.Is(err, ErrOutdated) {
+		t.Errorf("the late update returns %v", err)
+	}
+	f.mu.Lock()
+	made := len(f.polls)
+	f.mu.Unlock()
+	f.waitForPoll(t, made+2)
+	next := Update{Term: 2, Sequence: 1, Reset: true}
+	if err := r.Update(next); err != nil {
+		t.Errorf("the first update of the next owner returns %v", err)
+	}
+	r.Close()
+	if len(f.sent) > 0 {
+		t.Errorf("orders of the late update were sent: %+v", f.sent)
+	}
+}
--- a/pkg/relay/relaygrpc/address_test.go
+++ b/pkg/relay/relaygrpc/address_test.go
@@ -54,8 +54,8 @@
 }
 
 // Guards against addresses that are lost between owner and relay: a relay that is not told where a worker has answered, or an owner
-// that does not learn where it answers, follows a changed entry instead.
-func TestAddressesPassBetweenOwnerAndRelay(t *testing.T) {
+// that does not learn where it answers, follows a changed entry instead. The same for the numbers of updates: a late one would be applied.
+func TestAddressesAndSequencePassBetweenOwnerAndRelay(t *testing.T) {
 	const listed, answered = "10.0.0.1:80", "10.0.0.2:80"
 	r := relay.New(relay.Config{Workers: workerAt(answered), TaskLease: 6 * time.Second, Scope: tally.NoopScope})
 	defer r.Close()
@@ -67,6 +67,12 @@
 	if err := client.Update(t.Context(), update); err != nil {
 		t.Fatal(err)
 	}
+	if err := client.Update(t.Context(), relay.Update{Term: 1, Sequence: 2}); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Update(t.Context(), relay.Update{Term: 1, Sequence: 1}); !errors.Is(err, relay.ErrOutdated) {
+		t.Errorf("an update that arrives after a later one returns %v", err)
+	}
 	poll.Until(t, "a report names the address of the answer", func() bool {
 		results, err := client.Collect(t.Context(), 0, 1, bootclock.Uptime()+time.Hour, time.Second)
 		if err != nil {
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -46,6 +46,7 @@
 func (s *Server) Update(_ context.Context, req *ownerpb.UpdateRequest) (*ownerpb.UpdateReply, error) {
 	u := relay.Update{
 		Partition: int(req.Partition), Term: req.Term, LeaseUntil: time.Duration(req.LeaseUntilNs), Reset: req.Reset_,
+		Sequence: req.Sequence,
 	}
 	for _, w := range req.Assign {
 		u.Assign = append(u.Assign, relay.Assignment{
@@ -106,6 +107,8 @@
 		return status.Error(codes.FailedPrecondition, err.Error())
 	case errors.Is(err, relay.ErrNoAssignment):
 		return status.Error(codes.NotFound, err.Error())
+	case errors.Is(err, relay.ErrOutdated):
+		return status.Error(codes.Aborted, err.Error())
 	}
 	return err
 }
@@ -117,6 +120,8 @@
 		return errors.WithType(err, relay.ErrStaleTerm)
 	case codes.NotFound:
 		return errors.WithType(err, relay.ErrNoAssignment)
+	case codes.Aborted:
+		return errors.WithType(err, relay.ErrOutdated)
 	}
 	return errors.Trace(err)
 }
@@ -138,6 +143,7 @@
 	}
 	req := &ownerpb.UpdateRequest{
 		Partition: int32(u.Partition), Term: u.Term, LeaseUntilNs: int64(u.LeaseUntil), Reset_: u.Reset,
+		Sequence: u.Sequence,
 	}
 	for _, a := range u.Assign {
 		req.Assign = append(req.Assign, &ownerpb.Worker{
