Decode progress records in one place

The owner and the intake decoded a progress record and checked its state each on their own. workload.DecodeProgress serves both. Behaviour is the same but for the texts of errors. Tests of core/workload, pkg/dispatch and pkg/intake pass.

--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -1,5 +1,11 @@
 package workload
 
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+)
+
 // Progress is the state of a job that must survive a change of its owner: which tasks are done, how often they failed,
 // and the checkpoints from which they resume. Running attempts are not part of it; the workers list them.
 type Progress struct {
@@ -8,6 +14,18 @@
 	Steps   []StepProgress `json:"steps,omitempty"`    // steps with any progress
 }
 
+// DecodeProgress decodes a progress record. One without a state comes from another writer: it says nothing about the tasks.
+func DecodeProgress(value []byte) (Progress, error) {
+	var p Progress
+	if err := json.Unmarshal(value, &p); err != nil {
+		return p, errors.Annotate(err, "decode progress")
+	}
+	if !p.State.Known() {
+		return p, errors.NotValidf("progress with state %.40q", string(p.State))
+	}
+	return p, nil
+}
+
 // StepProgress is the progress of one step of one occurrence.
 type StepProgress struct {
 	Occurrence int            `json:"k,omitempty"`     // index of the occurrence, from 0
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
@@ -82,7 +81,7 @@
 	progress := make(map[workload.JobID]workload.Progress, len(items))
 	for _, item := range items {
 		id := workload.JobID(item.Key[len(prefix):])
-		p, err := decodeProgress(item.Value)
+		p, err := workload.DecodeProgress(item.Value)
 		o.mu.Lock()
 		o.revisions[id] = item.Revision
 		if err != nil {
@@ -98,18 +97,6 @@
 	return progress, nil
 }
 
-// decodeProgress decodes a progress record. One without a state comes from another writer: it says nothing about the tasks.
-func decodeProgress(value []byte) (workload.Progress, error) {
-	var p workload.Progress
-	if err := json.Unmarshal(value, &p); err != nil {
-		return p, errors.Trace(err)
-	}
-	if !p.State.Known() {
-		return p, errors.NotValidf("state %.40q", string(p.State))
-	}
-	return p, nil
-}
-
 // logUnreadable logs that a stored record cannot be decoded.
 func (o *Owner) logUnreadable(key string, err error) {
 	o.cfg.Log.Event(eventlog.RecordUnreadable).Str("key", key).Str("error", eventlog.Truncate(err.Error())).Msg("")
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -232,7 +232,7 @@
 
 // storedAsFinal reports whether a progress record in the store has a final state.
 func (o *Owner) storedAsFinal(item kv.Item) bool {
-	progress, err := decodeProgress(item.Value)
+	progress, err := workload.DecodeProgress(item.Value)
 	if err != nil {
 		o.logUnreadable(item.Key, err)
 		return false
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -219,11 +219,8 @@
 	}
 	progress := workload.Progress{State: workload.StatePending}
 	if started {
-		if err := json.Unmarshal(item.Value, &progress); err != nil {
-			return "", false, errors.Annotatef(err, "progress record %s", item.Key)
-		}
-		if !progress.State.Known() {
-			return "", false, errors.NotValidf("progress record %s: state %.40q", item.Key, string(progress.State))
+		if progress, err = workload.DecodeProgress(item.Value); err != nil {
+			return "", false, errors.Annotate(err, item.Key)
 		}
 	}
 	if stored.cancelled && !progress.State.Final() {
