Use one back-off for what the store has refused

Progress records and parts of the known workers had the same doubling time until the next attempt with constants of their own. No change of behaviour; tests of pkg/dispatch pass.

--- a/pkg/dispatch/known_workers.go
+++ b/pkg/dispatch/known_workers.go
@@ -26,9 +26,6 @@
 	// workersPerPart and maxKnownWorkerBytes bound the size of a part. The store accepts values of at most 1 MiB.
 	workersPerPart      = 128
 	maxKnownWorkerBytes = 4 << 10
-	// minPartRetry and maxPartRetry bound the time until a part that the store has refused is tried again. It doubles.
-	minPartRetry = time.Second
-	maxPartRetry = 30 * time.Second
 )
 
 // knownWorker is what a later owner needs of a worker before it has read the platform's list: where to poll it, and what tells its
@@ -69,8 +66,7 @@
 	revision   int64                             // store revision of the key; 0 if it does not exist
 	dirty      bool                              // the stored value may differ from workers
 	unreadable bool                              // the stored value cannot be decoded
-	retry      time.Duration                     // time until the next attempt after a refusal; 0 unless the store refuses the part
-	retryAt    time.Duration                     // boot time of that attempt
+	backOff    refusedBackOff
 }
 
 // part returns a part, and adds the parts up to it that do not exist.
@@ -124,7 +120,7 @@
 // partWithRoom returns the number of the first part that takes another worker.
 func (k *knownWorkers) partWithRoom() int {
 	n := slices.IndexFunc(k.parts, func(p *knownPart) bool {
-		return len(p.workers) < workersPerPart && !p.unreadable && p.retry == 0
+		return len(p.workers) < workersPerPart && !p.unreadable && !p.backOff.refused()
 	})
 	if n < 0 {
 		return len(k.parts)
@@ -139,7 +135,7 @@
 	dirty := false
 	for n, p := range k.parts {
 		dirty = dirty || p.dirty && !p.unreadable
-		if p.dirty && !p.unreadable && now >= p.retryAt {
+		if p.dirty && !p.unreadable && now >= p.backOff.until {
 			due = append(due, n)
 		}
 	}
@@ -204,7 +200,7 @@
 		return errors.Trace(err)
 	}
 	o.mu.Lock()
-	p.revision, p.dirty, p.unreadable, p.retry, p.retryAt = revision, false, false, 0, 0
+	p.revision, p.dirty, p.unreadable, p.backOff = revision, false, false, refusedBackOff{}
 	infos := make([]schedule.WorkerInfo, 0, len(p.workers))
 	for _, w := range p.workers {
 		infos = append(infos, w.info())
@@ -219,11 +215,10 @@
 func (o *Owner) recordRefusedPart(p *knownPart, key string, bytes int, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if p.retry == 0 {
+	if !p.backOff.refused() {
 		o.cfg.Log.Event(eventlog.KnownWorkersRefused).Str("key", key).Int("bytes", bytes).Err(err).Msg("")
 	}
-	p.retry = min(max(2*p.retry, minPartRetry), maxPartRetry)
-	p.retryAt = bootclock.Uptime() + p.retry
+	p.backOff.extend(bootclock.Uptime())
 }
 
 // readKnownWorkers reads the parts of the known workers. Of a part that cannot be decoded only the revision is known.
--- a/pkg/dispatch/known_workers_test.go
+++ b/pkg/dispatch/known_workers_test.go
@@ -137,7 +137,7 @@
 	}
 	store.SetMaxValueBytes(0)
 	o.mu.Lock()
-	o.known.parts[0].retryAt = 0
+	o.known.parts[0].backOff.until = 0
 	o.mu.Unlock()
 	if err := o.save(t.Context()); err != nil {
 		t.Fatal(err)
--- a/pkg/dispatch/refused.go
+++ b/pkg/dispatch/refused.go
@@ -21,17 +21,32 @@
 // its ends are not acknowledged to the workers, and its final state is shown once it is stored.
 
 const (
-	// minRefusedRetry and maxRefusedRetry bound the time until a record that is set aside is tried again. It doubles.
+	// minRefusedRetry and maxRefusedRetry bound the time until a value that the store has refused is tried again.
 	minRefusedRetry = time.Second
 	maxRefusedRetry = 30 * time.Second
 )
 
+// refusedBackOff is the time until a value that the store has refused for good is tried again. It doubles with each refusal. The zero
+// value stands for no refusal.
+type refusedBackOff struct {
+	length time.Duration
+	until  time.Duration // boot time of the next attempt
+}
+
+// extend records a refusal.
+func (b *refusedBackOff) extend(now time.Duration) {
+	b.length = min(max(2*b.length, minRefusedRetry), maxRefusedRetry)
+	b.until = now + b.length
+}
+
+// refused reports whether the value has been refused.
+func (b refusedBackOff) refused() bool { return b.length > 0 }
+
 // refusedRecord is the progress record of a job that the store has refused for good.
 type refusedRecord struct {
-	bytes    int           // size of the complete record that was refused
-	setAside bool          // it was refused without checkpoints as well
-	retry    time.Duration // time until the next attempt; doubles
-	retryAt  time.Duration // boot time of the next attempt, if setAside
+	bytes    int            // size of the complete record that was refused
+	setAside bool           // it was refused without checkpoints as well
+	backOff  refusedBackOff // only with setAside
 }
 
 // encodeProgress returns the stored form of the progress of a job.
@@ -56,7 +71,7 @@
 	defer o.mu.Unlock()
 	return slices.DeleteFunc(records, func(r schedule.Record) bool {
 		refused := o.refusedRecords[r.Job]
-		return refused.setAside && now < refused.retryAt && !r.Progress.State.Final()
+		return refused.setAside && now < refused.backOff.until && !r.Progress.State.Final()
 	})
 }
 
@@ -132,8 +147,7 @@
 	}
 	refused.bytes, refused.setAside = len(complete), setAside
 	if setAside {
-		refused.retry = min(max(2*refused.retry, minRefusedRetry), maxRefusedRetry)
-		refused.retryAt = bootclock.Uptime() + refused.retry
+		refused.backOff.extend(bootclock.Uptime())
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
