--- a/pkg/dispatch/assignment_test.go
+++ b/pkg/dispatch/assignment_test.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 
 	"fulmarcourse.example/core/schedule"
+	"fulmarcourse.example/core/structs"
 )
 
 // Scenario: a worker starts again under its ID at another address. Guards against a relay that is never told of it: it polls the former
@@ -41,3 +43,48 @@
 		t.Errorf("updates are numbered %d and %d", first.Sequence, second.Sequence)
 	}
 }
+
+// Scenario: a worker starts again under its ID in another data centre. Guards against polls that go on from the former one: the link
+// between the two may be cut while the owner reaches both, and the worker's leases would expire. A change of its entry to a data centre
+// without a relay moves nothing.
+func TestWorkerInAnotherDatacentreGetsARelayThere(t *testing.T) {
+	o, ctx := fleetOwner(t, 140, 18, 0.8, 2)
+	o.mu.Lock()
+	before := o.linkOf["w0"]
+	var near *link
+	for _, l := range o.links {
+		if l != before {
+			near = l
+			break
+		}
+	}
+	near.host.Datacentre = "dc2"
+	o.mu.Unlock()
+	before.takeUpdate()
+	near.takeUpdate()
+	list := func(dc structs.DatacentreID) {
+		infos := o.scheduler.Workers()
+		for i := range infos {
+			if infos[i].ID == "w0" {
+				infos[i].Datacentre = dc
+			}
+		}
+		o.setWorkers(infos)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.assignWorkers(ctx)
+	}
+	list("dc3")
+	if o.linkOf["w0"] != before {
+		t.Fatal("the worker is moved to a relay that is no nearer")
+	}
+	list("dc2")
+	if o.linkOf["w0"] != near {
+		t.Fatal("the worker stays with a relay in its former data centre")
+	}
+	released, _ := before.takeUpdate()
+	assigned, _ := near.takeUpdate()
+	if !slices.Contains(released.Release, "w0") || len(assigned.Assign) != 1 || assigned.Assign[0].Worker.ID != "w0" {
+		t.Errorf("released %v, assigned %+v", released.Release, assigned.Assign)
+	}
+}
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"fulmarcourse.example/core/schedule"
+	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
@@ -49,8 +50,9 @@
 
 // assignment is what the relay is told of a worker.
 type assignment struct {
-	address string        // as the platform lists it
-	wait    time.Duration // how long a poll of the worker may wait
+	address    string // as the platform lists it
+	datacentre structs.DatacentreID
+	wait       time.Duration // how long a poll of the worker may wait
 }
 
 // inFlight is an order that was sent to the relay and has no outcome yet.
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -115,6 +115,10 @@
 		wait = servicePollWait
 	}
 	l, assigned := o.linkOf[info.ID]
+	if assigned && o.hasNearerRelay(l, info) {
+		o.unassign(info.ID, l)
+		assigned = false
+	}
 	if !assigned {
 		l = o.leastLoaded(info.Datacentre)
 		if l == nil {
@@ -122,7 +126,7 @@
 		}
 		o.linkOf[info.ID] = l
 	}
-	next := assignment{address: info.Address, wait: wait}
+	next := assignment{address: info.Address, datacentre: info.Datacentre, wait: wait}
 	if before, known := l.workers[info.ID]; known && before == next {
 		return
 	}
@@ -132,6 +136,27 @@
 	o.wake(l.wake)
 }
 
+// hasNearerRelay reports whether a worker has started again in another data centre, in which there is a relay for it. o.mu is held.
+func (o *Owner) hasNearerRelay(l *link, info schedule.WorkerInfo) bool {
+	before, known := l.workers[info.ID]
+	if !known || before.datacentre == info.Datacentre || l.host.Datacentre == info.Datacentre {
+		return false
+	}
+	for _, other := range o.links {
+		if other.host.Datacentre == info.Datacentre && !o.full(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// unassign takes a worker from a working relay. Until the relay stops, the worker may be polled by the next one as well. o.mu is held.
+func (o *Owner) unassign(id schedule.WorkerID, l *link) {
+	l.remove(id)
+	delete(o.linkOf, id)
+	o.scheduler.PollerLost(id, l.permittedUntil)
+}
+
 // leastLoaded returns the link to which the next worker in a data centre is assigned, or nil if there is none.
 // o.mu is held.
 func (o *Owner) leastLoaded(dc structs.DatacentreID) *link {
