Count the time without use of a worker from the latest start there

Cause: the use of workers is sampled with each reading of the list and each status. A worker that is avoided, gets tasks between two samples and is avoided again counted as unused throughout.

Change: the time counts from the latest start of an attempt on the worker if that is later than the first sample.

Evidence: the new test fails without the change, with 5.0 s instead of 3.0 s.

Conclusion: attempts that have started and ended between two samples are still not seen.

--- a/core/schedule/unused.go
+++ b/core/schedule/unused.go
@@ -24,9 +24,9 @@
 type UnusedWorker struct {
 	Info            WorkerInfo    // as listed
 	Reason          WaitReason    // one of UnusedReasons
-	Since           time.Duration // boot time at which it was first seen to be unused
+	Since           time.Duration // boot time of the latest start there, or at which it was first seen to be unused if that is later
 	Unused          time.Duration
-	ReportedStartMs int64         // start of the process that has reported last, to this owner or to a former one, Unix milliseconds; 0 if none has
+	ReportedStartMs int64         // start of the process that has reported last, to any owner, Unix milliseconds; 0 if none has
 	ReportedAddress string        // where the worker listened when it last reported; empty before its first report
 	SilentFor       time.Duration // since the latest report; NotReported before the first
 	Awaited         bool          // a former owner may have used it, and it has not reported to this one
@@ -79,19 +79,30 @@
 	return w.avoided(now)
 }
 
-// sampleUse records which workers are not used. It changes no decision. A worker that is used between two samples only counts as
-// unused throughout; the samples are as frequent as the readings of the list.
+// sampleUse records which workers are not used. It changes no decision. What happens between two samples is seen by the attempts that
+// were started and have not ended; the samples are at least as frequent as the readings of the list.
 func (s *Scheduler) sampleUse(now time.Duration) {
 	for _, w := range s.sortedWorkers {
-		if s.unusedReason(now, w) == Suitable {
+		switch {
+		case s.unusedReason(now, w) == Suitable:
 			w.unusedSince = 0
-		} else if w.unusedSince == 0 {
+		case w.unusedSince == 0:
 			w.unusedSince = now
+		default:
+			w.unusedSince = max(w.unusedSince, w.latestStart())
 		}
 	}
 	maps.DeleteFunc(s.replacedEntries, func(_ WorkerID, e replacedEntry) bool { return e.at != s.listReadAt })
 }
 
+// latestStart returns when the latest of the attempts on a worker was started; 0 if there is none.
+func (w *worker) latestStart() (latest time.Duration) {
+	for _, a := range w.attemptList {
+		latest = max(latest, a.startedAt)
+	}
+	return latest
+}
+
 // Unused returns the workers that are listed as sound and not used.
 func (s *Scheduler) Unused(now Time) UnusedWorkers {
 	s.sampleUse(now.Boot)
--- a/core/schedule/unused_test.go
+++ b/core/schedule/unused_test.go
@@ -196,3 +196,27 @@
 		}
 	}
 }
+
+// Scenario: a worker is avoided, gets a task between two samples and is avoided again. Guards against a time without use that includes
+// the start of the task.
+func TestTimeWithoutUseCountsFromTheLatestStart(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	w := h.s.workers["w1"]
+	w.health.until = h.now.Boot + time.Second
+	h.wantUnused()
+	h.advanceClock(2 * time.Second)
+	h.reportAll()
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.wantStarts(h.run(), 1)
+	started := h.now.Boot
+	w.health.until = h.now.Boot + time.Minute
+	for range 2 {
+		h.advanceClock(UnusedAfter / 2)
+		h.reportAll()
+	}
+	workers := h.s.Unused(h.now).Workers
+	if len(workers) != 1 || workers[0].Since != started {
+		t.Errorf("%+v, want one that has not been used since %v", workers, started)
+	}
+}
