Check in each fault simulation that sound workers are used

Cause: the simulations check that no task runs twice, that jobs end and that services run again.

Change: from 20 s after the last fault each step checks that no listed sound worker is unused for longer than a crash and the probation after it last, or, if tasks that run there are slow or fail, than a long task and a back-off last. At the end a job of more tasks than the workers may run at a time is submitted, and a task has to start on each sound worker.

They poll the listed process whatever its address is, so they cannot show polls that go elsewhere.

--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -78,6 +78,7 @@
 	unanswered   map[workload.TaskID]int           // how many of its starts were not answered
 	late         *lateFaults                       // nil without an owner past its processor limit and a slow store
 	known        *knownFaults                      // nil if the known workers are stored at once
+	unused       map[*faultSimWorker]unusedSince   // see checkUse
 	log          []string
 }
 
@@ -86,7 +87,7 @@
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), seed: seed, now: time.Hour,
 		stored: map[workload.JobID]workload.Progress{}, done: map[workload.TaskID]bool{},
 		lastStart: map[workload.TaskID]time.Duration{},
-		starts:    map[workload.TaskID]int{}, unanswered: map[workload.TaskID]int{},
+		starts:    map[workload.TaskID]int{}, unanswered: map[workload.TaskID]int{}, unused: map[*faultSimWorker]unusedSince{},
 	}
 	for i := range simWorkerCount {
 		f.workers = append(f.workers, &faultSimWorker{
@@ -199,6 +200,7 @@
 	}
 	f.s.TakeEvents()
 	f.check()
+	f.checkUse()
 }
 
 // crashingJob is the job whose tasks crash the workers that start them, if the simulation has one.
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -58,6 +58,7 @@
 			f.fatalf("job %s is still %q", job.ID, state)
 		}
 	}
+	f.checkWorkSpreads()
 }
 
 // Guards against a task that crashes one worker after another while the owner applies reports late and the store is slow or
@@ -97,4 +98,5 @@
 	if n := f.starts[id]; n > most {
 		f.fatalf("%d starts of the crashing task over %d owners, want at most %d", n, f.term, most)
 	}
+	f.checkWorkSpreads()
 }
--- a/core/schedule/service_faultsim_test.go
+++ b/core/schedule/service_faultsim_test.go
@@ -80,6 +80,7 @@
 		if !f.s.jobs[serviceJob].state.Final() {
 			checked++
 		}
+		f.checkWorkSpreads()
 	}
 	if checked == 0 {
 		t.Error("the service was given up with every seed")
