--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -69,6 +69,7 @@
 			f.fatalf("job %s is still %q", job.ID, state)
 		}
 	}
+	f.checkWorkSpreads()
 }
 
 // Guards against a task that crashes one worker after another while the owner applies reports late and the store is slow or
@@ -108,4 +109,5 @@
 	if n := f.starts[id]; n > most {
 		f.fatalf("%d starts of the crashing task over %d owners, want at most %d", n, f.term, most)
 	}
+	f.checkWorkSpreads()
 }
