--- a/core/schedule/address_test.go
+++ b/core/schedule/address_test.go
@@ -108,3 +108,24 @@
 		})
 	}
 }
+
+// Scenario: a worker crashes, and another one starts again at its address after the clock of the machine was set back. Guards against
+// a start that is compared with that of the crashed process: the live worker would count as ended, and its tasks would run twice.
+func TestWorkerThatStartsBeforeTheFormerOneAtItsAddressStays(t *testing.T) {
+	h := newHarness(t, 1)
+	for id, start := range map[WorkerID]int64{"w1": 5000, "w2": 3000} {
+		w := h.addWorker(id, func(info *WorkerInfo) { info.StartedMs = start })
+		w.incarnation = start
+	}
+	h.reportAll()
+	next := h.workers["w2"]
+	next.info.Address, next.info.StartedMs, next.incarnation = h.workers["w1"].info.Address, 4000, 4000
+	delete(h.workers, "w1")
+	h.advanceClock(time.Second)
+	h.s.SetWorkers(h.now, []WorkerInfo{next.info})
+	h.report("w2")
+	h.s.SetWorkers(h.now, []WorkerInfo{next.info})
+	if w := h.s.workers["w2"]; w == nil || !w.listed {
+		t.Error("the worker that has answered last is removed")
+	}
+}
--- a/core/schedule/faultsim_move_test.go
+++ b/core/schedule/faultsim_move_test.go
@@ -11,6 +11,7 @@
 const (
 	simEntryAge     = 1500 * time.Millisecond // longest time for which the list shows the entry of a former process
 	simForeignEntry = time.Second             // longest time for which another writer's entry hides that of a worker
+	simClockStep    = 8                       // number of starts by which clocks are set back at most
 )
 
 // moveFaults are workers that start again under their ID at other addresses, also at those that others have left, entries that are
@@ -23,6 +24,7 @@
 	former    map[*faultSimWorker]WorkerInfo    // entries of former processes that are still listed
 	formerEnd map[*faultSimWorker]time.Duration // until when
 	left      []string                          // addresses that no worker has
+	steps     bool                              // clocks are set back, so that a start may be lower than those before; none are equal
 }
 
 // newMoveFaultSim returns a simulation with moveFaults.
@@ -34,12 +36,16 @@
 	return f
 }
 
-// restart sets the start and the address of the next process of a worker. Starts rise over all workers, since their processes may
-// follow each other at one address.
+// restart sets the start and the address of the next process of a worker. Unless clocks are set back, starts rise over all workers,
+// since their processes may follow each other at one address.
 func (m *moveFaults) restart(f *faultSim, worker *faultSimWorker) {
 	m.hideEntry(f, worker, worker.info, simEntryAge)
 	m.started++
-	worker.incarnation, worker.info.StartedMs = m.started, m.started
+	start := m.started
+	if m.steps {
+		start += 1000 * (simClockStep + m.started - m.rnd.Int64N(simClockStep))
+	}
+	worker.incarnation, worker.info.StartedMs = start, start
 	if m.rnd.IntN(2) == 0 {
 		return
 	}
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -50,6 +50,15 @@
 	playSeeds(func(seed uint64) { newMoveFaultSim(newFaultSim(t, seed)).playJobs() })
 }
 
+// Guards against the same while the clocks of machines are set back, so that a process starts before the one that it has replaced.
+func TestNoTaskRunsTwiceWhileClocksAreSetBack(t *testing.T) {
+	playSeeds(func(seed uint64) {
+		f := newMoveFaultSim(newFaultSim(t, seed))
+		f.moves.steps = true
+		f.playJobs()
+	})
+}
+
 // Guards against the same with the faults of TestNoTaskRunsTwiceWhileKnownWorkersAreStoredLate as well.
 func TestNoTaskRunsTwiceWhileWorkersMoveAndKnownWorkersChange(t *testing.T) {
 	playSeeds(func(seed uint64) { newMoveFaultSim(newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed)))).playJobs() })
--- a/core/schedule/replaced.go
+++ b/core/schedule/replaced.go
@@ -48,17 +48,17 @@
 // listedElsewhere reports whether the list names another address than the one at which the worker has answered.
 func (w *worker) listedElsewhere() bool { return w.listed && w.info.Address != w.address() }
 
-// latestByPlace returns the worker of each place whose process started last, among those that have reported. A process that has
+// latestByPlace returns the worker of each place that has answered there last, among those that have reported. A process that has
 // crashed comes back at its address under a new ID, and the platform lists both until the entry of the first one lapses. Only a
 // report proves that: polls name the worker that they are meant for, and no other process answers them. An entry alone may come
-// from another writer.
+// from another writer. Starts do not tell which process is the latest: the clock of the machine may have been set back.
 func (s *Scheduler) latestByPlace() map[place]*worker {
 	latest := make(map[place]*worker, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
 		if w.reports == 0 || w.answeredAddress == "" {
 			continue
 		}
-		if other := latest[w.place()]; other == nil || w.incarnation > other.incarnation {
+		if other := latest[w.place()]; other == nil || w.polledAt > other.polledAt || (w.polledAt == other.polledAt && w.incarnation > other.incarnation) {
 			latest[w.place()] = w
 		}
 	}
