--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -301,6 +301,14 @@
 	}
 }
 
+// LeasesPermitted records that task leases of a worker may be extended until a boot time by a process that polls it no longer for
+// this owner, or has not stopped yet.
+func (s *Scheduler) LeasesPermitted(id WorkerID, extendedUntil time.Duration) {
+	if w, known := s.workers[id]; known {
+		w.leaseEnd = max(w.leaseEnd, extendedUntil+s.cfg.leaseBound())
+	}
+}
+
 // ReportsLost records that reports of a worker may be lost, and with them the evidence that its leases were extended.
 func (s *Scheduler) ReportsLost(id WorkerID) {
 	if w, known := s.workers[id]; known {
--- a/pkg/dispatch/assignment_test.go
+++ b/pkg/dispatch/assignment_test.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 )
 
 // Scenario: a worker starts again under its ID at another address. Guards against a relay that is never told of it: it polls the former
@@ -88,3 +90,30 @@
 		t.Errorf("released %v, assigned %+v", released.Release, assigned.Assign)
 	}
 }
+
+// Scenario: a worker is assigned to a relay in its new data centre, and the update that tells the former relay so is late or lost. Guards
+// against leases that the former relay extends meanwhile, by later permissions, and that count as expired: the tasks of the worker
+// would start a second time if the new relay does not reach it.
+func TestLeasesOfAnUnassignedWorkerLastAsLongAsItsRelayIsPermitted(t *testing.T) {
+	for _, released := range []bool{false, true} {
+		o, l := startingOwner(t, 1, "")
+		l.assign, l.release, l.leaving = map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}
+		now := bootclock.Now()
+		l.relayClock, l.relayClockReadAt = now.Boot, now.Boot
+		l.takeUpdate() // with the start
+		o.mu.Lock()
+		o.unassign(testWorker, l)
+		o.mu.Unlock()
+		update, _ := l.takeUpdate()
+		if released {
+			l.updateApplied(update)
+		}
+		l.permittedUntil = now.Boot + time.Minute // a later permission
+		l.permitLeases()
+		now.Boot = l.permittedUntil
+		o.scheduler.Expire(now, true, func(schedule.WorkerID) time.Duration { return now.Boot })
+		if expired := o.scheduler.Counts(now).Others == 0; expired != released {
+			t.Errorf("released %t: the leases have expired: %t", released, expired)
+		}
+	}
+}
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,6 +37,7 @@
 	reset    bool // the next update replaces the relay's list of workers
 	assign   map[schedule.WorkerID]bool
 	release  map[schedule.WorkerID]bool
+	leaving  map[schedule.WorkerID]bool // no longer assigned; the relay may not have applied the release yet
 	stored   map[schedule.WorkerID]relay.StoredEnd
 	orders   []schedule.Order
 	inFlight map[orderKey]inFlight
@@ -69,7 +72,7 @@
 	delete(l.assign, id)
 	delete(l.stored, id)
 	l.polls.forget(id)
-	l.release[id] = true
+	l.release[id], l.leaving[id] = true, true
 	l.owner.wake(l.wake)
 }
 
@@ -94,8 +97,25 @@
 		cancel()
 		if err != nil {
 			l.updateFailed(ctx, update, err)
+			continue
 		}
+		l.owner.mu.Lock()
+		l.updateApplied(update)
+		l.owner.mu.Unlock()
+	}
+}
+
+// updateApplied records which workers the relay has stopped polling. Owner.mu is held.
+func (l *link) updateApplied(u relay.Update) {
+	for _, id := range u.Release {
+		delete(l.leaving, id)
+	}
+	if !u.Reset {
+		return
 	}
+	maps.DeleteFunc(l.leaving, func(id schedule.WorkerID, _ bool) bool {
+		return !slices.ContainsFunc(u.Assign, func(a relay.Assignment) bool { return a.Worker.ID == id })
+	})
 }
 
 // takeUpdate returns the pending changes for the relay and clears them, except for orders beyond the size of an update; ok is
@@ -144,13 +164,17 @@
 // same instant on this host's clock in permittedUntil. A delayed call does not extend the permission, because the
 // limit is a reading of the relay's own clock. After a failed call no permission is given until the relay's clock has
 // been read again: the relay's host may have rebooted, which resets its boot clock. A closed link permits nothing, since
-// the owner has recorded permittedUntil for its workers. Owner.mu is held.
+// the owner has recorded permittedUntil for its workers. The permission holds for workers as well that the relay has not released yet.
+// Owner.mu is held.
 func (l *link) permitLeases() time.Duration {
 	if l.closed || l.relayClockReadAt == 0 {
 		return 0
 	}
 	until := min(bootclock.Uptime()+leasePermission, l.owner.ownership.ValidUntil())
 	l.permittedUntil = max(l.permittedUntil, until)
+	for id := range l.leaving {
+		l.owner.scheduler.LeasesPermitted(id, l.permittedUntil)
+	}
 	return l.relayClock + (until - l.relayClockReadAt)
 }
 
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -98,7 +98,7 @@
 	l := &link{
 		owner: o, host: host, stop: stop, wake: make(chan struct{}, 1), reset: true,
 		workers: map[schedule.WorkerID]assignment{}, assign: map[schedule.WorkerID]bool{},
-		release: map[schedule.WorkerID]bool{}, stored: map[schedule.WorkerID]relay.StoredEnd{},
+		release: map[schedule.WorkerID]bool{}, leaving: map[schedule.WorkerID]bool{}, stored: map[schedule.WorkerID]relay.StoredEnd{},
 		inFlight: map[orderKey]inFlight{}, openedAt: bootclock.Uptime(), lastResponseAt: bootclock.Uptime(),
 	}
 	o.links[host.Name] = l
@@ -133,6 +133,7 @@
 	l.workers[info.ID] = next
 	l.assign[info.ID] = true
 	delete(l.release, info.ID)
+	delete(l.leaving, info.ID)
 	o.wake(l.wake)
 }
 
@@ -150,7 +151,8 @@
 	return false
 }
 
-// unassign takes a worker from a working relay. Until the relay stops, the worker may be polled by the next one as well. o.mu is held.
+// unassign takes a worker from a working relay. Until the relay has applied the release, the worker may be polled by the next one as
+// well, and its leases are extended as long as the relay is permitted. o.mu is held.
 func (o *Owner) unassign(id schedule.WorkerID, l *link) {
 	l.remove(id)
 	delete(o.linkOf, id)
