Drop what the owner keeps of workers that have left

The ends and the failed polls of a worker that left while no relay had it were kept for the term. TestNothingIsKeptOfWorkersThatHaveLeft fails without the change (2 of 2 kept).

--- a/pkg/dispatch/assignment_test.go
+++ b/pkg/dispatch/assignment_test.go
@@ -88,3 +88,18 @@
 		t.Errorf("released %v, assigned %+v", released.Release, assigned.Assign)
 	}
 }
+
+// Scenario: a worker leaves while no relay has it, after the loss of its relay. Guards against state that grows with each worker that
+// has ever been used.
+func TestNothingIsKeptOfWorkersThatHaveLeft(t *testing.T) {
+	o, ctx := fleetOwner(t, 1, 1, 1, 1000)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, id := range []schedule.WorkerID{"w0", "left"} {
+		o.ends[id], o.unreachable[id] = endNumbers{incarnation: 1}, true
+	}
+	o.assignWorkers(ctx)
+	if len(o.ends) != 1 || len(o.unreachable) != 1 {
+		t.Errorf("ends of %d workers and failures of %d are kept, want 1 each", len(o.ends), len(o.unreachable))
+	}
+}
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -67,9 +68,10 @@
 		if !known[id] {
 			l.remove(id)
 			delete(o.linkOf, id)
-			delete(o.ends, id)
 		}
 	}
+	maps.DeleteFunc(o.ends, func(id schedule.WorkerID, _ endNumbers) bool { return !known[id] })
+	maps.DeleteFunc(o.unreachable, func(id schedule.WorkerID, _ bool) bool { return !known[id] })
 }
 
 // releaseRelay moves the workers of a working relay to other relays and instructs it to stop polling them. Until it
