Test workers that return elsewhere while all hosts are down

TestAllHostsAreLostAfterASubmission gets three cases in which workers return under their ids at other addresses before the next owner.

--- a/test/fleet/final_fault_test.go
+++ b/test/fleet/final_fault_test.go
@@ -20,8 +20,9 @@
 
 // outages name what happens to the workers while all hosts are down.
 var outages = map[string]struct {
-	change func(workers []*fleet.Worker)
-	silent bool // the first worker does not answer any more
+	change  func(workers []*fleet.Worker)
+	silent  bool // the first worker does not answer any more
+	expires bool // the leases of a process have to expire, since nothing shows that it has ended
 }{
 	"nothing": {change: func([]*fleet.Worker) {}},
 	"half of the workers return under their ids": {change: func(workers []*fleet.Worker) {
@@ -39,7 +40,22 @@
 			w.CrashUnderNewID()
 		}
 	}},
-	"a worker falls silent and another drains": {silent: true, change: func(workers []*fleet.Worker) {
+	"all workers return under their ids at other addresses": {change: func(workers []*fleet.Worker) {
+		for _, w := range workers {
+			mustReturn(w, fleet.Return{NewAddress: true})
+		}
+	}},
+	"two workers take each other's address": {change: func(workers []*fleet.Worker) {
+		first, second := workers[0].Endpoint(), workers[1].Endpoint()
+		mustReturn(workers[0], fleet.Return{At: second})
+		mustReturn(workers[1], fleet.Return{At: first})
+	}},
+	"a worker returns under its id elsewhere, and another one under a new id at its address": {expires: true, change: func(workers []*fleet.Worker) {
+		former := workers[0].Endpoint()
+		mustReturn(workers[0], fleet.Return{NewAddress: true})
+		mustReturn(workers[1], fleet.Return{At: former, NewID: true})
+	}},
+	"a worker falls silent and another drains": {silent: true, expires: true, change: func(workers []*fleet.Worker) {
 		workers[0].SetFaults(fleet.WorkerFaults{Unresponsive: true})
 		workers[1].Drain()
 	}},
@@ -62,7 +78,10 @@
 			workers, silent, limit := s.platform.Workers(), "", maxTakeover
 			test.change(workers)
 			if test.silent {
-				silent, limit = workers[0].ID, maxTakeover+maxLeaseWait
+				silent = workers[0].ID
+			}
+			if test.expires {
+				limit += maxLeaseWait
 			}
 			time.Sleep(outage)
 			s.startAll()
@@ -81,6 +100,13 @@
 	}
 }
 
+// mustReturn makes a worker crash and return. A new endpoint always has an address.
+func mustReturn(w *fleet.Worker, r fleet.Return) {
+	if err := w.CrashAndReturn(r); err != nil {
+		panic(err)
+	}
+}
+
 // killAll kills all hosts at the same moment.
 func (s *site) killAll() {
 	for n := range s.hosts {
