--- a/core/schedule/replaced.go
+++ b/core/schedule/replaced.go
@@ -25,12 +25,15 @@
 
 func (info *WorkerInfo) place() place { return place{info.Address, info.Pool} }
 
-// recordAddress records where the process that has just reported listens.
+// recordAddress records where the process that has just reported listens. Nothing starts there before the address is stored: a later
+// owner that knows the former one only would take the process for ended once another worker answers at that address.
 func (s *Scheduler) recordAddress(w *worker, address string) {
-	if address != "" && address != w.answeredAddress {
-		w.answeredAddress = address
-		s.knownWorkersChanged = true
+	if address == "" || address == w.answeredAddress {
+		return
 	}
+	w.stored = w.stored && address == w.address()
+	w.answeredAddress = address
+	s.knownWorkersChanged = true
 }
 
 // address returns where the worker's process listens or has listened: where it has answered, else what the list says. The list may
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -95,10 +95,11 @@
 	}
 }
 
-// KnownWorkersStored records that the workers are stored for a later owner, so that they may get tasks.
+// KnownWorkersStored records that the workers are stored for a later owner with the addresses at which they have answered, so that they
+// may get tasks.
 func (s *Scheduler) KnownWorkersStored(infos []WorkerInfo) {
 	for _, info := range infos {
-		if w, known := s.workers[info.ID]; known && !w.stored {
+		if w, known := s.workers[info.ID]; known && !w.stored && info.Address == w.address() {
 			w.stored = true
 			s.index.markChanged(w)
 		}
