--- a/pkg/standin/fleet/crash_test.go
+++ b/pkg/standin/fleet/crash_test.go
@@ -166,7 +166,7 @@
 	if took := time.Since(started); took < stale {
 		t.Errorf("the entry has changed after %v, want at least %v", took, stale)
 	}
-	if r, _ := callAt(t, moved.Endpoint().Address, "i-0000", pathPoll, order{}); r.Status != http.StatusOK {
+	if r, _ := callAt(t, entryOf(t, p, "i-0000").Address, "i-0000", pathPoll, order{}); r.Status != http.StatusOK {
 		t.Errorf("the worker that has moved answers %+v", r)
 	}
 }
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -99,13 +99,29 @@
 	stop           chan struct{}
 }
 
-// Endpoint returns where the worker listens or, while it is down, where it has listened.
+// Endpoint returns where the worker listens; nil while it is down.
 func (w *Worker) Endpoint() *Endpoint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.down {
+		return nil
+	}
 	return w.endpoint
 }
 
+// Listed returns the id of the worker's process, and whether its entry in the store names the address and the start of that process.
+func (w *Worker) Listed() (id string, listed bool) {
+	w.mu.Lock()
+	id, address, born, down := w.id, w.endpoint.Address, w.incarnation, w.down
+	w.mu.Unlock()
+	var entry struct {
+		Address string
+		Born    int64
+	}
+	err := json.Unmarshal(w.platform.Store.Value("servers/"+id), &entry)
+	return id, err == nil && !down && entry.Address == address && entry.Born == born
+}
+
 // Calls returns the number of calls that the worker has received, polls included.
 func (w *Worker) Calls() int {
 	w.mu.Lock()
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -194,8 +194,8 @@
 }
 
 // Guards against an accepted job that is lost, a refused job that runs, a task that runs twice, a final state that
-// changes and a job that never ends, under random faults of the store, the workers, the hosts and the links. Every seed
-// that has failed stays in the list, with the cause of the failure.
+// changes, a job that never ends and a listed worker that is not used afterwards, under random faults of the store, the
+// workers, the hosts and the links. Every seed that has failed stays in the list, with the cause of the failure.
 func TestShortSoak(t *testing.T) {
 	seeds := []uint64{
 		1, 2,
@@ -221,10 +221,22 @@
 // with faults of the links between the hosts as well.
 func TestShortRelayedSoak(t *testing.T) { relayedSoak(t, 1, 12*time.Second) }
 
+// Guards against the same failures as TestShortSoak with workers that return at other addresses, whose addresses others use, and
+// that return as other kinds or with less capacity.
+func TestShortReturningSoak(t *testing.T) {
+	for _, seed := range []uint64{10, 22} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			returningSoak(t, seed, 12*time.Second)
+		})
+	}
+}
+
 var (
 	soakSeeds     = flag.Int("soak.count", 0, "number of seeds that TestLongSoak runs")
 	soakFirstSeed = flag.Uint64("soak.first", 1, "first seed of TestLongSoak")
 	soakRelayed   = flag.Bool("soak.relayed", false, "whether TestLongSoak polls through relays, with faults between the hosts")
+	soakReturning = flag.Bool("soak.returning", false, "whether workers in TestLongSoak return at other addresses and as other kinds")
 	soakDuration  = flag.Duration("soak.length", 20*time.Second, "time with injected faults for each seed of TestLongSoak")
 )
 
@@ -234,8 +246,11 @@
 		t.Skip("-soak.count is 0")
 	}
 	run := soak
-	if *soakRelayed {
+	switch {
+	case *soakRelayed:
 		run = relayedSoak
+	case *soakReturning:
+		run = returningSoak
 	}
 	for n := range *soakSeeds {
 		seed := *soakFirstSeed + uint64(n)
--- a/test/fleet/returning_test.go
+++ b/test/fleet/returning_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -129,3 +131,107 @@
 		s.t.Logf("completed after %v", time.Since(started).Round(time.Millisecond))
 	}
 }
+
+// returnFaults are the faults of workers that return, from which a returning soak run selects as well.
+var returnFaults = []fault{
+	{"worker returns at another address", returnFault(fleet.Return{NewAddress: true})},
+	{"worker returns at another address, silent at the former one", returnFault(fleet.Return{NewAddress: true, OldSilent: true})},
+	{"worker returns at another address, listed at the former one", returnFault(fleet.Return{NewAddress: true, StaleEntry: staleEntry})},
+	{"worker returns at a former address of any", (*soakRun).reuseAddress},
+	{"worker returns with its clock set back", returnFault(fleet.Return{Born: func(former int64) int64 { return former - 1 }})},
+	{"worker returns as another kind", returnFault(fleet.Return{As: func(k *fleet.Kind) { k.Labels, k.Rack = []string{"b"}, "r-9" }})},
+	{"worker returns with less capacity", returnFault(fleet.Return{As: func(k *fleet.Kind) { k.Capacity.CPU = lessCPU }})},
+}
+
+const (
+	staleEntry = 2 * time.Second // until the entry of a worker that has returned names its new address
+	lessCPU    = 2000            // capacity of a worker that has returned with less, for two tasks of twoStepJob
+)
+
+// returnFault is a fault in which a random worker crashes and returns as ret states, at times under a new id.
+func returnFault(ret fleet.Return) func(*soakRun) func() {
+	return func(r *soakRun) func() {
+		r.crashAndReturn(ret)
+		return noHeal
+	}
+}
+
+// crashAndReturn crashes a random worker, unless it is down, and records the address that it leaves.
+func (r *soakRun) crashAndReturn(ret fleet.Return) {
+	worker := r.randomWorker()
+	ret.NewID = r.rnd.IntN(3) == 0
+	former := worker.Endpoint()
+	if former == nil {
+		return
+	}
+	if ret.NewAddress || ret.At != nil {
+		r.left = append(r.left, former)
+	}
+	r.log(worker.ID + " crashes")
+	if err := worker.CrashAndReturn(ret); err != nil {
+		r.s.t.Error(err)
+	}
+}
+
+// reuseAddress crashes a random worker, which returns at an address that another one, or it itself, has left before.
+func (r *soakRun) reuseAddress() (heal func()) {
+	ret := fleet.Return{NewAddress: true}
+	if n := len(r.left); n > 0 {
+		ret.At, r.left = r.left[n-1], r.left[:n-1]
+	}
+	r.crashAndReturn(ret)
+	return noHeal
+}
+
+// requirements returns what a task of a soak run needs: those of the job of checkWorkersAreUsed need less.
+func requirements(task string) fleet.Requirements {
+	if strings.HasPrefix(task, usedJobID) {
+		return fleet.Requirements{Resources: fleet.Resources{CPU: 100, MemMB: 10}}
+	}
+	return fleet.Requirements{Resources: fleet.Resources{CPU: 1000, MemMB: 100}}
+}
+
+// usedJobID is the id of a job that needs each worker of a site.
+const usedJobID = "f000000000000002"
+
+// maxUnused bounds the time from when each worker is listed until each runs a task, if there is one for each: the leases that
+// former processes had granted, and what maxReturned allows for a step.
+const maxUnused = leasesLapse + maxReturned/2
+
+// checkWorkersAreUsed submits a job with one task for each worker, and fails the test if a worker that is up and listed does not
+// get its task.
+func (s *site) checkWorkersAreUsed() {
+	s.t.Helper()
+	workers := s.platform.Workers()
+	poll.Until(s.t, "each worker is listed", func() bool {
+		return !slices.ContainsFunc(workers, func(w *fleet.Worker) bool { _, listed := w.Listed(); return !listed })
+	})
+	s.submit(0, usedJobID, fmt.Sprintf(
+		`{"spec":"text","steps":[{"count":%d,"cpu":100,"memMb":10,"longRunning":true,"antiAffinity":1}]}`, len(workers)))
+	started := time.Now()
+	var unused []string
+	poll.Until(s.t, "each worker is used or has taken too long", func() bool {
+		unused = s.unusedWorkers()
+		return len(unused) == 0 || time.Since(started) > maxUnused
+	})
+	if len(unused) > 0 {
+		s.t.Errorf("%v are listed and not used after %v", unused, maxUnused)
+	}
+	s.cancel(0, usedJobID)
+}
+
+// unusedWorkers returns the ids of the workers that run no task of checkWorkersAreUsed.
+func (s *site) unusedWorkers() (unused []string) {
+	used := map[string]bool{}
+	for _, r := range s.platform.History() {
+		if r.Ended.IsZero() && strings.HasPrefix(r.Task, usedJobID) {
+			used[r.Worker] = true
+		}
+	}
+	for _, w := range s.platform.Workers() {
+		if id, _ := w.Listed(); !used[id] {
+			unused = append(unused, id)
+		}
+	}
+	return unused
+}
--- a/test/fleet/soak_test.go
+++ b/test/fleet/soak_test.go
@@ -41,8 +41,9 @@
 	refused      map[string]bool // the only submission was refused, so the job must never run
 	uncertain    map[string]bool // the submission got no definite response
 	final        map[string]string
-	down         map[int]bool // hosts whose process was terminated and has not been restarted
-	crashes      int          // of workers so far
+	down         map[int]bool      // hosts whose process was terminated and has not been restarted
+	crashes      int               // of workers so far
+	left         []*fleet.Endpoint // at which a worker has listened before it returned at another address
 	activeFaults []activeFault
 }
 
@@ -65,6 +66,14 @@
 	runSoak(s, slices.Concat(soakFaults, peerFaults), seed, length)
 }
 
+// returningSoak runs one seed on a site with workers that return at other addresses and as other kinds as well.
+func returningSoak(t *testing.T, seed uint64, length time.Duration) {
+	cfg := soakConfig(seed, soakWorkers)
+	cfg.Requires = requirements
+	s := newSite(t, cfg, soakHosts)
+	runSoak(s, slices.Concat(soakFaults, returnFaults), seed, length)
+}
+
 // Sizes of the site of a soak run.
 const (
 	soakHosts   = 3
@@ -177,6 +186,7 @@
 	for id := range r.accepted {
 		r.awaitEnd(id)
 	}
+	r.s.checkWorkersAreUsed()
 	r.checkRuns()
 	r.s.checkHistory()
 	t.Logf("%d jobs: %d accepted, %d refused, %d uncertain; %d attempts",
