Do not count the silence of a worker as slowness of its tasks

Cause: a task counts as stalled once its progress has not changed for 1.2 s or its estimated time, whichever is longer, whether or not its worker has reported meanwhile. A worker that was silent for some seconds had each of its tasks that end counted as stalled in each scan, every 100 ms. Two things followed. All of them were stopped ("no progress"), though they went on. And where no other worker had room for them, the samples added up to such a weight that the worker counted as slow for up to 10 s after it answered again. Slow workers get no tasks at all, not even services that have waited for long, so that sound, listed workers stood idle while services and tasks that end waited.

Change: the time without progress counts up to the latest report.

TestSilentWorkerDoesNotCountAsSlow: 16 stop orders after 1.1 s of silence before, none now.

--- a/core/schedule/full_pool_test.go
+++ b/core/schedule/full_pool_test.go
@@ -28,6 +28,9 @@
 	// minShareOfRest is the inverse of the share of the capacity that services leave which tasks that end must get, with
 	// the time in which ends and starts are under way.
 	minShareOfRest = 2
+	// unusedBound is the time within which a worker that has room and answers is used while tasks wait: a report, and the time
+	// for which it may keep capacity for a displaced service that avoids it.
+	unusedBound = poolReportEvery + restartOverdueAfter
 )
 
 // poolWorker is a worker of the full-pool simulation.
@@ -39,6 +42,7 @@
 	nextPoll time.Duration
 	gone     bool
 	leavesAt time.Duration // 0 unless it drains
+	cutUntil time.Duration // until then it neither reports nor gets orders
 }
 
 // poolRun is the time in which an attempt runs.
@@ -61,20 +65,26 @@
 	workers []*poolWorker
 	jobs    int
 
-	services     []*task
-	displacedAt  map[*task]time.Duration // since when the owner knows of service tasks that have lost their place and would fit
-	longestWait  time.Duration           // of service tasks that have run, until the decision to start them again
-	longestTask  workload.TaskID
-	restarts     int
-	mayWait      map[*task]bool // tasks that may wait for longer until they have been started again
-	capacityTime float64        // thousandths of a core times milliseconds, since the burst began
-	serviceTime  float64
-	endingTime   float64
+	services    []*task
+	displacedAt map[*task]time.Duration // since when the owner knows of service tasks that have lost their place and would fit
+	longestWait time.Duration           // of service tasks that have run, until the decision to start them again
+	longestTask workload.TaskID
+	restarts    int
+	mayWait     map[*task]bool // tasks that may wait for longer until they have been started again
+	calmFrom    time.Duration  // waits of services and unused workers count from then on
+
+	freeSince     map[WorkerID]time.Duration // since when a worker has room for any task and short tasks wait
+	longestUnused time.Duration
+	unusedWorker  WorkerID
+	capacityTime  float64 // thousandths of a core times milliseconds, since the burst began
+	serviceTime   float64
+	endingTime    float64
 }
 
 func newFullPool(t *testing.T, seed uint64) *fullPool {
 	p := &fullPool{t: t, rnd: rand.New(rand.NewPCG(seed, 2)), seed: seed,
-		term: 1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{}, mayWait: map[*task]bool{}}
+		term: 1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{}, mayWait: map[*task]bool{},
+		freeSince: map[WorkerID]time.Duration{}}
 	p.newOwner()
 	for i := range poolWorkers {
 		id := WorkerID(fmt.Sprintf("w%02d", i))
@@ -164,6 +174,13 @@
 	p.list()
 }
 
+// cut makes a share of the workers, in percent, neither answer nor get orders for some time. What they run goes on.
+func (p *fullPool) cut(percent int, d time.Duration) {
+	for _, w := range p.workers[:len(p.workers)*percent/100] {
+		w.cutUntil = p.now + d
+	}
+}
+
 // takeOver replaces the owner by one that knows only what is stored.
 func (p *fullPool) takeOver() {
 	former := p.s
@@ -214,6 +231,7 @@
 			}
 		}
 		p.watchServices()
+		p.watchWorkers()
 		orders := p.s.TakeOrders()
 		slices.SortStableFunc(orders, func(a, b Order) int { return compareTasks(a.Task, b.Task) })
 		for _, o := range orders {
@@ -266,6 +284,10 @@
 	}
 	if p.now >= w.nextPoll {
 		w.nextPoll += poolReportEvery
+		if p.now < w.cutUntil {
+			p.s.PollFailed(p.time(), w.info.ID)
+			return
+		}
 		p.report(w)
 	}
 }
@@ -298,7 +320,7 @@
 		key := attemptKey{o.Task, o.Attempt}
 		outcome := Accepted
 		switch {
-		case w.gone:
+		case w.gone, p.now < w.cutUntil:
 			outcome = Unanswered
 		case o.Kind == OrderStart:
 			w.running[key] = poolRun{p.now, p.now + p.runTime(o.Task)}
@@ -324,7 +346,7 @@
 	for _, t := range p.services {
 		since, waits := p.displacedAt[t]
 		switch {
-		case t.displaced() && (!waits || !p.fitsBesideServices(t)):
+		case t.displaced() && (!waits || p.now < p.calmFrom || !p.fitsBesideServices(t)):
 			p.displacedAt[t] = p.now
 		case t.displaced() && !p.mayWait[t] && p.now-since > p.longestWait:
 			p.longestWait, p.longestTask = p.now-since, t.id()
@@ -356,6 +378,41 @@
 	return false
 }
 
+// poolLargeTask is the processor time, in thousandths of a core, that suffices for each task of a simulation.
+const poolLargeTask = 4200
+
+// watchWorkers measures for how long workers that answer and are not in back-off have room for any task while short tasks wait.
+func (p *fullPool) watchWorkers() {
+	waiting := false
+	for st := range p.s.pendingSteps {
+		waiting = waiting || st.pending > 0 && !st.spec.Service
+	}
+	for _, w := range p.workers {
+		s := p.s.workers[w.info.ID]
+		unused := waiting && s != nil && !w.gone && !w.info.Draining && p.now >= w.cutUntil && !s.health.inBackOff(p.time().Boot) &&
+			s.free().MilliCPU >= poolLargeTask
+		since, before := p.freeSince[w.info.ID]
+		switch {
+		case !unused:
+			delete(p.freeSince, w.info.ID)
+		case !before || p.now < p.calmFrom:
+			p.freeSince[w.info.ID] = p.now
+		case p.now-since > p.longestUnused:
+			p.longestUnused, p.unusedWorker = p.now-since, w.info.ID
+		}
+	}
+}
+
+// checkUnused fails the test if a worker has had room for any task for longer than unusedBound while short tasks waited.
+func (p *fullPool) checkUnused() {
+	p.t.Helper()
+	p.t.Logf("seed %d: a worker was unused for %v at most", p.seed, p.longestUnused)
+	if p.longestUnused > unusedBound {
+		p.t.Errorf("seed %d: %v had room for any task for %v while tasks waited, more than %v", p.seed, p.unusedWorker,
+			p.longestUnused, unusedBound)
+	}
+}
+
 // checkWaits fails the test if a service task has waited for longer than restartBound.
 func (p *fullPool) checkWaits() {
 	p.t.Helper()
@@ -431,6 +488,25 @@
 	}
 }
 
+// Guards against workers that were silent for some seconds and whose capacity is not used once they answer again, while services
+// and tasks that end wait for it: that no report arrives says nothing about the speed of their tasks.
+func TestSilentWorkersAreUsedOnceTheyAnswer(t *testing.T) {
+	const silence = 4 * time.Second // shorter than the leases, so that nothing is lost
+	for _, services := range []poolServices{{50, 0}, {80, 0}, {88, 2}} {
+		for seed := range uint64(3) {
+			p := newFullPool(t, seed)
+			p.addServices(services)
+			p.play(poolWarmUp, 0)
+			p.play(2*poolWarmUp, burstDemand)
+			p.cut(25, silence)
+			p.calmFrom = p.now + silence
+			p.play(p.calmFrom+poolEnd/2, burstDemand)
+			p.checkUnused()
+			p.checkWaits()
+		}
+	}
+}
+
 // Guards against services that are displaced by planned work and have to find a place in a full pool: workers that drain stop
 // them at once.
 func TestServicesMoveInAFullPool(t *testing.T) {
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -160,6 +160,32 @@
 	}
 }
 
+// Guards against a worker that counts as slow because it was silent: its tasks would be stopped though they go on, and it would
+// get no tasks for seconds after it answers again.
+func TestSilentWorkerDoesNotCountAsSlow(t *testing.T) {
+	for _, silence := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		h := newHarness(t, 1)
+		h.addWorker("w1", nil)
+		h.s.AddJob(testJob("running", testStep(16)), nil, false)
+		h.wantStarts(h.run(), 16)
+		h.reportAll()
+		h.addWorker("w2", func(info *WorkerInfo) { info.Capacity.MilliCPU = 2000 })
+		for waited := time.Duration(0); waited < silence; waited += scanInterval {
+			h.advanceClock(scanInterval)
+			h.report("w2")
+			if stops := ofKind(h.run(), OrderStop); len(stops) > 0 {
+				t.Fatalf("silent for %v: %s", waited, describe(stops))
+			}
+		}
+		for i := range 16 {
+			h.end(taskID("running", 0, i), EndDone)
+		}
+		h.reportAll()
+		h.s.AddJob(testJob("next", testStep(18)), nil, false)
+		h.wantStarts(h.run(), 18)
+	}
+}
+
 // Guards against tasks of a cancelled job that keep running.
 func TestCancelStopsEveryAttempt(t *testing.T) {
 	h := newHarness(t, 1)
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -153,14 +153,15 @@
 	return 0, 0
 }
 
-// stalled reports whether an attempt has made no progress at all for longer than its whole task is estimated to take.
-func (a *attempt) stalled(now time.Duration) bool {
+// stalled reports whether an attempt has made no progress at all for longer than its whole task is estimated to take. The time
+// counts up to the latest report: a worker that is silent shows nothing about the speed of its tasks.
+func (a *attempt) stalled() bool {
 	if a.phase != running || a.confirmedAt == 0 || a.task.step.spec.Service || a.speedShare() < minSpeedShare {
 		return false
 	}
 	estimate := time.Duration(a.task.step.spec.EstimateMs) * time.Millisecond
 	limit := max(time.Duration(float64(estimate)*stalledFactor), minStalledTime)
-	return now-max(a.percentChangedAt, a.confirmedAt) > limit
+	return a.worker.reportedAt-max(a.percentChangedAt, a.confirmedAt) > limit
 }
 
 // moveFromSlow stops stalled tasks, tasks on slow workers that are expected to end sooner elsewhere, and service tasks
@@ -179,7 +180,7 @@
 				}
 				continue
 			}
-			stalled := a.stalled(now.Boot)
+			stalled := a.stalled()
 			if stalled {
 				w.slowness.add(now.Boot, maxSlowness, 1)
 			}
