Restart services on workers that were slow

Cause: a service that has run and has waited for 1.5 s uses workers that are avoided after a fault once the fault is 1.5 s old, but not slow ones, however old the measurement is. A worker that counts as slow gets no tasks, so nothing shows that it is sound again, and the verdict only fades: up to 10.9 s after tasks there go on again where they had hung, as the samples of many tasks add up. A service whose capacity is lost in a full pool waits meanwhile, although the worker is idle.

Change: a slow worker counts as at fault within 1.5 s only if something was measured there within 1.5 s, as with the other faults. Workers on which tasks still run slowly stay avoided.

TestServiceRestartsOnWorkerThatWasSlow failed before.

--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -166,10 +166,10 @@
 	return best
 }
 
-// faultyWithin reports whether the worker is slow, or was lost or put into back-off within a time that has just passed.
+// faultyWithin reports whether the worker was measured as slow, lost or put into back-off within a time that has just passed.
 func (w *worker) faultyWithin(now, d time.Duration) bool {
 	backOffFrom := w.health.until - w.health.length
-	return w.slowness.slow(now) ||
+	return w.slowness.slowWithin(now, d) ||
 		now < w.stability.until && now-w.stability.lostAt < d ||
 		w.health.inBackOff(now) && now-backOffFrom < d
 }
--- a/core/schedule/restart_test.go
+++ b/core/schedule/restart_test.go
@@ -181,6 +181,22 @@
 	}
 }
 
+// Guards against a service task that stays down while the only worker with room counts as slow, though nothing has run there since
+// that would show it.
+func TestServiceRestartsOnWorkerThatWasSlow(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.startedService("service", 1)
+	for range 40 {
+		h.s.workers["w1"].slowness.add(h.now.Boot, maxSlowness, minSlowWeight)
+	}
+	h.fail(taskID("service", 0, 0))
+	h.wantStarts(h.run(), 0)
+	h.advanceClock(restartOverdueAfter)
+	h.reportAll()
+	h.wantStarts(h.run(), 1)
+}
+
 // Guards against service tasks that stay down while the only workers with room have returned after repeated losses and get
 // no tasks for up to maxProbation.
 func TestServiceRestartsOnReturnedWorkers(t *testing.T) {
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -35,7 +35,7 @@
 type slowness struct {
 	sum    float64 // weighted sum of the logarithms of the factors
 	weight float64
-	at     time.Duration // when sum and weight were last decayed
+	at     time.Duration // of the latest sample, when sum and weight were last decayed
 }
 
 // add records one sample: the logarithm of the factor by which a task runs slower than elsewhere.
@@ -57,6 +57,9 @@
 	return math.Exp2(-float64(now-s.at) / float64(speedHalfLife))
 }
 
+// slowWithin reports whether the worker is slow and was measured within a time that has just passed.
+func (s *slowness) slowWithin(now, d time.Duration) bool { return now-s.at < d && s.slow(now) }
+
 // slow reports whether tasks on the worker run much slower than elsewhere.
 func (s *slowness) slow(now time.Duration) bool {
 	if s.weight < minSlowWeight { // it only decays until the next sample
