--- a/core/schedule/full_pool_test.go
+++ b/core/schedule/full_pool_test.go
@@ -32,13 +32,15 @@
 
 // poolWorker is a worker of the full-pool simulation.
 type poolWorker struct {
-	info     WorkerInfo
-	running  map[attemptKey]poolRun
-	ended    []Ended
-	ends     int64
-	nextPoll time.Duration
-	gone     bool
-	leavesAt time.Duration // 0 unless it drains
+	info      WorkerInfo
+	running   map[attemptKey]poolRun
+	ended     []Ended
+	ends      int64
+	nextPoll  time.Duration
+	gone      bool
+	leavesAt  time.Duration // 0 unless it drains
+	cutUntil  time.Duration // until then it neither reports nor gets orders
+	hungUntil time.Duration // until then its tasks make no progress and do not end
 }
 
 // poolRun is the time in which an attempt runs.
@@ -61,20 +63,26 @@
 	workers []*poolWorker
 	jobs    int
 
-	services     []*task
-	displacedAt  map[*task]time.Duration // since when the owner knows of service tasks that have lost their place and would fit
-	longestWait  time.Duration           // of service tasks that have run, until the decision to start them again
-	longestTask  workload.TaskID
-	restarts     int
-	mayWait      map[*task]bool // tasks that may wait for longer until they have been started again
-	capacityTime float64        // thousandths of a core times milliseconds, since the burst began
-	serviceTime  float64
-	endingTime   float64
+	services    []*task
+	displacedAt map[*task]time.Duration // since when the owner knows of service tasks that have lost their place and would fit
+	longestWait time.Duration           // of service tasks that have run, until the decision to start them again
+	longestTask workload.TaskID
+	restarts    int
+	mayWait     map[*task]bool // tasks that may wait for longer until they have been started again
+	calmFrom    time.Duration  // waits of services and unused workers count from then on
+
+	freeSince     map[WorkerID]time.Duration // since when a worker has room for any task and short tasks wait
+	longestUnused time.Duration
+	unusedWorker  WorkerID
+	capacityTime  float64 // thousandths of a core times milliseconds, since the burst began
+	serviceTime   float64
+	endingTime    float64
 }
 
 func newFullPool(t *testing.T, seed uint64) *fullPool {
 	p := &fullPool{t: t, rnd: rand.New(rand.NewPCG(seed, 2)), seed: seed,
-		term: 1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{}, mayWait: map[*task]bool{}}
+		term: 1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{}, mayWait: map[*task]bool{},
+		freeSince: map[WorkerID]time.Duration{}}
 	p.newOwner()
 	for i := range poolWorkers {
 		id := WorkerID(fmt.Sprintf("w%02d", i))
@@ -214,6 +222,7 @@
 			}
 		}
 		p.watchServices()
+		p.watchWorkers()
 		orders := p.s.TakeOrders()
 		slices.SortStableFunc(orders, func(a, b Order) int { return compareTasks(a.Task, b.Task) })
 		for _, o := range orders {
@@ -247,6 +256,11 @@
 	}
 	for _, key := range w.keys() {
 		spec := p.s.task(key.task).step.spec
+		if p.now < w.hungUntil {
+			run := w.running[key]
+			w.running[key] = poolRun{run.from + poolStep, run.until + poolStep}
+			continue
+		}
 		switch {
 		case count && spec.Service:
 			p.serviceTime += float64(spec.Size.MilliCPU) * step
@@ -266,6 +280,10 @@
 	}
 	if p.now >= w.nextPoll {
 		w.nextPoll += poolReportEvery
+		if p.now < w.cutUntil {
+			p.s.PollFailed(p.time(), w.info.ID)
+			return
+		}
 		p.report(w)
 	}
 }
@@ -298,7 +316,7 @@
 		key := attemptKey{o.Task, o.Attempt}
 		outcome := Accepted
 		switch {
-		case w.gone:
+		case w.gone, p.now < w.cutUntil:
 			outcome = Unanswered
 		case o.Kind == OrderStart:
 			w.running[key] = poolRun{p.now, p.now + p.runTime(o.Task)}
@@ -324,7 +342,7 @@
 	for _, t := range p.services {
 		since, waits := p.displacedAt[t]
 		switch {
-		case t.displaced() && (!waits || !p.fitsBesideServices(t)):
+		case t.displaced() && (!waits || p.now < p.calmFrom || !p.fitsBesideServices(t)):
 			p.displacedAt[t] = p.now
 		case t.displaced() && !p.mayWait[t] && p.now-since > p.longestWait:
 			p.longestWait, p.longestTask = p.now-since, t.id()
