--- a/pkg/dispatch/assignment_test.go
+++ b/pkg/dispatch/assignment_test.go
@@ -132,3 +132,27 @@
 		t.Errorf("ends of %d workers and failures of %d are kept, want 1 each", len(o.ends), len(o.unreachable))
 	}
 }
+
+// Scenario: a worker goes to another relay and back twice while an update of the relay is in flight. Guards against an answer to an
+// update that is taken for that to the latest release: the relay has been assigned the worker in between and still polls it.
+func TestReleaseIsNotConfirmedByAnEarlierUpdate(t *testing.T) {
+	o, l := startingOwner(t, 1, "")
+	l.assign, l.release, l.leaving = map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}
+	o.mu.Lock()
+	o.unassign(testWorker, l)
+	o.mu.Unlock()
+	update, _ := l.takeUpdate()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.linkOf[testWorker] = l
+	info, _ := o.scheduler.Worker(testWorker)
+	o.assignWorker(info)
+	if l.leaving[testWorker] {
+		t.Error("the relay that polls the worker is taken for its former one")
+	}
+	o.unassign(testWorker, l)
+	l.updateApplied(update)
+	if !l.leaving[testWorker] {
+		t.Error("the latest release is taken for applied")
+	}
+}
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -107,14 +107,13 @@
 
 // updateApplied records which workers the relay has stopped polling. Owner.mu is held.
 func (l *link) updateApplied(u relay.Update) {
-	for _, id := range u.Release {
-		delete(l.leaving, id)
-	}
-	if !u.Reset {
-		return
+	listed := make(map[schedule.WorkerID]bool, len(u.Assign))
+	for _, a := range u.Assign {
+		listed[a.Worker.ID] = true
 	}
 	maps.DeleteFunc(l.leaving, func(id schedule.WorkerID, _ bool) bool {
-		return !slices.ContainsFunc(u.Assign, func(a relay.Assignment) bool { return a.Worker.ID == id })
+		// A release that is pending came after this update, in which the worker may be assigned.
+		return !l.release[id] && (u.Reset && !listed[id] || slices.Contains(u.Release, id))
 	})
 }
 
