--- a/pkg/dispatch/assignment_test.go
+++ b/pkg/dispatch/assignment_test.go
@@ -156,3 +156,32 @@
 		t.Error("the latest release is taken for applied")
 	}
 }
+
+// Scenario: a worker starts again in another data centre whose relay opens later, for instance because it was lost a moment ago. Guards
+// against a worker that stays with a relay in its former data centre for the term, since its data centre does not change any more.
+func TestWorkerInAnotherDatacentreGetsARelayOnceThereIsOne(t *testing.T) {
+	o, ctx := fleetOwner(t, 140, 18, 0.8, 2)
+	o.mu.Lock()
+	before := o.linkOf["w0"]
+	o.mu.Unlock()
+	infos := o.scheduler.Workers()
+	for i := range infos {
+		if infos[i].ID == "w0" {
+			infos[i].Datacentre = "dc2"
+		}
+	}
+	o.setWorkers(infos)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.assignWorkers(ctx)
+	for _, l := range o.links {
+		if l != before {
+			l.host.Datacentre = "dc2"
+			break
+		}
+	}
+	o.assignWorkers(ctx)
+	if got := o.linkOf["w0"].host.Datacentre; got != "dc2" {
+		t.Errorf("the worker is polled from %s", got)
+	}
+}
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -53,9 +53,9 @@
 
 // assignment is what the relay is told of a worker.
 type assignment struct {
-	address    string // as the platform lists it
-	datacentre structs.DatacentreID
-	wait       time.Duration // how long a poll of the worker may wait
+	address    string               // as the platform lists it
+	datacentre structs.DatacentreID // for which the relay was chosen
+	wait       time.Duration        // how long a poll of the worker may wait
 }
 
 // inFlight is an order that was sent to the relay and has no outcome yet.
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -129,8 +129,11 @@
 		o.linkOf[info.ID] = l
 	}
 	next := assignment{address: info.Address, datacentre: info.Datacentre, wait: wait}
-	if before, known := l.workers[info.ID]; known && before == next {
-		return
+	if before, known := l.workers[info.ID]; known {
+		next.datacentre = before.datacentre
+		if before == next {
+			return
+		}
 	}
 	l.workers[info.ID] = next
 	l.assign[info.ID] = true
