--- a/pkg/dispatch/assignment_test.go
+++ b/pkg/dispatch/assignment_test.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 )
 
 // Scenario: a worker starts again under its ID at another address. Guards against a relay that is never told of it: it polls the former
@@ -89,6 +91,33 @@
 	}
 }
 
+// Scenario: a worker is assigned to a relay in its new data centre, and the update that tells the former relay so is late or lost. Guards
+// against leases that the former relay extends meanwhile, by later permissions, and that count as expired: the tasks of the worker
+// would start a second time if the new relay does not reach it.
+func TestLeasesOfAnUnassignedWorkerLastAsLongAsItsRelayIsPermitted(t *testing.T) {
+	for _, released := range []bool{false, true} {
+		o, l := startingOwner(t, 1, "")
+		l.assign, l.release, l.leaving = map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}
+		now := bootclock.Now()
+		l.relayClock, l.relayClockReadAt = now.Boot, now.Boot
+		l.takeUpdate() // with the start
+		o.mu.Lock()
+		o.unassign(testWorker, l)
+		o.mu.Unlock()
+		update, _ := l.takeUpdate()
+		if released {
+			l.updateApplied(update)
+		}
+		l.permittedUntil = now.Boot + time.Minute // a later permission
+		l.permitLeases()
+		now.Boot = l.permittedUntil
+		o.scheduler.Expire(now, true, func(schedule.WorkerID) time.Duration { return now.Boot })
+		if expired := o.scheduler.Counts(now).Others == 0; expired != released {
+			t.Errorf("released %t: the leases have expired: %t", released, expired)
+		}
+	}
+}
+
 // Scenario: a worker leaves while no relay has it, after the loss of its relay. Guards against state that grows with each worker that
 // has ever been used.
 func TestNothingIsKeptOfWorkersThatHaveLeft(t *testing.T) {
@@ -103,3 +132,56 @@
 		t.Errorf("ends of %d workers and failures of %d are kept, want 1 each", len(o.ends), len(o.unreachable))
 	}
 }
+
+// Scenario: a worker goes to another relay and back twice while an update of the relay is in flight. Guards against an answer to an
+// update that is taken for that to the latest release: the relay has been assigned the worker in between and still polls it.
+func TestReleaseIsNotConfirmedByAnEarlierUpdate(t *testing.T) {
+	o, l := startingOwner(t, 1, "")
+	l.assign, l.release, l.leaving = map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}
+	o.mu.Lock()
+	o.unassign(testWorker, l)
+	o.mu.Unlock()
+	update, _ := l.takeUpdate()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.linkOf[testWorker] = l
+	info, _ := o.scheduler.Worker(testWorker)
+	o.assignWorker(info)
+	if l.leaving[testWorker] {
+		t.Error("the relay that polls the worker is taken for its former one")
+	}
+	o.unassign(testWorker, l)
+	l.updateApplied(update)
+	if !l.leaving[testWorker] {
+		t.Error("the latest release is taken for applied")
+	}
+}
+
+// Scenario: a worker starts again in another data centre whose relay opens later, for instance because it was lost a moment ago. Guards
+// against a worker that stays with a relay in its former data centre for the term, since its data centre does not change any more.
+func TestWorkerInAnotherDatacentreGetsARelayOnceThereIsOne(t *testing.T) {
+	o, ctx := fleetOwner(t, 140, 18, 0.8, 2)
+	o.mu.Lock()
+	before := o.linkOf["w0"]
+	o.mu.Unlock()
+	infos := o.scheduler.Workers()
+	for i := range infos {
+		if infos[i].ID == "w0" {
+			infos[i].Datacentre = "dc2"
+		}
+	}
+	o.setWorkers(infos)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.assignWorkers(ctx)
+	for _, l := range o.links {
+		if l != before {
+			l.host.Datacentre = "dc2"
+			break
+		}
+	}
+	o.assignWorkers(ctx)
+	if got := o.linkOf["w0"].host.Datacentre; got != "dc2" {
+		t.Errorf("the worker is polled from %s", got)
+	}
+}
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -100,7 +100,7 @@
 	l := &link{
 		owner: o, host: host, stop: stop, wake: make(chan struct{}, 1), reset: true,
 		workers: map[schedule.WorkerID]assignment{}, assign: map[schedule.WorkerID]bool{},
-		release: map[schedule.WorkerID]bool{}, stored: map[schedule.WorkerID]relay.StoredEnd{},
+		release: map[schedule.WorkerID]bool{}, leaving: map[schedule.WorkerID]bool{}, stored: map[schedule.WorkerID]relay.StoredEnd{},
 		inFlight: map[orderKey]inFlight{}, openedAt: bootclock.Uptime(), lastResponseAt: bootclock.Uptime(),
 	}
 	o.links[host.Name] = l
@@ -129,12 +129,16 @@
 		o.linkOf[info.ID] = l
 	}
 	next := assignment{address: info.Address, datacentre: info.Datacentre, wait: wait}
-	if before, known := l.workers[info.ID]; known && before == next {
-		return
+	if before, known := l.workers[info.ID]; known {
+		next.datacentre = before.datacentre
+		if before == next {
+			return
+		}
 	}
 	l.workers[info.ID] = next
 	l.assign[info.ID] = true
 	delete(l.release, info.ID)
+	delete(l.leaving, info.ID)
 	o.wake(l.wake)
 }
 
@@ -152,7 +156,8 @@
 	return false
 }
 
-// unassign takes a worker from a working relay. Until the relay stops, the worker may be polled by the next one as well. o.mu is held.
+// unassign takes a worker from a working relay. Until the relay has applied the release, the worker may be polled by the next one as
+// well, and its leases are extended as long as the relay is permitted. o.mu is held.
 func (o *Owner) unassign(id schedule.WorkerID, l *link) {
 	l.remove(id)
 	delete(o.linkOf, id)
