--- a/core/schedule/address_test.go
+++ b/core/schedule/address_test.go
@@ -129,3 +129,36 @@
 		t.Error("the worker that has answered last is removed")
 	}
 }
+
+// Scenario: a part of the known workers cannot be read, so a listed worker is stored before it answers; then the list names another
+// address, at which it answers. Guards against tasks that start there while a later owner would know the former address only.
+func TestWorkerStoredBeforeItsAnswerIsStoredAgainAtItsAddress(t *testing.T) {
+	h := newHarness(t, 2)
+	h.s.InheritUnknown(h.now)
+	other := h.addWorker("other", nil) // its report changes the known workers
+	silent := &simWorker{info: other.info, incarnation: 1, stopped: map[attemptKey]bool{}}
+	silent.info.ID, silent.info.Address, silent.info.Labels = "silent", "first", []string{"ssd"}
+	list := func() { h.s.SetWorkers(h.now, []WorkerInfo{other.info, silent.info}) }
+	list()
+	h.report("other")
+	known, _ := h.s.KnownWorkers()
+	h.s.KnownWorkersStored(known)
+	if len(known) != 2 {
+		t.Fatalf("known workers %+v", known)
+	}
+	h.workers["silent"] = silent
+	silent.info.Address = "second"
+	list()
+	step := testStep(1)
+	step.Label = "ssd"
+	h.s.AddJob(testJob("job", step), nil, false)
+	for range 20 { // 2 s
+		h.advanceClock(100 * time.Millisecond)
+		h.reportAll()
+		h.wantStarts(h.run(), 0)
+	}
+	known, _ = h.s.KnownWorkers()
+	h.s.KnownWorkersStored(known)
+	h.reportAll()
+	h.wantStarts(h.run(), 1)
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -257,6 +257,10 @@
 	if !slices.Equal(w.info.Labels, info.Labels) {
 		s.index.remove(w)
 	}
+	if w.answeredAddress == "" && info.Address != w.info.Address {
+		w.stored = false // it may be stored with the former address
+		s.knownWorkersChanged = true
+	}
 	if info.Capacity != w.info.Capacity {
 		w.full = fullBackOff{}
 	}
