--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -79,6 +79,8 @@
 	late         *lateFaults                       // nil without an owner past its processor limit and a slow store
 	known        *knownFaults                      // nil if the known workers are stored at once
 	evidence     *evidenceFaults                   // nil if the owner has no evidence of crashes but the list of workers
+	unused       map[*faultSimWorker]unusedSince   // see checkUse
+	moves        *moveFaults                       // nil if all processes of a worker have one address
 	log          []string
 }
 
@@ -87,7 +89,7 @@
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), seed: seed, now: time.Hour,
 		stored: map[workload.JobID]workload.Progress{}, done: map[workload.TaskID]bool{},
 		lastStart: map[workload.TaskID]time.Duration{},
-		starts:    map[workload.TaskID]int{}, unanswered: map[workload.TaskID]int{},
+		starts:    map[workload.TaskID]int{}, unanswered: map[workload.TaskID]int{}, unused: map[*faultSimWorker]unusedSince{},
 	}
 	for i := range simWorkerCount {
 		f.workers = append(f.workers, &faultSimWorker{
@@ -158,7 +160,7 @@
 func (f *faultSim) listWorkers() {
 	var infos []WorkerInfo
 	for _, worker := range f.workers {
-		infos = append(infos, worker.info)
+		infos = append(infos, f.entry(worker))
 	}
 	if f.known != nil {
 		f.s.SetWorkers(f.time(), append(infos, oddEntry))
@@ -178,6 +180,10 @@
 	}
 	f.advanceLate()
 	f.advanceKnown()
+	if f.moves != nil {
+		f.moves.disturb(f)
+		f.moves.pollFormer(f)
+	}
 	for _, worker := range f.workers {
 		f.advance(worker)
 	}
@@ -201,6 +207,7 @@
 	f.s.TakeEvents()
 	f.check()
 	f.checkFailed()
+	f.checkUse()
 }
 
 // crashingJob is the job whose tasks crash the workers that start them, if the simulation has one.
@@ -236,7 +243,7 @@
 	case f.faulty(12):
 		delayed.at = f.now + time.Duration(f.rnd.Int64N(int64(maxOrderDelay)))
 		f.delayed = append(f.delayed, delayed)
-	case f.unreachable(worker):
+	case f.unreachable(worker) || order.Address != worker.info.Address:
 	default:
 		outcome = f.execute(delayed)
 		if f.faulty(12) {
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -44,6 +44,26 @@
 	playSeeds(func(seed uint64) { newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed))).playJobs() })
 }
 
+// Guards against the same while workers start again at other addresses, at those of others, and while the list shows entries of
+// former processes or of other writers.
+func TestNoTaskRunsTwiceWhileWorkersMove(t *testing.T) {
+	playSeeds(func(seed uint64) { newMoveFaultSim(newFaultSim(t, seed)).playJobs() })
+}
+
+// Guards against the same while the clocks of machines are set back, so that a process starts before the one that it has replaced.
+func TestNoTaskRunsTwiceWhileClocksAreSetBack(t *testing.T) {
+	playSeeds(func(seed uint64) {
+		f := newMoveFaultSim(newFaultSim(t, seed))
+		f.moves.steps = true
+		f.playJobs()
+	})
+}
+
+// Guards against the same with the faults of TestNoTaskRunsTwiceWhileKnownWorkersAreStoredLate as well.
+func TestNoTaskRunsTwiceWhileWorkersMoveAndKnownWorkersChange(t *testing.T) {
+	playSeeds(func(seed uint64) { newMoveFaultSim(newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed)))).playJobs() })
+}
+
 // playJobs plays the simulation and fails the test if a job has not ended then.
 func (f *faultSim) playJobs() {
 	for f.now < time.Hour+simEnd {
@@ -58,6 +78,7 @@
 			f.fatalf("job %s is still %q", job.ID, state)
 		}
 	}
+	f.checkWorkSpreads()
 }
 
 // Guards against a task that crashes one worker after another while the owner applies reports late and the store is slow or
@@ -97,4 +118,5 @@
 	if n := f.starts[id]; n > most {
 		f.fatalf("%d starts of the crashing task over %d owners, want at most %d", n, f.term, most)
 	}
+	f.checkWorkSpreads()
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -45,6 +45,7 @@
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
 	contested           map[place]bool              // places of several workers, see latestByPlace
+	replacedEntries     map[WorkerID]replacedEntry  // of the latest list
 	unstoredCrashes     map[WorkerID]unstoredCrash
 	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that ended services have left and none has taken since
 	nominateFrom        int                         // position in sortedWorkers from which fitsSoonest continues
@@ -78,6 +79,7 @@
 		contested:      map[place]bool{},
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
+		replacedEntries: map[WorkerID]replacedEntry{},
 		vacated:         map[workload.PoolName]int64{},
 		nominees:        map[*task]struct{}{},
 	}
@@ -221,7 +223,8 @@
 	s.removeSuperseded(now, latest)
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
-		if latest[info.place()].supersedes(info.ID, info.StartedMs) {
+		if next := s.successor(info, latest); next != nil {
+			s.recordReplaced(now.Boot, info, next.info.ID)
 			continue
 		}
 		listed[info.ID] = true
@@ -234,6 +237,7 @@
 		}
 	}
 	s.recordContested()
+	s.sampleUse(now.Boot)
 }
 
 // updateListed adds or updates a worker of the platform's list.
@@ -254,9 +258,6 @@
 	if !slices.Equal(w.info.Labels, info.Labels) {
 		s.index.remove(w)
 	}
-	if info.place() != w.info.place() {
-		w.placeChangedAt = now
-	}
 	if info.Capacity != w.info.Capacity {
 		w.full = fullBackOff{}
 	}
@@ -303,6 +304,14 @@
 	}
 }
 
+// LeasesPermitted records that task leases of a worker may be extended until a boot time by a process that polls it no longer for
+// this owner, or has not stopped yet.
+func (s *Scheduler) LeasesPermitted(id WorkerID, extendedUntil time.Duration) {
+	if w, known := s.workers[id]; known {
+		w.leaseEnd = max(w.leaseEnd, extendedUntil+s.cfg.leaseBound())
+	}
+}
+
 // ReportsLost records that reports of a worker may be lost, and with them the evidence that its leases were extended.
 func (s *Scheduler) ReportsLost(id WorkerID) {
 	if w, known := s.workers[id]; known {
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -35,7 +35,7 @@
 type slowness struct {
 	sum    float64 // weighted sum of the logarithms of the factors
 	weight float64
-	at     time.Duration // when sum and weight were last decayed
+	at     time.Duration // of the latest sample, when sum and weight were last decayed
 }
 
 // add records one sample: the logarithm of the factor by which a task runs slower than elsewhere.
@@ -57,6 +57,9 @@
 	return math.Exp2(-float64(now-s.at) / float64(speedHalfLife))
 }
 
+// slowWithin reports whether the worker is slow and was measured within a time that has just passed.
+func (s *slowness) slowWithin(now, d time.Duration) bool { return now-s.at < d && s.slow(now) }
+
 // slow reports whether tasks on the worker run much slower than elsewhere.
 func (s *slowness) slow(now time.Duration) bool {
 	if s.weight < minSlowWeight { // it only decays until the next sample
@@ -153,14 +156,15 @@
 	return 0, 0
 }
 
-// stalled reports whether an attempt has made no progress at all for longer than its whole task is estimated to take.
-func (a *attempt) stalled(now time.Duration) bool {
+// stalled reports whether an attempt has made no progress at all for longer than its whole task is estimated to take. The time
+// counts up to the latest report: a worker that is silent shows nothing about the speed of its tasks.
+func (a *attempt) stalled() bool {
 	if a.phase != running || a.confirmedAt == 0 || a.task.step.spec.Service || a.speedShare() < minSpeedShare {
 		return false
 	}
 	estimate := time.Duration(a.task.step.spec.EstimateMs) * time.Millisecond
 	limit := max(time.Duration(float64(estimate)*stalledFactor), minStalledTime)
-	return now-max(a.percentChangedAt, a.confirmedAt) > limit
+	return a.worker.reportedAt-max(a.percentChangedAt, a.confirmedAt) > limit
 }
 
 // moveFromSlow stops stalled tasks, tasks on slow workers that are expected to end sooner elsewhere, and service tasks
@@ -179,7 +183,7 @@
 				}
 				continue
 			}
-			stalled := a.stalled(now.Boot)
+			stalled := a.stalled()
 			if stalled {
 				w.slowness.add(now.Boot, maxSlowness, 1)
 			}
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -16,6 +16,7 @@
 			s.addWorker(w)
 		}
 		w.stored = true
+		w.answeredAddress = info.Address
 		w.incarnation = info.StartedMs
 		w.leaseEnd = max(w.leaseEnd, now.Boot+s.cfg.HandoverGrace+s.cfg.leaseBound())
 		s.awaitingReport[info.ID] = true
@@ -94,10 +95,11 @@
 	}
 }
 
-// KnownWorkersStored records that the workers are stored for a later owner, so that they may get tasks.
+// KnownWorkersStored records that the workers are stored for a later owner with the addresses at which they have answered, so that they
+// may get tasks.
 func (s *Scheduler) KnownWorkersStored(infos []WorkerInfo) {
 	for _, info := range infos {
-		if w, known := s.workers[info.ID]; known && !w.stored {
+		if w, known := s.workers[info.ID]; known && !w.stored && info.Address == w.address() {
 			w.stored = true
 			s.index.markChanged(w)
 		}
@@ -113,6 +115,14 @@
 	return infos
 }
 
+// AnsweredAddress returns where a worker has answered last, "" if that is not known.
+func (s *Scheduler) AnsweredAddress(id WorkerID) string {
+	if w, known := s.workers[id]; known {
+		return w.answeredAddress
+	}
+	return ""
+}
+
 // HasServicesAndFillers reports whether service tasks and filler tasks share a worker, which is then polled more often.
 func (s *Scheduler) HasServicesAndFillers(id WorkerID) bool {
 	w, known := s.workers[id]
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
 	"fulmarcourse.example/core/schedule"
+	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
@@ -29,11 +32,12 @@
 	stop  context.CancelFunc
 	wake  chan struct{} // capacity 1
 
-	closed   bool                                // nothing is sent to the relay any more
-	workers  map[schedule.WorkerID]time.Duration // value: how long a poll of the worker may wait
-	reset    bool                                // the next update replaces the relay's list of workers
+	closed   bool // nothing is sent to the relay any more
+	workers  map[schedule.WorkerID]assignment
+	reset    bool // the next update replaces the relay's list of workers
 	assign   map[schedule.WorkerID]bool
 	release  map[schedule.WorkerID]bool
+	leaving  map[schedule.WorkerID]bool // no longer assigned; the relay may not have applied the release yet
 	stored   map[schedule.WorkerID]relay.StoredEnd
 	orders   []schedule.Order
 	inFlight map[orderKey]inFlight
@@ -47,6 +51,13 @@
 	collectedUpTo    time.Duration // boot time up to which all results of the relay have been applied; 0 before the first
 }
 
+// assignment is what the relay is told of a worker.
+type assignment struct {
+	address    string               // as the platform lists it
+	datacentre structs.DatacentreID // for which the relay was chosen
+	wait       time.Duration        // how long a poll of the worker may wait
+}
+
 // inFlight is an order that was sent to the relay and has no outcome yet.
 type inFlight struct {
 	order    schedule.Order
@@ -61,7 +72,7 @@
 	delete(l.assign, id)
 	delete(l.stored, id)
 	l.polls.forget(id)
-	l.release[id] = true
+	l.release[id], l.leaving[id] = true, true
 	l.owner.wake(l.wake)
 }
 
@@ -86,10 +97,26 @@
 		cancel()
 		if err != nil {
 			l.updateFailed(ctx, update, err)
+			continue
 		}
+		l.owner.mu.Lock()
+		l.updateApplied(update)
+		l.owner.mu.Unlock()
 	}
 }
 
+// updateApplied records which workers the relay has stopped polling. Owner.mu is held.
+func (l *link) updateApplied(u relay.Update) {
+	listed := make(map[schedule.WorkerID]bool, len(u.Assign))
+	for _, a := range u.Assign {
+		listed[a.Worker.ID] = true
+	}
+	maps.DeleteFunc(l.leaving, func(id schedule.WorkerID, _ bool) bool {
+		// A release that is pending came after this update, in which the worker may be assigned.
+		return !l.release[id] && (u.Reset && !listed[id] || slices.Contains(u.Release, id))
+	})
+}
+
 // takeUpdate returns the pending changes for the relay and clears them, except for orders beyond the size of an update; ok is
 // false when there are none or the link is closed.
 func (l *link) takeUpdate() (u relay.Update, ok bool) {
@@ -101,7 +128,7 @@
 	}
 	u = relay.Update{
 		Partition: int(o.cfg.Partition), Term: o.ownership.Term, LeaseUntil: l.permitLeases(),
-		Reset: l.reset, Orders: l.takeOrders(bootclock.Now()),
+		Sequence: o.nextSequence(), Reset: l.reset, Orders: l.takeOrders(bootclock.Now()),
 	}
 	assign := l.assign
 	if l.reset {
@@ -112,7 +139,9 @@
 	}
 	for id := range assign {
 		if info, known := o.scheduler.Worker(id); known {
-			u.Assign = append(u.Assign, relay.Assignment{Worker: info, Wait: l.workers[id]})
+			u.Assign = append(u.Assign, relay.Assignment{
+				Worker: info, AnsweredAddress: o.scheduler.AnsweredAddress(id), Wait: l.workers[id].wait,
+			})
 		}
 	}
 	for id := range l.release {
@@ -121,6 +150,7 @@
 	for _, stored := range l.stored {
 		u.Stored = append(u.Stored, stored)
 	}
+	o.polls.assigned(u.Assign)
 	ok = l.reset || len(u.Assign) > 0 || len(u.Release) > 0 || len(u.Stored) > 0 || len(u.Orders) > 0
 	l.reset = false
 	clear(l.assign)
@@ -133,13 +163,17 @@
 // same instant on this host's clock in permittedUntil. A delayed call does not extend the permission, because the
 // limit is a reading of the relay's own clock. After a failed call no permission is given until the relay's clock has
 // been read again: the relay's host may have rebooted, which resets its boot clock. A closed link permits nothing, since
-// the owner has recorded permittedUntil for its workers. Owner.mu is held.
+// the owner has recorded permittedUntil for its workers. The permission holds for workers as well that the relay has not released yet.
+// Owner.mu is held.
 func (l *link) permitLeases() time.Duration {
 	if l.closed || l.relayClockReadAt == 0 {
 		return 0
 	}
 	until := min(bootclock.Uptime()+leasePermission, l.owner.ownership.ValidUntil())
 	l.permittedUntil = max(l.permittedUntil, until)
+	for id := range l.leaving {
+		l.owner.scheduler.LeasesPermitted(id, l.permittedUntil)
+	}
 	return l.relayClock + (until - l.relayClockReadAt)
 }
 
@@ -298,6 +332,7 @@
 			s.ConnectionBroken(now, id)
 		}
 		s.PollFailed(now, id)
+		o.polls.failed(now.Boot, id, report.Failed)
 		if !o.unreachable[id] {
 			o.unreachable[id] = true
 			o.cfg.Log.Event(eventlog.WorkerUnreachable).Str("worker", string(id)).Str("reason", report.Failed).Msg("")
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,9 +69,10 @@
 		if !known[id] {
 			l.remove(id)
 			delete(o.linkOf, id)
-			delete(o.ends, id)
 		}
 	}
+	maps.DeleteFunc(o.ends, func(id schedule.WorkerID, _ endNumbers) bool { return !known[id] })
+	maps.DeleteFunc(o.unreachable, func(id schedule.WorkerID, _ bool) bool { return !known[id] })
 }
 
 // releaseRelay moves the workers of a working relay to other relays and instructs it to stop polling them. Until it
@@ -78,7 +80,7 @@
 // held.
 func (o *Owner) releaseRelay(ctx context.Context, l *link, reason string) {
 	o.unlink(bootclock.Now(), l)
-	update := relay.Update{Partition: int(o.cfg.Partition), Term: o.ownership.Term, Reset: true}
+	update := relay.Update{Partition: int(o.cfg.Partition), Term: o.ownership.Term, Sequence: o.nextSequence(), Reset: true}
 	o.linkWG.Go(func() {
 		call, cancel := context.WithTimeout(ctx, relayTimeout)
 		defer cancel()
@@ -87,13 +89,19 @@
 	})
 }
 
+// nextSequence returns the number of the next update of this owner. o.mu is held.
+func (o *Owner) nextSequence() int64 {
+	o.sequence++
+	return o.sequence
+}
+
 // openLink opens a link to the relay on a host and starts its loops. o.mu is held.
 func (o *Owner) openLink(ctx context.Context, host RelayHost) {
 	linkCtx, stop := context.WithCancel(ctx)
 	l := &link{
 		owner: o, host: host, stop: stop, wake: make(chan struct{}, 1), reset: true,
-		workers: map[schedule.WorkerID]time.Duration{}, assign: map[schedule.WorkerID]bool{},
-		release: map[schedule.WorkerID]bool{}, stored: map[schedule.WorkerID]relay.StoredEnd{},
+		workers: map[schedule.WorkerID]assignment{}, assign: map[schedule.WorkerID]bool{},
+		release: map[schedule.WorkerID]bool{}, leaving: map[schedule.WorkerID]bool{}, stored: map[schedule.WorkerID]relay.StoredEnd{},
 		inFlight: map[orderKey]inFlight{}, openedAt: bootclock.Uptime(), lastResponseAt: bootclock.Uptime(),
 	}
 	o.links[host.Name] = l
@@ -103,13 +111,17 @@
 }
 
 // assignWorker assigns a worker to the link with the most room, preferring links in the worker's data centre, and
-// updates its poll wait. o.mu is held.
+// sends the assignment again if anything in it has changed. o.mu is held.
 func (o *Owner) assignWorker(info schedule.WorkerInfo) {
 	wait := pollWait
 	if o.scheduler.HasServicesAndFillers(info.ID) || o.scheduler.OnProbation(info.ID) {
 		wait = servicePollWait
 	}
 	l, assigned := o.linkOf[info.ID]
+	if assigned && o.hasNearerRelay(l, info) {
+		o.unassign(info.ID, l)
+		assigned = false
+	}
 	if !assigned {
 		l = o.leastLoaded(info.Datacentre)
 		if l == nil {
@@ -117,15 +129,42 @@
 		}
 		o.linkOf[info.ID] = l
 	}
-	if before, known := l.workers[info.ID]; known && before == wait {
-		return
+	next := assignment{address: info.Address, datacentre: info.Datacentre, wait: wait}
+	if before, known := l.workers[info.ID]; known {
+		next.datacentre = before.datacentre
+		if before == next {
+			return
+		}
 	}
-	l.workers[info.ID] = wait
+	l.workers[info.ID] = next
 	l.assign[info.ID] = true
 	delete(l.release, info.ID)
+	delete(l.leaving, info.ID)
 	o.wake(l.wake)
 }
 
+// hasNearerRelay reports whether a worker has started again in another data centre, in which there is a relay for it. o.mu is held.
+func (o *Owner) hasNearerRelay(l *link, info schedule.WorkerInfo) bool {
+	before, known := l.workers[info.ID]
+	if !known || before.datacentre == info.Datacentre || l.host.Datacentre == info.Datacentre {
+		return false
+	}
+	for _, other := range o.links {
+		if other.host.Datacentre == info.Datacentre && !o.full(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// unassign takes a worker from a working relay. Until the relay has applied the release, the worker may be polled by the next one as
+// well, and its leases are extended as long as the relay is permitted. o.mu is held.
+func (o *Owner) unassign(id schedule.WorkerID, l *link) {
+	l.remove(id)
+	delete(o.linkOf, id)
+	o.scheduler.PollerLost(id, l.permittedUntil)
+}
+
 // leastLoaded returns the link to which the next worker in a data centre is assigned, or nil if there is none.
 // o.mu is held.
 func (o *Owner) leastLoaded(dc structs.DatacentreID) *link {
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -30,6 +30,8 @@
 	// released it, or it dropped its assignments because the owner had not called for too long. The owner has to send
 	// an update with Reset.
 	ErrNoAssignment = errors.ConstError("relay has not been told its workers")
+	// ErrOutdated means that the relay has applied a later update of the owner. Nothing of the update was applied.
+	ErrOutdated = errors.ConstError("relay has applied a later update")
 	// ErrExpired means that a command was not sent in time, for instance because the process was paused.
 	ErrExpired = errors.ConstError("command has waited for too long")
 )
@@ -37,11 +39,11 @@
 // PollRequest is a request that reads the running and ended tasks of a worker, extends its task leases and acknowledges
 // task ends.
 type PollRequest struct {
-	Worker    schedule.WorkerInfo
-	Fence     int64         // fencing token: term of the owner
-	LeaseToMs int64         // time on the worker's clock up to which task leases are extended; 0 leaves them unchanged
-	AckedEnd  int64         // number of the newest task end that is stored; the worker may drop ends up to it
-	Wait      time.Duration // how long the worker may hold the poll open until a task ends
+	Worker    schedule.WorkerInfo // its Address is where the worker is polled
+	Fence     int64               // fencing token: term of the owner
+	LeaseToMs int64               // time on the worker's clock up to which task leases are extended; 0 leaves them unchanged
+	AckedEnd  int64               // number of the newest task end that is stored; the worker may drop ends up to it
+	Wait      time.Duration       // how long the worker may hold the poll open until a task ends
 }
 
 // PollReply is the response of a worker to a poll.
@@ -52,9 +54,9 @@
 
 // Command is an order with the fencing token and the lease that the relay adds.
 type Command struct {
-	Order     schedule.Order
-	Fence     int64 // fencing token: term of the owner
-	LeaseToMs int64 // end of the task lease on the worker's clock; OrderStart only
+	Order     schedule.Order // its Address is where the command is sent
+	Fence     int64          // fencing token: term of the owner
+	LeaseToMs int64          // end of the task lease on the worker's clock; OrderStart only
 
 	// SendBefore is the boot time from which on nothing of the command may be sent; 0 means no limit. A timeout does not
 	// replace it: it does not count the time for which the machine was suspended.
@@ -81,6 +83,7 @@
 type Update struct {
 	Partition  int
 	Term       int64
+	Sequence   int64         // rises with each update of an owner in a term; 0 if the owner does not number them
 	LeaseUntil time.Duration // time up to which the relay may extend task leases
 	Reset      bool          // Assign lists all workers of the relay; others are released
 	Assign     []Assignment
@@ -91,8 +94,9 @@
 
 // Assignment is a worker that the relay polls.
 type Assignment struct {
-	Worker schedule.WorkerInfo
-	Wait   time.Duration // how long the worker may hold a poll open until a task ends
+	Worker          schedule.WorkerInfo // as the platform lists it
+	AnsweredAddress string              // where it has answered last; empty if the owner does not know
+	Wait            time.Duration       // how long the worker may hold a poll open until a task ends
 }
 
 // StoredEnd states that the task ends of a worker incarnation up to and including Number are stored.
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -46,10 +46,12 @@
 func (s *Server) Update(_ context.Context, req *ownerpb.UpdateRequest) (*ownerpb.UpdateReply, error) {
 	u := relay.Update{
 		Partition: int(req.Partition), Term: req.Term, LeaseUntil: time.Duration(req.LeaseUntilNs), Reset: req.Reset_,
+		Sequence: req.Sequence,
 	}
 	for _, w := range req.Assign {
 		u.Assign = append(u.Assign, relay.Assignment{
-			Worker: schedule.WorkerInfo{ID: schedule.WorkerID(w.Id), Address: w.Address}, Wait: time.Duration(w.WaitNs),
+			Worker: schedule.WorkerInfo{ID: schedule.WorkerID(w.Id), Address: w.Address}, AnsweredAddress: w.AnsweredAddress,
+			Wait: time.Duration(w.WaitNs),
 		})
 	}
 	for _, id := range req.Release {
@@ -105,6 +107,8 @@
 		return status.Error(codes.FailedPrecondition, err.Error())
 	case errors.Is(err, relay.ErrNoAssignment):
 		return status.Error(codes.NotFound, err.Error())
+	case errors.Is(err, relay.ErrOutdated):
+		return status.Error(codes.Aborted, err.Error())
 	}
 	return err
 }
@@ -116,6 +120,8 @@
 		return errors.WithType(err, relay.ErrStaleTerm)
 	case codes.NotFound:
 		return errors.WithType(err, relay.ErrNoAssignment)
+	case codes.Aborted:
+		return errors.WithType(err, relay.ErrOutdated)
 	}
 	return errors.Trace(err)
 }
@@ -137,10 +143,11 @@
 	}
 	req := &ownerpb.UpdateRequest{
 		Partition: int32(u.Partition), Term: u.Term, LeaseUntilNs: int64(u.LeaseUntil), Reset_: u.Reset,
+		Sequence: u.Sequence,
 	}
 	for _, a := range u.Assign {
 		req.Assign = append(req.Assign, &ownerpb.Worker{
-			Id: string(a.Worker.ID), Address: a.Worker.Address, WaitNs: int64(a.Wait),
+			Id: string(a.Worker.ID), Address: a.Worker.Address, AnsweredAddress: a.AnsweredAddress, WaitNs: int64(a.Wait),
 		})
 	}
 	for _, id := range u.Release {
@@ -224,7 +231,7 @@
 func toReport(r relay.WorkerReport) *ownerpb.WorkerReport {
 	out := &ownerpb.WorkerReport{
 		Worker: string(r.Worker), Failed: r.Failed, SentAtNs: int64(r.Report.SentAt), Incarnation: r.Report.Incarnation,
-		ReceivedAtNs: int64(r.Report.ReceivedAt),
+		ReceivedAtNs: int64(r.Report.ReceivedAt), Address: r.Report.Address,
 	}
 	for _, row := range r.Report.Running {
 		out.Running = append(out.Running, &ownerpb.Running{
@@ -241,7 +248,7 @@
 
 func fromReport(r *ownerpb.WorkerReport) relay.WorkerReport {
 	out := relay.WorkerReport{Worker: schedule.WorkerID(r.Worker), Failed: r.Failed, Report: schedule.Report{
-		SentAt: time.Duration(r.SentAtNs), ReceivedAt: time.Duration(r.ReceivedAtNs), Incarnation: r.Incarnation,
+		SentAt: time.Duration(r.SentAtNs), ReceivedAt: time.Duration(r.ReceivedAtNs), Incarnation: r.Incarnation, Address: r.Address,
 		Running: make([]schedule.Running, 0, len(r.Running)), Ended: make([]schedule.Ended, 0, len(r.Ended)),
 	}}
 	for _, row := range r.Running {
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -36,18 +36,20 @@
 	term   int64
 	cancel context.CancelFunc
 
-	worker      schedule.WorkerInfo
-	wait        time.Duration // how long the worker may hold a poll open until a task ends
-	incarnation int64         // of the worker process, as last reported
-	newestEnd   int64         // newest task end that the worker has reported
-	storedEnd   int64         // newest task end that is stored
-	lastPollOK  bool          // the worker answered the last poll
-	acceptedAt  time.Duration // boot time at which the worker last accepted an order
-	broken      bool          // the connection of the first failed poll since the last answer broke soon after it
-	failedAt    time.Duration // boot time of that failure
-	clockMs     int64         // last reading of the worker's clock, in milliseconds
-	clockReadAt time.Duration // boot time at which clockMs was received
-	changed     chan struct{} // capacity 1; signalled when storedEnd has changed or the owner has collected the reports
+	worker      schedule.WorkerInfo // as the platform lists it
+	address     string              // where the worker has answered last; empty if that is not known
+	tryListed   bool                // the last poll at address has failed, so the next one goes to the listed address
+	wait        time.Duration       // how long the worker may hold a poll open until a task ends
+	incarnation int64               // of the worker process, as last reported
+	newestEnd   int64               // newest task end that the worker has reported
+	storedEnd   int64               // newest task end that is stored
+	lastPollOK  bool                // the worker answered the last poll
+	acceptedAt  time.Duration       // boot time at which the worker last accepted an order
+	broken      bool                // the connection of the first failed poll since the last answer broke soon after it
+	failedAt    time.Duration       // boot time of that failure
+	clockMs     int64               // last reading of the worker's clock, in milliseconds
+	clockReadAt time.Duration       // boot time at which clockMs was received
+	changed     chan struct{}       // capacity 1; signalled when storedEnd has changed or the owner has collected the reports
 }
 
 // run polls the worker until ctx ends or the owner has abandoned the relay.
@@ -73,7 +75,7 @@
 	if s.relay.stopIfAbandoned(s.term) {
 		return PollRequest{}, false
 	}
-	req = PollRequest{Worker: s.worker, Fence: s.term}
+	req = PollRequest{Worker: s.workerAt(s.pollAddress()), Fence: s.term}
 	if !s.lastPollOK {
 		return req, true
 	}
@@ -87,6 +89,33 @@
 	return req, true
 }
 
+// pollAddress returns the address of the next poll. A worker that starts again may listen at another address, and its entry in the
+// platform's list names that one from then on. But another writer may change the entry of a live worker, so that the address at
+// which it has answered is used for as long as it answers there, and tried in turns with the listed one afterwards. Relay.mu is
+// held.
+func (s *session) pollAddress() string {
+	if s.address == "" || s.tryListed {
+		return s.worker.Address
+	}
+	return s.address
+}
+
+// orderAddress returns the address for orders: that of the process which has answered last, since the lease of a start is a time on
+// its clock. Relay.mu is held.
+func (s *session) orderAddress() string {
+	if s.address == "" {
+		return s.worker.Address
+	}
+	return s.address
+}
+
+// workerAt returns the worker with an address to poll. Relay.mu is held.
+func (s *session) workerAt(address string) schedule.WorkerInfo {
+	worker := s.worker
+	worker.Address = address
+	return worker
+}
+
 // acknowledged returns the newest task end that the worker may drop; 0 if its process may have been replaced since its last
 // answer. Relay.mu is held.
 func (s *session) acknowledged() int64 {
@@ -124,26 +153,26 @@
 		return false
 	}
 	if err != nil {
-		s.pollFailed(req.Worker.ID, sent, err)
+		s.pollFailed(req, sent, err)
 		return false
 	}
-	s.recordReply(reply)
-	reply.Report.SentAt = sent
+	s.recordReply(req.Worker.Address, reply)
+	reply.Report.SentAt, reply.Report.Address = sent, req.Worker.Address
 	s.relay.addReport(s.term, WorkerReport{Worker: req.Worker.ID, Report: reply.Report})
 	return true
 }
 
-// pollFailed records that a poll of the worker, sent at a boot time, has failed. s.worker belongs to Relay.mu, so the ID is passed.
-func (s *session) pollFailed(id schedule.WorkerID, sent time.Duration, err error) {
+// pollFailed records that a poll of the worker, sent at a boot time, has failed.
+func (s *session) pollFailed(req PollRequest, sent time.Duration, err error) {
 	if errors.Is(err, ErrFenced) {
 		s.relay.markFenced(s.term)
 		return
 	}
-	s.relay.addReport(s.term, WorkerReport{Worker: id, Failed: s.recordFailure(sent, err)})
+	s.relay.addReport(s.term, WorkerReport{Worker: req.Worker.ID, Failed: s.recordFailure(req, sent, err)})
 }
 
 // recordFailure records that a poll, sent at a boot time, has failed, and returns the reason for the owner.
-func (s *session) recordFailure(sent time.Duration, err error) (reason string) {
+func (s *session) recordFailure(req PollRequest, sent time.Duration, err error) (reason string) {
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
 	if s.lastPollOK {
@@ -151,6 +180,7 @@
 		s.broken = breaksConnection(err) && s.failedAt-s.observedAt(sent) <= schedule.MaxUnobserved
 	}
 	s.lastPollOK = false
+	s.tryListed = req.Worker.Address == s.address
 	if s.broken {
 		return connectionBroken + err.Error()
 	}
@@ -184,10 +214,12 @@
 	return false
 }
 
-// recordReply records the clock and the newest task end of the worker. Each incarnation numbers its ends from 1.
-func (s *session) recordReply(reply PollReply) {
+// recordReply records the clock and the newest task end of the worker, and where it has answered. Each incarnation numbers its
+// ends from 1.
+func (s *session) recordReply(address string, reply PollReply) {
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
+	s.address, s.tryListed = address, false
 	if s.incarnation != reply.Report.Incarnation {
 		s.incarnation = reply.Report.Incarnation
 		s.newestEnd, s.storedEnd = 0, 0
--- a/pkg/relay/session_test.go
+++ b/pkg/relay/session_test.go
@@ -72,14 +72,14 @@
 		t.Run(name, func(t *testing.T) {
 			r := startRelay(t, &fakeWorkers{})
 			s := &session{relay: r, worker: schedule.WorkerInfo{ID: "w"}}
-			s.recordReply(PollReply{})
+			s.recordReply("", PollReply{})
 			now := s.clockReadAt
 			s.clockReadAt -= c.age
 			if c.accepted > 0 {
 				s.acceptedAt = now - c.accepted
 			}
 			for _, err := range c.fails {
-				s.pollFailed("w", now-c.sent, err)
+				s.pollFailed(PollRequest{Worker: s.worker}, now-c.sent, err)
 			}
 			reports := r.reports.take(1)
 			if len(reports) != 1 || reports[0].ConnectionBroken() != c.want {
@@ -97,20 +97,20 @@
 		want   bool
 	}{
 		"none":                            {func(*Relay, *session) {}, true},
-		"poll":                            {func(_ *Relay, s *session) { s.recordReply(PollReply{}) }, false},
+		"poll":                            {func(_ *Relay, s *session) { s.recordReply("", PollReply{}) }, false},
 		"accepted order":                  {func(r *Relay, s *session) { r.recordAccepted(1, "w", s.failedAt+1) }, false},
 		"late answer to an earlier order": {func(r *Relay, s *session) { r.recordAccepted(1, "w", s.failedAt-1) }, true},
 	} {
 		r := startRelay(t, &fakeWorkers{})
 		s := &session{relay: r, worker: schedule.WorkerInfo{ID: "w"}}
 		r.term, r.sessions["w"] = 1, s
-		if s.recordFailure(0, io.EOF); s.broken {
+		if s.recordFailure(PollRequest{Worker: s.worker}, 0, io.EOF); s.broken {
 			t.Error("the connection to a worker that has never answered counts as broken soon after an answer")
 		}
-		s.recordReply(PollReply{})
-		s.recordFailure(s.clockReadAt, io.EOF)
+		s.recordReply("", PollReply{})
+		s.recordFailure(PollRequest{Worker: s.worker}, s.clockReadAt, io.EOF)
 		c.answer(r, s)
-		if s.recordFailure(s.clockReadAt, context.DeadlineExceeded); s.broken != c.want {
+		if s.recordFailure(PollRequest{Worker: s.worker}, s.clockReadAt, context.DeadlineExceeded); s.broken != c.want {
 			t.Errorf("%s: broken %t, want %t", name, s.broken, c.want)
 		}
 	}
