Take a broken connection as a sign only where the worker has answered last

A relay tries the listed address after a failed poll, and an entry may come from another writer: a connection that is refused there says nothing about the worker. Without the condition TestBrokenConnectionIsReportedOnlySoonAfterAnAnswer fails ("refused at an address where it has not answered": want a broken connection: false).

--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -171,13 +171,14 @@
 	s.relay.addReport(s.term, WorkerReport{Worker: req.Worker.ID, Failed: s.recordFailure(req, sent, err)})
 }
 
-// recordFailure records that a poll, sent at a boot time, has failed, and returns the reason for the owner.
+// recordFailure records that a poll, sent at a boot time, has failed, and returns the reason for the owner. Only where the worker has
+// answered last does a broken connection say something about its process.
 func (s *session) recordFailure(req PollRequest, sent time.Duration, err error) (reason string) {
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
 	if s.lastPollOK {
 		s.failedAt = bootclock.Uptime()
-		s.broken = breaksConnection(err) && s.failedAt-s.observedAt(sent) <= schedule.MaxUnobserved
+		s.broken = breaksConnection(err) && req.Worker.Address == s.address && s.failedAt-s.observedAt(sent) <= schedule.MaxUnobserved
 	}
 	s.lastPollOK = false
 	s.tryListed = req.Worker.Address == s.address
--- a/pkg/relay/session_test.go
+++ b/pkg/relay/session_test.go
@@ -51,6 +51,7 @@
 		fails    []error       // of the polls since
 		accepted time.Duration // age of the last accepted order; 0 if there is none
 		sent     time.Duration // age of the first poll that has failed
+		listed   string        // address to which the polls went, if not to that of the last answer
 		want     bool
 	}{
 		"closed":                    {fails: []error{errors.Annotate(io.EOF, "hold")}, want: true},
@@ -66,6 +67,7 @@
 			age: late, fails: []error{io.EOF}, accepted: time.Millisecond, sent: late - time.Millisecond, want: true},
 		"closed long after such an order": {
 			age: 2 * late, fails: []error{io.EOF}, accepted: late, sent: late + time.Millisecond},
+		"refused at an address where it has not answered": {fails: []error{refused}, listed: "elsewhere"},
 		"refused after an order that was accepted while no poll was open": {
 			age: late, fails: []error{refused}, accepted: 2 * time.Millisecond, sent: time.Millisecond},
 	} {
@@ -79,7 +81,7 @@
 				s.acceptedAt = now - c.accepted
 			}
 			for _, err := range c.fails {
-				s.pollFailed(PollRequest{Worker: s.worker}, now-c.sent, err)
+				s.pollFailed(PollRequest{Worker: schedule.WorkerInfo{ID: "w", Address: c.listed}}, now-c.sent, err)
 			}
 			reports := r.reports.take(1)
 			if len(reports) != 1 || reports[0].ConnectionBroken() != c.want {
