--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -78,6 +78,7 @@
 	unanswered   map[workload.TaskID]int           // how many of its starts were not answered
 	late         *lateFaults                       // nil without an owner past its processor limit and a slow store
 	known        *knownFaults                      // nil if the known workers are stored at once
+	evidence     *evidenceFaults                   // nil if the owner has no evidence of crashes but the list of workers
 	unused       map[*faultSimWorker]unusedSince   // see checkUse
 	moves        *moveFaults                       // nil if all processes of a worker have one address
 	log          []string
@@ -205,6 +206,7 @@
 	}
 	f.s.TakeEvents()
 	f.check()
+	f.checkFailed()
 	f.checkUse()
 }
 
@@ -247,6 +249,9 @@
 		if f.faulty(12) {
 			outcome = Unanswered
 		}
+		if outcome == Accepted {
+			f.recordAccepted(worker)
+		}
 	}
 	if order.Kind == OrderStart && outcome == Unanswered {
 		f.unanswered[order.Task]++
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -328,6 +328,9 @@
 		return // the worker has since been assigned to another relay
 	}
 	if report.Failed != "" {
+		if report.ConnectionBroken() {
+			s.ConnectionBroken(now, id)
+		}
 		s.PollFailed(now, id)
 		o.polls.failed(now.Boot, id, report.Failed)
 		if !o.unreachable[id] {
