--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,6 +81,7 @@
 	known        *knownFaults                      // nil if the known workers are stored at once
 	unused       map[*faultSimWorker]unusedSince   // see checkUse
 	moves        *moveFaults                       // nil if all processes of a worker have one address
+	withheld     *withheldSim
 	log          []string
 }
 
@@ -102,6 +104,7 @@
 		second.After = []int{0}
 		f.jobs = append(f.jobs, testJob(workload.JobID(fmt.Sprint("job", i)), testStep(1+f.rnd.IntN(4)), second))
 	}
+	f.withheld = newWithheldSim(seed)
 	f.takeOver()
 	return f
 }
@@ -127,6 +130,7 @@
 
 // takeOver starts a new owner. The former owner sends nothing more, but its delayed orders are still executed.
 func (f *faultSim) takeOver() {
+	f.keepFormerRelays()
 	f.term++
 	f.logf("term %d", f.term)
 	f.s = NewScheduler(Config{Term: f.term, TaskLease: testLease, StopTime: 400 * time.Millisecond,
@@ -147,6 +151,7 @@
 		f.s.AddJob(job, &progress, true)
 	}
 	f.listWorkers()
+	f.withheld.reset(f)
 	for _, worker := range f.workers {
 		worker.cut = nil
 		if f.term > 1 && f.faulty(3) {
@@ -177,6 +182,7 @@
 	if f.faulty(150) && !f.storeDown() {
 		f.takeOver()
 	}
+	f.disturbSilent()
 	f.advanceLate()
 	f.advanceKnown()
 	if f.moves != nil {
@@ -187,6 +193,7 @@
 		f.advance(worker)
 	}
 	f.executeDelayed()
+	f.pollFormerRelays()
 	if f.rnd.IntN(8) == 0 {
 		f.listWorkers()
 	}
@@ -195,7 +202,9 @@
 			f.poll(worker)
 		}
 	}
+	f.advanceWithheld()
 	f.s.Expire(f.time(), f.confirmed(), f.collectedUpTo)
+	f.s.WithholdLeases(f.time(), f.confirmed(), f.withheldSince, f.collectedUpTo)
 	f.s.Plan(f.time())
 	for _, order := range f.s.TakeOrders() {
 		f.send(order)
@@ -227,7 +236,7 @@
 	}
 	delayed := delayedOrder{order: order, fence: f.term}
 	if order.Kind == OrderStart {
-		if !f.polled[order.Worker] {
+		if !f.polled[order.Worker] || f.withheld.flags[order.Worker] {
 			f.s.OrderAnswered(f.time(), order, NotRun)
 			return
 		}
@@ -293,15 +302,15 @@
 		worker.leaseEnd = max(worker.leaseEnd, d.leaseEnd)
 		f.starts[key.task]++
 		f.lastStart[key.task] = f.now
-		worker.running[key] = f.now + f.runTime()
+		worker.running[key] = f.now + f.runTime(key.task.Job)
 		f.logf("%v attempt %d runs on %s", key.task, key.number, worker.info.ID)
 	}
 	return Accepted
 }
 
 // runTime returns how long an attempt runs. Some outlast a takeover and several losses of their relay.
-func (f *faultSim) runTime() time.Duration {
-	if f.rnd.IntN(6) == 0 {
+func (f *faultSim) runTime(job workload.JobID) time.Duration {
+	if f.rnd.IntN(6) == 0 || strings.HasPrefix(string(job), longJob) {
 		return simLongTask
 	}
 	return time.Duration(300+f.rnd.IntN(4000)) * time.Millisecond
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -94,7 +94,7 @@
 		return
 	}
 	lease := time.Duration(0)
-	if f.polled[id] {
+	if f.polled[id] && !f.withheld.flags[id] {
 		lease = f.permittedFor(0) + testLease
 	}
 	if f.unreachable(worker) || !f.findable(worker) || f.faulty(15) {
@@ -155,15 +155,18 @@
 	lost := f.now >= cut.lostAt
 	if !f.unreachable(worker) && worker.fence <= f.term {
 		worker.fence = f.term
-		until := min(f.now, cut.permittedUntil)
-		if lost {
-			until = cut.permittedUntil
+		if !f.withheld.flags[id] {
+			until := min(f.now, cut.permittedUntil)
+			if lost {
+				until = cut.permittedUntil
+			}
+			worker.leaseEnd = max(worker.leaseEnd, until+testLease)
 		}
-		worker.leaseEnd = max(worker.leaseEnd, until+testLease)
 	}
 	if lost {
 		worker.cut, f.polled[id] = nil, false
 		f.s.PollerLost(id, cut.permittedUntil)
+		f.withheld.assign(f, id) // to the next relay
 		if f.faulty(2) {
 			f.cutRelay(worker) // the next relay is lost before a report arrives, as when hosts stop in turn
 		}
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -24,7 +24,8 @@
 	workers map[WorkerID]*simWorker
 	orders  []Order
 
-	collected time.Duration // boot time up to which the results of all polls have been applied; 0 for now
+	collected time.Duration              // boot time up to which the results of all polls have been applied; 0 for now
+	withheld  map[WorkerID]time.Duration // since when the relays withhold leases; they are told after each planning run
 }
 
 // simWorker is a simulated worker that executes orders like the workers behind package relay.
@@ -49,6 +50,7 @@
 		Term: term, TaskLease: testLease, StopTime: 400 * time.Millisecond, HandoverGrace: 2500 * time.Millisecond,
 	})
 	h.orders = nil
+	h.withheld = map[WorkerID]time.Duration{}
 }
 
 func (h *harness) addWorker(id WorkerID, change func(*WorkerInfo)) *simWorker {
@@ -89,11 +91,25 @@
 // plan runs one cycle, marks the changed progress as stored and returns the new orders.
 func (h *harness) plan() []Order {
 	h.s.Expire(h.now, true, h.collectedUpTo)
+	h.s.WithholdLeases(h.now, true, func(id WorkerID) time.Duration { return h.withheld[id] }, h.collectedUpTo)
 	h.s.Plan(h.now)
 	h.store()
+	h.updateRelays()
 	return h.s.TakeOrders()
 }
 
+// updateRelays tells the relays of which workers they withhold the leases.
+func (h *harness) updateRelays() {
+	for _, info := range h.s.Workers() {
+		switch {
+		case !h.s.WithholdsLeases(info.ID):
+			delete(h.withheld, info.ID)
+		case h.withheld[info.ID] == 0:
+			h.withheld[info.ID] = h.now.Boot
+		}
+	}
+}
+
 // collectedUpTo returns the time up to which the results of all polls have been applied.
 func (h *harness) collectedUpTo(WorkerID) time.Duration {
 	if h.collected > 0 {
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -55,6 +55,19 @@
 	playSeeds(func(seed uint64) { newMoveFaultSim(newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed)))).playJobs() })
 }
 
+// Guards against the same while workers are silent, answer for a moment and are silent again, under owners that change meanwhile: the
+// time for which the leases of a silent worker may last is stored, and must not be extended while a later owner relies on it.
+func TestNoTaskRunsTwiceWhileWorkersAreSilent(t *testing.T) {
+	playSeeds(func(seed uint64) { newSilentFaultSim(newKnownFaultSim(newFaultSim(t, seed))).playJobs() })
+}
+
+// Guards against the same with the faults of TestNoTaskRunsTwiceWhileKnownWorkersAreStoredLate as well.
+func TestNoTaskRunsTwiceWhileWorkersAreSilentAndTheStoreIsSlow(t *testing.T) {
+	playSeeds(func(seed uint64) {
+		newSilentFaultSim(newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed)))).playJobs()
+	})
+}
+
 // playJobs plays the simulation and fails the test if a job has not ended then.
 func (f *faultSim) playJobs() {
 	for f.now < time.Hour+simEnd {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -63,7 +63,7 @@
 		return 0
 	}
 	if report.SentAt < w.polledAt { // a later poll was answered first; the next report lists again what this one lists
-		w.leasesExtended = true
+		s.recordExtended(w)
 		if w.incarnation != report.Incarnation {
 			return 0 // the processes number their ends independently
 		}
@@ -82,7 +82,7 @@
 	}
 	w.polledAt = report.SentAt
 	w.reportedAt = now.Boot
-	w.leasesExtended = true
+	s.recordExtended(w)
 	w.suspect = false
 	s.index.markChanged(w)
 	s.forgetSilent(w)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -293,18 +293,24 @@
 
 // PollerLost records that the connection to the process that polls a worker is lost. The leases of the worker may still
 // be extended until extendedUntil, in boot time, even if no report has arrived over that connection: it may have been
-// lost.
+// lost. Those of a worker whose remaining lease is to be stored are not extended by that process either.
 func (s *Scheduler) PollerLost(id WorkerID, extendedUntil time.Duration) {
-	if w, known := s.workers[id]; known {
+	w, known := s.workers[id]
+	if !known {
+		return
+	}
+	w.suspect = true
+	if !w.withheld.marked {
 		w.leasesExtended = true
 		w.stopExtending(extendedUntil + s.cfg.leaseBound())
 	}
 }
 
-// ReportsLost records that reports of a worker may be lost, and with them the evidence that its leases were extended.
+// ReportsLost records that reports of a worker may be lost, and with them the evidence that its leases were extended, unless they are
+// certainly withheld.
 func (s *Scheduler) ReportsLost(id WorkerID) {
-	if w, known := s.workers[id]; known {
-		w.leasesExtended = true
+	if w, known := s.workers[id]; known && !w.withheld.marked {
+		s.recordExtended(w)
 	}
 }
 
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -18,16 +18,25 @@
 		w.stored = true
 		w.answeredAddress = info.Address
 		w.incarnation = info.StartedMs
-		w.leaseEnd = max(w.leaseEnd, now.Boot+s.cfg.HandoverGrace+s.cfg.leaseBound())
+		if info.LeaseRemaining > 0 {
+			w.inheritRemaining(now.Boot, info.LeaseRemaining)
+		} else {
+			w.leaseEnd = max(w.leaseEnd, now.Boot+s.cfg.HandoverGrace+s.cfg.leaseBound())
+		}
 		s.awaitingReport[info.ID] = true
 	}
 }
 
 // InheritUnknown records that a former owner may have used further workers, which are not known. Every worker that is listed
-// before their task leases have certainly expired counts as one of them.
+// before their task leases have certainly expired counts as one of them. What is not known may also be a later description of an
+// inherited worker, without its remaining lease.
 func (s *Scheduler) InheritUnknown(now Time) {
 	s.takeoverAt = now.Boot
 	s.unknownUntil = now.Boot + s.cfg.HandoverGrace + s.cfg.leaseBound()
+	for id := range s.awaitingReport {
+		w := s.workers[id]
+		w.leaseEnd = max(w.leaseEnd, s.unknownUntil)
+	}
 }
 
 // inheritListed makes a worker that is listed for the first time an inherited one while it may be one of those that are not known.
@@ -61,7 +70,12 @@
 			w.stored = false
 			continue
 		}
-		infos = append(infos, w.knownInfo())
+		info := w.knownInfo()
+		if w.withheld.marked {
+			info.LeaseRemaining = w.remainingLease(max(s.calledAt, s.takeoverAt))
+			w.withheld.mayStore, w.withheld.last = true, info.LeaseRemaining
+		}
+		infos = append(infos, info)
 	}
 	return s.addUnstoredCrashes(infos), changed
 }
@@ -96,11 +110,12 @@
 }
 
 // KnownWorkersStored records that the workers are stored for a later owner with the addresses at which they have answered, so that they
-// may get tasks.
+// may get tasks, and that leases of those stored without a remaining lease may be extended again.
 func (s *Scheduler) KnownWorkersStored(infos []WorkerInfo) {
 	for _, info := range infos {
-		if w, known := s.workers[info.ID]; known && !w.stored && info.Address == w.address() {
-			w.stored = true
+		w, known := s.workers[info.ID]
+		if known && info.LeaseRemaining == 0 && info.Address == w.address() && (!w.stored || w.withheld.active) {
+			w.recordStored()
 			s.index.markChanged(w)
 		}
 	}
--- a/core/schedule/takeover_wait_test.go
+++ b/core/schedule/takeover_wait_test.go
@@ -20,7 +20,10 @@
 	idle.info.Draining = false
 	h.listWorkers()
 	h.s.PollFailed(h.now, lost.info.ID)
-	h.advanceClock(h.s.cfg.leaseBound() - remaining)
+	h.advanceClock(withholdAfter)
+	h.report(idle.info.ID)
+	h.wantStarts(h.run(), 0) // the relays are told to withhold the leases
+	h.advanceClock(h.s.cfg.leaseBound() - remaining - withholdAfter)
 	h.report(idle.info.ID)
 	h.wantStarts(h.run(), 0)
 	h.s.knownWorkersChanged = true
--- a/core/schedule/unstored.go
+++ b/core/schedule/unstored.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"fulmarcourse.example/core/workload"
 )
@@ -63,6 +64,7 @@
 			started := info.StartedMs
 			info = w.knownInfo()
 			info.StartedMs = started
+			info.LeaseRemaining = remainingOf(infos, id)
 			infos = slices.DeleteFunc(infos, func(other WorkerInfo) bool { return other.ID == id })
 		}
 		infos = append(infos, info)
@@ -70,11 +72,20 @@
 	return infos
 }
 
+// remainingOf returns the remaining lease of a worker in a list of known workers; 0 if there is none.
+func remainingOf(infos []WorkerInfo, id WorkerID) time.Duration {
+	n := slices.IndexFunc(infos, func(info WorkerInfo) bool { return info.ID == id })
+	if n < 0 {
+		return 0
+	}
+	return infos[n].LeaseRemaining
+}
+
 // knownInfo returns the description of a worker that is stored for later owners. It names the process that has reported last:
-// the list may show the next one first, and a crash in between would not be noticed.
+// the list may show the next one first, and a crash in between would not be noticed. It has no remaining lease.
 func (w *worker) knownInfo() WorkerInfo {
 	info := w.info
-	info.Address = w.address()
+	info.Address, info.LeaseRemaining = w.address(), 0
 	info.StartedMs = w.process().StartedMs
 	return info
 }
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -23,6 +23,10 @@
 	StartedMs  int64         // start of the worker process, Unix milliseconds; 0 if unknown
 	Draining   bool          // it will leave and gets no new tasks
 	Remaining  time.Duration // minimum time until it leaves; only with Draining
+
+	// LeaseRemaining is how long its task leases may still last, while no relay extends them. Only of known workers; 0 if they may be
+	// extended. It is right for the time at which the set of known workers was made, and too long afterwards.
+	LeaseRemaining time.Duration
 }
 
 // worker is the scheduler's view of one worker.
@@ -41,8 +45,9 @@
 	answers          bool          // it has reported, and its leases have not certainly expired since
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
-	lastEnd          int64         // number of the latest end that was applied
-	suspect          bool          // a poll or an order has failed since the last report
+	withheld         withholding
+	lastEnd          int64 // number of the latest end that was applied
+	suspect          bool  // a poll or an order has failed since the last report
 	full             fullBackOff
 	unhealthyUntil   time.Duration    // end of the back-off after it has reported itself unhealthy
 	expired          []expiredAttempt // since the last report
--- a/pkg/dispatch/known_workers.go
+++ b/pkg/dispatch/known_workers.go
@@ -37,15 +37,18 @@
 	Pool       workload.PoolName
 	StartedMs  int64
 	Draining   bool `json:",omitempty"`
+
+	LeaseRemaining time.Duration `json:",omitempty"` // nanoseconds; none from former versions
 }
 
 func newKnownWorker(info schedule.WorkerInfo) knownWorker {
-	return knownWorker{info.ID, info.Address, info.Datacentre, info.Pool, info.StartedMs, info.Draining}
+	return knownWorker{info.ID, info.Address, info.Datacentre, info.Pool, info.StartedMs, info.Draining, info.LeaseRemaining}
 }
 
 func (w knownWorker) info() schedule.WorkerInfo {
 	return schedule.WorkerInfo{
 		ID: w.ID, Address: w.Address, Datacentre: w.Datacentre, Pool: w.Pool, StartedMs: w.StartedMs, Draining: w.Draining,
+		LeaseRemaining: w.LeaseRemaining,
 	}
 }
 
@@ -94,7 +97,7 @@
 	}
 	for _, info := range infos {
 		if n, added := k.partOf[info.ID]; added && !k.parts[n].dirty {
-			stored = append(stored, info)
+			stored = append(stored, k.parts[n].workers[info.ID].info())
 		}
 	}
 	return stored
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -46,6 +46,7 @@
 	openedAt         time.Duration // boot time of the creation of the link
 	lastResponseAt   time.Duration // boot time of the last successful call, or of the creation of the link
 	collectedUpTo    time.Duration // boot time up to which all results of the relay have been applied; 0 before the first
+	withheld         withheldLeases
 }
 
 // assignment is what the relay is told of a worker.
@@ -53,6 +54,7 @@
 	address    string // as the platform lists it
 	datacentre structs.DatacentreID
 	wait       time.Duration // how long a poll of the worker may wait
+	withhold   bool          // the relay extends no lease of it
 }
 
 // inFlight is an order that was sent to the relay and has no outcome yet.
@@ -68,6 +70,7 @@
 	delete(l.workers, id)
 	delete(l.assign, id)
 	delete(l.stored, id)
+	delete(l.withheld.since, id)
 	l.polls.forget(id)
 	l.release[id] = true
 	l.owner.wake(l.wake)
@@ -94,7 +97,9 @@
 		cancel()
 		if err != nil {
 			l.updateFailed(ctx, update, err)
+			continue
 		}
+		l.updateApplied(update)
 	}
 }
 
@@ -122,6 +127,7 @@
 		if info, known := o.scheduler.Worker(id); known {
 			u.Assign = append(u.Assign, relay.Assignment{
 				Worker: info, AnsweredAddress: o.scheduler.AnsweredAddress(id), Wait: l.workers[id].wait,
+				WithholdLeases: l.workers[id].withhold,
 			})
 		}
 	}
@@ -132,6 +138,7 @@
 		u.Stored = append(u.Stored, stored)
 	}
 	o.polls.assigned(u.Assign)
+	l.withheld.taken = l.withheld.resets
 	ok = l.reset || len(u.Assign) > 0 || len(u.Release) > 0 || len(u.Stored) > 0 || len(u.Orders) > 0
 	l.reset = false
 	clear(l.assign)
@@ -165,6 +172,7 @@
 	}
 	l.owner.mu.Lock()
 	l.reset = true // the relay may or may not have applied the update
+	l.withheld.reset()
 	l.relayClockReadAt = 0
 	l.owner.mu.Unlock()
 	for _, order := range u.Orders {
@@ -243,6 +251,7 @@
 		o.scheduler.PollerLost(id, l.permittedUntil)
 	}
 	l.reset, l.lastResponseAt, l.relayClockReadAt = true, bootclock.Uptime(), 0
+	l.withheld.reset()
 	l.polls.reset()
 	o.wake(l.wake)
 }
@@ -257,6 +266,7 @@
 	}
 	o.updateAndPlan(func(s *schedule.Scheduler, now schedule.Time) {
 		l.relayClock, l.relayClockReadAt, l.lastResponseAt = results.Now, now.Boot, now.Boot
+		l.withheld.observed = results.WithholdsLeases
 		o.measures.recordResults(now.Boot, arrived, results)
 		for _, outcome := range results.Outcomes {
 			l.applyOutcome(s, now, outcome)
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -101,7 +101,7 @@
 		owner: o, host: host, stop: stop, wake: make(chan struct{}, 1), reset: true,
 		workers: map[schedule.WorkerID]assignment{}, assign: map[schedule.WorkerID]bool{},
 		release: map[schedule.WorkerID]bool{}, stored: map[schedule.WorkerID]relay.StoredEnd{},
-		inFlight: map[orderKey]inFlight{}, openedAt: bootclock.Uptime(), lastResponseAt: bootclock.Uptime(),
+		inFlight: map[orderKey]inFlight{}, withheld: newWithheldLeases(), openedAt: bootclock.Uptime(), lastResponseAt: bootclock.Uptime(),
 	}
 	o.links[host.Name] = l
 	o.cfg.Log.Event(eventlog.RelayOpened).Str("relay", host.Name).Int64("term", o.ownership.Term).Msg("")
@@ -128,10 +128,12 @@
 		}
 		o.linkOf[info.ID] = l
 	}
-	next := assignment{address: info.Address, datacentre: info.Datacentre, wait: wait}
+	next := assignment{address: info.Address, datacentre: info.Datacentre, wait: wait,
+		withhold: o.scheduler.WithholdsLeases(info.ID)}
 	if before, known := l.workers[info.ID]; known && before == next {
 		return
 	}
+	delete(l.withheld.since, info.ID)
 	l.workers[info.ID] = next
 	l.assign[info.ID] = true
 	delete(l.release, info.ID)
--- a/pkg/dispatch/planning.go
+++ b/pkg/dispatch/planning.go
@@ -55,7 +55,9 @@
 			return
 		}
 		validUntil := o.ownership.ValidUntil()
-		s.Expire(now, now.Boot < validUntil, func(id schedule.WorkerID) time.Duration { return o.collectedUpTo(now, id) })
+		collectedUpTo := func(id schedule.WorkerID) time.Duration { return o.collectedUpTo(now, id) }
+		s.Expire(now, now.Boot < validUntil, collectedUpTo)
+		s.WithholdLeases(now, now.Boot < validUntil, o.withheldSince, collectedUpTo)
 		held, pausedFor := o.resumption.holds(now.Boot, validUntil)
 		if pausedFor > 0 {
 			o.cfg.Log.Event(eventlog.OwnerResumed).Int64("term", o.ownership.Term).Int64("paused_for", ms(pausedFor)).Msg("")
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -96,6 +96,9 @@
 	Worker          schedule.WorkerInfo // as the platform lists it
 	AnsweredAddress string              // where it has answered last; empty if the owner does not know
 	Wait            time.Duration       // how long the worker may hold a poll open until a task ends
+
+	// WithholdLeases makes the relay extend no lease of the worker and send it no starts.
+	WithholdLeases bool
 }
 
 // StoredEnd states that the task ends of a worker incarnation up to and including Number are stored.
@@ -114,6 +117,8 @@
 	Fenced   bool // a worker has accepted a later owner
 
 	Uncollected int // number of workers whose reports did not fit into these results
+
+	WithholdsLeases bool // the relay observes Assignment.WithholdLeases; those of former versions do not
 }
 
 // WorkerReport is the result of one poll.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -138,12 +138,12 @@
 // assign starts or updates the session of a worker. r.mu is held.
 func (r *Relay) assign(a Assignment) {
 	if s, known := r.sessions[a.Worker.ID]; known {
-		s.worker, s.wait = a.Worker, a.Wait
+		s.worker, s.wait, s.withhold = a.Worker, a.Wait, a.WithholdLeases
 		return
 	}
 	ctx, cancel := context.WithCancel(r.sessionCtx)
-	s := &session{relay: r, term: r.term, worker: a.Worker, address: a.AnsweredAddress, wait: a.Wait, cancel: cancel,
-		changed: make(chan struct{}, 1)}
+	s := &session{relay: r, term: r.term, worker: a.Worker, address: a.AnsweredAddress, wait: a.Wait, withhold: a.WithholdLeases,
+		cancel: cancel, changed: make(chan struct{}, 1)}
 	r.sessions[a.Worker.ID] = s
 	r.wg.Go(func() { s.run(ctx) })
 }
@@ -152,6 +152,7 @@
 func (r *Relay) release(id schedule.WorkerID) {
 	if s, known := r.sessions[id]; known {
 		s.cancel()
+		s.withhold = true // its loop may be between two polls
 		delete(r.sessions, id)
 	}
 }
@@ -223,6 +224,9 @@
 // clearState drops the owner's assignments, its lease permission and the results collected for it. r.mu is held.
 func (r *Relay) clearState() {
 	r.reports, r.results = pendingReports{}, Results{}
+	for _, s := range r.sessions {
+		s.withhold = true // its loop may be between two polls
+	}
 	clear(r.sessions)
 	r.assigned, r.leaseUntil = false, 0
 }
@@ -245,7 +249,7 @@
 	if !r.reports.empty() {
 		r.signal()
 	}
-	out.Now = bootclock.Uptime()
+	out.Now, out.WithholdsLeases = bootclock.Uptime(), true
 	out.Uncollected = r.reports.workers()
 	r.uncollected.Update(float64(out.Uncollected))
 	if len(out.Reports) > 0 {
@@ -266,6 +270,11 @@
 func (r *Relay) addReport(term int64, report WorkerReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.addReportLocked(term, report)
+}
+
+// addReportLocked is addReport with r.mu held.
+func (r *Relay) addReportLocked(term int64, report WorkerReport) {
 	if term != r.term {
 		return
 	}
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -51,7 +51,7 @@
 	for _, w := range req.Assign {
 		u.Assign = append(u.Assign, relay.Assignment{
 			Worker: schedule.WorkerInfo{ID: schedule.WorkerID(w.Id), Address: w.Address}, AnsweredAddress: w.AnsweredAddress,
-			Wait: time.Duration(w.WaitNs),
+			Wait: time.Duration(w.WaitNs), WithholdLeases: w.WithholdLeases,
 		})
 	}
 	for _, id := range req.Release {
@@ -87,6 +87,7 @@
 	}
 	reply := &ownerpb.CollectReply{
 		NowNs: int64(results.Now), Fenced: results.Fenced, Uncollected: int64(results.Uncollected),
+		WithholdsLeases: results.WithholdsLeases,
 	}
 	for _, report := range results.Reports {
 		reply.Reports = append(reply.Reports, toReport(report))
@@ -148,6 +149,7 @@
 	for _, a := range u.Assign {
 		req.Assign = append(req.Assign, &ownerpb.Worker{
 			Id: string(a.Worker.ID), Address: a.Worker.Address, AnsweredAddress: a.AnsweredAddress, WaitNs: int64(a.Wait),
+			WithholdLeases: a.WithholdLeases,
 		})
 	}
 	for _, id := range u.Release {
@@ -186,8 +188,9 @@
 func fromCollectReply(reply *ownerpb.CollectReply) relay.Results {
 	results := relay.Results{
 		Now: time.Duration(reply.NowNs), Fenced: reply.Fenced, Uncollected: int(reply.Uncollected),
-		Reports:  make([]relay.WorkerReport, 0, len(reply.Reports)),
-		Outcomes: make([]relay.OrderOutcome, 0, len(reply.Outcomes)),
+		WithholdsLeases: reply.WithholdsLeases,
+		Reports:         make([]relay.WorkerReport, 0, len(reply.Reports)),
+		Outcomes:        make([]relay.OrderOutcome, 0, len(reply.Outcomes)),
 	}
 	for _, report := range reply.Reports {
 		results.Reports = append(results.Reports, fromReport(report))
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -38,6 +38,7 @@
 	address     string              // where the worker has answered last; empty if that is not known
 	tryListed   bool                // the last poll at address has failed, so the next one goes to the listed address
 	wait        time.Duration       // how long the worker may hold a poll open until a task ends
+	withhold    bool                // no lease is granted
 	incarnation int64               // of the worker process, as last reported
 	newestEnd   int64               // newest task end that the worker has reported
 	storedEnd   int64               // newest task end that is stored
@@ -123,9 +124,9 @@
 // grant returns the time on the worker's clock up to which task leases may be extended. No lease is granted to a worker
 // that did not answer its last poll: the worker may have applied that poll all the same, and with further extensions
 // there would be no time at which its leases have certainly expired. Leases end at most one task lease after the
-// owner's permission. Relay.mu is held.
+// owner's permission, and none is granted while the owner has them withheld. Relay.mu is held.
 func (s *session) grant() (leaseToMs int64, ok bool) {
-	if !s.lastPollOK {
+	if !s.lastPollOK || s.withhold {
 		return 0, false
 	}
 	now := bootclock.Uptime()
@@ -151,9 +152,12 @@
 		s.pollFailed(req, err)
 		return false
 	}
-	s.recordReply(req.Worker.Address, reply)
 	reply.Report.SentAt, reply.Report.Address = sent, req.Worker.Address
-	s.relay.addReport(s.term, WorkerReport{Worker: req.Worker.ID, Report: reply.Report})
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	// Both under one lock: an answer after which leases are granted is among the results that the owner collects from then on.
+	s.recordReply(req.Worker.Address, reply)
+	s.relay.addReportLocked(s.term, WorkerReport{Worker: req.Worker.ID, Report: reply.Report})
 	return true
 }
 
@@ -171,10 +175,8 @@
 }
 
 // recordReply records the clock and the newest task end of the worker, and where it has answered. Each incarnation numbers its
-// ends from 1.
+// ends from 1. Relay.mu is held.
 func (s *session) recordReply(address string, reply PollReply) {
-	s.relay.mu.Lock()
-	defer s.relay.mu.Unlock()
 	s.address, s.tryListed = address, false
 	if s.incarnation != reply.Report.Incarnation {
 		s.incarnation = reply.Report.Incarnation
