--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,6 +82,7 @@
 	evidence     *evidenceFaults                   // nil if the owner has no evidence of crashes but the list of workers
 	unused       map[*faultSimWorker]unusedSince   // see checkUse
 	moves        *moveFaults                       // nil if all processes of a worker have one address
+	withheld     *withheldSim
 	log          []string
 }
 
@@ -103,6 +105,7 @@
 		second.After = []int{0}
 		f.jobs = append(f.jobs, testJob(workload.JobID(fmt.Sprint("job", i)), testStep(1+f.rnd.IntN(4)), second))
 	}
+	f.withheld = newWithheldSim(seed)
 	f.takeOver()
 	return f
 }
@@ -128,6 +131,7 @@
 
 // takeOver starts a new owner. The former owner sends nothing more, but its delayed orders are still executed.
 func (f *faultSim) takeOver() {
+	f.keepFormerRelays()
 	f.term++
 	f.logf("term %d", f.term)
 	f.s = NewScheduler(Config{Term: f.term, TaskLease: testLease, StopTime: 400 * time.Millisecond,
@@ -148,6 +152,7 @@
 		f.s.AddJob(job, &progress, true)
 	}
 	f.listWorkers()
+	f.withheld.reset(f)
 	for _, worker := range f.workers {
 		worker.cut = nil
 		if f.term > 1 && f.faulty(3) {
@@ -178,6 +183,7 @@
 	if f.faulty(150) && !f.storeDown() {
 		f.takeOver()
 	}
+	f.disturbSilent()
 	f.advanceLate()
 	f.advanceKnown()
 	if f.moves != nil {
@@ -188,6 +194,7 @@
 		f.advance(worker)
 	}
 	f.executeDelayed()
+	f.pollFormerRelays()
 	if f.rnd.IntN(8) == 0 {
 		f.listWorkers()
 	}
@@ -196,7 +203,9 @@
 			f.poll(worker)
 		}
 	}
+	f.advanceWithheld()
 	f.s.Expire(f.time(), f.confirmed(), f.collectedUpTo)
+	f.s.WithholdLeases(f.time(), f.confirmed(), f.withheldSince, f.collectedUpTo)
 	f.s.Plan(f.time())
 	for _, order := range f.s.TakeOrders() {
 		f.send(order)
@@ -229,7 +238,7 @@
 	}
 	delayed := delayedOrder{order: order, fence: f.term}
 	if order.Kind == OrderStart {
-		if !f.polled[order.Worker] {
+		if !f.polled[order.Worker] || f.withheld.flags[order.Worker] {
 			f.s.OrderAnswered(f.time(), order, NotRun)
 			return
 		}
@@ -298,15 +307,15 @@
 		worker.leaseEnd = max(worker.leaseEnd, d.leaseEnd)
 		f.starts[key.task]++
 		f.lastStart[key.task] = f.now
-		worker.running[key] = f.now + f.runTime()
+		worker.running[key] = f.now + f.runTime(key.task.Job)
 		f.logf("%v attempt %d runs on %s", key.task, key.number, worker.info.ID)
 	}
 	return Accepted
 }
 
 // runTime returns how long an attempt runs. Some outlast a takeover and several losses of their relay.
-func (f *faultSim) runTime() time.Duration {
-	if f.rnd.IntN(6) == 0 {
+func (f *faultSim) runTime(job workload.JobID) time.Duration {
+	if f.rnd.IntN(6) == 0 || strings.HasPrefix(string(job), longJob) {
 		return simLongTask
 	}
 	return time.Duration(300+f.rnd.IntN(4000)) * time.Millisecond
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -63,7 +63,7 @@
 		return 0
 	}
 	if report.SentAt < w.polledAt { // a later poll was answered first; the next report lists again what this one lists
-		w.leasesExtended = true
+		s.recordExtended(w)
 		w.becomeUnclear() // it may list the end of an attempt that no other report does if the worker crashes now
 		if w.incarnation != report.Incarnation {
 			return 0 // the processes number their ends independently
@@ -83,7 +83,7 @@
 	}
 	w.polledAt = report.SentAt
 	w.reportedAt = now.Boot
-	w.leasesExtended = true
+	s.recordExtended(w)
 	w.suspect = false
 	w.silence, w.brokenAt = answering, 0
 	s.index.markChanged(w)
--- a/pkg/dispatch/assignment_test.go
+++ b/pkg/dispatch/assignment_test.go
@@ -151,7 +151,7 @@
 		t.Error("the relay that polls the worker is taken for its former one")
 	}
 	o.unassign(testWorker, l)
-	l.updateApplied(update)
+	l.recordReleased(update)
 	if !l.leaving[testWorker] {
 		t.Error("the latest release is taken for applied")
 	}
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -49,6 +49,7 @@
 	openedAt         time.Duration // boot time of the creation of the link
 	lastResponseAt   time.Duration // boot time of the last successful call, or of the creation of the link
 	collectedUpTo    time.Duration // boot time up to which all results of the relay have been applied; 0 before the first
+	withheld         withheldLeases
 }
 
 // assignment is what the relay is told of a worker.
@@ -56,6 +57,7 @@
 	address    string               // as the platform lists it
 	datacentre structs.DatacentreID // for which the relay was chosen
 	wait       time.Duration        // how long a poll of the worker may wait
+	withhold   bool                 // the relay extends no lease of it
 }
 
 // inFlight is an order that was sent to the relay and has no outcome yet.
@@ -71,6 +73,7 @@
 	delete(l.workers, id)
 	delete(l.assign, id)
 	delete(l.stored, id)
+	delete(l.withheld.since, id)
 	l.polls.forget(id)
 	l.release[id], l.leaving[id] = true, true
 	l.owner.wake(l.wake)
@@ -99,14 +102,20 @@
 			l.updateFailed(ctx, update, err)
 			continue
 		}
-		l.owner.mu.Lock()
 		l.updateApplied(update)
-		l.owner.mu.Unlock()
 	}
 }
 
-// updateApplied records which workers the relay has stopped polling. Owner.mu is held.
+// updateApplied records what the relay has done once it has answered an update.
 func (l *link) updateApplied(u relay.Update) {
+	l.owner.mu.Lock()
+	defer l.owner.mu.Unlock()
+	l.recordReleased(u)
+	l.recordWithheld(u)
+}
+
+// recordReleased records which workers the relay has stopped polling. Owner.mu is held.
+func (l *link) recordReleased(u relay.Update) {
 	listed := make(map[schedule.WorkerID]bool, len(u.Assign))
 	for _, a := range u.Assign {
 		listed[a.Worker.ID] = true
@@ -141,6 +150,7 @@
 		if info, known := o.scheduler.Worker(id); known {
 			u.Assign = append(u.Assign, relay.Assignment{
 				Worker: info, AnsweredAddress: o.scheduler.AnsweredAddress(id), Wait: l.workers[id].wait,
+				WithholdLeases: l.workers[id].withhold,
 			})
 		}
 	}
@@ -151,6 +161,7 @@
 		u.Stored = append(u.Stored, stored)
 	}
 	o.polls.assigned(u.Assign)
+	l.withheld.taken = l.withheld.resets
 	ok = l.reset || len(u.Assign) > 0 || len(u.Release) > 0 || len(u.Stored) > 0 || len(u.Orders) > 0
 	l.reset = false
 	clear(l.assign)
@@ -188,6 +199,7 @@
 	}
 	l.owner.mu.Lock()
 	l.reset = true // the relay may or may not have applied the update
+	l.withheld.reset()
 	l.relayClockReadAt = 0
 	l.owner.mu.Unlock()
 	for _, order := range u.Orders {
@@ -266,6 +278,7 @@
 		o.scheduler.PollerLost(id, l.permittedUntil)
 	}
 	l.reset, l.lastResponseAt, l.relayClockReadAt = true, bootclock.Uptime(), 0
+	l.withheld.reset()
 	l.polls.reset()
 	o.wake(l.wake)
 }
@@ -280,6 +293,7 @@
 	}
 	o.updateAndPlan(func(s *schedule.Scheduler, now schedule.Time) {
 		l.relayClock, l.relayClockReadAt, l.lastResponseAt = results.Now, now.Boot, now.Boot
+		l.withheld.observed = results.WithholdsLeases
 		o.measures.recordResults(now.Boot, arrived, results)
 		for _, outcome := range results.Outcomes {
 			l.applyOutcome(s, now, outcome)
