--- a/core/schedule/faultsim_withheld_test.go
+++ b/core/schedule/faultsim_withheld_test.go
@@ -34,6 +34,7 @@
 	simOwnerLost    = time.Second             // longest time until the owner changes then
 	simSilentJobs   = 4
 	simSilentTasks  = 8
+	simSilentEnd    = simEnd + 4*simLongTask
 	simLastSilence  = 10 * time.Second // longer than a lease lasts
 )
 
@@ -60,6 +61,14 @@
 	return f
 }
 
+// end returns how long jobs are played. Those of newSilentFaultSim have to wait for the long ones.
+func (f *faultSim) end() time.Duration {
+	if f.withheld.episode != nil {
+		return simSilentEnd
+	}
+	return simEnd
+}
+
 // disturbSilent advances the episode.
 func (f *faultSim) disturbSilent() {
 	m, e := f.withheld, f.withheld.episode
