--- /dev/null
+++ b/core/schedule/lease.go
@@ -0,0 +1,103 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// Polls extend the task leases of a worker. The scheduler records until when they may last, and treats what runs on a worker that does
+// not answer as running until then.
+
+// PollFailed records that a worker did not answer a poll. Until its next report its task leases are no longer extended.
+func (s *Scheduler) PollFailed(now Time, id WorkerID) {
+	if w, known := s.workers[id]; known {
+		w.becomeUnclear()
+		w.stopExtending(now.Boot + s.cfg.leaseBound())
+		s.recordSilence(now, w)
+	}
+}
+
+// PollerLost records that the connection to the process that polls a worker is lost. The leases of the worker may still
+// be extended until extendedUntil, in boot time, even if no report has arrived over that connection: it may have been
+// lost. Those of a worker whose remaining lease is to be stored are not extended by that process either.
+func (s *Scheduler) PollerLost(id WorkerID, extendedUntil time.Duration) {
+	w, known := s.workers[id]
+	if !known {
+		return
+	}
+	w.suspect = true
+	w.becomeUnclear()
+	if !w.withheld.marked {
+		w.leasesExtended = true
+		w.stopExtending(extendedUntil + s.cfg.leaseBound())
+	}
+}
+
+// LeasesPermitted records that task leases of a worker may be extended until a boot time by a process that polls it no longer for
+// this owner, or has not stopped yet.
+func (s *Scheduler) LeasesPermitted(id WorkerID, extendedUntil time.Duration) {
+	if w, known := s.workers[id]; known {
+		w.leaseEnd = max(w.leaseEnd, extendedUntil+s.cfg.leaseBound())
+	}
+}
+
+// ReportsLost records that reports of a worker may be lost, and with them the evidence that its leases were extended, unless they are
+// certainly withheld.
+func (s *Scheduler) ReportsLost(id WorkerID) {
+	w, known := s.workers[id]
+	if !known {
+		return
+	}
+	w.becomeUnclear()
+	if !w.withheld.marked {
+		s.recordExtended(w)
+	}
+}
+
+// stopExtending records that no lease on the worker ends after end, in boot time, unless the worker reports again.
+func (w *worker) stopExtending(end time.Duration) {
+	if w.leasesExtended {
+		w.leaseEnd = max(w.leaseEnd, end)
+	}
+	w.leasesExtended = false
+	w.suspect = true
+}
+
+// Expire ends the attempts on unreachable workers whose task leases have certainly expired, and removes workers that
+// have left. confirmed states that the store has confirmed the ownership up to now. Without it nothing expires: a later
+// owner may have extended the leases of workers that this one does not reach. collectedUpTo returns the boot time up to which
+// the results of all polls of a worker have been applied. A worker may have answered after that, and its leases may have been
+// extended, even if they would have expired by now.
+func (s *Scheduler) Expire(now Time, confirmed bool, collectedUpTo func(WorkerID) time.Duration) {
+	s.calledAt = now.Boot
+	if !confirmed {
+		return
+	}
+	if now.Boot >= s.unknownUntil {
+		s.unknownUntil = 0
+	}
+	var expired []*worker
+	for _, w := range s.sortedWorkers {
+		if !w.leasesExtended && !w.reachable(now.Boot) && now.Boot >= w.leaseEnd && collectedUpTo(w.info.ID) >= w.leaseEnd {
+			expired = append(expired, w)
+		}
+	}
+	for _, w := range expired {
+		s.stopAwaiting(w)
+		s.setAnswers(w, false)
+		for _, a := range slices.Clone(w.attemptList) {
+			s.emit(a.event(EventAttemptExpired))
+			if a.certainlyRan() {
+				w.expired = append(w.expired, expiredAttempt{a.task, a.listedFor()})
+			}
+			s.drop(a)
+		}
+		for key := range w.orphans {
+			w.removeOrphan(key)
+		}
+		if !w.listed && now.Boot-w.unlistedAt > listingGrace {
+			s.vanished[w.info.ID] = vanishedWorker{w, now.Boot}
+			s.removeWorker(w)
+		}
+	}
+}
