--- a/core/schedule/replaced.go
+++ b/core/schedule/replaced.go
@@ -54,7 +54,8 @@
 // latestByPlace returns the worker of each place that has answered there last, among those that have reported. A process that has
 // crashed comes back at its address under a new ID, and the platform lists both until the entry of the first one lapses. Only a
 // report proves that: polls name the worker that they are meant for, and no other process answers them. An entry alone may come
-// from another writer. Starts do not tell which process is the latest: the clock of the machine may have been set back.
+// from another writer. The latest process is the one whose answered poll was sent last, not the one with the latest start: the clock of the
+// machine may have been set back.
 func (s *Scheduler) latestByPlace() map[place]*worker {
 	latest := make(map[place]*worker, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -69,5 +69,5 @@
 	Worker  string `json:"w"`
 	SinceMs int64  `json:"t"`           // last report, Unix milliseconds
 	AskedMs int64  `json:"a,omitempty"` // poll or start that was answered last, Unix milliseconds; 0 if unknown
-	Broken  bool   `json:"b,omitempty"` // its connection broke soon after an answer, so its process has ended then
+	Broken  bool   `json:"b,omitempty"` // its connection broke soon after its last answer, which shows when its process ended
 }
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -37,8 +37,8 @@
 	// leases.
 	pollWait = time.Second
 	// servicePollWait replaces pollWait on workers that run filler tasks beside service tasks: the tail latency of the
-	// services has to be monitored more often. It also does on workers that run a task which may crash them, and is below
-	// schedule.MaxUnobserved for that.
+	// services has to be monitored more often. So have workers that run a task which may crash them: it is below
+	// schedule.MaxUnobserved, so that their crash is noticed in time.
 	servicePollWait = 400 * time.Millisecond
 )
 
