--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -279,7 +279,7 @@
 // spareFillerCPU returns the thousandths of a core that further filler tasks are expected to get. Fillers that are
 // throttled leave the rest of their demand to others.
 func (w *worker) spareFillerCPU() int64 {
-	others := w.reserved.MilliCPU - w.serviceCPU + w.serviceCPU*serviceUse/100
+	others := w.reserved.MilliCPU - w.serviceReserved.MilliCPU + w.serviceReserved.MilliCPU*serviceUse/100
 	fillers := int64(0)
 	for _, a := range w.attemptList {
 		if a.filler() {
@@ -330,7 +330,7 @@
 // large tasks and for fillers that interfere with no service. Services of the same image share workers, so that a filler
 // that interferes with one image finds workers without it.
 func serviceRating(w *worker, image int) float64 {
-	rating := float64(w.serviceCPU) / float64(max(w.info.Capacity.MilliCPU, 1))
+	rating := float64(w.serviceReserved.MilliCPU) / float64(max(w.info.Capacity.MilliCPU, 1))
 	if w.services == 0 {
 		return rating
 	}
--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -170,7 +170,7 @@
 // ended. The former comes first: places that are kept there would otherwise be given up at each review.
 func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
 	compare := func(w *worker) bool {
-		if !w.hasRoomBesideServices(t) || w.hasOtherNominee(t) || !s.mayBeNominatedTo(now, t, w) {
+		if w.hasOtherNominee(t) || !s.fitsBesideServices(now, t, w) {
 			return false
 		}
 		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
@@ -199,11 +199,6 @@
 	return best, soonest
 }
 
-// hasRoomBesideServices reports whether a worker has the processor time for a task if only its services run there.
-func (w *worker) hasRoomBesideServices(t *task) bool {
-	return w.info.Capacity.MilliCPU-w.serviceCPU >= t.step.spec.Size.MilliCPU
-}
-
 func (w *worker) hasOtherNominee(t *task) bool {
 	return slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t })
 }
--- a/core/schedule/vacated.go
+++ b/core/schedule/vacated.go
@@ -65,7 +65,7 @@
 		}
 		share.workers++
 		share.capacity += w.info.Capacity.MilliCPU
-		share.services += w.serviceCPU
+		share.services += w.serviceReserved.MilliCPU
 		for _, nominee := range w.nominees {
 			share.addNominee(s, now, nominee)
 		}
--- a/core/schedule/waiting.go
+++ b/core/schedule/waiting.go
@@ -40,6 +40,9 @@
 	Label   string // that the worker needs
 	Service bool
 	Filler  bool
+	// BesideServices is the number of workers whose services leave room for the task, whether or not tasks that end use it; only
+	// of services.
+	BesideServices int
 }
 
 // Waits explains why tasks wait. It changes no decision.
@@ -176,6 +179,9 @@
 	longest.Tasks = int(counts[longest.Reason])
 	longest.Size, longest.Label = st.spec.Size, st.spec.Label
 	longest.Service, longest.Filler = st.spec.Service, st.spec.Filler
+	if longest.Service {
+		longest.BesideServices = e.s.workersBesideServices(e.now, st.tasks[longest.Task.Index])
+	}
 	e.waits.Steps = append(e.waits.Steps, longest)
 }
 
--- a/core/schedule/waiting_test.go
+++ b/core/schedule/waiting_test.go
@@ -449,3 +449,29 @@
 		h.s.Waits(h.now)
 	}
 }
+
+// Guards against lines about a service that waits from which it cannot be told whether services or tasks that end use the
+// capacity it needs: w1 and w2 have room for it beside their services, w2 keeps that for another one, and w3 is too small.
+func TestWaitTellsWhereServicesLeaveRoom(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w0", withCores(1))
+	h.startedService("service", 1)
+	h.s.AddJob(testJob("long", testStep(4)), nil, false)
+	h.addWorker("w1", withCores(2))
+	h.addWorker("w2", withCores(2))
+	h.wantStarts(h.run(), 4)
+	h.addWorker("w3", func(info *WorkerInfo) { info.Capacity.MilliCPU = 500 })
+	h.s.PollFailed(h.now, "w0")
+	delete(h.workers, "w0")
+	h.advanceClock(h.s.cfg.leaseBound())
+	h.reportAll()
+	h.s.Plan(h.now)
+	other := &task{step: &step{spec: workload.Step{Service: true, Size: structs.Resources{MilliCPU: 1500}}}}
+	h.s.workers["w2"].nominees = []*task{other}
+	h.advanceClock(LongWait)
+	h.reportAll()
+	steps := h.s.Waits(h.now).Steps
+	if len(steps) != 1 || !steps[0].Service || steps[0].BesideServices != 1 {
+		t.Errorf("the waits are %+v", steps)
+	}
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -58,7 +58,7 @@
 	orphans          map[attemptKey]*orphan
 	reserved         structs.Resources // reserved by attempts and orphans
 	fillerCPU        int64             // demand of filler tasks, thousandths of a core
-	serviceCPU       int64             // reserved by service tasks, thousandths of a core
+	serviceReserved  structs.Resources // reserved by service tasks
 	fillersThrottled bool              // a filler runs below full speed
 	throttledAt      time.Duration     // when fillers were last throttled
 	pausedAt         time.Duration     // when fillers were last paused
@@ -153,7 +153,7 @@
 		w.fillerCPU += spec.Size.MilliCPU
 	case spec.Service:
 		w.pressures = nil
-		w.serviceCPU += spec.Size.MilliCPU
+		w.serviceReserved = w.serviceReserved.Add(spec.Reserved())
 		w.servicesByImage[a.task.step.imageIndex]++
 		w.services++
 	}
@@ -174,7 +174,7 @@
 		w.fillerCPU -= spec.Size.MilliCPU
 	case spec.Service:
 		w.pressures = nil
-		w.serviceCPU -= spec.Size.MilliCPU
+		w.serviceReserved = w.serviceReserved.Sub(spec.Reserved())
 		w.servicesByImage[a.task.step.imageIndex]--
 		w.services--
 	}
