--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -211,13 +211,9 @@
 // at once if its last run was not brief, and one that is avoided after a fault once the task is overdue.
 func (s *Scheduler) fitsNominated(now Time, t *task) bool {
 	w := t.nomination.worker
-	switch {
-	case s.fits(now, t, w):
-		return true
-	case t.mayReturnTo(w):
-		return s.usable(now.Boot, w) && s.hasRoom(now, t, w)
-	}
-	return t.restartOverdue(now) && s.fitsAvoided(now, t, w)
+	return s.fits(now, t, w) ||
+		t.mayReturnTo(w) && s.usable(now.Boot, w) && s.hasRoom(now, t, w) ||
+		t.restartOverdue(now) && s.fitsAvoided(now, t, w)
 }
 
 // mayReturnTo reports whether a task was on a worker last and has run there for so long that its failure need not be the
--- a/core/schedule/nominate_test.go
+++ b/core/schedule/nominate_test.go
@@ -346,3 +346,26 @@
 		t.Error("the service is not nominated")
 	}
 }
+
+// Guards against a service that stays down for as long as the worker that keeps its place is in back-off: another one of the same
+// size comes before it and fits nowhere, so that no further worker is searched for a task of this size.
+func TestNomineeStartsInBackOffBesideAnotherOfItsSize(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(1))
+	h.startedService("lost", 1)
+	h.addWorker("w2", withCores(1))
+	h.startedService("failed", 1)
+	h.s.PollFailed(h.now, "w1")
+	delete(h.workers, "w1")
+	h.advanceClock(h.s.cfg.leaseBound())
+	h.reportAll()
+	h.wantStarts(h.run(), 0)
+	h.advanceClock(2 * restartOverdueAfter)
+	h.fail(taskID("failed", 0, 0))
+	health := &h.s.workers["w2"].health
+	health.length, health.until = maxFailureBackOff, h.now.Boot+maxFailureBackOff
+	h.wantStarts(h.run(), 0)
+	h.advanceClock(restartOverdueAfter)
+	h.reportAll()
+	h.wantStarts(h.orderedFor(h.run(), "failed"), 1)
+}
