--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -197,6 +197,10 @@
 		l.owner.ownership.MarkLost("a relay serves a later owner")
 		return
 	}
+	if errors.Is(err, relay.ErrOtherHost) {
+		l.updateRefused(u, err)
+		return
+	}
 	l.owner.mu.Lock()
 	l.reset = true // the relay may or may not have applied the update
 	l.withheld.reset()
@@ -209,6 +213,14 @@
 	l.owner.wake(l.wake)
 }
 
+// updateRefused handles an update that another host has refused at the address of the relay.
+func (l *link) updateRefused(u relay.Update, err error) {
+	for _, order := range u.Orders {
+		l.owner.recordOutcome(order, unsentOutcome(order), err.Error())
+	}
+	l.owner.closeLink(l, err)
+}
+
 // collectLoop fetches results from the relay and applies them until ctx ends or the relay is lost.
 func (l *link) collectLoop(ctx context.Context) {
 	pacer := callPacer{owner: l.owner}
@@ -254,6 +266,10 @@
 		l.reassignAll()
 		return false
 	}
+	if errors.Is(err, relay.ErrOtherHost) {
+		o.closeLink(l, err)
+		return true
+	}
 	o.mu.Lock()
 	l.relayClockReadAt = 0
 	l.polls.reset()
@@ -263,7 +279,7 @@
 	lost := bootclock.Uptime()-l.lastResponseAt > relayLostAfter
 	o.mu.Unlock()
 	if lost {
-		o.closeLink(l, err.Error())
+		o.closeLink(l, err)
 	}
 	return lost
 }
--- a/pkg/dispatch/link_test.go
+++ b/pkg/dispatch/link_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
+	"fulmarcourse.example/fulmarcourse/pkg/relay"
 )
 
 // Scenario: the relay of this process is replaced while a loop of its link is between two calls. Guards against a call that
@@ -83,3 +86,21 @@
 		t.Errorf("%d orders are sent after the relay was lost", len(update.Orders))
 	}
 }
+
+// Scenario: another host answers at the address of a relay and refuses an update. Guards against starts that count as sent: their tasks
+// would wait until a stop is confirmed, or the leases of the worker expire.
+func TestStartsThatAnotherHostHasRefusedAreNotRun(t *testing.T) {
+	o, l := startingOwner(t, 2, "")
+	l.stop = func() {}
+	update, _ := l.takeUpdate()
+	if len(update.Orders) != 2 {
+		t.Fatalf("%d orders are sent, want 2", len(update.Orders))
+	}
+	l.updateFailed(t.Context(), update, errors.Annotate(relay.ErrOtherHost, "test"))
+	if c := o.scheduler.Counts(bootclock.Now()); c.Pending != 2 || c.Others != 0 {
+		t.Errorf("%d tasks are pending and %d have an attempt, want 2 and 0", c.Pending, c.Others)
+	}
+	if !l.closed {
+		t.Error("the link to the other host stays open")
+	}
+}
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
@@ -202,16 +204,30 @@
 	}
 }
 
-// closeLink closes the link to a lost relay. Its workers are assigned to other relays.
-func (o *Owner) closeLink(l *link, reason string) {
+// closeLink closes the link to a lost relay, unless it is closed already. Its workers are assigned to other relays. The relay is
+// used again after relayBackOff, or as soon as its host is registered with another address.
+func (o *Owner) closeLink(l *link, reason error) {
 	l.stop()
-	o.cfg.Log.Event(eventlog.RelayLost).Str("relay", l.host.Name).Int64("term", o.ownership.Term).Str("reason", reason).Msg("")
 	o.updateAndPlan(func(_ *schedule.Scheduler, now schedule.Time) {
+		if l.closed {
+			return
+		}
+		o.logLost(l, reason)
 		o.unlink(now, l)
-		o.relayBackOffUntil[l.host.Name] = now.Boot + relayBackOff
+		o.relayBackOffUntil[l.host.place()] = now.Boot + relayBackOff
 	})
 }
 
+// logLost logs why a link is closed.
+func (o *Owner) logLost(l *link, reason error) {
+	event := eventlog.RelayLost
+	if errors.Is(reason, relay.ErrOtherHost) {
+		event = eventlog.RelayAddressTaken
+	}
+	o.cfg.Log.Event(event).Str("relay", l.host.Name).Str("address", l.host.Address).Int64("term", o.ownership.Term).
+		Str("reason", reason.Error()).Msg("")
+}
+
 // unlink removes a link and leaves its workers unassigned until the next assignment. Its orders without an outcome are
 // recorded as unanswered, and starts that were not sent as not run. o.mu is held.
 func (o *Owner) unlink(now schedule.Time, l *link) {
@@ -226,15 +242,19 @@
 		o.scheduler.OrderAnswered(now, entry.order, schedule.Unanswered)
 	}
 	for _, order := range l.orders {
-		outcome := schedule.Unanswered
-		if order.Kind == schedule.OrderStart {
-			outcome = schedule.NotRun
-		}
-		o.scheduler.OrderAnswered(now, order, outcome)
+		o.scheduler.OrderAnswered(now, order, unsentOutcome(order))
 	}
 	l.orders = nil // the loop of the link may take one more update
 	o.wake(o.assignWake)
 }
 
+// unsentOutcome returns the outcome of an order that no relay has received: a start has not run, and others may be sent again.
+func unsentOutcome(order schedule.Order) schedule.Outcome {
+	if order.Kind == schedule.OrderStart {
+		return schedule.NotRun
+	}
+	return schedule.Unanswered
+}
+
 // relayBackOff is how long a relay is not used after it was lost.
 const relayBackOff = 5 * time.Second
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -67,9 +67,9 @@
 	scheduler         *schedule.Scheduler
 	links             map[string]*link // by host name
 	linkOf            map[schedule.WorkerID]*link
-	sequence          int64                    // of the latest update of a relay
-	relayBackOffUntil map[string]time.Duration // by host; boot time until which a lost relay is not used
-	localSubstitutes  bool                     // the relay of this host is used only while no other one can be
+	sequence          int64                        // of the latest update of a relay
+	relayBackOffUntil map[relayPlace]time.Duration // boot time until which a lost relay is not used
+	localSubstitutes  bool                         // the relay of this host is used only while no other one can be
 	ends              map[schedule.WorkerID]endNumbers
 	unreachable       map[schedule.WorkerID]bool
 	polls             pollRecords
@@ -126,7 +126,7 @@
 		}),
 		links:             map[string]*link{},
 		linkOf:            map[schedule.WorkerID]*link{},
-		relayBackOffUntil: map[string]time.Duration{},
+		relayBackOffUntil: map[relayPlace]time.Duration{},
 		ends:              map[schedule.WorkerID]endNumbers{},
 		unreachable:       map[schedule.WorkerID]bool{},
 		polls:             pollRecords{},
--- a/pkg/dispatch/relays.go
+++ b/pkg/dispatch/relays.go
@@ -28,10 +28,16 @@
 	Datacentre structs.DatacentreID
 	Cores      float64
 	LinkMbps   float64 // bandwidth of the host's network link; 0 if unknown
+	Address    string  // at which the host is registered; empty for this host
 	Local      bool    // the relay runs in this process
 	Client     RelayClient
 }
 
+// relayPlace is a host at an address. After a host has started again at another address, its relay is another one.
+type relayPlace struct{ host, address string }
+
+func (h RelayHost) place() relayPlace { return relayPlace{h.Name, h.Address} }
+
 // capacity returns how many workers the host can poll.
 func (h RelayHost) capacity() int {
 	capacity := workersPerRelay
@@ -60,7 +66,7 @@
 		if capacity >= workers {
 			break
 		}
-		if _, open := o.links[host.Name]; open || bootclock.Uptime() < o.relayBackOffUntil[host.Name] {
+		if _, open := o.links[host.Name]; open || bootclock.Uptime() < o.relayBackOffUntil[host.place()] {
 			continue
 		}
 		o.openLink(ctx, host)
--- a/pkg/dispatch/relays_test.go
+++ b/pkg/dispatch/relays_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"fulmarcourse.example/core/schedule"
@@ -103,7 +104,7 @@
 	o.mu.Lock()
 	l := o.links[host]
 	o.mu.Unlock()
-	o.closeLink(l, "no answer")
+	o.closeLink(l, errors.New("no answer"))
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.assignWorkers(ctx)
@@ -180,3 +181,42 @@
 	defer o.mu.Unlock()
 	return len(l.workers)
 }
+
+// Scenario: both loops of a link find that its relay is lost, and the next link to the host is opened in between. Guards against a loop
+// that closes the next link: its workers would count as polled and no link would send for them.
+func TestLinkIsClosedOnce(t *testing.T) {
+	o, ctx := fleetOwner(t, 90, 3, 0.4, 1000)
+	lost := o.linkTo("host-01")
+	o.lose(ctx, "host-01")
+	o.mu.Lock()
+	clear(o.relayBackOffUntil)
+	o.assignWorkers(ctx)
+	o.mu.Unlock()
+	next := o.linkTo("host-01")
+	if next == nil || next == lost {
+		t.Fatal("no next link is open")
+	}
+	o.closeLink(lost, errors.New("no answer"))
+	if o.linkTo("host-01") != next {
+		t.Error("the next link to the host is closed with the former one")
+	}
+}
+
+// Scenario: a relay is lost because its host has started again at another address. Guards against a host that is not used for
+// relayBackOff although it is registered where it is now, while its former address stays unused for that time.
+func TestLostRelayIsUsedAtItsNextAddressAtOnce(t *testing.T) {
+	o, ctx := fleetOwner(t, 90, 3, 0.4, 1000)
+	hosts := o.cfg.Relays.RelayHosts()
+	o.lose(ctx, "host-01")
+	if o.linkTo("host-01") != nil {
+		t.Fatal("the lost relay is used again at the same address")
+	}
+	hosts[1].Address = "10.0.0.9:7000"
+	o.mu.Lock()
+	o.cfg.Relays = listedHosts(hosts)
+	o.assignWorkers(ctx)
+	o.mu.Unlock()
+	if l := o.linkTo("host-01"); l == nil || l.host.Address != hosts[1].Address {
+		t.Errorf("the relay at the next address has the link %v", l)
+	}
+}
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -25,6 +25,11 @@
 	OwnerStopped       = define(7016, "owner_stopped", log.InfoLevel, "The goroutines of an owner have ended.")
 )
 
+// Events of the links between owners and relays, 7060 to 7069. Further ones are 7009, 7017 and 7018.
+var (
+	RelayAddressTaken = define(7060, "relay_address_taken", log.WarnLevel, "Another entry host answers at the `address` at which `relay` was registered, and has refused a call, as `reason` states. The workers of the relay are assigned to other relays. It is used again once it is registered with another address, or after 5 s.")
+)
+
 // Events of tasks, workers, store mirrors and configuration, 7020 to 7059.
 var (
 	TaskStartDecided         = define(7020, "task_start", log.InfoLevel, "A task is started on a worker. For a task that ran before, `waited` is the time in milliseconds since the owner knew of its end, and `stored` the part of it after the decision, in which the worker of a service is stored. A task that has not run before has both if it has waited for more than 2 s. `reason` is the last known reason of a wait of more than 2 s, as in `task_waits`.")
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -41,6 +41,8 @@
 
 // ServerConfig configures a Server.
 type ServerConfig struct {
+	// Host is the name of this host. Calls that name another one are refused, see ForHost. If it is empty, all calls are accepted.
+	Host string
 	// Register adds the services, for example with peerpb.RegisterMembershipServer.
 	Register func(grpc.ServiceRegistrar)
 	// OnPanic is called when the handler of a method has panicked. The call fails with status Internal.
@@ -54,8 +56,12 @@
 
 // NewServer returns a server that does not accept connections until Serve.
 func NewServer(cfg ServerConfig) *Server {
+	interceptors := []grpc.UnaryServerInterceptor{recoverPanics(cfg.OnPanic)}
+	if cfg.Host != "" {
+		interceptors = append(interceptors, refuseOtherHosts(cfg.Host))
+	}
 	server := grpc.NewServer(
-		grpc.UnaryInterceptor(recoverPanics(cfg.OnPanic)),
+		grpc.ChainUnaryInterceptor(interceptors...),
 		grpc.StatsHandler(otelgrpc.NewServerHandler(otelgrpc.WithFilter(tracedCalls()))),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: PingInterval, Timeout: PingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -32,6 +32,8 @@
 	ErrNoAssignment = errors.ConstError("relay has not been told its workers")
 	// ErrOutdated means that the relay has applied a later update of the owner. Nothing of the update was applied.
 	ErrOutdated = errors.ConstError("relay has applied a later update")
+	// ErrOtherHost means that the process at the address of the relay belongs to another host. Nothing of the call was applied.
+	ErrOtherHost = errors.ConstError("another host answers at the address of the relay")
 	// ErrExpired means that a command was not sent in time, for instance because the process was paused.
 	ErrExpired = errors.ConstError("command has waited for too long")
 )
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -15,6 +15,7 @@
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/api/ownerpb"
+	"fulmarcourse.example/fulmarcourse/pkg/peer"
 	"fulmarcourse.example/fulmarcourse/pkg/relay"
 )
 
@@ -116,6 +117,9 @@
 
 // fromStatus restores the errors of package relay from gRPC statuses.
 func fromStatus(err error) error {
+	if peer.IsOtherHost(err) {
+		return errors.WithType(err, relay.ErrOtherHost)
+	}
 	switch status.Code(err) {
 	case codes.FailedPrecondition:
 		return errors.WithType(err, relay.ErrStaleTerm)
@@ -132,6 +136,8 @@
 
 // Client calls a relay on another entry host. It implements dispatch.RelayClient.
 type Client struct {
+	// Host is the name of the host. If another one answers on the connection, calls fail with relay.ErrOtherHost.
+	Host string
 	// Conn returns the connection to the host.
 	Conn func() (grpc.ClientConnInterface, error)
 }
@@ -163,7 +169,7 @@
 	for _, order := range u.Orders {
 		req.Orders = append(req.Orders, toOrder(order))
 	}
-	_, err = ownerpb.NewRelayClient(conn).Update(ctx, req, compressed)
+	_, err = ownerpb.NewRelayClient(conn).Update(peer.ForHost(ctx, c.Host), req, compressed)
 	if err != nil {
 		return fromStatus(err)
 	}
@@ -176,7 +182,7 @@
 	if err != nil {
 		return relay.Results{}, errors.Trace(err)
 	}
-	reply, err := ownerpb.NewRelayClient(conn).Collect(ctx, &ownerpb.CollectRequest{
+	reply, err := ownerpb.NewRelayClient(conn).Collect(peer.ForHost(ctx, c.Host), &ownerpb.CollectRequest{
 		Partition: int32(partition), Term: term, LeaseUntilNs: int64(leaseUntil), WaitNs: int64(wait),
 	}, compressed)
 	if err != nil {
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -124,6 +124,7 @@
 		return errors.Annotatef(err, "listen on %s", n.cfg.Listen)
 	}
 	server := peer.NewServer(peer.ServerConfig{
+		Host: n.cfg.Self.Host,
 		Register: func(r grpc.ServiceRegistrar) {
 			ownerpb.RegisterOwnerServer(r, &ownerServer{node: n})
 			ownerpb.RegisterRelayServer(r, relaygrpc.NewServer(n.relayOf))
--- a/pkg/scheduling/relays.go
+++ b/pkg/scheduling/relays.go
@@ -31,7 +31,10 @@
 		}
 		hosts = append(hosts, dispatch.RelayHost{
 			Name: record.Host, Datacentre: record.Datacentre, Cores: record.Cores, LinkMbps: record.LinkMbps,
-			Client: relaygrpc.Client{Conn: func() (grpc.ClientConnInterface, error) { return r.node.pool.Conn(record.Address) }},
+			Address: record.Address,
+			Client: relaygrpc.Client{Host: record.Host, Conn: func() (grpc.ClientConnInterface, error) {
+				return r.node.pool.Conn(record.Address)
+			}},
 		})
 	}
 	return hosts
