--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -8,7 +8,7 @@
 	TermNotAcquired    = define(7001, "term_not_acquired", log.InfoLevel, "A partition without an owner could not be acquired: another entry host acquired it first, or the store did not answer.")
 	TermLost           = define(7002, "term_lost", log.WarnLevel, "Another entry host owns the partition now. This host sends no further orders.")
 	TermReleased       = define(7003, "term_released", log.InfoLevel, "The owner is stopping and has released the partition.")
-	TermEnded          = define(7006, "term_ended", log.WarnLevel, "The host of the owner refuses connections, so its process has ended. This host revoked the owner's lease.")
+	TermEnded          = define(7006, "term_ended", log.WarnLevel, "The address of the owner refuses connections, or another host answers there, as `reason` states, so the owner's process has ended. This host revoked the owner's lease.")
 	TermUnconfirmed    = define(7004, "term_unconfirmed", log.WarnLevel, "The store has not confirmed the ownership. Until it does, task leases are not extended beyond the logged time.")
 	TermConfirmed      = define(7005, "term_confirmed", log.InfoLevel, "The store has confirmed the ownership again.")
 	PartitionLoaded    = define(7010, "partition_loaded", log.InfoLevel, "A new owner has loaded the jobs of the partition and the list of workers that a former owner may have used.")
--- a/pkg/scheduling/watch.go
+++ b/pkg/scheduling/watch.go
@@ -13,6 +13,7 @@
 	"fulmarcourse.example/fulmarcourse/api/ownerpb"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/netdial"
+	"fulmarcourse.example/fulmarcourse/pkg/peer"
 	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
 	"fulmarcourse.example/fulmarcourse/pkg/term"
 )
@@ -25,8 +26,8 @@
 	pingTimeout = 300 * time.Millisecond
 )
 
-// watchOwner revokes the lease of an owner whose process has terminated, which is detected by its host refusing
-// connections at the owner's address. Other entry hosts then do not have to wait for the lease to expire. If the owner
+// watchOwner revokes the lease of an owner whose process has terminated, which is detected by refused connections at the owner's
+// address, or by another host answering there. Other entry hosts then do not have to wait for the lease to expire. If the owner
 // is in fact alive, it restores its record under the same term at the cost of a call to the store. Safety does not
 // depend on this check: the workers check fencing tokens.
 func (n *Node) watchOwner(ctx context.Context, p statekeys.Partition) {
@@ -42,24 +43,34 @@
 		if state.Owner.Address == "" || state.Lease() == 0 || state.Owner.Incarnation == n.cfg.Self.Incarnation {
 			continue
 		}
-		if n.ownerAnswers(ctx, state) || !n.connectionRefused(ctx, state.Owner.Address) {
-			continue
+		if reason, ended := n.ownerEnded(ctx, state); ended {
+			n.revokeLease(ctx, p, state, reason)
 		}
-		n.revokeLease(ctx, p, state)
 	}
 }
 
-// ownerAnswers reports whether the owner's process may be alive. It returns false only if the call failed with
-// status Unavailable.
-func (n *Node) ownerAnswers(ctx context.Context, state term.State) bool {
+// ownerEnded reports whether the owner's process has ended, and how that shows.
+func (n *Node) ownerEnded(ctx context.Context, state term.State) (reason string, ended bool) {
+	err := n.pingOwner(ctx, state)
+	switch {
+	case peer.IsOtherHost(err):
+		return "another host answers at its address", true
+	case status.Code(err) == codes.Unavailable && n.connectionRefused(ctx, state.Owner.Address):
+		return "its address refuses connections", true
+	}
+	return "", false
+}
+
+// pingOwner calls the owner's process.
+func (n *Node) pingOwner(ctx context.Context, state term.State) error {
 	conn, err := n.pool.Conn(state.Owner.Address)
 	if err != nil {
-		return true
+		return errors.Trace(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	ctx, cancel := context.WithTimeout(peer.ForHost(ctx, state.Owner.Host), pingTimeout)
 	defer cancel()
 	_, err = ownerpb.NewOwnerClient(conn).Ping(ctx, &ownerpb.PingRequest{})
-	return status.Code(err) != codes.Unavailable
+	return err // not traced, for its status
 }
 
 // connectionRefused reports whether connections to an address are refused.
@@ -73,11 +84,11 @@
 	return errors.As(err, &refusal) && errors.Is(refusal.Err, syscall.ECONNREFUSED)
 }
 
-// revokeLease revokes the lease of a terminated owner and logs it.
-func (n *Node) revokeLease(ctx context.Context, p statekeys.Partition, state term.State) {
+// revokeLease revokes the lease of a terminated owner and logs it with the reason why the owner counts as such.
+func (n *Node) revokeLease(ctx context.Context, p statekeys.Partition, state term.State, reason string) {
 	ctx, cancel := context.WithTimeout(ctx, viewWatchWait)
 	defer cancel()
 	err := n.cfg.Store.Revoke(ctx, state.Lease())
 	n.cfg.Log.Event(eventlog.TermEnded).Int("partition", int(p)).Int64("term", state.Term).
-		Str("owner", state.Owner.Host).Err(err).Msg("")
+		Str("owner", state.Owner.Host).Str("reason", reason).Err(err).Msg("")
 }
