--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -214,6 +214,7 @@
 		}
 		o.logLost(l, reason)
 		o.unlink(now, l)
+		maps.DeleteFunc(o.relayBackOffUntil, func(_ relayPlace, until time.Duration) bool { return until <= now.Boot })
 		o.relayBackOffUntil[l.host.place()] = now.Boot + relayBackOff
 	})
 }
--- a/pkg/dispatch/relays_test.go
+++ b/pkg/dispatch/relays_test.go
@@ -12,6 +12,7 @@
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/core/workload"
+	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
 )
@@ -220,3 +221,21 @@
 		t.Errorf("the relay at the next address has the link %v", l)
 	}
 }
+
+// Scenario: over a long term hosts are lost and replaced by others. Guards against state that grows with each host that was ever lost.
+func TestBackOffOfLostRelaysIsForgotten(t *testing.T) {
+	o, ctx := fleetOwner(t, 90, 3, 0.4, 1000)
+	now := bootclock.Uptime()
+	o.mu.Lock()
+	for n := range 20 {
+		o.relayBackOffUntil[relayPlace{fmt.Sprint("former-", n), "10.0.0.9:7000"}] = now - time.Second
+	}
+	o.relayBackOffUntil[relayPlace{"lost", "10.0.0.9:7000"}] = now + time.Minute
+	o.mu.Unlock()
+	o.lose(ctx, "host-01")
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if n := len(o.relayBackOffUntil); n != 2 {
+		t.Errorf("%d relays are remembered, want the 2 that are not used yet", n)
+	}
+}
