--- a/pkg/dispatch/other_host_test.go
+++ b/pkg/dispatch/other_host_test.go
@@ -17,6 +17,7 @@
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/fulmarcourse/api/ownerpb"
+	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
 	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
 	"fulmarcourse.example/fulmarcourse/pkg/peer"
@@ -41,6 +42,7 @@
 type entryHosts struct {
 	t     *testing.T
 	conns map[string]*grpc.ClientConn // by address
+	local localRelay                  // of the owner's host
 
 	mu         sync.Mutex // guards the fields below
 	registered map[string]string
@@ -53,6 +55,8 @@
 func newEntryHosts(t *testing.T) *entryHosts {
 	h := &entryHosts{t: t, conns: map[string]*grpc.ClientConn{}, registered: map[string]string{},
 		listeners: map[string]*bufconn.Listener{}, reportedAt: map[schedule.WorkerID]time.Time{}}
+	h.local = localRelay{newRelay()}
+	t.Cleanup(h.local.relay.Close)
 	for _, address := range []string{addressX, addressY} {
 		conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithContextDialer(h.dial),
 			grpc.WithTransportCredentials(insecure.NewCredentials()))
@@ -78,7 +82,7 @@
 
 // start starts the process of a host at an address. The returned function ends it.
 func (h *entryHosts) start(host, address string) (stop func()) {
-	r := relay.New(relay.Config{Workers: answeringWorkers{}, TaskLease: 6 * time.Second, Scope: tally.NoopScope})
+	r := newRelay()
 	server := peer.NewServer(peer.ServerConfig{Host: host, Register: func(s grpc.ServiceRegistrar) {
 		ownerpb.RegisterRelayServer(s, relaygrpc.NewServer(func(int) *relay.Relay { return r }))
 	}})
@@ -115,7 +119,7 @@
 
 // RelayHosts implements Relays. The owner's host is too small for all workers.
 func (h *entryHosts) RelayHosts() []RelayHost {
-	hosts := []RelayHost{{Name: "owner", Datacentre: "dc", Cores: 0.01, Local: true, Client: &fakeRelay{}}}
+	hosts := []RelayHost{{Name: "owner", Datacentre: "dc", Cores: 0.01, Local: true, Client: h.local}}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for host, address := range h.registered {
@@ -136,6 +140,7 @@
 			Capacity: structs.Resources{MilliCPU: 16000}})
 	}
 	o.setWorkers(infos)
+	o.scheduler.KnownWorkersStored(infos)
 	h.t.Cleanup(o.linkWG.Wait)
 	poll.Background(h.t, o.assignLoop)
 	return o
@@ -192,6 +197,20 @@
 	return results, err
 }
 
+// newRelay returns a relay whose workers answer.
+func newRelay() *relay.Relay {
+	return relay.New(relay.Config{Workers: answeringWorkers{}, TaskLease: 6 * time.Second, Scope: tally.NoopScope})
+}
+
+// localRelay calls a relay without a connection. It implements RelayClient.
+type localRelay struct{ relay *relay.Relay }
+
+func (l localRelay) Update(_ context.Context, u relay.Update) error { return l.relay.Update(u) }
+
+func (l localRelay) Collect(ctx context.Context, _ int, term int64, leaseUntil, wait time.Duration) (relay.Results, error) {
+	return l.relay.Collect(ctx, term, leaseUntil, wait)
+}
+
 // answeringWorkers answers all polls after a short time. It implements relay.Workers.
 type answeringWorkers struct{}
 
@@ -270,3 +289,70 @@
 	h.awaitReports("a is not registered any more")
 	poll.Until(t, "there is a link to c, and none to a", func() bool { return o.linkTo("c") != nil && o.linkTo("a") == nil })
 }
+
+// useRecord records for how long workers that are listed as sound are not used.
+type useRecord struct {
+	since   map[schedule.WorkerID]time.Duration // boot time since which a worker has not been used
+	longest time.Duration
+}
+
+// sample records which workers are used now.
+func (r *useRecord) sample(o *Owner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := bootclock.Now()
+	for _, info := range o.scheduler.Workers() {
+		if o.scheduler.Use(now, info.ID) == schedule.Used {
+			delete(r.since, info.ID)
+			continue
+		}
+		if _, unused := r.since[info.ID]; !unused {
+			r.since[info.ID] = now.Boot
+		}
+		r.longest = max(r.longest, now.Boot-r.since[info.ID])
+	}
+}
+
+// Scenario: the hosts of one relay, or of all of them, are replaced at once by other hosts at the same addresses, which are registered
+// a moment later, while the former ones still are. Guards against workers that are listed, sound and not used for as long as callers
+// count as too long, because the owner waits for the end of a registration or of a back-off.
+func TestWorkersOfReplacedHostsAreUsedAgainInTime(t *testing.T) {
+	// registrationDelay is the time from the start of a host until the owner's list has its record: the write of the record and the
+	// pause between two watches of the list.
+	const registrationDelay = 1500 * time.Millisecond
+	for name, replaced := range map[string]map[string]string{
+		"one relay": {"c": addressX}, "all relays": {"c": addressX, "d": addressY},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newEntryHosts(t)
+			stops := map[string]func(){addressX: h.start("a", addressX), addressY: h.start("b", addressY)}
+			h.register("a", addressX)
+			h.register("b", addressY)
+			o := h.runOwner()
+			h.awaitReports("before the replacement")
+			for host, address := range replaced {
+				stops[address]()
+				h.start(host, address)
+			}
+			use := useRecord{since: map[schedule.WorkerID]time.Duration{}}
+			replacedAt := time.Now()
+			for time.Since(replacedAt) < registrationDelay+relayBackOff {
+				use.sample(o)
+				time.Sleep(10 * time.Millisecond)
+				if time.Since(replacedAt) >= registrationDelay {
+					for host, address := range replaced {
+						h.register(host, address)
+					}
+				}
+			}
+			t.Logf("a worker was not used for %v", use.longest.Round(10*time.Millisecond))
+			if use.longest >= schedule.UnusedAfter {
+				t.Errorf("a worker was not used for %v, the limit is %v", use.longest, schedule.UnusedAfter)
+			}
+			if len(use.since) > 0 {
+				t.Errorf("%d workers are not used %v after the replacement", len(use.since), time.Since(replacedAt))
+			}
+		})
+	}
+}
