Replace an owner's record of another writer that has a lease as well

What callers see: nothing starts in the partition from 10 s after its owner's record was overwritten under another writer's lease, for as long as that lease lasts.

Cause: the check of the record replaced one without a lease only. One with another lease was left in place, since the owner's own has another lease for a moment while it is restored; such a check counts as failed, so that the owner is not confirmed any more after maxUnchecked. Other hosts cannot acquire the partition beside a record with a lease. Found while the adoption of foreign leases was traced; no run of processes shows it.

Change: a record under another lease that does not name the owner's process is replaced. One that names it is left to the renewal, as before.

Why it works: the write requires the owner's term, and each acquisition changes the term. A record of a later owner is never replaced; the conflict ends the ownership.

Not changed: if the owner ends before its next check, at most 3 s later, the partition has no owner until the other writer's lease ends.

--- a/pkg/term/restore_test.go
+++ b/pkg/term/restore_test.go
@@ -30,14 +30,7 @@
 		t.Run(name, func(t *testing.T) {
 			store := kvtest.NewStore()
 			owner := acquire(t, candidate(t, store, "a", "a1"))
-			foreign, _, err := store.Grant(t.Context(), TTL)
-			if err != nil {
-				t.Fatal(err)
-			}
-			record := kv.Put{Key: statekeys.Owner(testPartition), Value: []byte(value), Lease: foreign}
-			if _, err := store.Commit(t.Context(), kv.Txn{Put: []kv.Put{record}}); err != nil {
-				t.Fatal(err)
-			}
+			foreign := putLeased(t, store, value)
 			store.EndLease(owner.leaseID())
 			checkRestored(t, store, owner)
 			if owner.leaseID() == foreign {
@@ -47,11 +40,38 @@
 	}
 }
 
-// checkRestored fails the test if an owner whose lease has ended is not confirmed by its second renewal, or if its record is not under
-// the lease that it renews.
+// Scenario: another writer overwrites the record of a live owner under a lease of its own. Guards against an owner that leaves such a
+// record in place: it is no longer confirmed after maxUnchecked, and no other host can acquire the partition while that lease lasts.
+func TestOwnerReplacesAnOddRecordUnderALease(t *testing.T) {
+	for name, value := range oddRecords {
+		t.Run(name, func(t *testing.T) {
+			store := kvtest.NewStore()
+			owner := acquire(t, candidate(t, store, "a", "a1"))
+			putLeased(t, store, value)
+			checkRestored(t, store, owner)
+		})
+	}
+}
+
+// putLeased overwrites the owner's record under a new lease and returns the lease.
+func putLeased(t *testing.T, store *kvtest.Store, value string) kv.LeaseID {
+	t.Helper()
+	lease, _, err := store.Grant(t.Context(), TTL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := kv.Put{Key: statekeys.Owner(testPartition), Value: []byte(value), Lease: lease}
+	if _, err := store.Commit(t.Context(), kv.Txn{Put: []kv.Put{record}}); err != nil {
+		t.Fatal(err)
+	}
+	return lease
+}
+
+// checkRestored fails the test if an owner is not confirmed by its second renewal, or if its record is not under the lease that it
+// renews.
 func checkRestored(t *testing.T, store *kvtest.Store, owner *Ownership) {
 	t.Helper()
-	_ = owner.renewOnce(t.Context()) // may only find out that the lease has ended
+	_ = owner.renewOnce(t.Context()) // fails if the lease has ended and is not restored yet
 	if err := owner.check(t.Context()); err != nil {
 		t.Errorf("check: %v", err)
 	}
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -301,8 +301,9 @@
 }
 
 // check makes sure that the owner's record is still under the owner's lease. If another writer has overwritten or deleted it, it is
-// written again: without a lease it would stay when the owner ends, and no other host could acquire the partition. A check that fails
-// has no effect: renewals stop to confirm the ownership when none has succeeded for maxUnchecked.
+// written again: without a lease, or under one that lasts longer than the owner's, it would stay when the owner ends, and no other
+// host could acquire the partition. A check that fails has no effect: renewals stop to confirm the ownership when none has succeeded
+// for maxUnchecked.
 func (o *Ownership) check(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -313,10 +314,11 @@
 	case err != nil:
 	case !found:
 		err = o.replaceRecord(ctx, kv.Item{Key: key})
-	case item.Lease == 0:
-		err = o.replaceRecord(ctx, item)
-	case item.Lease != o.leaseID():
+	case item.Lease != 0 && item.Lease == o.leaseID():
+	case item.Lease != 0 && o.names(item):
 		err = o.checkTerm(ctx)
+	default:
+		err = o.replaceRecord(ctx, item)
 	}
 	if err != nil {
 		return err
@@ -411,12 +413,18 @@
 // unknown until the next renewal.
 const errRestoredBefore = errors.ConstError("the owner's record was restored by an earlier attempt")
 
+// names reports whether a record names this process as the owner.
+func (o *Ownership) names(item kv.Item) bool {
+	var record Record
+	err := json.Unmarshal(item.Value, &record)
+	return err == nil && record.Incarnation == o.cfg.Self.Incarnation
+}
+
 // restoreOver restores the owner's record in a term that has not changed, although there is a record. Either an earlier attempt has
 // succeeded, whose lease is adopted, or another writer has overwritten the record, which is replaced. If that fails, check repeats
 // it under the new lease.
 func (o *Ownership) restoreOver(ctx context.Context, present kv.Item, lease kv.LeaseID) error {
-	var record Record
-	if err := json.Unmarshal(present.Value, &record); err == nil && present.Lease != 0 && record.Incarnation == o.cfg.Self.Incarnation {
+	if present.Lease != 0 && o.names(present) {
 		o.setLease(present.Lease)
 		return errRestoredBefore
 	}
