Give each test process of test/fleet loopback addresses of its own

What one sees: two runs of test/fleet at the same time on one machine fail now and then. In one the hosts end with status 1 ("bind: address already in use"), in the other jobs run that were refused, or are cancelled although nobody asked for it.

Cause: the second octet of the addresses is 10 plus the process id modulo 200. Process ids that differ by a multiple of 200 give the same addresses, and the jobs of one run go to the hosts of the other; all runs use the same ids of jobs.

Evidence: twice within 25 minutes, with about five test processes at a time. Nothing of that is a fault of the hosts.

Change: a process claims a network with a listener at its highest address, and takes the next one if that is in use. A network stays claimed until the process ends.

The former function of the process id could only return the same one.

--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -93,20 +93,9 @@
 	return proxy.Addr()
 }
 
-// nextAddress counts the loopback addresses in use. Each entry host has its own, because all of them use the same
-// ports.
-var nextAddress atomic.Uint32
-
-// loopback returns a new loopback address, which no other test process uses: its second octet depends on the process
-// id.
-func loopback() string {
-	n := nextAddress.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 1+n/200, 1+n%200)
-}
-
 // addHost adds a host that reaches the store at an address, through a proxy.
 func (s *site) addHost(n int, datacentre, store string) {
-	name, ip := fmt.Sprint("entry-", n), loopback()
+	name, ip := fmt.Sprint("entry-", n), loopback(s.t)
 	h := &host{
 		name: name, peerAddress: fmt.Sprintf("%s:%d", ip, fleet.PeerPort), callerAddress: fmt.Sprintf("%s:%d", ip, fleet.CallerPort),
 		readinessAddress: fmt.Sprintf("%s:%d", ip, fleet.ReadinessPort),
