Soak: another writer changes the records of the owner and of the hosts

The fault of the owner that took the missing lease of an overwritten record for its own needs two things at once: an odd record, which the tests of odd records play, and a lease that ends, which the soak plays. Nothing played both but by accident.

TestShortOverwrittenSoak plays two seeds, -soak.overwritten of TestLongSoak selects it. Seeds of the other soaks decide on the same faults as before. The keys of these records are named once in the package.

Not played: odd records of jobs and progress, and records under another writer's lease.

--- a/test/fleet/entries_test.go
+++ b/test/fleet/entries_test.go
@@ -224,9 +224,9 @@
 	n := 0
 	for name, value := range oddValues() {
 		n++
-		s.platform.Store.PutRaw("fulmarcourse/owners/0/holder", value)
+		s.platform.Store.PutRaw(ownerKey, value)
 		for _, h := range s.hosts {
-			s.platform.Store.PutRaw("fulmarcourse/hosts/"+h.name, value)
+			s.platform.Store.PutRaw(hostKey(h.name), value)
 		}
 		s.submit(n%3, jobID(n), twoStepJob)
 		s.awaitState((n+1)%3, jobID(n), "completed")
@@ -239,7 +239,7 @@
 	other := (owner + 1) % 3
 	s.checkJobTime(other, jobID(100), "its owner was killed")
 	for _, value := range []string{"", `{"term":1e400}`, `{"term":9223372036854775807}`, "{}"} {
-		s.platform.Store.PutRaw("fulmarcourse/owners/0/term", []byte(value))
+		s.platform.Store.PutRaw(termKey, []byte(value))
 		n++
 		s.submit(other, jobID(n), twoStepJob)
 		s.awaitState(other, jobID(n), "completed")
@@ -280,7 +280,7 @@
 	s.awaitState(1, jobID(1), "completed")
 	owner = s.owner()
 	s.signal(owner, syscall.SIGSTOP)
-	s.platform.Store.PutRaw("fulmarcourse/owners/0/holder", []byte("{}"))
+	s.platform.Store.PutRaw(ownerKey, []byte("{}"))
 	time.Sleep(2 * term.TTL)
 	s.signal(owner, syscall.SIGCONT)
 	if got := s.owner(); got != owner {
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -232,12 +232,26 @@
 	}
 }
 
+// Guards against the same failures as TestShortSoak beside another writer that changes records of the owner and of the hosts.
+func TestShortOverwrittenSoak(t *testing.T) {
+	for _, seed := range []uint64{
+		1,
+		39120805, // an owner took the missing lease of an overwritten record for its own
+	} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			overwrittenSoak(t, seed, 20*time.Second)
+		})
+	}
+}
+
 var (
-	soakSeeds     = flag.Int("soak.count", 0, "number of seeds that TestLongSoak runs")
-	soakFirstSeed = flag.Uint64("soak.first", 1, "first seed of TestLongSoak")
-	soakRelayed   = flag.Bool("soak.relayed", false, "whether TestLongSoak polls through relays, with faults between the hosts")
-	soakReturning = flag.Bool("soak.returning", false, "whether workers in TestLongSoak return at other addresses and as other kinds")
-	soakDuration  = flag.Duration("soak.length", 20*time.Second, "time with injected faults for each seed of TestLongSoak")
+	soakSeeds       = flag.Int("soak.count", 0, "number of seeds that TestLongSoak runs")
+	soakFirstSeed   = flag.Uint64("soak.first", 1, "first seed of TestLongSoak")
+	soakRelayed     = flag.Bool("soak.relayed", false, "whether TestLongSoak polls through relays, with faults between the hosts")
+	soakReturning   = flag.Bool("soak.returning", false, "whether workers in TestLongSoak return at other addresses and as other kinds")
+	soakOverwritten = flag.Bool("soak.overwritten", false, "whether another writer changes records of the owner and of the hosts in TestLongSoak")
+	soakDuration    = flag.Duration("soak.length", 20*time.Second, "time with injected faults for each seed of TestLongSoak")
 )
 
 // Guards against the same failures as TestShortSoak, with the seeds that the flags select.
@@ -251,6 +265,8 @@
 		run = relayedSoak
 	case *soakReturning:
 		run = returningSoak
+	case *soakOverwritten:
+		run = overwrittenSoak
 	}
 	for n := range *soakSeeds {
 		seed := *soakFirstSeed + uint64(n)
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -242,7 +242,7 @@
 	s.t.Helper()
 	found := -1
 	poll.Until(s.t, "there is an owner", func() bool {
-		record := s.platform.Store.Value("fulmarcourse/owners/0/holder")
+		record := s.platform.Store.Value(ownerKey)
 		for n, h := range s.hosts {
 			if strings.Contains(string(record), `"`+h.name+`"`) {
 				found = n
