Restart services on workers that stay slow

What callers see: a service (a task that lasts) which has failed by itself stays down beside free capacity, for as long as other tasks run slower than their callers estimated on all workers with room.

Cause: a displaced service uses avoided workers from restartOverdueAfter on, but not those whose slowness was measured within that time. With estimates that are too low each report measures a sound worker as slow again, so that the condition holds without an end. Nothing has to be disturbed for it.

Evidence: TestServiceWaitsNoLongerForWorkersThatStaySlow failed before: 20 s, the whole time that was watched, want at most 1.5 s.

Change: what counts is since when a worker is slow, not when it was last measured. Others still come first: slow workers are searched only for tasks that are overdue.

Conclusion: the test passes with 1.5 s; the whole tests of core/schedule pass (one run).

--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -36,13 +36,18 @@
 	sum    float64 // weighted sum of the logarithms of the factors
 	weight float64
 	at     time.Duration // of the latest sample, when sum and weight were last decayed
+	since  time.Duration // the sample since which the worker counts as slow; only while it does
 }
 
 // add records one sample: the logarithm of the factor by which a task runs slower than elsewhere.
 func (s *slowness) add(now time.Duration, logFactor, weight float64) {
+	wasSlow := s.slow(now)
 	s.decay(now)
 	s.sum += weight * min(max(logFactor, -maxSlowness), maxSlowness)
 	s.weight += weight
+	if !wasSlow {
+		s.since = now
+	}
 }
 
 func (s *slowness) decay(now time.Duration) {
@@ -57,8 +62,9 @@
 	return math.Exp2(-float64(now-s.at) / float64(speedHalfLife))
 }
 
-// slowWithin reports whether the worker is slow and was measured within a time that has just passed.
-func (s *slowness) slowWithin(now, d time.Duration) bool { return now-s.at < d && s.slow(now) }
+// slowWithin reports whether the worker is slow and has become so within a time that has just passed. The time of the latest sample
+// does not count: with estimates that are too low each report shows a sound worker as slow, for as long as the tasks there run.
+func (s *slowness) slowWithin(now, d time.Duration) bool { return now-s.since < d && s.slow(now) }
 
 // slow reports whether tasks on the worker run much slower than elsewhere.
 func (s *slowness) slow(now time.Duration) bool {
