Start tasks on avoided workers while little of the pool is used

What callers see: a task waits beside free capacity, in a pool of which under half is in use, for as long as all workers that suit it are avoided after faults: few workers may have its label, its accelerators or its size.

Cause: only displaced services end such a wait early (chooseAvoided). For all other tasks a worker is avoided for up to 6 s after losses, 8 s after failures, and for as long as reports show slow tasks there, which estimates that are too low do without a fault.

Evidence: TestTasksWaitNoLongerForAvoidedWorkersOfALittleUsedPool failed before with 6 s after losses (want 3 s), 8 s where services have failed (want 3 s) and 8 s where tasks that end have (want 4.1 s); TestTasksWaitNoLongerForSlowWorkersOfALittleUsedPool with 20 s, the whole time that was watched (want 3 s); each for a task that ends, a filler and a service that has not run.

Change: a pending task that fits on no other worker starts on one that has been avoided for 2.25 s if under half of the processor time of the pool's usable workers is reserved. The rule depends on worker and pool only, since a planning run tries each shape of a task once.

Ruled out: to shorten the exclusions for all.

Conclusion: both tests pass; the whole tests of core/schedule pass (one run).

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -59,7 +59,8 @@
 	return c.found >= maxCandidates
 }
 
-// choose returns the best of the workers that a search finds for a task, or nil when it fits on none.
+// choose returns the best of the workers that a search finds for a task, or nil when it fits on none. A pending task may get an
+// avoided worker, see chooseLastResort.
 func (s *Scheduler) choose(now Time, t *task) *worker {
 	s.index.update(s, now)
 	p := s.index.pools[t.step.job.rec.Queue.Pool]
@@ -69,6 +70,15 @@
 	if label := t.step.spec.Label; label != "" && len(p.byLabel[label]) == 0 {
 		return nil
 	}
+	if w := s.searchUsable(now, t, p); w != nil {
+		return w
+	}
+	return s.chooseLastResort(now, t, p)
+}
+
+// searchUsable returns the best of the workers of a pool that a search finds for a task and that are not avoided because of recent
+// faults.
+func (s *Scheduler) searchUsable(now Time, t *task, p *poolIndex) *worker {
 	c := &search{s: s, now: now, task: t}
 	for _, w := range p.byLabel[t.step.spec.DataRack] {
 		if c.consider(w) {
--- a/core/schedule/health.go
+++ b/core/schedule/health.go
@@ -47,9 +47,10 @@
 
 // health distinguishes workers on which every job fails from jobs that fail on every worker.
 type health struct {
-	jobs   map[workload.JobID]struct{} // jobs that failed since the last success
-	length time.Duration               // of the latest back-off
-	until  time.Duration               // end of the latest back-off
+	jobs        map[workload.JobID]struct{} // jobs that failed since the last success
+	length      time.Duration               // of the latest back-off
+	until       time.Duration               // end of the latest back-off
+	tasksFailed bool                        // tasks that end are among those that failed since the last success
 }
 
 // recordSuccess resets the failure history after a task has succeeded.
@@ -71,3 +72,9 @@
 
 // inBackOff reports whether the worker gets no tasks because several jobs have failed on it.
 func (h *health) inBackOff(now time.Duration) bool { return now < h.until }
+
+// tasksFailedWithin reports whether the worker was put into back-off within a time that has just passed, and not for failures of
+// services alone. Services fail at any time, also on sound workers.
+func (h *health) tasksFailedWithin(now, d time.Duration) bool {
+	return h.tasksFailed && h.inBackOff(now) && now-(h.until-h.length) < d
+}
--- a/core/schedule/index.go
+++ b/core/schedule/index.go
@@ -28,6 +28,7 @@
 	byFree  orderedWorkers       // by unreserved processor time
 	bySpare orderedWorkers       // by the processor time that further fillers are expected to get
 	byLabel map[string][]*worker // the labels of a worker include its rack
+	use     poolUse              // in the latest planning run that asked
 }
 
 // indexKeys are the keys under which a worker is indexed, in thousandths of a core.
--- /dev/null
+++ b/core/schedule/last_resort.go
@@ -0,0 +1,81 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"fulmarcourse.example/core/workload"
+)
+
+// A worker that was lost, on which several jobs have failed or that is slow gets no tasks for some seconds; the time grows with each
+// further fault. While the pool is in use, tasks wait for capacity anyway. In a pool that is little used, such a worker is the last resort
+// of tasks that fit on no other one.
+
+const (
+	// littleUsedShare is the inverse of the share of a pool's processor time below which the pool is little used.
+	littleUsedShare = 2
+	// lastResortAfter is the time after the beginning of a fault from which a worker is the last resort. With the start it stays below
+	// the 3 s that the platform allows while there is capacity.
+	lastResortAfter = returnDelay
+	// lastResortAfterFailures takes the place of lastResortAfter where tasks that end have failed. They have a limited number of
+	// attempts, which a fault of some seconds would use up.
+	lastResortAfterFailures = 2 * firstFailureBackOff
+)
+
+// poolUse is whether a pool was little used in a planning run.
+type poolUse struct {
+	at     time.Duration // of the planning run
+	little bool
+}
+
+// chooseLastResort returns the best of the workers that are the last resort of a pending task, if the pool is little used; nil if there
+// is none. Which workers it considers does not depend on how long the task has waited, so that the outcome holds for all tasks of its
+// shape that have not failed there.
+func (s *Scheduler) chooseLastResort(now Time, t *task, p *poolIndex) *worker {
+	if !t.pending() || !s.littleUsed(now.Boot, t.step.job.rec.Queue.Pool, p) {
+		return nil
+	}
+	var best candidate
+	for _, w := range s.sortedWorkers {
+		if !s.isLastResort(now, t, w) {
+			continue
+		}
+		next := candidate{w, w.hasLabel(t.step.spec.DataRack), s.score(now.Boot, t, w)}
+		if next.better(best) {
+			best = next
+		}
+	}
+	return best.worker
+}
+
+// isLastResort reports whether a worker has room for a task and is avoided because of a fault that did not begin a short time ago.
+func (s *Scheduler) isLastResort(now Time, t *task, w *worker) bool {
+	if w.avoided(now.Boot) == Suitable || slices.Contains(t.failedOn, w.info.ID) {
+		return false
+	}
+	if w.faultyWithin(now.Boot, lastResortAfter) || w.health.tasksFailedWithin(now.Boot, lastResortAfterFailures) {
+		return false
+	}
+	return s.mayStartOn(now.Boot, w) && s.hasRoom(now, t, w)
+}
+
+// littleUsed reports whether a pool was little used when a planning run first asked.
+func (s *Scheduler) littleUsed(now time.Duration, pool workload.PoolName, p *poolIndex) bool {
+	if p.use.at != now {
+		p.use = poolUse{now, s.isLittleUsed(now, pool)}
+	}
+	return p.use.little
+}
+
+// isLittleUsed reports whether the processor time that is reserved on a pool's workers on which tasks may start is below the share that
+// littleUsedShare states.
+func (s *Scheduler) isLittleUsed(now time.Duration, pool workload.PoolName) bool {
+	capacity, reserved := int64(0), int64(0)
+	for _, w := range s.sortedWorkers {
+		if w.info.Pool == pool && s.closed(now, w) == Suitable {
+			capacity = addLimited(capacity, w.info.Capacity.MilliCPU)
+			reserved = addLimited(reserved, w.reserved.MilliCPU)
+		}
+	}
+	return reserved < capacity/littleUsedShare
+}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -266,6 +266,7 @@
 	j := t.step.job
 	if !t.step.spec.Service {
 		t.failed = append(t.failed, number)
+		w.health.tasksFailed = true
 		s.markDirty(j)
 	}
 	t.recordFailedOn(now.Boot, w.info.ID)
--- a/core/schedule/wait_bound_test.go
+++ b/core/schedule/wait_bound_test.go
@@ -95,3 +95,73 @@
 	h.fail(taskID("service", 0, 0))
 	h.wantWait(taskID("service", 0, 0), restartOverdueAfter, progress)
 }
+
+// taskWaitBound is the time within which a task has to start while there is capacity for it and the pool is little used.
+const taskWaitBound = 3 * time.Second
+
+// Guards against tasks that wait beside free capacity for as long as all workers
+// that suit them are avoided after faults, of which each further one makes the time longer.
+func TestTasksWaitNoLongerForAvoidedWorkersOfALittleUsedPool(t *testing.T) {
+	for name, c := range map[string]struct {
+		bound time.Duration
+		fault func(h *harness)
+	}{
+		"lost several times": {taskWaitBound, func(h *harness) {
+			for range 5 {
+				h.workers["w1"].incarnation++
+				h.reportAll()
+			}
+		}},
+		"services failed several times": {taskWaitBound, func(h *harness) {
+			h.failUntilBackOff(maxFailureBackOff, testService(1))
+		}},
+		"tasks failed several times": {lastResortAfterFailures + reportingStep, func(h *harness) {
+			h.failUntilBackOff(maxFailureBackOff, testStep(1))
+		}},
+	} {
+		for kind, step := range waitingSteps() {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				h := newHarness(t, 1)
+				h.addWorker("w1", nil)
+				c.fault(h)
+				h.s.AddJob(testJob("job", step), nil, false)
+				h.wantWait(taskID("job", 0, 0), c.bound, func() {})
+			})
+		}
+	}
+}
+
+// Scenario: all workers count as slow, since the estimates of the tasks that run there are too low. Guards against tasks that wait
+// beside free capacity for as long as these run.
+func TestTasksWaitNoLongerForSlowWorkersOfALittleUsedPool(t *testing.T) {
+	for kind, step := range waitingSteps() {
+		t.Run(kind, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.addWorker("w1", nil)
+			progress := h.slowTasks(6)
+			h.s.AddJob(testJob("job", step), nil, false)
+			h.wantWait(taskID("job", 0, 0), taskWaitBound, progress)
+		})
+	}
+}
+
+// waitingSteps returns steps of one task by kind.
+func waitingSteps() map[string]workload.Step {
+	filler := testStep(1)
+	filler.Filler, filler.Image = true, "image"
+	return map[string]workload.Step{"task": testStep(1), "filler": filler, "service that has not run": testService(1)}
+}
+
+// failUntilBackOff makes tasks of several jobs of a step fail on the worker w1, until it is put into a back-off of a length.
+func (h *harness) failUntilBackOff(length time.Duration, step workload.Step) {
+	h.t.Helper()
+	health := &h.s.workers["w1"].health
+	for n := 0; health.length < length; n++ {
+		h.elapse(max(health.until-h.now.Boot, reportingStep))
+		id := workload.JobID(fmt.Sprint("failing", n))
+		h.s.AddJob(testJob(id, step), nil, false)
+		h.wantStarts(h.run(), 1)
+		h.fail(taskID(id, 0, 0))
+		h.s.Cancel(h.now, id)
+	}
+}
