Let tasks use kept capacity while little of the pool is used

What callers see: a task that fits beside a running task waits for as long as that one runs, in a pool of which under half is in use.

Cause: a displaced service that fits on no worker is nominated to one, which keeps its free capacity until tasks there have ended. They may run for any time, and up to half of the workers may keep capacity: all that have the label or the size which another task needs.

Evidence: TestTasksWaitNoLongerForCapacityKeptInALittleUsedPool failed before: a task that ends and a service that has not run waited for 20 s, the whole time that was watched, want at most 3 s; fillers, which reserve no processor time, did not wait.

Change: the workers that keep capacity for services which have waited for 2.25 s for other tasks to end are among the last resort of tasks in a pool that is little used.

What it costs: such a service may wait for longer, since the task that starts uses part of the capacity that was kept.

--- a/core/schedule/last_resort.go
+++ b/core/schedule/last_resort.go
@@ -8,14 +8,15 @@
 )
 
 // A worker that was lost, on which several jobs have failed or that is slow gets no tasks for some seconds; the time grows with each
-// further fault. While the pool is in use, tasks wait for capacity anyway. In a pool that is little used, such a worker is the last resort
-// of tasks that fit on no other one.
+// further fault. A worker to which a displaced service is nominated keeps capacity until tasks there have ended, however long they run.
+// While the pool is in use, tasks wait for capacity anyway. In a pool that is little used, such workers are the last resort of tasks that
+// fit on no other one.
 
 const (
 	// littleUsedShare is the inverse of the share of a pool's processor time below which the pool is little used.
 	littleUsedShare = 2
-	// lastResortAfter is the time after the beginning of a fault from which a worker is the last resort. With the start it stays below
-	// the 3 s that the platform allows while there is capacity.
+	// lastResortAfter is the time after the beginning of a fault, or of the wait of a displaced service, from which a worker is the last
+	// resort. With the start it stays below the 3 s that the platform allows while there is capacity.
 	lastResortAfter = returnDelay
 	// lastResortAfterFailures takes the place of lastResortAfter where tasks that end have failed. They have a limited number of
 	// attempts, which a fault of some seconds would use up.
@@ -48,15 +49,29 @@
 	return best.worker
 }
 
-// isLastResort reports whether a worker has room for a task and is avoided because of a fault that did not begin a short time ago.
+// isLastResort reports whether a worker has room for a task, and is avoided because of a fault or keeps the room for displaced services,
+// neither since a short time ago.
 func (s *Scheduler) isLastResort(now Time, t *task, w *worker) bool {
-	if w.avoided(now.Boot) == Suitable || slices.Contains(t.failedOn, w.info.ID) {
+	avoided := w.avoided(now.Boot) != Suitable
+	if !avoided && len(w.nominees) == 0 || !s.mayStartOn(now.Boot, w) || slices.Contains(t.failedOn, w.info.ID) {
 		return false
 	}
 	if w.faultyWithin(now.Boot, lastResortAfter) || w.health.tasksFailedWithin(now.Boot, lastResortAfterFailures) {
 		return false
 	}
-	return s.mayStartOn(now.Boot, w) && s.hasRoom(now, t, w)
+	return avoided && s.hasRoom(now, t, w) || s.hasKeptRoom(now, t, w)
+}
+
+// hasKeptRoom reports whether a worker has the capacity and the properties that a task needs if it no longer keeps capacity for displaced
+// services, which have waited for lastResortAfter or more for tasks there to end.
+func (s *Scheduler) hasKeptRoom(now Time, t *task, w *worker) bool {
+	if s.lacksRoom(now.Boot, t, w) != WaitNominee || s.capacityOutdated(now.Boot, t, w) {
+		return false
+	}
+	mustKeep := func(nominee *task) bool {
+		return nominee.nomination.ownPlace || now.Boot-nominee.displacement.since < lastResortAfter
+	}
+	return !slices.ContainsFunc(w.nominees, mustKeep) && s.suits(now, t, w)
 }
 
 // littleUsed reports whether a pool was little used when a planning run first asked.
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -168,7 +168,12 @@
 
 // hasRoom reports whether a worker has the capacity and the properties that a task needs.
 func (s *Scheduler) hasRoom(now Time, t *task, w *worker) bool {
-	if w.lacks(t) != Suitable || s.lacksRoom(now.Boot, t, w) != Suitable || w.limits(t) != Suitable {
+	return s.lacksRoom(now.Boot, t, w) == Suitable && s.suits(now, t, w)
+}
+
+// suits reports whether a worker has the properties that a task needs, whatever its capacity is.
+func (s *Scheduler) suits(now Time, t *task, w *worker) bool {
+	if w.lacks(t) != Suitable || w.limits(t) != Suitable {
 		return false
 	}
 	return !t.step.spec.Filler || s.fillerObstacle(now.Boot, t, w) == Suitable
--- a/core/schedule/wait_bound_test.go
+++ b/core/schedule/wait_bound_test.go
@@ -165,3 +165,25 @@
 		h.s.Cancel(h.now, id)
 	}
 }
+
+// Scenario: a service whose worker is lost fits on no worker, since each runs a long task, and waits for one of these to end. Guards
+// against tasks that wait as long beside the capacity that is kept for the service, in a pool that is little used.
+func TestTasksWaitNoLongerForCapacityKeptInALittleUsedPool(t *testing.T) {
+	for kind, step := range waitingSteps() {
+		t.Run(kind, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.addWorker("w1", nil)
+			h.s.AddJob(testJob("running", coresStep(7)), nil, false)
+			h.wantStarts(h.run(), 1)
+			service := h.displacedTask("service", coresStep(10), "w0")
+			service.displacement.since = h.now.Boot - restartAfterLoss
+			h.elapse(reportingStep)
+			h.wantStarts(h.run(), 0)
+			if service.nomination.worker == nil {
+				t.Fatal("no capacity is kept for the service")
+			}
+			h.s.AddJob(testJob("job", step), nil, false)
+			h.wantWait(taskID("job", 0, 0), taskWaitBound, func() {})
+		})
+	}
+}
