Bound the waits for each reason in tests

What callers see: nothing; no code changes. Reasons without a test that bounds their wait have one now: rejections and unhealthy workers (2 s and 1 s, however many rejections there were), workers that become usable by the time alone (100 ms), suspects of a crash (a second and a report for each other one that runs first), the limit of tasks per worker, workers of a former owner (the lease and the hand-over, or their report), several faults at once (as for one).

Not covered by the test of the hand-over: a silent worker that is listed (without stopAwaiting in Expire it passes, since its worker is removed); TestInheritedTaskWaitsForSilentWorkers has one.

Found and not changed: suspects of many jobs on one worker wait for a second each, and the back-off after uncertain crashes grows to 5 min and begins anew under each owner; see docs/PROOFS.md.

--- a/core/schedule/wait_bound_test.go
+++ b/core/schedule/wait_bound_test.go
@@ -187,3 +187,159 @@
 		})
 	}
 }
+
+// Scenario: a service has failed on the only worker that suits it, which was lost, was put into back-off and became slow at the same
+// time. Guards against faults whose times add up.
+func TestServiceWaitsNoLongerForSeveralFaultsAtOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.startedService("service", 1)
+	h.failUntilBackOff(maxFailureBackOff, testStep(1))
+	w := h.s.workers["w1"]
+	for range 5 {
+		w.stability.recordLoss(h.now.Boot)
+	}
+	w.slowness.add(h.now.Boot, maxSlowness, 100*minSlowWeight)
+	h.fail(taskID("service", 0, 0))
+	h.wantWait(taskID("service", 0, 0), restartOverdueAfter, func() {})
+}
+
+// Guards against rejections that keep a worker from tasks for longer the more of them there are, or for good.
+func TestWaitsAfterRejectionsEnd(t *testing.T) {
+	for outcome, bound := range map[Outcome]time.Duration{
+		RejectedUnhealthy:  unhealthyBackOff,
+		RejectedNoCapacity: maxNoCapacityBackOff,
+	} {
+		for kind, step := range waitingSteps() {
+			t.Run(outcome.String()+", "+kind, func(t *testing.T) {
+				h := newHarness(t, 1)
+				h.addWorker("w1", nil)
+				h.s.AddJob(testJob("job", step), nil, false)
+				for range 6 {
+					waited := time.Duration(0)
+					orders := starts(h.plan())
+					for ; len(orders) == 0 && waited < longestWatched; waited += reportingStep {
+						h.elapse(reportingStep)
+						orders = starts(h.plan())
+					}
+					if waited > bound {
+						t.Fatalf("the next start was ordered after %v, want at most %v", waited, bound)
+					}
+					h.s.OrderAnswered(h.now, orders[0], outcome)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a worker that is not found for some time once its back-off has ended, which nothing but the time shows.
+func TestWorkerIsFoundSoonAfterItsBackOff(t *testing.T) {
+	const (
+		step    = 10 * time.Millisecond
+		backOff = 5 * step
+	)
+	for kind, spec := range waitingSteps() {
+		t.Run(kind, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.addWorker("w1", nil)
+			h.s.AddJob(testJob("job", spec), nil, false)
+			h.s.workers["w1"].unhealthyUntil = h.now.Boot + backOff
+			waited := time.Duration(0)
+			for ; len(starts(h.plan())) == 0 && waited < longestWatched; waited += step {
+				h.advanceClock(step)
+			}
+			if bound := backOff + max(indexRefresh, fillerRetryDelay); waited > bound {
+				t.Errorf("the task has waited for %v, want at most %v", waited, bound)
+			}
+		})
+	}
+}
+
+// Scenario: a worker has crashed soon after it had started tasks of several jobs, and there is room on one worker only. Guards against a
+// wait of such a task that is longer than the brief runs of the others, one after another.
+func TestSuspectsOfACrashWaitForBriefRunsOnly(t *testing.T) {
+	const suspects = 3
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	var last workload.TaskID
+	for n := range suspects {
+		task := h.displacedTask(workload.JobID(fmt.Sprint("job", n)), testStep(1), "w0")
+		task.crashes, task.storedCrashes = []workload.Crash{{Worker: "w0"}}, 1
+		last = task.id()
+	}
+	h.wantWait(last, (suspects-1)*(briefRun+reportingStep), func() {})
+}
+
+// Guards against a task that waits on after another one of its step has left the worker.
+func TestTaskStartsOnceAnotherOfItsStepHasEnded(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	step := testStep(2)
+	step.MaxPerWorker = 1
+	h.s.AddJob(testJob("job", step), nil, false)
+	h.wantStarts(h.run(), 1)
+	h.elapse(reportingStep)
+	h.end(taskID("job", 0, 0), EndDone)
+	h.reportAll()
+	h.wantWait(taskID("job", 0, 1), 0, func() {})
+}
+
+// Guards against waits for a worker of a former owner that go on after it has reported, or longer than its leases may last.
+func TestWaitsForAWorkerOfAFormerOwnerEnd(t *testing.T) {
+	for want, add := range map[WaitReason]func(h *harness){
+		WaitTakeover: func(h *harness) { h.s.AddJob(testJob("job", testStep(1)), nil, true) },
+		WaitOwnWorker: func(h *harness) {
+			h.s.AddJob(testJob("job", testService(1)), nil, true)
+			task := h.s.task(taskID("job", 0, 0))
+			task.storedWorker, task.ran = "w0", true
+		},
+		WaitSilentWorkers: func(h *harness) {
+			h.s.AddJob(testJob("job", testStep(1)), nil, false)
+			inherited := h.s.task(taskID("job", 0, 0))
+			inherited.crashes, inherited.storedCrashes = []workload.Crash{{Worker: "gone"}}, 1
+			inherited.silentOn, inherited.storedSilentOn = []workload.Silence{{Worker: "w0"}}, 1
+			h.s.silentOn["w0"] = []*task{inherited}
+		},
+	} {
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, silent %t", want, silent), func(t *testing.T) {
+				h := newHarness(t, 1)
+				h.s.InheritWorkers(h.now, []WorkerInfo{{ID: "w0", Address: "w0", Pool: testPool}})
+				h.addWorker("w1", nil)
+				add(h)
+				h.wantStarts(h.run(), 0)
+				if waits := h.s.Waits(h.now); waits.Tasks[want] != 1 {
+					t.Fatalf("waits for %v", &waits.Tasks)
+				}
+				bound := h.s.cfg.HandoverGrace + h.s.cfg.leaseBound() + reportingStep
+				if !silent {
+					h.addWorker("w0", nil)
+					bound = 0
+				}
+				h.wantWait(taskID("job", 0, 0), bound, func() {})
+			})
+		}
+	}
+}
+
+// Scenario: the only worker that suits two jobs fails all that it starts, for as long as its first two back-offs last. Guards against a
+// worker that counts as the last resort so soon that tasks use up their attempts there.
+func TestLastResortLeavesAttemptsOfTasks(t *testing.T) {
+	const fault = firstFailureBackOff + lastResortAfterFailures
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	jobs := []workload.JobID{"a", "b"}
+	for _, id := range jobs {
+		h.s.AddJob(testJob(id, testStep(1)), nil, false)
+	}
+	for waited := time.Duration(0); waited < fault; waited += reportingStep {
+		for _, o := range starts(h.run()) {
+			h.end(o.Task, EndFailed)
+		}
+		h.elapse(reportingStep)
+	}
+	h.store()
+	for _, id := range jobs {
+		h.wantState(id, workload.StateRunning)
+	}
+}
