--- a/core/schedule/faultsim_move_test.go
+++ b/core/schedule/faultsim_move_test.go
@@ -25,6 +25,7 @@
 	formerEnd map[*faultSimWorker]time.Duration // until when
 	left      []string                          // addresses that no worker has
 	steps     bool                              // clocks are set back, so that a start may be lower than those before; none are equal
+	repeats   bool                              // clocks are set back, so that every other process has the start of the former one
 }
 
 // newMoveFaultSim returns a simulation with moveFaults.
@@ -45,6 +46,9 @@
 	if m.steps {
 		start += 1000 * (simClockStep + m.started - m.rnd.Int64N(simClockStep))
 	}
+	if m.repeats && m.rnd.IntN(2) == 0 {
+		start = worker.incarnation
+	}
 	worker.incarnation, worker.info.StartedMs = start, start
 	if m.rnd.IntN(2) == 0 {
 		return
--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -32,6 +32,7 @@
 type faultSimWorker struct {
 	info             WorkerInfo
 	incarnation      int64
+	processes        int64 // number of processes so far, for the relays: they tell processes apart that state the same start
 	fence            int64 // highest term of an owner that was seen
 	leaseEnd         time.Duration
 	running          map[attemptKey]time.Duration // when each attempt will end
@@ -72,6 +73,8 @@
 	knownWorkers []WorkerInfo
 	jobs         []workload.Job
 	polled       map[WorkerID]bool                 // whether the last poll was answered, so that leases may be extended
+	reported     map[WorkerID]int64                // number of the process whose report was applied last
+	listedEnd    map[WorkerID]int64                // number of the latest end that the relay knows of the process
 	acknowledged map[WorkerID]int64                // number of the latest end whose progress is stored
 	done         map[workload.TaskID]bool          // a done end was acknowledged in time
 	lastStart    map[workload.TaskID]time.Duration // when a worker last started each task
@@ -136,7 +139,8 @@
 	f.logf("term %d", f.term)
 	f.s = NewScheduler(Config{Term: f.term, TaskLease: testLease, StopTime: 400 * time.Millisecond,
 		HandoverGrace: 2500 * time.Millisecond})
-	f.polled, f.acknowledged = map[WorkerID]bool{}, map[WorkerID]int64{}
+	f.polled, f.reported = map[WorkerID]bool{}, map[WorkerID]int64{}
+	f.listedEnd, f.acknowledged = map[WorkerID]int64{}, map[WorkerID]int64{}
 	f.resetLate()
 	if f.known != nil {
 		f.inheritKnown()
@@ -344,8 +348,9 @@
 		f.s.MarkStored(f.time(), r)
 	}
 	for _, worker := range f.workers {
-		if known := f.s.workers[worker.info.ID]; known != nil && f.polled[worker.info.ID] && known.incarnation == worker.incarnation {
-			f.acknowledged[worker.info.ID] = known.lastEnd
+		known := f.s.workers[worker.info.ID]
+		if known != nil && f.polled[worker.info.ID] && f.reported[worker.info.ID] == worker.processes {
+			f.acknowledge(worker, known.lastEnd)
 		}
 	}
 	if f.known == nil {
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -16,10 +16,12 @@
 	}
 	// Orders that are delayed within a worker are lost with its process.
 	f.delayed = slices.DeleteFunc(f.delayed, func(d delayedOrder) bool { return d.order.Worker == worker.info.ID })
-	worker.incarnation++
-	worker.info.StartedMs = worker.incarnation
+	worker.processes++
 	if f.moves != nil {
 		f.moves.restart(f, worker)
+	} else {
+		worker.incarnation++
+		worker.info.StartedMs = worker.incarnation
 	}
 	worker.fence, worker.ends, worker.ended, worker.leaseEnd = 0, 0, nil, 0
 	clear(worker.running)
@@ -31,7 +33,11 @@
 	}
 	worker.info.StartedMs = worker.incarnation
 	if f.rnd.IntN(2) == 0 {
-		worker.info.ID = WorkerID(fmt.Sprint(worker.info.Address, "-", worker.incarnation))
+		number := worker.incarnation
+		if f.moves != nil {
+			number = f.moves.started // starts may repeat
+		}
+		worker.info.ID = WorkerID(fmt.Sprint(worker.info.Address, "-", number))
 		worker.cut = nil
 	}
 }
@@ -116,7 +122,7 @@
 	worker.fence = f.term
 	worker.leaseEnd = max(worker.leaseEnd, lease)
 	if f.polled[id] {
-		worker.ended = slices.DeleteFunc(worker.ended, func(e Ended) bool { return f.acknowledge(worker, e) })
+		worker.ended = slices.DeleteFunc(worker.ended, func(e Ended) bool { return f.dropEnd(worker, e) })
 	}
 	report := Report{Incarnation: worker.incarnation, Address: worker.info.Address, SentAt: f.now, Ended: slices.Clone(worker.ended)}
 	for key := range worker.running {
@@ -127,16 +133,24 @@
 		return
 	}
 	f.recordAnswer(worker)
-	f.addResult(lateResult{worker: id, report: report})
+	f.addResult(lateResult{worker: id, report: report, process: worker.processes})
 	if !f.polled[id] {
-		f.acknowledged[id] = 0
+		f.listedEnd[id], f.acknowledged[id] = 0, 0
+	}
+	for _, end := range report.Ended {
+		f.listedEnd[id] = max(f.listedEnd[id], end.Number)
 	}
 	f.polled[id] = true
 }
 
-// acknowledge reports whether the worker drops an end that the owner has acknowledged, and records a done end. As on the
+// acknowledge makes the relay of a worker acknowledge the ends up to a number, as far as the process has listed them.
+func (f *faultSim) acknowledge(worker *faultSimWorker, number int64) {
+	f.acknowledged[worker.info.ID] = min(number, f.listedEnd[worker.info.ID])
+}
+
+// dropEnd reports whether the worker drops an end that the owner has acknowledged, and records a done end. As on the
 // platform an end that was not acknowledged before the lease of the worker lapsed does not count.
-func (f *faultSim) acknowledge(worker *faultSimWorker, e Ended) bool {
+func (f *faultSim) dropEnd(worker *faultSimWorker, e Ended) bool {
 	if e.Number > f.acknowledged[worker.info.ID] {
 		return false
 	}
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -59,6 +59,16 @@
 	})
 }
 
+// Guards against the same while clocks are set back so that a process has the start of the former one: the numbers of ends begin anew
+// then, although the start does not tell the two apart.
+func TestNoTaskRunsTwiceWhileStartsRepeat(t *testing.T) {
+	playSeeds(func(seed uint64) {
+		f := newMoveFaultSim(newFaultSim(t, seed))
+		f.moves.repeats = true
+		f.playJobs()
+	})
+}
+
 // Guards against the same with the faults of TestNoTaskRunsTwiceWhileKnownWorkersAreStoredLate as well.
 func TestNoTaskRunsTwiceWhileWorkersMoveAndKnownWorkersChange(t *testing.T) {
 	playSeeds(func(seed uint64) { newMoveFaultSim(newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed)))).playJobs() })
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -80,6 +80,9 @@
 		}
 		w.incarnation = report.Incarnation
 		w.lastEnd = 0
+	} else if w.endsRenumbered(report.Ended) {
+		s.emit(Event{Kind: EventWorkerRestarted, Worker: id, Reason: "numbers of ends"})
+		w.lastEnd = 0
 	}
 	w.polledAt = report.SentAt
 	w.reportedAt = now.Boot
@@ -184,6 +187,7 @@
 // applyEnded applies the ends that are new. The order in which a worker lists them is not defined.
 func (s *Scheduler) applyEnded(now Time, w *worker, report Report) {
 	applied := w.lastEnd
+	w.recordListedEnds(report.Ended)
 	for _, end := range report.Ended {
 		if end.Number <= applied {
 			continue
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -46,10 +46,11 @@
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
 	withheld         withholding
-	lastEnd          int64         // number of the latest end that was applied
-	suspect          bool          // a poll or an order has failed since the last report
-	silence          silence       // since the last report
-	brokenAt         time.Duration // when its connection broke; only with silence == broken
+	lastEnd          int64              // number of the latest end that was applied
+	listedEnds       map[listedEnd]bool // in the last report
+	suspect          bool               // a poll or an order has failed since the last report
+	silence          silence            // since the last report
+	brokenAt         time.Duration      // when its connection broke; only with silence == broken
 	full             fullBackOff
 	unhealthyUntil   time.Duration    // end of the back-off after it has reported itself unhealthy
 	expired          []expiredAttempt // since the last report
