--- a/core/schedule/replaced.go
+++ b/core/schedule/replaced.go
@@ -70,12 +70,13 @@
 }
 
 // successor returns the worker whose process has replaced that of an entry of the list, given the latest worker of each place; nil if
-// none has.
-func (s *Scheduler) successor(info WorkerInfo, latest map[place]*worker) *worker {
+// none has, or if that worker no longer answers. In the latter case the entry may be of the next process at the address: its start is
+// lower if the clock of the machine was set back. Polling it shows that, since no other process answers.
+func (s *Scheduler) successor(now time.Duration, info WorkerInfo, latest map[place]*worker) *worker {
 	if w, known := s.workers[info.ID]; known && w.answeredAddress != "" {
 		return nil // removeSuperseded removes it if its process has ended
 	}
-	if next := latest[info.place()]; next.supersedes(info.ID, info.StartedMs) {
+	if next := latest[info.place()]; next.supersedes(info.ID, info.StartedMs) && next.reachable(now) {
 		return next
 	}
 	return nil
@@ -114,6 +115,9 @@
 		if w.listedElsewhere() || !next.supersedes(w.info.ID, w.process().StartedMs) {
 			continue
 		}
+		if w.answeredAddress == "" && !next.reachable(now.Boot) {
+			continue // see successor
+		}
 		s.emit(Event{Kind: EventWorkerReplaced, Worker: w.info.ID, Reason: string(next.info.ID)})
 		s.workerCrashed(now, w, next.incarnation, 0, noneSurvives)
 		for _, a := range slices.Clone(w.attemptList) {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -223,7 +223,7 @@
 	s.removeSuperseded(now, latest)
 	listed := make(map[WorkerID]bool, len(infos))
 	for _, info := range infos {
-		if next := s.successor(info, latest); next != nil {
+		if next := s.successor(now.Boot, info, latest); next != nil {
 			s.recordReplaced(now.Boot, info, next.info.ID)
 			continue
 		}
