--- a/core/schedule/address_test.go
+++ b/core/schedule/address_test.go
@@ -73,27 +73,32 @@
 }
 
 // Scenario: a worker starts again under its ID as another kind; its entry is still that of the former process, or is already the new
-// one while the former process has answered last. Guards against a task that starts on a worker without the label it needs.
+// one while the answers to polls that were sent before still come from the former process. Guards against a task that starts on a worker
+// without the label it needs.
 func TestNothingStartsOnAWorkerBesideTheEntryOfAnotherProcess(t *testing.T) {
 	step := testStep(1)
 	step.Label = "ssd"
-	for name, change := range map[string]func(h *harness, w *simWorker){
-		"former entry": func(_ *harness, w *simWorker) { w.incarnation = 2 },
-		"next entry": func(h *harness, w *simWorker) {
+	for name, change := range map[string]func(h *harness, w *simWorker) (sentAt func() time.Duration){
+		"former entry": func(h *harness, w *simWorker) func() time.Duration {
+			w.incarnation = 2
+			return func() time.Duration { return h.now.Boot }
+		},
+		"next entry": func(h *harness, w *simWorker) func() time.Duration {
 			next := w.info
 			next.StartedMs = 2
 			h.s.SetWorkers(h.now, []WorkerInfo{next})
+			read := h.now.Boot
+			return func() time.Duration { return read }
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 1)
 			w := h.addWorker("w1", func(info *WorkerInfo) { info.StartedMs, info.Labels = 1, []string{"ssd"} })
-			change(h, w)
-			h.reportAll()
+			sentAt := change(h, w)
 			h.s.AddJob(testJob("job", step), nil, false)
 			for range 100 { // 10 s, longer than a worker is avoided after a restart
 				h.advanceClock(100 * time.Millisecond)
-				h.reportAll()
+				h.s.Report(h.now, "w1", Report{Incarnation: w.incarnation, Address: w.info.Address, SentAt: sentAt()})
 				h.wantStarts(h.run(), 0)
 			}
 			w.incarnation, w.info.StartedMs = 2, 2
--- a/core/schedule/faultsim_move_test.go
+++ b/core/schedule/faultsim_move_test.go
@@ -11,6 +11,7 @@
 const (
 	simEntryAge     = 1500 * time.Millisecond // longest time for which the list shows the entry of a former process
 	simForeignEntry = time.Second             // longest time for which another writer's entry hides that of a worker
+	simOtherStart   = 20 * time.Second        // longest time for which another writer's entry names another start
 	simClockStep    = 8                       // number of starts by which clocks are set back at most
 )
 
@@ -25,6 +26,7 @@
 	formerEnd map[*faultSimWorker]time.Duration // until when
 	left      []string                          // addresses that no worker has
 	steps     bool                              // clocks are set back, so that a start may be lower than those before; none are equal
+	others    bool                              // entries of other writers name other starts, and stay for longer
 	repeats   bool                              // clocks are set back, so that every other process has the start of the former one
 }
 
@@ -88,6 +90,11 @@
 	if other := f.workers[m.rnd.IntN(len(f.workers))]; m.rnd.IntN(2) == 0 {
 		entry.Address = other.info.Address
 	}
+	if m.others {
+		entry.StartedMs = 1 + m.rnd.Int64N(m.started+2)
+		m.hideEntry(f, worker, entry, simOtherStart)
+		return
+	}
 	m.hideEntry(f, worker, entry, simForeignEntry)
 }
 
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -99,11 +99,8 @@
 	return Suitable
 }
 
-// entryOutdated reports whether the list describes another process of the worker than the one that has answered last. The next
-// process may be of another kind, size, pool or data centre, and its entry may be written after it answers, or before.
-func (w *worker) entryOutdated() bool {
-	return w.info.StartedMs > 0 && w.incarnation > 0 && w.info.StartedMs != w.incarnation
-}
+// entryOutdated reports whether the entry of the worker describes another process than the one that has answered last, see entries.
+func (w *worker) entryOutdated() bool { return w.describesOther(&w.info) }
 
 // limits returns why the tasks on a worker exclude a further one.
 func (w *worker) limits(t *task) WaitReason {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -86,6 +86,7 @@
 	}
 	w.polledAt = report.SentAt
 	w.reportedAt = now.Boot
+	s.reviewEntry(now.Boot, w)
 	s.recordExtended(w)
 	w.suspect = false
 	w.silence, w.brokenAt = answering, 0
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -248,27 +248,12 @@
 		s.addWorker(w)
 		s.inheritListed(w)
 	}
-	if info.Draining && (!w.info.Draining || w.listedAt == 0) {
-		w.leavesAt = now + info.Remaining
-		s.emit(Event{Kind: EventWorkerDraining, Worker: info.ID})
-	}
-	if info.Draining != w.info.Draining || info.StartedMs != w.info.StartedMs {
-		s.knownWorkersChanged = true
-	}
-	if !slices.Equal(w.info.Labels, info.Labels) {
-		s.index.remove(w)
-	}
-	if w.answeredAddress == "" && info.Address != w.info.Address {
-		w.stored = false // it may be stored with the former address
-		s.knownWorkersChanged = true
-	}
-	if info.Capacity != w.info.Capacity {
-		w.full = fullBackOff{}
-	}
-	w.info = info
+	w.recordEntry(now, info)
+	s.applyEntry(now, w)
 	w.listed = true
-	w.listedAt = now
-	s.index.markChanged(w)
+	if !w.describesOther(&info) {
+		w.listedAt = now
+	}
 }
 
 func (s *Scheduler) addWorker(w *worker) {
--- a/core/schedule/unused_test.go
+++ b/core/schedule/unused_test.go
@@ -30,14 +30,17 @@
 func TestEachReasonForAnUnusedWorkerIsNamed(t *testing.T) {
 	forAWhile := time.Hour
 	rows := map[WaitReason]func(h *harness, w *worker){
-		WaitUnreachable:   func(h *harness, w *worker) { h.s.PollFailed(h.now, w.info.ID) },
-		WaitNotStored:     func(_ *harness, w *worker) { w.stored = false },
-		WaitEntryOutdated: func(_ *harness, w *worker) { w.info.StartedMs = w.incarnation + 1 },
-		WaitUnhealthy:     func(h *harness, w *worker) { w.unhealthyUntil = h.now.Boot + forAWhile },
-		WaitRejections:    func(h *harness, w *worker) { w.full.until = h.now.Boot + forAWhile },
-		WaitLostRecently:  func(h *harness, w *worker) { w.stability.until = h.now.Boot + forAWhile },
-		WaitFaulty:        func(h *harness, w *worker) { w.health.until = h.now.Boot + forAWhile },
-		WaitSlow:          func(h *harness, w *worker) { w.slowness = slowness{sum: 400, weight: 100, at: h.now.Boot} },
+		WaitUnreachable: func(h *harness, w *worker) { h.s.PollFailed(h.now, w.info.ID) },
+		WaitNotStored:   func(_ *harness, w *worker) { w.stored = false },
+		WaitEntryOutdated: func(_ *harness, w *worker) {
+			w.info.StartedMs = w.incarnation + 1
+			w.entries = entries{latest: w.info}
+		},
+		WaitUnhealthy:    func(h *harness, w *worker) { w.unhealthyUntil = h.now.Boot + forAWhile },
+		WaitRejections:   func(h *harness, w *worker) { w.full.until = h.now.Boot + forAWhile },
+		WaitLostRecently: func(h *harness, w *worker) { w.stability.until = h.now.Boot + forAWhile },
+		WaitFaulty:       func(h *harness, w *worker) { w.health.until = h.now.Boot + forAWhile },
+		WaitSlow:         func(h *harness, w *worker) { w.slowness = slowness{sum: 400, weight: 100, at: h.now.Boot} },
 	}
 	for _, reason := range UnusedReasons() {
 		makeUnused, made := rows[reason]
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -31,9 +31,10 @@
 
 // worker is the scheduler's view of one worker.
 type worker struct {
-	info             WorkerInfo
+	info             WorkerInfo    // the valid one of its entries
+	entries          entries       // only if it has been listed
 	listed           bool          // it is in the platform's list
-	listedAt         time.Duration // when a list that has it was last read; 0 if none has been
+	listedAt         time.Duration // when an entry was last read that describes no other process, see entries; 0 if none has been
 	unlistedAt       time.Duration // when it was first missing from the platform's list; only if not listed
 	leavesAt         time.Duration // earliest time at which it leaves; only with info.Draining
 	stored           bool          // it is in the stored set of known workers, so that a later owner waits for its report
