--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -106,7 +106,7 @@
 
 // process returns a record of the end of the worker's current process.
 func (w *worker) process() workload.Crash {
-	started := w.incarnation
+	started := startOf(w.incarnation)
 	if started == 0 {
 		started = w.info.StartedMs
 	}
@@ -114,8 +114,8 @@
 }
 
 // workerCrashed records the crash of a worker's process for the tasks that it ran. survives states which attempts the next
-// process runs, which started at nextMs. foundAt is when the poll was sent that the next process has answered under the same ID; 0 if
-// that has another ID. A worker that left after it had announced it has not crashed.
+// process runs, which started at nextMs, 0 if that is not known. foundAt is when the poll was sent that the next process has answered
+// under the same ID; 0 if that has another ID. A worker that left after it had announced it has not crashed.
 func (s *Scheduler) workerCrashed(now Time, w *worker, nextMs int64, foundAt time.Duration, survives func(attemptKey) bool) {
 	defer s.forgetSilent(w)
 	if w.info.Draining {
@@ -144,7 +144,7 @@
 type crash struct {
 	s       *Scheduler
 	worker  *worker
-	nextMs  int64         // start of the next process, Unix milliseconds
+	nextMs  int64         // start of the next process, Unix milliseconds; 0 if unknown
 	foundAt time.Duration // see workerCrashed
 	broken  bool          // the connection to the worker broke soon after its last answer, see break.go
 	tasks   []*task       // whose record has changed
--- a/core/schedule/entry.go
+++ b/core/schedule/entry.go
@@ -32,7 +32,7 @@
 
 // recordOwnEntry keeps the latest entry if it is that of the process that has answered last.
 func (w *worker) recordOwnEntry() {
-	if w.incarnation > 0 && w.entries.latest.StartedMs == w.incarnation {
+	if w.incarnation > 0 && w.entries.latest.StartedMs == startOf(w.incarnation) {
 		w.entries.own = w.entries.latest
 	}
 }
@@ -40,7 +40,7 @@
 // describesOther reports whether an entry describes another process of the worker than the one that has answered last. The two may be
 // of different kind, size, pool or data centre.
 func (w *worker) describesOther(info *WorkerInfo) bool {
-	return info.StartedMs > 0 && w.incarnation > 0 && info.StartedMs != w.incarnation
+	return info.StartedMs > 0 && w.incarnation > 0 && info.StartedMs != startOf(w.incarnation)
 }
 
 // validEntry returns the entry that decides what may start on the worker. It is not that of the process that answers if none is known to
--- a/core/schedule/faultsim_late_test.go
+++ b/core/schedule/faultsim_late_test.go
@@ -36,7 +36,6 @@
 	failed   bool
 	broken   bool // the connection broke soon after an answer; only with failed
 	report   Report
-	process  int64 // number of the process that the report is of
 }
 
 // lateWrite is a write of progress in progress.
@@ -53,7 +52,7 @@
 }
 
 // lateEnd is the newest end of a worker process that the owner had applied when a write began.
-type lateEnd struct{ process, number int64 }
+type lateEnd struct{ incarnation, number int64 }
 
 // newLateFaultSim returns a simulation with lateFaults.
 func newLateFaultSim(f *faultSim) *faultSim {
@@ -117,7 +116,7 @@
 			continue
 		}
 		r.received, r.at = min(r.received, other.received), min(r.at, other.at)
-		if !r.failed && (other.failed || other.process == r.process) {
+		if !r.failed && (other.failed || other.report.Incarnation == r.report.Incarnation) {
 			l.results[n].worker = "" // superseded
 		}
 	}
@@ -149,7 +148,6 @@
 		return
 	}
 	f.s.Report(f.time(), r.worker, r.report)
-	f.reported[r.worker] = r.process
 }
 
 // collectedUpTo returns the time up to which the results of all polls of a worker have been applied.
@@ -181,7 +179,7 @@
 	}
 	w := &lateWrite{term: f.term, records: f.s.Changed(), ends: map[WorkerID]lateEnd{}}
 	for _, worker := range f.s.sortedWorkers {
-		w.ends[worker.info.ID] = lateEnd{f.reported[worker.info.ID], worker.lastEnd}
+		w.ends[worker.info.ID] = lateEnd{worker.incarnation, worker.lastEnd}
 	}
 	if f.known != nil {
 		w.known, w.knownDirty = f.takeKnown()
@@ -226,7 +224,7 @@
 	}
 	for _, worker := range f.workers {
 		id := worker.info.ID
-		if end := w.ends[id]; f.polled[id] && end.process == worker.processes {
+		if end := w.ends[id]; f.polled[id] && end.incarnation == f.identified[id].incarnation {
 			f.acknowledge(worker, end.number)
 		}
 	}
--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -32,7 +32,7 @@
 type faultSimWorker struct {
 	info             WorkerInfo
 	incarnation      int64
-	processes        int64 // number of processes so far, for the relays: they tell processes apart that state the same start
+	processes        int64 // number of processes so far
 	fence            int64 // highest term of an owner that was seen
 	leaseEnd         time.Duration
 	running          map[attemptKey]time.Duration // when each attempt will end
@@ -73,7 +73,7 @@
 	knownWorkers []WorkerInfo
 	jobs         []workload.Job
 	polled       map[WorkerID]bool                 // whether the last poll was answered, so that leases may be extended
-	reported     map[WorkerID]int64                // number of the process whose report was applied last
+	identified   map[WorkerID]identified           // by the relays that poll the workers; none for a relay that has got no answer
 	listedEnd    map[WorkerID]int64                // number of the latest end that the relay knows of the process
 	acknowledged map[WorkerID]int64                // number of the latest end whose progress is stored
 	done         map[workload.TaskID]bool          // a done end was acknowledged in time
@@ -139,7 +139,7 @@
 	f.logf("term %d", f.term)
 	f.s = NewScheduler(Config{Term: f.term, TaskLease: testLease, StopTime: 400 * time.Millisecond,
 		HandoverGrace: 2500 * time.Millisecond})
-	f.polled, f.reported = map[WorkerID]bool{}, map[WorkerID]int64{}
+	f.polled, f.identified = map[WorkerID]bool{}, map[WorkerID]identified{}
 	f.listedEnd, f.acknowledged = map[WorkerID]int64{}, map[WorkerID]int64{}
 	f.resetLate()
 	if f.known != nil {
@@ -349,7 +349,7 @@
 	}
 	for _, worker := range f.workers {
 		known := f.s.workers[worker.info.ID]
-		if known != nil && f.polled[worker.info.ID] && f.reported[worker.info.ID] == worker.processes {
+		if known != nil && f.polled[worker.info.ID] && f.identified[worker.info.ID].incarnation == known.incarnation {
 			f.acknowledge(worker, known.lastEnd)
 		}
 	}
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -124,7 +124,7 @@
 	if f.polled[id] {
 		worker.ended = slices.DeleteFunc(worker.ended, func(e Ended) bool { return f.dropEnd(worker, e) })
 	}
-	report := Report{Incarnation: worker.incarnation, Address: worker.info.Address, SentAt: f.now, Ended: slices.Clone(worker.ended)}
+	report := Report{Incarnation: f.identify(worker), Address: worker.info.Address, SentAt: f.now, Ended: slices.Clone(worker.ended)}
 	for key := range worker.running {
 		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.number, Percent: f.percentOf(worker, key)})
 	}
@@ -133,7 +133,7 @@
 		return
 	}
 	f.recordAnswer(worker)
-	f.addResult(lateResult{worker: id, report: report, process: worker.processes})
+	f.addResult(lateResult{worker: id, report: report})
 	if !f.polled[id] {
 		f.listedEnd[id], f.acknowledged[id] = 0, 0
 	}
@@ -143,6 +143,22 @@
 	f.polled[id] = true
 }
 
+// identified is the process of a worker that a relay has polled last.
+type identified struct{ process, startedMs, incarnation int64 }
+
+// identify returns the incarnation of a worker's process, as package incarnation does: the clock of a process begins anew.
+func (f *faultSim) identify(worker *faultSimWorker) int64 {
+	last, known := f.identified[worker.info.ID]
+	switch {
+	case !known || last.startedMs != worker.incarnation:
+		last = identified{worker.processes, worker.incarnation, worker.incarnation}
+	case last.process != worker.processes:
+		last.process, last.incarnation = worker.processes, NextIncarnation(last.incarnation)
+	}
+	f.identified[worker.info.ID] = last
+	return last.incarnation
+}
+
 // acknowledge makes the relay of a worker acknowledge the ends up to a number, as far as the process has listed them.
 func (f *faultSim) acknowledge(worker *faultSimWorker, number int64) {
 	f.acknowledged[worker.info.ID] = min(number, f.listedEnd[worker.info.ID])
@@ -189,6 +205,7 @@
 	}
 	if lost {
 		worker.cut, f.polled[id] = nil, false
+		delete(f.identified, id)
 		f.s.PollerLost(id, cut.permittedUntil)
 		f.withheld.assign(f, id) // to the next relay
 		if f.faulty(2) {
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -69,6 +69,15 @@
 	})
 }
 
+// Guards against the same with the faults of TestNoTaskRunsTwiceWhileKnownWorkersAreStoredLate as well.
+func TestNoTaskRunsTwiceWhileStartsRepeatAndKnownWorkersChange(t *testing.T) {
+	playSeeds(func(seed uint64) {
+		f := newMoveFaultSim(newKnownFaultSim(newLateFaultSim(newFaultSim(t, seed))))
+		f.moves.repeats = true
+		f.playJobs()
+	})
+}
+
 // Guards against the same while entries of other writers name other starts for many seconds, beside workers that start again.
 func TestNoTaskRunsTwiceWhileEntriesNameOtherStarts(t *testing.T) {
 	playSeeds(func(seed uint64) {
--- a/core/schedule/replaced.go
+++ b/core/schedule/replaced.go
@@ -85,7 +85,7 @@
 // supersedes reports whether the process of a worker, which has reported, started later than that of another worker at the same
 // place, which has thus ended.
 func (w *worker) supersedes(id WorkerID, startedMs int64) bool {
-	return w != nil && w.info.ID != id && startedMs > 0 && w.incarnation > startedMs
+	return w != nil && w.info.ID != id && startedMs > 0 && startOf(w.incarnation) > startedMs
 }
 
 // recordContested records the places that more than one worker has or had.
@@ -119,7 +119,7 @@
 			continue // see successor
 		}
 		s.emit(Event{Kind: EventWorkerReplaced, Worker: w.info.ID, Reason: string(next.info.ID)})
-		s.workerCrashed(now, w, next.incarnation, 0, noneSurvives)
+		s.workerCrashed(now, w, startOf(next.incarnation), 0, noneSurvives)
 		for _, a := range slices.Clone(w.attemptList) {
 			s.drop(a)
 		}
@@ -127,7 +127,7 @@
 	}
 	for id, v := range s.vanished {
 		if next := latest[v.worker.place()]; next.supersedes(id, v.worker.process().StartedMs) {
-			s.workerCrashed(now, v.worker, next.incarnation, 0, noneSurvives)
+			s.workerCrashed(now, v.worker, startOf(next.incarnation), 0, noneSurvives)
 			delete(s.vanished, id)
 		} else if now.Boot-v.at > vanishedRetention {
 			s.forgetSilent(v.worker)
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -40,7 +40,7 @@
 
 // Report is a worker's response to a poll.
 type Report struct {
-	Incarnation int64         // start of the worker process, Unix milliseconds; 0 when not reported
+	Incarnation int64         // start of the worker process, Unix milliseconds, or see NextIncarnation; 0 when not reported
 	Address     string        // where the worker has answered; empty if the relay does not tell
 	SentAt      time.Duration // when the poll was sent, boot clock of the owner
 	ReceivedAt  time.Duration // when the report was received from the worker, boot clock of the owner; for measurements only
@@ -70,20 +70,7 @@
 		}
 		return w.lastEnd
 	}
-	if w.incarnation != report.Incarnation {
-		if w.incarnation != 0 {
-			s.emit(Event{Kind: EventWorkerRestarted, Worker: id})
-			s.workerCrashed(now, w, report.Incarnation, report.SentAt, report.lists)
-			w.health, w.slowness = health{}, slowness{}
-			w.stability.recordLoss(now.Boot)
-			s.knownWorkersChanged = true
-		}
-		w.incarnation = report.Incarnation
-		w.lastEnd = 0
-	} else if w.endsRenumbered(report.Ended) {
-		s.emit(Event{Kind: EventWorkerRestarted, Worker: id, Reason: "numbers of ends"})
-		w.lastEnd = 0
-	}
+	s.recordProcess(now, w, report)
 	w.polledAt = report.SentAt
 	w.reportedAt = now.Boot
 	s.reviewEntry(now.Boot, w)
@@ -109,6 +96,26 @@
 	return w.lastEnd
 }
 
+// recordProcess records which process of a worker has reported.
+func (s *Scheduler) recordProcess(now Time, w *worker, report Report) {
+	switch {
+	case w.incarnation != report.Incarnation:
+		if w.incarnation != 0 && !countsFewer(report.Incarnation, w.incarnation) {
+			s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID})
+			s.workerCrashed(now, w, startAfter(w.incarnation, report.Incarnation), report.SentAt, report.lists)
+			w.health, w.slowness = health{}, slowness{}
+			w.stability.recordLoss(now.Boot)
+			s.knownWorkersChanged = true
+		}
+		w.incarnation = report.Incarnation
+	case w.endsRenumbered(report.Ended):
+		s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Reason: "numbers of ends"})
+	default:
+		return
+	}
+	w.lastEnd = 0
+}
+
 // applyRunning applies the list of running attempts.
 func (s *Scheduler) applyRunning(now Time, w *worker, report Report) {
 	for _, row := range report.Running {
--- a/core/schedule/unused.go
+++ b/core/schedule/unused.go
@@ -125,7 +125,7 @@
 
 func (s *Scheduler) describeUnused(now time.Duration, w *worker) UnusedWorker {
 	u := UnusedWorker{
-		Info: w.info, Reason: s.unusedReason(now, w), Since: w.unusedSince, ReportedStartMs: w.incarnation,
+		Info: w.info, Reason: s.unusedReason(now, w), Since: w.unusedSince, ReportedStartMs: startOf(w.incarnation),
 		ReportedAddress: w.answeredAddress, SilentFor: NotReported, Awaited: s.awaitingReport[w.info.ID],
 	}
 	if w.reportedAt > 0 {
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -39,7 +39,7 @@
 	leavesAt         time.Duration // earliest time at which it leaves; only with info.Draining
 	stored           bool          // it is in the stored set of known workers, so that a later owner waits for its report
 	answeredAddress  string        // where it has answered last, to this owner or a former one; empty if it has not
-	incarnation      int64         // start of the worker process, Unix milliseconds; 0 before the first report
+	incarnation      int64         // of the process that has reported last, see Report; 0 before the first report
 	polledAt         time.Duration // when the poll was sent whose report was applied last
 	reportedAt       time.Duration // when the last report was received; 0 before the first
 	reports          int64         // number of reports that were applied
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -20,6 +20,7 @@
 	"fulmarcourse.example/fulmarcourse/api/ownerpb"
 	"fulmarcourse.example/fulmarcourse/pkg/dispatch"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
+	"fulmarcourse.example/fulmarcourse/pkg/incarnation"
 	"fulmarcourse.example/fulmarcourse/pkg/intake"
 	"fulmarcourse.example/fulmarcourse/pkg/kv"
 	"fulmarcourse.example/fulmarcourse/pkg/mirror"
@@ -97,8 +98,9 @@
 		Host: cfg.Self.Host, Datacentre: cfg.Datacentre, Address: cfg.Self.Address, Incarnation: cfg.Self.Incarnation,
 		Cores: cfg.Cores, LinkMbps: cfg.LinkMbps,
 	}})
+	workers := incarnation.Identify(cfg.Workers)
 	for range cfg.Partitions {
-		n.relays = append(n.relays, relay.New(relay.Config{Workers: cfg.Workers, TaskLease: cfg.TaskLease, Scope: cfg.Scope}))
+		n.relays = append(n.relays, relay.New(relay.Config{Workers: workers, TaskLease: cfg.TaskLease, Scope: cfg.Scope}))
 	}
 	n.mirror = mirror.New(mirror.Config{
 		Store: cfg.Store, Prefix: statekeys.Owners, Wait: viewWatchWait, Retry: viewRetryDelay, Log: cfg.Log,
