--- a/core/schedule/full_pool_test.go
+++ b/core/schedule/full_pool_test.go
@@ -359,19 +359,24 @@
 }
 
 // fitsBesideServices reports whether a worker has the capacity for a task: its own one, whoever took the place that it left
-// there, or another beside the services that run there or were there last.
+// there, or another that may run it beside the services that run there or were there last.
 func (p *fullPool) fitsBesideServices(t *task) bool {
 	for _, w := range p.workers {
 		if !w.gone && !w.info.Draining && w.info.ID == t.storedWorker {
 			return true
 		}
-		free := w.info.Capacity
+		free, sameStep := w.info.Capacity, 0
 		for _, other := range p.services {
-			if other != t && other.storedWorker == w.info.ID {
-				free = free.Sub(other.step.spec.Size)
+			if other == t || other.storedWorker != w.info.ID {
+				continue
+			}
+			free = free.Sub(other.step.spec.Size)
+			if other.step == t.step {
+				sameStep++
 			}
 		}
-		if !w.gone && t.step.spec.Size.Fits(free) {
+		limit := t.step.spec.MaxPerWorker
+		if !w.gone && t.step.spec.Size.Fits(free) && (limit == 0 || sameStep < limit) {
 			return true
 		}
 	}
--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -165,12 +165,12 @@
 	return true
 }
 
-// fitsSoonest returns the worker without other nominees on which a task is expected to fit soonest, and after which time. It
-// compares the worker to which the task is nominated and maxNominationChecks others on which it can fit, from where the last search
-// ended. The former comes first: places that are kept there would otherwise be given up at each review.
+// fitsSoonest returns the worker on which no other nominee waits for tasks to end and a task is expected to fit soonest, and after
+// which time. It compares the worker to which the task is nominated and maxNominationChecks others on which it can fit, from where the
+// last search ended. The former comes first: places that are kept there would otherwise be given up at each review.
 func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
 	compare := func(w *worker) bool {
-		if w.hasOtherNominee(t) || !s.fitsBesideServices(now, t, w) {
+		if w.hasOtherWaitingNominee(t) || !s.fitsBesideServices(now, t, w) {
 			return false
 		}
 		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
@@ -199,8 +199,10 @@
 	return best, soonest
 }
 
-func (w *worker) hasOtherNominee(t *task) bool {
-	return slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t })
+// hasOtherWaitingNominee reports whether another nominee waits for tasks on the worker to end. One for which its own place is kept
+// does not, and may avoid the worker for restartOverdueAfter.
+func (w *worker) hasOtherWaitingNominee(t *task) bool {
+	return slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t && !nominee.nomination.ownPlace })
 }
 
 func (s *Scheduler) emitNomination(t *task, w *worker, wait time.Duration) {
@@ -237,8 +239,8 @@
 	return max(since+restartOverdueAfter-now, 0)
 }
 
-// fitsIn returns the time in which the tasks that end on a worker are expected to leave enough capacity for a task. It
-// returns false if they do not have as much.
+// fitsIn returns the time in which the tasks that end on a worker are expected to leave enough capacity for a task beside what is kept
+// for others. It returns false if they do not have as much.
 func (w *worker) fitsIn(now time.Duration, t *task, stopTime time.Duration) (wait time.Duration, possible bool) {
 	type release struct {
 		in   time.Duration
@@ -255,7 +257,7 @@
 		}
 	}
 	slices.SortFunc(releases, func(a, b release) int { return int(a.in - b.in) })
-	need, free := t.step.spec.Reserved(), w.free()
+	need, free := t.step.spec.Reserved(), w.free().Sub(w.keptForOthers(t))
 	for _, r := range releases {
 		if need.Fits(free) {
 			break
--- a/core/schedule/service_room.go
+++ b/core/schedule/service_room.go
@@ -5,13 +5,18 @@
 // roomBesideServices returns the capacity of a worker that its services, and what is kept there for other displaced ones, leave
 // to a task. Tasks that end may use it at present.
 func (w *worker) roomBesideServices(t *task) structs.Resources {
-	room := w.info.Capacity.Sub(w.serviceReserved)
+	return w.info.Capacity.Sub(w.serviceReserved).Sub(w.keptForOthers(t))
+}
+
+// keptForOthers returns what the nominees of a worker other than a task need.
+func (w *worker) keptForOthers(t *task) structs.Resources {
+	var kept structs.Resources
 	for _, nominee := range w.nominees {
 		if nominee != t {
-			room = room.Sub(nominee.step.spec.Reserved())
+			kept = kept.Add(nominee.step.spec.Reserved())
 		}
 	}
-	return room
+	return kept
 }
 
 // fitsBesideServices reports whether a worker may start a task once tasks that end have left enough capacity.
