--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -19,7 +19,9 @@
 	// nominationReview is the time after which another worker may be chosen for a nominee that still does not fit. Tasks may
 	// run for much longer than estimated.
 	nominationReview = time.Second
-	// maxNominations is the maximum number of nominations in a planning run for which all workers are checked.
+	// maxNominations is the maximum number of nominations in a planning run for which all workers are checked. The runs up to the
+	// first that can check them for all tasks form a pass, in which each task has one turn: tasks that fit nowhere would otherwise
+	// use up each run.
 	maxNominations = 32
 	// maxNominationChecks is the maximum number of workers that are compared for a nomination.
 	maxNominationChecks = 64
@@ -128,13 +130,19 @@
 	shape, sufficient := t.step.shape()
 	sufficient = sufficient && !t.onProbation()
 	switch {
-	case sufficient && shape.among(cycle.unnominatable),
-		!known && slices.Contains(cycle.unnominatableSteps, t.step),
-		!cycle.scan && t.displacement.since != now.Boot, cycle.nominations >= maxNominations,
-		known && now.Boot-t.nomination.at < nominationReview,
-		!known && s.waitingNominees(t.step.job.rec.Queue.Pool) >= max(pool.workers/maxNominatedShare, 1):
+	case !cycle.scan && t.displacement.since != now.Boot, known && now.Boot-t.nomination.at < nominationReview,
+		cycle.scan && t.displacement.triedIn == s.nominationPass:
+		return
+	case sufficient && shape.among(cycle.unnominatable), !known && slices.Contains(cycle.unnominatableSteps, t.step):
+		s.recordTurn(cycle, t)
+		return
+	case cycle.nominations >= maxNominations:
+		cycle.nominationsLeft = true
+		return
+	case !known && s.waitingNominees(t.step.job.rec.Queue.Pool) >= max(pool.workers/maxNominatedShare, 1):
 		return
 	}
+	s.recordTurn(cycle, t)
 	cycle.nominations++
 	best, soonest := s.fitsSoonest(now, t)
 	if best == nil {
@@ -152,6 +160,13 @@
 	s.setNominee(t, nomination{worker: best, at: now.Boot})
 }
 
+// recordTurn records that a task had its turn in a pass of nominations. The runs between scans are no part of it.
+func (s *Scheduler) recordTurn(cycle *planCycle, t *task) {
+	if cycle.scan {
+		t.displacement.triedIn = s.nominationPass
+	}
+}
+
 // nominateToOwnPlace nominates a task to the worker that it was on, if the place that it left there is free.
 func (s *Scheduler) nominateToOwnPlace(now Time, t *task) bool {
 	w := s.workers[t.storedWorker]
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -50,6 +50,7 @@
 	unplaceable      []taskShape // tasks that fit on no worker
 	unplaceableAtAll []taskShape // tasks that do not fit on avoided workers either, see chooseAvoided
 	nominations      int
+	nominationsLeft  bool        // a task has not had its turn because of maxNominations
 	unnominatable    []taskShape // tasks that could not be nominated to any worker
 	// unnominatableSteps are steps whose tasks exclude each other and of which a task could not be nominated to any worker.
 	unnominatableSteps []*step
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -28,6 +28,7 @@
 	countFrom  time.Duration // start of the current passedOverWindow
 	passedOver int           // starts of other tasks in the window on workers with room for it
 	firstUntil time.Duration // until when it comes before all other tasks, because it was passed over too often
+	triedIn    int           // latest pass of nominations in which it had its turn, see maxNominations; 0 if none
 }
 
 // displaced reports whether a service task has run and has lost its place.
--- a/core/schedule/review_bound_test.go
+++ b/core/schedule/review_bound_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,3 +69,52 @@
 		p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
 	}
 }
+
+// Scenario: more services than a planning run nominates fit on no worker, each for a reason of its own: its size, its label or its
+// limit of tasks per worker. Guards against their searches using up those of each planning run, so that a service behind them that a
+// worker has room for is never nominated.
+func TestServicesThatFitNowhereDoNotStopOthers(t *testing.T) {
+	for name, unfit := range map[string]func(n int) workload.Step{
+		"size": func(n int) workload.Step {
+			step := coresStep(1)
+			step.Size.MilliCPU = 16000 - 100*int64(n) // each fits where none before it does
+			return step
+		},
+		"label": func(n int) workload.Step {
+			step := coresStep(4)
+			step.Label = fmt.Sprint("label", n)
+			return step
+		},
+		"limit": func(int) workload.Step {
+			step := coresStep(4)
+			step.MaxPerWorker = 1
+			return step
+		},
+	} {
+		h := newHarness(t, 1)
+		for _, id := range []WorkerID{"w1", "w2"} {
+			h.addWorker(id, func(info *WorkerInfo) {
+				withCores(3)(info)
+				for n := range 2 * maxNominations {
+					info.Labels = append(info.Labels, fmt.Sprint("label", n))
+				}
+			})
+		}
+		h.shortTasks("short", 1000, time.Hour)
+		h.wantStarts(h.run(), 6)
+		for n := range 2 * maxNominations {
+			step := unfit(n)
+			step.Tasks = 20
+			h.lostTasks(workload.JobID(fmt.Sprintf("a%02d", n)), step)
+		}
+		service := h.lostTasks("service", coresStep(2))[0]
+		for range 4 {
+			h.advanceClock(scanInterval)
+			h.reportAll()
+			h.run()
+		}
+		if service.nomination.worker == nil {
+			t.Errorf("%s: the service is not nominated", name)
+		}
+	}
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -48,6 +48,7 @@
 	replacedEntries     map[WorkerID]replacedEntry  // of the latest list
 	unstoredCrashes     map[WorkerID]unstoredCrash
 	vacated             map[workload.PoolName]int64 // by pool, thousandths of a core that ended services have left and none has taken since
+	nominationPass      int                         // number of the current pass of nominations, see maxNominations
 	nominateFrom        int                         // position in sortedWorkers from which fitsSoonest continues
 	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
 }
@@ -61,6 +62,7 @@
 	return &Scheduler{
 		cfg:            cfg,
 		fillerPass:     1,
+		nominationPass: 1,
 		jobs:           map[workload.JobID]*job{},
 		workers:        map[WorkerID]*worker{},
 		index:          newWorkerIndex(),
--- a/core/schedule/vacated.go
+++ b/core/schedule/vacated.go
@@ -87,6 +87,9 @@
 	}
 	cycle.pools = s.openPools(cycle.now.Boot)
 	cycle.displaced = slices.DeleteFunc(cycle.displaced, func(t *task) bool { return s.restartedFirst(cycle, t) })
+	if cycle.scan && !cycle.nominationsLeft {
+		s.nominationPass++
+	}
 }
 
 // restartedFirst starts a displaced task if it comes first and fits on a worker. If it comes first and does not fit, it is
