--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -19,7 +19,9 @@
 	// nominationReview is the time after which another worker may be chosen for a nominee that still does not fit. Tasks may
 	// run for much longer than estimated.
 	nominationReview = time.Second
-	// maxNominations is the maximum number of nominations in a planning run for which all workers are checked.
+	// maxNominations is the maximum number of nominations in a planning run for which all workers are checked. The runs up to the
+	// first that can check them for all tasks form a pass, in which each task has one turn: tasks that fit nowhere would otherwise
+	// use up each run.
 	maxNominations = 32
 	// maxNominationChecks is the maximum number of workers that are compared for a nomination.
 	maxNominationChecks = 64
@@ -128,13 +130,19 @@
 	shape, sufficient := t.step.shape()
 	sufficient = sufficient && !t.onProbation()
 	switch {
-	case sufficient && shape.among(cycle.unnominatable),
-		!known && slices.Contains(cycle.unnominatableSteps, t.step),
-		!cycle.scan && t.displacement.since != now.Boot, cycle.nominations >= maxNominations,
-		known && now.Boot-t.nomination.at < nominationReview,
-		!known && s.waitingNominees(t.step.job.rec.Queue.Pool) >= max(pool.workers/maxNominatedShare, 1):
+	case !cycle.scan && t.displacement.since != now.Boot, known && now.Boot-t.nomination.at < nominationReview,
+		cycle.scan && t.displacement.triedIn == s.nominationPass:
+		return
+	case sufficient && shape.among(cycle.unnominatable), !known && slices.Contains(cycle.unnominatableSteps, t.step):
+		s.recordTurn(cycle, t)
+		return
+	case cycle.nominations >= maxNominations:
+		cycle.nominationsLeft = true
+		return
+	case !known && s.waitingNominees(t.step.job.rec.Queue.Pool) >= max(pool.workers/maxNominatedShare, 1):
 		return
 	}
+	s.recordTurn(cycle, t)
 	cycle.nominations++
 	best, soonest := s.fitsSoonest(now, t)
 	if best == nil {
@@ -152,6 +160,13 @@
 	s.setNominee(t, nomination{worker: best, at: now.Boot})
 }
 
+// recordTurn records that a task had its turn in a pass of nominations. The runs between scans are no part of it.
+func (s *Scheduler) recordTurn(cycle *planCycle, t *task) {
+	if cycle.scan {
+		t.displacement.triedIn = s.nominationPass
+	}
+}
+
 // nominateToOwnPlace nominates a task to the worker that it was on, if the place that it left there is free.
 func (s *Scheduler) nominateToOwnPlace(now Time, t *task) bool {
 	w := s.workers[t.storedWorker]
@@ -165,12 +180,12 @@
 	return true
 }
 
-// fitsSoonest returns the worker without other nominees on which a task is expected to fit soonest, and after which time. It
-// compares the worker to which the task is nominated and maxNominationChecks others on which it can fit, from where the last search
-// ended. The former comes first: places that are kept there would otherwise be given up at each review.
+// fitsSoonest returns the worker on which no other nominee waits for tasks to end and a task is expected to fit soonest, and after
+// which time. It compares the worker to which the task is nominated and maxNominationChecks others on which it can fit, from where the
+// last search ended. The former comes first: places that are kept there would otherwise be given up at each review.
 func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
 	compare := func(w *worker) bool {
-		if w.hasOtherNominee(t) || !s.fitsBesideServices(now, t, w) {
+		if w.hasOtherWaitingNominee(t) || !s.fitsBesideServices(now, t, w) {
 			return false
 		}
 		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
@@ -199,8 +214,10 @@
 	return best, soonest
 }
 
-func (w *worker) hasOtherNominee(t *task) bool {
-	return slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t })
+// hasOtherWaitingNominee reports whether another nominee waits for tasks on the worker to end. One for which its own place is kept
+// does not, and may avoid the worker for restartOverdueAfter.
+func (w *worker) hasOtherWaitingNominee(t *task) bool {
+	return slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t && !nominee.nomination.ownPlace })
 }
 
 func (s *Scheduler) emitNomination(t *task, w *worker, wait time.Duration) {
@@ -237,8 +254,8 @@
 	return max(since+restartOverdueAfter-now, 0)
 }
 
-// fitsIn returns the time in which the tasks that end on a worker are expected to leave enough capacity for a task. It
-// returns false if they do not have as much.
+// fitsIn returns the time in which the tasks that end on a worker are expected to leave enough capacity for a task beside what is kept
+// for others. It returns false if they do not have as much.
 func (w *worker) fitsIn(now time.Duration, t *task, stopTime time.Duration) (wait time.Duration, possible bool) {
 	type release struct {
 		in   time.Duration
@@ -255,7 +272,7 @@
 		}
 	}
 	slices.SortFunc(releases, func(a, b release) int { return int(a.in - b.in) })
-	need, free := t.step.spec.Reserved(), w.free()
+	need, free := t.step.spec.Reserved(), w.free().Sub(w.keptForOthers(t))
 	for _, r := range releases {
 		if need.Fits(free) {
 			break
--- /dev/null
+++ b/core/schedule/review_bound_test.go
@@ -0,0 +1,120 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/workload"
+)
+
+// lostTasks adds a service of a step and returns its tasks, which have run on a worker that was lost restartAfterLoss ago.
+func (h *harness) lostTasks(id workload.JobID, step workload.Step) []*task {
+	step.Service = true
+	h.s.AddJob(testJob(id, step), nil, false)
+	tasks := h.s.jobs[id].steps[0].tasks
+	for _, t := range tasks {
+		t.ran, t.storedWorker = true, "w0"
+		t.displacement.since = h.now.Boot - restartAfterLoss
+	}
+	return tasks
+}
+
+// Guards against a service that waits beside a worker with room for it because another one, which has failed there after a brief run,
+// avoids its own place on that worker.
+func TestWorkerThatKeepsAnOwnPlaceTakesAnotherNominee(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.startedService("failed", 1)
+	h.shortTasks("short", 1000, time.Second)
+	h.wantStarts(h.run(), 3)
+	h.advanceClock(scanInterval)
+	h.fail(taskID("failed", 0, 0))
+	service := h.lostTasks("service", coresStep(2))[0]
+	h.run()
+	if w := h.s.workers["w1"]; service.nomination.worker != w {
+		t.Fatalf("the service is nominated to %v, w1 has room for it", service.nomination.worker)
+	}
+	h.endOne("w1")
+	h.wantStarts(h.run(), 0)
+	h.endOne("w1")
+	h.wantStarts(h.orderedFor(h.run(), "service"), 1)
+	h.advanceClock(restartOverdueAfter)
+	h.reportAll()
+	h.wantStarts(h.orderedFor(h.run(), "failed"), 1)
+}
+
+// addSpreadServices adds services of eight tasks that exclude each other until they need a share of the pool, in percent.
+func (p *fullPool) addSpreadServices(percent int64) {
+	const tasks = 8
+	for need := int64(0); need < poolWorkers*16000*percent/100; {
+		step := testService(tasks)
+		step.MaxPerWorker = 1
+		step.Size.MilliCPU = 1500 + p.rnd.Int64N(2000)
+		need += tasks * step.Size.MilliCPU
+		p.services = append(p.services, p.addJob("service", step, 0).steps[0].tasks...)
+	}
+}
+
+// Guards against services of which a worker runs one task at most and that wait although one without a task of theirs has room.
+func TestServicesThatExcludeEachOtherRestartInAFullPool(t *testing.T) {
+	for seed := range uint64(3) {
+		p := newFullPool(t, seed)
+		p.addSpreadServices(40)
+		p.play(poolWarmUp, 0)
+		p.play(2*poolWarmUp, burstDemand)
+		p.lose(50)
+		p.play(poolEnd, burstDemand)
+		p.checkWaits()
+		p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
+	}
+}
+
+// Scenario: more services than a planning run nominates fit on no worker, each for a reason of its own: its size, its label or its
+// limit of tasks per worker. Guards against their searches using up those of each planning run, so that a service behind them that a
+// worker has room for is never nominated.
+func TestServicesThatFitNowhereDoNotStopOthers(t *testing.T) {
+	for name, unfit := range map[string]func(n int) workload.Step{
+		"size": func(n int) workload.Step {
+			step := coresStep(1)
+			step.Size.MilliCPU = 16000 - 100*int64(n) // each fits where none before it does
+			return step
+		},
+		"label": func(n int) workload.Step {
+			step := coresStep(4)
+			step.Label = fmt.Sprint("label", n)
+			return step
+		},
+		"limit": func(int) workload.Step {
+			step := coresStep(4)
+			step.MaxPerWorker = 1
+			return step
+		},
+	} {
+		h := newHarness(t, 1)
+		for _, id := range []WorkerID{"w1", "w2"} {
+			h.addWorker(id, func(info *WorkerInfo) {
+				withCores(3)(info)
+				for n := range 2 * maxNominations {
+					info.Labels = append(info.Labels, fmt.Sprint("label", n))
+				}
+			})
+		}
+		h.shortTasks("short", 1000, time.Hour)
+		h.wantStarts(h.run(), 6)
+		for n := range 2 * maxNominations {
+			step := unfit(n)
+			step.Tasks = 20
+			h.lostTasks(workload.JobID(fmt.Sprintf("a%02d", n)), step)
+		}
+		service := h.lostTasks("service", coresStep(2))[0]
+		for range 4 {
+			h.advanceClock(scanInterval)
+			h.reportAll()
+			h.run()
+		}
+		if service.nomination.worker == nil {
+			t.Errorf("%s: the service is not nominated", name)
+		}
+	}
+}
