Record stalls of the test process in test/fleet and print them when a test fails

The store, the workers and the proxies run in the test process, so that its stalls hold up all hosts at once. A failed test did not tell them from faults of the hosts: in TestAllHostsAreLostAfterASubmission, "a worker falls silent and another drains", which failed once beside other work (14.0 s, want at most 13 s), none of the three hosts had an answer from the store for 4 s, and nothing shows why.

A goroutine of each site looks at the clock every 50 ms and records delays from 300 ms on; a failed test prints them beside the logs of its hosts. No verdict depends on it. TestStallsAreRecorded checks what counts as a stall.

--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -30,6 +30,8 @@
 	links    []*faultproxy.Proxy // from each host to the store, and from all hosts to each worker
 	peers    *peerLinks          // between the hosts; nil if they connect to each other directly
 	client   *http.Client
+	stalls   stallRecorder
+	closed   chan struct{} // closed when the site is closed
 }
 
 // host is an entry host. It keeps its addresses when its process is restarted.
@@ -64,7 +66,7 @@
 // newPlatform returns a site without hosts.
 func newPlatform(t *testing.T, cfg fleet.Config) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir(), limits: cfg.Limits, client: &http.Client{Timeout: 5 * time.Second}}
+	s := &site{t: t, dir: t.TempDir(), limits: cfg.Limits, client: &http.Client{Timeout: 5 * time.Second}, closed: make(chan struct{})}
 	cfg.ProxyAddress = s.link
 	platform, err := fleet.NewPlatform(cfg)
 	if err != nil {
@@ -72,6 +74,7 @@
 	}
 	s.platform = platform
 	t.Cleanup(s.close)
+	go s.stalls.run(s.closed)
 	return s
 }
 
@@ -289,9 +292,11 @@
 		}
 	}
 	s.platform.Close()
+	close(s.closed)
 	if !s.t.Failed() {
 		return
 	}
+	s.stalls.log(s.t)
 	for _, h := range s.hosts {
 		s.saveLog(h)
 	}
