--- a/core/schedule/review_bound_test.go
+++ b/core/schedule/review_bound_test.go
@@ -118,3 +118,51 @@
 		}
 	}
 }
+
+// besideServices returns what Waits tells about the longest waiting task of a job.
+func (h *harness) besideServices(id workload.JobID) (WaitReason, int) {
+	h.t.Helper()
+	for _, waiting := range h.s.Waits(h.now).Steps {
+		if waiting.Task.Job == id {
+			return waiting.Reason, waiting.BesideServices
+		}
+	}
+	h.t.Fatalf("%s does not wait", id)
+	return 0, 0
+}
+
+// Guards against lines that say services have the capacity which a service waits for, because a task that ends and needs as much was
+// explained before it.
+func TestWaitOfAServiceIsNotThatOfATaskThatEnds(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.shortTasks("short", 1000, time.Hour)
+	h.wantStarts(h.run(), 4)
+	h.s.AddJob(testJob("a-ends", coresStep(3)), nil, false)
+	h.lostTasks("service", coresStep(3))
+	h.advanceClock(2 * LongWait)
+	h.s.task(taskID("service", 0, 0)).displacement.since = h.now.Boot
+	h.reportAll()
+	if reason, beside := h.besideServices("service"); reason != WaitCapacity || beside != 1 {
+		t.Errorf("the service waits for %v, %d workers have room beside services", reason, beside)
+	}
+}
+
+// Guards against counting the capacity that is kept for one service as room for another of its size.
+func TestWaitOfAServiceIsNotThatOfANominee(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.shortTasks("short", 1000, time.Hour)
+	h.wantStarts(h.run(), 4)
+	h.lostTasks("a-nominee", coresStep(3))
+	h.lostTasks("service", coresStep(3))
+	h.advanceClock(2 * LongWait)
+	h.reportAll()
+	h.wantStarts(h.run(), 0)
+	if reason, beside := h.besideServices("a-nominee"); reason != WaitNominated || beside != 1 {
+		t.Errorf("the nominee waits for %v, %d workers have room beside services", reason, beside)
+	}
+	if reason, beside := h.besideServices("service"); reason != WaitServiceShare || beside != 0 {
+		t.Errorf("the other service waits for %v, %d workers have room beside services", reason, beside)
+	}
+}
--- a/core/schedule/waiting.go
+++ b/core/schedule/waiting.go
@@ -136,6 +136,8 @@
 	shape    taskShape
 	reserved structs.Resources
 	filler   bool
+	service  bool
+	nominee  bool // capacity that is kept for it counts as room beside services
 	guarded  bool
 	overdue  bool
 	step     *step // only if its tasks exclude each other
@@ -328,7 +330,8 @@
 	spec := &t.step.spec
 	shape, _ := t.step.shape()
 	key := searchKey{
-		shape: shape, reserved: spec.Reserved(), filler: spec.Filler,
+		shape: shape, reserved: spec.Reserved(), filler: spec.Filler, service: spec.Service,
+		nominee: t.nomination.worker != nil,
 		guarded: t.step.job.rec.Queue.CapacityGuarded,
 		overdue: t.displaced() && t.displacement.since > 0 && t.restartOverdue(e.now),
 	}
