Show that services wait for each other after a crash without a bound

What callers see: after a worker has crashed soon after it had started services of many jobs, and few workers have room, the last of these services runs again one second later for each other one.

Cause: tasks that may have caused a crash do not share a worker until they have run for a second, however many of them wait.

Evidence: TestServiceWaitsForAnyNumberOfSuspectsWithinItsBound fails: with twelve services and one worker the last one waits 11 s, want at most 9 s (3 s, counted from 6 s after its last run).

--- a/core/schedule/wait_bound_test.go
+++ b/core/schedule/wait_bound_test.go
@@ -343,3 +343,21 @@
 		h.wantState(id, workload.StateRunning)
 	}
 }
+
+// serviceWaitBound is the time since its last run within which a service has to run again while there is capacity for it.
+const serviceWaitBound = 9 * time.Second
+
+// Scenario: as in TestSuspectsOfACrashWaitForBriefRunsOnly, with services of twelve jobs. Guards against a wait that grows with the
+// number of suspects, beside free capacity.
+func TestServiceWaitsForAnyNumberOfSuspectsWithinItsBound(t *testing.T) {
+	const suspects = 12
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	var last workload.TaskID
+	for n := range suspects {
+		task := h.displacedTask(workload.JobID(fmt.Sprintf("job%02d", n)), testStep(1), "w0")
+		task.crashes, task.storedCrashes = []workload.Crash{{Worker: "w0"}}, 1
+		last = task.id()
+	}
+	h.wantWait(last, serviceWaitBound, func() {})
+}
