--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -167,7 +167,7 @@
 	return best
 }
 
-// faultyWithin reports whether the worker was measured as slow, lost or put into back-off within a time that has just passed.
+// faultyWithin reports whether the worker has become slow, was lost or was put into back-off within a time that has just passed.
 func (w *worker) faultyWithin(now, d time.Duration) bool {
 	backOffFrom := w.health.until - w.health.length
 	return w.slowness.slowWithin(now, d) ||
