--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -16,10 +16,12 @@
 	}
 	// Orders that are delayed within a worker are lost with its process.
 	f.delayed = slices.DeleteFunc(f.delayed, func(d delayedOrder) bool { return d.order.Worker == worker.info.ID })
-	worker.incarnation++
-	worker.info.StartedMs = worker.incarnation
+	worker.processes++
 	if f.moves != nil {
 		f.moves.restart(f, worker)
+	} else {
+		worker.incarnation++
+		worker.info.StartedMs = worker.incarnation
 	}
 	worker.fence, worker.ends, worker.ended, worker.leaseEnd = 0, 0, nil, 0
 	clear(worker.running)
@@ -31,7 +33,11 @@
 	}
 	worker.info.StartedMs = worker.incarnation
 	if f.rnd.IntN(2) == 0 {
-		worker.info.ID = WorkerID(fmt.Sprint(worker.info.Address, "-", worker.incarnation))
+		number := worker.incarnation
+		if f.moves != nil {
+			number = f.moves.started // starts may repeat
+		}
+		worker.info.ID = WorkerID(fmt.Sprint(worker.info.Address, "-", number))
 		worker.cut = nil
 	}
 }
@@ -116,9 +122,9 @@
 	worker.fence = f.term
 	worker.leaseEnd = max(worker.leaseEnd, lease)
 	if f.polled[id] {
-		worker.ended = slices.DeleteFunc(worker.ended, func(e Ended) bool { return f.acknowledge(worker, e) })
+		worker.ended = slices.DeleteFunc(worker.ended, func(e Ended) bool { return f.dropEnd(worker, e) })
 	}
-	report := Report{Incarnation: worker.incarnation, Address: worker.info.Address, SentAt: f.now, Ended: slices.Clone(worker.ended)}
+	report := Report{Incarnation: f.identify(worker), Address: worker.info.Address, SentAt: f.now, Ended: slices.Clone(worker.ended)}
 	for key := range worker.running {
 		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.number, Percent: f.percentOf(worker, key)})
 	}
@@ -129,14 +135,38 @@
 	f.recordAnswer(worker)
 	f.addResult(lateResult{worker: id, report: report})
 	if !f.polled[id] {
-		f.acknowledged[id] = 0
+		f.listedEnd[id], f.acknowledged[id] = 0, 0
+	}
+	for _, end := range report.Ended {
+		f.listedEnd[id] = max(f.listedEnd[id], end.Number)
 	}
 	f.polled[id] = true
 }
 
-// acknowledge reports whether the worker drops an end that the owner has acknowledged, and records a done end. As on the
+// identified is the process of a worker that a relay has polled last.
+type identified struct{ process, startedMs, incarnation int64 }
+
+// identify returns the incarnation of a worker's process, as package incarnation does: the clock of a process begins anew.
+func (f *faultSim) identify(worker *faultSimWorker) int64 {
+	last, known := f.identified[worker.info.ID]
+	switch {
+	case !known || last.startedMs != worker.incarnation:
+		last = identified{worker.processes, worker.incarnation, worker.incarnation}
+	case last.process != worker.processes:
+		last.process, last.incarnation = worker.processes, NextIncarnation(last.incarnation)
+	}
+	f.identified[worker.info.ID] = last
+	return last.incarnation
+}
+
+// acknowledge makes the relay of a worker acknowledge the ends up to a number, as far as the process has listed them.
+func (f *faultSim) acknowledge(worker *faultSimWorker, number int64) {
+	f.acknowledged[worker.info.ID] = min(number, f.listedEnd[worker.info.ID])
+}
+
+// dropEnd reports whether the worker drops an end that the owner has acknowledged, and records a done end. As on the
 // platform an end that was not acknowledged before the lease of the worker lapsed does not count.
-func (f *faultSim) acknowledge(worker *faultSimWorker, e Ended) bool {
+func (f *faultSim) dropEnd(worker *faultSimWorker, e Ended) bool {
 	if e.Number > f.acknowledged[worker.info.ID] {
 		return false
 	}
@@ -175,6 +205,7 @@
 	}
 	if lost {
 		worker.cut, f.polled[id] = nil, false
+		delete(f.identified, id)
 		f.s.PollerLost(id, cut.permittedUntil)
 		f.withheld.assign(f, id) // to the next relay
 		if f.faulty(2) {
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -99,11 +99,8 @@
 	return Suitable
 }
 
-// entryOutdated reports whether the list describes another process of the worker than the one that has answered last. The next
-// process may be of another kind, size, pool or data centre, and its entry may be written after it answers, or before.
-func (w *worker) entryOutdated() bool {
-	return w.info.StartedMs > 0 && w.incarnation > 0 && w.info.StartedMs != w.incarnation
-}
+// entryOutdated reports whether the entry of the worker describes another process than the one that has answered last, see entries.
+func (w *worker) entryOutdated() bool { return w.describesOther(&w.info) }
 
 // limits returns why the tasks on a worker exclude a further one.
 func (w *worker) limits(t *task) WaitReason {
@@ -168,7 +165,12 @@
 
 // hasRoom reports whether a worker has the capacity and the properties that a task needs.
 func (s *Scheduler) hasRoom(now Time, t *task, w *worker) bool {
-	if w.lacks(t) != Suitable || s.lacksRoom(now.Boot, t, w) != Suitable || w.limits(t) != Suitable {
+	return s.lacksRoom(now.Boot, t, w) == Suitable && s.suits(now, t, w)
+}
+
+// suits reports whether a worker has the properties that a task needs, whatever its capacity is.
+func (s *Scheduler) suits(now Time, t *task, w *worker) bool {
+	if w.lacks(t) != Suitable || w.limits(t) != Suitable {
 		return false
 	}
 	return !t.step.spec.Filler || s.fillerObstacle(now.Boot, t, w) == Suitable
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -30,6 +30,8 @@
 	links    []*faultproxy.Proxy // from each host to the store, and from all hosts to each worker
 	peers    *peerLinks          // between the hosts; nil if they connect to each other directly
 	client   *http.Client
+	stalls   stallRecorder
+	closed   chan struct{} // closed when the site is closed
 }
 
 // host is an entry host. It keeps its addresses when its process is restarted.
@@ -64,7 +66,7 @@
 // newPlatform returns a site without hosts.
 func newPlatform(t *testing.T, cfg fleet.Config) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir(), limits: cfg.Limits, client: &http.Client{Timeout: 5 * time.Second}}
+	s := &site{t: t, dir: t.TempDir(), limits: cfg.Limits, client: &http.Client{Timeout: 5 * time.Second}, closed: make(chan struct{})}
 	cfg.ProxyAddress = s.link
 	platform, err := fleet.NewPlatform(cfg)
 	if err != nil {
@@ -72,6 +74,7 @@
 	}
 	s.platform = platform
 	t.Cleanup(s.close)
+	go s.stalls.run(s.closed)
 	return s
 }
 
@@ -93,20 +96,9 @@
 	return proxy.Addr()
 }
 
-// nextAddress counts the loopback addresses in use. Each entry host has its own, because all of them use the same
-// ports.
-var nextAddress atomic.Uint32
-
-// loopback returns a new loopback address, which no other test process uses: its second octet depends on the process
-// id.
-func loopback() string {
-	n := nextAddress.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 1+n/200, 1+n%200)
-}
-
 // addHost adds a host that reaches the store at an address, through a proxy.
 func (s *site) addHost(n int, datacentre, store string) {
-	name, ip := fmt.Sprint("entry-", n), loopback()
+	name, ip := fmt.Sprint("entry-", n), loopback(s.t)
 	h := &host{
 		name: name, peerAddress: fmt.Sprintf("%s:%d", ip, fleet.PeerPort), callerAddress: fmt.Sprintf("%s:%d", ip, fleet.CallerPort),
 		readinessAddress: fmt.Sprintf("%s:%d", ip, fleet.ReadinessPort),
@@ -253,7 +245,7 @@
 	s.t.Helper()
 	found := -1
 	poll.Until(s.t, "there is an owner", func() bool {
-		record := s.platform.Store.Value("fulmarcourse/owners/0/holder")
+		record := s.platform.Store.Value(ownerKey)
 		for n, h := range s.hosts {
 			if strings.Contains(string(record), `"`+h.name+`"`) {
 				found = n
@@ -300,9 +292,11 @@
 		}
 	}
 	s.platform.Close()
+	close(s.closed)
 	if !s.t.Failed() {
 		return
 	}
+	s.stalls.log(s.t)
 	for _, h := range s.hosts {
 		s.saveLog(h)
 	}
