--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -105,9 +105,13 @@
 	}
 }
 
-// mayBeNominatedTo reports whether a worker may start a task as soon as enough capacity is free.
+// mayBeNominatedTo reports whether a worker may start a task as soon as enough capacity is free. Slow workers may once the task is
+// overdue: it is then started on them, too.
 func (s *Scheduler) mayBeNominatedTo(now Time, t *task, w *worker) bool {
-	return w.lacks(t) == Suitable && s.mayStartOn(now.Boot, w) && w.limits(t) == Suitable && !w.slowness.slow(now.Boot)
+	if w.slowness.slow(now.Boot) && !t.restartOverdue(now) {
+		return false
+	}
+	return w.lacks(t) == Suitable && s.mayStartOn(now.Boot, w) && w.limits(t) == Suitable
 }
 
 // waitingNominees returns the number of nominees of a pool that wait for other tasks to end.
--- a/core/schedule/nominate_test.go
+++ b/core/schedule/nominate_test.go
@@ -369,3 +369,28 @@
 	h.reportAll()
 	h.wantStarts(h.orderedFor(h.run(), "failed"), 1)
 }
+
+// Guards against a service that waits for as long as the only worker with room for it beside its services counts as slow, while tasks
+// that end take each place there that becomes free.
+func TestOverdueServiceIsNominatedToASlowWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w0", withCores(2))
+	h.startedService("service", 1)
+	h.addWorker("w1", withCores(2))
+	h.shortTasks("short", 1000, time.Second)
+	h.run()
+	h.s.PollFailed(h.now, "w0")
+	delete(h.workers, "w0")
+	for range 40 {
+		h.s.workers["w1"].slowness.add(h.now.Boot, maxSlowness, minSlowWeight)
+	}
+	for _, wait := range []time.Duration{h.s.cfg.leaseBound(), restartOverdueAfter} {
+		h.advanceClock(wait)
+		h.s.workers["w1"].slowness.at = h.now.Boot // slow tasks go on there
+		h.reportAll()
+		h.run()
+	}
+	if w := h.s.task(taskID("service", 0, 0)).nomination.worker; w != h.s.workers["w1"] {
+		t.Errorf("the service is nominated to %v, want w1", w)
+	}
+}
