--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -120,7 +120,7 @@
 }
 
 // nominate chooses a worker that keeps capacity for a displaced task which fits on none.
-func (s *Scheduler) nominate(cycle *planCycle, t *task, share *serviceShare) {
+func (s *Scheduler) nominate(cycle *planCycle, t *task, pool *openPool) {
 	if s.nominateToOwnPlace(cycle.now, t) {
 		return
 	}
@@ -132,7 +132,7 @@
 		!known && slices.Contains(cycle.unnominatableSteps, t.step),
 		!cycle.scan && t.displacement.since != now.Boot, cycle.nominations >= maxNominations,
 		known && now.Boot-t.nomination.at < nominationReview,
-		!known && s.waitingNominees(t.step.job.rec.Queue.Pool) >= max(share.workers/maxNominatedShare, 1):
+		!known && s.waitingNominees(t.step.job.rec.Queue.Pool) >= max(pool.workers/maxNominatedShare, 1):
 		return
 	}
 	cycle.nominations++
@@ -170,7 +170,7 @@
 // ended. The former comes first: places that are kept there would otherwise be given up at each review.
 func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
 	compare := func(w *worker) bool {
-		if !w.hasRoomBesideServices(t) || w.hasOtherNominee(t) || !s.mayBeNominatedTo(now, t, w) {
+		if w.hasOtherNominee(t) || !s.fitsBesideServices(now, t, w) {
 			return false
 		}
 		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
@@ -199,11 +199,6 @@
 	return best, soonest
 }
 
-// hasRoomBesideServices reports whether a worker has the processor time for a task if only its services run there.
-func (w *worker) hasRoomBesideServices(t *task) bool {
-	return w.info.Capacity.MilliCPU-w.serviceCPU >= t.step.spec.Size.MilliCPU
-}
-
 func (w *worker) hasOtherNominee(t *task) bool {
 	return slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t })
 }
@@ -216,13 +211,9 @@
 // at once if its last run was not brief, and one that is avoided after a fault once the task is overdue.
 func (s *Scheduler) fitsNominated(now Time, t *task) bool {
 	w := t.nomination.worker
-	switch {
-	case s.fits(now, t, w):
-		return true
-	case t.mayReturnTo(w):
-		return s.usable(now.Boot, w) && s.hasRoom(now, t, w)
-	}
-	return t.restartOverdue(now) && s.fitsAvoided(now, t, w)
+	return s.fits(now, t, w) ||
+		t.mayReturnTo(w) && s.usable(now.Boot, w) && s.hasRoom(now, t, w) ||
+		t.restartOverdue(now) && s.fitsAvoided(now, t, w)
 }
 
 // mayReturnTo reports whether a task was on a worker last and has run there for so long that its failure need not be the
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -8,7 +8,7 @@
 	TermNotAcquired    = define(7001, "term_not_acquired", log.InfoLevel, "A partition without an owner could not be acquired: another entry host acquired it first, or the store did not answer.")
 	TermLost           = define(7002, "term_lost", log.WarnLevel, "Another entry host owns the partition now. This host sends no further orders.")
 	TermReleased       = define(7003, "term_released", log.InfoLevel, "The owner is stopping and has released the partition.")
-	TermEnded          = define(7006, "term_ended", log.WarnLevel, "The host of the owner refuses connections, so its process has ended. This host revoked the owner's lease.")
+	TermEnded          = define(7006, "term_ended", log.WarnLevel, "The address of the owner refuses connections, or another host answers there, as `reason` states, so the owner's process has ended. This host revoked the owner's lease.")
 	TermUnconfirmed    = define(7004, "term_unconfirmed", log.WarnLevel, "The store has not confirmed the ownership. Until it does, task leases are not extended beyond the logged time.")
 	TermConfirmed      = define(7005, "term_confirmed", log.InfoLevel, "The store has confirmed the ownership again.")
 	PartitionLoaded    = define(7010, "partition_loaded", log.InfoLevel, "A new owner has loaded the jobs of the partition and the list of workers that a former owner may have used.")
@@ -25,6 +25,11 @@
 	OwnerStopped       = define(7016, "owner_stopped", log.InfoLevel, "The goroutines of an owner have ended.")
 )
 
+// Events of the links between owners and relays, 7060 to 7069. Further ones are 7009, 7017 and 7018.
+var (
+	RelayAddressTaken = define(7060, "relay_address_taken", log.WarnLevel, "Another entry host answers at the `address` at which `relay` was registered, and has refused a call, as `reason` states. The workers of the relay are assigned to other relays. It is used again once it is registered with another address, or after 5 s.")
+)
+
 // Events of tasks, workers, store mirrors and configuration, 7020 to 7059.
 var (
 	TaskStartDecided         = define(7020, "task_start", log.InfoLevel, "A task is started on a worker. For a task that ran before, `waited` is the time in milliseconds since the owner knew of its end, and `stored` the part of it after the decision, in which the worker of a service is stored. A task that has not run before has both if it has waited for more than 2 s. `reason` is the last known reason of a wait of more than 2 s, as in `task_waits`.")
@@ -44,7 +49,7 @@
 	WorkerReachable          = define(7034, "worker_reachable", log.InfoLevel, "A worker answers again.")
 	FillersThrottled         = define(7035, "fillers_paced", log.InfoLevel, "Filler tasks on a worker are throttled to `value` percent of full speed, because a service task is near its tail latency target.")
 	TaskMoved                = define(7036, "task_moved", log.InfoLevel, "An attempt is stopped so that the task can run on another worker.")
-	TaskWaits                = define(7039, "task_waits", log.InfoLevel, "A task has waited for 2 s or more, the longest of its step; `reason` states for what. At most 8 steps are logged every two seconds, each again when its reason has changed or after 10 s. `workers` counts the workers of the pool by what they lack for the task, `worker` names one to which `reason` applies or that is awaited, `tasks` counts the tasks of the step with the same reason; `cpu` is in thousandths of a core. docs/OPERATIONS.md lists the reasons.")
+	TaskWaits                = define(7039, "task_waits", log.InfoLevel, "A task has waited for 2 s or more, the longest of its step; `reason` states for what. At most 8 steps are logged every two seconds, each again when its reason has changed or after 10 s. `workers` counts the workers of the pool by what they lack for the task, `worker` names one to which `reason` applies or that is awaited, `tasks` counts the tasks of the step with the same reason; `cpu` is in thousandths of a core. For a service, `beside_services` counts the workers that have room for it beside their services and what is kept for others, whether or not tasks that end use it. docs/OPERATIONS.md lists the reasons.")
 	TaskNominated            = define(7055, "task_nominated", log.InfoLevel, "A service task that has lost its place fits on no worker. Until it starts, the worker keeps its free capacity for it; `value` is the time in seconds after which it is expected to fit there.")
 	WorkerNotUsed            = define(7051, "worker_not_used", log.WarnLevel, "The platform lists a worker as sound, and no task may start on it: for `unused` milliseconds so far, 3 s or more. `reason` is one of those of `task_waits`, or `replaced`: another worker, `replaced_by`, has reported from the address of the entry. At most 8 workers are logged every two seconds, each again when its reason has changed or after 10 s. `listed_start` and `listed_address` are those of the list, which is `list_age` milliseconds old; `reported_start` is that of the process that has reported last, and `reported_address` where it has answered. `relay` polls the worker there and, once it does not answer, in turns at the listed address, which is `assigned_address` as far as the relay has been told; without `relay` no host polls it. `answered` is the time since the latest report, `failed` that since the latest failed poll, with its `failure`; what is missing has not happened. `awaited` is true while the takeover waits for the worker. docs/OPERATIONS.md leads from there to the cause.")
 	WorkerUsedAgain          = define(7052, "worker_used_again", log.InfoLevel, "Tasks may start again on a worker with a line `worker_not_used`, of which `reason` is the latest. It was not used for `unused` milliseconds.")
