--- a/deploy/mixeddays/generate.go
+++ b/deploy/mixeddays/generate.go
@@ -40,11 +40,11 @@
 
 // A Config states what a day is drawn from.
 type Config struct {
-	Seed      uint64
-	Least     int // disruptions
-	Most      int // disruptions
-	Site      Site
-	KnownOnly map[Kind]bool // kinds that the site plays; nil: all
+	Seed  uint64
+	Least int // disruptions
+	Most  int // disruptions
+	Site  Site
+	Known map[Kind]bool // kinds that the site plays; nil: all
 }
 
 // generator draws one day.
@@ -58,7 +58,7 @@
 func Generate(cfg Config) (Day, error) {
 	g := generator{
 		random:   rand.New(rand.NewPCG(cfg.Seed, 0)),
-		rows:     rowsOf(cfg.KnownOnly),
+		rows:     rowsOf(cfg.Known),
 		removals: newRemovals(cfg.Site),
 	}
 	if len(g.rows) == 0 {
--- a/deploy/mixeddays/generate_test.go
+++ b/deploy/mixeddays/generate_test.go
@@ -190,7 +190,7 @@
 		t.Fatal(diff)
 	}
 	for seed := range uint64(200) {
-		for _, d := range mustGenerate(t, Config{Seed: seed, Least: 2, Most: 6, Site: smallSite, KnownOnly: known}).disruptions() {
+		for _, d := range mustGenerate(t, Config{Seed: seed, Least: 2, Most: 6, Site: smallSite, Known: known}).disruptions() {
 			if !known[d.Kind] {
 				t.Fatalf("seed %d: %s is not known", seed, d.Kind)
 			}
@@ -200,7 +200,7 @@
 
 // Guards against a draw that never ends where the site plays none of the kinds.
 func TestNoKnownKindIsAnError(t *testing.T) {
-	if _, err := Generate(Config{Least: 2, Most: 6, Site: smallSite, KnownOnly: map[Kind]bool{}}); err == nil {
+	if _, err := Generate(Config{Least: 2, Most: 6, Site: smallSite, Known: map[Kind]bool{}}); err == nil {
 		t.Fatal("no error")
 	}
 }
--- a/deploy/mixeddays/main.go
+++ b/deploy/mixeddays/main.go
@@ -32,7 +32,7 @@
 	if cfg.Least, cfg.Most, err = parseNumbers(*disruptions); err != nil {
 		return err
 	}
-	if cfg.KnownOnly, err = loadKinds(*kinds); err != nil {
+	if cfg.Known, err = loadKinds(*kinds); err != nil {
 		return err
 	}
 	day, err := Generate(cfg)
