--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -19,6 +19,9 @@
 	// storedWait is how long a session waits at least for task ends to be stored before it polls again without
 	// acknowledging them.
 	storedWait = 200 * time.Millisecond
+	// unpermittedWait is how long a worker may hold a poll open at most while its leases cannot be extended for want of the owner's
+	// permission, which may come at any time: a new owner gives it after the first answer.
+	unpermittedWait = 200 * time.Millisecond
 	// maxAckAge is the age of a worker's last answer up to which polls acknowledge its ends. It is too short for a worker to
 	// start again and to complete a task, whose end would be acknowledged with the number of a former one.
 	maxAckAge = 400 * time.Millisecond
@@ -80,13 +83,17 @@
 	if !s.lastPollOK {
 		return req, true
 	}
-	if leaseTo, granted := s.grant(); granted {
+	leaseTo, granted := s.grant()
+	if granted {
 		req.LeaseToMs = leaseTo
 	}
 	req.AckedEnd = s.acknowledged()
 	if s.storedEnd >= s.newestEnd && req.AckedEnd == s.storedEnd {
 		req.Wait = s.wait
 	}
+	if !granted && !s.withhold {
+		req.Wait = min(req.Wait, unpermittedWait)
+	}
 	return req, true
 }
 
