--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -16,6 +16,9 @@
 	// maxNominatedShare is the inverse of the share of a pool's workers that may have a nominee at a time which waits for tasks
 	// there to end. Others go on with tasks that end.
 	maxNominatedShare = 2
+	// soonWait is the expected time until it fits up to which a nominee counts as one that starts soon. Where tasks run for long, their
+	// nominees may take all of maxNominatedShare for as long; half as many others are nominated beside them if they start soon.
+	soonWait = 2 * time.Second
 	// nominationReview is the time after which another worker may be chosen for a nominee that still does not fit. Tasks may
 	// run for much longer than estimated.
 	nominationReview = time.Second
@@ -31,6 +34,7 @@
 type nomination struct {
 	worker   *worker
 	ownPlace bool // the task was there last and the place that it left is free
+	soon     bool // it is expected to fit within soonWait
 	at       time.Duration
 }
 
@@ -110,15 +114,18 @@
 	return w.lacks(t) == Suitable && s.mayStartOn(now.Boot, w) && w.limits(t) == Suitable && !w.slowness.slow(now.Boot)
 }
 
-// waitingNominees returns the number of nominees of a pool that wait for other tasks to end.
-func (s *Scheduler) waitingNominees(pool workload.PoolName) int {
-	n := 0
+// waitingNominees returns the number of nominees of a pool that wait for other tasks to end, and of those that start soon.
+func (s *Scheduler) waitingNominees(pool workload.PoolName) (all, soon int) {
 	for t := range s.nominees {
-		if t.step.job.rec.Queue.Pool == pool && !t.nomination.ownPlace {
-			n++
+		if t.step.job.rec.Queue.Pool != pool || t.nomination.ownPlace {
+			continue
+		}
+		all++
+		if t.nomination.soon {
+			soon++
 		}
 	}
-	return n
+	return all, soon
 }
 
 // nominate chooses a worker that keeps capacity for a displaced task which fits on none.
@@ -133,19 +140,23 @@
 	case !cycle.scan && t.displacement.since != now.Boot, known && now.Boot-t.nomination.at < nominationReview,
 		cycle.scan && t.displacement.triedIn == s.nominationPass:
 		return
-	case sufficient && shape.among(cycle.unnominatable), !known && slices.Contains(cycle.unnominatableSteps, t.step):
+	case !known && (sufficient && shape.among(cycle.unnominatable) || slices.Contains(cycle.unnominatableSteps, t.step)):
 		s.recordTurn(cycle, t)
 		return
 	case cycle.nominations >= maxNominations:
 		cycle.nominationsLeft = true
 		return
-	case !known && s.waitingNominees(t.step.job.rec.Queue.Pool) >= max(pool.workers/maxNominatedShare, 1):
+	}
+	limit := max(pool.workers/maxNominatedShare, 1)
+	waiting, soon := s.waitingNominees(t.step.job.rec.Queue.Pool)
+	onlySoon := !known && waiting >= limit
+	if onlySoon && soon >= max(limit/2, 1) {
 		return
 	}
 	s.recordTurn(cycle, t)
 	cycle.nominations++
 	best, soonest := s.fitsSoonest(now, t)
-	if best == nil {
+	if best == nil || onlySoon && soonest > soonWait {
 		s.dropNomination(t)
 		if sufficient {
 			cycle.unnominatable = append(cycle.unnominatable, shape)
@@ -157,7 +168,7 @@
 	if best != t.nomination.worker {
 		s.emitNomination(t, best, soonest)
 	}
-	s.setNominee(t, nomination{worker: best, at: now.Boot})
+	s.setNominee(t, nomination{worker: best, soon: soonest <= soonWait, at: now.Boot})
 }
 
 // recordTurn records that a task had its turn in a pass of nominations. The runs between scans are no part of it.
--- a/core/schedule/review_bound_test.go
+++ b/core/schedule/review_bound_test.go
@@ -166,3 +166,35 @@
 		t.Errorf("the other service waits for %v, %d workers have room beside services", reason, beside)
 	}
 }
+
+// Guards against nominees that wait for long tasks to end and stop a service from being nominated to a worker on which tasks end
+// within a second.
+func TestNomineesThatWaitForLongDoNotStopOthers(t *testing.T) {
+	h := newHarness(t, 1)
+	withLabel := func(info *WorkerInfo) { withCores(2)(info); info.Labels = []string{"label"} }
+	h.addWorker("w1", withLabel)
+	h.addWorker("w2", withLabel)
+	h.shortTasks("long", 4, time.Hour)
+	h.wantStarts(h.run(), 4)
+	h.addWorker("w3", withCores(2))
+	h.addWorker("w4", withCores(2))
+	h.shortTasks("short", 1000, time.Second)
+	h.wantStarts(h.run(), 4)
+	labelled := coresStep(2)
+	labelled.Label, labelled.Tasks = "label", 4/maxNominatedShare
+	h.lostTasks("a-labelled", labelled)
+	services := coresStep(2)
+	services.Tasks = 2
+	h.lostTasks("service", services)
+	h.advanceClock(scanInterval)
+	h.reportAll()
+	h.run()
+	if n := len(h.s.nominees); n != 4/maxNominatedShare+1 {
+		t.Fatalf("%d nominees, want two that wait for long and one that starts soon", n)
+	}
+	h.endOne("w3")
+	h.endOne("w3")
+	h.endOne("w4")
+	h.endOne("w4")
+	h.wantStarts(h.orderedFor(h.run(), "service"), 2)
+}
