--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -109,9 +109,14 @@
 	}
 }
 
-// mayBeNominatedTo reports whether a worker may start a task as soon as enough capacity is free.
+// mayBeNominatedTo reports whether a worker may start a task as soon as enough capacity is free, and is not slow.
 func (s *Scheduler) mayBeNominatedTo(now Time, t *task, w *worker) bool {
-	return w.lacks(t) == Suitable && s.mayStartOn(now.Boot, w) && w.limits(t) == Suitable && !w.slowness.slow(now.Boot)
+	return s.suits(now, t, w) && !w.slowness.slow(now.Boot)
+}
+
+// suits reports whether a worker may start a task as soon as enough capacity is free, if its recent faults are ignored.
+func (s *Scheduler) suits(now Time, t *task, w *worker) bool {
+	return w.lacks(t) == Suitable && s.mayStartOn(now.Boot, w) && w.limits(t) == Suitable
 }
 
 // waitingNominees returns the number of nominees of a pool that wait for other tasks to end, and of those that start soon.
@@ -196,7 +201,7 @@
 // last search ended. The former comes first: places that are kept there would otherwise be given up at each review.
 func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
 	compare := func(w *worker) bool {
-		if w.hasOtherWaitingNominee(t) || !s.fitsBesideServices(now, t, w) {
+		if w.hasOtherWaitingNominee(t) || w.slowness.slow(now.Boot) || !s.fitsBesideServices(now, t, w) {
 			return false
 		}
 		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
--- a/core/schedule/review_bound_test.go
+++ b/core/schedule/review_bound_test.go
@@ -198,3 +198,22 @@
 	h.endOne("w4")
 	h.wantStarts(h.orderedFor(h.run(), "service"), 2)
 }
+
+// Guards against lines that say services have the capacity which tasks that end on a slow worker have.
+func TestSlowWorkerHasRoomBesideServices(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.shortTasks("short", 1000, time.Hour)
+	h.wantStarts(h.run(), 4)
+	service := h.lostTasks("service", coresStep(3))[0]
+	h.advanceClock(2 * LongWait)
+	h.reportAll()
+	h.s.workers["w1"].slowness.add(h.now.Boot, maxSlowness, 2*minSlowWeight)
+	h.wantStarts(h.run(), 0)
+	if service.nomination.worker != nil {
+		t.Error("the service is nominated to a slow worker")
+	}
+	if reason, beside := h.besideServices("service"); reason != WaitCapacity || beside != 1 {
+		t.Errorf("the service waits for %v, %d workers have room beside services", reason, beside)
+	}
+}
--- a/core/schedule/service_room.go
+++ b/core/schedule/service_room.go
@@ -19,9 +19,10 @@
 	return kept
 }
 
-// fitsBesideServices reports whether a worker may start a task once tasks that end have left enough capacity.
+// fitsBesideServices reports whether a worker may start a task once tasks that end have left enough capacity, if its recent faults are
+// ignored.
 func (s *Scheduler) fitsBesideServices(now Time, t *task, w *worker) bool {
-	return t.step.spec.Reserved().Fits(w.roomBesideServices(t)) && s.mayBeNominatedTo(now, t, w)
+	return t.step.spec.Reserved().Fits(w.roomBesideServices(t)) && s.suits(now, t, w)
 }
 
 // workersBesideServices returns the number of workers whose services leave room for a task.
