--- a/core/schedule/faultsim_late_test.go
+++ b/core/schedule/faultsim_late_test.go
@@ -224,8 +224,8 @@
 	}
 	for _, worker := range f.workers {
 		id := worker.info.ID
-		if end := w.ends[id]; f.polled[id] && end.incarnation == worker.incarnation {
-			f.acknowledged[id] = end.number
+		if end := w.ends[id]; f.polled[id] && end.incarnation == f.identified[id].incarnation {
+			f.acknowledge(worker, end.number)
 		}
 	}
 }
--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -109,13 +109,19 @@
 	}
 }
 
-// mayBeNominatedTo reports whether a worker may start a task as soon as enough capacity is free, and is not slow.
+// mayBeNominatedTo reports whether a worker may start a task as soon as enough capacity is free.
 func (s *Scheduler) mayBeNominatedTo(now Time, t *task, w *worker) bool {
-	return s.suits(now, t, w) && !w.slowness.slow(now.Boot)
+	return s.suitsOnceFree(now, t, w) && !t.avoidsSlow(now, w)
 }
 
-// suits reports whether a worker may start a task as soon as enough capacity is free, if its recent faults are ignored.
-func (s *Scheduler) suits(now Time, t *task, w *worker) bool {
+// avoidsSlow reports whether a worker is slow and a task is not nominated to it for that. Once the task is overdue it is started on
+// slow workers, too.
+func (t *task) avoidsSlow(now Time, w *worker) bool {
+	return w.slowness.slow(now.Boot) && !t.restartOverdue(now)
+}
+
+// suitsOnceFree reports whether a worker may start a task as soon as enough capacity is free, if its recent faults are ignored.
+func (s *Scheduler) suitsOnceFree(now Time, t *task, w *worker) bool {
 	return w.lacks(t) == Suitable && s.mayStartOn(now.Boot, w) && w.limits(t) == Suitable
 }
 
@@ -201,7 +207,7 @@
 // last search ended. The former comes first: places that are kept there would otherwise be given up at each review.
 func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
 	compare := func(w *worker) bool {
-		if w.hasOtherWaitingNominee(t) || w.slowness.slow(now.Boot) || !s.fitsBesideServices(now, t, w) {
+		if w.hasOtherWaitingNominee(t) || t.avoidsSlow(now, w) || !s.fitsBesideServices(now, t, w) {
 			return false
 		}
 		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -40,7 +40,7 @@
 
 // Report is a worker's response to a poll.
 type Report struct {
-	Incarnation int64         // start of the worker process, Unix milliseconds; 0 when not reported
+	Incarnation int64         // start of the worker process, Unix milliseconds, or see NextIncarnation; 0 when not reported
 	Address     string        // where the worker has answered; empty if the relay does not tell
 	SentAt      time.Duration // when the poll was sent, boot clock of the owner
 	ReceivedAt  time.Duration // when the report was received from the worker, boot clock of the owner; for measurements only
@@ -70,19 +70,10 @@
 		}
 		return w.lastEnd
 	}
-	if w.incarnation != report.Incarnation {
-		if w.incarnation != 0 {
-			s.emit(Event{Kind: EventWorkerRestarted, Worker: id})
-			s.workerCrashed(now, w, report.Incarnation, report.SentAt, report.lists)
-			w.health, w.slowness = health{}, slowness{}
-			w.stability.recordLoss(now.Boot)
-			s.knownWorkersChanged = true
-		}
-		w.incarnation = report.Incarnation
-		w.lastEnd = 0
-	}
+	s.recordProcess(now, w, report)
 	w.polledAt = report.SentAt
 	w.reportedAt = now.Boot
+	s.reviewEntry(now.Boot, w)
 	s.recordExtended(w)
 	w.suspect = false
 	w.silence, w.brokenAt = answering, 0
@@ -105,6 +96,26 @@
 	return w.lastEnd
 }
 
+// recordProcess records which process of a worker has reported.
+func (s *Scheduler) recordProcess(now Time, w *worker, report Report) {
+	switch {
+	case w.incarnation != report.Incarnation:
+		if w.incarnation != 0 && !countsFewer(report.Incarnation, w.incarnation) {
+			s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID})
+			s.workerCrashed(now, w, startAfter(w.incarnation, report.Incarnation), report.SentAt, report.lists)
+			w.health, w.slowness = health{}, slowness{}
+			w.stability.recordLoss(now.Boot)
+			s.knownWorkersChanged = true
+		}
+		w.incarnation = report.Incarnation
+	case w.endsRenumbered(report.Ended):
+		s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Reason: "numbers of ends"})
+	default:
+		return
+	}
+	w.lastEnd = 0
+}
+
 // applyRunning applies the list of running attempts.
 func (s *Scheduler) applyRunning(now Time, w *worker, report Report) {
 	for _, row := range report.Running {
@@ -184,6 +195,7 @@
 // applyEnded applies the ends that are new. The order in which a worker lists them is not defined.
 func (s *Scheduler) applyEnded(now Time, w *worker, report Report) {
 	applied := w.lastEnd
+	w.recordListedEnds(report.Ended)
 	for _, end := range report.Ended {
 		if end.Number <= applied {
 			continue
@@ -266,6 +278,7 @@
 	j := t.step.job
 	if !t.step.spec.Service {
 		t.failed = append(t.failed, number)
+		w.health.tasksFailed = true
 		s.markDirty(j)
 	}
 	t.recordFailedOn(now.Boot, w.info.ID)
--- a/core/schedule/review_bound_test.go
+++ b/core/schedule/review_bound_test.go
@@ -207,6 +207,7 @@
 	h.wantStarts(h.run(), 4)
 	service := h.lostTasks("service", coresStep(3))[0]
 	h.advanceClock(2 * LongWait)
+	service.displacement.since = h.now.Boot - restartAfterLoss // it avoids slow workers until it is overdue
 	h.reportAll()
 	h.s.workers["w1"].slowness.add(h.now.Boot, maxSlowness, 2*minSlowWeight)
 	h.wantStarts(h.run(), 0)
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -31,14 +31,15 @@
 
 // worker is the scheduler's view of one worker.
 type worker struct {
-	info             WorkerInfo
+	info             WorkerInfo    // the valid one of its entries
+	entries          entries       // only if it has been listed
 	listed           bool          // it is in the platform's list
-	listedAt         time.Duration // when a list that has it was last read; 0 if none has been
+	listedAt         time.Duration // when an entry was last read that describes no other process, see entries; 0 if none has been
 	unlistedAt       time.Duration // when it was first missing from the platform's list; only if not listed
 	leavesAt         time.Duration // earliest time at which it leaves; only with info.Draining
 	stored           bool          // it is in the stored set of known workers, so that a later owner waits for its report
 	answeredAddress  string        // where it has answered last, to this owner or a former one; empty if it has not
-	incarnation      int64         // start of the worker process, Unix milliseconds; 0 before the first report
+	incarnation      int64         // of the process that has reported last, see Report; 0 before the first report
 	polledAt         time.Duration // when the poll was sent whose report was applied last
 	reportedAt       time.Duration // when the last report was received; 0 before the first
 	reports          int64         // number of reports that were applied
@@ -46,10 +47,11 @@
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
 	withheld         withholding
-	lastEnd          int64         // number of the latest end that was applied
-	suspect          bool          // a poll or an order has failed since the last report
-	silence          silence       // since the last report
-	brokenAt         time.Duration // when its connection broke; only with silence == broken
+	lastEnd          int64              // number of the latest end that was applied
+	listedEnds       map[listedEnd]bool // in the last report
+	suspect          bool               // a poll or an order has failed since the last report
+	silence          silence            // since the last report
+	brokenAt         time.Duration      // when its connection broke; only with silence == broken
 	full             fullBackOff
 	unhealthyUntil   time.Duration    // end of the back-off after it has reported itself unhealthy
 	expired          []expiredAttempt // since the last report
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -8,7 +8,7 @@
 	TermNotAcquired    = define(7001, "term_not_acquired", log.InfoLevel, "A partition without an owner could not be acquired: another entry host acquired it first, or the store did not answer.")
 	TermLost           = define(7002, "term_lost", log.WarnLevel, "Another entry host owns the partition now. This host sends no further orders.")
 	TermReleased       = define(7003, "term_released", log.InfoLevel, "The owner is stopping and has released the partition.")
-	TermEnded          = define(7006, "term_ended", log.WarnLevel, "The host of the owner refuses connections, so its process has ended. This host revoked the owner's lease.")
+	TermEnded          = define(7006, "term_ended", log.WarnLevel, "The address of the owner refuses connections, or another host answers there, as `reason` states, so the owner's process has ended. This host revoked the owner's lease.")
 	TermUnconfirmed    = define(7004, "term_unconfirmed", log.WarnLevel, "The store has not confirmed the ownership. Until it does, task leases are not extended beyond the logged time.")
 	TermConfirmed      = define(7005, "term_confirmed", log.InfoLevel, "The store has confirmed the ownership again.")
 	PartitionLoaded    = define(7010, "partition_loaded", log.InfoLevel, "A new owner has loaded the jobs of the partition and the list of workers that a former owner may have used.")
@@ -25,6 +25,11 @@
 	OwnerStopped       = define(7016, "owner_stopped", log.InfoLevel, "The goroutines of an owner have ended.")
 )
 
+// Events of the links between owners and relays, 7060 to 7069. Further ones are 7009, 7017 and 7018.
+var (
+	RelayAddressTaken = define(7060, "relay_address_taken", log.WarnLevel, "Another entry host answers at the `address` at which `relay` was registered, and has refused a call, as `reason` states. The workers of the relay are assigned to other relays. It is used again once it is registered with another address, or after 5 s.")
+)
+
 // Events of tasks, workers, store mirrors and configuration, 7020 to 7059.
 var (
 	TaskStartDecided         = define(7020, "task_start", log.InfoLevel, "A task is started on a worker. For a task that ran before, `waited` is the time in milliseconds since the owner knew of its end, and `stored` the part of it after the decision, in which the worker of a service is stored. A task that has not run before has both if it has waited for more than 2 s. `reason` is the last known reason of a wait of more than 2 s, as in `task_waits`.")
