--- a/core/schedule/review_bound_test.go
+++ b/core/schedule/review_bound_test.go
@@ -166,3 +166,55 @@
 		t.Errorf("the other service waits for %v, %d workers have room beside services", reason, beside)
 	}
 }
+
+// Guards against nominees that wait for long tasks to end and stop a service from being nominated to a worker on which tasks end
+// within a second.
+func TestNomineesThatWaitForLongDoNotStopOthers(t *testing.T) {
+	h := newHarness(t, 1)
+	withLabel := func(info *WorkerInfo) { withCores(2)(info); info.Labels = []string{"label"} }
+	h.addWorker("w1", withLabel)
+	h.addWorker("w2", withLabel)
+	h.shortTasks("long", 4, time.Hour)
+	h.wantStarts(h.run(), 4)
+	h.addWorker("w3", withCores(2))
+	h.addWorker("w4", withCores(2))
+	h.shortTasks("short", 1000, time.Second)
+	h.wantStarts(h.run(), 4)
+	labelled := coresStep(2)
+	labelled.Label, labelled.Tasks = "label", 4/maxNominatedShare
+	h.lostTasks("a-labelled", labelled)
+	services := coresStep(2)
+	services.Tasks = 2
+	h.lostTasks("service", services)
+	h.advanceClock(scanInterval)
+	h.reportAll()
+	h.run()
+	if n := len(h.s.nominees); n != 4/maxNominatedShare+1 {
+		t.Fatalf("%d nominees, want two that wait for long and one that starts soon", n)
+	}
+	h.endOne("w3")
+	h.endOne("w3")
+	h.endOne("w4")
+	h.endOne("w4")
+	h.wantStarts(h.orderedFor(h.run(), "service"), 2)
+}
+
+// Guards against lines that say services have the capacity which tasks that end on a slow worker have.
+func TestSlowWorkerHasRoomBesideServices(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.shortTasks("short", 1000, time.Hour)
+	h.wantStarts(h.run(), 4)
+	service := h.lostTasks("service", coresStep(3))[0]
+	h.advanceClock(2 * LongWait)
+	service.displacement.since = h.now.Boot - restartAfterLoss // it avoids slow workers until it is overdue
+	h.reportAll()
+	h.s.workers["w1"].slowness.add(h.now.Boot, maxSlowness, 2*minSlowWeight)
+	h.wantStarts(h.run(), 0)
+	if service.nomination.worker != nil {
+		t.Error("the service is nominated to a slow worker")
+	}
+	if reason, beside := h.besideServices("service"); reason != WaitCapacity || beside != 1 {
+		t.Errorf("the service waits for %v, %d workers have room beside services", reason, beside)
+	}
+}
