--- a/core/schedule/vacated.go
+++ b/core/schedule/vacated.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// comesFirst reports whether a displaced task comes before all tasks that end. Tasks that end keep what services leave where no
-// displaced one fits: a nomination is made only to a worker whose services leave room for the task.
+// comesFirst reports whether a displaced task comes before all tasks that end: it starts where it fits, and is nominated otherwise. Only
+// workers whose services leave room for it get a nominee, so tasks that end keep the capacity of all others.
 func (s *Scheduler) comesFirst(now time.Duration, t *task, pool *openPool) bool {
 	return t.nomination.worker != nil || s.hasLeftPlace(now, t) || now-t.displacement.since >= restartAfterLoss ||
 		s.vacated[t.step.job.rec.Queue.Pool]-pool.promised >= t.step.spec.Size.MilliCPU
