Share the check of a worker's properties, and the set-up of crash suspects

suitsOnceFree repeated what suits checks. Two tests built the same suspects of one crash. The comment of maxPassedOver says when it has an effect.

--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -122,7 +122,7 @@
 
 // suitsOnceFree reports whether a worker may start a task as soon as enough capacity is free, if its recent faults are ignored.
 func (s *Scheduler) suitsOnceFree(now Time, t *task, w *worker) bool {
-	return w.lacks(t) == Suitable && s.mayStartOn(now.Boot, w) && w.limits(t) == Suitable
+	return s.mayStartOn(now.Boot, w) && s.suits(now, t, w)
 }
 
 // waitingNominees returns the number of nominees of a pool that wait for other tasks to end, and of those that start soon.
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -9,8 +9,8 @@
 
 const (
 	// maxPassedOver is the number of other tasks within passedOverWindow that may start on workers with room for a displaced
-	// service task before it comes first for precedence. It matters for restartAfterLoss after the loss of its worker, since the task comes
-	// before those that end anyway later.
+	// service task before it comes first for precedence. It has an effect only within restartAfterLoss; from then on the task comes
+	// before those that end without it.
 	maxPassedOver    = 30
 	passedOverWindow = 1500 * time.Millisecond
 	// precedence is how long a displaced task that was passed over comes first. It is limited so that tasks that end do not
--- a/core/schedule/wait_bound_test.go
+++ b/core/schedule/wait_bound_test.go
@@ -255,18 +255,24 @@
 	}
 }
 
-// Scenario: a worker has crashed soon after it had started tasks of several jobs, and there is room on one worker only. Guards against a
-// wait of such a task that is longer than the brief runs of the others, one after another.
-func TestSuspectsOfACrashWaitForBriefRunsOnly(t *testing.T) {
-	const suspects = 3
-	h := newHarness(t, 1)
+// newSuspects returns a scheduler with room on one worker and a number of tasks that one crash may be due to, and the last one of them.
+func newSuspects(t *testing.T, suspects int) (h *harness, last workload.TaskID) {
+	t.Helper()
+	h = newHarness(t, 1)
 	h.addWorker("w1", nil)
-	var last workload.TaskID
 	for n := range suspects {
-		task := h.displacedTask(workload.JobID(fmt.Sprint("job", n)), testStep(1), "w0")
+		task := h.displacedTask(workload.JobID(fmt.Sprintf("job%02d", n)), testStep(1), "w0")
 		task.crashes, task.storedCrashes = []workload.Crash{{Worker: "w0"}}, 1
 		last = task.id()
 	}
+	return h, last
+}
+
+// Scenario: a worker has crashed soon after it had started tasks of several jobs, and there is room on one worker only. Guards against a
+// wait of such a task that is longer than the brief runs of the others, one after another.
+func TestSuspectsOfACrashWaitForBriefRunsOnly(t *testing.T) {
+	const suspects = 3
+	h, last := newSuspects(t, suspects)
 	h.wantWait(last, (suspects-1)*(briefRun+reportingStep), func() {})
 }
 
@@ -351,13 +357,6 @@
 // number of suspects, beside free capacity.
 func TestServiceWaitsForAnyNumberOfSuspectsWithinItsBound(t *testing.T) {
 	const suspects = 12
-	h := newHarness(t, 1)
-	h.addWorker("w1", nil)
-	var last workload.TaskID
-	for n := range suspects {
-		task := h.displacedTask(workload.JobID(fmt.Sprintf("job%02d", n)), testStep(1), "w0")
-		task.crashes, task.storedCrashes = []workload.Crash{{Worker: "w0"}}, 1
-		last = task.id()
-	}
+	h, last := newSuspects(t, suspects)
 	h.wantWait(last, serviceWaitBound, func() {})
 }
