--- /dev/null
+++ b/deploy/mixeddays/kindlist.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"regexp"
+)
+
+// listedKind matches the line of a kind in the output of fleetbench kinds.
+var listedKind = regexp.MustCompile(`^([a-z_]+): `)
+
+// ReadKinds returns the kinds in the output of fleetbench kinds.
+func ReadKinds(r io.Reader) (map[Kind]bool, error) {
+	kinds := map[Kind]bool{}
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		if match := listedKind.FindStringSubmatch(lines.Text()); match != nil {
+			kinds[Kind(match[1])] = true
+		}
+	}
+	return kinds, lines.Err()
+}
--- /dev/null
+++ b/deploy/mixeddays/main.go
@@ -0,0 +1,67 @@
+// Command mixeddays writes a day file for fleetbench with disruptions of all kinds and variants, drawn from a seed.
+//
+//	go run ./deploy/mixeddays -seed 7 -disruptions 2-6 > DAY.toml
+//
+// With -kinds FILE, it draws only from the kinds in FILE, the output of fleetbench kinds for a site. Removals for good leave most
+// of the hosts and workers; -hosts and -workers state how many a site has.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "mixeddays:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg := Config{Site: Site{Hosts: 6, Workers: 48}}
+	flag.Uint64Var(&cfg.Seed, "seed", 1, "seed of the day")
+	flag.IntVar(&cfg.Site.Hosts, "hosts", cfg.Site.Hosts, "hosts of the smallest site that plays the day")
+	flag.IntVar(&cfg.Site.Workers, "workers", cfg.Site.Workers, "workers of the smallest site that plays the day")
+	disruptions := flag.String("disruptions", "2-6", "least and greatest `number` of disruptions")
+	kinds := flag.String("kinds", "", "`file` with the kinds that the site plays; all if empty")
+	flag.Parse()
+
+	var err error
+	if cfg.Least, cfg.Most, err = parseNumbers(*disruptions); err != nil {
+		return err
+	}
+	if cfg.KnownOnly, err = loadKinds(*kinds); err != nil {
+		return err
+	}
+	day, err := Generate(cfg)
+	if err != nil {
+		return err
+	}
+	return day.Encode(os.Stdout)
+}
+
+// parseNumbers reads two numbers that are joined by a hyphen, the lower one first.
+func parseNumbers(text string) (least, most int, err error) {
+	if _, err := fmt.Sscanf(text, "%d-%d", &least, &most); err != nil {
+		return 0, 0, fmt.Errorf("number of disruptions %q: want LEAST-MOST", text)
+	}
+	if least < 1 || most < least {
+		return 0, 0, fmt.Errorf("number of disruptions %q: want 1 or more, the lower one first", text)
+	}
+	return least, most, nil
+}
+
+// loadKinds reads a list of kinds, or returns nil if no file is named.
+func loadKinds(path string) (map[Kind]bool, error) {
+	if path == "" {
+		return nil, nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return ReadKinds(file)
+}
