--- /dev/null
+++ b/core/schedule/foreseen.go
@@ -0,0 +1,241 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/core/workload"
+)
+
+// The services on a silent worker are not restarted before its leases have certainly expired, but unless it answers they have to be
+// then. These foreseen restarts have tentative places on workers whose services leave room for them, and first starts of services
+// leave these places free: else a pool that is full when the leases expire has given away what became free until then. Tasks that
+// end may use the places. A worker that answers releases those of its services with the next scan.
+
+// foreseenAfter is the time since the last report of a worker, or since the takeover, after which the restarts of its services are
+// foreseen.
+const foreseenAfter = withholdAfter
+
+// foreseenRestarts holds the foreseen restarts of the latest scan.
+type foreseenRestarts struct {
+	places   map[*task]*worker                    // nil for those that have no place
+	unplaced map[workload.PoolName][]foreseenNeed // the smallest ones without a place
+	holds    map[workload.PoolName]bool           // pools in which first starts leave the places free
+}
+
+// foreseenNeed is what a foreseen restart needs.
+type foreseenNeed struct {
+	size  structs.Resources
+	label string
+}
+
+// keptPlaces are the places of foreseen restarts on a worker.
+type keptPlaces struct {
+	tasks []*task
+	size  structs.Resources // sum of what they need
+}
+
+// foreseeRestarts updates the foreseen restarts and their places. A restart keeps its place while there is room for it.
+func (s *Scheduler) foreseeRestarts(now Time) {
+	former := s.foreseen.places
+	tasks := s.foreseenTasks(now)
+	if len(tasks) == 0 && len(former) == 0 {
+		return
+	}
+	for _, w := range former {
+		if w != nil {
+			w.foreseen = keptPlaces{}
+		}
+	}
+	s.foreseen = foreseenRestarts{map[*task]*worker{}, map[workload.PoolName][]foreseenNeed{}, map[workload.PoolName]bool{}}
+	if len(tasks) == 0 {
+		return
+	}
+	rooms := s.foreseenRooms(now)
+	var moving []*task
+	for _, t := range tasks {
+		if w := former[t]; w == nil || !rooms.take(s, now, t, w) {
+			moving = append(moving, t)
+		}
+	}
+	for _, t := range tasks {
+		pool := t.step.job.rec.Queue.Pool
+		if _, known := s.foreseen.holds[pool]; !known {
+			s.foreseen.holds[pool] = !s.isLittleUsed(now.Boot, pool)
+		}
+	}
+	for _, t := range moving {
+		if !rooms.place(s, now, t) {
+			s.foreseen.addUnplaced(t)
+		}
+	}
+}
+
+// foreseenTasks returns the service tasks that have to be restarted unless silent workers answer: in the order of their ranks, the
+// smallest first, so that as many as possible have a place.
+func (s *Scheduler) foreseenTasks(now Time) []*task {
+	var tasks []*task
+	for _, w := range s.sortedWorkers {
+		if !s.foreseesLoss(now.Boot, w) {
+			continue
+		}
+		for _, a := range w.attemptList {
+			if t := a.task; t.ran && t.step.spec.Service && a.phase != stopping && len(t.attempts) == 1 && !t.step.job.state.Final() {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	if !s.TakeoverComplete() {
+		tasks = s.addAwaitedTasks(now, tasks)
+	}
+	slices.SortFunc(tasks, func(a, b *task) int {
+		return cmp.Or(
+			cmp.Compare(a.step.rank(now), b.step.rank(now)),
+			cmp.Compare(a.step.spec.Size.MilliCPU, b.step.spec.Size.MilliCPU),
+			compareIDs(a.step, b.step),
+			cmp.Compare(a.index, b.index),
+		)
+	})
+	return tasks
+}
+
+// addAwaitedTasks adds the service tasks that a former owner has started on workers which are silent since before the takeover.
+func (s *Scheduler) addAwaitedTasks(now Time, tasks []*task) []*task {
+	for st := range s.pendingSteps {
+		if _, open := s.openSteps[st]; !open || !st.spec.Service || st.pending == 0 {
+			continue
+		}
+		for _, t := range st.tasks {
+			if !t.displaced() || !s.mayRunElsewhere(t) {
+				continue
+			}
+			if w := s.workers[t.storedWorker]; w != nil && s.foreseesLoss(now.Boot, w) {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	return tasks
+}
+
+// foreseesLoss reports whether a worker is silent and its leases run out. One that is still silent when they have certainly expired is
+// lost, also if its loss is not confirmed yet.
+func (s *Scheduler) foreseesLoss(now time.Duration, w *worker) bool {
+	if w.leasesExtended || now >= w.leaseEnd+foreseenAfter {
+		return false
+	}
+	return w.withheld.marked || now-max(w.reportedAt, s.takeoverAt) >= foreseenAfter
+}
+
+// foreseenRooms holds what the services of the workers and the places that are kept there leave, by worker.
+type foreseenRooms struct {
+	workers []*worker
+	free    []structs.Resources
+	index   map[*worker]int
+}
+
+// foreseenRooms returns the room on all workers on which tasks may start.
+func (s *Scheduler) foreseenRooms(now Time) *foreseenRooms {
+	r := &foreseenRooms{index: map[*worker]int{}}
+	for _, w := range s.sortedWorkers {
+		if !s.mayStartOn(now.Boot, w) || s.foreseesLoss(now.Boot, w) {
+			continue
+		}
+		r.index[w] = len(r.workers)
+		r.workers = append(r.workers, w)
+		r.free = append(r.free, w.roomBesideServices(nil))
+	}
+	return r
+}
+
+// take gives a foreseen restart a place on a worker, if there is room for it.
+func (r *foreseenRooms) take(s *Scheduler, now Time, t *task, w *worker) bool {
+	n, open := r.index[w]
+	size := t.step.spec.Reserved()
+	if !open || !size.Fits(r.free[n]) || !s.suits(now, t, w) || w.foreseen.excludes(t) {
+		return false
+	}
+	r.free[n] = r.free[n].Sub(size)
+	w.foreseen.tasks = append(w.foreseen.tasks, t)
+	w.foreseen.size = w.foreseen.size.Add(size)
+	s.foreseen.places[t] = w
+	return true
+}
+
+// place gives a foreseen restart a place on the worker with the least room that suffices, and reports whether there is one.
+func (r *foreseenRooms) place(s *Scheduler, now Time, t *task) bool {
+	size := t.step.spec.Reserved()
+	best := -1
+	for n := range r.free {
+		if !size.Fits(r.free[n]) || best >= 0 && r.free[n].MilliCPU >= r.free[best].MilliCPU {
+			continue
+		}
+		if w := r.workers[n]; s.suits(now, t, w) && !w.foreseen.excludes(t) {
+			best = n
+		}
+	}
+	return best >= 0 && r.take(s, now, t, r.workers[best])
+}
+
+// excludes reports whether a worker with the places would have too many tasks of a task's step.
+func (p *keptPlaces) excludes(t *task) bool {
+	limit := t.step.spec.MaxPerWorker
+	if limit == 0 {
+		return false
+	}
+	n := 0
+	for _, other := range p.tasks {
+		if other.step == t.step {
+			n++
+		}
+	}
+	return n >= limit
+}
+
+// addUnplaced adds a restart that has no place. Those that need more than another one are left out.
+func (f *foreseenRestarts) addUnplaced(t *task) {
+	f.places[t] = nil
+	need := foreseenNeed{t.step.spec.Reserved(), t.step.spec.Label}
+	pool := t.step.job.rec.Queue.Pool
+	for _, other := range f.unplaced[pool] {
+		if (other.label == "" || other.label == need.label) && other.size.Fits(need.size) {
+			return
+		}
+	}
+	f.unplaced[pool] = append(f.unplaced[pool], need)
+}
+
+// maxForeseenHold is the time for which foreseen restarts hold back the first starts of a step in all: as long as the leases of a worker
+// last that falls silent, also under a former owner.
+func (s *Scheduler) maxForeseenHold() time.Duration {
+	return s.cfg.HandoverGrace + s.cfg.leaseBound()
+}
+
+// yieldsToForeseen reports whether the first starts of a step leave the places of foreseen restarts free. In a pool that is little used
+// they do not: the platform allows them to wait for 3 s there, also while workers are silent.
+func (s *Scheduler) yieldsToForeseen(st *step) bool {
+	return st.spec.Service && s.foreseen.holds[st.job.rec.Queue.Pool] && st.heldFor < s.maxForeseenHold()
+}
+
+// keptForForeseen reports whether a worker has no room for the first start of a service beside its services and the foreseen restarts:
+// those that have a place there, and any one without a place that would fit.
+func (s *Scheduler) keptForForeseen(t *task, w *worker) bool {
+	if t.ran || !s.yieldsToForeseen(t.step) {
+		return false
+	}
+	room := w.roomBesideServices(t).Sub(w.foreseen.size)
+	if !t.step.spec.Reserved().Fits(room) {
+		return true
+	}
+	return slices.ContainsFunc(s.foreseen.unplaced[w.info.Pool], func(need foreseenNeed) bool {
+		return need.size.Fits(room) && w.hasLabel(need.label)
+	})
+}
+
+// recordHeld adds the time since the latest planning run to that for which foreseen restarts have held back first starts of a step. A
+// longer time is one in which they have not.
+func (st *step) recordHeld(now time.Duration) {
+	st.heldFor += min(now-st.heldAt, 2*scanInterval)
+	st.heldAt = now
+}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -35,6 +35,8 @@
 	unplacedAt    time.Duration // time of the latest planning run in which it was due and no worker was found for a task
 	fitsNowhereIn int           // latest pass of searches for fillers in which the step had its turn, see hadTurn; 0 if none
 	urgency       urgency       // as of the last planning run
+	heldFor       time.Duration // for how long foreseen restarts have held back first starts, see maxForeseenHold
+	heldAt        time.Duration // when they did so last
 	searchFrom    int           // position among the workers with spare time from which searchFurther continues
 }
 
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -29,6 +29,9 @@
 	}
 	s.fillerSearches, s.incomplete = 0, false
 	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
+	if scan {
+		s.foreseeRestarts(now)
+	}
 	s.restartFirst(&cycle)
 	for _, st := range s.stepsByUrgency(now) {
 		s.restartBefore(&cycle, st)
@@ -57,12 +60,14 @@
 	pools              map[workload.PoolName]*openPool // only with displaced tasks
 }
 
-// taskShape holds the properties of a task that decide where it fits: its pool, its label, its size and, for fillers, its image.
+// taskShape holds the properties of a task that decide where it fits: its pool, its label, its size, for fillers their image, and
+// whether it leaves the places of foreseen restarts free.
 type taskShape struct {
-	pool  workload.PoolName
-	label string
-	size  structs.Resources
-	image int
+	pool   workload.PoolName
+	label  string
+	size   structs.Resources
+	image  int
+	yields bool
 }
 
 // fitsNowhere reports whether a task of the same pool and image, of at most the same size and without a label or with the same
@@ -74,7 +79,7 @@
 // among reports whether one of the shapes fits wherever a task of shape t does.
 func (t taskShape) among(shapes []taskShape) bool {
 	return slices.ContainsFunc(shapes, func(u taskShape) bool {
-		return u.pool == t.pool && (u.label == "" || u.label == t.label) && u.image == t.image && u.size.Fits(t.size)
+		return u.pool == t.pool && (u.label == "" || u.label == t.label) && u.image == t.image && (t.yields || !u.yields) && u.size.Fits(t.size)
 	})
 }
 
@@ -130,8 +135,9 @@
 		return
 	}
 	shape, sufficient := st.shape()
+	shape.yields = s.yieldsToForeseen(st)
 	if cycle.fitsNowhere(shape) {
-		st.unplacedAt = cycle.now.Boot
+		st.recordUnplaced(cycle.now.Boot, shape)
 		return
 	}
 	var tried stepSearches
@@ -154,7 +160,7 @@
 			s.start(cycle.now.Boot, t, w)
 			continue
 		}
-		st.unplacedAt = cycle.now.Boot
+		st.recordUnplaced(cycle.now.Boot, shape)
 		if st.spec.Filler {
 			st.retryAt = cycle.now.Boot + fillerRetryDelay
 		}
@@ -175,6 +181,14 @@
 	}
 }
 
+// recordUnplaced records that no worker was found for a task of a step, which may be so because it yields to foreseen restarts.
+func (st *step) recordUnplaced(now time.Duration, shape taskShape) {
+	st.unplacedAt = now
+	if shape.yields {
+		st.recordHeld(now)
+	}
+}
+
 // stepSearches describes the searches of a planning run for tasks of a step that have found no worker. Such tasks differ only in the
 // workers on which they have failed, so few searches decide for all of them.
 type stepSearches struct {
@@ -201,9 +215,9 @@
 func (st *step) shape() (shape taskShape, sufficient bool) {
 	spec := st.spec
 	pool := st.job.rec.Queue.Pool
-	shape = taskShape{pool, spec.Label, spec.Reserved(), noImage}
+	shape = taskShape{pool: pool, label: spec.Label, size: spec.Reserved(), image: noImage}
 	if spec.Filler {
-		shape = taskShape{pool, spec.Label, spec.Size, st.imageIndex}
+		shape.size, shape.image = spec.Size, st.imageIndex
 	}
 	return shape, spec.MaxPerWorker == 0
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -51,6 +51,7 @@
 	nominationPass      int                         // number of the current pass of nominations, see maxNominations
 	nominateFrom        int                         // position in sortedWorkers from which fitsSoonest continues
 	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
+	foreseen            foreseenRestarts
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -36,6 +36,7 @@
 	WaitNotStored        // the worker is not in the stored set of known workers
 	WaitEntryOutdated    // the worker's entry describes another process than the one that answers
 	WaitCapacityOutdated // the capacity may have shrunk since the list was read
+	WaitForeseen         // the free capacity is kept for services on silent workers, which may have to be restarted
 	WaitNominee          // the free capacity is kept for a displaced service task
 	WaitCapacity         // too little capacity is free
 	WaitUnreachable      // the worker does not answer, or has not reported yet
@@ -66,7 +67,7 @@
 	"suitable", "start_not_stored", "start_not_confirmed", "not_its_turn", "worker_not_found", "no_plan",
 	"capacity_kept", "service_share",
 	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "probation",
-	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "entry_outdated", "capacity_outdated", "kept_for_service",
+	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "entry_outdated", "capacity_outdated", "kept_for_restarts", "kept_for_service",
 	"no_capacity", "unreachable", "unlisted", "replaced", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
 	"crash_back_off", "silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "worker_silent", "unexplained",
 }
--- a/core/schedule/waiting_test.go
+++ b/core/schedule/waiting_test.go
@@ -150,6 +150,15 @@
 			e.displacedTask("service", coresStep(9), "w1")
 			return e.add(false)
 		}},
+		{WaitForeseen, "w1", func(e *explained) *task {
+			e.useHalf("w1")
+			e.addWorker("w0", nil)
+			e.addService("other", 16)
+			e.wantStarts(e.run(), 1)
+			e.passWithSilent(foreseenAfter+scanInterval, "w0")
+			e.step.Service = true
+			return e.add(false)
+		}},
 		{WaitServiceShare, "w1", func(e *explained) *task {
 			e.s.AddJob(testJob("other", testService(2)), nil, false)
 			e.wantStarts(e.run(), 2)
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -68,6 +68,7 @@
 	fillersIdleSince time.Duration     // since when all fillers on the worker have been idle; 0 while one runs
 	services         int               // number of service attempts
 	nominees         []*task           // displaced tasks for which capacity is kept
+	foreseen         keptPlaces        // which first starts of services leave free
 	servicesByImage  map[int]int       // number of service attempts by image index
 	pressures        []float64         // by filler image, see pressureOn; reset when a service starts or ends
 	pressuresAt      time.Duration     // refresh of the interference model that pressures belong to
