--- a/core/schedule/foreseen.go
+++ b/core/schedule/foreseen.go
@@ -20,6 +20,7 @@
 
 // foreseenRestarts holds the foreseen restarts of the latest scan.
 type foreseenRestarts struct {
+	tasks    []*task                              // in the order in which they get places
 	places   map[*task]*worker                    // nil for those that have no place
 	unplaced map[workload.PoolName][]foreseenNeed // the smallest ones without a place
 	holds    map[workload.PoolName]bool           // pools in which first starts leave the places free
@@ -49,7 +50,7 @@
 			w.foreseen = keptPlaces{}
 		}
 	}
-	s.foreseen = foreseenRestarts{map[*task]*worker{}, map[workload.PoolName][]foreseenNeed{}, map[workload.PoolName]bool{}}
+	s.foreseen = foreseenRestarts{tasks, map[*task]*worker{}, map[workload.PoolName][]foreseenNeed{}, map[workload.PoolName]bool{}}
 	if len(tasks) == 0 {
 		return
 	}
@@ -73,6 +74,23 @@
 	}
 }
 
+// nominateForeseen nominates the services whose restarts have become due to their places: also those whose room tasks that end still
+// use come before all others there.
+func (s *Scheduler) nominateForeseen(now Time) {
+	for _, t := range s.foreseen.tasks {
+		w := s.foreseen.places[t]
+		if w == nil || !t.displaced() || s.mayRunElsewhere(t) {
+			continue
+		}
+		w.foreseen.remove(t)
+		s.foreseen.places[t] = nil
+		if t.nomination.worker == nil && s.mayBeNominatedTo(now, t, w) {
+			s.setNominee(t, nomination{worker: w, foreseen: true, at: now.Boot})
+			s.emitNomination(t, w, 0)
+		}
+	}
+}
+
 // foreseenTasks returns the service tasks that have to be restarted unless silent workers answer: in the order of their ranks, the
 // smallest first, so that as many as possible have a place.
 func (s *Scheduler) foreseenTasks(now Time) []*task {
@@ -178,6 +196,11 @@
 	return best >= 0 && r.take(s, now, t, r.workers[best])
 }
 
+func (p *keptPlaces) remove(t *task) {
+	p.tasks = slices.DeleteFunc(p.tasks, func(other *task) bool { return other == t })
+	p.size = p.size.Sub(t.step.spec.Reserved())
+}
+
 // excludes reports whether a worker with the places would have too many tasks of a task's step.
 func (p *keptPlaces) excludes(t *task) bool {
 	limit := t.step.spec.MaxPerWorker
--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -136,6 +136,38 @@
 	}
 }
 
+// Guards against a service whose restart was foreseen and that waits behind tasks that end once the leases have expired.
+func TestForeseenRestartComesFirstOnceTheLeasesHaveExpired(t *testing.T) {
+	for _, short := range []int{0, 8} {
+		h := serviceOnFirst(t)
+		h.s.AddJob(testJob("short", leaseTasks(short+1)), nil, false)
+		h.passWithSilent(h.s.cfg.leaseBound(), "w1")
+		for range short {
+			h.end(h.workers["w2"].running[0].Task, EndDone)
+		}
+		h.s.AddJob(testJob("next", leaseTasks(16)), nil, false)
+		orders := h.passWithSilent(reportingStep, "w1")
+		if started := h.orderedFor(orders, "lost"); len(started) != 1 || started[0].Worker != "w2" {
+			t.Errorf("beside %d tasks that have ended: %s", short, describe(orders))
+		}
+	}
+}
+
+// Guards against a place of a foreseen restart that tasks which end take again and again after the leases have expired.
+func TestForeseenRestartWaitsOnlyForTasksThatRun(t *testing.T) {
+	h := serviceOnFirst(t)
+	h.s.AddJob(testJob("short", leaseTasks(16)), nil, false)
+	h.passWithSilent(h.s.cfg.leaseBound(), "w1")
+	for range 12 { // as many start as end
+		h.s.AddJob(testJob(workload.JobID("next"+h.now.Boot.String()), leaseTasks(8)), nil, false)
+		h.end(h.workers["w2"].running[0].Task, EndDone)
+		if started := h.orderedFor(h.passWithSilent(reportingStep, "w1"), "lost"); len(started) == 1 {
+			return
+		}
+	}
+	t.Error("the service has not been started")
+}
+
 // Guards against first starts that are held although the pool has room for all, and by a service that fits on no worker: it would
 // hold back those that fit beside what is there.
 func TestForeseenRestartsHoldNothingElse(t *testing.T) {
--- a/core/schedule/full_pool_test.go
+++ b/core/schedule/full_pool_test.go
@@ -68,6 +68,7 @@
 	longestWait time.Duration           // of service tasks that have run, until the decision to start them again
 	longestTask workload.TaskID
 	restarts    int
+	sound       bool          // services do not fail
 	calmFrom    time.Duration // waits of services and unused workers count from then on
 
 	freeSince     map[WorkerID]time.Duration // since when a worker has room for any task and short tasks wait
@@ -323,7 +324,10 @@
 // runTime returns how long an attempt of a task runs: about as long as estimated, and a service until it fails.
 func (p *fullPool) runTime(id workload.TaskID) time.Duration {
 	spec := p.s.task(id).step.spec
-	if spec.Service {
+	switch {
+	case spec.Service && p.sound:
+		return time.Hour
+	case spec.Service:
 		return time.Duration(p.rnd.ExpFloat64() * float64(poolServiceMean))
 	}
 	factor := 0.5 + p.rnd.Float64()
--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -35,6 +35,7 @@
 	worker   *worker
 	ownPlace bool // the task was there last and the place that it left is free
 	soon     bool // it is expected to fit within soonWait
+	foreseen bool // the worker was chosen before the task was displaced, see foreseen.go
 	at       time.Duration
 }
 
@@ -179,7 +180,8 @@
 	if best != t.nomination.worker {
 		s.emitNomination(t, best, soonest)
 	}
-	s.setNominee(t, nomination{worker: best, soon: soonest <= soonWait, at: now.Boot})
+	foreseen := t.nomination.foreseen && best == t.nomination.worker
+	s.setNominee(t, nomination{worker: best, soon: soonest <= soonWait, foreseen: foreseen, at: now.Boot})
 }
 
 // recordTurn records that a task had its turn in a pass of nominations. The runs between scans are no part of it.
@@ -237,9 +239,14 @@
 }
 
 // hasOtherWaitingNominee reports whether another nominee waits for tasks on the worker to end. One for which its own place is kept
-// does not, and may avoid the worker for restartOverdueAfter.
+// does not, and may avoid the worker for restartOverdueAfter. Foreseen restarts share a worker.
 func (w *worker) hasOtherWaitingNominee(t *task) bool {
-	return slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t && !nominee.nomination.ownPlace })
+	if t.nomination.foreseen && t.nomination.worker == w {
+		return false
+	}
+	return slices.ContainsFunc(w.nominees, func(nominee *task) bool {
+		return nominee != t && !nominee.nomination.ownPlace && !nominee.nomination.foreseen
+	})
 }
 
 func (s *Scheduler) emitNomination(t *task, w *worker, wait time.Duration) {
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -29,6 +29,7 @@
 	}
 	s.fillerSearches, s.incomplete = 0, false
 	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
+	s.nominateForeseen(now)
 	if scan {
 		s.foreseeRestarts(now)
 	}
