--- a/core/schedule/foreseen.go
+++ b/core/schedule/foreseen.go
@@ -119,7 +119,8 @@
 	return tasks
 }
 
-// addAwaitedTasks adds the service tasks that a former owner has started on workers which are silent since before the takeover.
+// addAwaitedTasks adds the service tasks that a former owner has started on workers which are silent since before the takeover, or are
+// not known.
 func (s *Scheduler) addAwaitedTasks(now Time, tasks []*task) []*task {
 	for st := range s.pendingSteps {
 		if _, open := s.openSteps[st]; !open || !st.spec.Service || st.pending == 0 {
@@ -129,7 +130,8 @@
 			if !t.displaced() || !s.mayRunElsewhere(t) {
 				continue
 			}
-			if w := s.workers[t.storedWorker]; w != nil && s.foreseesLoss(now.Boot, w) {
+			w := s.workers[t.storedWorker]
+			if w != nil && s.foreseesLoss(now.Boot, w) || w == nil && now.Boot-s.takeoverAt >= foreseenAfter {
 				tasks = append(tasks, t)
 			}
 		}
--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -288,6 +288,25 @@
 	h.wantStartedOn(orders, "lost", "w2")
 }
 
+// Guards against a new owner that starts others in the place of services on workers which it does not know: the stored set of known
+// workers was missing or could not be read.
+func TestNewOwnerForeseesRestartsOfUnknownWorkers(t *testing.T) {
+	h := serviceOnFirst(t)
+	h.useHalf("w2")
+	former := h.s.jobs
+	delete(h.workers, "w1")
+	h.newTerm(2)
+	h.s.InheritUnknown(h.now)
+	for _, id := range []workload.JobID{"lost", "half"} {
+		progress := former[id].progress()
+		h.s.AddJob(former[id].rec, &progress, true)
+	}
+	h.passWithSilent(foreseenAfter + scanInterval)
+	h.addService("large", 5)
+	h.wantStarts(h.passWithSilent(scanInterval), 0)
+	h.wantReason("large", WaitForeseen)
+}
+
 // Guards against places of foreseen restarts that exceed the number of tasks of a step on one worker: they could not be used.
 func TestForeseenPlacesKeepToTheLimitOfAStep(t *testing.T) {
 	h := newHarness(t, 1)
