--- a/core/schedule/foreseen.go
+++ b/core/schedule/foreseen.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		w.foreseen.remove(t)
-		s.foreseen.places[t] = nil
+		delete(s.foreseen.places, t)
 		if t.nomination.worker == nil && s.mayBeNominatedTo(now, t, w) {
 			s.setNominee(t, nomination{worker: w, foreseen: true, at: now.Boot})
 			s.emitNomination(t, w, 0)
@@ -231,6 +231,16 @@
 	f.unplaced[pool] = append(f.unplaced[pool], need)
 }
 
+// counts returns the number of foreseen restarts, and of those that have no place.
+func (f *foreseenRestarts) counts() (all, unplaced int) {
+	for _, w := range f.places {
+		if w == nil {
+			unplaced++
+		}
+	}
+	return len(f.places), unplaced
+}
+
 // maxForeseenHold is the time for which foreseen restarts hold back the first starts of a step in all: as long as the leases of a worker
 // last that falls silent, also under a former owner.
 func (s *Scheduler) maxForeseenHold() time.Duration {
--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -210,6 +210,9 @@
 	h.addService("third", 16)
 	h.wantStartedOn(starts(h.run()), "third", "w3")
 	h.passWithSilent(foreseenAfter+scanInterval, "w1")
+	if c := h.s.Counts(h.now); c.Foreseen != 1 || c.ForeseenNowhere != 1 {
+		t.Errorf("%d restarts are foreseen, %d without a place, want one without", c.Foreseen, c.ForeseenNowhere)
+	}
 	h.addService("next", 8)
 	h.s.Cancel(h.now, "other")
 	h.run()
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -321,6 +321,7 @@
 	ListAge                   time.Duration // since the platform's list of workers was read; before the first time since the takeover
 	Unstored                  int           // listed workers that do not drain and are not in the stored set of known workers
 	Awaited                   int           // workers of a former owner that have not reported yet
+	Foreseen, ForeseenNowhere int           // services that have to be restarted unless silent workers answer, and those of them without a place
 }
 
 // Counts returns the totals.
@@ -341,6 +342,7 @@
 			c.countAttempt(a)
 		}
 	}
+	c.Foreseen, c.ForeseenNowhere = s.foreseen.counts()
 	for st := range s.openSteps {
 		c.Pending += st.pending
 		if st.spec.Filler {
--- a/pkg/dispatch/measures.go
+++ b/pkg/dispatch/measures.go
@@ -170,6 +170,7 @@
 		Int64("service_wait_max", ms(c.LongestServiceWait)).
 		Str("waiting_for", s.waits.Tasks.String()).Int64("waiting_max", ms(s.waits.Longest)).
 		Int64("list_age", ms(c.ListAge)).Int("unstored_workers", c.Unstored).Int("awaited_workers", c.Awaited).
+		Int("foreseen_restarts", c.Foreseen).Int("foreseen_nowhere", c.ForeseenNowhere).
 		Int("not_used", len(s.unused.Workers)).Str("not_used_for", s.unused.ByReason.String()).
 		Int64("not_used_max", ms(s.unused.Longest)).Msg("")
 }
