Log what starts while services need a place

Change: event 7053, services_need_places, one line beside partition_status and only while such services exist: services on workers that do not answer, displaced ones, and starts in their pools by kind, each with thousandths of a core; of the starts, how many were on workers with room for the smallest of these services. core/schedule counts at the beginning of each planning run and at each start; no decision reads the counts. The figures are metrics, too.

Before, the log had none of them.

--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -20,6 +20,7 @@
 	s.repeatStops(now)
 	s.moveFromDraining(now)
 	s.interference.refresh(now.Boot)
+	s.neededAtPlan = s.serviceNeeds(now)
 	scan := now.Boot-s.scannedAt >= scanInterval
 	if scan {
 		s.scannedAt = now.Boot
@@ -214,6 +215,7 @@
 	base := (s.cfg.Term - 1) * attemptsPerTerm
 	a := &attempt{task: t, number: max(t.lastAttempt, base) + 1, worker: w, phase: starting,
 		startedAt: now, share: fullShare, confirmedShare: fullShare, resumed: t.checkpoint != ""}
+	s.countStart(t, w)
 	if t.step.spec.Service {
 		s.recordTaken(now, t)
 		s.dropNomination(t)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -23,15 +23,17 @@
 	incomplete          bool          // the latest planning run ended before all steps were tried
 	listReadAt          time.Duration // time of the last call of SetWorkers; 0 before the first
 	evacuated           map[structs.DatacentreID]bool
-	openSteps           map[*step]struct{}             // steps that may start tasks
-	pendingSteps        map[*step]struct{}             // all open steps with pending tasks, and some others; see stepsByUrgency
-	compareSteps        func(now Time, a, b *step) int // order in which steps get capacity
-	stopping            map[*attempt]struct{}          // attempts that have to end
-	scannedAt           time.Duration                  // when all attempts were last scanned for moves and copies
-	calledAt            time.Duration                  // time of the latest call that may end attempts
-	plannedAt           Time                           // time of the latest planning run
-	restarts            Restarts                       // since the last call of TakeRestarts
-	orders              []Order                        // issued since the last call of TakeOrders
+	openSteps           map[*step]struct{}               // steps that may start tasks
+	pendingSteps        map[*step]struct{}               // all open steps with pending tasks, and some others; see stepsByUrgency
+	compareSteps        func(now Time, a, b *step) int   // order in which steps get capacity
+	stopping            map[*attempt]struct{}            // attempts that have to end
+	scannedAt           time.Duration                    // when all attempts were last scanned for moves and copies
+	calledAt            time.Duration                    // time of the latest call that may end attempts
+	plannedAt           Time                             // time of the latest planning run
+	restarts            Restarts                         // since the last call of TakeRestarts
+	startsBeside        ServiceNeeds                     // the starts since the last call of TakeServiceNeeds
+	neededAtPlan        map[workload.PoolName]*poolNeeds // at the beginning of the latest planning run
+	orders              []Order                          // issued since the last call of TakeOrders
 	events              []Event
 	awaitingReport      map[WorkerID]bool // workers that a former owner may have used and that have not reported yet
 	takeoverAt          time.Duration     // when the takeover began
--- a/pkg/dispatch/measures.go
+++ b/pkg/dispatch/measures.go
@@ -103,6 +103,7 @@
 	restarts schedule.Restarts
 	waits    schedule.Waits
 	unused   schedule.UnusedWorkers
+	needs    schedule.ServiceNeeds
 	use      []useLine     // lines about unused workers
 	interval time.Duration // since the last status
 	cpu      time.Duration // processor time of the process in the interval
@@ -139,13 +140,14 @@
 	now := bootclock.Now()
 	s.counts, s.waits = o.scheduler.Counts(now), o.scheduler.Waits(now)
 	s.restarts = o.scheduler.TakeRestarts()
+	s.needs = o.scheduler.TakeServiceNeeds(now)
 	s.unused = o.scheduler.Unused(now)
 	s.use = o.useLines(now, s.unused.Workers)
 	s.measures, o.measures = o.measures, measures{}
 	return s
 }
 
-// log writes the status line. Durations are in milliseconds.
+// log writes the status line, and the one about services that need a place. Durations are in milliseconds.
 func (s *status) log(l *eventlog.Logger, term int64) {
 	c := s.counts
 	s.logAges(l, eventlog.PartitionStatus, term).
@@ -172,6 +174,7 @@
 		Int64("list_age", ms(c.ListAge)).Int("unstored_workers", c.Unstored).Int("awaited_workers", c.Awaited).
 		Int("not_used", len(s.unused.Workers)).Str("not_used_for", s.unused.ByReason.String()).
 		Int64("not_used_max", ms(s.unused.Longest)).Msg("")
+	s.logServiceNeeds(l, term)
 }
 
 // logAges starts an entry with the figures that tell whether and why the owner decides on outdated reports.
@@ -217,6 +220,7 @@
 	receivedAgeP95, uncollected, cpuShare, longestServiceWait tally.Gauge
 	waits                                                     waitMetrics
 	unused                                                    unusedMetrics
+	needs                                                     needMetrics
 }
 
 func newStatusMetrics(scope tally.Scope) statusMetrics {
@@ -235,6 +239,7 @@
 		longestServiceWait:  scope.Gauge("service_wait_max_seconds"),
 		waits:               newWaitMetrics(scope),
 		unused:              newUnusedMetrics(scope),
+		needs:               newNeedMetrics(scope),
 	}
 }
 
@@ -260,4 +265,5 @@
 	m.longestServiceWait.Update(s.counts.LongestServiceWait.Seconds())
 	m.waits.publish(s)
 	m.unused.publish(&s.unused)
+	m.needs.publish(&s.needs)
 }
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -36,7 +36,7 @@
 // rare.
 var essentialEvents = map[Code]bool{
 	SchedulerStart: true, SchedulerStop: true, SchedulerReload: true, ReadinessChanged: true, PartitionStatus: true,
-	OwnerCaughtUp: true, WorkerUsedAgain: true,
+	ServicesNeedPlaces: true, OwnerCaughtUp: true, WorkerUsedAgain: true,
 	TermAcquired: true, TermReleased: true, TermConfirmed: true, PartitionLoaded: true, TakeoverComplete: true,
 	ProgressStored: true, MirrorRecovered: true, RelayOpened: true, RelayReplaced: true, OwnerHandedOver: true,
 	OwnerStopped: true, ConfigurationInUse: true, DatacentresOutOfService: true,
