--- a/core/schedule/foreseen.go
+++ b/core/schedule/foreseen.go
@@ -42,7 +42,7 @@
 func (s *Scheduler) foreseeRestarts(now Time) {
 	former := s.foreseen.places
 	tasks := s.foreseenTasks(now)
-	if len(tasks) == 0 && len(former) == 0 {
+	if len(tasks) == 0 && len(s.foreseen.tasks) == 0 {
 		return
 	}
 	for _, w := range former {
--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -168,6 +168,20 @@
 	t.Error("the service has not been started")
 }
 
+// Guards against first starts that leave room for restarts which are foreseen no longer: their leases have expired and the services were
+// cancelled.
+func TestFirstStartsGoOnOnceNoRestartIsForeseen(t *testing.T) {
+	h := serviceOnFirst(t)
+	h.addService("other", 16)
+	h.wantStartedOn(starts(h.run()), "other", "w2")
+	h.passWithSilent(h.s.cfg.leaseBound()+reportingStep, "w1")
+	h.addService("next", 8)
+	h.s.Cancel(h.now, "lost")
+	h.s.Cancel(h.now, "other")
+	h.run()
+	h.wantStartedOn(h.passWithSilent(reportingStep, "w1"), "next", "w2")
+}
+
 // Guards against first starts that are held although the pool has room for all, and by a service that fits on no worker: it would
 // hold back those that fit beside what is there.
 func TestForeseenRestartsHoldNothingElse(t *testing.T) {
