--- a/core/schedule/foreseen.go
+++ b/core/schedule/foreseen.go
@@ -75,19 +75,31 @@
 }
 
 // nominateForeseen nominates the services whose restarts have become due to their places: also those whose room tasks that end still
-// use come before all others there.
+// use come before all others there. One without a place, or whose place a displaced service has taken, gets another one.
 func (s *Scheduler) nominateForeseen(now Time) {
+	var rooms *foreseenRooms
 	for _, t := range s.foreseen.tasks {
-		w := s.foreseen.places[t]
-		if w == nil || !t.displaced() || s.mayRunElsewhere(t) {
+		w, foreseen := s.foreseen.places[t]
+		if !foreseen || !t.displaced() || s.mayRunElsewhere(t) {
 			continue
 		}
-		w.foreseen.remove(t)
+		if w != nil {
+			w.foreseen.remove(t)
+		}
 		delete(s.foreseen.places, t)
-		if t.nomination.worker == nil && s.mayBeNominatedTo(now, t, w) {
-			s.setNominee(t, nomination{worker: w, foreseen: true, at: now.Boot})
-			s.emitNomination(t, w, 0)
+		if t.nomination.worker != nil {
+			continue
+		}
+		if w == nil || !s.fitsBesideServices(now, t, w) {
+			if rooms == nil {
+				rooms = s.foreseenRooms(now)
+			}
+			if w = rooms.claim(s, now, t); w == nil {
+				continue
+			}
 		}
+		s.setNominee(t, nomination{worker: w, foreseen: true, at: now.Boot})
+		s.emitNomination(t, w, 0)
 	}
 }
 
@@ -164,11 +176,21 @@
 		}
 		r.index[w] = len(r.workers)
 		r.workers = append(r.workers, w)
-		r.free = append(r.free, w.roomBesideServices(nil))
+		r.free = append(r.free, w.roomBesideServices(nil).Sub(w.foreseen.size))
 	}
 	return r
 }
 
+// claim takes the room for a task from a worker without giving it a place there, and returns the worker; nil if none has the room.
+func (r *foreseenRooms) claim(s *Scheduler, now Time, t *task) *worker {
+	n := r.tightest(s, now, t)
+	if n < 0 {
+		return nil
+	}
+	r.free[n] = r.free[n].Sub(t.step.spec.Reserved())
+	return r.workers[n]
+}
+
 // take gives a foreseen restart a place on a worker, if there is room for it.
 func (r *foreseenRooms) take(s *Scheduler, now Time, t *task, w *worker) bool {
 	n, open := r.index[w]
@@ -185,6 +207,12 @@
 
 // place gives a foreseen restart a place on the worker with the least room that suffices, and reports whether there is one.
 func (r *foreseenRooms) place(s *Scheduler, now Time, t *task) bool {
+	n := r.tightest(s, now, t)
+	return n >= 0 && r.take(s, now, t, r.workers[n])
+}
+
+// tightest returns the position of the worker with the least room that suffices for a task; -1 if there is none.
+func (r *foreseenRooms) tightest(s *Scheduler, now Time, t *task) int {
 	size := t.step.spec.Reserved()
 	best := -1
 	for n := range r.free {
@@ -195,7 +223,7 @@
 			best = n
 		}
 	}
-	return best >= 0 && r.take(s, now, t, r.workers[best])
+	return best
 }
 
 func (p *keptPlaces) remove(t *task) {
@@ -254,9 +282,14 @@
 }
 
 // keptForForeseen reports whether a worker has no room for the first start of a service beside its services and the foreseen restarts:
-// those that have a place there, and any one without a place that would fit.
-func (s *Scheduler) keptForForeseen(t *task, w *worker) bool {
-	if t.ran || !s.yieldsToForeseen(t.step) {
+// those that have a place there, and any one without a place that would fit. A restart that was foreseen itself leaves the places of the
+// others free elsewhere until it is overdue: leases of workers that fell silent together expire one after another.
+func (s *Scheduler) keptForForeseen(now time.Duration, t *task, w *worker) bool {
+	if t.ran {
+		return t.prefersItsPlace(now) && w != t.nomination.worker && len(w.foreseen.tasks) > 0 &&
+			!t.step.spec.Reserved().Fits(w.roomBesideServices(t).Sub(w.foreseen.size))
+	}
+	if !s.yieldsToForeseen(t.step) {
 		return false
 	}
 	room := w.roomBesideServices(t).Sub(w.foreseen.size)
@@ -268,6 +301,11 @@
 	})
 }
 
+// prefersItsPlace reports whether a displaced task has the place of its foreseen restart and is not overdue.
+func (t *task) prefersItsPlace(now time.Duration) bool {
+	return t.nomination.foreseen && now-t.displacement.since < restartOverdueAfter
+}
+
 // recordHeld adds the time since the latest planning run to that for which foreseen restarts have held back first starts of a step. A
 // longer time is one in which they have not.
 func (st *step) recordHeld(now time.Duration) {
--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -182,6 +182,64 @@
 	h.wantStartedOn(h.passWithSilent(reportingStep, "w1"), "next", "w2")
 }
 
+// twoLost returns a harness in which w0 and w1 run services of 12 cores, "first" and "second", tasks that end use half of w2, and w3 runs
+// nothing. w0 is silent until its leases are about to expire, w1 for a shorter time.
+func twoLost(t *testing.T, shorter time.Duration) *harness {
+	t.Helper()
+	h := newHarness(t, 1)
+	h.addWorker("w0", nil)
+	h.addService("first", 12)
+	h.wantStarts(h.run(), 1)
+	h.addWorker("w1", nil)
+	h.addService("second", 12)
+	h.wantStarts(h.run(), 1)
+	h.addWorker("w2", nil)
+	h.useHalf("w2")
+	h.addWorker("w3", nil)
+	h.passWithSilent(shorter, "w0")
+	h.wantStarts(h.passWithSilent(h.s.cfg.leaseBound()-shorter, "w0", "w1"), 0)
+	return h
+}
+
+// Guards against a service whose foreseen place is taken by another one, of which the leases expire some milliseconds earlier and whose
+// own place tasks that end still use.
+func TestForeseenRestartsDoNotTakeThePlacesOfEachOther(t *testing.T) {
+	h := twoLost(t, reportingStep)
+	h.wantStarts(h.passWithSilent(reportingStep, "w0", "w1"), 0)
+	h.wantReason("first", WaitNominated)
+	h.wantStartedOn(h.passWithSilent(reportingStep, "w0", "w1"), "second", "w3")
+}
+
+// Guards against a service that waits for tasks on its own foreseen place although a worker has the room, which is kept for one whose
+// leases expire much later.
+func TestOverdueForeseenRestartTakesThePlaceOfAnother(t *testing.T) {
+	h := twoLost(t, 3*time.Second)
+	h.wantStarts(h.passWithSilent(restartOverdueAfter, "w0", "w1"), 0)
+	h.wantStartedOn(h.passWithSilent(scanInterval+reportingStep, "w0", "w1"), "first", "w3")
+}
+
+// Guards against a foreseen restart that is nominated nowhere when its leases expire, because another service has taken its place since
+// the latest scan.
+func TestForeseenRestartGetsAnotherPlaceOnceItsOwnIsTaken(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.addService("lost", 12)
+	h.wantStarts(h.run(), 1)
+	h.addWorker("w3", nil)
+	h.useHalf("w3")
+	h.addWorker("w2", nil)
+	h.passWithSilent(h.s.cfg.leaseBound(), "w1")
+	if place := h.s.foreseen.places[h.s.task(taskID("lost", 0, 0))]; place != h.s.workers["w2"] {
+		t.Fatalf("the place is %v, want w2", place)
+	}
+	h.addService("adopted", 12)
+	h.workers["w2"].running = []Running{{Task: taskID("adopted", 0, 0), Attempt: 1, Percent: fullShare}}
+	h.wantStarts(h.passWithSilent(reportingStep, "w1"), 0)
+	if w := h.s.task(taskID("lost", 0, 0)).nomination.worker; w != h.s.workers["w3"] {
+		t.Errorf("nominated to %v, want w3", w)
+	}
+}
+
 // Guards against first starts that are held although the pool has room for all, and by a service that fits on no worker: it would
 // hold back those that fit beside what is there.
 func TestForeseenRestartsHoldNothingElse(t *testing.T) {
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -63,7 +63,7 @@
 }
 
 // taskShape holds the properties of a task that decide where it fits: its pool, its label, its size, for fillers their image, and
-// whether it leaves the places of foreseen restarts free.
+// whether it leaves the places of foreseen restarts free, see keptForForeseen.
 type taskShape struct {
 	pool   workload.PoolName
 	label  string
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -128,7 +128,11 @@
 
 // chooseForRestart returns the best worker for a displaced task, or nil when it fits on none.
 func (s *Scheduler) chooseForRestart(cycle *planCycle, t *task) *worker {
+	if t.nomination.foreseen && s.fits(cycle.now, t, t.nomination.worker) {
+		return t.nomination.worker
+	}
 	shape, sufficient := t.step.shape()
+	shape.yields = t.prefersItsPlace(cycle.now.Boot)
 	sufficient = sufficient && !t.onProbation()
 	if !cycle.fitsNowhere(shape) {
 		w := s.choose(cycle.now, t)
