Nominate displaced services to places that are being stopped

Cause: a service that is being stopped counted as one that stays, so no displaced service was nominated to its worker until the end was listed, and then only at the next scan, up to 100 ms later. Tasks that end took the capacity on its worker that became free meanwhile, and all of it where the place alone was too small.

Change: room beside services includes what is being stopped. Displaced services are nominated in the planning run in which a stop is ordered. Several of them get one worker if all fit once what is being stopped there has ended; they do not count towards the limit of nominees, since they take nothing from tasks that end. What a nominee will not need beside these places stays usable, and a nominee keeps nothing for those behind it. A stop that takes longer than it may is expected to take half as long again, so that the next review prefers another worker. Attempts of former owners that are being stopped count as places, too.

A task still starts only within what is not reserved, so the capacity is not exceeded; a worker that becomes silent loses its nominees as before.

--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -86,6 +86,7 @@
 	listedAt         time.Duration // when a report last listed it as running; 0 before the first
 	listedIn         int64         // number of that report of the worker
 	stopSentAt       time.Duration // when the latest stop order was sent; 0 before the first
+	stoppingSince    time.Duration // when the attempt was first to be stopped; 0 before
 	stoppedInTime    bool          // the worker answered polls when the attempt was first to be stopped
 	crashCounted     bool          // the end of its worker's process was counted
 	stopResendAfter  time.Duration // delay before the stop order is sent again
--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -35,6 +35,7 @@
 	worker   *worker
 	ownPlace bool // the task was there last and the place that it left is free
 	soon     bool // it is expected to fit within soonWait
+	stops    bool // it fits as soon as what is being stopped there has ended; it takes nothing from tasks that end
 	at       time.Duration
 }
 
@@ -44,8 +45,9 @@
 	return nominee != t && (!ownPlace || nominee.nomination.ownPlace)
 }
 
-// freeFor returns the capacity of a worker that a task may take: what is not reserved, less what its nominees need. It is not
-// negative unless more is reserved than the worker has.
+// freeFor returns the capacity of a worker that a task may take: what is not reserved, less what its nominees need beside what is being
+// stopped there. A nominee keeps nothing for those that were nominated after it, unless for their own place. It is not negative unless more
+// is reserved than the worker has.
 func (w *worker) freeFor(t *task) structs.Resources {
 	return w.freeBeside(t, t != nil && t.nomination.worker == w && t.nomination.ownPlace)
 }
@@ -53,12 +55,17 @@
 // freeBeside is freeFor for a task that has left its place on the worker, or has not.
 func (w *worker) freeBeside(t *task, ownPlace bool) structs.Resources {
 	free := w.free()
-	rest := free
+	if len(w.nominees) == 0 {
+		return free
+	}
+	rest, ahead := free.Add(w.beingStopped()), true
 	for _, nominee := range w.nominees {
-		if t.keepsFor(nominee, ownPlace) {
+		ahead = ahead && nominee != t
+		if t.keepsFor(nominee, ownPlace) && (ahead || nominee.nomination.ownPlace) {
 			rest = rest.Sub(nominee.step.spec.Reserved())
 		}
 	}
+	rest = smaller(rest, free)
 	return structs.Resources{
 		MilliCPU:     max(rest.MilliCPU, min(free.MilliCPU, 0)),
 		MemoryBytes:  max(rest.MemoryBytes, min(free.MemoryBytes, 0)),
@@ -79,6 +86,10 @@
 
 // setNominee nominates a task to a worker.
 func (s *Scheduler) setNominee(t *task, n nomination) {
+	if t.nomination.worker == n.worker && !t.nomination.ownPlace && !n.ownPlace {
+		t.nomination = n // it stays ahead of those that were nominated after it
+		return
+	}
 	s.dropNomination(t)
 	t.nomination = n
 	n.worker.nominees = append(n.worker.nominees, t)
@@ -125,10 +136,11 @@
 	return s.mayStartOn(now.Boot, w) && s.suits(now, t, w)
 }
 
-// waitingNominees returns the number of nominees of a pool that wait for other tasks to end, and of those that start soon.
+// waitingNominees returns the number of nominees of a pool that wait for other tasks to end, and of those that start soon. What waits for
+// stops only is not counted: it takes nothing from tasks that end.
 func (s *Scheduler) waitingNominees(pool workload.PoolName) (all, soon int) {
 	for t := range s.nominees {
-		if t.step.job.rec.Queue.Pool != pool || t.nomination.ownPlace {
+		if t.step.job.rec.Queue.Pool != pool || t.nomination.ownPlace || t.nomination.stops {
 			continue
 		}
 		all++
@@ -161,12 +173,13 @@
 	limit := max(pool.workers/maxNominatedShare, 1)
 	waiting, soon := s.waitingNominees(t.step.job.rec.Queue.Pool)
 	onlySoon := !known && waiting >= limit
-	if onlySoon && soon >= max(limit/2, 1) {
+	onlyStops := onlySoon && soon >= max(limit/2, 1)
+	if onlyStops && len(s.stopping) == 0 {
 		return
 	}
 	s.recordTurn(cycle, t)
 	cycle.nominations++
-	best, soonest := s.fitsSoonest(now, t)
+	best, soonest := s.fitsSoonest(now, t, onlyStops)
 	if best == nil || onlySoon && soonest > soonWait {
 		s.dropNomination(t)
 		if sufficient {
@@ -179,7 +192,7 @@
 	if best != t.nomination.worker {
 		s.emitNomination(t, best, soonest)
 	}
-	s.setNominee(t, nomination{worker: best, soon: soonest <= soonWait, at: now.Boot})
+	s.setNominee(t, nomination{worker: best, soon: soonest <= soonWait, stops: best.fitsOnceStopped(t), at: now.Boot})
 }
 
 // recordTurn records that a task had its turn in a pass of nominations. The runs between scans are no part of it.
@@ -202,12 +215,15 @@
 	return true
 }
 
-// fitsSoonest returns the worker on which no other nominee waits for tasks to end and a task is expected to fit soonest, and after
-// which time. It compares the worker to which the task is nominated and maxNominationChecks others on which it can fit, from where the
+// fitsSoonest returns the worker on which a task is expected to fit soonest, and after which time. On workers where another nominee waits
+// for tasks to end, and with onlyStops on all, it has to fit as soon as what is being stopped there has ended. It compares the worker to which the task is nominated and maxNominationChecks others on which it can fit, from where the
 // last search ended. The former comes first: places that are kept there would otherwise be given up at each review.
-func (s *Scheduler) fitsSoonest(now Time, t *task) (best *worker, soonest time.Duration) {
+func (s *Scheduler) fitsSoonest(now Time, t *task, onlyStops bool) (best *worker, soonest time.Duration) {
 	compare := func(w *worker) bool {
-		if w.hasOtherWaitingNominee(t) || t.avoidsSlow(now, w) || !s.fitsBesideServices(now, t, w) {
+		if t.avoidsSlow(now, w) || !s.fitsBesideServices(now, t, w) {
+			return false
+		}
+		if (onlyStops || w.hasOtherWaitingNominee(t)) && !w.fitsOnceStopped(t) {
 			return false
 		}
 		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
@@ -239,7 +255,9 @@
 // hasOtherWaitingNominee reports whether another nominee waits for tasks on the worker to end. One for which its own place is kept
 // does not, and may avoid the worker for restartOverdueAfter.
 func (w *worker) hasOtherWaitingNominee(t *task) bool {
-	return slices.ContainsFunc(w.nominees, func(nominee *task) bool { return nominee != t && !nominee.nomination.ownPlace })
+	return slices.ContainsFunc(w.nominees, func(nominee *task) bool {
+		return nominee != t && !nominee.nomination.ownPlace && !nominee.nomination.stops
+	})
 }
 
 func (s *Scheduler) emitNomination(t *task, w *worker, wait time.Duration) {
@@ -288,11 +306,14 @@
 	for _, a := range w.attemptList {
 		switch {
 		case a.phase == stopping:
-			releases = append(releases, release{stopTime, a.task.step.spec.Reserved()})
+			releases = append(releases, release{a.stoppingFor(now, stopTime), a.task.step.spec.Reserved()})
 		case !a.task.step.spec.Service:
 			releases = append(releases, release{a.remaining(now), a.task.step.spec.Reserved()})
 		}
 	}
+	for _, o := range w.orphans {
+		releases = append(releases, release{stopTime, o.reserved})
+	}
 	slices.SortFunc(releases, func(a, b release) int { return int(a.in - b.in) })
 	need, free := t.step.spec.Reserved(), w.free().Sub(w.keptForOthers(t))
 	for _, r := range releases {
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -28,7 +28,8 @@
 		s.startCopies(now)
 	}
 	s.fillerSearches, s.incomplete = 0, false
-	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
+	cycle := planCycle{now: now, scan: scan || s.placesGivenUp, displaced: s.displacedTasks(now)}
+	s.placesGivenUp = false
 	s.restartFirst(&cycle)
 	for _, st := range s.stepsByUrgency(now) {
 		s.restartBefore(&cycle, st)
@@ -45,7 +46,7 @@
 // planCycle records the task shapes that fit on no worker, so that they are not tried again in the same cycle.
 type planCycle struct {
 	now              Time
-	scan             bool        // scanInterval has passed since the last cycle in which it was set
+	scan             bool        // scanInterval has passed since the latest scan, or services have begun to be stopped
 	displaced        []*task     // displaced tasks whose turn has not come yet in this cycle, the most urgent first
 	unplaceable      []taskShape // tasks that fit on no worker
 	unplaceableAtAll []taskShape // tasks that do not fit on avoided workers either, see chooseAvoided
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -51,6 +51,7 @@
 	nominationPass      int                         // number of the current pass of nominations, see maxNominations
 	nominateFrom        int                         // position in sortedWorkers from which fitsSoonest continues
 	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
+	placesGivenUp       bool                        // a service task has begun to be stopped since the latest planning run
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -201,6 +202,8 @@
 	a.stopResendAfter = min(max(2*a.stopResendAfter, resendAfter), maxResendAfter)
 	if a.phase != stopping {
 		a.stoppedInTime = !a.worker.suspect
+		a.stoppingSince = now
+		s.recordStopping(a)
 	}
 	a.phase = stopping
 	s.stopping[a] = struct{}{}
--- a/core/schedule/service_room.go
+++ b/core/schedule/service_room.go
@@ -1,11 +1,53 @@
 package schedule
 
-import "fulmarcourse.example/core/structs"
+import (
+	"time"
+
+	"fulmarcourse.example/core/structs"
+)
 
 // roomBesideServices returns the capacity of a worker that its services, and what is kept there for other displaced ones, leave
-// to a task. Tasks that end may use it at present.
+// to a task. Tasks that end and services that are being stopped may use it at present.
 func (w *worker) roomBesideServices(t *task) structs.Resources {
-	return w.info.Capacity.Sub(w.serviceReserved).Sub(w.keptForOthers(t))
+	return w.info.Capacity.Sub(w.serviceReserved).Add(w.serviceStopping).Sub(w.keptForOthers(t))
+}
+
+// recordStopping records that a worker will get back the place of an attempt, which is to be stopped.
+func (s *Scheduler) recordStopping(a *attempt) {
+	if spec := &a.task.step.spec; spec.Service {
+		a.worker.serviceStopping = a.worker.serviceStopping.Add(spec.Reserved())
+		s.placesGivenUp = true
+	}
+}
+
+// stoppingFor returns the time after which an attempt that is being stopped is expected to have ended. One that takes longer than
+// it may is expected to take half as long again.
+func (a *attempt) stoppingFor(now, stopTime time.Duration) time.Duration {
+	elapsed := now - a.stoppingSince
+	if elapsed >= stopTime {
+		return elapsed / 2
+	}
+	return stopTime - elapsed
+}
+
+// fitsOnceStopped reports whether a worker has the capacity for a task beside what is kept there for others as soon as everything that is
+// being stopped there has ended.
+func (w *worker) fitsOnceStopped(t *task) bool {
+	return t.step.spec.Reserved().Fits(w.free().Add(w.beingStopped()).Sub(w.keptForOthers(t)))
+}
+
+// beingStopped returns the capacity that a worker gets back once everything that is being stopped there has ended.
+func (w *worker) beingStopped() structs.Resources {
+	var sum structs.Resources
+	for _, a := range w.attemptList {
+		if a.phase == stopping {
+			sum = sum.Add(a.task.step.spec.Reserved())
+		}
+	}
+	for _, o := range w.orphans {
+		sum = sum.Add(o.reserved)
+	}
+	return sum
 }
 
 // keptForOthers returns what the nominees of a worker other than a task need.
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -61,6 +61,7 @@
 	reserved         structs.Resources // reserved by attempts and orphans
 	fillerCPU        int64             // demand of filler tasks, thousandths of a core
 	serviceReserved  structs.Resources // reserved by service tasks
+	serviceStopping  structs.Resources // the part of serviceReserved that is being stopped
 	fillersThrottled bool              // a filler runs below full speed
 	throttledAt      time.Duration     // when fillers were last throttled
 	pausedAt         time.Duration     // when fillers were last paused
@@ -177,6 +178,9 @@
 	case spec.Service:
 		w.pressures = nil
 		w.serviceReserved = w.serviceReserved.Sub(spec.Reserved())
+		if a.phase == stopping {
+			w.serviceStopping = w.serviceStopping.Sub(spec.Reserved())
+		}
 		w.servicesByImage[a.task.step.imageIndex]--
 		w.services--
 	}
