Give a place that a nominee leaves to the next displaced service at once

Cause: displaced services are nominated at scans, every 100 ms.

Change: where that happens, the displaced services without a nomination are nominated once more in the same planning run, before tasks that end start.

--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -109,6 +109,12 @@
 	s.index.markChanged(w)
 }
 
+// giveUpPlace ends the nomination of a task that starts on a worker or is nominated to it; nil if it is nominated to none.
+func (s *Scheduler) giveUpPlace(t *task, w *worker) {
+	s.placesGivenUp = s.placesGivenUp || t.nomination.worker != nil && t.nomination.worker != w && !t.nomination.ownPlace
+	s.dropNomination(t)
+}
+
 // dropOutdatedNominations ends the nominations of tasks that need not start any more and those to workers on which no task
 // may start.
 func (s *Scheduler) dropOutdatedNominations(now Time) {
@@ -181,7 +187,7 @@
 	cycle.nominations++
 	best, soonest := s.fitsSoonest(now, t, onlyStops)
 	if best == nil || onlySoon && soonest > soonWait {
-		s.dropNomination(t)
+		s.giveUpPlace(t, nil)
 		if sufficient {
 			cycle.unnominatable = append(cycle.unnominatable, shape)
 		} else if !t.onProbation() {
@@ -190,11 +196,36 @@
 		return
 	}
 	if best != t.nomination.worker {
+		s.giveUpPlace(t, best)
 		s.emitNomination(t, best, soonest)
 	}
 	s.setNominee(t, nomination{worker: best, soon: soonest <= soonWait, stops: best.fitsOnceStopped(t), at: now.Boot})
 }
 
+// endNominations ends a pass of nominations if all displaced tasks have had their turn in it.
+func (s *Scheduler) endNominations(cycle *planCycle) {
+	if cycle.scan && !cycle.nominationsLeft {
+		s.nominationPass++
+	}
+}
+
+// nominateToGivenUp nominates displaced tasks once more if nominees have started or were nominated elsewhere in the same planning run.
+// Tasks that end would take what was kept for them before the next scan.
+func (s *Scheduler) nominateToGivenUp(cycle *planCycle) {
+	if !s.placesGivenUp {
+		return
+	}
+	s.placesGivenUp = false
+	cycle.scan, cycle.unnominatable, cycle.unnominatableSteps = true, nil, nil
+	for _, t := range cycle.displaced {
+		pool := cycle.pools[t.step.job.rec.Queue.Pool]
+		if t.nomination.worker == nil && pool != nil && s.comesFirst(cycle.now.Boot, t, pool) {
+			s.nominate(cycle, t, pool)
+		}
+	}
+	s.endNominations(cycle)
+}
+
 // recordTurn records that a task had its turn in a pass of nominations. The runs between scans are no part of it.
 func (s *Scheduler) recordTurn(cycle *planCycle, t *task) {
 	if cycle.scan {
--- a/core/schedule/nominate_stops_test.go
+++ b/core/schedule/nominate_stops_test.go
@@ -153,3 +153,31 @@
 	h.reportAll()
 	h.wantStarts(h.orderedFor(h.run(), "service"), 1)
 }
+
+// Guards against tasks that end which take what was kept for a nominee that has started elsewhere, before another displaced service is
+// nominated there.
+func TestPlaceThatANomineeGivesUpIsKeptForTheNext(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(2))
+	h.shortTasks("short", 1000, time.Second)
+	h.wantStarts(h.run(), 2)
+	first := h.lostTasks("first", coresStep(2))[0]
+	next := h.lostTasks("next", coresStep(2))[0]
+	h.advanceClock(scanInterval)
+	h.reportAll()
+	h.wantStarts(h.run(), 0)
+	h.endOne("w1")
+	h.wantStarts(h.run(), 0)
+	if first.nomination.worker != h.s.workers["w1"] || next.nomination.worker != nil {
+		t.Fatal("want the first service alone to be nominated to w1")
+	}
+	h.addWorker("w2", withCores(2))
+	orders := h.run()
+	h.wantStarts(h.orderedFor(orders, "first"), 1) // on w2
+	h.wantStarts(h.orderedFor(orders, "short"), 0)
+	if next.nomination.worker != h.s.workers["w1"] {
+		t.Error("the next service is not nominated to w1")
+	}
+	h.endOne("w1")
+	h.wantStarts(h.orderedFor(h.run(), "next"), 1)
+}
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -28,8 +28,7 @@
 		s.startCopies(now)
 	}
 	s.fillerSearches, s.incomplete = 0, false
-	cycle := planCycle{now: now, scan: scan || s.placesGivenUp, displaced: s.displacedTasks(now)}
-	s.placesGivenUp = false
+	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
 	s.restartFirst(&cycle)
 	for _, st := range s.stepsByUrgency(now) {
 		s.restartBefore(&cycle, st)
@@ -46,7 +45,7 @@
 // planCycle records the task shapes that fit on no worker, so that they are not tried again in the same cycle.
 type planCycle struct {
 	now              Time
-	scan             bool        // scanInterval has passed since the latest scan, or services have begun to be stopped
+	scan             bool        // scanInterval has passed since the latest scan, or places have been given up
 	displaced        []*task     // displaced tasks whose turn has not come yet in this cycle, the most urgent first
 	unplaceable      []taskShape // tasks that fit on no worker
 	unplaceableAtAll []taskShape // tasks that do not fit on avoided workers either, see chooseAvoided
@@ -217,7 +216,7 @@
 		startedAt: now, share: fullShare, confirmedShare: fullShare, resumed: t.checkpoint != ""}
 	if t.step.spec.Service {
 		s.recordTaken(now, t)
-		s.dropNomination(t)
+		s.giveUpPlace(t, w)
 	}
 	s.attach(a)
 	if t.step.spec.Service {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -51,7 +51,7 @@
 	nominationPass      int                         // number of the current pass of nominations, see maxNominations
 	nominateFrom        int                         // position in sortedWorkers from which fitsSoonest continues
 	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
-	placesGivenUp       bool                        // a service task has begun to be stopped since the latest planning run
+	placesGivenUp       bool                        // since displaced tasks were last nominated, a service has begun to be stopped or a nominee has left its worker
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
--- a/core/schedule/vacated.go
+++ b/core/schedule/vacated.go
@@ -78,6 +78,7 @@
 // on no worker.
 func (s *Scheduler) restartFirst(cycle *planCycle) {
 	s.dropOutdatedNominations(cycle.now)
+	cycle.scan, s.placesGivenUp = cycle.scan || s.placesGivenUp, false
 	if len(cycle.displaced) == 0 {
 		clear(s.vacated)
 		return
@@ -87,9 +88,8 @@
 	}
 	cycle.pools = s.openPools(cycle.now.Boot)
 	cycle.displaced = slices.DeleteFunc(cycle.displaced, func(t *task) bool { return s.restartedFirst(cycle, t) })
-	if cycle.scan && !cycle.nominationsLeft {
-		s.nominationPass++
-	}
+	s.endNominations(cycle)
+	s.nominateToGivenUp(cycle)
 }
 
 // restartedFirst starts a displaced task if it comes first and fits on a worker. If it comes first and does not fit, it is
