Full-pool simulation: stops take time, and places without a service are measured

Cause: in the simulation a stop ended an attempt at once and no end was listed, so the time between a stop and the next start of a service was not tested. Nothing measured for how long a worker has room beside its services for a displaced one.

Change: a stop takes up to Config.StopTime and its end is listed. The simulation measures for how long the services of a worker, those being stopped included, leave room for a displaced one that has waited for restartAfterLoss, and fails if a worker is given more than its capacity. Cancelled services no longer count as waiting.

--- a/core/schedule/full_pool_test.go
+++ b/core/schedule/full_pool_test.go
@@ -44,7 +44,10 @@
 }
 
 // poolRun is the time in which an attempt runs.
-type poolRun struct{ from, until time.Duration }
+type poolRun struct {
+	from, until time.Duration
+	stopped     bool // by an order; what is stopped ends within Config.StopTime
+}
 
 // percent returns the progress of a task that ends.
 func (r poolRun) percent(now time.Duration) float64 {
@@ -63,12 +66,16 @@
 	workers []*poolWorker
 	jobs    int
 
-	services    []*task
-	displacedAt map[*task]time.Duration // since when the owner knows of service tasks that have lost their place and would fit
-	longestWait time.Duration           // of service tasks that have run, until the decision to start them again
-	longestTask workload.TaskID
-	restarts    int
-	calmFrom    time.Duration // waits of services and unused workers count from then on
+	servicesLast bool // services do not fail
+	services     []*task
+	displacedAt  map[*task]time.Duration // since when the owner knows of service tasks that have lost their place and would fit
+	longestWait  time.Duration           // of service tasks that have run, until the decision to start them again
+	longestTask  workload.TaskID
+	restarts     int
+	placeSince   map[WorkerID]time.Duration // since when services leave room on a worker for a displaced one that waits
+	longestPlace time.Duration
+	placeWorker  WorkerID
+	calmFrom     time.Duration // waits of services and unused workers count from then on
 
 	freeSince     map[WorkerID]time.Duration // since when a worker has room for any task and short tasks wait
 	longestUnused time.Duration
@@ -81,7 +88,7 @@
 func newFullPool(t *testing.T, seed uint64) *fullPool {
 	p := &fullPool{t: t, rnd: rand.New(rand.NewPCG(seed, 2)), seed: seed,
 		term: 1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{},
-		freeSince: map[WorkerID]time.Duration{}}
+		freeSince: map[WorkerID]time.Duration{}, placeSince: map[WorkerID]time.Duration{}}
 	p.newOwner()
 	for i := range poolWorkers {
 		id := WorkerID(fmt.Sprintf("w%02d", i))
@@ -221,6 +228,7 @@
 			}
 		}
 		p.watchServices()
+		p.watchPlaces()
 		p.watchWorkers()
 		orders := p.s.TakeOrders()
 		slices.SortStableFunc(orders, func(a, b Order) int { return compareTasks(a.Task, b.Task) })
@@ -255,9 +263,10 @@
 	}
 	for _, key := range w.keys() {
 		spec := p.s.task(key.task).step.spec
-		if p.now < w.hungUntil {
-			run := w.running[key]
-			w.running[key] = poolRun{run.from + poolStep, run.until + poolStep}
+		run := w.running[key]
+		if p.now < w.hungUntil && !run.stopped {
+			run.from, run.until = run.from+poolStep, run.until+poolStep
+			w.running[key] = run
 			continue
 		}
 		switch {
@@ -266,11 +275,14 @@
 		case count:
 			p.endingTime += float64(spec.Size.MilliCPU) * step
 		}
-		if p.now < w.running[key].until {
+		if p.now < run.until {
 			continue
 		}
 		kind := EndDone
-		if spec.Service {
+		switch {
+		case run.stopped:
+			kind = EndStopped
+		case spec.Service:
 			kind = EndFailed
 		}
 		delete(w.running, key)
@@ -312,17 +324,32 @@
 		case w.gone, p.now < w.cutUntil:
 			outcome = Unanswered
 		case o.Kind == OrderStart:
-			w.running[key] = poolRun{p.now, p.now + p.runTime(o.Task)}
+			w.running[key] = poolRun{from: p.now, until: p.now + p.runTime(o.Task)}
+			p.checkCapacity(w)
 		case o.Kind == OrderStop:
-			delete(w.running, key)
+			p.stopRun(w, key)
 		}
 		p.s.OrderAnswered(p.time(), o, outcome)
 	}
 }
 
+// stopRun makes a worker stop an attempt, unless it does so already.
+func (p *fullPool) stopRun(w *poolWorker, key attemptKey) {
+	run, runs := w.running[key]
+	if !runs || run.stopped {
+		return
+	}
+	run.stopped = true
+	run.until = min(run.until, p.now+time.Duration(p.rnd.Int64N(int64(p.s.cfg.StopTime))))
+	w.running[key] = run
+}
+
 // runTime returns how long an attempt of a task runs: about as long as estimated, and a service until it fails.
 func (p *fullPool) runTime(id workload.TaskID) time.Duration {
 	spec := p.s.task(id).step.spec
+	if spec.Service && p.servicesLast {
+		return 2 * poolEnd
+	}
 	if spec.Service {
 		return time.Duration(p.rnd.ExpFloat64() * float64(poolServiceMean))
 	}
@@ -333,6 +360,9 @@
 // watchServices measures how long service tasks that have run wait for the decision to start them again.
 func (p *fullPool) watchServices() {
 	for _, t := range p.services {
+		if t.step.job.state.Final() {
+			continue
+		}
 		since, waits := p.displacedAt[t]
 		switch {
 		case t.displaced() && (!waits || p.now < p.calmFrom || !p.fitsBesideServices(t)):
