--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -50,7 +50,7 @@
 // planCycle records the task shapes that fit on no worker, so that they are not tried again in the same cycle.
 type planCycle struct {
 	now              Time
-	scan             bool        // scanInterval has passed since the last cycle in which it was set
+	scan             bool        // scanInterval has passed since the latest scan, or places have been given up
 	displaced        []*task     // displaced tasks whose turn has not come yet in this cycle, the most urgent first
 	unplaceable      []taskShape // tasks that fit on no worker
 	unplaceableAtAll []taskShape // tasks that do not fit on avoided workers either, see chooseAvoided
@@ -233,7 +233,7 @@
 	s.countStart(t, w)
 	if t.step.spec.Service {
 		s.recordTaken(now, t)
-		s.dropNomination(t)
+		s.giveUpPlace(t, w)
 	}
 	s.attach(a)
 	if t.step.spec.Service {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -54,6 +54,7 @@
 	nominateFrom        int                         // position in sortedWorkers from which fitsSoonest continues
 	nominees            map[*task]struct{}          // displaced tasks for which capacity is kept on a worker
 	foreseen            foreseenRestarts
+	placesGivenUp       bool // since displaced tasks were last nominated, a service has begun to be stopped or a nominee has left its worker
 }
 
 // earlyCancelRetention is how long a cancellation waits for its job. Both are stored before they are announced, so the
@@ -204,6 +205,8 @@
 	a.stopResendAfter = min(max(2*a.stopResendAfter, resendAfter), maxResendAfter)
 	if a.phase != stopping {
 		a.stoppedInTime = !a.worker.suspect
+		a.stoppingSince = now
+		s.recordStopping(a)
 	}
 	a.phase = stopping
 	s.stopping[a] = struct{}{}
