--- a/core/schedule/event.go
+++ b/core/schedule/event.go
@@ -25,6 +25,7 @@
 	EventWorkerInBackOff  // the worker gets no tasks for some time because several jobs have failed on it
 	EventFillersThrottled // the share of a filler was lowered because of a service
 	EventTaskMoved        // an attempt is stopped so that its task runs elsewhere
+	EventTaskPreempted    // an attempt is stopped for the displaced task For; Value is for how many seconds that one has waited
 	EventTaskNominated    // the worker keeps its free capacity for a displaced task; Value is the expected wait in seconds
 )
 
@@ -35,11 +36,12 @@
 	Job     workload.JobID
 	Task    workload.TaskID
 	Attempt int64
-	Reason  string        // how an attempt or job ended, or why an attempt was moved or throttled
-	Value   float64       // quantity behind the decision; the unit depends on Kind: percent, seconds or a count
-	Age     time.Duration // EventTaskEnded: since the relay has received the report with the end
-	Waited  time.Duration // EventTaskStarted: for how long the task has waited, see Waiting; 0 if none has run and it is at most LongWait
-	Stored  time.Duration // EventTaskStarted: the part of the wait after the decision to start the task
+	For     workload.TaskID // EventTaskPreempted only
+	Reason  string          // how an attempt or job ended, or why an attempt was moved or throttled
+	Value   float64         // quantity behind the decision; the unit depends on Kind: percent, seconds or a count
+	Age     time.Duration   // EventTaskEnded: since the relay has received the report with the end
+	Waited  time.Duration   // EventTaskStarted: for how long the task has waited, see Waiting; 0 if none has run and it is at most LongWait
+	Stored  time.Duration   // EventTaskStarted: the part of the wait after the decision to start the task
 
 	WaitReason WaitReason // EventTaskStarted after more than LongWait: the last known one, Suitable if none is known
 }
--- a/core/schedule/full_pool_test.go
+++ b/core/schedule/full_pool_test.go
@@ -56,6 +56,7 @@
 	t       *testing.T
 	rnd     *rand.Rand
 	seed    uint64
+	tasks   poolTasks     // of the burst
 	now     time.Duration // since the start
 	s       *Scheduler
 	term    int64
@@ -73,14 +74,16 @@
 	freeSince     map[WorkerID]time.Duration // since when a worker has room for any task and short tasks wait
 	longestUnused time.Duration
 	unusedWorker  WorkerID
-	capacityTime  float64 // thousandths of a core times milliseconds, since the burst began
+	preempted     map[workload.TaskID]int // by task, how often it was stopped for a displaced service
+	capacityTime  float64                 // thousandths of a core times milliseconds, since the burst began
 	serviceTime   float64
 	endingTime    float64
 }
 
 func newFullPool(t *testing.T, seed uint64) *fullPool {
-	p := &fullPool{t: t, rnd: rand.New(rand.NewPCG(seed, 2)), seed: seed,
-		term: 1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{},
+	p := &fullPool{t: t, rnd: rand.New(rand.NewPCG(seed, 2)), seed: seed, tasks: shortPoolTasks,
+		preempted: map[workload.TaskID]int{},
+		term:      1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{},
 		freeSince: map[WorkerID]time.Duration{}}
 	p.newOwner()
 	for i := range poolWorkers {
@@ -138,9 +141,17 @@
 	}
 }
 
-// burst adds short tasks. Their work is more than twice of what the services leave.
+// poolTasks describes the tasks that end.
+type poolTasks struct {
+	min, max    time.Duration // of the estimated duration
+	checkpoints bool          // they save their progress
+}
+
+var shortPoolTasks = poolTasks{min: poolTaskMin, max: poolTaskMax}
+
+// burst adds tasks that end. Their work is more than twice of what the services leave.
 func (p *fullPool) burst(milliCPU int64) {
-	const meanWork = 1100 * 850 * 6 // of a job, thousandths of a core times milliseconds
+	meanWork := 1100 * float64((p.tasks.min + p.tasks.max).Milliseconds()) / 2 * 6 // of a job, thousandths of a core times milliseconds
 	chance := float64(milliCPU) * float64(poolStep.Milliseconds()) / meanWork
 	for ; chance > 0; chance-- {
 		if p.rnd.Float64() >= chance {
@@ -148,7 +159,8 @@
 		}
 		step := testStep(6)
 		step.Size.MilliCPU = 400 + p.rnd.Int64N(1400)
-		step.EstimateMs = poolTaskMin.Milliseconds() + p.rnd.Int64N((poolTaskMax - poolTaskMin).Milliseconds())
+		step.EstimateMs = p.tasks.min.Milliseconds() + p.rnd.Int64N((p.tasks.max - p.tasks.min).Milliseconds())
+		step.Checkpoints = p.tasks.checkpoints
 		p.addJob("short", step, 0)
 	}
 }
@@ -227,7 +239,7 @@
 		for _, o := range orders {
 			p.execute(o)
 		}
-		p.s.TakeEvents()
+		p.countPreempted(p.s.TakeEvents())
 	}
 }
 
@@ -312,9 +324,9 @@
 		case w.gone, p.now < w.cutUntil:
 			outcome = Unanswered
 		case o.Kind == OrderStart:
-			w.running[key] = poolRun{p.now, p.now + p.runTime(o.Task)}
+			w.running[key] = startedRun(p.now, p.runTime(o.Task), o.Checkpoint)
 		case o.Kind == OrderStop:
-			delete(w.running, key)
+			p.stop(w, key)
 		}
 		p.s.OrderAnswered(p.time(), o, outcome)
 	}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -62,6 +62,7 @@
 	failedAt         time.Duration // when it failed last
 	endedAt          time.Duration // when the end of its last attempt became known; 0 if none has run, or one runs
 	ranFor           time.Duration // for how long its last attempt had run by then
+	preemptions      int           // how often an attempt was stopped for a displaced task by this owner
 	waitReason       WaitReason    // why it waited when Waits was last called; Suitable if it has started since
 }
 
@@ -87,6 +88,7 @@
 	listedIn         int64         // number of that report of the worker
 	stopSentAt       time.Duration // when the latest stop order was sent; 0 before the first
 	stoppedInTime    bool          // the worker answered polls when the attempt was first to be stopped
+	preempted        bool          // it was stopped for a displaced task, see preempt.go
 	crashCounted     bool          // the end of its worker's process was counted
 	stopResendAfter  time.Duration // delay before the stop order is sent again
 	stopConfirmedAt  time.Duration // when the worker confirmed a stop order; 0 before
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -30,6 +30,7 @@
 	s.fillerSearches, s.incomplete = 0, false
 	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
 	s.restartFirst(&cycle)
+	s.preempt(&cycle)
 	for _, st := range s.stepsByUrgency(now) {
 		s.restartBefore(&cycle, st)
 		s.startStep(&cycle, st)
--- /dev/null
+++ b/core/schedule/preempt.go
@@ -0,0 +1,155 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/core/workload"
+)
+
+// A displaced service task that is overdue takes the capacity of tasks that end on the worker to which it is nominated. These start
+// again, from their checkpoint if they save their progress; a stopped attempt is no failure. Services and fillers are not stopped: the
+// former may not miss their target either, the latter reserve no processor time.
+const (
+	// maxPreemptions is how often a task may be stopped for a displaced one by an owner.
+	maxPreemptions = 1
+	// maxPreemptedShare is the inverse of the share of a pool's tasks that end which may be in the process of being stopped for
+	// displaced ones. At least one displaced task at a time may have tasks stopped.
+	maxPreemptedShare = 8
+)
+
+// preemption counts, in a pool, the tasks that end, and those of them that are being stopped for displaced ones.
+type preemption struct {
+	running  int
+	stopping int
+}
+
+// mayStop reports whether n more tasks may be stopped.
+func (p *preemption) mayStop(n int) bool {
+	return p.stopping == 0 || (p.stopping+n)*maxPreemptedShare <= p.running
+}
+
+// preempt stops tasks that end for the overdue displaced tasks that wait for them, the most urgent first.
+func (s *Scheduler) preempt(cycle *planCycle) {
+	if !cycle.scan {
+		return
+	}
+	var pools map[workload.PoolName]*preemption
+	for _, t := range cycle.displaced {
+		w := t.nomination.worker
+		if w == nil || t.nomination.ownPlace || !t.restartOverdue(cycle.now) || t.avoids(cycle.now.Boot, w) > s.cfg.StopTime {
+			continue
+		}
+		victims := w.victims(cycle.now, t, s.cfg.StopTime)
+		if len(victims) == 0 {
+			continue
+		}
+		if pools == nil {
+			pools = s.preemptions()
+		}
+		pool := pools[w.info.Pool]
+		if !pool.mayStop(len(victims)) {
+			continue
+		}
+		pool.stopping += len(victims)
+		for _, a := range victims {
+			s.preemptFor(cycle.now, t, a)
+		}
+	}
+}
+
+// preemptFor stops an attempt for a displaced task.
+func (s *Scheduler) preemptFor(now Time, t *task, a *attempt) {
+	event := a.event(EventTaskPreempted)
+	event.For, event.Value = t.id(), (now.Boot - t.displacement.since).Seconds()
+	s.emit(event)
+	a.preempted = true
+	a.task.preemptions++
+	s.stop(now.Boot, a)
+}
+
+// preemptions returns the counts of all pools.
+func (s *Scheduler) preemptions() map[workload.PoolName]*preemption {
+	pools := map[workload.PoolName]*preemption{}
+	for _, w := range s.sortedWorkers {
+		pool := pools[w.info.Pool]
+		if pool == nil {
+			pool = &preemption{}
+			pools[w.info.Pool] = pool
+		}
+		for _, a := range w.attemptList {
+			switch spec := &a.task.step.spec; {
+			case spec.Service || spec.Filler:
+			case a.phase == stopping && a.preempted:
+				pool.stopping++
+				pool.running++
+			case a.phase != stopping:
+				pool.running++
+			}
+		}
+	}
+	return pools
+}
+
+// victims returns the attempts on a worker to stop so that a task fits there: those with which the least work is lost. It returns none
+// if the task fits once those have left that are being stopped or about to end, or if it would fit with none either.
+func (w *worker) victims(now Time, t *task, stopTime time.Duration) []*attempt {
+	need, free := t.step.spec.Reserved(), w.free().Sub(w.keptForOthers(t))
+	var candidates []*attempt
+	for _, a := range w.attemptList {
+		switch {
+		case a.phase == stopping, a.aboutToEnd(now.Boot, stopTime):
+			free = free.Add(a.task.step.spec.Reserved())
+		case a.preemptible():
+			candidates = append(candidates, a)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *attempt) int { return comparePreemption(now, a, b) })
+	stopped := 0
+	for ; stopped < len(candidates) && !need.Fits(free); stopped++ {
+		free = free.Add(candidates[stopped].task.step.spec.Reserved())
+	}
+	if stopped == 0 || !need.Fits(free) {
+		return nil
+	}
+	return spareVictims(candidates[:stopped], need, free)
+}
+
+// spareVictims removes the attempts that need not be stopped, the most valuable first. free is the capacity once all have left.
+func spareVictims(victims []*attempt, need, free structs.Resources) []*attempt {
+	for i := len(victims) - 1; i >= 0; i-- {
+		if rest := free.Sub(victims[i].task.step.spec.Reserved()); need.Fits(rest) {
+			free, victims = rest, slices.Delete(victims, i, i+1)
+		}
+	}
+	return victims
+}
+
+// preemptible reports whether an attempt may be stopped for a displaced task. One of a task on probation shows whether the task crashes
+// its worker.
+func (a *attempt) preemptible() bool {
+	spec := &a.task.step.spec
+	return a.phase == running && a.confirmedAt > 0 && !spec.Service && !spec.Filler &&
+		a.task.preemptions < maxPreemptions && !a.task.onProbation()
+}
+
+// aboutToEnd reports whether an attempt of a task that ends is expected to leave by itself no later than if it were stopped. The
+// caller's estimate is too rough to rely on.
+func (a *attempt) aboutToEnd(now, stopTime time.Duration) bool {
+	return a.phase == running && !a.task.step.spec.Service && a.rateKnown && a.rate > 0 && a.remaining(now) <= stopTime
+}
+
+// comparePreemption orders attempts by what their stop costs, the lowest cost first: tasks that resume, those of the lowest priority
+// and late ones, and those that would run on for longest.
+func comparePreemption(now Time, a, b *attempt) int {
+	return cmp.Or(
+		-compareBool(a.resumes(), b.resumes()),
+		cmp.Compare(b.task.step.rank(now), a.task.step.rank(now)),
+		cmp.Compare(b.remaining(now.Boot), a.remaining(now.Boot)),
+	)
+}
+
+// resumes reports whether little work is lost with an attempt: its task saves its progress, or has another attempt.
+func (a *attempt) resumes() bool { return a.task.step.spec.Checkpoints || len(a.task.attempts) > 1 }
--- a/pkg/dispatch/log.go
+++ b/pkg/dispatch/log.go
@@ -26,6 +26,7 @@
 	schedule.EventWorkerInBackOff:  eventlog.WorkerInBackOff,
 	schedule.EventFillersThrottled: eventlog.FillersThrottled,
 	schedule.EventTaskMoved:        eventlog.TaskMoved,
+	schedule.EventTaskPreempted:    eventlog.TaskPreempted,
 	schedule.EventTaskNominated:    eventlog.TaskNominated,
 }
 
@@ -36,6 +37,8 @@
 		o.metrics.crashes.Inc(1)
 	case schedule.EventAttemptCrashed:
 		o.metrics.crashedRuns.Inc(1)
+	case schedule.EventTaskPreempted:
+		o.metrics.preemptions.Inc(1)
 	}
 }
 
@@ -50,6 +53,10 @@
 		entry = entry.Int("occurrence", e.Task.Occurrence).Int("step", e.Task.Step).Int("task", e.Task.Index).
 			Int64("attempt", e.Attempt)
 	}
+	if e.For.Job != "" {
+		entry = entry.Str("for_job", string(e.For.Job)).Int("for_occurrence", e.For.Occurrence).
+			Int("for_step", e.For.Step).Int("for_task", e.For.Index)
+	}
 	if e.Worker != "" {
 		entry = entry.Str("worker", string(e.Worker))
 	}
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -98,6 +98,7 @@
 type ownerMetrics struct {
 	orders, ends, stores tally.Counter
 	crashes, crashedRuns tally.Counter // processes of workers that have ended, and the attempts that they ran
+	preemptions          tally.Counter // attempts that were stopped for displaced tasks
 	storeTime            tally.Histogram
 	status               statusMetrics
 }
@@ -117,6 +118,7 @@
 			stores:      cfg.Scope.Counter("progress_writes"),
 			crashes:     cfg.Scope.Counter("worker_crashes"),
 			crashedRuns: cfg.Scope.Counter("attempts_crashed"),
+			preemptions: cfg.Scope.Counter("attempts_preempted"),
 			storeTime:   cfg.Scope.Histogram("progress_write_seconds", storeBuckets),
 			status:      newStatusMetrics(cfg.Scope),
 		},
