--- a/core/schedule/full_pool_test.go
+++ b/core/schedule/full_pool_test.go
@@ -46,7 +46,8 @@
 // poolRun is the time in which an attempt runs.
 type poolRun struct {
 	from, until time.Duration
-	stopped     bool // by an order; what is stopped ends within Config.StopTime
+	stopped     bool   // by an order; what is stopped ends within Config.StopTime
+	checkpoint  string // once it is stopped; empty unless the task saves its progress
 }
 
 // percent returns the progress of a task that ends.
@@ -59,6 +60,7 @@
 	t       *testing.T
 	rnd     *rand.Rand
 	seed    uint64
+	tasks   poolTasks     // of the burst
 	now     time.Duration // since the start
 	s       *Scheduler
 	term    int64
@@ -80,14 +82,16 @@
 	freeSince     map[WorkerID]time.Duration // since when a worker has room for any task and short tasks wait
 	longestUnused time.Duration
 	unusedWorker  WorkerID
-	capacityTime  float64 // thousandths of a core times milliseconds, since the burst began
+	preempted     map[workload.TaskID]int // by task, how often it was stopped for a displaced service
+	capacityTime  float64                 // thousandths of a core times milliseconds, since the burst began
 	serviceTime   float64
 	endingTime    float64
 }
 
 func newFullPool(t *testing.T, seed uint64) *fullPool {
-	p := &fullPool{t: t, rnd: rand.New(rand.NewPCG(seed, 2)), seed: seed,
-		term: 1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{},
+	p := &fullPool{t: t, rnd: rand.New(rand.NewPCG(seed, 2)), seed: seed, tasks: shortPoolTasks,
+		preempted: map[workload.TaskID]int{},
+		term:      1, stored: map[workload.JobID]workload.Progress{}, displacedAt: map[*task]time.Duration{},
 		freeSince: map[WorkerID]time.Duration{}, placeSince: map[WorkerID]time.Duration{}}
 	p.newOwner()
 	for i := range poolWorkers {
@@ -145,9 +149,17 @@
 	}
 }
 
-// burst adds short tasks. Their work is more than twice of what the services leave.
+// poolTasks describes the tasks that end.
+type poolTasks struct {
+	min, max    time.Duration // of the estimated duration
+	checkpoints bool          // they save their progress
+}
+
+var shortPoolTasks = poolTasks{min: poolTaskMin, max: poolTaskMax}
+
+// burst adds tasks that end. Their work is more than twice of what the services leave.
 func (p *fullPool) burst(milliCPU int64) {
-	const meanWork = 1100 * 850 * 6 // of a job, thousandths of a core times milliseconds
+	meanWork := 1100 * float64((p.tasks.min + p.tasks.max).Milliseconds()) / 2 * 6 // of a job, thousandths of a core times milliseconds
 	chance := float64(milliCPU) * float64(poolStep.Milliseconds()) / meanWork
 	for ; chance > 0; chance-- {
 		if p.rnd.Float64() >= chance {
@@ -155,7 +167,8 @@
 		}
 		step := testStep(6)
 		step.Size.MilliCPU = 400 + p.rnd.Int64N(1400)
-		step.EstimateMs = poolTaskMin.Milliseconds() + p.rnd.Int64N((poolTaskMax - poolTaskMin).Milliseconds())
+		step.EstimateMs = p.tasks.min.Milliseconds() + p.rnd.Int64N((p.tasks.max - p.tasks.min).Milliseconds())
+		step.Checkpoints = p.tasks.checkpoints
 		p.addJob("short", step, 0)
 	}
 }
@@ -235,7 +248,7 @@
 		for _, o := range orders {
 			p.execute(o)
 		}
-		p.s.TakeEvents()
+		p.countPreempted(p.s.TakeEvents())
 	}
 }
 
@@ -287,7 +300,8 @@
 		}
 		delete(w.running, key)
 		w.ends++
-		w.ended = append(w.ended, Ended{Number: w.ends, Task: key.task, Attempt: key.number, Kind: kind})
+		w.ended = append(w.ended, Ended{Number: w.ends, Task: key.task, Attempt: key.number, Kind: kind,
+			Checkpoint: run.checkpoint})
 	}
 	if p.now >= w.nextPoll {
 		w.nextPoll += poolReportEvery
@@ -324,7 +338,7 @@
 		case w.gone, p.now < w.cutUntil:
 			outcome = Unanswered
 		case o.Kind == OrderStart:
-			w.running[key] = poolRun{from: p.now, until: p.now + p.runTime(o.Task)}
+			w.running[key] = startedRun(p.now, p.runTime(o.Task), o.Checkpoint)
 			p.checkCapacity(w)
 		case o.Kind == OrderStop:
 			p.stopRun(w, key)
@@ -340,6 +354,9 @@
 		return
 	}
 	run.stopped = true
+	if p.s.task(key.task).step.spec.Checkpoints {
+		run.checkpoint = formatCheckpoint(run.percent(p.now))
+	}
 	run.until = min(run.until, p.now+time.Duration(p.rnd.Int64N(int64(p.s.cfg.StopTime))))
 	w.running[key] = run
 }
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -35,6 +35,7 @@
 		s.foreseeRestarts(now)
 	}
 	s.restartFirst(&cycle)
+	s.preempt(&cycle)
 	for _, st := range s.stepsByUrgency(now) {
 		s.restartBefore(&cycle, st)
 		s.startStep(&cycle, st)
