--- a/core/schedule/break.go
+++ b/core/schedule/break.go
@@ -104,5 +104,5 @@
 // so that a crash is noticed within MaxUnobserved.
 func (s *Scheduler) OnProbation(id WorkerID) bool {
 	w, known := s.workers[id]
-	return known && w.onProbation(nil)
+	return known && w.onProbation()
 }
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -316,7 +316,7 @@
 	capacity := float64(max(w.info.Capacity.MilliCPU, 1))
 	switch {
 	case t.onProbation():
-		return -float64(len(w.attemptList)) // what a crash would take with it
+		return -float64(len(w.attemptList)) - suspectPenalty*float64(w.suspectsBeside(t)) // what a crash would take with it
 	case spec.Filler:
 		_, rise := s.predictTail(now, w, t)
 		return fillerRating(float64(w.spareFillerCPU()), rise, w)
@@ -329,6 +329,9 @@
 }
 
 const (
+	// suspectPenalty is the weight of jobs on probation relative to the number of tasks on a worker: they share a worker only where
+	// none is without them.
+	suspectPenalty = 1000.0
 	// pressurePenalty is the weight of the pressure on services relative to the unused share of the processor time.
 	pressurePenalty = 3.0
 	// mixedImagePenalty is the weight of services of other images relative to the share of the worker used by services. It
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -19,10 +19,11 @@
 	// of another job on the crashed worker has as many.
 	briefCrashLimit = 2
 	// certainBriefCrashes is the number of brief crashes, explained or not and with the uncertain ones, after which a task is
-	// given up in any case. The platform allows two starts after the third crash; owners that are replaced may not notice
-	// some.
+	// given up in any case, or after one more if other suspects share the last of them. The platform allows two starts after the
+	// third crash; owners that are replaced may not notice some.
 	certainBriefCrashes = 3
-	// crashLimit is the number of crashes without another explanation after which a task is given up in any case.
+	// crashLimit is the number of crashes without another explanation after which a task is given up in any case, with the same
+	// exception.
 	crashLimit = 4
 	// uncertainBackOff is how long a task waits after its second brief crash that is uncertain. It is multiplied by
 	// uncertainBackOffGrowth with each further one, up to maxUncertainBackOff: a task that crashes its workers and is not found to
@@ -44,8 +45,8 @@
 // suspect reports whether a worker has crashed under the task.
 func (t *task) suspect() bool { return len(t.crashes) > 0 }
 
-// onProbation reports whether a worker has crashed soon after it had started the task. Such tasks of different
-// jobs do not share a worker until they have run for briefRun, so that a further crash points to one job.
+// onProbation reports whether a worker has crashed soon after it had started the task. Until they have run for briefRun, such tasks of
+// different jobs do not share a worker, so that a further crash points to one job, or share it in groups, see crash_group.go.
 func (t *task) onProbation() bool { return t.countCrashes(isBrief) > 0 }
 
 // countCrashes returns the number of crashes on record that satisfy a condition.
@@ -64,21 +65,32 @@
 	return t.countCrashes(func(c workload.Crash) bool { return isBrief(c) && isUnexplained(c) && isCertain(c) })
 }
 
+// mayBeBriefUnexplained returns how many brief crashes without another explanation the task may have had, with the uncertain ones.
+func (t *task) mayBeBriefUnexplained() int {
+	return t.uncertainCrashes + t.countCrashes(func(c workload.Crash) bool { return isBrief(c) && isUnexplained(c) })
+}
+
 func isBrief(c workload.Crash) bool { return c.RanMs < briefRun.Milliseconds() }
 
 func isUnexplained(c workload.Crash) bool { return !c.Explained }
 
 func isCertain(c workload.Crash) bool { return !c.Uncertain }
 
-// certainlyCrashes reports whether a task is given up whatever the records of the tasks beside it are. Starts without an answer and
-// uncertain crashes count only beside as many certain brief crashes as would give it up if it were alone.
-func (t *task) certainlyCrashes() bool {
-	brief := t.countCrashes(isBrief)
+// certainlyCrashes reports whether a task is given up although the records of the tasks beside it may say as much. Starts without an answer and
+// uncertain crashes count only beside as many certain brief crashes as would give it up if it were alone. It takes one more crash if the
+// latest one points to other suspects as well.
+func (s *Scheduler) certainlyCrashes(t *task, beside []*task) bool {
+	brief := t.countCrashes(isBrief) + t.uncertainCrashes
 	certain := t.countCrashes(func(c workload.Crash) bool { return isBrief(c) && isCertain(c) })
-	if certain >= briefCrashLimit && brief+t.uncertainCrashes >= certainBriefCrashes {
+	unexplained := t.countCrashes(func(c workload.Crash) bool { return isUnexplained(c) && isCertain(c) })
+	if certain >= briefCrashLimit && brief > certainBriefCrashes || unexplained > crashLimit {
 		return true
 	}
-	return t.countCrashes(func(c workload.Crash) bool { return isUnexplained(c) && isCertain(c) }) >= crashLimit
+	latest, found := t.latestCertain()
+	if !found || s.pointsToOthers(t, latest, beside) {
+		return false
+	}
+	return certain >= briefCrashLimit && brief == certainBriefCrashes && isBrief(latest) || unexplained == crashLimit
 }
 
 // uncertainDelay returns how long a task waits before it starts again because of the uncertain crashes on its record.
@@ -97,11 +109,12 @@
 // inBackOff reports whether a task waits because of the uncertain crashes on its record.
 func (t *task) inBackOff(now time.Duration) bool { return now < t.crashedAt+t.uncertainDelay() }
 
-// onProbation reports whether the worker runs a task on probation of a job other than j.
-func (w *worker) onProbation(j *job) bool {
-	return slices.ContainsFunc(w.attemptList, func(a *attempt) bool {
-		return a.task.step.job != j && a.task.onProbation() && a.listedFor() < briefRun
-	})
+// onProbation reports whether the attempt is of a task on probation and has not run for briefRun.
+func (a *attempt) onProbation() bool { return a.task.onProbation() && a.listedFor() < briefRun }
+
+// onProbation reports whether the worker runs a task on probation.
+func (w *worker) onProbation() bool {
+	return slices.ContainsFunc(w.attemptList, (*attempt).onProbation)
 }
 
 // process returns a record of the end of the worker's current process.
@@ -235,41 +248,63 @@
 	return true
 }
 
-// giveUpCrashing gives up the jobs of those of the tasks of a crashed worker that are found to have crashed it.
+// giveUpCrashing gives up the job of that one of the tasks of a crashed worker that is found to have crashed it, if there is one. It
+// explains the crash to the others.
 func (s *Scheduler) giveUpCrashing(now Time, tasks []*task) {
-	for t := culprit(tasks); t != nil; t = culprit(tasks) {
-		s.emit(Event{Kind: EventJobEnded, Job: t.step.job.rec.ID, Reason: "crashes workers", Task: t.id(),
-			Attempt: t.lastAttempt, Value: float64(len(t.crashes))})
-		s.finish(now, t.step.job, workload.StateFailed)
-		s.explain(t.crashes)
+	t := s.culprit(tasks)
+	if t == nil {
+		return
 	}
+	s.emit(Event{Kind: EventJobEnded, Job: t.step.job.rec.ID, Reason: "crashes workers", Task: t.id(),
+		Attempt: t.lastAttempt, Value: float64(len(t.crashes))})
+	s.finish(now, t.step.job, workload.StateFailed)
+	s.explain(t.crashes)
 }
 
-// culprit returns the task that is to be given up after a crash, or nil. If tasks of several jobs have the same number of
-// brief crashes on record, none is given up before the record of one of them is certain.
-func culprit(tasks []*task) *task {
-	var best *task
-	tied := false
+// culprit returns the task that is to be given up after a crash, or nil. If several jobs may have the same number of brief crashes on
+// record, none is given up before the record of one of them is certain.
+func (s *Scheduler) culprit(tasks []*task) *task {
+	tasks = slices.DeleteFunc(slices.Clone(tasks), func(t *task) bool { return t.step.job.state.Final() })
+	var certain, best *task
 	for _, t := range tasks {
-		if t.step.job.state.Final() {
-			continue
+		if s.certainlyCrashes(t, tasks) && (certain == nil || t.countCrashes(isBrief) > certain.countCrashes(isBrief)) {
+			certain = t
 		}
-		if t.certainlyCrashes() {
-			return t
-		}
-		switch {
-		case best == nil || t.briefUnexplained() > best.briefUnexplained():
-			best, tied = t, false
-		case t.briefUnexplained() == best.briefUnexplained():
-			tied = tied || t.step.job != best.step.job
+		if t.crashedBriefly() && (best == nil || t.briefUnexplained() > best.briefUnexplained()) {
+			best = t
 		}
 	}
-	if best == nil || tied || best.briefUnexplained() < briefCrashLimit {
+	if certain != nil {
+		return certain
+	}
+	if best == nil || best.briefUnexplained() < briefCrashLimit || s.tied(best, tasks) {
 		return nil
 	}
 	return best
 }
 
+// crashedBriefly reports whether the latest crash on the record of a task is brief and without another explanation.
+func (t *task) crashedBriefly() bool {
+	n := len(t.crashes) - 1
+	return n >= 0 && isBrief(t.crashes[n]) && isUnexplained(t.crashes[n])
+}
+
+// tied reports whether the record of another job's task points to it as much as that of t does: of one of the tasks of the crashed
+// worker, or of one that has shared the latest group of t.
+func (s *Scheduler) tied(t *task, tasks []*task) bool {
+	for _, other := range tasks {
+		if other.step.job != t.step.job && other.mayBeBriefUnexplained() >= t.briefUnexplained() {
+			return true
+		}
+	}
+	for other := range s.suspects {
+		if other.step.job != t.step.job && !other.step.job.state.Final() && other.sharedGroup(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // explain marks crashes in the records of all tasks once the task that caused them is known.
 func (s *Scheduler) explain(crashes []workload.Crash) {
 	for t := range s.suspects {
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -20,7 +20,7 @@
 	if r := w.refuses(now.Boot); r != Suitable {
 		return r
 	}
-	if r := w.limits(t); r != Suitable {
+	if r := w.limits(now.Boot, t); r != Suitable {
 		return r
 	}
 	if r := w.avoided(now.Boot); r != Suitable {
@@ -103,12 +103,12 @@
 func (w *worker) entryOutdated() bool { return w.describesOther(&w.info) }
 
 // limits returns why the tasks on a worker exclude a further one.
-func (w *worker) limits(t *task) WaitReason {
+func (w *worker) limits(now time.Duration, t *task) WaitReason {
 	spec := &t.step.spec
 	switch {
 	case spec.MaxPerWorker > 0 && w.tasksOf(t.step)+w.nomineesOf(t) >= spec.MaxPerWorker:
 		return WaitMaxPerWorker
-	case t.onProbation() && w.onProbation(t.step.job):
+	case w.excludesSuspect(now, t):
 		return WaitProbation
 	}
 	return Suitable
@@ -170,7 +170,7 @@
 
 // suits reports whether a worker has the properties that a task needs, whatever its capacity is.
 func (s *Scheduler) suits(now Time, t *task, w *worker) bool {
-	if w.lacks(t) != Suitable || w.limits(t) != Suitable {
+	if w.lacks(t) != Suitable || w.limits(now.Boot, t) != Suitable {
 		return false
 	}
 	return !t.step.spec.Filler || s.fillerObstacle(now.Boot, t, w) == Suitable
