--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -27,6 +27,7 @@
 	}
 	w.suspect = true
 	w.becomeUnclear()
+	w.renumberEnds()
 	if !w.withheld.marked {
 		w.leasesExtended = true
 		w.stopExtending(extendedUntil + s.cfg.leaseBound())
--- a/core/schedule/renumbered.go
+++ b/core/schedule/renumbered.go
@@ -32,3 +32,8 @@
 	}
 	return slices.ContainsFunc(ended, func(end Ended) bool { return end.Number <= w.lastEnd && !w.listedEnds[end.listed()] })
 }
+
+// renumberEnds makes the numbers of ends count anew with the next report. The next host that polls the worker does not know its process:
+// it takes one with the start of the former one for that, and would acknowledge ends that nobody has read with a number of the former
+// one. A process lists ends that are not acknowledged again, which are not applied twice.
+func (w *worker) renumberEnds() { w.lastEnd, w.appliedEnds = 0, w.listedEnds }
--- a/core/schedule/renumbered_test.go
+++ b/core/schedule/renumbered_test.go
@@ -74,3 +74,53 @@
 		})
 	}
 }
+
+// Scenario: a worker whose ends are applied starts again with the start of its former process, and another host polls it from then on,
+// which does not know that process. Guards against a number of the former process that counts for the next one: the next one would drop
+// ends that nobody has read, and their tasks would start again after they are done.
+func TestNumbersOfEndsCountAnewWithTheNextPoller(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("first", testStep(3)), nil, false)
+	h.wantStarts(h.run(), 3)
+	for n := range 3 {
+		h.end(taskID("first", 0, n), EndDone)
+	}
+	h.reportAll()
+	h.store()
+	h.s.PollerLost("w1", h.now.Boot)
+	h.repeatedStart("w1")
+	h.advanceClock(time.Second)
+	h.reportAll()
+	if last := h.s.workers["w1"].lastEnd; last != 0 {
+		t.Errorf("the latest end is %d before the next poller has listed one", last)
+	}
+	h.s.AddJob(testJob("second", testStep(2)), nil, false)
+	h.wantStarts(h.run(), 2)
+	h.end(taskID("second", 0, 0), EndDone)
+	h.end(taskID("second", 0, 1), EndDone)
+	h.advanceClock(time.Second)
+	h.reportAll()
+	h.store()
+	h.wantState("second", "completed")
+}
+
+// Guards against ends that count twice since the next poller of a process lists them again before they are acknowledged.
+func TestEndsAreNotAppliedAgainForTheNextPoller(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.startedService("service", 1)
+	h.s.TakeEvents()
+	h.fail(taskID("service", 0, 0))
+	for range 3 {
+		h.s.PollerLost("w1", h.now.Boot)
+		h.advanceClock(time.Second)
+		h.reportAll()
+	}
+	if n := countEvents(h.s.TakeEvents(), EventTaskEnded); n != 1 {
+		t.Errorf("the end of the task was applied %d times", n)
+	}
+	if last := h.s.workers["w1"].lastEnd; last != 1 {
+		t.Errorf("the latest end is %d, want 1", last)
+	}
+}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -113,7 +113,7 @@
 	default:
 		return
 	}
-	w.lastEnd = 0
+	w.lastEnd, w.appliedEnds = 0, nil
 }
 
 // applyRunning applies the list of running attempts.
@@ -201,6 +201,9 @@
 			continue
 		}
 		w.lastEnd = max(w.lastEnd, end.Number)
+		if w.appliedEnds[end.listed()] {
+			continue
+		}
 		w.removeOrphan(attemptKey{end.Task, end.Attempt})
 		s.applyEnd(now, w, end, now.Boot-report.ReceivedAt)
 	}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -49,6 +49,7 @@
 	withheld         withholding
 	lastEnd          int64              // number of the latest end that was applied
 	listedEnds       map[listedEnd]bool // in the last report
+	appliedEnds      map[listedEnd]bool // ends of the process that were applied before their numbers counted anew, see renumberEnds
 	suspect          bool               // a poll or an order has failed since the last report
 	silence          silence            // since the last report
 	brokenAt         time.Duration      // when its connection broke; only with silence == broken
--- a/pkg/dispatch/ends_test.go
+++ b/pkg/dispatch/ends_test.go
@@ -42,6 +42,36 @@
 	}
 }
 
+// Scenario: a worker whose ends are applied goes to another relay, and its next process has the start of the former one, so that this relay
+// takes it for that. The store answers only then. Guards against acknowledging ends of the next process by the numbers of the former
+// one: nobody has read them, and tasks that were done would start again.
+func TestEndsAreAcknowledgedOnlyToTheRelayThatListsThem(t *testing.T) {
+	for name, next := range map[string][]int64{"runs": nil, "has ended tasks": {1, 2}} {
+		t.Run(name, func(t *testing.T) {
+			o, former, _ := measuredOwner(t)
+			former.release, former.leaving = map[schedule.WorkerID]bool{}, map[schedule.WorkerID]bool{}
+			now := bootclock.Uptime()
+			former.applyResults(now, now, endsOf(1, now, 1, 2, 3))
+			writing := o.takeBatch()
+			o.mu.Lock()
+			o.unassign(testWorker, former)
+			l := &link{owner: o, wake: make(chan struct{}, 1), stored: map[schedule.WorkerID]relay.StoredEnd{}}
+			o.linkOf[testWorker] = l
+			o.mu.Unlock()
+			l.applyResults(now, now, endsOf(1, now+time.Second, next...))
+			o.acknowledgeBatch(writing)
+			if len(l.stored) != 0 {
+				t.Errorf("acknowledges %v, which the former relay has listed", l.stored)
+			}
+			for _, end := range o.takeBatch().ends {
+				if end.Number != int64(len(next)) {
+					t.Errorf("acknowledges ends up to %d, of which the relay has listed %d", end.Number, len(next))
+				}
+			}
+		})
+	}
+}
+
 // Guards against taking the leases of a worker for expired while reports of it may wait in its relay: the relay did not return
 // all of them, or has not returned anything yet.
 func TestRelayIsCollectedUpToItsLastCompleteResults(t *testing.T) {
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -291,7 +291,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for id := range l.workers {
-		o.scheduler.PollerLost(id, l.permittedUntil)
+		o.pollerLost(id, l)
 	}
 	l.reset, l.lastResponseAt, l.relayClockReadAt = true, bootclock.Uptime(), 0
 	l.withheld.reset()
@@ -382,11 +382,13 @@
 	o.measures.recordReport(now.Boot, report.Report)
 	applied := s.Report(now, id, report.Report)
 	ends := o.ends[id]
-	if ends.incarnation != report.Report.Incarnation {
-		ends = endNumbers{incarnation: report.Report.Incarnation}
+	if ends.session == 0 || ends.incarnation != report.Report.Incarnation || applied < ends.applied {
+		o.endSessions++
+		ends = endNumbers{incarnation: report.Report.Incarnation, session: o.endSessions}
 	}
-	o.metrics.ends.Inc(max(applied-ends.applied, 0))
+	before := len(ends.unstored)
 	ends.unstored = appendEnds(ends.unstored, report.Report.Ended, ends.applied, applied)
+	o.metrics.ends.Inc(int64(len(ends.unstored) - before))
 	ends.applied = applied
 	if len(report.Report.Ended) > 0 {
 		ends.acknowledged = 0 // the worker still lists ends, so it has not received the acknowledgement
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -166,6 +166,14 @@
 func (o *Owner) unassign(id schedule.WorkerID, l *link) {
 	l.remove(id)
 	delete(o.linkOf, id)
+	o.pollerLost(id, l)
+}
+
+// pollerLost records that a relay polls a worker no longer, or begins anew. The next one takes a process with the start of the former one
+// for that, so what was stored of the former one's ends acknowledges none of those that the next relay lists. o.mu is held.
+func (o *Owner) pollerLost(id schedule.WorkerID, l *link) {
+	delete(l.stored, id)
+	delete(o.ends, id)
 	o.scheduler.PollerLost(id, l.permittedUntil)
 }
 
@@ -237,7 +245,7 @@
 	delete(o.links, l.host.Name)
 	for id := range l.workers {
 		delete(o.linkOf, id)
-		o.scheduler.PollerLost(id, l.permittedUntil)
+		o.pollerLost(id, l)
 	}
 	for _, entry := range l.inFlight {
 		o.scheduler.OrderAnswered(now, entry.order, schedule.Unanswered)
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -71,6 +71,7 @@
 	relayBackOffUntil map[relayPlace]time.Duration // boot time until which a lost relay is not used
 	localSubstitutes  bool                         // the relay of this host is used only while no other one can be
 	ends              map[schedule.WorkerID]endNumbers
+	endSessions       int64 // number of sessions of endNumbers so far
 	unreachable       map[schedule.WorkerID]bool
 	polls             pollRecords
 	unusedLog         unusedLog
@@ -87,9 +88,10 @@
 	linkWG            sync.WaitGroup
 }
 
-// endNumbers records how far the numbered task ends of a worker incarnation have been processed.
+// endNumbers records how far the numbered task ends of a worker incarnation have been processed since a relay has begun to poll it.
 type endNumbers struct {
 	incarnation  int64
+	session      int64    // differs for each relay that polls the worker and, as far as is known, for each process that numbers ends anew
 	applied      int64    // newest end applied by the scheduler
 	acknowledged int64    // newest end that is stored and queued for acknowledgement by the relay
 	unstored     []jobEnd // ends that were applied and have not been acknowledged, by number
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -36,8 +36,9 @@
 // batch is a snapshot of the state that has to be stored.
 type batch struct {
 	records    []schedule.Record
-	knownParts []int             // numbers of the parts of the known workers to be stored
-	ends       []relay.StoredEnd // task ends to acknowledge once the rest of the batch is stored
+	knownParts []int                       // numbers of the parts of the known workers to be stored
+	ends       []relay.StoredEnd           // task ends to acknowledge once the rest of the batch is stored
+	sessions   map[schedule.WorkerID]int64 // in which they were listed, see endNumbers
 }
 
 func (b batch) empty() bool { return len(b.records) == 0 && len(b.knownParts) == 0 && len(b.ends) == 0 }
@@ -74,7 +75,7 @@
 func (o *Owner) takeBatch() batch {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	b := batch{records: o.scheduler.Changed()}
+	b := batch{records: o.scheduler.Changed(), sessions: map[schedule.WorkerID]int64{}}
 	if infos, changed := o.scheduler.KnownWorkers(); changed {
 		o.scheduler.KnownWorkersStored(o.known.replace(infos))
 	}
@@ -82,6 +83,7 @@
 	for id, ends := range o.ends {
 		if ends.acknowledged < ends.applied {
 			b.ends = append(b.ends, relay.StoredEnd{Worker: id, Incarnation: ends.incarnation, Number: ends.applied})
+			b.sessions[id] = ends.session
 		}
 	}
 	return b
@@ -102,19 +104,25 @@
 	if err := o.saveAllRecords(ctx, b.records); err != nil {
 		return errors.Trace(err)
 	}
+	o.acknowledgeBatch(b)
+	return errors.Trace(o.saveKnownWorkers(ctx, b.knownParts))
+}
+
+// acknowledgeBatch queues the acknowledgements of the ends of a batch whose records are stored.
+func (o *Owner) acknowledgeBatch(b batch) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, stored := range b.ends {
-		o.acknowledgeEnds(stored)
+		o.acknowledgeEnds(stored, b.sessions[stored.Worker])
 	}
-	o.mu.Unlock()
-	return errors.Trace(o.saveKnownWorkers(ctx, b.knownParts))
 }
 
-// acknowledgeEnds queues the acknowledgement of stored ends for the worker's relay. o.mu is held.
-func (o *Owner) acknowledgeEnds(stored relay.StoredEnd) {
+// acknowledgeEnds queues the acknowledgement of stored ends for the worker's relay, unless that lists the ends of another session by now.
+// o.mu is held.
+func (o *Owner) acknowledgeEnds(stored relay.StoredEnd, session int64) {
 	ends := o.ends[stored.Worker]
 	l, assigned := o.linkOf[stored.Worker]
-	if !assigned || ends.incarnation != stored.Incarnation {
+	if !assigned || ends.session != session {
 		return
 	}
 	stored.Number = o.lastStoredEnd(ends.unstored, stored.Number)
