Stop no task for a service that cannot start in its place yet

TestPreemptionWaitsUntilTheServiceMayStart fails without the check of the list ("outdated list") and without that of faults ("recent fault").

--- a/core/schedule/preempt.go
+++ b/core/schedule/preempt.go
@@ -39,7 +39,7 @@
 	var pools map[workload.PoolName]*preemption
 	for _, t := range cycle.displaced {
 		w := t.nomination.worker
-		if w == nil || t.nomination.ownPlace || !t.restartOverdue(cycle.now) || t.avoids(cycle.now.Boot, w) > s.cfg.StopTime {
+		if w == nil || t.nomination.ownPlace || !t.restartOverdue(cycle.now) || !s.startsOnceFree(cycle.now, t, w) {
 			continue
 		}
 		victims := w.victims(cycle.now, t, s.cfg.StopTime)
@@ -60,6 +60,11 @@
 	}
 }
 
+// startsOnceFree reports whether a displaced task starts on the worker to which it is nominated as soon as tasks there were stopped.
+func (s *Scheduler) startsOnceFree(now Time, t *task, w *worker) bool {
+	return t.avoids(now.Boot, w) <= s.cfg.StopTime && !s.capacityOutdated(now.Boot, t, w)
+}
+
 // preemptFor stops an attempt for a displaced task.
 func (s *Scheduler) preemptFor(now Time, t *task, a *attempt) {
 	event := a.event(EventTaskPreempted)
--- a/core/schedule/preempt_test.go
+++ b/core/schedule/preempt_test.go
@@ -164,6 +164,39 @@
 	}
 }
 
+// Guards against tasks that are stopped for a service which cannot start in their place yet: the capacity of the worker may have shrunk,
+// or the worker is avoided after a fault.
+func TestPreemptionWaitsUntilTheServiceMayStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare, end func(h *harness, service *task)
+	}{
+		"outdated list": {
+			func(h *harness, service *task) {
+				service.step.job.rec.Queue.CapacityGuarded = false
+				h.advanceClock(maxCapacityAge + scanInterval)
+				h.reportAll()
+			},
+			func(h *harness, _ *task) { h.list() },
+		},
+		"recent fault": {
+			func(h *harness, _ *task) { h.s.workers["w1"].stability.recordLoss(h.now.Boot) },
+			func(h *harness, _ *task) { h.elapse(restartOverdueAfter) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.addWorker("w1", withCores(4))
+			h.runTasks(runningTask{"a", 4, 0, time.Minute, false, saves})
+			service := h.overdueService("service", 2)
+			c.prepare(h, service)
+			h.wantStops()
+			c.end(h, service)
+			h.advanceClock(scanInterval)
+			h.wantStops("a")
+		})
+	}
+}
+
 // setPercent sets the progress of the tasks of a job.
 func (h *harness) setPercent(id workload.JobID, percent float64) {
 	for _, w := range h.workers {
