Preempt in time where many services are displaced at once

- Attempts expected to end within the time of a stop were waited for, up to 0.7 s with the report, and the services behind them as well.
- A service was nominated where tasks end soonest although none of them might be stopped (each had been stopped before), and stayed until the review after 1 s.

Tests: TestOverdueServiceIsNominatedWhereTasksMayBeStopped and TestNominationIsReviewedAtOnceWhereNoTaskMayBeStopped fail without the change of nominate.go; the latter also without the review.

--- a/core/schedule/full_pool_preempt_test.go
+++ b/core/schedule/full_pool_preempt_test.go
@@ -50,7 +50,7 @@
 func TestServicesDoNotWaitForLongTasksInAFullPool(t *testing.T) {
 	for _, checkpoints := range []bool{true, false} {
 		for _, services := range []poolServices{{50, 0}, {60, 2}} {
-			for seed := range uint64(3) {
+			for seed := range uint64(10) {
 				p := newFullPool(t, seed)
 				p.tasks = longPoolTasks(checkpoints)
 				p.addServices(services)
--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -214,6 +214,9 @@
 		if !possible {
 			return false
 		}
+		if t.restartOverdue(now) && wait > s.cfg.StopTime && w.fitsOncePreempted(now.Boot, t) {
+			wait = s.cfg.StopTime
+		}
 		wait = max(wait, t.avoids(now.Boot, w))
 		if best == nil || wait < soonest {
 			best, soonest = w, wait
--- a/core/schedule/preempt.go
+++ b/core/schedule/preempt.go
@@ -17,7 +17,7 @@
 	maxPreemptions = 1
 	// maxPreemptedShare is the inverse of the share of a pool's tasks that end which may be in the process of being stopped for
 	// displaced ones. At least one displaced task at a time may have tasks stopped.
-	maxPreemptedShare = 8
+	maxPreemptedShare = 3
 )
 
 // preemption counts, in a pool, the tasks that end, and those of them that are being stopped for displaced ones.
@@ -42,8 +42,11 @@
 		if w == nil || t.nomination.ownPlace || !t.restartOverdue(cycle.now) || !s.startsOnceFree(cycle.now, t, w) {
 			continue
 		}
-		victims := w.victims(cycle.now, t, s.cfg.StopTime)
+		victims := w.victims(cycle.now, t)
 		if len(victims) == 0 {
+			if !w.fitsOncePreempted(cycle.now.Boot, t) {
+				t.nomination.at = 0 // reviewed in the next scan: it may fit on another worker by then
+			}
 			continue
 		}
 		if pools == nil {
@@ -99,13 +102,13 @@
 }
 
 // victims returns the attempts on a worker to stop so that a task fits there: those with which the least work is lost. It returns none
-// if the task fits once those have left that are being stopped or about to end, or if it would fit with none either.
-func (w *worker) victims(now Time, t *task, stopTime time.Duration) []*attempt {
+// if the task fits once those have left that are being stopped or should have ended, or if it would fit with none either.
+func (w *worker) victims(now Time, t *task) []*attempt {
 	need, free := t.step.spec.Reserved(), w.free().Sub(w.keptForOthers(t))
 	var candidates []*attempt
 	for _, a := range w.attemptList {
 		switch {
-		case a.phase == stopping, a.aboutToEnd(now.Boot, stopTime):
+		case a.phase == stopping, a.shouldHaveEnded(now.Boot):
 			free = free.Add(a.task.step.spec.Reserved())
 		case a.preemptible():
 			candidates = append(candidates, a)
@@ -122,6 +125,17 @@
 	return spareVictims(candidates[:stopped], need, free)
 }
 
+// fitsOncePreempted reports whether a task would fit on a worker once all attempts have left that may be stopped for it.
+func (w *worker) fitsOncePreempted(now time.Duration, t *task) bool {
+	free := w.free().Sub(w.keptForOthers(t))
+	for _, a := range w.attemptList {
+		if a.phase == stopping || a.shouldHaveEnded(now) || a.preemptible() {
+			free = free.Add(a.task.step.spec.Reserved())
+		}
+	}
+	return t.step.spec.Reserved().Fits(free)
+}
+
 // spareVictims removes the attempts that need not be stopped, the most valuable first. free is the capacity once all have left.
 func spareVictims(victims []*attempt, need, free structs.Resources) []*attempt {
 	for i := len(victims) - 1; i >= 0; i-- {
@@ -140,10 +154,11 @@
 		a.task.preemptions < maxPreemptions && !a.task.onProbation()
 }
 
-// aboutToEnd reports whether an attempt of a task that ends is expected to leave by itself no later than if it were stopped. The
-// caller's estimate is too rough to rely on.
-func (a *attempt) aboutToEnd(now, stopTime time.Duration) bool {
-	return a.phase == running && !a.task.step.spec.Service && a.rateKnown && a.rate > 0 && a.remaining(now) <= stopTime
+// shouldHaveEnded reports whether an attempt of a task that ends should have ended by its measured rate, so that its end is about to be
+// reported. The caller's estimate is too rough to rely on. Overdue tasks do not wait for attempts that run on for as long as a stop takes:
+// of several that queue for a few workers the last would wait for too long.
+func (a *attempt) shouldHaveEnded(now time.Duration) bool {
+	return a.phase == running && !a.task.step.spec.Service && a.rateKnown && a.rate > 0 && a.remaining(now) == 0
 }
 
 // comparePreemption orders attempts by what their stop costs, the lowest cost first: tasks that resume, those of the lowest priority
--- a/core/schedule/preempt_test.go
+++ b/core/schedule/preempt_test.go
@@ -146,12 +146,13 @@
 			h.s.Cancel(h.now, "b")
 			h.s.TakeOrders()
 		},
-		"a task is about to end": func(h *harness) {
+		"a task should have ended": func(h *harness) {
 			h.runTasks(runningTask{"a", 2, 0, time.Minute, false, saves}, runningTask{"b", 2, 0, time.Minute, false, nil})
 			for percent := 75.0; percent <= 95; percent += 10 {
 				h.setPercent("b", percent)
 				h.elapse(minRateSpan)
 			}
+			h.advanceClock(minRateSpan)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -208,6 +209,41 @@
 	}
 }
 
+// Guards against an overdue service that waits on a worker whose tasks may not be stopped again, beside one whose tasks may.
+func TestOverdueServiceIsNominatedWhereTasksMayBeStopped(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.runTasks(runningTask{"a", 4, 0, 20 * time.Second, false, nil})
+	h.s.task(taskID("a", 0, 0)).preemptions = maxPreemptions
+	h.addWorker("w2", withCores(4))
+	h.runTasks(runningTask{"b", 4, 0, time.Minute, false, nil})
+
+	h.overdueService("service", 2)
+	h.wantStops("b")
+}
+
+// Guards against an overdue service that stays where no task may be stopped for it until its nomination is reviewed, while tasks may
+// be stopped on another worker.
+func TestNominationIsReviewedAtOnceWhereNoTaskMayBeStopped(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.runTasks(runningTask{"a", 4, 0, 20 * time.Second, false, nil})
+	h.s.task(taskID("a", 0, 0)).preemptions = maxPreemptions
+	service := h.overdueService("service", 2)
+	h.wantStops()
+	if service.nomination.worker != h.s.workers["w1"] {
+		t.Fatal("the service is not nominated to the only worker")
+	}
+	h.addWorker("w2", withCores(4))
+	h.s.AddJob(testJob("b", coresStep(4)), nil, false)
+	h.s.start(h.now.Boot, h.s.task(taskID("b", 0, 0)), h.s.workers["w2"])
+	for _, o := range h.s.TakeOrders() {
+		h.accept(o)
+	}
+	h.elapse(scanInterval)
+	h.wantStops("b")
+}
+
 // Guards against a task that is stopped again and again for displaced services, and against stops that count as its failures.
 func TestTaskIsPreemptedAtMostOnce(t *testing.T) {
 	h := newHarness(t, 1)
