--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -264,6 +264,9 @@
 		if !possible {
 			return false
 		}
+		if t.restartOverdue(now) && wait > s.cfg.StopTime && w.fitsOncePreempted(now.Boot, t) {
+			wait = s.cfg.StopTime
+		}
 		wait = max(wait, t.avoids(now.Boot, w))
 		if best == nil || wait < soonest {
 			best, soonest = w, wait
