--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -49,6 +49,7 @@
 	lastAttempt      int64
 	checkpoint       string
 	storedWorker     WorkerID           // service tasks: worker of the latest attempt, to be stored
+	recordedWorker   WorkerID           // the worker in the stored record; empty if unknown, see stored_worker.go
 	crashes          []workload.Crash   // on record, see crash.go
 	silentOn         []workload.Silence // workers that stopped answering soon after they had accepted the task
 	uncertainCrashes int                // crashes of workers that may have started it: the starts were not answered
--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -96,6 +96,7 @@
 	n.worker.nominees = append(n.worker.nominees, t)
 	s.nominees[t] = struct{}{}
 	s.index.markChanged(n.worker)
+	s.recordIntended(t)
 }
 
 // dropNomination ends the nomination of a task, if it has one.
@@ -108,6 +109,7 @@
 	t.nomination = nomination{}
 	delete(s.nominees, t)
 	s.index.markChanged(w)
+	s.recordIntended(t)
 }
 
 // giveUpPlace ends the nomination of a task that starts on a worker or is nominated to it; nil if it is nominated to none.
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -238,10 +238,12 @@
 	}
 	s.attach(a)
 	if t.step.spec.Service {
-		a.phase = awaitingStore
 		t.storedWorker = w.info.ID
 		s.markDirty(t.step.job)
-		return
+		if t.recordedWorker != w.info.ID {
+			a.phase = awaitingStore
+			return
+		}
 	}
 	s.orderStart(now, a)
 }
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -19,7 +19,9 @@
 	records := make([]Record, 0, len(s.dirty))
 	waiting := 0
 	for j := range s.dirty {
-		records = append(records, Record{j.rec.ID, j.progress()})
+		record := Record{j.rec.ID, j.progress()}
+		j.recordHandedOut(record.Progress)
+		records = append(records, record)
 		if j.awaitsStore() {
 			last := len(records) - 1
 			records[waiting], records[last] = records[last], records[waiting]
@@ -66,7 +68,9 @@
 		return
 	}
 	for _, tp := range sp.Tasks {
-		st.tasks[tp.Index].markRecordStored(tp)
+		t := st.tasks[tp.Index]
+		t.markRecordStored(tp)
+		t.recordedWorker = WorkerID(tp.Worker)
 	}
 }
 
@@ -119,7 +123,7 @@
 			continue
 		}
 		tp := workload.TaskProgress{
-			Index: t.index, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint, Worker: string(t.storedWorker),
+			Index: t.index, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint, Worker: string(t.workerToStore()),
 			Crashes: slices.Clone(t.crashes), SilentOn: slices.Clone(t.silentOn), UncertainCrashes: t.uncertainCrashes,
 		}
 		if tp.Worker != "" || len(tp.Failed) > 0 || tp.Checkpoint != "" ||
@@ -176,6 +180,7 @@
 		}
 		t := st.tasks[tp.Index]
 		t.failed, t.storedWorker, t.crashes = tp.Failed, WorkerID(tp.Worker), slices.Clone(tp.Crashes)
+		t.recordedWorker = t.storedWorker
 		t.ran = tp.Worker != ""
 		t.markRecordStored(tp)
 		t.uncertainCrashes = tp.UncertainCrashes
