--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -252,8 +252,9 @@
 }
 
 // fitsSoonest returns the worker on which a task is expected to fit soonest, and after which time. On workers where another nominee waits
-// for tasks to end, and with onlyStops on all, it has to fit as soon as what is being stopped there has ended. It compares the worker to which the task is nominated and maxNominationChecks others on which it can fit, from where the
-// last search ended. The former comes first: places that are kept there would otherwise be given up at each review.
+// for tasks to end, and with onlyStops on all, it has to fit as soon as what is being stopped there has ended. It compares the worker to
+// which the task is nominated and maxNominationChecks others on which it can fit, from where the last search ended. The former comes
+// first: places that are kept there would otherwise be given up at each review.
 func (s *Scheduler) fitsSoonest(now Time, t *task, onlyStops bool) (best *worker, soonest time.Duration) {
 	compare := func(w *worker) bool {
 		if t.avoidsSlow(now, w) || !s.fitsBesideServices(now, t, w) {
@@ -262,13 +263,10 @@
 		if (onlyStops || w.hasOtherWaitingNominee(t)) && !w.fitsOnceStopped(t) {
 			return false
 		}
-		wait, possible := w.fitsIn(now.Boot, t, s.cfg.StopTime)
+		wait, possible := w.fitsIn(now, t, s.cfg.StopTime)
 		if !possible {
 			return false
 		}
-		if t.restartOverdue(now) && wait > s.cfg.StopTime && w.fitsOncePreempted(now.Boot, t) {
-			wait = s.cfg.StopTime
-		}
 		wait = max(wait, t.avoids(now.Boot, w))
 		if best == nil || wait < soonest {
 			best, soonest = w, wait
@@ -337,20 +335,25 @@
 }
 
 // fitsIn returns the time in which the tasks that end on a worker are expected to leave enough capacity for a task beside what is kept
-// for others. It returns false if they do not have as much.
-func (w *worker) fitsIn(now time.Duration, t *task, stopTime time.Duration) (wait time.Duration, possible bool) {
+// for others, or to be stopped for it if it is overdue. It returns false if they do not have as much.
+func (w *worker) fitsIn(now Time, t *task, stopTime time.Duration) (wait time.Duration, possible bool) {
 	type release struct {
 		in   time.Duration
 		size structs.Resources
 	}
+	overdue := t.restartOverdue(now)
 	var buffer [64]release // on the stack, enough for most workers
 	releases := buffer[:0]
 	for _, a := range w.attemptList {
 		switch {
 		case a.phase == stopping:
-			releases = append(releases, release{a.stoppingFor(now, stopTime), a.task.step.spec.Reserved()})
+			releases = append(releases, release{a.stoppingFor(now.Boot, stopTime), a.task.step.spec.Reserved()})
 		case !a.task.step.spec.Service:
-			releases = append(releases, release{a.remaining(now), a.task.step.spec.Reserved()})
+			in := a.remaining(now.Boot)
+			if overdue && (a.preemptible() || a.shouldHaveEnded(now.Boot)) {
+				in = min(in, stopTime)
+			}
+			releases = append(releases, release{in, a.task.step.spec.Reserved()})
 		}
 	}
 	for _, o := range w.orphans {
