--- a/pkg/relay/first_lease_test.go
+++ b/pkg/relay/first_lease_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,3 +36,37 @@
 		t.Errorf("the first lease was granted %v after the permission, beside a poll that is held open for %v", waited, hold)
 	}
 }
+
+// Scenario: the owner's permission has lapsed, since the store did not answer, and is given again while a worker holds a poll open. Guards
+// against an extension of the worker's leases that waits until the end of that poll: where worker and store stand still again before, none
+// extends a lease, and the tasks end.
+func TestLeaseAfterALapsedPermissionDoesNotWaitForAHeldPoll(t *testing.T) {
+	const hold = 2 * time.Second
+	const maxWobble = unpermittedWait / 8 // of a lease that ends with the former permission, above what clock rates explain
+	extended, polled := make(chan time.Duration, 100), make(chan struct{}, 100)
+	var lapsedLease atomic.Int64
+	f := &fakeWorkers{reply: func(n int, req PollRequest) (PollReply, error) {
+		switch {
+		case n == 1:
+			time.Sleep(unpermittedWait / 2) // until the permission has lapsed
+		case lapsedLease.CompareAndSwap(0, req.LeaseToMs):
+			polled <- struct{}{}
+		case req.LeaseToMs > lapsedLease.Load()+maxWobble.Milliseconds():
+			extended <- bootclock.Uptime()
+		}
+		time.Sleep(req.Wait)
+		return PollReply{ClockMs: bootclock.Uptime().Milliseconds(), Report: schedule.Report{Incarnation: 1}}, nil
+	}}
+	r := startRelay(t, f)
+	update := Update{Term: 1, Reset: true, LeaseUntil: bootclock.Uptime() + unpermittedWait/4,
+		Assign: []Assignment{{Worker: schedule.WorkerInfo{ID: "w"}, Wait: hold}}}
+	if err := r.Update(update); err != nil {
+		t.Fatal(err)
+	}
+	<-polled
+	permitted := bootclock.Uptime()
+	go func() { _, _ = r.Collect(t.Context(), 1, permitted+time.Hour, hold) }() // only the permission matters
+	if waited := <-extended - permitted; waited > hold/2 {
+		t.Errorf("the lease was extended %v after the permission, beside a poll that is held open for %v", waited, hold)
+	}
+}
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -19,8 +19,9 @@
 	// storedWait is how long a session waits at least for task ends to be stored before it polls again without
 	// acknowledging them.
 	storedWait = 200 * time.Millisecond
-	// unpermittedWait is how long a worker may hold a poll open at most while its leases cannot be extended for want of the owner's
-	// permission, which may come at any time: a new owner gives it after the first answer.
+	// unpermittedWait is how long a worker may hold a poll open at most while its leases cannot be extended, or not to the full, for want
+	// of the owner's permission. That may come at any time: a new owner gives it after the first answer, and one that the store has not
+	// answered for some time once it does.
 	unpermittedWait = 200 * time.Millisecond
 	// maxAckAge is the age of a worker's last answer up to which polls acknowledge its ends. It is too short for a worker to
 	// start again and to complete a task, whose end would be acknowledged with the number of a former one.
@@ -91,7 +92,7 @@
 	if s.storedEnd >= s.newestEnd && req.AckedEnd == s.storedEnd {
 		req.Wait = s.wait
 	}
-	if !granted && !s.withhold {
+	if (!granted || s.permissionLapsed()) && !s.withhold {
 		req.Wait = min(req.Wait, unpermittedWait)
 	}
 	return req, true
@@ -151,6 +152,9 @@
 	return s.clockMs + (elapsed + lease).Milliseconds(), true
 }
 
+// permissionLapsed reports whether the owner's permission to extend leases has ended. Relay.mu is held.
+func (s *session) permissionLapsed() bool { return bootclock.Uptime() > s.relay.leaseUntil }
+
 // poll sends a poll request and adds the report to the results. It reports whether the poll succeeded.
 func (s *session) poll(ctx context.Context, req PollRequest) bool {
 	call, cancel := context.WithTimeout(ctx, req.Wait+pollTimeout)
