--- a/core/schedule/stored_worker.go
+++ b/core/schedule/stored_worker.go
@@ -33,6 +33,6 @@
 // recordIntended records that the record of a task has to name another worker if it is not the one that it names.
 func (s *Scheduler) recordIntended(t *task) {
 	if t.workerToStore() != t.recordedWorker {
-		s.markDirty(t.step.job)
+		s.markRecordDirty(t)
 	}
 }
--- a/core/schedule/stored_worker_test.go
+++ b/core/schedule/stored_worker_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"fulmarcourse.example/core/workload"
 )
 
 // planned runs a cycle without a write to the store and returns the new orders.
@@ -140,3 +142,15 @@
 		t.Errorf("the record names %q, want w0", got)
 	}
 }
+
+// Guards against a job that is shown as running again after it was shown as failed.
+func TestFailedJobWithANomineeStaysFailed(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	service := h.nominatedService()
+	h.s.finish(h.now, service.step.job, workload.StateFailed)
+	h.store()
+	h.wantState("service", workload.StateFailed)
+	h.s.Plan(h.now)
+	h.wantState("service", workload.StateFailed)
+}
