--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -397,3 +397,19 @@
 		t.Errorf("%d of %d foreseen restarts have places on w3, want 1 of 2", n, len(h.s.foreseen.places))
 	}
 }
+
+// addWorkerSilent adds a worker while another one does not report.
+func (h *harness) addWorkerSilent(id WorkerID, change func(*WorkerInfo), silent WorkerID) {
+	info := WorkerInfo{ID: id, Address: string(id), Datacentre: "dc1", Pool: testPool}
+	info.Capacity = testStep(1).Size
+	info.Capacity.MemoryBytes = 64 << 30
+	change(&info)
+	h.workers[id] = &simWorker{info: info, incarnation: 1, stopped: map[attemptKey]bool{}}
+	h.list()
+	h.advanceClock(time.Millisecond)
+	for _, other := range h.workerIDs() {
+		if other != silent {
+			h.report(other)
+		}
+	}
+}
--- a/core/schedule/stored_worker.go
+++ b/core/schedule/stored_worker.go
@@ -3,13 +3,14 @@
 import "fulmarcourse.example/core/workload"
 
 // A service is started on a worker only once the stored record of its task names the worker, so that a later owner waits for a report of
-// it. That of a nominee names the worker to which it is nominated while tasks there still use the capacity, so that its start is ordered as
-// soon as they have left. A later owner finds out from the worker that it does not run the task, and restarts it.
+// it. That of a nominee that is expected to fit soon names its worker while tasks there still use the capacity, so that its start is ordered as
+// soon as they have left. A later owner finds out from the worker that it does not run the task, and restarts it; if the worker is silent
+// by then, the task waits until the leases there have expired, so that no other nominee is recorded.
 
 // workerToStore returns the worker that the record of a task has to name: the one that runs it, or may start it soon.
 func (t *task) workerToStore() WorkerID {
-	if w := t.nomination.worker; w != nil && t.pending() {
-		return w.info.ID
+	if n := t.nomination; n.soon && t.pending() {
+		return n.worker.info.ID
 	}
 	return t.storedWorker
 }
--- a/core/schedule/stored_worker_test.go
+++ b/core/schedule/stored_worker_test.go
@@ -13,10 +13,10 @@
 	return h.s.TakeOrders()
 }
 
-// nominatedService fills the only worker with a long task and returns a displaced service that is nominated to the worker.
-func (h *harness) nominatedService() *task {
+// nominatedService fills the only worker with a task and returns a displaced service that is nominated to the worker.
+func (h *harness) nominatedService(runs time.Duration) *task {
 	h.t.Helper()
-	h.runTasks(runningTask{"long", 4, 0, time.Minute, false, nil})
+	h.runTasks(runningTask{"long", 4, 0, runs, false, nil})
 	t := h.displacedTask("service", coresStep(2), "w0")
 	t.displacement.since = h.now.Boot - restartAfterLoss
 	h.wantStarts(h.run(), 0)
@@ -30,7 +30,7 @@
 func TestNomineeStartsWithoutAWriteOnceItsPlaceIsFree(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", withCores(4))
-	service := h.nominatedService()
+	service := h.nominatedService(soonWait)
 	h.end(taskID("long", 0, 0), EndDone)
 	h.reportAll()
 	orders := starts(h.planned())
@@ -52,7 +52,7 @@
 // Guards against a service that is started while the store may name another worker: a later owner would start it a second time.
 func TestServiceWaitsForTheWriteThatNamesItsWorker(t *testing.T) {
 	nominate := func(h *harness, service *task, id WorkerID) {
-		h.s.setNominee(service, nomination{worker: h.s.workers[id], at: h.now.Boot})
+		h.s.setNominee(service, nomination{worker: h.s.workers[id], soon: true, at: h.now.Boot})
 	}
 	for name, write := range map[string]func(h *harness, service *task){
 		"nothing was written":  func(*harness, *task) {},
@@ -73,7 +73,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 1)
 			h.addWorker("w1", withCores(4))
-			h.runTasks(runningTask{"long", 4, 0, time.Minute, false, nil})
+			h.runTasks(runningTask{"long", 4, 0, soonWait, false, nil})
 			service := h.displacedTask("service", coresStep(2), "w0")
 			service.displacement.since = h.now.Boot - restartAfterLoss
 			h.planned()
@@ -98,7 +98,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 1)
 			w := h.addWorker("w1", withCores(4))
-			service := h.nominatedService()
+			service := h.nominatedService(soonWait)
 			job, progress := service.step.job.rec, service.step.job.progress()
 			if started {
 				h.end(taskID("long", 0, 0), EndDone)
@@ -132,7 +132,7 @@
 func TestRecordNamesTheFormerWorkerOnceANominationHasEnded(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", withCores(4))
-	service := h.nominatedService()
+	service := h.nominatedService(soonWait)
 	if got := service.recordedWorker; got != "w1" {
 		t.Fatalf("the record names %q, want w1", got)
 	}
@@ -147,10 +147,30 @@
 func TestFailedJobWithANomineeStaysFailed(t *testing.T) {
 	h := newHarness(t, 1)
 	h.addWorker("w1", withCores(4))
-	service := h.nominatedService()
+	service := h.nominatedService(soonWait)
 	h.s.finish(h.now, service.step.job, workload.StateFailed)
 	h.store()
 	h.wantState("service", workload.StateFailed)
 	h.s.Plan(h.now)
 	h.wantState("service", workload.StateFailed)
 }
+
+// Guards against a service that a later owner does not start because its former owner had nominated it to a worker, for whose tasks it
+// would have waited for long, and that is silent by then: it has not been started there.
+func TestNomineeThatWaitsForLongIsNotRecordedAhead(t *testing.T) {
+	h := newHarness(t, 1)
+	w1 := h.addWorker("w1", withCores(4))
+	service := h.nominatedService(time.Minute)
+	job, progress := service.step.job.rec, service.step.job.progress()
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, []WorkerInfo{w1.info})
+	h.s.AddJob(job, &progress, true)
+	h.addWorkerSilent("w2", withCores(4), "w1")
+	began := h.now.Boot
+	for h.now.Boot-began < restartBound {
+		if len(h.passWithSilent(scanInterval, "w1")) > 0 {
+			return
+		}
+	}
+	t.Errorf("the service does not start on w2 within %v of the takeover", restartBound)
+}
