--- a/core/schedule/preempt.go
+++ b/core/schedule/preempt.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		if pools == nil {
-			pools = s.preemptions()
+			pools = s.preemptions(cycle.now.Boot)
 		}
 		pool := pools[w.info.Pool]
 		if !pool.mayStop(len(victims)) {
@@ -79,8 +79,8 @@
 	s.stop(now.Boot, a)
 }
 
-// preemptions returns the counts of all pools.
-func (s *Scheduler) preemptions() map[workload.PoolName]*preemption {
+// preemptions returns the counts of all pools, on workers that answer.
+func (s *Scheduler) preemptions(now time.Duration) map[workload.PoolName]*preemption {
 	pools := map[workload.PoolName]*preemption{}
 	for _, w := range s.sortedWorkers {
 		pool := pools[w.info.Pool]
@@ -88,6 +88,9 @@
 			pool = &preemption{}
 			pools[w.info.Pool] = pool
 		}
+		if w.suspect || !w.reachable(now) {
+			continue // what is being stopped there may take until its leases have expired
+		}
 		for _, a := range w.attemptList {
 			switch spec := &a.task.step.spec; {
 			case spec.Service || spec.Filler:
@@ -105,7 +108,7 @@
 // victims returns the attempts on a worker to stop so that a task fits there: those with which the least work is lost. It returns none
 // if the task fits once those have left that are being stopped or should have ended, or if it would fit with none either.
 func (w *worker) victims(now Time, t *task) []*attempt {
-	need, free := t.step.spec.Reserved(), w.free().Sub(w.keptForOthers(t))
+	need, free := t.step.spec.Reserved(), w.free().Add(w.orphaned()).Sub(w.keptForOthers(t))
 	var candidates []*attempt
 	for _, a := range w.attemptList {
 		switch {
@@ -128,7 +131,7 @@
 
 // fitsOncePreempted reports whether a task would fit on a worker once all attempts have left that may be stopped for it.
 func (w *worker) fitsOncePreempted(now time.Duration, t *task) bool {
-	free := w.free().Sub(w.keptForOthers(t))
+	free := w.free().Add(w.orphaned()).Sub(w.keptForOthers(t))
 	for _, a := range w.attemptList {
 		if a.phase == stopping || a.shouldHaveEnded(now) || a.preemptible() {
 			free = free.Add(a.task.step.spec.Reserved())
--- a/core/schedule/preempt_test.go
+++ b/core/schedule/preempt_test.go
@@ -291,3 +291,45 @@
 		t.Errorf("%d of %d tasks are stopped at once", got, workers*tasksEach)
 	}
 }
+
+// Guards against an overdue service for which nothing is stopped on a worker that answers, because a stop on one that has fallen silent is
+// not answered.
+func TestStopOnASilentWorkerDoesNotHoldBackOthers(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.runTasks(runningTask{"a", 4, 0, time.Hour, false, nil})
+	h.addWorker("w2", withCores(4))
+	h.runTasks(runningTask{"b", 4, 0, time.Minute, false, nil})
+	service := h.overdueService("service", 2)
+	h.s.setNominee(service, nomination{worker: h.s.workers["w1"], at: h.now.Boot})
+	orders := h.plan()
+	if stops := ofKind(orders, OrderStop); len(stops) != 1 || stops[0].Worker != "w1" {
+		t.Fatalf("got %s, want a stop on w1", describe(orders))
+	}
+	began := h.now.Boot
+	for h.now.Boot-began < restartBound {
+		h.advanceClock(scanInterval)
+		h.s.PollFailed(h.now, "w1")
+		h.list()
+		h.report("w2")
+		if len(starts(h.run())) > 0 {
+			return
+		}
+	}
+	t.Errorf("the service, which is nominated to %s, does not start there within %v of the last answer of w1", service.nomination.worker.info.ID, restartBound)
+}
+
+// Guards against a task that is stopped although what is being stopped beside it, of a job that is not known any more, leaves room.
+func TestOrphansThatAreBeingStoppedCount(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", withCores(4))
+	h.runTasks(runningTask{"a", 2, 0, time.Minute, false, saves}, runningTask{"b", 2, 0, time.Minute, false, nil})
+	b := h.s.task(taskID("b", 0, 0))
+	key := b.attempts[0].key()
+	h.s.drop(b.attempts[0])
+	h.s.jobs["b"].state = "cancelled"
+	h.s.stopOrphan(h.now.Boot, h.s.workers["w1"], key)
+	h.s.TakeOrders()
+	h.overdueService("service", 2)
+	h.wantStops()
+}
--- a/core/schedule/service_room.go
+++ b/core/schedule/service_room.go
@@ -44,6 +44,12 @@
 			sum = sum.Add(a.task.step.spec.Reserved())
 		}
 	}
+	return sum.Add(w.orphaned())
+}
+
+// orphaned returns the capacity that orphans use, which are being stopped.
+func (w *worker) orphaned() structs.Resources {
+	var sum structs.Resources
 	for _, o := range w.orphans {
 		sum = sum.Add(o.reserved)
 	}
