--- a/core/schedule/foreseen.go
+++ b/core/schedule/foreseen.go
@@ -195,7 +195,7 @@
 func (r *foreseenRooms) take(s *Scheduler, now Time, t *task, w *worker) bool {
 	n, open := r.index[w]
 	size := t.step.spec.Reserved()
-	if !open || !size.Fits(r.free[n]) || !s.suits(now, t, w) || w.foreseen.excludes(t) {
+	if !open || !size.Fits(r.free[n]) || !s.suits(now, t, w) || w.excludesPlace(t) {
 		return false
 	}
 	r.free[n] = r.free[n].Sub(size)
@@ -219,7 +219,7 @@
 		if !size.Fits(r.free[n]) || best >= 0 && r.free[n].MilliCPU >= r.free[best].MilliCPU {
 			continue
 		}
-		if w := r.workers[n]; s.suits(now, t, w) && !w.foreseen.excludes(t) {
+		if w := r.workers[n]; s.suits(now, t, w) && !w.excludesPlace(t) {
 			best = n
 		}
 	}
@@ -231,14 +231,14 @@
 	p.size = p.size.Sub(t.step.spec.Reserved())
 }
 
-// excludes reports whether a worker with the places would have too many tasks of a task's step.
-func (p *keptPlaces) excludes(t *task) bool {
+// excludesPlace reports whether a worker with its tasks, nominees and places would have too many tasks of a task's step.
+func (w *worker) excludesPlace(t *task) bool {
 	limit := t.step.spec.MaxPerWorker
 	if limit == 0 {
 		return false
 	}
-	n := 0
-	for _, other := range p.tasks {
+	n := w.tasksOf(t.step) + w.nomineesOf(t)
+	for _, other := range w.foreseen.tasks {
 		if other.step == t.step {
 			n++
 		}
@@ -246,9 +246,13 @@
 	return n >= limit
 }
 
-// addUnplaced adds a restart that has no place. Those that need more than another one are left out.
+// addUnplaced adds a restart that has no place. Those that need more than another one are left out, and those of steps with a limit per
+// worker, which may have none although there is room.
 func (f *foreseenRestarts) addUnplaced(t *task) {
 	f.places[t] = nil
+	if t.step.spec.MaxPerWorker > 0 {
+		return
+	}
 	need := foreseenNeed{t.step.spec.Reserved(), t.step.spec.Label}
 	pool := t.step.job.rec.Queue.Pool
 	for _, other := range f.unplaced[pool] {
--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -413,3 +413,63 @@
 		}
 	}
 }
+
+// Guards against two foreseen restarts that get places on one worker which may run only one of them: room that the second needs
+// elsewhere is given away.
+func TestForeseenPlacesCountTheTasksOfTheStepOnTheWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	step := testService(3)
+	step.MaxPerWorker = 2
+	for n, id := range []WorkerID{"w1", "w2", "w3"} {
+		h.addWorker(id, withCores([]int64{4, 4, 16}[n]))
+	}
+	h.s.AddJob(testJob("apart", step), nil, false)
+	for n, task := range h.s.jobs["apart"].steps[0].tasks {
+		h.s.start(h.now.Boot, task, h.s.workers[[]WorkerID{"w1", "w1", "w2"}[n]])
+	}
+	h.store()
+	for _, o := range h.s.TakeOrders() {
+		h.accept(o)
+	}
+	h.s.AddJob(testJob("use", leaseTasks(10)), nil, false)
+	for _, task := range h.s.jobs["use"].steps[0].tasks {
+		h.s.start(h.now.Boot, task, h.s.workers["w3"])
+	}
+	for _, o := range h.s.TakeOrders() {
+		h.accept(o)
+	}
+	h.passWithSilent(foreseenAfter+scanInterval, "w1")
+	if n := len(h.s.workers["w2"].foreseen.tasks); n != 1 {
+		t.Errorf("w2 runs one task of the step, may run 2, and has places for %d", n)
+	}
+}
+
+// Guards against a foreseen restart that no worker may run, because each has a task of its step, and that holds back all first starts
+// in a pool with room.
+func TestRestartThatNoWorkerMayRunHoldsNothingBack(t *testing.T) {
+	h := newHarness(t, 1)
+	step := testService(3)
+	step.MaxPerWorker = 1
+	for _, id := range []WorkerID{"w1", "w2", "w3"} {
+		h.addWorker(id, withCores(16))
+	}
+	h.s.AddJob(testJob("apart", step), nil, false)
+	h.wantStarts(h.run(), 3)
+	h.reportAll()
+	for _, id := range []WorkerID{"w2", "w3"} {
+		use := testJob(workload.JobID("use"+string(id)), leaseTasks(8))
+		h.s.AddJob(use, nil, false)
+		for _, task := range h.s.jobs[use.ID].steps[0].tasks {
+			h.s.start(h.now.Boot, task, h.s.workers[id])
+		}
+		for _, o := range h.s.TakeOrders() {
+			h.accept(o)
+		}
+	}
+	h.passWithSilent(foreseenAfter+scanInterval, "w1")
+	h.addService("first", 2)
+	if got := h.orderedFor(h.passWithSilent(time.Second, "w1"), "first"); len(got) != 1 {
+		h.wantReason("first", WaitForeseen)
+		t.Error("the first start waits for a second for a restart that needs a worker of its own, beside 7 free cores on each of two workers")
+	}
+}
