--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -473,3 +473,32 @@
 		t.Error("the first start waits for a second for a restart that needs a worker of its own, beside 7 free cores on each of two workers")
 	}
 }
+
+// Guards against a service whose start was carried out but not answered, because its worker was lost, and that then counts as one
+// that has never run: it waits behind tasks that end, without a bound.
+func TestServiceWhoseStartWasNotAnsweredRestartsOnceItsWorkerIsLost(t *testing.T) {
+	for name, outcome := range map[string]Outcome{"answered": Accepted, "not answered": Unanswered} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.addWorker("w1", withCores(4))
+			h.addService("service", 4)
+			for _, o := range starts(h.plan()) {
+				h.execute(o)
+				h.s.OrderAnswered(h.now, o, outcome)
+			}
+			h.addWorkerSilent("w2", withCores(4), "w1")
+			long := testJob("long", testStep(4))
+			long.Steps[0].EstimateMs = time.Minute.Milliseconds()
+			h.s.AddJob(long, nil, false)
+			h.passWithSilent(h.s.cfg.leaseBound()+scanInterval, "w1")
+			for range 40 {
+				if task := h.s.task(taskID("service", 0, 0)); len(task.attempts) > 0 && task.attempts[0].worker.info.ID == "w2" {
+					return
+				}
+				h.passWithSilent(scanInterval, "w1")
+			}
+			task := h.s.task(taskID("service", 0, 0))
+			t.Errorf("4 s after the leases have expired the service does not run: displaced %v, %d attempts", task.displaced(), len(task.attempts))
+		})
+	}
+}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -57,7 +57,7 @@
 	storedCrashes    int                // number of crashes that are stored
 	storedSilentOn   int                // number of entries of silentOn that are stored
 	rate             float64            // rate of the attempt that completed the task; 0 if unknown
-	ran              bool               // a worker has confirmed an attempt; of a former owner, one was stored
+	ran              bool               // a worker has confirmed an attempt or may have started it without an answer; of a former owner, one was stored
 	displacement     displacement       // see restart.go; the zero value unless the task is displaced
 	nomination       nomination         // the zero value unless capacity is kept for the task, see nominate.go
 	attempts         []*attempt
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -131,6 +131,7 @@
 		s.confirm(now.Boot, a)
 	case Unanswered:
 		w.suspect = true
+		a.task.ran = true // it may run there, as one that a former owner has started
 		if a.phase == starting {
 			a.phase = unanswered
 		}
