--- a/core/schedule/foreseen.go
+++ b/core/schedule/foreseen.go
@@ -12,7 +12,8 @@
 // The services on a silent worker are not restarted before its leases have certainly expired, but unless it answers they have to be
 // then. These foreseen restarts have tentative places on workers whose services leave room for them, and first starts of services
 // leave these places free: else a pool that is full when the leases expire has given away what became free until then. Tasks that
-// end may use the places. A worker that answers releases those of its services with the next scan.
+// end may use the places. A worker that answers releases those of its services with the next scan. The same holds for services that are
+// being stopped to run elsewhere.
 
 // foreseenAfter is the time since the last report of a worker, or since the takeover, after which the restarts of its services are
 // foreseen.
@@ -24,6 +25,7 @@
 	places   map[*task]*worker                    // nil for those that have no place
 	unplaced map[workload.PoolName][]foreseenNeed // the smallest ones without a place
 	holds    map[workload.PoolName]bool           // pools in which first starts leave the places free
+	outdated bool                                 // a service that has to run elsewhere has begun to be stopped since
 }
 
 // foreseenNeed is what a foreseen restart needs.
@@ -41,6 +43,7 @@
 // foreseeRestarts updates the foreseen restarts and their places. A restart keeps its place while there is room for it.
 func (s *Scheduler) foreseeRestarts(now Time) {
 	former := s.foreseen.places
+	s.foreseen.outdated = false
 	tasks := s.foreseenTasks(now)
 	if len(tasks) == 0 && len(s.foreseen.tasks) == 0 {
 		return
@@ -50,7 +53,8 @@
 			w.foreseen = keptPlaces{}
 		}
 	}
-	s.foreseen = foreseenRestarts{tasks, map[*task]*worker{}, map[workload.PoolName][]foreseenNeed{}, map[workload.PoolName]bool{}}
+	s.foreseen = foreseenRestarts{tasks: tasks, places: map[*task]*worker{}, unplaced: map[workload.PoolName][]foreseenNeed{},
+		holds: map[workload.PoolName]bool{}}
 	if len(tasks) == 0 {
 		return
 	}
@@ -103,8 +107,14 @@
 	}
 }
 
-// foreseenTasks returns the service tasks that have to be restarted unless silent workers answer: in the order of their ranks, the
-// smallest first, so that as many as possible have a place.
+// needsRestart reports whether an attempt is the only one of a service task that has run and has to go on running once it has ended.
+func (a *attempt) needsRestart() bool {
+	t := a.task
+	return t.ran && t.step.spec.Service && len(t.attempts) == 1 && !t.step.job.state.Final()
+}
+
+// foreseenTasks returns the service tasks that have to be restarted unless silent workers answer, and those that are being stopped to run
+// elsewhere: in the order of their ranks, the smallest first, so that as many as possible have a place.
 func (s *Scheduler) foreseenTasks(now Time) []*task {
 	var tasks []*task
 	for _, w := range s.sortedWorkers {
@@ -112,11 +122,16 @@
 			continue
 		}
 		for _, a := range w.attemptList {
-			if t := a.task; t.ran && t.step.spec.Service && a.phase != stopping && len(t.attempts) == 1 && !t.step.job.state.Final() {
-				tasks = append(tasks, t)
+			if a.needsRestart() {
+				tasks = append(tasks, a.task)
 			}
 		}
 	}
+	for a := range s.stopping {
+		if a.needsRestart() && !s.foreseesLoss(now.Boot, a.worker) {
+			tasks = append(tasks, a.task)
+		}
+	}
 	if !s.TakeoverComplete() {
 		tasks = s.addAwaitedTasks(now, tasks)
 	}
--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -502,3 +502,50 @@
 		})
 	}
 }
+
+// Guards against a first start that takes the only place for a service which is being moved from a draining worker.
+func TestFirstStartLeavesRoomForAServiceOfADrainingWorker(t *testing.T) {
+	for name, silent := range map[string]bool{"answers": false, "falls silent": true} {
+		t.Run(name, func(t *testing.T) {
+			h := serviceOnFirst(t)
+			h.useHalf("w2") // 8 of 16 cores
+			for _, r := range h.workers["w2"].running[:4] {
+				h.end(r.Task, EndDone)
+			}
+			h.addWorker("w3", withCores(8))
+			h.s.AddJob(testJob("others", leaseTasks(8)), nil, false)
+			for _, task := range h.s.jobs["others"].steps[0].tasks {
+				h.s.start(h.now.Boot, task, h.s.workers["w3"])
+			}
+			for _, o := range h.s.TakeOrders() {
+				h.accept(o)
+			}
+			h.workers["w1"].info.Draining, h.workers["w1"].info.Remaining = true, 20*time.Second
+			h.list()
+			h.reportAll()
+			orders := h.plan() // orders the stop
+			if len(ofKind(orders, OrderStop)) != 1 {
+				t.Fatalf("got %s, want one stop", describe(orders))
+			}
+			h.addService("first", 5)
+			var started []Order
+			if silent {
+				started = h.passWithSilent(foreseenAfter+2*scanInterval, "w1")
+			} else {
+				started = starts(h.plan())
+				for _, o := range started {
+					h.accept(o)
+				}
+			}
+			for _, o := range started {
+				if o.Task.Job == "first" {
+					t.Errorf("the first start of another service took room on %s, which leaves none for the moved one", o.Worker)
+				}
+			}
+			for _, o := range orders {
+				h.accept(o)
+			}
+			h.wantWait(taskID("lost", 0, 0), restartBound, func() {})
+		})
+	}
+}
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -31,7 +31,7 @@
 	s.fillerSearches, s.incomplete = 0, false
 	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
 	s.nominateForeseen(now)
-	if scan {
+	if scan || s.foreseen.outdated {
 		s.foreseeRestarts(now)
 	}
 	s.restartFirst(&cycle)
--- a/core/schedule/service_room.go
+++ b/core/schedule/service_room.go
@@ -17,6 +17,7 @@
 	if spec := &a.task.step.spec; spec.Service {
 		a.worker.serviceStopping = a.worker.serviceStopping.Add(spec.Reserved())
 		s.placesGivenUp = true
+		s.foreseen.outdated = s.foreseen.outdated || a.needsRestart()
 	}
 }
 
