--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -48,7 +48,7 @@
 	failed           []int64 // attempts that have failed; not kept for service tasks, which have no failure limit
 	lastAttempt      int64
 	checkpoint       string
-	storedWorker     WorkerID           // service tasks: worker of the latest attempt, to be stored
+	storedWorker     WorkerID           // service tasks: worker of the latest attempt; of a former owner, the one in its record
 	recordedWorker   WorkerID           // the worker in the stored record; empty if unknown, see stored_worker.go
 	crashes          []workload.Crash   // on record, see crash.go
 	silentOn         []workload.Silence // workers that stopped answering soon after they had accepted the task
--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -32,12 +32,12 @@
 
 // nomination is the worker that keeps capacity for a displaced task.
 type nomination struct {
-	worker   *worker
-	ownPlace bool // the task was there last and the place that it left is free
-	soon     bool // it is expected to fit within soonWait
-	foreseen bool // the worker was chosen before the task was displaced, see foreseen.go
-	stops    bool // it fits as soon as what is being stopped there has ended; it takes nothing from tasks that end
-	at       time.Duration
+	worker        *worker
+	ownPlace      bool // the task was there last and the place that it left is free
+	soon          bool // it is expected to fit within soonWait
+	foreseen      bool // the worker was chosen before the task was displaced, see foreseen.go
+	waitsForStops bool // it fits as soon as what is being stopped there has ended; it takes nothing from tasks that end
+	at            time.Duration
 }
 
 // keepsFor reports whether a worker keeps capacity for a nominee that a task may not take. The place that a task has left comes
@@ -149,7 +149,7 @@
 // stops only is not counted: it takes nothing from tasks that end.
 func (s *Scheduler) waitingNominees(pool workload.PoolName) (all, soon int) {
 	for t := range s.nominees {
-		if t.step.job.rec.Queue.Pool != pool || t.nomination.ownPlace || t.nomination.stops {
+		if t.step.job.rec.Queue.Pool != pool || t.nomination.ownPlace || t.nomination.waitsForStops {
 			continue
 		}
 		all++
@@ -204,7 +204,7 @@
 	}
 	foreseen := t.nomination.foreseen && best == t.nomination.worker
 	s.setNominee(t, nomination{worker: best, soon: soonest <= soonWait, foreseen: foreseen,
-		stops: best.fitsOnceStopped(t), at: now.Boot})
+		waitsForStops: best.fitsOnceStopped(t), at: now.Boot})
 }
 
 // endNominations ends a pass of nominations if all displaced tasks have had their turn in it.
@@ -214,9 +214,9 @@
 	}
 }
 
-// nominateToGivenUp nominates displaced tasks once more if nominees have started or were nominated elsewhere in the same planning run.
+// nominateToPlacesGivenUp nominates displaced tasks once more if nominees have started or were nominated elsewhere in the same planning run.
 // Tasks that end would take what was kept for them before the next scan.
-func (s *Scheduler) nominateToGivenUp(cycle *planCycle) {
+func (s *Scheduler) nominateToPlacesGivenUp(cycle *planCycle) {
 	if !s.placesGivenUp {
 		return
 	}
@@ -296,7 +296,7 @@
 		return false
 	}
 	return slices.ContainsFunc(w.nominees, func(nominee *task) bool {
-		return nominee != t && !nominee.nomination.ownPlace && !nominee.nomination.foreseen && !nominee.nomination.stops
+		return nominee != t && !nominee.nomination.ownPlace && !nominee.nomination.foreseen && !nominee.nomination.waitsForStops
 	})
 }
 
--- a/core/schedule/preempt.go
+++ b/core/schedule/preempt.go
@@ -16,8 +16,8 @@
 	// maxPreemptions is how often a task may be stopped for a displaced one by an owner.
 	maxPreemptions = 1
 	// maxPreemptedShare is the inverse of the share of a pool's tasks that end which may be in the process of being stopped for
-	// displaced ones. At least one displaced task at a time may have tasks stopped. With an eighth, the last of a dozen services that
-	// are displaced at once in a small pool waits for longer than the platform allows.
+	// displaced ones. At least one displaced task at a time may have tasks stopped. An eighth is too little for a dozen services that are
+	// displaced at once in a small pool: the last one waits for longer than the platform allows.
 	maxPreemptedShare = 3
 )
 
--- a/core/schedule/stored_worker.go
+++ b/core/schedule/stored_worker.go
@@ -3,9 +3,9 @@
 import "fulmarcourse.example/core/workload"
 
 // A service is started on a worker only once the stored record of its task names the worker, so that a later owner waits for a report of
-// it. That of a nominee that is expected to fit soon names its worker while tasks there still use the capacity, so that its start is ordered as
-// soon as they have left. A later owner finds out from the worker that it does not run the task, and restarts it; if the worker is silent
-// by then, the task waits until the leases there have expired, so that no other nominee is recorded.
+// it. The record of a nominee that is expected to fit soon names its worker while tasks there still use the capacity, so that its start is
+// ordered as soon as they have left. A later owner learns from the worker that it does not run the task, and restarts it. If the worker is
+// silent by then, the task waits until the leases there have expired, which is why no other nominee is recorded.
 
 // workerToStore returns the worker that the record of a task has to name: the one that runs it, or may start it soon.
 func (t *task) workerToStore() WorkerID {
@@ -31,7 +31,7 @@
 	}
 }
 
-// recordIntended records that the record of a task has to name another worker if it is not the one that it names.
+// recordIntended has the record of a task written if it names another worker than it has to.
 func (s *Scheduler) recordIntended(t *task) {
 	if t.workerToStore() != t.recordedWorker {
 		s.markRecordDirty(t)
--- a/core/schedule/vacated.go
+++ b/core/schedule/vacated.go
@@ -89,7 +89,7 @@
 	cycle.pools = s.openPools(cycle.now.Boot)
 	cycle.displaced = slices.DeleteFunc(cycle.displaced, func(t *task) bool { return s.restartedFirst(cycle, t) })
 	s.endNominations(cycle)
-	s.nominateToGivenUp(cycle)
+	s.nominateToPlacesGivenUp(cycle)
 }
 
 // restartedFirst starts a displaced task if it comes first and fits on a worker. If it comes first and does not fit, it is
