--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -549,3 +550,56 @@
 		})
 	}
 }
+
+// Guards against first starts that use up the time for which they may be held back while the pool is full, so that nothing is held back
+// for it: they then take the room for foreseen restarts.
+func TestWaitInAFullPoolIsNoHoldForForeseenRestarts(t *testing.T) {
+	h := serviceOnFirst(t)
+	h.s.AddJob(testJob("use", leaseTasks(16)), nil, false)
+	h.wantStarts(h.run(), 16) // all of w2
+	h.passWithSilent(foreseenAfter, "w1")
+	h.addService("first", 5)
+	h.passWithSilent(20*scanInterval, "w1")
+	if held := h.s.task(taskID("first", 0, 0)).step.heldFor; held > 0 {
+		t.Errorf("the first start counts as held back for %v by foreseen restarts, while tasks that end used the whole pool", held)
+	}
+}
+
+// Guards against a first start that takes the only place for a foreseen restart which needs a label, because the pool as a whole is little
+// used: what all workers together leave says nothing of the few that may run the task.
+func TestFirstStartsLeaveTheOnlyPlaceWithALabelInALittleUsedPool(t *testing.T) {
+	labelled := func(info *WorkerInfo) { info.Labels = []string{"kind"} }
+	for name, label := range map[string]string{"needs the label": "kind", "may run on any worker": ""} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.addWorker("w1", labelled)
+			lost := coresService(12)
+			lost.Label = "kind"
+			h.s.AddJob(testJob("lost", lost), nil, false)
+			h.wantStarts(h.run(), 1)
+			h.addWorker("w2", labelled)
+			beside := coresService(1)
+			beside.Label = "kind"
+			h.s.AddJob(testJob("beside", beside), nil, false)
+			for _, task := range h.s.jobs["beside"].steps[0].tasks {
+				h.s.start(h.now.Boot, task, h.s.workers["w2"])
+			}
+			h.store()
+			for _, o := range h.s.TakeOrders() {
+				h.accept(o)
+			}
+			for n := range 6 {
+				h.addWorker(WorkerID(fmt.Sprint("x", n)), nil)
+			}
+			h.passWithSilent(foreseenAfter+scanInterval, "w1")
+			first := coresService(5)
+			first.Label = label
+			h.s.AddJob(testJob("first", first), nil, false)
+			for _, o := range h.orderedFor(h.passWithSilent(scanInterval, "w1"), "first") {
+				if o.Worker == "w2" {
+					t.Error("the first start takes the only room for the service of the silent worker")
+				}
+			}
+		})
+	}
+}
--- a/core/schedule/preempt_test.go
+++ b/core/schedule/preempt_test.go
@@ -333,3 +333,25 @@
 	h.overdueService("service", 2)
 	h.wantStops()
 }
+
+// Guards against an overdue service that waits without a bound for the memory of fillers, which are never stopped for it.
+func TestOverdueServiceTakesTheMemoryOfFillers(t *testing.T) {
+	h := newHarness(t, 1)
+	w := h.addWorker("w1", func(info *WorkerInfo) {
+		withCores(4)(info)
+		info.Capacity.MemoryBytes = 4 << 30
+	})
+	step := fillerStep("filler", 4)
+	step.Size.MilliCPU, step.Size.MemoryBytes, step.Checkpoints, step.EstimateMs = 500, 1<<30, true, time.Minute.Milliseconds()
+	h.s.AddJob(testJob("fill", step), nil, false)
+	h.run()
+	h.elapse(scanInterval)
+	if len(w.running) != 4 {
+		t.Fatalf("%d fillers run, want 4", len(w.running))
+	}
+	service := coresStep(2)
+	service.Size.MemoryBytes = 2 << 30
+	task := h.displacedTask(workload.JobID("service"), service, "w0")
+	task.displacement.since = h.now.Boot
+	h.wantWait(task.id(), restartBound, func() {})
+}
