--- a/core/schedule/full_pool_lost_test.go
+++ b/core/schedule/full_pool_lost_test.go
@@ -26,16 +26,24 @@
 	p.list()
 }
 
+// playAfterLoss plays a full pool of which a quarter of the workers is lost for good, and checks the waits of services and the share of
+// tasks that end.
+func playAfterLoss(t *testing.T, seed uint64, services poolServices) *fullPool {
+	t.Helper()
+	p := newBusyFullPool(t, seed, services)
+	p.lose(25)
+	p.play(poolEnd, burstDemand)
+	p.checkWaits()
+	p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
+	return p
+}
+
 // Guards against services that do not run again for long in a full pool after a quarter of the workers is lost for good, although they
 // still fit on the others.
 func TestServicesRestartInAFullPoolAfterWorkersAreLost(t *testing.T) {
 	for _, services := range []poolServices{{50, 0}, {60, 2}} {
 		for seed := range uint64(3) {
-			p := newBusyFullPool(t, seed, services)
-			p.lose(25)
-			p.play(poolEnd, burstDemand)
-			p.checkWaits()
-			p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
+			playAfterLoss(t, seed, services)
 		}
 	}
 }
@@ -45,11 +53,7 @@
 // them on a worker. Where they leave none, they wait until others end.
 func TestServicesAndTasksThatEndShareAPoolThatIsTooSmall(t *testing.T) {
 	for seed := range uint64(3) {
-		p := newBusyFullPool(t, seed, poolServices{82, 0})
-		p.lose(25)
-		p.play(poolEnd, burstDemand)
-		p.checkWaits()
-		p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
+		p := playAfterLoss(t, seed, poolServices{82, 0})
 		if p.serviceTime < p.capacityTime/2 {
 			t.Errorf("seed %d: services had %.3f of the pool", seed, p.serviceTime/p.capacityTime)
 		}
@@ -61,11 +65,7 @@
 func TestServicesThatFitOnTheOtherWorkersRestartInAFullPool(t *testing.T) {
 	for _, services := range []poolServices{{62, 0}, {70, 2}} {
 		for seed := range uint64(3) {
-			p := newBusyFullPool(t, seed, services)
-			p.lose(25)
-			p.play(poolEnd, burstDemand)
-			p.checkWaits()
-			p.checkShare(p.capacityTime-p.serviceTime, minShareOfRest)
+			playAfterLoss(t, seed, services)
 		}
 	}
 }
--- a/core/schedule/renumbered_test.go
+++ b/core/schedule/renumbered_test.go
@@ -13,9 +13,8 @@
 	clear(w.stopped)
 }
 
-// Scenario: a worker ends three tasks, starts again with the start of its former process and ends two more. Guards against ignoring the
-// new ends because their numbers are not above the former ones: their tasks would start again after they are done.
-func TestEndsOfAProcessWithTheStartOfTheFormerOneAreApplied(t *testing.T) {
+// threeEndsHarness returns an owner that has applied and stored three ends of worker w1, which have completed the job named first.
+func threeEndsHarness(t *testing.T) *harness {
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
 	h.s.AddJob(testJob("first", testStep(3)), nil, false)
@@ -25,6 +24,13 @@
 	}
 	h.reportAll()
 	h.store()
+	return h
+}
+
+// Scenario: a worker ends three tasks, starts again with the start of its former process and ends two more. Guards against ignoring the
+// new ends because their numbers are not above the former ones: their tasks would start again after they are done.
+func TestEndsOfAProcessWithTheStartOfTheFormerOneAreApplied(t *testing.T) {
+	h := threeEndsHarness(t)
 	h.wantState("first", "completed")
 	h.repeatedStart("w1")
 	h.advanceClock(time.Second)
@@ -79,15 +85,7 @@
 // which does not know that process. Guards against a number of the former process that counts for the next one: the next one would drop
 // ends that nobody has read, and their tasks would start again after they are done.
 func TestNumbersOfEndsCountAnewWithTheNextPoller(t *testing.T) {
-	h := newHarness(t, 1)
-	h.addWorker("w1", nil)
-	h.s.AddJob(testJob("first", testStep(3)), nil, false)
-	h.wantStarts(h.run(), 3)
-	for n := range 3 {
-		h.end(taskID("first", 0, n), EndDone)
-	}
-	h.reportAll()
-	h.store()
+	h := threeEndsHarness(t)
 	h.s.PollerLost("w1", h.now.Boot)
 	h.repeatedStart("w1")
 	h.advanceClock(time.Second)
--- a/core/schedule/starvation_test.go
+++ b/core/schedule/starvation_test.go
@@ -32,6 +32,24 @@
 	h.addWorker(id, func(info *WorkerInfo) { info.Labels = []string{label} })
 }
 
+// addLabelledFillers adds jobs of fillers of different sizes that need the label "rare".
+func (h *harness) addLabelledFillers(jobs, tasks int) {
+	for n := range jobs {
+		step := fillerStep("image", tasks)
+		step.Size.MilliCPU, step.Label = int64(1000+n), "rare"
+		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("labelled", n)), step), nil, false)
+	}
+}
+
+// wantStartsBehind adds a job of fillers that come last and fails the test unless all of them start within a second.
+func (h *harness) wantStartsBehind(tasks int) {
+	h.t.Helper()
+	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
+	if started := h.runFor(time.Second, "behind"); started != tasks {
+		h.t.Errorf("%d of %d fillers have started on free workers", started, tasks)
+	}
+}
+
 // Scenario: many fillers wait that need a label which no worker has, and behind them fillers for which there is room. Guards
 // against searches for each task of a step that fits nowhere, which use up those of a planning run, so that free workers stay
 // unused for as long as such steps wait.
@@ -41,15 +59,8 @@
 	for n := range 10 {
 		h.addLabelledWorker(WorkerID(fmt.Sprint("w", n)), "common")
 	}
-	for n := range waiting {
-		step := fillerStep("image", tasks)
-		step.Size.MilliCPU, step.Label = int64(1000+n), "rare"
-		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("labelled", n)), step), nil, false)
-	}
-	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
-	if started := h.runFor(time.Second, "behind"); started != tasks {
-		t.Errorf("%d of %d fillers have started on free workers", started, tasks)
-	}
+	h.addLabelledFillers(waiting, tasks)
+	h.wantStartsBehind(tasks)
 }
 
 // Scenario: the workers with a label are full, and fillers of many sizes wait for them, before others for which there is room.
@@ -63,15 +74,8 @@
 	full.Size.MilliCPU, full.Label = h.workers["rare"].info.Capacity.MilliCPU, "rare"
 	h.s.AddJob(testJob("full", full), nil, false)
 	h.wantStarts(h.run(), 1)
-	for n := range waiting {
-		step := fillerStep("image", tasks)
-		step.Size.MilliCPU, step.Label = int64(1000+n), "rare"
-		h.s.AddJob(testJob(workload.JobID(fmt.Sprint("labelled", n)), step), nil, false)
-	}
-	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
-	if started := h.runFor(time.Second, "behind"); started != tasks {
-		t.Errorf("%d of %d fillers have started on a free worker", started, tasks)
-	}
+	h.addLabelledFillers(waiting, tasks)
+	h.wantStartsBehind(tasks)
 }
 
 // Scenario: fillers of so many different sizes fit nowhere that one planning run cannot search for all of them, and runs follow
@@ -84,10 +88,7 @@
 		h.addWorker(WorkerID(fmt.Sprint("w", n)), nil)
 	}
 	h.addTooLargeFillers(waiting)
-	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
-	if started := h.runFor(time.Second, "behind"); started != tasks {
-		t.Errorf("%d of %d fillers have started on free workers", started, tasks)
-	}
+	h.wantStartsBehind(tasks)
 }
 
 // Scenario: as above, and a worker joins on which the most urgent fillers fit. Guards against urgent fillers that wait until all
@@ -177,10 +178,7 @@
 			task.recordFailedOn(h.now.Boot, WorkerID(fmt.Sprint("w", n%workers)))
 		}
 	}
-	h.s.AddJob(testJob("behind", lessUrgent(fillerStep("image", tasks))), nil, false)
-	if started := h.runFor(time.Second, "behind"); started != tasks {
-		t.Errorf("%d of %d fillers have started on free workers", started, tasks)
-	}
+	h.wantStartsBehind(tasks)
 }
 
 // Scenario: all tasks of a step have failed on one worker or another, and one worker has room. Guards against tasks that are not tried
