--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -142,12 +142,12 @@
 		}
 	}
 	for _, x := range w.expired {
-		c.add(x.task, now.unixMsAt(w.reportedAt), x.ran, c.broken || c.followed(now.unixMsAt(w.polledAt)))
+		c.add(x.task, now.unixMsAt(w.reportedAt), x.ran, c.broken || c.followed(now.unixMsAt(w.observed(w.polledAt))))
 	}
 	for _, t := range s.silentOn[w.info.ID] {
 		if !survives(attemptKey{t.id(), t.lastAttempt}) {
 			silence := t.silenceOf(w.info.ID)
-			c.add(t, silence.SinceMs, 0, silence.Broken || c.followed(silence.AskedMs))
+			c.add(t, silence.SinceMs, 0, silence.Broken || c.followed(silence.AskedMs+MaxUnobserved.Milliseconds()))
 		}
 	}
 	s.giveUpCrashing(now, c.tasks)
@@ -175,7 +175,7 @@
 	if !certain {
 		return
 	}
-	stillRan := c.ranBefore(a) && (c.broken || c.followed(now.unixMsAt(a.askedAt())))
+	stillRan := c.ranBefore(a) && (c.broken || c.followed(now.unixMsAt(a.worker.observed(a.askedAt()))))
 	e := a.event(EventAttemptCrashed)
 	e.Value = a.listedFor().Seconds()
 	if !stillRan {
@@ -194,11 +194,9 @@
 	return c.foundAt == 0 || a.listedAt > 0 || a.confirmedAt < c.foundAt
 }
 
-// followed reports whether the next process had started within MaxUnobserved after a worker was last asked, in Unix milliseconds, so
-// that what ran there according to its answer ran until the crash.
-func (c *crash) followed(askedMs int64) bool {
-	return c.nextMs > 0 && c.nextMs <= askedMs+MaxUnobserved.Milliseconds()
-}
+// followed reports whether the next process had started by the time until which the worker was observed, in Unix milliseconds, so that
+// what ran there according to its last answer ran until the crash.
+func (c *crash) followed(observedMs int64) bool { return c.nextMs > 0 && c.nextMs <= observedMs }
 
 // add adds the crash to the record of a task that certainly ran until sinceMs, Unix milliseconds. If its lease may have
 // expired before the crash, the task does not count. stillRan states that it ran when the process ended.
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -15,7 +15,7 @@
 			continue
 		}
 		t.silentOn = append(t.silentOn, workload.Silence{Worker: string(w.info.ID), Broken: s.brokeAlone(w),
-			SinceMs: now.unixMsAt(max(w.reportedAt, a.confirmedAt)), AskedMs: now.unixMsAt(a.askedAt())})
+			SinceMs: now.unixMsAt(max(w.reportedAt, a.confirmedAt)), AskedMs: now.unixMsAt(w.observed(a.askedAt()) - MaxUnobserved)})
 		s.silentOn[w.info.ID] = append(s.silentOn[w.info.ID], t)
 		s.markRecordDirty(t)
 	}
