--- a/core/schedule/faultsim_evidence_test.go
+++ b/core/schedule/faultsim_evidence_test.go
@@ -40,10 +40,8 @@
 		return false
 	}
 	answered := f.evidence.answered[worker]
-	for _, at := range worker.endedAt {
-		if at > answered {
-			return false
-		}
+	if worker.lastEndAt > answered {
+		return false
 	}
 	return f.now-max(answered, f.evidence.accepted[worker]) <= MaxUnobserved
 }
--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -39,6 +39,7 @@
 	ended            []Ended
 	ends             int64
 	endedAt          map[int64]time.Duration   // by number, when the unacknowledged ends were; none whose lease has lapsed since
+	lastEndAt        time.Duration             // when the latest end was, whether it counts or not; 0 before the first
 	newest           map[workload.TaskID]int64 // highest attempt that was stopped or ended on the worker
 	unreachableUntil time.Duration
 	cut              *relayCut // nil while the owner reaches the worker's relay
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -91,7 +91,7 @@
 	delete(worker.running, key)
 	worker.newest[key.task] = max(worker.newest[key.task], key.number)
 	worker.ends++
-	worker.endedAt[worker.ends] = now
+	worker.endedAt[worker.ends], worker.lastEndAt = now, now
 	worker.ended = append(worker.ended, Ended{Number: worker.ends, Task: key.task, Attempt: key.number, Kind: kind})
 }
 
