--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -38,8 +38,9 @@
 // expiredAttempt is an attempt whose lease has expired on a worker that did not report. Whether the worker had crashed is
 // known once it reports again or another worker has its address.
 type expiredAttempt struct {
-	task *task
-	ran  time.Duration // for how long it was listed as running
+	task    *task
+	ran     time.Duration // for how long it was listed as running
+	stopped bool          // the worker had accepted a stop
 }
 
 // suspect reports whether a worker has crashed under the task.
@@ -142,7 +143,7 @@
 		}
 	}
 	for _, x := range w.expired {
-		c.add(x.task, now.unixMsAt(w.reportedAt), x.ran, c.broken || c.followed(now.unixMsAt(w.observed(w.polledAt))))
+		c.add(x.task, now.unixMsAt(w.reportedAt), x.ran, !x.stopped && (c.broken || c.followed(now.unixMsAt(w.observed(w.polledAt)))))
 	}
 	for _, t := range s.silentOn[w.info.ID] {
 		if !survives(attemptKey{t.id(), t.lastAttempt}) {
@@ -175,7 +176,7 @@
 	if !certain {
 		return
 	}
-	stillRan := c.ranBefore(a) && (c.broken || c.followed(now.unixMsAt(a.worker.observed(a.askedAt()))))
+	stillRan := c.ranBefore(a) && !a.stopAccepted() && (c.broken || c.followed(now.unixMsAt(a.worker.observed(a.askedAt()))))
 	e := a.event(EventAttemptCrashed)
 	e.Value = a.listedFor().Seconds()
 	if !stillRan {
@@ -185,6 +186,9 @@
 	c.add(a.task, now.unixMsAt(max(c.worker.reportedAt, a.confirmedAt)), a.listedFor(), stillRan)
 }
 
+// stopAccepted reports whether the worker has accepted a stop of the attempt, which has then ended unless the next process has accepted it.
+func (a *attempt) stopAccepted() bool { return a.stopConfirmedAt > 0 }
+
 // askedAt returns when the poll or the start was sent whose answer is the last one to show that the worker ran the attempt.
 func (a *attempt) askedAt() time.Duration { return max(a.worker.polledAt, a.orderedAt) }
 
--- a/core/schedule/cut_crash_test.go
+++ b/core/schedule/cut_crash_test.go
@@ -351,3 +351,33 @@
 		}
 	}
 }
+
+// Scenario: the owner has a running attempt stopped, and the worker accepts that and crashes before its next answer. Guards against a
+// crash that counts as certain under a task which has been stopped before, in this owner's record and in that of a later one (issue 47).
+func TestStoppedAttemptIsNoCertainCrash(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		h := newStartedHarness(t, 4)
+		job := testJob("job", testStep(1))
+		task := taskID("job", 0, 0)
+		h.s.AddJob(job, nil, false)
+		h.wantStarts(h.run(), 1)
+		id := h.workerOf(task)
+		h.s.PollFailed(h.now, id) // nothing shows at first whether the stop arrives
+		h.s.stop(h.now.Boot, h.s.task(task).attempts[0])
+		orders := ofKind(h.s.TakeOrders(), OrderStop)
+		h.report(id)
+		for _, o := range orders {
+			h.accept(o)
+		}
+		h.breakConnection(id)
+		h.store()
+		if takeover {
+			h.inherit(2, job)
+		}
+		h.advanceClock(backAfter)
+		h.restartAs("'", id)
+		if crashes := h.s.task(task).crashes; len(orders) != 1 || len(crashes) != 1 || !crashes[0].Uncertain {
+			t.Errorf("takeover %t: %d stops, crashes on record: %+v, want one stop and an uncertain crash", takeover, len(orders), crashes)
+		}
+	}
+}
--- a/core/schedule/faultsim_evidence_test.go
+++ b/core/schedule/faultsim_evidence_test.go
@@ -71,11 +71,16 @@
 }
 
 // checkFailed fails the test if a job is shown as failed without a task that has failed often enough or under which two workers have
-// crashed.
+// crashed, or if more certain crashes of a task are on record than workers have crashed under it.
 func (f *faultSim) checkFailed() {
 	if f.evidence == nil {
 		return
 	}
+	for t := range f.s.suspects {
+		if n := t.countCrashes(isCertain); n > f.evidence.crashes[t.id()] {
+			f.fatalf("%v has %d certain crashes on record, %d workers have crashed under it: %+v", t.id(), n, f.evidence.crashes[t.id()], t.crashes)
+		}
+	}
 	for _, job := range f.jobs {
 		if state, _ := f.s.JobState(job.ID); state != workload.StateFailed {
 			continue
@@ -101,7 +106,7 @@
 
 // Guards against the same under the faults of TestNoTaskRunsTwiceUnderLateReports.
 func TestNoJobIsShownAsFailedWithoutCauseUnderLateReports(t *testing.T) {
-	playSeeds(func(seed uint64) { newEvidenceFaultSim(newLateFaultSim(newFaultSim(t, seed))).playJobs() }, 3634)
+	playSeeds(func(seed uint64) { newEvidenceFaultSim(newLateFaultSim(newFaultSim(t, seed))).playJobs() }, 3634, 200880, 201135)
 }
 
 // Guards against a task that crashes one worker after another and is not given up because too few of the crashes are certain.
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -14,8 +14,11 @@
 		if !a.certainlyRan() || a.listedFor() >= briefRun || slices.ContainsFunc(t.silentOn, isWorker(w.info.ID)) {
 			continue
 		}
-		t.silentOn = append(t.silentOn, workload.Silence{Worker: string(w.info.ID), Broken: s.brokeAlone(w),
-			SinceMs: now.unixMsAt(max(w.reportedAt, a.confirmedAt)), AskedMs: now.unixMsAt(w.observed(a.askedAt()) - MaxUnobserved)})
+		silence := workload.Silence{Worker: string(w.info.ID), SinceMs: now.unixMsAt(max(w.reportedAt, a.confirmedAt))}
+		if !a.stopAccepted() {
+			silence.Broken, silence.AskedMs = s.brokeAlone(w), now.unixMsAt(w.observed(a.askedAt())-MaxUnobserved)
+		}
+		t.silentOn = append(t.silentOn, silence)
 		s.silentOn[w.info.ID] = append(s.silentOn[w.info.ID], t)
 		s.markRecordDirty(t)
 	}
