--- a/core/schedule/faultsim_withheld_test.go
+++ b/core/schedule/faultsim_withheld_test.go
@@ -18,6 +18,7 @@
 // simulation does not depend on it.
 type withheldSim struct {
 	rnd     *rand.Rand
+	left    *rand.Rand                        // for the relays of workers that have left
 	flags   map[WorkerID]bool                 // the relay of the worker extends no lease of it
 	acked   map[WorkerID]time.Duration        // when the owner has learnt that; voided by each other update
 	update  map[WorkerID]withheldUpdate       // in progress
@@ -117,7 +118,7 @@
 }
 
 func newWithheldSim(seed uint64) *withheldSim {
-	return &withheldSim{rnd: rand.New(rand.NewPCG(seed, 5)), former: map[*faultSimWorker]time.Duration{}}
+	return &withheldSim{rnd: rand.New(rand.NewPCG(seed, 5)), left: rand.New(rand.NewPCG(seed, 7)), former: map[*faultSimWorker]time.Duration{}}
 }
 
 // reset assigns the workers to the relays of a new owner.
@@ -135,7 +136,8 @@
 	delete(m.update, id)
 }
 
-// advanceWithheld applies the updates that are due, and begins those that are needed.
+// advanceWithheld applies the updates that are due, and begins those that are needed. Relays know the workers that have left as well, as
+// long as the owner does.
 func (f *faultSim) advanceWithheld() {
 	m := f.withheld
 	for _, worker := range f.workers {
@@ -144,29 +146,40 @@
 			delete(m.update, id) // the relay may have applied it, but the owner does not learn that
 			continue
 		}
-		u, updating := m.update[id]
-		if updating && !u.applied && f.now >= u.appliedAt {
-			u.applied, m.flags[id] = true, u.flag
-			m.update[id] = u
-		}
-		if updating && f.now >= u.appliedBy {
-			delete(m.update, id)
-			if f.now < time.Hour+simFaultsEnd && m.rnd.IntN(8) == 0 {
-				delete(m.acked, id) // the response is lost, so the update is sent again
-			} else if u.flag {
-				m.acked[id] = f.now
-			}
-		}
-		want := f.s.WithholdsLeases(id)
-		if !want {
-			delete(m.acked, id)
+		f.advanceUpdate(id, m.rnd)
+	}
+	for _, info := range f.s.Workers() {
+		if f.worker(info.ID) == nil {
+			f.advanceUpdate(info.ID, m.left)
 		}
-		if _, updating := m.update[id]; updating || (want == m.flags[id] && (!want || m.acked[id] > 0)) {
-			continue
+	}
+}
+
+// advanceUpdate applies the update of the relay of a worker if it is due, and begins one if it is needed.
+func (f *faultSim) advanceUpdate(id WorkerID, rnd *rand.Rand) {
+	m := f.withheld
+	u, updating := m.update[id]
+	if updating && !u.applied && f.now >= u.appliedAt {
+		u.applied, m.flags[id] = true, u.flag
+		m.update[id] = u
+	}
+	if updating && f.now >= u.appliedBy {
+		delete(m.update, id)
+		if f.now < time.Hour+simFaultsEnd && rnd.IntN(8) == 0 {
+			delete(m.acked, id) // the response is lost, so the update is sent again
+		} else if u.flag {
+			m.acked[id] = f.now
 		}
-		applied := f.now + time.Duration(m.rnd.Int64N(int64(simMaxUpdate)))
-		m.update[id] = withheldUpdate{flag: want, appliedAt: applied, appliedBy: applied + time.Duration(m.rnd.Int64N(int64(simMaxUpdate)))}
 	}
+	want := f.s.WithholdsLeases(id)
+	if !want {
+		delete(m.acked, id)
+	}
+	if _, updating := m.update[id]; updating || (want == m.flags[id] && (!want || m.acked[id] > 0)) {
+		return
+	}
+	applied := f.now + time.Duration(rnd.Int64N(int64(simMaxUpdate)))
+	m.update[id] = withheldUpdate{flag: want, appliedAt: applied, appliedBy: applied + time.Duration(rnd.Int64N(int64(simMaxUpdate)))}
 }
 
 // withheldSince returns since when the owner knows that the relay of a worker extends no lease of it.
