--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -86,6 +86,7 @@
 	unused       map[*faultSimWorker]unusedSince   // see checkUse
 	moves        *moveFaults                       // nil if all processes of a worker have one address
 	withheld     *withheldSim
+	observer     *observer
 	log          []string
 }
 
@@ -95,6 +96,7 @@
 		stored: map[workload.JobID]workload.Progress{}, done: map[workload.TaskID]bool{},
 		lastStart: map[workload.TaskID]time.Duration{},
 		starts:    map[workload.TaskID]int{}, unanswered: map[workload.TaskID]int{}, unused: map[*faultSimWorker]unusedSince{},
+		observer: newObserver(),
 	}
 	for i := range simWorkerCount {
 		f.workers = append(f.workers, &faultSimWorker{
@@ -221,6 +223,7 @@
 	f.check()
 	f.checkFailed()
 	f.checkUse()
+	f.observe()
 }
 
 // crashingJob is the job whose tasks crash the workers that start them, if the simulation has one.
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -101,6 +101,7 @@
 // acknowledges ends only once their progress is stored.
 func (f *faultSim) poll(worker *faultSimWorker) {
 	id := worker.info.ID
+	f.observer.polledAt[worker] = f.now
 	if worker.cut == nil && f.faulty(300) {
 		f.cutRelay(worker)
 	}
