--- a/core/schedule/break.go
+++ b/core/schedule/break.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// Whether a task still ran when the process of its worker ended is known only if the process ended right after the worker's last
-// answer. Two things show that: the connection to the worker broke then, or the next process had started by then, before any sign of
-// silence. A worker that does not answer in time may be cut off, complete its tasks behind the cut, and crash there later, also if it
-// is back at once. Connections that break to
-// many workers at the same time have a cause that they share, for instance a network that resets them; that says nothing about their
-// processes, and no task is the cause. Workers on which a task has just been started do not count among them: an owner that takes over
-// may start many tasks at the same time that each crash their worker.
+// Whether a task still ran when the process of its worker ended is known only if the process ended right after the worker's last answer.
+// The connection to the worker that broke then shows that. A next process that started soon after does not: if it is known first, the owner
+// may lack answers of the former one or signs of its silence, which its relay still holds or has lost. Only one that had started when the
+// last answered poll was sent leaves no time between. A worker that does not answer in time may be cut off, complete its tasks behind the
+// cut, and crash there later. Connections that break to many workers at the same time have a cause that they share, for instance a network
+// that resets them; that says nothing about their processes, and no task is the cause. Workers on which a task has just been started do not
+// count among them: an owner that takes over may start many tasks at the same time that each crash their worker.
 const (
 	// MaxUnobserved is the time after the last answer of a worker up to which the end of its process is certain to have ended what
 	// ran there. It allows for a poll that the worker holds open, see OnProbation, and is shorter than most tasks.
@@ -44,9 +44,9 @@
 }
 
 // becomeUnclear records that a worker does not answer, or that answers of it may be lost. What was known before holds.
-func (w *worker) becomeUnclear(now time.Duration) {
+func (w *worker) becomeUnclear() {
 	if w.silence == answering {
-		w.silence, w.silentSince = unclear, now
+		w.silence = unclear
 	}
 }
 
@@ -57,7 +57,7 @@
 	if !known || w.silence != answering {
 		return
 	}
-	w.silence, w.silentSince = broken, now.Boot
+	w.silence, w.brokenAt = broken, now.Boot
 	s.breaks = slices.DeleteFunc(s.breaks, func(b connectionBreak) bool { return now.Boot-b.at > breakRetention })
 	s.breaks = append(s.breaks, connectionBreak{now.Boot, w.startedSince(now.Boot - breakAfterStart)})
 	s.reviseSilences()
@@ -68,16 +68,6 @@
 	return slices.ContainsFunc(w.attemptList, func(a *attempt) bool { return max(a.orderedAt, a.confirmedAt) >= since })
 }
 
-// observed returns until when the worker is known to run what it ran when it was last asked, so that a process that has started by then
-// ended that: for MaxUnobserved, and not beyond the first sign of silence, after which an end may have been lost.
-func (w *worker) observed(asked time.Duration) time.Duration {
-	until := asked + MaxUnobserved
-	if w.silence == answering {
-		return until
-	}
-	return min(until, w.silentSince)
-}
-
 // brokeAlone reports whether the connection to a worker has broken soon after its last answer, and not together with many others.
 func (s *Scheduler) brokeAlone(w *worker) bool {
 	if w.silence != broken {
@@ -85,7 +75,7 @@
 	}
 	remembered, together := false, 0
 	for _, b := range s.breaks {
-		if (b.at - w.silentSince).Abs() > breakWindow {
+		if (b.at - w.brokenAt).Abs() > breakWindow {
 			continue
 		}
 		remembered = true
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -143,12 +143,12 @@
 		}
 	}
 	for _, x := range w.expired {
-		c.add(x.task, now.unixMsAt(w.reportedAt), x.ran, !x.stopped && (c.broken || c.followed(now.unixMsAt(w.observed(w.polledAt)))))
+		c.add(x.task, now.unixMsAt(w.reportedAt), x.ran, !x.stopped && (c.broken || c.followed(now.unixMsAt(w.polledAt))))
 	}
 	for _, t := range s.silentOn[w.info.ID] {
 		if !survives(attemptKey{t.id(), t.lastAttempt}) {
 			silence := t.silenceOf(w.info.ID)
-			c.add(t, silence.SinceMs, 0, silence.Broken || c.followed(silence.AskedMs+MaxUnobserved.Milliseconds()))
+			c.add(t, silence.SinceMs, 0, silence.Broken || c.followed(silence.AskedMs))
 		}
 	}
 	s.giveUpCrashing(now, c.tasks)
@@ -176,7 +176,7 @@
 	if !certain {
 		return
 	}
-	stillRan := c.ranBefore(a) && !a.stopAccepted() && (c.broken || c.followed(now.unixMsAt(a.worker.observed(a.askedAt()))))
+	stillRan := c.ranBefore(a) && !a.stopAccepted() && (c.broken || c.followed(now.unixMsAt(a.worker.polledAt)))
 	e := a.event(EventAttemptCrashed)
 	e.Value = a.listedFor().Seconds()
 	if !stillRan {
@@ -189,18 +189,15 @@
 // stopAccepted reports whether the worker has accepted a stop of the attempt, which has then ended unless the next process has accepted it.
 func (a *attempt) stopAccepted() bool { return a.stopConfirmedAt > 0 }
 
-// askedAt returns when the poll or the start was sent whose answer is the last one to show that the worker ran the attempt.
-func (a *attempt) askedAt() time.Duration { return max(a.worker.polledAt, a.orderedAt) }
-
 // ranBefore reports whether an attempt ran on the process that has ended. The next one may have accepted the start under the same ID
 // before its first report was applied.
 func (c *crash) ranBefore(a *attempt) bool {
 	return c.foundAt == 0 || a.listedAt > 0 || a.confirmedAt < c.foundAt
 }
 
-// followed reports whether the next process had started by the time until which the worker was observed, in Unix milliseconds, so that
-// what ran there according to its last answer ran until the crash.
-func (c *crash) followed(observedMs int64) bool { return c.nextMs > 0 && c.nextMs <= observedMs }
+// followed reports whether the next process had started when the last answered poll was sent, in Unix milliseconds, so that what ran
+// there according to the answer ran until the crash.
+func (c *crash) followed(polledMs int64) bool { return c.nextMs > 0 && c.nextMs <= polledMs }
 
 // add adds the crash to the record of a task that certainly ran until sinceMs, Unix milliseconds. If its lease may have
 // expired before the crash, the task does not count. stillRan states that it ran when the process ended.
--- a/core/schedule/cut_crash_test.go
+++ b/core/schedule/cut_crash_test.go
@@ -104,6 +104,60 @@
 	}
 }
 
+// Guards against the same while the owner notices the silence, or the loss of the reports of a relay, only after the next process has
+// started: the reports that it lacks may list the end of the task.
+func TestTaskThatEndsBeforeANoticedLossIsNoCertainCrash(t *testing.T) {
+	for name, notice := range map[string]func(*harness, WorkerID){
+		"failed poll":   func(h *harness, id WorkerID) { h.s.PollFailed(h.now, id) },
+		"lost reports":  func(h *harness, id WorkerID) { h.s.ReportsLost(id) },
+		"another relay": func(h *harness, id WorkerID) { h.s.PollerLost(id, h.now.Boot) },
+	} {
+		h := newStartedHarness(t, 4)
+		h.s.AddJob(testJob("job", testStep(1)), nil, false)
+		task := taskID("job", 0, 0)
+		h.wantStarts(h.run(), 1)
+		id := h.workerOf(task)
+		h.advanceClock(200 * time.Millisecond)
+		h.end(task, EndDone)
+		restartedMs := h.now.UnixMs
+		h.advanceClock(100 * time.Millisecond)
+		h.s.Plan(h.now)
+		notice(h, id)
+		h.advanceClock(time.Second)
+		h.restart(id)
+		h.workers[id].incarnation, h.workers[id].info.StartedMs = restartedMs, restartedMs
+		h.listWorkers()
+		if crashes := h.s.task(task).crashes; len(crashes) != 1 || !crashes[0].Uncertain {
+			t.Errorf("%s: crashes on record: %+v, want an uncertain one", name, crashes)
+		}
+	}
+}
+
+// Scenario: an owner that is behind has not applied the last results of a worker, or never gets them, when the next process answers under
+// its ID or another one at its address. Guards against a crash that counts as certain although those results may list the end of the task
+// (issue 47, seeds 402993 and 502935).
+func TestNextProcessWithoutAFailedPollIsNoCertainCrash(t *testing.T) {
+	for _, sameID := range []bool{false, true} {
+		h := newStartedHarness(t, 4)
+		h.s.AddJob(testJob("job", testStep(1)), nil, false)
+		task := taskID("job", 0, 0)
+		h.wantStarts(h.run(), 1)
+		id := h.workerOf(task)
+		h.advanceClock(200 * time.Millisecond)
+		h.end(task, EndDone)
+		if sameID {
+			h.restart(id)
+			h.workers[id].incarnation, h.workers[id].info.StartedMs = h.now.UnixMs, h.now.UnixMs
+			h.listWorkers()
+		} else {
+			h.restartAs("'", id)
+		}
+		if crashes := h.s.task(task).crashes; len(crashes) != 1 || !crashes[0].Uncertain {
+			t.Errorf("same ID %t: crashes on record: %+v, want an uncertain one", sameID, crashes)
+		}
+	}
+}
+
 // breakConnection makes the poll of a worker fail because the connection broke soon after its last answer.
 func (h *harness) breakConnection(id WorkerID) {
 	h.s.ConnectionBroken(h.now, id)
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -11,7 +11,7 @@
 // PollFailed records that a worker did not answer a poll. Until its next report its task leases are no longer extended.
 func (s *Scheduler) PollFailed(now Time, id WorkerID) {
 	if w, known := s.workers[id]; known {
-		w.becomeUnclear(now.Boot)
+		w.becomeUnclear()
 		w.stopExtending(now.Boot + s.cfg.leaseBound())
 		s.recordSilence(now, w)
 	}
@@ -26,7 +26,7 @@
 		return
 	}
 	w.suspect = true
-	w.becomeUnclear(s.calledAt)
+	w.becomeUnclear()
 	w.renumberEnds()
 	if !w.withheld.marked {
 		w.leasesExtended = true
@@ -49,7 +49,7 @@
 	if !known {
 		return
 	}
-	w.becomeUnclear(s.calledAt)
+	w.becomeUnclear()
 	if !w.withheld.marked {
 		s.recordExtended(w)
 	}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -64,7 +64,7 @@
 	}
 	if report.SentAt < w.polledAt { // a later poll was answered first; the next report lists again what this one lists
 		s.recordExtended(w)
-		w.becomeUnclear(now.Boot) // it may list the end of an attempt that no other report does if the worker crashes now
+		w.becomeUnclear() // it may list the end of an attempt that no other report does if the worker crashes now
 		if w.incarnation != report.Incarnation {
 			return 0 // the processes number their ends independently
 		}
@@ -76,7 +76,7 @@
 	s.reviewEntry(now.Boot, w)
 	s.recordExtended(w)
 	w.suspect = false
-	w.silence, w.silentSince = answering, 0
+	w.silence, w.brokenAt = answering, 0
 	s.index.markChanged(w)
 	s.forgetSilent(w)
 	s.stopAwaiting(w)
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -16,7 +16,7 @@
 		}
 		silence := workload.Silence{Worker: string(w.info.ID), SinceMs: now.unixMsAt(max(w.reportedAt, a.confirmedAt))}
 		if !a.stopAccepted() {
-			silence.Broken, silence.AskedMs = s.brokeAlone(w), now.unixMsAt(w.observed(a.askedAt())-MaxUnobserved)
+			silence.Broken, silence.AskedMs = s.brokeAlone(w), now.unixMsAt(w.polledAt)
 		}
 		t.silentOn = append(t.silentOn, silence)
 		s.silentOn[w.info.ID] = append(s.silentOn[w.info.ID], t)
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -52,7 +52,7 @@
 	appliedEnds      map[listedEnd]bool // ends of the process that were applied before their numbers counted anew, see renumberEnds
 	suspect          bool               // a poll or an order has failed since the last report
 	silence          silence            // since the last report
-	silentSince      time.Duration      // when the first sign of silence came; 0 while it answers
+	brokenAt         time.Duration      // when its connection broke; only with silence == broken
 	full             fullBackOff
 	unhealthyUntil   time.Duration    // end of the back-off after it has reported itself unhealthy
 	expired          []expiredAttempt // since the last report
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -68,6 +68,6 @@
 type Silence struct {
 	Worker  string `json:"w"`
 	SinceMs int64  `json:"t"`           // last report, Unix milliseconds
-	AskedMs int64  `json:"a,omitempty"` // poll or start that was answered last, or 0.5 s before the silence if that is earlier, Unix milliseconds; 0 if unknown
+	AskedMs int64  `json:"a,omitempty"` // poll that was answered last, Unix milliseconds; 0 if unknown
 	Broken  bool   `json:"b,omitempty"` // its connection broke soon after its last answer, which shows when its process ended
 }
