--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -146,8 +146,8 @@
 		c.add(x.task, now.unixMsAt(w.reportedAt), x.ran, !x.stopped && (c.broken || c.followed(now.unixMsAt(w.polledAt))))
 	}
 	for _, t := range s.silentOn[w.info.ID] {
-		if !survives(attemptKey{t.id(), t.lastAttempt}) {
-			silence := t.silenceOf(w.info.ID)
+		silence := t.silenceOf(w.info.ID)
+		if !survives(attemptKey{t.id(), t.lastAttempt}) && !c.answersAgain(silence) {
 			c.add(t, silence.SinceMs, 0, silence.Broken || c.followed(silence.AskedMs))
 		}
 	}
@@ -164,6 +164,12 @@
 	tasks   []*task       // whose record has changed
 }
 
+// answersAgain reports whether the process that did not answer is the one that has been found. The known workers may name the one before
+// it until that one's crash is stored.
+func (c *crash) answersAgain(silence *workload.Silence) bool {
+	return c.foundAt > 0 && c.nextMs > 0 && silence.StartedMs == c.nextMs
+}
+
 // addAttempt adds the crash to the record of the task that the worker ran in an attempt.
 func (c *crash) addAttempt(now Time, a *attempt) {
 	certain, uncertain := a.certainlyRan(), a.mayHaveRun()
--- a/core/schedule/cut_crash_test.go
+++ b/core/schedule/cut_crash_test.go
@@ -435,3 +435,32 @@
 		}
 	}
 }
+
+// Scenario: a worker has started again, and its next process runs a task and is silent for a moment. The owner is lost while the store
+// names the former process, whose crash it has not stored, and the silence. Guards against counting the crash of the former process under
+// a task that has run on the next one only (issue 47, seed 500186).
+func TestSilenceOfTheNextProcessIsNoCrashOfTheFormer(t *testing.T) {
+	h := newStartedHarness(t, 1)
+	known, _ := h.s.KnownWorkers()
+	h.advanceClock(time.Second)
+	h.restart("w0")
+	h.workers["w0"].incarnation, h.workers["w0"].info.StartedMs = h.now.UnixMs, h.now.UnixMs
+	h.listWorkers()
+	job := testJob("job", testStep(1))
+	task := taskID("job", 0, 0)
+	h.s.AddJob(job, nil, false)
+	h.advanceClock(maxProbation)
+	h.reportAll()
+	h.wantStarts(h.run(), 1)
+	h.s.PollFailed(h.now, "w0")
+	stored := h.s.task(task).step.job.progress()
+	h.workers["w0"].running = nil // stopped since, and no longer listed
+	h.newTerm(2)
+	h.s.InheritWorkers(h.now, known)
+	h.s.AddJob(job, &stored, true)
+	silences := len(h.s.task(task).silentOn)
+	h.listWorkers()
+	if crashes := h.s.task(task).crashes; silences != 1 || len(crashes) > 0 {
+		t.Errorf("%d silent workers and crashes on record: %+v, want one worker and no crash", silences, crashes)
+	}
+}
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -14,7 +14,8 @@
 		if !a.certainlyRan() || a.listedFor() >= briefRun || slices.ContainsFunc(t.silentOn, isWorker(w.info.ID)) {
 			continue
 		}
-		silence := workload.Silence{Worker: string(w.info.ID), SinceMs: now.unixMsAt(max(w.reportedAt, a.confirmedAt))}
+		silence := workload.Silence{Worker: string(w.info.ID), StartedMs: w.process().StartedMs,
+			SinceMs: now.unixMsAt(max(w.reportedAt, a.confirmedAt))}
 		if !a.stopAccepted() {
 			silence.Broken, silence.AskedMs = s.brokeAlone(w), now.unixMsAt(w.polledAt)
 		}
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -66,8 +66,9 @@
 
 // Silence is a worker that has stopped answering.
 type Silence struct {
-	Worker  string `json:"w"`
-	SinceMs int64  `json:"t"`           // last report, Unix milliseconds
-	AskedMs int64  `json:"a,omitempty"` // poll that was answered last, Unix milliseconds; 0 if unknown
-	Broken  bool   `json:"b,omitempty"` // its connection broke soon after its last answer, which shows when its process ended
+	Worker    string `json:"w"`
+	StartedMs int64  `json:"s,omitempty"` // start of the process that does not answer, Unix milliseconds; 0 if unknown
+	SinceMs   int64  `json:"t"`           // last report, Unix milliseconds
+	AskedMs   int64  `json:"a,omitempty"` // poll that was answered last, Unix milliseconds; 0 if unknown
+	Broken    bool   `json:"b,omitempty"` // its connection broke soon after its last answer, which shows when its process ended
 }
