--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -11,7 +11,7 @@
 // PollFailed records that a worker did not answer a poll. Until its next report its task leases are no longer extended.
 func (s *Scheduler) PollFailed(now Time, id WorkerID) {
 	if w, known := s.workers[id]; known {
-		w.becomeUnclear(now.Boot)
+		w.becomeUnclear()
 		s.recordGap(now.Boot, w)
 		w.stopExtending(now.Boot + s.cfg.leaseBound())
 		s.recordSilence(now, w)
@@ -27,7 +27,7 @@
 		return
 	}
 	w.suspect = true
-	w.becomeUnclear(s.calledAt)
+	w.becomeUnclear()
 	s.recordGap(s.calledAt, w)
 	w.renumberEnds()
 	if !w.withheld.marked {
@@ -51,7 +51,7 @@
 	if !known {
 		return
 	}
-	w.becomeUnclear(s.calledAt)
+	w.becomeUnclear()
 	s.recordGap(s.calledAt, w)
 	if !w.withheld.marked {
 		s.recordExtended(w)
