--- a/core/schedule/break.go
+++ b/core/schedule/break.go
@@ -57,6 +57,7 @@
 		return
 	}
 	w.silence, w.brokenAt = broken, now.Boot
+	s.recordGap(now.Boot, w)
 	s.breaks = slices.DeleteFunc(s.breaks, func(b connectionBreak) bool { return now.Boot-b.at > breakRetention })
 	s.breaks = append(s.breaks, connectionBreak{now.Boot, w.startedSince(now.Boot - breakAfterStart)})
 	s.reviseSilences()
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -316,7 +316,8 @@
 	capacity := float64(max(w.info.Capacity.MilliCPU, 1))
 	switch {
 	case t.onProbation():
-		return -float64(len(w.attemptList)) - suspectPenalty*float64(w.suspectsBeside(t)) // what a crash would take with it
+		// What a crash would take with it. While a worker's ends wait for the store, no poll is open that would show a crash at once.
+		return -float64(len(w.attemptList)) - suspectPenalty*float64(w.suspectsBeside(t)) - endsPenalty*float64(min(len(w.listedEnds), 1))
 	case spec.Filler:
 		_, rise := s.predictTail(now, w, t)
 		return fillerRating(float64(w.spareFillerCPU()), rise, w)
@@ -332,6 +333,8 @@
 	// suspectPenalty is the weight of jobs on probation relative to the number of tasks on a worker: they share a worker only where
 	// none is without them.
 	suspectPenalty = 1000.0
+	// endsPenalty is the weight of ends that a worker lists, relative to the number of tasks on a worker.
+	endsPenalty = 100.0
 	// pressurePenalty is the weight of the pressure on services relative to the unused share of the processor time.
 	pressurePenalty = 3.0
 	// mixedImagePenalty is the weight of services of other images relative to the share of the worker used by services. It
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -11,7 +11,8 @@
 // on record. A task is given up once the record points to it alone, which explains its crashes to the tasks beside it.
 // Crashes soon after a start point to the task more than later ones. Only a worker that has accepted the task counts: a start
 // without an answer may have arrived after the crash, and a task may not be given up for a crash that it cannot have caused.
-// Nor may it be given up for crashes before which it may have ended, as on workers that were cut off first: see break.go.
+// Nor may it be given up for crashes before which it may have ended, as on workers that were cut off first: see break.go. What bounds its
+// starts then is in crash_watch.go.
 const (
 	// briefRun is how long a task has to be listed as running for a later crash not to count as brief.
 	briefRun = time.Second
@@ -25,12 +26,6 @@
 	// crashLimit is the number of crashes without another explanation after which a task is given up in any case, with the same
 	// exception.
 	crashLimit = 4
-	// uncertainBackOff is how long a task waits after its second brief crash that is uncertain. It is multiplied by
-	// uncertainBackOffGrowth with each further one, up to maxUncertainBackOff: a task that crashes its workers and is not found to
-	// do so then starts a fifth time after 42 s at the earliest, and a sixth time after a further two minutes.
-	uncertainBackOff       = 2 * time.Second
-	uncertainBackOffGrowth = 4
-	maxUncertainBackOff    = 5 * time.Minute
 	// crashFreeRun is how long a task has to run for its record to be cleared, unless it has crashed after a longer run.
 	crashFreeRun = 15 * time.Second
 )
@@ -93,22 +88,6 @@
 	return certain >= briefCrashLimit && brief == certainBriefCrashes && isBrief(latest) || unexplained == crashLimit
 }
 
-// uncertainDelay returns how long a task waits before it starts again because of the uncertain crashes on its record.
-func (t *task) uncertainDelay() time.Duration {
-	n := t.countCrashes(func(c workload.Crash) bool { return isBrief(c) && isUnexplained(c) && c.Uncertain })
-	if n < 2 {
-		return 0
-	}
-	delay := uncertainBackOff
-	for range n - 2 {
-		delay = min(delay*uncertainBackOffGrowth, maxUncertainBackOff)
-	}
-	return delay
-}
-
-// inBackOff reports whether a task waits because of the uncertain crashes on its record.
-func (t *task) inBackOff(now time.Duration) bool { return now < t.crashedAt+t.uncertainDelay() }
-
 // onProbation reports whether the attempt is of a task on probation and has not run for briefRun.
 func (a *attempt) onProbation() bool { return a.task.onProbation() && a.listedFor() < briefRun }
 
@@ -135,7 +114,7 @@
 		return
 	}
 	s.retainCrashed(w)
-	c := crash{s: s, worker: w, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w)}
+	c := crash{s: s, worker: w, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w), lone: s.hasLoneGap(w)}
 	for _, a := range w.attemptList {
 		if !survives(a.key()) {
 			c.addAttempt(now, a)
@@ -160,6 +139,7 @@
 	nextMs  int64         // start of the next process, Unix milliseconds; 0 if unknown
 	foundAt time.Duration // see workerCrashed
 	broken  bool          // the connection to the worker broke soon after its last answer, see break.go
+	lone    bool          // no other worker has stopped answering near that time, see crash_watch.go
 	tasks   []*task       // whose record has changed
 }
 
@@ -209,6 +189,7 @@
 	entry := c.worker.process()
 	entry.RanMs = ran.Milliseconds()
 	entry.Uncertain = !stillRan
+	entry.Lone = !stillRan && c.lone
 	if c.s.addCrash(t, entry) {
 		c.tasks = append(c.tasks, t)
 	}
--- /dev/null
+++ b/core/schedule/crash_watch.go
@@ -0,0 +1,99 @@
+package schedule
+
+import (
+	"maps"
+	"time"
+
+	"fulmarcourse.example/core/workload"
+)
+
+// Brief crashes that are uncertain do not tell a task that crashes its workers from one whose workers were cut off and crashed for reasons
+// of their own. A further start does if its worker is watched: the task runs for briefRun, or its crash is noticed within MaxUnobserved and
+// is certain. So a task with several such crashes waits for a worker that has answered without a gap and runs no other suspect, and not for a
+// time of its own. While all workers answer, the wait is at most maxGapFree. While workers are cut off again and again, a further
+// crash is uncertain only if the next cut hits the one worker soon after the start.
+//
+// A task that ends the processes of its workers without breaking their connections stays uncertain on watched workers too. All its crashes
+// are lone: no other worker stops answering near that time. After maxLoneCrashes of them it waits for loneBackOff.
+const (
+	// watchedFrom is the number of uncertain brief crashes from which a task starts on workers without recent gaps only.
+	watchedFrom = 2
+	// gapFreePerCrash is for how long the worker has to have answered without a gap, for each such crash from watchedFrom on. It grows so
+	// that starts do not fall into step with cuts that recur.
+	gapFreePerCrash = time.Second
+	// maxGapFree limits this time. With the polls before it, the write to the store and the start it stays below the 7 s without a
+	// disturbance after which the platform demands that services run.
+	maxGapFree = 3 * time.Second
+	// watchWait is how long a task waits for such a worker after the second such crash. Where each has gaps all the time, it starts on any after
+	// that. With the start it stays below the 14 s after the traffic within which jobs have to go on. It doubles with each further crash up to
+	// maxWatchWait, since a crash on such a worker is often uncertain again.
+	watchWait    = 10 * time.Second
+	maxWatchWait = 4 * watchWait
+	// loneWindow is the time around the beginning of a gap in which no other worker may have one for it to be a lone one. A cut of several
+	// workers shows at all of them within two polls.
+	loneWindow = 2 * time.Second
+	// maxLoneCrashes is the number of lone uncertain brief crashes after which a task waits for loneBackOff. The platform allows two starts
+	// after the third crash.
+	maxLoneCrashes = certainBriefCrashes + 2
+	loneBackOff    = 5 * time.Minute
+)
+
+// recordGap records that a worker has not answered a poll, or that answers of it may be lost.
+func (s *Scheduler) recordGap(now time.Duration, w *worker) {
+	if w.gapFreeSince == 0 {
+		return
+	}
+	w.gapFreeSince = 0
+	maps.DeleteFunc(s.gaps, func(_ WorkerID, at time.Duration) bool { return now-at > breakRetention })
+	s.gaps[w.info.ID] = now
+}
+
+// recordAnswered records that a worker has answered. It is called before reportedAt is set.
+func (w *worker) recordAnswered(now time.Duration) {
+	if w.gapFreeSince == 0 || !w.reachable(now) {
+		w.gapFreeSince = now
+	}
+}
+
+// gapFree reports whether a worker that is reachable has answered without a gap for a time.
+func (w *worker) gapFree(now, d time.Duration) bool {
+	return w.silence == answering && w.gapFreeSince > 0 && now-w.gapFreeSince >= d
+}
+
+// hasLoneGap reports whether a worker has stopped answering to this owner, and no other one has near that time or since.
+func (s *Scheduler) hasLoneGap(w *worker) bool {
+	at, known := s.gaps[w.info.ID]
+	if !known || w.silence == answering {
+		return false
+	}
+	for id, other := range s.gaps {
+		if id != w.info.ID && other >= at-loneWindow {
+			return false
+		}
+	}
+	return true
+}
+
+func isUncertainBrief(c workload.Crash) bool { return isBrief(c) && isUnexplained(c) && c.Uncertain }
+
+func isLone(c workload.Crash) bool { return isUncertainBrief(c) && c.Lone }
+
+// requiredGapFree returns for how long a worker has to have answered without a gap before the task starts there; 0 if it may start on any.
+func (t *task) requiredGapFree(now time.Duration) time.Duration {
+	further := t.countCrashes(isUncertainBrief) - watchedFrom
+	if further < 0 || now-max(t.probationSince(), t.endedAt) >= min(watchWait<<min(further, 8), maxWatchWait) {
+		return 0
+	}
+	return min(time.Duration(further+1)*gapFreePerCrash, maxGapFree)
+}
+
+// hasRecentGap reports whether a worker has answered without a gap for too short a time for a task to start there.
+func (w *worker) hasRecentGap(now time.Duration, t *task) bool {
+	required := t.requiredGapFree(now)
+	return required > 0 && !w.gapFree(now, required)
+}
+
+// inBackOff reports whether a task waits because it may have crashed many workers none of which could be observed.
+func (t *task) inBackOff(now time.Duration) bool {
+	return t.countCrashes(isLone) >= maxLoneCrashes && now < t.crashedAt+loneBackOff
+}
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -12,6 +12,7 @@
 func (s *Scheduler) PollFailed(now Time, id WorkerID) {
 	if w, known := s.workers[id]; known {
 		w.becomeUnclear()
+		s.recordGap(now.Boot, w)
 		w.stopExtending(now.Boot + s.cfg.leaseBound())
 		s.recordSilence(now, w)
 	}
@@ -27,6 +28,7 @@
 	}
 	w.suspect = true
 	w.becomeUnclear()
+	s.recordGap(s.calledAt, w)
 	w.renumberEnds()
 	if !w.withheld.marked {
 		w.leasesExtended = true
@@ -50,6 +52,7 @@
 		return
 	}
 	w.becomeUnclear()
+	s.recordGap(s.calledAt, w)
 	if !w.withheld.marked {
 		s.recordExtended(w)
 	}
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -112,6 +112,8 @@
 		return WaitMaxPerWorker
 	case w.excludesSuspect(now, t):
 		return WaitProbation
+	case w.hasRecentGap(now, t):
+		return WaitRecentGap
 	}
 	return Suitable
 }
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -72,6 +72,7 @@
 	}
 	s.recordProcess(now, w, report)
 	w.polledAt = report.SentAt
+	w.recordAnswered(now.Boot)
 	w.reportedAt = now.Boot
 	s.reviewEntry(now.Boot, w)
 	s.recordExtended(w)
@@ -103,6 +104,7 @@
 		if w.incarnation != 0 && !countsFewer(report.Incarnation, w.incarnation) {
 			s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID})
 			s.workerCrashed(now, w, startAfter(w.incarnation, report.Incarnation), report.SentAt, report.lists)
+			s.recordGap(now.Boot, w)
 			w.health, w.slowness = health{}, slowness{}
 			w.stability.recordLoss(now.Boot)
 			s.knownWorkersChanged = true
--- a/core/schedule/suspect_wait_test.go
+++ b/core/schedule/suspect_wait_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"fulmarcourse.example/core/workload"
 )
@@ -42,3 +43,82 @@
 		}
 	}
 }
+
+// Guards against a further crash that is as uncertain as those before because the worker was not watched: the task starts only where it
+// is, also if that worker has less room, and after its bound on any worker, where each has gaps all the time.
+func TestTaskWithUncertainCrashesStartsWhereItIsWatched(t *testing.T) {
+	for _, allHaveGaps := range []bool{false, true} {
+		h, _ := newUncertainSuspect(t, testStep(1), watchedFrom)
+		h.s.AddJob(testJob("beside", testStep(1)), nil, false)
+		h.wantStarts(h.run(), 1)
+		watched := h.workerOf(taskID("beside", 0, 0))
+		waited := h.waitOf(taskID("job", 0, 0), func() {
+			for _, id := range h.workerIDs() {
+				if allHaveGaps || id != watched {
+					h.s.ReportsLost(id)
+				}
+			}
+		})
+		switch {
+		case allHaveGaps && (waited < watchWait || waited > watchWait+reportingStep):
+			t.Errorf("where all workers have gaps the task has waited for %v, want %v", waited, watchWait)
+		case !allHaveGaps && (waited > taskWaitBound || h.workerOf(taskID("job", 0, 0)) != watched):
+			t.Errorf("the task has started on %s after %v, want %s within %v", h.workerOf(taskID("job", 0, 0)), waited, watched, taskWaitBound)
+		}
+	}
+}
+
+// Scenario: all workers are cut off soon after a service has started on one of them, crash behind the cut and are back 3 s later, many
+// times. Guards against taking that for a task that crashes its workers unobserved: it would wait for minutes.
+func TestServiceWaitsNoLongerAfterCutsOfManyWorkers(t *testing.T) {
+	const cuts = 2 * maxStartsOfCrashingTask
+	for _, takeover := range []bool{false, true} {
+		h := newStartedHarness(t, 4)
+		job := testJob("job", testService(1))
+		task := taskID("job", 0, 0)
+		h.s.AddJob(job, nil, false)
+		for n := range cuts {
+			h.wantWait(task, simServiceDown-backAfter, func() {})
+			for _, id := range h.workerIDs() {
+				h.s.PollFailed(h.now, id)
+			}
+			h.store()
+			if takeover {
+				h.inherit(int64(2+n), job)
+			}
+			h.advanceClock(backAfter)
+			h.restartAs(WorkerID(fmt.Sprint("-", n)), h.workerIDs()...)
+			h.wantState("job", workload.StateRunning)
+		}
+		if crashes := h.s.task(task).countCrashes(isUncertainBrief); crashes != cuts {
+			t.Errorf("%d uncertain crashes on record, want %d", crashes, cuts)
+		}
+	}
+}
+
+// Guards against a back-off that takes a worker's gap for a lone one because the other gaps are forgotten, and one that takes none for lone.
+func TestLoneGaps(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after time.Duration // of the gap of another worker; 0 for none
+		lone          bool
+	}{
+		"no other":    {0, 0, true},
+		"long before": {loneWindow + time.Second, 0, true},
+		"just before": {loneWindow - time.Second, 0, false},
+		"after":       {0, time.Second, false},
+	} {
+		h := newStartedHarness(t, 3)
+		if c.before > 0 {
+			h.s.PollFailed(h.now, "w1")
+			h.advanceClock(c.before)
+		}
+		h.s.PollFailed(h.now, "w0")
+		if c.after > 0 {
+			h.advanceClock(c.after)
+			h.s.ReportsLost("w2")
+		}
+		if lone := h.s.hasLoneGap(h.s.workers["w0"]); lone != c.lone {
+			t.Errorf("gap of another worker %s: lone %t, want %t", name, lone, c.lone)
+		}
+	}
+}
--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -29,6 +29,7 @@
 	WaitSlow             // tasks run much slower on the worker than elsewhere
 	WaitFaulty           // tasks of several jobs have failed on the worker
 	WaitLostRecently     // the worker was lost and has returned
+	WaitRecentGap        // it has not answered without a gap for long enough to notice whether the task crashes it
 	WaitProbation        // task and worker would be shared with another suspect of crashes
 	WaitMaxPerWorker     // the worker has as many tasks of the step as it may
 	WaitRejections       // the worker has rejected tasks for lack of capacity that the list does not show
@@ -50,7 +51,7 @@
 	WaitNoWorker         // the pool has no worker
 
 	// Of the task, whatever the workers are.
-	WaitCrashBackOff   // it may have crashed several workers
+	WaitCrashBackOff   // it may have crashed many workers, none of which could be observed
 	WaitSilentWorkers  // as many workers of its record are silent as would give it up if they have crashed
 	WaitCrashNotStored // a crash on its record is not stored yet
 	WaitOwnWorker      // its worker under a former owner has not reported yet
@@ -66,7 +67,7 @@
 var waitReasonNames = [numWaitReasons]string{
 	"suitable", "start_not_stored", "start_not_confirmed", "not_its_turn", "worker_not_found", "no_plan",
 	"capacity_kept", "service_share",
-	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "probation",
+	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "recent_gap", "probation",
 	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "entry_outdated", "capacity_outdated", "kept_for_restarts", "kept_for_service",
 	"no_capacity", "unreachable", "unlisted", "replaced", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
 	"crash_back_off", "silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "worker_silent", "unexplained",
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -53,6 +53,7 @@
 	suspect          bool               // a poll or an order has failed since the last report
 	silence          silence            // since the last report
 	brokenAt         time.Duration      // when its connection broke; only with silence == broken
+	gapFreeSince     time.Duration      // since when it has answered without a gap, see crash_watch.go; 0 while it does not
 	full             fullBackOff
 	unhealthyUntil   time.Duration    // end of the back-off after it has reported itself unhealthy
 	expired          []expiredAttempt // since the last report
