--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -233,7 +233,7 @@
 	case EndDone:
 		s.taskDone(now, w, t)
 	case EndFailed:
-		s.taskFailed(now, w, t, end.Attempt)
+		s.taskFailed(now, w, t, end.Attempt, a.ranLong(now.Boot))
 	}
 }
 
@@ -273,7 +273,14 @@
 	}
 }
 
-func (s *Scheduler) taskFailed(now Time, w *worker, t *task, number int64) {
+// ranLong reports whether an attempt, if it is known, is of a service and has run for so long that its failure need not be the worker's.
+func (a *attempt) ranLong(now time.Duration) bool {
+	return a != nil && a.task.step.spec.Service && a.confirmedAt > 0 && now-a.confirmedAt >= restartOverdueAfter
+}
+
+// taskFailed records that an attempt of a task has failed on a worker. Services fail at any time and never succeed, so that their
+// failures on a sound worker would add up: those of attempts that ran long say nothing about it.
+func (s *Scheduler) taskFailed(now Time, w *worker, t *task, number int64, ranLong bool) {
 	// After a takeover the ends reported by several workers arrive in any order, and some are already stored.
 	if slices.Contains(t.failed, number) {
 		return
@@ -285,7 +292,7 @@
 		s.markDirty(j)
 	}
 	t.recordFailedOn(now.Boot, w.info.ID)
-	if w.health.recordFailure(now.Boot, j.rec.ID) {
+	if !ranLong && w.health.recordFailure(now.Boot, j.rec.ID) {
 		s.emit(Event{Kind: EventWorkerInBackOff, Worker: w.info.ID, Value: w.health.until.Seconds()})
 	}
 	limit := j.rec.Queue.MaxFailures
