--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -30,6 +30,7 @@
 	}
 	s.fillerSearches, s.incomplete = 0, false
 	cycle := planCycle{now: now, scan: scan, displaced: s.displacedTasks(now)}
+	s.keepOwnPlaces(&cycle)
 	s.nominateForeseen(now)
 	if scan || s.foreseen.outdated {
 		s.foreseeRestarts(now)
--- a/core/schedule/vacated.go
+++ b/core/schedule/vacated.go
@@ -74,18 +74,23 @@
 		s.vacated[t.step.job.rec.Queue.Pool]-pool.promised >= t.step.spec.Size.MilliCPU
 }
 
+// keepOwnPlaces keeps the places that displaced tasks have left, before one of them takes the place of another and before foreseen restarts
+// get theirs.
+func (s *Scheduler) keepOwnPlaces(cycle *planCycle) {
+	s.dropOutdatedNominations(cycle.now)
+	for _, t := range cycle.displaced {
+		s.nominateToOwnPlace(cycle.now, t)
+	}
+}
+
 // restartFirst starts the displaced tasks that come before all tasks that end, and keeps capacity for those of them that fit
 // on no worker.
 func (s *Scheduler) restartFirst(cycle *planCycle) {
-	s.dropOutdatedNominations(cycle.now)
 	cycle.scan, s.placesGivenUp = cycle.scan || s.placesGivenUp, false
 	if len(cycle.displaced) == 0 {
 		clear(s.vacated)
 		return
 	}
-	for _, t := range cycle.displaced { // before one of them takes the place that another has left
-		s.nominateToOwnPlace(cycle.now, t)
-	}
 	cycle.pools = s.openPools(cycle.now.Boot)
 	cycle.displaced = slices.DeleteFunc(cycle.displaced, func(t *task) bool { return s.restartedFirst(cycle, t) })
 	s.endNominations(cycle)
