--- a/core/schedule/foreseen.go
+++ b/core/schedule/foreseen.go
@@ -93,6 +93,7 @@
 				rooms = s.foreseenRooms(now)
 			}
 			if w = rooms.claim(s, now, t); w == nil {
+				t.displacement.foreseen = true
 				continue
 			}
 		}
--- a/core/schedule/foreseen_hold.go
+++ b/core/schedule/foreseen_hold.go
@@ -42,7 +42,7 @@
 // others free elsewhere until it is overdue: leases of workers that fell silent together expire one after another.
 func (s *Scheduler) keptForForeseen(now time.Duration, t *task, w *worker) bool {
 	if t.ran {
-		return t.prefersItsPlace(now) && w != t.nomination.worker && len(w.foreseen.tasks) > 0 &&
+		return t.leavesForeseenPlaces(now) && w != t.nomination.worker && len(w.foreseen.tasks) > 0 &&
 			!t.step.spec.Reserved().Fits(w.roomBesideServices(t).Sub(w.foreseen.size))
 	}
 	if !s.yieldsToForeseen(t.step) {
@@ -73,9 +73,9 @@
 	return size
 }
 
-// prefersItsPlace reports whether a displaced task has the place of its foreseen restart and is not overdue.
-func (t *task) prefersItsPlace(now time.Duration) bool {
-	return t.nomination.foreseen && now-t.displacement.since < restartOverdueAfter
+// leavesForeseenPlaces reports whether the restart of a displaced task was foreseen, with a place or without, and it is not overdue.
+func (t *task) leavesForeseenPlaces(now time.Duration) bool {
+	return (t.nomination.foreseen || t.displacement.foreseen) && now-t.displacement.since < restartOverdueAfter
 }
 
 // heldByForeseen reports whether a first start of a step would fit on a worker but for the foreseen restarts. In a pool that is little
--- a/core/schedule/nominate.go
+++ b/core/schedule/nominate.go
@@ -167,6 +167,7 @@
 	}
 	now, known := cycle.now, t.nomination.worker != nil
 	shape, sufficient := t.step.shape()
+	shape.yields = t.leavesForeseenPlaces(now.Boot)
 	sufficient = sufficient && !t.onProbation()
 	switch {
 	case !cycle.scan && t.displacement.since != now.Boot, known && now.Boot-t.nomination.at < nominationReview,
@@ -257,7 +258,7 @@
 // first: places that are kept there would otherwise be given up at each review.
 func (s *Scheduler) fitsSoonest(now Time, t *task, onlyStops bool) (best *worker, soonest time.Duration) {
 	compare := func(w *worker) bool {
-		if t.avoidsSlow(now, w) || !s.fitsBesideServices(now, t, w) {
+		if t.avoidsSlow(now, w) || !s.fitsBesideServices(now, t, w) || s.keptForForeseen(now.Boot, t, w) {
 			return false
 		}
 		if (onlyStops || w.hasOtherWaitingNominee(t)) && !w.fitsOnceStopped(t) {
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -29,6 +29,7 @@
 	countFrom  time.Duration // start of the current passedOverWindow
 	passedOver int           // starts of other tasks in the window on workers with room for it
 	firstUntil time.Duration // until when it comes before all other tasks, because it was passed over too often
+	foreseen   bool          // its restart was foreseen and had no place when it became due
 	triedIn    int           // latest pass of nominations in which it had its turn, see maxNominations; 0 if none
 }
 
@@ -67,7 +68,7 @@
 		}
 		d.passedOver++
 		if d.passedOver >= maxPassedOver {
-			*d = displacement{since: d.since, firstUntil: cycle.now.Boot + precedence}
+			*d = displacement{since: d.since, foreseen: d.foreseen, firstUntil: cycle.now.Boot + precedence}
 		}
 	}
 }
@@ -143,7 +144,7 @@
 		return t.nomination.worker
 	}
 	shape, sufficient := t.step.shape()
-	shape.yields = t.prefersItsPlace(cycle.now.Boot)
+	shape.yields = t.leavesForeseenPlaces(cycle.now.Boot)
 	sufficient = sufficient && !t.onProbation()
 	if !cycle.fitsNowhere(shape) {
 		w := s.choose(cycle.now, t)
