--- a/pkg/standin/fleet/crash.go
+++ b/pkg/standin/fleet/crash.go
@@ -16,8 +16,8 @@
 	Capacity   Resources
 }
 
-// labels returns all labels of the worker, in a new slice.
-func (k Kind) labels() []string { return append(slices.Clone(k.Labels), k.Rack) }
+// AllLabels returns all labels of the worker, in a new slice.
+func (k Kind) AllLabels() []string { return append(slices.Clone(k.Labels), k.Rack) }
 
 // Resources are amounts of a worker or of a task.
 type Resources struct {
@@ -29,13 +29,13 @@
 // defaultCapacity is the capacity of a worker that is added.
 var defaultCapacity = Resources{CPU: 16000, MemMB: 64000}
 
-// plus returns the sum of two amounts.
-func (r Resources) plus(other Resources) Resources {
+// Plus returns the sum of two amounts.
+func (r Resources) Plus(other Resources) Resources {
 	return Resources{r.CPU + other.CPU, r.MemMB + other.MemMB, r.GPU + other.GPU}
 }
 
-// within reports whether the amount does not exceed a limit.
-func (r Resources) within(limit Resources) bool {
+// Within reports whether the amount does not exceed a limit.
+func (r Resources) Within(limit Resources) bool {
 	return r.CPU <= limit.CPU && r.MemMB <= limit.MemMB && r.GPU <= limit.GPU
 }
 
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -122,6 +122,25 @@
 	return id, err == nil && !down && entry.Address == address && entry.Born == born
 }
 
+// Sound returns the id and the kind of the worker's process, and whether it is up and listed, without faults, and does not drain.
+func (w *Worker) Sound() (id string, kind Kind, sound bool) {
+	id, listed := w.Listed()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return id, w.kind, listed && id == w.id && !w.draining && w.faults == (WorkerFaults{})
+}
+
+// FailServices ends the runs of all tasks that run until they are stopped, as failed.
+func (w *Worker) FailServices() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key, r := range w.running {
+		if r.endsAt.IsZero() {
+			w.finish(key, "failed", true)
+		}
+	}
+}
+
 // Calls returns the number of calls that the worker has received, polls included.
 func (w *Worker) Calls() int {
 	w.mu.Lock()
@@ -164,7 +183,7 @@
 	w.platform.Store.Put("servers/"+id, map[string]any{
 		"service": kind.Pool, "address": address, "zone": kind.Datacentre, "version": "v1",
 		"slots": 8, "state": state, "coldRemainingMs": 0, "remainingMs": 3000, "seq": 1, "born": incarnation,
-		"capacity": kind.Capacity, "labels": kind.labels(),
+		"capacity": kind.Capacity, "labels": kind.AllLabels(),
 	})
 }
 
@@ -335,12 +354,12 @@
 		return http.StatusConflict, "old"
 	}
 	needs := w.platform.requirements(key.task).Resources
-	if !w.reserved().plus(needs).within(w.kind.Capacity) {
+	if !w.reserved().Plus(needs).Within(w.kind.Capacity) {
 		return http.StatusConflict, "room"
 	}
 	now := time.Now()
 	r := activeRun{startedAt: now, needs: needs, index: w.platform.recordStart(Run{
-		Task: key.task, Attempt: key.attempt, Worker: w.id, Labels: w.kind.labels(), Started: now,
+		Task: key.task, Attempt: key.attempt, Worker: w.id, Labels: w.kind.AllLabels(), Started: now,
 	})}
 	if work := w.platform.runTime(key.task); work > 0 {
 		r.endsAt = now.Add(time.Duration(float64(work) * max(w.faults.Slowdown, 1)))
@@ -355,7 +374,7 @@
 // reserved returns the sum of what the running tasks need. w.mu is held.
 func (w *Worker) reserved() (sum Resources) {
 	for _, r := range w.running {
-		sum = sum.plus(r.needs)
+		sum = sum.Plus(r.needs)
 	}
 	return sum
 }
--- a/test/fleet/faults_test.go
+++ b/test/fleet/faults_test.go
@@ -92,7 +92,10 @@
 func storeFault(faults fleet.StoreFaults) func(*soakRun) func() {
 	return func(r *soakRun) func() {
 		r.s.platform.Store.SetFaults(faults)
-		return func() { r.s.platform.Store.SetFaults(fleet.StoreFaults{}) }
+		return func() {
+			r.s.platform.Store.SetFaults(fleet.StoreFaults{})
+			r.observer.disturbedFor(faults.LateWriteDelay)
+		}
 	}
 }
 
@@ -100,7 +103,10 @@
 	return func(r *soakRun) func() {
 		worker := r.randomWorker()
 		worker.SetFaults(faults)
-		return func() { worker.SetFaults(fleet.WorkerFaults{}) }
+		return func() {
+			worker.SetFaults(fleet.WorkerFaults{})
+			r.observer.disturbedFor(faults.LateOrderDelay)
+		}
 	}
 }
 
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -245,12 +245,17 @@
 	}
 }
 
+// Guards against jobs and services that wait beside free workers in the calm time after series of faults: workers that crash behind cuts
+// several times in a row, owners that are killed right after a job was accepted, and connections that go silent.
+func TestShortSeriesSoak(t *testing.T) { seriesSoak(t, 1, 10*time.Second) }
+
 var (
 	soakSeeds       = flag.Int("soak.count", 0, "number of seeds that TestLongSoak runs")
 	soakFirstSeed   = flag.Uint64("soak.first", 1, "first seed of TestLongSoak")
 	soakRelayed     = flag.Bool("soak.relayed", false, "whether TestLongSoak polls through relays, with faults between the hosts")
 	soakReturning   = flag.Bool("soak.returning", false, "whether workers in TestLongSoak return at other addresses and as other kinds")
 	soakOverwritten = flag.Bool("soak.overwritten", false, "whether another writer changes records of the owner and of the hosts in TestLongSoak")
+	soakSeries      = flag.Bool("soak.series", false, "whether faults in TestLongSoak come in series, with calm time after each; beside -soak.relayed on a relayed site")
 	soakDuration    = flag.Duration("soak.length", 20*time.Second, "time with injected faults for each seed of TestLongSoak")
 )
 
@@ -261,6 +266,10 @@
 	}
 	run := soak
 	switch {
+	case *soakSeries && *soakRelayed:
+		run = relayedSeriesSoak
+	case *soakSeries:
+		run = seriesSoak
 	case *soakRelayed:
 		run = relayedSoak
 	case *soakReturning:
--- a/test/fleet/soak_test.go
+++ b/test/fleet/soak_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -28,11 +29,17 @@
 	maxFailures = 3
 )
 
+// stateUnknown is what site.state returns for a job that the host does not know.
+const stateUnknown = "410"
+
 // soakRun submits and cancels jobs while faults are injected, and records the responses that callers received.
 type soakRun struct {
 	s            *site
+	observer     *soakObserver
 	rnd          *rand.Rand
-	faults       []fault // that the run injects
+	faults       []fault       // that the run injects; none for calm time
+	faultOneIn   int           // inverse of the probability that a step starts a fault
+	maxFault     time.Duration // longest time that a fault lasts
 	start        time.Time
 	jobs         int
 	version      int // of the stored configuration
@@ -87,28 +94,42 @@
 }
 
 func runSoak(s *site, faults []fault, seed uint64, length time.Duration) {
-	rnd := rand.New(rand.NewPCG(seed, 11))
-	r := &soakRun{
-		s: s, rnd: rnd, faults: faults, start: time.Now(), version: 1, accepted: map[string]bool{}, cancelled: map[string]bool{},
-		refused: map[string]bool{}, uncertain: map[string]bool{}, final: map[string]string{}, down: map[int]bool{},
-	}
+	r := newSoakRun(s, faults, seed)
+	r.submitService()
 	r.run(length)
+	r.observer.trafficEnds()
 	r.finish()
 }
 
+func newSoakRun(s *site, faults []fault, seed uint64) *soakRun {
+	return &soakRun{
+		s: s, observer: startObserver(s), rnd: rand.New(rand.NewPCG(seed, 11)), faults: faults, faultOneIn: faultOneIn, maxFault: maxFaultDuration,
+		start: time.Now(), version: 1, accepted: map[string]bool{}, cancelled: map[string]bool{},
+		refused: map[string]bool{}, uncertain: map[string]bool{}, final: map[string]string{}, down: map[int]bool{},
+	}
+}
+
+// submitService submits the job of services that run beside all other jobs.
+func (r *soakRun) submitService() {
+	r.s.t.Helper()
+	r.observer.submitted(longRunningID, longRunningJob)
+	r.s.submit(0, longRunningID, longRunningJob)
+	r.observer.accepted(longRunningID)
+}
+
 // run submits jobs and injects faults for a time, and ends all faults afterwards.
 func (r *soakRun) run(length time.Duration) {
 	ticker := time.NewTicker(soakStep)
 	defer ticker.Stop()
 	for end := time.Now().Add(length); time.Now().Before(end); <-ticker.C {
 		r.heal(time.Now())
-		if r.rnd.IntN(faultOneIn) == 0 {
+		if len(r.faults) > 0 && r.rnd.IntN(r.faultOneIn) == 0 {
 			r.injectFault()
 		}
 		r.submit()
 		r.checkRandomJob()
 	}
-	r.heal(time.Now().Add(maxFaultDuration))
+	r.heal(time.Now().Add(r.maxFault))
 }
 
 func (r *soakRun) heal(now time.Time) {
@@ -116,6 +137,7 @@
 	for _, active := range r.activeFaults {
 		if now.After(active.endsAt) {
 			active.heal()
+			r.observer.faultEnds()
 			r.log("ends: " + active.name)
 		} else {
 			kept = append(kept, active)
@@ -127,8 +149,9 @@
 // injectFault starts a random fault for a random time.
 func (r *soakRun) injectFault() {
 	fault := r.faults[r.rnd.IntN(len(r.faults))]
+	r.observer.faultStarts()
 	heal := fault.start(r)
-	length := time.Duration(r.rnd.Int64N(int64(maxFaultDuration)))
+	length := time.Duration(r.rnd.Int64N(int64(r.maxFault)))
 	r.activeFaults = append(r.activeFaults, activeFault{time.Now().Add(length), fault.name, heal})
 	r.log("starts: " + fault.name)
 }
@@ -140,9 +163,11 @@
 func (r *soakRun) submit() {
 	id := jobID(r.jobs)
 	r.jobs++
+	r.observer.submitted(id, twoStepJob)
 	switch status := r.s.post(r.randomHost(), id, twoStepJob); status {
 	case http.StatusOK:
 		r.accepted[id] = true
+		r.observer.accepted(id)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		r.refused[id] = true
 	default:
@@ -150,6 +175,7 @@
 	}
 	if r.accepted[id] && r.rnd.IntN(cancelOneIn) == 0 {
 		r.cancelled[id] = true
+		r.observer.ended(id)
 		r.s.status(http.MethodDelete, r.s.url(r.randomHost(), id), "") // recorded as cancelled whatever the response
 	}
 }
@@ -160,13 +186,16 @@
 	r.check(id, r.s.state(r.randomHost(), id))
 }
 
-// check fails the test if a final state differs from an earlier one, or if a job is cancelled without a request.
+// check fails the test if a final state differs from an earlier one, if a job is cancelled without a request, or if a host in touch
+// does not know an accepted job.
 func (r *soakRun) check(id, state string) {
-	switch state {
-	case "completed", "failed", "cancelled":
-	default:
+	if state == stateUnknown && r.observer.unknown(id) {
+		r.s.t.Errorf("accepted job %s is answered %s", id, state)
+	}
+	if !isFinal(state) {
 		return
 	}
+	r.observer.ended(id)
 	if before, found := r.final[id]; found && before != state {
 		r.s.t.Errorf("job %s is %s after it was %s", id, state, before)
 	}
@@ -186,11 +215,35 @@
 	for id := range r.accepted {
 		r.awaitEnd(id)
 	}
+	r.awaitServices()
+	settled := time.Since(r.observer.calmSince())
+	r.checkJobsAreKnown()
 	r.s.checkWorkersAreUsed()
+	r.observer.stop()
 	r.checkRuns()
 	r.s.checkHistory()
-	t.Logf("%d jobs: %d accepted, %d refused, %d uncertain; %d attempts",
-		r.jobs, len(r.accepted), len(r.refused), len(r.uncertain), len(r.s.platform.History()))
+	t.Logf("%d jobs: %d accepted, %d refused, %d uncertain; %d attempts; all had ended and all services ran %v after the last disturbance",
+		r.jobs, len(r.accepted), len(r.refused), len(r.uncertain), len(r.s.platform.History()), settled.Round(time.Millisecond))
+	t.Log(r.observer.longestWaits())
+}
+
+// awaitServices waits until all services run, unless their job has ended.
+func (r *soakRun) awaitServices() {
+	r.s.t.Helper()
+	poll.Until(r.s.t, "all services run again", func() bool {
+		r.check(longRunningID, r.s.state(r.randomHost(), longRunningID))
+		return r.final[longRunningID] != "" || r.s.runningServices("") == 3
+	})
+}
+
+// checkJobsAreKnown fails the test if a host does not know the state of an accepted job.
+func (r *soakRun) checkJobsAreKnown() {
+	r.s.t.Helper()
+	for id := range r.accepted {
+		if state := r.s.state(r.randomHost(), id); state != r.final[id] {
+			r.s.t.Errorf("job %s is answered %s after all faults, it was %s", id, state, r.final[id])
+		}
+	}
 }
 
 // awaitEnd waits for a final state of an accepted job.
@@ -239,6 +292,7 @@
 		if state == "failed" && mostFailed[id] < maxFailures && mostCrashed[id] < minCrashes {
 			t.Errorf("job %s has failed after at most %d failed attempts of a task and %d crashes of workers under one",
 				id, mostFailed[id], mostCrashed[id])
+			r.logRuns(id)
 		}
 	}
 	for task, n := range failed {
@@ -247,3 +301,18 @@
 		}
 	}
 }
+
+// logRuns logs what the workers have seen of a job.
+func (r *soakRun) logRuns(job string) {
+	for _, run := range r.s.platform.History() {
+		if strings.HasPrefix(run.Task, job) {
+			r.log(describeRun(run))
+		}
+	}
+}
+
+func describeRun(run fleet.Run) string {
+	const format = "15:04:05.000"
+	return fmt.Sprintf("%s attempt %d on %s: %s to %s, %q, end lost %t",
+		run.Task, run.Attempt, run.Worker, run.Started.UTC().Format(format), run.Ended.UTC().Format(format), run.Outcome, run.EndLost)
+}
--- a/test/fleet/stalls_test.go
+++ b/test/fleet/stalls_test.go
@@ -77,6 +77,16 @@
 	return total
 }
 
+// lastEnd returns the end of the latest stall, or the zero time.
+func (r *stallRecorder) lastEnd() (end time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := len(r.stalls); n > 0 {
+		end = r.stalls[n-1].until
+	}
+	return end
+}
+
 // repeats returns the number of runs whose tasks have to start again because the test process could not run for maxStallPerLease or
 // longer within the longest lease before: those that lost their lease, or whose end was lost with it, and those that were stopped
 // because their start was not answered in time.
