--- a/pkg/term/entries_test.go
+++ b/pkg/term/entries_test.go
@@ -178,3 +178,46 @@
 		t.Errorf("%d lines, %d bytes", lines, out.Len())
 	}
 }
+
+// Scenario: another writer overwrites the record of an owner whose process ends before it has found that, and the next process of its
+// host starts, as after a power cut of all hosts. Guards against a partition without an owner for unleasedGrace, in which all services
+// whose leases have ended wait.
+func TestNextProcessOfTheOwnersHostReplacesAnOddRecord(t *testing.T) {
+	for name, value := range oddRecords {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := kvtest.NewStore()
+			former := acquire(t, candidate(t, store, "a", "a1"))
+			put(t, store, statekeys.Owner(testPartition), value)
+			c := candidate(t, store, "a", "a2")
+			poll.Until(t, "the records are read", func() bool { return c.view.State(testPartition).read })
+			started := time.Now()
+			owner := acquire(t, c)
+			if took := time.Since(started); owner.Term != former.Term+1 || took < checkInterval+callTimeout || took > maxOwnerless {
+				t.Errorf("acquired in term %d after %v, want term %d after %v to %v", owner.Term, took, former.Term+1, checkInterval+callTimeout, maxOwnerless)
+			}
+		})
+	}
+}
+
+// maxOwnerless is the time in which a partition has to get an owner: the platform allows a service that has ended to wait for 7 s after the
+// last disturbance, and the owner has to load the partition and hear from its workers.
+const maxOwnerless = 5500 * time.Millisecond
+
+// Scenario: as before, and another writer has put a copy of an earlier record in place of the term as well, while the owner is alive.
+// Guards against a second owner, on the host that the copy names, before the first one has found that it has lost the partition.
+func TestCopiesOfFormerRecordsGiveNobodyThePartition(t *testing.T) {
+	store := kvtest.NewStore()
+	owner := acquire(t, candidate(t, store, "a", "a1"))
+	copied := termValue{Record: Record{Host: "b", Incarnation: "b0", Address: "b:1", Term: owner.Term}, Cores: 1}
+	put(t, store, statekeys.Term(testPartition), string(mustEncode(copied)))
+	put(t, store, statekeys.Owner(testPartition), string(mustEncode(copied.Record)))
+	c := candidate(t, store, "b", "b1")
+	poll.Until(t, "the records are read", func() bool { return c.view.State(testPartition).Owner.Incarnation == "b0" })
+	if second := c.tryAcquire(t.Context(), c.view.State(testPartition)); second != nil {
+		t.Errorf("acquired in term %d beside the owner of term %d", second.Term, owner.Term)
+	}
+	if err := owner.check(t.Context()); err == nil || !isLost(owner) {
+		t.Errorf("the owner has not found that the term was overwritten: error %v", err)
+	}
+}
--- a/test/fleet/entries_test.go
+++ b/test/fleet/entries_test.go
@@ -271,6 +271,30 @@
 	})
 }
 
+// Scenario: another writer overwrites the owner's record, and all hosts lose power before the owner has found that. Guards against a
+// partition that stays without an owner for longer than the platform allows a service to wait once the last disturbance is over.
+func TestAllHostsAreLostBesideAnOddOwnerRecord(t *testing.T) {
+	s := newSite(t, fleet.Config{Seed: 21, Datacentres: []string{"dc1"}, Workers: 3, RunTime: shortTasks}, 3)
+	s.submit(0, longRunningID, longRunningJob)
+	poll.Until(t, "all services run", func() bool { return s.runningNow() == 3 })
+	s.platform.Store.PutRaw(ownerKey, nil)
+	s.killAll()
+	for _, w := range s.platform.Workers() {
+		w.Crash()
+	}
+	started := time.Now()
+	s.startAll()
+	poll.Until(t, "all services run again", func() bool { return s.runningNow() == 3 })
+	now := time.Now()
+	took, stalled := now.Sub(started).Round(time.Millisecond), s.stalls.between(started, now).Round(time.Millisecond)
+	if took-stalled > calmBefore+maxWait {
+		t.Errorf("services waited %v after the hosts were started, beside stalls of the test process of %v, want at most %v", took, stalled, calmBefore+maxWait)
+	} else {
+		t.Logf("all ran after %v, beside stalls of the test process of %v", took, stalled)
+	}
+	s.checkHistory()
+}
+
 // siteWithRestoredOwner returns a site of three hosts and the index of its owner, which was paused while its lease ended and another
 // writer overwrote its record, and has written the record again.
 func siteWithRestoredOwner(t *testing.T, seed uint64) (s *site, owner int) {
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -237,6 +237,7 @@
 	for _, seed := range []uint64{
 		1,
 		39120805, // an owner took the missing lease of an overwritten record for its own
+		47130002, // all hosts were killed beside an overwritten owner's record, and services waited 12 s for an owner
 	} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
