--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -35,7 +35,7 @@
 type expiredAttempt struct {
 	task    *task
 	ran     time.Duration // for how long it was listed as running
-	stopped bool          // the worker had accepted a stop
+	stopped bool          // the worker had been ordered to stop it
 }
 
 // suspect reports whether a worker has crashed under the task.
@@ -162,7 +162,7 @@
 	if !certain {
 		return
 	}
-	stillRan := c.ranBefore(a) && !a.stopAccepted() && (c.broken || c.followed(now.unixMsAt(a.worker.polledAt)))
+	stillRan := c.ranBefore(a) && !a.mayHaveStopped() && (c.broken || c.followed(now.unixMsAt(a.worker.polledAt)))
 	e := a.event(EventAttemptCrashed)
 	e.Value = a.listedFor().Seconds()
 	if !stillRan {
@@ -172,8 +172,9 @@
 	c.add(a.task, now.unixMsAt(max(c.worker.reportedAt, a.confirmedAt)), a.listedFor(), stillRan)
 }
 
-// stopAccepted reports whether the worker has accepted a stop of the attempt, which has then ended unless the next process has accepted it.
-func (a *attempt) stopAccepted() bool { return a.stopConfirmedAt > 0 }
+// mayHaveStopped reports whether the worker was ordered to stop the attempt. Unless the next process has accepted the order, the attempt may
+// have ended before the crash, also if no answer has arrived.
+func (a *attempt) mayHaveStopped() bool { return a.stopSentAt > 0 }
 
 // ranBefore reports whether an attempt ran on the process that has ended. The next one may have accepted the start under the same ID
 // before its first report was applied.
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -16,7 +16,7 @@
 		}
 		silence := workload.Silence{Worker: string(w.info.ID), StartedMs: w.process().StartedMs,
 			SinceMs: now.unixMsAt(max(w.reportedAt, a.confirmedAt))}
-		if !a.stopAccepted() {
+		if !a.mayHaveStopped() {
 			silence.Broken, silence.AskedMs = s.brokeAlone(w), now.unixMsAt(w.polledAt)
 		}
 		t.silentOn = append(t.silentOn, silence)
