--- a/core/schedule/faultsim_evidence_test.go
+++ b/core/schedule/faultsim_evidence_test.go
@@ -106,7 +106,7 @@
 
 // Guards against the same under the faults of TestNoTaskRunsTwiceUnderLateReports.
 func TestNoJobIsShownAsFailedWithoutCauseUnderLateReports(t *testing.T) {
-	playSeeds(func(seed uint64) { newEvidenceFaultSim(newLateFaultSim(newFaultSim(t, seed))).playJobs() }, 3634, 200880, 201135, 402993, 502935, 500186)
+	playSeeds(func(seed uint64) { newEvidenceFaultSim(newLateFaultSim(newFaultSim(t, seed))).playJobs() }, 3634, 200880, 201135, 402993, 502935, 500186, 700073)
 }
 
 // Guards against a task that crashes one worker after another and is not given up because too few of the crashes are certain.
--- a/core/schedule/faultsim_late_test.go
+++ b/core/schedule/faultsim_late_test.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		r.received, r.at = min(r.received, other.received), min(r.at, other.at)
-		if !r.failed && (other.failed || other.report.Incarnation == r.report.Incarnation) {
+		if !r.failed && (other.failed && !other.broken || !other.failed && other.report.Incarnation == r.report.Incarnation) {
 			l.results[n].worker = "" // superseded
 		}
 	}
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -11,8 +11,9 @@
 	f.logf("%s crashes", worker.info.ID)
 	f.recordCrash(worker)
 	if worker.cut == nil {
+		broken := f.polled[worker.info.ID] && f.breaksConnection(worker) // as in package relay, which has had no failed poll since the last answer
 		f.polled[worker.info.ID] = false
-		f.addResult(lateResult{worker: worker.info.ID, failed: true, broken: f.breaksConnection(worker)}) // the poll in flight, so that the next process gets no acknowledgement of former ends
+		f.addResult(lateResult{worker: worker.info.ID, failed: true, broken: broken}) // the poll in flight, so that the next process gets no acknowledgement of former ends
 	}
 	// Orders that are delayed within a worker are lost with its process.
 	f.delayed = slices.DeleteFunc(f.delayed, func(d delayedOrder) bool { return d.order.Worker == worker.info.ID })
--- a/pkg/relay/pending.go
+++ b/pkg/relay/pending.go
@@ -15,7 +15,7 @@
 
 // workerReports are the uncollected results of the polls of one worker, in the order of their fields.
 type workerReports struct {
-	former []WorkerReport // the last report of each former process of the worker
+	former []WorkerReport // the last report of each former process of the worker, and the connection that broke at its end
 	latest *WorkerReport  // nil if no poll has succeeded
 	failed *WorkerReport  // nil unless a poll has failed since the latest report
 }
@@ -39,11 +39,17 @@
 	case report.Failed != "":
 		w.failed = &report
 		return
-	case w.latest == nil:
-	case w.latest.Report.Incarnation != report.Report.Incarnation:
-		w.former = append(w.former, *w.latest) // its ends are listed nowhere else
-	case w.latest.Report.SentAt > report.Report.SentAt:
-		return // the answers to two polls have overtaken each other
+	case w.latest != nil && w.latest.Report.Incarnation == report.Report.Incarnation:
+		if w.latest.Report.SentAt > report.Report.SentAt {
+			return // the answers to two polls have overtaken each other
+		}
+	default:
+		if w.latest != nil {
+			w.former = append(w.former, *w.latest) // its ends are listed nowhere else
+		}
+		if w.failed != nil && w.failed.ConnectionBroken() {
+			w.former = append(w.former, *w.failed) // it shows when the former process has ended
+		}
 	}
 	w.latest, w.failed = &report, nil
 }
