--- /dev/null
+++ b/core/schedule/suspects_small_pool_test.go
@@ -0,0 +1,56 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/workload"
+)
+
+// Scenario: the only worker of a pool is cut off soon after a harmless service has started there, crashes behind the cut and is back 3 s
+// later, several times. Guards against counting each of these crashes as a lone one, since no other worker can have a gap: the service
+// would wait for loneBackOff beside a free worker that answers.
+func TestServiceWaitsNoLongerInAPoolOfOneWorker(t *testing.T) {
+	for _, workers := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d workers", workers), func(t *testing.T) {
+			h := newStartedHarness(t, workers)
+			task := taskID("job", 0, 0)
+			h.s.AddJob(testJob("job", testService(1)), nil, false)
+			for n := range 6 {
+				h.wantWait(task, simServiceDown-backAfter, func() {})
+				id := h.workerOf(task)
+				h.s.PollFailed(h.now, id)
+				h.store()
+				h.advanceClock(backAfter)
+				h.restartAs(WorkerID(fmt.Sprint("-", n)), id)
+				h.wantState("job", workload.StateRunning)
+			}
+		})
+	}
+}
+
+// Guards against harmless suspects that run one after another on few workers, so that the last one waits beside a pool of which under half
+// is in use for longer than the platform allows a service: workers were cut off and crashed under all of them three times.
+func TestManySuspectsWithUncertainCrashesStartInASmallPool(t *testing.T) {
+	const workers, jobs = 2, 30
+	h := newStartedHarness(t, workers)
+	for n := range jobs {
+		id := workload.JobID(fmt.Sprint("job", n))
+		step := testService(1)
+		step.Size.MilliCPU = 500
+		h.s.AddJob(testJob(id, step), nil, false)
+		for c := range 3 {
+			h.s.addCrash(h.s.task(taskID(id, 0, 0)), workload.Crash{Worker: "gone", StartedMs: int64(c), Uncertain: true})
+		}
+	}
+	h.store()
+	started, from := 0, h.now.Boot
+	for h.now.Boot-from < time.Minute && started < jobs {
+		started += len(starts(h.run()))
+		h.elapse(reportingStep)
+	}
+	if waited := h.now.Boot - from; started < jobs || waited > simServiceDown {
+		t.Errorf("%d of %d services have started after %v, want all within %v", started, jobs, waited, simServiceDown)
+	}
+}
