--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -62,9 +62,9 @@
 	Term        int64  `json:"term"`
 }
 
-// termValue is the stored value of the term. It repeats the owner's record, which ends with the owner's lease.
+// termValue is the stored value of the term.
 type termValue struct {
-	Record
+	Term  int64   `json:"term"`
 	Cores float64 `json:"cores,omitempty"` // processor cores of the owner's host
 }
 
@@ -100,7 +100,7 @@
 		case state.acquirableBy(c.cfg.Self):
 			wait = retryDelay
 		case !state.unleasedSince.IsZero():
-			wait = max(state.graceOf(c.cfg.Self)-time.Since(state.unleasedSince), retryDelay)
+			wait = max(unleasedGrace-time.Since(state.unleasedSince), retryDelay)
 		}
 		select {
 		case <-ctx.Done():
@@ -124,7 +124,7 @@
 		// first renewal.
 		return c.newOwnership(state.lease, state.Term, state.termRevision, bootclock.Uptime()-TTL)
 	}
-	if state.ownerRevision == 0 || state.abandoned(c.cfg.Self) {
+	if state.ownerRevision == 0 || state.abandoned() {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -146,7 +146,7 @@
 // go first.
 func (c *Candidate) campaignDelay(state State) time.Duration {
 	delay := time.Duration(float64(singleCoreDelay)/max(c.cfg.Cores, minCores)) + rand.N(maxCampaignDelay)
-	if WeakFactor*c.cfg.Cores <= state.latest.Cores {
+	if WeakFactor*c.cfg.Cores <= state.cores {
 		delay += weakDelay
 	}
 	return delay
@@ -173,7 +173,7 @@
 		},
 		Put: []kv.Put{
 			{Key: statekeys.Owner(c.cfg.Partition), Value: mustEncode(record), Lease: lease},
-			{Key: statekeys.Term(c.cfg.Partition), Value: mustEncode(termValue{record, c.cfg.Cores})},
+			{Key: statekeys.Term(c.cfg.Partition), Value: mustEncode(termValue{record.Term, c.cfg.Cores})},
 		},
 	}
 	revision, err := c.cfg.Store.Commit(ctx, txn)
--- a/pkg/term/view.go
+++ b/pkg/term/view.go
@@ -19,7 +19,7 @@
 	ownerRevision int64
 	unleasedSince time.Time // since when the owner's record has had no lease; zero if it has one or does not exist
 	termRevision  int64
-	latest        termValue // of the newest owner; only the term if the rest is unknown
+	cores         float64 // of the newest owner's host; 0 if unknown
 	lease         kv.LeaseID
 }
 
@@ -34,10 +34,6 @@
 // maxUnchecked and TTL at most.
 const unleasedGrace = maxUnchecked + TTL + time.Second
 
-// formerProcessGrace is unleasedGrace for a host whose former process is the newest owner by the term's record. That process has ended,
-// unless another writer has overwritten the term as well, which an owner that is alive finds by its next check.
-const formerProcessGrace = checkInterval + callTimeout
-
 // acquirableBy reports whether self may acquire the partition: it has no owner, or its owner is a process with the same
 // host and address as self, that is self or a previous process that has certainly ended, or the owner's record does not end with a
 // lease. Such a record comes from another writer, and the owner may be alive whatever it says.
@@ -45,22 +41,13 @@
 	if !s.read {
 		return false
 	}
-	return s.ownerRevision == 0 || s.abandoned(self) ||
+	return s.ownerRevision == 0 || s.abandoned() ||
 		(s.lease != 0 && s.Owner.Host == self.Host && s.Owner.Address == self.Address)
 }
 
 // abandoned reports whether the owner's record will not end by itself and no owner has replaced it in time.
-func (s State) abandoned(self Record) bool {
-	return !s.unleasedSince.IsZero() && time.Since(s.unleasedSince) >= s.graceOf(self)
-}
-
-// graceOf returns how long a record of an owner without a lease excludes self.
-func (s State) graceOf(self Record) time.Duration {
-	owner := s.latest.Record
-	if owner.Host == self.Host && owner.Address == self.Address && owner.Incarnation != self.Incarnation {
-		return formerProcessGrace
-	}
-	return unleasedGrace
+func (s State) abandoned() bool {
+	return !s.unleasedSince.IsZero() && time.Since(s.unleasedSince) >= unleasedGrace
 }
 
 // View is a local copy of all ownership records in the store.
@@ -140,21 +127,21 @@
 		}
 	}
 	if item, found := v.items[statekeys.Term(p)]; found {
-		state.latest = v.latest(item)
-		state.Term, state.termRevision = state.latest.Term, item.Revision
+		state.Term, state.cores = v.term(item)
+		state.termRevision = item.Revision
 	}
 	return state
 }
 
-// latest returns the newest owner by the record of the term. Each term takes a revision of the store at least, so a term above the
-// record's revision comes from another writer, as one that cannot be decoded does. The revision takes its place: it is not below any
-// earlier term, which the workers may have seen.
-func (v *View) latest(item kv.Item) termValue {
+// term returns the term in a record, and the cores of its owner's host. Each term takes a revision of the store at least, so a term
+// above the record's revision comes from another writer, as one that cannot be decoded does. The revision takes its place: it is not
+// below any earlier term, which the workers may have seen.
+func (v *View) term(item kv.Item) (term int64, cores float64) {
 	var value termValue
 	if v.decode(item, &value) && value.Term > 0 && value.Term <= item.Revision {
-		return value
+		return value.Term, value.Cores
 	}
-	return termValue{Record: Record{Term: item.Revision}}
+	return item.Revision, 0
 }
 
 // decode decodes a record and reports whether it could. A failure is logged once for each revision.
