--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -115,7 +115,7 @@
 		return
 	}
 	s.retainCrashed(w)
-	c := crash{s: s, worker: w, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w), lone: s.hasLoneGap(w)}
+	c := crash{s: s, worker: w, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w), lone: s.crashesAlone(w)}
 	for _, a := range w.attemptList {
 		if !survives(a.key()) {
 			c.addAttempt(now, a)
@@ -140,7 +140,7 @@
 	nextMs  int64         // start of the next process, Unix milliseconds; 0 if unknown
 	foundAt time.Duration // see workerCrashed
 	broken  bool          // the connection to the worker broke soon after its last answer, see break.go
-	lone    bool          // no other worker has stopped answering near that time, see crash_watch.go
+	lone    bool          // few other workers have stopped answering near that time, see crash_watch.go
 	tasks   []*task       // whose record has changed
 }
 
--- a/core/schedule/crash_watch.go
+++ b/core/schedule/crash_watch.go
@@ -14,7 +14,7 @@
 // crash is uncertain only if the next cut hits the one worker soon after the start.
 //
 // A task that ends the processes of its workers without breaking their connections stays uncertain on watched workers too. All its crashes
-// are lone: no other worker stops answering near that time. After maxLoneCrashes of them it waits for loneBackOff.
+// are lone: few other workers stop answering near that time, unless suspects ran there. After maxLoneCrashes of them it waits for loneBackOff.
 const (
 	// watchedFrom is the number of uncertain brief crashes from which a task starts on workers without recent gaps only.
 	watchedFrom = 2
@@ -29,23 +29,32 @@
 	// maxWatchWait, since a crash on such a worker is often uncertain again.
 	watchWait    = 10 * time.Second
 	maxWatchWait = 4 * watchWait
-	// loneWindow is the time around the beginning of a gap in which no other worker may have one for it to be a lone one. A cut of several
+	// loneWindow is the time before the beginning of a gap from which on gaps of other workers count as simultaneous. A cut of several
 	// workers shows at all of them within two polls.
 	loneWindow = 2 * time.Second
+	// commonGaps is the number of other workers that have to have a gap at the same time for it to have a common cause, or, if that is more,
+	// the share of all workers that commonBreaksShare states. One may miss a poll by chance.
+	commonGaps = 2
 	// maxLoneCrashes is the number of lone uncertain brief crashes after which a task waits for loneBackOff. The platform allows two starts
 	// after the third crash.
 	maxLoneCrashes = certainBriefCrashes + 2
-	loneBackOff    = 5 * time.Minute
+	loneBackOff    = 2 * time.Minute
 )
 
+// gap is a time in which a worker does not answer, or in which answers of it may be lost.
+type gap struct {
+	at         time.Duration // when it began
+	bySuspects bool          // a suspect ran on the worker, or a task had just been started there, which may have ended its process
+}
+
 // recordGap records that a worker has not answered a poll, or that answers of it may be lost.
 func (s *Scheduler) recordGap(now time.Duration, w *worker) {
 	if w.gapFreeSince == 0 {
 		return
 	}
 	w.gapFreeSince = 0
-	maps.DeleteFunc(s.gaps, func(_ WorkerID, at time.Duration) bool { return now-at > breakRetention })
-	s.gaps[w.info.ID] = now
+	maps.DeleteFunc(s.gaps, func(_ WorkerID, g gap) bool { return now-g.at > breakRetention })
+	s.gaps[w.info.ID] = gap{now, w.onProbation() || w.startedSince(now-breakAfterStart)}
 }
 
 // recordAnswered records that a worker has answered. It is called before reportedAt is set.
@@ -60,18 +69,23 @@
 	return w.silence == answering && w.gapFreeSince > 0 && now-w.gapFreeSince >= d
 }
 
-// hasLoneGap reports whether a worker has stopped answering to this owner, and no other one has near that time or since.
-func (s *Scheduler) hasLoneGap(w *worker) bool {
-	at, known := s.gaps[w.info.ID]
-	if !known || w.silence == answering {
-		return false
+// crashesAlone reports whether a worker that has crashed under this owner has stopped answering, or has been replaced by its next process
+// between two answers, while few others had a gap that suspects need not have caused.
+func (s *Scheduler) crashesAlone(w *worker) bool {
+	began := w.reportedAt
+	if g, known := s.gaps[w.info.ID]; known && w.silence != answering {
+		began = g.at
+	}
+	if began == 0 {
+		return false // a former owner may have seen the gaps
 	}
+	others := 0
 	for id, other := range s.gaps {
-		if id != w.info.ID && other >= at-loneWindow {
-			return false
+		if id != w.info.ID && other.at >= began-loneWindow && !other.bySuspects {
+			others++
 		}
 	}
-	return true
+	return others < max(commonGaps, len(s.workers)/commonBreaksShare)
 }
 
 func isUncertainBrief(c workload.Crash) bool { return isBrief(c) && isUnexplained(c) && c.Uncertain }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -44,7 +44,7 @@
 	earlyCancels        map[workload.JobID]Time     // cancellations of jobs that have not been added yet, by arrival
 	suspects            map[*task]struct{}          // tasks with crashes on record
 	breaks              []connectionBreak           // of the last breakRetention
-	gaps                map[WorkerID]time.Duration  // when workers have stopped answering last, in the last breakRetention
+	gaps                map[WorkerID]gap            // the latest of each worker, in the last breakRetention
 	silentOn            map[WorkerID][]*task        // by worker, the tasks whose silentOn names it
 	vanished            map[WorkerID]vanishedWorker // removed while they did not report
 	contested           map[place]bool              // places of several workers, see latestByPlace
@@ -83,7 +83,7 @@
 		suspects:       map[*task]struct{}{},
 		silentOn:       map[WorkerID][]*task{},
 		vanished:       map[WorkerID]vanishedWorker{},
-		gaps:           map[WorkerID]time.Duration{},
+		gaps:           map[WorkerID]gap{},
 		contested:      map[place]bool{},
 
 		unstoredCrashes: map[WorkerID]unstoredCrash{},
--- a/core/schedule/suspect_wait_test.go
+++ b/core/schedule/suspect_wait_test.go
@@ -96,29 +96,51 @@
 	}
 }
 
-// Guards against a back-off that takes a worker's gap for a lone one because the other gaps are forgotten, and one that takes none for lone.
-func TestLoneGaps(t *testing.T) {
+// Guards against a back-off after crashes behind cuts of several workers, because the gaps of the others are forgotten, and against a task
+// that crashes its workers and never gets it, because of a worker that misses a poll by chance, of others that its job crashes, or because
+// its next process answered so soon that no gap was seen.
+func TestCrashesThatComeAlone(t *testing.T) {
 	for name, c := range map[string]struct {
-		before, after time.Duration // of the gap of another worker; 0 for none
-		lone          bool
+		first   time.Duration // time of the gaps of two other workers before that of the worker; 0 for none
+		others  []WorkerID    // workers with a gap after it
+		suspect WorkerID      // runs a suspect before
+		noGap   bool          // of the worker itself
+		alone   bool
 	}{
-		"no other":    {0, 0, true},
-		"long before": {loneWindow + time.Second, 0, true},
-		"just before": {loneWindow - time.Second, 0, false},
-		"after":       {0, time.Second, false},
+		"no other":                 {alone: true},
+		"no gap seen":              {noGap: true, alone: true},
+		"others long before":       {first: loneWindow + time.Second, alone: true},
+		"others just before":       {first: loneWindow - time.Second},
+		"others after":             {others: []WorkerID{"w2", "w3"}},
+		"others, no gap seen":      {others: []WorkerID{"w2", "w3"}, noGap: true},
+		"one other by chance":      {others: []WorkerID{"w2"}, alone: true},
+		"one that runs a suspect":  {others: []WorkerID{"w2", "w3"}, suspect: "w2", alone: true},
+		"two others and a suspect": {others: []WorkerID{"w1", "w2", "w3"}, suspect: "w1"},
 	} {
-		h := newStartedHarness(t, 3)
-		if c.before > 0 {
-			h.s.PollFailed(h.now, "w1")
-			h.advanceClock(c.before)
-		}
-		h.s.PollFailed(h.now, "w0")
-		if c.after > 0 {
-			h.advanceClock(c.after)
-			h.s.ReportsLost("w2")
-		}
-		if lone := h.s.hasLoneGap(h.s.workers["w0"]); lone != c.lone {
-			t.Errorf("gap of another worker %s: lone %t, want %t", name, lone, c.lone)
-		}
+		t.Run(name, func(t *testing.T) {
+			h := newStartedHarness(t, 5)
+			if c.suspect != "" {
+				h.s.AddJob(testJob("job", testStep(1)), nil, false)
+				suspect := h.s.task(taskID("job", 0, 0))
+				suspect.crashes = []workload.Crash{{Worker: "gone"}}
+				h.s.start(h.now.Boot, suspect, h.s.workers[c.suspect])
+			}
+			h.advanceClock(breakAfterStart + time.Millisecond)
+			if c.first > 0 {
+				h.s.PollFailed(h.now, "w1")
+				h.s.PollFailed(h.now, "w2")
+				h.advanceClock(c.first)
+			}
+			if !c.noGap {
+				h.s.PollFailed(h.now, "w0")
+			}
+			h.advanceClock(time.Second)
+			for _, id := range c.others {
+				h.s.ReportsLost(id)
+			}
+			if alone := h.s.crashesAlone(h.s.workers["w0"]); alone != c.alone {
+				t.Errorf("the crash comes alone: %t, want %t", alone, c.alone)
+			}
+		})
 	}
 }
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -57,7 +57,7 @@
 	RanMs     int64  `json:"r,omitempty"` // for how long the task was listed as running
 	Explained bool   `json:"e,omitempty"` // another task was found to have caused it
 	Uncertain bool   `json:"u,omitempty"` // the task may have ended before
-	Lone      bool   `json:"l,omitempty"` // no other worker stopped answering near that time; only if uncertain
+	Lone      bool   `json:"l,omitempty"` // few other workers stopped answering near that time; only if uncertain
 }
 
 // SameProcess reports whether both are the end of the same process.
