--- a/deploy/mixeddays/kindlist.go
+++ b/deploy/mixeddays/kindlist.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"regexp"
+	"slices"
 )
 
 // listedKind matches the line of a kind in the output of fleetbench kinds.
@@ -20,3 +21,15 @@
 	}
 	return kinds, lines.Err()
 }
+
+// kindsWithoutRow returns the kinds that the site plays and the table lacks, in order.
+func kindsWithoutRow(known map[Kind]bool) []Kind {
+	var missing []Kind
+	for kind := range known {
+		if !slices.ContainsFunc(rows, func(row Row) bool { return row.Kind == kind }) {
+			missing = append(missing, kind)
+		}
+	}
+	slices.Sort(missing)
+	return missing
+}
--- a/deploy/mixeddays/rows.go
+++ b/deploy/mixeddays/rows.go
@@ -38,7 +38,9 @@
 	PlaceZone
 	PlaceToZone
 	PlaceClass
+	PlaceClassOrZone
 	PlaceService
+	PlaceBetweenZones
 )
 
 // A Variant is a form of a kind. Figures that are set replace those of the row.
