--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// LeasesEnd returns the boot time from which all task leases of a worker have certainly expired; bounded is false while they are
+// extended.
+func (s *Scheduler) LeasesEnd(id WorkerID) (end time.Duration, bounded bool) {
+	w, known := s.workers[id]
+	if !known || w.leasesExtended {
+		return 0, false
+	}
+	return w.leaseEnd, true
+}
+
 // stopExtending records that no lease on the worker ends after end, in boot time, unless the worker reports again.
 func (w *worker) stopExtending(end time.Duration) {
 	if w.leasesExtended {
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -318,7 +318,7 @@
 			report.Report.ReceivedAt = sent - relayWait(results, report.Report)
 			// The relay read its clock after this request was sent, so a time converted like this is not later than the
 			// actual time.
-			l.applyReport(s, now, report, sent-results.Now)
+			l.applyReport(s, now, report, relayClockOffset{earliest: sent - results.Now, latest: arrived - results.Now})
 		}
 		if results.Uncollected == 0 {
 			l.collectedUpTo = sent // the relay took its results after the request was sent
@@ -350,26 +350,18 @@
 	}
 }
 
-// applyReport applies the result of a poll. Its SentAt is on the relay's clock, and toOwner converts it to this host's.
-func (l *link) applyReport(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport, toOwner time.Duration) {
+// applyReport applies the result of a poll. Its times are on the relay's clock.
+func (l *link) applyReport(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport, offset relayClockOffset) {
 	o := l.owner
 	id := report.Worker
 	if o.linkOf[id] != l {
 		return // the worker has since been assigned to another relay
 	}
 	if report.Failed != "" {
-		if report.ConnectionBroken() {
-			s.ConnectionBroken(now, id)
-		}
-		s.PollFailed(now, id)
-		o.polls.failed(now.Boot, id, report.Failed)
-		if !o.unreachable[id] {
-			o.unreachable[id] = true
-			o.cfg.Log.Event(eventlog.WorkerUnreachable).Str("worker", string(id)).Str("reason", report.Failed).Msg("")
-		}
+		o.applyFailedPoll(s, now, report, offset)
 		return
 	}
-	sentAt, ok := l.polls.convert(id, report.Report.SentAt, report.Report.SentAt+toOwner)
+	sentAt, ok := l.polls.convert(id, report.Report.SentAt, report.Report.SentAt+offset.earliest)
 	if !ok {
 		s.ReportsLost(id) // the newer report lists everything that this one does, but the next poll may have extended leases
 		return
--- a/pkg/dispatch/refused_test.go
+++ b/pkg/dispatch/refused_test.go
@@ -61,7 +61,7 @@
 	l.owner.update(func(s *schedule.Scheduler, now schedule.Time) {
 		l.applyReport(s, now, relay.WorkerReport{Worker: testWorker, Report: schedule.Report{
 			Incarnation: 1, SentAt: bootclock.Uptime(), Ended: ended,
-		}}, 0)
+		}}, relayClockOffset{})
 	})
 }
 
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -45,7 +45,7 @@
 	WorkerInBackOff          = define(7032, "worker_held_back", log.WarnLevel, "Consecutive tasks of several jobs failed on a worker; it is in back-off and receives no tasks until the boot clock of the owner reads `value` seconds.")
 	WorkerReplaced           = define(7037, "worker_replaced", log.WarnLevel, "Another worker, named in `how`, has the address of this one, so its process has ended; the attempts that it ran are lost.")
 	AttemptCrashed           = define(7038, "attempt_crashed", log.WarnLevel, "The process of the worker ended while it ran the attempt. `value` is for how many seconds after its start the attempt was listed as running; it is missing if no report listed it. `how` is `uncertain` if the attempt may have ended before.")
-	WorkerUnreachable        = define(7033, "worker_unreachable", log.WarnLevel, "A worker does not answer. Its attempts are treated as running until their leases have expired.")
+	WorkerUnreachable        = define(7033, "worker_unreachable", log.WarnLevel, "A worker does not answer. Its attempts are treated as running until their leases have certainly expired, which is in `expires_in` milliseconds unless it answers before. Its latest lease was granted `granted` milliseconds ago; without that field its relay has granted none or does not tell.")
 	WorkerReachable          = define(7034, "worker_reachable", log.InfoLevel, "A worker answers again.")
 	FillersThrottled         = define(7035, "fillers_paced", log.InfoLevel, "Filler tasks on a worker are throttled to `value` percent of full speed, because a service task is near its tail latency target.")
 	TaskMoved                = define(7036, "task_moved", log.InfoLevel, "An attempt is stopped so that the task can run on another worker.")
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -131,6 +131,10 @@
 	Report schedule.Report // SentAt and ReceivedAt are on the relay's boot clock; ReceivedAt is also set if the poll failed
 }
 
+// GrantedAt returns when the latest lease begins that the relay has granted to a worker whose poll has failed, on the relay's boot
+// clock; 0 if it has granted none, or is of a former version, which does not tell. It travels in a field that a failed poll leaves unused.
+func (w WorkerReport) GrantedAt() time.Duration { return w.Report.SentAt }
+
 // connectionBroken begins Failed if the connection to the worker broke soon after an answer. It is a part of the text, so that relays and
 // owners of versions without it understand each other.
 const connectionBroken = "connection broken soon after an answer: "
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -50,6 +50,7 @@
 	storedEnd   int64               // newest task end that is stored
 	lastPollOK  bool                // the worker answered the last poll
 	acceptedAt  time.Duration       // boot time at which the worker last accepted an order
+	grantedAt   time.Duration       // boot time at which the latest lease that was granted begins; 0 before the first
 	broken      bool                // the connection of the first failed poll since the last answer broke soon after it
 	failedAt    time.Duration       // boot time of that failure
 	clockMs     int64               // last reading of the worker's clock, in milliseconds
@@ -148,6 +149,7 @@
 	if from+lease < now+minLeaseRemaining {
 		return 0, false
 	}
+	s.grantedAt = max(s.grantedAt, from)
 	elapsed := time.Duration(float64(from-s.clockReadAt) * minClockRate)
 	return s.clockMs + (elapsed + lease).Milliseconds(), true
 }
@@ -183,12 +185,12 @@
 		s.relay.markFenced(s.term)
 		return
 	}
-	s.relay.addReport(s.term, WorkerReport{Worker: req.Worker.ID, Failed: s.recordFailure(req, sent, err)})
+	s.relay.addReport(s.term, s.recordFailure(req, sent, err))
 }
 
-// recordFailure records that a poll, sent at a boot time, has failed, and returns the reason for the owner. Only where the worker has
+// recordFailure records that a poll, sent at a boot time, has failed, and returns the report for the owner. Only where the worker has
 // answered last does a broken connection say something about its process.
-func (s *session) recordFailure(req PollRequest, sent time.Duration, err error) (reason string) {
+func (s *session) recordFailure(req PollRequest, sent time.Duration, err error) WorkerReport {
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
 	if s.lastPollOK {
@@ -197,10 +199,11 @@
 	}
 	s.lastPollOK = false
 	s.tryListed = req.Worker.Address == s.address
+	report := WorkerReport{Worker: req.Worker.ID, Failed: err.Error(), Report: schedule.Report{SentAt: s.grantedAt}}
 	if s.broken {
-		return connectionBroken + err.Error()
+		report.Failed = connectionBroken + report.Failed
 	}
-	return err.Error()
+	return report
 }
 
 // observedAt returns the boot time up to which the relay knows what the worker ran. sent is when the poll was sent that has failed
