--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -180,7 +180,7 @@
 	spec := &c.task.step.spec
 	var top topWorkers
 	for _, w := range p.withLabel(spec.Label, &p.byFree, spec.Size.MilliCPU) {
-		top.add(w, serviceRating(w, c.task.step.imageIndex))
+		top.add(w, serviceRating(c.now.Boot, w, c.task.step.imageIndex))
 	}
 	top.considerAll(c)
 	if c.best.worker == nil { // for instance, each of them has as many tasks of the step as it may
@@ -322,7 +322,7 @@
 		_, rise := s.predictTail(now, w, t)
 		return fillerRating(float64(w.spareFillerCPU()), rise, w)
 	case spec.Service:
-		return serviceRating(w, t.step.imageIndex)
+		return serviceRating(now, w, t.step.imageIndex)
 	case w.indexed.pool.scarce(spec.Size.MilliCPU):
 		return -float64(w.free().MilliCPU) / capacity
 	}
@@ -340,13 +340,19 @@
 	// mixedImagePenalty is the weight of services of other images relative to the share of the worker used by services. It
 	// is below 1, so that a worker nearly full of other images is better than an empty one, which large tasks may need.
 	mixedImagePenalty = 0.85
+	// formerCallsPenalty is above the differences between all other ratings for services: those of a worker whose leases may last because of
+	// calls to its former process wait for longer than the platform allows if the worker is lost.
+	formerCallsPenalty = 10.0
 )
 
 // serviceRating rates a worker for a service task. Services are packed onto few workers, so that others keep capacity for
 // large tasks and for fillers that interfere with no service. Services of the same image share workers, so that a filler
 // that interferes with one image finds workers without it.
-func serviceRating(w *worker, image int) float64 {
+func serviceRating(now time.Duration, w *worker, image int) float64 {
 	rating := float64(w.serviceReserved.MilliCPU) / float64(max(w.info.Capacity.MilliCPU, 1))
+	if w.formerCalls.last(now) {
+		rating -= formerCallsPenalty
+	}
 	if w.services == 0 {
 		return rating
 	}
--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -23,15 +23,13 @@
 	TaskLease     time.Duration // how long each report or start extends the task leases of a worker
 	MaxTaskLease  time.Duration // longest task lease that a worker grants
 	StopTime      time.Duration // maximum time that a worker takes to stop a task
-	HandoverGrace time.Duration // how long a former owner may keep acting after it has lost its ownership
+	HandoverGrace time.Duration // how long leases may still be granted for a former owner after the store has confirmed it last
+	UnknownGrace  time.Duration // HandoverGrace of former versions
+	CallDelay     time.Duration // how long after its sending a call may be carried out by the next process of its worker
 }
 
 // Limits of orders and reports.
 const (
-	// clockSlack allows for worker clocks that run 2 % slow, with a margin of 1 %.
-	clockSlack = 1.03
-	// leaseMargin allows for the time that a worker takes to notice an expired lease.
-	leaseMargin = 500 * time.Millisecond
 	// unreachableAfter is the age of a worker's last report after which it counts as unreachable and gets no new tasks.
 	// Workers report at least once a second. Copies of a worker's tasks start earlier, after silentAfter.
 	unreachableAfter = 2500 * time.Millisecond
@@ -56,10 +54,3 @@
 	// report.
 	maxEndedPerReport = 500
 )
-
-// leaseBound returns the time after which a task lease granted now has certainly expired. A lease may be longer than
-// TaskLease: a poll that reaches a restarted worker names a time on the clock of the worker's former incarnation, and the
-// worker shortens such a lease only to the longest one that it grants.
-func (c Config) leaseBound() time.Duration {
-	return time.Duration(float64(max(c.TaskLease, c.MaxTaskLease))*clockSlack) + leaseMargin
-}
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -162,7 +162,7 @@
 func (h *harness) silence(task workload.TaskID) {
 	for id, w := range h.workers {
 		if slices.ContainsFunc(w.running, func(r Running) bool { return r.Task == task }) {
-			h.s.PollFailed(h.now, id)
+			h.s.PollFailed(h.now, id, Grant{})
 		}
 	}
 }
@@ -334,7 +334,7 @@
 			orders := starts(h.plan())
 			h.wantStarts(orders, 1)
 			h.s.OrderAnswered(h.now, orders[0], outcome)
-			h.s.PollFailed(h.now, orders[0].Worker)
+			h.s.PollFailed(h.now, orders[0].Worker, Grant{})
 			h.store()
 			h.inherit(term, job)
 			h.replace(orders[0].Worker, orders[0].Worker+"'")
@@ -425,7 +425,7 @@
 	w := h.workers["w0"]
 	w.incarnation, w.running = 2, nil
 	h.s.Report(h.now, "w0", Report{Incarnation: 2, SentAt: h.now.Boot}) // sent before the start was confirmed
-	h.s.PollFailed(h.now, "w0")
+	h.s.PollFailed(h.now, "w0", Grant{})
 	h.workers["w0"].info.StartedMs = 2
 	h.replace("w0", "w1")
 	h.settleWithoutStarts()
--- a/core/schedule/cut_crash_test.go
+++ b/core/schedule/cut_crash_test.go
@@ -45,7 +45,7 @@
 		for n := range int64(2) {
 			h.wantStarts(h.run(), 1)
 			id := h.workerOf(task)
-			h.s.PollFailed(h.now, id)
+			h.s.PollFailed(h.now, id, Grant{})
 			h.store()
 			if takeover {
 				h.inherit(2+n, job)
@@ -78,7 +78,7 @@
 				h.wantStarts(h.run(), 1)
 				id := h.workerOf(task)
 				h.advanceClock(100 * time.Millisecond)
-				h.s.PollFailed(h.now, id)
+				h.s.PollFailed(h.now, id, Grant{})
 				h.store()
 				if takeover {
 					h.inherit(2+n, job)
@@ -108,9 +108,9 @@
 // started: the reports that it lacks may list the end of the task.
 func TestTaskThatEndsBeforeANoticedLossIsNoCertainCrash(t *testing.T) {
 	for name, notice := range map[string]func(*harness, WorkerID){
-		"failed poll":   func(h *harness, id WorkerID) { h.s.PollFailed(h.now, id) },
+		"failed poll":   func(h *harness, id WorkerID) { h.s.PollFailed(h.now, id, Grant{}) },
 		"lost reports":  func(h *harness, id WorkerID) { h.s.ReportsLost(id) },
-		"another relay": func(h *harness, id WorkerID) { h.s.PollerLost(id, h.now.Boot) },
+		"another relay": func(h *harness, id WorkerID) { h.s.PollerLost(id, Grant{At: h.now.Boot}) },
 	} {
 		h := newStartedHarness(t, 4)
 		h.s.AddJob(testJob("job", testStep(1)), nil, false)
@@ -161,7 +161,7 @@
 // breakConnection makes the poll of a worker fail because the connection broke soon after its last answer.
 func (h *harness) breakConnection(id WorkerID) {
 	h.s.ConnectionBroken(h.now, id)
-	h.s.PollFailed(h.now, id)
+	h.s.PollFailed(h.now, id, Grant{})
 }
 
 // backAfter is how long a worker that has crashed is away.
@@ -218,7 +218,7 @@
 			if ordered := starts(h.run()); len(ordered) > 0 {
 				total += len(ordered)
 				id := h.workerOf(task)
-				h.s.PollFailed(h.now, id)
+				h.s.PollFailed(h.now, id, Grant{})
 				h.store()
 				h.advanceClock(backAfter)
 				h.restartAs("'", id)
@@ -287,10 +287,10 @@
 // does not know when it has last answered, nor what its answers said.
 func TestBreakAfterSilenceProvesNoCrash(t *testing.T) {
 	for name, before := range map[string]func(*harness, WorkerID){
-		"no answer":            func(h *harness, id WorkerID) { h.s.PollFailed(h.now, id) },
+		"no answer":            func(h *harness, id WorkerID) { h.s.PollFailed(h.now, id, Grant{}) },
 		"lost reports":         func(h *harness, id WorkerID) { h.s.ReportsLost(id) },
-		"another relay":        func(h *harness, id WorkerID) { h.s.PollerLost(id, h.now.Boot) },
-		"answered after break": func(h *harness, id WorkerID) { h.breakConnection(id); h.report(id); h.s.PollFailed(h.now, id) },
+		"another relay":        func(h *harness, id WorkerID) { h.s.PollerLost(id, Grant{At: h.now.Boot}) },
+		"answered after break": func(h *harness, id WorkerID) { h.breakConnection(id); h.report(id); h.s.PollFailed(h.now, id, Grant{}) },
 	} {
 		h := newStartedHarness(t, 4)
 		h.s.AddJob(testJob("job", testStep(1)), nil, false)
@@ -413,7 +413,7 @@
 		h.s.AddJob(job, nil, false)
 		h.wantStarts(h.run(), 1)
 		id := h.workerOf(task)
-		h.s.PollFailed(h.now, id) // nothing shows at first whether the stop arrives
+		h.s.PollFailed(h.now, id, Grant{}) // nothing shows at first whether the stop arrives
 		h.s.stop(h.now.Boot, h.s.task(task).attempts[0])
 		orders := ofKind(h.s.TakeOrders(), OrderStop)
 		h.report(id)
@@ -449,7 +449,7 @@
 	h.advanceClock(maxProbation)
 	h.reportAll()
 	h.wantStarts(h.run(), 1)
-	h.s.PollFailed(h.now, "w0")
+	h.s.PollFailed(h.now, "w0", Grant{})
 	stored := h.s.task(task).step.job.progress()
 	h.workers["w0"].running = nil // stopped since, and no longer listed
 	h.newTerm(2)
--- a/core/schedule/entry_test.go
+++ b/core/schedule/entry_test.go
@@ -149,7 +149,7 @@
 		h.s.SetWorkers(h.now, []WorkerInfo{entry, other})
 		h.report("w2")
 		if n < 40 {
-			h.s.PollFailed(h.now, "w1")
+			h.s.PollFailed(h.now, "w1", Grant{})
 		} else {
 			h.workers["w1"].running[0].Percent = float64(n)
 			h.report("w1")
--- a/core/schedule/faultsim_late_test.go
+++ b/core/schedule/faultsim_late_test.go
@@ -34,7 +34,8 @@
 	received time.Duration // when the relay received it, or the first of those that it supersedes
 	at       time.Duration // when it is applied
 	failed   bool
-	broken   bool // the connection broke soon after an answer; only with failed
+	broken   bool          // the connection broke soon after an answer; only with failed
+	granted  time.Duration // when the latest lease begins that the relay has granted, 0 if it has granted none; only with failed
 	report   Report
 }
 
@@ -144,7 +145,7 @@
 		f.s.ConnectionBroken(f.time(), r.worker)
 	}
 	if r.failed {
-		f.s.PollFailed(f.time(), r.worker)
+		f.s.PollFailed(f.time(), r.worker, Grant{At: r.granted, Lease: testLease})
 		return
 	}
 	f.s.Report(f.time(), r.worker, r.report)
--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -76,6 +76,7 @@
 	knownWorkers []WorkerInfo
 	jobs         []workload.Job
 	polled       map[WorkerID]bool                 // whether the last poll was answered, so that leases may be extended
+	granted      map[WorkerID]time.Duration        // when the latest lease begins that the relay has granted
 	identified   map[WorkerID]identified           // by the relays that poll the workers; none for a relay that has got no answer
 	listedEnd    map[WorkerID]int64                // number of the latest end that the relay knows of the process
 	acknowledged map[WorkerID]int64                // number of the latest end whose progress is stored
@@ -150,7 +151,7 @@
 	f.logf("term %d", f.term)
 	f.s = NewScheduler(Config{Term: f.term, TaskLease: testLease, StopTime: 400 * time.Millisecond,
 		HandoverGrace: 2500 * time.Millisecond})
-	f.polled, f.identified = map[WorkerID]bool{}, map[WorkerID]identified{}
+	f.polled, f.identified, f.granted = map[WorkerID]bool{}, map[WorkerID]identified{}, map[WorkerID]time.Duration{}
 	f.listedEnd, f.acknowledged = map[WorkerID]int64{}, map[WorkerID]int64{}
 	f.resetLate()
 	if f.known != nil {
@@ -259,6 +260,7 @@
 			return
 		}
 		delayed.leaseEnd = f.permittedFor(0) + testLease
+		f.granted[order.Worker] = f.permittedFor(0)
 		if worker.cut != nil {
 			delayed.leaseEnd = min(delayed.leaseEnd, worker.cut.permittedUntil+testLease)
 		}
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -13,7 +13,7 @@
 	if worker.cut == nil {
 		broken := f.polled[worker.info.ID] && f.breaksConnection(worker) // as in package relay, which has had no failed poll since the last answer
 		f.polled[worker.info.ID] = false
-		f.addResult(lateResult{worker: worker.info.ID, failed: true, broken: broken}) // the poll in flight, so that the next process gets no acknowledgement of former ends
+		f.addResult(lateResult{worker: worker.info.ID, failed: true, broken: broken, granted: f.granted[worker.info.ID]}) // the poll in flight, so that the next process gets no acknowledgement of former ends
 	}
 	// Orders that are delayed within a worker are lost with its process.
 	f.delayed = slices.DeleteFunc(f.delayed, func(d delayedOrder) bool { return d.order.Worker == worker.info.ID })
@@ -113,6 +113,7 @@
 	lease := time.Duration(0)
 	if f.polled[id] && !f.withheld.flags[id] {
 		lease = f.permittedFor(0) + testLease
+		f.granted[id] = f.permittedFor(0)
 	}
 	if f.unreachable(worker) || !f.findable(worker) || f.faulty(15) {
 		f.pollFailed(id)
@@ -208,7 +209,8 @@
 	if lost {
 		worker.cut, f.polled[id] = nil, false
 		delete(f.identified, id)
-		f.s.PollerLost(id, cut.permittedUntil)
+		delete(f.granted, id)
+		f.s.PollerLost(id, Grant{At: cut.permittedUntil, Lease: testLease})
 		f.withheld.assign(f, id) // to the next relay
 		if f.faulty(2) {
 			f.cutRelay(worker) // the next relay is lost before a report arrives, as when hosts stop in turn
@@ -218,5 +220,5 @@
 
 func (f *faultSim) pollFailed(id WorkerID) {
 	f.polled[id] = false
-	f.addResult(lateResult{worker: id, failed: true})
+	f.addResult(lateResult{worker: id, failed: true, granted: f.granted[id]})
 }
--- a/core/schedule/foreseen_bench_test.go
+++ b/core/schedule/foreseen_bench_test.go
@@ -24,7 +24,7 @@
 		}
 	}
 	for n := 0; n < burstWorkers; n += silentShare {
-		h.s.PollFailed(h.now, fleetWorker(n))
+		h.s.PollFailed(h.now, fleetWorker(n), Grant{})
 	}
 	h.advanceClock(foreseenAfter)
 	b.ResetTimer()
--- a/core/schedule/foreseen_own_place_test.go
+++ b/core/schedule/foreseen_own_place_test.go
@@ -20,7 +20,7 @@
 	h.end(taskID("returns", 0, 0), EndFailed)
 	h.advanceClock(scanInterval) // the planning run that knows of the end is a scan
 	h.list()
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	h.report("w2")
 	orders := starts(h.run())
 	if w := h.s.foreseen.places[h.s.task(taskID("lost", 0, 0))]; w != nil {
--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -16,7 +16,7 @@
 		isSilent := map[WorkerID]bool{}
 		for _, id := range silent {
 			isSilent[id] = true
-			h.s.PollFailed(h.now, id)
+			h.s.PollFailed(h.now, id, Grant{})
 		}
 		h.list()
 		for _, id := range h.workerIDs() {
--- a/core/schedule/full_pool_lost_test.go
+++ b/core/schedule/full_pool_lost_test.go
@@ -9,7 +9,7 @@
 func (p *fullPool) lose(percent int) {
 	for _, w := range p.workers[:len(p.workers)*percent/100] {
 		w.gone = true
-		p.s.PollFailed(p.time(), w.info.ID)
+		p.s.PollFailed(p.time(), w.info.ID, Grant{})
 	}
 	p.list()
 }
@@ -18,7 +18,7 @@
 func (p *fullPool) replace(n int) {
 	former := p.workers[n]
 	former.gone = true
-	p.s.PollFailed(p.time(), former.info.ID)
+	p.s.PollFailed(p.time(), former.info.ID, Grant{})
 	info := former.info
 	info.ID += "+"
 	info.Address, info.StartedMs = string(info.ID), p.time().UnixMs
--- a/core/schedule/full_pool_test.go
+++ b/core/schedule/full_pool_test.go
@@ -306,7 +306,7 @@
 	if p.now >= w.nextPoll {
 		w.nextPoll += poolReportEvery
 		if p.now < w.cutUntil {
-			p.s.PollFailed(p.time(), w.info.ID)
+			p.s.PollFailed(p.time(), w.info.ID, Grant{})
 			return
 		}
 		p.report(w)
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -62,7 +62,7 @@
 	h.s.TakeEvents()
 	for range 50 { // 5 s
 		h.advanceClock(100 * time.Millisecond)
-		h.s.PollFailed(h.now, "w1")
+		h.s.PollFailed(h.now, "w1", Grant{})
 		h.wantStarts(h.run(), 0)
 	}
 	w.incarnation = 5000
--- a/core/schedule/index_test.go
+++ b/core/schedule/index_test.go
@@ -43,7 +43,7 @@
 	w := h.workers[id]
 	switch rnd.IntN(6) {
 	case 0:
-		h.s.PollFailed(h.now, id)
+		h.s.PollFailed(h.now, id, Grant{})
 	case 1:
 		w.info.Draining = !w.info.Draining
 		h.listWorkers()
--- /dev/null
+++ b/core/schedule/inherited_lease.go
@@ -0,0 +1,88 @@
+package schedule
+
+import "time"
+
+// What is stored with a known worker tells a later owner for how long its task leases may last: as long as the longest lease that an owner
+// may have granted, what calls to its former processes may have added, or what remains of leases that are withheld.
+
+// inheritedLease is the longest lease that former owners may have granted on a worker.
+type inheritedLease struct {
+	lease time.Duration // 0 if that is not known
+	until time.Duration // boot time at which all such leases have certainly expired; 0 for a worker that was not inherited
+}
+
+// inheritLeases takes over what a former owner has stored about the leases of a worker.
+func (s *Scheduler) inheritLeases(now time.Duration, w *worker, info WorkerInfo) {
+	w.inherited = inheritedLease{info.GrantedLease, now + s.cfg.inheritedBound(info.GrantedLease)}
+	if info.GrantedLease == 0 || info.GrantedLease > s.cfg.TaskLease {
+		s.unknownLeasesUntil = max(s.unknownLeasesUntil, w.inherited.until)
+	}
+	if info.FormerCalls > 0 {
+		w.formerCalls = formerCalls{leasesEnd: now + info.FormerCalls, handedOut: true}
+	}
+	if info.LeaseRemaining > 0 {
+		w.inheritRemaining(now, info.LeaseRemaining)
+		return
+	}
+	w.leaseEnd = max(w.leaseEnd, w.inherited.until, w.formerCalls.leasesEnd)
+}
+
+// RecordTaskLease records the longest lease that the relay of a worker grants; 0 if it does not tell, as relays of former versions. It is
+// called before the first report of the relay is applied.
+func (s *Scheduler) RecordTaskLease(id WorkerID, lease time.Duration) {
+	w, known := s.workers[id]
+	if !known || w.longerLeases || lease > 0 && lease <= s.cfg.TaskLease {
+		return
+	}
+	w.longerLeases = true
+	w.stored = false // until a later owner knows that
+	s.knownWorkersChanged = true
+	s.index.markChanged(w)
+}
+
+// grantedLease returns the longest lease that an owner may have granted on a worker; 0 if that is not known.
+func (s *Scheduler) grantedLease(now time.Duration, w *worker) time.Duration {
+	switch {
+	case w.longerLeases:
+		return 0
+	case now >= s.unknownLeasesUntil, w.inherited.lease > 0 && w.inherited.lease <= s.cfg.TaskLease:
+		return s.cfg.TaskLease
+	case now < w.inherited.until:
+		return w.inherited.lease
+	}
+	return 0
+}
+
+// infoWithLeases returns the description of a known worker that is handed out to be stored.
+func (s *Scheduler) infoWithLeases(now time.Duration, w *worker) WorkerInfo {
+	info := w.knownInfo()
+	info.GrantedLease = s.grantedLease(now, w)
+	info.FormerCalls = w.formerCalls.remaining(now)
+	w.formerCalls.handedOut = true
+	if w.withheld.marked {
+		info.LeaseRemaining = w.remainingLease(now)
+		w.withheld.mayStore, w.withheld.last = true, info.LeaseRemaining
+	}
+	return info
+}
+
+// leasesStoredWith reports whether the stored description of a worker tells a later owner of all leases that may last longer than
+// Config.TaskLease.
+func (w *worker) leasesStoredWith(info WorkerInfo) bool {
+	return w.formerCalls.storedWith(info) && (!w.longerLeases || info.GrantedLease == 0)
+}
+
+// expireFormerLeases has the known workers stored again once leases of former owners, or those that calls to former processes have
+// extended, have certainly expired.
+func (s *Scheduler) expireFormerLeases(now time.Duration) {
+	if s.unknownLeasesUntil > 0 && now >= s.unknownLeasesUntil {
+		s.unknownLeasesUntil = 0
+		s.knownWorkersChanged = true
+	}
+	for _, w := range s.sortedWorkers {
+		if w.formerCalls.leasesEnd > 0 && !w.formerCalls.last(now) {
+			w.formerCalls = formerCalls{}
+			s.knownWorkersChanged = true
+		}
+	}
+}
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -8,20 +8,24 @@
 // Polls extend the task leases of a worker. The scheduler records until when they may last, and treats what runs on a worker that does
 // not answer as running until then.
 
-// PollFailed records that a worker did not answer a poll. Until its next report its task leases are no longer extended.
-func (s *Scheduler) PollFailed(now Time, id WorkerID) {
+// PollFailed records that a worker did not answer a poll, and the latest lease that its relay has granted. Until its next report its task
+// leases are no longer extended. If the relay does not tell when the lease begins, it counts from now, as the longest one.
+func (s *Scheduler) PollFailed(now Time, id WorkerID, granted Grant) {
+	if granted.At == 0 || granted.At > now.Boot {
+		granted = Grant{At: now.Boot}
+	}
 	if w, known := s.workers[id]; known {
 		w.becomeUnclear()
 		s.recordGap(now.Boot, w)
-		w.stopExtending(now.Boot + s.cfg.leaseBound())
+		w.stopExtending(s.cfg, granted)
 		s.recordSilence(now, w)
 	}
 }
 
-// PollerLost records that the connection to the process that polls a worker is lost. The leases of the worker may still
-// be extended until extendedUntil, in boot time, even if no report has arrived over that connection: it may have been
-// lost. Those of a worker whose remaining lease is to be stored are not extended by that process either.
-func (s *Scheduler) PollerLost(id WorkerID, extendedUntil time.Duration) {
+// PollerLost records that the connection to the process that polls a worker is lost. That process may still grant leases of the worker,
+// up to the given one, even if no report has arrived over that connection: it may have been lost. Those of a worker whose remaining lease
+// is to be stored are not extended by that process either.
+func (s *Scheduler) PollerLost(id WorkerID, last Grant) {
 	w, known := s.workers[id]
 	if !known {
 		return
@@ -32,15 +36,15 @@
 	w.renumberEnds()
 	if !w.withheld.marked {
 		w.leasesExtended = true
-		w.stopExtending(extendedUntil + s.cfg.leaseBound())
+		w.stopExtending(s.cfg, last)
 	}
 }
 
-// LeasesPermitted records that task leases of a worker may be extended until a boot time by a process that polls it no longer for
+// LeasesPermitted records that task leases of a worker may be granted, up to the given one, by a process that polls it no longer for
 // this owner, or has not stopped yet.
-func (s *Scheduler) LeasesPermitted(id WorkerID, extendedUntil time.Duration) {
+func (s *Scheduler) LeasesPermitted(id WorkerID, last Grant) {
 	if w, known := s.workers[id]; known {
-		w.leaseEnd = max(w.leaseEnd, extendedUntil+s.cfg.leaseBound())
+		w.leaseEnd = max(w.leaseEnd, last.end(s.cfg))
 	}
 }
 
@@ -68,10 +72,11 @@
 	return w.leaseEnd, true
 }
 
-// stopExtending records that no lease on the worker ends after end, in boot time, unless the worker reports again.
-func (w *worker) stopExtending(end time.Duration) {
+// stopExtending records that no lease on the worker follows the given one, unless the worker reports again.
+func (w *worker) stopExtending(cfg Config, last Grant) {
 	if w.leasesExtended {
-		w.leaseEnd = max(w.leaseEnd, end)
+		w.grantedAt = max(w.grantedAt, last.At)
+		w.leaseEnd = max(w.leaseEnd, last.end(cfg))
 	}
 	w.leasesExtended = false
 	w.suspect = true
@@ -84,6 +89,7 @@
 // extended, even if they would have expired by now.
 func (s *Scheduler) Expire(now Time, confirmed bool, collectedUpTo func(WorkerID) time.Duration) {
 	s.calledAt = now.Boot
+	s.expireFormerLeases(now.Boot)
 	if !confirmed {
 		return
 	}
--- a/core/schedule/lone_crash_test.go
+++ b/core/schedule/lone_crash_test.go
@@ -40,7 +40,7 @@
 func crashUnobserved(back time.Duration, beside ...WorkerID) func(h *harness, ids []WorkerID) {
 	return func(h *harness, ids []WorkerID) {
 		for _, id := range slices.Concat(ids, beside) {
-			h.s.PollFailed(h.now, id)
+			h.s.PollFailed(h.now, id, Grant{})
 		}
 		h.store()
 		h.advanceClock(back)
--- a/core/schedule/nominate_test.go
+++ b/core/schedule/nominate_test.go
@@ -129,7 +129,7 @@
 func TestNominationEnds(t *testing.T) {
 	for name, end := range map[string]func(h *harness){
 		"cancelled":     func(h *harness) { h.s.Cancel(h.now, "service") },
-		"worker silent": func(h *harness) { h.s.PollFailed(h.now, "w2") },
+		"worker silent": func(h *harness) { h.s.PollFailed(h.now, "w2", Grant{}) },
 		"worker drains": func(h *harness) { h.workers["w2"].info.Draining = true; h.list() },
 		"evacuated":     func(h *harness) { h.s.SetEvacuated([]structs.DatacentreID{"dc1"}) },
 	} {
@@ -355,7 +355,7 @@
 	h.startedService("lost", 1)
 	h.addWorker("w2", withCores(1))
 	h.startedService("failed", 1)
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	delete(h.workers, "w1")
 	h.advanceClock(h.s.cfg.leaseBound())
 	h.reportAll()
@@ -379,7 +379,7 @@
 	h.addWorker("w1", withCores(2))
 	h.shortTasks("short", 1000, time.Second)
 	h.run()
-	h.s.PollFailed(h.now, "w0")
+	h.s.PollFailed(h.now, "w0", Grant{})
 	delete(h.workers, "w0")
 	for range 40 {
 		h.s.workers["w1"].slowness.add(h.now.Boot, maxSlowness, minSlowWeight)
--- a/core/schedule/preempt_test.go
+++ b/core/schedule/preempt_test.go
@@ -341,7 +341,7 @@
 	began := h.now.Boot
 	for h.now.Boot-began < restartBound {
 		h.advanceClock(scanInterval)
-		h.s.PollFailed(h.now, "w1")
+		h.s.PollFailed(h.now, "w1", Grant{})
 		h.list()
 		h.report("w2")
 		if len(starts(h.run())) > 0 {
--- a/core/schedule/renumbered_test.go
+++ b/core/schedule/renumbered_test.go
@@ -86,7 +86,7 @@
 // ends that nobody has read, and their tasks would start again after they are done.
 func TestNumbersOfEndsCountAnewWithTheNextPoller(t *testing.T) {
 	h := threeEndsHarness(t)
-	h.s.PollerLost("w1", h.now.Boot)
+	h.s.PollerLost("w1", Grant{At: h.now.Boot})
 	h.repeatedStart("w1")
 	h.advanceClock(time.Second)
 	h.reportAll()
@@ -111,7 +111,7 @@
 	h.s.TakeEvents()
 	h.fail(taskID("service", 0, 0))
 	for range 3 {
-		h.s.PollerLost("w1", h.now.Boot)
+		h.s.PollerLost("w1", Grant{At: h.now.Boot})
 		h.advanceClock(time.Second)
 		h.reportAll()
 	}
--- a/core/schedule/replaced_test.go
+++ b/core/schedule/replaced_test.go
@@ -78,7 +78,7 @@
 			for range 300 { // 30 s
 				h.advanceClock(100 * time.Millisecond)
 				h.s.SetWorkers(h.now, listed)
-				h.s.PollFailed(h.now, "foreign")
+				h.s.PollFailed(h.now, "foreign", Grant{})
 				h.wantStarts(h.run(), 0)
 				h.reportAll()
 			}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -101,6 +101,9 @@
 func (s *Scheduler) recordProcess(now Time, w *worker, report Report) {
 	switch {
 	case w.incarnation != report.Incarnation:
+		if w.incarnation != 0 || s.mayReplaceFormer(now.Boot, w, report.Incarnation) {
+			s.recordFormerCalls(now.Boot, w, report.Address)
+		}
 		if w.incarnation != 0 && !countsFewer(report.Incarnation, w.incarnation) {
 			s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID})
 			s.workerCrashed(now, w, startAfter(w.incarnation, report.Incarnation), report.SentAt, report.lists)
@@ -112,6 +115,7 @@
 		w.incarnation = report.Incarnation
 	case w.endsRenumbered(report.Ended):
 		s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Reason: "numbers of ends"})
+		s.recordFormerCalls(now.Boot, w, report.Address)
 	default:
 		return
 	}
--- a/core/schedule/restart_test.go
+++ b/core/schedule/restart_test.go
@@ -85,7 +85,7 @@
 	h.addWorker("w3", withCores(1))
 	h.s.AddJob(testJob("first", testStep(1)), nil, false)
 	h.wantStarts(h.orderedFor(h.run(), "first"), 1)
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	delete(h.workers, "w1")
 	h.advanceClock(h.s.cfg.leaseBound())
 	h.reportAll()
@@ -237,7 +237,7 @@
 // would stay without an answer until the leases of the worker have expired.
 func TestServiceStartIsNotOrderedOnceItsWorkerIsSilent(t *testing.T) {
 	for name, silence := range map[string]func(h *harness){
-		"poll failed": func(h *harness) { h.s.PollFailed(h.now, "w1") },
+		"poll failed": func(h *harness) { h.s.PollFailed(h.now, "w1", Grant{}) },
 		"no report":   func(h *harness) { h.advanceClock(unreachableAfter) },
 	} {
 		h := newHarness(t, 1)
@@ -250,7 +250,7 @@
 			t.Errorf("%s: %s", name, describe(orders))
 		}
 		h.addWorker("w2", nil)
-		h.s.PollFailed(h.now, "w1")
+		h.s.PollFailed(h.now, "w1", Grant{})
 		if orders := starts(h.run()); len(orders) != 1 || orders[0].Worker != "w2" {
 			t.Errorf("%s: then %s", name, describe(orders))
 		}
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -89,7 +89,7 @@
 	if first.Worker == other {
 		other = "w1"
 	}
-	h.s.PollFailed(h.now, first.Worker)
+	h.s.PollFailed(h.now, first.Worker, Grant{})
 	h.advanceClock(h.s.cfg.leaseBound() - time.Millisecond)
 	h.report(other)
 	h.wantStarts(h.run(), 0)
@@ -349,7 +349,7 @@
 	h.s.AddJob(testJob("job", testStep(1)), nil, false)
 	h.wantStarts(h.run(), 1)
 	h.addWorker("w2", nil)
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	h.wantStartAfter(h.s.cfg.MaxTaskLease+time.Second, "w2")
 }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -38,6 +38,7 @@
 	awaitingReport      map[WorkerID]bool // workers that a former owner may have used and that have not reported yet
 	takeoverAt          time.Duration     // when the takeover began
 	unknownUntil        time.Duration     // until when workers that are not known may run tasks of former owners; 0 if all are known
+	unknownLeasesUntil  time.Duration     // until when leases of former owners may last that are longer than those of this one; 0 if there are none
 	knownWorkersChanged bool              // the set of known workers has changed since it was last stored
 	interference        *interference
 	dirty               map[*job]struct{}           // jobs whose progress has changed since it was stored
--- a/core/schedule/service_needs_test.go
+++ b/core/schedule/service_needs_test.go
@@ -41,7 +41,7 @@
 	h.wantStarts(h.run(), 1)
 	h.wantNeeds("on silent 0/0 displaced 0/0 first 0/0/0 restarts 0/0/0 others 0/0/0 fillers 0/0/0")
 
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	first, half, filler := testService(1), testStep(1), testStep(1)
 	half.Size.MilliCPU, filler.Filler = 500, true
 	half.EstimateMs = 3_600_000 // so that it is not moved for lack of progress
@@ -76,7 +76,7 @@
 	h.addWorker("w1", withCores(2))
 	h.startedService("cancelled", 1)
 	h.startedService("stays", 1)
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	h.s.Cancel(h.now, "cancelled")
 	h.wantNeeds("on silent 1/1000 displaced 0/0 first 0/0/0 restarts 0/0/0 others 0/0/0 fillers 0/0/0")
 	h.reportAll()
--- a/core/schedule/set_back_test.go
+++ b/core/schedule/set_back_test.go
@@ -23,7 +23,7 @@
 func (h *harness) pollSetBack(former WorkerID) {
 	for range 10 {
 		h.advanceClock(100 * time.Millisecond)
-		h.s.PollFailed(h.now, former)
+		h.s.PollFailed(h.now, former, Grant{})
 		for _, info := range h.s.Workers() {
 			if h.workers[info.ID] != nil {
 				h.report(info.ID)
@@ -76,8 +76,8 @@
 	list := func() { h.s.SetWorkers(h.now, []WorkerInfo{w.info, former}) }
 	for range 40 { // 4 s, longer than unreachableAfter
 		h.advanceClock(100 * time.Millisecond)
-		h.s.PollFailed(h.now, "w1")
-		h.s.PollFailed(h.now, "former")
+		h.s.PollFailed(h.now, "w1", Grant{})
+		h.s.PollFailed(h.now, "former", Grant{})
 		list()
 		h.wantStarts(h.run(), 0)
 	}
--- a/core/schedule/short_crash_test.go
+++ b/core/schedule/short_crash_test.go
@@ -24,7 +24,7 @@
 			h.restartAs("'", id)
 		},
 		"next process starts": func(h *harness, id WorkerID) {
-			h.s.PollFailed(h.now, id)
+			h.s.PollFailed(h.now, id, Grant{})
 			h.restart(id)
 			h.workers[id].incarnation, h.workers[id].info.StartedMs = h.now.UnixMs, h.now.UnixMs
 		},
--- a/core/schedule/suspect_wait_test.go
+++ b/core/schedule/suspect_wait_test.go
@@ -80,7 +80,7 @@
 		for n := range cuts {
 			h.wantWait(task, simServiceDown-backAfter, func() {})
 			for _, id := range h.workerIDs() {
-				h.s.PollFailed(h.now, id)
+				h.s.PollFailed(h.now, id, Grant{})
 			}
 			h.store()
 			if takeover {
@@ -127,12 +127,12 @@
 			}
 			h.advanceClock(breakAfterStart + time.Millisecond)
 			if c.first > 0 {
-				h.s.PollFailed(h.now, "w1")
-				h.s.PollFailed(h.now, "w2")
+				h.s.PollFailed(h.now, "w1", Grant{})
+				h.s.PollFailed(h.now, "w2", Grant{})
 				h.advanceClock(c.first)
 			}
 			if !c.noGap {
-				h.s.PollFailed(h.now, "w0")
+				h.s.PollFailed(h.now, "w0", Grant{})
 			}
 			h.advanceClock(time.Second)
 			for _, id := range c.others {
--- a/core/schedule/suspects_small_pool_test.go
+++ b/core/schedule/suspects_small_pool_test.go
@@ -20,7 +20,7 @@
 			for n := range 6 {
 				h.wantWait(task, simServiceDown-backAfter, func() {})
 				id := h.workerOf(task)
-				h.s.PollFailed(h.now, id)
+				h.s.PollFailed(h.now, id, Grant{})
 				h.store()
 				h.advanceClock(backAfter)
 				h.restartAs(WorkerID(fmt.Sprint("-", n)), id)
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -3,8 +3,7 @@
 import "fulmarcourse.example/core/workload"
 
 // InheritWorkers adds the workers that a former owner may have used. Tasks of inherited jobs start only when each of
-// these workers has reported or its task leases have certainly expired: the former owner extends leases for at most
-// Config.HandoverGrace after it has lost its ownership.
+// these workers has reported or its task leases have certainly expired.
 func (s *Scheduler) InheritWorkers(now Time, infos []WorkerInfo) {
 	s.takeoverAt = now.Boot
 	s.knownWorkersChanged = true
@@ -18,11 +17,7 @@
 		w.stored = true
 		w.answeredAddress = info.Address
 		w.incarnation = info.StartedMs
-		if info.LeaseRemaining > 0 {
-			w.inheritRemaining(now.Boot, info.LeaseRemaining)
-		} else {
-			w.leaseEnd = max(w.leaseEnd, now.Boot+s.cfg.HandoverGrace+s.cfg.leaseBound())
-		}
+		s.inheritLeases(now.Boot, w, info)
 		s.awaitingReport[info.ID] = true
 	}
 }
@@ -32,7 +27,8 @@
 // inherited worker, without its remaining lease.
 func (s *Scheduler) InheritUnknown(now Time) {
 	s.takeoverAt = now.Boot
-	s.unknownUntil = now.Boot + s.cfg.HandoverGrace + s.cfg.leaseBound()
+	s.unknownUntil = now.Boot + s.cfg.inheritedBound(0)
+	s.unknownLeasesUntil = max(s.unknownLeasesUntil, s.unknownUntil)
 	for id := range s.awaitingReport {
 		w := s.workers[id]
 		w.leaseEnd = max(w.leaseEnd, s.unknownUntil)
@@ -70,12 +66,7 @@
 			w.stored = false
 			continue
 		}
-		info := w.knownInfo()
-		if w.withheld.marked {
-			info.LeaseRemaining = w.remainingLease(max(s.calledAt, s.takeoverAt))
-			w.withheld.mayStore, w.withheld.last = true, info.LeaseRemaining
-		}
-		infos = append(infos, info)
+		infos = append(infos, s.infoWithLeases(max(s.calledAt, s.takeoverAt), w))
 	}
 	return s.addUnstoredCrashes(infos), changed
 }
@@ -114,7 +105,8 @@
 func (s *Scheduler) KnownWorkersStored(infos []WorkerInfo) {
 	for _, info := range infos {
 		w, known := s.workers[info.ID]
-		if known && info.LeaseRemaining == 0 && info.Address == w.address() && (!w.stored || w.withheld.active) {
+		if known && info.LeaseRemaining == 0 && info.Address == w.address() && w.leasesStoredWith(info) &&
+			(!w.stored || w.withheld.active) {
 			w.recordStored()
 			s.index.markChanged(w)
 		}
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -62,10 +62,10 @@
 // reports of the worker are lost on their way to the owner.
 func TestInheritedTaskOutlastsLostReports(t *testing.T) {
 	for name, lose := range map[string]func(*harness){
-		"connection lost": func(h *harness) { h.s.PollerLost("w2", h.now.Boot) },
+		"connection lost": func(h *harness) { h.s.PollerLost("w2", Grant{At: h.now.Boot}) },
 		"reports lost, then the worker is silent": func(h *harness) {
 			h.s.ReportsLost("w2")
-			h.s.PollFailed(h.now, "w2")
+			h.s.PollFailed(h.now, "w2", Grant{})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -111,7 +111,7 @@
 	h.s.AddJob(testJob("job", testStep(1)), nil, false)
 	h.run()
 	h.addWorker("w2", nil)
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	h.advanceClock(2 * h.s.cfg.leaseBound())
 	h.report("w2")
 	h.s.Expire(h.now, false, h.collectedUpTo)
@@ -131,7 +131,7 @@
 	h.s.AddJob(testJob("job", testStep(1)), nil, false)
 	h.run()
 	h.addWorker("w2", nil)
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	h.collected = h.now.Boot
 	h.advanceClock(h.s.cfg.leaseBound())
 	h.report("w2")
@@ -148,7 +148,7 @@
 	h.s.AddJob(testJob("job", testStep(1)), nil, false)
 	h.run()
 	h.addWorker("w2", nil)
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	h.s.Report(h.now, "w1", Report{Incarnation: h.workers["w1"].incarnation, SentAt: h.now.Boot - time.Second})
 	h.advanceClock(h.s.cfg.leaseBound())
 	h.report("w2")
@@ -246,7 +246,7 @@
 	h.addWorker("w1", nil)
 	infos := append(h.s.Workers(), oddEntry)
 	h.s.SetWorkers(h.now, infos)
-	h.s.PollFailed(h.now, oddEntry.ID)
+	h.s.PollFailed(h.now, oddEntry.ID, Grant{})
 	known, changed := h.s.KnownWorkers()
 	if !changed || len(known) != 1 || known[0].ID != "w1" {
 		t.Fatalf("known workers %v, changed %v, want w1", known, changed)
@@ -283,7 +283,7 @@
 	h := newHarness(t, 1)
 	h.addWorker("w1", nil)
 	h.s.KnownWorkers()
-	h.s.PollFailed(h.now, "w1")
+	h.s.PollFailed(h.now, "w1", Grant{})
 	h.advanceClock(h.s.cfg.leaseBound() - time.Second)
 	h.plan()
 	if known, changed := h.s.KnownWorkers(); changed {
--- a/core/schedule/takeover_wait_test.go
+++ b/core/schedule/takeover_wait_test.go
@@ -19,7 +19,7 @@
 	stored := h.s.jobs["job"].progress()
 	idle.info.Draining = false
 	h.listWorkers()
-	h.s.PollFailed(h.now, lost.info.ID)
+	h.s.PollFailed(h.now, lost.info.ID, Grant{})
 	h.advanceClock(withholdAfter)
 	h.report(idle.info.ID)
 	h.wantStarts(h.run(), 0) // the relays are told to withhold the leases
--- a/core/schedule/unanswered_stop_test.go
+++ b/core/schedule/unanswered_stop_test.go
@@ -10,7 +10,7 @@
 	h.s.AddJob(testJob("job", testStep(1)), nil, false)
 	h.wantStarts(h.run(), 1)
 	id := h.workerOf(task)
-	h.s.PollFailed(h.now, id)
+	h.s.PollFailed(h.now, id, Grant{})
 	h.s.stop(h.now.Boot, h.s.task(task).attempts[0])
 	orders := ofKind(h.s.TakeOrders(), OrderStop)
 	h.report(id)
--- a/core/schedule/unstored.go
+++ b/core/schedule/unstored.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"fulmarcourse.example/core/workload"
 )
@@ -60,32 +59,26 @@
 func (s *Scheduler) addUnstoredCrashes(infos []WorkerInfo) []WorkerInfo {
 	for _, id := range slices.Sorted(maps.Keys(s.unstoredCrashes)) {
 		info := s.unstoredCrashes[id].info
+		if n := slices.IndexFunc(infos, func(other WorkerInfo) bool { return other.ID == id }); n >= 0 {
+			infos[n].StartedMs = info.StartedMs
+			continue
+		}
 		if w, known := s.workers[id]; known {
 			started := info.StartedMs
 			info = w.knownInfo()
 			info.StartedMs = started
-			info.LeaseRemaining = remainingOf(infos, id)
-			infos = slices.DeleteFunc(infos, func(other WorkerInfo) bool { return other.ID == id })
 		}
 		infos = append(infos, info)
 	}
 	return infos
 }
 
-// remainingOf returns the remaining lease of a worker in a list of known workers; 0 if there is none.
-func remainingOf(infos []WorkerInfo, id WorkerID) time.Duration {
-	n := slices.IndexFunc(infos, func(info WorkerInfo) bool { return info.ID == id })
-	if n < 0 {
-		return 0
-	}
-	return infos[n].LeaseRemaining
-}
-
 // knownInfo returns the description of a worker that is stored for later owners. It names the process that has reported last:
-// the list may show the next one first, and a crash in between would not be noticed. It has no remaining lease.
+// the list may show the next one first, and a crash in between would not be noticed. It says nothing about leases.
 func (w *worker) knownInfo() WorkerInfo {
 	info := w.info
-	info.Address, info.LeaseRemaining = w.address(), 0
+	info.Address = w.address()
+	info.LeaseRemaining, info.GrantedLease, info.FormerCalls = 0, 0, 0
 	info.StartedMs = w.process().StartedMs
 	return info
 }
--- a/core/schedule/unused_test.go
+++ b/core/schedule/unused_test.go
@@ -30,7 +30,7 @@
 func TestEachReasonForAnUnusedWorkerIsNamed(t *testing.T) {
 	forAWhile := time.Hour
 	rows := map[WaitReason]func(h *harness, w *worker){
-		WaitUnreachable: func(h *harness, w *worker) { h.s.PollFailed(h.now, w.info.ID) },
+		WaitUnreachable: func(h *harness, w *worker) { h.s.PollFailed(h.now, w.info.ID, Grant{}) },
 		WaitNotStored:   func(_ *harness, w *worker) { w.stored = false },
 		WaitEntryOutdated: func(_ *harness, w *worker) {
 			w.info.StartedMs = w.incarnation + 1
--- a/core/schedule/waiting_test.go
+++ b/core/schedule/waiting_test.go
@@ -477,7 +477,7 @@
 	h.addWorker("w2", withCores(2))
 	h.wantStarts(h.run(), 4)
 	h.addWorker("w3", func(info *WorkerInfo) { info.Capacity.MilliCPU = 500 })
-	h.s.PollFailed(h.now, "w0")
+	h.s.PollFailed(h.now, "w0", Grant{})
 	delete(h.workers, "w0")
 	h.advanceClock(h.s.cfg.leaseBound())
 	h.reportAll()
--- a/core/schedule/withhold_test.go
+++ b/core/schedule/withhold_test.go
@@ -14,7 +14,7 @@
 	h.wantStarts(h.run(), 1)
 	h.reportAll()
 	h.s.KnownWorkers()
-	h.s.PollFailed(h.now, lost.info.ID)
+	h.s.PollFailed(h.now, lost.info.ID, Grant{})
 	return h, lost, idle
 }
 
@@ -155,7 +155,7 @@
 	h.advanceClock(time.Second)
 	h.report(lost.info.ID)
 	cleared := h.handOut()[lost.info.ID]
-	h.s.PollFailed(h.now, lost.info.ID)
+	h.s.PollFailed(h.now, lost.info.ID, Grant{})
 	h.pass(withholdAfter)
 	h.pass(time.Millisecond)
 	if !h.s.workers[lost.info.ID].withheld.marked {
@@ -237,7 +237,7 @@
 	h, lost, _ := lostWorker(t)
 	h.pass(withholdAfter)
 	permitted := h.now.Boot + time.Second
-	h.s.PollerLost(lost.info.ID, permitted)
+	h.s.PollerLost(lost.info.ID, Grant{At: permitted})
 	h.withheld = map[WorkerID]time.Duration{}
 	h.plan()
 	h.pass(time.Millisecond)
@@ -247,7 +247,7 @@
 	}
 	end := h.s.workers[lost.info.ID].leaseEnd
 	h.s.ReportsLost(lost.info.ID)
-	h.s.PollerLost(lost.info.ID, h.now.Boot+time.Minute)
+	h.s.PollerLost(lost.info.ID, Grant{At: h.now.Boot + time.Minute})
 	if w := h.s.workers[lost.info.ID]; w.leaseEnd != end || w.leasesExtended || !w.withheld.marked {
 		t.Errorf("the loss of a relay that withholds the leases has moved their end by %v", w.leaseEnd-end)
 	}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -27,6 +27,14 @@
 	// LeaseRemaining is how long its task leases may still last, while no relay extends them. Only of known workers; 0 if they may be
 	// extended. It is right for the time at which the set of known workers was made, and too long afterwards.
 	LeaseRemaining time.Duration
+
+	// GrantedLease is the longest task lease that an owner may have granted. Only of known workers; 0 if that is not known, as from owners
+	// of former versions.
+	GrantedLease time.Duration
+
+	// FormerCalls is how long its task leases may last at least, since calls to its former processes may have extended them. Only of known
+	// workers; 0 if they have not. It is right for the same time as LeaseRemaining, and too long afterwards.
+	FormerCalls time.Duration
 }
 
 // worker is the scheduler's view of one worker.
@@ -46,7 +54,11 @@
 	answers          bool          // it has reported, and its leases have not certainly expired since
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
+	grantedAt        time.Duration // unless leasesExtended: when the latest lease on the worker began at most, if this owner has granted one
 	withheld         withholding
+	formerCalls      formerCalls
+	inherited        inheritedLease
+	longerLeases     bool               // a relay of this owner may have granted leases longer than Config.TaskLease
 	lastEnd          int64              // number of the latest end that was applied
 	listedEnds       map[listedEnd]bool // in the last report
 	appliedEnds      map[listedEnd]bool // ends of the process that were applied before their numbers counted anew, see renumberEnds
--- a/pkg/dispatch/failed_poll.go
+++ b/pkg/dispatch/failed_poll.go
@@ -14,28 +14,32 @@
 	latest   time.Duration // as if it had when they arrived
 }
 
-// applyFailedPoll applies the result of a poll that a worker has not answered. o.mu is held.
-func (o *Owner) applyFailedPoll(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport, offset relayClockOffset) {
-	id := report.Worker
+// applyFailedPoll applies the result of a poll that a worker has not answered. Owner.mu is held.
+func (l *link) applyFailedPoll(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport, offset relayClockOffset) {
+	o, id := l.owner, report.Worker
 	if report.ConnectionBroken() {
 		s.ConnectionBroken(now, id)
 	}
-	s.PollFailed(now, id)
+	granted := schedule.Grant{Lease: l.taskLease}
+	if at := report.GrantedAt(); at > 0 {
+		granted.At = at + offset.latest
+	}
+	s.PollFailed(now, id, granted)
 	o.polls.failed(now.Boot, id, report.Failed)
 	if !o.unreachable[id] {
 		o.unreachable[id] = true
-		o.logUnreachable(s, now, report, offset)
+		o.logUnreachable(s, now, report, granted)
 	}
 }
 
 // logUnreachable logs that a worker does not answer, and what is known about its leases. o.mu is held.
-func (o *Owner) logUnreachable(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport, offset relayClockOffset) {
+func (o *Owner) logUnreachable(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport, granted schedule.Grant) {
 	entry := o.cfg.Log.Event(eventlog.WorkerUnreachable).Str("worker", string(report.Worker)).Str("reason", report.Failed)
 	if end, bounded := s.LeasesEnd(report.Worker); bounded {
 		entry = entry.Int64("expires_in", ms(end-now.Boot))
 	}
-	if granted := report.GrantedAt(); granted > 0 {
-		entry = entry.Int64("granted", ms(now.Boot-(granted+offset.latest)))
+	if granted.At > 0 {
+		entry = entry.Int64("granted", ms(now.Boot-granted.At))
 	}
 	entry.Msg("")
 }
--- a/pkg/dispatch/fuzz_test.go
+++ b/pkg/dispatch/fuzz_test.go
@@ -70,7 +70,7 @@
 	for _, change := range []func(*schedule.Scheduler, schedule.Time){
 		func(s *schedule.Scheduler, now schedule.Time) { s.SetWorkers(now, listed) },
 		report(1), report(2), report(2),
-		func(s *schedule.Scheduler, now schedule.Time) { s.PollFailed(now, "w") },
+		func(s *schedule.Scheduler, now schedule.Time) { s.PollFailed(now, "w", schedule.Grant{}) },
 		func(s *schedule.Scheduler, now schedule.Time) { s.SetWorkers(now, append(listed, next)) },
 	} {
 		o.update(change)
--- a/pkg/dispatch/known_workers.go
+++ b/pkg/dispatch/known_workers.go
@@ -38,17 +38,23 @@
 	StartedMs  int64
 	Draining   bool `json:",omitempty"`
 
-	LeaseRemaining time.Duration `json:",omitempty"` // nanoseconds; none from former versions
+	// Nanoseconds; none from former versions.
+	LeaseRemaining time.Duration `json:",omitempty"`
+	GrantedLease   time.Duration `json:",omitempty"`
+	FormerCalls    time.Duration `json:",omitempty"`
 }
 
 func newKnownWorker(info schedule.WorkerInfo) knownWorker {
-	return knownWorker{info.ID, info.Address, info.Datacentre, info.Pool, info.StartedMs, info.Draining, info.LeaseRemaining}
+	return knownWorker{
+		ID: info.ID, Address: info.Address, Datacentre: info.Datacentre, Pool: info.Pool, StartedMs: info.StartedMs, Draining: info.Draining,
+		LeaseRemaining: info.LeaseRemaining, GrantedLease: info.GrantedLease, FormerCalls: info.FormerCalls,
+	}
 }
 
 func (w knownWorker) info() schedule.WorkerInfo {
 	return schedule.WorkerInfo{
 		ID: w.ID, Address: w.Address, Datacentre: w.Datacentre, Pool: w.Pool, StartedMs: w.StartedMs, Draining: w.Draining,
-		LeaseRemaining: w.LeaseRemaining,
+		LeaseRemaining: w.LeaseRemaining, GrantedLease: w.GrantedLease, FormerCalls: w.FormerCalls,
 	}
 }
 
--- a/pkg/dispatch/known_workers_test.go
+++ b/pkg/dispatch/known_workers_test.go
@@ -231,7 +231,7 @@
 	}
 	o.setWorkers(nil)
 	o.update(func(s *schedule.Scheduler, now schedule.Time) {
-		s.PollFailed(now, infos[0].ID)
+		s.PollFailed(now, infos[0].ID, schedule.Grant{})
 		now.Boot += time.Hour
 		s.Expire(now, true, func(schedule.WorkerID) time.Duration { return now.Boot })
 		if len(s.Workers()) != 0 {
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -46,6 +46,7 @@
 	relayClock       time.Duration // last reading of the relay's boot clock
 	relayClockReadAt time.Duration // boot time of its receipt; 0 before the first and after a failed call
 	permittedUntil   time.Duration // boot time up to which the relay may extend leases
+	taskLease        time.Duration // the longest lease that the relay grants; 0 if it has not told
 	openedAt         time.Duration // boot time of the creation of the link
 	lastResponseAt   time.Duration // boot time of the last successful call, or of the creation of the link
 	collectedUpTo    time.Duration // boot time up to which all results of the relay have been applied; 0 before the first
@@ -180,10 +181,10 @@
 	if l.closed || l.relayClockReadAt == 0 {
 		return 0
 	}
-	until := min(bootclock.Uptime()+leasePermission, l.owner.ownership.ValidUntil())
+	until := l.owner.ownership.ConfirmedAt() + leaseGrantWindow
 	l.permittedUntil = max(l.permittedUntil, until)
 	for id := range l.leaving {
-		l.owner.scheduler.LeasesPermitted(id, l.permittedUntil)
+		l.owner.scheduler.LeasesPermitted(id, l.lastGrant())
 	}
 	return l.relayClock + (until - l.relayClockReadAt)
 }
@@ -310,6 +311,7 @@
 	o.updateAndPlan(func(s *schedule.Scheduler, now schedule.Time) {
 		l.relayClock, l.relayClockReadAt, l.lastResponseAt = results.Now, now.Boot, now.Boot
 		l.withheld.observed = results.WithholdsLeases
+		l.taskLease = results.TaskLease
 		o.measures.recordResults(now.Boot, arrived, results)
 		for _, outcome := range results.Outcomes {
 			l.applyOutcome(s, now, outcome)
@@ -358,7 +360,7 @@
 		return // the worker has since been assigned to another relay
 	}
 	if report.Failed != "" {
-		o.applyFailedPoll(s, now, report, offset)
+		l.applyFailedPoll(s, now, report, offset)
 		return
 	}
 	sentAt, ok := l.polls.convert(id, report.Report.SentAt, report.Report.SentAt+offset.earliest)
@@ -367,6 +369,7 @@
 		return
 	}
 	report.Report.SentAt = sentAt
+	s.RecordTaskLease(id, l.taskLease)
 	if o.unreachable[id] {
 		delete(o.unreachable, id)
 		o.cfg.Log.Event(eventlog.WorkerReachable).Str("worker", string(id)).Msg("")
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -27,8 +27,6 @@
 	relayLostAfter = 1800 * time.Millisecond
 	// relayRetryDelay is the pause after a failed call to a relay.
 	relayRetryDelay = 100 * time.Millisecond
-	// leasePermission is how long a relay may extend task leases after the owner's last call.
-	leasePermission = 1500 * time.Millisecond
 	// orderLostAfter is the time after which an order without an outcome is recorded as unanswered. An order takes up
 	// to half a second, and its outcome is returned with the next results.
 	orderLostAfter = 2500 * time.Millisecond
@@ -174,7 +172,7 @@
 func (o *Owner) pollerLost(id schedule.WorkerID, l *link) {
 	delete(l.stored, id)
 	delete(o.ends, id)
-	o.scheduler.PollerLost(id, l.permittedUntil)
+	o.scheduler.PollerLost(id, l.lastGrant())
 }
 
 // leastLoaded returns the link to which the next worker in a data centre is assigned, or nil if there is none.
--- a/pkg/relay/first_lease_test.go
+++ b/pkg/relay/first_lease_test.go
@@ -58,7 +58,7 @@
 		return PollReply{ClockMs: bootclock.Uptime().Milliseconds(), Report: schedule.Report{Incarnation: 1}}, nil
 	}}
 	r := startRelay(t, f)
-	update := Update{Term: 1, Reset: true, LeaseUntil: bootclock.Uptime() + unpermittedWait/4,
+	update := Update{Term: 1, Reset: true, LeaseUntil: bootclock.Uptime() - lapsedAfter + unpermittedWait/4,
 		Assign: []Assignment{{Worker: schedule.WorkerInfo{ID: "w"}, Wait: hold}}}
 	if err := r.Update(update); err != nil {
 		t.Fatal(err)
--- a/pkg/relay/pending.go
+++ b/pkg/relay/pending.go
@@ -41,7 +41,8 @@
 		return
 	case w.latest != nil && w.latest.Report.Incarnation == report.Report.Incarnation:
 		if w.latest.Report.SentAt > report.Report.SentAt {
-			return // the answers to two polls have overtaken each other
+			w.failed = nil // the relay grants leases again
+			return         // the answers to two polls have overtaken each other
 		}
 	default:
 		if w.latest != nil {
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -121,6 +121,8 @@
 
 	Uncollected int // number of workers whose reports did not fit into these results
 
+	TaskLease time.Duration // the longest task lease that the relay grants; 0 from relays of former versions
+
 	WithholdsLeases bool // the relay observes Assignment.WithholdLeases; those of former versions do not
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -249,7 +249,7 @@
 	if !r.reports.empty() {
 		r.signal()
 	}
-	out.Now, out.WithholdsLeases = bootclock.Uptime(), true
+	out.Now, out.WithholdsLeases, out.TaskLease = bootclock.Uptime(), true, r.cfg.TaskLease
 	out.Uncollected = r.reports.workers()
 	r.uncollected.Update(float64(out.Uncollected))
 	if len(out.Reports) > 0 {
@@ -266,14 +266,7 @@
 	}
 }
 
-// addReport adds the result of a poll unless the owner has changed.
-func (r *Relay) addReport(term int64, report WorkerReport) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.addReportLocked(term, report)
-}
-
-// addReportLocked is addReport with r.mu held.
+// addReportLocked adds the result of a poll unless the owner has changed. r.mu is held.
 func (r *Relay) addReportLocked(term int64, report WorkerReport) {
 	if term != r.term {
 		return
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -52,6 +52,13 @@
 	return req
 }
 
+// addReport adds the result of a poll.
+func (r *Relay) addReport(term int64, report WorkerReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addReportLocked(term, report)
+}
+
 func startRelay(t *testing.T, f *fakeWorkers) *Relay {
 	r := New(Config{Workers: f, TaskLease: 6 * time.Second, Scope: tally.NoopScope})
 	t.Cleanup(r.Close)
--- a/pkg/relay/relaygrpc/address_test.go
+++ b/pkg/relay/relaygrpc/address_test.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/protobuf/proto"
 
 	"fulmarcourse.example/core/schedule"
@@ -20,14 +21,16 @@
 // directConn passes calls to a server without a network. It implements grpc.ClientConnInterface.
 type directConn struct{ server *Server }
 
-func (c directConn) Invoke(ctx context.Context, _ string, args, reply any, _ ...grpc.CallOption) error {
+func (c directConn) Invoke(ctx context.Context, _ string, args, reply any, opts ...grpc.CallOption) error {
 	var out proto.Message
 	var err error
 	switch req := args.(type) {
 	case *ownerpb.UpdateRequest:
 		out, err = c.server.Update(ctx, req)
 	case *ownerpb.CollectRequest:
-		out, err = c.server.Collect(ctx, req)
+		var stream headerStream
+		out, err = c.server.Collect(grpc.NewContextWithServerTransportStream(ctx, &stream), req)
+		stream.passTo(opts)
 	}
 	if err == nil {
 		proto.Merge(reply.(proto.Message), out)
@@ -35,6 +38,26 @@
 	return err
 }
 
+// headerStream records the header of a response.
+type headerStream struct {
+	grpc.ServerTransportStream
+	header metadata.MD
+}
+
+func (s *headerStream) SetHeader(header metadata.MD) error {
+	s.header = metadata.Join(s.header, header)
+	return nil
+}
+
+// passTo passes the header to the caller.
+func (s *headerStream) passTo(opts []grpc.CallOption) {
+	for _, opt := range opts {
+		if header, asked := opt.(grpc.HeaderCallOption); asked {
+			*header.HeaderAddr = s.header
+		}
+	}
+}
+
 func (directConn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
 	return nil, errors.NotSupportedf("streams")
 }
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/encoding/gzip"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"fulmarcourse.example/core/schedule"
@@ -86,6 +87,9 @@
 	if err != nil {
 		return nil, toStatus(err)
 	}
+	if err := sendTaskLease(ctx, results.TaskLease); err != nil {
+		return nil, err
+	}
 	reply := &ownerpb.CollectReply{
 		NowNs: int64(results.Now), Fenced: results.Fenced, Uncollected: int64(results.Uncollected),
 		WithholdsLeases: results.WithholdsLeases,
@@ -182,13 +186,16 @@
 	if err != nil {
 		return relay.Results{}, errors.Trace(err)
 	}
+	var header metadata.MD
 	reply, err := ownerpb.NewRelayClient(conn).Collect(peer.ForHost(ctx, c.Host), &ownerpb.CollectRequest{
 		Partition: int32(partition), Term: term, LeaseUntilNs: int64(leaseUntil), WaitNs: int64(wait),
-	}, compressed)
+	}, compressed, grpc.Header(&header))
 	if err != nil {
 		return relay.Results{}, fromStatus(err)
 	}
-	return fromCollectReply(reply), nil
+	results := fromCollectReply(reply)
+	results.TaskLease = taskLease(header)
+	return results, nil
 }
 
 func fromCollectReply(reply *ownerpb.CollectReply) relay.Results {
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -32,6 +32,9 @@
 	minLeaseRemaining = 50 * time.Millisecond
 	// minClockRate is the assumed minimum rate of a worker's clock relative to this host's boot clock.
 	minClockRate = 0.98
+	// lapsedAfter is the time from the end of the owner's permission until it counts as lapsed. Within it a lease is shorter by as much
+	// at most, and the permission usually comes with the next call of the owner.
+	lapsedAfter = 600 * time.Millisecond
 )
 
 // session polls one worker. Its mutable fields are guarded by Relay.mu.
@@ -154,8 +157,8 @@
 	return s.clockMs + (elapsed + lease).Milliseconds(), true
 }
 
-// permissionLapsed reports whether the owner's permission to extend leases has ended. Relay.mu is held.
-func (s *session) permissionLapsed() bool { return bootclock.Uptime() > s.relay.leaseUntil }
+// permissionLapsed reports whether the owner's permission to extend leases has ended some time ago. Relay.mu is held.
+func (s *session) permissionLapsed() bool { return bootclock.Uptime() > s.relay.leaseUntil+lapsedAfter }
 
 // poll sends a poll request and adds the report to the results. It reports whether the poll succeeded.
 func (s *session) poll(ctx context.Context, req PollRequest) bool {
@@ -185,14 +188,15 @@
 		s.relay.markFenced(s.term)
 		return
 	}
-	s.relay.addReport(s.term, s.recordFailure(req, sent, err))
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	// Both under one lock: a lease that is granted after a later answer does not precede the report of the failure.
+	s.relay.addReportLocked(s.term, s.recordFailure(req, sent, err))
 }
 
 // recordFailure records that a poll, sent at a boot time, has failed, and returns the report for the owner. Only where the worker has
-// answered last does a broken connection say something about its process.
+// answered last does a broken connection say something about its process. Relay.mu is held.
 func (s *session) recordFailure(req PollRequest, sent time.Duration, err error) WorkerReport {
-	s.relay.mu.Lock()
-	defer s.relay.mu.Unlock()
 	if s.lastPollOK {
 		s.failedAt = bootclock.Uptime()
 		s.broken = breaksConnection(err) && req.Worker.Address == s.address && s.failedAt-s.observedAt(sent) <= schedule.MaxUnobserved
--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -23,8 +24,12 @@
 	ProxyAddress func(target string) string      // address of a proxy for the endpoint at target; nil for no proxies
 	Limits       Limits                          // of the store
 	ClockDrift   float64                         // largest share by which a worker's clock runs slow, for instance 0.02
+	MaxTaskLease time.Duration                   // longest lease that workers grant, on their own clocks; the constant MaxTaskLease if 0
 }
 
+// maxTaskLease returns the longest lease that workers grant.
+func (c Config) maxTaskLease() time.Duration { return cmp.Or(c.MaxTaskLease, MaxTaskLease) }
+
 // MaxClockDrift is the largest share by which the platform's protocol allows the clock of a worker to run slow.
 const MaxClockDrift = 0.02
 
@@ -251,17 +256,17 @@
 	lastPort      = 7735
 )
 
-// Settings returns the text of the settings file of an entry host that listens on ip. store is the address of the
-// store, IP:port, and limits are those of the store.
-func Settings(host, datacentre, ip, store string, limits Limits) string {
-	limits = limits.withDefaults()
+// Settings returns the text of the settings file of an entry host of the platform that listens on ip. store is the address at which it
+// reaches the store, IP:port.
+func (p *Platform) Settings(host, datacentre, ip, store string) string {
+	limits := p.cfg.Limits.withDefaults()
 	lines := []string{
 		"node=" + host, "zone=" + datacentre, "ip=" + ip,
 		fmt.Sprintf("listen.front=%s:%d", ip, CallerPort), fmt.Sprintf("listen.ready=%s:%d", ip, ReadinessPort),
 		fmt.Sprintf("portRange=%d,%d", PeerPort, lastPort), "limits.cpuShare=0.4", "limits.cores=1",
 		"platform.address=" + store, fmt.Sprintf("platform.valueBytes=%d", limits.ValueBytes),
 		fmt.Sprintf("platform.minTtlMs=%d", limits.MinTTL.Milliseconds()),
-		fmt.Sprintf("bounds.holdMaxMs=%d", MaxTaskLease.Milliseconds()), "bounds.contactMs=3000", "bounds.stopMs=400", "bounds.status_s=120",
+		fmt.Sprintf("bounds.holdMaxMs=%d", p.cfg.maxTaskLease().Milliseconds()), "bounds.contactMs=3000", "bounds.stopMs=400", "bounds.status_s=120",
 	}
 	return strings.Join(lines, "\n") + "\n"
 }
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -32,7 +32,7 @@
 // headerExpectInstance names the id of the worker that a call is meant for. A worker with another id rejects it.
 const headerExpectInstance = "Fulmarcourse-Expect-Instance"
 
-// MaxTaskLease is the longest lease that a worker grants, on its own clock. It shortens longer ones.
+// MaxTaskLease is the longest lease that a worker grants, on its own clock, unless Config.MaxTaskLease is set. It shortens longer ones.
 const MaxTaskLease = 6 * time.Second
 
 // Run is the history entry of one attempt of a task on a worker. Outcome is empty while it runs, then "done", "failed",
@@ -230,10 +230,10 @@
 	}
 }
 
-// extendLease extends the lease to a time on the worker's clock, by at most MaxTaskLease from now. w.mu is held.
+// extendLease extends the lease to a time on the worker's clock, by at most the longest lease from now. w.mu is held.
 func (w *Worker) extendLease(untilMs int64) {
 	w.markLapsedEnds()
-	w.leaseUntil = max(w.leaseUntil, min(untilMs, w.clockMs()+MaxTaskLease.Milliseconds()))
+	w.leaseUntil = max(w.leaseUntil, min(untilMs, w.clockMs()+w.platform.cfg.maxTaskLease().Milliseconds()))
 }
 
 // finish ends a run. The worker reports the end if report is true. w.mu is held.
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -229,6 +229,10 @@
 	return o.validUntil
 }
 
+// ConfirmedAt returns the boot time at which the latest request was sent that the store has confirmed the ownership with. No other host
+// has acquired the partition before. It is negative or far in the past before the first one.
+func (o *Ownership) ConfirmedAt() time.Duration { return o.ValidUntil() - TTL }
+
 // Lost returns a channel that is closed when the ownership is lost to a later owner.
 func (o *Ownership) Lost() <-chan struct{} { return o.lost }
 
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -25,7 +25,6 @@
 	t        *testing.T
 	dir      string
 	platform *fleet.Platform
-	limits   fleet.Limits // of the store
 	hosts    []*host
 	links    []*faultproxy.Proxy // from each host to the store, and from all hosts to each worker
 	peers    *peerLinks          // between the hosts; nil if they connect to each other directly
@@ -66,7 +65,7 @@
 // newPlatform returns a site without hosts.
 func newPlatform(t *testing.T, cfg fleet.Config) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir(), limits: cfg.Limits, client: &http.Client{Timeout: 5 * time.Second}, closed: make(chan struct{})}
+	s := &site{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}, closed: make(chan struct{})}
 	cfg.ProxyAddress = s.link
 	platform, err := fleet.NewPlatform(cfg)
 	if err != nil {
@@ -104,7 +103,7 @@
 		readinessAddress: fmt.Sprintf("%s:%d", ip, fleet.ReadinessPort),
 		settingsPath:     filepath.Join(s.dir, name+".conf"), logPath: filepath.Join(s.dir, name+".log"),
 	}
-	text := fleet.Settings(name, datacentre, ip, s.link(store), s.limits)
+	text := s.platform.Settings(name, datacentre, ip, s.link(store))
 	if err := os.WriteFile(h.settingsPath, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
