--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -121,6 +121,8 @@
 
 	Uncollected int // number of workers whose reports did not fit into these results
 
+	TaskLease time.Duration // the longest task lease that the relay grants; 0 from relays of former versions
+
 	WithholdsLeases bool // the relay observes Assignment.WithholdLeases; those of former versions do not
 }
 
@@ -131,6 +133,10 @@
 	Report schedule.Report // SentAt and ReceivedAt are on the relay's boot clock; ReceivedAt is also set if the poll failed
 }
 
+// GrantedAt returns when the latest lease begins that the relay has granted to a worker whose poll has failed, on the relay's boot
+// clock; 0 if it has granted none, or is of a former version, which does not tell. It travels in a field that a failed poll leaves unused.
+func (w WorkerReport) GrantedAt() time.Duration { return w.Report.SentAt }
+
 // connectionBroken begins Failed if the connection to the worker broke soon after an answer. It is a part of the text, so that relays and
 // owners of versions without it understand each other.
 const connectionBroken = "connection broken soon after an answer: "
