--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -115,7 +115,7 @@
 		return
 	}
 	s.retainCrashed(w)
-	c := crash{s: s, worker: w, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w), lone: s.crashesAlone(w)}
+	c := crash{s: s, worker: w, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w), lone: s.crashesAlone(w), noPeers: !s.hasPeers(w)}
 	for _, a := range w.attemptList {
 		if !survives(a.key()) {
 			c.addAttempt(now, a)
@@ -141,6 +141,7 @@
 	foundAt time.Duration // see workerCrashed
 	broken  bool          // the connection to the worker broke soon after its last answer, see break.go
 	lone    bool          // few other workers have stopped answering near that time, see crash_watch.go
+	noPeers bool          // there are too few other workers to tell
 	tasks   []*task       // whose record has changed
 }
 
@@ -196,6 +197,7 @@
 	entry.RanMs = ran.Milliseconds()
 	entry.Uncertain = !stillRan
 	entry.Lone = !stillRan && c.lone
+	entry.NoPeers = entry.Lone && c.noPeers
 	if c.s.addCrash(t, entry) {
 		c.tasks = append(c.tasks, t)
 	}
--- a/core/schedule/crash_watch.go
+++ b/core/schedule/crash_watch.go
@@ -15,6 +15,8 @@
 //
 // A task that ends the processes of its workers without breaking their connections stays uncertain on watched workers too. All its crashes
 // are lone: few other workers stop answering near that time, unless suspects ran there. After maxLoneCrashes of them it waits for loneBackOff.
+// In a pool of one or two workers each crash is lone, also behind a cut. Such a crash counts half, so that a harmless task does not wait
+// after the few that cuts in a row may cause, and the starts of one that crashes its workers stay bounded.
 const (
 	// watchedFrom is the number of uncertain brief crashes from which a task starts on workers without recent gaps only.
 	watchedFrom = 2
@@ -38,7 +40,9 @@
 	// maxLoneCrashes is the number of lone uncertain brief crashes after which a task waits for loneBackOff. The platform allows two starts
 	// after the third crash.
 	maxLoneCrashes = certainBriefCrashes + 2
-	loneBackOff    = 2 * time.Minute
+	// loneWeight is the weight of a lone crash, if that without peers is 1.
+	loneWeight  = 2
+	loneBackOff = 2 * time.Minute
 )
 
 // gap is a time in which a worker does not answer, or in which answers of it may be lost.
@@ -90,8 +94,27 @@
 
 func isUncertainBrief(c workload.Crash) bool { return isBrief(c) && isUnexplained(c) && c.Uncertain }
 
+// hasPeers reports whether enough other workers have reported for a gap to show at them, if it has a common cause.
+func (s *Scheduler) hasPeers(w *worker) bool {
+	peers := 0
+	for _, other := range s.workers {
+		if other.reportedAt > 0 && other.place() != w.place() {
+			peers++
+		}
+	}
+	return peers >= commonGaps
+}
+
 func isLone(c workload.Crash) bool { return isUncertainBrief(c) && c.Lone }
 
+func isLoneWithoutPeers(c workload.Crash) bool { return isLone(c) && c.NoPeers }
+
+// tooManyLone reports whether a task has as many lone crashes on record as make it wait for loneBackOff.
+func (t *task) tooManyLone() bool {
+	weight := loneWeight*t.countCrashes(isLone) - (loneWeight-1)*t.countCrashes(isLoneWithoutPeers)
+	return weight >= loneWeight*maxLoneCrashes
+}
+
 // requiredGapFree returns for how long a worker has to have answered without a gap before the task starts there; 0 if it may start on any.
 func (t *task) requiredGapFree(now time.Duration) time.Duration {
 	further := t.countCrashes(isUncertainBrief) - watchedFrom
@@ -109,5 +132,5 @@
 
 // inBackOff reports whether a task waits because it may have crashed many workers none of which could be observed.
 func (t *task) inBackOff(now time.Duration) bool {
-	return t.countCrashes(isLone) >= maxLoneCrashes && now < t.crashedAt+loneBackOff
+	return t.tooManyLone() && now < t.crashedAt+loneBackOff
 }
--- a/core/schedule/lone_crash_test.go
+++ b/core/schedule/lone_crash_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -9,14 +10,13 @@
 	"fulmarcourse.example/core/workload"
 )
 
-// mostStartsOfCrashers returns how often the task of a job that starts most often does so within a minute, in a pool of 16 workers, if each
-// task crashes the workers that run it. crash ends the processes, and tells the owner what it sees of that.
-func mostStartsOfCrashers(t *testing.T, tasks int, crash func(h *harness, ids []WorkerID)) int {
-	t.Helper()
-	h := newStartedHarness(t, 16)
+// mostStartsOfCrashers returns how often the task of a job that starts most often does so within a time, if each task crashes the workers
+// that run it. crash ends the processes, and tells the owner what it sees of that.
+func mostStartsOfCrashers(h *harness, length time.Duration, tasks int, crash func(h *harness, ids []WorkerID)) int {
+	h.t.Helper()
 	h.s.AddJob(testJob("job", testStep(tasks)), nil, false)
 	total := map[workload.TaskID]int{}
-	for end := h.now.Boot + time.Minute; h.now.Boot < end; {
+	for end := h.now.Boot + length; h.now.Boot < end; {
 		var ids []WorkerID
 		for _, o := range starts(h.run()) {
 			total[o.Task]++
@@ -61,7 +61,7 @@
 		"the worker is back for the next poll": {1, restartBetweenPolls},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if total := mostStartsOfCrashers(t, c.tasks, c.crash); total > maxStartsOfCrashingTask {
+			if total := mostStartsOfCrashers(newStartedHarness(t, 16), time.Minute, c.tasks, c.crash); total > maxStartsOfCrashingTask {
 				t.Errorf("%d starts within a minute, want at most %d", total, maxStartsOfCrashingTask)
 			}
 		})
@@ -78,3 +78,33 @@
 	}
 	h.list()
 }
+
+// Scenario: a task crashes each worker that runs it, in a pool of one or two. Guards against starts without a bound because no other worker
+// shows that these crashes come alone: the task is given up if their connections break, and has to wait after some starts if not.
+func TestStartsAreBoundedInAPoolOfOneWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		crash func(h *harness, ids []WorkerID)
+		most  int
+	}{
+		"connections break":   {crashObserved, maxStartsOfCrashingTask},
+		"no connection break": {crashUnobserved(backAfter), loneWeight * maxLoneCrashes},
+	} {
+		for _, workers := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d workers", name, workers), func(t *testing.T) {
+				if total := mostStartsOfCrashers(newStartedHarness(t, workers), loneBackOff, 1, c.crash); total > c.most {
+					t.Errorf("%d starts within %v, want at most %d", total, loneBackOff, c.most)
+				}
+			})
+		}
+	}
+}
+
+// crashObserved lets the connections to workers break and starts other processes at the same addresses.
+func crashObserved(h *harness, ids []WorkerID) {
+	for _, id := range ids {
+		h.breakConnection(id)
+	}
+	h.store()
+	h.advanceClock(backAfter)
+	h.restartAs("'", ids...)
+}
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -58,6 +58,7 @@
 	Explained bool   `json:"e,omitempty"` // another task was found to have caused it
 	Uncertain bool   `json:"u,omitempty"` // the task may have ended before
 	Lone      bool   `json:"l,omitempty"` // few other workers stopped answering near that time; only if uncertain
+	NoPeers   bool   `json:"n,omitempty"` // too few other workers were there to show a cause that they share; only if lone
 }
 
 // SameProcess reports whether both are the end of the same process.
