--- a/core/schedule/crash_group.go
+++ b/core/schedule/crash_group.go
@@ -12,33 +12,44 @@
 // with their number. From groupAfter on they share a worker in groups, which double with each briefRun that they have waited. The tasks
 // of a group that crashes have the same record, so that none of them is given up for it; they wait anew, and their next groups are
 // smaller. After a third brief crash a task runs beside no other suspect, and the next crash is decisive: a task that crashes its workers
-// is given up by the fourth one at the latest, and the platform allows two starts after the third.
+// is given up by the fourth one at the latest, and the platform allows two starts after the third. If all of these three are uncertain, two
+// more are needed in any case, the first of which may be that of a small group.
 
 // groupAfter is how long a task on probation waits for a worker without another suspect.
 const groupAfter = restartOverdueAfter
 
-// maxGroup returns the maximum number of jobs with tasks on probation that share a worker, by the number of brief crashes on their records.
-// After the second one it is so small that they can all run alone, for briefRun each, within the time in which a service has to run
-// again on the platform.
-func maxGroup(crashes int) int {
-	switch crashes {
-	case 1:
-		return math.MaxInt
-	case 2:
-		return 8
-	}
-	return 1
-}
+// maxGroups are the maximum numbers of jobs with tasks on probation that share a worker, by the number of brief crashes on their records,
+// from one on. After the second one it is so small that they can all run alone, for briefRun each, within the time in which a service has
+// to run again on the platform.
+var maxGroups = []int{math.MaxInt, 8}
+
+// maxUncertainGroup is the same number after the third brief crash, if all crashes on record are uncertain. The next crash of a group is
+// not decisive then, and is the last one that its tasks share.
+const maxUncertainGroup = 4
 
 // suspicion is what the record of a task says about it. Only tasks with the same may share a worker: a further crash there would
 // otherwise point to one of them.
 type suspicion struct {
 	crashes          int // brief ones, with those of workers that may have started the task
 	briefUnexplained int
+	maxGroup         int // maximum number of jobs with tasks on probation that share a worker
 }
 
 func (t *task) suspicion() suspicion {
-	return suspicion{t.countCrashes(isBrief) + t.uncertainCrashes, t.briefUnexplained()}
+	crashes := t.countCrashes(isBrief) + t.uncertainCrashes
+	return suspicion{crashes, t.briefUnexplained(), t.maxGroup(crashes)}
+}
+
+// maxGroup returns the maximum number of jobs with tasks on probation that share a worker with a task, by the number of brief crashes on its
+// record.
+func (t *task) maxGroup(crashes int) int {
+	switch {
+	case crashes <= len(maxGroups):
+		return maxGroups[max(crashes, 1)-1]
+	case crashes == certainBriefCrashes && t.countCrashes(isCertain) == 0:
+		return maxUncertainGroup
+	}
+	return 1
 }
 
 // probationSince returns since when a task on probation waits for a worker.
@@ -52,7 +63,7 @@
 	if waited < 0 {
 		return 1
 	}
-	limit, most := 2, maxGroup(t.suspicion().crashes)
+	limit, most := 2, t.suspicion().maxGroup
 	for ; waited >= briefRun && limit < most; waited -= briefRun {
 		limit *= 2
 	}
--- a/core/schedule/suspects_small_pool_test.go
+++ b/core/schedule/suspects_small_pool_test.go
@@ -54,3 +54,29 @@
 		t.Errorf("%d of %d services have started after %v, want all within %v", started, jobs, waited, simServiceDown)
 	}
 }
+
+// Scenario: a task that crashes its workers is one of many suspects with three uncertain crashes each, some of which are explained by another
+// task that was given up, and shares workers with some of them. Guards against more starts of it than the platform allows, and against giving
+// up one that has shared its worker.
+func TestTaskThatCrashesAGroupOfUncertainSuspectsIsGivenUp(t *testing.T) {
+	for _, suspects := range []int{2, 12, 30} {
+		for _, workers := range []int{1, 2, 4} {
+			for _, crashing := range []int{0, suspects - 1} {
+				t.Run(fmt.Sprintf("%d suspects, %d workers, crashing %d", suspects, workers, crashing), func(t *testing.T) {
+					g := newGroupSim(t, suspects, workers, crashing)
+					for n, id := range g.tasks {
+						g.s.task(id).crashes = nil
+						for c := range 3 {
+							known := n%3 == 0 && n != crashing && c == 0
+							g.s.addCrash(g.s.task(id), workload.Crash{Worker: "gone", StartedMs: int64(c), Uncertain: !known, Explained: known})
+						}
+						g.starts[id] = 3
+					}
+					g.store()
+					g.play(groupSimLength)
+					t.Logf("longest wait %v", g.longest)
+				})
+			}
+		}
+	}
+}
