--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -235,7 +235,7 @@
 	case EndDone:
 		s.taskDone(now, w, t)
 	case EndFailed:
-		s.taskFailed(now, w, t, end.Attempt, a.ranLong(now.Boot))
+		s.taskFailed(now, w, t, end.Attempt, t.mayHaveRunLong(now.Boot, a))
 	}
 }
 
@@ -275,14 +275,19 @@
 	}
 }
 
-// ranLong reports whether an attempt, if it is known, is of a service and has run for so long that its failure need not be the worker's.
-func (a *attempt) ranLong(now time.Duration) bool {
-	return a != nil && a.task.step.spec.Service && a.confirmedAt > 0 && now-a.confirmedAt >= restartOverdueAfter
+// mayHaveRunLong reports whether the task is of a service and its failed attempt a may have run for so long that the failure need not be
+// the worker's. Nothing tells how long it ran if another owner started it, before the first report or after it: a is nil or was adopted.
+func (t *task) mayHaveRunLong(now time.Duration, a *attempt) bool {
+	if !t.step.spec.Service {
+		return false
+	}
+	startedHere := a != nil && a.orderedAt > 0
+	return !startedHere || a.confirmedAt > 0 && now-a.confirmedAt >= restartOverdueAfter
 }
 
 // taskFailed records that an attempt of a task has failed on a worker. Services fail at any time and never succeed, so that their
-// failures on a sound worker would add up: those of attempts that ran long say nothing about it.
-func (s *Scheduler) taskFailed(now Time, w *worker, t *task, number int64, ranLong bool) {
+// failures on a sound worker would add up: only those of attempts that certainly did not run long count against it.
+func (s *Scheduler) taskFailed(now Time, w *worker, t *task, number int64, mayHaveRunLong bool) {
 	// After a takeover the ends reported by several workers arrive in any order, and some are already stored.
 	if slices.Contains(t.failed, number) {
 		return
@@ -294,7 +299,7 @@
 		s.markDirty(j)
 	}
 	t.recordFailedOn(now.Boot, w.info.ID)
-	if !ranLong && w.health.recordFailure(now.Boot, j.rec.ID) {
+	if !mayHaveRunLong && w.health.recordFailure(now.Boot, j.rec.ID) {
 		s.emit(Event{Kind: EventWorkerInBackOff, Worker: w.info.ID, Value: w.health.until.Seconds()})
 	}
 	limit := j.rec.Queue.MaxFailures
--- a/core/schedule/service_health_takeover_test.go
+++ b/core/schedule/service_health_takeover_test.go
@@ -39,3 +39,27 @@
 		})
 	}
 }
+
+// Guards against a worker on which services fail soon after their starts and that is not avoided, because the owner which has started them
+// has taken over, or because they were started from a checkpoint.
+func TestServicesThatFailSoonAfterATakeoverPutTheirWorkerIntoBackOff(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addStarted("w1")
+	h.inherit(2)
+	h.listWorkers()
+	var services []workload.TaskID
+	for _, id := range []workload.JobID{"a", "b"} {
+		h.s.AddJob(testJob(id, testService(1)), nil, false)
+		services = append(services, taskID(id, 0, 0))
+		h.s.task(services[len(services)-1]).checkpoint = "checkpoint"
+	}
+	h.wantStarts(h.run(), len(services))
+	h.advanceClock(restartOverdueAfter / 2)
+	for _, id := range services {
+		h.end(id, EndFailed)
+	}
+	h.listWorkers()
+	if !h.s.workers["w1"].health.inBackOff(h.now.Boot) {
+		t.Error("the worker is not in back-off")
+	}
+}
