--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -64,7 +64,9 @@
 	}
 	if report.SentAt < w.polledAt { // a later poll was answered first; the next report lists again what this one lists
 		s.recordExtended(w)
-		w.becomeUnclear() // it may list the end of an attempt that no other report does if the worker crashes now
+		if w.mayListUnappliedEnd(report) {
+			w.becomeUnclear()
+		}
 		if w.incarnation != report.Incarnation {
 			return 0 // the processes number their ends independently
 		}
@@ -97,6 +99,15 @@
 	return w.lastEnd
 }
 
+// mayListUnappliedEnd reports whether a report that is not applied may list an end that has not been applied. No other report lists it if the
+// worker crashes now.
+func (w *worker) mayListUnappliedEnd(report Report) bool {
+	if w.incarnation != report.Incarnation || len(report.Ended) >= maxEndedPerReport {
+		return true
+	}
+	return slices.ContainsFunc(report.Ended, func(end Ended) bool { return end.Number > w.lastEnd && !w.appliedEnds[end.listed()] })
+}
+
 // recordProcess records which process of a worker has reported.
 func (s *Scheduler) recordProcess(now Time, w *worker, report Report) {
 	switch {
