--- a/core/schedule/foreseen_hold.go
+++ b/core/schedule/foreseen_hold.go
@@ -59,6 +59,28 @@
 	})
 }
 
+// mayBlockForeseen reports whether a task that ends does not start where it leaves no room for foreseen restarts: in a full pool, once it may
+// not be stopped for them any more.
+func (s *Scheduler) mayBlockForeseen(t *task) bool {
+	return !t.step.spec.Service && !t.mayBeStoppedAgain() && len(s.foreseen.tasks) > 0 &&
+		!s.foreseen.holds[t.step.job.rec.Queue.Pool].labelledOnly
+}
+
+// blocksForeseen reports whether a task that may not be stopped any more leaves too little room on a worker for the foreseen restarts that
+// have a place there, beside others that may not be stopped.
+func (s *Scheduler) blocksForeseen(t *task, w *worker) bool {
+	if len(w.foreseen.tasks) == 0 || !s.mayBlockForeseen(t) {
+		return false
+	}
+	room := w.roomBesideServices(t).Sub(w.foreseen.size)
+	for _, a := range w.attemptList {
+		if !a.task.step.spec.Service && a.phase != stopping && !a.task.mayBeStoppedAgain() {
+			room = room.Sub(a.task.step.spec.Reserved())
+		}
+	}
+	return !t.step.spec.Reserved().Fits(room)
+}
+
 // sizeKeptBy returns what the places need that first starts leave free.
 func (p *keptPlaces) sizeKeptBy(hold foreseenHold) structs.Resources {
 	if !hold.labelledOnly {
--- a/core/schedule/foreseen_test.go
+++ b/core/schedule/foreseen_test.go
@@ -30,6 +30,17 @@
 	return orders
 }
 
+// passUntilDisplaced lets time pass in which some workers are silent until a service on one of them is displaced.
+func (h *harness) passUntilDisplaced(service *task, silent ...WorkerID) {
+	h.t.Helper()
+	for waited := time.Duration(0); !service.displaced(); waited += reportingStep {
+		if waited > 2*h.s.cfg.leaseBound() {
+			h.t.Fatal("the service is not displaced")
+		}
+		h.passWithSilent(reportingStep, silent...)
+	}
+}
+
 // leaseTasks returns a step of tasks of one core that run for about as long as a lease lasts.
 func leaseTasks(n int) workload.Step {
 	step := testStep(n)
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -78,7 +78,7 @@
 		return WaitCapacity
 	case !t.step.spec.Reserved().Fits(w.freeFor(t)):
 		return WaitNominee
-	case s.keptForForeseen(now, t, w):
+	case s.keptForForeseen(now, t, w), s.blocksForeseen(t, w):
 		return WaitForeseen
 	case s.capacityOutdated(now, t, w):
 		return WaitCapacityOutdated
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -168,7 +168,7 @@
 		if st.spec.Filler {
 			st.retryAt = cycle.now.Boot + fillerRetryDelay
 		}
-		if t.onProbation() {
+		if t.onProbation() || s.mayBlockForeseen(t) {
 			continue // it avoids workers that the other tasks do not
 		}
 		tried.add(t)
--- a/core/schedule/preempt.go
+++ b/core/schedule/preempt.go
@@ -204,9 +204,12 @@
 func (a *attempt) preemptible() bool {
 	spec := &a.task.step.spec
 	return a.phase == running && a.confirmedAt > 0 && !spec.Service &&
-		a.task.preemptions < maxPreemptions && !a.task.onProbation()
+		a.task.mayBeStoppedAgain() && !a.task.onProbation()
 }
 
+// mayBeStoppedAgain reports whether an owner may stop the task for a displaced one, as far as former stops tell.
+func (t *task) mayBeStoppedAgain() bool { return t.preemptions < maxPreemptions }
+
 // shouldHaveEnded reports whether an attempt of a task that ends should have ended by its measured rate, so that its end is about to be
 // reported. The caller's estimate is too rough to rely on. Overdue tasks do not wait for attempts that run on for as long as a stop takes:
 // of several that queue for a few workers the last would wait for too long.
--- a/core/schedule/preempt_test.go
+++ b/core/schedule/preempt_test.go
@@ -405,12 +405,7 @@
 			h.s.AddJob(testJob("use", step), nil, false)
 			h.wantStarts(h.run(), 16)
 			lost := h.s.task(taskID("lost", 0, 0))
-			for waited := time.Duration(0); !lost.displaced(); waited += reportingStep {
-				if waited > 2*h.s.cfg.leaseBound() {
-					t.Fatal("the service is not displaced")
-				}
-				h.passWithSilent(reportingStep, "w1")
-			}
+			h.passUntilDisplaced(lost, "w1")
 			h.passWithSilent(2*scanInterval, "w1")
 			stopped := 0
 			for _, task := range h.s.jobs["use"].steps[0].tasks {
