--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -62,21 +62,31 @@
 	if !known {
 		return 0
 	}
-	if report.SentAt < w.polledAt { // a later poll was answered first; the next report lists again what this one lists
-		s.recordExtended(w)
-		if w.mayListUnappliedEnd(report) {
-			w.becomeUnclear()
-		}
-		if w.incarnation != report.Incarnation {
-			return 0 // the processes number their ends independently
-		}
-		return w.lastEnd
+	if report.SentAt < w.polledAt {
+		return s.ignoreOvertaken(w, report)
 	}
 	s.recordProcess(now, w, report)
+	s.recordReport(now.Boot, w, report)
+	s.applyRunning(now, w, report)
+	s.applyEnded(now, w, report)
+	if len(report.Ended) < maxEndedPerReport {
+		s.resolveAbsent(now, w, report)
+	}
+	s.updateSlowness(now.Boot, w)
+	s.guardServices(now, w)
+	if s.contested[w.place()] {
+		s.removeSuperseded(now, s.latestByPlace())
+	}
+	return w.lastEnd
+}
+
+// recordReport records that a worker has answered a poll, and what that says about it whatever its report lists.
+func (s *Scheduler) recordReport(now time.Duration, w *worker, report Report) {
 	w.polledAt = report.SentAt
-	w.recordAnswered(now.Boot)
-	w.reportedAt = now.Boot
-	s.reviewEntry(now.Boot, w)
+	w.recordAnswered(now)
+	w.reportedAt = now
+	w.reports++
+	s.reviewEntry(now, w)
 	s.recordExtended(w)
 	w.suspect = false
 	w.silence, w.brokenAt = answering, 0
@@ -84,17 +94,18 @@
 	s.forgetSilent(w)
 	s.stopAwaiting(w)
 	s.setAnswers(w, true)
-	w.reports++
 	s.recordAddress(w, report.Address)
-	s.applyRunning(now, w, report)
-	s.applyEnded(now, w, report)
-	if len(report.Ended) < maxEndedPerReport {
-		s.resolveAbsent(now, w, report)
+}
+
+// ignoreOvertaken handles a report whose poll was sent before that of the last report that was applied. The next report lists again what
+// this one lists. It returns the number of the latest end of its process that was applied.
+func (s *Scheduler) ignoreOvertaken(w *worker, report Report) (lastEnd int64) {
+	s.recordExtended(w)
+	if w.mayListUnappliedEnd(report) {
+		w.becomeUnclear()
 	}
-	s.updateSlowness(now.Boot, w)
-	s.guardServices(now, w)
-	if s.contested[w.place()] {
-		s.removeSuperseded(now, s.latestByPlace())
+	if w.incarnation != report.Incarnation {
+		return 0 // the processes number their ends independently
 	}
 	return w.lastEnd
 }
