--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -26,6 +26,12 @@
 	// maxAckAge is the age of a worker's last answer up to which polls acknowledge its ends. It is too short for a worker to
 	// start again and to complete a task, whose end would be acknowledged with the number of a former one.
 	maxAckAge = 400 * time.Millisecond
+	// reconnectTimeout replaces pollTimeout after a poll that has failed. The leases of a worker that can be reached again may be
+	// about to expire, so it has to be found soon.
+	reconnectTimeout = 300 * time.Millisecond
+	// fullTimeoutEvery is the number of failed polls after which one has pollTimeout again, for workers that answer slowly. It is odd, as
+	// the polls of a worker that is listed elsewhere go to two addresses in turns.
+	fullTimeoutEvery = 3
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
 	// minLeaseRemaining is the minimum remaining time of a lease that is granted.
@@ -49,6 +55,7 @@
 	newestEnd   int64               // newest task end that the worker has reported
 	storedEnd   int64               // newest task end that is stored
 	lastPollOK  bool                // the worker answered the last poll
+	failedPolls int                 // number of polls that have failed since the last answer
 	acceptedAt  time.Duration       // boot time at which the worker last accepted an order
 	broken      bool                // the connection of the first failed poll since the last answer broke soon after it
 	failedAt    time.Duration       // boot time of that failure
@@ -157,7 +164,7 @@
 
 // poll sends a poll request and adds the report to the results. It reports whether the poll succeeded.
 func (s *session) poll(ctx context.Context, req PollRequest) bool {
-	call, cancel := context.WithTimeout(ctx, req.Wait+pollTimeout)
+	call, cancel := context.WithTimeout(ctx, req.Wait+s.answerTimeout())
 	defer cancel()
 	sent := bootclock.Uptime()
 	reply, err := s.relay.cfg.Workers.Poll(call, req)
@@ -177,6 +184,16 @@
 	return true
 }
 
+// answerTimeout returns the timeout of the next poll, in addition to its wait.
+func (s *session) answerTimeout() time.Duration {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	if s.failedPolls%fullTimeoutEvery == 0 {
+		return pollTimeout
+	}
+	return reconnectTimeout
+}
+
 // pollFailed records that a poll of the worker, sent at a boot time, has failed.
 func (s *session) pollFailed(req PollRequest, sent time.Duration, err error) {
 	if errors.Is(err, ErrFenced) {
@@ -196,6 +213,7 @@
 		s.broken = breaksConnection(err) && req.Worker.Address == s.address && s.failedAt-s.observedAt(sent) <= schedule.MaxUnobserved
 	}
 	s.lastPollOK = false
+	s.failedPolls++
 	s.tryListed = req.Worker.Address == s.address
 	if s.broken {
 		return connectionBroken + err.Error()
@@ -239,7 +257,7 @@
 		s.newestEnd, s.storedEnd = 0, 0
 	}
 	s.clockMs, s.clockReadAt, s.lastPollOK = reply.ClockMs, bootclock.Uptime(), true
-	s.broken = false
+	s.failedPolls, s.broken = 0, false
 	for _, end := range reply.Report.Ended {
 		s.newestEnd = max(s.newestEnd, end.Number)
 	}
