--- a/pkg/relay/reconnect_test.go
+++ b/pkg/relay/reconnect_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fulmarcourse.example/core/schedule"
+	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
 )
 
 // Guards against leases that expire although their worker can be reached again: each poll that was sent before the end of a cut was waited
@@ -38,3 +39,35 @@
 		t.Errorf("a worker that answers again is given %v, want %v", got, pollTimeout)
 	}
 }
+
+// Scenario: a worker that was silent answers, and lists ends that are not stored yet. Guards against leases that expire meanwhile: the next
+// poll, which extends them, waited until the ends were stored or collected.
+func TestLeasesAreExtendedRightAfterTheFirstAnswer(t *testing.T) {
+	extended := make(chan time.Duration, 100)
+	answeredAt := time.Duration(0)
+	f := &fakeWorkers{}
+	f.reply = func(n int, req PollRequest) (PollReply, error) {
+		switch {
+		case n <= 2:
+			return PollReply{}, context.DeadlineExceeded
+		case answeredAt == 0:
+			answeredAt = bootclock.Uptime()
+		case req.LeaseToMs != 0:
+			extended <- bootclock.Uptime()
+		}
+		return PollReply{ClockMs: 1000, Report: schedule.Report{Incarnation: 1, Ended: []schedule.Ended{{Number: 1}}}}, nil
+	}
+	r := startRelay(t, f)
+	const wait = 10 * time.Second // also for ends to be stored
+	update := assign(1, bootclock.Uptime()+time.Hour)
+	update.Assign[0].Wait = wait
+	if err := r.Update(update); err != nil {
+		t.Fatal(err)
+	}
+	r.mu.Lock()
+	r.lastCall += time.Hour // no owner calls
+	r.mu.Unlock()
+	if waited := <-extended - answeredAt; waited >= wait/2 {
+		t.Errorf("the leases are extended %v after the first answer, beside ends that are not stored for %v", waited, wait)
+	}
+}
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -75,6 +75,9 @@
 			pause.For(ctx, pollRetryDelay)
 			continue
 		}
+		if req.LeaseToMs == 0 && s.mayExtend() {
+			continue // the leases may be about to expire, so the next poll does not wait for ends to be stored
+		}
 		s.awaitStored(ctx)
 	}
 }
@@ -159,6 +162,14 @@
 	return s.clockMs + (elapsed + lease).Milliseconds(), true
 }
 
+// mayExtend reports whether the next poll may extend the worker's leases.
+func (s *session) mayExtend() bool {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	_, granted := s.grant()
+	return granted
+}
+
 // permissionLapsed reports whether the owner's permission to extend leases has ended. Relay.mu is held.
 func (s *session) permissionLapsed() bool { return bootclock.Uptime() > s.relay.leaseUntil }
 
