--- a/pkg/relay/reconnect_test.go
+++ b/pkg/relay/reconnect_test.go
@@ -71,3 +71,14 @@
 		t.Errorf("the leases are extended %v after the first answer, beside ends that are not stored for %v", waited, wait)
 	}
 }
+
+// Guards against leases that expire after the owner has ended their withholding: the worker held a poll open to the end, which was sent
+// before.
+func TestPollOfAWithheldWorkerIsNotHeldToTheEnd(t *testing.T) {
+	s := &session{relay: startRelay(t, &fakeWorkers{}), worker: schedule.WorkerInfo{ID: "w"}, wait: time.Second, withhold: true}
+	s.relay.lastCall = bootclock.Uptime()
+	s.recordReply("", PollReply{ClockMs: 1000})
+	if req, ok := s.nextPoll(); !ok || req.LeaseToMs != 0 || req.Wait > unpermittedWait {
+		t.Errorf("the poll of a worker whose leases are withheld is %+v, want no lease and a wait of %v at most", req, unpermittedWait)
+	}
+}
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -102,7 +102,7 @@
 	if s.storedEnd >= s.newestEnd && req.AckedEnd == s.storedEnd {
 		req.Wait = s.wait
 	}
-	if (!granted || s.permissionLapsed()) && !s.withhold {
+	if !granted || s.permissionLapsed() {
 		req.Wait = min(req.Wait, unpermittedWait)
 	}
 	return req, true
