--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -26,6 +26,12 @@
 	// maxAckAge is the age of a worker's last answer up to which polls acknowledge its ends. It is too short for a worker to
 	// start again and to complete a task, whose end would be acknowledged with the number of a former one.
 	maxAckAge = 400 * time.Millisecond
+	// reconnectTimeout replaces pollTimeout after a poll that has failed. The leases of a worker that can be reached again may be
+	// about to expire, so it has to be found soon.
+	reconnectTimeout = 300 * time.Millisecond
+	// fullTimeoutEvery is the number of failed polls after which one has pollTimeout again, for workers that answer slowly. It is odd, as
+	// the polls of a worker that is listed elsewhere go to two addresses in turns.
+	fullTimeoutEvery = 3
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
 	// minLeaseRemaining is the minimum remaining time of a lease that is granted.
@@ -52,6 +58,7 @@
 	newestEnd   int64               // newest task end that the worker has reported
 	storedEnd   int64               // newest task end that is stored
 	lastPollOK  bool                // the worker answered the last poll
+	failedPolls int                 // number of polls that have failed since the last answer
 	acceptedAt  time.Duration       // boot time at which the worker last accepted an order
 	grantedAt   time.Duration       // boot time at which the latest lease that was granted begins; 0 before the first
 	broken      bool                // the connection of the first failed poll since the last answer broke soon after it
@@ -72,6 +79,9 @@
 			pause.For(ctx, pollRetryDelay)
 			continue
 		}
+		if req.LeaseToMs == 0 && s.mayGrant() {
+			continue // the leases may be about to expire, so the next poll does not wait for ends to be stored
+		}
 		s.awaitStored(ctx)
 	}
 }
@@ -96,7 +106,7 @@
 	if s.storedEnd >= s.newestEnd && req.AckedEnd == s.storedEnd {
 		req.Wait = s.wait
 	}
-	if (!granted || s.permissionLapsed()) && !s.withhold {
+	if !granted || s.permissionLapsed() {
 		req.Wait = min(req.Wait, unpermittedWait)
 	}
 	return req, true
@@ -143,18 +153,31 @@
 // there would be no time at which its leases have certainly expired. Leases end at most one task lease after the
 // owner's permission, and none is granted while the owner has them withheld. Relay.mu is held.
 func (s *session) grant() (leaseToMs int64, ok bool) {
-	if !s.lastPollOK || s.withhold {
-		return 0, false
-	}
-	now := bootclock.Uptime()
-	from := min(now, s.relay.leaseUntil)
-	lease := s.relay.cfg.TaskLease
-	if from+lease < now+minLeaseRemaining {
+	from, ok := s.grantFrom()
+	if !ok {
 		return 0, false
 	}
 	s.grantedAt = max(s.grantedAt, from)
 	elapsed := time.Duration(float64(from-s.clockReadAt) * minClockRate)
-	return s.clockMs + (elapsed + lease).Milliseconds(), true
+	return s.clockMs + (elapsed + s.relay.cfg.TaskLease).Milliseconds(), true
+}
+
+// grantFrom returns the boot time at which a lease that is granted now begins; ok is false if none may be granted. Relay.mu is held.
+func (s *session) grantFrom() (from time.Duration, ok bool) {
+	if !s.lastPollOK || s.withhold {
+		return 0, false
+	}
+	now := bootclock.Uptime()
+	from = min(now, s.relay.leaseUntil)
+	return from, from+s.relay.cfg.TaskLease >= now+minLeaseRemaining
+}
+
+// mayGrant reports whether the next poll may extend the worker's leases.
+func (s *session) mayGrant() bool {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	_, ok := s.grantFrom()
+	return ok
 }
 
 // permissionLapsed reports whether the owner's permission to extend leases has ended some time ago. Relay.mu is held.
@@ -162,7 +185,7 @@
 
 // poll sends a poll request and adds the report to the results. It reports whether the poll succeeded.
 func (s *session) poll(ctx context.Context, req PollRequest) bool {
-	call, cancel := context.WithTimeout(ctx, req.Wait+pollTimeout)
+	call, cancel := context.WithTimeout(ctx, req.Wait+s.answerTimeout())
 	defer cancel()
 	sent := bootclock.Uptime()
 	reply, err := s.relay.cfg.Workers.Poll(call, req)
@@ -182,6 +205,16 @@
 	return true
 }
 
+// answerTimeout returns the timeout of the next poll, in addition to its wait.
+func (s *session) answerTimeout() time.Duration {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	if s.failedPolls%fullTimeoutEvery == 0 {
+		return pollTimeout
+	}
+	return reconnectTimeout
+}
+
 // pollFailed records that a poll of the worker, sent at a boot time, has failed.
 func (s *session) pollFailed(req PollRequest, sent time.Duration, err error) {
 	if errors.Is(err, ErrFenced) {
@@ -202,6 +235,7 @@
 		s.broken = breaksConnection(err) && req.Worker.Address == s.address && s.failedAt-s.observedAt(sent) <= schedule.MaxUnobserved
 	}
 	s.lastPollOK = false
+	s.failedPolls++
 	s.tryListed = req.Worker.Address == s.address
 	report := WorkerReport{Worker: req.Worker.ID, Failed: err.Error(), Report: schedule.Report{SentAt: s.grantedAt}}
 	if s.broken {
@@ -246,7 +280,7 @@
 		s.newestEnd, s.storedEnd = 0, 0
 	}
 	s.clockMs, s.clockReadAt, s.lastPollOK = reply.ClockMs, bootclock.Uptime(), true
-	s.broken = false
+	s.failedPolls, s.broken = 0, false
 	for _, end := range reply.Report.Ended {
 		s.newestEnd = max(s.newestEnd, end.Number)
 	}
