--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -73,6 +73,11 @@
 	"crash_back_off", "silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "worker_silent", "unexplained",
 }
 
+// untilExpiry reports whether a task with the reason waits until a worker answers or its leases have certainly expired.
+func (r WaitReason) untilExpiry() bool {
+	return r == WaitSilentWorkers || r == WaitOwnWorker || r == WaitTakeover || r == WaitWorkerSilent
+}
+
 // String returns the name of the reason for logs and metrics.
 func (r WaitReason) String() string { return nameOf(r, waitReasonNames[:]...) }
 
--- a/core/schedule/waiting.go
+++ b/core/schedule/waiting.go
@@ -40,6 +40,9 @@
 	Label   string // that the worker needs
 	Service bool
 	Filler  bool
+	// ExpiresIn is the time until the leases of Worker have certainly expired, if that is what the task waits for; 0 if they have, or if
+	// they may still be extended.
+	ExpiresIn time.Duration
 	// BesideServices is the number of workers whose services leave room for the task, whether or not tasks that end use it; only
 	// of services.
 	BesideServices int
@@ -48,11 +51,7 @@
 // Waits explains why tasks wait. It changes no decision.
 func (s *Scheduler) Waits(now Time) Waits {
 	e := newExplainer(s, now)
-	for id := range s.awaitingReport {
-		if e.awaited == "" || id < e.awaited {
-			e.awaited = id
-		}
-	}
+	e.awaited = s.lastAwaited()
 	steps := s.waitingSteps(now)
 	for _, st := range steps {
 		e.explain(st)
@@ -119,7 +118,7 @@
 type explainer struct {
 	s         *Scheduler
 	now       Time
-	awaited   WorkerID // one of the workers of a former owner that have not reported yet
+	awaited   WorkerID // of the workers of a former owner that have not reported yet, the one whose leases expire last
 	searches  map[searchKey]workerSearch
 	lacking   map[taskShape]workerSearch // by pool and label, see lackingLabel
 	checked   int                        // workers
@@ -182,6 +181,9 @@
 	longest.Tasks = int(counts[longest.Reason])
 	longest.Size, longest.Label = st.spec.Size, st.spec.Label
 	longest.Service, longest.Filler = st.spec.Service, st.spec.Filler
+	if longest.Reason.untilExpiry() {
+		longest.ExpiresIn = e.s.expiresIn(e.now.Boot, longest.Worker)
+	}
 	e.waits.Steps = append(e.waits.Steps, longest)
 }
 
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -56,17 +56,20 @@
 		return errors.Trace(err)
 	}
 	workers, complete := known.infos()
+	var awaited schedule.AwaitedWorkers
 	o.updateAndPlan(func(s *schedule.Scheduler, now schedule.Time) {
 		o.known = known
 		s.InheritWorkers(now, workers)
 		if !complete {
 			s.InheritUnknown(now)
 		}
+		awaited = s.Awaited(now.Boot)
 		o.addSubmissions(now, submissions, progress)
 		o.loaded = true
 	})
 	o.cfg.Log.Event(eventlog.PartitionLoaded).Int("partition", int(o.cfg.Partition)).Int64("term", o.ownership.Term).
-		Int("submissions", len(submissions)).Int("workers", len(workers)).Msg("")
+		Int("submissions", len(submissions)).Int("workers", len(workers)).
+		Int("awaited", awaited.Workers).Int("with_remaining", awaited.WithRemaining).Int64("longest_wait", ms(awaited.Longest)).Msg("")
 	return nil
 }
 
--- a/pkg/dispatch/load_test.go
+++ b/pkg/dispatch/load_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"testing"
+	"time"
 
+	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
 	"fulmarcourse.example/core/workload"
@@ -91,3 +94,38 @@
 		t.Error("the other job is not loaded")
 	}
 }
+
+// Guards against a takeover whose log does not tell how many workers the new owner waits for, for how long at most, and for how many of them
+// the former owner has stored the rest of the leases.
+func TestLoadedPartitionLogsWhatIsAwaited(t *testing.T) {
+	store := kvtest.NewStore()
+	_, err := store.Commit(t.Context(), kv.Txn{Put: []kv.Put{
+		{Key: statekeys.Term(0), Value: []byte(`{"term":2}`)},
+		{Key: statekeys.KnownWorkers(0, 0), Value: []byte(`[{"ID":"w0","Pool":"pool"},{"ID":"w1","Pool":"pool","LeaseRemaining":2000000000}]`)},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	item, _, err := store.Get(t.Context(), statekeys.Term(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	cfg := Config{Host: "host", Store: store, Relays: listedHosts{}, Log: eventlog.NewLogger(&text, log.InfoLevel, "host"),
+		Scope: tally.NoopScope, TaskLease: 6 * time.Second, MaxTaskLease: 6 * time.Second}
+	o := NewOwner(cfg, term.NewOwnership(term.Config{Store: store, Log: eventlog.Discard()}, 2, item.Revision))
+	if err := o.loadOnce(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	var line struct {
+		Awaited       int
+		WithRemaining int   `json:"with_remaining"`
+		LongestWait   int64 `json:"longest_wait"`
+	}
+	if err := json.Unmarshal(text.Bytes(), &line); err != nil {
+		t.Fatalf("%v: %s", err, text.Bytes())
+	}
+	if line.Awaited != 2 || line.WithRemaining != 1 || line.LongestWait <= cfg.TaskLease.Milliseconds() {
+		t.Errorf("logged %s", text.Bytes())
+	}
+}
--- a/pkg/dispatch/waits.go
+++ b/pkg/dispatch/waits.go
@@ -81,6 +81,9 @@
 	if w.Worker != "" {
 		entry = entry.Str("worker", string(w.Worker))
 	}
+	if w.ExpiresIn > 0 {
+		entry = entry.Int64("expires_in", ms(w.ExpiresIn))
+	}
 	if w.Service {
 		entry = entry.Int("beside_services", w.BesideServices)
 	}
--- a/pkg/dispatch/waits_test.go
+++ b/pkg/dispatch/waits_test.go
@@ -79,6 +79,7 @@
 	w.Size = structs.Resources{MilliCPU: 3000, MemoryBytes: 1 << 30}
 	w.Workers[schedule.WaitCapacity], w.Workers[schedule.WaitLabel] = 5, 7
 	w.BesideServices = 4
+	w.ExpiresIn = 2500 * time.Millisecond
 	logWaiting(o.cfg.Log, 2, &w)
 	o.logEvent(schedule.Event{Kind: schedule.EventTaskStarted, Task: w.Task, Attempt: 1, Waited: 12 * time.Second,
 		WaitReason: schedule.WaitCapacity})
@@ -93,7 +94,7 @@
 	for field, want := range map[string]string{
 		"event": fmt.Sprint(eventlog.TaskWaits), "job": "job", "reason": "no_capacity", "waited": "12000", "tasks": "3",
 		"worker": "w1", "label": "ssd", "kind": "service", "cpu": "3000", "memory_mib": "1024", "workers": "no_capacity=5 no_label=7", "term": "2",
-		"beside_services": "4",
+		"beside_services": "4", "expires_in": "2500",
 	} {
 		if got := fmt.Sprint(line[field]); got != want {
 			t.Errorf("%s is %s, want %s", field, got, want)
