--- a/core/schedule/foreseen.go
+++ b/core/schedule/foreseen.go
@@ -17,7 +17,7 @@
 
 // foreseenAfter is the time since the last report of a worker, or since the takeover, after which the restarts of its services are
 // foreseen.
-const foreseenAfter = withholdAfter
+const foreseenAfter = 1500 * time.Millisecond
 
 // foreseenRestarts holds the foreseen restarts of the latest scan.
 type foreseenRestarts struct {
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -13,6 +13,7 @@
 	if w, known := s.workers[id]; known {
 		w.becomeUnclear()
 		s.recordGap(now.Boot, w)
+		w.withholdAt(now.Boot)
 		w.stopExtending(now.Boot + s.cfg.leaseBound())
 		s.recordSilence(now, w)
 	}
@@ -31,6 +32,7 @@
 	s.recordGap(s.calledAt, w)
 	w.renumberEnds()
 	if !w.withheld.marked {
+		w.withholdAt(s.calledAt + answerTime)
 		w.leasesExtended = true
 		w.stopExtending(extendedUntil + s.cfg.leaseBound())
 	}
@@ -71,7 +73,7 @@
 // have left. confirmed states that the store has confirmed the ownership up to now. Without it nothing expires: a later
 // owner may have extended the leases of workers that this one does not reach. collectedUpTo returns the boot time up to which
 // the results of all polls of a worker have been applied. A worker may have answered after that, and its leases may have been
-// extended, even if they would have expired by now.
+// extended, even if they would have expired by now; but not while they are withheld.
 func (s *Scheduler) Expire(now Time, confirmed bool, collectedUpTo func(WorkerID) time.Duration) {
 	s.calledAt = now.Boot
 	if !confirmed {
@@ -82,7 +84,8 @@
 	}
 	var expired []*worker
 	for _, w := range s.sortedWorkers {
-		if !w.leasesExtended && !w.reachable(now.Boot) && now.Boot >= w.leaseEnd && collectedUpTo(w.info.ID) >= w.leaseEnd {
+		if !w.leasesExtended && !w.reachable(now.Boot) && now.Boot >= w.leaseEnd &&
+			(w.withheld.marked || collectedUpTo(w.info.ID) >= w.leaseEnd) {
 			expired = append(expired, w)
 		}
 	}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -39,6 +39,7 @@
 	takeoverAt          time.Duration     // when the takeover began
 	unknownUntil        time.Duration     // until when workers that are not known may run tasks of former owners; 0 if all are known
 	knownWorkersChanged bool              // the set of known workers has changed since it was last stored
+	withholdingChanged  bool              // see TakeWithholdingChanged
 	interference        *interference
 	dirty               map[*job]struct{}           // jobs whose progress has changed since it was stored
 	earlyCancels        map[workload.JobID]Time     // cancellations of jobs that have not been added yet, by arrival
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -16,6 +16,7 @@
 			s.addWorker(w)
 		}
 		w.stored = true
+		w.withholdFrom = now.Boot + answerTime
 		w.answeredAddress = info.Address
 		w.incarnation = info.StartedMs
 		if info.LeaseRemaining > 0 {
@@ -56,6 +57,9 @@
 	return s.awaitingReport[id] || s.unknownUntil > 0 && id != "" && !known
 }
 
+// KnownWorkersChanged reports whether the set of known workers may have changed since it was last returned.
+func (s *Scheduler) KnownWorkersChanged() bool { return s.knownWorkersChanged }
+
 // KnownWorkers returns the workers from which a later owner needs a report if the set may have changed since the last call. The
 // caller stores all sets in their order, or the latest.
 func (s *Scheduler) KnownWorkers() (infos []WorkerInfo, changed bool) {
@@ -115,7 +119,7 @@
 	for _, info := range infos {
 		w, known := s.workers[info.ID]
 		if known && info.LeaseRemaining == 0 && info.Address == w.address() && (!w.stored || w.withheld.active) {
-			w.recordStored()
+			s.recordStored(w)
 			s.index.markChanged(w)
 		}
 	}
--- a/core/schedule/withhold.go
+++ b/core/schedule/withhold.go
@@ -7,10 +7,15 @@
 // extended again only once the worker is stored without it.
 
 const (
-	// withholdAfter is the time since the last report after which the leases of a silent worker are withheld.
-	withholdAfter = 1500 * time.Millisecond
-	// remainingStep is by how much the remaining lease has to be shorter than the stored one to be stored again.
-	remainingStep = time.Second
+	// answerTime is the time after a takeover, or after the loss of a relay, in which workers that can be reached have answered. The
+	// leases of others are withheld then; of a worker whose poll has failed, at once.
+	answerTime = 500 * time.Millisecond
+	// repeatTime is the time after a failed poll in which a worker that is slow for a moment answers the next poll. Its remaining lease is
+	// stored afterwards, so that it needs no write before its leases are extended again.
+	repeatTime = 300 * time.Millisecond
+	// remainingStep is by how much the remaining lease has to be shorter than the stored one to be stored again. A later owner waits too
+	// long by as much.
+	remainingStep = 500 * time.Millisecond
 	// minLeaseRemaining is stored for leases that have expired: 0 stands for a worker whose leases may be extended.
 	minLeaseRemaining = time.Millisecond
 )
@@ -38,13 +43,15 @@
 		return // the end of the withholding has to be stored, so none begins while the store may be away
 	}
 	for _, w := range s.sortedWorkers {
-		if w.leasesExtended || now.Boot-max(w.reportedAt, s.takeoverAt) < withholdAfter {
+		if w.leasesExtended || now.Boot < w.withholdFrom {
 			continue
 		}
 		if !w.withheld.active && w.stored && s.needsReport(w) {
 			w.withheld.active = true
+			s.withholdingChanged = true
 		}
-		if since := withheldSince(w.info.ID); w.withheld.active && since > 0 && collectedUpTo(w.info.ID) > since {
+		since := withheldSince(w.info.ID)
+		if w.withheld.active && since > 0 && collectedUpTo(w.info.ID) > since && now.Boot-w.withholdFrom >= repeatTime {
 			w.withheld.marked = true
 		}
 		if w.withheld.marked && s.needsReport(w) && w.remainingOutdated(now.Boot) {
@@ -53,6 +60,21 @@
 	}
 }
 
+// TakeWithholdingChanged reports whether the leases of other workers are withheld than at the last call.
+func (s *Scheduler) TakeWithholdingChanged() (changed bool) {
+	changed = s.withholdingChanged
+	s.withholdingChanged = false
+	return changed
+}
+
+// withholdAt sets when the leases of a worker are withheld unless it answers, if they are not withheld by then. A poll that has failed
+// before shows more than a later loss of the relay.
+func (w *worker) withholdAt(at time.Duration) {
+	if w.leasesExtended || w.withholdFrom == 0 || at < w.withholdFrom {
+		w.withholdFrom = at
+	}
+}
+
 // remainingLease returns how long task leases on a worker may last from a boot time on.
 func (w *worker) remainingLease(now time.Duration) time.Duration {
 	return max(w.leaseEnd-now, minLeaseRemaining)
@@ -73,6 +95,7 @@
 	w.leasesExtended = true
 	w.withheld.marked = false
 	if !w.withheld.mayStore {
+		s.withholdingChanged = s.withholdingChanged || w.withheld.active
 		w.withheld.active = false
 		return
 	}
@@ -84,10 +107,11 @@
 }
 
 // recordStored records that a worker is stored without a remaining lease: later owners wait for it as long as a lease may last.
-func (w *worker) recordStored() {
+func (s *Scheduler) recordStored(w *worker) {
 	w.stored = true
 	if w.withheld.mayStore && !w.withheld.marked {
 		w.withheld = withholding{}
+		s.withholdingChanged = true
 	}
 }
 
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -47,6 +47,7 @@
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
 	withheld         withholding
+	withholdFrom     time.Duration      // unless leasesExtended: when its leases are withheld if it has not answered by then
 	lastEnd          int64              // number of the latest end that was applied
 	listedEnds       map[listedEnd]bool // in the last report
 	appliedEnds      map[listedEnd]bool // ends of the process that were applied before their numbers counted anew, see renumberEnds
--- a/pkg/dispatch/planning.go
+++ b/pkg/dispatch/planning.go
@@ -58,6 +58,12 @@
 		collectedUpTo := func(id schedule.WorkerID) time.Duration { return o.collectedUpTo(now, id) }
 		s.Expire(now, now.Boot < validUntil, collectedUpTo)
 		s.WithholdLeases(now, now.Boot < validUntil, o.withheldSince, collectedUpTo)
+		if s.TakeWithholdingChanged() {
+			o.wake(o.assignWake)
+		}
+		if s.KnownWorkersChanged() {
+			o.wake(o.saveWake)
+		}
 		held, pausedFor := o.resumption.holds(now.Boot, validUntil)
 		if pausedFor > 0 {
 			o.cfg.Log.Event(eventlog.OwnerResumed).Int64("term", o.ownership.Term).Int64("paused_for", ms(pausedFor)).Msg("")
--- a/pkg/dispatch/withheld_test.go
+++ b/pkg/dispatch/withheld_test.go
@@ -50,6 +50,44 @@
 	}
 }
 
+// Guards against a relay that is told only with the next regular assignment to withhold the leases of a worker, and against a remaining
+// lease that is stored only with the next results: if the owner is lost until then, the next one waits for the whole lease.
+func TestWithholdingIsToldAndStoredAtOnce(t *testing.T) {
+	o, ctx := fleetOwner(t, 1, 1, 1, 1000)
+	l := o.links["host-00"]
+	l.stop()
+	o.linkWG.Wait() // the test takes the updates
+	now := bootclock.Now()
+	o.update(func(s *schedule.Scheduler, now schedule.Time) {
+		info, _ := s.Worker("w0")
+		s.Report(now, "w0", schedule.Report{Incarnation: 1, SentAt: now.Boot})
+		s.KnownWorkersStored([]schedule.WorkerInfo{info})
+		s.PollFailed(now, "w0")
+		s.KnownWorkers()
+	})
+	drain(o.assignWake)
+	o.plan()
+	if len(o.assignWake) == 0 {
+		t.Fatal("the assignment is not woken")
+	}
+	o.mu.Lock()
+	o.assignWorkers(ctx)
+	o.mu.Unlock()
+	u, _ := l.takeUpdate()
+	l.withheld.observed = true
+	l.updateApplied(u)
+	drain(o.saveWake)
+	o.mu.Lock()
+	l.collectedUpTo = bootclock.Uptime()
+	now.Boot += time.Second
+	o.scheduler.WithholdLeases(now, true, o.withheldSince, func(schedule.WorkerID) time.Duration { return l.collectedUpTo })
+	o.mu.Unlock()
+	o.plan()
+	if len(o.saveWake) == 0 {
+		t.Error("the remaining lease is not stored at once")
+	}
+}
+
 // Guards against a withholding that counts although the relay may be another process, may have lost its sessions, or has since been
 // told something else: another relay, or this one, may extend the leases.
 func TestWithholdingIsVoid(t *testing.T) {
