--- a/pkg/dispatch/withheld_test.go
+++ b/pkg/dispatch/withheld_test.go
@@ -1,7 +1,11 @@
 package dispatch
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,7 +13,10 @@
 
 	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/fulmarcourse/pkg/bootclock"
+	"fulmarcourse.example/fulmarcourse/pkg/kv"
+	"fulmarcourse.example/fulmarcourse/pkg/kv/kvtest"
 	"fulmarcourse.example/fulmarcourse/pkg/relay"
+	"fulmarcourse.example/fulmarcourse/pkg/statekeys"
 )
 
 // withheldOwner returns an owner that has inherited the remaining lease of its worker, and the link to the worker's relay, whose loops
@@ -207,3 +214,66 @@
 		t.Error("the leases are not withheld once the former relay has stopped")
 	}
 }
+
+// knownWrites counts the writes of the known workers to a store, and their bytes.
+type knownWrites struct {
+	kv.Store
+	writes, bytes atomic.Int64
+}
+
+func (s *knownWrites) Commit(ctx context.Context, txn kv.Txn) (int64, error) {
+	for _, put := range txn.Put {
+		if strings.HasPrefix(put.Key, statekeys.KnownWorkers(0, 0)) {
+			s.writes.Add(1)
+			s.bytes.Add(int64(len(put.Value)))
+		}
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// Guards against remaining leases that take a write for each worker and step: workers share the writes of their part of the known workers. A
+// part is written once in half a second, and once more at each moment at which workers of it are lost and at which their leases expire.
+func TestRemainingLeasesOfAPartShareTheirWrites(t *testing.T) {
+	for _, moments := range []int{1, 7} {
+		t.Run(fmt.Sprint(moments), func(t *testing.T) { playLosses(t, moments) })
+	}
+}
+
+// playLosses loses a tenth of 660 workers over all parts, at some moments one after another, and checks the number of writes.
+func playLosses(t *testing.T, moments int) {
+	const workers, lost = 660, 66
+	const step, played, lease = 100 * time.Millisecond, 10 * time.Second, 6 * time.Second
+	store := &knownWrites{Store: kvtest.NewStore()}
+	o := ownerOfTerm(t, store, 1)
+	o.scheduler = schedule.NewScheduler(schedule.Config{Term: 1, TaskLease: lease, MaxTaskLease: lease})
+	infos := numberedWorkers(workers, "a")
+	o.listAndReport(infos)
+	if err := o.save(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	store.writes.Store(0)
+	store.bytes.Store(0)
+	now := bootclock.Now()
+	for at := range int(played / step) {
+		now.Boot += step
+		o.mu.Lock()
+		for i := range lost {
+			if i%moments == at {
+				o.scheduler.PollFailed(now, infos[i*workers/lost].ID)
+			}
+		}
+		collected := func(schedule.WorkerID) time.Duration { return now.Boot }
+		o.scheduler.Expire(now, true, collected)
+		o.scheduler.WithholdLeases(now, true, func(schedule.WorkerID) time.Duration { return now.Boot - 1 }, collected)
+		o.mu.Unlock()
+		if err := o.save(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	parts := (workers + workersPerPart - 1) / workersPerPart
+	t.Logf("%d writes of %d parts, %d KiB in all", store.writes.Load(), parts, store.bytes.Load()>>10)
+	steps := int((lease + time.Second) / (500 * time.Millisecond))
+	if got, most := store.writes.Load(), int64(parts*(steps+2*moments)); got < int64(parts) || got > most {
+		t.Errorf("%d writes of %d parts, want %d at most", got, parts, most)
+	}
+}
