--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -24,6 +24,16 @@
 	MaxTaskLease  time.Duration // longest task lease that a worker grants
 	StopTime      time.Duration // maximum time that a worker takes to stop a task
 	HandoverGrace time.Duration // how long a former owner may keep acting after it has lost its ownership
+	AcquiredAt    time.Duration // boot time by which the term had begun; 0 if it begins with the call of InheritWorkers
+}
+
+// begunAt returns a boot time by which the term had begun. What former owners have granted and stored counts from it, since they were
+// confirmed and have written before.
+func (c Config) begunAt(now time.Duration) time.Duration {
+	if c.AcquiredAt > 0 {
+		return min(c.AcquiredAt, now)
+	}
+	return now
 }
 
 // Limits of orders and reports.
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -7,6 +7,7 @@
 // Config.HandoverGrace after it has lost its ownership.
 func (s *Scheduler) InheritWorkers(now Time, infos []WorkerInfo) {
 	s.takeoverAt = now.Boot
+	begunAt := s.cfg.begunAt(now.Boot)
 	s.knownWorkersChanged = true
 	for _, info := range infos {
 		w, known := s.workers[info.ID]
@@ -20,9 +21,9 @@
 		w.answeredAddress = info.Address
 		w.incarnation = info.StartedMs
 		if info.LeaseRemaining > 0 {
-			w.inheritRemaining(now.Boot, info.LeaseRemaining)
+			w.inheritRemaining(begunAt, info.LeaseRemaining)
 		} else {
-			w.leaseEnd = max(w.leaseEnd, now.Boot+s.cfg.HandoverGrace+s.cfg.leaseBound())
+			w.leaseEnd = max(w.leaseEnd, begunAt+s.cfg.HandoverGrace+s.cfg.leaseBound())
 		}
 		s.awaitingReport[info.ID] = true
 	}
@@ -33,7 +34,7 @@
 // inherited worker, without its remaining lease.
 func (s *Scheduler) InheritUnknown(now Time) {
 	s.takeoverAt = now.Boot
-	s.unknownUntil = now.Boot + s.cfg.HandoverGrace + s.cfg.leaseBound()
+	s.unknownUntil = s.cfg.begunAt(now.Boot) + s.cfg.HandoverGrace + s.cfg.leaseBound()
 	for id := range s.awaitingReport {
 		w := s.workers[id]
 		w.leaseEnd = max(w.leaseEnd, s.unknownUntil)
--- a/core/schedule/takeover_wait_test.go
+++ b/core/schedule/takeover_wait_test.go
@@ -43,3 +43,26 @@
 			remaining+h.s.cfg.HandoverGrace)
 	}
 }
+
+// Guards against a takeover that waits longer by the time that the new owner takes to read the jobs and the known workers: 0.5 s and more in
+// a large partition.
+func TestTakeoverCountsFromTheBeginningOfTheTerm(t *testing.T) {
+	const reading = 700 * time.Millisecond
+	h := newHarness(t, 2)
+	h.s.cfg.AcquiredAt = h.now.Boot - reading
+	h.s.InheritWorkers(h.now, []WorkerInfo{{ID: "known"}, {ID: "silent", LeaseRemaining: 2 * time.Second}})
+	whole := h.s.cfg.HandoverGrace + h.s.cfg.leaseBound()
+	for id, want := range map[WorkerID]time.Duration{"known": whole - reading, "silent": 2*time.Second - reading} {
+		if got := h.s.expiresIn(h.now.Boot, id); got != want {
+			t.Errorf("the leases of %s expire in %v, want %v", id, got, want)
+		}
+	}
+	h.s.InheritUnknown(h.now)
+	if got := h.s.unknownUntil - h.now.Boot; got != whole-reading {
+		t.Errorf("leases of unknown workers expire in %v, want %v", got, whole-reading)
+	}
+	h.s.cfg.AcquiredAt = h.now.Boot + reading
+	if got := h.s.cfg.begunAt(h.now.Boot); got != h.now.Boot {
+		t.Errorf("the term begins %v after the takeover", got-h.now.Boot)
+	}
+}
--- a/core/schedule/withhold.go
+++ b/core/schedule/withhold.go
@@ -115,8 +115,9 @@
 	}
 }
 
-// inheritRemaining takes over the remaining lease that a former owner has stored for a worker, and the withholding with it.
-func (w *worker) inheritRemaining(now, remaining time.Duration) {
-	w.leaseEnd = max(w.leaseEnd, now+remaining)
+// inheritRemaining takes over the remaining lease that a former owner has stored for a worker, and the withholding with it. The value was
+// right before begunAt, when that owner could still write.
+func (w *worker) inheritRemaining(begunAt, remaining time.Duration) {
+	w.leaseEnd = max(w.leaseEnd, begunAt+remaining)
 	w.withheld = withholding{active: true, marked: true, mayStore: true, last: remaining}
 }
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -126,7 +126,7 @@
 		},
 		scheduler: schedule.NewScheduler(schedule.Config{
 			Term: ownership.Term, TaskLease: cfg.TaskLease, MaxTaskLease: cfg.MaxTaskLease, StopTime: cfg.StopTime,
-			HandoverGrace: term.TTL,
+			HandoverGrace: term.TTL, AcquiredAt: ownership.AcquiredAt,
 		}),
 		links:             map[string]*link{},
 		linkOf:            map[schedule.WorkerID]*link{},
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -207,6 +207,9 @@
 	Term     int64
 	Revision int64 // store revision of the term key; a condition of every write of the owner
 
+	// AcquiredAt is a boot time by which the term had begun: no former owner was confirmed by the store later, or has written.
+	AcquiredAt time.Duration
+
 	mu         sync.Mutex // guards the fields below
 	lease      kv.LeaseID
 	validUntil time.Duration // boot time up to which the store has confirmed the lease
@@ -219,7 +222,8 @@
 // NewOwnership returns the ownership in a term. revision is the store revision of the term key. The ownership counts as
 // unconfirmed until its first renewal.
 func NewOwnership(cfg Config, term, revision int64) *Ownership {
-	return &Ownership{cfg: cfg, Term: term, Revision: revision, checkedAt: bootclock.Uptime(), lost: make(chan struct{})}
+	now := bootclock.Uptime()
+	return &Ownership{cfg: cfg, Term: term, Revision: revision, AcquiredAt: now, checkedAt: now, lost: make(chan struct{})}
 }
 
 // ValidUntil returns the boot time up to which the store has confirmed the ownership.
