--- a/core/schedule/awaited.go
+++ b/core/schedule/awaited.go
@@ -34,9 +34,9 @@
 
 // expiresIn returns the time until the leases of a worker have certainly expired; 0 if they have, or if they may still be extended.
 func (s *Scheduler) expiresIn(now time.Duration, id WorkerID) time.Duration {
-	w, known := s.workers[id]
-	if !known || w.leasesExtended {
+	end, bounded := s.LeasesEnd(id)
+	if !bounded {
 		return 0
 	}
-	return max(w.leaseEnd-now, 0)
+	return max(end-now, 0)
 }
--- a/core/schedule/lost_worker_bound_test.go
+++ b/core/schedule/lost_worker_bound_test.go
@@ -74,7 +74,7 @@
 func (r *lostWorkerRun) pollLost() {
 	if r.now.Boot-max(r.lostAt, r.takenOver) >= r.pollFails && r.now.Boot-r.failedAt >= boundRetry {
 		r.failedAt = r.now.Boot
-		r.s.PollFailed(r.now, "lost")
+		r.s.PollFailed(r.now, "lost", Grant{At: r.lostAt, Lease: testLease})
 	}
 }
 
--- a/pkg/dispatch/withheld_test.go
+++ b/pkg/dispatch/withheld_test.go
@@ -69,7 +69,7 @@
 		info, _ := s.Worker("w0")
 		s.Report(now, "w0", schedule.Report{Incarnation: 1, SentAt: now.Boot})
 		s.KnownWorkersStored([]schedule.WorkerInfo{info})
-		s.PollFailed(now, "w0")
+		s.PollFailed(now, "w0", schedule.Grant{})
 		s.KnownWorkers()
 	})
 	drain(o.assignWake)
@@ -259,7 +259,7 @@
 		o.mu.Lock()
 		for i := range lost {
 			if i%moments == at {
-				o.scheduler.PollFailed(now, infos[i*workers/lost].ID)
+				o.scheduler.PollFailed(now, infos[i*workers/lost].ID, schedule.Grant{At: now.Boot, Lease: lease})
 			}
 		}
 		collected := func(schedule.WorkerID) time.Duration { return now.Boot }
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -32,6 +32,9 @@
 	minLeaseRemaining = 50 * time.Millisecond
 	// minClockRate is the assumed minimum rate of a worker's clock relative to this host's boot clock.
 	minClockRate = 0.98
+	// lapsedAfter is the time from the end of the owner's permission until it counts as lapsed. Within it a lease is shorter by as much
+	// at most, and the permission usually comes with the next call of the owner.
+	lapsedAfter = 600 * time.Millisecond
 )
 
 // session polls one worker. Its mutable fields are guarded by Relay.mu.
@@ -50,6 +53,7 @@
 	storedEnd   int64               // newest task end that is stored
 	lastPollOK  bool                // the worker answered the last poll
 	acceptedAt  time.Duration       // boot time at which the worker last accepted an order
+	grantedAt   time.Duration       // boot time at which the latest lease that was granted begins; 0 before the first
 	broken      bool                // the connection of the first failed poll since the last answer broke soon after it
 	failedAt    time.Duration       // boot time of that failure
 	clockMs     int64               // last reading of the worker's clock, in milliseconds
@@ -148,12 +152,13 @@
 	if from+lease < now+minLeaseRemaining {
 		return 0, false
 	}
+	s.grantedAt = max(s.grantedAt, from)
 	elapsed := time.Duration(float64(from-s.clockReadAt) * minClockRate)
 	return s.clockMs + (elapsed + lease).Milliseconds(), true
 }
 
-// permissionLapsed reports whether the owner's permission to extend leases has ended. Relay.mu is held.
-func (s *session) permissionLapsed() bool { return bootclock.Uptime() > s.relay.leaseUntil }
+// permissionLapsed reports whether the owner's permission to extend leases has ended some time ago. Relay.mu is held.
+func (s *session) permissionLapsed() bool { return bootclock.Uptime() > s.relay.leaseUntil+lapsedAfter }
 
 // poll sends a poll request and adds the report to the results. It reports whether the poll succeeded.
 func (s *session) poll(ctx context.Context, req PollRequest) bool {
@@ -183,24 +188,26 @@
 		s.relay.markFenced(s.term)
 		return
 	}
-	s.relay.addReport(s.term, WorkerReport{Worker: req.Worker.ID, Failed: s.recordFailure(req, sent, err)})
-}
-
-// recordFailure records that a poll, sent at a boot time, has failed, and returns the reason for the owner. Only where the worker has
-// answered last does a broken connection say something about its process.
-func (s *session) recordFailure(req PollRequest, sent time.Duration, err error) (reason string) {
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
+	// Both under one lock: a lease that is granted after a later answer does not precede the report of the failure.
+	s.relay.addReportLocked(s.term, s.recordFailure(req, sent, err))
+}
+
+// recordFailure records that a poll, sent at a boot time, has failed, and returns the report for the owner. Only where the worker has
+// answered last does a broken connection say something about its process. Relay.mu is held.
+func (s *session) recordFailure(req PollRequest, sent time.Duration, err error) WorkerReport {
 	if s.lastPollOK {
 		s.failedAt = bootclock.Uptime()
 		s.broken = breaksConnection(err) && req.Worker.Address == s.address && s.failedAt-s.observedAt(sent) <= schedule.MaxUnobserved
 	}
 	s.lastPollOK = false
 	s.tryListed = req.Worker.Address == s.address
+	report := WorkerReport{Worker: req.Worker.ID, Failed: err.Error(), Report: schedule.Report{SentAt: s.grantedAt}}
 	if s.broken {
-		return connectionBroken + err.Error()
+		report.Failed = connectionBroken + report.Failed
 	}
-	return err.Error()
+	return report
 }
 
 // observedAt returns the boot time up to which the relay knows what the worker ran. sent is when the poll was sent that has failed
