--- a/core/schedule/faultsim_observer_test.go
+++ b/core/schedule/faultsim_observer_test.go
@@ -123,7 +123,7 @@
 	if k := f.known; k != nil && k.writing != nil && f.now < k.writing.appliedAt {
 		return true
 	}
-	return slices.ContainsFunc(f.workers, func(w *faultSimWorker) bool { return f.unreachable(w) || w.cut != nil })
+	return slices.ContainsFunc(f.workers, func(w *faultSimWorker) bool { return f.unreachable(w) && !f.isLost(w) || w.cut != nil })
 }
 
 // soundForRule reports whether a worker has capacity for tasks: it does not drain, is polled and reachable, and its entry in the list is its
--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -90,6 +90,7 @@
 	known        *knownFaults                      // nil if the known workers are stored at once
 	evidence     *evidenceFaults                   // nil if the owner has no evidence of crashes but the list of workers
 	unused       map[*faultSimWorker]unusedSince   // see checkUse
+	loss         *lossFaults                       // nil if faults happen at random
 	moves        *moveFaults                       // nil if all processes of a worker have one address
 	withheld     *withheldSim
 	observer     *observer
@@ -131,7 +132,7 @@
 
 // injects reports whether faults are injected.
 func (f *faultSim) injects() bool {
-	return f.now < time.Hour+simFaultsEnd && !(f.pauses && (f.now-time.Hour)%simFaultsEvery >= simFaultsLast)
+	return f.loss == nil && f.now < time.Hour+simFaultsEnd && !(f.pauses && (f.now-time.Hour)%simFaultsEvery >= simFaultsLast)
 }
 
 func (f *faultSim) logf(format string, args ...any) {
@@ -183,7 +184,9 @@
 func (f *faultSim) listWorkers() {
 	var infos []WorkerInfo
 	for _, worker := range f.workers {
-		infos = append(infos, f.entry(worker))
+		if f.isListed(worker) {
+			infos = append(infos, f.entry(worker))
+		}
 	}
 	if f.known != nil {
 		f.s.SetWorkers(f.time(), append(infos, oddEntry))
@@ -202,6 +205,7 @@
 		f.takeOver()
 	}
 	f.disturbSilent()
+	f.disturbLoss()
 	f.advanceLate()
 	f.advanceKnown()
 	if f.moves != nil {
@@ -228,7 +232,7 @@
 	for _, order := range f.s.TakeOrders() {
 		f.send(order)
 	}
-	if f.rnd.IntN(3) == 0 {
+	if f.rnd.IntN(3) == 0 || f.loss != nil {
 		f.store()
 	}
 	f.s.TakeEvents()
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -103,6 +103,9 @@
 func (f *faultSim) poll(worker *faultSimWorker) {
 	id := worker.info.ID
 	f.observer.polledAt[worker] = f.now
+	if f.holdsPoll(worker) {
+		return
+	}
 	if worker.cut == nil && f.faulty(300) {
 		f.cutRelay(worker)
 	}
