--- a/core/schedule/former_calls.go
+++ b/core/schedule/former_calls.go
@@ -35,14 +35,10 @@
 // formerCallsEnd returns until when timed calls to the former process of a worker may be carried out. Those of former owners have no effect
 // once the present process has answered a poll of this one.
 func (s *Scheduler) formerCallsEnd(now time.Duration, w *worker) time.Duration {
-	_, vanished := s.vanished[w.info.ID]
-	switch {
-	case vanished, w.leasesExtended:
-		return now + s.cfg.CallDelay // relays of this owner may have sent some until now
-	case w.reportedAt == 0:
+	if _, vanished := s.vanished[w.info.ID]; !w.granted && !vanished {
 		return now
 	}
-	return min(w.grantedAt, now) + s.cfg.CallDelay
+	return now + s.cfg.CallDelay // relays of this owner may have sent some until now
 }
 
 // mayReplaceFormer reports whether a process that reports for the first time to this owner may be the next one of a process to which
--- a/core/schedule/former_calls_test.go
+++ b/core/schedule/former_calls_test.go
@@ -6,19 +6,17 @@
 )
 
 // replacedProcess returns a harness in which the process of a worker was lost, and the next one has reported under the same ID, from an
-// address. The result lastCall is the latest time at which a timed call was sent to the former one.
-func replacedProcess(t *testing.T, address string) (h *harness, w *simWorker, lastCall time.Duration) {
+// address. The result seenAt is when that report was received: timed calls to the former process may have been sent until then.
+func replacedProcess(t *testing.T, address string) (h *harness, w *simWorker, seenAt time.Duration) {
 	t.Helper()
 	h = newHarness(t, 1)
 	h.s.cfg.MaxTaskLease, h.s.cfg.CallDelay = longestTestLease, testCallDelay
 	w = h.addWorker("w1", nil)
-	lastCall = h.now.Boot
-	h.advanceClock(time.Second)
-	h.s.PollFailed(h.now, "w1", Grant{At: lastCall, Lease: testLease})
+	h.s.PollFailed(h.now, "w1", Grant{At: h.now.Boot, Lease: testLease})
 	h.advanceClock(time.Second)
 	w.incarnation, w.info.Address = 2, address
 	h.report("w1")
-	return h, w, lastCall
+	return h, w, h.now.Boot
 }
 
 // startOn makes a worker, which is the only one that is stored, start a task once it may.
@@ -40,17 +38,17 @@
 // Scenario: a poll for the former process of a worker is carried out late by the next one, which runs a task, and whose path is cut. Guards
 // against a second run of the task: the poll has extended the lease by the longest one that the worker grants. A process at another address
 // cannot get that poll, so that its tasks wait no longer than those of others.
-func TestLeasesAfterARestartOutlastCallsToTheFormerProcess(t *testing.T) {
+func TestLeasesAfterARestartOutseenAtsToTheFormerProcess(t *testing.T) {
 	for _, address := range []string{"w1", "elsewhere"} {
 		t.Run(address, func(t *testing.T) {
-			h, w, lastCall := replacedProcess(t, address)
+			h, w, seenAt := replacedProcess(t, address)
 			h.startOn(w)
 			h.addWorker("w2", nil)
 			granted := Grant{At: h.now.Boot, Lease: testLease}
 			h.s.PollFailed(h.now, "w1", granted)
 			end := granted.At + h.s.cfg.leaseBound()
 			if address == "w1" {
-				end = lastCall + testCallDelay + h.s.cfg.longestLeaseBound()
+				end = seenAt + testCallDelay + h.s.cfg.longestLeaseBound()
 			}
 			h.wantStartAfter(end-h.now.Boot, "w2")
 		})
@@ -83,11 +81,11 @@
 // Scenario: the owner of a worker whose process was replaced is lost, and the worker is cut off. Guards against a next owner that does not
 // wait for the leases that calls to the former process may have extended, and against a stored time that outlasts them by more than a second.
 func TestNextOwnerWaitsForCallsToAFormerProcess(t *testing.T) {
-	h, w, lastCall := replacedProcess(t, "w1")
+	h, w, seenAt := replacedProcess(t, "w1")
 	h.startOn(w)
 	h.s.knownWorkersChanged = true
 	known, _ := h.s.KnownWorkers()
-	end := lastCall + testCallDelay + h.s.cfg.longestLeaseBound()
+	end := seenAt + testCallDelay + h.s.cfg.longestLeaseBound()
 	cfg := h.s.cfg
 	cfg.Term = 2
 	h.newTerm(2)
@@ -109,9 +107,9 @@
 // Guards against a later owner that waits for calls to a former process although none can be carried out any more: the known workers are
 // stored again once their time has passed.
 func TestFormerCallsLeaveTheKnownWorkers(t *testing.T) {
-	h, w, lastCall := replacedProcess(t, "w1")
+	h, w, seenAt := replacedProcess(t, "w1")
 	h.startOn(w)
-	for h.now.Boot < lastCall+testCallDelay+h.s.cfg.longestLeaseBound() {
+	for h.now.Boot < seenAt+testCallDelay+h.s.cfg.longestLeaseBound() {
 		h.advanceClock(500 * time.Millisecond)
 		h.report("w1")
 		h.s.KnownWorkers()
@@ -161,3 +159,27 @@
 		}
 	}
 }
+
+// Scenario: a relay of the next owner has an answer of a worker, and its results are lost; then another process answers under the same ID.
+// Guards against timed calls of this owner that count as those of a former one, which have no effect any more.
+func TestCallsAfterLostResultsCountAsThoseOfThisOwner(t *testing.T) {
+	for name, lose := range map[string]func(h *harness){
+		"results lost": func(h *harness) { h.s.ReportsLost("w1") },
+		"relay lost":   func(h *harness) { h.s.PollerLost("w1", Grant{At: h.now.Boot, Lease: testLease}) },
+		"nothing lost": func(*harness) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := inheriting(t, testLease)
+			h.s.cfg.CallDelay = testCallDelay
+			lose(h)
+			w := h.addWorker("w1", func(info *WorkerInfo) { info.StartedMs = 2 })
+			want := h.now.Boot + h.s.cfg.longestLeaseBound()
+			if name != "nothing lost" {
+				want += testCallDelay
+			}
+			if got := h.s.workers[w.info.ID].formerCalls.leasesEnd; got != want {
+				t.Errorf("leases may last for %v, want %v", got-h.now.Boot, want-h.now.Boot)
+			}
+		})
+	}
+}
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -35,7 +35,7 @@
 	s.recordGap(s.calledAt, w)
 	w.renumberEnds()
 	if !w.withheld.marked {
-		w.leasesExtended = true
+		w.leasesExtended, w.granted = true, true
 		w.stopExtending(s.cfg, last)
 	}
 }
@@ -75,7 +75,6 @@
 // stopExtending records that no lease on the worker follows the given one, unless the worker reports again.
 func (w *worker) stopExtending(cfg Config, last Grant) {
 	if w.leasesExtended {
-		w.grantedAt = max(w.grantedAt, last.At)
 		w.leaseEnd = max(w.leaseEnd, last.end(cfg))
 	}
 	w.leasesExtended = false
--- a/core/schedule/withhold.go
+++ b/core/schedule/withhold.go
@@ -70,7 +70,7 @@
 // recordExtended records that leases on a worker may be extended from now on, or were. Until the worker is stored without its
 // remaining lease, they stay withheld.
 func (s *Scheduler) recordExtended(w *worker) {
-	w.leasesExtended = true
+	w.leasesExtended, w.granted = true, true
 	w.withheld.marked = false
 	if !w.withheld.mayStore {
 		w.withheld.active = false
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -54,7 +54,7 @@
 	answers          bool          // it has reported, and its leases have not certainly expired since
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
-	grantedAt        time.Duration // unless leasesExtended: when the latest lease on the worker began at most, if this owner has granted one
+	granted          bool          // relays of this owner may have granted leases on it
 	withheld         withholding
 	formerCalls      formerCalls
 	inherited        inheritedLease
