--- a/pkg/relay/granted_test.go
+++ b/pkg/relay/granted_test.go
@@ -71,3 +71,35 @@
 		t.Errorf("granted at %v, want the end of the permission, %v", granted, permitted)
 	}
 }
+
+// Scenario: an answer arrives that was overtaken by a later one, and a poll has failed in between. Guards against a failure that the owner
+// collects after which the relay grants leases: it grants them again since that answer.
+func TestOvertakenAnswerDropsAFailure(t *testing.T) {
+	var p pendingReports
+	answer := func(sentAt time.Duration) WorkerReport {
+		return WorkerReport{Worker: "w", Report: schedule.Report{Incarnation: 1, SentAt: sentAt}}
+	}
+	p.add(answer(2))
+	p.add(WorkerReport{Worker: "w", Failed: "no answer"})
+	p.add(answer(1))
+	if taken := p.take(10); len(taken) != 1 || taken[0].Failed != "" || taken[0].Report.SentAt != 2 {
+		t.Errorf("taken %+v, want the later answer only", taken)
+	}
+}
+
+// Guards against polls that workers do not hold open in normal operation: the permission ends for a moment between two calls of the owner.
+func TestPollIsHeldOpenWhileThePermissionHasJustEnded(t *testing.T) {
+	const hold = 2 * unpermittedWait
+	f := &fakeWorkers{reply: func(int, PollRequest) (PollReply, error) {
+		return PollReply{ClockMs: 1000, Report: schedule.Report{Incarnation: 1}}, nil
+	}}
+	r := startRelay(t, f)
+	update := assign(1, bootclock.Uptime()-lapsedAfter/2)
+	update.Assign[0].Wait = hold
+	if err := r.Update(update); err != nil {
+		t.Fatal(err)
+	}
+	if req := f.waitForPoll(t, 2); req.Wait != hold || req.LeaseToMs == 0 {
+		t.Errorf("the worker may hold the poll open for %v, want %v; lease to %d ms", req.Wait, hold, req.LeaseToMs)
+	}
+}
