--- a/pkg/standin/fleet/crash.go
+++ b/pkg/standin/fleet/crash.go
@@ -66,7 +66,7 @@
 	defer w.mu.Unlock()
 	if !w.down {
 		w.endProcess()
-		w.startProcess()
+		w.startProcess(time.Now())
 	}
 }
 
@@ -109,16 +109,27 @@
 	}
 	w.loseEnds()
 	w.ended = nil
+	w.formerPoll = w.latestPoll
 	w.generation++
 	w.notify()
 }
 
+// CarryOutFormerPoll carries out the latest poll of the former process with a lease end, as one without an answer that arrives late.
+func (w *Worker) CarryOutFormerPoll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.formerPoll.Fence >= w.fence {
+		w.fence = w.formerPoll.Fence
+		w.extendLease(w.formerPoll.UntilMs)
+	}
+}
+
 // comeBack starts the new process of a worker that is down.
 func (w *Worker) comeBack(r Return) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	formerBorn := w.incarnation
-	w.startProcess()
+	w.startProcess(time.Now())
 	w.down = false
 	if r.NewID {
 		w.id = fmt.Sprintf("%s-%d", w.ID, w.generation)
@@ -138,9 +149,9 @@
 	w.endpoint.attach(w)
 }
 
-// startProcess begins a new incarnation, which has no lease, fence, runs or ends. w.mu is held.
-func (w *Worker) startProcess() {
-	w.startedAt = time.Now()
+// startProcess begins a new incarnation, which has started at a time and has no lease, fence, runs or ends. w.mu is held.
+func (w *Worker) startProcess(startedAt time.Time) {
+	w.startedAt = startedAt
 	w.incarnation = w.startedAt.UnixMilli()
 	w.fence, w.leaseUntil, w.lastEnd, w.ended, w.draining = 0, 0, 0, nil, false
 	w.running, w.highestAttempt = map[runKey]activeRun{}, map[string]int64{}
--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -24,6 +24,7 @@
 	ProxyAddress func(target string) string      // address of a proxy for the endpoint at target; nil for no proxies
 	Limits       Limits                          // of the store
 	ClockDrift   float64                         // largest share by which a worker's clock runs slow, for instance 0.02
+	Uptime       time.Duration                   // for how long the first processes of workers have run when they are added
 	MaxTaskLease time.Duration                   // longest lease that workers grant, on their own clocks; the constant MaxTaskLease if 0
 }
 
@@ -94,7 +95,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "worker %s", w.ID)
 	}
-	w.startProcess()
+	w.startProcess(time.Now().Add(-p.cfg.Uptime))
 	w.endpoint = endpoint
 	endpoint.attach(w)
 	go w.endDueTasks()
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -92,6 +92,8 @@
 	running        map[runKey]activeRun
 	ended          []endedRun       // unacknowledged ends
 	lastEnd        int64            // number of the latest end
+	latestPoll     order            // the latest one with a lease end
+	formerPoll     order            // latestPoll of the former process
 	highestAttempt map[string]int64 // highest attempt of a task that was stopped or has ended here
 	orders         int              // received so far, including polls
 	draining       bool
@@ -393,6 +395,9 @@
 	}
 	w.fence = o.Fence
 	w.extendLease(o.UntilMs)
+	if o.UntilMs > 0 {
+		w.latestPoll = o
+	}
 	w.ended = slices.DeleteFunc(w.ended, func(end endedRun) bool { return end.number <= o.AckedEnd })
 	for len(w.ended) == 0 && o.WaitMs > 0 {
 		changed := w.changed
