--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -92,6 +92,7 @@
 	unused       map[*faultSimWorker]unusedSince   // see checkUse
 	loss         *lossFaults                       // nil if faults happen at random
 	moves        *moveFaults                       // nil if all processes of a worker have one address
+	former       *formerCallFaults                 // nil if no poll is carried out late
 	withheld     *withheldSim
 	observer     *observer
 	pauses       bool // faults are injected for simFaultsLast in each simFaultsEvery
@@ -152,8 +153,7 @@
 	f.keepFormerRelays()
 	f.term++
 	f.logf("term %d", f.term)
-	f.s = NewScheduler(Config{Term: f.term, TaskLease: testLease, StopTime: 400 * time.Millisecond,
-		HandoverGrace: simHandoverGrace})
+	f.s = NewScheduler(f.config())
 	f.polled, f.identified, f.granted = map[WorkerID]bool{}, map[WorkerID]identified{}, map[WorkerID]time.Duration{}
 	f.listedEnd, f.acknowledged = map[WorkerID]int64{}, map[WorkerID]int64{}
 	f.resetLate()
@@ -216,6 +216,7 @@
 		f.advance(worker)
 	}
 	f.executeDelayed()
+	f.executeFormerPolls()
 	f.pollFormerRelays()
 	if f.rnd.IntN(8) == 0 {
 		f.listWorkers()
