--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -193,6 +193,11 @@
 		return
 	}
 	f.s.SetWorkers(f.time(), infos)
+	f.storeKnown()
+}
+
+// storeKnown stores the known workers at once.
+func (f *faultSim) storeKnown() {
 	if known, changed := f.s.KnownWorkers(); changed {
 		f.knownWorkers = known
 		f.s.KnownWorkersStored(known)
@@ -236,6 +241,9 @@
 	if f.rnd.IntN(3) == 0 || f.loss != nil {
 		f.store()
 	}
+	if f.loss != nil && f.known == nil && !f.storeDown() {
+		f.storeKnown()
+	}
 	f.s.TakeEvents()
 	f.check()
 	f.checkFailed()
@@ -340,6 +348,9 @@
 
 // runTime returns how long an attempt runs. Some outlast a takeover and several losses of their relay.
 func (f *faultSim) runTime(job workload.JobID) time.Duration {
+	if f.loss != nil && job == serviceJob {
+		return simLongTask // a service that has just failed on all workers waits for another reason
+	}
 	if f.rnd.IntN(6) == 0 || strings.HasPrefix(string(job), longJob) {
 		return simLongTask
 	}
