--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -26,6 +26,16 @@
 	HandoverGrace time.Duration // how long leases may still be granted for a former owner after the store has confirmed it last
 	UnknownGrace  time.Duration // HandoverGrace of former versions
 	CallDelay     time.Duration // how long after its sending a call may be carried out by the next process of its worker
+	AcquiredAt    time.Duration // boot time by which the term had begun; 0 if it begins with the call of InheritWorkers
+}
+
+// begunAt returns a boot time by which the term had begun. What former owners have granted and stored counts from it, since they were
+// confirmed and have written before.
+func (c Config) begunAt(now time.Duration) time.Duration {
+	if c.AcquiredAt > 0 {
+		return min(c.AcquiredAt, now)
+	}
+	return now
 }
 
 // Limits of orders and reports.
--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -28,6 +28,8 @@
 	// long it may extend leases after the owner's last call.
 	simRelayLost  = 1200 * time.Millisecond
 	simPermission = 1500 * time.Millisecond
+	// simHandoverGrace is for how long an owner permits extensions after the store has confirmed it, see Config.HandoverGrace.
+	simHandoverGrace = 600 * time.Millisecond
 )
 
 // faultSimWorker is a simulated worker with leases and a fence.
@@ -88,6 +90,7 @@
 	known        *knownFaults                      // nil if the known workers are stored at once
 	evidence     *evidenceFaults                   // nil if the owner has no evidence of crashes but the list of workers
 	unused       map[*faultSimWorker]unusedSince   // see checkUse
+	loss         *lossFaults                       // nil if faults happen at random
 	moves        *moveFaults                       // nil if all processes of a worker have one address
 	former       *formerCallFaults                 // nil if no poll is carried out late
 	withheld     *withheldSim
@@ -130,7 +133,7 @@
 
 // injects reports whether faults are injected.
 func (f *faultSim) injects() bool {
-	return f.now < time.Hour+simFaultsEnd && !(f.pauses && (f.now-time.Hour)%simFaultsEvery >= simFaultsLast)
+	return f.loss == nil && f.now < time.Hour+simFaultsEnd && !(f.pauses && (f.now-time.Hour)%simFaultsEvery >= simFaultsLast)
 }
 
 func (f *faultSim) logf(format string, args ...any) {
@@ -181,13 +184,20 @@
 func (f *faultSim) listWorkers() {
 	var infos []WorkerInfo
 	for _, worker := range f.workers {
-		infos = append(infos, f.entry(worker))
+		if f.isListed(worker) {
+			infos = append(infos, f.entry(worker))
+		}
 	}
 	if f.known != nil {
 		f.s.SetWorkers(f.time(), append(infos, oddEntry))
 		return
 	}
 	f.s.SetWorkers(f.time(), infos)
+	f.storeKnown()
+}
+
+// storeKnown stores the known workers at once.
+func (f *faultSim) storeKnown() {
 	if known, changed := f.s.KnownWorkers(); changed {
 		f.knownWorkers = known
 		f.s.KnownWorkersStored(known)
@@ -200,6 +210,7 @@
 		f.takeOver()
 	}
 	f.disturbSilent()
+	f.disturbLoss()
 	f.advanceLate()
 	f.advanceKnown()
 	if f.moves != nil {
@@ -227,9 +238,12 @@
 	for _, order := range f.s.TakeOrders() {
 		f.send(order)
 	}
-	if f.rnd.IntN(3) == 0 {
+	if f.rnd.IntN(3) == 0 || f.loss != nil {
 		f.store()
 	}
+	if f.loss != nil && f.known == nil && !f.storeDown() {
+		f.storeKnown()
+	}
 	f.s.TakeEvents()
 	f.check()
 	f.checkFailed()
@@ -334,6 +348,9 @@
 
 // runTime returns how long an attempt runs. Some outlast a takeover and several losses of their relay.
 func (f *faultSim) runTime(job workload.JobID) time.Duration {
+	if f.loss != nil && job == serviceJob {
+		return simLongTask // a service that has just failed on all workers waits for another reason
+	}
 	if f.rnd.IntN(6) == 0 || strings.HasPrefix(string(job), longJob) {
 		return simLongTask
 	}
--- a/core/schedule/inherited_lease.go
+++ b/core/schedule/inherited_lease.go
@@ -11,17 +11,17 @@
 	until time.Duration // boot time at which all such leases have certainly expired; 0 for a worker that was not inherited
 }
 
-// inheritLeases takes over what a former owner has stored about the leases of a worker.
-func (s *Scheduler) inheritLeases(now time.Duration, w *worker, info WorkerInfo) {
-	w.inherited = inheritedLease{info.GrantedLease, now + s.cfg.inheritedBound(info.GrantedLease)}
+// inheritLeases takes over what a former owner has stored about the leases of a worker, before the term has begun.
+func (s *Scheduler) inheritLeases(begunAt time.Duration, w *worker, info WorkerInfo) {
+	w.inherited = inheritedLease{info.GrantedLease, begunAt + s.cfg.inheritedBound(info.GrantedLease)}
 	if info.GrantedLease == 0 || info.GrantedLease > s.cfg.TaskLease {
 		s.unknownLeasesUntil = max(s.unknownLeasesUntil, w.inherited.until)
 	}
 	if info.FormerCalls > 0 {
-		w.formerCalls = formerCalls{leasesEnd: now + info.FormerCalls, handedOut: true}
+		w.formerCalls = formerCalls{leasesEnd: begunAt + info.FormerCalls, handedOut: true}
 	}
 	if info.LeaseRemaining > 0 {
-		w.inheritRemaining(now, info.LeaseRemaining)
+		w.inheritRemaining(begunAt, info.LeaseRemaining)
 		return
 	}
 	w.leaseEnd = max(w.leaseEnd, w.inherited.until, w.formerCalls.leasesEnd)
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -17,6 +17,7 @@
 	if w, known := s.workers[id]; known {
 		w.becomeUnclear()
 		s.recordGap(now.Boot, w)
+		w.withholdAt(now.Boot)
 		w.stopExtending(s.cfg, granted)
 		s.recordSilence(now, w)
 	}
@@ -35,7 +36,8 @@
 	s.recordGap(s.calledAt, w)
 	w.renumberEnds()
 	if !w.withheld.marked {
-		w.leasesExtended = true
+		w.withholdAt(s.calledAt + answerTime)
+		w.leasesExtended, w.granted = true, true
 		w.stopExtending(s.cfg, last)
 	}
 }
@@ -75,7 +77,6 @@
 // stopExtending records that no lease on the worker follows the given one, unless the worker reports again.
 func (w *worker) stopExtending(cfg Config, last Grant) {
 	if w.leasesExtended {
-		w.grantedAt = max(w.grantedAt, last.At)
 		w.leaseEnd = max(w.leaseEnd, last.end(cfg))
 	}
 	w.leasesExtended = false
@@ -86,7 +87,7 @@
 // have left. confirmed states that the store has confirmed the ownership up to now. Without it nothing expires: a later
 // owner may have extended the leases of workers that this one does not reach. collectedUpTo returns the boot time up to which
 // the results of all polls of a worker have been applied. A worker may have answered after that, and its leases may have been
-// extended, even if they would have expired by now.
+// extended, even if they would have expired by now; but not while they are withheld.
 func (s *Scheduler) Expire(now Time, confirmed bool, collectedUpTo func(WorkerID) time.Duration) {
 	s.calledAt = now.Boot
 	s.expireFormerLeases(now.Boot)
@@ -98,7 +99,8 @@
 	}
 	var expired []*worker
 	for _, w := range s.sortedWorkers {
-		if !w.leasesExtended && !w.reachable(now.Boot) && now.Boot >= w.leaseEnd && collectedUpTo(w.info.ID) >= w.leaseEnd {
+		if !w.leasesExtended && !w.reachable(now.Boot) && now.Boot >= w.leaseEnd &&
+			(w.withheld.marked || collectedUpTo(w.info.ID) >= w.leaseEnd) {
 			expired = append(expired, w)
 		}
 	}
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -6,6 +6,7 @@
 // these workers has reported or its task leases have certainly expired.
 func (s *Scheduler) InheritWorkers(now Time, infos []WorkerInfo) {
 	s.takeoverAt = now.Boot
+	begunAt := s.cfg.begunAt(now.Boot)
 	s.knownWorkersChanged = true
 	for _, info := range infos {
 		w, known := s.workers[info.ID]
@@ -15,9 +16,10 @@
 			s.addWorker(w)
 		}
 		w.stored = true
+		w.withholdFrom = now.Boot + answerTime
 		w.answeredAddress = info.Address
 		w.incarnation = info.StartedMs
-		s.inheritLeases(now.Boot, w, info)
+		s.inheritLeases(begunAt, w, info)
 		s.awaitingReport[info.ID] = true
 	}
 }
@@ -27,7 +29,7 @@
 // inherited worker, without its remaining lease.
 func (s *Scheduler) InheritUnknown(now Time) {
 	s.takeoverAt = now.Boot
-	s.unknownUntil = now.Boot + s.cfg.inheritedBound(0)
+	s.unknownUntil = s.cfg.begunAt(now.Boot) + s.cfg.inheritedBound(0)
 	s.unknownLeasesUntil = max(s.unknownLeasesUntil, s.unknownUntil)
 	for id := range s.awaitingReport {
 		w := s.workers[id]
@@ -52,6 +54,9 @@
 	return s.awaitingReport[id] || s.unknownUntil > 0 && id != "" && !known
 }
 
+// KnownWorkersChanged reports whether the set of known workers may have changed since it was last returned.
+func (s *Scheduler) KnownWorkersChanged() bool { return s.knownWorkersChanged }
+
 // KnownWorkers returns the workers from which a later owner needs a report if the set may have changed since the last call. The
 // caller stores all sets in their order, or the latest.
 func (s *Scheduler) KnownWorkers() (infos []WorkerInfo, changed bool) {
@@ -107,7 +112,7 @@
 		w, known := s.workers[info.ID]
 		if known && info.LeaseRemaining == 0 && info.Address == w.address() && w.leasesStoredWith(info) &&
 			(!w.stored || w.withheld.active) {
-			w.recordStored()
+			s.recordStored(w)
 			s.index.markChanged(w)
 		}
 	}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -54,8 +54,9 @@
 	answers          bool          // it has reported, and its leases have not certainly expired since
 	leasesExtended   bool          // its task leases are being extended
 	leaseEnd         time.Duration // unless leasesExtended: when every task lease on the worker has certainly expired
-	grantedAt        time.Duration // unless leasesExtended: when the latest lease on the worker began at most, if this owner has granted one
+	granted          bool          // relays of this owner may have granted leases on it
 	withheld         withholding
+	withholdFrom     time.Duration // unless leasesExtended: when its leases are withheld if it has not answered by then
 	formerCalls      formerCalls
 	inherited        inheritedLease
 	longerLeases     bool               // a relay of this owner may have granted leases longer than Config.TaskLease
