--- a/pkg/term/former_record_test.go
+++ b/pkg/term/former_record_test.go
@@ -40,6 +40,66 @@
 	}
 }
 
+// Guards against the same in the ways in which another writer may leave the term and its copy: none of them makes an owner take a term that
+// has been used, also not the second one after it, and without another writer terms rise by one.
+func TestTermsRiseWhateverAnotherWriterDoes(t *testing.T) {
+	termKey, copyKey := statekeys.Term(testPartition), statekeys.TermCopy(testPartition)
+	remove := func(t *testing.T, store *kvtest.Store, keys ...string) {
+		t.Helper()
+		if _, err := store.Commit(t.Context(), kv.Txn{Delete: keys}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, change := range map[string]func(t *testing.T, store *kvtest.Store, former string){
+		"term put back": func(t *testing.T, store *kvtest.Store, former string) { put(t, store, termKey, former) },
+		"copy put back": func(t *testing.T, store *kvtest.Store, former string) { put(t, store, copyKey, former) },
+		"both put back, one by one": func(t *testing.T, store *kvtest.Store, former string) {
+			put(t, store, termKey, former)
+			put(t, store, copyKey, former)
+		},
+		"term put back twice": func(t *testing.T, store *kvtest.Store, former string) {
+			put(t, store, termKey, former)
+			put(t, store, termKey, former)
+		},
+		"term deleted": func(t *testing.T, store *kvtest.Store, _ string) { remove(t, store, termKey) },
+		"term put back, copy deleted": func(t *testing.T, store *kvtest.Store, former string) {
+			put(t, store, termKey, former)
+			remove(t, store, copyKey)
+		},
+		"nothing": func(*testing.T, *kvtest.Store, string) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store, owner, former := ownerAfter(t, func(s *kvtest.Store) kv.Store { return s })
+			change(t, store, former)
+			store.EndLease(owner.leaseID())
+			next := acquire(t, candidate(t, store, "c", "c1"))
+			store.EndLease(next.leaseID())
+			last := acquire(t, candidate(t, store, "d", "d1"))
+			if next.Term <= owner.Term || last.Term != next.Term+1 {
+				t.Errorf("terms %d and %d after an owner in term %d", next.Term, last.Term, owner.Term)
+			}
+			if name == "nothing" && next.Term != owner.Term+1 {
+				t.Errorf("term %d after term %d", next.Term, owner.Term)
+			}
+		})
+	}
+}
+
+// Scenario: a candidate has acquired the partition without an answer, and another writer puts the former record of the term back before the
+// candidate sees its own record. Guards against an owner in that former term, which has been used.
+func TestUnansweredAcquisitionBesideARestoredTermIsNotTakenOver(t *testing.T) {
+	store, owner, former := ownerAfter(t, func(s *kvtest.Store) kv.Store { return s })
+	store.EndLease(owner.leaseID())
+	c := candidate(t, store, "c", "c1")
+	unanswered := acquire(t, c)
+	put(t, store, statekeys.Term(testPartition), former)
+	next := NewCandidate(c.cfg, c.view) // has had no answer
+	poll.Until(t, "the former term is seen", func() bool { return c.view.State(testPartition).TermRevision() > unanswered.Revision })
+	if taken := next.tryAcquire(t.Context(), c.view.State(testPartition)); taken != nil {
+		t.Errorf("owner in term %d after term %d", taken.Term, unanswered.Term)
+	}
+}
+
 // slowRead is a store that does not answer the first read of a single record.
 type slowRead struct {
 	kv.Store
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -117,8 +117,8 @@
 		return nil
 	}
 	if state.lease != 0 && state.Owner.Incarnation == c.cfg.Self.Incarnation {
-		if state.Term <= c.lastTerm {
-			return nil // the view does not show the end of that ownership yet
+		if state.Term <= c.lastTerm || state.Term != state.Owner.Term {
+			return nil // the view does not show the end of that ownership yet, or another writer has changed the term
 		}
 		// An earlier attempt succeeded, but its response was lost. The remaining time of the lease is unknown until its
 		// first renewal.
@@ -155,7 +155,7 @@
 // minCores limits the delay of a host with a small share of a core.
 const minCores = 0.1
 
-// acquire writes the owner's record and the next term, on condition that neither has changed since state was read.
+// acquire writes the owner's record and the next term with its copy, on condition that none has changed since state was read.
 func (c *Candidate) acquire(ctx context.Context, state State) (*Ownership, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -165,15 +165,17 @@
 		return nil, errors.Annotate(err, "grant owner lease")
 	}
 	record := c.cfg.Self
-	record.Term = state.Term + 1
+	record.Term = state.highestTerm + 1
 	txn := kv.Txn{
 		If: []kv.Condition{
 			{Key: statekeys.Owner(c.cfg.Partition), Revision: state.ownerRevision},
 			{Key: statekeys.Term(c.cfg.Partition), Revision: state.termRevision},
+			{Key: statekeys.TermCopy(c.cfg.Partition), Revision: state.copyRevision},
 		},
 		Put: []kv.Put{
 			{Key: statekeys.Owner(c.cfg.Partition), Value: mustEncode(record), Lease: lease},
 			{Key: statekeys.Term(c.cfg.Partition), Value: mustEncode(termValue{record.Term, c.cfg.Cores})},
+			{Key: statekeys.TermCopy(c.cfg.Partition), Value: mustEncode(termValue{Term: record.Term})},
 		},
 	}
 	revision, err := c.cfg.Store.Commit(ctx, txn)
--- a/pkg/term/view.go
+++ b/pkg/term/view.go
@@ -13,12 +13,14 @@
 // State is the ownership of one partition as last read from the store.
 type State struct {
 	Owner Record // zero if there is no owner
-	Term  int64  // term of the newest owner; 0 if there has been none
+	Term  int64  // term of the newest owner, as its record says; 0 if there has been none
 
 	read          bool // the store has been read
 	ownerRevision int64
 	unleasedSince time.Time // since when the owner's record has had no lease; zero if it has one or does not exist
 	termRevision  int64
+	copyRevision  int64   // of the copy of the term
+	highestTerm   int64   // no owner has had a term above it
 	cores         float64 // of the newest owner's host; 0 if unknown
 	lease         kv.LeaseID
 }
@@ -130,9 +132,21 @@
 		state.Term, state.cores = v.term(item)
 		state.termRevision = item.Revision
 	}
+	state.copyRevision = v.items[statekeys.TermCopy(p)].Revision
+	state.highestTerm = state.newestTerm()
 	return state
 }
 
+// newestTerm returns a term that is not below any that an owner has had. The record of the term says so if its copy was written in the same
+// transaction. Else another writer has changed one of the two, for instance put a former record back, or the owner was of a version without
+// copies. Then the greater of their revisions takes its place: no term is above the revision at which it was written.
+func (s State) newestTerm() int64 {
+	if s.copyRevision == s.termRevision {
+		return s.Term
+	}
+	return max(s.termRevision, s.copyRevision)
+}
+
 // term returns the term in a record, and the cores of its owner's host. Each term takes a revision of the store at least, so a term
 // above the record's revision comes from another writer, as one that cannot be decoded does. The revision takes its place: it is not
 // below any earlier term, which the workers may have seen.
