--- a/pkg/statekeys/statekeys.go
+++ b/pkg/statekeys/statekeys.go
@@ -31,8 +31,8 @@
 // Term returns the key of the term of a partition's newest owner. The key is never deleted.
 func Term(p Partition) string { return fmt.Sprintf("%s%d/term", Owners, p) }
 
-// TermCopy returns the key of a copy of the term, which each owner writes in the transaction that writes the term. The two have the same
-// revision unless another writer has changed one of them. The key is never deleted.
+// TermCopy returns the key of a copy of the owner's record, with the term, but without a lease. Each owner writes it in the transaction that
+// writes the term. The two have the same revision unless another writer has changed one of them. The key is never deleted.
 func TermCopy(p Partition) string { return fmt.Sprintf("%s%d/term-copy", Owners, p) }
 
 // Submissions returns the prefix of the keys of the jobs and cancellations of a partition.
--- a/pkg/term/entries_test.go
+++ b/pkg/term/entries_test.go
@@ -178,3 +178,65 @@
 		t.Errorf("%d lines, %d bytes", lines, out.Len())
 	}
 }
+
+// Scenario: another writer overwrites the record of an owner whose process ends before it has found that, and the next process of its
+// host starts, as after a power cut of all hosts. Guards against a partition without an owner for unleasedGrace, in which all services
+// whose leases have ended wait.
+func TestNextProcessOfTheOwnersHostReplacesAnOddRecord(t *testing.T) {
+	for name, value := range oddRecords {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := kvtest.NewStore()
+			former := acquire(t, candidate(t, store, "a", "a1"))
+			put(t, store, statekeys.Owner(testPartition), value)
+			c := candidate(t, store, "a", "a2")
+			poll.Until(t, "the records are read", func() bool { return c.view.State(testPartition).read })
+			if owner := c.tryAcquire(t.Context(), c.view.State(testPartition)); owner == nil || owner.Term != former.Term+1 {
+				t.Errorf("ownership %+v, want one in term %d", owner, former.Term+1)
+			}
+		})
+	}
+}
+
+// Guards against a partition that is acquired beside an owner that may be alive: on another host, at another address of the same host, in
+// the same process, or on the host that a former record of the term or of its copy names, or both.
+func TestOddRecordGivesOthersThanTheNextProcessNothing(t *testing.T) {
+	ownerKey, termKey, copyKey := statekeys.Owner(testPartition), statekeys.Term(testPartition), statekeys.TermCopy(testPartition)
+	for name, c := range map[string]struct {
+		self    Record
+		putBack []string // one by one
+	}{
+		"another host":         {self: Record{Host: "c", Incarnation: "c1", Address: "c:1"}},
+		"another address":      {self: Record{Host: "a", Incarnation: "a2", Address: "a:2"}},
+		"another host there":   {self: Record{Host: "c", Incarnation: "c1", Address: "a:1"}},
+		"the owner":            {self: Record{Host: "a", Incarnation: "a1", Address: "a:1"}},
+		"former term":          {self: Record{Host: "b", Incarnation: "b1", Address: "b:1"}, putBack: []string{termKey}},
+		"former copy":          {self: Record{Host: "b", Incarnation: "b1", Address: "b:1"}, putBack: []string{copyKey}},
+		"former term and copy": {self: Record{Host: "b", Incarnation: "b1", Address: "b:1"}, putBack: []string{termKey, copyKey}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := kvtest.NewStore()
+			first := acquire(t, candidate(t, store, "b", "b0"))
+			former := map[string]string{}
+			for _, key := range c.putBack {
+				item, _, err := store.Get(t.Context(), key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				former[key] = string(item.Value)
+			}
+			store.EndLease(first.leaseID())
+			owner := acquire(t, candidate(t, store, "a", "a1"))
+			for _, key := range c.putBack {
+				put(t, store, key, former[key])
+			}
+			put(t, store, ownerKey, "{}")
+			next := candidate(t, store, c.self.Host, c.self.Incarnation)
+			next.cfg.Self = c.self
+			poll.Until(t, "the records are read", func() bool { return !next.view.State(testPartition).unleasedSince.IsZero() })
+			if second := next.tryAcquire(t.Context(), next.view.State(testPartition)); second != nil {
+				t.Errorf("acquired in term %d beside the owner of term %d", second.Term, owner.Term)
+			}
+		})
+	}
+}
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -124,7 +124,7 @@
 		// first renewal.
 		return c.newOwnership(state.lease, state.Term, state.termRevision, bootclock.Uptime()-TTL)
 	}
-	if state.ownerRevision == 0 || state.abandoned() {
+	if state.ownerRevision == 0 || state.abandoned() || state.ownedByFormerProcess(c.cfg.Self) {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -175,7 +175,7 @@
 		Put: []kv.Put{
 			{Key: statekeys.Owner(c.cfg.Partition), Value: mustEncode(record), Lease: lease},
 			{Key: statekeys.Term(c.cfg.Partition), Value: mustEncode(termValue{record.Term, c.cfg.Cores})},
-			{Key: statekeys.TermCopy(c.cfg.Partition), Value: mustEncode(termValue{Term: record.Term})},
+			{Key: statekeys.TermCopy(c.cfg.Partition), Value: mustEncode(record)},
 		},
 	}
 	revision, err := c.cfg.Store.Commit(ctx, txn)
--- a/pkg/term/view.go
+++ b/pkg/term/view.go
@@ -21,6 +21,7 @@
 	termRevision  int64
 	copyRevision  int64   // of the copy of the term
 	highestTerm   int64   // no owner has had a term above it
+	newestOwner   Record  // as the copy of the term says; zero unless it was written with the term
 	cores         float64 // of the newest owner's host; 0 if unknown
 	lease         kv.LeaseID
 }
@@ -38,12 +39,13 @@
 
 // acquirableBy reports whether self may acquire the partition: it has no owner, or its owner is a process with the same
 // host and address as self, that is self or a previous process that has certainly ended, or the owner's record does not end with a
-// lease. Such a record comes from another writer, and the owner may be alive whatever it says.
+// lease. Such a record comes from another writer, and the owner may be alive whatever it says, unless it is known to be a previous
+// process of this host.
 func (s State) acquirableBy(self Record) bool {
 	if !s.read {
 		return false
 	}
-	return s.ownerRevision == 0 || s.abandoned() ||
+	return s.ownerRevision == 0 || s.abandoned() || s.ownedByFormerProcess(self) ||
 		(s.lease != 0 && s.Owner.Host == self.Host && s.Owner.Address == self.Address)
 }
 
@@ -52,6 +54,13 @@
 	return !s.unleasedSince.IsZero() && time.Since(s.unleasedSince) >= unleasedGrace
 }
 
+// ownedByFormerProcess reports whether another writer has overwritten the owner's record, and the newest owner is a previous process with the
+// host and address of self, which has certainly ended. The copy of the term tells, since it was written with the term.
+func (s State) ownedByFormerProcess(self Record) bool {
+	return !s.unleasedSince.IsZero() && s.newestOwner.Host == self.Host && s.newestOwner.Address == self.Address &&
+		s.newestOwner.Incarnation != self.Incarnation
+}
+
 // View is a local copy of all ownership records in the store.
 type View struct {
 	log *eventlog.Logger
@@ -132,7 +141,12 @@
 		state.Term, state.cores = v.term(item)
 		state.termRevision = item.Revision
 	}
-	state.copyRevision = v.items[statekeys.TermCopy(p)].Revision
+	if item, found := v.items[statekeys.TermCopy(p)]; found {
+		state.copyRevision = item.Revision
+		if item.Revision != state.termRevision || !v.decode(item, &state.newestOwner) {
+			state.newestOwner = Record{}
+		}
+	}
 	state.highestTerm = state.newestTerm()
 	return state
 }
