--- a/core/schedule/break.go
+++ b/core/schedule/break.go
@@ -26,6 +26,11 @@
 	commonBreaksShare = 20
 	// breakRetention is how long breaks are remembered. It covers the time until a crash is noticed.
 	breakRetention = 2 * vanishedRetention
+	// minEstimateShare is the least share of the caller's estimate that a task is assumed to take. Estimates are rough.
+	minEstimateShare = 0.5
+	// reportDelay is how much later than a break a report is usually applied at most: relays return reports without ends in batches
+	// of 50 ms, and breaks and outcomes of orders at once.
+	reportDelay = 60 * time.Millisecond
 )
 
 // silence is what is known about a worker since its last report.
@@ -108,3 +113,27 @@
 	w, known := s.workers[id]
 	return known && w.onProbation()
 }
+
+// mayEndUnobserved reports whether an attempt may have been done when the connection to its worker broke: whether what was left of it, as far
+// as that is known, takes no longer than the time since the worker's last answer. Services do not end.
+func (a *attempt) mayEndUnobserved() bool {
+	if a.task.step.spec.Service {
+		return false
+	}
+	return a.shortestRest() <= a.worker.brokenAt-max(a.worker.reportedAt-reportDelay, a.confirmedAt)
+}
+
+// shortestRest returns the shortest time that an attempt may have taken to its end after it was last listed, by its progress and by the
+// caller's estimate or, if they are shorter, the run times of other tasks of its step; 0 if its progress is not known.
+func (a *attempt) shortestRest() time.Duration {
+	if a.resumed && a.listedAt == 0 {
+		return 0
+	}
+	total := minEstimateShare * float64(a.task.step.spec.EstimateMs) / 1000
+	for _, t := range a.task.step.tasks {
+		if t.done && t.rate > 0 {
+			total = min(total, fullShare/t.rate)
+		}
+	}
+	return time.Duration(total * (fullShare - a.percent) / fullShare * float64(time.Second))
+}
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -12,7 +12,7 @@
 // Crashes soon after a start point to the task more than later ones. Only a worker that has accepted the task counts: a start
 // without an answer may have arrived after the crash, and a task may not be given up for a crash that it cannot have caused.
 // Nor may it be given up for crashes before which it may have ended, as on workers that were cut off first: see break.go. What bounds its
-// starts then is in crash_watch.go.
+// starts then is in crash_watch.go. Crashes right after the last answer, in which only a short task may have ended, count with one more.
 const (
 	// briefRun is how long a task has to be listed as running for a later crash not to count as brief.
 	briefRun = time.Second
@@ -36,6 +36,8 @@
 	task    *task
 	ran     time.Duration // for how long it was listed as running
 	stopped bool          // the worker had been ordered to stop it
+
+	mayEndUnobserved bool // see attempt.mayEndUnobserved
 }
 
 // suspect reports whether a worker has crashed under the task.
@@ -61,6 +63,21 @@
 	return t.countCrashes(func(c workload.Crash) bool { return isBrief(c) && isUnexplained(c) && isCertain(c) })
 }
 
+// pointedAt reports whether brief crashes that satisfy a condition suffice to give a task up. If the task can have been done before each of
+// them, it takes one more than briefCrashLimit: a short task may be done behind a cut, just before its worker crashes there.
+func (t *task) pointedAt(condition func(workload.Crash) bool) bool {
+	certain, conclusive := 0, 0
+	for _, c := range t.crashes {
+		if isBrief(c) && isCertain(c) && condition(c) {
+			certain++
+			if !c.MayHaveEnded {
+				conclusive++
+			}
+		}
+	}
+	return conclusive >= briefCrashLimit || certain > briefCrashLimit
+}
+
 // mayBeBriefUnexplained returns how many brief crashes without another explanation the task may have had, with the uncertain ones.
 func (t *task) mayBeBriefUnexplained() int {
 	return t.uncertainCrashes + t.countCrashes(func(c workload.Crash) bool { return isBrief(c) && isUnexplained(c) })
@@ -86,7 +103,8 @@
 	if !found || s.pointsToOthers(t, latest, beside) {
 		return false
 	}
-	return certain >= briefCrashLimit && brief == certainBriefCrashes && isBrief(latest) || unexplained == crashLimit
+	pointedAt := t.pointedAt(func(workload.Crash) bool { return true })
+	return pointedAt && brief == certainBriefCrashes && isBrief(latest) || unexplained == crashLimit
 }
 
 // onProbation reports whether the attempt is of a task on probation and has not run for briefRun.
@@ -122,12 +140,13 @@
 		}
 	}
 	for _, x := range w.expired {
-		c.add(x.task, now.unixMsAt(w.reportedAt), x.ran, !x.stopped && (c.broken || c.followed(now.unixMsAt(w.polledAt))))
+		c.add(x.task, now.unixMsAt(w.reportedAt), x.ran, c.evidenceOf(!x.stopped, x.mayEndUnobserved, now.unixMsAt(w.polledAt)))
 	}
 	for _, t := range s.silentOn[w.info.ID] {
 		silence := t.silenceOf(w.info.ID)
 		if !survives(attemptKey{t.id(), t.lastAttempt}) && !c.answersAgain(silence) {
-			c.add(t, silence.SinceMs, 0, silence.Broken || c.followed(silence.AskedMs))
+			c.add(t, silence.SinceMs, 0, evidence{silence.Broken || c.followed(silence.AskedMs),
+				silence.MayHaveEnded && !c.followed(silence.AskedMs)})
 		}
 	}
 	s.giveUpCrashing(now, c.tasks)
@@ -162,14 +181,28 @@
 	if !certain {
 		return
 	}
-	stillRan := c.ranBefore(a) && !a.mayHaveStopped() && (c.broken || c.followed(now.unixMsAt(a.worker.polledAt)))
+	found := c.evidenceOf(c.ranBefore(a) && !a.mayHaveStopped(), a.mayEndUnobserved(), now.unixMsAt(a.worker.polledAt))
 	e := a.event(EventAttemptCrashed)
 	e.Value = a.listedFor().Seconds()
-	if !stillRan {
+	if !found.stillRan {
 		e.Reason = "uncertain"
 	}
 	c.s.emit(e)
-	c.add(a.task, now.unixMsAt(max(c.worker.reportedAt, a.confirmedAt)), a.listedFor(), stillRan)
+	c.add(a.task, now.unixMsAt(max(c.worker.reportedAt, a.confirmedAt)), a.listedFor(), found)
+}
+
+// evidence is what is known about whether a task ran when the process of its worker ended.
+type evidence struct {
+	stillRan     bool // as far as that can be observed
+	mayHaveEnded bool // it can have been done before; only with stillRan
+}
+
+// evidenceOf returns the evidence about an attempt. ran states that it ran on the process until the last answer and was not to be stopped;
+// polledMs is when the last answered poll was sent, Unix milliseconds.
+func (c *crash) evidenceOf(ran, mayEndUnobserved bool, polledMs int64) evidence {
+	followed := c.followed(polledMs)
+	stillRan := ran && (c.broken || followed)
+	return evidence{stillRan, stillRan && !followed && mayEndUnobserved}
 }
 
 // mayHaveStopped reports whether the worker was ordered to stop the attempt. Unless the next process has accepted the order, the attempt may
@@ -187,15 +220,15 @@
 func (c *crash) followed(polledMs int64) bool { return c.nextMs > 0 && c.nextMs <= polledMs }
 
 // add adds the crash to the record of a task that certainly ran until sinceMs, Unix milliseconds. If its lease may have
-// expired before the crash, the task does not count. stillRan states that it ran when the process ended.
-func (c *crash) add(t *task, sinceMs int64, ran time.Duration, stillRan bool) {
+// expired before the crash, the task does not count.
+func (c *crash) add(t *task, sinceMs int64, ran time.Duration, found evidence) {
 	if c.nextMs >= sinceMs+c.s.cfg.TaskLease.Milliseconds() {
 		return
 	}
 	entry := c.worker.process()
 	entry.RanMs = ran.Milliseconds()
-	entry.Uncertain = !stillRan
-	entry.Lone = !stillRan && c.lone
+	entry.Uncertain, entry.MayHaveEnded = !found.stillRan, found.mayHaveEnded
+	entry.Lone = entry.Uncertain && c.lone
 	if c.s.addCrash(t, entry) {
 		c.tasks = append(c.tasks, t)
 	}
@@ -264,7 +297,7 @@
 	if certain != nil {
 		return certain
 	}
-	if best == nil || best.briefUnexplained() < briefCrashLimit || s.tied(best, tasks) {
+	if best == nil || !best.pointedAt(isUnexplained) || s.tied(best, tasks) {
 		return nil
 	}
 	return best
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -92,7 +92,7 @@
 		for _, a := range slices.Clone(w.attemptList) {
 			s.emit(a.event(EventAttemptExpired))
 			if a.certainlyRan() {
-				w.expired = append(w.expired, expiredAttempt{a.task, a.listedFor(), a.mayHaveStopped()})
+				w.expired = append(w.expired, expiredAttempt{a.task, a.listedFor(), a.mayHaveStopped(), a.mayEndUnobserved()})
 			}
 			s.drop(a)
 		}
--- a/core/schedule/short_crash_test.go
+++ b/core/schedule/short_crash_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,3 +51,81 @@
 		})
 	}
 }
+
+// Scenario: a task of 300 ms crashes each of its workers, some time after their last answer. Guards against a crashing task that takes more
+// workers than the platform allows because it may have been done before each crash, also over owners and where the first crash is uncertain.
+func TestShortTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	const runTime = 300 * time.Millisecond
+	for name, c := range map[string]struct {
+		after     time.Duration // from the accepted start to the break
+		uncertain bool          // the first crash comes behind a cut
+		most      int           // starts
+	}{
+		"at once":                                     {after: 10 * time.Millisecond, most: briefCrashLimit},
+		"before it can be done":                       {after: 140 * time.Millisecond, most: briefCrashLimit},
+		"when it may be done":                         {after: 400 * time.Millisecond, most: briefCrashLimit + 1},
+		"at once, after an uncertain one":             {after: 10 * time.Millisecond, uncertain: true, most: certainBriefCrashes},
+		"when it may be done, after an uncertain one": {after: 400 * time.Millisecond, uncertain: true, most: certainBriefCrashes + 1},
+	} {
+		for _, takeover := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, takeover %t", name, takeover), func(t *testing.T) {
+				h := newStartedHarness(t, 8)
+				step := testStep(1)
+				step.EstimateMs = runTime.Milliseconds()
+				job := testJob("crashing", step)
+				h.s.AddJob(job, nil, false)
+				total := 0
+				for term := int64(2); total < maxStartsOfCrashingTask; term++ {
+					ordered := len(starts(h.run()))
+					if total += ordered; ordered == 0 {
+						break
+					}
+					id := h.workerOf(taskID("crashing", 0, 0))
+					h.advanceClock(c.after)
+					if c.uncertain && total == 1 {
+						h.s.PollFailed(h.now, id)
+					} else {
+						h.breakConnection(id)
+					}
+					h.store()
+					if takeover {
+						h.inherit(term, job)
+					}
+					h.advanceClock(backAfter)
+					h.restartAs("'", id)
+					h.settleWithoutStarts()
+				}
+				h.wantState("crashing", workload.StateFailed)
+				if total > c.most {
+					t.Errorf("%d starts, want at most %d", total, c.most)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a shortest rest that is longer than a task may take: it counts from the share that is done, is at most the run time of
+// another task of the step, and is not known where the task goes on from a checkpoint and has not been listed.
+func TestShortestRest(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(a *attempt)
+		want   time.Duration
+	}{
+		"new":                    {func(*attempt) {}, 500 * time.Millisecond},
+		"half done":              {func(a *attempt) { a.percent = 50 }, 250 * time.Millisecond},
+		"another is done sooner": {func(a *attempt) { a.task.step.tasks[1].done, a.task.step.tasks[1].rate = true, 1000 }, 100 * time.Millisecond},
+		"another is done later":  {func(a *attempt) { a.task.step.tasks[1].done, a.task.step.tasks[1].rate = true, 50 }, 500 * time.Millisecond},
+		"without an estimate":    {func(a *attempt) { a.task.step.spec.EstimateMs = 0 }, 0},
+		"from a checkpoint":      {func(a *attempt) { a.resumed = true }, 0},
+		"from one, and listed":   {func(a *attempt) { a.resumed, a.listedAt, a.percent = true, 1, 80 }, 100 * time.Millisecond},
+	} {
+		h := newStartedHarness(t, 4)
+		h.s.AddJob(testJob("job", testStep(2)), nil, false)
+		h.wantStarts(h.run(), 2)
+		a := h.s.task(taskID("job", 0, 0)).attempts[0]
+		c.change(a)
+		if got := a.shortestRest(); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -18,6 +18,7 @@
 			SinceMs: now.unixMsAt(max(w.reportedAt, a.confirmedAt))}
 		if !a.mayHaveStopped() {
 			silence.Broken, silence.AskedMs = s.brokeAlone(w), now.unixMsAt(w.polledAt)
+			silence.MayHaveEnded = silence.Broken && a.mayEndUnobserved()
 		}
 		t.silentOn = append(t.silentOn, silence)
 		s.silentOn[w.info.ID] = append(s.silentOn[w.info.ID], t)
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -58,6 +58,9 @@
 	Explained bool   `json:"e,omitempty"` // another task was found to have caused it
 	Uncertain bool   `json:"u,omitempty"` // the task may have ended before
 	Lone      bool   `json:"l,omitempty"` // few other workers stopped answering near that time; only if uncertain
+
+	// MayHaveEnded states that the task can have been done by then: it had little left to do. Only if not uncertain.
+	MayHaveEnded bool `json:"m,omitempty"`
 }
 
 // SameProcess reports whether both are the end of the same process.
@@ -72,4 +75,7 @@
 	SinceMs   int64  `json:"t"`           // last report, Unix milliseconds
 	AskedMs   int64  `json:"a,omitempty"` // poll that was answered last, Unix milliseconds; 0 if unknown
 	Broken    bool   `json:"b,omitempty"` // its connection broke soon after its last answer, which shows when its process ended
+
+	// MayHaveEnded states that the task can have been done when the connection broke. Only with Broken.
+	MayHaveEnded bool `json:"m,omitempty"`
 }
