--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -174,8 +174,12 @@
 }
 
 // mayHaveStopped reports whether the worker was ordered to stop the attempt. Unless the next process has accepted the order, the attempt may
-// have ended before the crash, also if no answer has arrived.
-func (a *attempt) mayHaveStopped() bool { return a.stopSentAt > 0 }
+// have ended before the crash, also if no answer has arrived. An order without an answer came too late if it was first sent after the
+// connection to the worker had broken.
+func (a *attempt) mayHaveStopped() bool {
+	tooLate := a.stopConfirmedAt == 0 && a.worker.silence == broken && a.stoppingSince > a.worker.brokenAt
+	return a.stopSentAt > 0 && !tooLate
+}
 
 // ranBefore reports whether an attempt ran on the process that has ended. The next one may have accepted the start under the same ID
 // before its first report was applied.
