--- a/core/schedule/crash_group.go
+++ b/core/schedule/crash_group.go
@@ -18,14 +18,15 @@
 // groupAfter is how long a task on probation waits for a worker without another suspect.
 const groupAfter = restartOverdueAfter
 
-// maxGroups are the maximum numbers of jobs with tasks on probation that share a worker, by the number of brief crashes on their records,
-// from one on. After the second one it is so small that they can all run alone, for briefRun each, within the time in which a service has
-// to run again on the platform.
-var maxGroups = []int{math.MaxInt, 8}
-
-// maxUncertainGroup is the same number after the third brief crash, if all crashes on record are uncertain. The next crash of a group is
-// not decisive then, and is the last one that its tasks share.
-const maxUncertainGroup = 4
+// Maximum numbers of jobs with tasks on probation that share a worker.
+const (
+	// maxSecondGroup is the number after the second brief crash on their records. It is so small that they can all run alone, for briefRun
+	// each, within the time in which a service has to run again on the platform.
+	maxSecondGroup = 8
+	// maxUncertainGroup is the number after the third one, if all crashes on record are uncertain. The next crash of a group is not decisive
+	// then, and is the last one that its tasks share.
+	maxUncertainGroup = 4
+)
 
 // suspicion is what the record of a task says about it. Only tasks with the same may share a worker: a further crash there would
 // otherwise point to one of them.
@@ -44,9 +45,11 @@
 // record.
 func (t *task) maxGroup(crashes int) int {
 	switch {
-	case crashes <= len(maxGroups):
-		return maxGroups[max(crashes, 1)-1]
-	case crashes == certainBriefCrashes && t.countCrashes(isCertain) == 0:
+	case crashes <= 1:
+		return math.MaxInt
+	case crashes == 2:
+		return maxSecondGroup
+	case crashes == 3 && t.countCrashes(isCertain) == 0:
 		return maxUncertainGroup
 	}
 	return 1
