--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -133,7 +133,7 @@
 		return
 	}
 	s.retainCrashed(w)
-	c := crash{s: s, worker: w, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w), lone: s.crashesAlone(w)}
+	c := crash{s: s, worker: w, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w), lone: s.crashesAlone(w), noPeers: !s.hasPeers(w)}
 	for _, a := range w.attemptList {
 		if !survives(a.key()) {
 			c.addAttempt(now, a)
@@ -160,6 +160,7 @@
 	foundAt time.Duration // see workerCrashed
 	broken  bool          // the connection to the worker broke soon after its last answer, see break.go
 	lone    bool          // few other workers have stopped answering near that time, see crash_watch.go
+	noPeers bool          // there are too few other workers to tell
 	tasks   []*task       // whose record has changed
 }
 
@@ -206,8 +207,12 @@
 }
 
 // mayHaveStopped reports whether the worker was ordered to stop the attempt. Unless the next process has accepted the order, the attempt may
-// have ended before the crash, also if no answer has arrived.
-func (a *attempt) mayHaveStopped() bool { return a.stopSentAt > 0 }
+// have ended before the crash, also if no answer has arrived. An order without an answer came too late if it was first sent after the
+// connection to the worker had broken.
+func (a *attempt) mayHaveStopped() bool {
+	tooLate := a.stopConfirmedAt == 0 && a.worker.silence == broken && a.stoppingSince > a.worker.brokenAt
+	return a.stopSentAt > 0 && !tooLate
+}
 
 // ranBefore reports whether an attempt ran on the process that has ended. The next one may have accepted the start under the same ID
 // before its first report was applied.
@@ -229,6 +234,7 @@
 	entry.RanMs = ran.Milliseconds()
 	entry.Uncertain, entry.MayHaveEnded = !found.stillRan, found.mayHaveEnded
 	entry.Lone = entry.Uncertain && c.lone
+	entry.NoPeers = entry.Lone && c.noPeers
 	if c.s.addCrash(t, entry) {
 		c.tasks = append(c.tasks, t)
 	}
