--- a/pkg/term/view.go
+++ b/pkg/term/view.go
@@ -13,12 +13,15 @@
 // State is the ownership of one partition as last read from the store.
 type State struct {
 	Owner Record // zero if there is no owner
-	Term  int64  // term of the newest owner; 0 if there has been none
+	Term  int64  // term of the newest owner, as its record says; 0 if there has been none
 
 	read          bool // the store has been read
 	ownerRevision int64
 	unleasedSince time.Time // since when the owner's record has had no lease; zero if it has one or does not exist
 	termRevision  int64
+	copyRevision  int64   // of the copy of the term
+	highestTerm   int64   // no owner has had a term above it
+	newestOwner   Record  // as the copy of the term says; zero unless it was written with the term
 	cores         float64 // of the newest owner's host; 0 if unknown
 	lease         kv.LeaseID
 }
@@ -36,12 +39,13 @@
 
 // acquirableBy reports whether self may acquire the partition: it has no owner, or its owner is a process with the same
 // host and address as self, that is self or a previous process that has certainly ended, or the owner's record does not end with a
-// lease. Such a record comes from another writer, and the owner may be alive whatever it says.
+// lease. Such a record comes from another writer, and the owner may be alive whatever it says, unless it is known to be a previous
+// process of this host.
 func (s State) acquirableBy(self Record) bool {
 	if !s.read {
 		return false
 	}
-	return s.ownerRevision == 0 || s.abandoned() ||
+	return s.ownerRevision == 0 || s.abandoned() || s.ownedByFormerProcess(self) ||
 		(s.lease != 0 && s.Owner.Host == self.Host && s.Owner.Address == self.Address)
 }
 
@@ -50,6 +54,13 @@
 	return !s.unleasedSince.IsZero() && time.Since(s.unleasedSince) >= unleasedGrace
 }
 
+// ownedByFormerProcess reports whether another writer has overwritten the owner's record, and the newest owner is a previous process with the
+// host and address of self, which has certainly ended. The copy of the term tells, since it was written with the term.
+func (s State) ownedByFormerProcess(self Record) bool {
+	return !s.unleasedSince.IsZero() && s.newestOwner.Host == self.Host && s.newestOwner.Address == self.Address &&
+		s.newestOwner.Incarnation != self.Incarnation
+}
+
 // View is a local copy of all ownership records in the store.
 type View struct {
 	log *eventlog.Logger
@@ -130,9 +141,26 @@
 		state.Term, state.cores = v.term(item)
 		state.termRevision = item.Revision
 	}
+	if item, found := v.items[statekeys.TermCopy(p)]; found {
+		state.copyRevision = item.Revision
+		if item.Revision != state.termRevision || !v.decode(item, &state.newestOwner) {
+			state.newestOwner = Record{}
+		}
+	}
+	state.highestTerm = state.newestTerm()
 	return state
 }
 
+// newestTerm returns a term that is not below any that an owner has had. The record of the term says so if its copy was written in the same
+// transaction. Else another writer has changed one of the two, for instance put a former record back, or the owner was of a version without
+// copies. Then the greater of their revisions takes its place: no term is above the revision at which it was written.
+func (s State) newestTerm() int64 {
+	if s.copyRevision == s.termRevision {
+		return s.Term
+	}
+	return max(s.termRevision, s.copyRevision)
+}
+
 // term returns the term in a record, and the cores of its owner's host. Each term takes a revision of the store at least, so a term
 // above the record's revision comes from another writer, as one that cannot be decoded does. The revision takes its place: it is not
 // below any earlier term, which the workers may have seen.
