--- a/pkg/standin/fleet/crash_test.go
+++ b/pkg/standin/fleet/crash_test.go
@@ -189,3 +189,36 @@
 }
 
 func jobTask(n int) string { return []string{"j.0.0.0", "j.0.0.1"}[n] }
+
+// Guards against a stand-in whose worker answers, is listed or counts as present after it was removed, and against a later worker that
+// gets its id: tests with such a worker would not show what an owner does about one that is lost for good.
+func TestRemovedWorkerDoesNotReturn(t *testing.T) {
+	t.Parallel()
+	p := newWorkers(t, Config{Workers: 2})
+	w, former := p.Workers()[1], entryOf(t, p, "i-0001")
+	start := order{Task: "j.0.0.0", Attempt: 5, UntilMs: time.Minute.Milliseconds(), Fence: 9}
+	if r, _ := callAt(t, former.Address, "i-0001", pathStart, start); r.Status != http.StatusOK {
+		t.Fatalf("start: %+v", r)
+	}
+	p.Remove(w)
+	if r, waited := callAt(t, former.Address, "i-0001", pathPoll, order{}); r.Status != 0 || waited {
+		t.Errorf("poll of the removed worker: %+v, waited %t", r, waited)
+	}
+	if runs := p.History(); len(runs) != 1 || runs[0].Outcome != "gone" {
+		t.Errorf("runs after the removal: %+v", runs)
+	}
+	if workers := p.Workers(); len(workers) != 1 || workers[0] == w {
+		t.Errorf("%d workers after the removal, want the other one", len(workers))
+	}
+	if entryOf(t, p, "i-0001").Address == "" {
+		t.Error("the entry of the removed worker is gone at once")
+	}
+	added, err := p.AddWorker()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if added.ID != "i-0002" {
+		t.Errorf("the worker that was added has the id %s", added.ID)
+	}
+	poll.Until(t, "the entry of the removed worker is gone", func() bool { return p.Store.Value("servers/i-0001") == nil })
+}
--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -43,6 +43,7 @@
 
 	mu        sync.Mutex // guards the fields below
 	workers   []*Worker
+	added     int         // workers so far
 	endpoints []*Endpoint // of all workers, present and former
 	history   []Run
 }
@@ -76,7 +77,10 @@
 
 // AddWorker starts a further worker. It is called by one goroutine at a time.
 func (p *Platform) AddWorker() (*Worker, error) {
-	n := len(p.Workers())
+	p.mu.Lock()
+	n := p.added
+	p.added++
+	p.mu.Unlock()
 	w := &Worker{
 		clockRate: 1 - p.cfg.ClockDrift*p.rnd.Float64(), ID: fmt.Sprintf("i-%04d", n), id: fmt.Sprintf("i-%04d", n),
 		kind: Kind{
@@ -100,6 +104,32 @@
 	return w, nil
 }
 
+// Remove ends the runs of a worker without reporting them. The worker never returns, and its entries are removed after entryExpiration. It
+// does nothing while the worker is down.
+func (p *Platform) Remove(w *Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down {
+		return
+	}
+	w.endProcess()
+	w.down = true
+	w.endpoint.detach(w, false)
+	close(w.stop)
+	p.mu.Lock()
+	p.workers = slices.DeleteFunc(p.workers, func(other *Worker) bool { return other == w })
+	p.mu.Unlock()
+	ids := []string{w.id}
+	for _, former := range w.former {
+		ids = append(ids, former.id)
+	}
+	time.AfterFunc(entryExpiration, func() {
+		for _, id := range ids {
+			p.Store.Delete("servers/" + id)
+		}
+	})
+}
+
 // heartbeats writes the entries of all responsive workers every second.
 func (p *Platform) heartbeats() {
 	ticker := time.NewTicker(time.Second)
--- a/test/fleet/soak_series_test.go
+++ b/test/fleet/soak_series_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"syscall"
@@ -20,6 +21,9 @@
 	seriesFaultOneIn = 2
 	// maxSeriesFault is the longest time that a fault of a series lasts.
 	maxSeriesFault = 1500 * time.Millisecond
+	// minLoss and maxLoss bound how long the loss of a worker for good counts as a fault. What it leaves behind has to be over in the calm
+	// time; the faults of a series count for longer and take their calm time with them.
+	minLoss, maxLoss = 200 * time.Millisecond, time.Second
 	// maxCrashDelay is the longest time from the cut of a worker's link until the worker crashes.
 	maxCrashDelay = 400 * time.Millisecond
 )
@@ -81,19 +85,55 @@
 func (r *soakRun) series(length time.Duration) {
 	r.faultOneIn, r.maxFault = seriesFaultOneIn, maxSeriesFault
 	faults := r.faults
+	losses := rand.New(rand.NewPCG(r.seed, 13)) // so that a seed selects the same faults as without losses
 	r.submitService()
 	for left := length; left > 0; left -= seriesOfFaults {
 		r.faults = faults
 		r.run(min(left, seriesOfFaults))
 		r.faults = nil
 		if left > seriesOfFaults {
-			r.run(calmTime)
+			r.run(time.Duration(losses.Int64N(int64(maxLoss))))
+			counts := minLoss + time.Duration(losses.Int64N(int64(maxLoss-minLoss)))
+			for waited := time.Duration(0); !r.loseWorker(counts) && waited < calmTime; waited += soakStep {
+				r.run(soakStep)
+			}
+			r.run(calmTime + maxLoss)
+			r.addWorker()
 		}
 	}
 	r.observer.trafficEnds()
 	r.finish()
 }
 
+// loseWorker removes a sound worker that runs a service for good, if there is one. The loss counts as a fault for a time.
+func (r *soakRun) loseWorker(counts time.Duration) (lost bool) {
+	for _, run := range r.s.platform.History() {
+		if !run.Ended.IsZero() || !strings.HasPrefix(run.Task, longRunningID) {
+			continue
+		}
+		for _, w := range r.s.platform.Workers() {
+			if id, _, sound := w.Sound(); sound && id == run.Worker {
+				r.observer.faultStarts()
+				r.s.platform.Remove(w)
+				r.activeFaults = append(r.activeFaults, activeFault{time.Now().Add(counts), "worker lost for good", noHeal})
+				r.log("starts: worker lost for good, " + id)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// addWorker adds a worker if one was lost.
+func (r *soakRun) addWorker() {
+	if len(r.s.platform.Workers()) >= r.workers {
+		return
+	}
+	if _, err := r.s.platform.AddWorker(); err != nil {
+		r.s.t.Fatal(err)
+	}
+}
+
 // crashCutOff cuts a worker off and crashes it within maxCrashDelay, at times under a new id.
 func (r *soakRun) crashCutOff(w *fleet.Worker) (heal func()) {
 	restoreLink := r.cutOff(w)
--- a/test/fleet/soak_test.go
+++ b/test/fleet/soak_test.go
@@ -36,7 +36,9 @@
 type soakRun struct {
 	s            *site
 	observer     *soakObserver
+	seed         uint64
 	rnd          *rand.Rand
+	workers      int           // of the site
 	faults       []fault       // that the run injects; none for calm time
 	faultOneIn   int           // inverse of the probability that a step starts a fault
 	maxFault     time.Duration // longest time that a fault lasts
@@ -103,7 +105,8 @@
 
 func newSoakRun(s *site, faults []fault, seed uint64) *soakRun {
 	return &soakRun{
-		s: s, observer: startObserver(s), rnd: rand.New(rand.NewPCG(seed, 11)), faults: faults, faultOneIn: faultOneIn, maxFault: maxFaultDuration,
+		s: s, observer: startObserver(s), seed: seed, rnd: rand.New(rand.NewPCG(seed, 11)), workers: len(s.platform.Workers()),
+		faults: faults, faultOneIn: faultOneIn, maxFault: maxFaultDuration,
 		start: time.Now(), version: 1, accepted: map[string]bool{}, cancelled: map[string]bool{},
 		refused: map[string]bool{}, uncertain: map[string]bool{}, final: map[string]string{}, down: map[int]bool{},
 	}
