--- a/deploy/mixeddays/generate.go
+++ b/deploy/mixeddays/generate.go
@@ -106,11 +106,7 @@
 	for n := range count {
 		drawn, section := g.disruption()
 		drawn.At = g.start(day.Length, previous, n == 0)
-		if section == Plan {
-			day.Plan = append(day.Plan, drawn)
-		} else {
-			day.Faults = append(day.Faults, drawn)
-		}
+		day.add(drawn, section)
 		previous = drawn
 	}
 }
--- a/deploy/mixeddays/single.go
+++ b/deploy/mixeddays/single.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 )
 
 // A Mode says how many disruptions a day holds.
@@ -65,11 +66,7 @@
 	if short {
 		d.Length = g.short()
 	}
-	if max(form.Row.Section, form.Variant.Section) == Plan {
-		day.Plan = append(day.Plan, d)
-	} else {
-		day.Faults = append(day.Faults, d)
-	}
+	day.add(d, max(form.Row.Section, form.Variant.Section))
 	return d
 }
 
@@ -77,14 +74,25 @@
 	return roundTo(g.between(shortLength), tenth)
 }
 
-// ownerLosses are the ways in which the hosts lose their owner, for good or for a time.
-var ownerLosses = []Disruption{
-	{Kind: "node_kill", How: "leader"},
-	{Kind: "node_kill", How: "power leader"},
-	{Kind: "replace_core", How: "leader"},
-	{Kind: "node_freeze", How: "leader"},
+// An ownerLoss is a disruption or a planned restart of the owner.
+type ownerLoss struct {
+	Section
+	Disruption
+}
+
+// ownerLosses are the ways in which the hosts lose their owner, for good or for a time. Planned restarts leave the time calm: the rules on
+// services apply while one owner after another takes over.
+var ownerLosses = []ownerLoss{
+	{Faults, Disruption{Kind: "node_kill", How: "leader"}},
+	{Faults, Disruption{Kind: "node_kill", How: "power leader"}},
+	{Faults, Disruption{Kind: "replace_core", How: "leader"}},
+	{Faults, Disruption{Kind: "node_freeze", How: "leader"}},
+	{Plan, Disruption{Kind: "roll_term", How: "leader"}},
 }
 
+// plannedChance is the chance that all losses of the owner on a day are planned.
+const plannedChance = 0.4
+
 var (
 	// aheadOfDisruption is the time from the first loss of an owner to the disruption, where the loss comes first.
 	aheadOfDisruption = Range{0.1, 1.5} // seconds
@@ -92,12 +100,16 @@
 	betweenOwners = Range{0.1, 6} // seconds
 )
 
-// addOwnerLosses adds losses of the owner. The first is as often before, at and after the disruption.
+// addOwnerLosses adds losses of the owner, all planned or of any kind. The first is as often before, at and after the disruption.
 func (g *generator) addOwnerLosses(day *Day, d Disruption, count int) error {
 	losses := g.knownLosses()
 	if len(losses) == 0 {
 		return errNoRows
 	}
+	planned := slices.DeleteFunc(slices.Clone(losses), func(loss ownerLoss) bool { return loss.Section != Plan })
+	if len(planned) > 0 && g.chance(plannedChance) {
+		losses = planned
+	}
 	at := d.At
 	switch g.random.IntN(3) {
 	case 0:
@@ -105,29 +117,40 @@
 	case 1:
 		at += g.between(betweenOwners)
 	}
+	distance := g.between(betweenOwners) // the same between all, so that some days have all close together
 	for range count {
-		loss := pick(g.random, losses)
+		drawn := pick(g.random, losses)
+		loss := drawn.Disruption
 		loss.On, loss.Count = core, 1
 		loss.At = roundTo(at, tenth)
-		if g.chance(0.5) {
+		if drawn.Section == Faults && g.chance(0.5) {
 			loss.Length = g.short()
 		}
 		if loss.At < day.Length {
-			day.Faults = append(day.Faults, loss)
+			day.add(loss, drawn.Section)
 		}
-		at += g.between(betweenOwners)
+		at += distance
 	}
 	return nil
 }
 
-func (g *generator) knownLosses() []Disruption {
-	var losses []Disruption
-	for _, loss := range ownerLosses {
-		if g.known == nil || g.known[loss.Kind] {
-			losses = append(losses, loss)
-		}
+func (g *generator) knownLosses() []ownerLoss {
+	return slices.DeleteFunc(slices.Clone(ownerLosses), func(loss ownerLoss) bool { return g.known != nil && !g.known[loss.Kind] })
+}
+
+// addRoom lets the pool grow early in half of the days: services that wait break a rule only while there is room for them.
+func (g *generator) addRoom(day *Day) {
+	if (g.known == nil || g.known["scale_out"]) && g.chance(0.5) {
+		day.Plan = append(day.Plan, Disruption{At: firstStart, Kind: "scale_out", Share: 30, Gap: 0.05})
+	}
+}
+
+func (d *Day) add(entry Disruption, section Section) {
+	if section == Plan {
+		d.Plan = append(d.Plan, entry)
+	} else {
+		d.Faults = append(d.Faults, entry)
 	}
-	return losses
 }
 
 // single draws a day of mode Single or Pair.
@@ -145,6 +168,7 @@
 	if err := g.addOwnerLosses(&day, d, count); err != nil {
 		return Day{}, err
 	}
+	g.addRoom(&day)
 	if count > 1 && g.chance(placeChance) {
 		day.Closing = g.closing()
 	}
--- a/deploy/mixeddays/single_test.go
+++ b/deploy/mixeddays/single_test.go
@@ -1,11 +1,12 @@
 package main
 
 import (
-	"math"
+	"cmp"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 )
 
 func singleConfig(seed uint64) Config {
@@ -60,48 +61,78 @@
 	return Config{Seed: seed, Mode: Pair, LeastOwners: 1, MostOwners: 3, Site: smallSite}
 }
 
+// lossesOfOwners draws losses of three owners around a disruption in the middle of a long day, in order of time.
+func lossesOfOwners(t *testing.T, seed uint64) (losses []Disruption, planned int) {
+	t.Helper()
+	g := generator{random: rand.New(rand.NewPCG(seed, 0))}
+	day := Day{Length: 100}
+	if err := g.addOwnerLosses(&day, Disruption{At: 50}, 3); err != nil {
+		t.Fatal(err)
+	}
+	losses = day.disruptions()
+	slices.SortFunc(losses, func(a, b Disruption) int { return cmp.Compare(a.At, b.At) })
+	return losses, len(day.Plan)
+}
+
 // Guards against pairs in which the owner is always lost on the same side of the disruption, in one way only, or after the wait of the
-// owner before.
+// owner before, and against days of which none has planned losses only: any other loss ends the calm time in which services break a rule.
 func TestOwnersAreLostBeforeAtAndAfterTheDisruption(t *testing.T) {
-	var before, at, after int
+	var before, at, after, planned, closely int
 	ways := map[drawn]bool{}
 	for seed := range uint64(2000) {
-		day := mustGenerate(t, pairConfig(seed))
-		entries := day.disruptions()
-		d, losses := entries[0], entries[1:]
-		if len(losses) == 0 {
-			continue // the loss would fall after the end of the traffic
+		losses, plannedLosses := lossesOfOwners(t, seed)
+		if len(losses) != 3 {
+			t.Fatalf("seed %d: %d losses of the owner, want 3", seed, len(losses))
 		}
-		if len(losses) > 3 {
-			t.Fatalf("%s: %d losses of the owner, want 3 at most", day.Name, len(losses))
-		}
-		switch distance := losses[0].At - d.At; {
-		case distance < 0:
+		switch first := losses[0].At; {
+		case first < 50:
 			before++
-		case distance == 0:
+		case first == 50:
 			at++
 		default:
 			after++
 		}
+		if plannedLosses == 3 {
+			planned++
+		}
+		if losses[2].At-losses[0].At <= 3 {
+			closely++
+		}
 		for i, loss := range losses {
-			way := slices.IndexFunc(ownerLosses, func(l Disruption) bool { return l.Kind == loss.Kind && l.How == loss.How })
+			way := slices.IndexFunc(ownerLosses, func(l ownerLoss) bool { return l.Kind == loss.Kind && l.How == loss.How })
 			if way < 0 || loss.On != core || loss.Count != 1 {
-				t.Fatalf("%s: %+v is no loss of the owner", day.Name, loss)
+				t.Fatalf("seed %d: %+v is no loss of the owner", seed, loss)
 			}
 			ways[drawn{row: way}] = true
-			if i > 0 && math.Abs(loss.At-losses[i-1].At-betweenOwners.High/2) > betweenOwners.High/2+0.1 {
-				t.Errorf("%s: owners lost at %.1f and %.1f s, want at most %.1f s between them", day.Name, losses[i-1].At, loss.At, betweenOwners.High)
+			if i > 0 && loss.At-losses[i-1].At > betweenOwners.High+0.1 {
+				t.Errorf("seed %d: owners lost at %.1f and %.1f s, want at most %.1f s between them", seed, losses[i-1].At, loss.At, betweenOwners.High)
 			}
 		}
 	}
-	if least := 400; before < least || at < least || after < least {
-		t.Errorf("owner lost %d times before, %d at and %d after the disruption, want %d or more each", before, at, after, least)
+	if least := 400; before < least || at < least || after < least || planned < least || closely < least {
+		t.Errorf("owner lost %d times before, %d at and %d after the disruption, %d times as planned, %d times close together, want %d or more each",
+			before, at, after, planned, closely, least)
 	}
 	if len(ways) != len(ownerLosses) {
 		t.Errorf("%d ways of losing the owner came up, want %d", len(ways), len(ownerLosses))
 	}
 }
 
+// Guards against pairs whose pool never has room for services that wait, so that none of them breaks a rule.
+func TestPoolGrowsInSomePairs(t *testing.T) {
+	grows := 0
+	const pairs = 1000
+	for seed := range uint64(pairs) {
+		day := mustGenerate(t, pairConfig(seed))
+		if slices.ContainsFunc(day.Plan, func(d Disruption) bool { return d.Kind == "scale_out" && d.At == firstStart }) {
+			grows++
+		}
+	}
+	if grows < pairs/4 || grows > 3*pairs/4 {
+		t.Errorf("the pool grows early in %d of %d pairs, want about half", grows, pairs)
+	}
+}
+
 // Guards against pairs that hold kinds that a site does not play, and against a draw that never ends where it plays no loss of the owner.
 func TestPairsKeepToKnownKinds(t *testing.T) {
 	cfg := pairConfig(0)
@@ -123,7 +154,7 @@
 func TestEqualSeedsGiveEqualSingleDaysAndPairs(t *testing.T) {
 	for seed := range uint64(200) {
 		for _, cfg := range []Config{singleConfig(seed), pairConfig(seed)} {
-			if diff := cmp.Diff(mustGenerate(t, cfg), mustGenerate(t, cfg)); diff != "" {
+			if diff := gocmp.Diff(mustGenerate(t, cfg), mustGenerate(t, cfg)); diff != "" {
 				t.Fatalf("%s, seed %d: %s", cfg.Mode, seed, diff)
 			}
 		}
