--- a/deploy/mixeddays/single.go
+++ b/deploy/mixeddays/single.go
@@ -91,13 +91,15 @@
 }
 
 // plannedChance is the chance that all losses of the owner on a day are planned.
-const plannedChance = 0.4
+const plannedChance = 0.5
 
 var (
 	// aheadOfDisruption is the time from the first loss of an owner to the disruption, where the loss comes first.
 	aheadOfDisruption = Range{0.1, 1.5} // seconds
 	// betweenOwners is shorter than the leases of workers, so that an owner is lost while it waits for workers lost before.
 	betweenOwners = Range{0.1, 6} // seconds
+	// betweenCloseOwners is shorter than an owner needs to store since when workers have been lost.
+	betweenCloseOwners = Range{0.3, 1.5} // seconds
 )
 
 // addOwnerLosses adds losses of the owner, all planned or of any kind. The first is as often before, at and after the disruption.
@@ -117,7 +119,10 @@
 	case 1:
 		at += g.between(betweenOwners)
 	}
-	distance := g.between(betweenOwners) // the same between all, so that some days have all close together
+	distance := g.between(betweenOwners)
+	if g.chance(0.5) {
+		distance = g.between(betweenCloseOwners)
+	}
 	for range count {
 		drawn := pick(g.random, losses)
 		loss := drawn.Disruption
--- a/deploy/mixeddays/single_test.go
+++ b/deploy/mixeddays/single_test.go
@@ -95,7 +95,7 @@
 		if plannedLosses == 3 {
 			planned++
 		}
-		if losses[2].At-losses[0].At <= 3 {
+		if losses[2].At-losses[0].At <= 2*betweenCloseOwners.High {
 			closely++
 		}
 		for i, loss := range losses {
@@ -109,8 +109,8 @@
 			}
 		}
 	}
-	if least := 400; before < least || at < least || after < least || planned < least || closely < least {
-		t.Errorf("owner lost %d times before, %d at and %d after the disruption, %d times as planned, %d times close together, want %d or more each",
+	if least := 400; before < least || at < least || after < least || planned < least || closely < 2*least {
+		t.Errorf("owner lost %d times before, %d at and %d after the disruption, %d times as planned, %d times close together, want %d or more each, twice as many close together",
 			before, at, after, planned, closely, least)
 	}
 	if len(ways) != len(ownerLosses) {
