--- a/core/schedule/unreported_end_test.go
+++ b/core/schedule/unreported_end_test.go
@@ -15,7 +15,7 @@
 	)
 	lose := func(h *harness, id WorkerID) {
 		delete(h.workers, id)
-		h.s.PollFailed(h.now, id)
+		h.s.PollFailed(h.now, id, Grant{})
 	}
 	for name, c := range map[string]struct {
 		happens func(h *harness, id WorkerID)
@@ -23,13 +23,13 @@
 		most    time.Duration                 // 0 for the wait without the end
 	}{
 		"worker lost":                 {happens: lose},
-		"worker lost, polled in vain": {happens: lose, each: func(h *harness, id WorkerID) { h.s.PollFailed(h.now, id) }},
+		"worker lost, polled in vain": {happens: lose, each: func(h *harness, id WorkerID) { h.s.PollFailed(h.now, id, Grant{}) }},
 		"results lost, then the worker": {happens: func(h *harness, id WorkerID) {
 			h.s.ReportsLost(id)
 			lose(h, id)
 		}},
 		"relay lost, then the worker": {happens: func(h *harness, id WorkerID) {
-			h.s.PollerLost(id, h.now.Boot)
+			h.s.PollerLost(id, Grant{At: h.now.Boot, Lease: testLease})
 			lose(h, id)
 		}},
 		"overtaken answer, then the worker": {happens: func(h *harness, id WorkerID) {
@@ -40,7 +40,7 @@
 		"results lost": {happens: func(h *harness, id WorkerID) { h.s.ReportsLost(id) }, most: nextReport},
 		"the end is dropped after a number of another process": {happens: func(h *harness, id WorkerID) { h.workers[id].ended = nil }, most: nextReport},
 		"the next process answers": {happens: func(h *harness, id WorkerID) {
-			h.s.PollFailed(h.now, id)
+			h.s.PollFailed(h.now, id, Grant{})
 			h.restart(id)
 			h.workers[id].incarnation, h.workers[id].info.StartedMs = otherProcess, otherProcess
 		}, most: nextReport + reportingStep}, // the crash is stored first
@@ -84,7 +84,7 @@
 	)
 	for name, loss := range map[string]func(h *harness, id WorkerID){
 		"results lost": func(h *harness, id WorkerID) { h.s.ReportsLost(id) },
-		"relay lost":   func(h *harness, id WorkerID) { h.s.PollerLost(id, h.now.Boot) },
+		"relay lost":   func(h *harness, id WorkerID) { h.s.PollerLost(id, Grant{At: h.now.Boot, Lease: testLease}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newStartedHarness(t, 3)
@@ -94,16 +94,16 @@
 			id := h.workerOf(task)
 			delete(h.workers, id)
 			lost := h.now.Boot
-			h.s.PollFailed(h.now, id)
+			h.s.PollFailed(h.now, id, Grant{})
 			next := lost + every
 			h.waitOf(task, func() {
 				if h.now.Boot >= next && h.now.Boot < lost+lasts {
 					loss(h, id)
-					h.s.PollFailed(h.now, id)
+					h.s.PollFailed(h.now, id, Grant{})
 					next += every
 				}
 			})
-			if waited, most := h.now.Boot-lost, withholdAfter+notice+h.s.cfg.leaseBound()+reportingStep; waited > most {
+			if waited, most := h.now.Boot-lost, answerTime+repeatTime+notice+h.s.cfg.leaseBound()+reportingStep; waited > most {
 				t.Errorf("the service has waited for %v, want at most %v", waited, most)
 			}
 		})
