--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -135,12 +135,6 @@
 	return ""
 }
 
-// HasServicesAndFillers reports whether service tasks and filler tasks share a worker, which is then polled more often.
-func (s *Scheduler) HasServicesAndFillers(id WorkerID) bool {
-	w, known := s.workers[id]
-	return known && w.services > 0 && w.fillerCPU > 0
-}
-
 // Services returns the number of service tasks on a worker.
 func (s *Scheduler) Services(id WorkerID) int {
 	if w, known := s.workers[id]; known {
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -36,8 +36,8 @@
 	// pollWait is how long a worker may hold a poll open until a task ends. Each poll also extends the worker's task
 	// leases.
 	pollWait = time.Second
-	// servicePollWait replaces pollWait on workers that run filler tasks beside service tasks: the tail latency of the
-	// services has to be monitored more often. So have workers that run a task which may crash them: it is below
+	// servicePollWait replaces pollWait on workers that run services: their tail latency has to be monitored more often, and a next owner
+	// has to know soon that such a worker is silent. So have workers that run a task which may crash them: it is below
 	// schedule.MaxUnobserved, so that their crash is noticed in time.
 	servicePollWait = 400 * time.Millisecond
 )
@@ -114,7 +114,7 @@
 // sends the assignment again if anything in it has changed. o.mu is held.
 func (o *Owner) assignWorker(info schedule.WorkerInfo) {
 	wait := pollWait
-	if o.scheduler.HasServicesAndFillers(info.ID) || o.scheduler.OnProbation(info.ID) {
+	if o.scheduler.Services(info.ID) > 0 || o.scheduler.OnProbation(info.ID) {
 		wait = servicePollWait
 	}
 	l, assigned := o.linkOf[info.ID]
