--- a/core/schedule/former_calls.go
+++ b/core/schedule/former_calls.go
@@ -3,8 +3,8 @@
 import "time"
 
 // A poll or a start names the end of a lease on the clock of the process that it is meant for. The next process of the worker has the same
-// ID, but another clock: it shortens the lease only to the longest one that it grants, and it may carry out such a call long after it was
-// sent. So the leases of a process that has taken the place of another one may last longer than those of any other.
+// ID, but another clock: it shortens the lease only to the longest one that it grants, and such a call may reach it long after it was
+// sent, as long as anything reaches it. So the leases of a process that has taken the place of another one may last longer than others.
 
 // formerCallsStep is the accuracy of the stored time, so that it is not written again with each change of the known workers.
 const formerCallsStep = time.Second
@@ -21,8 +21,8 @@
 	if address != "" && w.answeredAddress != "" && address != w.answeredAddress {
 		return
 	}
+	w.leaseEnd = max(w.leaseEnd, now+s.cfg.longestLeaseBound())
 	end := s.formerCallsEnd(now, w) + s.cfg.longestLeaseBound()
-	w.leaseEnd = max(w.leaseEnd, end)
 	if end <= now+s.cfg.leaseBound() {
 		return // a later owner waits for as long in any case
 	}
@@ -53,6 +53,12 @@
 	return s.cfg.Term > 1 && now-s.takeoverAt < s.cfg.CallDelay
 }
 
+// leaseEnd returns when the leases that calls to former processes have extended have certainly expired, if none has reached the worker since
+// a boot time.
+func (c formerCalls) leaseEnd(cfg Config, reachedUntil time.Duration) time.Duration {
+	return min(reachedUntil+cfg.longestLeaseBound(), c.leasesEnd)
+}
+
 // last reports whether leases that calls to former processes have extended may last.
 func (c formerCalls) last(now time.Duration) bool { return now < c.leasesEnd }
 
--- a/core/schedule/inherited_lease.go
+++ b/core/schedule/inherited_lease.go
@@ -24,7 +24,7 @@
 		w.inheritRemaining(begunAt, info.LeaseRemaining)
 		return
 	}
-	w.leaseEnd = max(w.leaseEnd, w.inherited.until, w.formerCalls.leasesEnd)
+	w.leaseEnd = max(w.leaseEnd, w.inherited.until, w.formerCalls.leaseEnd(s.cfg, begunAt+s.cfg.HandoverGrace))
 }
 
 // RecordTaskLease records the longest lease that the relay of a worker grants; 0 if it does not tell, as relays of former versions. It is
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -18,7 +18,7 @@
 		w.becomeUnclear()
 		s.recordGap(now.Boot, w)
 		w.withholdAt(now.Boot)
-		w.stopExtending(s.cfg, granted)
+		w.stopExtending(s.cfg, granted, now.Boot)
 		s.recordSilence(now, w)
 	}
 }
@@ -38,7 +38,7 @@
 	if !w.withheld.marked {
 		w.withholdAt(s.calledAt + answerTime)
 		w.leasesExtended, w.granted = true, true
-		w.stopExtending(s.cfg, last)
+		w.stopExtending(s.cfg, last, s.calledAt+unreachableAfter)
 	}
 }
 
@@ -74,10 +74,11 @@
 	return w.leaseEnd, true
 }
 
-// stopExtending records that no lease on the worker follows the given one, unless the worker reports again.
-func (w *worker) stopExtending(cfg Config, last Grant) {
+// stopExtending records that no lease on the worker follows the given one, and that nothing reaches the worker from a boot time on, unless it
+// reports again.
+func (w *worker) stopExtending(cfg Config, last Grant, reachedUntil time.Duration) {
 	if w.leasesExtended {
-		w.leaseEnd = max(w.leaseEnd, last.end(cfg))
+		w.leaseEnd = max(w.leaseEnd, last.end(cfg), w.formerCalls.leaseEnd(cfg, reachedUntil))
 	}
 	w.leasesExtended = false
 	w.suspect = true
