--- a/core/schedule/lease_bound_test.go
+++ b/core/schedule/lease_bound_test.go
@@ -76,3 +76,18 @@
 		})
 	}
 }
+
+// Scenario: a relay has released a worker and polls it again, and a poll of its former session fails after the present one has granted a
+// lease; then a poll of that one fails. Guards against a second run: the first failure tells of an older lease, and the second one, which
+// tells of the latest, counts for nothing.
+func TestLaterFailureThatTellsOfALaterLeaseCounts(t *testing.T) {
+	h := lostSince(t)
+	former := Grant{At: h.now.Boot - time.Second, Lease: testLease}
+	h.s.PollFailed(h.now, "w1", former)
+	h.advanceClock(100 * time.Millisecond)
+	latest := Grant{At: h.now.Boot - 200*time.Millisecond, Lease: testLease}
+	h.s.PollFailed(h.now, "w1", latest)
+	if end, _ := h.s.LeasesEnd("w1"); end < latest.At+h.s.cfg.leaseBound() {
+		t.Errorf("the leases count as expired %v after the latest one was granted, want %v", end-latest.At, h.s.cfg.leaseBound())
+	}
+}
