--- a/core/schedule/former_calls_test.go
+++ b/core/schedule/former_calls_test.go
@@ -183,3 +183,22 @@
 		})
 	}
 }
+
+// Scenario: the next process of a worker listens elsewhere, and the one after it at the former address again, all within the time in which a
+// call may be carried out late; that one runs a task, and its path is cut. Guards against a second run of the task: a poll for the first
+// process, carried out late, has extended the lease of the third one.
+func TestCallsToAFormerAddressOutlastAProcessElsewhere(t *testing.T) {
+	h, w, _ := replacedProcess(t, "elsewhere")
+	former := h.now.Boot - time.Second // when the first process was lost: timed calls to it were sent until then
+	h.advanceClock(time.Second)
+	w.incarnation, w.info.Address = 3, "w1"
+	h.report("w1")
+	h.startOn(w)
+	h.addWorker("w2", nil)
+	granted := Grant{At: h.now.Boot, Lease: testLease}
+	h.s.PollFailed(h.now, "w1", granted)
+	end, _ := h.s.LeasesEnd("w1")
+	if want := former + testCallDelay + h.s.cfg.longestLeaseBound(); end < want {
+		t.Errorf("the leases count as expired %v after the first process was lost, want %v", end-former, want-former)
+	}
+}
