--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -9,10 +9,10 @@
 // not answer as running until then.
 
 // PollFailed records that a worker did not answer a poll, and the latest lease that its relay has granted. Until its next report its task
-// leases are no longer extended. If the relay does not tell when the lease begins, it counts from now, as the longest one.
+// leases are no longer extended. If the relay does not tell when the lease begins, it counts from now.
 func (s *Scheduler) PollFailed(now Time, id WorkerID, granted Grant) {
 	if granted.At == 0 || granted.At > now.Boot {
-		granted = Grant{At: now.Boot}
+		granted.At = now.Boot
 	}
 	if w, known := s.workers[id]; known {
 		w.becomeUnclear()
--- a/core/schedule/lease_bound_test.go
+++ b/core/schedule/lease_bound_test.go
@@ -45,8 +45,8 @@
 		wait    time.Duration // from the failure of the poll
 	}{
 		"beginning and length not known": {Grant{}, expiry(longestTestLease)},
-		"beginning not known":            {Grant{Lease: testLease}, expiry(longestTestLease)},
-		"beginning in the future":        {Grant{At: 24 * time.Hour, Lease: testLease}, expiry(longestTestLease)},
+		"beginning not known":            {Grant{Lease: testLease}, expiry(testLease)},
+		"beginning in the future":        {Grant{At: 24 * time.Hour, Lease: testLease}, expiry(testLease)},
 		"length not known":               {Grant{At: time.Hour}, expiry(longestTestLease) - time.Second - 2*time.Millisecond},
 		"longer":                         {Grant{At: time.Hour, Lease: 8 * time.Second}, expiry(8*time.Second) - time.Second - 2*time.Millisecond},
 	} {
--- a/pkg/dispatch/lease_window_test.go
+++ b/pkg/dispatch/lease_window_test.go
@@ -56,7 +56,7 @@
 	const offset, sinceGrant, took = time.Hour, 1500 * time.Millisecond, 100 * time.Millisecond
 	for name, c := range map[string]struct{ relayLease, sentAt, wait time.Duration }{
 		"this version":   {shortLease, -sinceGrant, time.Duration(1.03*float64(shortLease)) + 500*time.Millisecond - sinceGrant},
-		"nothing yet":    {shortLease, 0, time.Duration(1.03*float64(longestLease)) + 500*time.Millisecond},
+		"nothing yet":    {shortLease, 0, time.Duration(1.03*float64(shortLease)) + 500*time.Millisecond},
 		"former version": {0, 0, time.Duration(1.03*float64(longestLease)) + 500*time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
