--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -43,9 +43,9 @@
 }
 
 // LeasesPermitted records that task leases of a worker may be granted, up to the given one, by a process that polls it no longer for
-// this owner, or has not stopped yet.
+// this owner, or has not stopped yet. Those of a worker whose remaining lease is to be stored are not extended by that process either.
 func (s *Scheduler) LeasesPermitted(id WorkerID, last Grant) {
-	if w, known := s.workers[id]; known {
+	if w, known := s.workers[id]; known && !w.withheld.marked {
 		w.leaseEnd = max(w.leaseEnd, last.end(s.cfg))
 	}
 }
