--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -11,7 +11,8 @@
 // PollFailed records that a worker did not answer a poll, and the latest lease that its relay has granted. Until its next report its task
 // leases are no longer extended. If the relay does not tell when the lease begins, it counts from now.
 func (s *Scheduler) PollFailed(now Time, id WorkerID, granted Grant) {
-	if granted.At == 0 || granted.At > now.Boot {
+	told := granted.At != 0
+	if !told || granted.At > now.Boot {
 		granted.At = now.Boot
 	}
 	if w, known := s.workers[id]; known {
@@ -19,6 +20,9 @@
 		s.recordGap(now.Boot, w)
 		w.withholdAt(now.Boot)
 		w.stopExtending(s.cfg, granted, now.Boot)
+		if told { // an earlier failure may have told of a lease before this one
+			w.leaseEnd = max(w.leaseEnd, granted.end(s.cfg))
+		}
 		s.recordSilence(now, w)
 	}
 }
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -223,6 +223,9 @@
 	}
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
+	if current, assigned := s.relay.sessions[req.Worker.ID]; assigned && current != s {
+		return // the worker was released and assigned again, and the present session may have granted later leases
+	}
 	// Both under one lock: a lease that is granted after a later answer does not precede the report of the failure.
 	s.relay.addReportLocked(s.term, s.recordFailure(req, sent, err))
 }
