--- a/test/fleet/cut_crashes_test.go
+++ b/test/fleet/cut_crashes_test.go
@@ -72,6 +72,14 @@
 
 // crashBehindCut cuts a worker off, crashes it after cutBeforeCrash, and ends the cut.
 func (s *site) crashBehindCut(id string) {
+	s.behindCut(id, func(w *fleet.Worker) {
+		time.Sleep(cutBeforeCrash)
+		w.CrashUnderNewID()
+	})
+}
+
+// behindCut cuts a worker off while something happens to it.
+func (s *site) behindCut(id string, happens func(w *fleet.Worker)) {
 	for _, w := range s.platform.Workers() {
 		if present, _ := w.Listed(); present != id {
 			continue
@@ -79,8 +87,40 @@
 		address := w.Endpoint().Address
 		link := s.links[slices.IndexFunc(s.links, func(p *faultproxy.Proxy) bool { return p.Addr() == address })]
 		link.Cut(faultproxy.Both...)
-		time.Sleep(cutBeforeCrash)
-		w.CrashUnderNewID()
+		happens(w)
 		healLink(link)
 	}
 }
+
+// Scenario: the worker of a short task is cut off, the task is done behind the cut, the worker crashes right after that, and the end of the
+// cut breaks its connections, all within schedule.MaxUnobserved after the worker's last answer; the same happens to the next worker.
+// Guards against a job that is shown as failed although no worker has crashed under its task.
+func TestShortTaskDoneBehindCutsIsNotGivenUp(t *testing.T) {
+	const cuts = 2 // with as many crashes of its workers that are certain a task is given up
+	s := newSite(t, fleet.Config{Seed: 50, Datacentres: []string{"dc1"}, Workers: 6, RunTime: shortTasks}, 3)
+	id := jobID(1)
+	s.submit(0, id, oneTaskJob)
+	task, attempt := taskName(id, 0, 0), int64(0)
+	for range cuts {
+		run, found := s.awaitRunAfter(id, task, attempt)
+		if !found {
+			break
+		}
+		attempt = run.Attempt
+		time.Sleep(confirmTime)
+		s.crashOnceDoneBehindCut(run)
+	}
+	s.awaitState(0, id, "completed")
+}
+
+// crashOnceDoneBehindCut cuts the worker of a run off until the run has ended, crashes it, and ends the cut.
+func (s *site) crashOnceDoneBehindCut(run fleet.Run) {
+	s.behindCut(run.Worker, func(w *fleet.Worker) {
+		poll.Until(s.t, run.Task+" ends", func() bool {
+			return slices.ContainsFunc(s.platform.History(), func(r fleet.Run) bool {
+				return r.Task == run.Task && r.Attempt == run.Attempt && !r.Ended.IsZero()
+			})
+		})
+		w.CrashUnderNewID()
+	})
+}
