--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -62,19 +62,31 @@
 	if !known {
 		return 0
 	}
-	if report.SentAt < w.polledAt { // a later poll was answered first; the next report lists again what this one lists
-		s.recordExtended(w)
-		w.becomeUnclear() // it may list the end of an attempt that no other report does if the worker crashes now
-		if w.incarnation != report.Incarnation {
-			return 0 // the processes number their ends independently
-		}
-		return w.lastEnd
+	if report.SentAt < w.polledAt {
+		return s.ignoreOvertaken(w, report)
 	}
 	s.recordProcess(now, w, report)
+	s.recordReport(now.Boot, w, report)
+	s.applyRunning(now, w, report)
+	s.applyEnded(now, w, report)
+	if len(report.Ended) < maxEndedPerReport {
+		s.resolveAbsent(now, w, report)
+	}
+	s.updateSlowness(now.Boot, w)
+	s.guardServices(now, w)
+	if s.contested[w.place()] {
+		s.removeSuperseded(now, s.latestByPlace())
+	}
+	return w.lastEnd
+}
+
+// recordReport records that a worker has answered a poll, and what that says about it whatever its report lists.
+func (s *Scheduler) recordReport(now time.Duration, w *worker, report Report) {
 	w.polledAt = report.SentAt
-	w.recordAnswered(now.Boot)
-	w.reportedAt = now.Boot
-	s.reviewEntry(now.Boot, w)
+	w.recordAnswered(now)
+	w.reportedAt = now
+	w.reports++
+	s.reviewEntry(now, w)
 	s.recordExtended(w)
 	w.suspect = false
 	w.silence, w.brokenAt = answering, 0
@@ -82,25 +94,38 @@
 	s.forgetSilent(w)
 	s.stopAwaiting(w)
 	s.setAnswers(w, true)
-	w.reports++
 	s.recordAddress(w, report.Address)
-	s.applyRunning(now, w, report)
-	s.applyEnded(now, w, report)
-	if len(report.Ended) < maxEndedPerReport {
-		s.resolveAbsent(now, w, report)
+}
+
+// ignoreOvertaken handles a report whose poll was sent before that of the last report that was applied. The next report lists again what
+// this one lists. It returns the number of the latest end of its process that was applied.
+func (s *Scheduler) ignoreOvertaken(w *worker, report Report) (lastEnd int64) {
+	s.recordExtended(w)
+	if w.mayListUnappliedEnd(report) {
+		w.becomeUnclear()
 	}
-	s.updateSlowness(now.Boot, w)
-	s.guardServices(now, w)
-	if s.contested[w.place()] {
-		s.removeSuperseded(now, s.latestByPlace())
+	if w.incarnation != report.Incarnation {
+		return 0 // the processes number their ends independently
 	}
 	return w.lastEnd
 }
 
+// mayListUnappliedEnd reports whether a report that is not applied may list an end that has not been applied. No other report lists it if the
+// worker crashes now.
+func (w *worker) mayListUnappliedEnd(report Report) bool {
+	if w.incarnation != report.Incarnation || len(report.Ended) >= maxEndedPerReport {
+		return true
+	}
+	return slices.ContainsFunc(report.Ended, func(end Ended) bool { return end.Number > w.lastEnd && !w.appliedEnds[end.listed()] })
+}
+
 // recordProcess records which process of a worker has reported.
 func (s *Scheduler) recordProcess(now Time, w *worker, report Report) {
 	switch {
 	case w.incarnation != report.Incarnation:
+		if w.incarnation != 0 || s.mayReplaceFormer(now.Boot, w, report.Incarnation) {
+			s.recordFormerCalls(now.Boot, w, report.Address)
+		}
 		if w.incarnation != 0 && !countsFewer(report.Incarnation, w.incarnation) {
 			s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID})
 			s.workerCrashed(now, w, startAfter(w.incarnation, report.Incarnation), report.SentAt, report.lists)
@@ -112,6 +137,7 @@
 		w.incarnation = report.Incarnation
 	case w.endsRenumbered(report.Ended):
 		s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Reason: "numbers of ends"})
+		s.recordFormerCalls(now.Boot, w, report.Address)
 	default:
 		return
 	}
@@ -235,7 +261,7 @@
 	case EndDone:
 		s.taskDone(now, w, t)
 	case EndFailed:
-		s.taskFailed(now, w, t, end.Attempt, a.ranLong(now.Boot))
+		s.taskFailed(now, w, t, end.Attempt, t.mayHaveRunLong(now.Boot, a))
 	}
 }
 
@@ -275,14 +301,19 @@
 	}
 }
 
-// ranLong reports whether an attempt, if it is known, is of a service and has run for so long that its failure need not be the worker's.
-func (a *attempt) ranLong(now time.Duration) bool {
-	return a != nil && a.task.step.spec.Service && a.confirmedAt > 0 && now-a.confirmedAt >= restartOverdueAfter
+// mayHaveRunLong reports whether the task is of a service and its failed attempt a may have run for so long that the failure need not be
+// the worker's. Nothing tells how long it ran if another owner started it, before the first report or after it: a is nil or was adopted.
+func (t *task) mayHaveRunLong(now time.Duration, a *attempt) bool {
+	if !t.step.spec.Service {
+		return false
+	}
+	startedHere := a != nil && a.orderedAt > 0
+	return !startedHere || a.confirmedAt > 0 && now-a.confirmedAt >= restartOverdueAfter
 }
 
 // taskFailed records that an attempt of a task has failed on a worker. Services fail at any time and never succeed, so that their
-// failures on a sound worker would add up: those of attempts that ran long say nothing about it.
-func (s *Scheduler) taskFailed(now Time, w *worker, t *task, number int64, ranLong bool) {
+// failures on a sound worker would add up: only those of attempts that certainly did not run long count against it.
+func (s *Scheduler) taskFailed(now Time, w *worker, t *task, number int64, mayHaveRunLong bool) {
 	// After a takeover the ends reported by several workers arrive in any order, and some are already stored.
 	if slices.Contains(t.failed, number) {
 		return
@@ -294,7 +325,7 @@
 		s.markDirty(j)
 	}
 	t.recordFailedOn(now.Boot, w.info.ID)
-	if !ranLong && w.health.recordFailure(now.Boot, j.rec.ID) {
+	if !mayHaveRunLong && w.health.recordFailure(now.Boot, j.rec.ID) {
 		s.emit(Event{Kind: EventWorkerInBackOff, Worker: w.info.ID, Value: w.health.until.Seconds()})
 	}
 	limit := j.rec.Queue.MaxFailures
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -26,12 +26,21 @@
 	// maxAckAge is the age of a worker's last answer up to which polls acknowledge its ends. It is too short for a worker to
 	// start again and to complete a task, whose end would be acknowledged with the number of a former one.
 	maxAckAge = 400 * time.Millisecond
+	// reconnectTimeout replaces pollTimeout after a poll that has failed. The leases of a worker that can be reached again may be
+	// about to expire, so it has to be found soon.
+	reconnectTimeout = 300 * time.Millisecond
+	// fullTimeoutEvery is the number of failed polls after which one has pollTimeout again, for workers that answer slowly. It is odd, as
+	// the polls of a worker that is listed elsewhere go to two addresses in turns.
+	fullTimeoutEvery = 3
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
 	// minLeaseRemaining is the minimum remaining time of a lease that is granted.
 	minLeaseRemaining = 50 * time.Millisecond
 	// minClockRate is the assumed minimum rate of a worker's clock relative to this host's boot clock.
 	minClockRate = 0.98
+	// lapsedAfter is the time from the end of the owner's permission until it counts as lapsed. Within it a lease is shorter by as much
+	// at most, and the permission usually comes with the next call of the owner.
+	lapsedAfter = 600 * time.Millisecond
 )
 
 // session polls one worker. Its mutable fields are guarded by Relay.mu.
@@ -49,7 +58,9 @@
 	newestEnd   int64               // newest task end that the worker has reported
 	storedEnd   int64               // newest task end that is stored
 	lastPollOK  bool                // the worker answered the last poll
+	failedPolls int                 // number of polls that have failed since the last answer
 	acceptedAt  time.Duration       // boot time at which the worker last accepted an order
+	grantedAt   time.Duration       // boot time at which the latest lease that was granted begins; 0 before the first
 	broken      bool                // the connection of the first failed poll since the last answer broke soon after it
 	failedAt    time.Duration       // boot time of that failure
 	clockMs     int64               // last reading of the worker's clock, in milliseconds
@@ -68,6 +79,9 @@
 			pause.For(ctx, pollRetryDelay)
 			continue
 		}
+		if req.LeaseToMs == 0 && s.mayGrant() {
+			continue // the leases may be about to expire, so the next poll does not wait for ends to be stored
+		}
 		s.awaitStored(ctx)
 	}
 }
@@ -92,7 +106,7 @@
 	if s.storedEnd >= s.newestEnd && req.AckedEnd == s.storedEnd {
 		req.Wait = s.wait
 	}
-	if (!granted || s.permissionLapsed()) && !s.withhold {
+	if !granted || s.permissionLapsed() {
 		req.Wait = min(req.Wait, unpermittedWait)
 	}
 	return req, true
@@ -139,25 +153,39 @@
 // there would be no time at which its leases have certainly expired. Leases end at most one task lease after the
 // owner's permission, and none is granted while the owner has them withheld. Relay.mu is held.
 func (s *session) grant() (leaseToMs int64, ok bool) {
-	if !s.lastPollOK || s.withhold {
+	from, ok := s.grantFrom()
+	if !ok {
 		return 0, false
 	}
-	now := bootclock.Uptime()
-	from := min(now, s.relay.leaseUntil)
-	lease := s.relay.cfg.TaskLease
-	if from+lease < now+minLeaseRemaining {
+	s.grantedAt = max(s.grantedAt, from)
+	elapsed := time.Duration(float64(from-s.clockReadAt) * minClockRate)
+	return s.clockMs + (elapsed + s.relay.cfg.TaskLease).Milliseconds(), true
+}
+
+// grantFrom returns the boot time at which a lease that is granted now begins; ok is false if none may be granted. Relay.mu is held.
+func (s *session) grantFrom() (from time.Duration, ok bool) {
+	if !s.lastPollOK || s.withhold {
 		return 0, false
 	}
-	elapsed := time.Duration(float64(from-s.clockReadAt) * minClockRate)
-	return s.clockMs + (elapsed + lease).Milliseconds(), true
+	now := bootclock.Uptime()
+	from = min(now, s.relay.leaseUntil)
+	return from, from+s.relay.cfg.TaskLease >= now+minLeaseRemaining
+}
+
+// mayGrant reports whether the next poll may extend the worker's leases.
+func (s *session) mayGrant() bool {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	_, ok := s.grantFrom()
+	return ok
 }
 
-// permissionLapsed reports whether the owner's permission to extend leases has ended. Relay.mu is held.
-func (s *session) permissionLapsed() bool { return bootclock.Uptime() > s.relay.leaseUntil }
+// permissionLapsed reports whether the owner's permission to extend leases has ended some time ago. Relay.mu is held.
+func (s *session) permissionLapsed() bool { return bootclock.Uptime() > s.relay.leaseUntil+lapsedAfter }
 
 // poll sends a poll request and adds the report to the results. It reports whether the poll succeeded.
 func (s *session) poll(ctx context.Context, req PollRequest) bool {
-	call, cancel := context.WithTimeout(ctx, req.Wait+pollTimeout)
+	call, cancel := context.WithTimeout(ctx, req.Wait+s.answerTimeout())
 	defer cancel()
 	sent := bootclock.Uptime()
 	reply, err := s.relay.cfg.Workers.Poll(call, req)
@@ -177,30 +205,43 @@
 	return true
 }
 
+// answerTimeout returns the timeout of the next poll, in addition to its wait.
+func (s *session) answerTimeout() time.Duration {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	if s.failedPolls%fullTimeoutEvery == 0 {
+		return pollTimeout
+	}
+	return reconnectTimeout
+}
+
 // pollFailed records that a poll of the worker, sent at a boot time, has failed.
 func (s *session) pollFailed(req PollRequest, sent time.Duration, err error) {
 	if errors.Is(err, ErrFenced) {
 		s.relay.markFenced(s.term)
 		return
 	}
-	s.relay.addReport(s.term, WorkerReport{Worker: req.Worker.ID, Failed: s.recordFailure(req, sent, err)})
-}
-
-// recordFailure records that a poll, sent at a boot time, has failed, and returns the reason for the owner. Only where the worker has
-// answered last does a broken connection say something about its process.
-func (s *session) recordFailure(req PollRequest, sent time.Duration, err error) (reason string) {
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
+	// Both under one lock: a lease that is granted after a later answer does not precede the report of the failure.
+	s.relay.addReportLocked(s.term, s.recordFailure(req, sent, err))
+}
+
+// recordFailure records that a poll, sent at a boot time, has failed, and returns the report for the owner. Only where the worker has
+// answered last does a broken connection say something about its process. Relay.mu is held.
+func (s *session) recordFailure(req PollRequest, sent time.Duration, err error) WorkerReport {
 	if s.lastPollOK {
 		s.failedAt = bootclock.Uptime()
 		s.broken = breaksConnection(err) && req.Worker.Address == s.address && s.failedAt-s.observedAt(sent) <= schedule.MaxUnobserved
 	}
 	s.lastPollOK = false
+	s.failedPolls++
 	s.tryListed = req.Worker.Address == s.address
+	report := WorkerReport{Worker: req.Worker.ID, Failed: err.Error(), Report: schedule.Report{SentAt: s.grantedAt}}
 	if s.broken {
-		return connectionBroken + err.Error()
+		report.Failed = connectionBroken + report.Failed
 	}
-	return err.Error()
+	return report
 }
 
 // observedAt returns the boot time up to which the relay knows what the worker ran. sent is when the poll was sent that has failed
@@ -239,7 +280,7 @@
 		s.newestEnd, s.storedEnd = 0, 0
 	}
 	s.clockMs, s.clockReadAt, s.lastPollOK = reply.ClockMs, bootclock.Uptime(), true
-	s.broken = false
+	s.failedPolls, s.broken = 0, false
 	for _, end := range reply.Report.Ended {
 		s.newestEnd = max(s.newestEnd, end.Number)
 	}
