--- a/core/schedule/lone_crash_test.go
+++ b/core/schedule/lone_crash_test.go
@@ -40,7 +40,7 @@
 func crashUnobserved(back time.Duration, beside ...WorkerID) func(h *harness, ids []WorkerID) {
 	return func(h *harness, ids []WorkerID) {
 		for _, id := range slices.Concat(ids, beside) {
-			h.s.PollFailed(h.now, id)
+			h.s.PollFailed(h.now, id, Grant{})
 		}
 		h.store()
 		h.advanceClock(back)
