--- a/core/schedule/short_crash_test.go
+++ b/core/schedule/short_crash_test.go
@@ -83,7 +83,7 @@
 					id := h.workerOf(taskID("crashing", 0, 0))
 					h.advanceClock(c.after)
 					if c.uncertain && total == 1 {
-						h.s.PollFailed(h.now, id)
+						h.s.PollFailed(h.now, id, Grant{})
 					} else {
 						h.breakConnection(id)
 					}
--- a/core/schedule/unreported_end_test.go
+++ b/core/schedule/unreported_end_test.go
@@ -15,7 +15,7 @@
 	)
 	lose := func(h *harness, id WorkerID) {
 		delete(h.workers, id)
-		h.s.PollFailed(h.now, id)
+		h.s.PollFailed(h.now, id, Grant{})
 	}
 	for name, c := range map[string]struct {
 		happens func(h *harness, id WorkerID)
@@ -23,13 +23,13 @@
 		most    time.Duration                 // 0 for the wait without the end
 	}{
 		"worker lost":                 {happens: lose},
-		"worker lost, polled in vain": {happens: lose, each: func(h *harness, id WorkerID) { h.s.PollFailed(h.now, id) }},
+		"worker lost, polled in vain": {happens: lose, each: func(h *harness, id WorkerID) { h.s.PollFailed(h.now, id, Grant{}) }},
 		"results lost, then the worker": {happens: func(h *harness, id WorkerID) {
 			h.s.ReportsLost(id)
 			lose(h, id)
 		}},
 		"relay lost, then the worker": {happens: func(h *harness, id WorkerID) {
-			h.s.PollerLost(id, h.now.Boot)
+			h.s.PollerLost(id, Grant{At: h.now.Boot})
 			lose(h, id)
 		}},
 		"overtaken answer, then the worker": {happens: func(h *harness, id WorkerID) {
@@ -40,7 +40,7 @@
 		"results lost": {happens: func(h *harness, id WorkerID) { h.s.ReportsLost(id) }, most: nextReport},
 		"the end is dropped after a number of another process": {happens: func(h *harness, id WorkerID) { h.workers[id].ended = nil }, most: nextReport},
 		"the next process answers": {happens: func(h *harness, id WorkerID) {
-			h.s.PollFailed(h.now, id)
+			h.s.PollFailed(h.now, id, Grant{})
 			h.restart(id)
 			h.workers[id].incarnation, h.workers[id].info.StartedMs = otherProcess, otherProcess
 		}, most: nextReport + reportingStep}, // the crash is stored first
@@ -75,16 +75,23 @@
 }
 
 // Scenario: a worker is lost, and from then on the results of its relay are lost, or the relay itself, every 500 ms for 6 s. Guards against
-// a wait that begins anew with each such loss: once the relay withholds the leases, nothing can have extended them.
+// a wait that begins anew with each such loss: nothing has extended the leases once the relay withholds them, nor after the latest grant
+// where the relay tells it.
 func TestLossesOfResultsRenewTheWaitOnlyUntilLeasesAreWithheld(t *testing.T) {
 	const (
 		every  = 500 * time.Millisecond
 		lasts  = 6 * time.Second
 		notice = 2 * reportingStep // the relay is told, and its results are collected
 	)
-	for name, loss := range map[string]func(h *harness, id WorkerID){
-		"results lost": func(h *harness, id WorkerID) { h.s.ReportsLost(id) },
-		"relay lost":   func(h *harness, id WorkerID) { h.s.PollerLost(id, h.now.Boot) },
+	for name, c := range map[string]struct {
+		loss  func(h *harness, id WorkerID)
+		tells bool          // failed polls tell the latest grant
+		last  time.Duration // from the loss to the latest grant that counts
+	}{
+		"results lost, grant told":   {loss: func(h *harness, id WorkerID) { h.s.ReportsLost(id) }, tells: true},
+		"results lost, grant unsaid": {loss: func(h *harness, id WorkerID) { h.s.ReportsLost(id) }, last: withholdAfter + notice},
+		"relay lost": {loss: func(h *harness, id WorkerID) { h.s.PollerLost(id, Grant{At: h.now.Boot}) }, tells: true,
+			last: withholdAfter + notice},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newStartedHarness(t, 3)
@@ -94,17 +101,21 @@
 			id := h.workerOf(task)
 			delete(h.workers, id)
 			lost := h.now.Boot
-			h.s.PollFailed(h.now, id)
+			var granted Grant
+			if c.tells {
+				granted.At = lost
+			}
+			h.s.PollFailed(h.now, id, granted)
 			next := lost + every
 			h.waitOf(task, func() {
 				if h.now.Boot >= next && h.now.Boot < lost+lasts {
-					loss(h, id)
-					h.s.PollFailed(h.now, id)
+					c.loss(h, id)
+					h.s.PollFailed(h.now, id, granted)
 					next += every
 				}
 			})
-			if waited, most := h.now.Boot-lost, withholdAfter+notice+h.s.cfg.leaseBound()+reportingStep; waited > most {
-				t.Errorf("the service has waited for %v, want at most %v", waited, most)
+			if end := (Grant{At: lost + c.last}).end(h.s.cfg) + reportingStep; h.now.Boot > end {
+				t.Errorf("the service has waited for %v, want at most %v", h.now.Boot-lost, end-lost)
 			}
 		})
 	}
