--- a/core/schedule/unreported_end_test.go
+++ b/core/schedule/unreported_end_test.go
@@ -89,9 +89,9 @@
 		last  time.Duration // from the loss to the latest grant that counts
 	}{
 		"results lost, grant told":   {loss: func(h *harness, id WorkerID) { h.s.ReportsLost(id) }, tells: true},
-		"results lost, grant unsaid": {loss: func(h *harness, id WorkerID) { h.s.ReportsLost(id) }, last: answerTime+repeatTime + notice},
+		"results lost, grant unsaid": {loss: func(h *harness, id WorkerID) { h.s.ReportsLost(id) }, last: answerTime + repeatTime + notice},
 		"relay lost": {loss: func(h *harness, id WorkerID) { h.s.PollerLost(id, Grant{At: h.now.Boot}) }, tells: true,
-			last: answerTime+repeatTime + notice},
+			last: answerTime + repeatTime + notice},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newStartedHarness(t, 3)
