--- a/core/schedule/former_calls.go
+++ b/core/schedule/former_calls.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A poll or a start names the end of a lease on the clock of the process that it is meant for. The next process of the worker has the same
 // ID, but another clock: it shortens the lease only to the longest one that it grants, and such a call may reach it long after it was
@@ -15,14 +18,24 @@
 	handedOut bool          // a set of known workers with them was handed out to be stored
 }
 
+// calledAddress is an address to which timed calls for a former process of a worker were sent.
+type calledAddress struct {
+	address string
+	until   time.Duration // boot time up to which such a call may be carried out
+}
+
 // recordFormerCalls records how long the leases of a process that now reports for the first time to this owner, from an address, may last
-// because of calls to the former one. One that listens elsewhere does not get them.
+// because of calls to former ones. A process gets only those that were sent to its address.
 func (s *Scheduler) recordFormerCalls(now time.Duration, w *worker, address string) {
+	callsEnd := s.formerCallsEnd(now, w)
 	if address != "" && w.answeredAddress != "" && address != w.answeredAddress {
-		return
+		callsEnd = w.leaveAddress(now, callsEnd, address)
+		if callsEnd == 0 {
+			return
+		}
 	}
 	w.leaseEnd = max(w.leaseEnd, now+s.cfg.longestLeaseBound())
-	end := s.formerCallsEnd(now, w) + s.cfg.longestLeaseBound()
+	end := callsEnd + s.cfg.longestLeaseBound()
 	if end <= now+s.cfg.leaseBound() {
 		return // a later owner waits for as long in any case
 	}
@@ -32,6 +45,19 @@
 	s.index.markChanged(w)
 }
 
+// leaveAddress records until when calls to the address at which the worker has answered may be carried out, and returns until when those to
+// its next address may, which were sent to an earlier process there; 0 if there are none.
+func (w *worker) leaveAddress(now, until time.Duration, next string) (nextUntil time.Duration) {
+	w.calledAddresses = slices.DeleteFunc(w.calledAddresses, func(c calledAddress) bool { return c.until <= now })
+	for _, c := range w.calledAddresses {
+		if c.address == next {
+			nextUntil = max(nextUntil, c.until)
+		}
+	}
+	w.calledAddresses = append(w.calledAddresses, calledAddress{w.answeredAddress, until})
+	return nextUntil
+}
+
 // formerCallsEnd returns until when timed calls to the former process of a worker may be carried out. Those of former owners have no effect
 // once the present process has answered a poll of this one.
 func (s *Scheduler) formerCallsEnd(now time.Duration, w *worker) time.Duration {
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -58,6 +58,7 @@
 	withheld         withholding
 	withholdFrom     time.Duration // unless leasesExtended: when its leases are withheld if it has not answered by then
 	formerCalls      formerCalls
+	calledAddresses  []calledAddress // of former processes that listened elsewhere
 	inherited        inheritedLease
 	longerLeases     bool               // a relay of this owner may have granted leases longer than Config.TaskLease
 	lastEnd          int64              // number of the latest end that was applied
