--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -41,9 +41,6 @@
 		if f.moves != nil {
 			number = f.moves.started // starts may repeat
 		}
-		if worker.cut != nil { // the former ID goes to the next relay, as no process of it is polled any more
-			f.s.PollerLost(worker.info.ID, Grant{At: worker.cut.permittedUntil, Lease: testLease})
-		}
 		worker.info.ID = WorkerID(fmt.Sprint(worker.info.Address, "-", number))
 		worker.cut = nil
 	}
