--- a/core/schedule/lease_bound.go
+++ b/core/schedule/lease_bound.go
@@ -10,7 +10,7 @@
 
 // LeaseGrantWindow is how long relays may grant task leases after the owner has sent the latest renewal that the store has confirmed. A
 // later owner waits for it and the lease. A renewal is older at times, as they come every 300 ms and relays are told every 250 ms; the leases
-// are shorter by that. They outlast an outage of the store of 5 s.
+// are shorter by that. They usually outlast an outage of the store of 5 s.
 const LeaseGrantWindow = 200 * time.Millisecond
 
 const (
