--- a/core/schedule/former_calls_test.go
+++ b/core/schedule/former_calls_test.go
@@ -38,7 +38,7 @@
 // Scenario: a poll for the former process of a worker reaches the next one late, which runs a task, and whose path is cut then. Guards
 // against a second run of the task: the poll has extended the lease by the longest one that the worker grants. A process at another address
 // cannot get that poll, so that its tasks wait no longer than those of others.
-func TestLeasesAfterARestartOutseenAtsToTheFormerProcess(t *testing.T) {
+func TestLeasesAfterARestartOutlastCallsToTheFormerProcess(t *testing.T) {
 	for _, address := range []string{"w1", "elsewhere"} {
 		t.Run(address, func(t *testing.T) {
 			h, w, _ := replacedProcess(t, address)
