--- a/deploy/mixeddays/generate.go
+++ b/deploy/mixeddays/generate.go
@@ -45,6 +45,10 @@
 	Most  int // disruptions
 	Site  Site
 	Known map[Kind]bool // kinds that the site plays; nil: all
+	Mode  Mode          // Mixed, Single or Pair; empty: Mixed
+
+	LeastOwners int // losses of the owner, in days of mode Pair
+	MostOwners  int
 
 	LeastCrashes int // crashes of workers in a row, beside the disruptions
 	MostCrashes  int // 0: none
@@ -55,6 +59,7 @@
 	random    *rand.Rand
 	rows      []Row
 	crashRows []Row
+	known     map[Kind]bool
 	removals  *removals
 }
 
@@ -64,11 +69,15 @@
 		random:    rand.New(rand.NewPCG(cfg.Seed, 0)),
 		rows:      rowsOf(rows, cfg.Known),
 		crashRows: rowsOf(crashRows, cfg.Known),
+		known:     cfg.Known,
 		removals:  newRemovals(cfg.Site),
 	}
 	if len(g.rows) == 0 || len(g.crashRows) == 0 && cfg.MostCrashes > 0 {
 		return Day{}, errNoRows
 	}
+	if cfg.Mode == Single || cfg.Mode == Pair {
+		return g.single(cfg)
+	}
 	day := Day{
 		Name:   fmt.Sprintf("mixed-%d", cfg.Seed),
 		Seed:   cfg.Seed,
@@ -126,6 +135,9 @@
 		row := pick(g.random, g.rows)
 		variant := pick(g.random, row.variants())
 		drawn := g.entry(row, variant)
+		if g.chance(shortChance) {
+			drawn.Length = g.short()
+		}
 		if g.removals.take(drawn, variant) {
 			return drawn, max(row.Section, variant.Section)
 		}
