--- a/core/schedule/foreseen_hold.go
+++ b/core/schedule/foreseen_hold.go
@@ -26,7 +26,7 @@
 // holdOf returns which places first starts leave free in a pool. In one that is little used, the platform allows first starts to wait
 // for 3 s at most, also while workers are silent, and restarts that may run on any worker find room.
 func (s *Scheduler) holdOf(now time.Duration, pool workload.PoolName) foreseenHold {
-	if s.isLittleUsed(now, pool) {
+	if s.useOf(now, pool).little {
 		return foreseenHold{labelledOnly: true, bound: lastResortAfter}
 	}
 	return foreseenHold{bound: s.maxForeseenHold()}
--- a/core/schedule/guard.go
+++ b/core/schedule/guard.go
@@ -268,26 +268,41 @@
 // also returns the largest rise of the logarithm of a service's tail latency that the new filler alone causes when it
 // uses all the cores that it demands.
 func (s *Scheduler) predictTail(now time.Duration, w *worker, filler *task) (tail, maxRise float64) {
+	s.eachPressed(now, w, filler, func(service *attempt, rise, recent float64) {
+		maxRise = max(maxRise, rise)
+		tail = max(tail, service.tailRatio()*math.Exp(rise+recent))
+	})
+	return tail, maxRise
+}
+
+// eachPressed calls visit for each service of a worker on whose tail latency a further filler presses. rise is by how much it raises the
+// logarithm of the tail latency when it uses all the cores that it demands, recent what fillers add that started too recently to show in the
+// metrics.
+func (s *Scheduler) eachPressed(now time.Duration, w *worker, filler *task, visit func(service *attempt, rise, recent float64)) {
 	if w.services == 0 {
-		return 0, 0
+		return
 	}
-	recent := w.recentFillers(now)
+	others := w.recentFillers(now)
 	for _, service := range w.attemptList {
 		spec := service.task.step.spec
 		if !spec.Service || spec.TailTargetMs <= 0 || service.overByOwnLoad(now) {
 			continue
 		}
-		rise := s.interference.pressure(service.task, filler) * float64(filler.step.spec.Size.MilliCPU) / 1000
+		rise := s.riseBy(service, filler)
 		if rise == 0 {
 			continue
 		}
-		maxRise = max(maxRise, rise)
-		for _, other := range recent {
-			rise += s.interference.pressure(service.task, other.task) * float64(other.task.step.spec.Size.MilliCPU) / 1000
+		recent := 0.0
+		for _, other := range others {
+			recent += s.riseBy(service, other.task)
 		}
-		tail = max(tail, service.tailRatio()*math.Exp(rise))
+		visit(service, rise, recent)
 	}
-	return tail, maxRise
+}
+
+// riseBy returns by how much a filler raises the logarithm of a service's tail latency when it uses all the cores that it demands.
+func (s *Scheduler) riseBy(service *attempt, filler *task) float64 {
+	return s.interference.pressure(service.task, filler) * float64(filler.step.spec.Size.MilliCPU) / 1000
 }
 
 // recentFillers returns the fillers that started too recently to show in the metrics of their worker.
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -20,24 +20,25 @@
 
 // step is one step of one occurrence.
 type step struct {
-	job           *job
-	spec          workload.Step
-	imageIndex    int // index of spec.Image in the interference model
-	occurrence    int
-	index         int
-	tasks         []*task
-	unmetDeps     int // earlier steps that are not done
-	dependents    []*step
-	unfinished    int           // tasks that are not done
-	pending       int           // tasks that have no attempt and are not done
-	openedAt      time.Duration // when the steps that it depends on were done, or the job was added
-	retryAt       time.Duration // when a search for capacity is worth trying again
-	unplacedAt    time.Duration // time of the latest planning run in which it was due and no worker was found for a task
-	fitsNowhereIn int           // latest pass of searches for fillers in which the step had its turn, see hadTurn; 0 if none
-	urgency       urgency       // as of the last planning run
-	heldFor       time.Duration // for how long foreseen restarts have held back first starts, see maxForeseenHold
-	heldAt        time.Duration // when they did so last
-	searchFrom    int           // position among the workers with spare time from which searchFurther continues
+	job              *job
+	spec             workload.Step
+	imageIndex       int // index of spec.Image in the interference model
+	occurrence       int
+	index            int
+	tasks            []*task
+	unmetDeps        int // earlier steps that are not done
+	dependents       []*step
+	unfinished       int           // tasks that are not done
+	pending          int           // tasks that have no attempt and are not done
+	openedAt         time.Duration // when the steps that it depends on were done, or the job was added
+	retryAt          time.Duration // when a search for capacity is worth trying again
+	unplacedAt       time.Duration // time of the latest planning run in which it was due and no worker was found for a task
+	throttledRetryAt time.Duration // when it is worth looking again for a worker that bears a throttled filler
+	fitsNowhereIn    int           // latest pass of searches for fillers in which the step had its turn, see hadTurn; 0 if none
+	urgency          urgency       // as of the last planning run
+	heldFor          time.Duration // for how long foreseen restarts have held back first starts, see maxForeseenHold
+	heldAt           time.Duration // when they did so last
+	searchFrom       int           // position among the workers with spare time from which searchFurther continues
 }
 
 // task is one task of a step.
--- a/core/schedule/last_resort.go
+++ b/core/schedule/last_resort.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"fulmarcourse.example/core/structs"
 	"fulmarcourse.example/core/workload"
 )
 
@@ -25,8 +26,9 @@
 
 // poolUse is whether a pool was little used in a planning run.
 type poolUse struct {
-	at     time.Duration // of the planning run
-	little bool
+	at           time.Duration // of the planning run
+	little       bool          // by processor time, see littleUsedShare
+	littleMemory bool          // the same by memory, which fillers use as well
 }
 
 // chooseLastResort returns the best of the workers that are the last resort of a pending task, if the pool is little used; nil if there
@@ -77,20 +79,21 @@
 // littleUsed reports whether a pool was little used when a planning run first asked.
 func (s *Scheduler) littleUsed(now time.Duration, pool workload.PoolName, p *poolIndex) bool {
 	if p.use.at != now {
-		p.use = poolUse{now, s.isLittleUsed(now, pool)}
+		p.use = s.useOf(now, pool)
 	}
 	return p.use.little
 }
 
-// isLittleUsed reports whether the processor time that is reserved on a pool's workers on which tasks may start is below the share that
-// littleUsedShare states.
-func (s *Scheduler) isLittleUsed(now time.Duration, pool workload.PoolName) bool {
-	capacity, reserved := int64(0), int64(0)
+// useOf returns whether what is reserved on a pool's workers on which tasks may start is below the share that littleUsedShare states.
+func (s *Scheduler) useOf(now time.Duration, pool workload.PoolName) poolUse {
+	var capacity, reserved structs.Resources
 	for _, w := range s.sortedWorkers {
 		if w.info.Pool == pool && s.closed(now, w) == Suitable {
-			capacity = addLimited(capacity, w.info.Capacity.MilliCPU)
-			reserved = addLimited(reserved, w.reserved.MilliCPU)
+			capacity.MilliCPU = addLimited(capacity.MilliCPU, w.info.Capacity.MilliCPU)
+			capacity.MemoryBytes = addLimited(capacity.MemoryBytes, w.info.Capacity.MemoryBytes)
+			reserved.MilliCPU = addLimited(reserved.MilliCPU, w.reserved.MilliCPU)
+			reserved.MemoryBytes = addLimited(reserved.MemoryBytes, w.reserved.MemoryBytes)
 		}
 	}
-	return reserved < capacity/littleUsedShare
+	return poolUse{now, reserved.MilliCPU < capacity.MilliCPU/littleUsedShare, reserved.MemoryBytes < capacity.MemoryBytes/littleUsedShare}
 }
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -129,6 +129,9 @@
 		}
 		w.full = fullBackOff{}
 		s.confirm(now.Boot, a)
+		if a.filler() {
+			s.pace(now.Boot, a, a.share)
+		}
 	case Unanswered:
 		w.suspect = true
 		a.task.ran = true // it may run there, as one that a former owner has started
--- a/core/schedule/plan.go
+++ b/core/schedule/plan.go
@@ -37,10 +37,12 @@
 	}
 	s.restartFirst(&cycle)
 	s.preempt(&cycle)
-	for _, st := range s.stepsByUrgency(now) {
+	steps := s.stepsByUrgency(now)
+	for _, st := range steps {
 		s.restartBefore(&cycle, st)
 		s.startStep(&cycle, st)
 	}
+	s.startThrottledFillers(now, steps)
 	if !s.incomplete {
 		s.fillerPass++
 	}
--- /dev/null
+++ b/core/schedule/throttled_start.go
@@ -0,0 +1,107 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// A filler starts at full speed where the services are expected to stay well within their targets. There may be no such worker for as long as
+// the services run, if the filler presses hard on them. While the pool is in use, it waits. In a pool that is little used, a job of which
+// nothing runs starts one filler at the share of full speed that the services of a worker bear, and the guard changes that as they allow.
+
+const (
+	// maxThrottledStarts is the maximum number of steps for which a planning run looks for a worker that bears a throttled filler. Each time
+	// all workers are rated.
+	maxThrottledStarts = 16
+	// taskPenalty is the weight of one task on a worker relative to the share of full speed that a throttled filler gets there, so that those
+	// with a share of 0 are spread.
+	taskPenalty = 0.001
+)
+
+// startThrottledFillers starts fillers of jobs of which nothing runs, among the steps that the planning run has tried.
+func (s *Scheduler) startThrottledFillers(now Time, steps []*step) {
+	searches := 0
+	for _, st := range steps {
+		t := s.stalledFiller(now, st)
+		if t == nil {
+			continue
+		}
+		if searches++; searches > maxThrottledStarts {
+			return
+		}
+		w, share := s.chooseThrottled(now, t)
+		if w == nil {
+			st.throttledRetryAt = now.Boot + fillerRetryDelay
+			continue
+		}
+		s.start(now.Boot, t, w)
+		t.attempts[0].share = share
+	}
+}
+
+// stalledFiller returns a filler of a step that has found no worker for lastResortAfter although its pool is little used, if nothing of its
+// occurrence runs; nil if there is none.
+func (s *Scheduler) stalledFiller(now Time, st *step) *task {
+	if !st.spec.Filler || st.unplacedAt != now.Boot || now.Boot < st.throttledRetryAt || !s.roomForFillers(now.Boot, st) || st.occurrenceRuns() {
+		return nil
+	}
+	waits := func(t *task) bool {
+		return t.pending() && !s.mayRunElsewhere(t) && !s.heldBack(now.Boot, t) && now.Boot-s.waitsSince(t) >= lastResortAfter
+	}
+	if n := slices.IndexFunc(st.tasks, waits); n >= 0 {
+		return st.tasks[n]
+	}
+	return nil
+}
+
+// roomForFillers reports whether the pool of a step is little used, also by the memory of fillers.
+func (s *Scheduler) roomForFillers(now time.Duration, st *step) bool {
+	pool := st.job.rec.Queue.Pool
+	p := s.index.pools[pool]
+	return p != nil && s.littleUsed(now, pool, p) && p.use.littleMemory
+}
+
+// occurrenceRuns reports whether a task of the step's occurrence has an attempt.
+func (st *step) occurrenceRuns() bool {
+	if st.job.attempts == 0 {
+		return false
+	}
+	n := len(st.job.rec.Steps)
+	return slices.ContainsFunc(st.job.steps[st.occurrence*n:(st.occurrence+1)*n], func(other *step) bool {
+		return slices.ContainsFunc(other.tasks, func(t *task) bool { return len(t.attempts) > 0 })
+	})
+}
+
+// chooseThrottled returns the worker on which a filler is expected to run fastest without harm to the services, and the share of full speed,
+// in percent, at which it starts there; nil if no worker has the capacity.
+func (s *Scheduler) chooseThrottled(now Time, t *task) (*worker, int) {
+	var best candidate
+	bestShare := 0
+	for _, w := range s.sortedWorkers {
+		switch s.obstacle(now, t, w) {
+		case Suitable, WaitSpare, WaitServiceTarget:
+		default:
+			continue
+		}
+		share := s.bearableShare(now.Boot, w, t)
+		spare := float64(max(w.spareFillerCPU(), 0)) / float64(max(t.step.spec.Size.MilliCPU, 1))
+		next := candidate{w, w.hasLabel(t.step.spec.DataRack), min(float64(share)/fullShare, spare) - taskPenalty*float64(len(w.attemptList))}
+		if next.better(best) {
+			best, bestShare = next, share
+		}
+	}
+	return best.worker, bestShare
+}
+
+// bearableShare returns the share of full speed, in percent, up to which a further filler on a worker is expected to keep the tail latencies of
+// the services below tailStart; 0 if one is over its target and fillers may be the cause.
+func (s *Scheduler) bearableShare(now time.Duration, w *worker, filler *task) int {
+	if w.mayBeOverByFillers(now) {
+		return 0
+	}
+	share := 1.0
+	s.eachPressed(now, w, filler, func(service *attempt, rise, recent float64) {
+		share = min(share, max(service.headroom(tailStart)-recent, 0)/rise)
+	})
+	return int(share * fullShare)
+}
--- /dev/null
+++ b/core/schedule/throttled_start_test.go
@@ -0,0 +1,105 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarcourse.example/core/workload"
+)
+
+// lostAfter is the time for which the platform lets a job with nothing running wait beside free capacity.
+const lostAfter = 3 * time.Second
+
+// nearTarget returns a simulation whose workers each run services near their target, so that a heavy filler fits beside none of them, in a pool
+// of which a share is reserved for services. The services of a worker need 4 of its 16 cores each.
+func nearTarget(t *testing.T, servicesPerWorker int) *interferenceSim {
+	const workers = 4
+	sim := newInterferenceSim(t, workers)
+	sim.base = 0.8 * targetTailMs
+	for n := range servicesPerWorker {
+		step := serviceStep("sensitive", workers)
+		step.MaxPerWorker = 1
+		sim.s.AddJob(testJob(workload.JobID(fmt.Sprintf("service%d", n)), step), nil, false)
+	}
+	for range 5 {
+		sim.step()
+	}
+	return sim
+}
+
+// waitFor plays steps until the job has an attempt, and returns how long that took; false if it has none after limit.
+func (sim *interferenceSim) waitFor(job workload.JobID, limit time.Duration) (time.Duration, bool) {
+	from := sim.now.Boot
+	for sim.now.Boot-from < limit {
+		if sim.s.jobs[job].attempts > 0 {
+			return sim.now.Boot - from, true
+		}
+		sim.step()
+	}
+	return limit, false
+}
+
+// Scenario: on all workers of a pool that is little used, services are near their target by their own load, so that fillers of a heavy image
+// would take them over it. Guards against a job that waits for as long as the services run, though most of the room is free.
+func TestFillersOfAStalledJobStartInALittleUsedPool(t *testing.T) {
+	sim := nearTarget(t, 1)
+	for n := range 6 {
+		sim.s.AddJob(testJob(workload.JobID(fmt.Sprintf("heavy%d", n)), fillerStep("heavy", 3)), nil, false)
+	}
+	for n := range 6 {
+		if waited, started := sim.waitFor(workload.JobID(fmt.Sprintf("heavy%d", n)), lostAfter); !started {
+			t.Errorf("nothing of job %d runs after %v", n, waited)
+		}
+	}
+	for range 40 {
+		sim.step()
+	}
+	if sim.longestOver >= 4*time.Second {
+		t.Errorf("a service was over its target for %v", sim.longestOver)
+	}
+}
+
+// Guards against a throttled filler that runs at full speed until the next report of its worker: the order that slows it has to follow its
+// start at once.
+func TestThrottledFillerIsSlowedOnceItRuns(t *testing.T) {
+	sim := nearTarget(t, 1)
+	sim.s.AddJob(testJob("heavy", fillerStep("heavy", 1)), nil, false)
+	if _, started := sim.waitFor("heavy", lostAfter); !started {
+		t.Fatal("the filler does not start")
+	}
+	orders := sim.s.TakeOrders()
+	if len(orders) != 1 || orders[0].Kind != OrderPace || orders[0].Percent >= fullShare {
+		t.Errorf("orders %+v after the start, want one that slows the filler", orders)
+	}
+}
+
+// Guards against throttled fillers that take room in a pool that is in use, those of a job of which something runs, and those that have not
+// waited: the services are disturbed for little gain.
+func TestThrottledFillersAreTheLastResort(t *testing.T) {
+	for name, c := range map[string]struct {
+		servicesPerWorker int
+		wait              time.Duration
+		running           bool
+	}{
+		"pool in use":            {2, lostAfter, false},
+		"the job has not waited": {1, time.Second, false},
+		"a task of the job runs": {1, lostAfter, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := nearTarget(t, c.servicesPerWorker)
+			job := testJob("heavy", fillerStep("heavy", 1))
+			if c.running {
+				job.Steps = append(job.Steps, testStep(1))
+			}
+			sim.s.AddJob(job, nil, false)
+			filler := sim.s.task(taskID("heavy", 0, 0))
+			for from := sim.now.Boot; sim.now.Boot-from < c.wait; {
+				sim.step()
+			}
+			if len(filler.attempts) > 0 {
+				t.Error("the filler has started")
+			}
+		})
+	}
+}
