--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -10,7 +10,7 @@
 type job struct {
 	rec             workload.Job
 	state           workload.State // StatePending until a task has started
-	endedMs         int64          // when a final state was reached, Unix milliseconds; 0 before
+	endedMs         int64          // when a final state was reached, by the clock of the partition, see retention.go; 0 before
 	inherited       bool           // a former owner may have started its tasks
 	steps           []*step
 	unfinishedSteps int   // steps that are not done
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -138,7 +138,6 @@
 // restore applies stored progress to a new job.
 func (j *job) restore(p workload.Progress) {
 	j.state = p.State
-	j.endedMs = p.EndedMs
 	if j.state == "" {
 		j.state = workload.StatePending
 	}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -42,6 +42,7 @@
 	knownWorkersChanged bool              // the set of known workers has changed since it was last stored
 	withholdingChanged  bool              // see TakeWithholdingChanged
 	interference        *interference
+	retention           retentionClock
 	dirty               map[*job]struct{}           // jobs whose progress has changed since it was stored
 	earlyCancels        map[workload.JobID]Time     // cancellations of jobs that have not been added yet, by arrival
 	suspects            map[*task]struct{}          // tasks with crashes on record
@@ -109,6 +110,7 @@
 	}
 	if progress != nil {
 		j.restore(*progress)
+		j.endedMs = s.inheritedEndMs(progress.EndedMs)
 	}
 	if j.state.Final() {
 		return
@@ -126,7 +128,7 @@
 // AddEndedJob adds a job that ended under a former owner. Only its state is kept.
 func (s *Scheduler) AddEndedJob(id workload.JobID, progress workload.Progress) {
 	if _, known := s.jobs[id]; !known {
-		s.jobs[id] = &job{rec: workload.Job{ID: id}, state: progress.State, endedMs: progress.EndedMs}
+		s.jobs[id] = &job{rec: workload.Job{ID: id}, state: progress.State, endedMs: s.inheritedEndMs(progress.EndedMs)}
 	}
 }
 
@@ -177,7 +179,7 @@
 // finish sets the final state of a job and stops its attempts.
 func (s *Scheduler) finish(now Time, j *job, state workload.State) {
 	j.state = state
-	j.endedMs = now.UnixMs
+	j.endedMs = s.RetentionClock(now.Boot)
 	s.markDirty(j)
 	for _, st := range j.steps {
 		delete(s.openSteps, st)
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -150,18 +150,6 @@
 	delete(s.jobs, id)
 }
 
-// JobsEndedBefore returns the jobs that reached a stored final state before a time in Unix milliseconds and have no
-// attempts left.
-func (s *Scheduler) JobsEndedBefore(unixMs int64) []workload.JobID {
-	var ids []workload.JobID
-	for id, j := range s.jobs {
-		if _, dirty := s.dirty[j]; j.state.Final() && !dirty && j.attempts == 0 && j.endedMs < unixMs {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Worker returns the description of a worker in the platform's list.
 func (s *Scheduler) Worker(id WorkerID) (WorkerInfo, bool) {
 	w, known := s.workers[id]
--- a/core/workload/progress.go
+++ b/core/workload/progress.go
@@ -10,7 +10,7 @@
 // and the checkpoints from which they resume. Running attempts are not part of it; the workers list them.
 type Progress struct {
 	State   State          `json:"state"`
-	EndedMs int64          `json:"ended_ms,omitempty"` // Unix milliseconds at which a final state was reached
+	EndedMs int64          `json:"ended_ms,omitempty"` // when a final state was reached, in milliseconds of the partition's clock
 	Steps   []StepProgress `json:"steps,omitempty"`    // steps with any progress
 }
 
--- a/pkg/dispatch/deletion_test.go
+++ b/pkg/dispatch/deletion_test.go
@@ -46,7 +46,7 @@
 func endedJobs(o *Owner) []workload.JobID {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.scheduler.JobsEndedBefore(bootclock.Now().UnixMs + 1)
+	return o.scheduler.JobsEndedFor(bootclock.Uptime(), 0)
 }
 
 // Guards against a job that is taken for a new one because one batch of changes shows its creation and its deletion.
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -48,6 +48,10 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	retentionMs, err := o.readRetentionClock(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	known, err := o.readKnownWorkers(ctx)
 	if err != nil {
 		return errors.Trace(err)
@@ -58,6 +62,7 @@
 	workers, complete := known.infos()
 	var awaited schedule.AwaitedWorkers
 	o.updateAndPlan(func(s *schedule.Scheduler, now schedule.Time) {
+		s.RestoreRetentionClock(now, retentionMs)
 		o.known = known
 		s.InheritWorkers(now, workers)
 		if !complete {
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -273,9 +273,11 @@
 	return 0, errors.Trace(err)
 }
 
-// deleteLoop periodically deletes ended jobs and early cancellations whose retention has expired, until ctx ends.
+// deleteLoop periodically stores the clock with which the retention is measured and deletes ended jobs and early cancellations whose
+// retention has expired, until ctx ends.
 func (o *Owner) deleteLoop(ctx context.Context) {
 	for ctx.Err() == nil {
+		o.storeRetentionClock(ctx)
 		pause.For(ctx, deleteInterval)
 		o.deleteInParts(ctx, o.endedJobs(), o.deleteJobs)
 		o.deleteInParts(ctx, o.expiredEarlyCancels(bootclock.Uptime()), o.deleteEarlyCancels)
@@ -284,10 +286,9 @@
 
 // endedJobs returns the ended jobs whose retention has expired.
 func (o *Owner) endedJobs() []workload.JobID {
-	before := bootclock.Now().UnixMs - o.cfg.EndedJobRetention.Milliseconds()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.scheduler.JobsEndedBefore(before)
+	return o.scheduler.JobsEndedFor(bootclock.Uptime(), o.cfg.EndedJobRetention)
 }
 
 // deleteInParts calls deletePart with as many jobs at a time as a transaction may hold. It stops at the first failure; the rest is
@@ -317,5 +318,9 @@
 		return errors.Trace(err)
 	}
 	o.recordDeletions(ids, revision)
+	o.mu.Lock()
+	clock := o.scheduler.RetentionClock(bootclock.Uptime())
+	o.mu.Unlock()
+	o.cfg.Log.Event(eventlog.EndedJobsDeleted).Int64("term", o.ownership.Term).Int("count", len(ids)).Int64("clock", clock).Msg("")
 	return nil
 }
--- a/pkg/statekeys/statekeys.go
+++ b/pkg/statekeys/statekeys.go
@@ -114,6 +114,9 @@
 // Interference returns the key of the model of interference between tasks that the owners of a partition have learned.
 func Interference(p Partition) string { return fmt.Sprintf("%s%d/interference", root, p) }
 
+// RetentionClock returns the key of the latest reading of the clock with which the retention of a partition's ended jobs is measured.
+func RetentionClock(p Partition) string { return fmt.Sprintf("%s%d/retention-clock", root, p) }
+
 // Hosts is the prefix of the records of the live entry hosts, which are stored under leases.
 const Hosts = root + "hosts/"
 
