--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -133,7 +133,7 @@
 		return
 	}
 	s.retainCrashed(w)
-	c := crash{s: s, worker: w, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w), lone: s.crashesAlone(w), noPeers: !s.hasPeers(w)}
+	c := crash{s: s, worker: w, now: now, nextMs: nextMs, foundAt: foundAt, broken: s.brokeAlone(w), lone: s.crashesAlone(w), noPeers: !s.hasPeers(w)}
 	for _, a := range w.attemptList {
 		if !survives(a.key()) {
 			c.addAttempt(now, a)
@@ -156,6 +156,7 @@
 type crash struct {
 	s       *Scheduler
 	worker  *worker
+	now     Time
 	nextMs  int64         // start of the next process, Unix milliseconds; 0 if unknown
 	foundAt time.Duration // see workerCrashed
 	broken  bool          // the connection to the worker broke soon after its last answer, see break.go
@@ -227,7 +228,7 @@
 // add adds the crash to the record of a task that certainly ran until sinceMs, Unix milliseconds. If its lease may have
 // expired before the crash, the task does not count.
 func (c *crash) add(t *task, sinceMs int64, ran time.Duration, found evidence) {
-	if c.nextMs >= sinceMs+c.s.cfg.TaskLease.Milliseconds() {
+	if c.mayHaveOutlastedLease(sinceMs) {
 		return
 	}
 	entry := c.worker.process()
@@ -240,6 +241,14 @@
 	}
 }
 
+// mayHaveOutlastedLease reports whether the next process may have started after the lease of a task had expired that certainly ran until
+// sinceMs, Unix milliseconds. The start that it states is a time on the clock of another machine, which may differ, so it matters only if
+// the process was not found before that by this owner's clock.
+func (c *crash) mayHaveOutlastedLease(sinceMs int64) bool {
+	expiryMs := sinceMs + c.s.cfg.TaskLease.Milliseconds()
+	return c.now.UnixMs >= expiryMs && c.nextMs >= expiryMs
+}
+
 // certainlyRan reports whether the worker ran the attempt until it stopped answering.
 func (a *attempt) certainlyRan() bool {
 	return a.confirmedAt > 0 && !a.stoppedInTime && !a.crashCounted
--- a/core/schedule/cut_crash_test.go
+++ b/core/schedule/cut_crash_test.go
@@ -17,7 +17,9 @@
 		delete(h.workers, id)
 	}
 	for n, id := range ids {
-		h.addWorker(id+suffix, func(info *WorkerInfo) { info.Address, info.StartedMs = addresses[n], h.now.UnixMs })
+		h.addWorker(id+suffix, func(info *WorkerInfo) {
+			info.Address, info.StartedMs = addresses[n], h.now.UnixMs+h.workersAhead.Milliseconds()
+		})
 	}
 }
 
@@ -168,37 +170,43 @@
 const backAfter = 3 * time.Second
 
 // Scenario: a task crashes each worker right after it has accepted the task. Connections break at once, and the worker is back as another
-// process 3 s later, in two of the cases under a new owner. Guards against a crashing task that is taken for one that may have ended
-// before the crash, and takes more workers than the platform allows.
+// process 3 s later, in some of the cases under a new owner, or with a wall clock that is ahead of the owner's. Guards against a crashing task
+// that is taken for one that may have ended, or whose lease may have expired, before the crash, and takes more workers than the platform
+// allows.
 func TestTaskThatBreaksConnectionsIsGivenUp(t *testing.T) {
-	for _, takeover := range []bool{false, true} {
-		for _, service := range []bool{false, true} {
-			h := newStartedHarness(t, 8)
-			step := testStep(1)
-			step.Service = service
-			job := testJob("crashing", step)
-			task := taskID("crashing", 0, 0)
-			h.s.AddJob(job, nil, false)
-			total := 0
-			for term := int64(2); total < maxStartsOfCrashingTask; term++ {
-				ordered := len(starts(h.run()))
-				if total += ordered; ordered == 0 {
-					break
-				}
-				id := h.workerOf(task)
-				h.breakConnection(id)
-				h.store()
-				if takeover {
-					h.inherit(term, job)
-				}
-				h.advanceClock(backAfter)
-				h.restartAs("'", id)
-				h.settleWithoutStarts()
+	for _, c := range []struct {
+		takeover, service bool
+		workersAhead      time.Duration
+	}{
+		{}, {takeover: true}, {service: true}, {takeover: true, service: true},
+		{workersAhead: time.Hour}, {takeover: true, workersAhead: time.Hour},
+	} {
+		h := newStartedHarness(t, 8)
+		h.workersAhead = c.workersAhead
+		step := testStep(1)
+		step.Service = c.service
+		job := testJob("crashing", step)
+		task := taskID("crashing", 0, 0)
+		h.s.AddJob(job, nil, false)
+		total := 0
+		for term := int64(2); total < maxStartsOfCrashingTask; term++ {
+			ordered := len(starts(h.run()))
+			if total += ordered; ordered == 0 {
+				break
 			}
-			h.wantState("crashing", workload.StateFailed)
-			if total > briefCrashLimit {
-				t.Errorf("takeover %t, service %t: %d starts of a task alone on its workers, want %d", takeover, service, total, briefCrashLimit)
+			id := h.workerOf(task)
+			h.breakConnection(id)
+			h.store()
+			if c.takeover {
+				h.inherit(term, job)
 			}
+			h.advanceClock(backAfter)
+			h.restartAs("'", id)
+			h.settleWithoutStarts()
+		}
+		h.wantState("crashing", workload.StateFailed)
+		if total > briefCrashLimit {
+			t.Errorf("%+v: %d starts of a task alone on its workers, want %d", c, total, briefCrashLimit)
 		}
 	}
 }
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -28,6 +28,8 @@
 	withheld  map[WorkerID]time.Duration // since when the relays withhold leases; they are told after each planning run
 
 	relaysAway bool // the relays do not get updates
+
+	workersAhead time.Duration // of the wall clocks of processes that start again
 }
 
 // simWorker is a simulated worker that executes orders like the workers behind package relay.
