--- a/core/schedule/inherited_lease.go
+++ b/core/schedule/inherited_lease.go
@@ -11,9 +11,19 @@
 	until time.Duration // boot time at which all such leases have certainly expired; 0 for a worker that was not inherited
 }
 
+// longerLeases says whether leases of a worker may be longer than Config.TaskLease.
+type longerLeases struct {
+	recorded bool // the relay of the worker grants such leases, or one of this owner did
+	stored   bool // the stored description of the worker leaves open how long its leases are, so that later owners wait for the longest
+}
+
+// unstored reports whether a later owner would not wait for as long as the leases may last.
+func (l longerLeases) unstored() bool { return l.recorded && !l.stored }
+
 // inheritLeases takes over what a former owner has stored about the leases of a worker, before the term has begun.
 func (s *Scheduler) inheritLeases(begunAt time.Duration, w *worker, info WorkerInfo) {
 	w.inherited = inheritedLease{info.GrantedLease, begunAt + s.cfg.inheritedBound(info.GrantedLease)}
+	w.longerLeases.stored = info.GrantedLease == 0
 	if info.GrantedLease == 0 || info.GrantedLease > s.cfg.TaskLease {
 		s.unknownLeasesUntil = max(s.unknownLeasesUntil, w.inherited.until)
 	}
@@ -28,22 +38,33 @@
 }
 
 // RecordTaskLease records the longest lease that the relay of a worker grants; 0 if it does not tell, as relays of former versions. It is
-// called before the first report of the relay is applied.
+// called before the relay is permitted to extend leases of the worker. Longer leases than Config.TaskLease are withheld, and nothing starts on
+// the worker, until a later owner knows of them.
 func (s *Scheduler) RecordTaskLease(id WorkerID, lease time.Duration) {
 	w, known := s.workers[id]
-	if !known || w.longerLeases || lease > 0 && lease <= s.cfg.TaskLease {
+	if !known || w.longerLeases.recorded || lease > 0 && lease <= s.cfg.TaskLease {
+		return
+	}
+	w.longerLeases.recorded = true
+	if w.longerLeases.stored {
 		return
 	}
-	w.longerLeases = true
-	w.stored = false // until a later owner knows that
+	w.stored = false
+	s.withholdingChanged = true
 	s.knownWorkersChanged = true
 	s.index.markChanged(w)
 }
 
+// LongerLeasesUnstored reports whether the relay of a worker grants leases for which a later owner would not wait.
+func (s *Scheduler) LongerLeasesUnstored(id WorkerID) bool {
+	w, known := s.workers[id]
+	return known && w.longerLeases.unstored()
+}
+
 // grantedLease returns the longest lease that an owner may have granted on a worker; 0 if that is not known.
 func (s *Scheduler) grantedLease(now time.Duration, w *worker) time.Duration {
 	switch {
-	case w.longerLeases:
+	case w.longerLeases.recorded:
 		return 0
 	case now >= s.unknownLeasesUntil, w.inherited.lease > 0 && w.inherited.lease <= s.cfg.TaskLease:
 		return s.cfg.TaskLease
@@ -57,6 +78,9 @@
 func (s *Scheduler) infoWithLeases(now time.Duration, w *worker) WorkerInfo {
 	info := w.knownInfo()
 	info.GrantedLease = s.grantedLease(now, w)
+	if info.GrantedLease > 0 {
+		w.longerLeases.stored = false
+	}
 	info.FormerCalls = w.formerCalls.remaining(now)
 	w.formerCalls.handedOut = true
 	if w.withheld.marked {
@@ -69,7 +93,7 @@
 // leasesStoredWith reports whether the stored description of a worker tells a later owner of all leases that may last longer than
 // Config.TaskLease.
 func (w *worker) leasesStoredWith(info WorkerInfo) bool {
-	return w.formerCalls.storedWith(info) && (!w.longerLeases || info.GrantedLease == 0)
+	return w.formerCalls.storedWith(info) && (!w.longerLeases.recorded || info.GrantedLease == 0)
 }
 
 // expireFormerLeases has the known workers stored again once leases of former owners, or those that calls to former processes have
--- a/core/schedule/withhold.go
+++ b/core/schedule/withhold.go
@@ -31,7 +31,7 @@
 // WithholdsLeases reports whether relays must extend no lease of a worker.
 func (s *Scheduler) WithholdsLeases(id WorkerID) bool {
 	w, known := s.workers[id]
-	return known && w.withheld.active
+	return known && (w.withheld.active || w.longerLeases.unstored())
 }
 
 // WithholdLeases decides for which workers the leases are withheld, and for which the remaining lease is stored. confirmed and
@@ -109,6 +109,10 @@
 // recordStored records that a worker is stored without a remaining lease: later owners wait for it as long as a lease may last.
 func (s *Scheduler) recordStored(w *worker) {
 	w.stored = true
+	if w.longerLeases.unstored() {
+		w.longerLeases.stored = true
+		s.withholdingChanged = true
+	}
 	if w.withheld.mayStore && !w.withheld.marked {
 		w.withheld = withholding{}
 		s.withholdingChanged = true
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -60,7 +60,7 @@
 	formerCalls      formerCalls
 	calledAddresses  []calledAddress // of former processes that listened elsewhere
 	inherited        inheritedLease
-	longerLeases     bool               // a relay of this owner may have granted leases longer than Config.TaskLease
+	longerLeases     longerLeases
 	lastEnd          int64              // number of the latest end that was applied
 	listedEnds       map[listedEnd]bool // in the last report
 	appliedEnds      map[listedEnd]bool // ends of the process that were applied before their numbers counted anew, see renumberEnds
--- a/pkg/dispatch/lease_window_test.go
+++ b/pkg/dispatch/lease_window_test.go
@@ -33,7 +33,7 @@
 		Scope: tally.NoopScope, TaskLease: shortLease, MaxTaskLease: longestLease,
 	}, confirmedOwnership(t))
 	o.setWorkers([]schedule.WorkerInfo{{ID: testWorker, Datacentre: "dc"}})
-	l := &link{owner: o, wake: make(chan struct{}, 1), inFlight: map[orderKey]inFlight{}, workers: map[schedule.WorkerID]assignment{}}
+	l := &link{owner: o, wake: make(chan struct{}, 1), inFlight: map[orderKey]inFlight{}, workers: map[schedule.WorkerID]assignment{testWorker: {}}}
 	o.linkOf[testWorker] = l
 	now := bootclock.Uptime()
 	results := reported(now+offset, time.Millisecond, 0)
@@ -124,3 +124,55 @@
 		}
 	}
 }
+
+// Scenario: a relay of a former version polls a worker that is stored with this owner's lease. Guards against a permission with which the
+// relay extends leases before it withholds those of the worker, or a later owner knows that they may be longer.
+func TestRelayOfAFormerVersionIsPermittedOnceItWithholds(t *testing.T) {
+	for name, c := range map[string]struct {
+		relayLease time.Duration
+		change     func(o *Owner, l *link)
+		permitted  bool
+	}{
+		"this version":         {shortLease, func(*Owner, *link) {}, true},
+		"former version":       {0, func(*Owner, *link) {}, false},
+		"it withholds":         {0, func(_ *Owner, l *link) { l.withheld.since[testWorker] = bootclock.Uptime() }, true},
+		"it may not withhold":  {0, func(_ *Owner, l *link) { l.withheld.since[testWorker], l.withheld.observed = 1, false }, false},
+		"the worker is stored": {0, func(o *Owner, _ *link) { o.storeKnownWorkers() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, l, _ := grantingOwner(t, 0, c.relayLease)
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			l.withheld = newWithheldLeases()
+			l.withheld.observed = true
+			c.change(o, l)
+			if got := l.permitLeases() > 0; got != c.permitted {
+				t.Errorf("leases are permitted: %t, want %t", got, c.permitted)
+			}
+		})
+	}
+}
+
+// storeKnownWorkers records that the known workers are stored as they are. o.mu is held.
+func (o *Owner) storeKnownWorkers() {
+	known, _ := o.scheduler.KnownWorkers()
+	o.scheduler.KnownWorkersStored(known)
+}
+
+// Scenario: a worker that is stored with this owner's lease is assigned to a relay of a former version, which has answered. Guards against
+// leases that the relay extends before its next results are applied.
+func TestWorkerIsAssignedToARelayOfAFormerVersionWithoutLeases(t *testing.T) {
+	o, ctx := fleetOwner(t, 1, 1, 1, 1000)
+	l := o.links["host-00"]
+	l.stop()
+	o.linkWG.Wait() // the test takes the updates
+	o.mu.Lock()
+	o.unassign("w0", l)
+	l.relayClockReadAt, l.taskLease = bootclock.Uptime(), 0
+	o.assignWorkers(ctx)
+	o.mu.Unlock()
+	u, ok := l.takeUpdate()
+	if !ok || len(u.Assign) != 1 || !u.Assign[0].WithholdLeases || u.LeaseUntil != 0 {
+		t.Errorf("update %+v, want the worker without leases and without a permission", u)
+	}
+}
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -175,10 +175,11 @@
 // same instant on this host's clock in permittedUntil. A delayed call does not extend the permission, because the
 // limit is a reading of the relay's own clock. After a failed call no permission is given until the relay's clock has
 // been read again: the relay's host may have rebooted, which resets its boot clock. A closed link permits nothing, since
-// the owner has recorded permittedUntil for its workers. The permission holds for workers as well that the relay has not released yet.
+// the owner has recorded permittedUntil for its workers. The permission holds for workers as well that the relay has not released yet. A relay
+// that may extend leases for which a later owner would not wait gets none.
 // Owner.mu is held.
 func (l *link) permitLeases() time.Duration {
-	if l.closed || l.relayClockReadAt == 0 {
+	if l.closed || l.relayClockReadAt == 0 || l.mayExtendUnstored() {
 		return 0
 	}
 	until := l.owner.ownership.ConfirmedAt() + schedule.LeaseGrantWindow
@@ -311,7 +312,7 @@
 	o.updateAndPlan(func(s *schedule.Scheduler, now schedule.Time) {
 		l.relayClock, l.relayClockReadAt, l.lastResponseAt = results.Now, now.Boot, now.Boot
 		l.withheld.observed = results.WithholdsLeases
-		l.taskLease = results.TaskLease
+		l.recordTaskLease(s, results.TaskLease)
 		o.measures.recordResults(now.Boot, arrived, results)
 		for _, outcome := range results.Outcomes {
 			l.applyOutcome(s, now, outcome)
@@ -369,7 +370,6 @@
 		return
 	}
 	report.Report.SentAt = sentAt
-	s.RecordTaskLease(id, l.taskLease)
 	if o.unreachable[id] {
 		delete(o.unreachable, id)
 		o.cfg.Log.Event(eventlog.WorkerReachable).Str("worker", string(id)).Msg("")
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -128,6 +128,9 @@
 			return
 		}
 		o.linkOf[info.ID] = l
+		if l.relayClockReadAt > 0 {
+			o.scheduler.RecordTaskLease(info.ID, l.taskLease)
+		}
 	}
 	next := assignment{address: info.Address, datacentre: info.Datacentre, wait: wait,
 		withhold: o.scheduler.WithholdsLeases(info.ID)}
