--- a/core/schedule/cut_crash_test.go
+++ b/core/schedule/cut_crash_test.go
@@ -39,8 +39,20 @@
 // 1.2 s later; the same happens to the next worker. Guards against a job that is shown as failed although none of its tasks has
 // failed and no worker has crashed under one: nothing tells whether they ran until the crash (review of issue 30, case 1).
 func TestTaskThatEndsBehindCutsIsNotGivenUp(t *testing.T) {
+	playTaskThatEndsBehindCuts(t, 0)
+}
+
+// Guards against the same where the wall clocks of the workers are behind that of the owner: the start that the next process states lies before
+// the last answer of the former one, which is taken for a proof that the task ran until the crash (issue 52).
+func TestTaskThatEndsBehindCutsIsNotGivenUpBesideClocksThatAreBehind(t *testing.T) {
+	playTaskThatEndsBehindCuts(t, -5*time.Second)
+}
+
+func playTaskThatEndsBehindCuts(t *testing.T, workersAhead time.Duration) {
+	t.Helper()
 	for _, takeover := range []bool{false, true} {
 		h := newStartedHarness(t, 8)
+		h.workersAhead = workersAhead
 		job := testJob("job", testStep(1))
 		task := taskID("job", 0, 0)
 		h.s.AddJob(job, nil, false)
