--- a/core/schedule/last_resort.go
+++ b/core/schedule/last_resort.go
@@ -58,12 +58,17 @@
 	if !avoided && len(w.nominees) == 0 || !s.mayStartOn(now.Boot, w) || slices.Contains(t.failedOn, w.info.ID) {
 		return false
 	}
-	if w.faultyWithin(now.Boot, lastResortAfter) || w.health.tasksFailedWithin(now.Boot, lastResortAfterFailures) {
+	if w.faultyRecently(now.Boot) {
 		return false
 	}
 	return avoided && s.hasRoom(now, t, w) || s.hasKeptRoom(now, t, w)
 }
 
+// faultyRecently reports whether a worker was at fault too short a time ago to be a last resort.
+func (w *worker) faultyRecently(now time.Duration) bool {
+	return w.faultyWithin(now, lastResortAfter) || w.health.tasksFailedWithin(now, lastResortAfterFailures)
+}
+
 // hasKeptRoom reports whether a worker has the capacity and the properties that a task needs if it no longer keeps capacity for displaced
 // services, which have waited for lastResortAfter or more for tasks there to end.
 func (s *Scheduler) hasKeptRoom(now Time, t *task, w *worker) bool {
--- a/core/schedule/throttled_start.go
+++ b/core/schedule/throttled_start.go
@@ -78,9 +78,7 @@
 	var best candidate
 	bestShare := 0
 	for _, w := range s.sortedWorkers {
-		switch s.obstacle(now, t, w) {
-		case Suitable, WaitSpare, WaitServiceTarget:
-		default:
+		if !s.bearsThrottled(now, t, w) {
 			continue
 		}
 		share := s.bearableShare(now.Boot, w, t)
@@ -93,6 +91,15 @@
 	return best.worker, bestShare
 }
 
+// bearsThrottled reports whether a worker has the capacity and the properties that a throttled filler needs, and was not at fault a short time
+// ago if it is avoided.
+func (s *Scheduler) bearsThrottled(now Time, t *task, w *worker) bool {
+	if !s.mayStartOn(now.Boot, w) || slices.Contains(t.failedOn, w.info.ID) || w.avoided(now.Boot) != Suitable && w.faultyRecently(now.Boot) {
+		return false
+	}
+	return s.lacksRoom(now.Boot, t, w) == Suitable && w.lacks(t) == Suitable && w.limits(now.Boot, t) == Suitable
+}
+
 // bearableShare returns the share of full speed, in percent, up to which a further filler on a worker is expected to keep the tail latencies of
 // the services below tailStart; 0 if one is over its target and fillers may be the cause.
 func (s *Scheduler) bearableShare(now time.Duration, w *worker, filler *task) int {
--- a/core/schedule/throttled_start_test.go
+++ b/core/schedule/throttled_start_test.go
@@ -103,3 +103,16 @@
 		})
 	}
 }
+
+// Guards against a stalled job that waits while all workers are avoided as well: after a loss of all of them, workers are avoided for longer than
+// the platform lets a job wait.
+func TestFillersOfAStalledJobStartOnAvoidedWorkers(t *testing.T) {
+	sim := nearTarget(t, 1)
+	for _, w := range sim.s.workers {
+		w.stability = stability{until: sim.now.Boot + time.Minute, lostAt: sim.now.Boot - 5*time.Second}
+	}
+	sim.s.AddJob(testJob("heavy", fillerStep("heavy", 3)), nil, false)
+	if waited, started := sim.waitFor("heavy", lostAfter); !started {
+		t.Errorf("nothing of the job runs after %v", waited)
+	}
+}
