--- a/core/schedule/retention.go
+++ b/core/schedule/retention.go
@@ -35,7 +35,7 @@
 // inheritedEndMs returns when a job has ended that a former owner has recorded. One that would lie ahead was recorded after the latest
 // reading was stored, or by a wall clock.
 func (s *Scheduler) inheritedEndMs(recordedMs int64) int64 {
-	return min(recordedMs, s.retention.baseMs)
+	return min(recordedMs, s.RetentionClock(max(s.calledAt, s.retention.from)))
 }
 
 // JobsEndedFor returns the jobs that reached a stored final state longer than the retention ago and have no attempts left.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -43,6 +43,7 @@
 	withholdingChanged  bool              // see TakeWithholdingChanged
 	interference        *interference
 	retention           retentionClock
+	throttledFrom       int                         // position of the worker with which the next search for a throttled filler begins
 	dirty               map[*job]struct{}           // jobs whose progress has changed since it was stored
 	earlyCancels        map[workload.JobID]Time     // cancellations of jobs that have not been added yet, by arrival
 	suspects            map[*task]struct{}          // tasks with crashes on record
--- a/core/schedule/throttled_start.go
+++ b/core/schedule/throttled_start.go
@@ -10,9 +10,8 @@
 // nothing runs starts one filler at the share of full speed that the services of a worker bear, and the guard changes that as they allow.
 
 const (
-	// maxThrottledStarts is the maximum number of steps for which a planning run looks for a worker that bears a throttled filler. Each time
-	// all workers are rated.
-	maxThrottledStarts = 16
+	// maxThrottledChecks is the number of workers that a planning run checks for throttled fillers, after which it begins with no further step.
+	maxThrottledChecks = 4000
 	// taskPenalty is the weight of one task on a worker relative to the share of full speed that a throttled filler gets there, so that those
 	// with a share of 0 are spread.
 	taskPenalty = 0.001
@@ -20,16 +19,17 @@
 
 // startThrottledFillers starts fillers of jobs of which nothing runs, among the steps that the planning run has tried.
 func (s *Scheduler) startThrottledFillers(now Time, steps []*step) {
-	searches := 0
+	checks := 0
 	for _, st := range steps {
 		t := s.stalledFiller(now, st)
 		if t == nil {
 			continue
 		}
-		if searches++; searches > maxThrottledStarts {
+		if checks >= maxThrottledChecks {
 			return
 		}
-		w, share := s.chooseThrottled(now, t)
+		w, share, checked := s.chooseThrottled(now, t)
+		checks += checked
 		if w == nil {
 			st.throttledRetryAt = now.Boot + fillerRetryDelay
 			continue
@@ -72,23 +72,31 @@
 	})
 }
 
-// chooseThrottled returns the worker on which a filler is expected to run fastest without harm to the services, and the share of full speed,
-// in percent, at which it starts there; nil if no worker has the capacity.
-func (s *Scheduler) chooseThrottled(now Time, t *task) (*worker, int) {
+// chooseThrottled returns a worker for a filler, the share of full speed, in percent, at which it starts there without harm to the services,
+// and how many workers were checked. The first worker that bears more than slowShare is taken, else the one on which the filler is expected
+// to run fastest; nil if no worker has the capacity. The next search begins behind the workers of this one.
+func (s *Scheduler) chooseThrottled(now Time, t *task) (w *worker, share, checked int) {
 	var best candidate
-	bestShare := 0
-	for _, w := range s.sortedWorkers {
+	from := s.throttledFrom
+	for n := range s.sortedWorkers {
+		s.throttledFrom = (from + n + 1) % len(s.sortedWorkers)
+		w := s.sortedWorkers[(from+n)%len(s.sortedWorkers)]
+		checked++
 		if !s.bearsThrottled(now, t, w) {
 			continue
 		}
-		share := s.bearableShare(now.Boot, w, t)
+		borne := s.bearableShare(now.Boot, w, t)
 		spare := float64(max(w.spareFillerCPU(), 0)) / float64(max(t.step.spec.Size.MilliCPU, 1))
-		next := candidate{w, w.hasLabel(t.step.spec.DataRack), min(float64(share)/fullShare, spare) - taskPenalty*float64(len(w.attemptList))}
+		speed := min(float64(borne)/fullShare, spare)
+		next := candidate{w, w.hasLabel(t.step.spec.DataRack), speed - taskPenalty*float64(len(w.attemptList))}
 		if next.better(best) {
-			best, bestShare = next, share
+			best, share = next, borne
+		}
+		if next.hasData && speed > float64(slowShare)/fullShare {
+			break
 		}
 	}
-	return best.worker, bestShare
+	return best.worker, share, checked
 }
 
 // bearsThrottled reports whether a worker has the capacity and the properties that a throttled filler needs, and was not at fault a short time
