--- a/core/schedule/throttled_start_test.go
+++ b/core/schedule/throttled_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -116,3 +117,42 @@
 		t.Errorf("nothing of the job runs after %v", waited)
 	}
 }
+
+// Guards against a job of fillers of which nothing runs for longer than the platform allows while the pool is little used, and against services
+// that fillers keep over their target for too long: in pools of any size, with services that are far from their target, near it or over it by
+// their own load, and fillers that press on them more or less.
+func TestNoJobOfFillersWaitsInALittleUsedPool(t *testing.T) {
+	for seed := range uint64(150) {
+		rnd := rand.New(rand.NewPCG(seed, 0))
+		workers := 1 + rnd.IntN(8)
+		sim := newInterferenceSim(t, workers)
+		sim.base = targetTailMs * (0.2 + 1.2*rnd.Float64())
+		services := serviceStep("sensitive", workers)
+		services.Size.MilliCPU = 1000 + 1000*rnd.Int64N(6)
+		sim.s.AddJob(testJob("services", services), nil, false)
+		idleSince := map[workload.JobID]time.Duration{}
+		for n := range 60 {
+			if rnd.IntN(2) == 0 {
+				id := workload.JobID(fmt.Sprintf("job%02d", n))
+				step := fillerStep([]string{"heavy", "light"}[rnd.IntN(2)], 1+rnd.IntN(4))
+				step.Size.MilliCPU = 500 + 500*rnd.Int64N(8)
+				sim.s.AddJob(testJob(id, step), nil, false)
+				idleSince[id] = sim.now.Boot
+			}
+			sim.step()
+			for id := range idleSince {
+				p := sim.s.index.pools[testPool]
+				if j := sim.s.jobs[id]; j.attempts > 0 || j.state.Final() || !p.use.little || !p.use.littleMemory {
+					idleSince[id] = sim.now.Boot
+				}
+				if idle := sim.now.Boot - idleSince[id]; idle > lostAfter {
+					t.Fatalf("seed %d: nothing of %s runs for %v in a little used pool of %d workers, services at %.2f of their target", seed, id,
+						idle, workers, sim.base/targetTailMs)
+				}
+			}
+		}
+		if sim.longestOver >= 4*time.Second && sim.base < targetTailMs {
+			t.Errorf("seed %d: a service was over its target for %v", seed, sim.longestOver)
+		}
+	}
+}
