--- a/core/schedule/retention.go
+++ b/core/schedule/retention.go
@@ -21,12 +21,19 @@
 }
 
 // RestoreRetentionClock continues the clock from the latest reading that a former owner has stored, in milliseconds; 0 if there is none: former
-// versions have recorded the ends of jobs by their wall clocks. It must be called before the first job is added.
+// versions have recorded the ends of jobs by their wall clocks. It must be called before the jobs of former owners are added. Jobs that were
+// announced and have ended before are dated anew.
 func (s *Scheduler) RestoreRetentionClock(now Time, storedMs int64) {
 	if storedMs <= 0 {
 		storedMs = now.UnixMs
 	}
+	before := s.retention.read(now.Boot)
 	s.retention = retentionClock{storedMs, now.Boot}
+	for _, j := range s.jobs {
+		if j.state.Final() {
+			j.endedMs += storedMs - before
+		}
+	}
 }
 
 // RetentionClock returns the reading of the partition's clock, in milliseconds.
--- a/core/schedule/retention_test.go
+++ b/core/schedule/retention_test.go
@@ -55,3 +55,23 @@
 		t.Error("the job is kept for longer than the retention")
 	}
 }
+
+// Scenario: a job is announced to an owner that has not loaded its partition yet, and is cancelled. Guards against its deletion as soon as the
+// owner has loaded, as if it had ended long ago: its state would be unknown to callers (relayed soak 52310013).
+func TestJobThatEndsBeforeTheClockIsRestoredIsKept(t *testing.T) {
+	const retention = 2 * time.Minute
+	h := newHarness(t, 2)
+	h.s.AddJob(testJob("job", testStep(1)), nil, false)
+	h.s.Cancel(h.now, "job")
+	h.advanceClock(time.Second)
+	h.s.RestoreRetentionClock(h.now, time.UnixMilli(0).AddDate(50, 0, 0).UnixMilli())
+	h.store()
+	h.advanceClock(retention - 2*time.Second)
+	if ids := h.s.JobsEndedFor(h.now.Boot, retention); len(ids) > 0 {
+		t.Error("the job counts as ended for longer than it has")
+	}
+	h.advanceClock(2 * time.Second)
+	if ids := h.s.JobsEndedFor(h.now.Boot, retention); len(ids) != 1 {
+		t.Error("the job is kept for longer than the retention")
+	}
+}
