--- a/core/schedule/guard.go
+++ b/core/schedule/guard.go
@@ -268,17 +268,16 @@
 // also returns the largest rise of the logarithm of a service's tail latency that the new filler alone causes when it
 // uses all the cores that it demands.
 func (s *Scheduler) predictTail(now time.Duration, w *worker, filler *task) (tail, maxRise float64) {
-	s.eachPressed(now, w, filler, func(service *attempt, rise, recent float64) {
+	s.eachAffected(now, w, filler, func(service *attempt, rise, recent float64) {
 		maxRise = max(maxRise, rise)
 		tail = max(tail, service.tailRatio()*math.Exp(rise+recent))
 	})
 	return tail, maxRise
 }
 
-// eachPressed calls visit for each service of a worker on whose tail latency a further filler presses. rise is by how much it raises the
-// logarithm of the tail latency when it uses all the cores that it demands, recent what fillers add that started too recently to show in the
-// metrics.
-func (s *Scheduler) eachPressed(now time.Duration, w *worker, filler *task, visit func(service *attempt, rise, recent float64)) {
+// eachAffected calls visit for each service of a worker with which a further filler interferes. rise is by how much it raises the logarithm of the
+// service's tail latency when it uses all the cores that it demands, recent what fillers add that started too recently to show in the metrics.
+func (s *Scheduler) eachAffected(now time.Duration, w *worker, filler *task, visit func(service *attempt, rise, recent float64)) {
 	if w.services == 0 {
 		return
 	}
--- a/core/schedule/throttled_start.go
+++ b/core/schedule/throttled_start.go
@@ -6,7 +6,7 @@
 )
 
 // A filler starts at full speed where the services are expected to stay well within their targets. There may be no such worker for as long as
-// the services run, if the filler presses hard on them. While the pool is in use, it waits. In a pool that is little used, a job of which
+// the services run, if the filler interferes strongly with them. While the pool is in use, it waits. In a pool that is little used, a job of which
 // nothing runs starts one filler at the share of full speed that the services of a worker bear, and the guard changes that as they allow.
 
 const (
@@ -115,7 +115,7 @@
 		return 0
 	}
 	share := 1.0
-	s.eachPressed(now, w, filler, func(service *attempt, rise, recent float64) {
+	s.eachAffected(now, w, filler, func(service *attempt, rise, recent float64) {
 		share = min(share, max(service.headroom(tailStart)-recent, 0)/rise)
 	})
 	return int(share * fullShare)
--- a/core/schedule/throttled_start_test.go
+++ b/core/schedule/throttled_start_test.go
@@ -120,7 +120,7 @@
 
 // Guards against a job of fillers of which nothing runs for longer than the platform allows while the pool is little used, and against services
 // that fillers keep over their target for too long: in pools of any size, with services that are far from their target, near it or over it by
-// their own load, and fillers that press on them more or less.
+// their own load, and fillers that interfere with them or not.
 func TestNoJobOfFillersWaitsInALittleUsedPool(t *testing.T) {
 	for seed := range uint64(150) {
 		rnd := rand.New(rand.NewPCG(seed, 0))
