--- a/core/schedule/throttled_start.go
+++ b/core/schedule/throttled_start.go
@@ -66,8 +66,7 @@
 	if st.job.attempts == 0 {
 		return false
 	}
-	n := len(st.job.rec.Steps)
-	return slices.ContainsFunc(st.job.steps[st.occurrence*n:(st.occurrence+1)*n], func(other *step) bool {
+	return slices.ContainsFunc(st.job.occurrenceSteps(st.occurrence), func(other *step) bool {
 		return slices.ContainsFunc(other.tasks, func(t *task) bool { return len(t.attempts) > 0 })
 	})
 }
@@ -75,7 +74,7 @@
 // chooseThrottled returns a worker for a filler, the share of full speed, in percent, at which it starts there without harm to the services,
 // and how many workers were checked. The first worker that bears more than slowShare is taken, else the one on which the filler is expected
 // to run fastest; nil if no worker has the capacity. The next search begins behind the workers of this one.
-func (s *Scheduler) chooseThrottled(now Time, t *task) (w *worker, share, checked int) {
+func (s *Scheduler) chooseThrottled(now Time, t *task) (chosen *worker, share, checked int) {
 	var best candidate
 	from := s.throttledFrom
 	for n := range s.sortedWorkers {
@@ -85,12 +84,12 @@
 		if !s.bearsThrottled(now, t, w) {
 			continue
 		}
-		borne := s.bearableShare(now.Boot, w, t)
+		bearable := s.bearableShare(now.Boot, w, t)
 		spare := float64(max(w.spareFillerCPU(), 0)) / float64(max(t.step.spec.Size.MilliCPU, 1))
-		speed := min(float64(borne)/fullShare, spare)
+		speed := min(float64(bearable)/fullShare, spare)
 		next := candidate{w, w.hasLabel(t.step.spec.DataRack), speed - taskPenalty*float64(len(w.attemptList))}
 		if next.better(best) {
-			best, share = next, borne
+			best, share = next, bearable
 		}
 		if next.hasData && speed > float64(slowShare)/fullShare {
 			break
--- a/core/schedule/throttled_start_test.go
+++ b/core/schedule/throttled_start_test.go
@@ -48,9 +48,10 @@
 	for n := range 6 {
 		sim.s.AddJob(testJob(workload.JobID(fmt.Sprintf("heavy%d", n)), fillerStep("heavy", 3)), nil, false)
 	}
+	added := sim.now.Boot
 	for n := range 6 {
-		if waited, started := sim.waitFor(workload.JobID(fmt.Sprintf("heavy%d", n)), lostAfter); !started {
-			t.Errorf("nothing of job %d runs after %v", n, waited)
+		if _, started := sim.waitFor(workload.JobID(fmt.Sprintf("heavy%d", n)), lostAfter-(sim.now.Boot-added)); !started {
+			t.Errorf("nothing of job %d runs after %v", n, lostAfter)
 		}
 	}
 	for range 40 {
--- a/core/schedule/urgency.go
+++ b/core/schedule/urgency.go
@@ -94,12 +94,17 @@
 // remainingWork returns the estimated work of the tasks of an occurrence that are not done, in thousandths of a core
 // times milliseconds. Services do not count: they never end.
 func (j *job) remainingWork(occurrence int) int64 {
-	n := len(j.rec.Steps)
 	work := int64(0)
-	for _, st := range j.steps[occurrence*n : (occurrence+1)*n] {
+	for _, st := range j.occurrenceSteps(occurrence) {
 		if !st.spec.Service {
 			work += int64(st.unfinished) * st.spec.Size.MilliCPU * st.spec.EstimateMs
 		}
 	}
 	return work
 }
+
+// occurrenceSteps returns the steps of one occurrence of a job.
+func (j *job) occurrenceSteps(occurrence int) []*step {
+	n := len(j.rec.Steps)
+	return j.steps[occurrence*n : (occurrence+1)*n]
+}
