--- a/deploy/mixeddays/generate.go
+++ b/deploy/mixeddays/generate.go
@@ -45,7 +45,7 @@
 	Most  int // disruptions
 	Site  Site
 	Known map[Kind]bool // kinds that the site plays; nil: all
-	Mode  Mode          // Mixed, Single or Pair; empty: Mixed
+	Mode  Mode          // empty: Mixed
 
 	LeastOwners int // losses of the owner, in days of mode Pair
 	MostOwners  int
@@ -83,6 +83,11 @@
 		Seed:   cfg.Seed,
 		Length: math.Round(g.between(Range{minDayLength, maxDayLength})),
 	}
+	if cfg.Mode == Severe {
+		day.Name = fmt.Sprintf("%s-%d", cfg.Mode, cfg.Seed)
+		g.severe(&day)
+		return day, nil
+	}
 	g.addDisruptions(&day, cfg.Least+g.random.IntN(cfg.Most-cfg.Least+1))
 	if cfg.MostCrashes > 0 {
 		g.addCrashes(&day, cfg.LeastCrashes+g.random.IntN(cfg.MostCrashes-cfg.LeastCrashes+1))
