--- a/review/harness2/crashes.go
+++ b/review/harness2/crashes.go
@@ -13,7 +13,7 @@
 
 const (
 	crashRunners = 14
-	crashJobs    = 6
+	crashJobs    = 8
 	crashTasks   = 6 // of each job
 	crashEvery   = 1500 * time.Millisecond
 	crashDown    = 2 * time.Second
--- a/review/harness2/explore.go
+++ b/review/harness2/explore.go
@@ -20,7 +20,11 @@
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	rnd := rand.New(rand.NewPCG(seed, 3))
 	unguarded := rnd.IntN(2) == 0
-	s, err := newSite([]string{"uppsala", "vasteras", "orebro"}, 3, 8+rnd.IntN(6), size{CPU: 8000, MemMb: 32000}, unguarded)
+	runners, capacity := 8+rnd.IntN(6), size{CPU: 8000, MemMb: 32000}
+	if os.Getenv("MANY") != "" { // more than one entry host polls, so the holder polls through the others
+		runners, capacity = 100, size{CPU: 2000, MemMb: 8000}
+	}
+	s, err := newSite([]string{"uppsala", "vasteras", "orebro"}, 3, runners, capacity, unguarded)
 	if err != nil {
 		return couldntRun, s, []string{err.Error()}
 	}
--- a/review/harness2/large.go
+++ b/review/harness2/large.go
@@ -11,7 +11,7 @@
 // script asks for all jobs finish_s after the end of the traffic, and watches whether anything runs.
 
 const (
-	largeTasks   = 12000
+	largeTasks   = 15000
 	largeRunners = 10
 	smallFor     = 20 * time.Second
 	smallEvery   = 500 * time.Millisecond
