--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -24,7 +24,7 @@
 	name := flag.String("case", "", "name of the case")
 	out := flag.String("record", "", "file for the record")
 	flag.Parse()
-	cases := map[string]play{"ends": playEnds, "crashes": playCrashes, "large": playLarge, "moved": playMoved, "explore": playExplore}
+	cases := map[string]play{"ends": playEnds, "large": playLarge, "moved": playMoved, "returned": playReturned, "explore": playExplore}
 	one, known := cases[*name]
 	if !known || *out == "" {
 		fmt.Fprintln(os.Stderr, "unknown case, or no record")
--- a/review/harness2/runner.go
+++ b/review/harness2/runner.go
@@ -79,6 +79,7 @@
 	zone     string
 	address  string
 	capacity size
+	keepID   bool // it starts again under the id that it had
 
 	mu       sync.Mutex
 	id       string
@@ -116,7 +117,9 @@
 func (r *runner) begin(listener net.Listener) {
 	r.mu.Lock()
 	r.lives++
-	r.id = fmt.Sprintf("i-%s-%d", r.machine, r.lives)
+	if !r.keepID {
+		r.id = fmt.Sprintf("i-%s-%d", r.machine, r.lives)
+	}
 	r.up, r.born = true, time.Now()
 	r.fence, r.leaseTo, r.lastEnd, r.seq, r.draining = 0, 0, 0, 0, false
 	r.running, r.ended, r.highest = map[runKey]*activeRun{}, nil, map[string]int64{}
@@ -130,7 +133,7 @@
 }
 
 // crash ends the runner's process: all that runs there is gone, and all its connections close. The next life begins after a time at the
-// same address, under another id.
+// same address; there is none if the time is 0.
 func (r *runner) crash(down time.Duration) {
 	r.mu.Lock()
 	if !r.up {
@@ -151,7 +154,14 @@
 	id, server := r.id, r.server
 	r.mu.Unlock()
 	_ = server.Close()
-	time.AfterFunc(3*heartbeat, func() { r.site.store.Delete("servers/" + id) })
+	time.AfterFunc(3*heartbeat, func() {
+		r.mu.Lock()
+		listed := r.up && r.id == id
+		r.mu.Unlock()
+		if !listed {
+			r.site.store.Delete("servers/" + id)
+		}
+	})
 	if down > 0 {
 		time.AfterFunc(down, r.restart)
 	}
