--- a/review/harness2/moved.go
+++ b/review/harness2/moved.go
@@ -70,23 +70,32 @@
 		return states
 	}
 	early, late := count(before), count(after)
-	used := s.inUse(otherService)
-	verdict := []string{fmt.Sprintf("accepted before the change: %v; accepted later: %v; runs on the route's service now: %d", early, late, used)}
-	if open := len(before) - early["completed"]; trouble && open > 0 && begun == begunBefore && used == 0 {
+	free, share := s.room(small.size)
+	verdict := []string{fmt.Sprintf("accepted before the change: %v; accepted later: %v; on the route's service room for %d such tasks, %.2f in use",
+		early, late, free, share)}
+	if open := len(before) - early["completed"]; open > 0 && begun == begunBefore && free >= 4 && share < 0.5 {
 		return broken, s, append(verdict, fmt.Sprintf(
-			"LOST broken for %d jobs: for more than 3 s they had nothing running, and no run was on the runners of the route's service", open))
+			"LOST broken for %d jobs: for more than 3 s they had nothing running, beside room for them on the route's service", open))
 	}
 	return held, s, verdict
 }
 
-// inUse returns how many runs there are on the runners of a service.
-func (s *site) inUse(service string) (runs int) {
+// room returns how many more tasks of a size the runners of the route's service have room for, and which share of their processors is in
+// use.
+func (s *site) room(need size) (tasks int, share float64) {
+	var used, all int64
 	for _, r := range s.runners {
-		if r.service == service {
-			r.mu.Lock()
-			runs += len(r.running)
-			r.mu.Unlock()
+		if r.service != s.service {
+			continue
 		}
+		r.mu.Lock()
+		free := r.capacity
+		for _, a := range r.running {
+			free = size{free.CPU - a.needs.CPU, free.MemMb - a.needs.MemMb, free.GPU - a.needs.GPU}
+		}
+		r.mu.Unlock()
+		tasks += int(min(free.CPU/need.CPU, free.MemMb/need.MemMb))
+		used, all = used+r.capacity.CPU-free.CPU, all+r.capacity.CPU
 	}
-	return runs
+	return tasks, float64(used) / float64(all)
 }
