--- a/pkg/standin/fleet/platform.go
+++ b/pkg/standin/fleet/platform.go
@@ -93,7 +93,7 @@
 			Datacentre: p.cfg.Datacentres[n%len(p.cfg.Datacentres)], Rack: fmt.Sprintf("r-%d", n/8), Pool: p.Pool, Labels: []string{"a"},
 			Capacity: defaultCapacity,
 		},
-		platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
+		rnd: rand.New(rand.NewPCG(p.cfg.Seed, uint64(n))), platform: p, changed: make(chan struct{}), stop: make(chan struct{}),
 	}
 	endpoint, err := p.newEndpoint()
 	if err != nil {
@@ -297,7 +297,8 @@
 		fmt.Sprintf("portRange=%d,%d", PeerPort, lastPort), "limits.cpuShare=0.4", "limits.cores=1",
 		"platform.address=" + store, fmt.Sprintf("platform.valueBytes=%d", limits.ValueBytes),
 		fmt.Sprintf("platform.minTtlMs=%d", limits.MinTTL.Milliseconds()),
-		fmt.Sprintf("bounds.holdMaxMs=%d", p.cfg.maxTaskLease().Milliseconds()), "bounds.contactMs=3000", "bounds.stopMs=400", "bounds.status_s=120",
+		fmt.Sprintf("bounds.holdMaxMs=%d", p.cfg.maxTaskLease().Milliseconds()), "bounds.contactMs=3000",
+		fmt.Sprintf("bounds.stopMs=%d", maxStopTime.Milliseconds()), "bounds.status_s=120",
 	}
 	return strings.Join(lines, "\n") + "\n"
 }
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -35,6 +36,13 @@
 // MaxTaskLease is the longest lease that a worker grants, on its own clock, unless Config.MaxTaskLease is set. It shortens longer ones.
 const MaxTaskLease = 6 * time.Second
 
+// Limits of a worker that the platform's documents state.
+const (
+	EndsPerReply = 500             // number of ends in the response to a poll, the earliest first
+	maxPollWait  = 2 * time.Second // for how long a poll may wait for an end
+	maxStopTime  = 400 * time.Millisecond
+)
+
 // Run is the history entry of one attempt of a task on a worker. Outcome is empty while it runs, then "done", "failed",
 // "stopped", "lapsed" if the lease expired, or "gone" if the worker crashed.
 type Run struct {
@@ -60,6 +68,7 @@
 	needs     Resources
 	endsAt    time.Time
 	startedAt time.Time
+	stopped   bool // a stop was ordered and ends the run at endsAt
 }
 
 // endedRun is an end that no caller has acknowledged yet.
@@ -74,7 +83,8 @@
 type Worker struct {
 	ID        string
 	platform  *Platform
-	clockRate float64 // speed of the worker's clock; 1 is exact
+	clockRate float64    // speed of the worker's clock; 1 is exact
+	rnd       *rand.Rand // decides how long stops take; guarded by mu
 
 	mu             sync.Mutex // guards the fields below
 	id             string     // of the current process: ID, or another one after a crash under a new id
@@ -205,11 +215,7 @@
 				case w.clockMs() > w.leaseUntil:
 					w.finish(key, "lapsed", true)
 				case !r.endsAt.IsZero() && now.After(r.endsAt):
-					outcome := "done"
-					if w.faults.FailTasks {
-						outcome = "failed"
-					}
-					w.finish(key, outcome, true)
+					w.finish(key, w.outcome(r), true)
 				}
 			}
 			w.mu.Unlock()
@@ -217,6 +223,30 @@
 	}
 }
 
+// outcome returns how a run ends that is due. w.mu is held.
+func (w *Worker) outcome(r activeRun) string {
+	switch {
+	case r.stopped:
+		return "stopped"
+	case w.faults.FailTasks:
+		return "failed"
+	}
+	return "done"
+}
+
+// stopRun makes a run end within maxStopTime. Until then it counts as running. w.mu is held.
+func (w *Worker) stopRun(key runKey) {
+	r, runs := w.running[key]
+	if !runs || r.stopped {
+		return
+	}
+	due := time.Now().Add(time.Duration(w.rnd.Int64N(int64(maxStopTime))))
+	if r.endsAt.IsZero() || due.Before(r.endsAt) {
+		r.endsAt, r.stopped = due, true
+		w.running[key] = r
+	}
+}
+
 // markLapsedEnds records in the history that the lease has lapsed before the listed ends were acknowledged. w.mu is held.
 func (w *Worker) markLapsedEnds() {
 	if w.clockMs() <= w.leaseUntil {
@@ -337,9 +367,7 @@
 		return w.startRun(key, o)
 	case "/fulmarcourse/run-stop":
 		w.highestAttempt[o.Task] = max(w.highestAttempt[o.Task], o.Attempt)
-		if _, runs := w.running[key]; runs {
-			w.finish(key, "stopped", true)
-		}
+		w.stopRun(key)
 	}
 	return http.StatusOK, ""
 }
@@ -381,10 +409,10 @@
 	return sum
 }
 
-// servePoll extends the lease, drops acknowledged ends and returns the running tasks and the other ends. If there are
-// no ends, it first waits for one, for at most o.WaitMs milliseconds.
+// servePoll extends the lease, drops acknowledged ends and returns the running tasks and the earliest EndsPerReply of the other ends. If there
+// are no ends, it first waits for one, for at most o.WaitMs milliseconds or maxPollWait.
 func (w *Worker) servePoll(rw http.ResponseWriter, r *http.Request, o order, generation int) {
-	deadline := time.NewTimer(time.Duration(o.WaitMs) * time.Millisecond)
+	deadline := time.NewTimer(min(time.Duration(o.WaitMs)*time.Millisecond, maxPollWait))
 	defer deadline.Stop()
 	w.lockProcess(generation)
 	if o.Fence < w.fence {
@@ -420,7 +448,7 @@
 		}
 		running = append(running, []any{key.task, key.attempt, "", int(percent), 0})
 	}
-	for _, end := range w.ended {
+	for _, end := range w.ended[:min(len(w.ended), EndsPerReply)] {
 		ended = append(ended, []any{end.number, end.key.task, end.key.attempt, end.outcome, ""})
 	}
 	standin.WriteJSON(rw, http.StatusOK, map[string]any{
--- a/pkg/standin/fleet/worker_test.go
+++ b/pkg/standin/fleet/worker_test.go
@@ -59,3 +59,47 @@
 		}
 	}
 }
+
+// Guards against a worker that lists more ends at a time than the platform's do, or not the earliest ones, so that no test notices an owner
+// that takes the first response for complete.
+func TestResponseListsTheEarliestEnds(t *testing.T) {
+	p, err := NewPlatform(Config{Datacentres: []string{"dc"}, Workers: 1, RunTime: func(string) time.Duration { return time.Millisecond }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	w := p.Workers()[0]
+	const tasks = EndsPerReply + 2
+	for n := range tasks {
+		call(t, w, "/fulmarcourse/run-start", order{Task: fmt.Sprint("j.0.0.", n), Attempt: 1, UntilMs: time.Minute.Milliseconds()})
+	}
+	poll.Until(t, "all tasks have ended", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.lastEnd == tasks
+	})
+	if n := call(t, w, "/fulmarcourse/hold", order{}); n != EndsPerReply {
+		t.Errorf("the first response lists %d ends, want %d", n, EndsPerReply)
+	}
+	if n := call(t, w, "/fulmarcourse/hold", order{AckedEnd: EndsPerReply}); n != tasks-EndsPerReply {
+		t.Errorf("the second response lists %d ends, want %d", n, tasks-EndsPerReply)
+	}
+}
+
+// Guards against stops that free the capacity of a worker sooner than on the platform: a stop takes some time, in which the run counts.
+func TestStoppedRunCountsUntilItsEndIsListed(t *testing.T) {
+	p, err := NewPlatform(Config{Datacentres: []string{"dc"}, Workers: 1, RunTime: func(string) time.Duration { return 0 }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	w := p.Workers()[0]
+	call(t, w, "/fulmarcourse/run-start", order{Task: "f.0.0.0", Attempt: 1, UntilMs: time.Minute.Milliseconds()})
+	stopped := time.Now()
+	call(t, w, "/fulmarcourse/run-stop", order{Task: "f.0.0.0", Attempt: 1})
+	poll.Until(t, "the end is listed", func() bool { return call(t, w, "/fulmarcourse/hold", order{}) == 1 })
+	run := p.History()[0]
+	if took := run.Ended.Sub(stopped); run.Outcome != "stopped" || took <= 0 {
+		t.Errorf("the run has ended as %s after %v, want it stopped after some time", run.Outcome, took)
+	}
+}
