--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -27,6 +27,7 @@
 	UnknownGrace  time.Duration // HandoverGrace of former versions
 	CallDelay     time.Duration // how long after its sending a call may be carried out by the next process of its worker
 	AcquiredAt    time.Duration // boot time by which the term had begun; 0 if it begins with the call of InheritWorkers
+	EndsPerReport int           // maximum number of ends in a report, the lowest numbers first; 0 if there is none
 }
 
 // begunAt returns a boot time by which the term had begun. What former owners have granted and stored counts from it, since they were
@@ -60,7 +61,4 @@
 	attemptsPerTerm = 1 << 16
 	// staleAttemptSkip is added to a task's attempt number when a worker has seen a higher one.
 	staleAttemptSkip = 16
-	// maxEndedPerReport is the maximum number of ended attempts in a report; the worker lists the rest in its next
-	// report.
-	maxEndedPerReport = 500
 )
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -251,7 +251,7 @@
 
 // certainlyRan reports whether the worker ran the attempt until it stopped answering.
 func (a *attempt) certainlyRan() bool {
-	return a.confirmedAt > 0 && !a.stoppedInTime && !a.crashCounted
+	return a.confirmedAt > 0 && !a.stoppedInTime && !a.endUnlisted && !a.crashCounted
 }
 
 // mayHaveRun reports whether it is unknown if the worker ran the attempt: its start was not answered.
--- a/core/schedule/event.go
+++ b/core/schedule/event.go
@@ -19,6 +19,7 @@
 	EventAttemptOrphaned // the worker runs an attempt that has to be stopped
 	EventJobEnded
 	EventWorkerDraining
+	EventEndsAwaited      // a worker of a former owner has reported, but not listed all ends; Value is the number of those that it has listed
 	EventWorkerRestarted  // everything that ran on the worker was lost
 	EventWorkerReplaced   // another worker, named in Reason, has its address; everything that ran on it was lost
 	EventAttemptCrashed   // the attempt ran on a worker whose process has ended; Value is for how long it was listed
--- a/core/schedule/faultsim_former_test.go
+++ b/core/schedule/faultsim_former_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -39,7 +40,8 @@
 
 // config returns the configuration of an owner.
 func (f *faultSim) config() Config {
-	cfg := Config{Term: f.term, TaskLease: testLease, StopTime: 400 * time.Millisecond, HandoverGrace: LeaseGrantWindow}
+	cfg := Config{Term: f.term, TaskLease: testLease, StopTime: 400 * time.Millisecond, HandoverGrace: LeaseGrantWindow,
+		EndsPerReport: cmp.Or(f.endsPerReport, maxEndedPerReport)}
 	if f.former != nil {
 		cfg.MaxTaskLease, cfg.CallDelay = simMaxTaskLease, simMaxPollDelay
 	}
--- a/core/schedule/faultsim_mixes_test.go
+++ b/core/schedule/faultsim_mixes_test.go
@@ -106,11 +106,14 @@
 // Guards against services that stay down between faults: the platform's rule holds at any time of the run, once nothing was disturbed for
 // some seconds.
 func TestServicesRunBetweenFaults(t *testing.T) {
-	playMixes(t, func(f *faultSim) {
-		f.pauses = true
-		f.addServices()
-		for f.now < time.Hour+simFaultsEnd+simFaultsEbb {
-			f.step()
-		}
-	})
+	playMixes(t, (*faultSim).playServicesBetweenFaults)
+}
+
+// playServicesBetweenFaults plays faults with pauses between them beside services.
+func (f *faultSim) playServicesBetweenFaults() {
+	f.pauses = true
+	f.addServices()
+	for f.now < time.Hour+simFaultsEnd+simFaultsEbb {
+		f.step()
+	}
 }
--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -64,37 +64,38 @@
 
 // faultSim simulates an owner, its workers and the network between them, and injects faults.
 type faultSim struct {
-	t            *testing.T
-	rnd          *rand.Rand
-	seed         uint64
-	now          time.Duration
-	s            *Scheduler
-	term         int64
-	workers      []*faultSimWorker
-	delayed      []delayedOrder
-	stored       map[workload.JobID]workload.Progress
-	knownWorkers []WorkerInfo
-	jobs         []workload.Job
-	polled       map[WorkerID]bool                 // whether the last poll was answered, so that leases may be extended
-	granted      map[WorkerID]time.Duration        // when the latest lease begins that the relay has granted
-	identified   map[WorkerID]identified           // by the relays that poll the workers; none for a relay that has got no answer
-	listedEnd    map[WorkerID]int64                // number of the latest end that the relay knows of the process
-	acknowledged map[WorkerID]int64                // number of the latest end whose progress is stored
-	done         map[workload.TaskID]bool          // a done end was acknowledged in time
-	lastStart    map[workload.TaskID]time.Duration // when a worker last started each task
-	starts       map[workload.TaskID]int           // how often workers have started each task
-	unanswered   map[workload.TaskID]int           // how many of its starts were not answered
-	late         *lateFaults                       // nil without an owner past its processor limit and a slow store
-	known        *knownFaults                      // nil if the known workers are stored at once
-	evidence     *evidenceFaults                   // nil if the owner has no evidence of crashes but the list of workers
-	unused       map[*faultSimWorker]unusedSince   // see checkUse
-	loss         *lossFaults                       // nil if faults happen at random
-	moves        *moveFaults                       // nil if all processes of a worker have one address
-	former       *formerCallFaults                 // nil if no poll is carried out late
-	withheld     *withheldSim
-	observer     *observer
-	pauses       bool // faults are injected for simFaultsLast in each simFaultsEvery
-	log          []string
+	t             *testing.T
+	rnd           *rand.Rand
+	seed          uint64
+	now           time.Duration
+	s             *Scheduler
+	term          int64
+	workers       []*faultSimWorker
+	delayed       []delayedOrder
+	stored        map[workload.JobID]workload.Progress
+	knownWorkers  []WorkerInfo
+	jobs          []workload.Job
+	polled        map[WorkerID]bool                 // whether the last poll was answered, so that leases may be extended
+	granted       map[WorkerID]time.Duration        // when the latest lease begins that the relay has granted
+	identified    map[WorkerID]identified           // by the relays that poll the workers; none for a relay that has got no answer
+	listedEnd     map[WorkerID]int64                // number of the latest end that the relay knows of the process
+	acknowledged  map[WorkerID]int64                // number of the latest end whose progress is stored
+	done          map[workload.TaskID]bool          // a done end was acknowledged in time
+	lastStart     map[workload.TaskID]time.Duration // when a worker last started each task
+	starts        map[workload.TaskID]int           // how often workers have started each task
+	unanswered    map[workload.TaskID]int           // how many of its starts were not answered
+	late          *lateFaults                       // nil without an owner past its processor limit and a slow store
+	known         *knownFaults                      // nil if the known workers are stored at once
+	evidence      *evidenceFaults                   // nil if the owner has no evidence of crashes but the list of workers
+	unused        map[*faultSimWorker]unusedSince   // see checkUse
+	loss          *lossFaults                       // nil if faults happen at random
+	moves         *moveFaults                       // nil if all processes of a worker have one address
+	former        *formerCallFaults                 // nil if no poll is carried out late
+	withheld      *withheldSim
+	observer      *observer
+	endsPerReport int  // maximum number of ends that a report lists; maxEndedPerReport if 0
+	pauses        bool // faults are injected for simFaultsLast in each simFaultsEvery
+	log           []string
 }
 
 func newFaultSim(t *testing.T, seed uint64) *faultSim {
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -134,7 +134,8 @@
 	if f.polled[id] {
 		worker.ended = slices.DeleteFunc(worker.ended, func(e Ended) bool { return f.dropEnd(worker, e) })
 	}
-	report := Report{Incarnation: f.identify(worker), Address: worker.info.Address, SentAt: f.now, Ended: slices.Clone(worker.ended)}
+	report := Report{Incarnation: f.identify(worker), Address: worker.info.Address, SentAt: f.now,
+		Ended: slices.Clone(worker.ended[:min(len(worker.ended), f.s.cfg.EndsPerReport)])}
 	for key := range worker.running {
 		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.number, Percent: f.percentOf(worker, key)})
 	}
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -14,6 +14,9 @@
 const (
 	testPool  = workload.PoolName("pool")
 	testLease = 6 * time.Second
+
+	// maxEndedPerReport is the number of ends that the platform's workers list in a report.
+	maxEndedPerReport = 500
 )
 
 // harness drives a scheduler and simulated workers, which execute orders only when the test makes them.
@@ -52,6 +55,7 @@
 func (h *harness) newTerm(term int64) {
 	h.s = NewScheduler(Config{
 		Term: term, TaskLease: testLease, StopTime: 400 * time.Millisecond, HandoverGrace: 2500 * time.Millisecond,
+		EndsPerReport: maxEndedPerReport,
 	})
 	h.orders = nil
 	h.withheld = map[WorkerID]time.Duration{}
@@ -178,10 +182,19 @@
 func (h *harness) report(id WorkerID) {
 	w := h.workers[id]
 	h.s.Report(h.now, id, Report{
-		Incarnation: w.incarnation, Address: w.info.Address, SentAt: h.now.Boot, Running: w.running, Ended: w.ended,
+		Incarnation: w.incarnation, Address: w.info.Address, SentAt: h.now.Boot, Running: w.running, Ended: w.listed(h.s.cfg.EndsPerReport),
 	})
 }
 
+// listed returns the ends that a report lists if it holds limit of them.
+func (w *simWorker) listed(limit int) []Ended { return w.ended[:min(len(w.ended), limit)] }
+
+// acknowledge makes a worker forget the ends that the owner has applied.
+func (h *harness) acknowledge(id WorkerID) {
+	w, last := h.workers[id], h.s.workers[id].lastEnd
+	w.ended = slices.DeleteFunc(w.ended, func(end Ended) bool { return end.Number <= last })
+}
+
 func (h *harness) reportAll() {
 	h.advanceClock(time.Millisecond)
 	for _, id := range h.workerIDs() {
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -93,6 +93,7 @@
 	stopSentAt       time.Duration // when the latest stop order was sent; 0 before the first
 	stoppingSince    time.Duration // when the attempt was first to be stopped; 0 before
 	stoppedInTime    bool          // the worker answered polls when the attempt was first to be stopped
+	endUnlisted      bool          // a report that leaves out ends has shown that the attempt has ended
 	preempted        bool          // it was stopped for a displaced task, see preempt.go
 	crashCounted     bool          // the end of its worker's process was counted
 	stopResendAfter  time.Duration // delay before the stop order is sent again
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -91,6 +91,8 @@
 	switch {
 	case w.entryOutdated():
 		return WaitEntryOutdated
+	case w.endsAwaited:
+		return WaitEndsUnlisted
 	case !w.stored:
 		return WaitNotStored
 	case now < w.unhealthyUntil:
--- a/core/schedule/renumbered.go
+++ b/core/schedule/renumbered.go
@@ -25,9 +25,9 @@
 // endsRenumbered reports whether the ends in a report are numbered by another process than that of the last report although both
 // state the same start, as after the clock of the machine was set back. A process lists each end in all reports until it is
 // acknowledged, and never again afterwards. So the last report lists an end that is not newer than the latest one, under the same
-// number, unless it had no place for it.
+// number, unless it left out ends.
 func (w *worker) endsRenumbered(ended []Ended) bool {
-	if len(w.listedEnds) >= maxEndedPerReport {
+	if !w.listedAllEnds {
 		return false
 	}
 	return slices.ContainsFunc(ended, func(end Ended) bool { return end.Number <= w.lastEnd && !w.listedEnds[end.listed()] })
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -54,6 +54,12 @@
 		slices.ContainsFunc(r.Ended, func(end Ended) bool { return end.Task == key.task && end.Attempt == key.number })
 }
 
+// ListsAllEnds reports whether a report lists every end that has not been acknowledged. One with as many ends as it can hold may leave out
+// others, which have higher numbers. The worker lists them once these are acknowledged.
+func (s *Scheduler) ListsAllEnds(report Report) bool {
+	return s.cfg.EndsPerReport == 0 || len(report.Ended) < s.cfg.EndsPerReport
+}
+
 // Report applies a worker's report of what it runs and what has ended there. It returns the number of the latest end
 // that was applied of the process that the report is of, which may be acknowledged once the progress is stored.
 func (s *Scheduler) Report(now Time, id WorkerID, report Report) (lastEnd int64) {
@@ -67,10 +73,13 @@
 	}
 	s.recordProcess(now, w, report)
 	s.recordReport(now.Boot, w, report)
+	s.recordListed(w, report)
 	s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
-	if len(report.Ended) < maxEndedPerReport {
+	if s.ListsAllEnds(report) {
 		s.resolveAbsent(now, w, report)
+	} else {
+		w.recordUnlistedEnds(report)
 	}
 	s.updateSlowness(now.Boot, w)
 	s.guardServices(now, w)
@@ -92,16 +101,30 @@
 	w.silence, w.brokenAt = answering, 0
 	s.index.markChanged(w)
 	s.forgetSilent(w)
-	s.stopAwaiting(w)
 	s.setAnswers(w, true)
 	s.recordAddress(w, report.Address)
 }
 
+// recordListed records whether all attempts of former owners on a worker are known with its report. One that is neither running nor among
+// the ends of a report that leaves out others may have ended as well, so its task must not start until the worker has listed the rest. Nothing
+// starts on the worker meanwhile, so that no new ends follow and a few reports suffice.
+func (s *Scheduler) recordListed(w *worker, report Report) {
+	w.listedAllEnds = s.ListsAllEnds(report)
+	if w.listedAllEnds {
+		s.stopAwaiting(w)
+		return
+	}
+	if s.awaitingReport[w.info.ID] && !w.endsAwaited {
+		w.endsAwaited = true
+		s.emit(Event{Kind: EventEndsAwaited, Worker: w.info.ID, Value: float64(len(report.Ended))})
+	}
+}
+
 // ignoreOvertaken handles a report whose poll was sent before that of the last report that was applied. The next report lists again what
 // this one lists. It returns the number of the latest end of its process that was applied.
 func (s *Scheduler) ignoreOvertaken(w *worker, report Report) (lastEnd int64) {
 	s.recordExtended(w)
-	if w.mayListUnappliedEnd(report) {
+	if s.mayListUnappliedEnd(w, report) {
 		w.becomeUnclear()
 	}
 	if w.incarnation != report.Incarnation {
@@ -112,8 +135,8 @@
 
 // mayListUnappliedEnd reports whether a report that is not applied may list an end that has not been applied. No other report lists it if the
 // worker crashes now.
-func (w *worker) mayListUnappliedEnd(report Report) bool {
-	if w.incarnation != report.Incarnation || len(report.Ended) >= maxEndedPerReport {
+func (s *Scheduler) mayListUnappliedEnd(w *worker, report Report) bool {
+	if w.incarnation != report.Incarnation || !s.ListsAllEnds(report) {
 		return true
 	}
 	return slices.ContainsFunc(report.Ended, func(end Ended) bool { return end.Number > w.lastEnd && !w.appliedEnds[end.listed()] })
@@ -220,7 +243,8 @@
 	})
 }
 
-// applyEnded applies the ends that are new. The order in which a worker lists them is not defined.
+// applyEnded applies the ends that are new. The order in which a worker lists them is not defined, but a report that leaves out ends leaves
+// out the latest ones: an acknowledgement is for all ends up to a number, so those below it must have been listed.
 func (s *Scheduler) applyEnded(now Time, w *worker, report Report) {
 	applied := w.lastEnd
 	w.recordListedEnds(report.Ended)
@@ -337,6 +361,16 @@
 		Value: float64(len(t.failed))})
 }
 
+// recordUnlistedEnds records which attempts have ended although a report that leaves out ends does not list them: it lists all that run.
+// Should the worker crash before it lists their ends, it has not crashed while it ran them.
+func (w *worker) recordUnlistedEnds(report Report) {
+	for _, a := range w.attemptList {
+		if a.listedIn != w.reports && a.confirmedAt > 0 && a.confirmedAt < report.SentAt {
+			a.endUnlisted = true
+		}
+	}
+}
+
 // resolveAbsent handles the attempts that the worker neither runs nor lists as ended. A report proves the absence only
 // of attempts whose start or stop was confirmed before the poll was sent; these are removed. Other attempts that
 // have to be stopped or whose start is unanswered get a stop order.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -35,7 +35,7 @@
 	neededAtPlan        map[workload.PoolName]*poolNeeds // at the beginning of the latest planning run
 	orders              []Order                          // issued since the last call of TakeOrders
 	events              []Event
-	awaitingReport      map[WorkerID]bool // workers that a former owner may have used and that have not reported yet
+	awaitingReport      map[WorkerID]bool // workers that a former owner may have used and that have not reported, or not listed all ends yet
 	takeoverAt          time.Duration     // when the takeover began
 	unknownUntil        time.Duration     // until when workers that are not known may run tasks of former owners; 0 if all are known
 	unknownLeasesUntil  time.Duration     // until when leases of former owners may last that are longer than those of this one; 0 if there are none
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -3,7 +3,7 @@
 import "fulmarcourse.example/core/workload"
 
 // InheritWorkers adds the workers that a former owner may have used. Tasks of inherited jobs start only when each of
-// these workers has reported or its task leases have certainly expired.
+// these workers has listed all that runs and has ended there, or its task leases have certainly expired.
 func (s *Scheduler) InheritWorkers(now Time, infos []WorkerInfo) {
 	s.takeoverAt = now.Boot
 	begunAt := s.cfg.begunAt(now.Boot)
@@ -48,7 +48,7 @@
 // TakeoverComplete reports whether all attempts of former owners are known or have certainly expired.
 func (s *Scheduler) TakeoverComplete() bool { return len(s.awaitingReport) == 0 && s.unknownUntil == 0 }
 
-// mayRunOn reports whether a former owner may have started a task on a worker that has not reported yet.
+// mayRunOn reports whether a former owner may have started a task on a worker that has not reported, or not listed all ends yet.
 func (s *Scheduler) mayRunOn(id WorkerID) bool {
 	_, known := s.workers[id]
 	return s.awaitingReport[id] || s.unknownUntil > 0 && id != "" && !known
@@ -93,6 +93,8 @@
 func (s *Scheduler) stopAwaiting(w *worker) {
 	if s.awaitingReport[w.info.ID] {
 		delete(s.awaitingReport, w.info.ID)
+		w.endsAwaited = false
+		s.index.markChanged(w)
 		s.knownWorkersChanged = true
 	}
 }
--- a/core/schedule/unused.go
+++ b/core/schedule/unused.go
@@ -29,7 +29,7 @@
 	ReportedStartMs int64         // start of the process that has reported last, to any owner, Unix milliseconds; 0 if none has
 	ReportedAddress string        // where the worker has answered last, to any owner; empty if it has not
 	SilentFor       time.Duration // since the latest report; NotReported before the first
-	Awaited         bool          // a former owner may have used it, and it has not reported to this one
+	Awaited         bool          // a former owner may have used it, and it has not reported to this one or not listed all ends
 	ReplacedBy      WorkerID      // the worker at its address; only with WaitReplaced
 }
 
@@ -39,7 +39,7 @@
 // UnusedReasons returns the reasons for which a worker that is listed as sound may be unused.
 func UnusedReasons() []WaitReason {
 	return []WaitReason{
-		WaitUnreachable, WaitReplaced, WaitEntryOutdated, WaitNotStored, WaitUnhealthy, WaitRejections, WaitLostRecently, WaitFaulty, WaitSlow,
+		WaitUnreachable, WaitReplaced, WaitEntryOutdated, WaitEndsUnlisted, WaitNotStored, WaitUnhealthy, WaitRejections, WaitLostRecently, WaitFaulty, WaitSlow,
 	}
 }
 
--- a/core/schedule/unused_test.go
+++ b/core/schedule/unused_test.go
@@ -32,6 +32,12 @@
 	rows := map[WaitReason]func(h *harness, w *worker){
 		WaitUnreachable: func(h *harness, w *worker) { h.s.PollFailed(h.now, w.info.ID, Grant{}) },
 		WaitNotStored:   func(_ *harness, w *worker) { w.stored = false },
+		WaitEndsUnlisted: func(h *harness, w *worker) {
+			h.s.cfg.EndsPerReport = 1
+			h.s.awaitingReport[w.info.ID] = true
+			h.workers[w.info.ID].ended = []Ended{{Number: w.lastEnd + 1}}
+			h.report(w.info.ID)
+		},
 		WaitEntryOutdated: func(_ *harness, w *worker) {
 			w.info.StartedMs = w.incarnation + 1
 			w.entries = entries{latest: w.info}
@@ -71,6 +77,7 @@
 			t.Errorf("%v: use is %d, %d, %d", reason, h.s.Use(h.now, "w1"), h.s.Use(h.now, "w2"), h.s.Use(h.now, "w3"))
 		}
 		h.advanceClock(2 * forAWhile)
+		h.acknowledge("w1")
 		h.listWorkers()
 		h.wantUnused()
 		makeUnused(h, h.s.workers["w1"])
--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -35,6 +35,7 @@
 	WaitRejections       // the worker has rejected tasks for lack of capacity that the list does not show
 	WaitUnhealthy        // the worker has reported itself unhealthy
 	WaitNotStored        // the worker is not in the stored set of known workers
+	WaitEndsUnlisted     // the worker has not listed all ends of attempts of a former owner yet
 	WaitEntryOutdated    // the worker's entry describes another process than the one that answers
 	WaitCapacityOutdated // the capacity may have shrunk since the list was read
 	WaitForeseen         // the free capacity is kept for services on silent workers, which may have to be restarted
@@ -54,8 +55,8 @@
 	WaitCrashBackOff   // it may have crashed many workers, none of which could be observed
 	WaitSilentWorkers  // as many workers of its record are silent as would give it up if they have crashed
 	WaitCrashNotStored // a crash on its record is not stored yet
-	WaitOwnWorker      // its worker under a former owner has not reported yet
-	WaitTakeover       // some worker of a former owner has not reported yet
+	WaitOwnWorker      // its worker under a former owner has not reported, or not listed all ends yet
+	WaitTakeover       // some worker of a former owner has not reported, or not listed all ends yet
 	WaitNotDue         // its occurrence is not due
 	WaitWorkerSilent   // it may run on a worker that does not answer, until its lease has expired
 
@@ -68,7 +69,7 @@
 	"suitable", "start_not_stored", "start_not_confirmed", "not_its_turn", "worker_not_found", "no_plan",
 	"capacity_kept", "service_share",
 	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "recent_gap", "probation",
-	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "entry_outdated", "capacity_outdated", "kept_for_restarts", "kept_for_service",
+	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "ends_unlisted", "entry_outdated", "capacity_outdated", "kept_for_restarts", "kept_for_service",
 	"no_capacity", "unreachable", "unlisted", "replaced", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
 	"crash_back_off", "silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "worker_silent", "unexplained",
 }
--- a/core/schedule/waiting_test.go
+++ b/core/schedule/waiting_test.go
@@ -92,6 +92,7 @@
 			return e.add(false)
 		}},
 		{WaitNotStored, "w1", func(e *explained) *task { e.w.stored = false; return e.add(false) }},
+		{WaitEndsUnlisted, "w1", func(e *explained) *task { e.w.endsAwaited = true; return e.add(false) }},
 		{WaitUnhealthy, "w1", func(e *explained) *task { e.w.unhealthyUntil = e.now.Boot + 1; return e.add(false) }},
 		{WaitRejections, "w1", func(e *explained) *task { e.w.full.extend(e.now.Boot); return e.add(false) }},
 		{WaitMaxPerWorker, "w1", func(e *explained) *task {
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -63,6 +63,8 @@
 	longerLeases     longerLeases
 	lastEnd          int64              // number of the latest end that was applied
 	listedEnds       map[listedEnd]bool // in the last report
+	listedAllEnds    bool               // the last report listed every end that was not acknowledged
+	endsAwaited      bool               // it has reported, but not yet listed all ends of attempts of former owners
 	appliedEnds      map[listedEnd]bool // ends of the process that were applied before their numbers counted anew, see renumberEnds
 	suspect          bool               // a poll or an order has failed since the last report
 	silence          silence            // since the last report
--- a/pkg/dispatch/log.go
+++ b/pkg/dispatch/log.go
@@ -20,6 +20,7 @@
 	schedule.EventAttemptOrphaned:  eventlog.AttemptOrphaned,
 	schedule.EventJobEnded:         eventlog.JobEnded,
 	schedule.EventWorkerDraining:   eventlog.WorkerDraining,
+	schedule.EventEndsAwaited:      eventlog.EndsAwaited,
 	schedule.EventWorkerRestarted:  eventlog.WorkerRestarted,
 	schedule.EventWorkerReplaced:   eventlog.WorkerReplaced,
 	schedule.EventAttemptCrashed:   eventlog.AttemptCrashed,
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -46,6 +46,7 @@
 	TaskLease         time.Duration // duration by which a poll extends the task leases of a worker
 	MaxTaskLease      time.Duration // longest task lease that a worker grants
 	StopTime          time.Duration // maximum time that a worker takes to stop a task
+	EndsPerReport     int           // see schedule.Config
 	EndedJobRetention time.Duration // how long the state of an ended job can be queried
 	Log               *eventlog.Logger
 	Scope             tally.Scope
@@ -95,6 +96,7 @@
 	applied      int64    // newest end applied by the scheduler
 	acknowledged int64    // newest end that is stored and queued for acknowledgement by the relay
 	unstored     []jobEnd // ends that were applied and have not been acknowledged, by number
+	leavesOut    bool     // the latest report leaves out ends
 }
 
 type ownerMetrics struct {
@@ -127,6 +129,7 @@
 		scheduler: schedule.NewScheduler(schedule.Config{
 			Term: ownership.Term, TaskLease: cfg.TaskLease, MaxTaskLease: cfg.MaxTaskLease, StopTime: cfg.StopTime,
 			HandoverGrace: schedule.LeaseGrantWindow, UnknownGrace: term.TTL, CallDelay: lateCallDelay, AcquiredAt: ownership.AcquiredAt,
+			EndsPerReport: cfg.EndsPerReport,
 		}),
 		links:             map[string]*link{},
 		linkOf:            map[schedule.WorkerID]*link{},
--- a/pkg/relay/pending.go
+++ b/pkg/relay/pending.go
@@ -5,8 +5,8 @@
 )
 
 // pendingReports holds the reports that the owner has not collected. Of each worker it keeps only what the owner needs: a
-// report lists everything that runs on the worker and every end that is not acknowledged, so it supersedes the earlier
-// ones of the same process. An owner that collects late thus finds at most one report of each worker, the newest, and no
+// report lists everything that runs on the worker and the ends that are not acknowledged, or the earliest of them, so it
+// supersedes the earlier ones of the same process. An owner that collects late thus finds at most one report of each worker, the newest, and no
 // backlog. The zero value is empty. It is not safe for concurrent use.
 type pendingReports struct {
 	byWorker map[schedule.WorkerID]*workerReports
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -63,6 +63,7 @@
 	TaskLease         time.Duration // duration by which a poll extends the task leases of a worker
 	MaxTaskLease      time.Duration // longest task lease that a worker grants
 	StopTime          time.Duration // maximum time that a worker takes to stop a task
+	EndsPerReport     int           // maximum number of ends of attempts in a worker's report, the earliest first; 0 if there is none
 	EndedJobRetention time.Duration // how long the state of an ended job can be queried
 	Log               *eventlog.Logger
 	Scope             tally.Scope
@@ -191,7 +192,7 @@
 	owner := dispatch.NewOwner(dispatch.Config{
 		Partition: p, Host: n.cfg.Self.Host, Store: n.cfg.Store, Relays: &relayHosts{n, p}, Directory: n.cfg.Directory,
 		TaskLease: n.cfg.TaskLease, MaxTaskLease: n.cfg.MaxTaskLease, StopTime: n.cfg.StopTime, EndedJobRetention: n.cfg.EndedJobRetention,
-		Log: n.cfg.Log, Scope: n.cfg.Scope,
+		EndsPerReport: n.cfg.EndsPerReport, Log: n.cfg.Log, Scope: n.cfg.Scope,
 	}, ownership)
 	n.mu.Lock()
 	n.localOwners[p] = owner
