--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -385,6 +385,7 @@
 	ends.unstored = appendEnds(ends.unstored, report.Report.Ended, ends.applied, applied)
 	o.metrics.ends.Inc(int64(len(ends.unstored) - before))
 	ends.applied = applied
+	ends.leavesOut = !s.ListsAllEnds(report.Report)
 	if len(report.Report.Ended) > 0 {
 		ends.acknowledged = 0 // the worker still lists ends, so it has not received the acknowledgement
 	}
--- a/pkg/dispatch/refused.go
+++ b/pkg/dispatch/refused.go
@@ -18,7 +18,7 @@
 
 // A record that the store refuses for good, because it is too large, must not hold up the records of other jobs. It is stored
 // without its checkpoints, and set aside if it is refused even so. A job that is set aside goes on in the memory of this owner;
-// its ends are not acknowledged to the workers, and its final state is shown once it is stored.
+// its ends are acknowledged only where they leave no place for others in a worker's report, and its final state is shown once it is stored.
 
 const (
 	// minRefusedRetry and maxRefusedRetry bound the time until a value that the store has refused is tried again.
--- a/pkg/dispatch/refused_test.go
+++ b/pkg/dispatch/refused_test.go
@@ -23,6 +23,9 @@
 // maxTestValue is the largest value in bytes that the store of these tests accepts.
 const maxTestValue = 1000
 
+// testEndsPerReport is the number of ends that a report holds in these tests.
+const testEndsPerReport = 60
+
 // ownerOfStarted returns an owner that has just started all tasks of two jobs, "large" and "small", on a worker, and the link of
 // the worker. The store has no records yet and refuses values above maxTestValue.
 func ownerOfStarted(t *testing.T, largeTasks, smallTasks int) (*Owner, *link, *kvtest.Store) {
@@ -34,7 +37,7 @@
 	}
 	store.SetMaxValueBytes(maxTestValue)
 	o := NewOwner(Config{
-		Host: "host", Store: store, Relays: listedHosts{}, Log: eventlog.Discard(), Scope: tally.NoopScope,
+		Host: "host", Store: store, Relays: listedHosts{}, EndsPerReport: testEndsPerReport, Log: eventlog.Discard(), Scope: tally.NoopScope,
 	}, term.NewOwnership(term.Config{Store: store, Log: eventlog.Discard()}, 1, revision))
 	o.loaded = true
 	o.setWorkers([]schedule.WorkerInfo{{ID: testWorker, Address: "w", Datacentre: "dc", Pool: "pool",
@@ -157,3 +160,29 @@
 		t.Errorf("stored %+v, want 50 failures", large)
 	}
 }
+
+// Scenario: the record of a job is refused, and its ends fill the worker's report. Guards against ends of other jobs that nobody ever learns
+// of, since the worker lists them only once those before them are acknowledged: their jobs would never end.
+func TestRefusedRecordDoesNotHideEndsOfOtherJobs(t *testing.T) {
+	o, l, _ := ownerOfStarted(t, testEndsPerReport, 1)
+	ends := make([]schedule.Ended, 0, testEndsPerReport)
+	for n := range testEndsPerReport {
+		ends = append(ends, l.end(t, "large", int64(1+n), schedule.EndFailed, ""))
+	}
+	l.report(ends)
+	for range 3 {
+		if err := o.save(t.Context()); err != nil {
+			t.Errorf("error %v", err)
+		}
+	}
+	if got := l.stored[testWorker].Number; got != testEndsPerReport {
+		t.Fatalf("ends up to %d are acknowledged, want %d", got, testEndsPerReport)
+	}
+	l.report([]schedule.Ended{l.end(t, "small", testEndsPerReport+1, schedule.EndDone, "")})
+	if err := o.save(t.Context()); err != nil {
+		t.Errorf("error %v", err)
+	}
+	if got := state(o, "small"); got != workload.StateCompleted {
+		t.Errorf("the other job is %s, want it completed", got)
+	}
+}
--- a/pkg/dispatch/save.go
+++ b/pkg/dispatch/save.go
@@ -118,14 +118,17 @@
 }
 
 // acknowledgeEnds queues the acknowledgement of stored ends for the worker's relay, unless that lists the ends of another session by now.
-// o.mu is held.
+// Ends of jobs that are set aside are acknowledged only if the worker's report leaves out others, which it would never list: a later owner
+// may start the tasks of these jobs again, but nobody would learn of the ends that are left out. o.mu is held.
 func (o *Owner) acknowledgeEnds(stored relay.StoredEnd, session int64) {
 	ends := o.ends[stored.Worker]
 	l, assigned := o.linkOf[stored.Worker]
 	if !assigned || ends.session != session {
 		return
 	}
-	stored.Number = o.lastStoredEnd(ends.unstored, stored.Number)
+	if !ends.leavesOut {
+		stored.Number = o.lastStoredEnd(ends.unstored, stored.Number)
+	}
 	if stored.Number <= ends.acknowledged {
 		return
 	}
