--- a/core/schedule/break.go
+++ b/core/schedule/break.go
@@ -130,10 +130,8 @@
 		return 0
 	}
 	total := minEstimateShare * float64(a.task.step.spec.EstimateMs) / 1000
-	for _, t := range a.task.step.tasks {
-		if t.done && t.rate > 0 {
-			total = min(total, fullShare/t.rate)
-		}
+	if fastest := a.task.step.fastest; fastest > 0 {
+		total = min(total, fullShare/fastest)
 	}
 	return time.Duration(total * (fullShare - a.percent) / fullShare * float64(time.Second))
 }
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -30,6 +30,7 @@
 	dependents       []*step
 	unfinished       int           // tasks that are not done
 	pending          int           // tasks that have no attempt and are not done
+	fastest          float64       // highest rate of a task that is done, in percent of the task per second; 0 if none is known
 	openedAt         time.Duration // when the steps that it depends on were done, or the job was added
 	retryAt          time.Duration // when a search for capacity is worth trying again
 	unplacedAt       time.Duration // time of the latest planning run in which it was due and no worker was found for a task
--- a/core/schedule/short_crash_test.go
+++ b/core/schedule/short_crash_test.go
@@ -113,8 +113,8 @@
 	}{
 		"new":                    {func(*attempt) {}, 500 * time.Millisecond},
 		"half done":              {func(a *attempt) { a.percent = 50 }, 250 * time.Millisecond},
-		"another is done sooner": {func(a *attempt) { a.task.step.tasks[1].done, a.task.step.tasks[1].rate = true, 1000 }, 100 * time.Millisecond},
-		"another is done later":  {func(a *attempt) { a.task.step.tasks[1].done, a.task.step.tasks[1].rate = true, 50 }, 500 * time.Millisecond},
+		"another is done sooner": {func(a *attempt) { a.task.step.fastest = 1000 }, 100 * time.Millisecond},
+		"another is done later":  {func(a *attempt) { a.task.step.fastest = 50 }, 500 * time.Millisecond},
 		"without an estimate":    {func(a *attempt) { a.task.step.spec.EstimateMs = 0 }, 0},
 		"from a checkpoint":      {func(a *attempt) { a.resumed = true }, 0},
 		"from one, and listed":   {func(a *attempt) { a.resumed, a.listedAt, a.percent = true, 1, 80 }, 100 * time.Millisecond},
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -76,6 +75,7 @@
 
 // updateSlowness measures the progress of the tasks on a worker and compares it with that of equal tasks elsewhere.
 func (s *Scheduler) updateSlowness(now time.Duration, w *worker) {
+	rates := expectedRates{worker: w}
 	for _, a := range w.attemptList {
 		if a.phase != running || a.task.step.spec.Service || a.confirmedAt == 0 {
 			continue
@@ -83,7 +83,7 @@
 		if !a.updateRate(now) {
 			continue
 		}
-		expected, weight := a.expectedRate()
+		expected, weight := rates.of(a.task.step)
 		if expected > 0 {
 			w.slowness.add(now, math.Log(expected/max(a.rate, expected/math.Exp(maxSlowness))), weight)
 		}
@@ -117,6 +117,7 @@
 	ran := (now - a.confirmedAt).Seconds()
 	if a.confirmedAt > 0 && ran > 0 && !a.resumed && a.speedShare() == 1 {
 		a.task.rate = fullShare / ran
+		a.task.step.fastest = max(a.task.step.fastest, a.task.rate)
 	}
 }
 
@@ -137,31 +138,6 @@
 	return share
 }
 
-// expectedRate returns the median rate of the other tasks of the step on other workers, or else the rate that follows
-// from the caller's estimate, and the weight of a comparison with it.
-func (a *attempt) expectedRate() (rate, weight float64) {
-	var buffer [64]float64 // on the stack, enough for most steps
-	rates := buffer[:0]
-	for _, t := range a.task.step.tasks {
-		for _, other := range t.attempts {
-			if other.worker != a.worker && other.rateKnown {
-				rates = append(rates, other.rate)
-			}
-		}
-		if t.done && t.rate > 0 {
-			rates = append(rates, t.rate)
-		}
-	}
-	if len(rates) >= 2 {
-		slices.Sort(rates)
-		return rates[len(rates)/2], 1
-	}
-	if a.task.step.spec.EstimateMs > 0 {
-		return fullShare * 1000 / float64(a.task.step.spec.EstimateMs), estimateWeight
-	}
-	return 0, 0
-}
-
 // stalled reports whether an attempt has made no progress at all for longer than its whole task is estimated to take. The time
 // counts up to the latest report: a worker that is silent shows nothing about the speed of its tasks.
 func (a *attempt) stalled() bool {
@@ -176,15 +152,16 @@
 // moveFromSlow stops stalled tasks, tasks on slow workers that are expected to end sooner elsewhere, and service tasks
 // on slow workers, if another worker has capacity for them.
 func (s *Scheduler) moveFromSlow(now Time) {
-	moves := 0
+	moves, unavailable := 0, unavailableTasks{}
 	for _, w := range s.sortedWorkers {
 		slow := w.slowness.slow(now.Boot)
+		rates := expectedRates{worker: w}
 		for _, a := range w.attemptList {
 			if moves >= movesPerScan {
 				return
 			}
 			if slow && a.task.step.spec.Service {
-				if s.moveService(now, a) {
+				if s.moveService(now, a, unavailable) {
 					moves++
 				}
 				continue
@@ -193,7 +170,7 @@
 			if stalled {
 				w.slowness.add(now.Boot, maxSlowness, 1)
 			}
-			if !(slow && a.endsSoonerElsewhere(now.Boot)) && !stalled {
+			if !(slow && a.endsSoonerElsewhere(&rates)) && !stalled {
 				continue
 			}
 			if s.choose(now, a.task) == nil {
@@ -210,27 +187,39 @@
 }
 
 // moveService stops a service task on a slow worker, if its step tolerates one unavailable task at the moment.
-func (s *Scheduler) moveService(now Time, a *attempt) bool {
-	if a.phase != running || a.confirmedAt == 0 || !a.task.step.toleratesStop(a) || now.Boot-a.startedAt < minRunTime {
+func (s *Scheduler) moveService(now Time, a *attempt, unavailable unavailableTasks) bool {
+	if a.phase != running || a.confirmedAt == 0 || now.Boot-a.startedAt < minRunTime || !unavailable.tolerateStop(a) {
 		return false
 	}
 	if s.choose(now, a.task) == nil {
 		return false
 	}
 	s.move(now, a, "service on slow worker", 0)
+	delete(unavailable, a.task.step)
 	return true
 }
 
-// toleratesStop reports whether a service task may be stopped: together with the other tasks of its step that do not run
+// unavailableTasks holds how many service tasks of a step do not run at full speed, by step, until one of its attempts changes. Counting them
+// anew for each attempt of a wide step would take longer than a planning run may.
+type unavailableTasks map[*step]int
+
+// tolerateStop reports whether the service task of an attempt may be stopped: together with the other tasks of its step that do not run
 // at full speed, at most MaxUnavailable tasks are unavailable then.
-func (st *step) toleratesStop(a *attempt) bool {
-	unavailable := 1
-	for _, t := range st.tasks {
-		if t != a.task && !t.atFullSpeed() {
-			unavailable++
+func (u unavailableTasks) tolerateStop(a *attempt) bool {
+	st := a.task.step
+	n, counted := u[st]
+	if !counted {
+		for _, t := range st.tasks {
+			if !t.atFullSpeed() {
+				n++
+			}
 		}
+		u[st] = n
+	}
+	if a.task.atFullSpeed() {
+		n++
 	}
-	return unavailable <= st.spec.MaxUnavailable
+	return n <= st.spec.MaxUnavailable
 }
 
 // atFullSpeed reports whether any attempt of a service task runs at full speed.
@@ -245,11 +234,11 @@
 
 // endsSoonerElsewhere reports whether an attempt is expected to take at least restartGain times as long on its current
 // worker as after a restart elsewhere, from the latest checkpoint if the task saves any.
-func (a *attempt) endsSoonerElsewhere(now time.Duration) bool {
+func (a *attempt) endsSoonerElsewhere(rates *expectedRates) bool {
 	if a.phase != running || a.task.step.spec.Service || !a.rateKnown {
 		return false
 	}
-	expected, _ := a.expectedRate()
+	expected, _ := rates.of(a.task.step)
 	if expected <= 0 {
 		return false
 	}
