--- a/core/schedule/faultsim_former_test.go
+++ b/core/schedule/faultsim_former_test.go
@@ -17,8 +17,9 @@
 // formerCallFaults are timed polls without an answer that are carried out late, also by the next process of the worker. They use a source
 // of random numbers of their own.
 type formerCallFaults struct {
-	rnd   *rand.Rand
-	polls []formerPoll
+	rnd    *rand.Rand
+	polls  []formerPoll
+	fences map[WorkerID]int64 // offsets of the fencing tokens that the relays of the owner use
 }
 
 // formerPoll is a timed poll that has not been answered.
@@ -33,7 +34,7 @@
 
 // newFormerCallFaultSim returns a simulation with formerCallFaults, of workers that grant longer leases than the owner.
 func newFormerCallFaultSim(f *faultSim) *faultSim {
-	f.former = &formerCallFaults{rnd: rand.New(rand.NewPCG(f.seed, 11))}
+	f.former = &formerCallFaults{rnd: rand.New(rand.NewPCG(f.seed, 11)), fences: map[WorkerID]int64{}}
 	f.s.cfg = f.config()
 	return f
 }
@@ -48,6 +49,30 @@
 	return cfg
 }
 
+// fenceOf returns the fencing token that the relay of a worker uses.
+func (f *faultSim) fenceOf(id WorkerID) int64 {
+	if f.former == nil {
+		return f.term
+	}
+	return f.term + f.former.fences[id]
+}
+
+// updateFences lets the relays learn the fencing tokens of a new owner at once, and those that it raises after some time.
+func (f *faultSim) updateFences(newOwner bool) {
+	if f.former == nil {
+		return
+	}
+	if newOwner {
+		f.former.fences = map[WorkerID]int64{}
+	}
+	for _, worker := range f.workers {
+		id := worker.info.ID
+		if newOwner || f.former.rnd.IntN(3) == 0 {
+			f.former.fences[id] = f.s.FenceOffset(id)
+		}
+	}
+}
+
 // delayPoll lets a timed poll without an answer be carried out late, half of them.
 func (f *faultSim) delayPoll(worker *faultSimWorker, leaseEnd time.Duration) {
 	if f.former == nil || leaseEnd == 0 || !f.injects() || f.former.rnd.IntN(2) == 0 {
@@ -55,7 +80,7 @@
 	}
 	f.former.polls = append(f.former.polls, formerPoll{
 		at:     f.now + time.Duration(f.former.rnd.Int64N(int64(simMaxPollDelay))),
-		worker: worker, id: worker.info.ID, process: worker.processes, fence: f.term, leaseEnd: leaseEnd,
+		worker: worker, id: worker.info.ID, process: worker.processes, fence: f.fenceOf(worker.info.ID), leaseEnd: leaseEnd,
 	})
 }
 
--- a/core/schedule/faultsim_late_test.go
+++ b/core/schedule/faultsim_late_test.go
@@ -34,6 +34,7 @@
 	received time.Duration // when the relay received it, or the first of those that it supersedes
 	at       time.Duration // when it is applied
 	failed   bool
+	fenced   bool          // the worker has rejected the poll; only with failed
 	broken   bool          // the connection broke soon after an answer; only with failed
 	granted  time.Duration // when the latest lease begins that the relay has granted, 0 if it has granted none; only with failed
 	report   Report
@@ -90,11 +91,15 @@
 // permittedFor returns the time d from now, or LeaseGrantWindow after the store has confirmed the owner if that is earlier: leases are
 // extended from no later time.
 func (f *faultSim) permittedFor(d time.Duration) time.Duration {
-	confirmedAt := f.now
-	if f.late != nil {
-		confirmedAt = f.late.validUntil - simConfirmed
+	return min(f.now+d, f.confirmedAt()+LeaseGrantWindow)
+}
+
+// confirmedAt returns when the store has confirmed the owner last.
+func (f *faultSim) confirmedAt() time.Duration {
+	if f.late == nil {
+		return f.now
 	}
-	return min(f.now+d, confirmedAt+LeaseGrantWindow)
+	return f.late.validUntil - simConfirmed
 }
 
 // storeDown reports whether the store cannot be reached.
@@ -145,6 +150,9 @@
 	if r.broken {
 		f.s.ConnectionBroken(f.time(), r.worker)
 	}
+	if r.fenced {
+		f.s.PollFenced(f.time(), r.worker)
+	}
 	if r.failed {
 		f.s.PollFailed(f.time(), r.worker, Grant{At: r.granted, Lease: testLease})
 		return
--- a/core/schedule/faultsim_test.go
+++ b/core/schedule/faultsim_test.go
@@ -171,6 +171,7 @@
 	}
 	f.listWorkers()
 	f.withheld.reset(f)
+	f.updateFences(true)
 	for _, worker := range f.workers {
 		worker.cut = nil
 		if f.term > 1 && f.faulty(3) {
@@ -231,7 +232,9 @@
 		}
 	}
 	f.advanceWithheld()
+	f.updateFences(false)
 	f.s.Expire(f.time(), f.confirmed(), f.collectedUpTo)
+	f.s.RaiseRejected(f.confirmedAt())
 	f.s.WithholdLeases(f.time(), f.confirmed(), f.withheldSince, f.collectedUpTo)
 	f.s.Plan(f.time())
 	for _, order := range f.s.TakeOrders() {
@@ -267,7 +270,7 @@
 		f.s.OrderAnswered(f.time(), order, NotRun)
 		return
 	}
-	delayed := delayedOrder{order: order, fence: f.term}
+	delayed := delayedOrder{order: order, fence: f.fenceOf(order.Worker)}
 	if order.Kind == OrderStart {
 		if !f.polled[order.Worker] || f.withheld.flags[order.Worker] {
 			f.s.OrderAnswered(f.time(), order, NotRun)
--- a/core/schedule/faultsim_withheld_test.go
+++ b/core/schedule/faultsim_withheld_test.go
@@ -203,7 +203,7 @@
 func (f *faultSim) pollFormerRelays() {
 	for _, worker := range f.workers {
 		until, polls := f.withheld.former[worker]
-		if polls && worker.fence < f.term && worker.fence > 0 && !f.unreachable(worker) && f.now <= until {
+		if polls && worker.fence < f.fenceOf(worker.info.ID) && worker.fence > 0 && !f.unreachable(worker) && f.now <= until {
 			worker.leaseEnd = max(worker.leaseEnd, f.now+testLease)
 		}
 	}
--- a/core/schedule/faultsim_worker_test.go
+++ b/core/schedule/faultsim_worker_test.go
@@ -126,15 +126,20 @@
 		f.pollFailed(id)
 		return
 	}
-	if worker.fence > f.term {
+	if worker.fence > f.fenceOf(id) && f.former != nil {
+		f.polled[id] = false
+		f.addResult(lateResult{worker: id, failed: true, fenced: true, granted: f.granted[id]})
+		return
+	}
+	if worker.fence > f.fenceOf(id) {
 		f.fatalf("%s has seen a later owner", id)
 	}
-	worker.fence = f.term
+	worker.fence = f.fenceOf(id)
 	worker.leaseEnd = max(worker.leaseEnd, lease)
 	if f.polled[id] {
 		worker.ended = slices.DeleteFunc(worker.ended, func(e Ended) bool { return f.dropEnd(worker, e) })
 	}
-	report := Report{Incarnation: f.identify(worker), Address: worker.info.Address, SentAt: f.now,
+	report := Report{Incarnation: f.identify(worker), Address: worker.info.Address, SentAt: f.now, Fence: worker.fence,
 		Ended: slices.Clone(worker.ended[:min(len(worker.ended), f.s.cfg.EndsPerReport)])}
 	for key := range worker.running {
 		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.number, Percent: f.percentOf(worker, key)})
@@ -204,8 +209,8 @@
 func (f *faultSim) pollBehindCut(worker *faultSimWorker) {
 	id, cut := worker.info.ID, worker.cut
 	lost := f.now >= cut.lostAt
-	if !f.unreachable(worker) && worker.fence <= f.term {
-		worker.fence = f.term
+	if !f.unreachable(worker) && worker.fence <= f.fenceOf(id) {
+		worker.fence = f.fenceOf(id)
 		if !f.withheld.flags[id] {
 			until := min(f.now, cut.permittedUntil)
 			if lost {
--- a/core/schedule/former_calls.go
+++ b/core/schedule/former_calls.go
@@ -16,6 +16,8 @@
 type formerCalls struct {
 	leasesEnd time.Duration // when these leases have certainly expired; 0 if there are none
 	handedOut bool          // a set of known workers with them was handed out to be stored
+	foundAt   time.Duration // when the process that gets these calls was found
+	covered   bool          // a later owner waits for as long in any case, so that they need not be stored
 }
 
 // calledAddress is an address to which timed calls for a former process of a worker were sent.
@@ -24,9 +26,11 @@
 	until   time.Duration // boot time up to which such a call may be carried out
 }
 
-// recordFormerCalls records how long the leases of a process that now reports for the first time to this owner, from an address, may last
-// because of calls to former ones. A process gets only those that were sent to its address.
-func (s *Scheduler) recordFormerCalls(now time.Duration, w *worker, address string) {
+// recordFormerCalls records how long the leases of a process that now reports for the first time to this owner may last because of calls to
+// former ones. A process gets only those that were sent to its address. Without a fencing token in the report its relay is of a former version,
+// which cannot raise it.
+func (s *Scheduler) recordFormerCalls(now time.Duration, w *worker, report Report) {
+	address := report.Address
 	callsEnd := s.formerCallsEnd(now, w)
 	if address != "" && w.answeredAddress != "" && address != w.answeredAddress {
 		callsEnd = w.leaveAddress(now, callsEnd, address)
@@ -39,7 +43,10 @@
 	if end <= now+s.cfg.leaseBound() {
 		return // a later owner waits for as long in any case
 	}
-	w.formerCalls = formerCalls{leasesEnd: max(w.formerCalls.leasesEnd, end)}
+	w.formerCalls = formerCalls{leasesEnd: max(w.formerCalls.leasesEnd, end), foundAt: now}
+	if callsEnd > now && report.Fence > 0 {
+		s.raiseFence(w)
+	}
 	w.stored = false // until a later owner knows of it
 	s.knownWorkersChanged = true
 	s.index.markChanged(w)
@@ -88,9 +95,9 @@
 // last reports whether leases that calls to former processes have extended may last.
 func (c formerCalls) last(now time.Duration) bool { return now < c.leasesEnd }
 
-// remaining returns for how long such leases may last, rounded up; 0 if there are none.
+// remaining returns for how long such leases may last, rounded up; 0 if there are none for which a later owner would not wait in any case.
 func (c formerCalls) remaining(now time.Duration) time.Duration {
-	if !c.last(now) {
+	if c.covered || !c.last(now) {
 		return 0
 	}
 	return (c.leasesEnd - now + formerCallsStep - 1).Truncate(formerCallsStep)
@@ -98,5 +105,5 @@
 
 // storedWith reports whether the stored description of a worker tells a later owner of such leases.
 func (c formerCalls) storedWith(info WorkerInfo) bool {
-	return c.leasesEnd == 0 || c.handedOut && info.FormerCalls > 0
+	return c.leasesEnd == 0 || c.handedOut && (c.covered || info.FormerCalls > 0)
 }
--- a/core/schedule/inherited_lease.go
+++ b/core/schedule/inherited_lease.go
@@ -27,6 +27,7 @@
 	if info.GrantedLease == 0 || info.GrantedLease > s.cfg.TaskLease {
 		s.unknownLeasesUntil = max(s.unknownLeasesUntil, w.inherited.until)
 	}
+	s.inheritFence(w, info)
 	if info.FormerCalls > 0 {
 		w.formerCalls = formerCalls{leasesEnd: begunAt + info.FormerCalls, handedOut: true}
 	}
@@ -82,6 +83,7 @@
 		w.longerLeases.stored = false
 	}
 	info.FormerCalls = w.formerCalls.remaining(now)
+	info.FenceOffset = w.fence.wanted
 	w.formerCalls.handedOut = true
 	if w.withheld.marked {
 		info.LeaseRemaining = w.remainingLease(now)
@@ -91,9 +93,9 @@
 }
 
 // leasesStoredWith reports whether the stored description of a worker tells a later owner of all leases that may last longer than
-// Config.TaskLease.
+// Config.TaskLease, and of the fencing token.
 func (w *worker) leasesStoredWith(info WorkerInfo) bool {
-	return w.formerCalls.storedWith(info) && (!w.longerLeases.recorded || info.GrantedLease == 0)
+	return w.formerCalls.storedWith(info) && info.FenceOffset >= w.fence.wanted && (!w.longerLeases.recorded || info.GrantedLease == 0)
 }
 
 // expireFormerLeases has the known workers stored again once leases of former owners, or those that calls to former processes have
@@ -104,6 +106,10 @@
 		s.knownWorkersChanged = true
 	}
 	for _, w := range s.sortedWorkers {
+		if c := &w.formerCalls; c.leasesEnd > 0 && !c.covered && c.leasesEnd <= now+s.cfg.leaseBound() {
+			c.covered = true
+			s.knownWorkersChanged = true
+		}
 		if w.formerCalls.leasesEnd > 0 && !w.formerCalls.last(now) {
 			w.formerCalls = formerCalls{}
 			s.knownWorkersChanged = true
--- a/core/schedule/obstacle.go
+++ b/core/schedule/obstacle.go
@@ -116,6 +116,8 @@
 		return WaitProbation
 	case w.hasRecentGap(now, t):
 		return WaitRecentGap
+	case spec.Service && w.formerCallsOutlast(now):
+		return WaitFormerCalls
 	}
 	return Suitable
 }
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -70,17 +70,21 @@
 	return nameOf(o, "accepted", "unanswered", "not_run", "no_room", "old_attempt", "unhealthy", "fenced")
 }
 
-// OrderAnswered records the outcome of an order. It returns false when the worker has seen a later owner.
+// OrderAnswered records the outcome of an order. It returns false when the worker has certainly seen a later owner.
 func (s *Scheduler) OrderAnswered(now Time, o Order, outcome Outcome) bool {
 	s.calledAt = now.Boot
 	w, known := s.workers[o.Worker]
 	if !known {
-		return outcome != RejectedFenced
+		return outcome != RejectedFenced || s.RaisesFences()
+	}
+	if outcome == RejectedFenced {
+		if !s.RaisesFences() {
+			return false
+		}
+		outcome = NotRun
 	}
 	a := w.attempts[attemptKey{o.Task, o.Attempt}]
 	switch {
-	case outcome == RejectedFenced:
-		return false
 	case a == nil:
 		s.orphanStopAnswered(w, o, outcome)
 	case o.Kind == OrderStart:
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -43,6 +43,7 @@
 	Incarnation int64         // start of the worker process, Unix milliseconds, or see NextIncarnation; 0 when not reported
 	Address     string        // where the worker has answered; empty if the relay does not tell
 	SentAt      time.Duration // when the poll was sent, boot clock of the owner
+	Fence       int64         // fencing token of the poll; 0 if the relay does not tell
 	ReceivedAt  time.Duration // when the report was received from the worker, boot clock of the owner; for measurements only
 	Running     []Running
 	Ended       []Ended
@@ -74,6 +75,7 @@
 	s.recordProcess(now, w, report)
 	s.recordReport(now.Boot, w, report)
 	s.recordListed(w, report)
+	s.recordFenced(now.Boot, w, report)
 	s.applyRunning(now, w, report)
 	s.applyEnded(now, w, report)
 	if s.ListsAllEnds(report) {
@@ -147,7 +149,7 @@
 	switch {
 	case w.incarnation != report.Incarnation:
 		if w.incarnation != 0 || s.mayReplaceFormer(now.Boot, w, report.Incarnation) {
-			s.recordFormerCalls(now.Boot, w, report.Address)
+			s.recordFormerCalls(now.Boot, w, report)
 		}
 		if w.incarnation != 0 && !countsFewer(report.Incarnation, w.incarnation) {
 			s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID})
@@ -160,7 +162,7 @@
 		w.incarnation = report.Incarnation
 	case w.endsRenumbered(report.Ended):
 		s.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Reason: "numbers of ends"})
-		s.recordFormerCalls(now.Boot, w, report.Address)
+		s.recordFormerCalls(now.Boot, w, report)
 	default:
 		return
 	}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -35,12 +35,13 @@
 	neededAtPlan        map[workload.PoolName]*poolNeeds // at the beginning of the latest planning run
 	orders              []Order                          // issued since the last call of TakeOrders
 	events              []Event
-	awaitingReport      map[WorkerID]bool // workers that a former owner may have used and that have not reported, or not listed all ends yet
-	takeoverAt          time.Duration     // when the takeover began
-	unknownUntil        time.Duration     // until when workers that are not known may run tasks of former owners; 0 if all are known
-	unknownLeasesUntil  time.Duration     // until when leases of former owners may last that are longer than those of this one; 0 if there are none
-	knownWorkersChanged bool              // the set of known workers has changed since it was last stored
-	withholdingChanged  bool              // see TakeWithholdingChanged
+	awaitingReport      map[WorkerID]bool  // workers that a former owner may have used and that have not reported, or not listed all ends yet
+	takeoverAt          time.Duration      // when the takeover began
+	unknownUntil        time.Duration      // until when workers that are not known may run tasks of former owners; 0 if all are known
+	unknownLeasesUntil  time.Duration      // until when leases of former owners may last that are longer than those of this one; 0 if there are none
+	knownWorkersChanged bool               // the set of known workers has changed since it was last stored
+	withholdingChanged  bool               // see TakeWithholdingChanged
+	fencesRaised        map[WorkerID]fence // of all workers whose token is above the term, also of those that are removed
 	interference        *interference
 	retention           retentionClock
 	throttledFrom       int                         // position of the worker with which the next search for a throttled filler begins
@@ -81,6 +82,7 @@
 		compareSteps:   compareByResponse,
 		stopping:       map[*attempt]struct{}{},
 		awaitingReport: map[WorkerID]bool{},
+		fencesRaised:   map[WorkerID]fence{},
 		dirty:          map[*job]struct{}{},
 		interference:   newInterference(),
 		earlyCancels:   map[workload.JobID]Time{},
@@ -273,6 +275,7 @@
 
 func (s *Scheduler) addWorker(w *worker) {
 	s.workers[w.info.ID] = w
+	w.fence = s.fencesRaised[w.info.ID]
 	n, _ := slices.BinarySearchFunc(s.sortedWorkers, w.info.ID, func(other *worker, id WorkerID) int {
 		return cmp.Compare(other.info.ID, id)
 	})
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -78,9 +78,9 @@
 
 // needsReport reports whether a later owner needs a report of a worker: tasks run on it or may start on it. None has been started
 // on a worker that has not answered since this owner knows it or since its leases have certainly expired, unless a former owner
-// has. A worker that may have crashed stays known as well, so that its crash is noticed.
+// has. A worker that may have crashed stays known as well, so that its crash is noticed, and so does one whose token is to be raised.
 func (s *Scheduler) needsReport(w *worker) bool {
-	return (w.answers || s.awaitingReport[w.info.ID] || len(s.silentOn[w.info.ID]) > 0) && !s.drained(w)
+	return (w.answers || w.fence.wanted > w.fence.offset || s.awaitingReport[w.info.ID] || len(s.silentOn[w.info.ID]) > 0) && !s.drained(w)
 }
 
 // drained reports whether a draining worker certainly runs nothing more. No task is started on it, and a later owner that
@@ -108,10 +108,13 @@
 }
 
 // KnownWorkersStored records that the workers are stored for a later owner with the addresses at which they have answered, so that they
-// may get tasks, and that leases of those stored without a remaining lease may be extended again.
+// may get tasks, that leases of those stored without a remaining lease may be extended again, and that raised tokens may be used.
 func (s *Scheduler) KnownWorkersStored(infos []WorkerInfo) {
 	for _, info := range infos {
 		w, known := s.workers[info.ID]
+		if known {
+			s.useFence(w, info.FenceOffset)
+		}
 		if known && info.LeaseRemaining == 0 && info.Address == w.address() && w.leasesStoredWith(info) &&
 			(!w.stored || w.withheld.active) {
 			s.recordStored(w)
--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -30,6 +30,7 @@
 	WaitFaulty           // tasks of several jobs have failed on the worker
 	WaitLostRecently     // the worker was lost and has returned
 	WaitRecentGap        // it has not answered without a gap for long enough to notice whether the task crashes it
+	WaitFormerCalls      // services: leases of the worker's former process may outlast the time for which a service may be away
 	WaitProbation        // task and worker would be shared with another suspect of crashes
 	WaitMaxPerWorker     // the worker has as many tasks of the step as it may
 	WaitRejections       // the worker has rejected tasks for lack of capacity that the list does not show
@@ -68,7 +69,7 @@
 var waitReasonNames = [numWaitReasons]string{
 	"suitable", "start_not_stored", "start_not_confirmed", "not_its_turn", "worker_not_found", "no_plan",
 	"capacity_kept", "service_share",
-	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "recent_gap", "probation",
+	"service_near_target", "no_spare_time", "failed_there", "slow_worker", "faulty_worker", "lost_recently", "recent_gap", "former_calls", "probation",
 	"max_per_worker", "rejections", "unhealthy", "worker_not_stored", "ends_unlisted", "entry_outdated", "capacity_outdated", "kept_for_restarts", "kept_for_service",
 	"no_capacity", "unreachable", "unlisted", "replaced", "draining", "evacuated", "list_not_read", "no_label", "other_pool", "no_worker",
 	"crash_back_off", "silent_workers", "crash_not_stored", "own_worker_awaited", "takeover", "not_due", "worker_silent", "unexplained",
--- a/core/schedule/withhold.go
+++ b/core/schedule/withhold.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// TakeWithholdingChanged reports whether the leases of other workers are withheld than at the last call.
+// TakeWithholdingChanged reports whether the leases of other workers are withheld than at the last call, or a fencing token was raised.
 func (s *Scheduler) TakeWithholdingChanged() (changed bool) {
 	changed = s.withholdingChanged
 	s.withholdingChanged = false
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -35,6 +35,9 @@
 	// FormerCalls is how long its task leases may last at least, since calls to its former processes may have extended them. Only of known
 	// workers; 0 if they have not. It is right for the same time as LeaseRemaining, and too long afterwards.
 	FormerCalls time.Duration
+
+	// FenceOffset is what owners add to their term for the fencing token of calls to the worker, see fence.go. Only of known workers.
+	FenceOffset int64
 }
 
 // worker is the scheduler's view of one worker.
@@ -58,6 +61,7 @@
 	withheld         withholding
 	withholdFrom     time.Duration // unless leasesExtended: when its leases are withheld if it has not answered by then
 	formerCalls      formerCalls
+	fence            fence
 	calledAddresses  []calledAddress // of former processes that listened elsewhere
 	inherited        inheritedLease
 	longerLeases     longerLeases
--- a/pkg/dispatch/failed_poll.go
+++ b/pkg/dispatch/failed_poll.go
@@ -17,6 +17,9 @@
 // applyFailedPoll applies the result of a poll that a worker has not answered. Owner.mu is held.
 func (l *link) applyFailedPoll(s *schedule.Scheduler, now schedule.Time, report relay.WorkerReport, offset relayClockOffset) {
 	o, id := l.owner, report.Worker
+	if report.PollFenced() {
+		s.PollFenced(now, id)
+	}
 	if report.ConnectionBroken() {
 		s.ConnectionBroken(now, id)
 	}
--- a/pkg/dispatch/known_workers.go
+++ b/pkg/dispatch/known_workers.go
@@ -42,19 +42,21 @@
 	LeaseRemaining time.Duration `json:",omitempty"`
 	GrantedLease   time.Duration `json:",omitempty"`
 	FormerCalls    time.Duration `json:",omitempty"`
+
+	FenceOffset int64 `json:",omitempty"` // 0 from former versions
 }
 
 func newKnownWorker(info schedule.WorkerInfo) knownWorker {
 	return knownWorker{
 		ID: info.ID, Address: info.Address, Datacentre: info.Datacentre, Pool: info.Pool, StartedMs: info.StartedMs, Draining: info.Draining,
-		LeaseRemaining: info.LeaseRemaining, GrantedLease: info.GrantedLease, FormerCalls: info.FormerCalls,
+		LeaseRemaining: info.LeaseRemaining, GrantedLease: info.GrantedLease, FormerCalls: info.FormerCalls, FenceOffset: info.FenceOffset,
 	}
 }
 
 func (w knownWorker) info() schedule.WorkerInfo {
 	return schedule.WorkerInfo{
 		ID: w.ID, Address: w.Address, Datacentre: w.Datacentre, Pool: w.Pool, StartedMs: w.StartedMs, Draining: w.Draining,
-		LeaseRemaining: w.LeaseRemaining, GrantedLease: w.GrantedLease, FormerCalls: w.FormerCalls,
+		LeaseRemaining: w.LeaseRemaining, GrantedLease: w.GrantedLease, FormerCalls: w.FormerCalls, FenceOffset: w.FenceOffset,
 	}
 }
 
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -59,6 +59,7 @@
 	datacentre structs.DatacentreID // for which the relay was chosen
 	wait       time.Duration        // how long a poll of the worker may wait
 	withhold   bool                 // the relay extends no lease of it
+	fence      int64                // added to the term for the fencing token of calls to it
 }
 
 // inFlight is an order that was sent to the relay and has no outcome yet.
@@ -151,7 +152,7 @@
 		if info, known := o.scheduler.Worker(id); known {
 			u.Assign = append(u.Assign, relay.Assignment{
 				Worker: info, AnsweredAddress: o.scheduler.AnsweredAddress(id), Wait: l.workers[id].wait,
-				WithholdLeases: l.workers[id].withhold,
+				WithholdLeases: l.workers[id].withhold, FenceOffset: l.workers[id].fence,
 			})
 		}
 	}
@@ -305,7 +306,7 @@
 // arrival.
 func (l *link) applyResults(sent, arrived time.Duration, results relay.Results) {
 	o := l.owner
-	if results.Fenced {
+	if results.Fenced && !o.raisesFences() {
 		o.ownership.MarkLost("a worker has accepted a later owner")
 		return
 	}
@@ -330,6 +331,13 @@
 	})
 }
 
+// raisesFences reports whether a worker may reject calls although there is no later owner.
+func (o *Owner) raisesFences() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.scheduler.RaisesFences()
+}
+
 // collectedUpTo returns the boot time up to which the results of all polls of a worker have been applied. A worker without a
 // relay is not polled. o.mu is held.
 func (o *Owner) collectedUpTo(now schedule.Time, id schedule.WorkerID) time.Duration {
--- a/pkg/dispatch/planning.go
+++ b/pkg/dispatch/planning.go
@@ -57,6 +57,7 @@
 		validUntil := o.ownership.ValidUntil()
 		collectedUpTo := func(id schedule.WorkerID) time.Duration { return o.collectedUpTo(now, id) }
 		s.Expire(now, now.Boot < validUntil, collectedUpTo)
+		s.RaiseRejected(o.ownership.ConfirmedAt())
 		s.WithholdLeases(now, now.Boot < validUntil, o.withheldSince, collectedUpTo)
 		if s.TakeWithholdingChanged() {
 			o.wake(o.assignWake)
--- a/pkg/relay/orders.go
+++ b/pkg/relay/orders.go
@@ -75,7 +75,7 @@
 		r.mu.Unlock()
 		return
 	}
-	req := PollRequest{Worker: s.workerAt(s.orderAddress()), Fence: term, AckedEnd: s.acknowledged()}
+	req := PollRequest{Worker: s.workerAt(s.orderAddress()), Fence: s.fence(), AckedEnd: s.acknowledged()}
 	ctx := r.sessionCtx
 	r.mu.Unlock()
 	s.poll(ctx, req)
@@ -97,7 +97,7 @@
 	}
 	s, known := r.sessions[command.Order.Worker]
 	if known {
-		command.Order.Address = s.orderAddress()
+		command.Order.Address, command.Fence = s.orderAddress(), s.fence()
 	}
 	if command.Order.Kind != schedule.OrderStart {
 		return nil
--- a/pkg/relay/ports.go
+++ b/pkg/relay/ports.go
@@ -42,7 +42,7 @@
 // task ends.
 type PollRequest struct {
 	Worker    schedule.WorkerInfo // its Address is where the worker is polled
-	Fence     int64               // fencing token: term of the owner
+	Fence     int64               // fencing token: term of the owner, and the offset of the worker
 	LeaseToMs int64               // time on the worker's clock up to which task leases are extended; 0 leaves them unchanged
 	AckedEnd  int64               // number of the newest task end that is stored; the worker may drop ends up to it
 	Wait      time.Duration       // how long the worker may hold the poll open until a task ends
@@ -57,7 +57,7 @@
 // Command is an order with the fencing token and the lease that the relay adds.
 type Command struct {
 	Order     schedule.Order // its Address is where the command is sent
-	Fence     int64          // fencing token: term of the owner
+	Fence     int64          // fencing token: term of the owner, and the offset of the worker
 	LeaseToMs int64          // end of the task lease on the worker's clock; OrderStart only
 
 	// SendBefore is the boot time from which on nothing of the command may be sent; 0 means no limit. A timeout does not
@@ -102,6 +102,9 @@
 
 	// WithholdLeases makes the relay extend no lease of the worker and send it no starts.
 	WithholdLeases bool
+
+	// FenceOffset is added to the term for the fencing token of calls to the worker.
+	FenceOffset int64
 }
 
 // StoredEnd states that the task ends of a worker incarnation up to and including Number are stored.
@@ -117,7 +120,7 @@
 	Now      time.Duration // time at which the results were returned
 	Reports  []WorkerReport
 	Outcomes []OrderOutcome
-	Fenced   bool // a worker has accepted a later owner
+	Fenced   bool // a worker has rejected a poll because of its fencing token
 
 	Uncollected int // number of workers whose reports did not fit into these results
 
@@ -129,7 +132,7 @@
 // WorkerReport is the result of one poll.
 type WorkerReport struct {
 	Worker schedule.WorkerID
-	Failed string          // reason why the poll failed, see ConnectionBroken; empty if it succeeded
+	Failed string          // reason why the poll failed, see ConnectionBroken and PollFenced; empty if it succeeded
 	Report schedule.Report // SentAt and ReceivedAt are on the relay's boot clock; ReceivedAt is also set if the poll failed
 }
 
@@ -144,6 +147,12 @@
 // ConnectionBroken reports whether the connection to the worker broke within schedule.MaxUnobserved after its last answer.
 func (w WorkerReport) ConnectionBroken() bool { return strings.HasPrefix(w.Failed, connectionBroken) }
 
+// pollRejected begins Failed if the worker has rejected the poll because of its fencing token.
+const pollRejected = "fenced: "
+
+// PollFenced reports whether the worker has rejected the poll because of its fencing token.
+func (w WorkerReport) PollFenced() bool { return strings.HasPrefix(w.Failed, pollRejected) }
+
 // OrderOutcome is the outcome of one order as far as it is known.
 type OrderOutcome struct {
 	Order   schedule.Order // Kind, Worker, Task, Attempt and Percent only
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -139,11 +139,15 @@
 func (r *Relay) assign(a Assignment) {
 	if s, known := r.sessions[a.Worker.ID]; known {
 		s.worker, s.wait, s.withhold = a.Worker, a.Wait, a.WithholdLeases
+		if a.FenceOffset > s.fenceOffset {
+			s.fenceOffset = a.FenceOffset
+			r.wg.Go(func() { r.pollNow(s.term, a.Worker.ID) }) // calls with the former token are void from its answer on
+		}
 		return
 	}
 	ctx, cancel := context.WithCancel(r.sessionCtx)
 	s := &session{relay: r, term: r.term, worker: a.Worker, address: a.AnsweredAddress, wait: a.Wait, withhold: a.WithholdLeases,
-		cancel: cancel, changed: make(chan struct{}, 1)}
+		fenceOffset: a.FenceOffset, cancel: cancel, changed: make(chan struct{}, 1)}
 	r.sessions[a.Worker.ID] = s
 	r.wg.Go(func() { s.run(ctx) })
 }
@@ -297,14 +301,19 @@
 	})
 }
 
-// markFenced records that a worker has accepted a later owner.
-func (r *Relay) markFenced(term int64) {
+// pollFenced records that a worker has rejected a poll, sent at a boot time, because of its fencing token, unless that of the session was
+// raised since.
+func (r *Relay) pollFenced(s *session, req PollRequest, sent time.Duration, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if term == r.term {
-		r.results.Fenced = true
-		r.signal()
+	if s.term != r.term || req.Fence < s.fence() {
+		return
 	}
+	r.results.Fenced = true
+	report := s.recordFailure(req, sent, err)
+	report.Failed = pollRejected + report.Failed
+	r.addReportLocked(s.term, report)
+	r.signal()
 }
 
 // Close ends all sessions and waits for them and for orders in flight.
--- a/pkg/relay/relaygrpc/relaygrpc.go
+++ b/pkg/relay/relaygrpc/relaygrpc.go
@@ -53,7 +53,7 @@
 	for _, w := range req.Assign {
 		u.Assign = append(u.Assign, relay.Assignment{
 			Worker: schedule.WorkerInfo{ID: schedule.WorkerID(w.Id), Address: w.Address}, AnsweredAddress: w.AnsweredAddress,
-			Wait: time.Duration(w.WaitNs), WithholdLeases: w.WithholdLeases,
+			Wait: time.Duration(w.WaitNs), WithholdLeases: w.WithholdLeases, FenceOffset: w.FenceOffset,
 		})
 	}
 	for _, id := range req.Release {
@@ -159,7 +159,7 @@
 	for _, a := range u.Assign {
 		req.Assign = append(req.Assign, &ownerpb.Worker{
 			Id: string(a.Worker.ID), Address: a.Worker.Address, AnsweredAddress: a.AnsweredAddress, WaitNs: int64(a.Wait),
-			WithholdLeases: a.WithholdLeases,
+			WithholdLeases: a.WithholdLeases, FenceOffset: a.FenceOffset,
 		})
 	}
 	for _, id := range u.Release {
@@ -247,7 +247,7 @@
 func toReport(r relay.WorkerReport) *ownerpb.WorkerReport {
 	out := &ownerpb.WorkerReport{
 		Worker: string(r.Worker), Failed: r.Failed, SentAtNs: int64(r.Report.SentAt), Incarnation: r.Report.Incarnation,
-		ReceivedAtNs: int64(r.Report.ReceivedAt), Address: r.Report.Address,
+		ReceivedAtNs: int64(r.Report.ReceivedAt), Address: r.Report.Address, Fence: r.Report.Fence,
 	}
 	for _, row := range r.Report.Running {
 		out.Running = append(out.Running, &ownerpb.Running{
@@ -265,6 +265,7 @@
 func fromReport(r *ownerpb.WorkerReport) relay.WorkerReport {
 	out := relay.WorkerReport{Worker: schedule.WorkerID(r.Worker), Failed: r.Failed, Report: schedule.Report{
 		SentAt: time.Duration(r.SentAtNs), ReceivedAt: time.Duration(r.ReceivedAtNs), Incarnation: r.Incarnation, Address: r.Address,
+		Fence:   r.Fence,
 		Running: make([]schedule.Running, 0, len(r.Running)), Ended: make([]schedule.Ended, 0, len(r.Ended)),
 	}}
 	for _, row := range r.Running {
--- a/pkg/relay/session.go
+++ b/pkg/relay/session.go
@@ -54,6 +54,7 @@
 	tryListed   bool                // the last poll at address has failed, so the next one goes to the listed address
 	wait        time.Duration       // how long the worker may hold a poll open until a task ends
 	withhold    bool                // no lease is granted
+	fenceOffset int64               // see Assignment; it does not fall
 	incarnation int64               // of the worker process, as last reported
 	newestEnd   int64               // newest task end that the worker has reported
 	storedEnd   int64               // newest task end that is stored
@@ -94,7 +95,7 @@
 	if s.relay.stopIfAbandoned(s.term) {
 		return PollRequest{}, false
 	}
-	req = PollRequest{Worker: s.workerAt(s.pollAddress()), Fence: s.term}
+	req = PollRequest{Worker: s.workerAt(s.pollAddress()), Fence: s.fence()}
 	if !s.lastPollOK {
 		return req, true
 	}
@@ -132,6 +133,9 @@
 	return s.address
 }
 
+// fence returns the fencing token of calls to the worker. Relay.mu is held.
+func (s *session) fence() int64 { return s.term + s.fenceOffset }
+
 // workerAt returns the worker with an address to poll. Relay.mu is held.
 func (s *session) workerAt(address string) schedule.WorkerInfo {
 	worker := s.worker
@@ -196,7 +200,7 @@
 		s.pollFailed(req, sent, err)
 		return false
 	}
-	reply.Report.SentAt, reply.Report.Address = sent, req.Worker.Address
+	reply.Report.SentAt, reply.Report.Address, reply.Report.Fence = sent, req.Worker.Address, req.Fence
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
 	// Both under one lock: an answer after which leases are granted is among the results that the owner collects from then on.
@@ -218,7 +222,7 @@
 // pollFailed records that a poll of the worker, sent at a boot time, has failed.
 func (s *session) pollFailed(req PollRequest, sent time.Duration, err error) {
 	if errors.Is(err, ErrFenced) {
-		s.relay.markFenced(s.term)
+		s.relay.pollFenced(s, req, sent, err)
 		return
 	}
 	s.relay.mu.Lock()
