--- a/core/schedule/event.go
+++ b/core/schedule/event.go
@@ -18,6 +18,7 @@
 	EventAttemptAdopted  // an attempt started by a former owner was taken over
 	EventAttemptOrphaned // the worker runs an attempt that has to be stopped
 	EventJobEnded
+	EventJobPoolChanged // the job follows its queue to another pool, named in Reason
 	EventWorkerDraining
 	EventEndsAwaited      // a worker of a former owner has reported, but not listed all ends; Value is the number of those that it has listed
 	EventWorkerRestarted  // everything that ran on the worker was lost
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -22,6 +22,7 @@
 	fillerPass          int           // number of the current pass of searches, see maxFillerSearches
 	incomplete          bool          // the latest planning run ended before all steps were tried
 	listReadAt          time.Duration // time of the last call of SetWorkers; 0 before the first
+	queuePools          map[workload.QueueName]QueuePool
 	evacuated           map[structs.DatacentreID]bool
 	openSteps           map[*step]struct{}               // steps that may start tasks
 	pendingSteps        map[*step]struct{}               // all open steps with pending tasks, and some others; see stepsByUrgency
@@ -118,6 +119,7 @@
 	if j.state.Final() {
 		return
 	}
+	s.followQueue(j)
 	s.recordInherited(j)
 	for _, st := range j.steps {
 		s.openStep(st)
--- a/core/schedule/vacated.go
+++ b/core/schedule/vacated.go
@@ -16,7 +16,7 @@
 func (s *Scheduler) recordVacated(a *attempt) {
 	st := a.task.step
 	if st.spec.Service && !a.worker.suspect && st.job.state.Final() {
-		s.vacated[st.job.rec.Queue.Pool] += st.spec.Size.MilliCPU
+		s.vacated[a.worker.info.Pool] += st.spec.Size.MilliCPU
 	}
 }
 
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -252,6 +252,11 @@
 	o.updateAndPlan(func(s *schedule.Scheduler, _ schedule.Time) { s.SetEvacuated(datacentres) })
 }
 
+// SetQueuePools sets the pools to which the operator's configuration sends the tasks of all queues.
+func (o *Owner) SetQueuePools(pools map[workload.QueueName]schedule.QueuePool) {
+	o.updateAndPlan(func(s *schedule.Scheduler, _ schedule.Time) { s.SetQueuePools(pools) })
+}
+
 // Term returns the term of the owner.
 func (o *Owner) Term() int64 { return o.ownership.Term }
 
--- a/pkg/scheduling/node.go
+++ b/pkg/scheduling/node.go
@@ -2,7 +2,7 @@
 // the partition's jobs on the platform's workers. All entry hosts have the same role: each accepts jobs and may own
 // partitions.
 //
-// Locks: Node.mu is a leaf lock. evacuations.mu is taken before the locks of the owners.
+// Locks: Node.mu is a leaf lock. operatorSettings.mu is taken before the locks of the owners.
 package scheduling
 
 import (
@@ -16,7 +16,9 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
+	"fulmarcourse.example/core/schedule"
 	"fulmarcourse.example/core/structs"
+	"fulmarcourse.example/core/workload"
 	"fulmarcourse.example/fulmarcourse/api/ownerpb"
 	"fulmarcourse.example/fulmarcourse/pkg/dispatch"
 	"fulmarcourse.example/fulmarcourse/pkg/eventlog"
@@ -79,7 +81,7 @@
 	intake   *intake.Intake
 	pool     *peer.Pool
 
-	evacuations evacuations
+	operator operatorSettings
 
 	mu          sync.Mutex                              // guards localOwners
 	localOwners map[statekeys.Partition]*dispatch.Owner // owners that run in this process
@@ -117,7 +119,12 @@
 func (n *Node) Intake() *intake.Intake { return n.intake }
 
 // SetEvacuated sets the data centres in which no task may be started.
-func (n *Node) SetEvacuated(datacentres []structs.DatacentreID) { n.evacuations.set(datacentres) }
+func (n *Node) SetEvacuated(datacentres []structs.DatacentreID) { n.operator.setEvacuated(datacentres) }
+
+// SetQueuePools sets the pools to which the operator's configuration sends the tasks of all queues.
+func (n *Node) SetQueuePools(pools map[workload.QueueName]schedule.QueuePool) {
+	n.operator.setQueuePools(pools)
+}
 
 // Run campaigns for partitions and runs their owners until owningCtx ends, and then releases them. It serves other
 // entry hosts until ctx ends, which must not be before owningCtx ends.
@@ -197,8 +204,8 @@
 	n.mu.Lock()
 	n.localOwners[p] = owner
 	n.mu.Unlock()
-	n.evacuations.add(owner)
-	defer n.evacuations.remove(owner)
+	n.operator.add(owner)
+	defer n.operator.remove(owner)
 	ownerCtx, stop := context.WithCancel(ctx)
 	go n.registry.Follow(ownerCtx)
 	go n.handOver(ownerCtx, p, owner, stop)
