--- a/core/schedule/event.go
+++ b/core/schedule/event.go
@@ -22,6 +22,7 @@
 	EventWorkerDraining
 	EventEndsAwaited      // a worker of a former owner has reported, but not listed all ends; Value is the number of those that it has listed
 	EventWorkerRestarted  // everything that ran on the worker was lost
+	EventFenceRaised      // calls to the worker have a higher fencing token from now on, which is Value
 	EventWorkerReplaced   // another worker, named in Reason, has its address; everything that ran on it was lost
 	EventAttemptCrashed   // the attempt ran on a worker whose process has ended; Value is for how long it was listed
 	EventWorkerInBackOff  // the worker gets no tasks for some time because several jobs have failed on it
--- a/core/schedule/fence.go
+++ b/core/schedule/fence.go
@@ -41,6 +41,7 @@
 	w.fence.offset, w.fence.rejectedAt = stored, 0
 	s.fencesRaised[w.info.ID] = w.fence
 	s.withholdingChanged = true
+	s.emit(Event{Kind: EventFenceRaised, Worker: w.info.ID, Value: float64(s.cfg.Term + stored)})
 }
 
 // FenceOffset returns what has to be added to the term for the fencing token of calls to a worker.
@@ -78,6 +79,7 @@
 // recordFenced records that the present process of a worker has answered a call with a token that no call to a former process has, or that of a
 // new owner: leases that earlier calls have extended last for the longest lease from now at most.
 func (s *Scheduler) recordFenced(now time.Duration, w *worker, report Report) {
+	w.fence.rejectedAt = 0
 	end := now + s.cfg.longestLeaseBound()
 	fenced := report.Fence >= s.cfg.Term+w.fence.wanted && (w.fence.wanted > 0 || w.reports == 1)
 	if !fenced || w.formerCalls.leasesEnd <= end {
--- a/pkg/dispatch/log.go
+++ b/pkg/dispatch/log.go
@@ -21,6 +21,7 @@
 	schedule.EventJobEnded:         eventlog.JobEnded,
 	schedule.EventWorkerDraining:   eventlog.WorkerDraining,
 	schedule.EventEndsAwaited:      eventlog.EndsAwaited,
+	schedule.EventFenceRaised:      eventlog.FenceRaised,
 	schedule.EventJobPoolChanged:   eventlog.JobPoolChanged,
 	schedule.EventWorkerRestarted:  eventlog.WorkerRestarted,
 	schedule.EventWorkerReplaced:   eventlog.WorkerReplaced,
--- a/pkg/eventlog/codes_scheduling.go
+++ b/pkg/eventlog/codes_scheduling.go
@@ -41,6 +41,7 @@
 	AttemptOrphaned          = define(7026, "attempt_stray", log.WarnLevel, "A worker runs an orphaned attempt, which is stopped.")
 	JobEnded                 = define(7027, "job_ended", log.InfoLevel, "A job has completed or failed. For a failed job, `task` is the task that exceeded its failure limit, or that crashed `value` workers if `how` says so.")
 	JobPoolChanged           = define(7063, "job_pool_changed", log.InfoLevel, "The configuration sends the queue of a job to another pool, named in `how`. What has not started of the job starts there.")
+	FenceRaised              = define(7064, "fence_raised", log.InfoLevel, "Calls to a worker have the fencing token `value` from now on: its next process was found, or it has rejected a lower one although the store has confirmed the owner since. Calls with a lower one have no effect once it has answered.")
 	WorkerDraining           = define(7030, "worker_draining", log.InfoLevel, "A worker is draining and receives no new tasks.")
 	EndsAwaited              = define(7062, "ends_awaited", log.InfoLevel, "A worker that a former owner may have used has reported, but more ends of attempts than the `value` that a report holds. Tasks of older jobs wait, and none starts on the worker, until it has listed the rest.")
 	WorkerRestarted          = define(7031, "worker_reborn", log.WarnLevel, "A worker has restarted under the same id; the attempts that it ran are lost.")
