--- a/core/schedule/takeover_ends_test.go
+++ b/core/schedule/takeover_ends_test.go
@@ -113,32 +113,28 @@
 		h.report("w2")
 		h.wantStarts(h.run(), 1)
 	})
-	t.Run("next owner", func(t *testing.T) {
-		h := endsHarness(t)
-		h.reportAll()
-		known, changed := h.s.KnownWorkers()
-		if !changed || len(known) != 2 {
-			t.Fatalf("known workers %v, changed %t", known, changed)
-		}
-		h.takeOverWithEnds(3, known)
-		h.reportAll()
-		h.wantStarts(h.run(), 0)
-		h.acknowledge("w1")
-		h.reportAll()
-		h.wantStarts(h.run(), 0)
-		h.wantState("old", workload.StateCompleted)
-	})
-	t.Run("next relay", func(t *testing.T) {
-		h := endsHarness(t)
-		h.reportAll()
-		h.s.PollerLost("w1", Grant{At: h.now.Boot})
-		h.reportAll()
-		h.wantStarts(h.run(), 0)
-		h.acknowledge("w1")
-		h.reportAll()
-		h.wantStarts(h.run(), 0)
-		h.wantState("old", workload.StateCompleted)
-	})
+	for name, replace := range map[string]func(*harness){
+		"next owner": func(h *harness) {
+			known, changed := h.s.KnownWorkers()
+			if !changed || len(known) != 2 {
+				h.t.Fatalf("known workers %v, changed %t", known, changed)
+			}
+			h.takeOverWithEnds(3, known)
+		},
+		"next relay": func(h *harness) { h.s.PollerLost("w1", Grant{At: h.now.Boot}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := endsHarness(t)
+			h.reportAll()
+			replace(h)
+			h.reportAll()
+			h.wantStarts(h.run(), 0)
+			h.acknowledge("w1")
+			h.reportAll()
+			h.wantStarts(h.run(), 0)
+			h.wantState("old", workload.StateCompleted)
+		})
+	}
 }
 
 // Guards against taking an attempt for lost, or its end for one of another process, since a report of a worker that was known throughout
--- a/test/fleet/returned_lost_test.go
+++ b/test/fleet/returned_lost_test.go
@@ -24,18 +24,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newSite(t, fleet.Config{
-				Seed: 58, Datacentres: []string{"dc1"}, Workers: 2, RunTime: shortTasks, MaxTaskLease: longTaskLease, Uptime: time.Hour,
-				Requires: func(string) fleet.Requirements {
-					return fleet.Requirements{Resources: fleet.Resources{CPU: 16000, MemMB: 100}}
-				},
-			}, 3)
-			s.submit(0, longRunningID, fullWorkerJob)
-			poll.Until(t, "all services run", func() bool { return s.runningNow() == 2 })
-			s.awaitPolls()
-			w := s.platform.Workers()[0]
-			w.Crash()
-			poll.Until(t, "all services run again", func() bool { return s.runningNow() == 2 })
+			s, w := newReturnedWorkerSite(t, 58, 3)
 			if _, err := s.platform.AddWorker(); err != nil {
 				t.Fatal(err)
 			}
