--- a/core/schedule/fence.go
+++ b/core/schedule/fence.go
@@ -15,14 +15,9 @@
 	rejectedAt time.Duration // when the worker has rejected a poll that is not explained yet; 0 if it has not
 }
 
-const (
-	// maxServiceLease is the longest lease with which a service runs again within the 9 s for which it may be away, if its worker is lost: 0.2 s
-	// are left for the next start.
-	maxServiceLease = 8800 * time.Millisecond
-	// maxFormerCallsWait is for how long services wait at most until leases that calls to a former process of the worker may have extended are
-	// short enough. With a raised token they are some 2 s after it was found.
-	maxFormerCallsWait = 3 * time.Second
-)
+// maxFormerCallsWait is for how long services wait at most until leases that calls to a former process of the worker may have extended are no
+// longer than others. With a raised token that takes some 4 s, and the platform allows 7 s after the return.
+const maxFormerCallsWait = 5 * time.Second
 
 // raiseFence has the fencing token of a worker raised whose next process was found, where calls to the former one may extend leases beyond
 // those that owners grant.
@@ -80,6 +75,9 @@
 // new owner: leases that earlier calls have extended last for the longest lease from now at most.
 func (s *Scheduler) recordFenced(now time.Duration, w *worker, report Report) {
 	w.fence.rejectedAt = 0
+	if w.reports == 1 {
+		w.formerCalls.foundAt = now
+	}
 	end := now + s.cfg.longestLeaseBound()
 	fenced := report.Fence >= s.cfg.Term+w.fence.wanted && (w.fence.wanted > 0 || w.reports == 1)
 	if !fenced || w.formerCalls.leasesEnd <= end {
@@ -89,11 +87,11 @@
 	s.knownWorkersChanged = true
 }
 
-// formerCallsOutlast reports whether leases that calls to a former process of the worker may have extended may last for longer than a service
-// may be away.
+// formerCallsOutlast reports whether leases that calls to a former process of the worker may have extended may outlast all others, or a later
+// owner would wait for that, so that a service would be away for too long if the worker was lost.
 func (w *worker) formerCallsOutlast(now time.Duration) bool {
 	c := w.formerCalls
-	return c.leasesEnd-now > maxServiceLease && now-c.foundAt < maxFormerCallsWait
+	return c.longer && c.last(now) && !c.settled && now-c.foundAt < maxFormerCallsWait
 }
 
 // inheritFence takes over the token of a worker that a former owner has stored.
--- a/core/schedule/fence_test.go
+++ b/core/schedule/fence_test.go
@@ -19,10 +19,11 @@
 		Running: w.running, Ended: w.ended})
 }
 
-// returnedHarness returns a harness in which the next process of worker w1 has reported, to a relay that raises tokens.
-func returnedHarness(t *testing.T) *harness {
+// returnedHarness returns a harness in which the next process of worker w1 has reported, to a relay that can raise tokens. Workers grant
+// leases up to the longest.
+func returnedHarness(t *testing.T, longest time.Duration) *harness {
 	h := newHarness(t, 1)
-	h.s.cfg.MaxTaskLease, h.s.cfg.CallDelay = longestTestLease, testCallDelay
+	h.s.cfg.MaxTaskLease, h.s.cfg.CallDelay = longest, testCallDelay
 	w := h.addWorker("w1", nil)
 	h.s.PollFailed(h.now, "w1", Grant{At: h.now.Boot, Lease: testLease})
 	h.advanceClock(time.Second)
@@ -39,7 +40,7 @@
 		"answered": {true, true}, "not answered": {true, false}, "not stored": {false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := returnedHarness(t)
+			h := returnedHarness(t, longestTestLease)
 			if c.stored {
 				h.storeKnown()
 			}
@@ -68,34 +69,48 @@
 // Guards against a service on a process that has just returned: if the worker is lost right away, it would be away for longer than the platform
 // allows. Guards also against a wait without a bound where no relay raises the token.
 func TestServiceWaitsUntilTheLeasesOfANextProcessAreShortEnough(t *testing.T) {
-	for name, raised := range map[string]bool{"raised token": true, "relay of a former version": false} {
+	for name, c := range map[string]struct {
+		raised bool
+		lease  time.Duration
+		want   time.Duration // for how long services are held back at most
+	}{
+		"raised token":              {true, longestTestLease, maxFormerCallsWait},
+		"relay of a former version": {false, longestTestLease, maxFormerCallsWait},
+		"leases are no longer":      {true, testLease, 0},
+	} {
 		t.Run(name, func(t *testing.T) {
-			h := returnedHarness(t)
+			h := returnedHarness(t, c.lease)
 			h.storeKnown()
 			found := h.now.Boot
 			h.s.AddJob(testJob("service", testService(1)), nil, false)
 			h.s.AddJob(testJob("job", testStep(1)), nil, false)
+			held := time.Duration(0)
 			for range 100 {
 				fence := int64(1)
-				if raised {
+				if c.raised {
 					fence += h.s.FenceOffset("w1")
 				}
 				h.fencedReport("w1", fence)
 				h.storeKnown()
 				h.run()
 				h.run()
+				if h.s.workers["w1"].formerCallsOutlast(h.now.Boot) {
+					held = h.now.Boot - found
+				}
 				if len(h.s.task(taskID("service", 0, 0)).attempts) > 0 {
 					break
 				}
 				h.advanceClock(100 * time.Millisecond)
 			}
-			waited := h.now.Boot - found
 			end := h.s.workers["w1"].formerCalls.leasesEnd
-			if raised && end-h.now.Boot > maxServiceLease {
-				t.Errorf("the service starts %v after the return, with leases for %v", waited, end-h.now.Boot)
+			if c.raised && c.lease > testLease && end-h.now.Boot > h.s.cfg.leaseBound() {
+				t.Errorf("the service starts %v after the return, with leases for %v", h.now.Boot-found, end-h.now.Boot)
+			}
+			if held > c.want {
+				t.Errorf("services are held back for %v after the return, want at most %v", held, c.want)
 			}
-			if waited > maxFormerCallsWait {
-				t.Errorf("the service starts %v after the return, want at most %v", waited, maxFormerCallsWait)
+			if len(h.s.task(taskID("service", 0, 0)).attempts) == 0 {
+				t.Error("the service does not start")
 			}
 		})
 	}
@@ -104,7 +119,7 @@
 // Guards against a later owner whose token is below that of the former one, so that the worker rejects its calls, and against calls of the
 // former one that it does not fence off.
 func TestLaterOwnerKeepsTheRaisedToken(t *testing.T) {
-	h := returnedHarness(t)
+	h := returnedHarness(t, longestTestLease)
 	h.storeKnown()
 	known := []WorkerInfo{h.s.infoWithLeases(h.now.Boot, h.s.workers["w1"])}
 	cfg := h.s.cfg
--- a/core/schedule/former_calls.go
+++ b/core/schedule/former_calls.go
@@ -16,8 +16,10 @@
 type formerCalls struct {
 	leasesEnd time.Duration // when these leases have certainly expired; 0 if there are none
 	handedOut bool          // a set of known workers with them was handed out to be stored
-	foundAt   time.Duration // when the process that gets these calls was found
+	foundAt   time.Duration // when the process that gets these calls was found, or has answered this owner first
+	longer    bool          // they may last longer than leases that owners grant
 	covered   bool          // a later owner waits for as long in any case, so that they need not be stored
+	settled   bool          // they are not stored any more
 }
 
 // calledAddress is an address to which timed calls for a former process of a worker were sent.
@@ -43,7 +45,7 @@
 	if end <= now+s.cfg.leaseBound() {
 		return // a later owner waits for as long in any case
 	}
-	w.formerCalls = formerCalls{leasesEnd: max(w.formerCalls.leasesEnd, end), foundAt: now}
+	w.formerCalls = formerCalls{leasesEnd: max(w.formerCalls.leasesEnd, end), foundAt: now, longer: s.RaisesFences()}
 	if callsEnd > now && report.Fence > 0 {
 		s.raiseFence(w)
 	}
--- a/core/schedule/inherited_lease.go
+++ b/core/schedule/inherited_lease.go
@@ -29,7 +29,7 @@
 	}
 	s.inheritFence(w, info)
 	if info.FormerCalls > 0 {
-		w.formerCalls = formerCalls{leasesEnd: begunAt + info.FormerCalls, handedOut: true}
+		w.formerCalls = formerCalls{leasesEnd: begunAt + info.FormerCalls, handedOut: true, longer: s.RaisesFences()}
 	}
 	if info.LeaseRemaining > 0 {
 		w.inheritRemaining(begunAt, info.LeaseRemaining)
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -108,12 +108,14 @@
 }
 
 // KnownWorkersStored records that the workers are stored for a later owner with the addresses at which they have answered, so that they
-// may get tasks, that leases of those stored without a remaining lease may be extended again, and that raised tokens may be used.
+// may get tasks, that leases of those stored without a remaining lease may be extended again, that raised tokens may be used, and that calls to
+// former processes are stored no more.
 func (s *Scheduler) KnownWorkersStored(infos []WorkerInfo) {
 	for _, info := range infos {
 		w, known := s.workers[info.ID]
 		if known {
 			s.useFence(w, info.FenceOffset)
+			w.formerCalls.settled = w.formerCalls.covered && info.FormerCalls == 0
 		}
 		if known && info.LeaseRemaining == 0 && info.Address == w.address() && w.leasesStoredWith(info) &&
 			(!w.stored || w.withheld.active) {
--- a/core/schedule/wait_reason.go
+++ b/core/schedule/wait_reason.go
@@ -30,7 +30,7 @@
 	WaitFaulty           // tasks of several jobs have failed on the worker
 	WaitLostRecently     // the worker was lost and has returned
 	WaitRecentGap        // it has not answered without a gap for long enough to notice whether the task crashes it
-	WaitFormerCalls      // services: leases of the worker's former process may outlast the time for which a service may be away
+	WaitFormerCalls      // services: leases of the worker may outlast others, since calls to its former process may have extended them
 	WaitProbation        // task and worker would be shared with another suspect of crashes
 	WaitMaxPerWorker     // the worker has as many tasks of the step as it may
 	WaitRejections       // the worker has rejected tasks for lack of capacity that the list does not show
--- a/test/fleet/returned_lost_test.go
+++ b/test/fleet/returned_lost_test.go
@@ -20,7 +20,8 @@
 		"at once":                    {},
 		"after 1 s":                  {after: time.Second},
 		"after 3 s, and a late call": {after: 3 * time.Second, lateCall: true},
-		"after 5 s, with the owner":  {after: 5 * time.Second, ownerKilled: true},
+		"after 3 s, with the owner":  {after: 3 * time.Second, ownerKilled: true},
+		"at once, with the owner":    {ownerKilled: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
