--- a/pkg/relay/fence_test.go
+++ b/pkg/relay/fence_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// Guards against a worker that counts as silent, and against an owner that is told of a later one, because a poll of a session was rejected that
+// has ended since: the present one may use a higher token.
+func TestRejectedPollOfAFormerSessionIsNotReported(t *testing.T) {
+	r := New(Config{Workers: rejectingWorkers{}, TaskLease: 6 * time.Second, Scope: tally.NoopScope})
+	t.Cleanup(r.Close)
+	former := &session{relay: r, worker: schedule.WorkerInfo{ID: "w"}}
+	r.mu.Lock()
+	r.sessions["w"] = &session{relay: r, worker: former.worker, fenceOffset: 1}
+	r.mu.Unlock()
+	if former.poll(t.Context(), PollRequest{Worker: former.worker}) {
+		t.Fatal("the poll succeeds")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.results.Fenced || r.reports.has("w") {
+		t.Errorf("reported: fenced %t, worker %t", r.results.Fenced, r.reports.has("w"))
+	}
+}
+
 // rejectingWorkers reject all polls because of their token.
 type rejectingWorkers struct{}
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -302,10 +302,13 @@
 }
 
 // pollFenced records that a worker has rejected a poll, sent at a boot time, because of its fencing token, unless that of the session was
-// raised since.
+// raised since, or the worker has another session.
 func (r *Relay) pollFenced(s *session, req PollRequest, sent time.Duration, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if current, assigned := r.sessions[s.worker.ID]; assigned && current != s {
+		return // the present session may use a higher token
+	}
 	if s.term != r.term || req.Fence < s.fence() {
 		return
 	}
