--- a/pkg/scheduling/operator_settings.go
+++ b/pkg/scheduling/operator_settings.go
@@ -8,8 +8,8 @@
 	"fulmarcourse.example/core/workload"
 )
 
-// operated is told what the operator has set. dispatch.Owner implements it.
-type operated interface {
+// settingsListener is told what the operator has set. dispatch.Owner implements it.
+type settingsListener interface {
 	SetEvacuated(datacentres []structs.DatacentreID)
 	SetQueuePools(pools map[workload.QueueName]schedule.QueuePool)
 }
@@ -21,7 +21,7 @@
 	mu          sync.Mutex
 	datacentres []structs.DatacentreID
 	pools       map[workload.QueueName]schedule.QueuePool // nil until they are known
-	owners      map[operated]struct{}
+	owners      map[settingsListener]struct{}
 }
 
 // setEvacuated replaces the data centres in which no task may be started.
@@ -45,18 +45,18 @@
 }
 
 // add tells an owner the current settings and all later changes, until it is removed.
-func (s *operatorSettings) add(owner operated) {
+func (s *operatorSettings) add(owner settingsListener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.owners == nil {
-		s.owners = map[operated]struct{}{}
+		s.owners = map[settingsListener]struct{}{}
 	}
 	s.owners[owner] = struct{}{}
 	owner.SetEvacuated(s.datacentres)
 	owner.SetQueuePools(s.pools)
 }
 
-func (s *operatorSettings) remove(owner operated) {
+func (s *operatorSettings) remove(owner settingsListener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.owners, owner)
