--- a/core/schedule/fence.go
+++ b/core/schedule/fence.go
@@ -24,7 +24,6 @@
 func (s *Scheduler) raiseFence(w *worker) {
 	if s.RaisesFences() {
 		w.fence.wanted++
-		s.fencesRaised[w.info.ID] = w.fence
 	}
 }
 
@@ -34,13 +33,24 @@
 		return
 	}
 	w.fence.offset, w.fence.rejectedAt = stored, 0
-	s.fencesRaised[w.info.ID] = w.fence
-	s.withholdingChanged = true
+	s.assignmentsChanged = true
 	s.emit(Event{Kind: EventFenceRaised, Worker: w.info.ID, Value: float64(s.cfg.Term + stored)})
 }
 
 // FenceOffset returns what has to be added to the term for the fencing token of calls to a worker.
-func (s *Scheduler) FenceOffset(id WorkerID) int64 { return s.fencesRaised[id].offset }
+func (s *Scheduler) FenceOffset(id WorkerID) int64 {
+	if w, known := s.workers[id]; known {
+		return w.fence.offset
+	}
+	return s.removedFences[id].offset
+}
+
+// keepFence keeps the token of a worker that is removed: its process has seen it, and may answer again.
+func (s *Scheduler) keepFence(w *worker) {
+	if w.fence.wanted > 0 {
+		s.removedFences[w.info.ID] = fence{offset: w.fence.offset, wanted: w.fence.wanted}
+	}
+}
 
 // RaisesFences reports whether owners raise tokens. A rejected call then does not prove that there is a later owner: the relay may not know
 // the raised token yet, or this owner does not know the one that a former owner has used, and the store tells.
@@ -66,7 +76,6 @@
 		}
 		f.rejectedAt = 0
 		f.wanted += f.offset + 1 // doubles with each rejection, so that few suffice
-		s.fencesRaised[w.info.ID] = *f
 		s.knownWorkersChanged = true
 	}
 }
@@ -98,6 +107,5 @@
 func (s *Scheduler) inheritFence(w *worker, info WorkerInfo) {
 	if info.FenceOffset > 0 {
 		w.fence = fence{offset: info.FenceOffset, wanted: info.FenceOffset}
-		s.fencesRaised[info.ID] = w.fence
 	}
 }
--- a/core/schedule/fence_test.go
+++ b/core/schedule/fence_test.go
@@ -44,8 +44,8 @@
 			if c.stored {
 				h.storeKnown()
 			}
-			if got, want := h.s.FenceOffset("w1"), int64(0); c.stored != (got == want+1) {
-				t.Fatalf("the token is raised by %d", got)
+			if got := h.s.FenceOffset("w1"); (got == 1) != c.stored {
+				t.Fatalf("the token is raised by %d, stored: %t", got, c.stored)
 			}
 			raisedAt := h.now.Boot
 			if c.answered {
--- a/core/schedule/granted_lease_window_test.go
+++ b/core/schedule/granted_lease_window_test.go
@@ -20,9 +20,9 @@
 	if !h.s.WithholdsLeases("w1") {
 		t.Error("leases longer than the stored one are not withheld")
 	}
-	h.s.TakeWithholdingChanged()
+	h.s.TakeAssignmentsChanged()
 	h.s.KnownWorkersStored([]WorkerInfo{h.handOut()["w1"]})
-	if h.s.WithholdsLeases("w1") || !h.s.TakeWithholdingChanged() {
+	if h.s.WithholdsLeases("w1") || !h.s.TakeAssignmentsChanged() {
 		t.Error("leases are withheld although a later owner waits for as long as they may last")
 	}
 }
--- a/core/schedule/inherited_lease.go
+++ b/core/schedule/inherited_lease.go
@@ -51,7 +51,7 @@
 		return
 	}
 	w.stored = false
-	s.withholdingChanged = true
+	s.assignmentsChanged = true
 	s.knownWorkersChanged = true
 	s.index.markChanged(w)
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -41,8 +41,8 @@
 	unknownUntil        time.Duration      // until when workers that are not known may run tasks of former owners; 0 if all are known
 	unknownLeasesUntil  time.Duration      // until when leases of former owners may last that are longer than those of this one; 0 if there are none
 	knownWorkersChanged bool               // the set of known workers has changed since it was last stored
-	withholdingChanged  bool               // see TakeWithholdingChanged
-	fencesRaised        map[WorkerID]fence // of all workers whose token is above the term, also of those that are removed
+	assignmentsChanged  bool               // see TakeAssignmentsChanged
+	removedFences       map[WorkerID]fence // of workers that are removed and whose token is above the term
 	interference        *interference
 	retention           retentionClock
 	throttledFrom       int                         // position of the worker with which the next search for a throttled filler begins
@@ -83,7 +83,7 @@
 		compareSteps:   compareByResponse,
 		stopping:       map[*attempt]struct{}{},
 		awaitingReport: map[WorkerID]bool{},
-		fencesRaised:   map[WorkerID]fence{},
+		removedFences:  map[WorkerID]fence{},
 		dirty:          map[*job]struct{}{},
 		interference:   newInterference(),
 		earlyCancels:   map[workload.JobID]Time{},
@@ -277,7 +277,7 @@
 
 func (s *Scheduler) addWorker(w *worker) {
 	s.workers[w.info.ID] = w
-	w.fence = s.fencesRaised[w.info.ID]
+	w.fence = s.removedFences[w.info.ID]
 	n, _ := slices.BinarySearchFunc(s.sortedWorkers, w.info.ID, func(other *worker, id WorkerID) int {
 		return cmp.Compare(other.info.ID, id)
 	})
@@ -287,6 +287,7 @@
 // removeWorker removes a worker that has left.
 func (s *Scheduler) removeWorker(w *worker) {
 	delete(s.workers, w.info.ID)
+	s.keepFence(w)
 	s.index.remove(w)
 	delete(s.awaitingReport, w.info.ID)
 	s.giveUpForeseenPlaces(w)
--- a/core/schedule/short_crash_test.go
+++ b/core/schedule/short_crash_test.go
@@ -129,3 +129,21 @@
 		}
 	}
 }
+
+// Guards against a shortest rest that leaves out the tasks that are done: the fastest rate of a step is recorded with each of them, and a slower
+// one does not replace it.
+func TestFastestRateOfAStepIsThatOfItsDoneTasks(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addWorker("w1", nil)
+	h.s.AddJob(testJob("job", testStep(3)), nil, false)
+	h.wantStarts(h.run(), 3)
+	for n, after := range []time.Duration{2 * time.Second, 2 * time.Second} {
+		h.advanceClock(after)
+		h.end(taskID("job", 0, n), EndDone)
+		h.reportAll()
+	}
+	st := h.s.task(taskID("job", 0, 0)).step
+	if first, second := st.tasks[0].rate, st.tasks[1].rate; second >= first || st.fastest != first {
+		t.Errorf("rates %v and %v, the fastest is %v", first, second, st.fastest)
+	}
+}
--- a/core/schedule/takeover.go
+++ b/core/schedule/takeover.go
@@ -113,11 +113,12 @@
 func (s *Scheduler) KnownWorkersStored(infos []WorkerInfo) {
 	for _, info := range infos {
 		w, known := s.workers[info.ID]
-		if known {
-			s.useFence(w, info.FenceOffset)
-			w.formerCalls.settled = w.formerCalls.covered && info.FormerCalls == 0
+		if !known {
+			continue
 		}
-		if known && info.LeaseRemaining == 0 && info.Address == w.address() && w.leasesStoredWith(info) &&
+		s.useFence(w, info.FenceOffset)
+		w.formerCalls.settled = w.formerCalls.covered && info.FormerCalls == 0
+		if info.LeaseRemaining == 0 && info.Address == w.address() && w.leasesStoredWith(info) &&
 			(!w.stored || w.withheld.active) {
 			s.recordStored(w)
 			s.index.markChanged(w)
--- a/core/schedule/withhold.go
+++ b/core/schedule/withhold.go
@@ -48,7 +48,7 @@
 		}
 		if !w.withheld.active && w.stored && s.needsReport(w) {
 			w.withheld.active = true
-			s.withholdingChanged = true
+			s.assignmentsChanged = true
 		}
 		since := withheldSince(w.info.ID)
 		if w.withheld.active && since > 0 && collectedUpTo(w.info.ID) > since && now.Boot-w.withholdFrom >= repeatTime {
@@ -60,10 +60,11 @@
 	}
 }
 
-// TakeWithholdingChanged reports whether the leases of other workers are withheld than at the last call, or a fencing token was raised.
-func (s *Scheduler) TakeWithholdingChanged() (changed bool) {
-	changed = s.withholdingChanged
-	s.withholdingChanged = false
+// TakeAssignmentsChanged reports whether relays have to be told anew since the last call: the leases of other workers are withheld, or a fencing
+// token was raised.
+func (s *Scheduler) TakeAssignmentsChanged() (changed bool) {
+	changed = s.assignmentsChanged
+	s.assignmentsChanged = false
 	return changed
 }
 
@@ -95,7 +96,7 @@
 	w.leasesExtended, w.granted = true, true
 	w.withheld.marked = false
 	if !w.withheld.mayStore {
-		s.withholdingChanged = s.withholdingChanged || w.withheld.active
+		s.assignmentsChanged = s.assignmentsChanged || w.withheld.active
 		w.withheld.active = false
 		return
 	}
@@ -111,11 +112,11 @@
 	w.stored = true
 	if w.longerLeases.unstored() {
 		w.longerLeases.stored = true
-		s.withholdingChanged = true
+		s.assignmentsChanged = true
 	}
 	if w.withheld.mayStore && !w.withheld.marked {
 		w.withheld = withholding{}
-		s.withholdingChanged = true
+		s.assignmentsChanged = true
 	}
 }
 
--- a/core/schedule/withhold_test.go
+++ b/core/schedule/withhold_test.go
@@ -77,7 +77,7 @@
 	h.handOut()
 	h.pass(0)
 	h.wantWithheld(lost, true)
-	if !h.s.TakeWithholdingChanged() {
+	if !h.s.TakeAssignmentsChanged() {
 		t.Error("nothing tells that the relay has to be told")
 	}
 	h.pass(repeatTime - time.Millisecond)
@@ -86,7 +86,7 @@
 	}
 	h.report(lost.info.ID)
 	h.wantWithheld(lost, false)
-	if !h.s.workers[lost.info.ID].stored || !h.s.TakeWithholdingChanged() {
+	if !h.s.workers[lost.info.ID].stored || !h.s.TakeAssignmentsChanged() {
 		t.Error("the worker gets no tasks, or its relay is not told")
 	}
 }
--- a/pkg/dispatch/link.go
+++ b/pkg/dispatch/link.go
@@ -55,11 +55,11 @@
 
 // assignment is what the relay is told of a worker.
 type assignment struct {
-	address    string               // as the platform lists it
-	datacentre structs.DatacentreID // for which the relay was chosen
-	wait       time.Duration        // how long a poll of the worker may wait
-	withhold   bool                 // the relay extends no lease of it
-	fence      int64                // added to the term for the fencing token of calls to it
+	address     string               // as the platform lists it
+	datacentre  structs.DatacentreID // for which the relay was chosen
+	wait        time.Duration        // how long a poll of the worker may wait
+	withhold    bool                 // the relay extends no lease of it
+	fenceOffset int64                // added to the term for the fencing token of calls to it
 }
 
 // inFlight is an order that was sent to the relay and has no outcome yet.
@@ -152,7 +152,7 @@
 		if info, known := o.scheduler.Worker(id); known {
 			u.Assign = append(u.Assign, relay.Assignment{
 				Worker: info, AnsweredAddress: o.scheduler.AnsweredAddress(id), Wait: l.workers[id].wait,
-				WithholdLeases: l.workers[id].withhold, FenceOffset: l.workers[id].fence,
+				WithholdLeases: l.workers[id].withhold, FenceOffset: l.workers[id].fenceOffset,
 			})
 		}
 	}
--- a/pkg/dispatch/links.go
+++ b/pkg/dispatch/links.go
@@ -133,7 +133,7 @@
 		}
 	}
 	next := assignment{address: info.Address, datacentre: info.Datacentre, wait: wait,
-		withhold: o.scheduler.WithholdsLeases(info.ID), fence: o.scheduler.FenceOffset(info.ID)}
+		withhold: o.scheduler.WithholdsLeases(info.ID), fenceOffset: o.scheduler.FenceOffset(info.ID)}
 	if before, known := l.workers[info.ID]; known {
 		next.datacentre = before.datacentre
 		if before == next {
--- a/pkg/dispatch/planning.go
+++ b/pkg/dispatch/planning.go
@@ -59,7 +59,7 @@
 		s.Expire(now, now.Boot < validUntil, collectedUpTo)
 		s.RaiseRejected(o.ownership.ConfirmedAt())
 		s.WithholdLeases(now, now.Boot < validUntil, o.withheldSince, collectedUpTo)
-		if s.TakeWithholdingChanged() {
+		if s.TakeAssignmentsChanged() {
 			o.wake(o.assignWake)
 		}
 		if s.KnownWorkersChanged() {
--- a/pkg/standin/fleet/worker.go
+++ b/pkg/standin/fleet/worker.go
@@ -38,7 +38,7 @@
 
 // Limits of a worker that the platform's documents state.
 const (
-	EndsPerReply = 500             // number of ends in the response to a poll, the earliest first
+	endsPerReply = 500             // number of ends in the response to a poll, the earliest first
 	maxPollWait  = 2 * time.Second // for how long a poll may wait for an end
 	maxStopTime  = 400 * time.Millisecond
 )
@@ -409,7 +409,7 @@
 	return sum
 }
 
-// servePoll extends the lease, drops acknowledged ends and returns the running tasks and the earliest EndsPerReply of the other ends. If there
+// servePoll extends the lease, drops acknowledged ends and returns the running tasks and the earliest endsPerReply of the other ends. If there
 // are no ends, it first waits for one, for at most o.WaitMs milliseconds or maxPollWait.
 func (w *Worker) servePoll(rw http.ResponseWriter, r *http.Request, o order, generation int) {
 	deadline := time.NewTimer(min(time.Duration(o.WaitMs)*time.Millisecond, maxPollWait))
@@ -448,7 +448,7 @@
 		}
 		running = append(running, []any{key.task, key.attempt, "", int(percent), 0})
 	}
-	for _, end := range w.ended[:min(len(w.ended), EndsPerReply)] {
+	for _, end := range w.ended[:min(len(w.ended), endsPerReply)] {
 		ended = append(ended, []any{end.number, end.key.task, end.key.attempt, end.outcome, ""})
 	}
 	standin.WriteJSON(rw, http.StatusOK, map[string]any{
--- a/pkg/standin/fleet/worker_test.go
+++ b/pkg/standin/fleet/worker_test.go
@@ -69,7 +69,7 @@
 	}
 	defer p.Close()
 	w := p.Workers()[0]
-	const tasks = EndsPerReply + 2
+	const tasks = endsPerReply + 2
 	for n := range tasks {
 		call(t, w, "/fulmarcourse/run-start", order{Task: fmt.Sprint("j.0.0.", n), Attempt: 1, UntilMs: time.Minute.Milliseconds()})
 	}
@@ -78,11 +78,11 @@
 		defer w.mu.Unlock()
 		return w.lastEnd == tasks
 	})
-	if n := call(t, w, "/fulmarcourse/hold", order{}); n != EndsPerReply {
-		t.Errorf("the first response lists %d ends, want %d", n, EndsPerReply)
+	if n := call(t, w, "/fulmarcourse/hold", order{}); n != endsPerReply {
+		t.Errorf("the first response lists %d ends, want %d", n, endsPerReply)
 	}
-	if n := call(t, w, "/fulmarcourse/hold", order{AckedEnd: EndsPerReply}); n != tasks-EndsPerReply {
-		t.Errorf("the second response lists %d ends, want %d", n, tasks-EndsPerReply)
+	if n := call(t, w, "/fulmarcourse/hold", order{AckedEnd: endsPerReply}); n != tasks-endsPerReply {
+		t.Errorf("the second response lists %d ends, want %d", n, tasks-endsPerReply)
 	}
 }
 
